--- a/roadlb/__main__.py
+++ b/roadlb/__main__.py
@@ -10,6 +10,6 @@
 if __name__ == "__main__":
     log.set_up()
     try:
-        asyncio.run(app.run(load(os.environ)))
+        asyncio.run(app.run(load(os.environ), lambda: load(os.environ, again=True)))
     except ConfigError as e:
         sys.exit(f"roadlb: {e}")
--- a/roadlb/app.py
+++ b/roadlb/app.py
@@ -7,9 +7,10 @@
 import gc
 import logging
 import signal
+from collections.abc import Callable
 from contextlib import suppress
 
-from .config import Config
+from .config import Config, ConfigError
 from .counters import Counters
 from .engine import Engine
 from .log import fields
@@ -63,6 +64,21 @@
         port: int = self.listener.sockets[0].getsockname()[1]
         return port
 
+    def reconfigure(self, read: Callable[[], Config]) -> None:
+        """Read the configuration again; of what it says, a running balancer follows `discovery`.
+
+        A faulty one is logged, and what held before goes on holding.
+        """
+        try:
+            config = read()
+        except ConfigError as e:
+            self.counters.add("config.faulty")
+            logger.error("configuration kept", extra=fields(error=e))
+            return
+        self.counters.add("config.read")
+        logger.info("configuration read", extra=fields(discovery=config.discovery))
+        self.name_table.move(config.discovery)
+
     async def stop(self, linger_s: float = LINGER_S) -> None:
         """Go on accepting for a while, then answer all that was taken, and end."""
         # From now on each answer ends its connection, so that few are left to be closed in a request's way.
@@ -80,12 +96,13 @@
         await self.instances.close()
 
 
-async def run(config: Config) -> None:
-    """Serve until SIGTERM or SIGINT; SIGUSR1 prints the counters."""
+async def run(config: Config, read_again: Callable[[], Config] | None = None) -> None:
+    """Serve until SIGTERM or SIGINT; SIGHUP has the configuration read again, SIGUSR1 prints the counters."""
     app, loop, ended = App(config), asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
     loop.add_signal_handler(signal.SIGUSR1, app.counters.print, "signal")
+    loop.add_signal_handler(signal.SIGHUP, app.reconfigure, read_again or (lambda: config))
     await app.start()
     # What the imports left behind lives for ever; unfrozen, each full collection looked at all of it again
     # and held every request up for 13 to 15 ms.
--- a/roadlb/config.py
+++ b/roadlb/config.py
@@ -173,13 +173,18 @@
         return max(c.deadline_us for c in self.settings.classes) / 1e6
 
 
-def read_config(raw: object, env: Mapping[str, str]) -> Config:
-    """Check a parsed configuration; PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY go before the file."""
+def read_config(raw: object, env: Mapping[str, str], again: bool = False) -> Config:
+    """Check a parsed configuration; PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY go before the file.
+
+    Read `again`, the file's `discovery` goes first: the variable tells what held at the start and cannot
+    change, so a new address in the file would never be seen.
+    """
     if not isinstance(raw, dict):
         raise ConfigError("configuration: must be an object")
 
     def told(key: str) -> object:
-        value = env.get("PROXY_" + key.upper()) or raw.get(key)
+        told_by = [env.get("PROXY_" + key.upper()), raw.get(key)]
+        value = told_by[1] or told_by[0] if again and key == "discovery" else told_by[0] or told_by[1]
         if not value:
             raise ConfigError(f"{key}: is missing, and PROXY_{key.upper()} is not set")
         return value
@@ -212,8 +217,8 @@
         **limits_of)
 
 
-def load(env: Mapping[str, str]) -> Config:
-    """Read the file that PROXY_CONFIG names."""
+def load(env: Mapping[str, str], again: bool = False) -> Config:
+    """Read the file that PROXY_CONFIG names; `again` while the program runs."""
     path = env.get("PROXY_CONFIG")
     if not path:
         raise ConfigError("PROXY_CONFIG: is not set; it names the configuration file")
@@ -223,4 +228,4 @@
         raise ConfigError(f"PROXY_CONFIG: cannot read {path}: {e.strerror}") from None
     except ValueError as e:
         raise ConfigError(f"PROXY_CONFIG: {path} is not JSON: {e}") from None
-    return read_config(raw, env)
+    return read_config(raw, env, again)
--- a/roadlb/net/name_table.py
+++ b/roadlb/net/name_table.py
@@ -7,7 +7,7 @@
 import logging
 import math
 import time
-from collections.abc import Mapping
+from collections.abc import Coroutine, Mapping
 from dataclasses import dataclass
 from hashlib import blake2b
 
@@ -62,6 +62,7 @@
         # Read once: the same start must always give the same clock time, or it would look like a restart.
         self._unix_to_clock = now_us() - time.time_ns() // 1000
         self._generation = 0
+        self._moved = asyncio.Event()
         self.filled = False                # an instance has been listed
 
     def parse(self, raw: object) -> Line:
@@ -116,6 +117,25 @@
             kind=line.kind.name.lower(), generation=line.generation,
             **{s.name.lower(): sum(m.state is s for m in line.members) for s in ServerState}))
 
+    def move(self, discovery: Address) -> None:
+        """Watch at another address from now on; the list held stays valid until that one tells more."""
+        if discovery != self._discovery:
+            # Another place may count its generations differently: ask it for all that it has.
+            self._discovery, self._generation = discovery, 0
+            self._moved.set()
+
+    async def _until_moved(self, what: Coroutine[None, None, None]) -> None:
+        """Run this to its end, or until the address changes."""
+        tasks = [asyncio.ensure_future(what), asyncio.ensure_future(self._moved.wait())]
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            if tasks[0].done():
+                await tasks[0]
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
     async def run(self) -> None:
         """Watch for ever; whatever goes wrong, the list held stays valid."""
         pause = PAUSE_S
@@ -125,7 +145,8 @@
             while True:
                 before, error = self._counters["list.line"], "ended"
                 try:
-                    await self._watch(session)
+                    self._moved.clear()
+                    await self._until_moved(self._watch(session))
                 except MalformedList as e:
                     self._counters.add("list.malformed")
                     error = f"malformed: {e}"
@@ -134,13 +155,18 @@
                 except Exception as e:
                     logger.exception("watch failed")
                     error = f"fault: {e}"
+                if self._moved.is_set():
+                    logger.info("watch moved", extra=fields(discovery=self._discovery))
+                    pause = PAUSE_S
+                    continue
                 self._counters.add("list.broken")
                 pause = PAUSE_S if self._counters["list.line"] > before else min(PAUSE_MOST_S, pause * 2)
                 logger.warning("watch broken", extra=fields(error=error, again_s=pause))
-                await asyncio.sleep(pause)
+                await self._until_moved(asyncio.sleep(pause))
 
     async def _watch(self, session: aiohttp.ClientSession) -> None:
-        url = f"http://{self._discovery}/v1/servers?watch=1&after={self._generation}"
+        discovery = self._discovery
+        url = f"http://{discovery}/v1/servers?watch=1&after={self._generation}"
         async with session.get(url, allow_redirects=False) as response:
             if response.status != 200:
                 raise MalformedList(f"status {response.status}")
@@ -148,6 +174,8 @@
             async for data in response.content.iter_any():
                 *lines, rest = (rest + data).split(b"\n")
                 for line in lines:
+                    if self._discovery != discovery:
+                        return                       # what the old place still says is out of date
                     if line.strip():
                         self._take(self.parse(line))
                     self._counters.add("list.line")
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -9,6 +9,7 @@
     i1 send STATUS [TEXT] [Name:value ...]         answers it; `raw TEXT` likewise
     d expect TEXT           the next watch, which has this text in its request
     d send up draining ...  a whole list with these states in the grid's order; `raw TEXT` likewise
+    reload [TEXT]           the configuration is read again: discovery is now at `e`, or TEXT is wrong with it
     X close / X expect closed                      ends X's connection / waits until the balancer has
     wait SECONDS            only where it is time that is tested
     stop [SECONDS] / stopped                       the balancer is told to end, after lingering / has ended
@@ -69,7 +70,7 @@
 
     def __init__(self) -> None:
         self.links: dict[str, Link] = {}
-        self.waiting: dict[str, asyncio.Queue[Link]] = {"i": asyncio.Queue(), "d": asyncio.Queue()}
+        self.waiting: dict[str, asyncio.Queue[Link]] = {kind: asyncio.Queue() for kind in "ide"}
         self.servers: list[asyncio.Server] = []
         self.names: list[str] = []
         self.mutes: list[socket.socket] = []
@@ -80,7 +81,7 @@
             link = Link(reader, writer)
             self.connections += kind == "i"
             with suppress(asyncio.IncompleteReadError, ConnectionError):
-                if kind == "d":
+                if kind in "de":
                     await link.message()
                     link.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
                     await self.waiting[kind].put(link)
@@ -120,10 +121,11 @@
             server.close()
         self.names += [self.mute() for _ in range(int(mute))]
         changed = {**LIMITS, **{k: int(v) for k, _, v in (pair.partition("=") for pair in limits)}}
-        self.app = App(read_config({
+        self.config = {
             "name": "n0", "listen": "127.0.0.1:0", "discovery": await self.listen("d"), "seed": "5",
             "known": json.loads(self.list(["up"] * len(self.names))),
-            "settings": {**SETTINGS, "limits": changed}}, {}))
+            "settings": {**SETTINGS, "limits": changed}}
+        self.app = App(read_config(self.config, {}))
         await self.app.start()
 
     def lists_seen(self) -> int:
@@ -132,10 +134,10 @@
     # Verbs
 
     async def send(self, who: str, what: list[str]) -> None:
-        if who[0] not in "id" and who not in self.links:
+        if who[0] not in "ide" and who not in self.links:
             self.links[who] = Link(*await asyncio.open_connection("127.0.0.1", self.app.port))
         link = self.links[who]
-        if who[0] == "d":      # done once the balancer has read it
+        if who[0] in "de":     # done once the balancer has read it
             self.generation, seen = self.generation + 1, self.lists_seen()
             link.write((what[1] if what[0] == "raw" else self.list(what)) + "\n")
             while self.lists_seen() == seen:
@@ -173,10 +175,16 @@
             assert got.split(" ")[1] == what[0], (what, got)
             assert all((w.lstrip("!") in got) != w.startswith("!") for w in what[1:]), (what, got)
 
+    async def reload(self, wrong: str = "") -> None:
+        self.config["discovery"] = wrong or await self.listen("e")
+        self.app.reconfigure(lambda: read_config(self.config, {}, again=True))
+
     async def step(self, line: str) -> None:
         who, *rest = shlex.split(line, posix=True) if "raw" not in line else line.split(maxsplit=3)
         if who == "grid":
             await self.grid(*rest)
+        elif who == "reload":
+            await self.reload(*rest)
         elif who == "wait":
             await asyncio.sleep(float(rest[0]))
         elif who == "stop":
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -5,6 +5,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tomllib
@@ -57,14 +58,14 @@
     assert [made(), made()] == [3, 3]
 
 
-def start(tmp_path: Path, settings: object) -> subprocess.Popen[str]:
+def start(tmp_path: Path, settings: object, **env: str) -> subprocess.Popen[str]:
     config = tmp_path / "config.json"
     config.write_text(json.dumps({**RAW, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
                                   "settings": settings}))
     # As the platform starts it, but for the interpreter: a signal must reach the program, not a shell.
     command = DEPLOY["run"].replace(".venv/bin/python", sys.executable)
     return subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, stderr=subprocess.PIPE, text=True,
-                            env={**os.environ, "PROXY_CONFIG": str(config)})
+                            env={**os.environ, "PROXY_CONFIG": str(config), **env})
 
 
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
@@ -81,6 +82,26 @@
     assert process.returncode == 0 and "reason=exit" in errors and "Traceback" not in errors
 
 
+def test_sighup_follows_the_file_though_the_environment_names_the_old_place(tmp_path: Path) -> None:
+    # Without a handler the signal ends the program; without `again` the file's address is never seen.
+    with socket.create_server(("127.0.0.1", 0)) as place:
+        place.settimeout(30)
+        process = start(tmp_path, RAW["settings"], PROXY_DISCOVERY="127.0.0.1:1")
+        assert process.stderr
+        while "event=listening" not in (line := process.stderr.readline()):
+            assert line, "ended before it listened"
+        for text in ("{", json.dumps({**RAW, "discovery": f"127.0.0.1:{place.getsockname()[1]}"})):
+            (tmp_path / "config.json").write_text(text)
+            process.send_signal(signal.SIGHUP)
+            while "event=\"configuration " not in (line := process.stderr.readline()):
+                assert line, "ended on SIGHUP"
+            assert ("kept" in line) == (text == "{")
+        place.accept()[0].close()
+        process.send_signal(signal.SIGTERM)
+        process.communicate(timeout=60)
+        assert process.returncode == 0
+
+
 def test_a_faulty_configuration_ends_the_program_with_one_line_that_names_the_key(tmp_path: Path) -> None:
     process = start(tmp_path, {"me": 0})
     _, errors = process.communicate(timeout=60)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -136,6 +136,39 @@
         i1 expect GET
         i1 send 200
         a expect 200""",
+    "a new configuration moves the watch, keeps the list, and the old place is heard no more": """
+        d expect after=0
+        d send up
+        a send POST /order/k
+        i1 expect POST
+        reload
+        e expect after=0
+        d expect closed
+        i1 send 200 kept
+        a expect 200 kept
+        a send GET /grid-read/k
+        i2 expect GET
+        i2 send 200
+        a expect 200
+        e send draining
+        a send GET /grid-read/k
+        a expect 503""",
+    "a second new configuration comes while the first is being followed": """
+        d expect after=0
+        reload
+        reload
+        e expect after=0
+        e send up
+        a send GET /grid-read/k
+        i1 expect GET
+        i1 send 200
+        a expect 200""",
+    "a faulty new configuration leaves the watch where it is": """
+        d expect after=0
+        reload nowhere
+        d send draining
+        a send GET /grid-read/k
+        a expect 503""",
     "what was taken is answered before the end": """
         a send POST /order/k
         i1 expect POST
