Bound instances' answers and close each connection whose answer was spoilt or had more behind

Checked against the pinned aiohttp with scenarios, run without this change: a 3 GB answer is read without bound; a good answer is lost when noise lies in its segment; a copy that comes once the connection is pooled becomes the next request's answer (the pool asks only whether the connection is up); a broken length or half a head holds a request till its time is up. Each of these fails without net/connections.py and passes with it. Ruled out: a second copy in the answer's own segment, which aiohttp already closes on. Now: heads and bodies go to the parser apart and bounded, an answer must be whole 0.3 s after its first byte, a connection is looked at for unread bytes before it is used again, and an idle one makes room for one that is needed, so that descriptors stay in their limit. The module takes each spoilt answer for a sick server (judge: suspect for 3 s), which is next.

--- a/roadlb/config.py
+++ b/roadlb/config.py
@@ -18,7 +18,7 @@
 T = TypeVar("T")
 
 EFFECTS = {"idempotent": Effect.SAFE, "deduplicated": Effect.KEYED, "at_most_once": Effect.UNSAFE}
-SPARE_SOCKETS = 40      # for the log, the listener, the event loop, discovery and idle connections
+SPARE_SOCKETS = 40      # for the log, the listener, the event loop, discovery, and what is just being closed
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
 FIELDS = {"rif": "inflight", "q": "queue", "busy": "util", "lat_ms": "latency_ms", "rate": "qps",
           "fail_rate": "eps"}
@@ -166,6 +166,8 @@
     conn_idle_us: int
     dial_timeout_us: int
     max_open: int                          # exchanges at once; more are turned away before the module
+    client_sockets: int                    # connections of clients at once
+    instance_sockets: int                  # and to instances
 
     @property
     def longest_s(self) -> float:
@@ -208,12 +210,15 @@
         limits_of[key] = pairs.integer("limits." + key, default)
         if limits_of[key] <= 0:
             raise ConfigError(f"settings: limits.{key}: must be positive")
-    # An exchange holds a client's connection and up to two to instances; some descriptors are for the rest.
-    limits_of["max_open"] = min(limits_of["max_open"], (int(sockets) - SPARE_SOCKETS) // 3)
+    # Halves: an exchange holds a client's connection and one or two to instances, but clients that have no
+    # request open, or never send one, hold connections as well.
+    client_sockets = (int(sockets) - SPARE_SOCKETS) // 2
+    limits_of["max_open"] = min(limits_of["max_open"], client_sockets)
     return Config(
         name=str(told("name")), listen=read_address("listen", told("listen")),
         discovery=read_address("discovery", told("discovery")), seed=seed, sockets=int(sockets), known=known,
         settings=read_settings(pairs), zones=pairs.words("dcs"), kinds=pairs.words("machine_types"),
+        client_sockets=client_sockets, instance_sockets=int(sockets) - SPARE_SOCKETS - client_sockets,
         **limits_of)
 
 
--- a/roadlb/exchange.py
+++ b/roadlb/exchange.py
@@ -17,14 +17,15 @@
     SERVED = "served"                      # a whole 200
     INSTANCE_ERROR = "instance_error"      # any other whole answer that does not prove that nothing ran
     TURNED_AWAY = "turned_away"            # 503 or 504 with the mark that it never ran
-    DIAL_FAILED = "dial_failed"            # refused, unreachable, or no socket left
+    DIAL_FAILED = "dial_failed"            # refused or unreachable
     DIAL_TIMED_OUT = "dial_timed_out"
     BROKE_UNSENT = "broke_unsent"          # before the request's last byte was written
     RESET = "reset"                        # after it, with no answer begun
     CUT_SHORT = "cut_short"                # within an answer
-    GARBLED = "garbled"                    # what came back is no HTTP answer
+    GARBLED = "garbled"                    # an answer came that cannot be used
     TIMED_OUT = "timed_out"                # no answer in the time that it was given
     CANCELLED = "cancelled"                # called off by the balancer
+    NO_SOCKET = "no_socket"                # nothing was dialled, for want of a descriptor
     NEVER_STARTED = "never_started"        # the exchange was over, or the instance is not known
     FAULT = "fault"                        # an exception of our own; it may have run
 
@@ -46,6 +47,7 @@
     Ending.GARBLED: Status.RESET,
     Ending.TIMED_OUT: Status.TIMEOUT,
     Ending.CANCELLED: Status.CANCELLED,
+    Ending.NO_SOCKET: Status.MOOT,
     Ending.NEVER_STARTED: Status.MOOT,
     Ending.FAULT: Status.RESET,
 }
--- a/roadlb/net/instances.py
+++ b/roadlb/net/instances.py
@@ -16,6 +16,7 @@
 from ..exchange import Ending, Execution, Result, Served
 from ..log import fields
 from ..policy.interface import ServerId
+from .connections import InstanceConnector, NoSocketLeft, Spoilt
 from .headers import TIME_LEFT, LoadReports, end_to_end
 
 logger = logging.getLogger(__name__)
@@ -63,21 +64,24 @@
         self._addresses: dict[ServerId, tuple[str, Address]] = {}
         self._tasks: dict[Execution, asyncio.Task[Result]] = {}
         self._probes: set[asyncio.Task[Result]] = set()
+        self._connector = InstanceConnector(config.instance_sockets, config.conn_idle_us / 1e6 * IDLE_PART)
         self._session = aiohttp.ClientSession(
-            # No limits: a request that waited in a pool for its turn would wait unseen by the decisions.
-            connector=aiohttp.TCPConnector(
-                limit=0, limit_per_host=0, keepalive_timeout=config.conn_idle_us / 1e6 * IDLE_PART),
+            connector=self._connector,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=config.dial_timeout_us / 1e6),
             cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False, middlewares=(never_resend,),
             skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent", "Content-Type"))
 
     def list_update(self, listed: Mapping[ServerId, tuple[str, Address]], gone: list[ServerId],
                     whole: bool) -> None:
+        before = dict(self._addresses)
         if whole:
             self._addresses.clear()
         self._addresses.update(listed)
         for server in gone:
             self._addresses.pop(server, None)
+        for server, (_, address) in before.items():
+            if self._addresses.get(server, ("", None))[1] != address:
+                self._connector.drop(address.host, address.port)
 
     # The engine's executor
 
@@ -129,6 +133,10 @@
                     data=body or None, allow_redirects=False) as response:
                 content = await response.read()
                 return self._judge(response, content)
+        except Spoilt as e:
+            ending, error = Ending.GARBLED, str(e)
+        except NoSocketLeft:
+            ending, error = Ending.NO_SOCKET, ""
         except aiohttp.ConnectionTimeoutError:
             ending, error = Ending.DIAL_TIMED_OUT, ""
         except aiohttp.ClientConnectorError as e:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -1,7 +1,8 @@
 """The scenario language: what the parties round one balancer do, a line a step.
 
     grid UP [DEAD [MUTE]] [NAME=VALUE ...]         first line: how many instances listen, how many refuse to
-                            connect, to how many a dial never comes up; limits among the settings
+                            connect, to how many a dial never comes up; limits among the settings,
+                            and figures that the configuration makes of them
     a send GET /path [Name:value ...] [body=N]     client `a`; its headers have defaults, N bytes of body
     a send raw TEXT         bytes as they stand, with \\r\\n escapes
     a expect STATUS [TEXT]  the status of the next answer, and a text in its head or body
@@ -27,6 +28,7 @@
 import socket
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import replace
 
 from roadlb.app import App
 from roadlb.config import read_config
@@ -115,7 +117,9 @@
         self.mutes += sockets
         return f"127.0.0.1:{sockets[0].getsockname()[1]}"
 
-    async def grid(self, up: str = "1", dead: str = "0", mute: str = "0", *limits: str) -> None:
+    async def grid(self, up: str = "1", *more: str) -> None:
+        limits = [n for n in more if "=" in n]
+        dead, mute = [*(n for n in more if "=" not in n), "0", "0"][:2]
         self.names = [await self.listen("i") for _ in range(int(up) + int(dead))]
         for server in self.servers[int(up):]:
             server.close()
@@ -125,7 +129,8 @@
             "name": "n0", "listen": "127.0.0.1:0", "discovery": await self.listen("d"), "seed": "5",
             "known": json.loads(self.list(["up"] * len(self.names))),
             "settings": {**SETTINGS, "limits": changed}}
-        self.app = App(read_config(self.config, {}))
+        config = read_config(self.config, {})
+        self.app = App(replace(config, **{k: v for k, v in changed.items() if hasattr(config, k)}))
         await self.app.start()
 
     def lists_seen(self) -> int:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -11,7 +11,7 @@
 from scenario import SETTINGS
 from test_wire import SETUP
 
-from roadlb.config import ConfigError, Pairs, load, read_config, read_settings
+from roadlb.config import SPARE_SOCKETS, ConfigError, Pairs, load, read_config, read_settings
 
 RAW: dict[str, Any] = {"name": "n1", "listen": "127.0.0.1:8080", "discovery": "127.0.0.1:8500",
                        "seed": "8c1f30d27a5be964", "settings": SETTINGS}
@@ -41,7 +41,9 @@
     config = read_config({**RAW, "novelty": 1, "settings": {**SETTINGS, "something": {"new": [1]}}}, {})
     assert (config.sockets, config.known, config.seed) == (1024, {}, 0x8C1F30D27A5BE964)
     assert (config.conn_idle_us, config.dial_timeout_us) == (10_000_000, 250_000)
-    assert 3 * config.max_open <= 1024 and config.longest_s == 2.5
+    assert config.longest_s == 2.5
+    assert config.max_open <= config.client_sockets
+    assert config.client_sockets + config.instance_sockets + SPARE_SOCKETS <= 1024
 
 
 def test_environment_goes_before_the_file() -> None:
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -79,7 +79,7 @@
 def test_only_what_is_proved_never_to_have_run_says_so() -> None:
     never = {e for e in Ending if e.status in NEVER_RAN}
     assert never == {Ending.TURNED_AWAY, Ending.DIAL_FAILED, Ending.DIAL_TIMED_OUT, Ending.BROKE_UNSENT,
-                     Ending.NEVER_STARTED}
+                     Ending.NO_SOCKET, Ending.NEVER_STARTED}
     assert [e for e in Ending if e.status is Status.OK] == [Ending.SERVED]
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -18,6 +18,18 @@
         i1 expect "GET /grid-read/a%2Fb//..;x?q=%41&&b=%c3 HTTP/1.1" "Accept: text/x" X-Time-Left !User-Agent
         i1 send 200 forecast Content-Type:text/x X-Backend-Load:eps=0,queue=2
         a expect 200 forecast text/x !X-Backend-Load""",
+    "1xx answers in front of the final one, and a report that cannot be read": """
+        a send GET /grid-read/k
+        i1 expect GET
+        i1 send raw HTTP/1.1 103 Early Hints\\r\\nX: y\\r\\n\\r\\nHTTP/1.1 102 Processing\\r\\n\\r\\n
+        i1 send 200 one X-Backend-Load:\\x7f=,,;
+        a expect 200 one""",
+    "an answer in another protocol may have run": """
+        a send POST /order/k
+        i1 expect POST
+        i1 send raw HTTP/1.1 101 Go\\r\\nConnection: upgrade\\r\\nUpgrade: x\\r\\n\\r\\nx
+        a expect 502
+        i1 expect closed""",
     "a query mark with nothing behind it cannot be passed on unchanged": """
         a send GET /grid-read/a?
         a expect 400 unchanged""",
@@ -232,6 +244,34 @@
         i1 send 200
         a expect 200""",
 }
+OK = "HTTP/1.1 200 OK\\r\\n"
+CHUNKED = "Transfer-Encoding: chunked\\r\\n\\r\\n"
+ONE = OK + "Content-Length: 3\\r\\n\\r\\none"
+# Answers that bring more than belongs to them: served, and what came besides is nobody's answer.
+MORE = {
+    "a second copy in the same segment": f"i1 send raw {ONE}{ONE}",
+    "noise in the same segment": f"i1 send raw {ONE}\\x00\\x01noise\\r\\n\\r\\n",
+    "a head in pieces, and a copy right behind the body": f"""
+        i1 send raw HTTP/1.1 200 OK\\r\\nContent-Length: 3\\r\\n\\r
+        i1 send raw \\none{ONE}""",
+    "a chunked body, and noise": f"i1 send raw {OK}{CHUNKED}3\\r\\none\\r\\n0\\r\\n\\r\\n!!",
+}
+# Answers that cannot be used: failed at once, though the connection stays open and the time is long.
+SPOILT = {
+    "3 GB": f"{OK}Content-Length: 3000000000\\r\\n\\r\\nand so on",
+    "a chunk too large": f"{OK}{CHUNKED}20000\\r\\n{'x' * 100_000}",
+    "a broken chunk": f"{OK}{CHUNKED}3\\r\\none\\r\\nzzz\\r\\n",
+    "an endless field": f"{OK}X: {'x' * 20_000}",
+    "endless fields": OK + "X: 1234567890\\r\\n" * 2_000,
+    "endless 1xx": "HTTP/1.1 103 Early Hints\\r\\n\\r\\n" * 20,
+    "no length": f"{OK}\\r\\nbody",
+    "no number": f"{OK}Content-Length: many\\r\\n\\r\\nbody",
+    "negative": f"{OK}Content-Length: -4\\r\\n\\r\\nbody",
+    "two lengths": f"{OK}Content-Length: 4\\r\\nContent-Length: 5\\r\\n\\r\\nbody",
+    "a length and chunks": f"{OK}Content-Length: 4\\r\\n{CHUNKED}0\\r\\n\\r\\n",
+    "longer than it says it is": f"{OK}Content-Length: 50\\r\\n\\r\\nbody",
+    "half a head": "HTTP/1.1 200 O",
+}
 REJECTED = [
     ("GET /grid-read/k X-Account:nobody", 400), ("GET /grid-read/k X-Account:", 400),
     ("GET /grid-read/k X-Correlation-Id:", 400), ("GET /grid-read/k X-Time-Left:soon", 400),
@@ -246,6 +286,71 @@
     asyncio.run(play(text))
 
 
+@pytest.mark.parametrize("steps", MORE.values(), ids=MORE)
+def test_what_comes_besides_a_good_answer_is_never_the_next_one(steps: str) -> None:
+    # aiohttp loses an answer with noise in its segment, and gives a copy to the connection's next request.
+    asyncio.run(play(f"""
+        a send POST /order/k
+        i1 expect POST
+        {steps}
+        a expect 200 one
+        a send POST /order/k
+        i2 expect POST
+        i2 send 200 two
+        a expect 200 two"""))
+
+
+@pytest.mark.parametrize("more", [ONE, "noise", "HTTP/1.1 200 OK\\r\\n"])
+def test_what_comes_once_the_connection_is_idle_ends_it(more: str) -> None:
+    # The pool only asks whether a connection is still up: the copy was the next request's answer.
+    stage = asyncio.run(play(f"""
+        a send GET /grid-read/k
+        i1 expect GET
+        i1 send 200 one
+        a expect 200 one
+        i1 send raw {more}
+        a send GET /grid-read/k
+        i2 expect GET
+        i2 send 200 two
+        a expect 200 two"""))
+    assert stage.connections == 2
+
+
+@pytest.mark.parametrize("answer", SPOILT.values(), ids=SPOILT)
+def test_a_spoilt_answer_fails_at_once_and_closes_its_connection(answer: str) -> None:
+    stage = asyncio.run(play(f"""
+        a send POST /order/k
+        i1 expect POST
+        i1 send raw {answer}
+        a expect 502 !body
+        i1 expect closed"""))
+    assert stage.app.counters["execution.garbled"] == 1
+
+
+def test_an_idle_connection_makes_room_for_one_that_is_needed_and_with_none_nothing_is_dialled() -> None:
+    # Past the limit every dial would fail, and count against an instance that is sound.
+    stage = asyncio.run(play("""
+        grid 2 sockets=64 instance_sockets=1
+        a send POST /order/a
+        i1 expect POST
+        b send POST /order/b
+        b expect 503 Retry-After
+        i1 send 200
+        a expect 200
+        d expect watch
+        d send up draining
+        a send POST /order/c
+        i2 expect POST
+        i2 send 200
+        a expect 200
+        d send draining up
+        a send POST /order/c
+        i3 expect POST
+        i3 send 200
+        a expect 200"""))
+    assert stage.app.counters["execution.no_socket"] > 0 and stage.app.counters["execution.dial_failed"] == 0
+
+
 @pytest.mark.parametrize(("request_line", "status"), REJECTED)
 def test_bad_input_gets_a_plain_4xx_and_a_counter(request_line: str, status: int) -> None:
     stage = asyncio.run(play(f"a send {request_line}\na expect {status}"))
