--- a/roadlb/exchange.py
+++ b/roadlb/exchange.py
@@ -44,7 +44,7 @@
     Ending.BROKE_UNSENT: Status.CONNECT_FAILED,
     Ending.RESET: Status.RESET,
     Ending.CUT_SHORT: Status.RESET,
-    Ending.GARBLED: Status.RESET,
+    Ending.GARBLED: Status.SPOILT,
     Ending.TIMED_OUT: Status.TIMEOUT,
     Ending.CANCELLED: Status.CANCELLED,
     Ending.NO_SOCKET: Status.MOOT,
--- a/roadlb/policy/interface.py
+++ b/roadlb/policy/interface.py
@@ -53,6 +53,7 @@
     RESET = 6
     CANCELLED = 7
     MOOT = 8
+    SPOILT = 9     # it came back, but not so that it could be used; it may have run (on sockets only)
 
 
 # The outcomes that prove that an attempt never ran.
--- a/roadlb/policy/logic.py
+++ b/roadlb/policy/logic.py
@@ -202,10 +202,12 @@
             return
         if status in (Status.FULL, Status.CONNECT_FAILED):
             s.full_until = now + int(cls.latency * (0.5 + self.random.random()))
-        if status in (Status.ERROR, Status.RESET, Status.CONNECT_FAILED, Status.TIMEOUT):
+        if status in (Status.ERROR, Status.RESET, Status.CONNECT_FAILED, Status.TIMEOUT, Status.SPOILT):
             # A server that fails fast has the least in flight and would draw all traffic: leave it out.
-            s.failing += (1 - s.failing) * 0.2
-            s.suspect_until = now + SUSPECT_US
+            # Answers are spoilt now and then at all servers alike, which says little against one of them.
+            s.failing += (1 - s.failing) * (0.05 if status is Status.SPOILT else 0.2)
+            if status is not Status.SPOILT:
+                s.suspect_until = now + SUSPECT_US
             if s.eject_until or s.failing > 0.35:
                 if not s.eject_until and self.ejected + 1 > EJECT_SHARE * len(self.ready):
                     return
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -5,6 +5,7 @@
 import pytest
 
 from roadlb import Balancer
+from roadlb.exchange import Ending
 from roadlb.policy.interface import (
     Action, Arrival, Cancel, Effect, Fail, Group, ListKind, ListUpdate, Member, Outcome, Refuse, RequestClass,
     Send, ServerState, SetTimer, Settings, Status, StreamStarted, Subscribe, Tenant, TimerFired,
@@ -164,6 +165,30 @@
     assert 0 < sum(s.eject_until > 0 for s in node.b.ready) <= 3
 
 
+def test_spoilt_answers_at_all_servers_alike_leave_orders_their_servers() -> None:
+    # Taken for failures, they made every server suspect for 3 s on the bench, and orders were refused.
+    node = Node(servers=6, max_attempts=1, classes=one(Effect.UNSAFE))
+    for key in range(1, 300):
+        (send,) = node.ask(key)
+        assert isinstance(send, Send)
+        if key % 6:
+            node.end(send.server)
+        else:
+            (answer,) = node.end(send.server, Ending.GARBLED.status)
+            assert isinstance(answer, Fail)        # it may have run
+        node.now += 10_000
+    assert not any(s.eject_until for s in node.b.ready)
+
+
+def test_a_server_that_spoils_every_answer_is_left_out() -> None:
+    node = Node()
+    bad = node.serve(7)
+    for _ in range(20):
+        if node.sent(7) == bad:
+            node.end(bad, Ending.GARBLED.status)
+    assert all(node.serve(key) != bad for key in range(1, 60))
+
+
 def test_slow_answer_is_hedged_once_and_the_loser_cancelled() -> None:
     node = Node()
     for key in range(1, 100):
