--- a/roadlb/app.py
+++ b/roadlb/app.py
@@ -7,6 +7,7 @@
 import gc
 import logging
 import signal
+import socket
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -16,11 +17,12 @@
 from .log import fields
 from .net.instances import Instances
 from .net.name_table import NameTable
-from .net.service_client import ServiceClient
+from .net.service_client import ACCEPT_AT_ONCE, ServiceClient
 from .policy.logic import Balancer
 
 logger = logging.getLogger(__name__)
 
+BACKLOG = 512
 LINGER_S = 0.5      # after SIGTERM the front goes on dealing us connections for so long
 TAKE_OVER_S = 10.0  # how long a predecessor may take to end
 
@@ -42,6 +44,7 @@
         self.watch = asyncio.create_task(self.name_table.run())
         self.service_client = ServiceClient(
             config, self.engine, self.counters, ready=lambda: self.name_table.filled)
+        self.sweeping = asyncio.create_task(self.service_client.sweep_for_ever())
         self.listener = await self._listen()
         logger.info("listening", extra=fields(name=config.name, address=config.listen))
 
@@ -51,7 +54,14 @@
         until = loop.time() + TAKE_OVER_S
         while True:
             try:
-                return await loop.create_server(self.service_client, at.host, at.port, backlog=512)
+                listening = socket.create_server((at.host, at.port), backlog=BACKLOG, family=(
+                    socket.AF_INET6 if ":" in at.host else socket.AF_INET))
+                server = await loop.create_server(
+                    self.service_client, sock=listening, backlog=ACCEPT_AT_ONCE)
+                # asyncio accepts as many in one turn as may wait in line: hundreds of connections at once
+                # would use up the descriptors before any could be closed.
+                listening.listen(BACKLOG)
+                return server
             except OSError as e:
                 if e.errno != errno.EADDRINUSE or loop.time() > until:
                     raise
@@ -90,9 +100,10 @@
         last_call = asyncio.get_running_loop().call_later(self.config.longest_s, self.engine.finish)
         await self.service_client.shutdown(self.config.longest_s + 0.1)
         last_call.cancel()
-        self.watch.cancel()
-        with suppress(asyncio.CancelledError):
-            await self.watch
+        for task in (self.watch, self.sweeping):
+            task.cancel()
+            with suppress(asyncio.CancelledError):
+                await task
         await self.instances.close()
 
 
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -33,6 +33,7 @@
             assert "answers GET /grid-read/run-7/tatry/12" in await response.text()
             assert response.status == 200
         await grid.toggle()
+        headers["X-Correlation-Id"] += "0"       # new on every request
         async with session.post(at + "/order/tatry", headers=headers) as response:
             assert response.status == 200
     await app.stop(linger_s=0)
