--- a/roadlb/policy/logic.py
+++ b/roadlb/policy/logic.py
@@ -29,7 +29,7 @@
 EJECT_US, EJECT_MOST_US = 1_000_000, 16_000_000
 EJECT_SHARE = 0.34            # of the fleet may be ejected; more is not a matter of single servers
 SUSPECT_US = 3_000_000        # after one failure, requests that cannot be repeated keep away
-PRESS, LATE = 1.0, 0.10       # shedding rises so much a second if all aims are missed; misses borne
+PRESS, REST = 3.0, 0.3        # shedding rises so much a second if all aims are missed; rests at this part
 RETRY_SHARE, HEDGE_SHARE = 0.2, 0.15
 CHANCE = 3.0                  # standard deviations of room left in a cold server's budget
 CARRIED = 0.3                 # what peers carry is taken for capacity only in this part: caches help them
@@ -61,6 +61,7 @@
         self.carried, self.work_sent, self.work_mean = 0.0, 0, 0.0
         self.tenant_rate, self.tenant_count = [0.0] * len(settings.tenants), [0] * len(settings.tenants)
         self.pressure, self.pressed_at, self.gap, self.ranks = 0.0, 0, 10_000.0, [0.0] * 64
+        self.aim = min(c.aim_us for c in settings.classes)
         self.wheel: dict[int, list[int]] = {}
         self.now, self.started, self.asks, self.retries, self.hedges = 0, False, 0, 10.0, 10.0
         self.actions: list[Action] = []
@@ -167,7 +168,10 @@
         if dt > 0:
             s.mean += (s.out - s.mean) * dt / (dt + TAU_US)
             s.at = self.now
-        return (s.mean + s.out + s.queue) * s.inverse
+        if s.queue:       # it has been worked off since, though nothing was sent there that would tell
+            age = (self.now - s.queue_at) / self.aim
+            return (s.mean + s.out + s.queue / (1 + age * age)) * s.inverse
+        return (s.mean + s.out) * s.inverse
 
     def count(self, s: Server, change: int) -> None:
         for x in (s, self.fleet):
@@ -182,11 +186,15 @@
             # Ejected: after the back-off one request at a time may try it again, if it can be repeated.
             if self.now < s.eject_until or s.out or r.cls.spec.effect is not Effect.SAFE:
                 return False
-        elif s.suspect_until > self.now and r.cls.spec.effect is Effect.UNSAFE:
+        elif not r.bold and (self.silent(s) or s.suspect_until > self.now and r.cls.spec.effect is Effect.UNSAFE):
             return False
         return s.share >= 1 or self.cold_room(s, r) > 0
 
-    def judge(self, s: Server, r: Request, status: Status, latency: int) -> None:
+    def silent(self, s: Server) -> bool:
+        """Has it owed an answer for longer than any should take, and given no other meanwhile?"""
+        return s.out > 0 and self.now - max(s.heard, s.since) > self.aim
+
+    def judge(self, s: Server, r: Request, status: Status, latency: int, unheard: bool) -> None:
         """Learn from an outcome: latencies, failures, ejection."""
         now, cls = self.now, r.cls
         if status is Status.OK:
@@ -202,6 +210,8 @@
             return
         if status in (Status.FULL, Status.CONNECT_FAILED):
             s.full_until = now + int(cls.latency * (0.5 + self.random.random()))
+        if status is Status.CANCELLED and unheard and latency > r.cls.spec.aim_us:
+            status = Status.TIMEOUT       # a copy elsewhere was quicker, or the client left: still it never came
         if status in (Status.ERROR, Status.RESET, Status.CONNECT_FAILED, Status.TIMEOUT, Status.SPOILT):
             # A server that fails fast has the least in flight and would draw all traffic: leave it out.
             # Answers are spoilt now and then at all servers alike, which says little against one of them.
@@ -298,13 +308,17 @@
         """Start an attempt, if there is a server for it."""
         s, now, work = self.pick(r), self.now, r.work or 1
         if s is None:
-            return False
+            r.bold = True          # better one that has failed lately than none
+            if (s := self.pick(r)) is None:
+                return False
         self.work_sent += work
         self.work_mean += (work - self.work_mean) * (0.02 if self.work_mean else 1.0)
         if s.share < 1:
             s.budget -= work
         r.attempts.append(Attempt(s, now))
         r.open += 1
+        if not s.out:
+            s.since = now
         self.count(s, 1)
         self.actions.append(Send(r.id, s.id, max(1, r.until - now)))
         at = now + int(r.cls.tail)
@@ -327,7 +341,7 @@
             return
         if self.now >= r.due and not r.late:
             r.late = True
-            self.press(1)
+            self.press(1.0)
         if r.open == 1 and self.hedges >= 1 and self.now + r.cls.latency < r.due and self.may_resend(r):
             self.hedges -= self.send(r)
 
@@ -340,10 +354,13 @@
         r.open -= 1
         self.count(s, -1)
         if len(e.report) > self.queue_field >= 0:
-            s.queue = e.report[self.queue_field] / self.s.instances
-        self.judge(s, r, e.status, e.latency_us)
+            s.queue, s.queue_at = e.report[self.queue_field] / self.s.instances, self.now
+        if e.status in (Status.OK, Status.ERROR, Status.FULL, Status.SPOILT):
+            s.heard = self.now
+        self.judge(s, r, e.status, e.latency_us, unheard=a.sent > s.heard)
         if e.status is Status.FULL or (e.status is Status.OK and not r.late):
-            self.press(e.status is Status.FULL)
+            # An answer that took half its aim leaves the pressure as it is, a quick one lowers it.
+            self.press(1.0 if e.status is Status.FULL else min(0.5, e.latency_us / r.cls.spec.aim_us - REST))
         if e.closed or r.closed:
             self.close(r)
         elif r.open:
@@ -396,11 +413,11 @@
         else:
             self.alarm(r.due, r.id)
 
-    def press(self, late: int) -> None:
-        """Pressure to shed rises with aims missed, as they are missed, and falls with those met."""
+    def press(self, change: float) -> None:
+        """Pressure to shed rises with aims missed, as they are missed, and falls with those met early."""
         # The mean gap sets the step, since late ones come many in one instant.
         self.gap += (min(100_000, self.now - self.pressed_at) - self.gap) * 0.05
-        self.pressure = min(0.95, max(0.0, self.pressure + PRESS * self.gap / 1e6 * (late - LATE)))
+        self.pressure = min(0.95, max(0.0, self.pressure + PRESS * self.gap / 1e6 * change))
         self.pressed_at = self.now
 
     def shed(self, e: Arrival, cls: ClassState) -> bool:
--- a/roadlb/policy/state.py
+++ b/roadlb/policy/state.py
@@ -32,7 +32,10 @@
     inverse: float = 1.0         # 1 / (weight x share)
     out: int = 0                 # own attempts in flight
     mean: float = 0.0            # the same on the mean of late
-    queue: float = 0.0           # this node's part of a reported queue
+    queue: float = 0.0           # this node's part of a reported queue, when it was reported
+    queue_at: int = 0
+    since: int = 0               # when the first of the attempts that are out was sent
+    heard: int = 0               # when the last answer came, of whatever kind
     failing: float = 0.0         # share of late outcomes that failed
     suspect_until: int = 0
     eject_until: int = 0         # 0: not ejected
@@ -88,6 +91,7 @@
     closed: bool = False
     streaming: bool = False
     late: bool = False           # not answered when due
+    bold: bool = False           # may go to a suspect server, as there is no other
 
     def first(self) -> Attempt | None:
         """The earliest attempt that may have run, or may be running."""
