--- a/roadlb/policy/logic.py
+++ b/roadlb/policy/logic.py
@@ -28,7 +28,8 @@
 MAX_SETS, SHRINK_US = 16_384, 5_000_000    # the oldest set goes; one that has not grown for so long shrinks
 EJECT_US, EJECT_MOST_US = 1_000_000, 16_000_000
 EJECT_SHARE = 0.34            # of the fleet may be ejected; more is not a matter of single servers
-SUSPECT_US = 3_000_000        # after one failure, requests that cannot be repeated keep away
+SUSPECT_US, DOUBT = 3_000_000, 0.1    # after a failure, requests that cannot be repeated keep away ...
+FULL_MOST_US = 500_000        # ... and all of them for a while where work is turned away or no dial comes up
 PRESS, REST = 4.0, 0.4        # shedding rises so much a second if all aims are missed; rests at this part
 RETRY_SHARE, HEDGE_SHARE = 0.2, 0.15
 CHANCE = 3.0                  # standard deviations of room left in a cold server's budget
@@ -187,10 +188,14 @@
             if self.now < s.eject_until or s.out or r.cls.spec.effect is not Effect.SAFE:
                 return False
         elif not r.bold and (
-                self.silent(s) or s.suspect_until > self.now and r.cls.spec.effect is Effect.UNSAFE):
+                self.silent(s) or self.suspect(s) and r.cls.spec.effect is Effect.UNSAFE):
             return False
         return s.share >= 1 or self.cold_room(s, r) > 0
 
+    def suspect(self, s: Server) -> bool:
+        """Has it failed lately, and not done well since?"""
+        return s.suspect_until > self.now and s.failing > DOUBT
+
     def silent(self, s: Server) -> bool:
         """Has it owed an answer for longer than any should take, and given no other meanwhile?"""
         return s.out > 0 and self.now - max(s.heard, s.since) > self.aim
@@ -203,14 +208,16 @@
                 self.proved(s, r.work or 1)
             cls.latency += (latency - cls.latency) * 0.02
             cls.tail = max(cls.latency, cls.tail + cls.latency * 0.05 * (0.9 if latency > cls.tail else -0.1))
-            s.failing *= 0.8
+            s.failing, s.fulls = s.failing * 0.8, 0
             if s.eject_until:
                 s.eject_until, self.ejected = 0, self.ejected - 1
             elif s.eject_for > EJECT_US:
                 s.eject_for -= s.eject_for // 8
             return
         if status in (Status.FULL, Status.CONNECT_FAILED):
-            s.full_until = now + int(cls.latency * (0.5 + self.random.random()))
+            # One that drains, and is not known to, has nothing in flight and would draw all traffic.
+            wait = min(FULL_MOST_US, cls.latency * 2 ** min(s.fulls, 9))
+            s.full_until, s.fulls = now + int(wait * (0.5 + self.random.random())), s.fulls + 1
         if status is Status.CANCELLED and unheard and latency > r.cls.spec.aim_us:
             status = Status.TIMEOUT       # called off, but it never came
         if status in (Status.ERROR, Status.RESET, Status.CONNECT_FAILED, Status.TIMEOUT, Status.SPOILT):
@@ -359,7 +366,8 @@
         if e.status in (Status.OK, Status.ERROR, Status.FULL, Status.SPOILT):
             s.heard = self.now
         self.judge(s, r, e.status, e.latency_us, unheard=a.sent > s.heard)
-        if e.status is Status.FULL or (e.status is Status.OK and not r.late):
+        if e.status is Status.FULL and s.fulls == 1 or e.status is Status.OK and not r.late:
+            # Work turned away again and again says that a server drains, not that there is too much work.
             # In time is no reason to shed, but only an early answer is one to shed less.
             self.press(1.0 if e.status is Status.FULL else min(0.0, e.latency_us / r.cls.spec.aim_us - REST))
         if e.closed or r.closed:
--- a/roadlb/policy/state.py
+++ b/roadlb/policy/state.py
@@ -41,6 +41,7 @@
     eject_until: int = 0         # 0: not ejected
     eject_for: int = 0
     full_until: int = 0
+    fulls: int = 0               # times in a row that it turned work away
     budget: float = 0.0          # work that this node may still send it while it is cold
     budget_at: int = 0
     proved: float = 0.0          # work that it has done for this node lately, while cold
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -359,3 +359,29 @@
     node.end(node.sent(), Status.ERROR)
     assert node.b.servers[node.ids[0]].suspect_until > node.now
     assert node.sent() == node.ids[0]
+
+
+def test_suspicion_ends_with_good_answers() -> None:
+    # With a reset now and then at each, most servers were suspect, and the rest drowned in orders (churn).
+    node = Node(servers=2, classes=one(Effect.UNSAFE))
+    bad = node.sent()
+    node.end(bad, Status.RESET)
+    assert all(node.serve() != bad for _ in range(10))
+    node.b.servers[bad].failing *= 0.8 ** 4          # as four good answers to reads leave it
+    assert node.b.servers[bad].suspect_until > node.now
+    assert any(node.serve() == bad for _ in range(10))
+
+
+def test_a_server_that_turns_all_work_away_is_asked_ever_less_and_is_no_reason_to_shed() -> None:
+    # It drained and was not known to: with nothing in flight it drew half of all attempts, and each one
+    # turned away raised the pressure, till 95% were refused by an idle fleet (churn, 38 to 47 s).
+    node, turned = Node(servers=4), 0
+    for _ in range(500):
+        (send,) = node.ask(node.next % 97 + 1)
+        assert isinstance(send, Send)
+        while send.server == node.ids[0]:
+            turned += 1
+            (send,) = node.end(send.server, Status.FULL, attempt=0)
+        node.end(send.server, attempt=len(node.b.requests[node.next].attempts) - 1, took=5_000)
+        node.wait(10_000)
+    assert turned < 30 and node.b.pressure == 0
