--- a/roadlb/net/service_client.py
+++ b/roadlb/net/service_client.py
@@ -32,7 +32,8 @@
 REQUEST_S = 2.6        # for a request to come whole, from its first byte, or from connecting for the first
 IDLE_S = 10.0          # for a connection between requests
 SPARE_IDLE_S = 2.0     # and if connections are not plentiful, the longest idle may go after this
-PLENTY = 1 / 3         # of the connections that there may be
+PLENTY, FEW = 1 / 3, 3 / 4     # of the connections that there may be: up to here, and from here on
+SILENT_S = 0.5         # a client that means to ask has asked by then
 SWEEP_S = 0.25
 LINGER_S = 0.3         # open, but not read, after an answer to a body cut off, so that the client reads why
 TIME_LEFT_MOST_S = 3_600.0
@@ -155,17 +156,21 @@
         return [c for c in self.connections if isinstance(c, _Connection) and c.transport and not c.busy]
 
     def connection_made(self, handler: web.RequestHandler, transport: asyncio.Transport) -> None:
-        """Past the limit of connections, each new one costs another: one that says nothing, or idles."""
+        """Past the limit of connections, each new one costs another: one that says nothing, or idles.
+
+        To close one that idles harms least: a request that crosses it is sent once more.
+        """
         super().connection_made(handler, transport)
         if len(self._connections) <= self._most:
             return
-        now, quiet = self._loop.time(), self._quiet()
         if len(self._connections) - sum(c.transport is None for c in self.connections) <= self._most:
             return                     # others are just being closed
-        silent = [c for c in quiet if not c.asked]
-        idle = [c for c in quiet if c.asked and not c.started and now - c.since >= SPARE_IDLE_S]
+        quiet, before = self._quiet(), self._loop.time() - SILENT_S
+        silent = [c for c in quiet if not c.asked]         # the new one is the last of them
+        idle = [c for c in quiet if c.asked and not c.started]
         self.counters.add("client.crowded")
-        min(silent[:-1] or idle or silent, key=lambda c: c.since).force_close()
+        min([c for c in silent if c.since < before] or idle or silent[:-1] or silent,
+            key=lambda c: c.since).force_close()
 
     def __call__(self) -> _Connection:
         return _Connection(self, self._loop)
@@ -187,7 +192,7 @@
                 response = await self._serve(request, connection, began, came)
         finally:
             connection.busy, connection.since = False, self._loop.time()
-        if self.draining:
+        if self.draining or len(self._connections) > self._most * FEW:
             response.force_close()         # ends the connection once the answer is out
         return response
 
