--- a/roadlb/net/connections.py
+++ b/roadlb/net/connections.py
@@ -23,12 +23,22 @@
 
 BODY_MOST = 65_536
 HEAD_MOST = 16_384
+READ_MOST = 16_384
 INTERIM_MOST = 8       # 1xx answers in front of the final one
 # From an answer's first byte to its last.  A sound instance writes an answer in one go, so that one which
 # pauses for so long claims more than it has to give; its request would wait for it till its time is up.
 ANSWER_S = 0.3
 
 
+def read_little(transport: asyncio.BaseTransport) -> None:
+    """Have a connection read no more at a time than a message holds.
+
+    asyncio asks for 256 KiB each time and shrinks what it gets, which leaves the heap full of holes: a
+    balancer grew by 1 MB in 15 s, with no more live objects than before.
+    """
+    transport.max_size = READ_MOST  # type: ignore[attr-defined]
+
+
 class Spoilt(aiohttp.ClientPayloadError):
     """An answer came that cannot be used; its request may have run."""
 
@@ -54,6 +64,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        read_little(transport)
         self._open.add(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/roadlb/net/service_client.py
+++ b/roadlb/net/service_client.py
@@ -20,6 +20,7 @@
 from ..exchange import Exchange, Message, Nack, Served
 from ..log import fields
 from ..policy.interface import Effect
+from .connections import read_little
 from .headers import ACCOUNT, CORRELATION_ID, FACTS, REPEAT, TIME_LEFT, end_to_end, name_values
 
 logger = logging.getLogger(__name__)
@@ -161,6 +162,7 @@
         To close one that idles harms least: a request that crosses it is sent once more.
         """
         super().connection_made(handler, transport)
+        read_little(transport)
         if len(self._connections) <= self._most:
             return
         if len(self._connections) - sum(c.transport is None for c in self.connections) <= self._most:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -13,6 +13,7 @@
 from roadlb.engine import Engine
 from roadlb.exchange import Exchange
 from roadlb.net import name_table, service_client
+from roadlb.net.connections import READ_MOST
 from roadlb.net.instances import IDLE_PART
 
 SCENARIOS = {
@@ -402,6 +403,19 @@
     assert stage.app.counters["taken"] == 1
 
 
+def test_connections_read_little_at_a_time() -> None:
+    # Read 256 KiB at a time, a churn day left 4 MB of holes in the heap in a minute.
+    async def main() -> None:
+        stage = await play("a send GET /grid-read/k\ni1 expect GET\ni1 send 200\na expect 200\nstop 3600")
+        transports = [c.transport for c in (*stage.app.instances._connector.open,
+                                            *stage.app.service_client.connections)]
+        assert len(transports) == 2
+        assert {t.max_size for t in transports if t} == {READ_MOST}      # type: ignore[attr-defined]
+        stage.stopping.cancel()
+        await stage.app.stop(linger_s=0)
+    asyncio.run(main())
+
+
 def test_ids_are_forgotten() -> None:
     stage = asyncio.run(play("a send POST /order/k\ni1 expect POST\ni1 send 200\na expect 200"))
     client = stage.app.service_client
