--- a/tests/test_config.py
+++ b/tests/config/test_config.py
@@ -8,14 +8,11 @@
 from typing import Any
 
 import pytest
+from samples import RAW, SETUP
 from scenario import SETTINGS
-from test_wire import SETUP
 
 from roadlb.config import SPARE_SOCKETS, ConfigError, Pairs, load, read_config, read_settings
 
-RAW: dict[str, Any] = {"name": "n1", "listen": "127.0.0.1:8080", "discovery": "127.0.0.1:8500",
-                       "seed": "8c1f30d27a5be964", "settings": SETTINGS}
-
 
 def nested(text: str) -> Any:
     """A setup text as the nested JSON that a real balancer gets."""
--- a/tests/test_deploy.py
+++ b/tests/house/test_deploy.py
@@ -12,9 +12,9 @@
 from pathlib import Path
 
 import pytest
-from test_config import RAW
+from samples import RAW
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parents[2]
 DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
 
 
--- a/tests/test_examples.py
+++ b/tests/house/test_examples.py
@@ -12,7 +12,7 @@
 from roadlb.app import App
 from roadlb.config import read_config
 
-EXAMPLES = Path(__file__).parent.parent / "examples"
+EXAMPLES = Path(__file__).parents[2] / "examples"
 sys.path.insert(0, str(EXAMPLES))
 
 from toy_grid import ToyGrid  # noqa: E402
--- a/tests/test_readme.py
+++ b/tests/house/test_readme.py
@@ -7,7 +7,7 @@
 
 
 def test_example(capsys: pytest.CaptureFixture[str]) -> None:
-    text = (Path(__file__).parent.parent / "README.md").read_text()
+    text = (Path(__file__).parents[2] / "README.md").read_text()
     found = re.search(r"<!-- example -->\n```python\n(.*?)```", text, re.S)
     assert found
     exec(compile(found[1], "README.md", "exec"), {})
--- a/tests/test_limits.py
+++ b/tests/policy/test_limits.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-MODULE = Path(__file__).parent.parent / "roadlb" / "policy" / "logic.py"
+MODULE = Path(__file__).parents[2] / "roadlb" / "policy" / "logic.py"
 
 
 def test_module_size() -> None:
--- a/tests/test_wire.py
+++ b/tests/wire/test_wire.py
@@ -9,6 +9,7 @@
 import sys
 
 import pytest
+from samples import SETUP
 
 from roadlb import benchlink
 from roadlb.config import read_settings
@@ -18,40 +19,6 @@
     TimerFired,
 )
 
-SETUP = """az=1
-classes.count=2
-classes.0.deadline_us=2500000
-classes.0.effect=idempotent
-classes.0.promise_us=1000000
-classes.0.value=1.0
-classes.1.deadline_us=2000000
-classes.1.effect=deduplicated
-classes.1.group=cell
-classes.1.late_worth=0.25
-classes.1.promise_us=1000000
-classes.1.value=2.0
-classes.1.window_us=10000000
-classes.1.novelty=7
-counted_by=work
-discovery=on_request
-domain.warm_keys=true
-instances=3
-invariants.cold_from=0.12
-invariants.cold_us=24000000
-invariants.fall_multiple=2.5
-invariants.fall_us=1500000
-limits.cancelling=true
-limits.max_attempts=3
-limits.second_copies=true
-me=2
-report.fields=q,busy
-report.source=inline
-something.new=yes
-tenants.count=1
-tenants.0.name=a
-tenants.0.quota_per_s=12.5
-weight_source=rough
-"""
 A, B = bytes.fromhex("0a124a07431f"), bytes.fromhex("0a9011f26c1f")
 GOLDEN_EVENTS: list[tuple[str, Event]] = [
     ("000300c4913a5ddc54060000 0000 640ad2557c3bf091 80a90300 e02e0000 0100",
