Policy: shed for an own shortage, answer offers, and give up what cannot be in time

Need: when the balancer itself is short of CPU time nothing tells the module, which stays the one place that ranks and refuses; a request with a body is read whole before it is refused. Change: event Shortage(share) sheds by the larger of it and the fleet's pressure, also for Retry-After; event Offer answers a head whose body has not come; once a Shortage has been told, an Arrival whose time left is under half of its class's quickest answer ever is refused instead of sent (its node would be blamed for the time-out).

--- a/roadlb/policy/interface.py
+++ b/roadlb/policy/interface.py
@@ -176,6 +176,32 @@
     is_retry: bool = False
 
 
+@dataclass(slots=True)
+class Offer:
+    """A request's head has come, its body has not: would it be refused now?
+
+    Answered by `[Refuse(0, retry_after_us)]`, after which it must not arrive, or by `[]`.  Fields are those
+    of its `Arrival`, which counts it; one that is refused here is counted here.
+    """
+
+    class_index: int
+    tenant: int
+    key: int
+    left_us: int
+    work_us: int
+
+
+@dataclass(slots=True)
+class Shortage:
+    """This process is short of its own means, such as CPU time.
+
+    `share`, 0..0.95, of the work asked for is to be refused at the least, what is worth least first.  It
+    holds until the next one.  It does not add to the pressure of a late fleet: the larger of both counts.
+    """
+
+    share: float
+
+
 @dataclass(slots=True)
 class Outcome:
     """How one attempt ended; `closed`: the request has had its final answer."""
@@ -222,7 +248,8 @@
 
 
 Event: TypeAlias = (
-    ListUpdate | Arrival | Outcome | StreamStarted | ClientGone | TimerFired | Probed | PeerMessage
+    ListUpdate | Arrival | Offer | Shortage | Outcome | StreamStarted | ClientGone | TimerFired | Probed
+    | PeerMessage
 )
 
 
--- a/roadlb/policy/logic.py
+++ b/roadlb/policy/logic.py
@@ -16,8 +16,9 @@
 from math import log2, sqrt
 
 from .interface import (
-    NEVER_RAN, Action, Arrival, Cancel, ClientGone, Effect, Event, Fail, Group, ListKind, ListUpdate, Outcome,
-    Refuse, Send, ServerId, ServerState, SetTimer, Settings, Status, StreamStarted, Subscribe, TimerFired,
+    NEVER_RAN, Action, Arrival, Cancel, ClientGone, Effect, Event, Fail, Group, ListKind, ListUpdate, Offer,
+    Outcome, Refuse, Send, ServerId, ServerState, SetTimer, Settings, Shortage, Status, StreamStarted,
+    Subscribe, TimerFired,
 )
 from .state import HASH, Attempt, ClassState, KeySet, Request, Server, mix
 
@@ -31,6 +32,8 @@
 SUSPECT_US, DOUBT = 3_000_000, 0.1    # after a failure, requests that cannot be repeated keep away ...
 FULL_MOST_US = 500_000        # ... and all of them for a while where work is turned away or no dial comes up
 PRESS, REST = 4.0, 0.4        # shedding rises so much a second if all aims are missed; rests at this part
+OWN_MOST = 0.95               # of the demand is refused for want of this node's own means
+HOPELESS = 0.5                # less than this part of its class's quickest answer ever: none can be in time
 RETRY_SHARE, HEDGE_SHARE = 0.2, 0.15
 CHANCE = 3.0                  # standard deviations of room left in a cold server's budget
 CARRIED = 0.3                 # what peers carry is taken for capacity only in this part: caches help them
@@ -62,6 +65,8 @@
         self.carried, self.work_sent, self.work_mean = 0.0, 0, 0.0
         self.tenant_rate, self.tenant_count = [0.0] * len(settings.tenants), [0] * len(settings.tenants)
         self.pressure, self.pressed_at, self.gap, self.ranks = 0.0, 0, 10_000.0, [0.0] * 64
+        self.own, self.watched = 0.0, False      # this process's own shortage; has one been told at all?
+        self.quickest: dict[ClassState, int] = {}
         self.aim = min(c.aim_us for c in settings.classes)
         self.wheel: dict[int, list[int]] = {}
         self.now, self.started, self.asks, self.retries, self.hedges = 0, False, 0, 10.0, 10.0
@@ -70,7 +75,8 @@
         self.queue_field = queue[0] if queue and settings.report_source != "off" else -1
         self.handlers: dict[type, Callable[..., None]] = {
             Arrival: self.arrival, Outcome: self.outcome, TimerFired: self.timer,
-            ClientGone: self.client_gone, ListUpdate: self.list_update, StreamStarted: self.stream_started}
+            ClientGone: self.client_gone, ListUpdate: self.list_update, StreamStarted: self.stream_started,
+            Offer: self.offer, Shortage: self.shortage}
 
     def handle(self, now: int, event: Event) -> list[Action]:
         """Take one event at clock time `now` and return the actions to carry out, in order."""
@@ -206,6 +212,7 @@
         if status is Status.OK:
             if s.share < 1:
                 self.proved(s, r.work or 1)
+            self.quickest[cls] = min(latency, self.quickest.get(cls, latency))
             cls.latency += (latency - cls.latency) * 0.02
             cls.tail = max(cls.latency, cls.tail + cls.latency * 0.05 * (0.9 if latency > cls.tail else -0.1))
             s.failing, s.fulls = s.failing * 0.8, 0
@@ -384,12 +391,15 @@
         """The final answer: a refusal where that is honest, else a failure."""
         effect, group = r.cls.spec.effect, r.cls.spec.group
         if not r.first() or effect is Effect.SAFE or (effect is Effect.KEYED and group is Group.ALL):
-            wait = int(r.cls.latency * (0.5 + self.random.random()) * (1 + 4 * self.pressure))
-            self.actions.append(Refuse(r.id, min(self.s.max_retry_after_us, wait)))
+            self.refuse(r.id, r.cls)
         else:
             self.actions.append(Fail(r.id))
         self.close(r)
 
+    def refuse(self, request: int, cls: ClassState) -> None:
+        wait = int(cls.latency * (0.5 + self.random.random()) * (1 + 4 * max(self.pressure, self.own)))
+        self.actions.append(Refuse(request, min(self.s.max_retry_after_us, wait)))
+
     def close(self, r: Request) -> None:
         """Answered: call off what is still out."""
         if not r.closed:
@@ -418,11 +428,23 @@
         r = self.requests[e.request] = Request(e.request, cls, e.key, e.work_us, self.now + e.left_us,
                                                self.now + cls.spec.aim_us)
         self.retries, self.hedges = min(20, self.retries + RETRY_SHARE), min(20, self.hedges + HEDGE_SHARE)
-        if self.shed(e, cls) or not self.send(r):
+        if self.shed(e, cls) or self.hopeless(e, cls) or not self.send(r):
             self.give_up(r)
         else:
             self.alarm(r.due, r.id)
 
+    def offer(self, e: Offer) -> None:
+        cls = self.classes[e.class_index]
+        if max(self.pressure, self.own) > 0 and self.shed(e, cls, coming=True) or self.hopeless(e, cls):
+            self.refuse(0, cls)
+
+    def shortage(self, e: Shortage) -> None:
+        self.own, self.watched = min(OWN_MOST, max(0.0, e.share)), True
+
+    def hopeless(self, e: Arrival | Offer, cls: ClassState) -> bool:
+        """Can no answer be in time?  A node would work for nothing, and be blamed for the time-out."""
+        return self.watched and e.left_us < HOPELESS * self.quickest.get(cls, 0)
+
     def press(self, change: float) -> None:
         """Pressure to shed rises with aims missed, as they are missed, and falls with those met early."""
         # The mean gap sets the step, since late ones come many in one instant.
@@ -430,11 +452,14 @@
         self.pressure = min(0.95, max(0.0, self.pressure + PRESS * self.gap / 1e6 * change))
         self.pressed_at = self.now
 
-    def shed(self, e: Arrival, cls: ClassState) -> bool:
-        """Load shedding: under pressure refuse what is worth least for its work, at once."""
-        worth = cls.spec.worth
-        if self.s.tenants and e.tenant < len(self.s.tenants):
-            self.tenant_count[e.tenant] += 1
+    def shed(self, e: Arrival | Offer, cls: ClassState, coming: bool = False) -> bool:
+        """Load shedding: under pressure refuse what is worth least for its work, at once.
+
+        What is still `coming`, and is not refused now, is counted when it arrives.
+        """
+        worth, tenants = cls.spec.worth, e.tenant < len(self.s.tenants)
+        if tenants:
+            self.tenant_count[e.tenant] += not coming
             quota = self.s.tenants[e.tenant].quota_per_s / self.s.instances
             if self.tenant_rate[e.tenant] * self.random.random() > quota:
                 worth *= self.s.over_share_worth
@@ -443,12 +468,18 @@
         if self.s.warm_keys and e.key in self.sets:      # likely to be cached: less work for the same worth
             worth *= 2
         rank = min(63, max(0, int(32 + 4 * log2(worth + 1e-6))))
-        self.ranks[rank] += 1
-        if self.pressure <= 0:
+        self.ranks[rank] += not coming
+        pressure = max(self.pressure, self.own)
+        if pressure <= 0:
             return False
         # Among equals the key decides, alike on all nodes: what is served then stays the same, and cached.
         luck = (mix(e.key) & HASH) / HASH if e.key else self.random.random()
-        return sum(self.ranks[:rank]) + luck * self.ranks[rank] < self.pressure * sum(self.ranks)
+        refused = sum(self.ranks[:rank]) + luck * self.ranks[rank] < pressure * sum(self.ranks)
+        if refused and coming:
+            self.ranks[rank] += 1
+            if tenants:
+                self.tenant_count[e.tenant] += 1
+        return refused
 
     # Cold starts
 
