--- /dev/null
+++ b/tests/house/test_commands.py
@@ -0,0 +1,153 @@
+"""README's two commands: they do their own set-up, install what the checks use, and end as they should."""
+
+from __future__ import annotations
+
+import ast
+import os
+import re
+import shlex
+import shutil
+import signal
+import subprocess
+import sys
+import tomllib
+import urllib.request
+from collections.abc import Iterator
+from importlib import metadata
+from pathlib import Path
+
+from packaging.requirements import Requirement
+from packaging.utils import canonicalize_name
+
+ROOT = Path(__file__).parents[2]
+PROJECT = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
+TOOLS = ["ruff check .", "mypy", "lint-imports --no-logo", "pytest -q"]
+STUB = """#!/bin/sh
+# Stands in for Python and for the tools: notes what it was asked for, fails where a file FAIL-name is.
+case "$*" in *sys.version_info*) test ! -e FAIL-version; exit;; -V) exit;; esac
+echo "${0##*/} $*" >> notes
+case "$*" in *"-m venv"*) mkdir -p .venv-dev/bin
+    for name in python ruff mypy lint-imports pytest; do cp "$0" .venv-dev/bin/$name; done;; esac
+test ! -e "FAIL-${0##*/}"
+"""
+MADE = ["python3 -m venv .venv-dev", "python -m pip --disable-pip-version-check install -e .[dev]"]
+
+
+def commands() -> dict[str, str]:
+    return dict(re.findall(r"<!-- (\w+) command -->\n```sh\n(.*?)\n```", (ROOT / "README.md").read_text()))
+
+
+def test_readme_names_both_commands_and_ci_runs_the_second() -> None:
+    assert commands() == {"run": "./dev run", "test": "./dev check"}
+    asked = subprocess.run(["./dev"], cwd=ROOT, capture_output=True, text=True, check=False)
+    assert asked.returncode == 2 and all(command in asked.stdout for command in commands().values())
+    assert "<!-- test command -->" in (ROOT / ".ci" / "run").read_text()
+
+
+class Checkout:
+    """A directory with `dev`, a pyproject and a stub of Python; `check` says what was run for it."""
+
+    def __init__(self, at: Path) -> None:
+        self.at = at
+        (at / "bin").mkdir(parents=True)
+        (at / "bin" / "python3").write_text(STUB)
+        (at / "bin" / "python3").chmod(0o755)
+        shutil.copy(ROOT / "dev", at)
+        (at / "pyproject.toml").write_text("[project]\n")
+
+    def check(self, *arguments: str) -> tuple[int, list[str]]:
+        (self.at / "notes").write_text("")
+        path = f"{self.at / 'bin'}:{os.environ['PATH']}"
+        done = subprocess.run(["./dev", "check", *arguments], cwd=self.at, timeout=60, check=False,
+                              env={"PATH": path}, capture_output=True, text=True)
+        self.said = done.stdout + done.stderr
+        return done.returncode, [line.strip() for line in (self.at / "notes").read_text().splitlines()]
+
+
+def test_the_set_up_is_done_once_and_again_when_its_ground_has_changed(tmp_path: Path) -> None:
+    here = Checkout(tmp_path / "here")
+    (here.at / "FAIL-python").touch()
+    assert here.check() == (1, MADE)                             # the installation fails: half made
+    (here.at / "FAIL-python").unlink()
+    assert here.check() == (0, MADE + TOOLS)                     # made anew
+    assert here.check("-k", "net") == (0, [*TOOLS[:-1], TOOLS[-1] + " -k net"])
+    (here.at / "pyproject.toml").write_text("[project]\nname = 'other'\n")
+    assert here.check() == (0, MADE + TOOLS)
+    here.at = here.at.rename(tmp_path / "there")                 # environments hold absolute paths
+    assert here.check() == (0, MADE + TOOLS)
+
+
+def test_the_first_check_that_fails_ends_them(tmp_path: Path) -> None:
+    here = Checkout(tmp_path / "here")
+    (here.at / "FAIL-mypy").touch()
+    assert here.check() == (1, MADE + TOOLS[:2])
+
+
+def test_an_old_python_is_named_with_the_remedy(tmp_path: Path) -> None:
+    here = Checkout(tmp_path / "here")
+    (here.at / "FAIL-version").touch()
+    for name in ("python3.11", "python3.12", "python3.13", "python3.14"):
+        shutil.copy(here.at / "bin" / "python3", here.at / "bin" / name)
+    assert here.check() == (1, []) and "Python 3.11" in here.said and "PYTHON=" in here.said
+
+
+def installed() -> set[str]:
+    """The distributions that `.[dev]` names, and what these need here."""
+    asked, found = [Requirement(PROJECT["name"] + "[dev]")], set[str]()
+    while asked:
+        requirement = asked.pop()
+        if requirement.marker and not requirement.marker.evaluate({"extra": ""}):
+            continue
+        if (name := canonicalize_name(requirement.name)) == PROJECT["name"]:
+            needs = PROJECT["dependencies"] + [
+                need for extra in requirement.extras for need in PROJECT["optional-dependencies"][extra]]
+        else:
+            needs = [] if name in found else metadata.requires(name) or []
+            found.add(name)
+        asked += map(Requirement, needs)
+    return found
+
+
+def imported(paths: Iterator[Path]) -> set[str]:
+    """The top-level packages of others that these files import."""
+    found = set()
+    for path in paths:
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Import):
+                found |= {alias.name.partition(".")[0] for alias in node.names}
+            elif isinstance(node, ast.ImportFrom) and node.module and not node.level:
+                found.add(node.module.partition(".")[0])
+    own = {path.stem for folder in ("tests", "examples") for path in (ROOT / folder).glob("*.py")}
+    return found - sys.stdlib_module_names - own - {"roadlb"}
+
+
+def test_the_set_up_installs_all_that_the_checks_run_and_import() -> None:
+    pinned, homes = installed(), metadata.packages_distributions()
+    scripts = {script.name: script.dist.name for script in metadata.entry_points(group="console_scripts")
+               if script.dist}
+    for tool in (line.split()[0] for line in TOOLS):
+        assert scripts.get(tool, tool) in pinned, tool
+    folders = (ROOT / folder for folder in ("roadlb", "tests", "examples"))
+    for package in imported(path for folder in folders for path in folder.rglob("*.py")):
+        assert any(canonicalize_name(home) in pinned for home in homes.get(package, ())), f"{package}: no pin"
+
+
+def test_two_demos_at_once_serve_and_end_with_ctrl_c() -> None:
+    demos = [subprocess.Popen([sys.executable, "examples/demo.py"], cwd=ROOT, stdout=subprocess.PIPE,
+                              stderr=subprocess.PIPE, text=True) for _ in range(2)]
+    for demo in demos:
+        assert demo.stdout
+        while not (line := demo.stdout.readline()).startswith("ask it"):
+            assert demo.poll() is None, "ended before it served"
+        _, _, *words = shlex.split(line)
+        headers = dict(words[i + 1].split(": ") for i, word in enumerate(words) if word == "-H")
+        with urllib.request.urlopen(urllib.request.Request(words[-1], headers=headers), timeout=30) as answer:
+            assert answer.status == 200
+        while not (line := demo.stdout.readline()).split()[:1] == ["1"]:
+            assert demo.poll() is None, "ended before its first line of figures"
+        assert int(line.split()[1]) > 0
+    for demo in demos:
+        demo.send_signal(signal.SIGINT)
+    for demo in demos:
+        _, errors = demo.communicate(timeout=60)
+        assert demo.returncode == 0 and "reason=exit" in errors and "Traceback" not in errors, errors
