--- /dev/null
+++ b/tests/house/test_footprint.py
@@ -0,0 +1,47 @@
+"""What the platform's program, `python -m roadlb`, loads: it starts within 32 MB, and each module weighs.
+
+Everything that only other programs need sits in extras and is imported where it is used.
+"""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import sysconfig
+from pathlib import Path
+
+ROOT = Path(__file__).parents[2]
+
+# The top-level packages of others that the program may load: its base dependencies and what these import.
+ALLOWED = {
+    "aiohttp", "aiohappyeyeballs", "aiosignal", "attr", "frozenlist", "idna", "multidict", "propcache",
+    "yarl",
+} | ({"typing_extensions"} if sys.version_info < (3, 13) else set())
+MODULES_MOST = 340      # 321 on Python 3.11, the standard library's included
+
+# Without `site`, as what it loads depends on how the environment was made.  The name is not __main__, so that
+# the program's imports are carried out and nothing more.
+LOAD = """
+import runpy, sys
+sys.path[:0] = sys.argv[1:]
+runpy.run_module("roadlb", run_name="imported")
+import json
+print(json.dumps([name for name, module in sys.modules.items() if getattr(module, "__spec__", None)]))
+"""
+
+
+def loaded() -> list[str]:
+    paths = [str(ROOT), *{sysconfig.get_path("purelib"), sysconfig.get_path("platlib")}]
+    done = subprocess.run([sys.executable, "-I", "-S", "-c", LOAD, *paths], cwd=ROOT, timeout=60, check=True,
+                          capture_output=True, text=True)
+    names: list[str] = json.loads(done.stdout)
+    return names
+
+
+def test_the_program_loads_no_more_than_it_needs() -> None:
+    names = loaded()
+    others = {name.partition(".")[0] for name in names} - sys.stdlib_module_names - {"roadlb", "__main__"}
+    assert "roadlb.app" in names
+    assert others == ALLOWED, "change ALLOWED, if the program is to load more or no longer loads some"
+    assert len(names) <= MODULES_MOST, f"{len(names)} modules"
