--- a/roadlb/lab/incident/__init__.py
+++ b/roadlb/lab/incident/__init__.py
@@ -7,8 +7,10 @@
 """
 
 from .load import IncidentError, Problem, load, read
+from .rules import rules_of
 from .schema import Incident
 from .steps import STEPS, Step
 from .values import Range, micro
 
-__all__ = ["STEPS", "Incident", "IncidentError", "Problem", "Range", "Step", "load", "micro", "read"]
+__all__ = ["STEPS", "Incident", "IncidentError", "Problem", "Range", "Step", "load", "micro", "read",
+           "rules_of"]
--- a/roadlb/lab/incident/checks.py
+++ b/roadlb/lab/incident/checks.py
@@ -9,7 +9,7 @@
 from .lines import Path
 from .schema import Incident
 from .steps import (
-    AtBalancers, AtNodes, CutHall, Deploy, DiscoveryMove, Flood, Lasting, LastingAtNodes, Pause, Reset,
+    AtBalancers, AtNodes, CutHall, Deploy, Flood, Lasting, LastingAtNodes, Pause, Reset,
     Shrink, Step)
 from .targets import balancers_at_start, nodes_at_start
 
@@ -134,8 +134,6 @@
     yield from check_names(incident, step)
     if isinstance(step, AtNodes | AtBalancers):
         yield from check_aim(incident, step, raw)
-    if isinstance(step, DiscoveryMove) and step.deemed_told_s < step.old_closes_s:
-        yield "deemed_told_s", f"{step.deemed_told_s:g} is less than old_closes_s, {step.old_closes_s:g}"
 
 
 def check_names(incident: Incident, step: Step) -> Iterator[tuple[str, str]]:
--- a/roadlb/lab/incident/schema.py
+++ b/roadlb/lab/incident/schema.py
@@ -191,6 +191,7 @@
     """The figures of the rules: balancers find them in their settings, the judge holds them to these."""
 
     drain_grace_s: Seconds = 1.0
+    answer_slack_ms: Amount = 8.0                   # an answer may come so long after its time
     slack_ms: Amount = 50.0                         # every time limit is longer by this
     deemed_told_s: Seconds = 6.0                    # what discovery has to tell counts as told by then
     fall_multiple: Factor = 3.0                     # a node falls if sent so many times what it can do
@@ -198,6 +199,9 @@
     fall_share: SomeShare = 2 / 3                   # of it, sent by balancers told: they broke the rule
     cold_from: SomeShare = 0.12
     cold_s: SomeSeconds = 23.0
+    term_grace_s: Seconds = 0.7                     # after SIGTERM, clients still come for so long
+    reload_told_s: Seconds = 4.0                    # after SIGHUP, what discovery has to tell counts as told
+    silence_is_loss: bool = True                    # false: what runs out of time has failed, and is not lost
     max_attempts: Count = 5
     second_copies: bool = True
 
--- a/roadlb/lab/incident/steps.py
+++ b/roadlb/lab/incident/steps.py
@@ -134,7 +134,6 @@
 
     do: ClassVar[str] = "discovery_move"
     old_closes_s: Seconds = 1.5                     # the old address takes no new connection from the start
-    deemed_told_s: Seconds = 4.0                    # whatever there is to tell counts as told by then
 
 
 class Flood(Lasting, frozen=True, kw_only=True):
--- a/roadlb/lab/wire.py
+++ b/roadlb/lab/wire.py
@@ -15,6 +15,17 @@
 from typing import TypeAlias
 
 
+@dataclass(slots=True, frozen=True)
+class ClientWished:
+    """A wish came due: from here on its worth is asked for, whether or not any try of it finds a balancer."""
+
+    at: int
+    wish: int
+    client: str
+    class_name: str
+    tenant: str
+
+
 @dataclass(slots=True, frozen=True)
 class ClientSent:
     """The last byte of a client's request was written to a connection that a balancer's machine accepted."""
@@ -85,6 +96,7 @@
     method: str
     target: str
     work_us: int                 # what it asks of a standard core, caches not counted
+    fresh: bool = False          # the first request on its connection
 
 
 @dataclass(slots=True, frozen=True)
@@ -95,6 +107,7 @@
     node: str
     started_ms: int
     request: str
+    hit: bool | None = None      # the key was cached; None: not told
 
 
 @dataclass(slots=True, frozen=True)
@@ -133,7 +146,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Told:
-    """Discovery's agent has written an entry to a balancer, which now counts as told."""
+    """Discovery's agent has written an entry to a balancer, which now counts as told.
+
+    With no balancer: discovery has this to tell from now on, and it counts as told to all some time later.
+    """
 
     at: int
     balancer: str
@@ -145,7 +161,11 @@
 
 @dataclass(slots=True, frozen=True)
 class BalancerState:
-    """`started` (its process), `ready` (healthz said 200), `killed`, `terminated` (SIGTERM), `ended`."""
+    """`started` (its process), `ready` (healthz said 200), `killed`, `terminated` (SIGTERM), `ended`.
+
+    What is done to it: `reloaded` (SIGHUP), `paused`, `resumed`, `cut` and `healed` (from its clients), and
+    `reset` (the network reset connections of its clients).
+    """
 
     at: int
     balancer: str
@@ -161,8 +181,8 @@
 
 
 WireEvent: TypeAlias = (
-    ClientSent | ClientGot | ClientLost | NodeStarted | NodeGot | NodeRan | NodeGave | NodeFell | NodeState
-    | Told | BalancerState | Note
+    ClientWished | ClientSent | ClientGot | ClientLost | NodeStarted | NodeGot | NodeRan | NodeGave | NodeFell
+    | NodeState | Told | BalancerState | Note
 )
 
 
