--- a/roadlb/lab/judge/judge.py
+++ b/roadlb/lab/judge/judge.py
@@ -284,7 +284,7 @@
                                 f"{event.balancer} ended, and nobody had told it to", tuple(balancer.events)))
             balancer.hold(event.at)     # said once: what it had taken is lost with it
         if event.state == "started":
-            self._lists.forget(event.balancer)
+            self._lists.restarted(event.balancer, event.at)
 
     # Violations.
 
