--- /dev/null
+++ b/roadlb/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The `roadlb` command: a file for each subcommand, and no logic.  Nothing imports it."""
--- /dev/null
+++ b/roadlb/cli/commands.py
@@ -0,0 +1,32 @@
+"""The tree of commands."""
+
+from __future__ import annotations
+
+import click
+
+from .config.check import check as config_check
+from .lab.check import check as lab_check
+from .lab.grid import grid as lab_grid
+from .lab.load import load as lab_load
+from .lab.run import run as lab_run
+from .lab.show import show as lab_show
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+def roadlb() -> None:
+    """Tools around the roadlb balancer.  The balancer itself starts with `python -m roadlb`."""
+
+
+@roadlb.group()
+def lab() -> None:
+    """Rehearse incidents: play a deployment round the real program, and judge what crossed the wire."""
+
+
+@roadlb.group()
+def config() -> None:
+    """The platform's configuration of a balancer."""
+
+
+for command in (lab_run, lab_check, lab_show, lab_load, lab_grid):
+    lab.add_command(command)
+config.add_command(config_check)
--- /dev/null
+++ b/roadlb/cli/config/__init__.py
@@ -0,0 +1,1 @@
+"""`roadlb config`: a file for each subcommand."""
--- /dev/null
+++ b/roadlb/cli/lab/__init__.py
@@ -0,0 +1,1 @@
+"""`roadlb lab`: a file for each subcommand."""
