--- a/roadlb/lab/judge/book.py
+++ b/roadlb/lab/judge/book.py
@@ -135,7 +135,7 @@
 class Node:
     """One start of a node."""
 
-    started_at: int | None = None               # None: before the log began
+    cold_at: int | None = None                  # when it started cold; None: it has long been running
     hall: str = ""
     held: bool = False                          # standing still or cut off
     held_at: int = -BLIND_US                    # the last moment at which it was
--- a/roadlb/lab/judge/tally.py
+++ b/roadlb/lab/judge/tally.py
@@ -30,6 +30,7 @@
     began: int = 0
     hits: int = 0
     hits_told: int = 0
+    lagged_us: int = 0
     fallen: list[str] = field(default_factory=list)
     latency: dict[str, HdrHistogram] = field(default_factory=dict)
 
@@ -66,4 +67,4 @@
             in_time=worth.in_time, late=worth.late, unanswered=worth.unanswered, attempts=self.attempts,
             attempts_per_try=self.attempts / self.tries if self.tries else 0.0, probes=worth.costs.probes,
             ran_twice=worth.ran_twice, hit_share=self.hits / self.hits_told if self.hits_told else None,
-            latency_ms=latency, fallen=tuple(self.fallen))
+            latency_ms=latency, fallen=tuple(self.fallen), lagged_s=self.lagged_us / 1e6)
--- a/roadlb/lab/judge/verdict.py
+++ b/roadlb/lab/judge/verdict.py
@@ -76,6 +76,7 @@
     hit_share: float | None             # of what nodes began; None where they do not tell
     latency_ms: Mapping[str, Mapping[str, float]]       # by class: p50, p90, p99, p99.9, max of those served
     fallen: tuple[str, ...]             # nodes in the order in which they fell
+    lagged_s: float                     # for so long the rehearsal itself was held up
 
 
 @dataclass(frozen=True, slots=True)
--- a/roadlb/lab/report/series.py
+++ b/roadlb/lab/report/series.py
@@ -128,6 +128,9 @@
             self._close(node, SPANS, second)
         elif event.state in ENDS:
             self._close(node, (ENDS[event.state],), second)
+        elif event.state == "slowed" and any(
+                span.state == "slowed" and span.until_s is None for span in node.spans):
+            self._close(node, ("slowed",), second)      # the same word ends it
         elif event.state in SPANS:
             node.spans.append(Span(event.state, second))
 
--- a/roadlb/lab/report/tables.py
+++ b/roadlb/lab/report/tables.py
@@ -54,6 +54,8 @@
             ("attempts", told.attempts), ("probes", told.probes), ("orders that ran twice", told.ran_twice)]
     texts = [(name, str(value)) for name, value in rows]
     texts.append(("attempts a try", f"{told.attempts_per_try:.3f}"))
+    if told.lagged_s:
+        texts.append(("held up, s", f"{told.lagged_s:.3f}"))
     if told.hit_share is not None:
         texts.append(("cache hits", f"{told.hit_share:.1%}"))
     return table(("figure", "count"), texts)
--- a/roadlb/lab/wire.py
+++ b/roadlb/lab/wire.py
@@ -172,6 +172,14 @@
     state: str
 
 
+@dataclass(slots=True, frozen=True)
+class Lagged:
+    """The rehearsal itself was held up, from `since` to `at`: in real time, its machine was too busy."""
+
+    at: int
+    since: int
+
+
 @dataclass(slots=True, frozen=True)
 class Note:
     """A step of the incident, for the report."""
@@ -182,7 +190,7 @@
 
 WireEvent: TypeAlias = (
     ClientWished | ClientSent | ClientGot | ClientLost | NodeStarted | NodeGot | NodeRan | NodeGave | NodeFell
-    | NodeState | Told | BalancerState | Note
+    | NodeState | Told | BalancerState | Lagged | Note
 )
 
 
