--- a/roadlb/lab/incident/load.py
+++ b/roadlb/lab/incident/load.py
@@ -16,7 +16,7 @@
 from .checks import check
 from .lines import Path, key_lines, line_of
 from .schema import Incident
-from .steps import STEPS, Step
+from .steps import STEPS, AtBalancers, AtNodes, Step
 from .values import Section, decode
 
 S = TypeVar("S", bound=Section)
@@ -102,10 +102,17 @@
         elif kind is None:
             found.append((("step", i, "do"), f"{do!r} is no kind of step; {guess(str(do), STEPS)}"))
         elif (step := gather(values, kind, ("step", i), found)) is not None:
-            steps.append(step)
+            steps.append(as_told(step, values))
     return steps
 
 
+def as_told(step: Step, values: dict[str, Any]) -> Step:
+    """A share in the file goes before a count that is only the default, and the other way round."""
+    if isinstance(step, AtNodes | AtBalancers) and ("share" in values) != ("count" in values):
+        return msgspec.structs.replace(step, **{"count" if "share" in values else "share": None})
+    return step
+
+
 def gather(raw: dict[str, Any], kind: type[S], at: Path, found: list[tuple[Path, str]]) -> S | None:
     """Convert a table, and note each of its problems.
 
--- a/roadlb/lab/report/svg.py
+++ b/roadlb/lab/report/svg.py
@@ -1,7 +1,7 @@
 """Charts over time as inline SVG: a few shapes on one axis that all charts of a page share.
 
-Written with ElementTree, which escapes what it is given.  Pictures by matplotlib would make a page of some
-megabytes for a dozen nodes, and could not be pointed at.
+Written with ElementTree, which escapes what it is given.  matplotlib's SVG of the same charts is twice as long,
+takes ten times as long to make, and cannot be pointed at; see docs/design/lab-judge.md.
 """
 
 from __future__ import annotations
--- a/tests/lab/incident/test_incident.py
+++ b/tests/lab/incident/test_incident.py
@@ -165,6 +165,13 @@
     assert len(times) < fleet and all(5 <= at_s and at_s + drain_s <= 25.001 for at_s in times)
 
 
+def test_a_share_or_count_that_is_told_goes_before_the_others_default() -> None:
+    steps = read(STEP.format("kill_node", "share = 0.5") + '[[step]]\ndo = "deploy"\nat_s = 1\ncount = 2\n'
+                 '[[step]]\ndo = "kill_node"\nat_s = 1\n', "x.toml").steps
+    told = [(step.share, step.count) for step in steps if isinstance(step, AtNodes)]
+    assert told == [(0.5, None), (None, 2), (None, 1)]
+
+
 def test_rates_run_straight_between_points_and_stay_beyond_them() -> None:
     traffic = read('title = "t"\n[traffic]\nrates = [[10, 100], [20, 300]]', "x.toml").traffic
     assert [traffic.rate_at(s) for s in (0, 10, 15, 20, 99)] == [100, 100, 200, 300, 300]
--- a/tests/lab/judge/test_lawful.py
+++ b/tests/lab/judge/test_judge_lawful.py
@@ -8,7 +8,7 @@
 import pytest
 from hypothesis import assume, given, settings
 from hypothesis import strategies as st
-from story import RULES, Story, us
+from wire_story import RULES, Story, us
 
 from roadlb.lab.judge import Judge, Rule, Verdict
 from roadlb.lab.wire import ClientGot, ClientLost, NodeGot
--- a/tests/lab/judge/test_rules.py
+++ b/tests/lab/judge/test_judge_rules.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 import pytest
-from story import Story, us
+from wire_story import Story, us
 
 from roadlb.lab.judge import Rule, Violation
 from roadlb.lab.wire import Lagged
--- a/tests/lab/report/test_report.py
+++ b/tests/lab/report/test_report.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 import pytest
-from night import subject
+from made_up_night import subject
 from rich.console import Console
 
 from roadlb.lab.judge import Judge, Rule
