--- a/tests/lab/incident/test_incident.py
+++ b/tests/lab/incident/test_incident.py
@@ -7,7 +7,7 @@
 from random import Random
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from roadlb.lab.incident import STEPS, IncidentError, load, micro, read
@@ -123,6 +123,7 @@
                   unique_by=lambda table: table[0])
 
 
+@settings(max_examples=60, deadline=None)
 @given(TABLES)
 def test_the_line_found_is_the_one_that_sets_the_key(tables: list[tuple[str, dict[str, str]]]) -> None:
     """Checked by the standard reader: with the text cut off before that line, the key is not there yet."""
--- a/tests/lab/judge/test_judge_lawful.py
+++ b/tests/lab/judge/test_judge_lawful.py
@@ -64,7 +64,7 @@
         story.lost(killed + 1, "reset", name)
 
 
-@settings(max_examples=60, deadline=None)
+@settings(max_examples=40, deadline=None)
 @given(st.integers(0, 1 << 32), st.integers(1, 30))
 def test_lawful_streams_break_no_rule(seed: int, count: int) -> None:
     story = lawful(Random(seed), count)
