--- /dev/null
+++ b/roadlb/overload/meter.py
@@ -0,0 +1,65 @@
+"""Turns what is measured of the process into shares of what it may use, one reading at a time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .pulse import Pulse
+
+READ_US = 100_000      # between readings: the period of a CPU quota, so that each holds about one of its stops
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """What the process may use.
+
+    `cores`: CPU time a second, in cores.  `memory_mb`: resident memory in MB of 2^20 bytes.  `sockets`: open
+    descriptors.  0 stands for no limit; its share is then always 0.
+    """
+
+    cores: float
+    memory_mb: float = 0.0
+    sockets: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Reading:
+    """The process over one interval; shares are of its limits, 1.0 is all of it.
+
+    `late_max_us` and `late_mean_us` tell how late the loop ran: at most, and on the mean over time.
+    """
+
+    interval_us: int
+    cpu_share: float
+    late_max_us: int = 0
+    late_mean_us: float = 0.0
+    memory_share: float = 0.0
+    descriptor_share: float = 0.0
+
+
+class Meter:
+    """Made with callables for CPU time used (us), resident memory (bytes) and open descriptors."""
+
+    def __init__(self, now: int, pulse: Pulse, limits: Limits, cpu_used_us: Callable[[], int],
+                 memory_bytes: Callable[[], int], descriptors: Callable[[], int]) -> None:
+        for name in ("cores", "memory_mb", "sockets"):
+            if getattr(limits, name) < 0:
+                raise ValueError(f"{name}: {getattr(limits, name)!r} is negative; 0 stands for no limit")
+        self._pulse, self._limits = pulse, limits
+        self._cpu_used_us, self._memory_bytes, self._descriptors = cpu_used_us, memory_bytes, descriptors
+        self._at, self._cpu = now, cpu_used_us()
+
+    def read(self, now: int) -> Reading:
+        """The reading since the last one.  Two in one microsecond make an interval of 1 us."""
+        cpu, interval = self._cpu_used_us(), max(1, now - self._at)
+        used, delay = cpu - self._cpu, self._pulse.take(now)
+        self._at, self._cpu = now, cpu
+        limits = self._limits
+        return Reading(
+            interval, _share(used, limits.cores * interval), delay.largest_us, delay.mean_us,
+            _share(self._memory_bytes(), limits.memory_mb * 2**20), _share(self._descriptors(), limits.sockets))
+
+
+def _share(used: float, limit: float) -> float:
+    return used / limit if limit else 0.0
