Watch the program's own load and have the module shed for it, before it falls behind

Change: OwnLoad beats every 10 ms, reads CPU, loop delay, memory and descriptors every 100 ms, and tells the module the share to shed (Shortage); requests read after a stop have used up the time of the stop; one whose body has not come is refused from its head (Offer); idle connections go sooner while memory or descriptors are short; counters shed.<class>.<reason>, and the meter's figures with SIGUSR1. limits.cores and limits.memory_mb are read and checked.

--- a/roadlb/app.py
+++ b/roadlb/app.py
@@ -18,6 +18,8 @@
 from .net.instances import Instances
 from .net.name_table import NameTable
 from .net.service_client import ServiceClient
+from .overload.meter import Limits
+from .own_load import OwnLoad
 from .policy.logic import Balancer
 from .wheel import Wheel
 
@@ -27,6 +29,7 @@
 GC_THRESHOLD = 5_000, 10, 10
 LINGER_S = 0.5      # after SIGTERM the front goes on dealing us connections for so long
 TAKE_OVER_S = 10.0  # how long a predecessor may take to end
+OWN_SOCKETS = 10    # log, listener, loop and its wake-ups, discovery
 
 
 class App:
@@ -43,15 +46,18 @@
         config, counters, clock = self.config, self.counters, self.clock
         self.wheel = Wheel(clock)
         self.engine = Engine(Balancer(config.settings, config.seed), counters, clock, self.wheel,
-                             config.max_open)
+                             config.max_open, [c.name for c in config.settings.classes])
         self.instances = Instances(config, self.engine, counters, clock, self.wheel)
         self.engine.executor = self.instances
         self.name_table = NameTable(config.discovery, config.zones, config.kinds, self.engine, self.instances,
                                     counters, clock, self.wall)
         self.name_table.start_from(config.known)
         self.watch = asyncio.create_task(self.name_table.run())
-        self.service_client = ServiceClient(
-            config, self.engine, counters, lambda: self.name_table.filled, clock, self.wheel)
+        self.own_load = OwnLoad(
+            clock, self.engine, Limits(config.cores, config.memory_mb, config.sockets),
+            min(c.aim_us for c in config.settings.classes), self._descriptors, self._tighten)
+        self.service_client = ServiceClient(config, self.engine, counters, lambda: self.name_table.filled,
+                                            clock, self.wheel, self.own_load.came_us)
         self.sweeping = asyncio.create_task(self.service_client.sweep_for_ever())
         self.listener = await self._listen()
         logger.info("listening", extra=fields(name=config.name, address=config.listen))
@@ -69,6 +75,17 @@
                 logger.warning("address in use", extra=fields(address=at))
                 await asyncio.sleep(0.1)
 
+    def _descriptors(self) -> int:
+        """Sockets held: connections of clients and to instances, and the few of the program itself."""
+        return len(self.service_client.connections) + len(self.instances.pool.open) + OWN_SOCKETS
+
+    def _tighten(self, on: bool) -> None:
+        self.service_client.tight = on
+
+    def print_counters(self, reason: str) -> None:
+        """One log line with all counts and the last reading of the program's own load."""
+        self.counters.print(reason, **self.own_load.figures())
+
     @property
     def port(self) -> int:
         """The port listened on, where the configuration leaves the choice to the kernel."""
@@ -104,6 +121,7 @@
             task.cancel()
             with suppress(asyncio.CancelledError):
                 await task
+        self.own_load.stop()
         await self.instances.close()
         self.wheel.close()
 
@@ -113,7 +131,7 @@
     app, loop, ended = App(config), asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
-    loop.add_signal_handler(signal.SIGUSR1, app.counters.print, "signal")
+    loop.add_signal_handler(signal.SIGUSR1, app.print_counters, "signal")
     loop.add_signal_handler(signal.SIGHUP, app.reconfigure, read_again or (lambda: config))
     await app.start()
     # What the imports left behind lives for ever; unfrozen, each full collection looked at all of it again
@@ -126,4 +144,4 @@
     await ended.wait()
     logger.info("stopping")
     await app.stop()
-    app.counters.print("exit")
+    app.print_counters("exit")
--- a/roadlb/config.py
+++ b/roadlb/config.py
@@ -158,7 +158,9 @@
     listen: Address
     discovery: Address
     seed: int
-    sockets: int                           # descriptors that the process may hold
+    cores: float                           # CPU time that the process may use, in cores
+    memory_mb: float                       # resident memory that it may use; 0: no limit
+    sockets: int                           # descriptors that it may hold
     known: Mapping[str, object]            # the list of instances as last held, in discovery's form
     settings: Settings
     zones: tuple[str, ...]
@@ -202,6 +204,12 @@
     sockets = limits.get("sockets", 1024)
     if isinstance(sockets, bool) or not isinstance(sockets, int | float) or sockets < 64:
         raise ConfigError(f"limits.sockets: {sockets!r} must be a number of at least 64")
+    amounts = {}
+    for key, most in (("cores", 1.0), ("memory_mb", 0.0)):         # without a word, the one core it can use
+        amounts[key] = limits.get(key, most)
+        if isinstance(amounts[key], bool) or not isinstance(amounts[key], int | float) or (
+                not 0 <= amounts[key] < float("inf")) or key == "cores" and not amounts[key]:
+            raise ConfigError(f"limits.{key}: {amounts[key]!r} must be a positive number")
     if "settings" not in raw:
         raise ConfigError("settings: is missing")
     pairs = Pairs.from_json(raw["settings"])
@@ -215,7 +223,7 @@
     client_sockets = (int(sockets) - SPARE_SOCKETS) // 2
     limits_of["max_open"] = min(limits_of["max_open"], client_sockets)
     return Config(
-        name=str(told("name")), listen=read_address("listen", told("listen")),
+        name=str(told("name")), listen=read_address("listen", told("listen")), **amounts,
         discovery=read_address("discovery", told("discovery")), seed=seed, sockets=int(sockets), known=known,
         settings=read_settings(pairs), zones=pairs.words("dcs"), kinds=pairs.words("machine_types"),
         client_sockets=client_sockets, instance_sockets=int(sockets) - SPARE_SOCKETS - client_sockets,
--- a/roadlb/counters.py
+++ b/roadlb/counters.py
@@ -22,6 +22,7 @@
     def __getitem__(self, name: str) -> int:
         return self._counts[name]
 
-    def print(self, reason: str) -> None:
-        """One log line with all counts, in the order of their names."""
-        logger.info("counters", extra=fields(reason=reason, **dict(sorted(self._counts.items()))))
+    def print(self, reason: str, **figures: float) -> None:
+        """One log line with all counts, and these figures, in the order of their names."""
+        values = sorted({**self._counts, **figures}.items())
+        logger.info("counters", extra=fields(reason=reason, **dict(values)))
--- a/roadlb/engine.py
+++ b/roadlb/engine.py
@@ -8,7 +8,7 @@
 
 import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, Protocol
 
 from .clock import Clock
@@ -16,8 +16,8 @@
 from .exchange import Answer, Ending, Exchange, Execution, Failed, Nack, Result, Served
 from .log import fields
 from .policy.interface import (
-    Action, Arrival, Cancel, ClientGone, Event, Fail, ListKind, ListUpdate, Log, Member, Outcome, Probe,
-    Probed, Refuse, Send, ServerId, SetTimer, Subscribe, TimerFired,
+    Action, Arrival, Cancel, ClientGone, Event, Fail, ListKind, ListUpdate, Log, Member, Offer, Outcome,
+    Probe, Probed, Refuse, Send, ServerId, SetTimer, Shortage, Subscribe, TimerFired,
 )
 from .policy.logic import Balancer
 from .wheel import Wheel
@@ -42,13 +42,17 @@
     """Feeds a balancer one event at a time and carries out what it decides."""
 
     def __init__(self, balancer: Balancer, counters: Counters, clock: Clock, wheel: Wheel,
-                 max_open: int = 20_000) -> None:
+                 max_open: int = 20_000, class_names: Sequence[str] = ()) -> None:
+        """`max_open`: exchanges at once; `class_names`: for the counters of what is refused unsent."""
         self._balancer, self._counters, self._max_open = balancer, counters, max_open
         self._clock, self._wheel = clock, wheel
         self._events: deque[Event] = deque()
         self._busy = False
         self._next_id = 1
         self._open: dict[int, Exchange] = {}      # with an answer owed, or an execution still out
+        self._short = False                       # of this program's own means, as the module was told
+        self._shed = {(i, short): f"shed.{name}.{'own' if short else 'fleet'}"
+                      for i, name in enumerate(class_names) for short in (False, True)}
         self.executor: Executor | None = None
         self._carry_out: dict[type, Callable[[Any], None]] = {
             Send: self._send, Refuse: self._refuse, Fail: self._fail, Cancel: self._cancel,
@@ -86,6 +90,31 @@
         for exchange in list(self._open.values()):
             self._give_up(exchange, "stopping")
 
+    def offer(self, class_index: int, tenant: int, key: int, left_us: int, work_us: int) -> Nack | None:
+        """Would the module refuse this request, whose body has not come?  Then it need not be opened."""
+        try:
+            actions = self._balancer.handle(
+                self._clock(), Offer(class_index, tenant, key, left_us, work_us))
+        except Exception:
+            self._counters.add("fault.engine")
+            logger.exception("offer failed")
+            return None
+        for action in actions:
+            if isinstance(action, Refuse):
+                self._counters.add("offer.nack")
+                self._count_shed(class_index)
+                return Nack(action.retry_after_us)
+        return None
+
+    def shortage(self, share: float) -> None:
+        """At least this share of the demand is to be refused for want of the program's own means."""
+        self._short = share > 0
+        self._feed(Shortage(share))
+
+    def _count_shed(self, class_index: int) -> None:
+        if name := self._shed.get((class_index, self._short)):
+            self._counters.add(name)
+
     def list_update(self, kind: ListKind, members: list[Member]) -> None:
         self._feed(ListUpdate(kind, members))
 
@@ -161,6 +190,9 @@
             self.executor.start(execution)
 
     def _refuse(self, action: Refuse) -> None:
+        exchange = self._open.get(action.request)
+        if exchange and not exchange.executions and not exchange.closed:
+            self._count_shed(exchange.class_index)
         self._answer(action.request, Nack(action.retry_after_us))
 
     def _fail(self, action: Fail) -> None:
--- a/roadlb/net/service_client.py
+++ b/roadlb/net/service_client.py
@@ -70,6 +70,7 @@
         self.connections: dict[ClientConnection, None] = {}      # in the order in which they came
         self._all_ended: asyncio.Future[None] | None = None
         self.draining = False
+        self.tight = False                     # memory or descriptors are short: idle connections go sooner
 
     def __call__(self) -> ClientConnection:
         return ClientConnection(self)
@@ -122,7 +123,8 @@
         """End the connections that have been silent or idle for too long, and forget old ids."""
         now = self.clock()
         # Clients hold only so many connections: one that is kept idle is one that another may be waiting for.
-        idle_s = IDLE_S if len(self.connections) <= self._most * PLENTY else SPARE_IDLE_S
+        plenty = len(self.connections) <= self._most * PLENTY and not self.tight
+        idle_s = IDLE_S if plenty else SPARE_IDLE_S
         for connection in list(self.connections):
             if overdue(connection, now, idle_s):
                 self.counters.add("client.overdue")
@@ -177,7 +179,11 @@
 
     def offer(self, request: Request) -> Nack | None:
         """Would this request, whose body has not come, be refused now?  Then its body need not be read."""
-        return None
+        try:
+            class_index, tenant, key, left_us, work_us = self._understand(request)
+        except BadRequest:
+            return None                        # it is told so in its turn
+        return self._engine.offer(class_index, tenant, key, left_us, work_us)
 
     def _reject(self, connection: ClientConnection, request: Request, e: BadRequest) -> None:
         self.counters.add(f"rejected.{e.status}")
@@ -207,8 +213,8 @@
         if self._ids.pop(connection.id, None):
             self._ids[connection.id] = self.clock() + RECENT_S * 1e6
 
-    def _exchange(self, connection: ClientConnection, request: Request) -> Exchange:
-        """Check a request and put into an exchange what the two sides need to know of it."""
+    def _understand(self, request: Request) -> tuple[int, int, int, int, int]:
+        """Class, tenant, key, time left and work (us) of a request, or BadRequest."""
         target, told = request.target, request.headers.fields
         parts = target.partition(b"?")[0].split(b"/")
         class_index = self._classes.get(parts[1] if len(parts) > 1 else b"")
@@ -226,19 +232,24 @@
         tenant = self._tenants.get(told.get(ACCOUNT, b"")) if self._tenants else 0
         if tenant is None:
             raise BadRequest(400, "X-Account names no tenant")
+        # A request that waited, in line behind another or for us to read it, has used that time up.
+        waited_us = max(0, self.clock() - request.came_us)
+        left_us = max(1, self._left_us(told.get(TIME_LEFT), class_index) - waited_us)
+        key = key_number(parts[-1] if len(parts) > 2 else b"")
+        return class_index, tenant, key, left_us, _work_us(told.get(FACTS))
+
+    def _exchange(self, connection: ClientConnection, request: Request) -> Exchange:
+        """Check a request and put into an exchange what the two sides need to know of it."""
+        class_index, tenant, key, left_us, work_us = self._understand(request)
         try:
             head = request.headers.passed_on()
-            if not request.headers.hosts:      # as HTTP/1.0 may; the instance is spoken to in 1.1
-                head = b"Host: %b\r\n%b" % (self._name, head)
         except Faulty as e:
             raise BadRequest(400, str(e)) from None
-        # A request that waited in line behind another on its connection has used that time up.
-        waited_us = max(0, self.clock() - request.came_us)
+        if not request.headers.hosts:      # as HTTP/1.0 may; the instance is spoken to in 1.1
+            head = b"Host: %b\r\n%b" % (self._name, head)
         return Exchange(
-            Message(request.method, target, head, b"".join(request.body)), class_index, tenant,
-            key_number(parts[-1] if len(parts) > 2 else b""),
-            max(1, self._left_us(told.get(TIME_LEFT), class_index) - waited_us),
-            _work_us(told.get(FACTS)), told.get(REPEAT) == b"1", connection.on_answer)
+            Message(request.method, request.target, head, b"".join(request.body)), class_index, tenant, key,
+            left_us, work_us, request.headers.fields.get(REPEAT) == b"1", connection.on_answer)
 
     def _left_us(self, text: bytes | None, class_index: int) -> int:
         if text is None:
--- a/roadlb/overload/controller.py
+++ b/roadlb/overload/controller.py
@@ -23,15 +23,16 @@
 
 from .meter import READ_US, Reading
 
-TARGET = 0.92              # of the CPU limit; at 0.85 a sixth of the worth is lost at full load, at 0.98 bursts win
+TARGET = 0.92              # of the CPU limit; at 0.85 a sixth of the worth is lost at full load, at 0.98
+                           # bursts win
 MEMORY_US = 200_000        # of the mean CPU share: two periods of a quota
 GAIN = 0.8                 # a reading's CPU share over TARGET lowers `kept` by this power of their ratio
 SATURATED, IN_A_ROW = 0.97, 3     # so much in so many readings: by chance that is rare even at a load of 0.9
 FALL, RISE = 0.75, 1.2     # factors a reading: when saturated, and at the most when there is room again
-KEPT_BUSY = 0.25           # refusing costs a sixth to a fifth of serving: 60% of the CPU serves at this part
+KEPT_BUSY = 0.25           # refusing costs a sixth to a fifth of serving: here 60% of the CPU serves
 KEPT_LEAST = 0.05
-LATE_PART = 1 / 8          # of the shortest aim, on the mean: a request passes the loop twice, up to double that
-LATE_LEAST_US = 10_000     # a quota of half a core stops the process for 50 ms in 100, late by 8 ms on the mean
+LATE_PART = 1 / 8          # of the shortest aim, on the mean: a request passes the loop twice
+LATE_LEAST_US = 10_000     # a quota of half a core stops the process for 50 ms in 100, late by 8 on the mean
 DEAD = 0.03                # less is not worth refusing anything: what is refused is asked for again
 FULL, ROOMY = 0.85, 0.75   # share of memory or descriptors from which, and down to which, they are short
 
@@ -90,7 +91,7 @@
         self._saturated = self._saturated + 1 if r.cpu_share >= SATURATED else 0
         late, self._late_before = min(r.late_mean_us, self._late_before), r.late_mean_us
         readings = min(2.0, r.interval_us / READ_US)       # a late loop reads late; a stop is no experience
-        factor = (TARGET / max(self._cpu, 0.05)) ** (GAIN * readings)
+        factor = float((TARGET / max(self._cpu, 0.05)) ** (GAIN * readings))
         if self._saturated >= IN_A_ROW:
             factor = min(factor, FALL ** readings)
         kept = self._kept
--- a/roadlb/overload/meter.py
+++ b/roadlb/overload/meter.py
@@ -7,7 +7,7 @@
 
 from .pulse import Pulse
 
-READ_US = 100_000      # between readings: the period of a CPU quota, so that each holds about one of its stops
+READ_US = 100_000      # between readings: the period of a CPU quota, so that each holds about one stop
 
 
 @dataclass(slots=True, frozen=True)
@@ -58,7 +58,8 @@
         limits = self._limits
         return Reading(
             interval, _share(used, limits.cores * interval), delay.largest_us, delay.mean_us,
-            _share(self._memory_bytes(), limits.memory_mb * 2**20), _share(self._descriptors(), limits.sockets))
+            _share(self._memory_bytes(), limits.memory_mb * 2**20),
+            _share(self._descriptors(), limits.sockets))
 
 
 def _share(used: float, limit: float) -> float:
--- /dev/null
+++ b/roadlb/own_load.py
@@ -0,0 +1,64 @@
+"""Watches the program's own load: beats on the loop, reads the meter, has the module shed when short."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from .clock import Clock
+from .engine import Engine
+from .log import fields
+from .overload.controller import Controller, Shed, Tighten
+from .overload.meter import READ_US, Limits, Meter, Reading
+from .overload.pulse import Pulse
+from .overload.readings import cpu_used_us, memory_bytes
+
+logger = logging.getLogger(__name__)
+
+
+class OwnLoad:
+    """`aim_us` is the shortest aim of a class; `descriptors` counts those that are open; `tighten` hears when
+    memory or descriptors become short, and when that is over."""
+
+    def __init__(self, clock: Clock, engine: Engine, limits: Limits, aim_us: int,
+                 descriptors: Callable[[], int], tighten: Callable[[bool], None],
+                 cpu_us: Callable[[], int] = cpu_used_us) -> None:
+        self._clock, self._engine, self._tighten = clock, engine, tighten
+        self._loop, now = asyncio.get_running_loop(), clock()
+        self._pulse = Pulse(now)
+        self._meter = Meter(now, self._pulse, limits, cpu_us, memory_bytes, descriptors)
+        self._controller = Controller(aim_us)
+        self._reading = Reading(0, 0.0)
+        self._read_at, self._next = now + READ_US, self._loop.call_soon(self._beat)
+
+    def came_us(self) -> int:
+        """The earliest moment at which bytes read now may have come, on the clock."""
+        return self._pulse.came_us(self._clock())
+
+    def _beat(self) -> None:
+        now = self._clock()
+        due = self._pulse.beat(now)
+        self._next = self._loop.call_later((due - now) / 1e6, self._beat)
+        if now >= self._read_at:
+            self._read_at = now + READ_US
+            self._read(now)
+
+    def _read(self, now: int) -> None:
+        self._reading = self._meter.read(now)
+        for action in self._controller.handle(now, self._reading):
+            if isinstance(action, Shed):
+                self._engine.shortage(action.share)
+            elif isinstance(action, Tighten):
+                logger.info("tighten", extra=fields(on=action.on, **self.figures()))
+                self._tighten(action.on)
+
+    def figures(self) -> dict[str, float]:
+        """The last reading and what is shed for it, under the names that operators see."""
+        r = self._reading
+        return {"overload.shed_share": self._controller.share, "overload.cpu_share": r.cpu_share,
+                "overload.late_us": r.late_max_us, "overload.memory_share": r.memory_share,
+                "overload.descriptor_share": r.descriptor_share}
+
+    def stop(self) -> None:
+        self._next.cancel()
--- a/tests/house/test_floors.py
+++ b/tests/house/test_floors.py
@@ -13,7 +13,7 @@
 LINT = "from importlinter.cli import lint_imports_command; lint_imports_command()"
 PLANNED = (
     "cli/__init__", "cli/control", "lab/__init__", "xds/__init__", "xds/client", "overload/__init__",
-    "overload/controller", "overload/meter", "control/__init__", "control/plan", "control/service",
+    "overload/controller", "overload/readings", "control/__init__", "control/plan", "control/service",
     "routing/__init__", "fleet/__init__",
 )
 EXISTING = tuple(path.stem if path.suffix else f"{path.name}/__init__" for path in (ROOT / "roadlb").iterdir()
@@ -36,7 +36,7 @@
     code, said = lint(tmp_path, {
         "cli/control": "import roadlb.lab, roadlb.control.service", "lab/__init__": "import roadlb.app",
         "control/service": "import asyncio, roadlb.xds.client, roadlb.control.plan",
-        "control/plan": "import roadlb.policy.logic, random", "overload/meter": "import time, os",
+        "control/plan": "import roadlb.policy.logic, random", "overload/readings": "import time, os",
         "net/__init__": "import roadlb.engine, asyncio"})
     assert code == 0 and "0 broken" in said, said
 
@@ -50,7 +50,7 @@
     ("policy/logic", "def late():\n    import roadlb.counters", "roadlb.counters -> logging"),
     ("control/plan", "import roadlb.control.service", "roadlb.control.plan -> roadlb.control.service"),
     ("net/__init__", "import roadlb.control.service", "roadlb.net -> roadlb.control.service"),
-    ("overload/controller", "import roadlb.overload.meter", "overload.controller -> roadlb.overload.meter"),
+    ("overload/controller", "import roadlb.overload.readings", "overload.controller -> roadlb.overload.readings"),
     ("xds/__init__", "import roadlb.net", "roadlb.xds is not allowed to import roadlb.net"),
     ("fleet/__init__", "import roadlb.routing", "roadlb.fleet is not allowed to import roadlb.routing"),
     ("routing/index", "import socket", "roadlb.routing.index -> socket"),
@@ -58,6 +58,6 @@
 ])
 def test_what_goes_up_round_or_out_is_caught(tmp_path: Path, module: str, line: str, said: str) -> None:
     code, output = lint(tmp_path, {
-        "counters": "import logging", "control/service": "import asyncio", "overload/meter": "import time",
+        "counters": "import logging", "control/service": "import asyncio", "overload/readings": "import time",
         module: line})
     assert code == 1 and said in " ".join(output.split()), output
--- a/tests/overload/sim.py
+++ b/tests/overload/sim.py
@@ -2,8 +2,8 @@
 
 The process is the server of one queue.  In each turn of its loop it takes what can be read, in the order in
 which it came, then the timers that are due; each piece costs CPU time.  A quota stops it as a cgroup does:
-`cores` x 100 ms of work, then nothing up to the next period.  `roadlb.policy` decides, with its own events and
-timers, on a fleet with capacity enough.  Clients ask without waiting for each other's answers, give each try
+`cores` x 100 ms of work, then nothing up to the next period.  `roadlb.policy` decides, with its own events
+and timers, on a fleet with capacity enough.  Clients ask without waiting for each other's answers, give each try
 up after its time, ask again by their `Manner`, and hold at most `connections` at once, one request on each; a
 try waits at the client for one to be free, as with the operators' bench.  Times are microseconds.
 """
@@ -23,8 +23,8 @@
 from roadlb.overload.meter import READ_US, Limits, Meter, Reading
 from roadlb.overload.pulse import Pulse
 from roadlb.policy.interface import (
-    Arrival, Cancel, ClientGone, Effect, Event, Fail, ListKind, ListUpdate, Member, Outcome, Refuse, RequestClass,
-    Send, SetTimer, Settings, Shortage, Status, TimerFired,
+    Arrival, Cancel, ClientGone, Effect, Event, Fail, ListKind, ListUpdate, Member, Outcome, Refuse,
+    RequestClass, Send, SetTimer, Settings, Shortage, Status, TimerFired,
 )
 
 SECOND = 1_000_000
