--- a/tests/net/corpus.py
+++ b/tests/net/corpus.py
@@ -143,6 +143,7 @@
     "lower case": get(version="http/1.1"),
     "2.0": get(version="HTTP/2.0"), "1.2": get(version="HTTP/1.2"),
     "0.9 with a version": get(version="HTTP/0.9"),
+    "0.9 with headers": request("GET /grid-read/k"),
     "0.9": "GET /grid-read/k\r\n\r\n", "1": get(version="HTTP/1"), "1.10": get(version="HTTP/1.10"),
     "11.1": get(version="HTTP/11.1"),
     "other protocol": get(version="RTSP/1.0"),
@@ -376,6 +377,12 @@
         "Connection: Upgrade", "Upgrade: websocket", f"Content-Length: {len(HIDDEN)}", body=HIDDEN) + SECOND,
     "h2c and a hidden one": post(
         "Connection: Upgrade", "Upgrade: h2c", f"Content-Length: {len(HIDDEN)}", body=HIDDEN) + SECOND,
+    "Upgrade, unknown coding": post(
+        "Connection: Upgrade", "Upgrade: websocket", "Transfer-Encoding: xchunked", body=HIDDEN),
+    "h2c, unknown coding": post(
+        "Connection: Upgrade", "Upgrade: h2c", "Transfer-Encoding: xchunked", body=HIDDEN),
+    "h2c, chunked not last": post(
+        "Connection: Upgrade", "Upgrade: h2c", "Transfer-Encoding: chunked, x", body=HIDDEN),
     "rejected with a hidden one": request(
         "POST /nothing HTTP/1.1", f"Content-Length: {len(HIDDEN)}", body=HIDDEN) + SECOND,
     "rejected with a hidden chunk": request(
@@ -384,9 +391,10 @@
 })
 
 # What a trailer says is no header of its own message, and even less one of the next.
-for trailer in ("X-T: 1", "X-Account: nobody", "X-Correlation-Id: 9", "X-Time-Left: 0.1", "X-Repeat: 1", "Host: y",
-                "Expect: 100-continue", "Connection: close", "Connection: X-Account", "Upgrade: websocket",
-                "Transfer-Encoding: chunked", "Content-Length: 4", "X-T: 1\r\nX-U: 2", "X-T:"):
+for trailer in ("X-T: 1", "X-Account: nobody", "X-Correlation-Id: 9", "X-Time-Left: 0.1", "X-Repeat: 1",
+                "Host: y", "Expect: 100-continue", "Connection: close", "Connection: X-Account",
+                "Upgrade: websocket", "Transfer-Encoding: chunked", "Content-Length: 4",
+                "X-T: 1\r\nX-U: 2", "X-T:"):
     ended = f"{FOUR}0\r\n{trailer}\r\n\r\n"
     add(CLIENT, "trailer", {trailer.replace(CRLF, ", "): chunked(ended) + SECOND})
     add(CLIENT, "trailer", {trailer.replace(CRLF, ", ") + ", in front of an order": chunked(ended) + post(
--- a/tests/net/record_behaviour.py
+++ b/tests/net/record_behaviour.py
@@ -30,10 +30,12 @@
     yield [data], 1
     if len(data) <= BYTEWISE_MOST:
         yield [data[i:i + 1] for i in range(len(data))], 1
-    at, places = 0, [len(data) - 1]
+    # Before the last byte, behind each head, and between a body's (or chunk's) data and what follows it.
+    at, words = 0, [word for word in (b"body", b"one") if word in data]
+    places = [len(data) - 1, *(data.find(word) + len(word) for word in words)]
     while (at := data.find(b"\r\n\r\n", at) + 4) > 3:
         places.append(at)
-    for place in sorted(set(places[:6]) - {-1, len(data)}):
+    for place in sorted(set(places[:7]) - {-1, len(data)}):
         yield [data[:place], data[place:]], QUIET
 
 
--- a/tests/net/test_behaviour.py
+++ b/tests/net/test_behaviour.py
@@ -33,7 +33,8 @@
 # uvloop may hand over several segments in one turn of the loop; asyncio, which the old code runs on, not.
 GAPS = (1, QUIET) if harness.OLD else (0, 1, QUIET)
 # What the old code takes beyond the RFC.  The new code must not, or say in ACCEPTED_CHANGES why.
-VERSION = rb"HTTP/1\.1|HTTP/1\.0|HTTP/2\.0|HTTP/0\.9|RTSP/1\.0" if harness.OLD else rb"HTTP/1\.[01]"
+VERSION = (rb"(?: +(HTTP/1\.[01]|HTTP/2\.0|HTTP/0\.9|RTSP/1\.0)\r\n|\r?\n)" if harness.OLD
+           else rb" +(HTTP/1\.[01])\r\n")
 CODING = rb"(?:[^,]*,\s*)*chunked\s*" if harness.OLD else rb"chunked"
 SLOW = settings(derandomize=True, deadline=None, max_examples=250)
 
@@ -43,7 +44,7 @@
 TOKEN, TEXT = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+", rb"[\t -~\x80-\xff]*"
 FIELDS = rb"((?:" + TOKEN + rb":" + TEXT + rb"\r\n)*)\r\n"
 # Several spaces are one (RFC 9112, 3: "MAY ... on whitespace-delimited word boundaries").
-REQUEST = re.compile(rb"(" + TOKEN + rb") +([!-~]+) +(" + VERSION + rb")\r\n" + FIELDS)
+REQUEST = re.compile(rb"(" + TOKEN + rb") +([!-~]+)" + VERSION + FIELDS)
 ANSWER = re.compile(rb"HTTP/1\.([01]) ([1-9]\d\d)(?: " + TEXT + rb")?\r\n" + FIELDS)
 CHUNK = re.compile(rb"([0-9A-Fa-f]+)(?:;" + TEXT + rb")?\r\n")
 TRAILERS = re.compile(FIELDS)
@@ -67,7 +68,9 @@
     if not codings:
         return b"", at, []
     if not re.fullmatch(CODING, codings[0], re.I) or minor == b"0" and not harness.OLD:
-        return None
+        # With Upgrade, the old code takes a request of an unknown coding for one without a body.
+        upgrades = {"connection", "upgrade"} <= {name for name, _ in fields}
+        return (b"", at, []) if harness.OLD and upgrades else None
     body = b""
     while match := CHUNK.match(data, at):
         at, size = match.end(), int(match[1], 16)
@@ -87,7 +90,7 @@
         while data[at:at + 1] in (b"\r", b"\n"):
             at += 1
         match = REQUEST.match(data, at)
-        found = match and body_at(data, match.end(), fields := fields_of(match[4]), match[3][-1:])
+        found = match and body_at(data, match.end(), fields := fields_of(match[4]), (match[3] or b"0")[-1:])
         if not match or not found:
             return
         yield match[1].decode(), match[2].decode(), fields + leaked, found[0]
@@ -140,7 +143,8 @@
     if outcome.ending == "served":
         assert (status, outcome.body) == (200, body)
     if outcome.next == "reused":
-        assert not behind or harness.OLD and not behind.strip(b"\r\n")
+        # The old code overlooks what comes with the end of a chunked body, but for noise or a whole head.
+        assert not behind or harness.OLD and b"chunked" in data.lower()
 
 
 # The table
@@ -159,11 +163,15 @@
 
 
 def expected(name: str) -> list[dict[str, object]]:
-    """The outcomes that a case may have; the old code had some of these by the chance of the network."""
+    """The outcomes that a case may have; the old code had some of these by the chance of the network.
+
+    In some it waited for more, though a connection had ended: none of those is allowed.
+    """
     if name in ACCEPTED_CHANGES:
         return [ACCEPTED_CHANGES[name][0]]
-    recorded = RECORDED[name]
-    return recorded if isinstance(recorded, list) else [recorded]
+    recorded = RECORDED.get(name, [])
+    outcomes = recorded if isinstance(recorded, list) else [recorded]
+    return [outcome for outcome in outcomes if harness.OLD or outcome.get("at_eof") != "waiting"]
 
 
 def members(group: str) -> Iterator[tuple[str, str, bytes]]:
@@ -253,12 +261,12 @@
     ONE, EARLY + ONE, answer(CHUNKED, body=BODY_3 + LAST, length=False),
     answer(CHUNKED, body="1;a=b\r\no\r\n2\r\nne\r\n0\r\nX-T: 1\r\n\r\n", length=False),
     answer("Connection: close", body="one"), answer("X-Unprocessed: 1", status="503 S", body="one"),
-    answer(status="204 S", length=False), answer("X-A: 1", "X-Backend-Load: fail_rate=0,q=1", body=ONE)]
-PIECES = [b"\r\n", b"\n", b"\r", b"\0", b" ", b"\t", b":", b",", b";", b"0", b"\x0b", b"\x7f", b"\xff", b"\r\n ",
-          b"\r\n\r\n", b"0\r\n\r\n", b"Content-Length: 4\r\n", b"Content-Length: 0\r\n",
-          b"Transfer-Encoding: chunked\r\n",
-          b"Transfer-Encoding: x\r\n", b"Connection: close\r\n", b"Upgrade: h2c\r\nConnection: upgrade\r\n",
-          HIDDEN.encode(), ONE.encode()]
+    answer(status="204 S", length=False),
+    answer("X-A: 1", "X-Backend-Load: fail_rate=0,q=1", body=ONE)]
+PIECES = [b"\r\n", b"\n", b"\r", b"\0", b" ", b"\t", b":", b",", b";", b"0", b"\x0b", b"\x7f", b"\xff",
+          b"\r\n ", b"\r\n\r\n", b"0\r\n\r\n", b"Content-Length: 4\r\n", b"Content-Length: 0\r\n",
+          b"Transfer-Encoding: chunked\r\n", b"Transfer-Encoding: x\r\n", b"Connection: close\r\n",
+          b"Upgrade: h2c\r\nConnection: upgrade\r\n", HIDDEN.encode(), ONE.encode()]
 
 
 @st.composite
