--- a/roadlb/net/client_connection.py
+++ b/roadlb/net/client_connection.py
@@ -17,7 +17,7 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from ..exchange import Answer, Exchange
-from .headers import EXPECT, Faulty, Headers
+from .headers import EXPECT, HOST, Faulty, Headers
 from .http import BODY_MOST, CONTINUE, HEAD_MOST, answered
 
 if TYPE_CHECKING:
@@ -158,8 +158,8 @@
             self._fault(BadRequest(400, "the head is too large", closes=True))
         elif not newest and version != "1.0":
             self._fault(BadRequest(400, "this is no HTTP/1.1 or 1.0", closes=True))
-        elif headers.hosts > 1 or newest and not headers.hosts:
-            self._fault(BadRequest(400, "Host must be told once", closes=True))
+        elif headers.twice or newest and HOST not in headers.fields:
+            self._fault(BadRequest(400, "Host and the X-headers must be told once", closes=True))
         elif headers.encodings and not newest:
             self._fault(BadRequest(400, "no chunks in this version", closes=True))
         else:
--- a/roadlb/net/headers.py
+++ b/roadlb/net/headers.py
@@ -18,8 +18,10 @@
     b"trailer", ENCODING, b"upgrade", LENGTH, EXPECT, TIME_LEFT, LOAD, UNPROCESSED})
 # Some readers take these for the names with hyphens, and would see another length than we do.
 LOOK_ALIKE = frozenset({b"content_length", b"transfer_encoding"})
-# Tokens of Connection that name no header, and Host, without which there is no request.
-OF_CONNECTION = frozenset({b"", b"close", b"keep-alive", b"upgrade", b"te", HOST})
+# Tokens of Connection that name no header, and what no request may lose on its way.
+OF_CONNECTION = frozenset({b"", b"close", b"keep-alive", b"upgrade", b"te", HOST, CORRELATION_ID, ACCOUNT})
+# Who reads the other of two of these takes the request for another's.
+ONCE = frozenset({CORRELATION_ID, ACCOUNT, TIME_LEFT, HOST})
 
 
 class Faulty(Exception):
@@ -33,7 +35,8 @@
     all lines without the blanks round values.
     """
 
-    __slots__ = ("connection", "encodings", "fields", "hosts", "lengths", "lines", "look_alike", "size")
+    __slots__ = ("connection", "encodings", "fields", "lengths", "lines", "look_alike", "size",
+                 "twice")
 
     def __init__(self) -> None:
         self.fields: dict[bytes, bytes] = {}
@@ -41,20 +44,20 @@
         self.lengths: list[bytes] = []         # values of Content-Length
         self.encodings: list[bytes] = []       # values of Transfer-Encoding
         self.connection: list[bytes] = []      # names that Connection takes out, if any
-        self.hosts = self.size = 0
-        self.look_alike = False
+        self.size = 0
+        self.look_alike = self.twice = False
 
     def add(self, name: bytes, value: bytes) -> None:
         low, value = name.lower(), value.strip(b" \t")
         if low not in self.fields:
             self.fields[low] = value
+        elif low in ONCE:
+            self.twice = True
         if low not in NOT_PASSED_ON:
             line = b"%b: %b\r\n" % (name, value)
             self.lines.append(line)
             self.size += len(line)
-            if low == HOST:
-                self.hosts += 1
-            elif low in LOOK_ALIKE:
+            if low in LOOK_ALIKE:
                 self.look_alike = True
             return
         self.size += len(name) + len(value) + 4
--- a/roadlb/net/service_client.py
+++ b/roadlb/net/service_client.py
@@ -17,7 +17,7 @@
 from ..policy.interface import Effect
 from ..wheel import Wheel
 from .client_connection import BadRequest, ClientConnection, Request
-from .headers import ACCOUNT, CORRELATION_ID, FACTS, REPEAT, TIME_LEFT, Faulty, name_values
+from .headers import ACCOUNT, CORRELATION_ID, FACTS, HOST, REPEAT, TIME_LEFT, Faulty, name_values
 from .http import empty, plain
 
 logger = logging.getLogger(__name__)
@@ -245,7 +245,7 @@
             head = request.headers.passed_on()
         except Faulty as e:
             raise BadRequest(400, str(e)) from None
-        if not request.headers.hosts:      # as HTTP/1.0 may; the instance is spoken to in 1.1
+        if HOST not in request.headers.fields:      # as HTTP/1.0 may; the instance is spoken to in 1.1
             head = b"Host: %b\r\n%b" % (self._name, head)
         return Exchange(
             Message(request.method, request.target, head, b"".join(request.body)), class_index, tenant, key,
--- a/roadlb/overload/controller.py
+++ b/roadlb/overload/controller.py
@@ -18,7 +18,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from math import exp
+from math import exp, sqrt
 from typing import TypeAlias
 
 from .meter import READ_US, Reading
@@ -93,11 +93,11 @@
         readings = min(2.0, r.interval_us / READ_US)       # a late loop reads late; a stop is no experience
         factor = float((TARGET / max(self._cpu, 0.05)) ** (GAIN * readings))
         if self._saturated >= IN_A_ROW:
-            factor = min(factor, FALL ** readings)
+            factor = min(factor, float(FALL ** readings))
         kept = self._kept
         if factor < 1:
             kept = max(min(kept, KEPT_BUSY), kept * factor)
         if late > self._late_most:
-            by_late = self._kept * max(0.5, (self._late_most / late) ** 0.5)
+            by_late = self._kept * max(0.5, sqrt(self._late_most / late))
             return min(kept, max(KEPT_LEAST, by_late))
-        return kept if factor < 1 else min(1.0, kept * min(factor, RISE ** readings))
+        return kept if factor < 1 else min(1.0, kept * min(factor, float(RISE ** readings)))
