End calls whose dial is called off as it succeeds, and wake the loop for live deadlines only

The call waited for its deadline and its place in the pool was lost.

Change: a dial that ended in any exception closes and forgets its connection; a refused write is BROKE_UNSENT; slots of the wheel count their live timers; answered ids wait in a deque.

Result: four tests on the harness's transports, which fail without.

--- a/roadlb/net/client_connection.py
+++ b/roadlb/net/client_connection.py
@@ -303,7 +303,10 @@
 
     def _write(self, data: bytes) -> None:
         if self.transport and not self.transport.is_closing():
-            self.transport.write(data)
+            try:
+                self.transport.write(data)
+            except RuntimeError:               # uvloop, where it has closed it and not said so yet
+                self.deaf = True
 
     # Ends
 
--- a/roadlb/net/instance_connection.py
+++ b/roadlb/net/instance_connection.py
@@ -91,7 +91,10 @@
         assert self.transport and self._call is None
         self._call, call.connection = call, self
         self._await(0)
-        self.transport.write(call.data)
+        try:
+            self.transport.write(call.data)
+        except RuntimeError as e:              # uvloop, where it has closed it and not said so yet
+            self._end(Result(Ending.BROKE_UNSENT), str(e), keep=False)
 
     def give_up(self) -> None:
         """End the connection, and with it the call it carries, of which nothing more is heard."""
--- a/roadlb/net/pool.py
+++ b/roadlb/net/pool.py
@@ -77,10 +77,13 @@
 
     async def _dial(self, call: Call, address: Address) -> None:
         connection = InstanceConnection(self, call.server, address)
-        ending, error = Ending.DIAL_FAILED, ""
+        ending, error = None, ""
         try:
             async with asyncio.timeout(self._dial_us / 1e6):
                 await self._loop.create_connection(lambda: connection, address.host, address.port)
+        except asyncio.CancelledError:
+            self._unmade(connection)
+            raise
         except TimeoutError:
             ending = Ending.DIAL_TIMED_OUT
         except OSError as e:
@@ -88,12 +91,21 @@
         except Exception as e:
             ending, error = Ending.DIAL_FAILED, f"{type(e).__name__}: {e}"
         call.dialling = None
-        if self._dialling.pop(call, call) is call:
-            connection.close()         # given up meanwhile
-        elif connection.usable:
+        if call not in self._dialling:
+            self._unmade(connection)       # given up meanwhile
+            return
+        del self._dialling[call]
+        if ending is None and connection.usable:
             connection.send(call)
         else:
-            call.ended(Result(ending), error)
+            self._unmade(connection)
+            call.ended(Result(ending or Ending.DIAL_FAILED), error)
+
+    def _unmade(self, connection: InstanceConnection) -> None:
+        """A dial that was called off as it succeeded: uvloop then closes the handle, says that it is not
+        closing, and never calls connection_lost."""
+        connection.close()
+        self.closed(connection)
 
     # Connections
 
--- a/roadlb/net/service_client.py
+++ b/roadlb/net/service_client.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-import math
+from collections import deque
 from collections.abc import Callable
 from hashlib import blake2b
 
@@ -34,7 +34,7 @@
 SWEEP_S = 0.25
 LINGER_S = 0.3         # open, but not read, after an answer to a body cut off, so that the client reads why
 TIME_LEFT_MOST_S = 3_600.0
-RECENT_S = 5.0         # an id is not taken again for so long after its answer ...
+RECENT_US = 5_000_000  # an id is not taken again for so long after its answer ...
 RECENT_MOST = 20_000   # ... or until so many others have come
 REJECTS_LOGGED = 20    # a second; the others are only counted
 
@@ -65,7 +65,8 @@
         self._deadlines_us = [c.deadline_us for c in classes]
         self._tenants = {t.name.encode(): i for i, t in enumerate(config.settings.tenants)}
         self._most, self._name = config.client_sockets, config.name.encode()
-        self._ids: dict[bytes, float] = {}     # open or answered lately, with the time until which they count
+        self._ids: set[bytes] = set()          # those that are open, or were answered lately
+        self._answered: deque[tuple[int, bytes]] = deque()     # the latter, until which time they count
         self._rejects = Limit(clock, REJECTS_LOGGED)
         self.connections: dict[ClientConnection, None] = {}      # in the order in which they came
         self._all_ended: asyncio.Future[None] | None = None
@@ -132,9 +133,8 @@
                     connection.abort()
                 else:
                     connection.time_out()
-        while self._ids and ((until := self._ids[id := next(iter(self._ids))]) <= now
-                             or len(self._ids) > RECENT_MOST and until < math.inf):
-            del self._ids[id]
+        while self._answered and (self._answered[0][0] <= now or len(self._answered) > RECENT_MOST):
+            self._ids.discard(self._answered.popleft()[1])
 
     async def end(self, seconds: float) -> None:
         """Close the connections that are quiet, wait for those that are owed an answer, abort the rest."""
@@ -202,16 +202,13 @@
     def _take_id(self, request: Request) -> bytes:
         """An id that is open must not reach an instance twice, whoever sends it: orders never run twice."""
         id = request.headers.fields[CORRELATION_ID]
-        if self._ids.get(id, 0.0) > self.clock():
+        if id in self._ids:
             raise BadRequest(409, "X-Correlation-Id is in use")
-        self._ids.pop(id, None)
-        self._ids[id] = math.inf
+        self._ids.add(id)
         return id
 
     def _release(self, connection: ClientConnection) -> None:
-        # Last in the table again, as the oldest are forgotten first.
-        if self._ids.pop(connection.id, None):
-            self._ids[connection.id] = self.clock() + RECENT_S * 1e6
+        self._answered.append((self.clock() + RECENT_US, connection.id))
 
     def _understand(self, request: Request) -> tuple[int, int, int, int, int]:
         """Class, tenant, key, time left and work (us) of a request, or BadRequest."""
--- a/roadlb/wheel.py
+++ b/roadlb/wheel.py
@@ -17,18 +17,32 @@
 SLOT_US = 5_000
 
 
+class _Slot:
+    """The calls of one slot, and how many of them are still to be made."""
+
+    __slots__ = ("live", "timers")
+
+    def __init__(self) -> None:
+        self.timers: list[Timer] = []
+        self.live = 0
+
+
 class Timer:
     """A call to come, which may be cancelled."""
 
-    __slots__ = ("arg", "call")
+    __slots__ = ("_slot", "arg", "call")
 
-    def __init__(self, call: Callable[[Any], None], arg: Any) -> None:
+    def __init__(self, slot: _Slot, call: Callable[[Any], None], arg: Any) -> None:
         self.call: Callable[[Any], None] | None = call
-        self.arg = arg
+        self.arg, self._slot = arg, slot
+        slot.timers.append(self)
+        slot.live += 1
 
     def cancel(self) -> None:
-        """Its slot is kept until it is due, what it refers to is not."""
-        self.call = self.arg = None
+        """Nothing of it is kept but its place; a second time has no effect."""
+        if self.call is not None:
+            self.call = self.arg = None
+            self._slot.live -= 1
 
 
 class Wheel:
@@ -37,28 +51,30 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._loop = asyncio.get_running_loop()
-        self._slots: dict[int, list[Timer]] = {}
+        self._slots: dict[int, _Slot] = {}
         self._order: list[int] = []           # a heap of the slots
         self._next: asyncio.TimerHandle | None = None
         self._next_slot = 0                   # the one that `_next` is for
 
     def at(self, when_us: int, call: Callable[[Any], None], arg: Any) -> Timer:
         """Call `call(arg)` once the clock has reached `when_us`."""
-        timer, slot = Timer(call, arg), -(-when_us // SLOT_US)
-        timers = self._slots.get(slot)
-        if timers is None:
-            self._slots[slot] = [timer]
-            heapq.heappush(self._order, slot)
-            if self._next is None or slot < self._next_slot:
-                self._arm()
-        else:
-            timers.append(timer)
+        number = -(-when_us // SLOT_US)
+        slot = self._slots.get(number)
+        if slot is None:
+            slot = self._slots[number] = _Slot()
+            heapq.heappush(self._order, number)
+        timer = Timer(slot, call, arg)
+        if self._next is None or number < self._next_slot:
+            self._arm()
         return timer
 
     def _arm(self) -> None:
         if self._next:
             self._next.cancel()
             self._next = None
+        # For slots whose calls were all cancelled the loop is not woken: guards rarely come to be called.
+        while self._order and not self._slots[self._order[0]].live:
+            del self._slots[heapq.heappop(self._order)]
         if self._order:
             self._next_slot = self._order[0]
             delay_us = max(0, self._next_slot * SLOT_US - self._clock())
@@ -68,11 +84,12 @@
         self._next = None
         now = self._clock()
         while self._order and self._order[0] * SLOT_US <= now:
-            for timer in self._slots.pop(heapq.heappop(self._order)):
+            for timer in self._slots.pop(heapq.heappop(self._order)).timers:
                 if timer.call is None:
                     continue
+                call, arg, timer.call, timer.arg = timer.call, timer.arg, None, None
                 try:
-                    timer.call(timer.arg)
+                    call(arg)
                 except Exception:      # one deadline's fault must not cost the others theirs
                     logger.exception("timer failed")
         if self._next is None:
--- a/tests/net/test_net.py
+++ b/tests/net/test_net.py
@@ -404,10 +404,11 @@
 def test_ids_are_forgotten() -> None:
     stage = run(play("a send POST /order/k\ni1 expect POST\ni1 send 200\na expect 200"))
     client = stage.app.service_client
-    (id,) = client._ids
-    client._ids[id] = 0.0
+    ((_, id),) = client._answered
+    assert client._ids == {id}
+    client._answered[0] = (0, id)
     client.sweep()
-    assert not client._ids
+    assert not client._ids and not client._answered
 
 
 def test_faults_at_full_speed_do_not_fill_the_log(caplog: pytest.LogCaptureFixture) -> None:
--- /dev/null
+++ b/tests/net/test_pool.py
@@ -0,0 +1,90 @@
+"""The pool's dials and reuse where the transport misbehaves, on the harness's loop and wires."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+from harness import (
+    NODE_ID, Module, Recorded, StubLoop, Wire, new_engine, new_exchange, new_instances, run, settle,
+)
+
+from roadlb.exchange import Ending, Execution
+
+
+async def send_one(loop: StubLoop, counters: Recorded) -> tuple[Execution, Any]:
+    """Open an exchange; its execution, and the instances."""
+    engine = new_engine(Module(), counters)
+    engine.executor = instances = new_instances(engine, counters)
+    exchange = new_exchange()
+    engine.open(exchange)
+    await settle(loop)
+    return exchange.executions[0], instances
+
+
+def test_a_dial_that_is_called_off_as_it_succeeds_ends_its_call_and_leaves_no_connection(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    # uvloop closes the handle then, says that it is not closing, and never calls connection_lost: the call
+    # waited for its deadline, and the place in the pool was lost for good.
+    async def called_off(self: StubLoop, factory: Any, *_: Any, **__: Any) -> Any:
+        wire = Wire(self, factory())
+        wire.abort = lambda: None      # type: ignore[method-assign]
+        await asyncio.sleep(0)
+        raise TimeoutError
+
+    monkeypatch.setattr(StubLoop, "create_connection", called_off)
+
+    async def main(loop: StubLoop, counters: Recorded) -> None:
+        execution, instances = await send_one(loop, counters)
+        assert execution.ending is Ending.DIAL_TIMED_OUT
+        assert not instances.pool.open
+
+    assert run(main)[1] == []
+
+
+def test_a_transport_that_refuses_the_write_has_sent_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    def refuse(self: Wire, data: Any) -> None:
+        raise RuntimeError("the handler is closed")
+
+    monkeypatch.setattr(Wire, "write", refuse)
+
+    async def main(loop: StubLoop, counters: Recorded) -> None:
+        execution, _ = await send_one(loop, counters)
+        assert execution.ending is Ending.BROKE_UNSENT
+
+    assert run(main)[1] == []
+
+
+def test_a_request_of_which_bytes_wait_for_the_kernel_never_ran_and_another_may_have() -> None:
+    async def main(loop: StubLoop, counters: Recorded) -> None:
+        for waits in (True, False):
+            execution, _ = await send_one(loop, counters)
+            wire = loop.wires[-1]
+            if waits:
+                wire.protocol.pause_writing()      # as with write buffer limits of 0
+            wire.leave()
+            await settle(loop)
+            assert execution.ending is (Ending.BROKE_UNSENT if waits else Ending.RESET)
+
+    assert run(main)[1] == []
+
+
+def test_a_connection_rests_till_what_came_behind_its_answer_has_been_read() -> None:
+    # Reused in the same turn, it would take the copy for the next request's answer.
+    async def main(loop: StubLoop, counters: Recorded) -> None:
+        engine = new_engine(Module(), counters)
+        engine.executor = new_instances(engine, counters)
+        exchanges = [new_exchange(), new_exchange()]
+        exchanges[0].on_answer = lambda x, answer: engine.open(exchanges[1])
+        engine.open(exchanges[0])
+        await settle(loop)
+        (first,) = loop.wires
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
+        first.feed(answer)
+        first.feed(answer)
+        await settle(loop)
+        assert len(loop.wires) == 2 and first.end and exchanges[1].answer is None
+        assert NODE_ID == exchanges[1].executions[0].server
+
+    assert run(main)[1] == []
