--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -20,7 +20,7 @@
 import uvloop
 from data_path import KINDS, cores, default_cores
 from load import Load
-from subjects import HERE, Parties, Process, Relay, Roadlb
+from subjects import HERE, Parties, Process, Relay, Roadlb, end_on_signal
 
 ASSEMBLED = {
     "relay": [], "relay on asyncio": ["--loop", "asyncio"],
@@ -99,6 +99,7 @@
 
 
 def main() -> None:
+    end_on_signal()
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     add = parser.add_argument
     add("--rate", type=float, default=400.0)
--- a/benchmarks/data_path.py
+++ b/benchmarks/data_path.py
@@ -24,7 +24,7 @@
 
 import uvloop
 from load import Kind, Load, Round, histogram
-from subjects import Parties, Process, Relay, Roadlb
+from subjects import Parties, Process, Relay, Roadlb, end_on_signal
 
 KINDS = {k.name: k for k in (
     Kind("served"), Kind("retried", again=0.15), Kind("refused", expects=503), Kind("order", orders=1.0),
@@ -86,6 +86,7 @@
                 "ms": {f"p{p:g}": v for p, v in zip(PERCENTILES, lasted, strict=True)},
                 "sent": sum(m.round.sent for m in rounds),
                 "statuses": sum((m.round.statuses for m in rounds), start=type(rounds[0].round.statuses)()),
+                "rounds_not_held": sum(not m.held(self.kind.expects) for m in rounds),
                 "repeated_by_client": sum(m.round.repeated for m in rounds),
                 "load_late_ms": max(m.round.late_us for m in rounds) / 1000}
         return out
@@ -244,8 +245,10 @@
     def unexpected(one: dict[str, object], expects: int) -> str:
         statuses = one["statuses"]
         assert isinstance(statuses, dict)
-        others = {k: v for k, v in statuses.items() if k != expects and v}
-        return ", ".join(f"{v} x {k or 'none'}" for k, v in others.items())
+        said = [f"{v} x {k or 'none'}" for k, v in statuses.items() if k != expects and v]
+        if late := one["rounds_not_held"]:
+            said.append(f"{late} rounds not held")
+        return ", ".join(said)
 
     lines = [f"{'':<18}{'CPU us a request':^18}{'ratio':^20}{'p50/p99/p99.9 ms':^34}{'tries':>7}  other",
              f"{'kind':<10}{'rate':>6}  {'roadlb':>8}{'relay':>8}  {'(lowest-highest)':^20}"
@@ -309,6 +312,7 @@
 
 
 def main() -> None:
+    end_on_signal()
     bench = Bench(options())
     try:
         uvloop.run(bench.run())
--- a/benchmarks/probes/writes.py
+++ b/benchmarks/probes/writes.py
@@ -159,6 +159,30 @@
     return p.seen
 
 
+async def dial_called_off() -> list[str]:
+    """The task that dials is cancelled in the very turn in which the connection is made."""
+    loop, server = asyncio.get_running_loop(), socket.create_server(("127.0.0.1", 0))
+
+    class Made(Watched):
+        def connection_made(self, transport: asyncio.BaseTransport) -> None:
+            super().connection_made(transport)
+            dial.cancel()
+    p = Made()
+    dial = loop.create_task(loop.create_connection(lambda: p, *server.getsockname()))
+    try:
+        await dial
+    except asyncio.CancelledError:
+        p.seen.append(f"after the dial: buffer {p.size()}")
+    try:
+        p.transport.write(b"x" * 100)
+        p.seen.append(f"after write: buffer {p.size()}")
+    except Exception as e:
+        p.seen.append(f"write raises {type(e).__name__}: {e}")
+    await asyncio.sleep(0.05)
+    server.close()
+    return p.seen
+
+
 async def eof_in_turn() -> list[str]:
     """Data and FIN lie there together, and the data's callback writes."""
     p, far = await pair()
@@ -205,6 +229,7 @@
     "write, close": lambda: then("close"), "write, abort": lambda: then("abort"),
     "peer has closed, then write": peer_closed, "peer has reset, then write": peer_reset,
     "peer has closed, write twice": peer_reset_seen, "close, write": after_close,
+    "dial called off as it succeeds": dial_called_off,
     "data and FIN together, write": eof_in_turn, "8 MiB, then reset": big_then_reset,
     "8 MiB, half closed, abort": big_then_closed}
 
--- a/benchmarks/profile_path.py
+++ b/benchmarks/profile_path.py
@@ -24,7 +24,7 @@
 import uvloop
 from data_path import KINDS, cores, default_cores
 from load import Kind, Load
-from subjects import HERE, Parties, Roadlb
+from subjects import HERE, Parties, Roadlb, end_on_signal
 
 HERTZ, CONNECTIONS = 250, 48
 # The first rule that a frame matches gives its group; a frame that none names takes its caller's.
@@ -32,7 +32,7 @@
     "collector": (r"^gc_collect",),
     "logging": (r"/logging/", r"roadlb/log\.py"),
     "decision module": (r"roadlb/policy/",),
-    "writing": (r"^(send|write|writev) \(libc", r"Transport\.write(lines)? ", r"UVStream.*write", r"http_writer",
+    "writing": (r"^(send|write|writev) \(libc", r"Transport\.write(lines)? ", r"http_writer",
                 r"Response\.(prepare|_start|_prepare\w*|_write_headers|write_eof|_send) ",
                 r"ClientRequest\.(send|write_bytes|_write) ", r"\b_?write\w* \(roadlb/net/"),
     "engine": (r"roadlb/(engine|exchange|counters)\.py",),
@@ -119,27 +119,37 @@
         print(f"    {count / total:>6.1%}  {leaf}")
 
 
-def calls(options: argparse.Namespace) -> None:
+def counted(options: argparse.Namespace, seconds: float) -> tuple[float, Counter[tuple[str, int, str]]]:
+    """Requests, and calls of each function, over a whole life of the process."""
+    command = [str(HERE / "probes" / "variant.py"), "profile"]
     with tempfile.TemporaryDirectory() as directory:
         path = Path(directory) / "profile"
-        command = [str(HERE / "probes" / "variant.py"), "profile"]
         env = {"PROFILE": str(path)} | ({"RETRIES": "1"} if options.kind == "retried" else {})
-        sent, _ = uvloop.run(under_load(options, command, env, options.seconds))
+        sent, _ = uvloop.run(under_load(options, command, env, seconds))
         stats = vars(pstats.Stats(str(path)))["stats"]
-    counted = {key: row[1] / sent for key, row in stats.items()}
-    python = {key: n for key, n in counted.items() if key[0] != "~"}
-    builtin = sum(n for key, n in counted.items() if key[0] == "~")
-    print(f"{options.kind}: {sum(python.values()):.0f} calls of Python functions and {builtin:.0f} of "
-          "built-in ones for each request, the start's included")
-    places = Counter[str]()
-    for (file, _, _), n in python.items():
-        # PACKAGE/FILE.py, or the file alone for a module of the standard library
-        places[re.sub(r".*/(?:site-packages/|lib/python3\.\d+/|(?=roadlb/))", "", file)] += n
-    for place, n in places.most_common(options.top):
-        print(f"  {n:>7.1f}  {place}")
+    return sent, Counter({function: row[1] for function, row in stats.items()})
+
+
+def calls(options: argparse.Namespace) -> None:
+    """What a long life has more than a short one is the requests': start and end cost both the same."""
+    short, few = counted(options, options.seconds / 4)
+    long, many = counted(options, options.seconds)
+    places, builtin = dict[str, float](), 0.0
+    for function, n in many.items():
+        file, each = function[0], (n - few[function]) / (long - short)
+        if file == "~":
+            builtin += each
+        else:      # PACKAGE/FILE.py, or the file alone for a module of the standard library
+            place = re.sub(r".*/(?:site-packages/|lib/python3\.\d+/|(?=roadlb/))", "", file)
+            places[place] = places.get(place, 0.0) + each
+    print(f"{options.kind}: {sum(places.values()):.0f} calls of Python functions and {builtin:.0f} of "
+          "built-in ones for each request")
+    for place, each in sorted(places.items(), key=lambda item: -item[1])[:options.top]:
+        print(f"  {each:>7.1f}  {place}")
 
 
 def main() -> None:
+    end_on_signal()
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     add = parser.add_argument
     add("how", choices=("sample", "calls"))
--- a/benchmarks/subjects.py
+++ b/benchmarks/subjects.py
@@ -21,6 +21,11 @@
 _LIBC = ctypes.CDLL(None, use_errno=True)
 
 
+def end_on_signal() -> None:
+    """Have SIGTERM unwind the program as Ctrl-C does, so that no child outlives it."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit("ended by a signal"))
+
+
 class Process:
     """A child process on the cores it is given."""
 
