--- a/roadlb/lab/sim/loop.py
+++ b/roadlb/lab/sim/loop.py
@@ -77,6 +77,14 @@
         selector.simulate = self._simulate
         super().__init__(selector)
 
+    @staticmethod
+    def running() -> SimLoop:
+        """The loop that runs here; SimError: it is a real one."""
+        loop = asyncio.get_running_loop()
+        if not isinstance(loop, SimLoop):
+            raise SimError(f"{loop!r} is no simulated loop: start with asyncio.Runner(loop_factory=...)")
+        return loop
+
     # The clock
 
     def time(self) -> float:
@@ -240,9 +248,9 @@
             timer.waits = False
             self._dropped -= 1
         if not heap:
-            raise Deadlock(f"at {self.now_us} us nothing can ever happen again: no callback, timer or segment is "
-                           "left.  Who waits should have a deadline, or its partner should run (a host that is "
-                           "stopped or dead runs nothing):\n" + waiting(self._tasks))
+            raise Deadlock(f"at {self.now_us} us nothing can ever happen again: no callback, timer or "
+                           "segment is left.  Who waits should have a deadline, or its partner should run (a "
+                           "host that is stopped or dead runs nothing):\n" + waiting(self._tasks))
         moved = heap[0][0] > self.now_us
         self.now_us = max(self.now_us, heap[0][0])
         return moved
--- a/roadlb/lab/sim/network.py
+++ b/roadlb/lab/sim/network.py
@@ -173,9 +173,10 @@
         return SimSocket(self, self.loop.current_host(), family=family)
 
     async def create_server(self, life: Life, factory: Callable[[], asyncio.BaseProtocol], host: Any,
-                            port: Any, *, family: int = 0, flags: int = 0, sock: Any = None, backlog: int = 100,
-                            reuse_address: bool | None = None, reuse_port: bool | None = None,
-                            start_serving: bool = True, **options: Any) -> SimServer:
+                            port: Any, *, family: int = 0, flags: int = 0, sock: Any = None,
+                            backlog: int = 100, reuse_address: bool | None = None,
+                            reuse_port: bool | None = None, start_serving: bool = True,
+                            **options: Any) -> SimServer:
         """See `asyncio`; `sock`: a `SimSocket`, whose own backlog is then the kernel's."""
         _plain("create_server", sock, options)
         if reuse_port:
@@ -213,10 +214,10 @@
         return list(ips)
 
     async def create_connection(self, life: Life, factory: Callable[[], asyncio.BaseProtocol], host: Any,
-                                port: Any, *, family: int = 0, proto: int = 0, flags: int = 0, sock: Any = None,
-                                local_addr: Any = None, happy_eyeballs_delay: float | None = None,
-                                interleave: int | None = None, **options: Any
-                                ) -> tuple[SimTransport, asyncio.BaseProtocol]:
+                                port: Any, *, family: int = 0, proto: int = 0, flags: int = 0,
+                                sock: Any = None, local_addr: Any = None,
+                                happy_eyeballs_delay: float | None = None, interleave: int | None = None,
+                                **options: Any) -> tuple[SimTransport, asyncio.BaseProtocol]:
         """See `asyncio`; addresses are tried one after another."""
         _plain("create_connection", sock, options)
         machine = life.host
--- a/roadlb/lab/sim/taps.py
+++ b/roadlb/lab/sim/taps.py
@@ -37,7 +37,8 @@
         self.sequence = 0
         self._taps: list[Tap] = []
         self._hash = blake2b(digest_size=16)
-        self._lump: list[bytes] = []
+        self._lines: list[str] = []
+        self._bytes: list[bytes] = []
 
     def add(self, tap: Tap) -> Callable[[], None]:
         """Call `tap` for each event from now on; returns what ends that."""
@@ -46,10 +47,9 @@
 
     def seen(self, at: int, kind: str, connection: int, source: str, target: str, data: bytes = b"") -> None:
         self.sequence += 1
-        self._lump.append(f"{at} {kind} {connection} {source} {target} {len(data)}\n".encode())
-        if data:
-            self._lump.append(data)
-        if len(self._lump) > HASH_AT_ONCE:
+        self._lines.append(f"{at} {kind} {connection} {source} {target} {len(data)}")
+        self._bytes.append(data)
+        if len(self._lines) > HASH_AT_ONCE:
             self._flush()
         if self._taps:
             event = Seen(self.sequence, at, kind, connection, source, target, data)
@@ -58,9 +58,15 @@
 
     def digest(self) -> str:
         """Of all that was seen so far, in hexadecimal."""
-        self._flush()
-        return self._hash.hexdigest()
+        whole = self._hash.copy()
+        whole.update(self._lump())
+        return whole.hexdigest()
 
     def _flush(self) -> None:
-        self._hash.update(b"".join(self._lump))
-        self._lump.clear()
+        self._hash.update(self._lump())
+        self._lines.clear()
+        self._bytes.clear()
+
+    def _lump(self) -> bytes:
+        """Lines tell how long the bytes of each event are, so that no two lists of events look the same."""
+        return "\n".join(self._lines).encode() + b"\n" + b"".join(self._bytes)
--- a/roadlb/lab/sim/tcp.py
+++ b/roadlb/lab/sim/tcp.py
@@ -5,9 +5,8 @@
 import errno
 from collections import deque
 from collections.abc import Callable
-from enum import IntEnum
 from functools import partial
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Literal, Protocol, TypeAlias
 
 if TYPE_CHECKING:
     from .host import Host
@@ -19,13 +18,8 @@
 WRITABLE_SHARE = 3            # ... and wakes a writer once a third of the buffer is free
 
 
-class Kind(IntEnum):
-    DATA = 0
-    FIN = 1
-    RESET = 2
-
-
-KIND_NAMES = ("data", "fin", "reset")
+# What a segment is; the names that taps see.
+Kind: TypeAlias = Literal["data", "fin", "reset"]
 
 
 class Watcher(Protocol):
@@ -72,7 +66,7 @@
         """Only a reset is under way now, however long nothing got through."""
         self._queue.clear()
         self._lost_us = -1
-        self._send(Kind.RESET, b"")
+        self._send("reset", b"")
 
     def _send(self, kind: Kind, data: bytes) -> None:
         self._last_us = max(self._last_us, self.route.arrival(len(data)))
@@ -95,7 +89,7 @@
         queue, now = self._queue, self.loop.now_us
         while queue and queue[0][0] <= now:
             _, kind, data = queue.popleft()
-            self.taps.seen(now, KIND_NAMES[kind], self.number, self.source.name, self.target.name, data)
+            self.taps.seen(now, kind, self.number, self.source.name, self.target.name, data)
             self.target.take(kind, data)
         if queue:
             self._armed = True
@@ -171,7 +165,7 @@
         size = len(data)
         if not self._unsent and size <= self.window:
             self.window -= size
-            self.out.send(Kind.DATA, data)
+            self.out.send("data", data)
             return size
         room = self.send_buffer - self._unsent_size + (0 if self._unsent else self.window)
         if room <= 0:
@@ -241,7 +235,7 @@
         """Tell the peer that this connection is no more."""
         if not self.dead:
             self._die()
-            self.out.send(Kind.RESET)
+            self.out.send("reset")
             self.connection.settle()
 
     def fail(self, error: OSError) -> None:
@@ -267,19 +261,19 @@
 
     def take(self, kind: Kind, data: bytes) -> None:
         """A segment arrived."""
-        if kind is Kind.RESET:
+        if kind == "reset":
             self.fail(BrokenPipeError(errno.EPIPE, "Broken pipe") if self.fin_in else
                       ConnectionResetError(errno.ECONNRESET, "Connection reset by peer"))
             return
         if self.closed or self.dead:
-            if kind is Kind.DATA and not self.peer.dead:
+            if kind == "data" and not self.peer.dead:
                 self._die()
-                self.out.send(Kind.RESET)     # nobody is left to read this
-            elif kind is Kind.FIN:
+                self.out.send("reset")     # nobody is left to read this
+            elif kind == "fin":
                 self.fin_in = True
                 self.connection.settle()
             return
-        if kind is Kind.DATA:
+        if kind == "data":
             self._received.append(data)
             self.unread += len(data)
         else:
@@ -312,10 +306,10 @@
                 data = data[:self.window]
             self.window -= len(data)
             self._unsent_size -= len(data)
-            self.out.send(Kind.DATA, data)
+            self.out.send("data", data)
         if self.fin_out and not unsent and not self._fin_sent and not self.dead:
             self._fin_sent = True
-            self.out.send(Kind.FIN)
+            self.out.send("fin")
             self.connection.settle()
 
     def _die(self) -> None:
