--- a/roadlb/lab/sim/loop.py
+++ b/roadlb/lab/sim/loop.py
@@ -293,11 +293,8 @@
         self._tasks = [task for task in self._tasks if task.life is not life]
 
     def call_exception_handler(self, context: dict[str, Any]) -> None:
-        if isinstance(task := context.get("task"), SimTask) and task.life.dead:
-            return                        # "destroyed but pending": so it should be
-        if self._over:
-            return                        # what is thrown away after the end is nobody's fault
-        super().call_exception_handler(context)
+        if not self._over:                # what is thrown away after the end is nobody's fault
+            super().call_exception_handler(context)
 
     def close(self) -> None:
         if self._over or self.is_running():
--- a/roadlb/lab/sim/network.py
+++ b/roadlb/lab/sim/network.py
@@ -125,10 +125,10 @@
     def reset_share(self, share: float, among: Iterable[Connection] | None = None) -> int:
         """Reset a share of these connections (of all), drawn by the seed; how many."""
         chosen = list(self._connections.values() if among is None else among)
-        chosen = self.rng.sample(chosen, round(share * len(chosen)))
-        for connection in sorted(chosen, key=lambda connection: connection.number):
+        count = round(share * len(chosen))
+        for connection in self.rng.sample(chosen, count):
             connection.reset()
-        return len(chosen)
+        return count
 
     def rule(self, rule: Rule) -> Callable[[], None]:
         """Have dials decided on by a rule; the first that has an opinion counts.  Returns what ends it."""
--- a/tests/lab/sim/test_sim_datagrams.py
+++ b/tests/lab/sim/test_sim_datagrams.py
@@ -104,3 +104,8 @@
         client.sendto(b"x" * 100, (pair.server.ip, PORT))
     await asyncio.sleep(2)
     assert log == ["made"] + [b"x" * 60] * 5
+    pair.server.restart()
+    await pair.server.run(pair.loop.create_datagram_endpoint(lambda: Datagrams(log), (pair.server.ip, PORT)))
+    client.sendto(b"new life", (pair.server.ip, PORT))
+    await asyncio.sleep(1)
+    assert log[6:] == ["made", b"new life"]
--- a/tests/lab/sim/test_sim_determinism.py
+++ b/tests/lab/sim/test_sim_determinism.py
@@ -2,14 +2,30 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import subprocess
 import sys
+from functools import partial
 from pathlib import Path
 
+from sim_worlds import Pair, simulate
+
 HERE = Path(__file__).parent
 
 
+def test_the_digest_tells_one_byte_and_one_microsecond() -> None:
+    async def day(pair: Pair, data: bytes, wait: float) -> str:
+        _, client = await pair.open()
+        await asyncio.sleep(wait)
+        client.transport.write(data)
+        await asyncio.sleep(1)
+        return pair.network.digest()
+    days = [(b"a", 0.1), (b"a", 0.1), (b"b", 0.1), (b"a", 0.100001)]
+    digests = [simulate(partial(day, data=data, wait=wait)) for data, wait in days]
+    assert digests[0] == digests[1] and len(set(digests)) == 3
+
+
 def start(seed: int, hash_seed: str) -> subprocess.Popen[str]:
     return subprocess.Popen(
         [sys.executable, str(HERE / "busy.py"), str(seed), hash_seed], text=True, stdout=subprocess.PIPE,
--- a/tests/lab/sim/test_sim_faults.py
+++ b/tests/lab/sim/test_sim_faults.py
@@ -188,10 +188,11 @@
     pair.network.cut("a", "b")
     for word in (b"written ", b"while ", b"cut"):
         client.transport.write(word)
-        await asyncio.sleep(1)
-    assert server.data == b""
+        await asyncio.sleep(1.2)
     pair.network.heal("b", "a")
-    await asyncio.sleep(3.3)                                     # TCP tries again ever more seldom
+    await asyncio.sleep(2.5)                                     # TCP tries after 0.2, 0.6, 1.4, 3, 6.2 s
+    assert server.data == b""
+    await asyncio.sleep(0.2)
     assert server.data == b"under way, written while cut"
 
 
@@ -225,6 +226,38 @@
     assert (await dial_error(pair))[0] == errno.ECONNREFUSED
 
 
+@simulated()
+async def test_what_was_never_accepted_is_reset_when_nobody_listens_any_more(pair: Pair) -> None:
+    listener = await pair.listen(asyncio.Protocol)
+    pair.server.pause()
+    _, client = await pair.connect(Recorder)
+    pair.server.call(listener.close)
+    await asyncio.sleep(0.001)
+    assert client.log == ["made", RESET]
+
+
+@simulated()
+async def test_so_many_are_accepted_in_one_turn_as_the_program_says(pair: Pair) -> None:
+    made: list[int] = []
+
+    async def listen() -> None:
+        sock = pair.network.socket()
+        sock.bind((pair.server.ip, PORT))
+        sock.listen(10)
+        await pair.loop.create_server(
+            lambda: Recorder(made=lambda me: made.append(pair.loop.clock_us() - start)), sock=sock, backlog=2)
+    await pair.server.run(listen())
+    pair.server.pause()
+    for _ in range(4):
+        await pair.connect(asyncio.Protocol)
+    pair.server.cpu(cost=100)
+    start = pair.loop.clock_us()
+    pair.server.resume()
+    await asyncio.sleep(1)
+    # Turns: accept two; take them, accept two; tell two protocols and start them, take two; tell these.
+    assert made == [500, 700, 1100, 1300]
+
+
 @simulated()
 async def test_descriptors_run_out_on_dialling_and_on_accepting(pair: Pair) -> None:
     log: list[Any] = []
--- a/tests/lab/sim/test_sim_loop.py
+++ b/tests/lab/sim/test_sim_loop.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import contextvars
+import gc
 import signal
 import socket
 from typing import Any
 
 import pytest
-from sim_worlds import Pair, simulated
+from sim_worlds import Pair, simulate, simulated
 
 from roadlb.lab.sim import Deadlock, HostDown, Livelock, NotSimulated, SimLoop
 
@@ -91,6 +92,25 @@
     run(main)
 
 
+def test_tasks_that_nobody_holds_are_kept_and_those_of_the_dead_end_unheard(caplog: Any) -> None:
+    async def forgotten() -> None:
+        try:
+            await asyncio.get_running_loop().create_future()
+        finally:
+            await asyncio.sleep(1)
+
+    async def main(pair: Pair) -> None:
+        tasks = {asyncio.create_task(forgotten()).get_name() for _ in range(3_000)}
+        pair.server.run(forgotten())
+        await asyncio.sleep(1)
+        gc.collect()
+        assert tasks <= {task.get_name() for task in asyncio.all_tasks()}
+        pair.network.end()
+    simulate(main)
+    gc.collect()
+    assert caplog.records == []
+
+
 @pytest.mark.parametrize("reach_out", [
     lambda loop: loop.run_in_executor(None, print),
     lambda loop: asyncio.to_thread(print),
--- a/tests/lab/sim/test_sim_pace.py
+++ b/tests/lab/sim/test_sim_pace.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from random import Random
 from typing import Any
 
 import pytest
 from sim_worlds import Pair, simulate, simulated
 
 from roadlb.lab.sim import Seen
+from roadlb.lab.sim.cpu import Cpu
 
 
 @simulated()
@@ -55,6 +57,14 @@
     pair.server.no_cpu()
 
 
+def test_a_quota_is_drawn_from_the_period_in_which_the_work_is_done() -> None:
+    cpu = Cpu(10_000, 0.2, 100_000, Random(1))                     # 20 ms of each 100
+    ends = [now := 95_000]
+    for _ in range(3):
+        ends.append(now := cpu.end(now))
+    assert ends[1:] == [105_000, 115_000, 205_000]
+
+
 def test_a_slow_host_runs_its_callbacks_in_the_turns_of_a_real_one() -> None:
     async def main(pair: Pair) -> list[Any]:
         ran: list[Any] = []
