--- a/roadlb/lab/sim/datagrams.py
+++ b/roadlb/lab/sim/datagrams.py
@@ -54,7 +54,7 @@
         link, rng = route.link, route.rng
         source = self.ip if self.ip not in ("0.0.0.0", "::") else ip if is_loopback(ip) else self.host.ip
         for _ in range(1 + (link.repeat > 0 and rng.random() < link.repeat)):
-            if route.silent or (link.lose and rng.random() < link.lose):
+            if route.silent or route.loses():
                 continue
             part = data
             if link.cut_short and rng.random() < link.cut_short:
--- a/roadlb/lab/sim/dial.py
+++ b/roadlb/lab/sim/dial.py
@@ -97,7 +97,7 @@
             return
         if self._target is not None:
             route = self.network.route(self.host, self._target)
-            if not route.silent:
+            if not (route.silent or route.loses()):
                 self.loop.kernel_at(route.arrival(0), self._syn_arrives)
         self.loop.kernel_at(self.loop.now_us + (SYN_AGAIN_US << self._tries), self._syn)
         self._tries += 1
@@ -129,7 +129,7 @@
         assert self._target is not None
         back = self.network.route(self._target, self.host)
         at = back.arrival(0)
-        if not back.silent:
+        if not (back.silent or back.loses()):
             self.loop.kernel_at(at, lambda: None if back.silent else event())
         return at
 
--- a/roadlb/lab/sim/route.py
+++ b/roadlb/lab/sim/route.py
@@ -22,8 +22,9 @@
     A segment takes `delay_us` and between 0 and `jitter_us` more, and what is needed for its bytes at
     `bytes_per_s` (0: no limit), which all streams of the link share.  `split`: the chance that a segment
     is cut at a random place, and again for what is left of it; the parts never arrive at one instant.
-    With jitter, datagrams overtake one another; the chance that one is lost (`lose`), comes twice
-    (`repeat`), or arrives without its end (`cut_short`).
+    `lose`: the chance that a segment or datagram is lost; TCP sends it again after 0.2 s, and what came
+    behind it waits.  With jitter, datagrams overtake one another; `repeat`, `cut_short`: the chance that one
+    comes twice, or without its end.
     """
 
     delay_us: int = 250
@@ -63,6 +64,10 @@
             at += int(self.rng.random() * (link.jitter_us + 1))
         return at
 
+    def loses(self) -> bool:
+        """Is what leaves now lost on its way?"""
+        return self.link.lose > 0 and self.rng.random() < self.link.lose
+
     def parts(self, data: bytes) -> list[bytes]:
         """A segment as it is cut on its way."""
         parts, chance, rng = [], self.link.split, self.rng
--- a/roadlb/lab/sim/tcp.py
+++ b/roadlb/lab/sim/tcp.py
@@ -8,6 +8,8 @@
 from functools import partial
 from typing import TYPE_CHECKING, Literal, Protocol, TypeAlias
 
+from .route import FIRST_RETRY_US
+
 if TYPE_CHECKING:
     from .host import Host
     from .loop import SimLoop
@@ -69,7 +71,10 @@
         self._send("reset", b"")
 
     def _send(self, kind: Kind, data: bytes) -> None:
-        self._last_us = max(self._last_us, self.route.arrival(len(data)))
+        at, wait = self.route.arrival(len(data)), FIRST_RETRY_US
+        while self.route.loses():
+            at, wait = at + wait, 2 * wait
+        self._last_us = max(self._last_us, at)
         self._queue.append((self._last_us, kind, data))
         if self._lost_us >= 0:
             return
--- a/tests/lab/sim/test_sim_pace.py
+++ b/tests/lab/sim/test_sim_pace.py
@@ -28,6 +28,26 @@
     assert pair.loop.clock_us() - start == 151_000
 
 
+@simulated()
+async def test_lost_segments_and_dials_come_again_and_hold_up_what_is_behind(pair: Pair) -> None:
+    server, client = await pair.open()
+    came: list[int] = []
+    server.on["data"] = lambda me: came.append(pair.loop.clock_us() - start)
+    pair.network.link("a", "b", lose=0.5)
+    start = pair.loop.clock_us()
+    for number in range(10):
+        client.transport.write(b"%d" % number)
+    await asyncio.sleep(60)
+    assert server.data == b"0123456789" and came[-1] >= 200_100
+    pair.network.link("a", "b", lose=0.2)
+    dials = []
+    for _ in range(10):
+        since = pair.loop.clock_us()
+        await pair.connect(asyncio.Protocol)
+        dials.append(round((pair.loop.clock_us() - since) / 1e6))
+    assert 0 in dials and max(dials) >= 1
+
+
 @simulated()
 async def test_stops_that_overlap_end_with_the_last(pair: Pair) -> None:
     ran: list[int] = []
--- a/tests/lab/sim/test_sim_programs.py
+++ b/tests/lab/sim/test_sim_programs.py
@@ -104,9 +104,9 @@
 
 
 @settings(max_examples=60, deadline=None, derandomize=True)
-@given(STEPS, st.integers(0, 2**16), st.sampled_from((0.0, 0.7)), st.booleans())
+@given(STEPS, st.integers(0, 2**16), st.sampled_from((0.0, 0.7)), st.booleans(), st.sampled_from((0.0, 0.2)))
 def test_a_stream_arrives_whole_and_in_order_whatever_happens_to_it(
-        steps: list[tuple[str, bool, int]], seed: int, split: float, deferred: bool) -> None:
+        steps: list[tuple[str, bool, int]], seed: int, split: float, deferred: bool, lose: float) -> None:
     async def main(pair: Pair) -> None:
         ends = await pair.open()
         for end in ends:
@@ -146,8 +146,8 @@
         await asyncio.sleep(1)
         assert [end.log[-1] for end in ends] == [("lost", "NoneType")] * 2
         assert pair.network.connections() == []
-    simulate(main, seed=seed, link=Link(delay_us=100, jitter_us=300, split=split), send_buffer=2_000,
-             receive_buffer=3_000, deferred_writes=deferred)
+    simulate(main, seed=seed, link=Link(delay_us=100, jitter_us=300, split=split, lose=lose),
+             send_buffer=2_000, receive_buffer=3_000, deferred_writes=deferred)
 
 
 @simulated()
