--- a/roadlb/lab/model/node.py
+++ b/roadlb/lab/model/node.py
@@ -142,12 +142,17 @@
             self._advance(max(now, self._now))
         self._reactions[type(event)](event)
         self._retune()
-        at = self._next() if self.alive else None
+        at = self.wake_at
         if at is not None and at != self._told:
             self._told = at
             out.append(WakeAt(at))
         return out
 
+    @property
+    def wake_at(self) -> int | None:
+        """When something next happens by itself; what the last `WakeAt` said, if nothing has come between."""
+        return self._next() if self.alive else None
+
     def _advance(self, now: int) -> None:
         """Do what falls due until `now`, in order."""
         while (at := self._next()) is not None and at <= now:
@@ -166,7 +171,6 @@
         self._now = now
 
     def _next(self) -> int | None:
-        """When something next happens by itself."""
         if self.paused:
             return None
         times = [self._timers[0][0]] if self._timers else []
@@ -233,7 +237,8 @@
     def _request(self, event: Request, came: int | None = None) -> None:
         at = self._now if came is None else came
         if self.spec.falls and (share := self._warmth.share(at, self._done_us)) < 1:
-            if too_much := self._pressure.add(at, event.work_us, self.spec.capacity * share):
+            work_us = min(event.work_us, self.spec.fall_each_us or event.work_us)
+            if too_much := self._pressure.add(at, work_us, self.spec.capacity * share):
                 self.alive = False
                 self._out.append(Fell(*too_much))
                 return
--- a/roadlb/lab/model/shapes.py
+++ b/roadlb/lab/model/shapes.py
@@ -66,7 +66,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Schedule:
-    """Straight lines between points (time, rate) in order of time; level before the first and after the last."""
+    """Straight lines between points (time, rate) in order of time; level outside of them."""
 
     points: tuple[tuple[int, float], ...]
 
--- a/roadlb/lab/model/spec.py
+++ b/roadlb/lab/model/spec.py
@@ -78,6 +78,7 @@
     falls: bool = True                # pushed over while cold, see `pressure`
     fall_multiple: float = 3.0
     fall_us: int = 1_000_000
+    fall_each_us: int = 0             # the most that one request counts for; 0: all its work
     fall_slack_us: int = 0            # work beyond the budget that chance may bring
 
     def __post_init__(self) -> None:
--- a/tests/lab/model/test_node_model.py
+++ b/tests/lab/model/test_node_model.py
@@ -186,6 +186,17 @@
     assert not p.node.alive
 
 
+def test_one_request_counts_for_no_more_than_the_spec_says():
+    p = Play(warm=False, cores=1, cold_share=0.2, warm_us=10**15, fall_each_us=300 * MS,
+             fall_slack_us=10 * MS)
+    p.ask(0, 9_000 * MS)
+    p.ask(0, 310 * MS)
+    assert p.node.alive                        # 300 + 300 ms, of 600 + 10
+    p.ask(0, 10 * MS)
+    p.ask(0, 1)
+    assert p.log[-1][1] == Fell(610_001, 200 * MS)
+
+
 def test_a_warm_node_is_not_pushed_over():
     p = Play(cores=1, cold_share=0.2, warm_us=10**9, room=0)
     for _ in range(100):
