--- a/roadlb/lab/parties/clients.py
+++ b/roadlb/lab/parties/clients.py
@@ -135,6 +135,10 @@
         for link in list(self.links):
             link.transport.close()
 
+    def open_ids(self) -> list[str]:
+        """Of requests that were sent and have no answer yet."""
+        return [link.current.id for link in self.links if link.current and link.current.sent_at >= 0]
+
     def _call_at(self, at: int, action: Callable[..., None], *arguments: object) -> asyncio.TimerHandle:
         return self._loop.call_later(max(0, at - self._clock()) / 1e6, action, *arguments)
 
--- a/roadlb/lab/parties/world.py
+++ b/roadlb/lab/parties/world.py
@@ -195,8 +195,9 @@
         return replace(
             common, kind=kind.name, cores=cores, speed=draw(rng, kind.speed),
             slots=cores * kind.slots_per_core, room=round(cores * draw(rng, kind.room_per_core)),
-            choke=draw(rng, kind.choke), choke_at=draw(rng, kind.choke_at), cold_share=draw(rng, kind.cold_share),
-            warm_us=draw_us(rng, kind.warm_us), error_share=draw(rng, kind.error_share),
+            choke=draw(rng, kind.choke), choke_at=draw(rng, kind.choke_at),
+            cold_share=draw(rng, kind.cold_share), warm_us=draw_us(rng, kind.warm_us),
+            error_share=draw(rng, kind.error_share),
             cache_keys=cores * common.cache_keys, connections=cores * common.connections,
             probes_per_s=cores * common.probes_per_s)
 
