--- a/roadlb/lab/model/spec.py
+++ b/roadlb/lab/model/spec.py
@@ -7,16 +7,20 @@
 
 
 class Spoil(Enum):
-    """How an answer goes wrong on the wire.  The request has run in every case."""
+    """How an answer goes wrong on the wire.  The request has run in every case.
+
+    An answer that claims fewer bytes than come is not among them: nobody can tell it from a good one with
+    noise behind it.
+    """
 
     # Of no use; the connection stays open, but nothing more can be had of it.
     NOISE = "noise"                          # bytes that are no HTTP
     HEAD_UNREADABLE = "head unreadable"
     HEAD_ENDLESS = "head endless"            # header lines without an end
-    LENGTH_SHORT = "length short"            # fewer bytes claimed than come
     LENGTH_LONG = "length long"              # more claimed than ever come
     LENGTH_TWICE = "length twice"            # two lengths that differ
     LENGTH_NEGATIVE = "length negative"
+    CHUNKS_BROKEN = "chunks broken"
     HUGE = "huge"                            # 3 GB claimed, which keep coming
     CUT = "cut"                              # the connection ends within the body
     # Good, with more than belongs to it.
--- a/roadlb/lab/parties/links.py
+++ b/roadlb/lab/parties/links.py
@@ -5,10 +5,16 @@
 import asyncio
 import socket
 import struct
+from typing import cast
 
 NO_LINGER = struct.pack("ii", 1, 0)
 
 
+def stream(transport: asyncio.BaseTransport) -> asyncio.Transport:
+    """What `connection_made` gets from a stream; uvloop's transports are no subclass of asyncio's."""
+    return cast(asyncio.Transport, transport)
+
+
 def reset(transport: asyncio.Transport) -> None:
     """End a connection as a dying process does.
 
