--- a/tests/lab/model/test_traffic.py
+++ b/tests/lab/model/test_model_traffic.py
@@ -133,7 +133,7 @@
 import sys; sys.path[:0] = sys.argv[1:]
 from random import Random
 from node_play import Play
-from test_traffic import Steady, traffic, wishes
+from test_model_traffic import Steady, traffic, wishes
 p = Play(warm=False, cores=2, slots=2, cold_share=.2, warm_us=10**7, cache_keys=30, cache_us=10**7,
          cache_gain=.5,
          work_noise=.4, error_share=.1, report_period_us=100_000, report_noise=.1, falls=False, choke=.1)
