Clients that listen on after giving up, and processes that start again with what was told

The judge needs both: whether an answer was still to come, and what a new process of a balancer knows. Began tells whether the key was known; Told bears the generation of its own change.

--- a/roadlb/lab/model/events.py
+++ b/roadlb/lab/model/events.py
@@ -105,6 +105,7 @@
 
     connection: int
     request: str
+    hit: bool                # its key was known
 
 
 @dataclass(slots=True, frozen=True)
--- a/roadlb/lab/model/node.py
+++ b/roadlb/lab/model/node.py
@@ -256,11 +256,12 @@
         self._in_slots += 1
         work = float(job.work_us)
         if job.kind is Kind.REQUEST:
-            self._out.append(Began(job.connection, job.request))
+            hit = self._cache.knows(self._now, job.key)
+            self._out.append(Began(job.connection, job.request, hit))
             if self.spec.work_noise:
                 variance = math.log1p(self.spec.work_noise ** 2)
                 work *= math.exp(self._rng.gauss(0, math.sqrt(variance)) - variance / 2)
-            if job.key and self._cache.knows(self._now, job.key):
+            if hit:
                 work *= 1 - self.spec.cache_gain
         job.work_us = round(work)
         self._start(job, job.work_us)
--- a/roadlb/lab/parties/clients.py
+++ b/roadlb/lab/parties/clients.py
@@ -56,6 +56,7 @@
     left_us: int = 0                         # as its header says
     sent_at: int = -1                        # its last byte was written; -1: not yet
     crossed: bool = False                    # it has been sent a second time, the connection having ended
+    over: bool = False                       # given up; its client only listens
 
 
 class _Link(asyncio.Protocol):
@@ -104,12 +105,17 @@
 
 
 class Clients:
-    """The clients of one hall.  `most` bounds their connections; tries beyond it wait for a free one."""
+    """The clients of one hall.  `most` bounds their connections; tries beyond it wait for a free one.
+
+    A client leaves when a try's time is up, and so never sees whether an answer was still to come.  With
+    `hears_us` it stays for so much longer, though it has given the try up, so that a judge can tell.
+    """
 
     def __init__(self, name: str, hall: str, traffic: Traffic, front: Front, log: WireLog,
-                 clock: Callable[[], int], rng: Random, most: int = 300) -> None:
+                 clock: Callable[[], int], rng: Random, most: int = 300, hears_us: int = 0) -> None:
         self.name, self.hall, self.traffic = name, hall, traffic
         self._front, self._log, self._clock, self._rng, self._most = front, log, clock, rng, most
+        self._hears_us = hears_us
         self.links: dict[_Link, None] = {}
         self.tallies: Counter[str] = Counter()
         self.latency = {spec.name: HdrHistogram(1, LATENCY_MOST_US, 3) for spec in traffic.classes}
@@ -256,7 +262,9 @@
             self._idle.append(link)
         elif not this.wish.holds:
             link.transport.close()
-        if answer.status == 200 and is_right(
+        if this.over:
+            self.tallies["late"] += 1
+        elif answer.status == 200 and is_right(
                 answer.body, this.id, asked(spec.method, this.target, this.body)):
             self.latency[spec.name].record_value(min(max(1, now - this.wish.due), LATENCY_MOST_US))
             self._ended(this, TryEnd.SERVED)
@@ -272,6 +280,7 @@
         this, link.current = link.current, None
         link.transport.abort()
         if this:
+            this.link = None
             self._lost(this, how, TryEnd.BROKEN)
         else:
             self.tallies["extra"] += 1
@@ -286,7 +295,7 @@
             now, begun = self._clock(), link.reader.begun
             crossed = in_order and not begun and link.served and now - this.sent_at <= CROSSED_US
             this.link = None
-            if crossed and not this.crossed:
+            if crossed and not this.crossed and not this.over:
                 self.tallies["crossed"] += 1
                 this.crossed, this.sent_at = True, -1
                 self._find_link(this)
@@ -305,6 +314,16 @@
             this.dial.cancel()
             if this.balancer:
                 self._front.failed(this.balancer)
+        if this.sent_at >= 0 and self._hears_us:
+            this.over = True
+            self._call_at(this.until + self._hears_us, self._leave, this)
+            self._ended(this, TryEnd.GIVEN_UP)
+        else:
+            self._leave(this)
+
+    def _leave(self, this: _Try) -> None:
+        if this.over and not this.link:
+            return                           # something came after all
         if this.link:
             this.link.current = None
             this.link.transport.close()
@@ -313,7 +332,8 @@
     def _lost(self, this: _Try, how: str, end: TryEnd) -> None:
         self._log.write(ClientLost(self._clock(), this.id, this.balancer, how, this.sent_at >= 0))
         self.tallies[how] += 1
-        self._ended(this, end)
+        if not this.over:
+            self._ended(this, end)
 
     def _ended(self, this: _Try, end: TryEnd, retry_after_us: int = -1) -> None:
         if this.timer:
--- a/roadlb/lab/parties/discovery.py
+++ b/roadlb/lab/parties/discovery.py
@@ -231,8 +231,8 @@
             server.close()
         for link in left:
             loop.call_later(MOVE_S, link.transport.close)
-        whole = tuple(self._list.values())
-        loop.call_later(self.figures.told_after_move_us / 1e6, self._counts_as_told, whole)
+        loop.call_later(self.figures.told_after_move_us / 1e6, self._counts_as_told, self._generation,
+                        tuple(self._list.values()))
 
     def stop(self) -> None:
         for server in self._servers:
@@ -263,22 +263,36 @@
             else:
                 self._list[entry.name] = entry
         self._tell_watchers()
-        asyncio.get_running_loop().call_later(self.figures.told_us / 1e6, self._counts_as_told, changes)
+        asyncio.get_running_loop().call_later(
+            self.figures.told_us / 1e6, self._counts_as_told, generation, changes)
 
     def preload(self) -> dict[str, object]:
-        """The list as it is now, for a configuration's `known`; it counts as told at once."""
-        self._mark(tuple(self._list.values()), whole=True)
+        """The list as it is now, for the `known` of a first start; it counts as told at once."""
+        self._mark(self._generation, tuple(self._list.values()), whole=True)
+        return self.known()
+
+    def restarted(self) -> dict[str, object]:
+        """The `known` of the balancer's next process, which is told that, and of the rest nothing yet."""
+        self.absent = False
+        self._counted.clear()
+        for entry in self._told.values():
+            self._count(self._told_generation, entry)
+        gone = tuple(replace(entry, lifecycle=REMOVED) for name, entry in self._told.items()
+                     if name not in self._list)
+        asyncio.get_running_loop().call_later(
+            self.figures.told_us / 1e6, self._counts_as_told, self._generation,
+            (*self._list.values(), *gone))
         return self.known()
 
     def known(self) -> dict[str, object]:
-        """What the balancer was told last: the `known` of its configuration when it starts again."""
+        """What the balancer was last told by this agent."""
         return self._line(self._told_generation, self._told.values(), reset=True)
 
     def _line(self, generation: int, entries: Iterable[Entry], reset: bool) -> dict[str, object]:
         return {"generation": generation, "reset": reset,
                 "instances": [entry.listed(self.balancer) for entry in entries]}
 
-    def _mark(self, entries: tuple[Entry, ...], whole: bool) -> None:
+    def _mark(self, generation: int, entries: tuple[Entry, ...], whole: bool) -> None:
         """These were written to the balancer."""
         if whole:
             listed = {entry.name for entry in entries}
@@ -290,10 +304,10 @@
                 self._told.pop(entry.name, None)
             else:
                 self._told[entry.name] = entry
-            self._count(entry)
-        self._told_generation = self._generation
+            self._count(generation, entry)
+        self._told_generation = generation
 
-    def _count(self, entry: Entry) -> None:
+    def _count(self, generation: int, entry: Entry) -> None:
         """It counts as told from now on, if it did not already."""
         before = self._counted.get(entry.name)
         if entry.lifecycle == REMOVED:
@@ -303,13 +317,13 @@
             self._counted[entry.name] = entry
         if before is None or (entry.lifecycle, entry.started_ms) != (before.lifecycle, before.started_ms):
             self._log.write(Told(self._clock(), self.balancer, entry.name, entry.started_ms,
-                                 entry.lifecycle, self._generation))
+                                 entry.lifecycle, generation))
 
-    def _counts_as_told(self, changes: tuple[Entry, ...]) -> None:
+    def _counts_as_told(self, generation: int, changes: tuple[Entry, ...]) -> None:
         """Time is up: these count as told, arrived or not, unless something newer is known of them."""
         for entry in changes:
             if not self.absent and self._list.get(entry.name, replace(entry, lifecycle=REMOVED)) == entry:
-                self._count(entry)
+                self._count(generation, entry)
 
     # The protocol
 
@@ -334,7 +348,7 @@
             whole = tuple(self._list.values())
             body = json.dumps(self._line(self._generation, whole, reset=True)).encode()
             link.transport.write(write_answer(200, [("Content-Type", "application/json")], body))
-            self._mark(whole, whole=True)
+            self._mark(self._generation, whole, whole=True)
 
     def _tell_watchers(self) -> None:
         if not self.silent:
@@ -350,11 +364,11 @@
         if first and not reachable:
             whole = tuple(self._list.values())
             link.line(json.dumps(self._line(self._generation, whole, reset=True)))
-            self._mark(whole, whole=True)
+            self._mark(self._generation, whole, whole=True)
         else:
             for generation, changes in since:
                 link.line(json.dumps(self._line(generation, changes, reset=False)))
-                self._mark(changes, whole=False)
+                self._mark(generation, changes, whole=False)
             if first and not since:
                 link.line(json.dumps(self._line(self._generation, (), reset=False)))
         link.after = self._generation
--- a/tests/lab/parties/test_parties_clients.py
+++ b/tests/lab/parties/test_parties_clients.py
@@ -142,6 +142,17 @@
     assert [e.at for e in log if isinstance(e, ClientLost)] == [2 * S, 3 * S + 50_000, 3 * S + 500_000]
 
 
+@pytest.mark.parametrize("delay, ended, again_us", [
+    ("1.03", [200, 200], 50_000), ("1.1", [200, "timed_out"], 52_000)])
+@virtual
+async def test_a_client_may_listen_on_after_it_has_given_a_try_up(loop, delay, ended, again_us):
+    clients, _, log = await stage(loop, [f"late {delay}", "served"], Wishes(READ, S), hears_us=58_000)
+    await asyncio.sleep(9)
+    assert ends(log) == ended and clients.tallies["given_up"] == 1 and clients.open_wishes == 0
+    second = [e for e in log if isinstance(e, ClientSent)][1]
+    assert second.at == 2 * S + again_us       # not held up by the listening, on a connection that is free
+
+
 @pytest.mark.parametrize("honours, second_at", [(True, 0.7), (False, 0.05)])
 @virtual
 async def test_retry_after_is_honoured_by_those_who_do(loop, honours, second_at):
--- a/tests/lab/parties/test_parties_discovery.py
+++ b/tests/lab/parties/test_parties_discovery.py
@@ -144,6 +144,21 @@
     assert [e.lifecycle for e in list(log)[3:]] == ["removed"]
 
 
+@virtual
+async def test_a_process_that_starts_again_has_what_the_last_one_had_and_the_rest_counts_later(loop):
+    log = WireLog()
+    registry, agent = await start(loop, log)
+    agent.preload()
+    agent.absent = True
+    registry.remove("a")
+    await asyncio.sleep(10)
+    known = agent.restarted()
+    assert [i["instanceId"] for i in known["instances"]] == ["a", "b"] and known["generation"] == 1
+    await asyncio.sleep(7)
+    told = [(e.at, e.node, e.lifecycle, e.generation) for e in list(log)[2:]]
+    assert told == [(10_000_000, "a", "up", 1), (10_000_000, "b", "up", 1), (16_000_000, "a", "removed", 2)]
+
+
 @virtual
 async def test_down_it_is_silent_to_all_and_tells_what_was_missed_when_it_is_back(loop):
     registry, _ = await start(loop)
