--- a/roadlb/lab/parties/grid_node.py
+++ b/roadlb/lab/parties/grid_node.py
@@ -239,13 +239,17 @@
             self._tell(Withdrawn(link.number))
 
     def came(self, link: _Link, message: Message, first_at: int) -> None:
-        """A message is whole; those behind one that is not answered yet wait for their turn."""
-        id = message.headers.get(CORRELATION_ID.lower(), "")
-        if FORM.fullmatch(id):
-            work = WORK.search(message.target)
+        """A message is whole; those behind one that is not answered yet wait for their turn.
+
+        A probe is written down as well, with no id and its own work; what is neither probe nor request is not.
+        """
+        id, work = message.headers.get(CORRELATION_ID.lower(), ""), WORK.search(message.target)
+        probe = _is_probe(message)
+        if probe or FORM.fullmatch(id):
+            work_us = self.spec.probe_work_us if probe else int(work[1]) if work else 0
             self._log.write(NodeGot(
-                self.clock(), first_at, self.name, self.started_ms, link.balancer, id, message.method,
-                message.target, int(work[1]) if work else 0))
+                self.clock(), first_at, self.name, self.started_ms, link.balancer, "" if probe else id,
+                message.method, message.target, work_us))
         if link.busy or link.line:
             link.line.append((self.clock(), message))
         else:
@@ -256,7 +260,7 @@
             return
         headers, target, link.last = message.headers, message.target, not message.keep_alive
         id = headers.get(CORRELATION_ID.lower())
-        if message.method == "GET" and target in ("/healthz", "/load"):
+        if _is_probe(message):
             self.probes += 1
             link.busy = (target, "")
             self._tell(Probe(link.number))
@@ -382,6 +386,10 @@
         self._loop.call_later(PIECE_S, self._keep_coming, link, piece)
 
 
+def _is_probe(message: Message) -> bool:
+    return message.method == "GET" and message.target in ("/healthz", "/load")
+
+
 def _time_left(text: str | None) -> int:
     """Microseconds; what cannot be read sets no limit."""
     try:
--- a/tests/lab/parties/test_grid_node.py
+++ b/tests/lab/parties/test_grid_node.py
@@ -99,13 +99,16 @@
 
 
 @virtual
-async def test_probes_tell_health_and_load_and_work_for_nobody(loop):
-    node = await start(loop)
+async def test_probes_tell_health_and_load_and_are_written_down_with_no_id(loop):
+    log = WireLog()
+    node = await start(loop, log, probe_work_us=300)
     caller = await call(loop)
     for path, status, body in (("/healthz", 200, b""), ("/load", 200, b"eps=0,queue=0")):
         caller.ask("", None, path, method="GET")
         await asyncio.sleep(5 * MS)
         assert (caller.answers[-1].status, caller.answers[-1].body) == (status, body)
+        got = list(log)[-1]
+        assert (got.request, got.target, got.work_us) == ("", path, 300)
     node.drain()
     caller.ask("", None, "/healthz", method="GET")
     await asyncio.sleep(5 * MS)
