--- a/roadlb/lab/parties/grid_node.py
+++ b/roadlb/lab/parties/grid_node.py
@@ -241,7 +241,7 @@
     def came(self, link: _Link, message: Message, first_at: int) -> None:
         """A message is whole; those behind one that is not answered yet wait for their turn.
 
-        A probe is written down as well, with no id and its own work; what is neither probe nor request is not.
+        A probe is written down too, with no id and its own work; what is neither probe nor request is not.
         """
         id, work = message.headers.get(CORRELATION_ID.lower(), ""), WORK.search(message.target)
         probe = _is_probe(message)
