--- a/roadlb/lab/parties/discovery.py
+++ b/roadlb/lab/parties/discovery.py
@@ -78,7 +78,7 @@
     def begin(self, entries: list[Entry]) -> None:
         """The fleet as everybody knows it when the rehearsal begins: generation 1, without delay."""
         self.generation = 1
-        self.entries = self._truth = {entry.name: entry for entry in entries}
+        self.entries = {entry.name: entry for entry in entries}
         self._truth = dict(self.entries)
 
     def attach(self, agent: Agent) -> None:
