Read headers in one pass, targets and load reports from memory, the clock once an event

Change: headers are read from collected pairs in one pass; targets and reports that came lately are remembered, within bounds; the engine takes one time for an event; time left counts from when a request came.

--- a/roadlb/engine.py
+++ b/roadlb/engine.py
@@ -47,7 +47,7 @@
         self._balancer, self._counters, self._max_open = balancer, counters, max_open
         self._clock, self._wheel = clock, wheel
         self._events: deque[Event] = deque()
-        self._busy = False
+        self._busy, self._now = False, 0          # carrying out an event, and when it began
         self._next_id = 1
         self._open: dict[int, Exchange] = {}      # with an answer owed, or an execution still out
         self._short = False                       # of this program's own means, as the module was told
@@ -69,11 +69,12 @@
             exchange.on_answer(exchange, exchange.answer)
             return
         exchange.id, self._next_id = self._next_id, self._next_id + 1
-        exchange.until_us = self._clock() + exchange.left_us
+        now = self._clock()
+        exchange.until_us = (exchange.came_us or now) + exchange.left_us
         self._open[exchange.id] = exchange
         self._counters.add("taken")
         self._feed(Arrival(exchange.id, exchange.class_index, exchange.tenant, exchange.key,
-                           exchange.left_us, exchange.work_us, exchange.is_retry))
+                           max(1, exchange.until_us - now), exchange.work_us, exchange.is_retry), now)
         if exchange.answer is None:
             # Whatever becomes of the module, the client gets its answer in time.
             exchange.guard = self._wheel.at(exchange.until_us + GUARD_US, self._overdue, exchange)
@@ -124,33 +125,36 @@
         self._counters.add(_EXECUTION[result.ending])
         if result.answer is not None:
             self._answer(exchange.id, result.answer)
+        now = self._clock()
         self._feed(Outcome(exchange.id, execution.number, execution.server, result.ending.status,
-                           self._clock() - execution.started_us, exchange.closed, result.report))
+                           now - execution.started_us, exchange.closed, result.report), now)
         self._forget(exchange)
 
     def probe_ended(self, server: ServerId, latency_us: int, result: Result) -> None:
         self._counters.add(f"probe.{result.ending.value}")
         self._feed(Probed(server, result.ending.status, latency_us, result.report))
 
-    def _feed(self, event: Event) -> None:
+    def _feed(self, event: Event, now: int | None = None) -> None:
         """Play an event, and those that carrying out its actions brings at once, strictly in turn."""
-        self._events.append(event)
         if self._busy:
+            self._events.append(event)
             return
-        self._busy = True
+        self._busy, self._now = True, self._clock() if now is None else now
         try:
-            while self._events:
-                event = self._events.popleft()
+            while True:
                 try:
-                    actions = self._balancer.handle(self._clock(), event)
+                    actions = self._balancer.handle(self._now, event)
                 except Exception:
                     self._fault(event)
-                    continue
+                    actions = []
                 for action in actions:
                     try:
                         self._carry_out[type(action)](action)
                     except Exception:
                         self._fault(action)
+                if not self._events:
+                    return
+                event = self._events.popleft()
         finally:
             self._busy = False
 
@@ -177,7 +181,7 @@
 
     def _send(self, action: Send) -> None:
         assert self.executor
-        exchange, now = self._open.get(action.request), self._clock()
+        exchange, now = self._open.get(action.request), self._now
         if exchange is None:
             return      # answered without the module, which hears of it in its next event
         until = min(exchange.until_us, now + action.timeout_us) if action.timeout_us else exchange.until_us
--- a/roadlb/exchange.py
+++ b/roadlb/exchange.py
@@ -109,6 +109,7 @@
 class Exchange:
     """A client's request and its one final answer; the only thing that both sides know.
 
+    `left_us` counts from `came_us`, a time of the engine's clock (0: from when it is opened).
     `on_answer` is called once, with the final answer, within the engine's turn; not if the client has gone.
     """
 
@@ -120,6 +121,7 @@
     work_us: int
     is_retry: bool
     on_answer: Callable[[Exchange, Answer], None]
+    came_us: int = 0
     id: int = 0
     until_us: int = 0
     executions: list[Execution] = field(default_factory=list)
--- a/roadlb/net/client_connection.py
+++ b/roadlb/net/client_connection.py
@@ -27,6 +27,9 @@
 HELD_MOST = 65_536     # bytes read while an earlier request is open; then reading stops
 
 
+NO_HEADERS = Headers()
+
+
 class BadRequest(Exception):
     """Input that is the client's fault; answered with a plain 4xx."""
 
@@ -47,7 +50,7 @@
     def __init__(self, came_us: int) -> None:
         self.came_us = came_us             # when its head was whole; at first, when its first bytes came
         self.method = self.target = b""
-        self.headers = Headers()
+        self.headers = NO_HEADERS          # till the head is whole
         self.body: list[bytes] = []
         self.size = self.trailer_size = 0  # of the body and what is behind it, so far
         self.head_size = 0                 # by whole segments
@@ -61,14 +64,15 @@
 class ClientConnection(asyncio.Protocol):
     """Times are microseconds of the program's clock."""
 
-    __slots__ = ("_came_us", "_client", "_held", "_held_us", "_last", "_parser", "_pumping", "_reading",
-                 "_reading_on", "_waiting", "asked", "deaf", "exchange", "id", "since_us", "started_us",
-                 "stuck_us", "transport")
+    __slots__ = ("_came_us", "_client", "_held", "_held_us", "_last", "_pairs", "_parser", "_pumping",
+                 "_reading", "_reading_on", "_waiting", "asked", "deaf", "exchange", "id", "since_us",
+                 "started_us", "stuck_us", "transport")
 
     def __init__(self, client: ServiceClient) -> None:
         self._client = client
         self._parser = HttpRequestParser(self)
         self._reading: Request | None = None            # not whole yet
+        self._pairs: list[tuple[bytes, bytes]] | None = None    # its headers, while its head is not
         self._waiting: deque[Request] = deque()         # whole, or faulty, behind the open one
         self._held, self._held_us = b"", 0              # not parsed yet, and when the first of it came
         self._came_us = 0
@@ -125,7 +129,7 @@
     # The parser's side
 
     def on_message_begin(self) -> None:
-        self._reading = Request(self._came_us)
+        self._reading, self._pairs = Request(self._came_us), []
         self.started_us = self.started_us or self._came_us
 
     def on_url(self, url: bytes) -> None:
@@ -133,27 +137,23 @@
             self._reading.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        request = self._reading
-        if not request:
-            return
-        if not request.head_whole:
-            request.headers.add(name, value)
-            return
-        # A trailer, of which nothing is passed on.
-        request.trailer_size += len(name) + len(value) + 4
-        if request.trailer_size > HEAD_MOST:
-            self._fault(BadRequest(400, "the trailers are too large", closes=True))
+        if self._pairs is not None:
+            self._pairs.append((name, value))
+        elif request := self._reading:         # a trailer, of which nothing is passed on
+            request.trailer_size += len(name) + len(value) + 4
+            if request.trailer_size > HEAD_MOST:
+                self._fault(BadRequest(400, "the trailers are too large", closes=True))
 
     def on_headers_complete(self) -> None:
-        request = self._reading
-        if not request:
+        request, pairs, self._pairs = self._reading, self._pairs, None
+        if not request or pairs is None:
             return
         request.head_whole, request.came_us = True, self._came_us
         request.method = self._parser.get_method()
+        request.headers = headers = Headers(pairs)
         version = self._parser.get_http_version()
         newest = version == "1.1"
         request.keep = newest and self._parser.should_keep_alive()
-        headers = request.headers
         if headers.size + len(request.target) > HEAD_MOST:
             self._fault(BadRequest(400, "the head is too large", closes=True))
         elif not newest and version != "1.0":
--- a/roadlb/net/headers.py
+++ b/roadlb/net/headers.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Iterable
+from functools import lru_cache
 
 from ..config import FIELDS
 
@@ -12,6 +13,7 @@
 CONNECTION, LENGTH, ENCODING, EXPECT = b"connection", b"content-length", b"transfer-encoding", b"expect"
 HOST = b"host"
 
+REPORTS_KEPT, REPORT_MOST = 1_024, 128     # reports remembered, and how long one may be for that
 # Of one connection only (RFC 9110, 7.6.1), or made anew for the next.
 NOT_PASSED_ON = frozenset({
     CONNECTION, b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
@@ -29,44 +31,42 @@
 
 
 class Headers:
-    """The headers of one message as they are read: those by which it is understood, and the rest.
+    """The headers of one message: those by which it is understood, and the rest.
 
-    `fields` has the first value under each lower-case name, `lines` what is passed on, `size` the bytes of
-    all lines without the blanks round values.
+    Made from the pairs of name and value as they came.  `fields` has the first value under each lower-case
+    name, `lines` what is passed on, `size` the bytes of all lines without the blanks round values, `lengths`
+    and `encodings` the values of Content-Length and Transfer-Encoding, `hop` what Connection takes out.
+    `twice`: one of ONCE came again; `look_alike`: one of LOOK_ALIKE came.
     """
 
-    __slots__ = ("connection", "encodings", "fields", "lengths", "lines", "look_alike", "size",
-                 "twice")
+    __slots__ = ("encodings", "fields", "hop", "lengths", "lines", "look_alike", "size", "twice")
 
-    def __init__(self) -> None:
+    def __init__(self, pairs: Iterable[tuple[bytes, bytes]] = ()) -> None:
         self.fields: dict[bytes, bytes] = {}
         self.lines: list[bytes] = []
-        self.lengths: list[bytes] = []         # values of Content-Length
-        self.encodings: list[bytes] = []       # values of Transfer-Encoding
-        self.connection: list[bytes] = []      # names that Connection takes out, if any
-        self.size = 0
+        self.lengths: tuple[bytes, ...] = ()
+        self.encodings: tuple[bytes, ...] = ()
+        self.hop: tuple[bytes, ...] = ()
         self.look_alike = self.twice = False
-
-    def add(self, name: bytes, value: bytes) -> None:
-        low, value = name.lower(), value.strip(b" \t")
-        if low not in self.fields:
-            self.fields[low] = value
-        elif low in ONCE:
-            self.twice = True
-        if low not in NOT_PASSED_ON:
-            line = b"%b: %b\r\n" % (name, value)
-            self.lines.append(line)
-            self.size += len(line)
-            if low in LOOK_ALIKE:
-                self.look_alike = True
-            return
-        self.size += len(name) + len(value) + 4
-        if low == LENGTH:
-            self.lengths.append(value)
-        elif low == ENCODING:
-            self.encodings.append(value)
-        elif low == CONNECTION:
-            self.connection += {t.strip().lower() for t in value.split(b",")} - OF_CONNECTION
+        fields, lines, size = self.fields, self.lines, 0
+        for name, value in pairs:
+            low, value = name.lower(), value.strip(b" \t")
+            if low not in fields:
+                fields[low] = value
+            elif low in ONCE:
+                self.twice = True
+            if low not in NOT_PASSED_ON:
+                lines.append(b"%b: %b\r\n" % (name, value))
+                if low in LOOK_ALIKE:
+                    self.look_alike = True
+            elif low == LENGTH:
+                self.lengths += (value,)
+            elif low == ENCODING:
+                self.encodings += (value,)
+            elif low == CONNECTION:
+                self.hop += tuple({t.strip().lower() for t in value.split(b",")} - OF_CONNECTION)
+            size += len(name) + len(value) + 4
+        self.size = size
 
     def framing(self) -> int | None:
         """The body's length as told; None: it comes in chunks; -1: nothing is told.
@@ -91,8 +91,8 @@
         Raises Faulty if a value holds a line end or a zero: it would be another header at the next reader.
         """
         lines = self.lines
-        if self.connection:
-            names = tuple(name + b":" for name in self.connection)
+        if self.hop:
+            names = tuple(name + b":" for name in self.hop)
             lines = [line for line in lines if not line.lower().startswith(names)]
         block = b"".join(lines)
         if block.count(b"\n") != len(lines) or block.count(b"\r") != len(lines) or b"\0" in block:
@@ -111,11 +111,16 @@
     def __init__(self, fields: Iterable[str]) -> None:
         other = {module: wire for wire, module in FIELDS.items()}
         self._names = [(f, other.get(f, f)) for f in fields]
+        # The same report stands in the answers of a stretch of time, and few differ.
+        self._read_again = lru_cache(REPORTS_KEPT)(self._read)
 
     def read(self, text: bytes | None) -> tuple[float, ...]:
         """The values in the settings' order; none where one is missing or is no number."""
         if not text or not self._names:
             return ()
+        return self._read_again(text) if len(text) <= REPORT_MOST else self._read(text)
+
+    def _read(self, text: bytes) -> tuple[float, ...]:
         values = name_values(text.decode("latin-1"))
         try:
             report = tuple(float(values[a] if a in values else values[b]) for a, b in self._names)
--- a/roadlb/net/instance_connection.py
+++ b/roadlb/net/instance_connection.py
@@ -53,7 +53,7 @@
     """Told what to send by the pool, to which it comes back when it rests."""
 
     __slots__ = ("_answer", "_body", "_call", "_extra", "_final", "_head_whole", "_headers", "_interim",
-                 "_keep", "_parser", "_pool", "_size", "_spoilt", "_stall", "_status",
+                 "_keep", "_pairs", "_parser", "_pool", "_size", "_spoilt", "_stall", "_status",
                  "_unwritten", "address", "rested_us", "server", "transport")
 
     def __init__(self, pool: Pool, server: ServerId, address: object) -> None:
@@ -63,6 +63,7 @@
         # ends and zeros in one still do, in `Headers.passed_on`.
         self._parser.set_dangerous_leniencies(lenient_headers=True)
         self._call: Call | None = None
+        self._headers = Headers()
         self._stall: Timer | None = None
         self._unwritten = False                # some of the request has not gone out
         self.transport: asyncio.Transport | None = None
@@ -71,7 +72,9 @@
 
     def _await(self, interim: int) -> None:
         """Begin an answer's head, behind so many 1xx."""
-        self._headers, self._body, self._status = Headers(), list[bytes](), 0
+        self._pairs: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._status = 0
         self._size, self._interim = 0, interim         # bytes of the head, then of the body
         self._head_whole = False                       # the final answer's
         self._final = self._extra = False              # the final answer is whole; something came behind it
@@ -170,7 +173,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self._head_whole:
-            self._headers.add(name, value)
+            self._pairs.append((name, value))
             return
         # A trailer, of which nothing is passed on; it counts as body, for the bound.
         self._size += len(name) + len(value) + 4
@@ -180,7 +183,8 @@
     def on_headers_complete(self) -> None:
         if self._final:
             return
-        status, headers = self._parser.get_status_code(), self._headers
+        status = self._parser.get_status_code()
+        headers = self._headers = Headers(self._pairs)
         version = self._parser.get_http_version()
         if headers.size > HEAD_MOST:
             self._spoilt = "too long"
--- a/roadlb/net/instances.py
+++ b/roadlb/net/instances.py
@@ -51,7 +51,7 @@
     # The engine's executor
 
     def start(self, execution: Execution) -> None:
-        message, left_us = execution.exchange.message, execution.until_us - self._clock()
+        message, left_us = execution.exchange.message, execution.until_us - execution.started_us
         if left_us <= 0:
             self._engine.execution_ended(execution, Result(Ending.NEVER_STARTED))
             return
--- a/roadlb/net/service_client.py
+++ b/roadlb/net/service_client.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import logging
+import re
 from collections import deque
 from collections.abc import Callable
+from functools import lru_cache
 from hashlib import blake2b
 
 from ..clock import Clock
@@ -36,6 +38,8 @@
 TIME_LEFT_MOST_S = 3_600.0
 RECENT_US = 5_000_000  # an id is not taken again for so long after its answer ...
 RECENT_MOST = 20_000   # ... or until so many others have come
+TARGETS_KEPT, TARGET_MOST = 4_096, 128     # targets remembered, and how long one may be for that
+PASSABLE = re.compile(rb'[!"$-~]*').fullmatch
 REJECTS_LOGGED = 20    # a second; the others are only counted
 
 
@@ -47,8 +51,19 @@
 
 def passable(target: bytes) -> bool:
     """May this target go into a request line as it is?  What is no ASCII, or ends it, may not."""
-    return target.isascii() and target.decode("ascii").isprintable() and b" " not in target and (
-        b"#" not in target and target[-1:] != b"?")
+    return PASSABLE(target) is not None and target[-1:] != b"?"
+
+
+def read_target(target: bytes) -> tuple[bytes, int, bool]:
+    """The name of the class (b"" if there is no path), the key's number, and whether it may be passed on."""
+    if not target.startswith(b"/"):
+        return b"", 0, False
+    parts = target.partition(b"?")[0].split(b"/")
+    return parts[1], key_number(parts[-1] if len(parts) > 2 else b""), passable(target)
+
+
+# Most requests are for one of some thousand targets; reading one anew takes 6 us.
+read_again = lru_cache(TARGETS_KEPT)(read_target)
 
 
 class ServiceClient:
@@ -174,8 +189,8 @@
 
     def answered(self, connection: ClientConnection) -> None:
         """Its exchange has had its final answer."""
-        connection.since_us = self.clock()
-        self._release(connection)
+        connection.since_us = now = self.clock()
+        self._answered.append((now + RECENT_US, connection.id))
 
     def offer(self, request: Request) -> Nack | None:
         """Would this request, whose body has not come, be refused now?  Then its body need not be read."""
@@ -183,7 +198,8 @@
             class_index, tenant, key, left_us, work_us = self._understand(request)
         except BadRequest:
             return None                        # it is told so in its turn
-        return self._engine.offer(class_index, tenant, key, left_us, work_us)
+        left_us -= self.clock() - request.came_us
+        return self._engine.offer(class_index, tenant, key, max(1, left_us), work_us)
 
     def _reject(self, connection: ClientConnection, request: Request, e: BadRequest) -> None:
         self.counters.add(f"rejected.{e.status}")
@@ -211,14 +227,13 @@
         self._answered.append((self.clock() + RECENT_US, connection.id))
 
     def _understand(self, request: Request) -> tuple[int, int, int, int, int]:
-        """Class, tenant, key, time left and work (us) of a request, or BadRequest."""
+        """Class, tenant, key, time left when it came and work (both us) of a request, or BadRequest."""
         target, told = request.target, request.headers.fields
-        parts = target.partition(b"?")[0].split(b"/")
-        class_index = self._classes.get(parts[1] if len(parts) > 1 else b"")
-        if not target.startswith(b"/") or class_index is None:
+        name, key, fit = (read_again if len(target) <= TARGET_MOST else read_target)(target)
+        class_index = self._classes.get(name)
+        if class_index is None:
             raise BadRequest(404, "the path's first part names no class")
-        # The instance's side must write exactly these bytes again.
-        if not passable(target):
+        if not fit:
             raise BadRequest(400, "the target cannot be passed on unchanged")
         if request.method != (method := self._methods[class_index]):
             raise BadRequest(405, f"this class takes {method.decode()}", more=b"Allow: %b\r\n" % method)
@@ -229,10 +244,7 @@
         tenant = self._tenants.get(told.get(ACCOUNT, b"")) if self._tenants else 0
         if tenant is None:
             raise BadRequest(400, "X-Account names no tenant")
-        # A request that waited, in line behind another or for us to read it, has used that time up.
-        waited_us = max(0, self.clock() - request.came_us)
-        left_us = max(1, self._left_us(told.get(TIME_LEFT), class_index) - waited_us)
-        key = key_number(parts[-1] if len(parts) > 2 else b"")
+        left_us = self._left_us(told.get(TIME_LEFT), class_index)
         return class_index, tenant, key, left_us, _work_us(told.get(FACTS))
 
     def _exchange(self, connection: ClientConnection, request: Request) -> Exchange:
@@ -246,7 +258,9 @@
             head = b"Host: %b\r\n%b" % (self._name, head)
         return Exchange(
             Message(request.method, request.target, head, b"".join(request.body)), class_index, tenant, key,
-            left_us, work_us, request.headers.fields.get(REPEAT) == b"1", connection.on_answer)
+            left_us, work_us, request.headers.fields.get(REPEAT) == b"1", connection.on_answer,
+            # One that waited, in line behind another or for us to read it, has used that time up.
+            request.came_us)
 
     def _left_us(self, text: bytes | None, class_index: int) -> int:
         if text is None:
@@ -258,7 +272,7 @@
         if not 0 < left <= TIME_LEFT_MOST_S:
             raise BadRequest(400, "X-Time-Left is no number of seconds")
         # No client waits for longer than its class allows; one that says so must not hold an instance.
-        return min(int(left * 1e6), self._deadlines_us[class_index]) - MARGIN_US
+        return max(1, min(int(left * 1e6), self._deadlines_us[class_index]) - MARGIN_US)
 
 
 def ended(connection: ClientConnection) -> bool:
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -306,19 +306,15 @@
 
 
 def test_headers_of_one_connection_stay_on_it() -> None:
-    headers = Headers()
-    for name, value in [(b"X-Hop", b"1"), (b"Connection", b"close, X-Hop"), (b"TE", b"x"), (b"Accept", b"a"),
-                        (b"x-hop", b"2"), (b"X-Hopper", b"stays"), (b"X-Time-Left", b"1")]:
-        headers.add(name, value)
+    headers = Headers([(b"X-Hop", b"1"), (b"Connection", b"close, X-Hop"), (b"TE", b"x"), (b"Accept", b"a"),
+                        (b"x-hop", b"2"), (b"X-Hopper", b"stays"), (b"X-Time-Left", b"1")])
     assert headers.passed_on() == b"Accept: a\r\nX-Hopper: stays\r\n"
 
 
 @pytest.mark.parametrize("value", [b"a\r\nX: y", b"a\n b", b"a\rb", b"a\0b"])
 def test_a_value_that_would_be_two_lines_is_not_passed_on(value: bytes) -> None:
-    headers = Headers()
-    headers.add(b"Accept", value)
     with pytest.raises(Faulty):
-        headers.passed_on()
+        Headers([(b"Accept", value)]).passed_on()
 
 
 def test_the_wheel_calls_in_order_never_early_and_not_what_was_cancelled() -> None:
