--- a/roadlb/overload/controller.py
+++ b/roadlb/overload/controller.py
@@ -18,20 +18,21 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from math import exp
+from math import sqrt
 from typing import TypeAlias
 
+from .cost import RequestCost
 from .meter import READ_US, Reading
 
-TARGET = 0.92              # of the CPU limit; at 0.85 a sixth of the worth is lost at full load, at 0.98 bursts win
+TARGET = 0.92              # of the CPU limit; at 0.85 full load loses a tenth more worth, at 0.98 bursts do
 MEMORY_US = 200_000        # of the mean CPU share: two periods of a quota
 GAIN = 0.8                 # a reading's CPU share over TARGET lowers `kept` by this power of their ratio
 SATURATED, IN_A_ROW = 0.97, 3     # so much in so many readings: by chance that is rare even at a load of 0.9
-FALL, RISE = 0.75, 1.2     # factors a reading: when saturated, and at the most when there is room again
+FALL, RISE = 0.85, 1.2     # factors a reading: when saturated, and at the most when there is room again
 KEPT_BUSY = 0.25           # refusing costs a sixth to a fifth of serving: 60% of the CPU serves at this part
 KEPT_LEAST = 0.05
-LATE_PART = 1 / 8          # of the shortest aim, on the mean: a request passes the loop twice, up to double that
-LATE_LEAST_US = 10_000     # a quota of half a core stops the process for 50 ms in 100, late by 8 ms on the mean
+LATE_PART = 1 / 8          # of the shortest aim, on the mean: a request passes the loop twice
+LATE_LEAST_US = 10_000     # a quota of half a core stops it for 50 ms in 100: late by 8 ms on the mean
 DEAD = 0.03                # less is not worth refusing anything: what is refused is asked for again
 FULL, ROOMY = 0.85, 0.75   # share of memory or descriptors from which, and down to which, they are short
 
@@ -61,14 +62,14 @@
         if aim_us <= 0:
             raise ValueError(f"aim_us: {aim_us!r} must be positive")
         self._late_most = max(LATE_LEAST_US, aim_us * LATE_PART)
-        self._cpu, self._saturated = 0.0, 0
+        self._cost, self._saturated = RequestCost(MEMORY_US, TARGET), 0
         self._late_before = 0.0
-        self._kept, self._share, self._tight = 1.0, 0.0, False
+        self._kept, self._share, self._tight = 1.0, -1.0, False     # the first share is always told
 
     @property
     def share(self) -> float:
         """What is shed at the moment."""
-        return self._share
+        return max(0.0, self._share)
 
     def handle(self, now: int, event: Reading) -> list[Action]:
         """One reading; `now` is the clock's time, on which nothing depends but the reading's interval."""
@@ -86,17 +87,21 @@
 
     def _next(self, r: Reading) -> float:
         """The part of the demand to keep from here on."""
-        self._cpu += (r.cpu_share - self._cpu) * (1 - exp(-r.interval_us / MEMORY_US))
+        cpu = self._cost.share(r)
         self._saturated = self._saturated + 1 if r.cpu_share >= SATURATED else 0
         late, self._late_before = min(r.late_mean_us, self._late_before), r.late_mean_us
         readings = min(2.0, r.interval_us / READ_US)       # a late loop reads late; a stop is no experience
-        factor = (TARGET / max(self._cpu, 0.05)) ** (GAIN * readings)
-        if self._saturated >= IN_A_ROW:
-            factor = min(factor, FALL ** readings)
-        kept = self._kept
-        if factor < 1:
-            kept = max(min(kept, KEPT_BUSY), kept * factor)
+        factor = float((TARGET / max(cpu, 0.05)) ** (GAIN * readings))
+        if self._saturated >= IN_A_ROW and factor < 1:
+            factor = min(factor, float(FALL ** readings))
+        kept, rise = self._kept, float(RISE ** readings)
         if late > self._late_most:
-            by_late = self._kept * max(0.5, (self._late_most / late) ** 0.5)
-            return min(kept, max(KEPT_LEAST, by_late))
-        return kept if factor < 1 else min(1.0, kept * min(factor, RISE ** readings))
+            by_cpu = max(min(kept, KEPT_BUSY), kept * min(factor, 1.0))
+            return min(by_cpu, max(KEPT_LEAST, kept * max(0.5, sqrt(self._late_most / late))))
+        if late > self._late_most / 2 and kept < 1:
+            rise = 1.0
+        if factor >= 1:
+            return min(1.0, kept * min(factor, rise))
+        if kept < KEPT_BUSY:
+            return min(KEPT_BUSY, kept * rise)
+        return max(KEPT_BUSY, kept * factor)
--- a/roadlb/overload/meter.py
+++ b/roadlb/overload/meter.py
@@ -7,7 +7,7 @@
 
 from .pulse import Pulse
 
-READ_US = 100_000      # between readings: the period of a CPU quota, so that each holds about one of its stops
+READ_US = 100_000      # between readings: the period of a CPU quota, so that each holds one of its stops
 
 
 @dataclass(slots=True, frozen=True)
@@ -27,7 +27,8 @@
 class Reading:
     """The process over one interval; shares are of its limits, 1.0 is all of it.
 
-    `late_max_us` and `late_mean_us` tell how late the loop ran: at most, and on the mean over time.
+    `late_max_us` and `late_mean_us` tell how late the loop ran: at most, and on the mean over time.  `asked`
+    requests came, of which `refused` were refused at once; -1 where nobody counts.
     """
 
     interval_us: int
@@ -36,29 +37,38 @@
     late_mean_us: float = 0.0
     memory_share: float = 0.0
     descriptor_share: float = 0.0
+    asked: int = -1
+    refused: int = 0
 
 
 class Meter:
-    """Made with callables for CPU time used (us), resident memory (bytes) and open descriptors."""
+    """Made with callables for CPU time used (us), resident memory (bytes) and open descriptors.
+
+    `counts` tells how many requests have come so far, and how many of them were refused at once.
+    """
 
     def __init__(self, now: int, pulse: Pulse, limits: Limits, cpu_used_us: Callable[[], int],
-                 memory_bytes: Callable[[], int], descriptors: Callable[[], int]) -> None:
+                 memory_bytes: Callable[[], int], descriptors: Callable[[], int],
+                 counts: Callable[[], tuple[int, int]]) -> None:
         for name in ("cores", "memory_mb", "sockets"):
             if getattr(limits, name) < 0:
                 raise ValueError(f"{name}: {getattr(limits, name)!r} is negative; 0 stands for no limit")
         self._pulse, self._limits = pulse, limits
         self._cpu_used_us, self._memory_bytes, self._descriptors = cpu_used_us, memory_bytes, descriptors
+        self._counts = counts
         self._at, self._cpu = now, cpu_used_us()
+        self._asked, self._refused = counts()
 
     def read(self, now: int) -> Reading:
         """The reading since the last one.  Two in one microsecond make an interval of 1 us."""
-        cpu, interval = self._cpu_used_us(), max(1, now - self._at)
-        used, delay = cpu - self._cpu, self._pulse.take(now)
-        self._at, self._cpu = now, cpu
-        limits = self._limits
-        return Reading(
-            interval, _share(used, limits.cores * interval), delay.largest_us, delay.mean_us,
-            _share(self._memory_bytes(), limits.memory_mb * 2**20), _share(self._descriptors(), limits.sockets))
+        cpu, (asked, refused), limits = self._cpu_used_us(), self._counts(), self._limits
+        interval, delay = max(1, now - self._at), self._pulse.take(now)
+        reading = Reading(
+            interval, _share(cpu - self._cpu, limits.cores * interval), delay.largest_us, delay.mean_us,
+            _share(self._memory_bytes(), limits.memory_mb * 2**20),
+            _share(self._descriptors(), limits.sockets), asked - self._asked, refused - self._refused)
+        self._at, self._cpu, self._asked, self._refused = now, cpu, asked, refused
+        return reading
 
 
 def _share(used: float, limit: float) -> float:
--- a/roadlb/overload/pulse.py
+++ b/roadlb/overload/pulse.py
@@ -21,7 +21,7 @@
 
 
 class Pulse:
-    """Kept by the owner of the loop, who arms the timer for each beat.  Times are microseconds of one clock."""
+    """Kept by the owner of the loop, who arms the timer for each beat.  Times are us of one clock."""
 
     def __init__(self, now: int) -> None:
         self._due = now + BEAT_US
@@ -38,14 +38,14 @@
         return self._due
 
     def late_us(self, now: int) -> int:
-        """By how much the next beat is overdue: 0 on a sound loop, and right in any callback of a long turn."""
+        """By how much the next beat is overdue: 0 on a sound loop, right in any callback of a long turn."""
         return max(0, now - self._due)
 
     def came_us(self, now: int) -> int:
         """The earliest moment at which bytes read at `now` may have come: `now` on a sound loop.
 
-        What a long turn reads was there when it began, which was after the last beat.  What the next turn reads
-        may have come in the long one: so after a late beat, up to the next one, the beat before it counts.
+        What a long turn reads was there when it began, which was after the last beat.  What the next turn
+        reads may have come in the long one: so after a late beat, up to the next one, the beat before counts.
         """
         return self._missed or (now if now <= self._due else self._due - BEAT_US)
 
--- a/roadlb/overload/readings.py
+++ b/roadlb/overload/readings.py
@@ -1,14 +1,25 @@
-"""What the operating system tells of this process: CPU time, resident memory, open descriptors."""
+"""What the operating system tells: CPU time, resident memory, how long what was just read had waited."""
 
 from __future__ import annotations
 
 import os
 import resource
+import socket
+import struct
 import sys
 import time
+from typing import Protocol
 
 _PAGE = os.sysconf("SC_PAGE_SIZE")
 _MAXRSS_UNIT = 1 if sys.platform == "darwin" else 1024
+_TCP_INFO = getattr(socket, "TCP_INFO", -1)
+_LAST_DATA_RECV = struct.Struct("=52xI")       # struct tcp_info of linux/tcp.h, up to tcpi_last_data_recv
+
+
+class Socket(Protocol):
+    """A connection's socket, also as asyncio's and uvloop's transports hand it out."""
+
+    def getsockopt(self, level: int, optname: int, buflen: int, /) -> bytes: ...
 
 
 def cpu_used_us() -> int:
@@ -23,3 +34,16 @@
             return int(statm.read().split()[1]) * _PAGE
     except (OSError, ValueError, IndexError):
         return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * _MAXRSS_UNIT
+
+
+def waited_us(connection: Socket) -> int:
+    """How long ago, at most, the last bytes came in on a TCP connection; 0 if that is not told.
+
+    Linux only, in whole milliseconds.  It costs 1.4 us on asyncio and 3.4 us on uvloop: ask where the pulse
+    shows that the loop was late, as what is read then may have come at any time in the pause.
+    """
+    try:
+        info = connection.getsockopt(socket.IPPROTO_TCP, _TCP_INFO, _LAST_DATA_RECV.size)
+        return (int(_LAST_DATA_RECV.unpack(info)[0]) + 1) * 1000
+    except (OSError, struct.error):
+        return 0
--- a/tests/overload/sim.py
+++ b/tests/overload/sim.py
@@ -2,10 +2,10 @@
 
 The process is the server of one queue.  In each turn of its loop it takes what can be read, in the order in
 which it came, then the timers that are due; each piece costs CPU time.  A quota stops it as a cgroup does:
-`cores` x 100 ms of work, then nothing up to the next period.  `roadlb.policy` decides, with its own events and
-timers, on a fleet with capacity enough.  Clients ask without waiting for each other's answers, give each try
-up after its time, ask again by their `Manner`, and hold at most `connections` at once, one request on each; a
-try waits at the client for one to be free, as with the operators' bench.  Times are microseconds.
+`cores` x 100 ms of work, then nothing up to the next period.  `roadlb.policy` decides, with its own events
+and timers, on a fleet with capacity enough.  Clients ask without waiting for each other's answers, give each
+try up after its time, ask again by their `Manner`, and hold at most `connections` at once, one request on
+each; a try that finds none free has failed at once.  Times are microseconds.
 """
 
 from __future__ import annotations
@@ -23,8 +23,8 @@
 from roadlb.overload.meter import READ_US, Limits, Meter, Reading
 from roadlb.overload.pulse import Pulse
 from roadlb.policy.interface import (
-    Arrival, Cancel, ClientGone, Effect, Event, Fail, ListKind, ListUpdate, Member, Outcome, Refuse, RequestClass,
-    Send, SetTimer, Settings, Shortage, Status, TimerFired,
+    Arrival, Cancel, ClientGone, Effect, Event, Fail, ListKind, ListUpdate, Member, Outcome, Refuse,
+    RequestClass, Send, SetTimer, Settings, Shortage, Status, TimerFired,
 )
 
 SECOND = 1_000_000
@@ -68,6 +68,7 @@
 
     costs: Costs = Costs().times(4)          # a slow machine: as much overload for a quarter of the events
     cores: float = 0.7
+    told_cores: float = 0.0                  # what it believes that it may use; 0: what it may
     connections: int = 341                   # a third of 1,024 descriptors
     order_share: float = 0.3
     manners: tuple[float, float, float] = (0.5, 0.3, 0.2)
@@ -134,9 +135,12 @@
 
     def __init__(self, site: Site, rate: Callable[[int], float], controller: Controller | None, seed: int = 1,
                  stops: Iterable[tuple[int, int]] = (), own_work: Iterable[tuple[int, int, bool]] = (),
-                 order_share: Callable[[int], float] | None = None) -> None:
+                 order_share: Callable[[int], float] | None = None, rude: int = 0,
+                 ages: str = "told") -> None:
         """`rate(t)` requests a second; the host stops the process at `stops` (when, for how long); at
-        `own_work` it is busy with itself (when, for how long, is the list of nodes new then?)."""
+        `own_work` it is busy with itself (when, for how long, is the list of nodes new then?).  From 1 s on
+        so many `rude` clients send rubbish at full speed.  `ages`: where the pulse is late, the kernel tells
+        how long bytes have waited (told), or they count as old as they may be (most), or as new (none)."""
         self.site, self.rate, self.controller, self.luck = site, rate, controller, random.Random(seed)
         self.order_share = order_share or (lambda t: site.order_share)
         self.now, self.cpu, self.left, self.period = 0, 0, round(site.cores * PERIOD_US), 0
@@ -157,14 +161,19 @@
         self.tries = self.read_tries = self.refused = self.unreachable = 0
         self.balancer = Balancer(Settings(classes=list(site.classes), max_retry_after_us=1_200_000), seed)
         self.pulse = Pulse(0)
-        self.meter = Meter(0, self.pulse, Limits(site.cores, 64.0, 1_024), lambda: self.cpu, lambda: 32 << 20,
-                           lambda: 100 + site.connections - self.free)
+        limits = Limits(site.told_cores or site.cores, 64.0, 1_024)
+        self.meter = Meter(0, self.pulse, limits, lambda: self.cpu, lambda: 32 << 20,
+                           lambda: 100 + site.connections - self.free,
+                           lambda: (self.read_tries, self.refused))
         self.new_list(None)
         self.at(10_000, self.beat, None)
         self.at(READ_US, self.measure, None)
         for when, takes, fresh in own_work:
             self.at(when, self.busy, (takes, fresh))
         self.happen(0, self.arrive, None)
+        self.ages = ages
+        for _ in range(rude):
+            self.happen(SECOND, self.rubbish, None)
 
     # Time and work
 
@@ -266,6 +275,9 @@
         else:
             self.again(self.now, t.request, retry_after_us)
 
+    def rubbish(self, at: int, _: object) -> None:
+        self.readable.append((self.read_rubbish, None))
+
     # The process
 
     def feed(self, event: Event) -> None:
@@ -298,6 +310,11 @@
         self.spend(self.site.costs.timer)
         self.feed(TimerFired(token))
 
+    def read_rubbish(self, _: object) -> None:
+        """It costs as much as a refusal, and comes again the moment it is answered."""
+        self.spend(self.site.costs.read + self.site.costs.refuse)
+        self.happen(self.now + WAY_US, self.rubbish, None)
+
     def read_accept(self, _: object) -> None:
         self.spend(self.site.costs.accept)
 
@@ -307,7 +324,10 @@
         self.read_tries += 1
         self.waits.append(self.now - t.sent)
         # What the client says is counted from when it sent it; the balancer knows only when it may have come.
-        t.until = self.pulse.came_us(self.now) + t.given_up - t.sent - MARGIN_US
+        came = self.now if self.ages == "none" else self.pulse.came_us(self.now)
+        if self.ages == "told" and came < self.now:
+            came = max(came, self.now - ((self.now - t.sent) // 1_000 + 1) * 1_000)
+        t.until = came + t.given_up - t.sent - MARGIN_US
         id, self.next_id = self.next_id, self.next_id + 1
         self.open[id] = t
         self.at(t.until + MARGIN_US, self.guard, id)
