--- a/tests/overload/test_claims.py
+++ b/tests/overload/test_claims.py
@@ -147,7 +147,7 @@
 
 
 def test_clients_that_send_rubbish_at_full_speed_shed_nothing() -> None:
-    # Five of them take all CPU that is left.  Shedding by CPU alone cost a third of the worth, and freed none.
+    # Five of them take all CPU that is left; to shed by CPU alone cost a third of the worth, and freed none.
     class Uncounted(Controller):
         def handle(self, now: int, event: Reading) -> list[Action]:
             return super().handle(now, replace(event, asked=-1))
