--- a/roadlb/policy/interface.py
+++ b/roadlb/policy/interface.py
@@ -181,7 +181,7 @@
     """A request's head has come, its body has not: would it be refused now?
 
     Answered by `[Refuse(0, retry_after_us)]`, after which it must not arrive, or by `[]`.  Fields are those
-    of its `Arrival`, which counts it; one that is refused here is counted here.
+    of its `Arrival`, which counts as demand; one that is shed here counts at once.
     """
 
     class_index: int
--- a/tests/overload/test_parts.py
+++ b/tests/overload/test_parts.py
@@ -11,6 +11,7 @@
 
 from roadlb.overload import readings
 from roadlb.overload.controller import KEPT_BUSY, KEPT_LEAST, Action, Controller, Shed, Tighten
+from roadlb.overload.cost import RequestCost
 from roadlb.overload.meter import Limits, Meter, Reading
 from roadlb.overload.pulse import BEAT_US, Pulse
 
@@ -143,6 +144,17 @@
     assert c.share == 0
 
 
+@pytest.mark.parametrize("start", [calm(0.3), Reading(100_000, 0.9, asked=60)], ids=["calm", "busy"])
+def test_minutes_of_rubbish_do_not_make_requests_seem_dear(start: Reading) -> None:
+    cost = RequestCost(200_000, 0.92)
+    for r in [start] * 15 + [calm(0.3)] * 60:
+        cost.share(r)
+    rubbish = Reading(100_000, 1.0, asked=calm(0.3).asked)
+    shares = [cost.share(rubbish) for _ in range(2_000)]
+    assert max(shares[20:]) < 0.5
+    assert cost.share(Reading(100_000, 1.0, asked=calm(1.0).asked)) > shares[-1]
+
+
 def test_short_of_memory_or_descriptors_is_told_once_and_ends_well_below() -> None:
     c = Controller(500_000)
     steps = [(0.8, 0.2), (0.9, 0.2), (0.95, 0.9), (0.8, 0.9), (0.8, 0.8), (0.7, 0.7), (0.8, 0.8)]
