--- a/roadlb/engine.py
+++ b/roadlb/engine.py
@@ -51,6 +51,7 @@
         self._next_id = 1
         self._open: dict[int, Exchange] = {}      # with an answer owed, or an execution still out
         self._short = False                       # of this program's own means, as the module was told
+        self._asked = self._refused = 0           # requests that came, and those refused before any execution
         self._shed = {(i, short): f"shed.{name}.{'own' if short else 'fleet'}"
                       for i, name in enumerate(class_names) for short in (False, True)}
         self.executor: Executor | None = None
@@ -72,6 +73,7 @@
         now = self._clock()
         exchange.until_us = (exchange.came_us or now) + exchange.left_us
         self._open[exchange.id] = exchange
+        self._asked += 1
         self._counters.add("taken")
         self._feed(Arrival(exchange.id, exchange.class_index, exchange.tenant, exchange.key,
                            max(1, exchange.until_us - now), exchange.work_us, exchange.is_retry), now)
@@ -102,6 +104,7 @@
             return None
         for action in actions:
             if isinstance(action, Refuse):
+                self._asked += 1
                 self._counters.add("offer.nack")
                 self._count_shed(class_index)
                 return Nack(action.retry_after_us)
@@ -112,7 +115,12 @@
         self._short = share > 0
         self._feed(Shortage(share))
 
+    def asked_and_refused(self) -> tuple[int, int]:
+        """Requests that have come so far, and how many of them were refused with nothing sent for them."""
+        return self._asked, self._refused
+
     def _count_shed(self, class_index: int) -> None:
+        self._refused += 1
         if name := self._shed.get((class_index, self._short)):
             self._counters.add(name)
 
--- a/roadlb/lab/sim/sockets.py
+++ b/roadlb/lab/sim/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import errno
 import socket
 import struct
 from typing import TYPE_CHECKING, Any
@@ -101,6 +102,8 @@
             self.end.linger_zero = LINGER.unpack(value) == (1, 0)
 
     def getsockopt(self, level: int, option: int, *_: Any) -> int:
+        if level == socket.IPPROTO_TCP and option == getattr(socket, "TCP_INFO", -1):
+            raise OSError(errno.ENOPROTOOPT, "no TCP_INFO in the simulation")
         return 0
 
     def bind(self, at: tuple[Any, ...]) -> None:
--- a/roadlb/net/client_connection.py
+++ b/roadlb/net/client_connection.py
@@ -99,9 +99,9 @@
         self._client.disconnected(self)
 
     def data_received(self, data: bytes) -> None:
-        if self.deaf:
+        if self.deaf or not self.transport:
             return
-        came = self._client.came_us()
+        came = self._client.came_us(self.transport)
         if self.exchange or self._waiting or self._held or self.stuck_us:
             self._held_us = self._held_us if self._held else came
             self._held += data
--- a/roadlb/net/service_client.py
+++ b/roadlb/net/service_client.py
@@ -70,9 +70,11 @@
     """Accepts clients' connections; `loop.create_server` takes it as the protocol factory."""
 
     def __init__(self, config: Config, engine: Engine, counters: Counters, ready: Callable[[], bool],
-                 clock: Clock, wheel: Wheel, came_us: Callable[[], int] | None = None) -> None:
+                 clock: Clock, wheel: Wheel,
+                 came_us: Callable[[asyncio.Transport], int] | None = None) -> None:
         """`ready`: is a node known?  `came_us`: when bytes read now may first have come (default: now)."""
-        self.counters, self.clock, self.came_us = counters, clock, came_us or clock
+        self.counters, self.clock = counters, clock
+        self.came_us = came_us or (lambda transport: clock())
         self._engine, self._ready, self._wheel = engine, ready, wheel
         classes = config.settings.classes
         self._classes = {c.name.encode(): i for i, c in enumerate(classes)}
