--- a/roadlb/lab/parties/clients.py
+++ b/roadlb/lab/parties/clients.py
@@ -17,7 +17,7 @@
 
 from ..model.traffic import Traffic, Wish
 from ..model.tries import TryEnd, next_try, time_left
-from ..wire import ClientGot, ClientLost, ClientSent, WireLog
+from ..wire import ClientGot, ClientLost, ClientSent, ClientWished, WireLog
 from .bodies import asked, is_right
 from .front import Front
 from .http import (
@@ -164,6 +164,8 @@
             return
         self.open_wishes += 1
         self.tallies["wish"] += 1
+        self._log.write(ClientWished(self._clock(), wish.number, self.name,
+                                     self.traffic.classes[wish.class_index].name, wish.tenant))
         self._next_wish()
         self._try(wish, 0)
 
--- a/roadlb/lab/parties/grid_node.py
+++ b/roadlb/lab/parties/grid_node.py
@@ -74,6 +74,7 @@
         self.busy: tuple[str, str] | None = None     # id and digest of the request that the model has
         self.line: deque[tuple[int, Message]] = deque()
         self.idle_since = 0
+        self.fresh = True                            # it has brought no request yet
         self.useless = False                         # after a spoilt answer
         self.last = False                            # its caller wants no more after this answer
         self.writable = True
@@ -249,7 +250,8 @@
             work_us = self.spec.probe_work_us if probe else int(work[1]) if work else 0
             self._log.write(NodeGot(
                 self.clock(), first_at, self.name, self.started_ms, link.balancer, "" if probe else id,
-                message.method, message.target, work_us))
+                message.method, message.target, work_us, link.fresh))
+            link.fresh = False
         if link.busy or link.line:
             link.line.append((self.clock(), message))
         else:
@@ -304,7 +306,7 @@
         now = self.clock()
         match action:
             case Began():
-                self._log.write(NodeRan(now, self.name, self.started_ms, action.request))
+                self._log.write(NodeRan(now, self.name, self.started_ms, action.request, action.hit))
             case Answer():
                 self._answer(now, action)
             case ProbeAnswer():
