--- a/roadlb/app.py
+++ b/roadlb/app.py
@@ -19,6 +19,7 @@
 from .net.name_table import NameTable
 from .net.service_client import ServiceClient
 from .overload.meter import Limits
+from .overload.readings import cpu_used_us
 from .own_load import OwnLoad
 from .policy.logic import Balancer
 from .wheel import Wheel
@@ -35,12 +36,15 @@
 class App:
     """One balancer: `await start()`, then `await stop()`.  Signals are the caller's, see `run`.
 
-    It takes time from `clock` (monotonic) and `wall` (Unix) alone, both in microseconds, and listens and
-    dials through the running loop alone, so that it runs on a simulated one as well.
+    It takes time from `clock` (monotonic) and `wall` (Unix) alone, its own CPU time from `cpu_us`, all in
+    microseconds, and listens and dials through the running loop alone, so that it runs on a simulated one as
+    well.
     """
 
-    def __init__(self, config: Config, clock: Clock = monotonic_us, wall: Clock = unix_us) -> None:
+    def __init__(self, config: Config, clock: Clock = monotonic_us, wall: Clock = unix_us,
+                 cpu_us: Clock = cpu_used_us) -> None:
         self.config, self.counters, self.clock, self.wall = config, Counters(), clock, wall
+        self.cpu_us = cpu_us
 
     async def start(self) -> None:
         config, counters, clock = self.config, self.counters, self.clock
@@ -55,7 +59,7 @@
         self.watch = asyncio.create_task(self.name_table.run())
         self.own_load = OwnLoad(
             clock, self.engine, Limits(config.cores, config.memory_mb, config.sockets),
-            min(c.aim_us for c in config.settings.classes), self._descriptors, self._tighten)
+            min(c.aim_us for c in config.settings.classes), self._descriptors, self._tighten, self.cpu_us)
         self.service_client = ServiceClient(config, self.engine, counters, lambda: self.name_table.filled,
                                             clock, self.wheel, self.own_load.came_us)
         self.sweeping = asyncio.create_task(self.service_client.sweep_for_ever())
--- a/roadlb/cli/lab/run.py
+++ b/roadlb/cli/lab/run.py
@@ -23,6 +23,8 @@
     def log(self) -> WireLog: ...
     @property
     def verdict(self) -> Verdict: ...
+    @property
+    def origin_us(self) -> int: ...
 
 
 @click.command()
@@ -57,7 +59,7 @@
     from ...lab.incident import rules_of
     from ...lab.report import Subject
     return Subject(incident.name, incident.title, seed, world, rehearsal.log, rehearsal.verdict,
-                   rules_of(incident))
+                   rules_of(incident), rehearsal.origin_us)
 
 
 def agreed(subjects: list[Subject], world: str) -> bool:
--- a/roadlb/counters.py
+++ b/roadlb/counters.py
@@ -22,6 +22,10 @@
     def __getitem__(self, name: str) -> int:
         return self._counts[name]
 
+    def all(self) -> dict[str, int]:
+        """All counts, in the order of their names."""
+        return dict(sorted(self._counts.items()))
+
     def print(self, reason: str, **figures: float) -> None:
         """One log line with all counts, and these figures, in the order of their names."""
         values = sorted({**self._counts, **figures}.items())
--- a/roadlb/lab/model/shapes.py
+++ b/roadlb/lab/model/shapes.py
@@ -46,6 +46,24 @@
         return self.per_s * (1 + self.swing * math.sin(2 * math.pi * (at - self.from_us) / self.period_us))
 
 
+@dataclass(slots=True, frozen=True)
+class Swung:
+    """Another shape that goes up and down by `swing` of it, once in a period."""
+
+    base: Shape
+    swing: float
+    period_us: int
+    from_us: int = 0
+
+    @property
+    def most(self) -> float:
+        return self.base.most * (1 + self.swing)
+
+    def rate(self, at: int) -> float:
+        turn = 2 * math.pi * (at - self.from_us) / self.period_us
+        return self.base.rate(at) * (1 + self.swing * math.sin(turn))
+
+
 @dataclass(slots=True, frozen=True)
 class Burst:
     """Another shape, with `times` as many wishes from `from_us` on for `length_us`."""
--- a/roadlb/lab/parties/discovery.py
+++ b/roadlb/lab/parties/discovery.py
@@ -208,6 +208,9 @@
         self._counted: dict[str, Entry] = {}                 # what counts as told: that, or overdue
         self._told_generation = 0
         self._asked: list[tuple[_Watcher, Message]] = []     # while silent
+        self._unsaid: list[tuple[int, tuple[Entry, ...]]] = []     # would count as told, but for the silence
+        # What the balancer's list was from which time on: a process may come back with an old one.
+        self._past: deque[tuple[int, int, tuple[Entry, ...]]] = deque(maxlen=HISTORY)
 
     # Its life
 
@@ -217,10 +220,10 @@
         self._servers.append(server)
         self.address = (listen[0], server.sockets[0].getsockname()[1])
 
-    async def move(self, listen: Address) -> None:
+    async def move(self, listen: Address, closes_s: float = MOVE_S) -> None:
         """Answer elsewhere from now on.
 
-        The old address takes no more connections and ends the open ones a little later; the caller has the
+        The old address takes no more connections and ends the open ones after `closes_s`; the caller has the
         balancer read its configuration again, with the new `address`.
         """
         old, left = self._servers, list(self.links)
@@ -230,7 +233,7 @@
         for server in old:
             server.close()
         for link in left:
-            loop.call_later(MOVE_S, link.transport.close)
+            loop.call_later(closes_s, link.transport.close)
         loop.call_later(self.figures.told_after_move_us / 1e6, self._counts_as_told, self._generation,
                         tuple(self._list.values()))
 
@@ -245,6 +248,10 @@
         self.silent = silent
         if silent:
             return
+        unsaid, self._unsaid = self._unsaid, []
+        for generation, changes in unsaid:
+            asyncio.get_running_loop().call_later(
+                self.figures.told_us / 1e6, self._counts_as_told, generation, changes)
         asked, self._asked = self._asked, []
         for link, message in asked:
             if link in self.links:
@@ -271,9 +278,16 @@
         self._mark(self._generation, tuple(self._list.values()), whole=True)
         return self.known()
 
-    def restarted(self) -> dict[str, object]:
-        """The `known` of the balancer's next process, which is told that, and of the rest nothing yet."""
+    def restarted(self, held_at: int | None = None) -> dict[str, object]:
+        """The `known` of the balancer's next process, which is told that, and of the rest nothing yet.
+
+        It is what the balancer held last, or at the time `held_at`.
+        """
         self.absent = False
+        if held_at is not None and self._past:
+            _, self._told_generation, entries = next(
+                (past for past in reversed(self._past) if past[0] <= held_at), self._past[0])
+            self._told = {entry.name: entry for entry in entries}
         self._counted.clear()
         for entry in self._told.values():
             self._count(self._told_generation, entry)
@@ -306,6 +320,7 @@
                 self._told[entry.name] = entry
             self._count(generation, entry)
         self._told_generation = generation
+        self._past.append((self._clock(), generation, tuple(self._told.values())))
 
     def _count(self, generation: int, entry: Entry) -> None:
         """It counts as told from now on, if it did not already."""
@@ -320,7 +335,13 @@
                                  entry.lifecycle, generation))
 
     def _counts_as_told(self, generation: int, changes: tuple[Entry, ...]) -> None:
-        """Time is up: these count as told, arrived or not, unless something newer is known of them."""
+        """Time is up: these count as told, arrived or not, unless something newer is known of them.
+
+        What an agent could not say because discovery was silent waits for the end of that, and as long again.
+        """
+        if self.silent:
+            self._unsaid.append((generation, changes))
+            return
         for entry in changes:
             if not self.absent and self._list.get(entry.name, replace(entry, lifecycle=REMOVED)) == entry:
                 self._count(generation, entry)
--- /dev/null
+++ b/roadlb/lab/run/settings.py
@@ -0,0 +1,57 @@
+"""What a balancer of the rehearsal finds in its configuration, in the platform's words."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+from ..incident import Incident, micro
+from ..incident.targets import balancers_at_start
+from ..parties.discovery import Address
+
+MAX_OPEN = 20_000
+
+
+def settings_of(incident: Incident, me: int, hall: str) -> dict[str, Any]:
+    """For balancer number `me`."""
+    traffic, rules, prices, told = incident.traffic, incident.rules, incident.prices, incident.balancers
+    halls = incident.network.halls
+    return {
+        "me": me, "instances": len(balancers_at_start(incident)), "az": halls.index(hall), "dcs": list(halls),
+        "machine_types": [kind.name for kind in incident.fleet.machines], "discovery": "pushed",
+        "weight_source": "rough", "counted_by": "request", "over_share_worth": traffic.over_share_worth,
+        "domain": {"warm_keys": True},
+        "classes": [{
+            "name": row.name, "promise_us": micro(row.aim_s), "deadline_us": micro(row.deadline_s),
+            "value": row.worth, "late_worth": row.late_share, "stream": False,
+            "effect": "idempotent" if row.repeatable else "at_most_once"} for row in traffic.classes],
+        "tenants": [{"name": row.name, "share": row.share, "quota_per_s": traffic.quota_per_s * row.share}
+                    for row in traffic.tenants],
+        "limits": {
+            "cancelling": True, "second_copies": rules.second_copies, "probes": True, "peers": False,
+            "retry_after": True, "max_attempts": rules.max_attempts,
+            "max_retry_after_us": micro(traffic.clients.max_retry_after_s),
+            "conn_idle_us": micro(incident.fleet.idle_s), "max_open": MAX_OPEN,
+            "dial_timeout_us": round(told.dial_timeout_ms * 1_000)},
+        "report": {"source": "inline", "fields": ["fail_rate", "q"]},
+        "costs": {"cross_zone": prices.cross_hall / 100, "probe": prices.probe / 100,
+                  "waste": prices.waste / 100, "late_fail": prices.late_fail / 100,
+                  "handshake": prices.handshake / 100},
+        "invariants": {
+            "cold_from": rules.cold_from, "cold_us": micro(rules.cold_s),
+            "fall_multiple": rules.fall_multiple, "fall_us": micro(rules.fall_s),
+            "drain_grace_us": micro(rules.drain_grace_s)}}
+
+
+def configuration(incident: Incident, me: int, name: str, hall: str, rng: Random,
+                  listen: Address) -> dict[str, Any]:
+    """All but `discovery` and `known`, which a start fills in."""
+    told = incident.balancers
+    return {
+        "name": name, "listen": text(listen), "seed": f"{rng.getrandbits(64):x}",
+        "limits": {"cores": told.cores, "memory_mb": told.memory_mb, "sockets": told.sockets},
+        "settings": settings_of(incident, me, hall)}
+
+
+def text(address: Address) -> str:
+    return f"{address[0]}:{address[1]}"
--- a/roadlb/lab/sim/route.py
+++ b/roadlb/lab/sim/route.py
@@ -20,8 +20,9 @@
     """One direction between two halls.  All of it may be changed while running.
 
     A segment takes `delay_us` and between 0 and `jitter_us` more, and what is needed for its bytes at
-    `bytes_per_s` (0: no limit), which all streams of the link share.  `split`: the chance that a segment
-    is cut at a random place, and again for what is left of it; the parts never arrive at one instant.
+    `bytes_per_s` (0: no limit), which all streams of the link share.  `segment_bytes`: the most in one segment
+    (0: no limit).  `split`: the chance that a segment is cut at a random place, and again for what is left of
+    it.  The parts never arrive at one instant.
     `lose`: the chance that a segment or datagram is lost; TCP sends it again after 0.2 s, and what came
     behind it waits.  With jitter, datagrams overtake one another; `repeat`, `cut_short`: the chance that one
     comes twice, or without its end.
@@ -30,6 +31,7 @@
     delay_us: int = 250
     jitter_us: int = 0
     bytes_per_s: int = 0
+    segment_bytes: int = 0
     split: float = 0.0
     lose: float = 0.0
     repeat: float = 0.0
@@ -69,14 +71,19 @@
         return self.link.lose > 0 and self.rng.random() < self.link.lose
 
     def parts(self, data: bytes) -> list[bytes]:
-        """A segment as it is cut on its way."""
-        parts, chance, rng = [], self.link.split, self.rng
-        while len(data) > 1 and rng.random() < chance:
-            at = rng.randrange(1, len(data))
-            parts.append(data[:at])
-            data = data[at:]
-        parts.append(data)
-        return parts
+        """What is written at once, as it is cut on its way."""
+        chance, most = self.link.split, self.link.segment_bytes or len(data)
+        parts, rng = [data[at:at + most] for at in range(0, len(data), most)], self.rng
+        if not chance:
+            return parts
+        pieces = []
+        for part in parts:
+            while len(part) > 1 and rng.random() < chance:
+                at = rng.randrange(1, len(part))
+                pieces.append(part[:at])
+                part = part[at:]
+            pieces.append(part)
+        return pieces
 
     def carry(self, event: Callable[[], None]) -> None:
         """Have a small message of the kernel's arrive: `event` runs in a delay's time, or after silence."""
--- a/roadlb/lab/sim/tcp.py
+++ b/roadlb/lab/sim/tcp.py
@@ -49,7 +49,8 @@
 
     def send(self, kind: Kind, data: bytes = b"") -> None:
         route = self.route
-        if data and route.link.split:
+        link = route.link
+        if data and (link.split or 0 < link.segment_bytes < len(data)):
             for part in route.parts(data):
                 self._send(kind, part)
                 self._last_us += 1          # so that the parts are read apart
