--- a/roadlb/lab/load/play.py
+++ b/roadlb/lab/load/play.py
@@ -9,11 +9,12 @@
 from random import Random
 
 from ...clock import Clock, monotonic_us
-from ..incident import schema
+from ..incident import Incident, micro, schema
+from ..model.shapes import Part, Schedule, Shape, Steady, Swung
 from ..model.traffic import Traffic, Wish
 from ..parties.clients import Clients
 from ..parties.front import Front
-from .drawn import classes_of, habits_of, keys_of, shape_of, tenants_of
+from ..run.drawn import draw
 from .loopback import loopback_address
 from .result import Counts, LoadResult
 
@@ -58,19 +59,25 @@
     another machine, and NoAnswer if nothing healthy is there.  The balancer's grid must be the lab's: what is
     served is told from what is not by the bodies of its nodes.
     """
-    address, rng = loopback_address(url), Random(f"load {seed}")
+    address = loopback_address(url)
+
+    def random(name: str) -> Random:
+        return Random(f"{seed}/load/{name}")
     ends = [*(edge for edge in edges if 0 < edge < seconds), seconds]
     counts = Counts(list(zip([0.0, *ends], ends, strict=False)))
-    front = Front(counts, clock, rng)
+    front = Front(counts, clock, random("front"))
     front.place(BALANCER, HALL, address)
     try:
         await _ready(front, url)
         start_us = clock() + int(LEAD_S * 1e6)
         counts.began_at = start_us
-        wishes = Paced(shape_of(traffic, start_us), classes_of(traffic, rng), tenants_of(traffic, rng),
-                       keys_of(traffic, rng), habits_of(traffic, rng), rng, from_us=start_us)
+        drawn = draw(Incident(name="load", title="load", traffic=traffic), random)
+        shape = shape_of(traffic, start_us)
+        wishes = Paced(shape, drawn.classes, drawn.tenants, drawn.keys, drawn.habits, random("wishes"),
+                       start_us)
+        wishes.shape = Part(shape, wishes.usage)
         wishes.watch(counts, clock)
-        clients = Clients(HALL, HALL, wishes, front, counts, clock, rng, connections)
+        clients = Clients(HALL, HALL, wishes, front, counts, clock, random("clients"), connections)
         clients.latency = counts.watch(clients.latency)
         cpu_s = _cpu_s()
         clients.start()
@@ -84,6 +91,16 @@
         front.stop()
 
 
+def shape_of(traffic: schema.Traffic, start_us: int) -> Shape:
+    """First tries a second, if every customer sends its share."""
+    base: Shape = Steady(traffic.rate)
+    if traffic.rates:
+        base = Schedule(tuple((start_us + micro(point.at_s), point.per_s) for point in traffic.rates))
+    if traffic.shape == "wave":
+        base = Swung(base, traffic.swing, micro(traffic.period_s), start_us)
+    return base
+
+
 async def _ready(front: Front, url: str) -> None:
     try:
         async with asyncio.timeout(READY_WITHIN_S):
