./dev run shows three balancers before the lab's grid; the toy grid and the demo go

It now plays the lab's grid with its traffic, an incident if one is named, and a table of nodes, balancers and violations once a second; ids that begin with eight zeros are a person's, and no smuggled requests.

--- a/roadlb/cli/lab/grid.py
+++ b/roadlb/cli/lab/grid.py
@@ -58,5 +58,5 @@
     if not console.is_terminal:
         yield say, lambda picture: say(line(picture))
         return
-    with Live(console=console, auto_refresh=False, vertical_overflow="visible") as live:
+    with Live(console=console, auto_refresh=False) as live:
         yield say, lambda picture: live.update(tables(picture), refresh=True)
--- a/roadlb/lab/grid/picture.py
+++ b/roadlb/lab/grid/picture.py
@@ -48,4 +48,3 @@
     violations: Mapping[str, int]       # so far, by rule
     worst: str                  # the latest violation in words
     lagged_s: float             # for so long this machine was too busy, so far
-    notes: tuple[str, ...]      # the latest steps
--- a/roadlb/lab/grid/table.py
+++ b/roadlb/lab/grid/table.py
@@ -19,16 +19,13 @@
 
 
 def tables(picture: Picture) -> RenderableType:
-    """Everything, some lines more than there are nodes and balancers."""
-    parts: list[RenderableType] = [head(picture)]
-    parts += [Text(note, style="yellow") for note in picture.notes]
-    parts += [Text(), _table(NODE_HEADS, map(node_row, picture.nodes))]
-    if picture.balancers:
-        parts += [Text(), _table(BALANCER_HEADS, map(balancer_row, picture.balancers))]
-    parts += [Text(), broken(picture)]
+    """Everything; what a small terminal has no room for are the last nodes."""
+    parts: list[RenderableType] = [head(picture), broken(picture)]
     if picture.worst:
         parts.append(Text(picture.worst, style="red", overflow="ellipsis", no_wrap=True))
-    return Group(*parts)
+    if picture.balancers:
+        parts += [Text(), _table(BALANCER_HEADS, map(balancer_row, picture.balancers))]
+    return Group(*parts, Text(), _table(NODE_HEADS, map(node_row, picture.nodes)))
 
 
 def head(picture: Picture) -> Text:
@@ -42,7 +39,7 @@
         told.append(f"{fallen} fallen")
     if picture.lagged_s:
         told.append(f"held up {picture.lagged_s:.1f} s")
-    return Text.assemble((picture.title, "bold"), "   ", "   ".join(told))
+    return Text.assemble("   ".join(told), "   ", (picture.title, "bold"), overflow="ellipsis", no_wrap=True)
 
 
 def broken(picture: Picture) -> Text:
--- a/roadlb/lab/grid/watch.py
+++ b/roadlb/lab/grid/watch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
@@ -12,10 +12,9 @@
 from ..judge.rules import ClassRule
 from ..wire import (
     BalancerState, ClientGot, ClientLost, ClientSent, ClientWished, NodeFell, NodeGot, NodeStarted, NodeState,
-    Note, WireEvent, WireLog)
+    WireEvent, WireLog)
 from .picture import BalancerRow, NodeRow, Picture
 
-NOTES = 4                           # of the latest steps that are shown
 GONE_SHOWN_US = 10_000_000          # a node that is gone stays in the picture for so long
 REFUSALS = (429, 503)
 # Requests that a person sends by hand beside the lab's clients: no client sent them, and the judge would
@@ -88,13 +87,12 @@
         self._nodes: dict[tuple[str, int], _Node] = {}
         self._balancers: dict[str, _Balancer] = {}
         self._open: dict[str, ClientSent] = {}
-        self._notes: deque[str] = deque(maxlen=NOTES)
         self._wished = 0
         self.origin_us = self._since = now
         self._seen: dict[type[Any], Callable[[Any], None]] = {
             ClientWished: self._due, ClientSent: self._sent, ClientGot: self._got, ClientLost: self._lost,
             NodeStarted: self._started, NodeGot: self._came, NodeFell: self._fell,
-            NodeState: self._node_state, BalancerState: self._balancer_state, Note: self._note}
+            NodeState: self._node_state, BalancerState: self._balancer_state}
 
     def see(self, event: WireEvent) -> None:
         if getattr(event, "request", "").startswith(BY_HAND):
@@ -159,9 +157,6 @@
             if how == "served":
                 balancer.served += rule.worth * (1.0 if took <= rule.aim_us else rule.late_share)
 
-    def _note(self, event: Note) -> None:
-        self._notes.append(f"{(event.at - self.origin_us) / 1e6:.1f} s  {event.text}")
-
     # What it makes
 
     def picture(self, now: int, inside: Callable[[str], Inside | None]) -> Picture:
@@ -181,7 +176,7 @@
                   for name, b in self._balancers.items()),
             self._wished / span_s, verdict.worth.service if self._traffic else None,
             {rule.value: count for rule, count in verdict.counts.items()}, latest.text if latest else "",
-            verdict.figures.lagged_s, tuple(self._notes))
+            verdict.figures.lagged_s)
         for node in self._nodes.values():
             node.got = 0
         for balancer in self._balancers.values():
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -118,12 +118,23 @@
 
 
 def test_grid_plays_a_file_or_a_calm_day(monkeypatch: pytest.MonkeyPatch) -> None:
-    async def grid(incident: Incident, seed: int, say: Any) -> None:
-        say(f"{incident.name} {seed}")
+    class NotReady(Exception):
+        pass
 
-    give(monkeypatch, "roadlb.lab.grid", grid=grid)
-    assert call("lab", "grid").stdout == "grid 1\n"
-    assert call("lab", "grid", CALM, "--seed", "5").stdout == "calm 5\n"
+    async def grid(incident: Incident, seed: int, say: Any, *, show: Any, **asked: Any) -> Any:
+        if asked["balancers"] > 2:
+            raise NotReady("balancer-1 does not serve")
+        say(f"{incident.name} {seed} {' '.join(str(value) for value in asked.values())}")
+        show("picture")
+        return SimpleNamespace(violations={"crash": 1} if asked["traffic"] else {"lost": 1})
+
+    give(monkeypatch, "roadlb.lab.grid", grid=grid, NotReady=NotReady, line=str, tables=str)
+    assert call("lab", "grid").stdout == "grid 1 0 False None None\npicture\n"
+    result = call("lab", "grid", CALM, "--seed", "5", "--balancers", "2", "--traffic", "--config", "x.json",
+                  "--seconds", "3")
+    assert (result.stdout, result.exit_code) == ("calm 5 2 True x.json 3.0\npicture\n", 1)    # one crashed
+    result = call("lab", "grid", "--balancers", "3")
+    assert (result.stderr, result.exit_code) == ("Error: balancer-1 does not serve\n", 1)
 
 
 def test_what_is_not_there_is_told_with_its_remedy(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/house/test_commands.py
+++ b/tests/house/test_commands.py
@@ -5,7 +5,6 @@
 import ast
 import os
 import re
-import shlex
 import shutil
 import signal
 import subprocess
@@ -27,7 +26,7 @@
 case "$*" in *sys.version_info*) test ! -e FAIL-version; exit;; -V) exit;; esac
 echo "${0##*/} $*" >> notes
 case "$*" in *"-m venv"*) mkdir -p .venv-dev/bin
-    for name in python ruff mypy lint-imports pytest; do cp "$0" .venv-dev/bin/$name; done;; esac
+    for name in python ruff mypy lint-imports pytest roadlb; do cp "$0" .venv-dev/bin/$name; done;; esac
 test ! -e "FAIL-${0##*/}"
 """
 MADE = ["python3 -m venv .venv-dev", "python -m pip --disable-pip-version-check install -e .[dev]"]
@@ -56,9 +55,15 @@
         (at / "pyproject.toml").write_text("[project]\n")
 
     def check(self, *arguments: str) -> tuple[int, list[str]]:
+        return self.call("check", *arguments)
+
+    def run(self, *arguments: str) -> tuple[int, list[str]]:
+        return self.call("run", *arguments)
+
+    def call(self, *arguments: str) -> tuple[int, list[str]]:
         (self.at / "notes").write_text("")
         path = f"{self.at / 'bin'}:{os.environ['PATH']}"
-        done = subprocess.run(["./dev", "check", *arguments], cwd=self.at, timeout=60, check=False,
+        done = subprocess.run(["./dev", *arguments], cwd=self.at, timeout=60, check=False,
                               env={"PATH": path}, capture_output=True, text=True)
         self.said = done.stdout + done.stderr
         return done.returncode, [line.strip() for line in (self.at / "notes").read_text().splitlines()]
@@ -133,22 +138,37 @@
                 if not any(canonicalize_name(home) in pinned for home in homes.get(package, ()))}
 
 
-def test_two_demos_at_once_serve_and_end_with_ctrl_c() -> None:
-    demos = [subprocess.Popen([sys.executable, "examples/demo.py"], cwd=ROOT, stdout=subprocess.PIPE,
-                              stderr=subprocess.PIPE, text=True) for _ in range(2)]
-    for demo in demos:
-        assert demo.stdout
-        while not (line := demo.stdout.readline()).startswith("ask it"):
-            assert demo.poll() is None, "ended before it served"
-        _, _, *words = shlex.split(line)
+def test_run_starts_the_grid_with_balancers_and_traffic_and_finds_an_incident_by_name(tmp_path: Path) -> None:
+    here = Checkout(tmp_path)
+    (tmp_path / "examples" / "incidents").mkdir(parents=True)
+    (tmp_path / "examples" / "incidents" / "shrink.toml").touch()
+    wanted = "roadlb lab grid --balancers 3 --traffic"
+    assert here.run() == (0, [*MADE, wanted])
+    assert here.run("shrink", "--seed", "2") == (0, [f"{wanted} examples/incidents/shrink.toml --seed 2"])
+    assert here.run("own.toml") == (0, [f"{wanted} own.toml"])
+
+
+def test_two_grids_at_once_serve_and_end_with_ctrl_c_and_with_sigterm() -> None:
+    """As `./dev run` starts them, on a pipe; the printed curl line is asked as a shell reads it."""
+    command = [sys.executable, "-m", "roadlb.cli.main", "lab", "grid", "--balancers", "2", "--traffic"]
+    grids = [subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+             for _ in range(2)]
+    for grid in grids:
+        assert grid.stdout
+        while not (line := grid.stdout.readline()).startswith("ask it"):
+            assert line or grid.poll() is None, "ended before it served"
+        shell = f"printf '%s\\n' {line.removeprefix('ask it').strip()}"
+        words = subprocess.run(["sh", "-c", shell], check=True, capture_output=True,
+                               text=True).stdout.splitlines()
+        assert words[0] == "curl"
         headers = dict(words[i + 1].split(": ") for i, word in enumerate(words) if word == "-H")
         with urllib.request.urlopen(urllib.request.Request(words[-1], headers=headers), timeout=30) as answer:
-            assert answer.status == 200
-        while not (line := demo.stdout.readline()).split()[:1] == ["1"]:
-            assert demo.poll() is None, "ended before its first line of figures"
-        assert int(line.split()[1]) > 0
-    for demo in demos:
-        demo.send_signal(signal.SIGINT)
-    for demo in demos:
-        _, errors = demo.communicate(timeout=60)
-        assert demo.returncode == 0 and "reason=exit" in errors and "Traceback" not in errors, errors
+            assert answer.status == 200 and answer.read().startswith(headers["X-Correlation-Id"].encode())
+        while not (found := re.search(r" served (\d+) ", line := grid.stdout.readline())):
+            assert line or grid.poll() is None, "ended before its first line of figures"
+        assert int(found[1]) > 0 and "smuggled" not in line
+    for grid, number in zip(grids, (signal.SIGINT, signal.SIGTERM), strict=True):
+        grid.send_signal(number)
+    for grid in grids:
+        _, errors = grid.communicate(timeout=60)
+        assert (grid.returncode, errors) == (0, "")
--- a/tests/lab/load/test_load.py
+++ b/tests/lab/load/test_load.py
@@ -7,29 +7,22 @@
 import re
 from collections.abc import Mapping
 from contextlib import asynccontextmanager
-from random import Random
 from typing import Any
 
 import pytest
 import uvloop
 from click.testing import CliRunner
 from msgspec.structs import replace
+from one_node import balancer
 
-from roadlb.app import App
 from roadlb.cli.commands import roadlb
-from roadlb.clock import monotonic_us, unix_us
-from roadlb.config import read_config
 from roadlb.lab.incident.schema import Clients, RequestClass, Traffic
 from roadlb.lab.incident.values import Range
 from roadlb.lab.load import LoadResult, NoAnswer, NotLoopback, load, loopback_address, play
 from roadlb.lab.load.result import Counts
-from roadlb.lab.model.spec import NodeSpec
 from roadlb.lab.parties.bodies import answer_body, asked
-from roadlb.lab.parties.discovery import Agent, DiscoveryFigures, Entry, Registry
-from roadlb.lab.parties.grid_node import GridNode
 from roadlb.lab.parties.http import Message, RequestReader, write_answer
 from roadlb.lab.parties.world import Figures
-from roadlb.lab.wire import WireLog
 
 # Nobody gives up before a busy machine has come round to it.
 PATIENT = Traffic(
@@ -44,30 +37,6 @@
     pass
 
 
-@asynccontextmanager
-async def balancer():
-    """The real program before one big warm node; gives its URL."""
-    figures, log, here = DiscoveryFigures(), WireLog(), ("127.0.0.1", 0)
-    node = GridNode("g1", NodeSpec(cores=32, slots=32), Random(1), log, monotonic_us,
-                    lambda: unix_us() // 1000, warm=True)
-    registry, agent = Registry(figures, Random(2)), Agent("n1", figures, log, monotonic_us)
-    await node.start({"n1": here})
-    await agent.start(here)
-    registry.begin([Entry("g1", node.addresses, "hall-a", "new-2c", weight=32.0)])
-    registry.attach(agent)
-    settings = Figures().settings(0, "hall-a", per_s=5_000)
-    app = App(read_config({
-        "name": "n1", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{agent.address[1]}",
-        "known": agent.preload(), "settings": settings}, {}))
-    await app.start()
-    try:
-        yield f"http://127.0.0.1:{app.port}"
-    finally:
-        await app.stop(linger_s=0)
-        node.stop()
-        agent.stop()
-
-
 class Scripted(asyncio.Protocol):
     """Healthy, and answers the n-th request, over all connections, as `answer` says."""
 
@@ -113,8 +82,9 @@
     said: list[tuple[float, Mapping[str, float]]] = []
 
     async def run() -> LoadResult:
-        async with balancer() as url:
-            return await load(url, PATIENT, 1.2, lambda second, figures: said.append((second, figures)),
+        raw = {"name": "n1", "settings": Figures().settings(0, "hall-a", per_s=5_000)}
+        async with balancer(raw) as here:
+            return await load(here.url, PATIENT, 1.2, lambda second, figures: said.append((second, figures)),
                               edges=[0.5])
     result = uvloop.run(run())
     counts = result.counts
