--- a/roadlb/lab/grid/live.py
+++ b/roadlb/lab/grid/live.py
@@ -121,6 +121,7 @@
                 gc.freeze()         # what the imports left behind need not be looked at again and again
                 await self._run(ended, seconds, show)
         finally:
+            gc.unfreeze()
             await self._end()
         return self._picture()
 
