--- /dev/null
+++ b/benchmarks/lab.py
@@ -0,0 +1,174 @@
+"""The rehearsal lab itself: many seeds of every shipped incident, its speed, and its two worlds side by side.
+
+    python benchmarks/lab.py sweep --seeds 200 --out sweep.jsonl --for-s 140     again and again, until all is done
+    python benchmarks/lab.py pace                                               a day of the whole program
+    python benchmarks/lab.py worlds examples/incidents/rolling-deploy.toml      simulated and real time
+
+`sweep` adds a line to its file for each run, and leaves out the runs that the file has for the same code and
+incident.  Its exit code is 1 if a rule was broken or the program logged an error.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import time
+from collections import Counter, defaultdict
+from concurrent.futures import FIRST_COMPLETED, Future, ProcessPoolExecutor, wait
+from hashlib import blake2b
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+from rich.console import Console
+from rich.progress import Progress
+
+from roadlb.lab.incident import load
+from roadlb.lab.report.tables import table
+from roadlb.lab.run import rehearse
+
+ROOT = Path(__file__).parent.parent
+INCIDENTS = sorted((ROOT / "examples" / "incidents").glob("*.toml"))
+TOLD = 5                # violations of a run that are kept in full
+DAY_S = 45.0
+
+
+@click.group()
+def main() -> None:
+    """Measure the rehearsal lab."""
+
+
+# Many seeds
+
+def code_of(file: Path) -> str:
+    """Changes with the program, the lab and the incident: older results of it do not count."""
+    total = blake2b(file.read_bytes(), digest_size=6)
+    for source in sorted((ROOT / "roadlb").rglob("*.py")):
+        total.update(source.read_bytes())
+    return total.hexdigest()
+
+
+def one_run(file: str, seed: int, code: str) -> dict[str, Any]:
+    incident = load(file)
+    rehearsal = rehearse(incident, seed)
+    verdict, told, figures = rehearsal.verdict, rehearsal.verdict.figures, rehearsal.figures
+    return {
+        "incident": incident.name, "seed": seed, "code": code, "took_s": round(figures["took_s"], 2),
+        "lasted_s": incident.duration_s, "broken": {rule.value: n for rule, n in verdict.counts.items()},
+        "violations": [f"{(one.at - rehearsal.origin_us) / 1e6:.3f} {one.rule.value}: {one.text}"
+                       for one in verdict.violations[:TOLD]],
+        "errors": [*figures["program_errors"], *figures["faults"]][:TOLD],
+        "unpaid": figures["rude_unpaid"], "service": verdict.worth.service, "whole": verdict.worth.whole,
+        "worst_window": verdict.worth.worst_window, "wishes": told.wishes, "tries": told.tries,
+        "in_time": told.in_time, "unanswered": told.unanswered, "refused": told.refused,
+        "failed": told.failed, "ran_twice": told.ran_twice, "fell": list(told.fallen)}
+
+
+def done_in(out: Path) -> list[dict[str, Any]]:
+    return [json.loads(line) for line in out.read_text().splitlines()] if out.exists() else []
+
+
+@main.command()
+@click.option("--seeds", default=200, show_default=True)
+@click.option("--first", default=1, show_default=True, help="Of the seeds.")
+@click.option("--out", type=click.Path(path_type=Path), default=Path("sweep.jsonl"), show_default=True)
+@click.option("--jobs", default=os.cpu_count() or 1, show_default=True, help="Processes at once.")
+@click.option("--for-s", default=1e9, help="Begin no run after so long.")
+@click.option("--only", multiple=True, help="Names of incidents.")
+def sweep(seeds: int, first: int, out: Path, jobs: int, for_s: float, only: tuple[str, ...]) -> None:
+    """Play every shipped incident with many seeds in the simulated world."""
+    files = [file for file in INCIDENTS if not only or file.stem in only]
+    codes = {file.stem: code_of(file) for file in files}
+    done = {(line["incident"], line["seed"]) for line in done_in(out)
+            if line["code"] == codes.get(line["incident"])}
+    wanted = [(file, seed) for seed in range(first, first + seeds) for file in files]
+    todo = [(file, seed) for file, seed in wanted if (file.stem, seed) not in done]
+    until, running = time.monotonic() + for_s, set[Future[dict[str, Any]]]()
+    with Progress(console=Console(stderr=True)) as bar, ProcessPoolExecutor(jobs) as pool, out.open("a") as lines:
+        task = bar.add_task("rehearsals", total=len(wanted), completed=len(wanted) - len(todo))
+        while todo or running:
+            while todo and len(running) < jobs and time.monotonic() < until:
+                file, seed = todo.pop(0)
+                running.add(pool.submit(one_run, str(file), seed, codes[file.stem]))
+            if not running:
+                break
+            ended, running = wait(running, return_when=FIRST_COMPLETED)
+            for future in ended:
+                lines.write(json.dumps(future.result()) + "\n")
+                lines.flush()
+                bar.advance(task)
+    results = [line for line in done_in(out) if line["code"] == codes.get(line["incident"])]
+    if not report(results):
+        raise SystemExit(1)
+
+
+def report(results: list[dict[str, Any]]) -> bool:
+    """A line for each incident; whether no rule was broken."""
+    by_name: dict[str, list[dict[str, Any]]] = defaultdict(list)
+    for line in results:
+        by_name[line["incident"]].append(line)
+    broken: Counter[str] = Counter()
+    rows = []
+    for name, runs in sorted(by_name.items()):
+        whole, bad = sorted(run["whole"] for run in runs), [
+            run for run in runs if run["broken"] or run["errors"] or run["unpaid"]]
+        for run in runs:
+            broken.update(run["broken"])
+            broken["program's errors"] += len(run["errors"])
+            broken["rude clients unpaid"] += sum(run["unpaid"].values())
+        refused = sum(run["refused"] for run in runs) / max(1, sum(run["tries"] for run in runs))
+        rows.append((name, len(runs), len(bad), f"{whole[0]:.1%}", f"{whole[len(whole) // 2]:.1%}",
+                     f"{whole[-1]:.1%}", f"{refused:.2%}", sum(len(run["fell"]) for run in runs),
+                     f"{sum(run['took_s'] for run in runs) / sum(run['lasted_s'] for run in runs):.2f}"))
+    Console(width=140).print(table(
+        ("incident", "runs", "faulty", "worst whole", "median", "best", "refused", "fell", "s a second"),
+        [tuple(map(str, row)) for row in rows]))
+    for what, count in broken.items():
+        if count:
+            print(f"{what}: {count}")
+    return not any(broken.values())
+
+
+# Speed
+
+@main.command()
+@click.option("--rate", default=390.0, show_default=True)
+@click.option("--profile/--no-profile", default=True)
+def pace(rate: float, profile: bool) -> None:
+    """A day of the whole program: 3 balancers, 12 nodes; how long it takes, and where the time goes."""
+    import cProfile
+    import pstats
+    calm = load(str(ROOT / "examples" / "incidents" / "calm.toml"))
+    day = msgspec.structs.replace(
+        calm, duration_s=DAY_S, fleet=msgspec.structs.replace(calm.fleet, nodes=12),
+        traffic=msgspec.structs.replace(calm.traffic, rate=rate, shape="steady"))
+    began = time.process_time()
+    rehearsal = rehearse(day, 1)
+    took, told = time.process_time() - began, rehearsal.verdict.figures
+    print(f"{DAY_S:g} s at {rate:g}/s took {took:.1f} s of CPU, {took / DAY_S:.2f} of its length; "
+          f"{took / told.wishes * 1e3:.2f} ms a wish, {len(rehearsal.log) / told.wishes:.1f} wire events and "
+          f"{rehearsal.figures['segments'] / told.wishes:.1f} segments each")
+    if not profile:
+        return
+    profiler = cProfile.Profile()
+    profiler.runcall(rehearse, msgspec.structs.replace(day, duration_s=DAY_S / 4), 1)
+    parts: Counter[str] = Counter()
+    for (file, _, name), (_, _, own, _, _) in pstats.Stats(profiler).stats.items():      # type: ignore[attr-defined]
+        parts[part_of(file, name)] += own
+    for part, own in parts.most_common(16):
+        print(f"  {own / parts.total():6.1%}  {part}")
+
+
+def part_of(file: str, name: str) -> str:
+    try:
+        path = Path(file).relative_to(ROOT / "roadlb")
+    except ValueError:
+        return "interpreter" if file == "~" else "libraries"
+    if path.parts[0] != "lab":
+        return f"the program: {path.parts[0]}"
+    return f"the lab: {path.parts[1]}"
+
+
+if __name__ == "__main__":
+    main()
--- a/roadlb/lab/wire.py
+++ b/roadlb/lab/wire.py
@@ -218,5 +218,5 @@
         """One SHA-256 over all events in order: two runs that differ anywhere differ here."""
         total = sha256()
         for event in self._events:
-            total.update(repr(event).encode())      # tells the class and all fields; an eighth of JSON's time
+            total.update(repr(event).encode())      # tells the class and all fields; JSON takes 15 times as long
         return total.hexdigest()
