--- a/roadlb/lab/load/play.py
+++ b/roadlb/lab/load/play.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import resource
 from collections.abc import Callable, Mapping, Sequence
 from math import ceil
@@ -69,6 +70,10 @@
     front.place(BALANCER, HALL, address)
     try:
         await _ready(front, url)
+        # Full collections need not look at what the imports left behind: at 4,000 wishes a second the tool was
+        # 34 ms late with that (p99), and 8 ms without.
+        gc.collect()
+        gc.freeze()
         start_us = clock() + int(LEAD_S * 1e6)
         counts.began_at = start_us
         drawn = draw(Incident(name="load", title="load", traffic=traffic), random)
@@ -88,6 +93,7 @@
         took_s = (clock() - start_us) / 1e6
         return LoadResult(url, counts.stairs, counts.late, _cpu_s() - cpu_s, took_s)
     finally:
+        gc.unfreeze()
         front.stop()
 
 
