--- a/roadlb/lab/load/play.py
+++ b/roadlb/lab/load/play.py
@@ -70,7 +70,7 @@
     front.place(BALANCER, HALL, address)
     try:
         await _ready(front, url)
-        # Full collections need not look at what the imports left behind: at 4,000 wishes a second the tool was
+        # Full collections need not look at what the imports left behind: at 4,000 wishes a second it ran
         # 34 ms late with that (p99), and 8 ms without.
         gc.collect()
         gc.freeze()
