--- a/roadlb/lab/grid/watch.py
+++ b/roadlb/lab/grid/watch.py
@@ -17,7 +17,7 @@
 
 GONE_SHOWN_US = 10_000_000          # a node that is gone stays in the picture for so long
 REFUSALS = (429, 503)
-# Anybody may ask the balancers of a live grid, with curl or the load tool: that none of the grid's clients had
+# Anybody may ask the balancers of a live grid, with curl or the load tool: that none of its own clients had
 # sent a request tells nothing here.
 NOT_HELD = (Rule.SMUGGLED,)
 NODE_STATES = {"resumed": "up", "healed": "up", "slowed": ""}           # empty: told apart by its factor
