--- a/benchmarks/lab.py
+++ b/benchmarks/lab.py
@@ -1,8 +1,8 @@
 """The rehearsal lab itself: many seeds of every shipped incident, its speed, and its two worlds side by side.
 
-    python benchmarks/lab.py sweep --seeds 200 --out sweep.jsonl --for-s 140     again and again, until all is done
-    python benchmarks/lab.py pace                                               a day of the whole program
-    python benchmarks/lab.py worlds examples/incidents/rolling-deploy.toml      simulated and real time
+    python benchmarks/lab.py sweep --seeds 200 --out sweep.jsonl --for-s 140    again and again, until it is done
+    python benchmarks/lab.py pace                                              a day of the whole program
+    python benchmarks/lab.py worlds --only rolling-deploy                      simulated and real time
 
 `sweep` adds a line to its file for each run, and leaves out the runs that the file has for the same code and
 incident.  Its exit code is 1 if a rule was broken or the program logged an error.
@@ -85,7 +85,8 @@
     wanted = [(file, seed) for seed in range(first, first + seeds) for file in files]
     todo = [(file, seed) for file, seed in wanted if (file.stem, seed) not in done]
     until, running = time.monotonic() + for_s, set[Future[dict[str, Any]]]()
-    with Progress(console=Console(stderr=True)) as bar, ProcessPoolExecutor(jobs) as pool, out.open("a") as lines:
+    with (Progress(console=Console(stderr=True)) as bar, ProcessPoolExecutor(jobs) as pool,
+          out.open("a") as lines):
         task = bar.add_task("rehearsals", total=len(wanted), completed=len(wanted) - len(todo))
         while todo or running:
             while todo and len(running) < jobs and time.monotonic() < until:
@@ -130,6 +131,37 @@
     return not any(broken.values())
 
 
+# Two worlds
+
+@main.command()
+@click.option("--only", multiple=True, help="Names of incidents; all of them without it.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--out", type=click.Path(path_type=Path), default=Path("worlds.jsonl"), show_default=True)
+def worlds(only: tuple[str, ...], seed: int, out: Path) -> None:
+    """The same incidents and seed in simulated and in real time."""
+    rows = []
+    for file in INCIDENTS:
+        if only and file.stem not in only:
+            continue
+        incident = load(str(file))
+        for world in ("sim", "real"):
+            rehearsal = rehearse(incident, seed, world)       # type: ignore[arg-type]
+            worth, told = rehearsal.verdict.worth, rehearsal.verdict.figures
+            order = told.latency_ms.get("order", {})
+            rows.append((incident.name, world, f"{worth.whole:.2%}", f"{worth.service:.2%}",
+                         f"{told.refused / max(1, told.tries):.2%}",
+                         f"{told.failed / max(1, told.tries):.2%}", f"{told.attempts_per_try:.3f}",
+                         f"{order.get('p50', 0):.0f}", f"{order.get('p99', 0):.0f}", len(told.fallen),
+                         sum(rehearsal.verdict.counts.values()), f"{told.lagged_s:.2f}"))
+            with out.open("a") as lines:
+                lines.write(json.dumps({"row": rows[-1], "errors": rehearsal.figures["faults"][:TOLD],
+                                        "violations": [one.text for one in rehearsal.verdict.violations][:TOLD],
+                                        "unpaid": rehearsal.figures["rude_unpaid"]}) + "\n")
+    Console(width=140).print(table(
+        ("incident", "world", "whole", "service", "refused", "failed", "attempts", "order p50 ms", "p99", "fell",
+         "violations", "held up s"), [tuple(map(str, row)) for row in rows]))
+
+
 # Speed
 
 @main.command()
--- a/roadlb/lab/parties/clients.py
+++ b/roadlb/lab/parties/clients.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from dataclasses import dataclass
 from random import Random
 
@@ -32,7 +32,7 @@
     digest,
     write_request,
 )
-from .links import stream
+from .links import reset, stream
 
 HORIZON_US = 500_000             # wishes are drawn this far ahead at most, so that a changed rate soon holds
 LATENCY_MOST_US = 60_000_000
@@ -68,6 +68,7 @@
         self.current: _Try | None = None
         self.served = 0                      # answers that it has brought
         self.in_order = False                # the balancer ended it in order
+        self.was_reset = False               # by the network
         self.writable = True
         self.transport: asyncio.Transport
 
@@ -93,7 +94,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.clients.links.pop(self, None)
-        self.clients.ended(self, error is None or self.in_order)
+        self.clients.ended(self, (error is None or self.in_order) and not self.was_reset)
 
     def pause_writing(self) -> None:
         self.writable = False
@@ -142,6 +143,18 @@
         for link in list(self.links):
             link.transport.close()
 
+    def reset(self, share: float, balancers: Container[str], rng: Random) -> list[str]:
+        """A share of the connections to these balancers is reset, as by the network; whose they were.
+
+        For real sockets, where nothing else can do it: both ends are told now.
+        """
+        links = [link for link in self.links if link.balancer in balancers]
+        chosen = rng.sample(links, round(share * len(links)))
+        for link in chosen:
+            link.was_reset = True
+            reset(link.transport)
+        return [link.balancer for link in chosen]
+
     def open_ids(self) -> list[str]:
         """Of requests that were sent and have no answer yet."""
         return [link.current.id for link in self.links if link.current and link.current.sent_at >= 0]
--- a/roadlb/lab/run/__init__.py
+++ b/roadlb/lab/run/__init__.py
@@ -7,6 +7,6 @@
 on loopback sockets, with each balancer as a process of its own.
 """
 
-from .rehearse import Rehearsal, rehearse
+from .rehearsal import Rehearsal, rehearse
 
 __all__ = ["Rehearsal", "rehearse"]
--- a/roadlb/lab/run/balancers.py
+++ b/roadlb/lab/run/balancers.py
@@ -87,6 +87,7 @@
         for one in self.all:
             if one.watch:
                 one.watch.cancel()
+            one.agent.stop()
 
     # What befalls them
 
--- a/roadlb/lab/run/crowd.py
+++ b/roadlb/lab/run/crowd.py
@@ -66,6 +66,10 @@
         while loop.time() < until and any(clients.open_wishes for clients in self.clients.values()):
             await asyncio.sleep(LOOK_S)
 
+    def close(self) -> None:
+        for clients in self.clients.values():
+            clients.close()
+
     # What befalls
 
     def flood(self, step: Flood) -> Callable[[], None]:
--- a/roadlb/lab/run/fleet.py
+++ b/roadlb/lab/run/fleet.py
@@ -44,6 +44,7 @@
     weight: float
     place: Machine
     party: GridNode
+    addresses: Mapping[str, Address]     # where each balancer finds it
     starts: int = 1
     life: Life = Life.UP
     pauses: int = 0                  # that are on
@@ -86,8 +87,10 @@
         party = GridNode(name, spec, self._world.random(f"node {name} start {starts}"), self._log,
                          self._world.clock, lambda: self._world.wall() // 1_000, hall, warm,
                          idle_us=micro(self._incident.fleet.idle_s))
-        one = Standing(name, hall, kind, spec, weight, place, party, starts)
         await place.run(party.start(at or {b.name: (place.ip, 0) for b in self._balancers}))
+        addresses = {b.name: self._world.way(b.name, b.hall, place, party.addresses[b.name])
+                     for b in self._balancers}
+        one = Standing(name, hall, kind, spec, weight, place, party, addresses, starts)
         self.there[name] = one
         if self._parted(hall):
             self._state(one, "cut")
@@ -111,6 +114,11 @@
         del self.there[one.name]
         self._registry.remove(one.name, silent)
 
+    def end(self) -> None:
+        """The rehearsal is over."""
+        for one in self.there.values():
+            one.place.call(one.party.stop)
+
     @property
     def up(self) -> list[Standing]:
         return [one for one in self.there.values() if one.life is Life.UP]
@@ -224,5 +232,5 @@
 
 
 def _entry(one: Standing) -> Entry:
-    return Entry(one.name, dict(one.party.addresses), one.hall, one.machine, weight=one.weight,
+    return Entry(one.name, one.addresses, one.hall, one.machine, weight=one.weight,
                  started_ms=one.party.started_ms)
--- /dev/null
+++ b/roadlb/lab/run/real_world.py
@@ -0,0 +1,259 @@
+"""World (b): real time and loopback sockets; each balancer is `python -m roadlb` in a process of its own.
+
+Processes rather than Apps in the lab's own loop, since only they can be killed, stopped and restarted as the
+platform does, use a core of their own, and run on uvloop as in production.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import time
+from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
+from pathlib import Path
+from random import Random
+from typing import Any, ParamSpec, TypeVar
+
+from ...clock import monotonic_us, unix_us
+from ..incident import Incident
+from ..parties.clients import Clients
+from ..parties.discovery import Address
+from ..wire import Lagged, WireLog
+from .drawn import Drawn
+from .relay import Relay, Way
+from .world import Role
+
+T = TypeVar("T")
+P = ParamSpec("P")
+
+WATCH_S, LATE_S = 0.005, 0.020           # how often the loop's own delay is looked at, and what is held up
+LAST_S = 5.0                             # that a process may take to end when the rehearsal is over
+FIRST_NET = 64                           # machines have 127.64.0.1 and up, in 64 nets by process id
+
+
+class RealMachine:
+    """An address of the loopback net; its parties run in the lab's loop, as all do."""
+
+    def __init__(self, ip: str, hall: str, look_again: Callable[[], None]) -> None:
+        self.ip, self.hall, self._look_again = ip, hall, look_again
+        self.relays: dict[str, Relay] = {}           # by balancer, where it is a node's
+        self._vanished = False
+
+    def call(self, function: Callable[P, T], *args: P.args, **kwargs: P.kwargs) -> T:
+        return function(*args, **kwargs)
+
+    def run(self, coroutine: Coroutine[Any, Any, T]) -> Awaitable[T]:
+        return asyncio.get_running_loop().create_task(coroutine)
+
+    def end(self) -> None:
+        if not self._vanished:
+            for relay in self.relays.values():
+                relay.close()
+
+    def vanish(self) -> None:
+        self._be_vanished(True)
+
+    def restart(self) -> None:
+        """What was open is reset; relays open again when there is something to listen behind them."""
+        for relay in self.relays.values():
+            relay.close()
+        self._be_vanished(False)
+
+    def _be_vanished(self, vanished: bool) -> None:
+        self._vanished = vanished
+        for relay in self.relays.values():
+            relay.vanished = vanished
+        self._look_again()
+
+
+class RealProcess:
+    def __init__(self, name: str, ip: str, folder: Path, counters: dict[str, dict[str, int]],
+                 faults: list[str]) -> None:
+        self.name, self._folder, self._counters, self._faults = name, folder, counters, faults
+        # Bound and never listening, it keeps the port for this process, which binds it as well.
+        self._reserved = socket.socket()
+        self._reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._reserved.bind((ip, 0))
+        self.address: Address = self._reserved.getsockname()
+        self._config, self._starts = folder / f"{name}.json", 0
+        self._read_logs: set[Path] = set()
+        self._process: asyncio.subprocess.Process | None = None
+        self._starting: asyncio.Task[None] | None = None
+
+    def start(self, configuration: Mapping[str, Any]) -> None:
+        self.configure(configuration)
+        self._starts += 1
+        self._starting = asyncio.get_running_loop().create_task(self._run())
+
+    async def _run(self) -> None:
+        environment = {name: value for name, value in os.environ.items() if not name.startswith("PROXY_")}
+        with self._log().open("wb") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "roadlb", stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
+                env={**environment, "PROXY_CONFIG": str(self._config)})
+
+    def _log(self) -> Path:
+        return self._folder / f"{self.name}-{self._starts}.log"
+
+    def configure(self, configuration: Mapping[str, Any]) -> None:
+        """Replaced in one step: the program may be reading it."""
+        new = self._config.with_suffix(".new")
+        new.write_text(json.dumps(configuration))
+        new.replace(self._config)
+
+    def signal(self, number: int) -> None:
+        if self._process and self._process.returncode is None:
+            self._process.send_signal(number)
+
+    def kill(self) -> None:
+        self.signal(signal.SIGKILL)
+
+    async def ended(self) -> bool:
+        assert self._starting is not None
+        await self._starting
+        assert self._process is not None
+        code = await self._process.wait()
+        self._read(self._log())
+        if code not in (0, -signal.SIGKILL):
+            self._faults.append(f"{self.name}: ended with {code}")
+        return code in (0, -signal.SIGKILL)
+
+    def _read(self, log: Path) -> None:
+        """What the program has said: its errors, and its counters where it ended in order; once."""
+        if log in self._read_logs:
+            return
+        self._read_logs.add(log)
+        for line in log.read_text(errors="replace").splitlines():
+            if " level=error " in line or not line.startswith("at="):
+                self._faults.append(f"{self.name}: {line}")
+            elif " event=counters " in line:
+                total = self._counters.setdefault(self.name, {})
+                for word in line.split(" event=counters ")[1].split():
+                    key, _, value = word.partition("=")
+                    if value.isdigit():
+                        total[key] = total.get(key, 0) + int(value)
+
+    async def close(self) -> None:
+        """The rehearsal is over."""
+        if self._process:
+            self.signal(signal.SIGCONT)
+            self.signal(signal.SIGTERM)
+            try:
+                await asyncio.wait_for(self._process.wait(), LAST_S)
+            except TimeoutError:
+                self.kill()
+                await self._process.wait()
+            self._read(self._log())
+        self._reserved.close()
+
+
+class RealWorld:
+    """`folder` takes configurations and logs of the processes."""
+
+    name = "real"
+
+    def __init__(self, incident: Incident, drawn: Drawn, log: WireLog, folder: Path,
+                 random: Callable[[str], Random]) -> None:
+        self._incident, self._drawn, self._log, self._folder = incident, drawn, log, folder
+        self.random, self.clock, self.wall = random, monotonic_us, unix_us
+        self.faults: list[str] = []
+        self.counters: dict[str, dict[str, int]] = {}
+        self.clients: Sequence[Clients] = ()
+        self._machines = 0
+        self._halls: dict[str, str] = {}             # of balancers
+        self._processes: list[RealProcess] = []
+        self._relays: list[Relay] = []
+        self._cut: list[str] = []
+        self._delays = random("real delays")
+        self._watch = asyncio.get_running_loop().create_task(self._watch_loop())
+        self._cpu_at, self._cpu = time.monotonic(), time.process_time()
+
+    async def _watch_loop(self) -> None:
+        """Tells of each time that this loop was held up: what happened then was seen late."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + WATCH_S
+            since = self.clock()
+            await asyncio.sleep(WATCH_S)
+            if loop.time() - due > LATE_S:
+                self._log.write(Lagged(self.clock(), since))
+
+    # Machines
+
+    def _ip(self) -> str:
+        self._machines += 1
+        return f"127.{FIRST_NET + os.getpid() % 64}.{self._machines >> 8}.{self._machines & 255}"
+
+    def machine(self, name: str, hall: str, role: Role) -> RealMachine:
+        return RealMachine(self._ip(), hall, self._silence)
+
+    def process(self, name: str, hall: str) -> RealProcess:
+        process = RealProcess(name, self._ip(), self._folder, self.counters, self.faults)
+        self._halls[name] = hall
+        self._processes.append(process)
+        return process
+
+    def way(self, balancer: str, balancer_hall: str, machine: RealMachine, address: Address) -> Address:
+        """Through a relay, which stays where it is for as long as the machine's address does."""
+        relay = machine.relays.get(balancer)
+        if relay is None or relay.target != address:
+            way = Way(balancer, balancer_hall, machine.hall)
+            relay = machine.relays[balancer] = Relay(way, machine.ip, address, self._delay(way))
+            relay.silent = self._parted(way)
+            self._relays.append(relay)
+        relay.open()
+        return relay.address
+
+    def _delay(self, way: Way) -> Callable[[], float]:
+        delays, jitter, rng = self._drawn.delays_us, self._drawn.jitter, self._delays
+        pair = (way.balancer_hall, way.node_hall)
+        us = delays.get(pair, delays.get(pair[::-1], 0))
+        return lambda: us * (1 + jitter * rng.random()) / 1e6
+
+    # The network
+
+    def _parted(self, way: Way) -> bool:
+        return any((way.balancer_hall == cut) != (way.node_hall == cut) for cut in self._cut)
+
+    def cut(self, hall: str) -> list[str]:
+        """Between balancers and nodes; clients and balancers are not parted here."""
+        self._cut.append(hall)
+        self._silence()
+        return []
+
+    def heal(self, hall: str) -> None:
+        self._cut.remove(hall)
+        self._silence()
+
+    def _silence(self) -> None:
+        for relay in self._relays:
+            relay.silence(relay.vanished or self._parted(relay.way))
+
+    def reset(self, share: float, between: Role, hall: str | None) -> list[str]:
+        rng = self._delays
+        if between is Role.CLIENTS:
+            names = [name for name, own in self._halls.items() if hall in (None, own)]
+            return [name for clients in self.clients for name in clients.reset(share, names, rng)]
+        pairs = [pair for relay in self._relays if hall in (None, relay.way.balancer_hall)
+                 for pair in relay.pairs]
+        for pair in rng.sample(pairs, round(share * len(pairs))):
+            pair.reset()
+        return []
+
+    # What it has to tell
+
+    async def end(self) -> None:
+        self._watch.cancel()
+        self._cpu = (time.process_time() - self._cpu) / (time.monotonic() - self._cpu_at)
+        await asyncio.gather(*(process.close() for process in self._processes))
+        for relay in self._relays:
+            relay.silence(False)
+            relay.close()
+
+    def figures(self) -> dict[str, Any]:
+        """`lab_cpu`: how much of a core the parties themselves took."""
+        return {"counters": self.counters, "faults": list(self.faults), "lab_cpu": round(self._cpu, 3)}
--- a/roadlb/lab/run/rehearse.py
+++ b/roadlb/lab/run/rehearsal.py
@@ -3,18 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import logging
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from pathlib import Path
+from tempfile import TemporaryDirectory
 from typing import Any, Literal
 
+import uvloop
+
 from ...app import App
 from ..incident import Incident, rules_of
 from ..judge import Judge, Verdict
 from ..wire import WireLog
 from .drawn import draw
+from .real_world import RealWorld
 from .sim_world import AppFactory, SimWorld, generators, new_loop
 from .stage import Stage
 
@@ -38,12 +44,13 @@
 def rehearse(incident: Incident, seed: int, world: WorldName = "sim", app: AppFactory = App) -> Rehearsal:
     """Play an incident.  `app` makes each balancer of the simulated world: tests hand in faulty ones."""
     log, judge = WireLog(), Judge(rules_of(incident))
-    log.listen(judge.see)
     began = time.perf_counter()
     if world == "sim":
         origin_us, end_us, figures = _simulated(incident, seed, log, app)
     else:
-        raise NotImplementedError(world)
+        origin_us, end_us, figures = _in_real_time(incident, seed, log)
+    for event in log:            # after the run: in real time it would hold the parties up
+        judge.see(event)
     figures["took_s"] = time.perf_counter() - began
     return Rehearsal(log, judge.verdict(end_us), origin_us, figures)
 
@@ -54,11 +61,7 @@
         drawn = draw(incident, generators(seed))
         world = SimWorld(incident, drawn, app)
         stage = Stage(incident, drawn, world, log)
-        try:
-            await stage.play()
-        finally:
-            end_us = world.clock()
-            world.end()
+        end_us = await _played(stage)
         # What dead programs say while the loop is closed counts no more.
         return stage.origin_us, end_us, stage.figures() | {"program_errors": list(errors)}
 
@@ -66,6 +69,34 @@
         return runner.run(play())
 
 
+def _in_real_time(incident: Incident, seed: int, log: WireLog) -> tuple[int, int, dict[str, Any]]:
+    async def play(folder: Path) -> tuple[int, int, dict[str, Any]]:
+        random = generators(seed)
+        drawn = draw(incident, random)
+        stage = Stage(incident, drawn, RealWorld(incident, drawn, log, folder, random), log)
+        end_us = await _played(stage)
+        return stage.origin_us, end_us, stage.figures() | {"program_errors": []}
+
+    gc.collect()
+    gc.disable()                 # a full collection holds everything up for tens of milliseconds
+    try:
+        with TemporaryDirectory(prefix="roadlb-lab-") as folder, asyncio.Runner(
+                loop_factory=uvloop.new_event_loop) as runner:
+            return runner.run(play(Path(folder)))
+    finally:
+        gc.enable()
+
+
+async def _played(stage: Stage) -> int:
+    """Play it, and take it down whatever happens; the clock at its end."""
+    try:
+        await stage.play()
+    finally:
+        end_us = stage.world.clock()
+        await stage.end()
+    return end_us
+
+
 @contextmanager
 def heard() -> Iterator[list[str]]:
     """The errors that the program logs meanwhile; nothing of it goes anywhere else."""
--- a/roadlb/lab/run/sim_world.py
+++ b/roadlb/lab/run/sim_world.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import signal
-from collections.abc import Awaitable, Callable, Coroutine, Mapping
+from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
 from random import Random
 from typing import Any, ParamSpec, TypeVar
 
@@ -12,6 +12,7 @@
 from ...clock import Clock
 from ...config import read_config
 from ..incident import Incident
+from ..parties.clients import Clients
 from ..parties.discovery import Address
 from ..sim import Connection, Host, HostDown, Network, SimLoop
 from .drawn import Drawn
@@ -121,6 +122,7 @@
         self.loop, self.app, self.cpu_us = SimLoop.running(), app, cpu_us
         self.network = Network(self.loop, abort_resets=False)      # as uvloop, on which the program runs
         self.clock, self.random = self.loop.clock_us, self.loop.random
+        self.clients: Sequence[Clients] = ()
         self.faults: list[str] = []
         self.counters: dict[str, dict[str, int]] = {}
         self._roles: dict[Host, Role] = {}
@@ -140,6 +142,9 @@
         self._roles[host] = role
         return SimMachine(host)
 
+    def way(self, balancer: str, balancer_hall: str, machine: SimMachine, address: Address) -> Address:
+        return address
+
     def process(self, name: str, hall: str) -> SimProcess:
         host = self.network.host(name, hall, deferred_writes=True)
         host.descriptors = self._sockets
@@ -209,7 +214,7 @@
         for key, count in app.counters.all().items():
             total[key] = total.get(key, 0) + count
 
-    def end(self) -> None:
+    async def end(self) -> None:
         """All hosts die; what their programs had counted is kept."""
         for process in self._processes:
             process.kill()
--- a/roadlb/lab/run/stage.py
+++ b/roadlb/lab/run/stage.py
@@ -45,6 +45,7 @@
         await self._ready()
         self.origin_us = self.world.clock()
         self.crowd.begin()
+        self.world.clients = list(self.crowd.clients.values())
         async with asyncio.TaskGroup() as group:
             steps = [group.create_task(self._step(number)) for number in range(len(self.incident.steps))]
             await asyncio.sleep(self.incident.duration_s)
@@ -53,7 +54,15 @@
             await asyncio.sleep(SETTLED_S)
             for step in steps:
                 step.cancel()
+
+    async def end(self) -> None:
+        """Take it all down; nothing that is seen of it counts."""
+        self.log.close()
         self.balancers.end()
+        self.front.stop()
+        self.crowd.close()
+        self.fleet.end()
+        await self.world.end()
 
     async def _ready(self) -> None:
         loop = asyncio.get_running_loop()
--- a/roadlb/lab/run/world.py
+++ b/roadlb/lab/run/world.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Coroutine, Mapping
+from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
 from enum import Enum, auto
 from random import Random
 from typing import Any, ParamSpec, Protocol, TypeVar
 
+from ..parties.clients import Clients
 from ..parties.discovery import Address
 
 T = TypeVar("T")
@@ -67,6 +68,8 @@
 class World(Protocol):
     """Times are integer microseconds."""
 
+    clients: Sequence[Clients]           # told by the stage once they are there
+
     @property
     def name(self) -> str: ...
 
@@ -81,6 +84,9 @@
 
     def process(self, name: str, hall: str) -> Process: ...
 
+    def way(self, balancer: str, balancer_hall: str, machine: Any, address: Address) -> Address:
+        """Where this balancer finds what listens at that address of a node's machine."""
+
     def cut(self, hall: str) -> list[str]:
         """Cut a hall off from the others; the balancers that are cut off from clients connected to them."""
 
@@ -89,5 +95,8 @@
     def reset(self, share: float, between: Role, hall: str | None) -> list[str]:
         """Reset a share of the connections between balancers (of this hall) and these; which balancers'."""
 
+    async def end(self) -> None:
+        """Everything in it ends."""
+
     def figures(self) -> dict[str, Any]:
         """What it has to tell beside the wire log, for the report."""
--- a/roadlb/lab/wire.py
+++ b/roadlb/lab/wire.py
@@ -199,8 +199,15 @@
     def __init__(self) -> None:
         self._events: list[WireEvent] = []
         self._listeners: list[Callable[[WireEvent], None]] = []
+        self._over = False
+
+    def close(self) -> None:
+        """The rehearsal is over: what is written while it is taken down is left out."""
+        self._over = True
 
     def write(self, event: WireEvent) -> None:
+        if self._over:
+            return
         self._events.append(event)
         for listener in self._listeners:
             listener(event)
@@ -218,5 +225,5 @@
         """One SHA-256 over all events in order: two runs that differ anywhere differ here."""
         total = sha256()
         for event in self._events:
-            total.update(repr(event).encode())      # tells the class and all fields; JSON takes 15 times as long
+            total.update(repr(event).encode())      # class and all fields; JSON takes 15 times as long
         return total.hexdigest()
--- a/tests/lab/run/faulty_balancers.py
+++ b/tests/lab/run/faulty_balancers.py
@@ -1,4 +1,4 @@
-"""The real program with one defect each, for the judge to find.  Nothing but public parts of it is wrapped."""
+"""The real program with one defect each, for the judge to find.  Only public parts of it are wrapped."""
 
 from __future__ import annotations
 
--- a/tests/lab/run/test_run_defects.py
+++ b/tests/lab/run/test_run_defects.py
@@ -1,4 +1,4 @@
-"""A defect of the program, put into each balancer, is found under its rule; the sound program is not blamed."""
+"""A defect of the program, put into each balancer, is found under its rule; the sound one is not blamed."""
 
 from __future__ import annotations
 
