--- a/roadlb/lab/grid/watch.py
+++ b/roadlb/lab/grid/watch.py
@@ -32,6 +32,9 @@
         super().__init__()
         self._ears: list[Callable[[WireEvent], None]] = []
 
+    def close(self) -> None:
+        self._ears.clear()
+
     def write(self, event: WireEvent) -> None:
         for ear in self._ears:
             ear(event)
