--- a/benchmarks/lab.py
+++ b/benchmarks/lab.py
@@ -1,8 +1,8 @@
 """The rehearsal lab itself: many seeds of every shipped incident, its speed, and its two worlds side by side.
 
-    python benchmarks/lab.py sweep --seeds 200 --out sweep.jsonl --for-s 140    again and again, until it is done
-    python benchmarks/lab.py pace                                              a day of the whole program
-    python benchmarks/lab.py worlds --only rolling-deploy                      simulated and real time
+    python benchmarks/lab.py sweep --seeds 200 --out sweep.jsonl --for-s 140   again and again, until it is done
+    python benchmarks/lab.py pace                                             a day of the whole program
+    python benchmarks/lab.py worlds --only rolling-deploy                     simulated and real time
 
 `sweep` adds a line to its file for each run, and leaves out the runs that the file has for the same code and
 incident.  Its exit code is 1 if a rule was broken or the program logged an error.
@@ -59,7 +59,7 @@
         "violations": [f"{(one.at - rehearsal.origin_us) / 1e6:.3f} {one.rule.value}: {one.text}"
                        for one in verdict.violations[:TOLD]],
         "errors": [*figures["program_errors"], *figures["faults"]][:TOLD],
-        "unpaid": figures["rude_unpaid"], "service": verdict.worth.service, "whole": verdict.worth.whole,
+        "service": verdict.worth.service, "whole": verdict.worth.whole,
         "worst_window": verdict.worth.worst_window, "wishes": told.wishes, "tries": told.tries,
         "in_time": told.in_time, "unanswered": told.unanswered, "refused": told.refused,
         "failed": told.failed, "ran_twice": told.ran_twice, "fell": list(told.fallen)}
@@ -113,11 +113,10 @@
     rows = []
     for name, runs in sorted(by_name.items()):
         whole, bad = sorted(run["whole"] for run in runs), [
-            run for run in runs if run["broken"] or run["errors"] or run["unpaid"]]
+            run for run in runs if run["broken"] or run["errors"]]
         for run in runs:
             broken.update(run["broken"])
             broken["program's errors"] += len(run["errors"])
-            broken["rude clients unpaid"] += sum(run["unpaid"].values())
         refused = sum(run["refused"] for run in runs) / max(1, sum(run["tries"] for run in runs))
         rows.append((name, len(runs), len(bad), f"{whole[0]:.1%}", f"{whole[len(whole) // 2]:.1%}",
                      f"{whole[-1]:.1%}", f"{refused:.2%}", sum(len(run["fell"]) for run in runs),
@@ -154,12 +153,12 @@
                          f"{order.get('p50', 0):.0f}", f"{order.get('p99', 0):.0f}", len(told.fallen),
                          sum(rehearsal.verdict.counts.values()), f"{told.lagged_s:.2f}"))
             with out.open("a") as lines:
-                lines.write(json.dumps({"row": rows[-1], "errors": rehearsal.figures["faults"][:TOLD],
-                                        "violations": [one.text for one in rehearsal.verdict.violations][:TOLD],
-                                        "unpaid": rehearsal.figures["rude_unpaid"]}) + "\n")
+                lines.write(json.dumps({
+                    "row": rows[-1], "errors": rehearsal.figures["faults"][:TOLD],
+                    "violations": [one.text for one in rehearsal.verdict.violations[:TOLD]]}) + "\n")
     Console(width=140).print(table(
-        ("incident", "world", "whole", "service", "refused", "failed", "attempts", "order p50 ms", "p99", "fell",
-         "violations", "held up s"), [tuple(map(str, row)) for row in rows]))
+        ("incident", "world", "whole", "service", "refused", "failed", "attempts", "order p50 ms", "p99",
+         "fell", "violations", "held up s"), [tuple(map(str, row)) for row in rows]))
 
 
 # Speed
--- a/roadlb/lab/judge/judge.py
+++ b/roadlb/lab/judge/judge.py
@@ -9,7 +9,7 @@
 
 from ..wire import (
     BalancerState, ClientGot, ClientLost, ClientSent, ClientWished, Lagged, NodeFell, NodeGave, NodeGot,
-    NodeRan, NodeStarted, NodeState, Note, Told, WireEvent)
+    NodeRan, NodeStarted, NodeState, Note, RudeLeft, Told, WireEvent)
 from .answers import Broken, check_answer, check_loss, check_second, check_silence, seconds
 from .book import SOUND, Attempt, Balancer, Node, Request
 from .effects import check_attempt, check_refusal, check_second_copy
@@ -52,7 +52,7 @@
             ClientWished: self._wished, ClientSent: self._sent, ClientGot: self._got, ClientLost: self._lost,
             NodeStarted: self._started, NodeGot: self._came, NodeRan: self._ran, NodeGave: self._gave,
             NodeFell: self._fell, NodeState: self._state, Told: self._told, BalancerState: self._balancer,
-            Lagged: self._lag, Note: lambda event: None}
+            RudeLeft: self._rude, Lagged: self._lag, Note: lambda event: None}
 
     @property
     def held(self) -> int:
@@ -295,6 +295,18 @@
         if event.state == "started":
             self._lists.restarted(event.balancer, event.at)
 
+    def _rude(self, event: RudeLeft) -> None:
+        if not event.owed or event.how not in ("late", "served"):
+            return
+        balancer = self._balancers.setdefault(event.balancer, Balancer())
+        if balancer.excuses(event.since, event.at, self.rules.term_grace_us) or (
+                self._lagged(event.since, event.at)):
+            return
+        what = "was served" if event.how == "served" else "had neither an error nor a close"
+        self._add(Violation(Rule.UNPAID, event.at, event.balancer, (
+            f"a rude client ({event.kind}) of {event.client} {what} {seconds(event.at - event.since)} after it "
+            f"had connected to {event.balancer}"), (event,)))
+
     def _lag(self, event: Lagged) -> None:
         self._lags.append(event)
         self._tally.lagged_us += event.at - event.since
--- a/roadlb/lab/judge/verdict.py
+++ b/roadlb/lab/judge/verdict.py
@@ -24,6 +24,7 @@
     SMUGGLED = "smuggled"               # a node ran what no client had sent
     DRAIN = "drain"                     # new work to a node that was told to be draining or gone
     PUSHED_OVER = "pushed-over"         # a cold node
+    UNPAID = "unpaid"                   # a rude client had neither an error nor a close in time
     CRASH = "crash"                     # a balancer ended by itself
 
 
--- a/roadlb/lab/parties/rude.py
+++ b/roadlb/lab/parties/rude.py
@@ -1,7 +1,7 @@
 """Clients that send what no sound client would, each kind by its name, and how they were answered.
 
-Such a client is owed an error (any 4xx or 5xx) or a close within some seconds of connecting.  None of it is
-written to the wire log, which belongs to the honest parties; `Rude.tallies` has the outcome.
+Such a client is owed an error (any 4xx or 5xx) or a close within some seconds of connecting.  How it was
+treated is written down as `RudeLeft`, what it sent is not; `Rude.tallies` has the outcome as well.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from random import Random
 
+from ..wire import RudeLeft, WireLog
 from .front import Front
 from .http import ACCOUNT, CORRELATION_ID, TIME_LEFT, AnswerReader, Garbled, write_request
 from .links import stream
@@ -176,8 +177,10 @@
     order_path: str
 
     def __init__(self, hall: str, front: Front, rng: Random, classes: Sequence[str], tenant: str = "",
-                 open_ids: Callable[[], Sequence[str]] = tuple) -> None:
+                 open_ids: Callable[[], Sequence[str]] = tuple, log: WireLog | None = None,
+                 clock: Callable[[], int] = lambda: 0) -> None:
         self.hall, self.rng, self.tenant = hall, rng, tenant
+        self._log, self._clock = log, clock
         self.read_path, self.order_path = f"/{classes[0]}/f0000?w=10000", f"/{classes[-1]}/f0000?w=10000"
         self._front, self._open_ids = front, open_ids
         self.tallies: dict[str, Counter[str]] = {}
@@ -213,13 +216,13 @@
         await asyncio.gather(*list(visits))
 
     async def _connect(self, name: str, kind: Kind) -> None:
-        link = _Link(self, name, kind)
+        link, since, picked = _Link(self, name, kind), 0, self._front.pick(self.hall)
         try:
             async with asyncio.timeout(kind.owed_us / 1e6):
-                picked = self._front.pick(self.hall)
                 if picked is None:
                     raise ConnectionRefusedError("no balancer is taken in")
                 await self.loop.create_connection(lambda: link, *picked[1])
+                since = self._clock()
                 how = await link.ended
         except OSError as e:
             how = "late" if isinstance(e, TimeoutError) else "refused"
@@ -227,6 +230,9 @@
             if hasattr(link, "transport"):
                 link.transport.abort()
         self.tallies.setdefault(name, Counter())[how] += 1
+        if self._log and picked and hasattr(link, "transport"):
+            self._log.write(RudeLeft(self._clock(), since, f"rude clients of {self.hall}", picked[0], name, how,
+                                     kind.owed))
 
     def unpaid(self) -> dict[str, int]:
         """Clients that were owed an error or a close and got neither in time, by kind."""
--- a/roadlb/lab/run/crowd.py
+++ b/roadlb/lab/run/crowd.py
@@ -91,16 +91,12 @@
         if hall not in self.rude:
             names = [row.name for row in self._incident.traffic.classes]
             self.rude[hall] = Rude(hall, self._front, self._world.random(f"rude clients of {hall}"), names,
-                                   self._incident.traffic.tenants[0].name, self.clients[hall].open_ids)
+                                   self._incident.traffic.tenants[0].name, self.clients[hall].open_ids, self._log,
+                                   self._world.clock)
         return self.rude[hall]
 
     def figures(self) -> dict[str, Any]:
-        unpaid: dict[str, int] = {}
-        for rude in self.rude.values():
-            for kind, count in rude.unpaid().items():
-                unpaid[kind] = unpaid.get(kind, 0) + count
         return {"clients": {clients.name: dict(sorted(clients.tallies.items()))
                             for clients in self.clients.values()},
                 "rude": {hall: {kind: dict(sorted(tally.items())) for kind, tally in rude.tallies.items()}
-                         for hall, rude in self.rude.items()},
-                "rude_unpaid": unpaid}
+                         for hall, rude in self.rude.items()}}
--- a/roadlb/lab/run/relay.py
+++ b/roadlb/lab/run/relay.py
@@ -1,8 +1,8 @@
 """What stands in for the network in real time: a relay before a node's listener, for one balancer.
 
 It delays, goes silent, resets, and refuses dials while nothing listens behind it, as a network and a kernel
-would.  A silent relay reads nothing, so that the kernels hold what is sent; its own accept queue is filled up,
-so that dials never come up (Linux drops the SYN of a full queue).
+would.  A silent relay reads nothing, so that the kernels hold what is sent; its accept queue is filled up, so
+that dials never come up (Linux drops the SYN of a full queue).
 """
 
 from __future__ import annotations
--- a/roadlb/lab/wire.py
+++ b/roadlb/lab/wire.py
@@ -171,6 +171,23 @@
     state: str
 
 
+@dataclass(slots=True, frozen=True)
+class RudeLeft:
+    """A client that keeps to no protocol is done with a balancer, to which it was connected from `since` on.
+
+    `how`: `error`, `closed` or `garbled` (it was answered, or sent away), `served` (as though it were sound),
+    `late` (neither in time).
+    """
+
+    at: int
+    since: int
+    client: str
+    balancer: str
+    kind: str
+    how: str
+    owed: bool                   # an error or a close was owed to it
+
+
 @dataclass(slots=True, frozen=True)
 class Lagged:
     """The rehearsal itself was held up, from `since` to `at`: in real time, its machine was too busy."""
@@ -189,7 +206,7 @@
 
 WireEvent: TypeAlias = (
     ClientWished | ClientSent | ClientGot | ClientLost | NodeStarted | NodeGot | NodeRan | NodeGave | NodeFell
-    | NodeState | Told | BalancerState | Lagged | Note
+    | NodeState | Told | BalancerState | RudeLeft | Lagged | Note
 )
 
 
--- a/tests/lab/judge/test_judge_rules.py
+++ b/tests/lab/judge/test_judge_rules.py
@@ -235,6 +235,39 @@
         s.state(900, "paused").state(2990, "resumed")
 
 
+@breaks(Rule.DRAIN)
+def what_was_sent_into_a_cut_comes_as_long_after_its_end_as_it_lasted(s: Story, bad: bool) -> None:
+    """TCP tries again after twice as long each time."""
+    s.told(1000, "draining").state(1500, "cut").state(2500 if bad else 5000, "healed").whole(8000)
+
+
+@breaks(Rule.DRAIN)
+def a_node_stands_still_until_the_last_reason_for_it_has_ended(s: Story, bad: bool) -> None:
+    s.told(1000, "draining").state(1500, "paused").state(1600, "cut").state(1700, "healed")
+    if bad:
+        s.state(1800, "resumed")
+    s.whole(4000)
+
+
+@breaks(Rule.SENT_AFTER_END)
+def a_balancer_that_wakes_up_reads_a_request_before_its_end(s: Story, bad: bool) -> None:
+    s.sent(0, left=400).lost(450, "timed_out").attempt(1000)
+    if not bad:
+        s.does(300, "paused").does(900, "resumed")
+
+
+@breaks(Rule.UNPAID)
+def a_rude_client_is_left_waiting(s: Story, bad: bool) -> None:
+    s.rude(5000, since=2000)
+    if not bad:
+        s.does(3000, "killed").does(3500, "started")
+
+
+@breaks(Rule.UNPAID)
+def a_rude_client_is_served(s: Story, bad: bool) -> None:
+    s.rude(2100, since=2000, how="served", owed=bad)
+
+
 @breaks(Rule.PUSHED_OVER)
 def a_cold_node_is_flooded_by_balancers_that_knew(s: Story, bad: bool) -> None:
     s.class_name = "grid-read"
--- a/tests/lab/judge/wire_story.py
+++ b/tests/lab/judge/wire_story.py
@@ -8,7 +8,7 @@
 from roadlb.lab.judge import ClassRule, Judge, Rules, TenantRule, Verdict
 from roadlb.lab.wire import (
     BalancerState, ClientGot, ClientLost, ClientSent, ClientWished, NodeFell, NodeGave, NodeGot, NodeRan,
-    NodeStarted, NodeState, Told, WireEvent)
+    NodeStarted, NodeState, RudeLeft, Told, WireEvent)
 
 RULES = Rules(classes=(ClassRule("grid-read", 500_000, 2_500_000, 2.0, 0.5, True),
                        ClassRule("order", 600_000, 2_000_000, 10.0, 0.5, False)),
@@ -90,6 +90,9 @@
     def does(self, at: float, state: str, balancer: str = "") -> Story:
         return self._add(BalancerState(us(at), balancer or self.balancer, state))
 
+    def rude(self, at: float, since: float, how: str = "late", owed: bool = True) -> Story:
+        return self._add(RudeLeft(us(at), us(since), "rude", self.balancer, "noise", how, owed))
+
     def verdict(self, until: float = 60_000) -> Verdict:
         judge = Judge(self.rules)
         for event in sorted(self.events, key=lambda event: event.at):
--- a/tests/lab/run/test_run_incidents.py
+++ b/tests/lab/run/test_run_incidents.py
@@ -24,7 +24,6 @@
     rehearsal = rehearse(incident, seed=1)
     assert broken(rehearsal) == {}
     assert rehearsal.figures["program_errors"] == rehearsal.figures["faults"] == []
-    assert rehearsal.figures["rude_unpaid"] == {}
     told = rehearsal.verdict.figures
     assert told.wishes > 300 and told.served > 0.6 * told.wishes and told.open_at_end == 0
     happened = seen(rehearsal)
