--- a/benchmarks/lab.py
+++ b/benchmarks/lab.py
@@ -1,6 +1,6 @@
 """The rehearsal lab itself: many seeds of every shipped incident, its speed, and its two worlds side by side.
 
-    python benchmarks/lab.py sweep --seeds 200 --out sweep.jsonl --for-s 140   again and again, until it is done
+    python benchmarks/lab.py sweep --seeds 200 --out sweep.jsonl --for-s 140   as often as needed
     python benchmarks/lab.py pace                                             a day of the whole program
     python benchmarks/lab.py worlds --only rolling-deploy                     simulated and real time
 
--- a/roadlb/lab/judge/judge.py
+++ b/roadlb/lab/judge/judge.py
@@ -304,8 +304,8 @@
             return
         what = "was served" if event.how == "served" else "had neither an error nor a close"
         self._add(Violation(Rule.UNPAID, event.at, event.balancer, (
-            f"a rude client ({event.kind}) of {event.client} {what} {seconds(event.at - event.since)} after it "
-            f"had connected to {event.balancer}"), (event,)))
+            f"one of {event.client} ({event.kind}) {what} {seconds(event.at - event.since)} after it had "
+            f"connected to {event.balancer}"), (event,)))
 
     def _lag(self, event: Lagged) -> None:
         self._lags.append(event)
--- a/roadlb/lab/parties/rude.py
+++ b/roadlb/lab/parties/rude.py
@@ -231,8 +231,8 @@
                 link.transport.abort()
         self.tallies.setdefault(name, Counter())[how] += 1
         if self._log and picked and hasattr(link, "transport"):
-            self._log.write(RudeLeft(self._clock(), since, f"rude clients of {self.hall}", picked[0], name, how,
-                                     kind.owed))
+            self._log.write(RudeLeft(
+                self._clock(), since, f"rude clients of {self.hall}", picked[0], name, how, kind.owed))
 
     def unpaid(self) -> dict[str, int]:
         """Clients that were owed an error or a close and got neither in time, by kind."""
--- a/roadlb/lab/run/crowd.py
+++ b/roadlb/lab/run/crowd.py
@@ -90,9 +90,10 @@
     def _rude(self, hall: str) -> Rude:
         if hall not in self.rude:
             names = [row.name for row in self._incident.traffic.classes]
-            self.rude[hall] = Rude(hall, self._front, self._world.random(f"rude clients of {hall}"), names,
-                                   self._incident.traffic.tenants[0].name, self.clients[hall].open_ids, self._log,
-                                   self._world.clock)
+            self.rude[hall] = Rude(
+                hall, self._front, self._world.random(f"rude clients of {hall}"), names,
+                self._incident.traffic.tenants[0].name, self.clients[hall].open_ids, self._log,
+                self._world.clock)
         return self.rude[hall]
 
     def figures(self) -> dict[str, Any]:
--- a/roadlb/lab/sim/loop.py
+++ b/roadlb/lab/sim/loop.py
@@ -36,6 +36,7 @@
 FLOAT_NOISE_US = 1e-3
 COMPACT_FROM = 1_000     # dropped timers on the heap before it is worth rebuilding
 TASKS_KEPT = 1_000       # tasks, done or not, before those that are done are let go of
+UNWOUND_AFTER = 5        # times that a coroutine is told to end
 FOREVER = math.inf
 
 
@@ -72,7 +73,7 @@
         # Held here, a task that its maker has dropped ends when the seed says, not when garbage is collected.
         self._tasks: list[SimTask] = []
         self._made, self._look_through = 0, TASKS_KEPT
-        self._halt = self._over = False
+        self._halt = self._over = self._unwinding = False
         self._thread = 0
         selector = _Selector()
         selector.simulate = self._simulate
@@ -273,7 +274,8 @@
 
     def create_task(self, coro: Generator[Any, None, Any] | Coroutine[Any, Any, Any],  # type: ignore[override]
                     *, name: str | None = None, context: Context | None = None) -> asyncio.Task[Any]:
-        if self._over:
+        if self._over or self._unwinding:
+            coro.close()                  # it will never run, and need not complain of that
             raise RuntimeError("Event loop is closed")
         self._made += 1
         life = LIFE.get(self.outside) if context is None else context.get(LIFE, self.outside)
@@ -293,17 +295,21 @@
         self._tasks = [task for task in self._tasks if task.life is not life]
 
     def call_exception_handler(self, context: dict[str, Any]) -> None:
-        if not self._over:                # what is thrown away after the end is nobody's fault
+        if not (self._over or self._unwinding):      # what is thrown away after the end is nobody's fault
             super().call_exception_handler(context)
 
     def close(self) -> None:
         if self._over or self.is_running():
             return super().close()
-        for task in self._buried:         # unwound here, in order, where nothing that they do counts
-            try:
-                task.get_coro().close()
-            except Exception:             # an `await` in a `finally`, or the loop's refusal
-                pass
+        # Unwound here, in order, where nothing that they do counts; in the name of this loop, or what they start
+        # would end up on another one.
+        self._unwinding = True
+        asyncio._set_running_loop(self)
+        try:
+            for task in self._buried:
+                _unwind(task.get_coro())
+        finally:
+            asyncio._set_running_loop(None)
         self._buried.clear()
         self._tasks.clear()
         if self.network is not None:
@@ -373,3 +379,13 @@
                           flags: int = 0) -> Any:
         """For IP addresses, and for names that the network knows; never asked outside."""
         return self.the_network().names.look_up(host, port, family, type, proto)
+
+
+def _unwind(coroutine: Any) -> None:
+    """Close a coroutine, even one that goes on after an exception, as a watch does that runs for ever."""
+    for _ in range(UNWOUND_AFTER):
+        try:
+            coroutine.close()
+            return
+        except Exception:             # an `await` in a `finally`, or the loop's refusal
+            pass
