--- a/roadlb/lab/sim/loop.py
+++ b/roadlb/lab/sim/loop.py
@@ -301,8 +301,8 @@
     def close(self) -> None:
         if self._over or self.is_running():
             return super().close()
-        # Unwound here, in order, where nothing that they do counts; in the name of this loop, or what they start
-        # would end up on another one.
+        # Unwound here, in order, where nothing that they do counts; on this loop, or else what they start
+        # would be on another one.
         self._unwinding = True
         asyncio._set_running_loop(self)
         try:
