--- a/roadlb/own_load.py
+++ b/roadlb/own_load.py
@@ -12,7 +12,7 @@
 from .overload.controller import Controller, Shed, Tighten
 from .overload.meter import READ_US, Limits, Meter, Reading
 from .overload.pulse import Pulse
-from .overload.readings import cpu_used_us, memory_bytes
+from .overload.readings import cpu_used_us, memory_bytes, waited_us
 
 logger = logging.getLogger(__name__)
 
@@ -27,14 +27,21 @@
         self._clock, self._engine, self._tighten = clock, engine, tighten
         self._loop, now = asyncio.get_running_loop(), clock()
         self._pulse = Pulse(now)
-        self._meter = Meter(now, self._pulse, limits, cpu_us, memory_bytes, descriptors)
+        self._meter = Meter(now, self._pulse, limits, cpu_us, memory_bytes, descriptors,
+                            engine.asked_and_refused)
         self._controller = Controller(aim_us)
         self._reading = Reading(0, 0.0)
         self._read_at, self._next = now + READ_US, self._loop.call_soon(self._beat)
 
-    def came_us(self) -> int:
-        """The earliest moment at which bytes read now may have come, on the clock."""
-        return self._pulse.came_us(self._clock())
+    def came_us(self, transport: asyncio.Transport) -> int:
+        """The earliest moment at which bytes read now from this transport may have come, on the clock."""
+        now = self._clock()
+        came = self._pulse.came_us(now)
+        if came < now:             # the loop was late: ask the kernel, as most bytes came a moment ago
+            connection = transport.get_extra_info("socket")
+            if connection is not None and (waited := waited_us(connection)):
+                return max(came, now - waited)
+        return came
 
     def _beat(self) -> None:
         now = self._clock()
