--- a/tests/house/test_commands.py
+++ b/tests/house/test_commands.py
@@ -20,13 +20,17 @@
 
 ROOT = Path(__file__).parents[2]
 PROJECT = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
-TOOLS = ["ruff check .", "mypy", "lint-imports --no-logo", "pytest -q"]
+STATIC = ["ruff check .", "mypy", "lint-imports --no-logo"]
+BUILD = "python setup.py -q build --build-lib .venv-dev/compiled --build-temp .venv-dev/temp"
+TESTS = ["python -P -m pytest -q -m not interpreted tests/net tests/engine tests/policy", "pytest -q"]
+FIRST, LATER = [*STATIC, BUILD, *TESTS], [*STATIC, *TESTS]
 STUB = """#!/bin/sh
 # Stands in for Python and for the tools: notes what it was asked for, fails where a file FAIL-name is.
 case "$*" in *sys.version_info*) test ! -e FAIL-version; exit;; -V) exit;; esac
 echo "${0##*/} $*" >> notes
 case "$*" in *"-m venv"*) mkdir -p .venv-dev/bin
-    for name in python ruff mypy lint-imports pytest roadlb; do cp "$0" .venv-dev/bin/$name; done;; esac
+    for name in python ruff mypy lint-imports pytest roadlb; do cp "$0" .venv-dev/bin/$name; done;;
+    "setup.py "*) mkdir -p .venv-dev/compiled;; esac
 test ! -e "FAIL-${0##*/}"
 """
 MADE = ["python3 -m venv .venv-dev", "python -m pip --disable-pip-version-check install -e .[dev]"]
@@ -53,6 +57,8 @@
         (at / "bin" / "python3").chmod(0o755)
         shutil.copy(ROOT / "dev", at)
         (at / "pyproject.toml").write_text("[project]\n")
+        (at / "roadlb").mkdir()
+        (at / "setup.py").touch()
 
     def check(self, *arguments: str) -> tuple[int, list[str]]:
         return self.call("check", *arguments)
@@ -74,18 +80,20 @@
     (here.at / "FAIL-python").touch()
     assert here.check() == (1, MADE)                             # the installation fails: half made
     (here.at / "FAIL-python").unlink()
-    assert here.check() == (0, MADE + TOOLS)                     # made anew
-    assert here.check("-k", "net") == (0, [*TOOLS[:-1], TOOLS[-1] + " -k net"])
+    assert here.check() == (0, MADE + FIRST)                     # made anew
+    assert here.check("-k", "net") == (0, [*LATER[:-1], LATER[-1] + " -k net"])
+    (here.at / "roadlb" / "more.py").write_text("a = 1\n")       # what is compiled has changed
+    assert here.check() == (0, FIRST)
     (here.at / "pyproject.toml").write_text("[project]\nname = 'other'\n")
-    assert here.check() == (0, MADE + TOOLS)
+    assert here.check() == (0, MADE + FIRST)
     here.at = here.at.rename(tmp_path / "there")                 # environments hold absolute paths
-    assert here.check() == (0, MADE + TOOLS)
+    assert here.check() == (0, MADE + FIRST)
 
 
 def test_the_first_check_that_fails_ends_them(tmp_path: Path) -> None:
     here = Checkout(tmp_path / "here")
     (here.at / "FAIL-mypy").touch()
-    assert here.check() == (1, MADE + TOOLS[:2])
+    assert here.check() == (1, MADE + STATIC[:2])
 
 
 def test_an_old_python_is_named_with_the_remedy(tmp_path: Path) -> None:
@@ -130,7 +138,7 @@
     pinned, homes = installed(), metadata.packages_distributions()
     scripts = {script.name: script.dist.name for script in metadata.entry_points(group="console_scripts")
                if script.dist}
-    for tool in (line.split()[0] for line in TOOLS):
+    for tool in (line.split()[0] for line in [*STATIC, TESTS[-1]]):
         assert scripts.get(tool, tool) in pinned, tool
     folders = (ROOT / folder for folder in ("roadlb", "tests", "examples"))
     packages = imported(path for folder in folders for path in folder.rglob("*.py"))
