--- a/roadlb/lab/sim/loop.py
+++ b/roadlb/lab/sim/loop.py
@@ -301,15 +301,8 @@
     def close(self) -> None:
         if self._over or self.is_running():
             return super().close()
-        # Unwound here, in order, where nothing that they do counts; on this loop, or else what they start
-        # would be on another one.
-        self._unwinding = True
-        asyncio._set_running_loop(self)
-        try:
-            for task in self._buried:
-                _unwind(task.get_coro())
-        finally:
-            asyncio._set_running_loop(None)
+        if self._buried:
+            self.run_until_complete(self._unwind())
         self._buried.clear()
         self._tasks.clear()
         if self.network is not None:
@@ -320,6 +313,15 @@
         self._over = True
         super().close()
 
+    async def _unwind(self) -> None:
+        """End tasks of dead hosts in order, where nothing that they do counts.
+
+        While the loop runs, or else what they start would begin on another one.
+        """
+        self._unwinding = True
+        for task in self._buried:
+            _end(task.get_coro())
+
     # Signals
 
     def add_signal_handler(self, sig: int, callback: Callable[..., object],  # type: ignore[override]
@@ -381,7 +383,7 @@
         return self.the_network().names.look_up(host, port, family, type, proto)
 
 
-def _unwind(coroutine: Any) -> None:
+def _end(coroutine: Any) -> None:
     """Close a coroutine, even one that goes on after an exception, as a watch does that runs for ever."""
     for _ in range(UNWOUND_AFTER):
         try:
--- a/roadlb/lab/sim/sockets.py
+++ b/roadlb/lab/sim/sockets.py
@@ -17,6 +17,7 @@
     from .network import Network
     from .tcp import End
 
+LAST_DATA_RECV = struct.Struct("=52xI")        # of struct tcp_info, in milliseconds
 LINGER = struct.Struct("ii")       # SO_LINGER: on or off, seconds
 
 
@@ -101,10 +102,13 @@
         if (level, option) == (socket.SOL_SOCKET, socket.SO_LINGER) and self.end is not None:
             self.end.linger_zero = LINGER.unpack(value) == (1, 0)
 
-    def getsockopt(self, level: int, option: int, *_: Any) -> int:
-        if level == socket.IPPROTO_TCP and option == getattr(socket, "TCP_INFO", -1):
-            raise OSError(errno.ENOPROTOOPT, "no TCP_INFO in the simulation")
-        return 0
+    def getsockopt(self, level: int, option: int, *_: Any) -> Any:
+        """TCP_INFO tells when data last came, and of all else nothing; every other option is 0."""
+        if level != socket.IPPROTO_TCP or option != getattr(socket, "TCP_INFO", -1):
+            return 0
+        if self.end is None:
+            raise OSError(errno.ENOTCONN, "Transport endpoint is not connected")
+        return LAST_DATA_RECV.pack((self.network.loop.now_us - self.end.data_at) // 1000)
 
     def bind(self, at: tuple[Any, ...]) -> None:
         self.bound = self.host.bindable(str(at[0]), int(at[1]))
--- a/roadlb/lab/sim/tcp.py
+++ b/roadlb/lab/sim/tcp.py
@@ -133,9 +133,9 @@
     `send` and `recv` behave as on a non-blocking socket.  `window`: how much more the peer's kernel takes.
     """
 
-    __slots__ = ("host", "ip", "port", "name", "peer", "out", "connection", "watcher", "unread", "fin_in",
-                 "fin_out", "dead", "closed", "error", "linger_zero", "wants_write", "send_buffer", "window",
-                 "on_close", "_received", "_unsent", "_unsent_size", "_fin_sent")
+    __slots__ = ("host", "ip", "port", "name", "peer", "out", "connection", "watcher", "data_at", "unread",
+                 "fin_in", "fin_out", "dead", "closed", "error", "linger_zero", "wants_write", "send_buffer",
+                 "window", "on_close", "_received", "_unsent", "_unsent_size", "_fin_sent")
 
     peer: End
     out: Pipe
@@ -145,6 +145,7 @@
         self.host, self.ip, self.port = host, ip, port
         self.name = f"{ip}:{port}"
         self.watcher: Watcher | None = None
+        self.data_at = 0                   # when bytes last came
         self.unread = 0                    # bytes received, and not yet read
         self.fin_in = False                # the peer writes no more
         self.fin_out = False               # we write no more
@@ -282,6 +283,7 @@
         if kind == "data":
             self._received.append(data)
             self.unread += len(data)
+            self.data_at = self.out.loop.now_us
         else:
             self.fin_in = True
         if self.watcher is not None:
