--- a/roadlb/lab/run/relay.py
+++ b/roadlb/lab/run/relay.py
@@ -29,6 +29,7 @@
         self.other: _Side
         self.transport: asyncio.Transport | None = None
         self.full = False
+        self.ended = False                   # it has been told that nothing more comes
         self._under_way: deque[tuple[float, bytes]] = deque()    # due, bytes; b"": the end of its writing
         self._timer: asyncio.TimerHandle | None = None
 
@@ -80,8 +81,12 @@
             self._under_way.popleft()
             if data:
                 self.transport.write(data)
-            elif self.transport.can_write_eof():
+            else:
+                self.ended = True
                 self.transport.write_eof()
+                if self.other.ended:         # neither end writes any more
+                    self.pair.close()
+                    return
 
     def flush(self) -> None:
         """All that is under way arrives now, as nothing more will come behind it."""
