--- a/roadlb/lab/run/sim_world.py
+++ b/roadlb/lab/run/sim_world.py
@@ -9,7 +9,6 @@
 from typing import Any, ParamSpec, TypeVar
 
 from ...app import App
-from ...clock import Clock
 from ...config import read_config
 from ..incident import Incident
 from ..parties.clients import Clients
@@ -69,7 +68,7 @@
         loop, told = asyncio.get_running_loop(), asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, told.set)
         self.app = app = self._world.app(read_config(self._limited(), {}), clock=self._world.clock,
-                                         wall=self._world.wall, cpu_us=self._world.cpu_us)
+                                         wall=self._world.wall, cpu_us=self.host.cpu_used_us)
         loop.add_signal_handler(
             signal.SIGHUP, lambda: app.reconfigure(lambda: read_config(self._limited(), {}, again=True)))
         await app.start()
@@ -117,9 +116,8 @@
 
     name = "sim"
 
-    def __init__(self, incident: Incident, drawn: Drawn, app: AppFactory = App,
-                 cpu_us: Clock = lambda: 0) -> None:
-        self.loop, self.app, self.cpu_us = SimLoop.running(), app, cpu_us
+    def __init__(self, incident: Incident, drawn: Drawn, app: AppFactory = App) -> None:
+        self.loop, self.app = SimLoop.running(), app
         self.network = Network(self.loop, abort_resets=False)      # as uvloop, on which the program runs
         self.clock, self.random = self.loop.clock_us, self.loop.random
         self.clients: Sequence[Clients] = ()
@@ -127,7 +125,7 @@
         self.counters: dict[str, dict[str, int]] = {}
         self._roles: dict[Host, Role] = {}
         self._halls = incident.network.halls
-        self._sockets = incident.balancers.sockets
+        self._balancers = incident.balancers
         self._processes: list[SimProcess] = []
         self._cut: list[str] = []
         self._lay(incident, drawn)
@@ -147,7 +145,10 @@
 
     def process(self, name: str, hall: str) -> SimProcess:
         host = self.network.host(name, hall, deferred_writes=True)
-        host.descriptors = self._sockets
+        told = self._balancers
+        host.descriptors = told.sockets
+        if told.callback_us:
+            host.cpu(round(told.callback_us), told.cores)
         self._roles[host] = Role.BALANCER
         process = SimProcess(host, self)
         self._processes.append(process)
--- a/roadlb/lab/sim/cpu.py
+++ b/roadlb/lab/sim/cpu.py
@@ -22,10 +22,12 @@
         self._cost, self._rng = cost, rng
         self._period, self._quota = period_us, max(1, int(cores * period_us))
         self._at, self._used = 0, 0        # the period looked at, and what was used of it
+        self.used_us = 0                   # by all callbacks so far
 
     def end(self, now: int) -> int:
         """When one more callback that begins now is done."""
         work = self._cost if isinstance(self._cost, int) else self._cost(self._rng)
+        self.used_us += work
         while True:
             period = now // self._period
             if period != self._at:
--- a/roadlb/lab/sim/host.py
+++ b/roadlb/lab/sim/host.py
@@ -171,6 +171,10 @@
         self._cpu = Cpu(cost, cores, period_us, self.rng)
         self.life.set_cpu(self._cpu)
 
+    def cpu_used_us(self) -> int:
+        """CPU time that its callbacks have taken so far."""
+        return self._cpu.used_us if self._cpu is not None else 0
+
     def no_cpu(self) -> None:
         """Callbacks take no time again."""
         self._cpu = None
