--- a/roadlb/cli/lab/run.py
+++ b/roadlb/cli/lab/run.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from pathlib import Path
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 import click
 
@@ -16,6 +17,10 @@
     from ...lab.wire import WireLog
 
 
+NOT_THE_RUNS = frozenset({"took_s"})            # of the figures: it differs where nothing else does
+ERRORS, MOST_ERRORS = ("program_errors", "faults"), 20
+
+
 class Rehearsal(Protocol):
     """What a run leaves behind."""
 
@@ -25,6 +30,8 @@
     def verdict(self) -> Verdict: ...
     @property
     def origin_us(self) -> int | None: ...
+    @property
+    def figures(self) -> Mapping[str, Any]: ...
 
 
 @click.command()
@@ -42,8 +49,8 @@
         png_to: str | None) -> None:
     """Rehearse the incident in FILE.
 
-    Ends with 0 if every rule was kept and the runs agree: byte for byte in the simulated world, in the order
-    in which nodes fell in the real one.  Ends with 1 otherwise.
+    Ends with 0 if every rule was kept, the program logged no error, and the runs agree: byte for byte in the
+    simulated world, in the order in which nodes fell in the real one.  Ends with 1 otherwise.
     """
     incident, rehearse = incident_at(file), need("roadlb.lab.run").rehearse
     subjects = [subject_of(incident, rehearse(incident, seed, world), seed, world) for _ in range(times)]
@@ -51,7 +58,10 @@
     agree = agreed(subjects, world)
     if times > 1:
         click.echo(f"{times} runs, which {'agree' if agree else 'differ'}", err=True)
-    if not agree or not all(subject.verdict.kept for subject in subjects):
+    errors = [line for subject in subjects for key in ERRORS for line in subject.run.get(key, ())]
+    for line in errors[:MOST_ERRORS]:
+        click.echo(f"the program said: {line}", err=True)
+    if not agree or errors or not all(subject.verdict.kept for subject in subjects):
         raise click.exceptions.Exit(FAULTY)
 
 
@@ -59,7 +69,8 @@
     from ...lab.incident import rules_of
     from ...lab.report import Subject
     return Subject(incident.name, incident.title, seed, world, rehearsal.log, rehearsal.verdict,
-                   rules_of(incident), rehearsal.origin_us)
+                   rules_of(incident), rehearsal.origin_us,
+                   {key: value for key, value in rehearsal.figures.items() if key not in NOT_THE_RUNS})
 
 
 def agreed(subjects: list[Subject], world: str) -> bool:
--- a/roadlb/lab/incident/schema.py
+++ b/roadlb/lab/incident/schema.py
@@ -85,7 +85,7 @@
     in_hall: dict[str, CountOrNone] = {}            # halls that differ
     cores: Factor = 1.0
     memory_mb: Count = 192
-    callback_us: Amount = 0.0                       # of CPU for each callback, in the simulated world; 0: none
+    callback_us: Amount = 0.0                       # of CPU for each callback, in the simulated world
     sockets: Count = 1_024                          # descriptors that one may hold
     dial_timeout_ms: Amount = 250.0                 # a connection that is not up by then has failed
 
--- a/roadlb/lab/report/machine.py
+++ b/roadlb/lab/report/machine.py
@@ -28,6 +28,7 @@
                    for fell in subject.fallen],
         "worth": worth(subject, verdict.worth),
         "figures": plain({**asdict(verdict.figures), "fallen": list(verdict.figures.fallen)}),
+        "run": plain(subject.run),
         "steps": [{"at_s": at_s, "text": text} for at_s, text in subject.steps],
     }
 
--- a/roadlb/lab/report/subject.py
+++ b/roadlb/lab/report/subject.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from functools import cached_property
+from typing import Any
 
 from ..judge import Rules, Verdict
 from ..wire import NodeFell, Note, WireLog
@@ -13,7 +15,10 @@
 
 @dataclass(frozen=True)
 class Subject:
-    """One run.  `origin_us` is the clock's time at its start; None: that of the first event."""
+    """One run.  `origin_us` is the clock's time at its start; None: that of the first event.
+
+    `run`: what is no rule's and no worth's, such as the programs' own counters; goes into the JSON as it is.
+    """
 
     name: str
     title: str
@@ -23,6 +28,7 @@
     verdict: Verdict
     rules: Rules
     origin_us: int | None = None
+    run: Mapping[str, Any] = field(default_factory=dict)
 
     @cached_property
     def start_us(self) -> int:
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -38,7 +38,8 @@
         log.write(Note(id(log), "now"))
     if seed % 2:
         log.write(ClientSent(1, "r1", 1, 0, "c", "b", "order", "energia-sever", "k", 100_000, 1))
-    return SimpleNamespace(log=log, verdict=judge.verdict(10_000_000), origin_us=None)
+    figures = {"faults": ["balancer-1: ended with 3"] if seed == 4 else []}
+    return SimpleNamespace(log=log, verdict=judge.verdict(10_000_000), origin_us=None, figures=figures)
 
 
 def give(monkeypatch: pytest.MonkeyPatch, name: str, **functions: Any) -> None:
@@ -89,6 +90,13 @@
     assert "lost, 1 times" in result.stderr
 
 
+def test_run_fails_where_the_program_has_logged_an_error(monkeypatch: pytest.MonkeyPatch) -> None:
+    give(monkeypatch, "roadlb.lab.run", rehearse=rehearse)
+    result = call("lab", "run", CALM, "--seed", "4", "--json", "-")
+    assert result.exit_code == 1 and "the program said: balancer-1: ended with 3" in result.stderr
+    assert json.loads(result.stdout)["run"]["faults"]
+
+
 def test_run_compares_what_must_be_alike_in_each_world(monkeypatch: pytest.MonkeyPatch) -> None:
     give(monkeypatch, "roadlb.lab.run", rehearse=rehearse)
     for world in ("sim", "real"):
--- a/tests/lab/report/test_report.py
+++ b/tests/lab/report/test_report.py
@@ -90,7 +90,7 @@
     assert text == machine.text(subject())              # a second play of the same night
     assert set(told) == {
         "schema", "incident", "title", "seed", "world", "seconds", "events", "digest", "kept", "broken",
-        "violations", "fallen", "worth", "figures", "steps"}
+        "violations", "fallen", "worth", "figures", "steps", "run"}
     assert told["schema"] == "roadlb.lab.report/1" and told["digest"] == NIGHT.log.digest()
     assert told["fallen"] == [
         {"node": "node-04", "started_ms": 99, "at_s": 11.0, "sent_s": 1.9, "room_s": 0.4}]
