--- a/roadlb/lab/parties/clients.py
+++ b/roadlb/lab/parties/clients.py
@@ -155,9 +155,10 @@
             reset(link.transport)
         return [link.balancer for link in chosen]
 
-    def open_ids(self) -> list[str]:
-        """Of requests that were sent and have no answer yet."""
-        return [link.current.id for link in self.links if link.current and link.current.sent_at >= 0]
+    def open_ids(self, balancer: str) -> list[str]:
+        """Of requests that were sent to this balancer and have no answer yet."""
+        return [link.current.id for link in self.links
+                if link.balancer == balancer and link.current and link.current.sent_at >= 0]
 
     def _call_at(self, at: int, action: Callable[..., None], *arguments: object) -> asyncio.TimerHandle:
         return self._loop.call_later(max(0, at - self._clock()) / 1e6, action, *arguments)
--- a/roadlb/lab/parties/rude.py
+++ b/roadlb/lab/parties/rude.py
@@ -169,18 +169,20 @@
 class Rude:
     """The rude clients of one hall.
 
-    `open_ids` gives ids of requests that sound clients have open, to steal one of.  `tallies` counts, for
-    each kind, `error`, `closed`, `garbled`, `served`, `late` (neither in time) and `refused` (no connection).
+    `open_ids` gives ids of requests that sound clients have open at a balancer, to steal one of; no balancer
+    can know what is open at another one.  `tallies` counts, for each kind, `error`, `closed`, `garbled`,
+    `served`, `late` (neither in time) and `refused` (no connection).
     """
 
     read_path: str
     order_path: str
 
     def __init__(self, hall: str, front: Front, rng: Random, classes: Sequence[str], tenant: str = "",
-                 open_ids: Callable[[], Sequence[str]] = tuple, log: WireLog | None = None,
+                 open_ids: Callable[[str], Sequence[str]] = lambda balancer: (), log: WireLog | None = None,
                  clock: Callable[[], int] = lambda: 0) -> None:
         self.hall, self.rng, self.tenant = hall, rng, tenant
         self._log, self._clock = log, clock
+        self._balancer = ""              # that the client which is just coming has picked
         self.read_path, self.order_path = f"/{classes[0]}/f0000?w=10000", f"/{classes[-1]}/f0000?w=10000"
         self._front, self._open_ids = front, open_ids
         self.tallies: dict[str, Counter[str]] = {}
@@ -190,7 +192,8 @@
         return f"{self.rng.getrandbits(64):016x}"
 
     def steal(self) -> str:
-        return self.rng.choice(self._open_ids())
+        ids = self._open_ids(self._balancer)
+        return self.rng.choice(ids) if ids else ""
 
     async def visit(self, name: str) -> None:
         """One client of this kind comes, and goes once it has what it is owed, or did not get it in time."""
@@ -198,8 +201,6 @@
             raise ValueError(f"kind: {name!r} is not known: give one of {', '.join(KINDS)}")
         self.loop = asyncio.get_running_loop()
         kind = KINDS[name]
-        if name == "stolen id" and not self._open_ids():
-            return                       # there is nothing to steal
         await asyncio.gather(*(self._connect(name, kind) for _ in range(kind.connections)))
 
     async def play(self, names: Sequence[str], gap_s: float, until: float) -> None:
@@ -216,7 +217,11 @@
         await asyncio.gather(*list(visits))
 
     async def _connect(self, name: str, kind: Kind) -> None:
-        link, since, picked = _Link(self, name, kind), 0, self._front.pick(self.hall)
+        since, picked = 0, self._front.pick(self.hall)
+        self._balancer = picked[0] if picked else ""
+        if name == "stolen id" and not self._open_ids(self._balancer):
+            return                       # there is nothing to steal
+        link = _Link(self, name, kind)
         try:
             async with asyncio.timeout(kind.owed_us / 1e6):
                 if picked is None:
--- a/roadlb/lab/sim/loop.py
+++ b/roadlb/lab/sim/loop.py
@@ -122,11 +122,15 @@
     def call_at(self, when: float, callback: Callable[..., object], *args: Any,  # type: ignore[override]
                 context: Context | None = None) -> SimTimer:
         at = when if when == FOREVER else math.ceil(when * 1e6 - FLOAT_NOISE_US)
+        if at <= self.now_us < when * 1e6:
+            at = self.now_us + 1      # else who finds itself a rounding error early would try again for ever
         return self._call_at(at, when, callback, args, context)
 
     def call_later(self, delay: float, callback: Callable[..., object],  # type: ignore[override]
                    *args: Any, context: Context | None = None) -> SimTimer:
         at = delay if delay == FOREVER else self.now_us + math.ceil(delay * 1e6 - FLOAT_NOISE_US)
+        if delay > 0 and at <= self.now_us:
+            at = self.now_us + 1      # as in call_at
         return self._call_at(at, self.now_us / 1e6 + delay, callback, args, context)
 
     def _call_at(self, at: float, when: float, callback: Callable[..., object], args: tuple[Any, ...],
@@ -264,11 +268,12 @@
         return ", ".join(host.name for host in hosts if host.life.stopped)
 
     def _livelock(self) -> Livelock:
-        queued = "\n".join(f"  {handle!r}" for handle in list(self._queue)[:20])
+        due = [timer for at, _, timer, _ in self._heap if timer is not None and at <= self.now_us]
+        queued = "\n".join(f"  {handle!r}" for handle in [*self._queue, *self._found, *due][:20])
         return Livelock(f"{self._most_turns} turns at {self.now_us} us, and the clock stands.  Something "
                         "queues itself without end (`await asyncio.sleep(0)` in a loop?); let it wait for an "
                         "event or a time, or raise `most_turns`.  Queued now:\n"
-                        f"{queued or '  timers of no delay'}")
+                        f"{queued or '  events of the network'}")
 
     # Tasks
 
--- a/tests/lab/parties/test_parties_clients.py
+++ b/tests/lab/parties/test_parties_clients.py
@@ -262,7 +262,7 @@
     front.place("n0", "hall-a", ("10.0.0.4", 80))
     await loop.create_server(Balancer, "10.0.0.4", 80)
     await asyncio.sleep(0.3)
-    rude = Rude("hall-a", front, Random(3), ["grid-read", "order"], "acme", lambda: ["ab" * 8])
+    rude = Rude("hall-a", front, Random(3), ["grid-read", "order"], "acme", lambda balancer: ["ab" * 8])
     await rude.visit(name)
     kind = KINDS[name]
     assert sum(rude.tallies[name].values()) == kind.connections
--- a/tests/lab/sim/test_sim_loop.py
+++ b/tests/lab/sim/test_sim_loop.py
@@ -163,3 +163,19 @@
 def test_one_seed_for_each_name() -> None:
     draws = [SimLoop(seed).random(name).random() for seed, name in ((1, "a"), (1, "a"), (1, "b"), (2, "a"))]
     assert draws[0] == draws[1] and len(set(draws)) == 3
+
+
+def test_who_finds_itself_a_rounding_error_early_gets_further() -> None:
+    """`left = until - loop.time()` may be 1e-16: a timer for that must not fire at the same instant again."""
+    async def main(pair: Pair) -> int:
+        loop, rounds = asyncio.get_running_loop(), 0
+        for until in (loop.time() + 0.1 + 0.2, loop.time() + 0.7 + 0.1):
+            while (left := until - loop.time()) > 0:
+                rounds += 1
+                await asyncio.sleep(left)
+                loop.call_at(until, lambda: None)
+            while loop.time() < until + 1e-15:
+                rounds += 1
+                await asyncio.sleep(1e-15)
+        return rounds
+    assert simulate(main) < 10
