--- a/tests/lab/run/faulty_balancers.py
+++ b/tests/lab/run/faulty_balancers.py
@@ -8,7 +8,7 @@
 
 
 from roadlb.app import App
-from roadlb.exchange import Answer, Ending, Exchange, Execution, Failed, Nack, Result, Served
+from roadlb.exchange import Answer, Ending, Exchange, Execution, Failed, Message, Nack, Result, Served
 from roadlb.lab.sim import SimLoop
 from roadlb.policy.interface import ListKind, Member, ServerState
 
@@ -97,19 +97,19 @@
 
         def again(execution: Execution) -> None:
             now = self.clock()
-            self.instances.start(Execution(self.message_of(execution.exchange), EXTRA, execution.server, now,
-                                           now + 900_000))
+            self.instances.start(Execution(execution.request, self.message_of(execution), EXTRA,
+                                           execution.server, now, now + 900_000))
 
         def watched(execution: Execution, result: Result) -> None:
             if execution.number == EXTRA:
                 return
             ended(execution, result)
-            if result.ending is Ending.SERVED and execution.exchange.id % EVERY == 0:
+            if result.ending is Ending.SERVED and execution.request % EVERY == 0:
                 loop.call_later(self.later_s, again, execution)
         self.engine.execution_ended = watched           # type: ignore[method-assign]
 
-    def message_of(self, exchange: Exchange) -> Exchange:
-        return exchange
+    def message_of(self, execution: Execution) -> Message:
+        return execution.message
 
 
 class Invents(Lingers):
@@ -117,10 +117,10 @@
 
     later_s = 0.0
 
-    def message_of(self, exchange: Exchange) -> Exchange:
-        head, _, id_on = exchange.message.head.partition(b"X-Correlation-Id: ")
-        return replace(exchange, message=replace(
-            exchange.message, head=head + b"X-Correlation-Id: feed" + id_on[4:]))
+    def message_of(self, execution: Execution) -> Message:
+        head, _, id_on = execution.message.head.partition(b"X-Correlation-Id: ")
+        return Message(execution.message.method, execution.message.target,
+                       head + b"X-Correlation-Id: feed" + id_on[4:], execution.message.body)
 
 
 class Lists(App):
