--- a/roadlb/fleet/model.py
+++ b/roadlb/fleet/model.py
@@ -33,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True, order=True)
 class NodeId:
-    """Who a node is: its name and its last start (0: long ago).  A restart is another node of the same name."""
+    """Who a node is: its name and its last start (0: long ago).  Restarted, it is another of that name."""
 
     name: str
     started_ms: int = 0
@@ -52,8 +52,8 @@
 class Endpoint:
     """One node of a cluster.
 
-    `weight` is relative within the cluster, 0 takes no work; `priority` 0 comes first; `machine` and `cell` are
-    the platform's machine type and cell.
+    `weight` is relative within the cluster, 0 takes no work; `priority` 0 comes first; `machine` and `cell`
+    are the platform's machine type and cell.
     """
 
     node: NodeId
