Wait at the end for a connection accepted a moment ago, whose first request may be on its way

Change: such a connection is closed once it has been silent for 0.5 s, the time in which a client that means to ask has asked; until then its request is read and answered.

--- a/roadlb/net/service_client.py
+++ b/roadlb/net/service_client.py
@@ -166,15 +166,28 @@
             self._ids.discard(self._answered.popleft()[1])
 
     async def end(self, seconds: float) -> None:
-        """Close the connections that are quiet, wait for those that are owed an answer, abort the rest."""
+        """Close the connections that are quiet, wait for those that are owed an answer, abort the rest.
+
+        One that has been accepted a moment ago may have its first request on the way, and its client could
+        not tell that it was never read: it is waited for as long as a client takes that means to ask.
+        """
+        now = self.clock()
         for connection in self._quiet():
-            connection.close()
+            asks_by = connection.since_us + int(SILENT_S * 1e6)
+            if connection.asked or asks_by <= now:
+                connection.close()
+            else:
+                self._wheel.at(asks_by, self._close_if_quiet, connection)
         if self.connections:
             self._all_ended = asyncio.get_running_loop().create_future()
             await asyncio.wait([self._all_ended], timeout=seconds)
         for connection in list(self.connections):
             connection.abort()
 
+    def _close_if_quiet(self, connection: ClientConnection) -> None:
+        if not connection.busy and not connection.started_us:
+            connection.close()
+
     # Requests
 
     def serve(self, connection: ClientConnection, request: Request) -> None:
