--- a/benchmarks/lab.py
+++ b/benchmarks/lab.py
@@ -1,6 +1,7 @@
 """The rehearsal lab itself: many seeds of every shipped incident, its speed, and its two worlds side by side.
 
     python benchmarks/lab.py sweep --seeds 200 --out sweep.jsonl --for-s 140   as often as needed
+    python benchmarks/lab.py fuzz --seeds 500 --out fuzz.jsonl                 incidents made up by seeds
     python benchmarks/lab.py pace                                             a day of the whole program
     python benchmarks/lab.py worlds --only rolling-deploy                     simulated and real time
 
@@ -17,6 +18,7 @@
 from concurrent.futures import FIRST_COMPLETED, Future, ProcessPoolExecutor, wait
 from hashlib import blake2b
 from pathlib import Path
+from random import Random
 from typing import Any
 
 import click
@@ -24,7 +26,8 @@
 from rich.console import Console
 from rich.progress import Progress
 
-from roadlb.lab.incident import load
+from roadlb.lab.incident import Incident, Range, Step, load
+from roadlb.lab.incident import steps as s
 from roadlb.lab.report.tables import table
 from roadlb.lab.run import rehearse
 
@@ -50,7 +53,8 @@
 
 
 def one_run(file: str, seed: int, code: str) -> dict[str, Any]:
-    incident = load(file)
+    """`file`: of an incident; none: one that the seed makes up."""
+    incident = load(file) if file else made_up(seed)
     rehearsal = rehearse(incident, seed)
     verdict, told, figures = rehearsal.verdict, rehearsal.verdict.figures, rehearsal.figures
     return {
@@ -65,6 +69,73 @@
         "failed": told.failed, "ran_twice": told.ran_twice, "fell": list(told.fallen)}
 
 
+def made_up(seed: int) -> Incident:
+    """A short incident of a few steps of any kinds, that may overlap in any way.
+
+    Its nodes warm up in a quarter of their time, or else little would happen in it but shedding.
+    """
+    rng = Random(f"incident {seed}")
+    seconds = rng.choice((8.0, 12.0, 16.0))
+    calm = Incident(name=f"made-up-{seed}", title="Made up", duration_s=seconds)
+    machines = tuple(msgspec.structs.replace(
+        kind, cold_s=Range(kind.cold_s.low / 4, kind.cold_s.high / 4)) for kind in calm.fleet.machines)
+    nodes = rng.randint(4, 12)
+    return msgspec.structs.replace(
+        calm, steps=tuple(made_up_step(rng, seconds) for _ in range(rng.randint(2, 8))),
+        fleet=msgspec.structs.replace(calm.fleet, nodes=nodes, machines=machines,
+                                      warm_at_start=rng.random() < 0.8),
+        balancers=msgspec.structs.replace(calm.balancers, per_hall=rng.randint(1, 2)),
+        traffic=msgspec.structs.replace(calm.traffic, rate=nodes * rng.uniform(8, 40)),
+        discovery=msgspec.structs.replace(
+            calm.discovery, notice_s=Range(0.2, 2), silent_notice_s=Range(1, 5), add_s=Range(0.1, 1.5)),
+        rules=msgspec.structs.replace(calm.rules, cold_s=calm.rules.cold_s / 4,
+                                      second_copies=rng.random() < 0.8))
+
+
+def made_up_step(rng: Random, seconds: float) -> Step:
+    at_s = rng.uniform(0.1, seconds * 0.7)
+    left_s = seconds - at_s
+    lasts: dict[str, Any] = {"at_s": at_s, "for_s": rng.uniform(0.2, left_s) if rng.random() < 0.9 else None}
+    some: dict[str, Any] = {"share": rng.uniform(0.1, 0.7)}
+    over_s = rng.uniform(0.5, left_s)
+    drain_s = rng.uniform(0, min(4.0, over_s))
+    kind = rng.choice(list(s.STEPS.values()))
+    if kind is s.Deploy:
+        return s.Deploy(at_s=at_s, share=rng.uniform(0.2, 1), batch=rng.uniform(0.1, 0.5), over_s=over_s,
+                        drain_s=drain_s, address=rng.choice(("new", "same")))
+    if kind is s.Shrink:
+        return s.Shrink(at_s=at_s, to=rng.uniform(0.3, 0.9), over_s=over_s, drain_s=drain_s)
+    if kind is s.BalancerCrash:
+        return s.BalancerCrash(at_s=at_s, back_after_s=rng.uniform(0.1, 4), back=rng.random() < 0.9,
+                               list_age_s=rng.choice((0.0, rng.uniform(0, 10))), **some)
+    if kind is s.BalancerRestart:
+        return s.BalancerRestart(at_s=at_s, every_s=rng.uniform(0, 4), down_s=rng.uniform(0, 1), **some)
+    if kind is s.Pause:
+        what = rng.choice(("nodes", "balancers"))
+        return s.Pause(what=what, at_s=at_s, for_s=rng.uniform(0.05, min(5.0, left_s)), **some)
+    if kind is s.CutHall:
+        return s.CutHall(hall=rng.choice(("hall-a", "hall-b", "hall-c")), **lasts)
+    if kind is s.DiscoveryMove:
+        return s.DiscoveryMove(at_s=at_s, old_closes_s=rng.uniform(0, 3))
+    if kind is s.Flood:
+        return s.Flood(times=rng.uniform(0.3, 6), of_class=rng.choice((None, "order", "grid-read")),
+                       tenant=rng.choice((None, "cesty-vychod")), **lasts)
+    if kind is s.Reset:
+        return s.Reset(at_s=at_s, connections=rng.random() or 1.0, between=rng.choice(("nodes", "clients")))
+    if kind is s.Rude:
+        return s.Rude(every_s=rng.uniform(0.3, 2), **lasts)
+    if kind is s.KillNode:
+        return s.KillNode(at_s=at_s, share=rng.uniform(0.1, 0.4), count=None, silent=rng.random() < 0.5,
+                          back_after_s=rng.choice((None, rng.uniform(0, 4))))
+    if kind is s.Slow:
+        return s.Slow(factor=rng.uniform(0.5, 8), **lasts, **some)
+    if kind is s.Errors:
+        return s.Errors(answers=rng.uniform(0.05, 1), **lasts, **some)
+    if kind is s.Spoilt:
+        return s.Spoilt(answers=rng.uniform(0.01, 0.3), **lasts, **some)
+    return s.DiscoveryOutage(**lasts)
+
+
 def done_in(out: Path) -> list[dict[str, Any]]:
     return [json.loads(line) for line in out.read_text().splitlines()] if out.exists() else []
 
@@ -80,18 +151,50 @@
     """Play every shipped incident with many seeds in the simulated world."""
     files = [file for file in INCIDENTS if not only or file.stem in only]
     codes = {file.stem: code_of(file) for file in files}
+    play_all([(file.stem, str(file), seed) for seed in range(first, first + seeds) for file in files],
+             codes, out, jobs, for_s)
+    results = [line for line in done_in(out) if line["code"] == codes.get(line["incident"])]
+    if not report(results):
+        raise SystemExit(1)
+
+
+@main.command()
+@click.option("--seeds", default=500, show_default=True)
+@click.option("--first", default=1, show_default=True, help="Of the seeds.")
+@click.option("--out", type=click.Path(path_type=Path), default=Path("fuzz.jsonl"), show_default=True)
+@click.option("--jobs", default=os.cpu_count() or 1, show_default=True, help="Processes at once.")
+@click.option("--for-s", default=1e9, help="Begin no run after so long.")
+def fuzz(seeds: int, first: int, out: Path, jobs: int, for_s: float) -> None:
+    """Play incidents that are made up, each from its seed."""
+    wanted = [(f"made-up-{seed}", "", seed) for seed in range(first, first + seeds)]
+    code = code_of(Path(__file__))
+    play_all(wanted, {name: code for name, _, _ in wanted}, out, jobs, for_s)
+    runs = [line for line in done_in(out) if line["code"] == code]
+    faulty = [run for run in runs if run["broken"] or run["errors"]]
+    for run in faulty:
+        print(f"seed {run['seed']}: {run['broken']}", *run["violations"], *run["errors"], sep="\n  ")
+    wishes, served = (sum(run[key] for run in runs) for key in ("wishes", "in_time"))
+    print(f"{len(runs)} made-up incidents, {len(faulty)} faulty; {wishes} wishes, {served} answered in time, "
+          f"{sum(len(run['fell']) for run in runs)} nodes fell, "
+          f"{sum(run['ran_twice'] for run in runs)} orders ran twice")
+    if faulty:
+        raise SystemExit(1)
+
+
+def play_all(wanted: list[tuple[str, str, int]], codes: dict[str, str], out: Path, jobs: int, for_s: float
+             ) -> None:
+    """(incident, its file, seed) of each run that is wanted; those that `out` has already are left out."""
     done = {(line["incident"], line["seed"]) for line in done_in(out)
             if line["code"] == codes.get(line["incident"])}
-    wanted = [(file, seed) for seed in range(first, first + seeds) for file in files]
-    todo = [(file, seed) for file, seed in wanted if (file.stem, seed) not in done]
+    todo = [run for run in wanted if (run[0], run[2]) not in done]
     until, running = time.monotonic() + for_s, set[Future[dict[str, Any]]]()
     with (Progress(console=Console(stderr=True)) as bar, ProcessPoolExecutor(jobs) as pool,
           out.open("a") as lines):
         task = bar.add_task("rehearsals", total=len(wanted), completed=len(wanted) - len(todo))
         while todo or running:
             while todo and len(running) < jobs and time.monotonic() < until:
-                file, seed = todo.pop(0)
-                running.add(pool.submit(one_run, str(file), seed, codes[file.stem]))
+                name, file, seed = todo.pop(0)
+                running.add(pool.submit(one_run, file, seed, codes[name]))
             if not running:
                 break
             ended, running = wait(running, return_when=FIRST_COMPLETED)
@@ -99,9 +202,6 @@
                 lines.write(json.dumps(future.result()) + "\n")
                 lines.flush()
                 bar.advance(task)
-    results = [line for line in done_in(out) if line["code"] == codes.get(line["incident"])]
-    if not report(results):
-        raise SystemExit(1)
 
 
 def report(results: list[dict[str, Any]]) -> bool:
