--- a/roadlb/lab/incident/schema.py
+++ b/roadlb/lab/incident/schema.py
@@ -178,7 +178,7 @@
 
 
 class Network(Section, frozen=True, kw_only=True):
-    """Delays are one way; each pair of machines draws its own within the range."""
+    """Delays are one way; each pair of halls draws its own within the range."""
 
     halls: tuple[Word, ...] = ("hall-a", "hall-b", "hall-c")
     same_hall_ms: Range = Range(0.11, 0.32)
--- /dev/null
+++ b/tests/lab/run/test_run_found.py
@@ -0,0 +1,26 @@
+"""What rehearsals have found and the program still does; each test is told as passing once that is mended."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from one_balancer import DELAY_US, End, Scene, answer, play, request
+
+from roadlb.app import LINGER_S
+
+
+@pytest.mark.xfail(strict=True, reason=(
+    "ServiceClient.end closes every connection that has not asked yet, also one that was accepted a moment "
+    "ago and whose first request is on its way: it is closed unanswered, and its client cannot tell that the "
+    "request was never read.  Found by `benchmarks/lab.py fuzz`, seed 103"))
+def test_a_connection_accepted_at_the_end_of_the_linger_has_its_request_answered() -> None:
+    async def scene(stage: Scene) -> bytes:
+        await stage.node(lambda: End(on_data=lambda end: end.transport.write(answer())))
+        await stage.begin()
+        stopped = stage.balancer.run(stage.app.stop())
+        await asyncio.sleep(LINGER_S - (DELAY_US + 100) / 1e6)       # its SYN comes 100 us before the end
+        client = await stage.connect(request(1))
+        await stopped
+        return client.got
+    assert play(scene).startswith(b"HTTP/1.1 200")
