--- a/tests/lab/run/test_run_found.py
+++ b/tests/lab/run/test_run_found.py
@@ -22,5 +22,6 @@
         await asyncio.sleep(LINGER_S - (DELAY_US + 100) / 1e6)       # its SYN comes 100 us before the end
         client = await stage.connect(request(1))
         await stopped
+        await asyncio.sleep(2 * DELAY_US / 1e6)                      # its answer is on its way
         return client.got
     assert play(scene).startswith(b"HTTP/1.1 200")
