--- a/roadlb/lab/judge/book.py
+++ b/roadlb/lab/judge/book.py
@@ -12,7 +12,7 @@
 SOUND = frozenset({"ok", "copy behind", "noise behind", "report unreadable", "interim first"})
 REFUSALS = frozenset({429, 503})
 NEVER = 1 << 62
-BEGINS = frozenset({"killed", "paused", "cut"})
+BEGINS = frozenset({"paused", "cut"})
 ENDS = {"resumed": "paused", "healed": "cut"}           # what ends, by the state that says so
 # After a pause or a cut, what was written long before still arrives.  TCP tries again after twice as long
 # each time, so that after a cut it may take as long again as the cut, and the 0.2 s of the first time.
@@ -101,6 +101,9 @@
             self.spans[-1] = (self.spans[-1][0], at)
         return at - since
 
+    def overlaps(self, since: int, until: int) -> bool:
+        return any(begin <= until and since <= end for begin, end in self.spans)
+
 
 @dataclass(slots=True)
 class Balancer:
@@ -111,7 +114,8 @@
     terminated_at: int = -1                     # SIGTERM to the present process
     terminated_before_at: int = -1              # and to the one before it
     gone: tuple[int, int] = (NEVER, NEVER)      # from its last end in order to the next start
-    held: Holds = field(default_factory=Holds)
+    held: Holds = field(default_factory=Holds)          # standing still or cut off, whatever it was told
+    dead: Holds = field(default_factory=Holds)          # killed, or reset by the network
     stood_still_at: int = -NEVER                # the last moment at which it was paused
     events: deque[WireEvent] = field(default_factory=tail)
 
@@ -119,30 +123,32 @@
         """Note a state; False where the process ended and nobody had asked it to."""
         self.events.append(event)
         asked = True
-        if event.state in BEGINS:
+        if event.state == "killed":
+            self.hold(event.at)
+        elif event.state in BEGINS:
             self.held.begin(event.state, event.at)
         elif event.state in ENDS:
             self._release(ENDS[event.state], event.at)
         elif event.state == "reset":
-            self.held.moment(event.at)
+            self.dead.moment(event.at)
         elif event.state == "terminated":
             self.terminated_at = event.at
         elif event.state == "reloaded":
             self.reloaded_at = event.at
         elif event.state == "ended":
-            asked = self.terminated_at >= 0 or "killed" in self.held.reasons
+            asked = self.terminated_at >= 0 or bool(self.dead.reasons)
             self.gone = (event.at, NEVER)
         elif event.state == "started":
-            for reason in ("killed", "paused"):
-                self._release(reason, event.at)
+            self.dead.end("killed", event.at)
+            self._release("paused", event.at)
             self.gone = (self.gone[0], min(event.at, self.gone[1]))
             self.terminated_before_at, self.terminated_at = self.terminated_at, -1
             self.started_at = event.at
         return asked
 
     def hold(self, at: int) -> None:
-        """It is killed, stands still or is cut off from its clients from now on."""
-        self.held.begin("killed", at)
+        """Its process is gone from now on."""
+        self.dead.begin("killed", at)
 
     def _release(self, reason: str, at: int) -> None:
         if reason == "paused" and reason in self.held.reasons:
@@ -156,14 +162,17 @@
     def excuses(self, sent_at: int, ended_at: int, term_grace_us: int) -> bool:
         """Whether a request sent and ended then met a balancer that could not answer, by no fault of its own.
 
-        One that was told to end could: from some time after SIGTERM on it should have taken nothing more.
+        One that was killed after it was told to end could: from some time after SIGTERM on it should have taken
+        nothing more, if it did not stand still.
         """
         if self.gone[0] <= sent_at < self.gone[1]:
             return True                         # on a connection whose end the client had not seen yet
-        if not any(since <= ended_at and sent_at <= until for since, until in self.held.spans):
+        if self.held.overlaps(sent_at, ended_at):
+            return True
+        if not self.dead.overlaps(sent_at, ended_at):
             return False
         told = self.terminated_at if sent_at >= self.started_at else self.terminated_before_at
-        return told < 0 or sent_at <= told + term_grace_us
+        return told < 0 or sent_at <= max(told, self.stood_still_at) + term_grace_us
 
 
 @dataclass(slots=True)
--- a/tests/lab/judge/test_judge_rules.py
+++ b/tests/lab/judge/test_judge_rules.py
@@ -284,6 +284,14 @@
     s.fell(22_900 if bad else 23_000)
 
 
+@breaks(Rule.LOST)
+def a_process_that_is_stopped_cannot_heed_a_sigterm(s: Story, bad: bool) -> None:
+    s.does(100, "terminated")
+    if not bad:
+        s.does(50, "paused")
+    s.sent(1000).lost(3700, "reset").does(3690, "killed").does(4000, "started")
+
+
 @breaks(Rule.CRASH)
 def a_balancer_ends_by_itself(s: Story, bad: bool) -> None:
     s.whole(0).does(500, "ended")
