--- a/roadlb/lab/judge/book.py
+++ b/roadlb/lab/judge/book.py
@@ -162,8 +162,8 @@
     def excuses(self, sent_at: int, ended_at: int, term_grace_us: int) -> bool:
         """Whether a request sent and ended then met a balancer that could not answer, by no fault of its own.
 
-        One that was killed after it was told to end could: from some time after SIGTERM on it should have taken
-        nothing more, if it did not stand still.
+        One that was killed after it was told to end could: from some time after SIGTERM on it should have
+        taken nothing more, if it did not stand still.
         """
         if self.gone[0] <= sent_at < self.gone[1]:
             return True                         # on a connection whose end the client had not seen yet
