--- a/tests/lab/load/test_load.py
+++ b/tests/lab/load/test_load.py
@@ -16,13 +16,13 @@
 from one_node import balancer
 
 from roadlb.cli.commands import roadlb
-from roadlb.lab.incident.schema import Clients, RequestClass, Traffic
+from roadlb.lab.incident.schema import Clients, Incident, RequestClass, Traffic
 from roadlb.lab.incident.values import Range
 from roadlb.lab.load import LoadResult, NoAnswer, NotLoopback, load, loopback_address, play
 from roadlb.lab.load.result import Counts
 from roadlb.lab.parties.bodies import answer_body, asked
 from roadlb.lab.parties.http import Message, RequestReader, write_answer
-from roadlb.lab.parties.world import Figures
+from roadlb.lab.run.settings import settings_of
 
 # Nobody gives up before a busy machine has come round to it.
 PATIENT = Traffic(
@@ -82,7 +82,7 @@
     said: list[tuple[float, Mapping[str, float]]] = []
 
     async def run() -> LoadResult:
-        raw = {"name": "n1", "settings": Figures().settings(0, "hall-a", per_s=5_000)}
+        raw = {"name": "n1", "settings": settings_of(Incident(name="calm", title="one day"), 0, "hall-a")}
         async with balancer(raw) as here:
             return await load(here.url, PATIENT, 1.2, lambda second, figures: said.append((second, figures)),
                               edges=[0.5])
