--- a/roadlb/fleet/model.py
+++ b/roadlb/fleet/model.py
@@ -2,6 +2,10 @@
 
 Immutable; a change makes a new picture with a higher generation.  A node is its id and its start, never its
 address: an address is where it is.  Times are Unix milliseconds, as discovery tells them.
+
+`origin` on endpoint, group and cluster is what the wire held beyond the other fields: opaque bytes that only
+`xds/codec` reads, empty where the other fields say all.  Whoever changes a field leaves `origin` as it is
+(`dataclasses.replace` does so), and what nobody here understands comes out again as it came in.
 """
 
 from __future__ import annotations
@@ -10,6 +14,10 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from types import MappingProxyType
+from typing import TypeAlias
+
+# What metadata is made of, as in JSON; sequences are tuples, numbers are floats as in protobuf's Struct.
+Plain: TypeAlias = "None | bool | float | str | tuple[Plain, ...] | Mapping[str, Plain]"
 
 
 class Lifecycle(Enum):
@@ -48,12 +56,24 @@
     sub_zone: str = ""
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class Place:
+    """An address: a host (no brackets round IPv6) and a port; or `unix:PATH`, `internal:NAME` and port 0."""
+
+    host: str
+    port: int
+
+
+NO_METADATA: Mapping[str, Mapping[str, Plain]] = MappingProxyType({})
+
+
 @dataclass(frozen=True, slots=True)
 class Endpoint:
     """One node of a cluster.
 
     `weight` is relative within the cluster, 0 takes no work; `priority` 0 comes first; `machine` and `cell`
-    are the platform's machine type and cell.
+    are the platform's machine type and cell.  `additional` are further addresses of the same node, `metadata`
+    plain data by namespace.  `part` tells apart several groups of one locality and priority (0: the first).
     """
 
     node: NodeId
@@ -66,6 +86,40 @@
     priority: int = 0
     machine: str = ""
     cell: int = 0
+    hostname: str = ""
+    additional: tuple[Place, ...] = ()
+    metadata: Mapping[str, Mapping[str, Plain]] = field(default_factory=lambda: NO_METADATA, hash=False)
+    part: int = 0
+    origin: bytes = field(default=b"", repr=False)
+
+
+def takes_work(endpoint: Endpoint) -> bool:
+    """Whether the node may get new work: up, not told unfit by anybody, and with a weight."""
+    return (endpoint.lifecycle is Lifecycle.UP and endpoint.weight > 0
+            and endpoint.health in (Health.UNKNOWN, Health.HEALTHY, Health.DEGRADED))
+
+
+@dataclass(frozen=True, slots=True)
+class LocalityGroup:
+    """The endpoints of one locality and priority, as far as something is told of them together.
+
+    `weight`: the locality's share among those of its priority, a whole number (None: not told).  A group
+    without endpoints is one that stands empty.
+    """
+
+    locality: Locality = Locality()
+    priority: int = 0
+    part: int = 0
+    weight: int | None = None
+    origin: bytes = field(default=b"", repr=False)
+
+
+@dataclass(frozen=True, slots=True)
+class Drop:
+    """A share of requests, in parts of a million, that clients are to turn away: for `category`."""
+
+    category: str
+    millionths: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,11 +127,31 @@
     """A named set of endpoints, in the order in which they were told.
 
     The same node may be told twice, with different health: which word counts is `checks`' matter, not that of
-    the data, so that nothing is lost on the way through.
+    the data, so that nothing is lost on the way through.  `groups` need only hold those of which something is
+    told beyond their endpoints, or whose order matters; `drops` are applied in turn.
     """
 
     name: str
     endpoints: tuple[Endpoint, ...] = ()
+    groups: tuple[LocalityGroup, ...] = ()
+    drops: tuple[Drop, ...] = ()
+    origin: bytes = field(default=b"", repr=False)
+
+
+GroupKey: TypeAlias = tuple[Locality, int, int]
+
+
+def group_key(item: Endpoint | LocalityGroup) -> GroupKey:
+    """Locality, priority and part: what endpoints of one group have in common."""
+    return item.locality, item.priority, item.part
+
+
+def by_group(cluster: Cluster) -> dict[GroupKey, list[Endpoint]]:
+    """The endpoints of each group: groups as listed, then as endpoints first name them; order is kept."""
+    found: dict[GroupKey, list[Endpoint]] = {group_key(group): [] for group in cluster.groups}
+    for endpoint in cluster.endpoints:
+        found.setdefault(group_key(endpoint), []).append(endpoint)
+    return found
 
 
 @dataclass(frozen=True, slots=True)
