--- a/roadlb/fleet/merge.py
+++ b/roadlb/fleet/merge.py
@@ -83,7 +83,7 @@
     return Cluster(
         name, tuple(endpoints), tuple(groups[key] for key in ordered),
         next((cluster.drops for _, cluster in told if cluster.drops), ()),
-        next((cluster.origin for _, cluster in told if cluster.origin), b""))
+        next((cluster.origin for _, cluster in told if cluster.origin is not None), None))
 
 
 def _node(cluster: str, node: str, said: Mapping[str, list[Endpoint]], conflicts: list[Conflict]
--- a/roadlb/fleet/model.py
+++ b/roadlb/fleet/model.py
@@ -4,14 +4,14 @@
 address: an address is where it is.  Times are Unix milliseconds, as discovery tells them.
 
 `origin` on endpoint, group and cluster is what the wire held beyond the other fields: opaque bytes that only
-`xds/codec` reads, empty where the other fields say all.  Whoever changes a field leaves `origin` as it is
+`xds/codec` reads, None where the other fields say all.  Whoever changes a field leaves `origin` as it is
 (`dataclasses.replace` does so), and what nobody here understands comes out again as it came in.
 """
 
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from types import MappingProxyType
 from typing import TypeAlias
@@ -90,7 +90,7 @@
     additional: tuple[Place, ...] = ()
     metadata: Mapping[str, Mapping[str, Plain]] = field(default_factory=lambda: NO_METADATA, hash=False)
     part: int = 0
-    origin: bytes = field(default=b"", repr=False)
+    origin: bytes | None = field(default=None, repr=False)
 
 
 def takes_work(endpoint: Endpoint) -> bool:
@@ -111,7 +111,7 @@
     priority: int = 0
     part: int = 0
     weight: int | None = None
-    origin: bytes = field(default=b"", repr=False)
+    origin: bytes | None = field(default=None, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,7 +135,7 @@
     endpoints: tuple[Endpoint, ...] = ()
     groups: tuple[LocalityGroup, ...] = ()
     drops: tuple[Drop, ...] = ()
-    origin: bytes = field(default=b"", repr=False)
+    origin: bytes | None = field(default=None, repr=False)
 
 
 GroupKey: TypeAlias = tuple[Locality, int, int]
@@ -146,6 +146,22 @@
     return item.locality, item.priority, item.part
 
 
+def settled(cluster: Cluster) -> Cluster:
+    """The same with endpoints by group, and groups listed only if something is told of one of them.
+
+    This is the form in which a cluster comes back from the wire, which has no order across groups.
+    """
+    members = by_group(cluster)
+    groups = cluster.groups
+    listed = {group_key(group) for group in groups}
+    if all(g.weight is None and g.origin is None and members[group_key(g)] for g in groups):
+        groups = ()
+    elif len(listed) < len(members):
+        groups += tuple(LocalityGroup(*key) for key in members if key not in listed)
+    endpoints = tuple(endpoint for lines in members.values() for endpoint in lines)
+    return replace(cluster, endpoints=endpoints, groups=groups)
+
+
 def by_group(cluster: Cluster) -> dict[GroupKey, list[Endpoint]]:
     """The endpoints of each group: groups as listed, then as endpoints first name them; order is kept."""
     found: dict[GroupKey, list[Endpoint]] = {group_key(group): [] for group in cluster.groups}
--- /dev/null
+++ b/roadlb/xds/codec/__init__.py
@@ -0,0 +1,1 @@
+"""Envoy's messages to and from the fleet's data, without loss.  No I/O; needs the extra `control`."""
--- /dev/null
+++ b/roadlb/xds/codec/protos.py
@@ -0,0 +1,40 @@
+"""The published message classes, from `xds-protos`: the only place that names its modules.
+
+They come without type stubs, so a message is `Wire` here.  None of these modules imports grpcio.
+"""
+
+from __future__ import annotations
+
+from typing import Any, TypeAlias
+
+from envoy.config.cluster.v3.cluster_pb2 import Cluster as WireCluster
+from envoy.config.endpoint.v3.endpoint_components_pb2 import Endpoint as WireEndpoint
+from envoy.config.endpoint.v3.endpoint_components_pb2 import LbEndpoint, LocalityLbEndpoints
+from envoy.config.endpoint.v3.endpoint_pb2 import ClusterLoadAssignment
+from google.protobuf.message import DecodeError
+
+__all__ = [
+    "ClusterLoadAssignment", "CodecError", "DecodeError", "LbEndpoint", "LocalityLbEndpoints", "Wire",
+    "WireCluster", "WireEndpoint", "held", "parsed",
+]
+
+Wire: TypeAlias = Any
+
+
+class CodecError(ValueError):
+    """What cannot be read or written; the text names the resource or node, the value and the remedy."""
+
+
+def parsed(kind: Wire, data: bytes | None) -> Wire:
+    """A message of this class, empty for None; CodecError for bytes that are none of it."""
+    try:
+        return kind.FromString(data or b"")
+    except DecodeError as e:
+        name, size = kind.DESCRIPTOR.full_name, len(data or b"")
+        raise CodecError(f"{name}: {size} bytes are no such message: {e}") from e
+
+
+def held(message: Wire) -> bytes:
+    """The message's bytes, unknown fields included; the same each time, whatever the order of its maps."""
+    data: bytes = message.SerializeToString(deterministic=True)
+    return data
