--- a/roadlb/xds/codec/assignment.py
+++ b/roadlb/xds/codec/assignment.py
@@ -24,7 +24,16 @@
 )
 from . import plain, weights
 from .endpoint import Surroundings, read_endpoint, view, write_endpoint
-from .protos import ClusterLoadAssignment, CodecError, LbEndpoint, LocalityLbEndpoints, Wire, held, parsed
+from .protos import (
+    ClusterLoadAssignment,
+    CodecError,
+    LbEndpoint,
+    LocalityLbEndpoints,
+    Wire,
+    held,
+    parsed,
+    says,
+)
 
 # Tags of fields that hold messages: the field's number times 8, plus 2.
 ENDPOINTS = bytes([2 << 3 | 2])                     # ClusterLoadAssignment.endpoints
@@ -54,9 +63,9 @@
     usual = usual_scale(view(line, around) for line, around in endpoints)
     found = []
     for line, around in endpoints:
-        # Off the usual scale a rounded weight would have it chosen anew.
         endpoint = read_endpoint(line, around)
         if around.scale != usual and not weights.exact(endpoint.weight, around.scale):
+            # Off the usual scale a rounded weight would have it chosen anew.
             endpoint = replace(endpoint, origin=held(line))
         found.append(endpoint)
     same = all(around.scale == usual for _, around in groups)
@@ -64,7 +73,7 @@
     del message.endpoints[:]
     cluster = Cluster(message.cluster_name, tuple(found), bare, read_drops(message))
     origin = held(message)
-    if _head(cluster) != origin:
+    if not says(lambda: _head(cluster), origin):
         cluster = replace(cluster, origin=origin)
     return settled(cluster)
 
@@ -86,12 +95,8 @@
         wire.ClearField("lb_endpoints")
     weight = wire.load_balancing_weight.value if wire.HasField("load_balancing_weight") else None
     group, origin = LocalityGroup(around.locality, around.priority, around.part, weight), held(wire)
-    if usual:
-        try:
-            if _group_head(group, around.scale) == origin:
-                return group
-        except CodecError:
-            pass                                     # a priority or weight that is not written anew
+    if usual and says(lambda: _group_head(group, around.scale), origin):
+        return group
     return replace(group, origin=origin)
 
 
@@ -203,20 +208,26 @@
     def __init__(self) -> None:
         self._groups: dict[GroupKey, _Lines] = {}
 
-    def write(self, cluster: Cluster) -> bytes:
-        """The bytes of the `ClusterLoadAssignment`; CodecError names what cannot be said."""
+    def write(self, cluster: Cluster, scale: float | None = None) -> bytes:
+        """The bytes of the `ClusterLoadAssignment`; CodecError names what cannot be said.
+
+        `scale`: what a weight of 1.0 is on the wire, such as 1.0 for a plan whose weights are whole numbers
+        already; None: the one that it came with, or the usual one.
+        """
         try:
-            return self._write(cluster)
+            return self._write(cluster, scale)
         except CodecError as e:
             raise CodecError(f"cluster {cluster.name!r}: {e}") from e
 
-    def _write(self, cluster: Cluster) -> bytes:
+    def _write(self, cluster: Cluster, scale: float | None) -> bytes:
         members, head = by_group(cluster), _head(cluster)
         listed = {group_key(group): group for group in cluster.groups}
         named = parsed(ClusterLoadAssignment, cluster.origin).named_endpoints if cluster.origin else {}
         heads = {key: listed.get(key) or LocalityGroup(*key) for key in members}
         messages = {key: parsed(LocalityLbEndpoints, group.origin) for key, group in heads.items()}
-        scales = choose_scales(members, heads, {key: read_scale(m) for key, m in messages.items()}, named)
+        came_with = {key: read_scale(message) for key, message in messages.items()}
+        scales = (choose_scales(members, heads, came_with, named) if scale is None
+                  else dict.fromkeys(members, scale))
         before, self._groups = self._groups, {}
         out = [head]
         for key, endpoints in members.items():
@@ -224,7 +235,7 @@
             origins = cluster.origin, group.origin
             lines, inside = before.get(key), wire.HasField("load_balancer_endpoints")
             if lines is None or lines.scale != scales[key] or lines.origins != origins:
-                came = read_scale(wire) if group.origin is not None else scales[key]
+                came = came_with[key] if group.origin is not None else scales[key]
                 around = Surroundings(*key, came, named)
                 lines = _Lines(around, scales[key], LISTED_ENDPOINTS if inside else LB_ENDPOINTS, origins)
             body = lines.write(endpoints)
@@ -260,6 +271,6 @@
             and view(parsed(LbEndpoint, endpoint.origin), around).weight == endpoint.weight)
 
 
-def write_assignment(cluster: Cluster) -> bytes:
-    """The bytes of one state of a cluster."""
-    return AssignmentWriter().write(cluster)
+def write_assignment(cluster: Cluster, scale: float | None = None) -> bytes:
+    """The bytes of one state of a cluster; see `AssignmentWriter.write`."""
+    return AssignmentWriter().write(cluster, scale)
--- a/roadlb/xds/codec/endpoint.py
+++ b/roadlb/xds/codec/endpoint.py
@@ -11,7 +11,7 @@
 
 from ...fleet.model import NO_METADATA, Endpoint, Health, Lifecycle, Locality, NodeId, Place, Plain
 from . import plain, weights
-from .protos import CodecError, LbEndpoint, Wire, WireEndpoint, held, parsed
+from .protos import CodecError, LbEndpoint, Wire, WireEndpoint, held, parsed, says
 
 HEALTH = {health.value: health for health in Health}
 HEALTH_BY_NAME = {health.name: health for health in Health}
@@ -109,15 +109,12 @@
     return value if isinstance(value, str) else ""
 
 
-def read_endpoint(message: Wire, around: Surroundings, keep: bool = False) -> Endpoint:
-    """An endpoint; it keeps the message's bytes if the view alone would not give them back, or if told to."""
+def read_endpoint(message: Wire, around: Surroundings) -> Endpoint:
+    """An endpoint; it keeps the message's bytes if the view alone would not give them back."""
     found, data = view(message, around), held(message)
-    if not keep:
-        try:
-            keep = write_endpoint(found, around, around.scale) != data
-        except CodecError:
-            keep = True                                  # such as one without an address
-    return replace(found, origin=data) if keep else found
+    if not says(lambda: write_endpoint(found, around, around.scale), data):
+        return replace(found, origin=data)
+    return found
 
 
 def write_endpoint(endpoint: Endpoint, around: Surroundings, scale: float) -> bytes:
--- a/roadlb/xds/codec/protos.py
+++ b/roadlb/xds/codec/protos.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any, TypeAlias
 
 from envoy.config.cluster.v3.cluster_pb2 import Cluster as WireCluster
@@ -15,7 +16,7 @@
 
 __all__ = [
     "ClusterLoadAssignment", "CodecError", "DecodeError", "LbEndpoint", "LocalityLbEndpoints", "Wire",
-    "WireCluster", "WireEndpoint", "held", "parsed",
+    "WireCluster", "WireEndpoint", "held", "parsed", "says",
 ]
 
 Wire: TypeAlias = Any
@@ -34,6 +35,17 @@
         raise CodecError(f"{name}: {size} bytes are no such message: {e}") from e
 
 
+def says(write: Callable[[], bytes], data: bytes) -> bool:
+    """Whether the view alone gives these bytes back; it need not keep them then.
+
+    It does not if it holds what is never written anew, such as an endpoint without an address.
+    """
+    try:
+        return write() == data
+    except CodecError:
+        return False
+
+
 def held(message: Wire) -> bytes:
     """The message's bytes, unknown fields included; the same each time, whatever the order of its maps."""
     data: bytes = message.SerializeToString(deterministic=True)
