--- a/roadlb/xds/resources.py
+++ b/roadlb/xds/resources.py
@@ -1,7 +1,7 @@
 """Resources with versions, and snapshots: all that is published at one moment, immutable.
 
-A version is `G.D`: the generation with which this body came first, in 20 digits so that versions sort, and the
-first 16 hex digits of the body's SHA-256.  Who shows a version shows how new a picture it has seen; two
+A version is `G.D`: the generation with which this body came first, in 20 digits so that versions sort, and
+the first 16 hex digits of the body's SHA-256.  Who shows a version shows how new a picture it has seen; two
 versions with the same digest are the same body, whichever instance stamped them.
 
 A snapshot shares with the one before it all that did not change: bodies, whole collections, and with them
