--- a/roadlb/xds/conversation.py
+++ b/roadlb/xds/conversation.py
@@ -1,5 +1,4 @@
-"""The words that the two stream machines have in common: where a type's conversation is, and what a request
-is.
+"""Words of both stream machines: where the conversation on a type is, and what a request says.
 
 `sotw.py` and `delta.py` each have their protocol as a table from (Phase, Said) to steps.
 """
--- a/roadlb/xds/delta.py
+++ b/roadlb/xds/delta.py
@@ -27,7 +27,7 @@
 from .subscription import Subscription
 
 LEGACY_WILDCARD = frozenset({CLUSTER, LISTENER})
-RESPONSE_BYTES_MOST = 1 << 20        # of bodies: a quarter of what a gRPC client takes at most; the rest goes next
+RESPONSE_BYTES_MOST = 1 << 20        # of bodies; a gRPC client takes 4 MiB at the most.  The rest goes next
 
 TABLE = {
     (Phase.NEW, Said.NOTHING): (Step.SUBSCRIBE, Step.SHOW),
--- a/roadlb/xds/ordering.py
+++ b/roadlb/xds/ordering.py
@@ -28,9 +28,10 @@
 MAKES = (CLUSTER, ENDPOINTS, LISTENER, ROUTE)
 BREAKS = (LISTENER, ROUTE, CLUSTER, ENDPOINTS)
 MAKE_AFTER = {CLUSTER: (), ENDPOINTS: (), LISTENER: (CLUSTER, ENDPOINTS), ROUTE: (CLUSTER, ENDPOINTS)}
-BREAK_AFTER = {LISTENER: (), ROUTE: (LISTENER,), CLUSTER: (LISTENER, ROUTE), ENDPOINTS: (CLUSTER, LISTENER, ROUTE)}
+BREAK_AFTER = {LISTENER: (), ROUTE: (LISTENER,), CLUSTER: (LISTENER, ROUTE),
+               ENDPOINTS: (CLUSTER, LISTENER, ROUTE)}
 
-MAKE_WAIT_US = 1_000_000     # ten round trips over a slow link; a subscriber that asks for no endpoints pays it
+MAKE_WAIT_US = 1_000_000     # ten round trips on a slow link; who asks for no endpoints waits so long
 BREAK_WAIT_US = 5_000_000    # an old cluster does no harm while its endpoints are kept up
 LINGERING_MOST = 1_000       # names that wait to be broken: a bound for subscribers that never answer
 
@@ -92,7 +93,7 @@
                    if (referring := self._subscriptions.get(other)) is not None)
 
     def _prune(self) -> None:
-        """Leaves out clusters whose endpoints were asked for, and those that are not wanted or there any more."""
+        """Leaves out clusters whose endpoints were asked for, and those that are gone or unwanted."""
         endpoints, clusters = self._subscriptions.get(ENDPOINTS), self._subscriptions.get(CLUSTER)
         self._awaited = {name for name in self._awaited
                          if clusters is not None and clusters.wants(name) and name in clusters.newest.by_name
--- a/roadlb/xds/resources.py
+++ b/roadlb/xds/resources.py
@@ -26,7 +26,7 @@
 
 GENERATION_DIGITS = 20       # holds any 64-bit generation
 DIGEST_DIGITS = 16           # 64 bits: among a million bodies two agree with a chance of 3e-8
-STEPS_KEPT = 64              # at ten changes a second, a stream may be 6 s behind and still pay for changes only
+STEPS_KEPT = 64              # at ten changes a second: a stream 6 s behind still pays for changes only
 TOUCHED_MOST = 10_000        # names in one step; a larger step is cheaper to compare as a whole
 
 _VERSION = re.compile(rf"([0-9]{{{GENERATION_DIGITS}}})\.([0-9a-f]{{{DIGEST_DIGITS}}})")
@@ -66,7 +66,8 @@
     ttl_us: int | None = None
 
     @classmethod
-    def make(cls, type_url: str, name: str, body: bytes, generation: int, ttl_us: int | None = None) -> Resource:
+    def make(cls, type_url: str, name: str, body: bytes, generation: int,
+             ttl_us: int | None = None) -> Resource:
         """The resource with the version that its body and its generation give it."""
         if not name or name == "*":
             raise ValueError(f"name: {name!r} of a {type_url} must be neither empty nor the wildcard")
@@ -124,7 +125,7 @@
     line: _Line = field(default_factory=_Line)
 
     def touched_since(self, old: Collection) -> Set[str]:
-        """Names that may differ from the older collection: at the cost of the steps between, if it is known."""
+        """Names that may differ from the older collection, at the cost of the steps between, if known."""
         if old is self:
             return frozenset()
         behind = self.serial - old.serial
@@ -148,8 +149,8 @@
         known = len(real) <= TOUCHED_MOST
         steps = (*self.steps, frozenset(real))[-STEPS_KEPT:] if known else ()
         return Collection(
-            self.type_url, stamp(generation, f"{total % 2 ** 64:0{DIGEST_DIGITS}x}"), MappingProxyType(by_name),
-            total % 2 ** 64, min((r.ttl_us for r in by_name.values() if r.ttl_us is not None), default=None),
+            self.type_url, stamp(generation, f"{total % 2 ** 64:0{DIGEST_DIGITS}x}"),
+            MappingProxyType(by_name), total % 2 ** 64, min((r.ttl_us for r in by_name.values() if r.ttl_us is not None), default=None),
             tuple(by_name[name] for name in sorted(by_name)), steps, self.serial + 1,
             self.line if known else _Line())
 
@@ -160,7 +161,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Difference:
-    """What one type's resources are in the newer snapshot: the new and changed ones, and names that are gone."""
+    """One type in the newer snapshot: its new and changed resources, and names that are gone."""
 
     changed: tuple[Resource, ...]
     removed: tuple[str, ...]
@@ -195,7 +196,7 @@
              removed: Iterable[tuple[str, str]] = ()) -> Snapshot:
         """This snapshot with some resources new or changed, and some (type URL, name) removed."""
         if generation < self.generation:
-            raise ValueError(f"generation: {generation} is older than {self.generation}; snapshots only go on")
+            raise ValueError(f"generation: {generation} is older than {self.generation}; go on from it")
         steps: dict[str, dict[str, Resource | None]] = {}
         for type_url, name in removed:
             steps.setdefault(_known(type_url), {})[name] = None
--- a/roadlb/xds/sotw.py
+++ b/roadlb/xds/sotw.py
@@ -104,7 +104,8 @@
             resources = tuple(newest.by_name[name] for name in told)
             return self._response(subscription, newest.version, nonce, resources), told
         kept = () if breaks else self._kept(subscription, owed.gone)
-        told = sorted((subscription.differs.keys() | subscription.again).difference(() if breaks else owed.gone))
+        told = sorted((subscription.differs.keys() | subscription.again)
+                      .difference(() if breaks else owed.gone))
         version = newest.version
         if kept:
             version = stamp(generation_of(version), digest_with(newest, kept))
@@ -122,7 +123,9 @@
         else:
             resources = tuple(resource for resource in self._whole(subscription)
                               if resource.ttl_us is not None and resource.name not in subscription.differs)
-        return self._response(subscription, subscription.newest.version, nonce, resources) if resources else None
+        if not resources:
+            return None
+        return self._response(subscription, subscription.newest.version, nonce, resources)
 
     def _response(self, subscription: Subscription, version: str, nonce: str,
                   resources: tuple[Resource, ...]) -> DiscoveryResponse:
--- a/roadlb/xds/stream.py
+++ b/roadlb/xds/stream.py
@@ -115,7 +115,7 @@
         if reason:
             self._end(reason, actions)
         elif request.type_url not in TYPES:
-            self._hold({Hold(Why.UNKNOWN_TYPE)}, actions)
+            actions.append(Hold(Why.UNKNOWN_TYPE, request.type_url[:NAME_CHARS_MOST]))
         else:
             if self.node is None and request.node is not None:
                 self.node, self._ttl = request.node, bool(TTL_FEATURES & set(request.node.client_features))
@@ -198,7 +198,7 @@
 
     @abstractmethod
     def beat(self, subscription: Subscription, nonce: str) -> Response | None:
-        """The response that prolongs the TTLs of what the subscriber has; None if there is nothing to prolong."""
+        """The response that prolongs the TTLs of what the subscriber has; None: there are none."""
 
     # ---- responses
 
@@ -293,7 +293,7 @@
 
     def _hold(self, held: set[Hold], actions: list[Action]) -> None:
         """Tells of what is held since now."""
-        actions += sorted(held - self._holding, key=lambda hold: (hold.why, hold.type_url))
+        actions.extend(sorted(held - self._holding, key=lambda hold: (hold.why, hold.type_url)))
         self._holding = held
 
     # ---- for the variants
@@ -321,7 +321,7 @@
 def too_much(names: Iterable[str], count: int, type_url: str) -> str:
     """Why so many names, or such names, cannot be kept; empty if they can."""
     if count > NAMES_MOST:
-        return f"{count} names of {type_url}: at most {NAMES_MOST} are kept for a stream; subscribe to {WILDCARD!r}"
+        return f"{count} names of {type_url}: at most {NAMES_MOST} are kept; subscribe to {WILDCARD!r}"
     if any(len(name) > NAME_CHARS_MOST for name in names):
         return f"a name of {type_url} has more than {NAME_CHARS_MOST} characters"
     return ""
--- a/roadlb/xds/subscription.py
+++ b/roadlb/xds/subscription.py
@@ -44,8 +44,8 @@
 class Subscription:
     """One type on one stream.  `tells_gone`: whether the variant has a way to say that a name is gone."""
 
-    __slots__ = ("type_url", "tells_gone", "wildcard", "names", "newest", "differs", "again", "refused", "retry",
-                 "greet", "asked", "named", "shown", "flight", "nonce", "accepted", "beat_at", "_owed")
+    __slots__ = ("type_url", "tells_gone", "wildcard", "names", "newest", "differs", "again", "refused",
+                 "retry", "greet", "asked", "named", "shown", "flight", "nonce", "accepted", "beat_at", "_owed")
 
     def __init__(self, type_url: str, tells_gone: bool) -> None:
         self.type_url, self.tells_gone = type_url, tells_gone
@@ -55,7 +55,7 @@
         self.differs: dict[str, Resource | None] = {}
         self.again: set[str] = set()                     # to be told whatever was sent
         self.refused: dict[str, str | None] = {}         # the version refused, None: that it is gone
-        self.retry = False                               # one of those refused together was something else since
+        self.retry = False                               # one of those refused is something else since
         self.greet = False                               # a response is due even if there is nothing to tell
         self.asked = False                               # what is owed was asked for, by a request
         self.named = False                               # a request of this stream had names
