--- a/roadlb/xds/ordering.py
+++ b/roadlb/xds/ordering.py
@@ -12,6 +12,8 @@
   cluster are those of the same name.)
 - Who refers goes before what it refers to: a cluster is taken away when listeners and routes are told and
   answered, its endpoints after it.
+- On a new stream, types are asked for one after the other.  Until it is BREAK_WAIT_US old, nothing is taken
+  away as long as the types that may refer to it were not asked for.
 - A refused response counts as answered.  Which resource was at fault is not known, subscribers take the
   others, and one bad cluster must not stop all routes.
 - Nothing waits for ever: what is made for MAKE_WAIT_US, what is broken for BREAK_WAIT_US.  A subscriber
@@ -39,13 +41,19 @@
 class Order:
     """The order of one stream."""
 
-    __slots__ = ("_subscriptions", "_awaited", "_since")
+    __slots__ = ("_subscriptions", "_began", "_awaited", "_since")
 
     def __init__(self, subscriptions: Mapping[str, Subscription]) -> None:
         self._subscriptions = subscriptions
+        self._began: int | None = None
         self._awaited: set[str] = set()                  # clusters sent whose endpoints were not asked for
         self._since: dict[tuple[str, bool], int] = {}    # since when a type's make (True) or break waits
 
+    def begin(self, now: int) -> None:
+        """A request came: the first one begins the stream."""
+        if self._began is None:
+            self._began = now
+
     def sent(self, type_url: str, made: list[str], new: set[str]) -> None:
         """A response goes out that makes these names, some of them new to the subscriber."""
         self._since.pop((type_url, True), None)
@@ -69,7 +77,7 @@
     def break_waits(self, type_url: str, now: int) -> int | None:
         """Until when what is gone of a type waits at the longest; None: it may go."""
         gone = len(self._subscriptions[type_url].owed().gone)
-        blocked = 0 < gone <= LINGERING_MOST and self._blocks_break(type_url)
+        blocked = 0 < gone <= LINGERING_MOST and self._blocks_break(type_url, now)
         return self._waits((type_url, False), blocked, now, BREAK_WAIT_US)
 
     def _waits(self, key: tuple[str, bool], blocked: bool, now: int, longest: int) -> int | None:
@@ -87,10 +95,16 @@
             earlier.flight is not None or bool(earlier.owed().make)
             for other in MAKE_AFTER[type_url] if (earlier := self._subscriptions.get(other)) is not None)
 
-    def _blocks_break(self, type_url: str) -> bool:
-        return any(referring.flight is not None or bool(referring.owed().make or referring.owed().gone)
-                   for other in BREAK_AFTER[type_url]
-                   if (referring := self._subscriptions.get(other)) is not None)
+    def _blocks_break(self, type_url: str, now: int) -> bool:
+        young = self._began is not None and now < self._began + BREAK_WAIT_US
+        for other in BREAK_AFTER[type_url]:
+            referring = self._subscriptions.get(other)
+            if referring is None:
+                if young:
+                    return True
+            elif referring.flight is not None or referring.owed().make or referring.owed().gone:
+                return True
+        return False
 
     def _prune(self) -> None:
         """Leaves out clusters whose endpoints were asked for, and those that are gone or unwanted."""
--- a/roadlb/xds/resources.py
+++ b/roadlb/xds/resources.py
@@ -27,6 +27,7 @@
 GENERATION_DIGITS = 20       # holds any 64-bit generation
 DIGEST_DIGITS = 16           # 64 bits: among a million bodies two agree with a chance of 3e-8
 STEPS_KEPT = 64              # at ten changes a second: a stream 6 s behind still pays for changes only
+FORMER_KEPT = 64             # collections, shared by all streams: 3 MB with 1,000 resources in each
 TOUCHED_MOST = 10_000        # names in one step; a larger step is cheaper to compare as a whole
 
 _VERSION = re.compile(rf"([0-9]{{{GENERATION_DIGITS}}})\.([0-9a-f]{{{DIGEST_DIGITS}}})")
@@ -150,7 +151,8 @@
         steps = (*self.steps, frozenset(real))[-STEPS_KEPT:] if known else ()
         return Collection(
             self.type_url, stamp(generation, f"{total % 2 ** 64:0{DIGEST_DIGITS}x}"),
-            MappingProxyType(by_name), total % 2 ** 64, min((r.ttl_us for r in by_name.values() if r.ttl_us is not None), default=None),
+            MappingProxyType(by_name), total % 2 ** 64,
+            min((r.ttl_us for r in by_name.values() if r.ttl_us is not None), default=None),
             tuple(by_name[name] for name in sorted(by_name)), steps, self.serial + 1,
             self.line if known else _Line())
 
@@ -169,10 +171,15 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class Snapshot:
-    """All resources at one generation.  A later one of the same generation holds later decisions on it."""
+    """All resources at one generation.  A later one of the same generation holds later decisions on it.
+
+    `former` are the collections before, of all types, the newest last: who comes back with one of their
+    versions is known to have just these resources.
+    """
 
     generation: int
     collections: Mapping[str, Collection]
+    former: tuple[Collection, ...] = ()
 
     @classmethod
     def empty(cls, generation: int = 0) -> Snapshot:
@@ -202,9 +209,16 @@
             steps.setdefault(_known(type_url), {})[name] = None
         for resource in changed:
             steps.setdefault(_known(resource.type_url), {})[resource.name] = resource
-        return Snapshot(generation, MappingProxyType({
-            type_url: collection.step(generation, steps[type_url]) if type_url in steps else collection
-            for type_url, collection in self.collections.items()}))
+        collections = {type_url: collection.step(generation, steps.get(type_url, {}))
+                       for type_url, collection in self.collections.items()}
+        left = [old for type_url, old in self.collections.items() if collections[type_url] is not old]
+        return Snapshot(generation, MappingProxyType(collections), (*self.former, *left)[-FORMER_KEPT:])
+
+    def find(self, type_url: str, version: str) -> Collection | None:
+        """The collection whose version has this one's digest, whoever stamped it; None if it is not known."""
+        digest = digest_of(version)
+        return next((collection for collection in (self.collections[type_url], *reversed(self.former))
+                     if collection.type_url == type_url and digest_of(collection.version) == digest), None)
 
     def __iter__(self) -> Iterator[Resource]:
         """Every resource, type by type."""
--- a/roadlb/xds/sotw.py
+++ b/roadlb/xds/sotw.py
@@ -13,15 +13,16 @@
   routes it has what is new or changed: what it lacks stays as it was, and a name that is not there is not
   spoken of.  So what was taken away and must still stay for a while goes on being sent; and a client whose
   endpoints must go needs an empty assignment, not one that vanishes.
-- The version is the type's.  A first request that shows the present one, and wants everything, needs no
-  response.  One with names does: nobody knows whether it had these names before.
+- The version is the type's.  Who wants everything and shows, in its first request, the present version, needs
+  no response; who shows one that we had is known to have just that.  A first request with names gets
+  everything: nobody knows whether it had these names before.
 """
 
 from __future__ import annotations
 
 from .conversation import Phase, Said, Step
 from .messages import WILDCARD, DiscoveryRequest, DiscoveryResponse, Request, Response
-from .resources import CLUSTER, LISTENER, Resource, Snapshot, digest_of, digest_with, generation_of, stamp
+from .resources import CLUSTER, LISTENER, Resource, Snapshot, digest_with, generation_of, stamp
 from .stream import Stream, part, too_much
 from .subscription import Subscription
 
@@ -84,18 +85,21 @@
         assert isinstance(request, DiscoveryRequest)
         self.shows([request.version_info])
         subscription.accepted = subscription.shown = request.version_info
-        self._believe(subscription)
+        if self.snapshot is not None:
+            self._believe(subscription, self.snapshot)
         return ""
 
     def follow(self, subscription: Subscription, snapshot: Snapshot) -> None:
         super().follow(subscription, snapshot)
-        self._believe(subscription)
+        self._believe(subscription, snapshot)
 
-    def _believe(self, subscription: Subscription) -> None:
-        """What the first request shows counts, if it is about everything and is what we have."""
-        if (subscription.shown and subscription.wildcard and subscription.type_url in WHOLE
-                and digest_of(subscription.shown) == digest_of(subscription.newest.version)):
-            subscription.all_held()
+    @staticmethod
+    def _believe(subscription: Subscription, snapshot: Snapshot) -> None:
+        """What the first request shows counts, if it is about everything and something that we had."""
+        if subscription.shown and subscription.wildcard and subscription.type_url in WHOLE:
+            shown = snapshot.find(subscription.type_url, subscription.shown)
+            if shown is not None:
+                subscription.has_all_of(shown)
 
     def respond(self, subscription: Subscription, nonce: str, breaks: bool) -> tuple[Response, list[str]]:
         newest, owed = subscription.newest, subscription.owed()
--- a/roadlb/xds/stream.py
+++ b/roadlb/xds/stream.py
@@ -66,7 +66,7 @@
         self.ended = False
         self.wake_at: int | None = None
         self.floor = 0                       # the newest generation that the subscriber has shown
-        self._snapshot, self._writable, self._nonces = snapshot, True, 0
+        self.snapshot, self._writable, self._nonces = snapshot, True, 0
         self._subscriptions: dict[str, Subscription] = {}
         self._order, self._pace = Order(self._subscriptions), Pace()
         self._ttl = False
@@ -75,12 +75,12 @@
     @property
     def generation(self) -> int:
         """Of the newest snapshot taken."""
-        return self._snapshot.generation if self._snapshot is not None else 0
+        return self.snapshot.generation if self.snapshot is not None else 0
 
     @property
     def quiet(self) -> bool:
         """Whether all that was published is told and answered, nothing of it refused."""
-        return self._snapshot is not None and self.floor <= self.generation and not any(
+        return self.snapshot is not None and self.floor <= self.generation and not any(
             s.flight is not None or s.differs or s.again or s.greet for s in self._subscriptions.values())
 
     def handle(self, now: int, event: Event) -> list[Action]:
@@ -90,11 +90,12 @@
         actions: list[Action] = []
         match event:
             case Asked(request):
+                self._order.begin(now)
                 self._asked(request, actions)
             case Published(snapshot):
-                if self._snapshot is not None and snapshot.generation < self._snapshot.generation:
+                if self.snapshot is not None and snapshot.generation < self.snapshot.generation:
                     return [Hold(Why.OLDER)]
-                self._snapshot = snapshot
+                self.snapshot = snapshot
                 for subscription in self._subscriptions.values():
                     self.follow(subscription, snapshot)
             case Ready():
@@ -144,8 +145,8 @@
             return
         if subscription is None:
             subscription = self._subscriptions[type_url] = Subscription(type_url, self.tells_gone(type_url))
-            if self._snapshot is not None:
-                self.follow(subscription, self._snapshot)
+            if self.snapshot is not None:
+                self.follow(subscription, self.snapshot)
         for step in steps:
             if step is Step.ACCEPT:
                 self._accept(subscription, actions)
@@ -206,9 +207,9 @@
         """At most one response, and when to look again."""
         self.wake_at = None
         held: set[Hold] = set()
-        if self._snapshot is None or self.floor > self._snapshot.generation:
+        if self.snapshot is None or self.floor > self.snapshot.generation:
             if self._subscriptions:
-                held.add(Hold(Why.NO_SNAPSHOT if self._snapshot is None else Why.BEHIND))
+                held.add(Hold(Why.NO_SNAPSHOT if self.snapshot is None else Why.BEHIND))
         elif self._writable:
             self._send_first(now, held, actions)
         self._hold(held, actions)
@@ -253,26 +254,26 @@
         return False
 
     def _send(self, subscription: Subscription, breaks: bool, now: int, actions: list[Action]) -> None:
-        assert self._snapshot is not None
+        assert self.snapshot is not None
         if subscription.asked and not subscription.owed().change:
             self._pace.take(now)
         response, told = self.respond(subscription, self._nonce(), breaks)
-        clusters_with_endpoints = self._snapshot.collections[ENDPOINTS].by_name
+        clusters_with_endpoints = self.snapshot.collections[ENDPOINTS].by_name
         made = [name for name in told if name in subscription.newest.by_name]
         new = {name for name in made if subscription.held(name) is None and name in clusters_with_endpoints}
-        subscription.sent(told, response.nonce, version_of(response), self._snapshot.generation)
+        subscription.sent(told, response.nonce, version_of(response), self.snapshot.generation)
         self._order.sent(subscription.type_url, made, new)
         self._writable = False
         actions.append(Respond(response))
 
     def _send_beat(self, subscription: Subscription, now: int, actions: list[Action]) -> bool:
         """Prolongs the TTLs of a type, if there is anything to prolong."""
-        assert self._snapshot is not None
+        assert self.snapshot is not None
         subscription.beat_at = None
         response = self.beat(subscription, self._nonce())
         if response is None:
             return False
-        subscription.prolonged(response.nonce, version_of(response), self._snapshot.generation, {})
+        subscription.prolonged(response.nonce, version_of(response), self.snapshot.generation, {})
         self._beat_at(subscription, now)
         self._writable = False
         actions.append(Respond(response))
@@ -293,7 +294,8 @@
 
     def _hold(self, held: set[Hold], actions: list[Action]) -> None:
         """Tells of what is held since now."""
-        actions.extend(sorted(held - self._holding, key=lambda hold: (hold.why, hold.type_url)))
+        begun: list[Hold] = sorted(held - self._holding, key=lambda hold: (hold.why, hold.type_url))
+        actions += begun
         self._holding = held
 
     # ---- for the variants
--- a/roadlb/xds/subscription.py
+++ b/roadlb/xds/subscription.py
@@ -45,7 +45,8 @@
     """One type on one stream.  `tells_gone`: whether the variant has a way to say that a name is gone."""
 
     __slots__ = ("type_url", "tells_gone", "wildcard", "names", "newest", "differs", "again", "refused",
-                 "retry", "greet", "asked", "named", "shown", "flight", "nonce", "accepted", "beat_at", "_owed")
+                 "retry", "greet", "asked", "named", "shown", "flight", "nonce", "accepted", "beat_at",
+                 "_owed")
 
     def __init__(self, type_url: str, tells_gone: bool) -> None:
         self.type_url, self.tells_gone = type_url, tells_gone
@@ -124,10 +125,12 @@
             self.differs[name] = Resource(self.type_url, name, version, b"")
         self._owed = None
 
-    def all_held(self) -> None:
-        """The subscriber has shown that it has everything as it is now."""
+    def has_all_of(self, collection: Collection) -> None:
+        """The subscriber, which wants everything, has shown that it has just this collection."""
+        newest, self.newest = self.newest, collection
         self.differs.clear()
-        self.greet, self._owed = False, None
+        self.greet, self.shown, self._owed = False, "", None
+        self.follow(newest)
 
     # ---- what there is
 
