--- a/roadlb/xds/conversation.py
+++ b/roadlb/xds/conversation.py
@@ -40,6 +40,7 @@
     REFUSE = auto()         # the response in flight is refused
     SUBSCRIBE = auto()      # what the request wants counts
     SHOW = auto()           # what it shows of earlier streams counts
+    DOUBT = auto()          # what it lacks may have been dropped meanwhile: to be told again
     END = auto()            # the request cannot be one of this stream
 
 
--- a/roadlb/xds/stream.py
+++ b/roadlb/xds/stream.py
@@ -153,8 +153,7 @@
             elif step is Step.REFUSE:
                 self._refuse(subscription, request, actions)
             else:
-                take = self.subscribe if step is Step.SUBSCRIBE else self.show
-                if reason := take(subscription, request):
+                if reason := self.take(step, subscription, request):
                     self._end(reason, actions)
                     return
 
@@ -183,12 +182,8 @@
         """Whether a response of this type can say that a resource is gone."""
 
     @abstractmethod
-    def subscribe(self, subscription: Subscription, request: Request) -> str:
-        """Takes over what a request wants; why it cannot be, or an empty string."""
-
-    @abstractmethod
-    def show(self, subscription: Subscription, request: Request) -> str:
-        """Takes over what a first request shows of earlier streams; why it cannot be, or an empty string."""
+    def take(self, step: Step, subscription: Subscription, request: Request) -> str:
+        """SUBSCRIBE, SHOW or DOUBT; why the request cannot be, or an empty string."""
 
     @abstractmethod
     def respond(self, subscription: Subscription, nonce: str, breaks: bool) -> tuple[Response, list[str]]:
--- a/roadlb/xds/subscription.py
+++ b/roadlb/xds/subscription.py
@@ -160,11 +160,11 @@
         owed, refused = Owed(), []
         for name in sorted(self.differs.keys() | self.again) if self.again else sorted(self.differs):
             now, have = self.newest.by_name.get(name), self.differs.get(name)
-            if name in self.refused and name not in self.again:
-                if self.refused[name] == (now.version if now is not None else None):
-                    refused.append(name)
-                    continue
-            if name not in self.again and have is not None:
+            version = now.version if now is not None else None
+            if name in self.refused and name not in self.again and self.refused[name] == version:
+                refused.append(name)
+                continue
+            if have is not None and (have.version or name in self.refused and self.refused[name] != version):
                 owed.change = True
             if now is not None:
                 owed.make.append(name)
