--- a/roadlb/xds/codec/assignment.py
+++ b/roadlb/xds/codec/assignment.py
@@ -104,6 +104,10 @@
     return Locality(wire.region, wire.zone, wire.sub_zone)
 
 
+def write_locality(wire: Wire, where: Locality) -> None:
+    wire.region, wire.zone, wire.sub_zone = where.region, where.zone, where.sub_zone
+
+
 def read_scale(group: Wire) -> float:
     """What a weight of 1.0 is in this group; 1 in messages that others made."""
     scale = plain.read_own(group).get(SCALE)
@@ -150,9 +154,7 @@
     """A group without its endpoints."""
     message = parsed(LocalityLbEndpoints, group.origin)
     if read_locality(message.locality) != group.locality:
-        where = group.locality
-        message.locality.region, message.locality.zone = where.region, where.zone
-        message.locality.sub_zone = where.sub_zone
+        write_locality(message.locality, group.locality)
     if message.priority != group.priority:
         if not 0 <= group.priority <= 128:
             raise CodecError(f"priority {group.priority}: must be 0 to 128")
--- a/roadlb/xds/codec/cluster.py
+++ b/roadlb/xds/codec/cluster.py
@@ -130,7 +130,8 @@
     "locality_weights": _put_locality_weights,
     "reports": _put_reports,
     "endpoints": _put_endpoints,
-}, {"a name": lambda settings: bool(settings.name)})
+}, {"a name": lambda settings: bool(settings.name),
+    "a connect time-out above 0": lambda settings: settings.connect_timeout_us != 0})
 
 
 def read_cluster(data: bytes) -> ClusterSettings:
--- a/roadlb/xds/codec/endpoint.py
+++ b/roadlb/xds/codec/endpoint.py
@@ -136,7 +136,7 @@
     """What our own metadata is to say of an endpoint; None where the wire or the default says it."""
     shown = wire_health(endpoint.lifecycle, endpoint.health, endpoint.weight)
     return {
-        "node": endpoint.node.name if endpoint.node.name != usual else None,
+        "node": endpoint.node.name if endpoint.node.name not in ("", usual) else None,
         "started_ms": plain.of_whole(endpoint.node.started_ms) if endpoint.node.started_ms else None,
         "lifecycle": endpoint.lifecycle.value if endpoint.lifecycle is not Lifecycle.UP else None,
         "machine": endpoint.machine or None,
--- a/roadlb/xds/codec/protos.py
+++ b/roadlb/xds/codec/protos.py
@@ -1,4 +1,4 @@
-"""The published message classes, from `xds-protos`: the only place that names its modules.
+"""The published message classes, from `xds-protos`.
 
 They come without type stubs, so a message is `Wire` here.  None of these modules imports grpcio.
 """
@@ -12,11 +12,14 @@
 from envoy.config.endpoint.v3.endpoint_components_pb2 import Endpoint as WireEndpoint
 from envoy.config.endpoint.v3.endpoint_components_pb2 import LbEndpoint, LocalityLbEndpoints
 from envoy.config.endpoint.v3.endpoint_pb2 import ClusterLoadAssignment
+from envoy.config.listener.v3.listener_pb2 import Listener as WireListener
+from envoy.config.route.v3.route_pb2 import RouteConfiguration
 from google.protobuf.message import DecodeError
 
 __all__ = [
-    "ClusterLoadAssignment", "CodecError", "DecodeError", "LbEndpoint", "LocalityLbEndpoints", "Wire",
-    "WireCluster", "WireEndpoint", "held", "parsed", "says",
+    "ClusterLoadAssignment", "CodecError", "DecodeError", "LbEndpoint", "LocalityLbEndpoints",
+    "RouteConfiguration", "Wire",
+    "WireCluster", "WireEndpoint", "WireListener", "held", "parsed", "says",
 ]
 
 Wire: TypeAlias = Any
--- a/roadlb/xds/codec/routes.py
+++ b/roadlb/xds/codec/routes.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-from envoy.config.listener.v3.listener_pb2 import Listener as WireListener
 from envoy.config.route.v3.route_components_pb2 import Route as WireRoute
 from envoy.config.route.v3.route_components_pb2 import VirtualHost as WireHost
-from envoy.config.route.v3.route_pb2 import RouteConfiguration
 from envoy.extensions.filters.http.router.v3.router_pb2 import Router
 from envoy.extensions.filters.network.http_connection_manager.v3.http_connection_manager_pb2 import (
     HttpConnectionManager,
@@ -15,7 +13,7 @@
 from ...fleet.model import Place
 from ...fleet.traffic import Listener, Retry, Route, RouteTable, VirtualHost
 from .endpoint import read_place, write_place
-from .protos import CodecError, DecodeError, Wire, held
+from .protos import CodecError, DecodeError, RouteConfiguration, Wire, WireListener, held
 from .shape import Shape, microseconds, put_microseconds, put_plain, put_whole, whole
 
 V3 = 2                              # envoy.config.core.v3.ApiVersion
@@ -144,6 +142,8 @@
     if now is None:
         wire.ClearField("retry_back_off")
         return
+    if now <= 0:
+        raise CodecError(f"back_off_us {now}: must be above 0")
     put_microseconds("base_interval")(wire.retry_back_off, now, None)
     if (microseconds(wire.retry_back_off, "max_interval") or 0) < now:
         put_microseconds("max_interval")(wire.retry_back_off, BACK_OFF_GROWS * now, None)
