--- a/tests/xds/codec/test_changes.py
+++ b/tests/xds/codec/test_changes.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import pytest
-from wire import KINDS, NAMES, RECORDED, recorded
+from codec_messages import KINDS, NAMES, RECORDED, recorded
 
 from roadlb.fleet.model import (
     Cluster,
--- a/tests/xds/codec/test_lossless.py
+++ b/tests/xds/codec/test_lossless.py
@@ -7,7 +7,7 @@
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
-from wire import KINDS, NAMES, RECORDED, Maker, alike, recorded
+from codec_messages import KINDS, NAMES, RECORDED, Maker, alike, recorded
 
 from roadlb.xds.codec.protos import CodecError, held
 
