--- a/roadlb/xds/codec/assignment.py
+++ b/roadlb/xds/codec/assignment.py
@@ -140,14 +140,14 @@
         for i, drop in enumerate(cluster.drops):
             wire = drops[i] if i < len(drops) else drops.add()
             if i >= len(was) or was[i] != drop:
-                _write_drop(wire, drop, cluster.name)
+                _write_drop(wire, drop)
         del drops[len(cluster.drops):]
     return held(message)
 
 
-def _write_drop(wire: Wire, drop: Drop, cluster: str) -> None:
+def _write_drop(wire: Wire, drop: Drop) -> None:
     if not drop.category or not 0 <= drop.millionths <= 1_000_000:
-        raise CodecError(f"cluster {cluster!r}: drops {drop.millionths} millionths for {drop.category!r}: "
+        raise CodecError(f"drops {drop.millionths} millionths for {drop.category!r}: "
                          "give a category and 0 to 1000000")
     wire.category = drop.category
     wire.drop_percentage.numerator, wire.drop_percentage.denominator = drop.millionths, 2
--- a/roadlb/xds/codec/endpoint.py
+++ b/roadlb/xds/codec/endpoint.py
@@ -181,12 +181,10 @@
     if endpoint.metadata != was.metadata:
         plain.write_metadata(message, was.metadata, endpoint.metadata)
     usual = usual_name(message, read_place(target(message, around.named).address))
-    around = replace(around, scale=scale)
-    now = view(message, around)
+    now = view(message, replace(around, scale=scale))
     for key, value in told(endpoint, usual, scale).items():
         if READ[key](now) != READ[key](endpoint):
             plain.write_own(message, key, value)
-            now = view(message, around)              # health follows from lifecycle and weight
 
 
 READ: Mapping[str, Callable[[Endpoint], object]] = {
--- a/tests/fleet/test_checks.py
+++ b/tests/fleet/test_checks.py
@@ -97,6 +97,13 @@
     assert said(check_step(grid(drained, OLD[1]), picture(2, OLD[1]))) == {}
 
 
+def test_one_successor_does_not_stand_for_two() -> None:
+    old = picture(1, node("n", 5), node("n", 5), node("o"), node("p"))
+    gone, = (f for f in check_step(old, picture(2, node("n", 6), node("o"), node("p")))
+             if f.check is Check.CAPACITY_GONE)
+    assert gone.figure == 0.25
+
+
 def test_the_share_gone_is_a_figure_a_threshold_can_be_held_against() -> None:
     old = picture(1, *(node(f"n{i}") for i in range(10)))
     new = picture(2, *(node(f"n{i}") for i in range(7)), node("new", weight=9.0))
--- a/tests/xds/codec/test_changes.py
+++ b/tests/xds/codec/test_changes.py
@@ -10,6 +10,7 @@
 
 from roadlb.fleet.model import (
     Cluster,
+    Drop,
     Endpoint,
     Health,
     Lifecycle,
@@ -20,7 +21,7 @@
     settled,
 )
 from roadlb.fleet.traffic import Limits, Retry, RouteTable, VirtualHost
-from roadlb.xds.codec.assignment import read_assignment, write_assignment
+from roadlb.xds.codec.assignment import AssignmentWriter, read_assignment, write_assignment
 from roadlb.xds.codec.cluster import read_cluster, write_cluster
 from roadlb.xds.codec.protos import ClusterLoadAssignment, held, parsed
 from roadlb.xds.codec.routes import (
@@ -123,6 +124,36 @@
     assert [line.load_balancing_weight.value for line in message.endpoints[0].lb_endpoints] == [500, 1000]
 
 
+def test_what_others_changed_on_the_wire_counts_against_our_metadata() -> None:
+    first, second = read_assignment(MESSAGES["cla-ours-changed-by-others"][1]).endpoints
+    assert (first.weight, first.health, first.lifecycle) == (5 / 7, Health.HEALTHY, Lifecycle.DRAINING)
+    assert (first.node, first.machine, first.cell) == (NodeId("10.0.0.1:80"), "", 0)
+    assert second.weight == 0
+
+
+@pytest.mark.parametrize("name", ASSIGNMENTS)
+def test_a_writer_forgets_what_was_written_in_other_surroundings(name: str) -> None:
+    cluster, writer = read_assignment(MESSAGES[name][1]), AssignmentWriter()
+    cluster = replace(cluster, endpoints=tuple(e for e in cluster.endpoints if e.host))
+    plain = replace(cluster, origin=None, drops=(), groups=tuple(
+        replace(group, origin=None, weight=None) for group in cluster.groups))
+    for state, scale in ((cluster, None), (cluster, 10.0), (cluster, 1000.0), (plain, 1000.0), (plain, None),
+                         (replace(plain, name="other"), None)):
+        if state.name and (state is cluster or all(e.port for e in state.endpoints)):
+            assert writer.write(state, scale) == write_assignment(state, scale)
+
+
+def test_drops_change_one_by_one() -> None:
+    cluster = read_assignment(MESSAGES["cla-policy"][1])
+    changed = replace(cluster, drops=(cluster.drops[0], Drop("new", 5)))
+    policy = parsed(ClusterLoadAssignment, write_assignment(changed)).policy
+    first, second = policy.drop_overloads
+    assert (first.drop_percentage.numerator, first.drop_percentage.denominator) == (3, 0)
+    assert second.category == "new"
+    assert (second.drop_percentage.numerator, second.drop_percentage.denominator) == (5, 2)
+    assert policy.endpoint_stale_after.seconds == 30
+
+
 def test_settings_change_within_what_was_held() -> None:
     cluster = read_cluster(MESSAGES["cds-everything"][1])
     changed = replace(cluster, locality_weights=False, panic_percent=50.0, policy="ROUND_ROBIN",
@@ -134,6 +165,8 @@
     second = message.circuit_breakers.thresholds[1]
     assert (second.max_connection_pools.value, second.retry_budget.min_retry_concurrency.value) == (4, 3)
     assert message.common_lb_config.update_merge_window.seconds == 1
+    less = replace(cluster, limits=cluster.limits[1:])
+    assert read_cluster(write_cluster(less)).limits == less.limits
     assert message.least_request_lb_config.slow_start_config.slow_start_window.seconds == 20
 
 
@@ -154,6 +187,9 @@
     reads, orders = message.virtual_hosts[0].routes
     parts = {part.name: part for part in orders.route.weighted_clusters.clusters}
     assert parts["grid"].request_headers_to_add[0].header.key == "k"
+    assert not orders.route.weighted_clusters.HasField("total_weight"), "which the parts no longer add up to"
+    back_off = reads.route.retry_policy.retry_back_off
+    assert back_off.base_interval.seconds == 50 <= back_off.max_interval.seconds, "or Envoy refuses it"
     assert [header.name for header in orders.match.headers] == [":method", "x-account"]
     assert [p.name for p in reads.route.retry_policy.retry_host_predicate] == ["own"]
     assert reads.route.hash_policy and message.virtual_hosts[0].include_request_attempt_count
--- a/tests/xds/codec/test_identity.py
+++ b/tests/xds/codec/test_identity.py
@@ -107,6 +107,14 @@
     validate(manager)
 
 
+def test_endpoints_are_asked_for_in_the_form_that_clients_know() -> None:
+    """gRPC's client refuses a source whose resources are not of version 3."""
+    message = parsed(WireCluster, write_cluster(ClusterSettings("grid", reports=True)))
+    source = message.eds_cluster_config.eds_config
+    assert source.HasField("ads") and source.resource_api_version == 2
+    assert message.lrs_server.HasField("self") and message.lrs_server.resource_api_version == 2
+
+
 def test_the_rules_are_read_at_all() -> None:
     message = parsed(ClusterLoadAssignment, write_assignment(Cluster("grid", (node("a"),))))
     validate(message)
