--- a/roadlb/xds/subscription.py
+++ b/roadlb/xds/subscription.py
@@ -189,6 +189,7 @@
             self.again.discard(name)
             if name in self.refused:
                 self.retry = self.refused.pop(name) != names[name] or self.retry
+        self.differs, self.again = self.differs or {}, self.again or set()     # emptied ones keep their size
         self.retry = self.retry and bool(self.refused)
         self.greet, self.asked, self.shown, self._owed = False, False, "", None
         self.prolonged(nonce, version, generation, names)
