--- a/benchmarks/xds_streams.py
+++ b/benchmarks/xds_streams.py
@@ -3,10 +3,11 @@
     python benchmarks/xds_streams.py [--subscribers 10,100,1000] [--endpoints 1000] [--per-cluster 1000,10,1]
 
 No network and no protobuf: responses are built, framed (`xds/framing.py`) and answered in one process.  Each
-subscriber wants all clusters, and the endpoints of each by name.  The change is one endpoint's weight, so that
-one assignment is new, or one cluster's settings, after which its endpoints are due again.  `CPU` is the process's time from publishing to the last answer, framing left out, the
-median of some changes; `bytes` are those of the frames; `memory` is what a stream holds when all is answered
-(tracemalloc), `most` the same while its first responses wait for an answer.
+subscriber wants all clusters, and the endpoints of each by name.  The change is one endpoint's weight, so
+that one assignment is new, or one cluster's settings, after which its endpoints are due again.  `CPU` is the
+process's time from publishing to the last answer, framing left out, the median of some changes; `bytes` are
+those of the frames; `memory` is what a stream holds when all is answered (tracemalloc), `most` the same while
+its first responses wait for an answer.
 """
 
 from __future__ import annotations
@@ -87,7 +88,8 @@
           for name in names)])
 
 
-def measure(sotw: bool, subscribers: int, endpoints: int, per_cluster: int, type_url: str) -> dict[str, float]:
+def measure(sotw: bool, subscribers: int, endpoints: int, per_cluster: int,
+            type_url: str) -> dict[str, float]:
     snapshot = fleet(endpoints, per_cluster)
     names = [resource.name for resource in snapshot.collections[CLUSTER].resources]
     kind = SotwStream if sotw else DeltaStream
@@ -138,14 +140,16 @@
     parser.add_argument("--endpoints", type=int, default=1000)
     parser.add_argument("--per-cluster", default="1000,10,1")
     args = parser.parse_args()
-    print("| clusters | change | subscribers | variant | CPU, ms | us each | bytes each | memory, KB | most, KB |")
+    print("| clusters | change | subscribers | variant | CPU, ms | us each "
+          "| bytes each | memory, KB | most, KB |")
     print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
     for per_cluster in map(int, args.per_cluster.split(",")):
         for subscribers in map(int, args.subscribers.split(",")):
             for change, sotw in product((ENDPOINTS, CLUSTER), (True, False)):
                 found = measure(sotw, subscribers, args.endpoints, per_cluster, change)
-                print(f"| {args.endpoints // per_cluster} | {'endpoint' if change == ENDPOINTS else 'cluster'} "
-                      f"| {subscribers} | {'state of the world' if sotw else 'incremental'} "
+                print(f"| {args.endpoints // per_cluster} "
+                      f"| {'endpoint' if change == ENDPOINTS else 'cluster'} | {subscribers} "
+                      f"| {'state of the world' if sotw else 'incremental'} "
                       f"| {found['cpu_ms']:.1f} "
                       f"| {found['us_each']:.0f} | {found['bytes']} | {found['memory'] / 1024:.1f} "
                       f"| {found['most'] / 1024:.1f} |", flush=True)
--- a/roadlb/xds/ordering.py
+++ b/roadlb/xds/ordering.py
@@ -46,7 +46,7 @@
     def __init__(self, subscriptions: Mapping[str, Subscription]) -> None:
         self._subscriptions = subscriptions
         self._began: int | None = None
-        self._awaited: set[str] = set()                  # clusters sent whose endpoints were not asked for
+        self._awaited: set[str] = set()                  # clusters sent since routes were: to be asked for
         self._since: dict[tuple[str, bool], int] = {}    # since when a type's make (True) or break waits
 
     def begin(self, now: int) -> None:
@@ -65,8 +65,9 @@
         if endpoints is not None:
             # A changed cluster warms again, which ends only with a response that has its endpoints.
             endpoints.repeat(name for name in made if name in endpoints.newest.by_name)
-        self._awaited |= new
-        self._prune()
+        clusters = self._subscriptions[CLUSTER]
+        self._awaited = {name for name in self._awaited | new
+                         if clusters.wants(name) and name in clusters.newest.by_name}
 
     def make_waits(self, type_url: str, now: int) -> int | None:
         """Until when what is new of a type waits at the longest; None: it may go."""
@@ -90,8 +91,10 @@
     def _blocks_make(self, type_url: str) -> bool:
         if not MAKE_AFTER[type_url]:
             return False
-        self._prune()
-        return bool(self._awaited) or any(
+        endpoints = self._subscriptions.get(ENDPOINTS)
+        if any(endpoints is None or not endpoints.wants(name) for name in self._awaited):
+            return True
+        return any(
             earlier.flight is not None or bool(earlier.owed().make)
             for other in MAKE_AFTER[type_url] if (earlier := self._subscriptions.get(other)) is not None)
 
@@ -105,10 +108,3 @@
             elif referring.flight is not None or referring.owed().make or referring.owed().gone:
                 return True
         return False
-
-    def _prune(self) -> None:
-        """Leaves out clusters whose endpoints were asked for, and those that are gone or unwanted."""
-        endpoints, clusters = self._subscriptions.get(ENDPOINTS), self._subscriptions.get(CLUSTER)
-        self._awaited = {name for name in self._awaited
-                         if clusters is not None and clusters.wants(name) and name in clusters.newest.by_name
-                         and not (endpoints is not None and endpoints.wants(name))}
--- a/roadlb/xds/stream.py
+++ b/roadlb/xds/stream.py
@@ -83,6 +83,12 @@
         return self.snapshot is not None and self.floor <= self.generation and not any(
             s.flight is not None or s.differs or s.again or s.greet for s in self._subscriptions.values())
 
+    @property
+    def kept(self) -> int:
+        """How many names are kept, over all types: at most five for each that is wanted or was sent."""
+        return sum(len(s.names) + len(s.differs) + len(s.again) + len(s.refused)
+                   + (len(s.flight.names) if s.flight is not None else 0) for s in self._subscriptions.values())
+
     def handle(self, now: int, event: Event) -> list[Action]:
         """One event at `now`, in microseconds of a monotonic clock.  After the end, nothing."""
         if self.ended:
--- a/roadlb/xds/subscription.py
+++ b/roadlb/xds/subscription.py
@@ -168,7 +168,7 @@
                 owed.change = True
             if now is not None:
                 owed.make.append(name)
-            elif name in self.again:
+            elif have is None:
                 owed.absent.append(name)
             else:
                 owed.gone.append(name)
--- a/tests/xds/streams/test_cases.py
+++ b/tests/xds/streams/test_cases.py
@@ -379,6 +379,43 @@
     assert t.ask("E", nonce="4") == ["ack E", "E5 a"]
 
 
+def test_delta_endpoints_due_again_still_go_after_what_refers_to_them() -> None:
+    t = talk(DeltaStream, "Ca Ea Ll Rr=a")
+    for request in ("C",), ("C", "1"), ("E", "", "a"), ("E", "2"), ("L",), ("L", "3"), ("R", "", "r"):
+        t.ask(request[0], *request[2:], nonce="".join(request[1:2]))
+    t.ask("R", nonce="4")
+    assert t.publish(2, "Ca=2 Ea Ll Rr=a")[:2] == ["C5 a", "E6 a"]
+    t.ask("C", nonce="5"), t.publish(3, "Ca=3 Ea Ll Rr=a")
+    said = [*t.publish(4, "Cb Eb Ll Rr=b"), *t.ask("E", nonce="6"), *t.ask("C", nonce="7")]
+    assert not [word for word in said if "-a" in word] and t.stream.quiet is False
+
+
+def test_delta_what_was_refused_together_follows_when_one_of_them_is_given_up() -> None:
+    t = talk(DeltaStream, "Ea=2 Eb=bad")
+    t.ask("E", "a", "b"), t.ask("E", nonce="1", nack=True)
+    assert t.ask("E", "-b") == ["E2 a"]
+
+
+@BOTH
+@pytest.mark.parametrize("answers", ["nothing", "refuses", "forgets"])
+def test_whatever_a_subscriber_does_what_is_kept_of_it_is_bounded(kind: type[Stream], answers: str) -> None:
+    t, most = talk(kind, None), 0
+    t.ask("C"), t.ask("E", "c0")
+    for turn in range(300):
+        names = [f"c{turn + n}" for n in range(20)]             # one new and one gone each time
+        t.publish(turn + 1, " ".join(f"C{name}={turn} E{name}={turn}" for name in names))
+        for kind_, nonce in ("C", turn * 2), ("E", turn * 2 + 1), ("C", turn), ("E", turn):
+            if answers == "refuses":
+                t.ask(kind_, *(names if kind_ == "E" else ()), nonce=str(nonce), nack=True)
+            elif answers == "forgets" and kind is DeltaStream:
+                t.ask(kind_, names[0], f"-c{turn - 1}", nonce=str(nonce))
+            elif answers == "forgets":
+                t.ask(kind_, names[turn % 20], nonce=str(nonce))
+        most = max(most, t.stream.kept)
+    # Delta names are wanted until they are given up: one that only adds has its names, up to NAMES_MOST.
+    assert most <= (5 * 2 * 20 if kind is SotwStream or answers != "refuses" else 5 * 320 * 2)
+
+
 def test_a_large_response_goes_in_parts() -> None:
     body = "x" * 400_000
     for kind, names in (DeltaStream, ()), (SotwStream, "abcd"):
