--- a/roadlb/xds/delta.py
+++ b/roadlb/xds/delta.py
@@ -67,7 +67,7 @@
 
     def _subscribe(self, subscription: Subscription, request: DeltaRequest) -> str:
         type_url, wanted = request.type_url, set(request.resource_names_subscribe)
-        if reason := too_much(wanted, len(wanted | subscription.names), type_url):
+        if reason := too_much(wanted, len(wanted | subscription.names | subscription.again), type_url):
             return reason
         legacy = not subscription.named and not wanted and type_url in LEGACY_WILDCARD
         subscription.named = True
--- a/roadlb/xds/ordering.py
+++ b/roadlb/xds/ordering.py
@@ -35,7 +35,7 @@
 
 MAKE_WAIT_US = 1_000_000     # ten round trips on a slow link; who asks for no endpoints waits so long
 BREAK_WAIT_US = 5_000_000    # an old cluster does no harm while its endpoints are kept up
-LINGERING_MOST = 1_000       # names that wait to be broken: a bound for subscribers that never answer
+GONE_MOST = 1_000       # names that wait to be broken: a bound for subscribers that never answer
 
 
 class Order:
@@ -78,7 +78,7 @@
     def break_waits(self, type_url: str, now: int) -> int | None:
         """Until when what is gone of a type waits at the longest; None: it may go."""
         gone = len(self._subscriptions[type_url].owed().gone)
-        blocked = 0 < gone <= LINGERING_MOST and self._blocks_break(type_url, now)
+        blocked = 0 < gone <= GONE_MOST and self._blocks_break(type_url, now)
         return self._waits((type_url, False), blocked, now, BREAK_WAIT_US)
 
     def _waits(self, key: tuple[str, bool], blocked: bool, now: int, longest: int) -> int | None:
--- a/roadlb/xds/stream.py
+++ b/roadlb/xds/stream.py
@@ -12,8 +12,9 @@
   long as our snapshot is older, the stream is silent.  Snapshots older than the one before are not taken.
 - TTLs, for subscribers that know them, are prolonged every third of the shortest one of a type.
 
-Bounds for each stream and type: NAMES_MOST names, wanted or claimed, of NAME_CHARS_MOST characters; beyond,
-the stream ends.  All that is kept is keyed by wanted names or by what was sent of them.
+Bounds for each stream and type: NAMES_MOST names, wanted or claimed, of NAME_CHARS_MOST characters, and
+GONE_MOST removals refused; beyond, the stream ends.  All that is kept is keyed by these names and by those
+that are there.
 """
 
 from __future__ import annotations
@@ -43,7 +44,7 @@
     Tick,
     Why,
 )
-from .ordering import BREAKS, MAKES, Order
+from .ordering import BREAKS, GONE_MOST, MAKES, Order
 from .pace import Pace
 from .resources import ENDPOINTS, TYPES, Resource, Snapshot, generation_of
 from .subscription import Subscription
@@ -85,9 +86,12 @@
 
     @property
     def kept(self) -> int:
-        """How many names are kept, over all types: at most five for each that is wanted or was sent."""
+        """How many names are kept, over all types: for each type at most five times those there, NAMES_MOST
+        that are asked for, and GONE_MOST each that are gone and must stay or whose removal was refused.
+        """
         return sum(len(s.names) + len(s.differs) + len(s.again) + len(s.refused)
-                   + (len(s.flight.names) if s.flight is not None else 0) for s in self._subscriptions.values())
+                   + (len(s.flight.names) if s.flight is not None else 0)
+                   for s in self._subscriptions.values())
 
     def handle(self, now: int, event: Event) -> list[Action]:
         """One event at `now`, in microseconds of a monotonic clock.  After the end, nothing."""
@@ -158,6 +162,9 @@
                 self._accept(subscription, actions)
             elif step is Step.REFUSE:
                 self._refuse(subscription, request, actions)
+                if sum(version is None for version in subscription.refused.values()) > GONE_MOST:
+                    self._end(f"more than {GONE_MOST} removals of {type_url} refused: start anew", actions)
+                    return
             else:
                 if reason := self.take(step, subscription, request):
                     self._end(reason, actions)
--- a/tests/xds/streams/test_cases.py
+++ b/tests/xds/streams/test_cases.py
@@ -398,10 +398,13 @@
 
 @BOTH
 @pytest.mark.parametrize("answers", ["nothing", "refuses", "forgets"])
-def test_whatever_a_subscriber_does_what_is_kept_of_it_is_bounded(kind: type[Stream], answers: str) -> None:
+def test_whatever_a_subscriber_does_what_is_kept_of_it_is_bounded(
+        kind: type[Stream], answers: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    for module, name in ("ordering", "GONE_MOST"), ("stream", "GONE_MOST"), ("stream", "NAMES_MOST"):
+        monkeypatch.setattr(f"roadlb.xds.{module}.{name}", 25)
     t, most = talk(kind, None), 0
     t.ask("C"), t.ask("E", "c0")
-    for turn in range(300):
+    for turn in range(400):
         names = [f"c{turn + n}" for n in range(20)]             # one new and one gone each time
         t.publish(turn + 1, " ".join(f"C{name}={turn} E{name}={turn}" for name in names))
         for kind_, nonce in ("C", turn * 2), ("E", turn * 2 + 1), ("C", turn), ("E", turn):
@@ -412,8 +415,7 @@
             elif answers == "forgets":
                 t.ask(kind_, names[turn % 20], nonce=str(nonce))
         most = max(most, t.stream.kept)
-    # Delta names are wanted until they are given up: one that only adds has its names, up to NAMES_MOST.
-    assert most <= (5 * 2 * 20 if kind is SotwStream or answers != "refuses" else 5 * 320 * 2)
+    assert 0 < most <= 2 * 5 * (20 + 3 * 25)
 
 
 def test_a_large_response_goes_in_parts() -> None:
