--- a/roadlb/xds/ordering.py
+++ b/roadlb/xds/ordering.py
@@ -59,15 +59,17 @@
         self._since.pop((type_url, True), None)
         if MAKE_AFTER[type_url] and made:
             self._awaited.clear()                        # they came, or were waited for long enough
-        if type_url != CLUSTER:
-            return
-        endpoints = self._subscriptions.get(ENDPOINTS)
-        if endpoints is not None:
-            # A changed cluster warms again, which ends only with a response that has its endpoints.
-            endpoints.repeat(name for name in made if name in endpoints.newest.by_name)
-        clusters = self._subscriptions[CLUSTER]
-        self._awaited = {name for name in self._awaited | new
-                         if clusters.wants(name) and name in clusters.newest.by_name}
+        elif type_url == CLUSTER:
+            endpoints = self._subscriptions.get(ENDPOINTS)
+            if endpoints is not None:
+                # A changed cluster warms again, which ends only with a response that has its endpoints.
+                endpoints.repeat(name for name in made if name in endpoints.newest.by_name)
+            self._prune()
+            self._awaited |= new
+        elif type_url == ENDPOINTS:
+            clusters = self._subscriptions.get(CLUSTER)
+            if clusters is not None and clusters.flight is None:
+                self._prune()
 
     def make_waits(self, type_url: str, now: int) -> int | None:
         """Until when what is new of a type waits at the longest; None: it may go."""
@@ -108,3 +110,13 @@
             elif referring.flight is not None or referring.owed().make or referring.owed().gone:
                 return True
         return False
+
+    def _prune(self) -> None:
+        """Leaves out clusters whose endpoints are asked for, and those that are gone or unwanted.
+
+        Only once the response with them is answered: before, an old subscription may be on its way out.
+        """
+        endpoints, clusters = self._subscriptions.get(ENDPOINTS), self._subscriptions[CLUSTER]
+        self._awaited = {name for name in self._awaited
+                         if clusters.wants(name) and name in clusters.newest.by_name
+                         and not (endpoints is not None and endpoints.wants(name))}
--- a/tests/xds/streams/test_cases.py
+++ b/tests/xds/streams/test_cases.py
@@ -404,7 +404,7 @@
         monkeypatch.setattr(f"roadlb.xds.{module}.{name}", 25)
     t, most = talk(kind, None), 0
     t.ask("C"), t.ask("E", "c0")
-    for turn in range(400):
+    for turn in range(1_000):
         names = [f"c{turn + n}" for n in range(20)]             # one new and one gone each time
         t.publish(turn + 1, " ".join(f"C{name}={turn} E{name}={turn}" for name in names))
         for kind_, nonce in ("C", turn * 2), ("E", turn * 2 + 1), ("C", turn), ("E", turn):
