--- a/roadlb/xds/ordering.py
+++ b/roadlb/xds/ordering.py
@@ -35,7 +35,7 @@
 
 MAKE_WAIT_US = 1_000_000     # ten round trips on a slow link; who asks for no endpoints waits so long
 BREAK_WAIT_US = 5_000_000    # an old cluster does no harm while its endpoints are kept up
-LINGERING_MOST = 1_000       # names that wait to be broken: a bound for subscribers that never answer
+GONE_MOST = 1_000       # names that wait to be broken: a bound for subscribers that never answer
 
 
 class Order:
@@ -46,7 +46,7 @@
     def __init__(self, subscriptions: Mapping[str, Subscription]) -> None:
         self._subscriptions = subscriptions
         self._began: int | None = None
-        self._awaited: set[str] = set()                  # clusters sent whose endpoints were not asked for
+        self._awaited: set[str] = set()                  # clusters sent since routes were: to be asked for
         self._since: dict[tuple[str, bool], int] = {}    # since when a type's make (True) or break waits
 
     def begin(self, now: int) -> None:
@@ -59,14 +59,17 @@
         self._since.pop((type_url, True), None)
         if MAKE_AFTER[type_url] and made:
             self._awaited.clear()                        # they came, or were waited for long enough
-        if type_url != CLUSTER:
-            return
-        endpoints = self._subscriptions.get(ENDPOINTS)
-        if endpoints is not None:
-            # A changed cluster warms again, which ends only with a response that has its endpoints.
-            endpoints.repeat(name for name in made if name in endpoints.newest.by_name)
-        self._awaited |= new
-        self._prune()
+        elif type_url == CLUSTER:
+            endpoints = self._subscriptions.get(ENDPOINTS)
+            if endpoints is not None:
+                # A changed cluster warms again, which ends only with a response that has its endpoints.
+                endpoints.repeat(name for name in made if name in endpoints.newest.by_name)
+            self._prune()
+            self._awaited |= new
+        elif type_url == ENDPOINTS:
+            clusters = self._subscriptions.get(CLUSTER)
+            if clusters is not None and clusters.flight is None:
+                self._prune()
 
     def make_waits(self, type_url: str, now: int) -> int | None:
         """Until when what is new of a type waits at the longest; None: it may go."""
@@ -77,7 +80,7 @@
     def break_waits(self, type_url: str, now: int) -> int | None:
         """Until when what is gone of a type waits at the longest; None: it may go."""
         gone = len(self._subscriptions[type_url].owed().gone)
-        blocked = 0 < gone <= LINGERING_MOST and self._blocks_break(type_url, now)
+        blocked = 0 < gone <= GONE_MOST and self._blocks_break(type_url, now)
         return self._waits((type_url, False), blocked, now, BREAK_WAIT_US)
 
     def _waits(self, key: tuple[str, bool], blocked: bool, now: int, longest: int) -> int | None:
@@ -90,8 +93,10 @@
     def _blocks_make(self, type_url: str) -> bool:
         if not MAKE_AFTER[type_url]:
             return False
-        self._prune()
-        return bool(self._awaited) or any(
+        endpoints = self._subscriptions.get(ENDPOINTS)
+        if any(endpoints is None or not endpoints.wants(name) for name in self._awaited):
+            return True
+        return any(
             earlier.flight is not None or bool(earlier.owed().make)
             for other in MAKE_AFTER[type_url] if (earlier := self._subscriptions.get(other)) is not None)
 
@@ -107,8 +112,11 @@
         return False
 
     def _prune(self) -> None:
-        """Leaves out clusters whose endpoints were asked for, and those that are gone or unwanted."""
-        endpoints, clusters = self._subscriptions.get(ENDPOINTS), self._subscriptions.get(CLUSTER)
+        """Leaves out clusters whose endpoints are asked for, and those that are gone or unwanted.
+
+        Only once the response with them is answered: before, an old subscription may be on its way out.
+        """
+        endpoints, clusters = self._subscriptions.get(ENDPOINTS), self._subscriptions[CLUSTER]
         self._awaited = {name for name in self._awaited
-                         if clusters is not None and clusters.wants(name) and name in clusters.newest.by_name
+                         if clusters.wants(name) and name in clusters.newest.by_name
                          and not (endpoints is not None and endpoints.wants(name))}
