--- /dev/null
+++ b/roadlb/control/order.py
@@ -0,0 +1,259 @@
+"""The guard in front of publishing: what may go out, and to whom.
+
+Four rules, which hold whatever the order in which events come:
+
+1. Forward only.  Decisions go out only if their (generation, serial) is above that of all that went out.
+2. A node told drained stays so.  Until decisions of a newer generation than that of the drain have gone out,
+   it is put as draining into whatever goes out.  A new start is another node, to which this does not apply.
+3. A drain overtakes.  `Drained` sends out what went out last, with the node closed, at once and under the
+   drain's generation: else a proxy that fails over to an instance in between would be told it is open.
+4. Silence.  A subscriber that has acknowledged a newer generation than went out here is told nothing until
+   we have caught up.  One that comes with a view from elsewhere makes us ask discovery for its list
+   (`CatchUp`), at the most every ASK_US: ours may be old without a sign of it.
+
+Generations are discovery's own: all instances of the service must count alike.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import TypeAlias
+
+from roadlb.fleet.model import Health, NodeId
+
+from .events import Decision, Decisions
+
+ASK_US = 250_000             # between two calls of discovery: a drain must be with the proxies within 1 s
+WAIT_US = 2_000_000          # an answer to a call that has not come by then will not come
+
+
+@dataclass(slots=True, frozen=True)
+class Proposed:
+    """The plan would publish this."""
+
+    decisions: Decisions
+
+
+@dataclass(slots=True, frozen=True)
+class Drained:
+    """Discovery says, in its generation `generation`, that this node drains or is gone."""
+
+    node: NodeId
+    generation: int
+
+
+@dataclass(slots=True, frozen=True)
+class Connected:
+    """A stream has opened; `acknowledged`: the generation in its first versions, None: it has no view."""
+
+    subscriber: str
+    stream: int
+    acknowledged: int | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Acknowledged:
+    subscriber: str
+    generation: int
+
+
+@dataclass(slots=True, frozen=True)
+class Disconnected:
+    subscriber: str
+    stream: int
+
+
+@dataclass(slots=True, frozen=True)
+class Listed:
+    """Discovery has answered a call with its whole list, of this generation; None: the call failed."""
+
+    generation: int | None
+
+
+@dataclass(slots=True, frozen=True)
+class Forgive:
+    """An operator says: what this subscriber claims to have acknowledged is of no account."""
+
+    subscriber: str
+
+
+@dataclass(slots=True, frozen=True)
+class Tick:
+    """Time has passed; every 250 ms or more often."""
+
+
+@dataclass(slots=True, frozen=True)
+class Release:
+    """These decisions go out, to all subscribers that are not silenced."""
+
+    decisions: Decisions
+
+
+@dataclass(slots=True, frozen=True)
+class Withheld:
+    """Decisions that do not go out, and why."""
+
+    generation: int
+    serial: int
+    reason: str
+
+
+@dataclass(slots=True, frozen=True)
+class Silence:
+    """Tell this subscriber nothing; it has seen `generation`, which is ahead of us."""
+
+    subscriber: str
+    generation: int
+
+
+@dataclass(slots=True, frozen=True)
+class Speak:
+    """This subscriber may be told, from what went out last on."""
+
+    subscriber: str
+
+
+@dataclass(slots=True, frozen=True)
+class CatchUp:
+    """Ask discovery for its whole list now."""
+
+    reason: str
+
+
+Event: TypeAlias = Proposed | Drained | Connected | Acknowledged | Disconnected | Listed | Forgive | Tick
+Action: TypeAlias = Release | Withheld | Silence | Speak | CatchUp
+
+
+class Order:
+    """A decider: `handle(now, event) -> actions`, to be carried out in their order.
+
+    `out` is what went out last; `silent` maps the silenced to what they have seen.
+    """
+
+    def __init__(self) -> None:
+        self.out: Decisions | None = None
+        self.silent: dict[str, int] = {}
+        self._known: dict[str, int] = {}               # to its stream
+        self._drained: dict[NodeId, int] = {}          # to the generation that said so
+        self._based = -1                               # of the last decisions, drains since left aside
+        self._asked_at: int | None = None
+        self._open, self._wish = False, ""             # a call of discovery is out; another is wished for
+
+    def handle(self, now: int, event: Event) -> list[Action]:
+        match event:
+            case Proposed():
+                return self._proposed(event.decisions)
+            case Drained():
+                return self._drain(event)
+            case Connected():
+                return self._connected(now, event)
+            case Acknowledged():
+                return self._seen(now, event.subscriber, event.generation)
+            case Disconnected():
+                # The end of a stream may be noticed after the next one has begun.
+                if self._known.get(event.subscriber) == event.stream:
+                    del self._known[event.subscriber]
+                    self.silent.pop(event.subscriber, None)
+            case Forgive():
+                if self.silent.pop(event.subscriber, None) is not None:
+                    return [Speak(event.subscriber)]
+            case Listed():
+                return self._listed(now, event)
+            case Tick():
+                return self._ask(now)
+        return []
+
+    def may_tell(self, subscriber: str) -> bool:
+        return subscriber in self._known and subscriber not in self.silent and self.out is not None
+
+    @property
+    def generation(self) -> int:
+        """Of what went out last; -1: nothing has."""
+        return self.out.generation if self.out else -1
+
+    # What goes out
+
+    def _proposed(self, d: Decisions) -> list[Action]:
+        if self.out is not None and (d.generation, d.serial) <= (self.out.generation, self.out.serial):
+            return [Withheld(d.generation, d.serial,
+                             f"{self.out.generation}.{self.out.serial} has gone out already")]
+        # A picture newer than the drain knows of it: if it has the node open, that is meant.
+        self._drained = {n: g for n, g in self._drained.items() if g >= d.generation}
+        self._based = d.generation
+        return self._release(self._closed(d))
+
+    def _drain(self, event: Drained) -> list[Action]:
+        if event.generation < self._based:
+            return []                                  # what went out was decided in the knowledge of it
+        self._drained[event.node] = max(event.generation, self._drained.get(event.node, -1))
+        if self.out is None:
+            return []
+        closed = self._closed(self.out)
+        return self._release(closed) if closed is not self.out else []
+
+    def _closed(self, d: Decisions) -> Decisions:
+        """The same, in which no node is open that has been told drained; itself if none is."""
+        if not self._drained:
+            return d
+        clusters, changed = dict(d.clusters), False
+        for name, told in d.clusters.items():
+            if any(one.open and one.node in self._drained for one in told):
+                clusters[name], changed = tuple(self._close(one) for one in told), True
+        if not changed:
+            return d
+        generation = max(d.generation, *(g for g in self._drained.values()))
+        return replace(d, generation=generation, clusters=clusters, urgent=True)
+
+    def _close(self, one: Decision) -> Decision:
+        return one.closed(Health.DRAINING, "told drained") if one.node in self._drained else one
+
+    def _release(self, d: Decisions) -> list[Action]:
+        self.out = d
+        caught_up = [s for s, seen in self.silent.items() if seen <= d.generation]
+        for subscriber in caught_up:
+            del self.silent[subscriber]
+        return [Release(d), *(Speak(s) for s in caught_up)]
+
+    # Who is told
+
+    def _connected(self, now: int, event: Connected) -> list[Action]:
+        self._known[event.subscriber] = event.stream
+        self.silent.pop(event.subscriber, None)
+        actions: list[Action] = []
+        if event.acknowledged is not None:
+            actions += self._seen(now, event.subscriber, event.acknowledged)
+        if event.subscriber not in self.silent and self.out is not None:
+            actions.append(Speak(event.subscriber))
+        if event.acknowledged is not None:
+            self._wish = self._wish or f"{event.subscriber} comes with a view of {event.acknowledged}"
+            actions += self._ask(now)
+        return actions
+
+    def _seen(self, now: int, subscriber: str, generation: int) -> list[Action]:
+        if subscriber not in self._known:
+            return []
+        if generation <= max(self.generation, self.silent.get(subscriber, -1)):
+            return []
+        self.silent[subscriber] = generation
+        self._wish = f"{subscriber} has seen {generation}, we are at {self.generation}"
+        return [Silence(subscriber, generation), *self._ask(now)]
+
+    # Catching up
+
+    def _ask(self, now: int) -> list[Action]:
+        if self._open and self._asked_at is not None and now - self._asked_at >= WAIT_US:
+            self._open = False
+        if not self._wish and self.silent:
+            self._wish = f"{len(self.silent)} subscribers are ahead of us"
+        due = self._asked_at is None or now - self._asked_at >= ASK_US
+        if not self._wish or self._open or not due:
+            return []
+        reason, self._wish = self._wish, ""
+        self._asked_at, self._open = now, True
+        return [CatchUp(reason)]
+
+    def _listed(self, now: int, event: Listed) -> list[Action]:
+        self._open = False
+        if event.generation is None:
+            self._wish = self._wish or "the last call failed"
+        return self._ask(now)
--- a/roadlb/policy/interface.py
+++ b/roadlb/policy/interface.py
@@ -261,9 +261,14 @@
     payload: bytes
 
 
+@dataclass(slots=True)
+class Report:
+    """Asks for a `View`.  It has no effect on any decision, now or later."""
+
+
 Event: TypeAlias = (
     ListUpdate | Arrival | Offer | Shortage | Outcome | StreamStarted | ClientGone | TimerFired | Probed
-    | PeerMessage
+    | PeerMessage | Report
 )
 
 
@@ -329,4 +334,29 @@
     text: str
 
 
-Action: TypeAlias = Send | Refuse | Fail | Cancel | SetTimer | Subscribe | Probe | Log
+@dataclass(slots=True, frozen=True)
+class ServerView:
+    """What the module believes of a server.
+
+    `eligible`: may a request that can be repeated go there now, its cold budget left aside?  `share`, 0..1:
+    the least part of its capacity that it can have by now.  `load`: own requests in flight, now and on the
+    mean of late, for weight and share.
+    """
+
+    server: ServerId
+    eligible: bool
+    share: float
+    ejected: bool
+    suspect: bool
+    load: float
+    born_us: int = 0
+
+
+@dataclass(slots=True)
+class View:
+    """Answer to `Report`: all servers listed, those that drain among them, in the order of their ids."""
+
+    servers: list[ServerView]
+
+
+Action: TypeAlias = Send | Refuse | Fail | Cancel | SetTimer | Subscribe | Probe | Log | View
--- a/roadlb/policy/logic.py
+++ b/roadlb/policy/logic.py
@@ -17,8 +17,8 @@
 
 from .interface import (
     NEVER_RAN, Action, Arrival, Cancel, ClientGone, Effect, Event, Fail, Group, ListKind, ListUpdate, Offer,
-    Outcome, Refuse, Send, ServerId, ServerState, SetTimer, Settings, Shortage, Status, StreamStarted,
-    Subscribe, TimerFired,
+    Outcome, Refuse, Report, Send, ServerId, ServerState, ServerView, SetTimer, Settings, Shortage, Status,
+    StreamStarted, Subscribe, TimerFired, View,
 )
 from .state import HASH, Attempt, ClassState, KeySet, Request, Server, mix
 
@@ -80,6 +80,8 @@
 
     def handle(self, now: int, event: Event) -> list[Action]:
         """Take one event at clock time `now` and return the actions to carry out, in order."""
+        if type(event) is Report:      # reads only: it starts nothing, draws no number, moves no mean
+            return [self.view(now)]
         self.now, self.actions = now, []
         if not self.started:
             self.started, self.fleet.at = True, now
@@ -157,9 +159,7 @@
         self.ready = sorted((s for s in self.servers.values() if s.up), key=lambda s: s.id)
         self.groups = {}
         for s in self.ready:
-            # The least part of its capacity that it can have by now.
-            part = (self.now - s.born) / self.s.cold_us if s.born and self.s.cold_us else 1.0
-            s.share = min(1.0, self.s.cold_from + (1 - self.s.cold_from) * max(0.0, part))
+            s.share = self.part(s, self.now)
             s.inverse = 1 / (s.weight * s.share)
             self.groups.setdefault((Group.CELL, s.cell), []).append(s)
             self.groups.setdefault((Group.ZONE, s.zone), []).append(s)
@@ -167,6 +167,11 @@
         self.fleet.inverse = 1 / self.weight
         self.hashes = [(s.hash, s.inverse) for s in self.ready]
 
+    def part(self, s: Server, now: int) -> float:
+        """The least part of its capacity that a server can have by now."""
+        part = (now - s.born) / self.s.cold_us if s.born and self.s.cold_us else 1.0
+        return min(1.0, self.s.cold_from + (1 - self.s.cold_from) * max(0.0, part))
+
     # Load and health
 
     def load(self, s: Server) -> float:
@@ -202,6 +207,19 @@
         """Has it failed lately, and not done well since?"""
         return s.suspect_until > self.now and s.failing > DOUBT
 
+    def view(self, now: int) -> View:
+        """What is believed of each server at clock time `now`."""
+        servers = []
+        for s in sorted(self.servers.values(), key=lambda s: s.id):
+            share, passed = self.part(s, now), max(0, now - s.at)
+            mean = s.mean + (s.out - s.mean) * passed / (passed + TAU_US)
+            silent = s.out > 0 and now - max(s.heard, s.since) > self.aim
+            again = now >= s.eject_until and not s.out if s.eject_until else not silent
+            servers.append(ServerView(
+                s.id, s.up and s.full_until <= now and again, share, s.eject_until > 0,
+                s.suspect_until > now and s.failing > DOUBT, (mean + s.out) / (s.weight * share), s.born))
+        return View(servers)
+
     def silent(self, s: Server) -> bool:
         """Has it owed an answer for longer than any should take, and given no other meanwhile?"""
         return s.out > 0 and self.now - max(s.heard, s.since) > self.aim
