--- a/roadlb/control/order.py
+++ b/roadlb/control/order.py
@@ -3,10 +3,12 @@
 Four rules, which hold whatever the order in which events come:
 
 1. Forward only.  Decisions go out only if their (generation, serial) is above that of all that went out.
-2. A node told drained stays so.  Until decisions of a newer generation than that of the drain have gone out,
-   it is put as draining into whatever goes out.  A new start is another node, to which this does not apply.
-3. A drain overtakes.  `Drained` sends out what went out last, with the node closed, at once and under the
-   drain's generation: else a proxy that fails over to an instance in between would be told it is open.
+2. A node told drained stays so.  What a picture does not have up is closed in whatever goes out, until
+   decisions of a newer generation do.  A new start is another node, to which this does not apply.
+3. A drain overtakes.  `Pictured` sends out what went out last, with the closed nodes closed, at once.  It
+   goes under the picture's generation, so that a proxy which fails over to an instance in between is not told
+   that they are open.  So a picture has to be told whole: under the generation of one drain of two, the
+   other would pass for open.
 4. Silence.  A subscriber that has acknowledged a newer generation than went out here is told nothing until
    we have caught up.  One that comes with a view from elsewhere makes us ask discovery for its list
    (`CatchUp`), at the most every ASK_US: ours may be old without a sign of it.
@@ -35,11 +37,14 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Drained:
-    """Discovery says, in its generation `generation`, that this node drains or is gone."""
+class Pictured:
+    """Discovery has told a picture, in which these nodes are up: all others drain or are gone.
+
+    It comes before the plan is handed the same picture.
+    """
 
-    node: NodeId
     generation: int
+    up: frozenset[NodeId]
 
 
 @dataclass(slots=True, frozen=True)
@@ -120,7 +125,7 @@
     reason: str
 
 
-Event: TypeAlias = Proposed | Drained | Connected | Acknowledged | Disconnected | Listed | Forgive | Tick
+Event: TypeAlias = Proposed | Pictured | Connected | Acknowledged | Disconnected | Listed | Forgive | Tick
 Action: TypeAlias = Release | Withheld | Silence | Speak | CatchUp
 
 
@@ -134,8 +139,7 @@
         self.out: Decisions | None = None
         self.silent: dict[str, int] = {}
         self._known: dict[str, int] = {}               # to its stream
-        self._drained: dict[NodeId, int] = {}          # to the generation that said so
-        self._based = -1                               # of the last decisions, drains since left aside
+        self._picture: Pictured | None = None          # the newest
         self._asked_at: int | None = None
         self._open, self._wish = False, ""             # a call of discovery is out; another is wished for
 
@@ -143,8 +147,8 @@
         match event:
             case Proposed():
                 return self._proposed(event.decisions)
-            case Drained():
-                return self._drain(event)
+            case Pictured():
+                return self._pictured(event)
             case Connected():
                 return self._connected(now, event)
             case Acknowledged():
@@ -177,35 +181,27 @@
         if self.out is not None and (d.generation, d.serial) <= (self.out.generation, self.out.serial):
             return [Withheld(d.generation, d.serial,
                              f"{self.out.generation}.{self.out.serial} has gone out already")]
-        # A picture newer than the drain knows of it: if it has the node open, that is meant.
-        self._drained = {n: g for n, g in self._drained.items() if g >= d.generation}
-        self._based = d.generation
         return self._release(self._closed(d))
 
-    def _drain(self, event: Drained) -> list[Action]:
-        if event.generation < self._based:
+    def _pictured(self, event: Pictured) -> list[Action]:
+        if event.generation <= max(self._picture.generation if self._picture else -1, self.generation):
             return []                                  # what went out was decided in the knowledge of it
-        self._drained[event.node] = max(event.generation, self._drained.get(event.node, -1))
+        self._picture = event
         if self.out is None:
             return []
         closed = self._closed(self.out)
         return self._release(closed) if closed is not self.out else []
 
     def _closed(self, d: Decisions) -> Decisions:
-        """The same, in which no node is open that has been told drained; itself if none is."""
-        if not self._drained:
+        """The same, in which no node is open that a newer picture has not up; itself if none is."""
+        picture = self._picture
+        if picture is None or picture.generation <= d.generation:
             return d
         clusters, changed = dict(d.clusters), False
         for name, told in d.clusters.items():
-            if any(one.open and one.node in self._drained for one in told):
-                clusters[name], changed = tuple(self._close(one) for one in told), True
-        if not changed:
-            return d
-        generation = max(d.generation, *(g for g in self._drained.values()))
-        return replace(d, generation=generation, clusters=clusters, urgent=True)
-
-    def _close(self, one: Decision) -> Decision:
-        return one.closed(Health.DRAINING, "told drained") if one.node in self._drained else one
+            if any(one.open and one.node not in picture.up for one in told):
+                clusters[name], changed = tuple(_close(one, picture.up) for one in told), True
+        return replace(d, generation=picture.generation, clusters=clusters, urgent=True) if changed else d
 
     def _release(self, d: Decisions) -> list[Action]:
         self.out = d
@@ -257,3 +253,7 @@
         if event.generation is None:
             self._wish = self._wish or "the last call failed"
         return self._ask(now)
+
+
+def _close(one: Decision, up: frozenset[NodeId]) -> Decision:
+    return one if one.node in up or not one.open else one.closed(Health.DRAINING, "told drained or gone")
--- a/tests/control/world.py
+++ b/tests/control/world.py
@@ -33,7 +33,8 @@
     id: NodeId
     model: NodeModel
     where: Where
-    drained_told: int | None = None           # when a service was first told
+    drained_in: set[str] = field(default_factory=set)              # instances that have been told
+    drained_told: dict[str, int] = field(default_factory=dict)     # proxies, since one of theirs knows
     fell: bool = False
     connections: int = 0
     senders: dict[int, tuple[Proxy, int]] = field(default_factory=dict)
@@ -45,13 +46,12 @@
 
     def __init__(self, world: "World", name: str, lag: tuple[float, float], limits: RampLimits) -> None:
         self.world, self.name, self.lag, self.up = world, name, lag, True
-        self.plan, self.order = Plan(limits), Order()
+        self.plan, self.order = Plan(limits), world.guard()
         self.subscribers = Subscribers(world.rng, EDS, stale_us=world.stale_us or 60 * SECOND)
         self.numbers: Counter[str] = Counter()
         self.expressions: dict[Form, Expression] = {}
-        self.last_told, self.generation, self.streams = 0, -1, {}
+        self.generation, self.streams = -1, {}
         self.admitted: set[str] = set()
-        self.owed: dict[str, int] = {}
         world.at(0, self.tick)
 
     def tick(self) -> None:
@@ -69,12 +69,13 @@
         if not self.up or picture.generation <= self.generation:
             return
         now, self.generation = self.world.now, picture.generation
+        up = {e.node for e in picture.clusters["grid"].endpoints if e.lifecycle is Lifecycle.UP}
         for e in picture.clusters["grid"].endpoints:
-            machine = self.world.by_id.get(e.node)
-            if e.lifecycle is Lifecycle.DRAINING and machine:
-                if machine.drained_told is None:
-                    machine.drained_told = now
-                self.do_order(self.order.handle(now, order.Drained(e.node, picture.generation)))
+            if e.lifecycle is Lifecycle.DRAINING:
+                self.world.by_id[e.node].drained_in.add(self.name)
+                for name in self.streams:
+                    self.world.by_id[e.node].drained_told.setdefault(name, now)
+        self.do_order(self.order.handle(now, order.Pictured(picture.generation, frozenset(up))))
         self.do_plan(self.plan.handle(now, events.Fleet(picture, UNIX_MS + now // MS)))
 
     def do_plan(self, actions: list) -> None:
@@ -129,6 +130,9 @@
         self.admitted.discard(name)
         self.numbers[name] = 0
         now = self.world.now
+        for machine in self.world.by_id.values():
+            if self.name in machine.drained_in:
+                machine.drained_told.setdefault(name, now)
         self.do_order(self.order.handle(now, order.Connected(name, link.number, acknowledged)))
         self.do_subscribers(self.subscribers.handle(
             now, subscribers.Came(name, link.number, acknowledged, link.proxy.share)))
@@ -183,7 +187,9 @@
     def __init__(self, seed: int, forms: tuple[Form, ...] = (Form.ENVOY, Form.GRPC, Form.ENVOY),
                  limits: RampLimits | None = None, load: float = 0.6, nodes: int = 10,
                  lags: tuple[tuple[float, float], ...] = ((0.05, 0.2),), delay_ms: tuple[int, int] = (5, 200),
-                 stale_us: int = 0, panic: float = 0.0, cache: float = 0.5) -> None:
+                 stale_us: int = 0, panic: float = 0.0, cache: float = 0.5,
+                 guard: type[Order] = Order, fetch_s: tuple[float, float] = (0.02, 0.2)) -> None:
+        self.guard, self.fetch_s = guard, fetch_s
         self.rng, self.now, self.delay_ms, self.stale_us = Random(seed), 0, delay_ms, stale_us
         self._heap: list = []
         self._count, self.generation = 0, 0
@@ -193,6 +199,7 @@
         self.late, self.refused, self.requests, self.cache = [], 0, 0, cache
         self.got: Counter[NodeId] = Counter()
         self.fallen: list[str] = []
+        self.down: set[str] = set()                  # proxies that are dead: their clients go to the others
         self.limits = limits or RampLimits()
         self.sizes = [2 * (1.0 if i % 2 else 0.6) * self.rng.uniform(0.85, 1.1) for i in range(nodes)]
         self.rate = load * sum(self.sizes) / MEAN_US * 1e6
@@ -232,7 +239,7 @@
         return int(self.rng.random() * 400) * MS
 
     def fetch_us(self) -> int:
-        return int(self.rng.uniform(0.02, 0.2) * SECOND)
+        return int(self.rng.uniform(*self.fetch_s) * SECOND)
 
     # Fleet and discovery
 
@@ -295,6 +302,9 @@
         self.links[proxy.name].end()
         self.links[proxy.name] = Link(self, proxy, service)
 
+    def cut(self, proxy: Proxy) -> None:
+        self.links[proxy.name].end()
+
     def kill(self, service: Service) -> None:
         service.up = False
         for link in self.links.values():
@@ -319,7 +329,8 @@
         rng = self.rng
         self.at(self.now + max(1, int(rng.expovariate(self.rate) * 1e6)), self.arrive)
         spec = rng.choices(CLASSES, (0.7, 0.3))[0]
-        proxy = rng.choices(self.proxies, (0.80, 0.15, 0.05))[0]
+        up = [p for p in self.proxies if p.name not in self.down]
+        proxy = rng.choices(up, [p.share for p in up])[0]
         work, key = spec.draw_work_us(rng), str(int(rng.paretovariate(0.5)) % 1000)
         self.requests += 1
         for _ in range(2):                            # the second: a retry, after an end that proves no run
@@ -327,6 +338,12 @@
                 return
         self.refused += 1
 
+    def mourn(self, names: str = "old") -> None:
+        """All machines of that name die at once, and discovery does not hear of it."""
+        for machine in self.by_id.values():
+            if machine.id.name.startswith(names):
+                self.stop(machine, tell=False)
+
     def try_once(self, proxy: Proxy, work: int, key: str) -> bool:
         placed = proxy.pick(self.now)
         if placed is None:
@@ -334,13 +351,14 @@
         where = placed.host, placed.port
         machine = self.addresses.get(where)
         proxy.sent[placed.node] += 1
+        told = self.by_id[placed.node].drained_told.get(proxy.name)
+        if told is not None and self.now - told > SECOND:         # whoever stands there now
+            self.late.append((proxy.name, placed.node.name, (self.now - told) / SECOND))
         if machine is None or not machine.model.alive:
             proxy.failed[placed.node] += 1
             proxy.eject(self.now, where)
             return False
         self.got[machine.id] += 1
-        if machine.drained_told is not None and self.now - machine.drained_told > SECOND:
-            self.late.append((proxy.name, machine.id.name, (self.now - machine.drained_told) / SECOND))
         machine.connections += 1
         n = machine.connections
         machine.senders[n] = proxy, 0
