--- a/roadlb/control/subscribers.py
+++ b/roadlb/control/subscribers.py
@@ -181,7 +181,7 @@
                  admit_per_s: float = ADMIT_PER_S, most: int = MOST) -> None:
         self.known: dict[str, Subscriber] = {}
         self._random, self._counted, self._stale_us, self._most = random, counted, stale_us, most
-        self._step, self._next = 1e6 / admit_per_s, 0.0
+        self._step, self._next = 1e6 / admit_per_s, float("-inf")
         self._queue: list[tuple[int, int, str]] = []        # turn, number, subscriber
         self._numbers = 0
         self._away: dict[str, int] = {}                     # since when, the longest first
--- a/tests/control/proxies.py
+++ b/tests/control/proxies.py
@@ -1,4 +1,4 @@
-"""A small model of a proxy: picks by what it was last told, with its own renormalisation, ejection and panic."""
+"""A small model of a proxy: picks by what it was last told; renormalises, ejects and panics by itself."""
 
 from bisect import bisect
 from collections import Counter
--- a/tests/control/world.py
+++ b/tests/control/world.py
@@ -22,7 +22,8 @@
 SECOND, MS = 1_000_000, 1_000
 UNIX_MS = 1_800_000_000_000
 EDS = "eds"
-CLASSES = (ClassSpec("grid-read", 0.7, 15 * MS, "lognormal", 2.0), ClassSpec("order", 0.3, 95 * MS, "pareto", 2.0))
+CLASSES = (ClassSpec("grid-read", 0.7, 15 * MS, "lognormal", 2.0),
+           ClassSpec("order", 0.3, 95 * MS, "pareto", 2.0))
 MEAN_US = sum(c.share * c.work_us for c in CLASSES)
 
 
@@ -157,7 +158,8 @@
 
     def __init__(self, world: "World", proxy: Proxy, service: Service) -> None:
         Link.numbers += 1
-        self.number, self.world, self.proxy, self.service, self.cut = Link.numbers, world, proxy, service, False
+        self.number, self.world, self.proxy, self.service = Link.numbers, world, proxy, service
+        self.cut = False
         self.free_down = self.free_up = 0
         acknowledged = proxy.version if proxy.version >= 0 else None
         self.up(lambda: service.up and service.opened(self, acknowledged))
@@ -247,7 +249,8 @@
         """A process starts; discovery is not told yet."""
         capacity = self.sizes[size]
         spec = NodeSpec(cores=2, speed=capacity / 2, slots=2, room=40,
-                        cold_share=self.rng.uniform(0.12, 0.3), warm_us=int(self.rng.uniform(13, 23) * SECOND),
+                        cold_share=self.rng.uniform(0.12, 0.3),
+                        warm_us=int(self.rng.uniform(13, 23) * SECOND),
                         cache_keys=400, cache_us=8 * SECOND, cache_gain=self.cache,
                         fall_each_us=200 * MS, fall_slack_us=50 * MS)
         id = NodeId(name, 0 if warm else UNIX_MS + self.now // MS)
--- a/tests/policy/test_decisions.py
+++ b/tests/policy/test_decisions.py
@@ -8,7 +8,7 @@
 from roadlb.exchange import Ending
 from roadlb.policy.interface import (
     Action, Arrival, Cancel, Effect, Fail, Group, ListKind, ListUpdate, Member, Outcome, Refuse, RequestClass,
-    Send, ServerState, SetTimer, Settings, Status, StreamStarted, Subscribe, Tenant, TimerFired,
+    Report, Send, ServerState, SetTimer, Settings, Status, StreamStarted, Subscribe, Tenant, TimerFired, View,
 )
 from roadlb.policy.logic import MAX_SETS
 
@@ -397,3 +397,28 @@
             node.serve(1)
         node.now += 1_000
     assert len(node.b.sets) == MAX_SETS and 1 in node.b.sets and 2 not in node.b.sets
+
+
+def test_the_view_tells_what_is_believed_and_changes_no_decision() -> None:
+    asked, quiet = (Node(seed=3, cold_us=20 * SECOND, cold_from=0.25) for _ in range(2))
+    ejected = False
+    for i in range(200):
+        for node in (asked, quiet):
+            if i == 20:
+                member = Member(node.ids[1], born_us=node.now)
+                node.do(ListUpdate(ListKind.DELTA, [member, Member(node.ids[2], ServerState.DRAINING)]))
+            server = node.sent(key=i % 7)
+            for again in node.end(server, Status.ERROR if server == node.ids[0] else Status.OK):
+                if isinstance(again, Send):
+                    node.end(again.server, attempt=1)
+            node.wait(30_000)
+        (view,) = asked.do(Report())
+        assert isinstance(view, View)
+        if i == 20:
+            cold, drains = view.servers[1:3]
+            assert 0.25 <= cold.share < 0.26 and cold.born_us and cold.eligible and not drains.eligible
+        ejected = ejected or any(s.ejected and s.suspect and not s.eligible for s in view.servers)
+    assert ejected
+    assert all(s.load >= 0 for s in view.servers) and len(view.servers) == 6
+    assert asked.b.random.getstate() == quiet.b.random.getstate()
+    assert [s.mean for s in asked.b.ready] == [s.mean for s in quiet.b.ready]
