--- a/roadlb/control/loads.py
+++ b/roadlb/control/loads.py
@@ -14,6 +14,8 @@
 STALE_US = 10_000_000        # a node that a subscriber has not named for so long gets nothing from it
 FORGET_US = 60_000_000       # one that is cut off goes on sending: its last word counts so long
 ENOUGH = 20                  # requests before the errors among them say anything
+FAILING, MORE = 0.5, 0.3     # part that fails, and by how much more than all nodes' part, that speaks against
+                             # one: in overload all turn work away, and fewer nodes would turn away more
 MOST_SUBSCRIBERS = 10_000    # the longest silent goes
 
 
@@ -45,6 +47,8 @@
         self._senders: dict[str, _Sender] = {}       # the longest silent first
         self._done: dict[NodeId, _Done] = {}
         self._sum = 0.0
+        self._asked = self._failed = 0.0             # of all nodes' requests of late, with those that failed
+        self._at = 0
 
     def add(self, now: int, report: LoadReport) -> None:
         """Take a report; one of no length says nothing."""
@@ -83,6 +87,9 @@
         kept = exp(-max(0, now - done.at) / MEMORY_US)
         done.rate = done.rate * kept + good * 1e6 / MEMORY_US
         done.seen, done.at = done.seen * kept + report.requests, now
+        kept = exp(-max(0, now - self._at) / MEMORY_US)
+        self._asked, self._at = self._asked * kept + report.requests, now
+        self._failed = self._failed * kept + report.errors
         if report.requests:
             part = min(1.0, report.requests / ENOUGH)
             done.failing += (report.errors / report.requests - done.failing) * part
@@ -107,7 +114,8 @@
         return rate / weight if weight else 0.0
 
     def failing(self, now: int, node: NodeId) -> bool:
-        """Have most of its requests failed lately, by what the proxies say?"""
+        """Have most of its requests failed lately, and far more than those of others, by the proxies' word?"""
         done = self._done.get(node)
-        return (done is not None and now - done.at < 2 * MEMORY_US and done.seen >= ENOUGH
-                and done.failing > 0.5)
+        if done is None or now - done.at >= 2 * MEMORY_US or done.seen < ENOUGH:
+            return False
+        return done.failing > FAILING and done.failing - self._failed / max(1.0, self._asked) > MORE
--- a/roadlb/control/ramp.py
+++ b/roadlb/control/ramp.py
@@ -27,8 +27,8 @@
     cold_us: int = 23_000_000    # and the time after which it is warm, at the latest
     fall_multiple: float = 3.0
     fall_us: int = 1_000_000
-    carried: float = 0.5         # caches save warm nodes 25 to 70% of the work that a cold one has
-    chance: float = 4.0          # standard deviations of room below the budget
+    carried: float = 0.7         # caches save warm nodes 25 to 70% of the work that a cold one has
+    chance: float = 3.0          # standard deviations of room below the budget; at 2 a node falls in overload
     lumps: float = 3.0           # E[W^2] / E[W]^2 of the requests' work W: 3.1 for 70% reads, 30% orders
     unreported: float = 0.25     # of the proportional part, while no load report has come
 
