--- a/benchmarks/control_plan.py
+++ b/benchmarks/control_plan.py
@@ -99,7 +99,7 @@
 
 
 def cost(n: int, times: int) -> list[float]:
-    """Milliseconds: a first plan, a tick with nothing to tell, a drain to its release, and one form."""
+    """Milliseconds: a first plan, a tick while a fifth is cold, a drain to its release, a plan, a form."""
     rows = []
     for _ in range(times):
         plan, guard = Plan(), Order()
@@ -120,7 +120,8 @@
 
 
 def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--prove", nargs="?", type=int, const=50, metavar="SEEDS")
     parser.add_argument("--only", default="", help="cases whose names have this in them")
     options = parser.parse_args()
--- a/roadlb/control/loads.py
+++ b/roadlb/control/loads.py
@@ -114,7 +114,7 @@
         return rate / weight if weight else 0.0
 
     def failing(self, now: int, node: NodeId) -> bool:
-        """Have most of its requests failed lately, and far more than those of others, by the proxies' word?"""
+        """By the proxies' word, have most of its requests failed lately, and far more than the others'?"""
         done = self._done.get(node)
         if done is None or now - done.at >= 2 * MEMORY_US or done.seen < ENOUGH:
             return False
--- a/roadlb/control/plan.py
+++ b/roadlb/control/plan.py
@@ -29,7 +29,8 @@
 from roadlb.fleet.model import Cluster, Endpoint, Health, Lifecycle, NodeId, Picture
 
 from .events import (
-    MILLION, OPEN, Belief, Carriers, Decision, Decisions, Fleet, LoadReport, PlanEvent, Publish, Tick, View,
+    MILLION, OPEN, Belief, Carrier, Carriers, Decision, Decisions, Fleet, LoadReport, PlanEvent, Publish, Tick,
+    View,
 )
 from .loads import Loads
 from .ramp import RampLimits
@@ -42,6 +43,7 @@
 UNIT = 1_000                # of a weight on the wire, for the weight 1
 MOST_WEIGHT = 400_000       # 10,000 of them stay under the 2^32 - 1 that xDS allows for a priority
 CLOCKS_US = 5_000_000       # a node may be told so late; what its clock says beyond that is not believed
+VIEW_US = 10_000_000        # without a new one, what a decision module believed is of no account any more
 OLD_PLACE_US = 120_000_000  # that a proxy cut off may still send where a node stood
 
 
@@ -55,7 +57,7 @@
     weight: int = 0
     left_pool: int = 0
     left_at: int = 0
-    holding: str = ""                # why it gets nothing yet
+    reason: str = ""                 # of its part, when that was last changed
 
 
 @dataclass(slots=True)
@@ -74,8 +76,10 @@
     nodes: dict[NodeId, _Node] = field(default_factory=dict)
     loads: Loads = field(default_factory=Loads)
     views: dict[NodeId, Belief] = field(default_factory=dict)
+    viewed: int = 0
     places: dict[tuple[str, int], _Place] = field(default_factory=dict)
     told: tuple[Decision, ...] = ()
+    stirred: bool = True             # may it be decided differently now than it was?
 
 
 class Plan:
@@ -85,7 +89,7 @@
         self.limits, self.gap_us = limits or RampLimits(), gap_us
         self._clusters: dict[str, _Plan] = {}
         self._generation, self._serial, self._at = -1, 0, -gap_us
-        self._carriers: Carriers = Carriers(())
+        self._behind: Carrier | None = None            # the one with the oldest view
         self._dirty = False
 
     def handle(self, now: int, event: PlanEvent) -> list[Publish]:
@@ -94,12 +98,15 @@
                 return self._fleet(now, event)
             case View():
                 if (plan := self._clusters.get(event.cluster)) is not None:
-                    plan.views = {b.node: b for b in event.beliefs}
+                    views = {b.node: b for b in event.beliefs if b.ejected or b.suspect or b.share < 1}
+                    plan.stirred = plan.stirred or views != plan.views
+                    plan.views, plan.viewed = views, now
             case LoadReport():
                 if (plan := self._clusters.get(event.cluster)) is not None:
                     plan.loads.add(now, event)
+                    plan.stirred = plan.stirred or plan.loads.failing(now, event.node)
             case Carriers():
-                self._carriers = event
+                self._behind = min(event.carriers, key=lambda c: c.generation, default=None)
             case Tick():
                 if self._generation >= 0 and now - self._at >= self.gap_us:
                     return self._decide(now, urgent=False)
@@ -133,7 +140,7 @@
         return False
 
     def _take(self, now: int, plan: _Plan, cluster: Cluster, unix_ms: int) -> None:
-        plan.cluster, first = cluster, not plan.told
+        plan.cluster, plan.stirred, first = cluster, True, not plan.told
         listed = {e.node for e in cluster.endpoints if e.lifecycle is not Lifecycle.REMOVED}
         up = {e.node for e in cluster.endpoints if e.lifecycle is Lifecycle.UP}
         for d in plan.told:
@@ -170,7 +177,13 @@
         """Decide on all clusters; published if anything has changed, or a picture has not been told yet."""
         changed = urgent or self._dirty
         for plan in self._clusters.values():
+            if plan.views and now - plan.viewed > VIEW_US:
+                plan.views, plan.stirred = {}, True
+            if not plan.stirred:
+                continue
             new = tuple(self._cluster(now, plan))
+            # Time alone bears on those that become warm, and on those that may be believed well again.
+            plan.stirred = any(d.pool or d.left_pool or d.health is Health.UNHEALTHY for d in new)
             if new != plan.told:
                 plan.told, changed = new, True
         if not changed:
@@ -201,11 +214,17 @@
         for e in plan.cluster.endpoints:
             if e.node in health and e.node not in seen:
                 seen.add(e.node)
-                word = health[e.node]
                 if e.node in cold:
-                    share = self._share(now, plan, e.node)
-                    word = word[0], held.get(e.node) or f"cold: at least {share:.0%} of its capacity"
-                yield self._decision(now, plan, e, word, stepped.get(e.node))
+                    node, part = plan.nodes[e.node], stepped[e.node]
+                    if e.node in held:
+                        node.reason = held[e.node]
+                    elif part != node.part_ppm or not node.reason.startswith("cold"):
+                        # What changes with each look would be published with each.
+                        node.reason = f"cold: at least {cold[e.node][1]:.0%} of its capacity"
+                    node.part_ppm = part
+                    yield Decision(e, health[e.node][0], 0, node.pool, part, node.reason)
+                else:
+                    yield self._decision(now, plan, e, health[e.node])
 
     def _share(self, now: int, plan: _Plan, node: NodeId) -> float:
         """By its age alone: what a module says may only lower it, never raise it."""
@@ -276,15 +295,13 @@
         return parts
 
     def _held(self, plan: _Plan, e: Endpoint) -> str:
-        place = plan.places.get((e.host, e.port))
-        if place is not None:
-            for carrier in self._carriers.carriers:
-                if carrier.generation < place.gone:
-                    return f"{carrier.name} may still send to the one that stood there"
+        place, behind = plan.places.get((e.host, e.port)), self._behind
+        if place is not None and behind is not None and behind.generation < place.gone:
+            return f"{behind.name} may still send to the one that stood there"
         return ""
 
-    def _decision(self, now: int, plan: _Plan, e: Endpoint, word: tuple[Health, str],
-                  part: int | None) -> Decision:
+    def _decision(self, now: int, plan: _Plan, e: Endpoint, word: tuple[Health, str]) -> Decision:
+        """Of one that is closed or warm."""
         health, reason = word
         node = plan.nodes[e.node]
         if node.left_pool and now - node.left_at >= HANDOVER_US:
@@ -293,9 +310,6 @@
             # A pool that others are in must not hand them its part before the routes follow.
             node.part_ppm = node.weight = 0
             return Decision(e, health, 0, node.pool, 0, reason, node.left_pool)
-        if part is not None:
-            node.part_ppm = part
-            return Decision(e, health, 0, node.pool, node.part_ppm, reason)
         if node.pool:
             node.pool, node.left_pool, node.left_at, node.part_ppm = 0, node.pool, now, 0
         belief, weight = plan.views.get(e.node), e.weight
--- a/tests/control/test_plan.py
+++ b/tests/control/test_plan.py
@@ -6,7 +6,7 @@
     Belief, Carrier, Carriers, Decision, Decisions, Fleet, LoadReport, Publish, Tick, View,
 )
 from roadlb.control.forms import parts_of
-from roadlb.control.plan import EJECT_SHARE, HANDOVER_US, POOLS, STEP, Plan
+from roadlb.control.plan import EJECT_SHARE, HANDOVER_US, POOLS, STEP, VIEW_US, Plan
 from roadlb.control.ramp import RampLimits
 from roadlb.fleet.model import Cluster, Endpoint, Health, Lifecycle, NodeId, Picture
 
@@ -75,7 +75,7 @@
         assert d.part_ppm <= 1_000_000 / 7
         assert not d.pool or parts_of(case.last.clusters["grid"])[d.pool] == d.part_ppm
     steps = [p for p in dict.fromkeys(parts) if p]
-    assert 4 <= len(steps) <= 14
+    assert 4 <= len(steps) <= 14 and len(case.published) <= len(steps) + 4
     assert all(b >= a * STEP * 0.999 for a, b in zip(steps, steps[1:], strict=False))
     d = case.of("n9", UNIX_MS + 2000)
     assert d.pool == 0 and d.left_pool == cold.pool and d.weight == 1000
@@ -142,6 +142,8 @@
     case.do(View("grid", (Belief(OLD[0].node, suspect=True),)))
     case.wait(2)
     assert [d.weight for d in case.last.clusters["grid"]] == [500] + [1000] * 5
+    case.wait(VIEW_US / SECOND + 1)           # the module is silent
+    assert [d.weight for d in case.last.clusters["grid"]] == [1000] * 6
 
 
 def test_a_node_that_fails_by_the_proxies_reports_is_unhealthy() -> None:
