--- a/roadlb/control/events.py
+++ b/roadlb/control/events.py
@@ -89,19 +89,19 @@
 class Decision:
     """What is to become of one endpoint, before it is put in any proxy's form.
 
-    In pool 0 are the warm ones, which share what the other pools leave, by `weight` (1 and up; 0: nothing).
+    In pool "" are the warm ones, which share what the other pools leave, by `weight` (1 and up; 0: nothing).
     A cold one is in a pool of its own (see `plan`) and gets `part_ppm` of all the cluster's traffic.  One
-    that has just become warm is in pool 0 and still listed in `left_pool`, with no traffic there, until the
+    that has just become warm is in pool "" and still listed in `left_pool`, with no traffic there, until the
     routes have turned away from it.
     """
 
     endpoint: Endpoint
     health: Health
     weight: int
-    pool: int
+    pool: str
     part_ppm: int
     reason: str
-    left_pool: int = 0
+    left_pool: str = ""
 
     @property
     def node(self) -> NodeId:
@@ -116,6 +116,11 @@
         return replace(self, health=health, weight=0, part_ppm=0, reason=reason)
 
 
+def sub_zone(node: NodeId) -> str:
+    """One node as a word: the sub-zone of its own locality, and the name of a pool that it was first in."""
+    return f"{node.name}@{node.started_ms}"
+
+
 OPEN = frozenset({Health.UNKNOWN, Health.HEALTHY, Health.DEGRADED})
 
 
--- a/roadlb/control/forms.py
+++ b/roadlb/control/forms.py
@@ -20,7 +20,7 @@
 
 from roadlb.fleet.model import Health, Locality, NodeId
 
-from .events import MILLION, Decision, Decisions
+from .events import MILLION, Decision, Decisions, sub_zone
 
 
 class Form(Enum):
@@ -52,11 +52,6 @@
     return Form.GENERIC
 
 
-def sub_zone(node: NodeId) -> str:
-    """The locality of one node alone, for proxies that weigh and report by locality."""
-    return f"{node.name}@{node.started_ms}"
-
-
 def node_of(word: str) -> NodeId | None:
     """The node of a `sub_zone`; None if it is not one."""
     name, at, started = word.rpartition("@")
@@ -115,14 +110,14 @@
     left_out: tuple[NodeId, ...] = ()
 
 
-def pool_name(cluster: str, pool: int) -> str:
-    """The cluster on the wire that stands for a pool: the fleet's own name for pool 0."""
-    return f"{cluster}~cold-{pool}" if pool else cluster
+def pool_name(cluster: str, pool: str) -> str:
+    """The cluster on the wire that stands for a pool: the fleet's own name for that of the warm ones."""
+    return f"{cluster}~{pool}" if pool else cluster
 
 
-def parts_of(decisions: Iterable[Decision]) -> dict[int, int]:
-    """Each pool's part of the traffic in parts per million; pool 0 has what the others leave."""
-    parts: dict[int, int] = {0: 0}
+def parts_of(decisions: Iterable[Decision]) -> dict[str, int]:
+    """Each pool's part of the traffic in parts per million; pool "" has what the others leave."""
+    parts: dict[str, int] = {"": 0}
     for d in decisions:
         for pool in (d.pool, d.left_pool):
             parts.setdefault(pool, 0)
@@ -131,7 +126,7 @@
     cold = sum(parts.values())
     if cold > MILLION:
         raise ValueError(f"parts: {cold} parts per million for cold nodes: a defect of Plan, report it")
-    parts[0] = MILLION - cold
+    parts[""] = MILLION - cold
     return parts
 
 
@@ -155,7 +150,7 @@
     return Expression(form, tuple(assignments), tuple(splits), tuple(left))
 
 
-def _members(told: Iterable[Decision], pool: int) -> Iterable[tuple[Decision, int]]:
+def _members(told: Iterable[Decision], pool: str) -> Iterable[tuple[Decision, int]]:
     """Who is in a pool, with the weight there; one that has left it is still listed."""
     for d in told:
         if d.pool == pool:
@@ -167,12 +162,12 @@
 def _flat(told: tuple[Decision, ...]) -> list[Decision]:
     """Weights for one pool, in which each open node gets the part that was decided."""
     warm = sum(d.weight for d in told if not d.pool)
-    rest = parts_of(told)[0]
+    rest = parts_of(told)[""]
     flat = []
     for d in told:
         part = d.part_ppm if d.pool else rest * d.weight // max(1, warm)
         if not d.pool or d.part_ppm:
-            flat.append(replace(d, pool=0, weight=part))
+            flat.append(replace(d, pool="", weight=part))
     return flat
 
 
--- a/roadlb/control/plan.py
+++ b/roadlb/control/plan.py
@@ -4,14 +4,14 @@
 If the others vanish from under it, a cold node of the smallest weight gets all the traffic, before any
 service can say a word.  So cold nodes do not share a pool with warm ones: each is in a pool of its own (its
 own cluster on the wire), and the routes give each pool a part of the traffic, which no proxy renormalises:
-where a pool has nobody, its part fails.  What the pools leave goes to pool 0, where the warm ones are, by
+where a pool has nobody, its part fails.  What the pools leave goes to pool "", where the warm ones are, by
 weight.
 
 - `ramp` says which part a cold node may have.  It is told anew when it differs by STEP, every `gap_us` at
   the most.
 - There are POOLS pools.  Where more are cold, several share one; then each gets half of what it could, for
   the other may vanish.
-- One that becomes warm moves to pool 0 and stays listed in its own for HANDOVER_US, with no part of the
+- One that becomes warm moves to pool "" and stays listed in its own for HANDOVER_US, with no part of the
   traffic: endpoints travel before routes, and the routes must not point at an empty pool.
 - A new node where another stood gets nothing while a proxy has not acknowledged that the old one has gone.
 - Of two nodes told at one address only the one started last is there.
@@ -29,8 +29,8 @@
 from roadlb.fleet.model import Cluster, Endpoint, Health, Lifecycle, NodeId, Picture
 
 from .events import (
-    MILLION, OPEN, Belief, Carrier, Carriers, Decision, Decisions, Fleet, LoadReport, PlanEvent, Publish, Tick,
-    View,
+    MILLION, OPEN, Belief, Carrier, Carriers, Decision, Decisions, Fleet, LoadReport, PlanEvent, Publish,
+    Tick, View, sub_zone,
 )
 from .loads import Loads
 from .ramp import RampLimits
@@ -42,7 +42,7 @@
 SUSPECT = 0.5               # of its weight, for one that failed lately
 UNIT = 1_000                # of a weight on the wire, for the weight 1
 MOST_WEIGHT = 400_000       # 10,000 of them stay under the 2^32 - 1 that xDS allows for a priority
-CLOCKS_US = 5_000_000       # a node may be told so late; what its clock says beyond that is not believed
+CLOCKS_US = 5_000_000       # a node is told by then; what its clock says beyond that is not believed
 VIEW_US = 10_000_000        # without a new one, what a decision module believed is of no account any more
 OLD_PLACE_US = 120_000_000  # that a proxy cut off may still send where a node stood
 
@@ -52,10 +52,10 @@
     """What the plan remembers of a node from one look to the next."""
 
     born: int                        # on our clock, at the latest that it can be
-    pool: int = 0
+    pool: str = ""
     part_ppm: int = 0
     weight: int = 0
-    left_pool: int = 0
+    left_pool: str = ""
     left_at: int = 0
     reason: str = ""                 # of its part, when that was last changed
 
@@ -157,19 +157,23 @@
                 born = max(born, now - CLOCKS_US)
             node = plan.nodes[e.node] = _Node(min(born, now))
             if self.limits.share(now - node.born) < 1:
-                node.pool = self._free_pool(plan)
+                node.pool = self._free_pool(plan, e.node)
         for gone in [n for n in plan.nodes if n not in listed]:
             del plan.nodes[gone]
         plan.loads.keep(listed)
 
     @staticmethod
-    def _free_pool(plan: _Plan) -> int:
-        """The pool with the fewest; of one that is being left, only if there is no other."""
-        used = [0.0] * (POOLS + 1)
+    def _free_pool(plan: _Plan, node: NodeId) -> str:
+        """A pool of its own, or if there are too many the one with the fewest in it.
+
+        It is named after the node that it was made for: by a number that is used again, a proxy that has the
+        new endpoints and the old routes would send a cold node what the last one there had when nearly warm.
+        """
+        used: dict[str, int] = {}
         for n in plan.nodes.values():
-            used[n.pool] += 1
-            used[n.left_pool] += 0.5
-        return min(range(1, POOLS + 1), key=lambda pool: used[pool])
+            if n.pool:
+                used[n.pool] = used.get(n.pool, 0) + 1
+        return sub_zone(node) if len(used) < POOLS else min(used, key=lambda pool: (used[pool], pool))
 
     # Decisions
 
@@ -279,7 +283,7 @@
         limits = self.limits
         present = sum(warm.values()) + sum(e.weight * share for e, share in cold.values())
         demand, carried = plan.loads.demand, plan.loads.carried(now, warm)
-        mates: dict[int, int] = {}
+        mates: dict[str, int] = {}
         for n in plan.nodes.values():
             if n.pool:
                 mates[n.pool] = mates.get(n.pool, 0) + 1
@@ -305,18 +309,18 @@
         health, reason = word
         node = plan.nodes[e.node]
         if node.left_pool and now - node.left_at >= HANDOVER_US:
-            node.left_pool = 0
+            node.left_pool = ""
         if health not in OPEN:
             # A pool that others are in must not hand them its part before the routes follow.
             node.part_ppm = node.weight = 0
             return Decision(e, health, 0, node.pool, 0, reason, node.left_pool)
         if node.pool:
-            node.pool, node.left_pool, node.left_at, node.part_ppm = 0, node.pool, now, 0
+            node.pool, node.left_pool, node.left_at, node.part_ppm = "", node.pool, now, 0
         belief, weight = plan.views.get(e.node), e.weight
         if belief is not None and belief.suspect:
             weight, reason = weight * SUSPECT, "suspect: it failed lately"
         node.weight = _step(node.weight, max(1, min(MOST_WEIGHT, round(weight * UNIT))))
-        return Decision(e, health, node.weight, 0, 0, reason or "warm", node.left_pool)
+        return Decision(e, health, node.weight, "", 0, reason or "warm", node.left_pool)
 
 
 def _start(node: NodeId) -> tuple[int, str]:
--- a/tests/control/shares.py
+++ b/tests/control/shares.py
@@ -17,7 +17,7 @@
 def planned(decisions: Decisions) -> dict[NodeId, float]:
     """What part of all traffic each node is meant to have."""
     told = decisions.clusters["grid"]
-    rest, weights = parts_of(told)[0] / MILLION, sum(d.weight for d in told)
+    rest, weights = parts_of(told)[""] / MILLION, sum(d.weight for d in told)
     return {d.node: d.part_ppm / MILLION if d.pool else rest * d.weight / weights for d in told if d.open}
 
 
--- a/tests/control/test_order.py
+++ b/tests/control/test_order.py
@@ -17,7 +17,7 @@
 
 def decisions(generation: int, serial: int, up: frozenset[NodeId]) -> Decisions:
     return Decisions(generation, serial, {"grid": tuple(
-        Decision(Endpoint(n, "h", i), Health.HEALTHY if n in up else Health.DRAINING, n in up, 0, 0, "")
+        Decision(Endpoint(n, "h", i), Health.HEALTHY if n in up else Health.DRAINING, n in up, "", 0, "")
         for i, n in enumerate(NODES))})
 
 
--- a/tests/control/test_plan.py
+++ b/tests/control/test_plan.py
@@ -78,9 +78,9 @@
     assert 4 <= len(steps) <= 14 and len(case.published) <= len(steps) + 4
     assert all(b >= a * STEP * 0.999 for a, b in zip(steps, steps[1:], strict=False))
     d = case.of("n9", UNIX_MS + 2000)
-    assert d.pool == 0 and d.left_pool == cold.pool and d.weight == 1000
+    assert d.pool == "" and d.left_pool == cold.pool and d.weight == 1000
     case.wait(HANDOVER_US / SECOND + 1)
-    assert case.of("n9", UNIX_MS + 2000).left_pool == 0
+    assert case.of("n9", UNIX_MS + 2000).left_pool == ""
 
 
 def test_without_load_reports_a_cold_node_gets_less_than_its_proportion_but_something() -> None:
--- a/tests/control/test_routes_forms.py
+++ b/tests/control/test_routes_forms.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from roadlb.control.forms import Form, express, form_of, node_of, sub_zone
+from roadlb.control.forms import Form, express, form_of, node_of, pool_name
 from roadlb.control.plan import Plan
-from roadlb.control.events import Fleet
+from roadlb.control.events import Fleet, sub_zone
 from roadlb.control.routes import MAY_HAVE_RUN, limits, rules
 from roadlb.fleet.model import Cluster, Endpoint, Lifecycle, Locality, NodeId, Picture
 from roadlb.policy.interface import Effect, RequestClass, Settings
@@ -57,6 +57,8 @@
              Endpoint(NodeId("cold", 999_000), "h", 3, hall))
     (publish,) = Plan().handle(0, Fleet(Picture(1, {"grid": Cluster("grid", nodes)}), 1_000_000))
     envoy, grpc, generic = (express(f, publish.decisions) for f in (Form.ENVOY, Form.GRPC, Form.GENERIC))
+    cold = pool_name("grid", sub_zone(nodes[2].node))
+    assert [a.cluster for a in envoy.assignments] == ["grid", cold], "a pool's name is never used again"
     assert [a.cluster for a in envoy.assignments] == [a.cluster for a in grpc.assignments]
     assert sum(part for _, part in envoy.splits[0].parts_ppm) == 1_000_000
     assert [(p.locality, [e.node.name for e in p.endpoints]) for p in envoy.assignments[0].places] == [
