--- a/benchmarks/control_plan.py
+++ b/benchmarks/control_plan.py
@@ -20,7 +20,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT), str(ROOT / "tests" / "control")]
 
-from cases import FORMS, careless, cut_off, deploy, fail_over, mourning, restart  # noqa: E402
+from control_cases import FORMS, careless, cut_off, deploy, fail_over, mourning, restart  # noqa: E402
 
 from roadlb.control.events import Fleet, LoadReport, Tick  # noqa: E402
 from roadlb.control.forms import Form, express  # noqa: E402
--- a/roadlb/control/forms.py
+++ b/roadlb/control/forms.py
@@ -4,10 +4,13 @@
 | --- | --- | --- | --- |
 | weights of endpoints | obeyed | ignored by round robin (200 and 200 calls for 1 and 9) | not relied on |
 | weights of localities | obeyed | obeyed (33 and 367 for 1 and 9) | not relied on |
-| parts of a route (weighted clusters) | obeyed | obeyed (gRFC A28) | not relied on |
+| parts of a route (weighted clusters) | obeyed | obeyed (188 of 2,000 for 10%) | not relied on |
+| the same if a part has nobody left | it fails | it fails (895 of 1,000 for 90%) | not relied on |
 | DRAINING | no new work, unless it panics: so no panic | no new work (0 of 400) | left out of the list |
 | load reports | by endpoint | by locality | none needed |
 
+What is measured is gRPC C-core 1.85 from Python; Envoy's column is from its documentation.
+
 So gRPC gets a locality for each node, whose sub-zone is `sub_zone(node)`.  Anything else gets neither cold
 nodes nor ones that drain: whatever it makes of its list, it cannot push a cold one over.
 """
--- a/tests/control/cases.py
+++ b/tests/control/control_cases.py
@@ -1,6 +1,6 @@
 """The hard cases, each as a world that has been run; shared by the tests and the benchmark."""
 
-from world import SECOND, World
+from control_world import SECOND, World
 
 from roadlb.control.events import Decisions
 from roadlb.control.forms import Form
--- a/tests/control/shares.py
+++ b/tests/control/control_shares.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from random import Random
 
-from proxies import Proxy
+from control_proxies import Proxy
 
 from roadlb.control.events import MILLION, Decisions, Fleet, LoadReport, Tick
 from roadlb.control.forms import Form, express, parts_of
--- a/tests/control/world.py
+++ b/tests/control/control_world.py
@@ -5,7 +5,7 @@
 from heapq import heappop, heappush
 from random import Random
 
-from proxies import Proxy, Where
+from control_proxies import Proxy, Where
 
 from roadlb.control import events, order, subscribers
 from roadlb.control.forms import Expression, Form, express
--- a/tests/control/test_world.py
+++ b/tests/control/test_world.py
@@ -4,9 +4,9 @@
 """
 
 import pytest
-from cases import FORMS, careless, cut_off, deploy, fail_over, mourning, restart
-from shares import planned_and_counted
-from world import SECOND
+from control_cases import FORMS, careless, cut_off, deploy, fail_over, mourning, restart
+from control_shares import planned_and_counted
+from control_world import SECOND
 
 from roadlb.control.forms import Form
 
