--- a/tests/xds/streams/test_cases.py
+++ b/tests/xds/streams/test_cases.py
@@ -305,6 +305,7 @@
     "leaving_the_wildcard_by_a_name": [("C", "C1 a b"), ("C a @1", "ack C"), ("C a b @1", "C2 a b")],
     "a_name_beside_the_wildcard": [("C * a", "C1 a b"), ("C a @1", "ack C"), ("C * @1", "C2 a b")],
     "stale_nonce_counts_for_nothing": [("E a", "E1 a"), ("E a b @0", ""), ("E a b", ""), ("E a @1", "ack E")],
+    "stale_names_bring_nothing": [("C a", "C1 a"), ("C a b @0", ""), ("C a @1", "ack C")],
     "dropped_and_wanted_again_in_between": [("E a", "E1 a"), ("E @0", ""), ("E a @1", "ack E, E2 a")],
     "an_answer_twice": [("E a", "E1 a"), ("E a @1", "ack E"), ("E a @1", ""), ("E b @1!", "E2 b")],
     "nonces_are_each_type_s_own": [("C", "C1 a b"), ("E a", "E2 a"), ("E a @1", ""), ("E a @2", "ack E")],
