--- a/roadlb/cli/commands.py
+++ b/roadlb/cli/commands.py
@@ -5,6 +5,7 @@
 import click
 
 from .config.check import check as config_check
+from .control import control
 from .lab.check import check as lab_check
 from .lab.grid import grid as lab_grid
 from .lab.load import load as lab_load
@@ -30,3 +31,4 @@
 for command in (lab_run, lab_check, lab_show, lab_load, lab_grid):
     lab.add_command(command)
 config.add_command(config_check)
+roadlb.add_command(control)
--- /dev/null
+++ b/roadlb/control/service.py
@@ -0,0 +1,403 @@
+"""The control service: discovery in, decisions out to proxies over gRPC, a page for operators.
+
+Theory of operation.  All runs in one event loop.  Discovery's line becomes a picture; `Order` sees it first,
+so that a drain goes out at once in what was published last, then `Plan`.  What `Order` releases is put into
+each form's snapshot (`xds/publisher`) and pushed into every stream that may be told (`xds/grpc/session`).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import signal
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from ..clock import Clock, monotonic_us, unix_us
+from ..fleet.model import Lifecycle, NodeId, Picture, Place
+from ..fleet.platform import MalformedList, read_line, take_into
+from ..log import Limit, fields
+from ..net.watch import Watch, WatchBroken
+from ..xds.delta import DeltaStream
+from ..xds.grpc import loads
+from ..xds.grpc.encoding import Encoder
+from ..xds.grpc.session import Session
+from ..xds.grpc.transport import ADS, LRS, Context, next_message, server
+from ..xds.messages import ErrorDetail
+from ..xds.publisher import Publisher
+from ..xds.resources import ENDPOINTS
+from ..xds.sotw import SotwStream
+from . import events, order, subscribers
+from .forms import Form, form_of, pool_name
+from .plan import POOLS, Plan
+from .settings import Settings, address, written
+
+logger = logging.getLogger(__name__)
+
+# A sound watch says something every 2 s; what is told must be with the proxies within 1 s.
+SILENCE_S = 3.0
+DIAL_S = 1.0
+PAUSE_S, PAUSE_MOST_S = 0.1, 1.0
+LINGER_S = 0.05              # for the lines behind the first one of a call
+STOP_S = 0.5                 # for what is being written when the service ends
+TICK_S = 0.1                 # the deciders ask for one every 250 ms or more often
+
+
+class Discovery:
+    """The platform's list of one cluster: a watch that is opened again whenever it breaks."""
+
+    def __init__(self, at: Place, cluster: str, told: Callable[[Picture], None]) -> None:
+        self.at, self._cluster, self._told = at, cluster, told
+        self.picture: Picture | None = None
+        self.counts: Counter[str] = Counter()
+        self.error, self.heard_at = "", 0.0
+
+    async def run(self) -> None:
+        """Watch for ever; whatever goes wrong, the list held stays valid."""
+        pause = PAUSE_S
+        while True:
+            before = self.counts["line"]
+            try:
+                await self._watch()
+                self.error = "the watch has ended"
+            except (MalformedList, WatchBroken, ValueError) as e:
+                self.counts["malformed"] += 1
+                self.error = f"malformed: {e}"
+            except (TimeoutError, OSError) as e:
+                self.error = f"{type(e).__name__}: {e}"
+            self.counts["broken"] += 1
+            pause = PAUSE_S if self.counts["line"] > before else min(PAUSE_MOST_S, pause * 2)
+            logger.warning("watch broken", extra=fields(error=self.error, again_s=pause))
+            await asyncio.sleep(pause)
+
+    def _open(self, line: Callable[[bytes], None]) -> Watch:
+        after = self.picture.generation if self.picture else 0
+        return Watch(f"/v1/servers?watch=1&after={after}", written(self.at), line)
+
+    async def _watch(self) -> None:
+        """One watch, to its end; raises what ended it, TimeoutError after a silence."""
+        loop = asyncio.get_running_loop()
+        watch = self._open(self._line)
+        try:
+            async with asyncio.timeout(DIAL_S):
+                await loop.create_connection(lambda: watch, self.at.host, self.at.port)
+            while not watch.ended.done():
+                left = watch.heard + SILENCE_S - loop.time()
+                if left <= 0:
+                    raise TimeoutError(f"silent for {SILENCE_S} s")
+                await asyncio.wait([watch.ended], timeout=left)
+            watch.ended.result()
+        finally:
+            watch.ended.cancel()
+            watch.close()
+
+    async def call(self) -> int | None:
+        """Ask for what there is beside the watch; the generation then held, None if the call failed.
+
+        A watch of its own: its first lines bring us from what we hold to the newest.
+        """
+        first = asyncio.Event()
+
+        def line(text: bytes) -> None:
+            self._line(text)
+            first.set()
+        watch = self._open(line)
+        try:
+            async with asyncio.timeout(order.WAIT_US / 1e6):
+                await asyncio.get_running_loop().create_connection(lambda: watch, self.at.host, self.at.port)
+                await first.wait()
+            await asyncio.sleep(LINGER_S)
+        except (TimeoutError, OSError) as e:
+            self.counts["call failed"] += 1
+            logger.warning("discovery not heard", extra=fields(error=f"{type(e).__name__}: {e}"))
+            return None
+        finally:
+            watch.ended.cancel()
+            watch.close()
+        return self.picture.generation if self.picture else None
+
+    def _line(self, text: bytes) -> None:
+        """One line; raises MalformedList or ValueError, and the list held stays as it is."""
+        self.heard_at = asyncio.get_running_loop().time()
+        if text.strip():
+            line = read_line(json.loads(text))
+            held = self.picture
+            if held is not None and line.generation < held.generation:
+                self.counts["older"] += 1
+                logger.warning("list older than ours", extra=fields(
+                    generation=line.generation, ours=held.generation))
+            elif held is None or line.generation > held.generation:
+                if held is None and not line.reset:
+                    held = Picture(0)                # asked after 0: the changes since the empty list
+                self.picture = take_into(held or Picture(0), self._cluster, line)
+                self._told(self.picture)
+        self.counts["line"] += 1
+        self.error = ""
+
+
+@dataclass(slots=True)
+class Client:
+    """A subscriber as this service keeps it; `form`: what kind of proxy it is."""
+
+    session: Session
+    form: Form
+    admitted: bool = False
+    since_us: int = 0
+    refusals: int = 0
+    reports: int = field(default=0)
+
+
+class Service:
+    """Wires the deciders; it is the streams' `Desk`."""
+
+    def __init__(self, settings: Settings, clock: Clock = monotonic_us, wall: Clock = unix_us,
+                 random: Random | None = None) -> None:
+        self.settings, self._clock, self._wall = settings, clock, wall
+        self.plan = Plan(settings.ramp.limits(), gap_us=round(settings.plan_gap_s * 1e6))
+        self.order = order.Order()
+        self.subscribers = subscribers.Subscribers(
+            random or Random(), ENDPOINTS, stale_us=round(settings.stale_s * 1e6),
+            admit_per_s=settings.admit_per_s, most=settings.subscribers_most)
+        self.publisher, self.encoder = Publisher(settings), Encoder()
+        self.discovery = Discovery(address(settings.discovery), settings.cluster, self.told)
+        self.clients: dict[str, Client] = {}
+        self.counts: Counter[str] = Counter()
+        self.started_us = clock()
+        self._numbers = 0
+        self._places: dict[tuple[str, int], NodeId] = {}
+        self._again = asyncio.Event()                # a newcomer's turn may be sooner than the next tick
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._warnings = Limit(clock, 20)
+        self.port = 0
+        self._server: Any = None
+
+    # Discovery and the deciders
+
+    def told(self, picture: Picture) -> None:
+        """A picture of discovery: what it closes goes out before anything is planned anew."""
+        now = self._clock()
+        up = frozenset(e.node for cluster in picture.clusters.values() for e in cluster.endpoints
+                       if e.lifecycle is Lifecycle.UP)
+        self._do_order(self.order.handle(now, order.Pictured(picture.generation, up)))
+        self._do_plan(self.plan.handle(now, events.Fleet(picture, self._wall() // 1000)))
+
+    def tick(self) -> None:
+        """Time has passed."""
+        now = self._clock()
+        self._do_subscribers(self.subscribers.handle(now, subscribers.Tick()))
+        self.plan.handle(now, self.subscribers.carriers())
+        self._do_plan(self.plan.handle(now, events.Tick()))
+        self._do_order(self.order.handle(now, order.Tick()))
+
+    def _do_plan(self, actions: list[events.Publish]) -> None:
+        for action in actions:
+            self._do_order(self.order.handle(self._clock(), order.Proposed(action.decisions)))
+
+    def _do_order(self, actions: list[order.Action]) -> None:
+        for action in actions:
+            match action:
+                case order.Release(decisions):
+                    self._release(decisions)
+                case order.Speak(name):
+                    self._push(name)
+                case order.Silence(name, generation):
+                    self.counts["silenced"] += 1
+                    self._warn("subscriber is ahead of us", subscriber=name, generation=generation,
+                               ours=self.order.generation)
+                case order.Withheld(generation, serial, reason):
+                    self.counts["withheld"] += 1
+                    self._warn("withheld", generation=generation, serial=serial, reason=reason)
+                case order.CatchUp(reason):
+                    self.counts["calls"] += 1
+                    logger.info("ask discovery", extra=fields(reason=reason))
+                    self._spawn(self._catch_up())
+
+    def _release(self, decisions: events.Decisions) -> None:
+        self.publisher.take(decisions)
+        self._places = {(d.endpoint.host, d.endpoint.port): d.node
+                        for told in decisions.clusters.values() for d in told}
+        self.counts["published"] += 1
+        if decisions.urgent:
+            self._do_subscribers(self.subscribers.handle(self._clock(), subscribers.Hurry()))
+        for name in list(self.clients):
+            self._push(name)
+
+    async def _catch_up(self) -> None:
+        generation = await self.discovery.call()
+        self._do_order(self.order.handle(self._clock(), order.Listed(generation)))
+
+    def _push(self, name: str) -> None:
+        client = self.clients.get(name)
+        if client is not None and client.admitted and self.order.may_tell(name):
+            snapshot = self.publisher.snapshot(client.form)
+            if snapshot is not None:
+                client.session.push(snapshot)
+
+    def _do_subscribers(self, actions: list[subscribers.Action]) -> None:
+        for action in actions:
+            match action:
+                case subscribers.Admit(name):
+                    if name in self.clients:
+                        self.clients[name].admitted = True
+                        self._push(name)
+                case subscribers.TurnAway(name, reason):
+                    self.clients[name].session.end(reason)
+                case subscribers.Refuses(name, type_url, reason, times):
+                    self._warn("refused", subscriber=name, type=type_url, reason=reason, times=times)
+                case subscribers.Lags(name, type_url, versions, us):
+                    self._warn("lags", subscriber=name, type=type_url, versions=versions, seconds=us / 1e6)
+                case subscribers.CaughtUp(name, type_url):
+                    logger.info("caught up", extra=fields(subscriber=name, type=type_url))
+                case subscribers.Forgot(name):
+                    logger.info("forgotten", extra=fields(subscriber=name))
+
+    # The streams' desk
+
+    def came(self, session: Session) -> str:
+        node = session.machine.node
+        assert node is not None
+        metadata = {key: value for key, value in node.metadata.items() if isinstance(value, str)}
+        try:
+            form = form_of(node.user_agent_name, metadata, node.client_features)
+        except ValueError as e:
+            return str(e)
+        # Two streams at once of one id may be two proxies with one id: each gets its own account.
+        session.name = node.id if node.id not in self.clients else f"{node.id}#{session.number}"
+        self.clients[session.name] = Client(session, form, since_us=self._clock())
+        now, shown = self._clock(), session.floor or None
+        logger.info("subscriber", extra=fields(
+            name=session.name, form=form.value, agent=node.user_agent_name, peer=session.peer,
+            shows=shown or 0))
+        self._do_subscribers(self.subscribers.handle(
+            now, subscribers.Came(session.name, session.number, shown)))
+        self._do_order(self.order.handle(now, order.Connected(session.name, session.number, shown)))
+        self._again.set()
+        return ""
+
+    def saw(self, session: Session) -> None:
+        if session.name in self.clients:
+            self._do_order(self.order.handle(
+                self._clock(), order.Acknowledged(session.name, session.floor)))
+
+    def sent(self, session: Session, type_url: str, number: int, generation: int) -> None:
+        self._do_subscribers(self.subscribers.handle(
+            self._clock(), subscribers.Sent(session.name, type_url, number, generation)))
+
+    def acked(self, session: Session, type_url: str, number: int) -> None:
+        self._do_subscribers(self.subscribers.handle(
+            self._clock(), subscribers.Acked(session.name, type_url, number)))
+
+    def nacked(self, session: Session, type_url: str, number: int, error: ErrorDetail) -> None:
+        if session.name in self.clients:
+            self.clients[session.name].refusals += 1
+        self._do_subscribers(self.subscribers.handle(
+            self._clock(), subscribers.Nacked(session.name, type_url, number, error.message)))
+
+    def left(self, session: Session) -> None:
+        now = self._clock()
+        if self.clients.pop(session.name, None) is not None:
+            logger.info("subscriber left", extra=fields(name=session.name))
+        self._do_subscribers(self.subscribers.handle(now, subscribers.Left(session.name, session.number)))
+        self._do_order(self.order.handle(now, order.Disconnected(session.name, session.number)))
+
+    # gRPC
+
+    def _ads(self, variant: type[SotwStream] | type[DeltaStream]) -> Callable[[Context], Awaitable[None]]:
+        async def serve(context: Context) -> None:
+            self._numbers += 1
+            session = Session(self._numbers, variant(), self, self.encoder, self._clock, context.peer())
+            await session.serve(context)
+        return serve
+
+    async def _reports(self, context: Context) -> None:
+        """A stream of load reports: the first message says who reports, the others what."""
+        subscriber = ""
+        while (data := await next_message(context)) is not None:
+            wire = loads.read_stats(data)
+            if not subscriber:
+                subscriber = wire.node.id or context.peer()
+                names = [pool_name(self.settings.cluster, pool) for pool in range(POOLS + 1)]
+                await context.write(loads.ask(
+                    names, round(self.settings.load_report_s * 1e6), wire.node.client_features))
+            for report in loads.reports(subscriber, wire, self._node_at, self._fleet_name):
+                if report is None:
+                    self.counts["reports of nobody"] += 1
+                    continue
+                self.counts["reports"] += 1
+                self._do_plan(self.plan.handle(self._clock(), report))
+
+    def _node_at(self, host: str, port: int) -> NodeId | None:
+        return self._places.get((host, port))
+
+    @staticmethod
+    def _fleet_name(name: str) -> str:
+        """The fleet's cluster of a pool's name."""
+        return name.partition("~cold-")[0]
+
+    # Its life
+
+    async def start(self) -> None:
+        """Serve; `port` is then where."""
+        at = address(self.settings.listen)
+        self._server = server({
+            (ADS, "StreamAggregatedResources"): self._ads(SotwStream),
+            (ADS, "DeltaAggregatedResources"): self._ads(DeltaStream),
+            (LRS, "StreamLoadStats"): self._reports,
+        }, {})
+        self.port = self._server.add_insecure_port(written(at))
+        if not self.port:
+            raise OSError(f"listen: {written(at)} cannot be had; choose another port, or end who has it")
+        await self._server.start()
+        self._spawn(self.discovery.run())
+        self._spawn(self._ticks())
+        logger.info("ready", extra=fields(listen=f"{at.host}:{self.port}", discovery=written(self.discovery.at)))
+
+    async def _ticks(self) -> None:
+        while True:
+            self.tick()
+            turn = self.subscribers.next_at
+            wait = TICK_S if turn is None else min(TICK_S, max(0.0, turn - self._clock()) / 1e6)
+            self._again.clear()
+            try:
+                await asyncio.wait_for(self._again.wait(), wait)
+            except TimeoutError:
+                continue
+
+    async def stop(self, grace_s: float = 0.0) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._server is not None:
+            await self._server.stop(grace_s)
+
+    def _spawn(self, what: Any) -> None:
+        task: asyncio.Task[None] = asyncio.create_task(what)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            logger.error("fault", exc_info=error)
+
+    def _warn(self, event: str, **values: object) -> None:
+        """Bounded, so that one bad proxy does not fill the log."""
+        if self._warnings.allows():
+            logger.warning(event, extra=fields(**values))
+
+
+async def serve(settings: Settings) -> None:
+    """Run a service until a signal to end; OSError if it cannot listen."""
+    loop, ended = asyncio.get_running_loop(), asyncio.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, ended.set)
+    service = Service(settings)
+    try:
+        await service.start()
+        await ended.wait()
+    finally:
+        await service.stop(STOP_S)
