--- a/roadlb/xds/publisher.py
+++ b/roadlb/xds/publisher.py
@@ -41,7 +41,7 @@
         self._written: dict[str, _Written] = {}
 
     def publish(self, decisions: Decisions) -> Snapshot:
-        """The next snapshot; what did not change is shared with the one before, the whole one if nothing did."""
+        """The next snapshot: shares what did not change with the one before; is that one if nothing did."""
         found = list(self._resources(express(self.form, decisions), decisions))
         before, new = self.snapshot, Snapshot.of(decisions.generation, found, self.snapshot)
         if before is None or new.generation > before.generation or any(
