--- a/benchmarks/control_service.py
+++ b/benchmarks/control_service.py
@@ -132,22 +132,29 @@
     parser.add_argument("--endpoints", type=int, nargs="+", default=[1000])
     parser.add_argument("--changes", type=int, default=10)
     parser.add_argument("--agent", default="envoy", help="the form: envoy, grpc or another")
+    parser.add_argument("--case", nargs=3, help=argparse.SUPPRESS)
     parser.add_argument("--child", nargs=4, help=argparse.SUPPRESS)
     options = parser.parse_args()
     if options.child:
         port, count, variant, agent = options.child
         asyncio.run(subscribe(int(port), int(count), variant, agent))
         return
-    head = False
-    for endpoints in options.endpoints:
-        for count in options.subscribers:
-            for variant in METHODS:
-                found = asyncio.run(measure(count, endpoints, options.changes, variant, options.agent))
-                if not head:
-                    print("endpoints subscribers variant " + " ".join(f"{key:>13}" for key in found))
-                    head = True
-                print(f"{endpoints:9} {count:11} {variant:7} "
-                      + " ".join(f"{value:13.1f}" for value in found.values()), flush=True)
+    if options.case:                     # a process of its own, so that memory is told from a fresh heap
+        endpoints, count, variant = options.case
+        found = asyncio.run(measure(int(count), int(endpoints), options.changes, variant, options.agent))
+        print(json.dumps(found))
+        return
+    cases = [(str(endpoints), str(count), variant) for endpoints in options.endpoints
+             for count in options.subscribers for variant in METHODS]
+    for i, case in enumerate(cases):
+        command = [sys.executable, __file__, "--changes", str(options.changes), "--agent", options.agent]
+        done = subprocess.run([*command, "--case", *case], check=True, stdout=subprocess.PIPE,
+                              stderr=subprocess.DEVNULL)
+        found = json.loads(done.stdout)
+        if not i:
+            print("endpoints subscribers variant " + " ".join(f"{key:>13}" for key in found))
+        print(f"{case[0]:>9} {case[1]:>11} {case[2]:7} "
+              + " ".join(f"{value:13.1f}" for value in found.values()), flush=True)
 
 
 if __name__ == "__main__":
