--- a/benchmarks/control_service.py
+++ b/benchmarks/control_service.py
@@ -17,16 +17,20 @@
 import subprocess
 import sys
 import time
+from collections.abc import Coroutine
 from pathlib import Path
+from typing import TypeVar
 
 import grpc
 import grpc.aio
+import uvloop
 
 sys.path[:0] = [str(Path(__file__).parents[1]), str(Path(__file__).parents[1] / "tests" / "control_service")]
 
 ADS = "/envoy.service.discovery.v3.AggregatedDiscoveryService/"
 METHODS = {"sotw": "StreamAggregatedResources", "delta": "DeltaAggregatedResources"}
 WAIT_S = 60
+T = TypeVar("T")
 
 
 class Subscriber:
@@ -126,6 +130,12 @@
                 "join s": joined, "join CPU s": join_cpu, "KB/subscriber": (full - empty) * 1024 / count}
 
 
+def run(what: Coroutine[None, None, T]) -> T:
+    """On the loop on which the program runs."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(what)
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--subscribers", type=int, nargs="+", default=[10, 100, 1000])
@@ -137,11 +147,11 @@
     options = parser.parse_args()
     if options.child:
         port, count, variant, agent = options.child
-        asyncio.run(subscribe(int(port), int(count), variant, agent))
+        run(subscribe(int(port), int(count), variant, agent))
         return
     if options.case:                     # a process of its own, so that memory is told from a fresh heap
         endpoints, count, variant = options.case
-        found = asyncio.run(measure(int(count), int(endpoints), options.changes, variant, options.agent))
+        found = run(measure(int(count), int(endpoints), options.changes, variant, options.agent))
         print(json.dumps(found))
         return
     cases = [(str(endpoints), str(count), variant) for endpoints in options.endpoints
--- a/roadlb/cli/control.py
+++ b/roadlb/cli/control.py
@@ -38,7 +38,8 @@
     service = need("roadlb.control.service")
     need("roadlb.log").set_up()
     try:
-        asyncio.run(service.serve(settings))
+        with asyncio.Runner(loop_factory=need("uvloop").new_event_loop) as runner:
+            runner.run(service.serve(settings))
     except OSError as e:
         raise click.ClickException(str(e)) from None
 
--- a/tests/control_service/test_command.py
+++ b/tests/control_service/test_command.py
@@ -12,8 +12,9 @@
 from pathlib import Path
 
 from click.testing import CliRunner
-from grid_parties import HOST, platform
+from grid_parties import HOST, platform, until
 from msgspec.structs import replace
+from standin_proxies import StandIn, connected
 
 from roadlb.cli.commands import roadlb
 from roadlb.cli.control import read
@@ -65,16 +66,18 @@
             sys.executable, "-m", "roadlb.cli.main", "control", str(file), stderr=asyncio.subprocess.PIPE)
         try:
             assert process.stderr
-            while not (ready := re.search(r"event=ready .*status=(\d+)", line := (
+            while not (ready := re.search(r"event=ready listen=\S+:(\d+) status=(\d+)", line := (
                     await process.stderr.readline()).decode())):
                 assert line, "ended before it was ready"
-            port = int(ready[1])
+            port, proxy = int(ready[2]), StandIn("proxy", "sotw")
+            async with connected(proxy, int(ready[1])):
+                await until(lambda: len(proxy.endpoints()) == 1, "it serves streams")
             async with asyncio.timeout(30):
                 while (await asyncio.to_thread(get, port, "/healthz"))[0] != 200:
                     await asyncio.sleep(0.02)
             status, body = await asyncio.to_thread(get, port, "/status")
             page = json.loads(body)
-            assert status == 200 and page["generation"] == 1 and page["subscribers"] == []
+            assert status == 200 and page["generation"] == 1 and len(page["subscribers"]) == 1
             (endpoint,) = page["endpoints"]
             assert (endpoint["node"], endpoint["health"], endpoint["weight"]) == ("n1", "unknown", 1000)
             assert await asyncio.to_thread(get, port, "/other") == (
