--- a/tests/control_service/grid_parties.py
+++ b/tests/control_service/grid_parties.py
@@ -95,10 +95,10 @@
 
 
 class Node:
-    """A grid node: answers calls, and keeps when each began."""
+    """A grid node: answers calls, and keeps when each began and who made it."""
 
     def __init__(self, name: str) -> None:
-        self.name, self.calls = name, []
+        self.name, self.calls, self.callers = name, [], []
 
     async def start(self) -> None:
         self.server = grpc.aio.server()
@@ -109,6 +109,7 @@
 
     async def _read(self, request: bytes, context: grpc.aio.ServicerContext) -> bytes:
         self.calls.append(time.monotonic())
+        self.callers.append(request.decode())
         context.set_trailing_metadata((("endpoint-load-metrics-bin", LOAD),))
         return self.name.encode()
 
@@ -118,15 +119,16 @@
 
 GRPC_CLIENT = """
 import sys, time, grpc
+me = sys.argv[1].encode()
 with grpc.insecure_channel("xds:///grid-web") as channel:
     call = channel.unary_unary("/grid.Node/Read")
-    call(b"", wait_for_ready=True, timeout=30)
+    call(me, wait_for_ready=True, timeout=30)
     print("ready", flush=True)
     answers = failures = 0
-    end = time.monotonic() + 120
+    end = time.monotonic() + 600
     while time.monotonic() < end:
         try:
-            call(b"", timeout=5)
+            call(me, timeout=5)
             answers += 1
         except grpc.RpcError as e:
             failures += 1
@@ -142,7 +144,7 @@
                                   "server_features": ["xds_v3"]}], "node": {"id": name}}
     env = {**os.environ, "GRPC_XDS_BOOTSTRAP_CONFIG": json.dumps(bootstrap), "NO_PROXY": "*"}
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-c", GRPC_CLIENT, env=env, stdout=asyncio.subprocess.PIPE)
+        sys.executable, "-c", GRPC_CLIENT, name, env=env, stdout=asyncio.subprocess.PIPE)
     said: list[str] = []
 
     async def listen() -> None:
