One bad address, a faulty form or a spoilt line of discovery holds up nobody's drains

Nodes that cannot be dialled are left out and counted; a form that cannot be encoded does not stop the others; whatever a line of discovery does, the watch goes on. A port that is taken is named.

--- a/roadlb/control/service.py
+++ b/roadlb/control/service.py
@@ -12,7 +12,7 @@
 import signal
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Any
 
@@ -28,9 +28,9 @@
 from ..xds.grpc.encoding import Encoder
 from ..xds.grpc.health import SERVING, WAITING, health
 from ..xds.grpc.session import Session
-from ..xds.grpc.transport import ADS, HEALTH, LRS, STATUS, Context, next_message, server
+from ..xds.grpc.transport import ADS, HEALTH, LRS, STATUS, Context, listen, next_message, server
 from ..xds.messages import ErrorDetail
-from ..xds.publisher import Publisher
+from ..xds.publisher import Publisher, can_be_dialled
 from ..xds.resources import ENDPOINTS
 from ..xds.sotw import SotwStream
 from . import events, order, subscribers
@@ -85,13 +85,25 @@
 
     def told(self, picture: Picture) -> None:
         """A picture of discovery: what it closes goes out before anything is planned anew."""
-        now = self._clock()
+        now, picture = self._clock(), self._reachable(picture)
         up = frozenset(e.node for cluster in picture.clusters.values() for e in cluster.endpoints
                        if e.lifecycle is Lifecycle.UP)
         self._do_order(self.order.handle(now, order.Pictured(picture.generation, up)))
         # A plan of 1,000 endpoints takes 30 ms: what was just pushed is written first.
         asyncio.get_running_loop().call_soon(self._plan_for, events.Fleet(picture, self._wall() // 1000))
 
+    def _reachable(self, picture: Picture) -> Picture:
+        """Without nodes that no proxy could dial: one bad address must not hold up the others' drains."""
+        clusters = dict(picture.clusters)
+        for name, cluster in picture.clusters.items():
+            bad = [e for e in cluster.endpoints if not can_be_dialled(e)]
+            if bad:
+                self.counts["bad addresses"] += len(bad)
+                self._warn("bad address", node=bad[0].node.name, host=bad[0].host, port=bad[0].port)
+                kept = tuple(e for e in cluster.endpoints if can_be_dialled(e))
+                clusters[name] = replace(cluster, endpoints=kept)
+        return replace(picture, clusters=clusters)
+
     def _plan_for(self, fleet: events.Fleet) -> None:
         self._do_plan(self.plan.handle(self._clock(), fleet))
 
@@ -147,7 +159,13 @@
     def _push(self, name: str) -> None:
         client = self.clients.get(name)
         if client is not None and client.admitted and self.order.may_tell(name):
-            snapshot = self.publisher.snapshot(client.form)
+            try:
+                snapshot = self.publisher.snapshot(client.form)
+            except ValueError as e:      # CodecError is one; the other forms must be told all the same
+                self.counts["not published"] += 1
+                if self._warnings.allows():
+                    logger.error("not published", extra=fields(form=client.form.value, error=e))
+                return
             if snapshot is not None:
                 client.session.push(snapshot)
 
@@ -325,9 +343,7 @@
             (STATUS, "FetchClientStatus"): lambda data: client_status(data, self._sessions()),
             (HEALTH, "Check"): lambda data: health(data, SERVING if self.serving else WAITING),
         })
-        self.port = self._server.add_insecure_port(written(at))
-        if not self.port:
-            raise OSError(f"listen: {written(at)} cannot be had; choose another port, or end who has it")
+        self.port = listen(self._server, at.host, at.port)
         await self._server.start()
         self._spawn(self.discovery.run())
         self._spawn(self._ticks())
--- a/roadlb/net/fleet_watch.py
+++ b/roadlb/net/fleet_watch.py
@@ -48,6 +48,9 @@
                 self.error = f"malformed: {e}"
             except (TimeoutError, OSError) as e:
                 self.error = f"{type(e).__name__}: {e}"
+            except Exception as e:               # whatever a line did, the next one must be heard
+                logger.exception("watch failed")
+                self.error = f"fault: {type(e).__name__}: {e}"
             self.counts["broken"] += 1
             pause = PAUSE_S if self.counts["line"] > before else min(PAUSE_MOST_S, pause * 2)
             logger.warning("watch broken", extra=fields(error=self.error, again_s=pause))
--- a/roadlb/xds/grpc/transport.py
+++ b/roadlb/xds/grpc/transport.py
@@ -11,6 +11,8 @@
 import grpc  # type: ignore[import-untyped]
 import grpc.aio  # type: ignore[import-untyped]
 
+from ..codec.protos import CodecError
+
 Context: TypeAlias = Any                 # grpc.aio.ServicerContext, which comes without types
 
 ADS = "envoy.service.discovery.v3.AggregatedDiscoveryService"
@@ -41,6 +43,15 @@
     await context.abort(grpc.StatusCode.INVALID_ARGUMENT, reason[:REASON_CHARS])
 
 
+def listen(made: Any, host: str, port: int) -> int:
+    """Have a server listen; the port, which the kernel chooses for 0.  OSError names the address."""
+    where = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+    try:
+        return int(made.add_insecure_port(where))
+    except RuntimeError as e:
+        raise OSError(f"listen: {where} cannot be had, choose another one or end who has it: {e}") from None
+
+
 def server(streams: dict[tuple[str, str], Handler],
            calls: dict[tuple[str, str], Callable[[bytes], bytes]]) -> Any:
     """A server of these methods, by service and method name, that is not started yet."""
@@ -57,7 +68,10 @@
 
 def _stream(handler: Handler) -> Callable[[Any, Context], Awaitable[None]]:
     async def serve(_: Any, context: Context) -> None:
-        await handler(context)
+        try:
+            await handler(context)
+        except CodecError as e:
+            await refuse(context, str(e))
     return serve
 
 
--- a/tests/control_service/standin_proxies.py
+++ b/tests/control_service/standin_proxies.py
@@ -109,7 +109,8 @@
                 if where not in self._channels:
                     self._channels[where] = grpc.aio.insecure_channel(where)
                 try:
-                    await self._channels[where].unary_unary("/grid.Node/Read")(self.node.id.encode(), timeout=5)
+                    call = self._channels[where].unary_unary("/grid.Node/Read")
+                    await call(self.node.id.encode(), timeout=5)
                     self.calls += 1
                 except grpc.aio.AioRpcError:
                     self.failures += 1
--- a/tests/control_service/test_streams_over_grpc.py
+++ b/tests/control_service/test_streams_over_grpc.py
@@ -113,6 +113,10 @@
             with pytest.raises(grpc.aio.AioRpcError) as e:
                 await call.read()
             assert e.value.code() is grpc.StatusCode.INVALID_ARGUMENT and text in e.value.details()
+        reports = channel.stream_stream("/envoy.service.load_stats.v3.LoadReportingService/StreamLoadStats")()
+        await reports.write(b"\xff\xff\xff")
+        with pytest.raises(grpc.aio.AioRpcError, match="no such message"):
+            await reports.read()
         check = channel.unary_unary("/grpc.health.v1.Health/Check")
         await until(lambda: control.serving, "published")
         assert await check(b"") == b"\x08\x01"
@@ -122,6 +126,22 @@
     asyncio.run(garbled())
 
 
+async def bad_addresses() -> None:
+    proxy = StandIn("proxy", "sotw")
+    bad = {"hostPort": f"{HOST}:0"}
+    async with platform(**ENTRIES, bad=bad) as told, service(told) as control, connected(proxy, control.port):
+        await until(lambda: len(proxy.endpoints()) == 3, "the others are told")
+        await drained(told, "n0", proxy)
+        assert control.counts["bad addresses"] and not control.counts["not published"]
+        with pytest.raises(OSError, match="listen: .* cannot be had"):
+            async with service(told, listen=f"{HOST}:{control.port}"):
+                pass
+
+
+def test_an_address_that_nobody_can_dial_holds_up_no_drain_and_a_taken_port_is_named() -> None:
+    asyncio.run(bad_addresses())
+
+
 async def discovery_troubles(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("roadlb.net.fleet_watch.SILENCE_S", 0.2)
     proxy = StandIn("proxy", "delta")
@@ -132,6 +152,8 @@
         told.say(json.dumps({"generation": 9, "reset": True, "instances": [{"lifecycle": "up"}]}).encode())
         await until(lambda: control.discovery.counts["malformed"] > 0, "malformed")
         assert len(proxy.endpoints()) == 3 and control.order.generation == 1
+        told.say(b"[" * 100_000)
+        await until(lambda: control.discovery.counts["broken"] > 2, "nested too deep")
         await until(lambda: not control.discovery.error, "watching again")
         await drained(told, "n2", proxy)
         assert told.asked[-1].startswith("/v1/servers?watch=1&after=")
