--- a/benchmarks/control_plan.py
+++ b/benchmarks/control_plan.py
@@ -20,16 +20,18 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT), str(ROOT / "tests" / "control")]
 
-from cases import FORMS, careless, cut_off, deploy, fail_over, mourning, restart  # noqa: E402
+from control_cases import FORMS, careless, cut_off, deploy, fail_over, mourning, restart  # noqa: E402
 
 from roadlb.control.events import Fleet, LoadReport, Tick  # noqa: E402
 from roadlb.control.forms import Form, express  # noqa: E402
 from roadlb.control.order import Order, Pictured, Proposed  # noqa: E402
-from roadlb.control.plan import Plan  # noqa: E402
+from roadlb.control.plan import Plan, up_in  # noqa: E402
 from roadlb.fleet.model import Cluster, Endpoint, Lifecycle, NodeId, Picture  # noqa: E402
 
 UNIX_MS, SECOND = 1_800_000_000_000, 1_000_000
 WEIGHTS, GENERIC = (Form.WEIGHTS,) * 3, (Form.GENERIC,) * 3
+BOLD = {"chance": 2.0, "carried": 1.0}
+BOLDER = {"chance": 0.0, "carried": 1.0}
 PROOFS: dict[str, Callable[[int], object]] = {
     "deploy of 81%, load 0.6: pools": lambda s: deploy(s, 50, 21 + s % 16),
     "deploy of 81%, load 0.6: weights in one pool": lambda s: deploy(s, 50, 21 + s % 16, WEIGHTS),
@@ -40,11 +42,12 @@
     "deploy of 81%, load 0.8: left out until warm": lambda s: deploy(s, 50, 21 + s % 16, GENERIC, 0.8),
     "deploy of 81%, load 0.8: no ramp": lambda s: deploy(s, 50, 21 + s % 16, load=0.8, on=False),
     "the same at the same addresses: pools": lambda s: deploy(s, 50, 21 + s % 16, same=True),
-    "deploy, pools: chance 3": lambda s: deploy(s, 50, 21 + s % 16, chance=3.0),
-    "deploy, pools: chance 2, carried 1": lambda s: deploy(s, 50, 21 + s % 16, chance=2.0, carried=1.0),
-    "deploy, pools: proportion alone": lambda s: deploy(s, 50, 21 + s % 16, chance=0.0, carried=1.0),
-    "deploy, 0.8, pools: proportion alone": lambda s: deploy(s, 50, 21 + s % 16, load=0.8, chance=0.0,
-                                                             carried=1.0),
+    "deploy in 8 s, load 0.8: pools": lambda s: deploy(s, 30, 8, load=0.8),
+    "deploy in 8 s, load 0.8: chance 2, carried 1": lambda s: deploy(s, 30, 8, load=0.8, **BOLD),
+    "deploy in 8 s, load 0.8: proportion alone": lambda s: deploy(s, 30, 8, load=0.8, **BOLDER),
+    "deploy in 8 s, load 1.3: pools": lambda s: deploy(s, 30, 8, load=1.3),
+    "deploy in 8 s, load 1.3: chance 2, carried 1": lambda s: deploy(s, 30, 8, load=1.3, **BOLD),
+    "deploy in 8 s, load 1.3: proportion alone": lambda s: deploy(s, 30, 8, load=1.3, **BOLDER),
     "all warm ones die: pools": lambda s: mourning(s, FORMS),
     "all warm ones die: weights in one pool": lambda s: mourning(s, WEIGHTS),
     "all warm ones die: left out until warm": lambda s: mourning(s, GENERIC),
@@ -73,7 +76,7 @@
     print("| case | nodes fallen | in seeds | drains | late calls | not served |")
     print("| --- | --- | --- | --- | --- | --- |")
     with Pool(2) as pool:
-        for name in (n for n in PROOFS if only in n):
+        for name in (n for n in PROOFS if any(word in n for word in only.split(","))):
             rows = pool.map(one, [(name, seed) for seed in range(seeds)])
             fallen, late, drains, refused, requests = (sum(column) for column in zip(*rows, strict=True))
             print(f"| {name} | {fallen} | {sum(r[0] > 0 for r in rows)} of {seeds} | {drains} | {late} "
@@ -96,7 +99,7 @@
 
 
 def cost(n: int, times: int) -> list[float]:
-    """Milliseconds: a first plan, a tick with nothing to tell, a drain to its release, and one form."""
+    """Milliseconds: a first plan, a tick while a fifth is cold, a drain to its release, a plan, a form."""
     rows = []
     for _ in range(times):
         plan, guard = Plan(), Order()
@@ -108,8 +111,8 @@
         plan.handle(SECOND, Tick())
         tick, _ = timed(lambda: plan.handle(2 * SECOND + 1, Tick()))                  # noqa: B023
         told = picture(2, n, n // 5, 1)
-        up = frozenset(e.node for e in told.clusters["grid"].endpoints if e.lifecycle is Lifecycle.UP)
-        drain, actions = timed(lambda: guard.handle(2 * SECOND + 2, Pictured(2, up)))   # noqa: B023
+        drain, actions = timed(
+            lambda: guard.handle(2 * SECOND + 2, Pictured(2, up_in(told))))           # noqa: B023
         change, _ = timed(lambda: plan.handle(2 * SECOND + 2, Fleet(told, UNIX_MS)))  # noqa: B023
         form, _ = timed(lambda: express(Form.GRPC, actions[0].decisions))             # noqa: B023
         rows.append((whole, tick, drain, change, form))
@@ -117,9 +120,10 @@
 
 
 def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--prove", nargs="?", type=int, const=50, metavar="SEEDS")
-    parser.add_argument("--only", default="", help="cases whose names have this in them")
+    parser.add_argument("--only", default="", help="cases whose names have one of these, parted by commas")
     options = parser.parse_args()
     if options.prove:
         prove(options.prove, options.only)
--- a/roadlb/control/plan.py
+++ b/roadlb/control/plan.py
@@ -4,14 +4,14 @@
 If the others vanish from under it, a cold node of the smallest weight gets all the traffic, before any
 service can say a word.  So cold nodes do not share a pool with warm ones: each is in a pool of its own (its
 own cluster on the wire), and the routes give each pool a part of the traffic, which no proxy renormalises:
-where a pool has nobody, its part fails.  What the pools leave goes to pool 0, where the warm ones are, by
+where a pool has nobody, its part fails.  What the pools leave goes to pool "", where the warm ones are, by
 weight.
 
 - `ramp` says which part a cold node may have.  It is told anew when it differs by STEP, every `gap_us` at
   the most.
 - There are POOLS pools.  Where more are cold, several share one; then each gets half of what it could, for
   the other may vanish.
-- One that becomes warm moves to pool 0 and stays listed in its own for HANDOVER_US, with no part of the
+- One that becomes warm moves to pool "" and stays listed in its own for HANDOVER_US, with no part of the
   traffic: endpoints travel before routes, and the routes must not point at an empty pool.
 - A new node where another stood gets nothing while a proxy has not acknowledged that the old one has gone.
 - Of two nodes told at one address only the one started last is there.
@@ -23,13 +23,15 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from roadlb.fleet.model import Cluster, Endpoint, Health, Lifecycle, NodeId, Picture
 
 from .events import (
-    MILLION, OPEN, Belief, Carriers, Decision, Decisions, Fleet, LoadReport, PlanEvent, Publish, Tick, View,
+    MILLION, OPEN, Belief, Carrier, Carriers, Decision, Decisions, Fleet, LoadReport, PlanEvent, Publish,
+    Tick, View, sub_zone,
 )
 from .loads import Loads
 from .ramp import RampLimits
@@ -41,7 +43,8 @@
 SUSPECT = 0.5               # of its weight, for one that failed lately
 UNIT = 1_000                # of a weight on the wire, for the weight 1
 MOST_WEIGHT = 400_000       # 10,000 of them stay under the 2^32 - 1 that xDS allows for a priority
-CLOCKS_US = 5_000_000       # a node may be told so late; what its clock says beyond that is not believed
+CLOCKS_US = 5_000_000       # a node is told by then; what its clock says beyond that is not believed
+VIEW_US = 10_000_000        # without a new one, what a decision module believed is of no account any more
 OLD_PLACE_US = 120_000_000  # that a proxy cut off may still send where a node stood
 
 
@@ -50,12 +53,12 @@
     """What the plan remembers of a node from one look to the next."""
 
     born: int                        # on our clock, at the latest that it can be
-    pool: int = 0
+    pool: str = ""
     part_ppm: int = 0
     weight: int = 0
-    left_pool: int = 0
+    left_pool: str = ""
     left_at: int = 0
-    holding: str = ""                # why it gets nothing yet
+    reason: str = ""                 # of its part, when that was last changed
 
 
 @dataclass(slots=True)
@@ -74,8 +77,10 @@
     nodes: dict[NodeId, _Node] = field(default_factory=dict)
     loads: Loads = field(default_factory=Loads)
     views: dict[NodeId, Belief] = field(default_factory=dict)
+    viewed: int = 0
     places: dict[tuple[str, int], _Place] = field(default_factory=dict)
     told: tuple[Decision, ...] = ()
+    stirred: bool = True             # may it be decided differently now than it was?
 
 
 class Plan:
@@ -85,7 +90,7 @@
         self.limits, self.gap_us = limits or RampLimits(), gap_us
         self._clusters: dict[str, _Plan] = {}
         self._generation, self._serial, self._at = -1, 0, -gap_us
-        self._carriers: Carriers = Carriers(())
+        self._behind: Carrier | None = None            # the one with the oldest view
         self._dirty = False
 
     def handle(self, now: int, event: PlanEvent) -> list[Publish]:
@@ -94,12 +99,15 @@
                 return self._fleet(now, event)
             case View():
                 if (plan := self._clusters.get(event.cluster)) is not None:
-                    plan.views = {b.node: b for b in event.beliefs}
+                    views = {b.node: b for b in event.beliefs if b.ejected or b.suspect or b.share < 1}
+                    plan.stirred = plan.stirred or views != plan.views
+                    plan.views, plan.viewed = views, now
             case LoadReport():
                 if (plan := self._clusters.get(event.cluster)) is not None:
                     plan.loads.add(now, event)
+                    plan.stirred = plan.stirred or plan.loads.failing(now, event.node)
             case Carriers():
-                self._carriers = event
+                self._behind = min(event.carriers, key=lambda c: c.generation, default=None)
             case Tick():
                 if self._generation >= 0 and now - self._at >= self.gap_us:
                     return self._decide(now, urgent=False)
@@ -127,20 +135,23 @@
         """Does anyone that proxies may be sending to drain, vanish or start anew?"""
         for name, plan in self._clusters.items():
             new = picture.clusters.get(name)
-            stay = {e.node for e in new.endpoints if e.lifecycle is Lifecycle.UP} if new else set()
+            stay = _up(new) if new else set()
             if any(d.open and d.node not in stay for d in plan.told):
                 return True
         return False
 
     def _take(self, now: int, plan: _Plan, cluster: Cluster, unix_ms: int) -> None:
-        plan.cluster, first = cluster, not plan.told
+        plan.cluster, plan.stirred, first = cluster, True, not plan.told
         listed = {e.node for e in cluster.endpoints if e.lifecycle is not Lifecycle.REMOVED}
-        up = {e.node for e in cluster.endpoints if e.lifecycle is Lifecycle.UP}
+        up = _up(cluster)
         for d in plan.told:
             if d.node not in up and (d.open or d.left_pool):
                 plan.places[d.endpoint.host, d.endpoint.port] = _Place(self._generation, now)
         for where in [w for w, p in plan.places.items() if now - p.at > OLD_PLACE_US]:
             del plan.places[where]
+        for gone in [n for n in plan.nodes if n not in listed]:
+            del plan.nodes[gone]
+        used = Counter(n.pool for n in plan.nodes.values() if n.pool)
         for e in cluster.endpoints:
             if e.node in plan.nodes or e.node not in listed:
                 continue
@@ -150,19 +161,18 @@
                 born = max(born, now - CLOCKS_US)
             node = plan.nodes[e.node] = _Node(min(born, now))
             if self.limits.share(now - node.born) < 1:
-                node.pool = self._free_pool(plan)
-        for gone in [n for n in plan.nodes if n not in listed]:
-            del plan.nodes[gone]
+                node.pool = self._free_pool(used, e.node)
+                used[node.pool] += 1
         plan.loads.keep(listed)
 
     @staticmethod
-    def _free_pool(plan: _Plan) -> int:
-        """The pool with the fewest; of one that is being left, only if there is no other."""
-        used = [0.0] * (POOLS + 1)
-        for n in plan.nodes.values():
-            used[n.pool] += 1
-            used[n.left_pool] += 0.5
-        return min(range(1, POOLS + 1), key=lambda pool: used[pool])
+    def _free_pool(used: Counter[str], node: NodeId) -> str:
+        """A pool of its own, or if there are too many the one with the fewest in it.
+
+        It is named after the node that it was made for: by a number that is used again, a proxy that has the
+        new endpoints and the old routes would send a cold node what the last one there had when nearly warm.
+        """
+        return sub_zone(node) if len(used) < POOLS else min(used, key=lambda pool: (used[pool], pool))
 
     # Decisions
 
@@ -170,7 +180,13 @@
         """Decide on all clusters; published if anything has changed, or a picture has not been told yet."""
         changed = urgent or self._dirty
         for plan in self._clusters.values():
+            if plan.views and now - plan.viewed > VIEW_US:
+                plan.views, plan.stirred = {}, True
+            if not plan.stirred:
+                continue
             new = tuple(self._cluster(now, plan))
+            # Time alone bears on those that become warm, and on those that may be believed well again.
+            plan.stirred = any(d.pool or d.left_pool or d.health is Health.UNHEALTHY for d in new)
             if new != plan.told:
                 plan.told, changed = new, True
         if not changed:
@@ -201,11 +217,17 @@
         for e in plan.cluster.endpoints:
             if e.node in health and e.node not in seen:
                 seen.add(e.node)
-                word = health[e.node]
                 if e.node in cold:
-                    share = self._share(now, plan, e.node)
-                    word = word[0], held.get(e.node) or f"cold: at least {share:.0%} of its capacity"
-                yield self._decision(now, plan, e, word, stepped.get(e.node))
+                    node, part = plan.nodes[e.node], stepped[e.node]
+                    if e.node in held:
+                        node.reason = held[e.node]
+                    elif part != node.part_ppm or not node.reason.startswith("cold"):
+                        # What changes with each look would be published with each.
+                        node.reason = f"cold: at least {cold[e.node][1]:.0%} of its capacity"
+                    node.part_ppm = part
+                    yield Decision(e, health[e.node][0], 0, node.pool, part, node.reason)
+                else:
+                    yield self._decision(now, plan, e, health[e.node])
 
     def _share(self, now: int, plan: _Plan, node: NodeId) -> float:
         """By its age alone: what a module says may only lower it, never raise it."""
@@ -215,10 +237,7 @@
     def _health(self, now: int, plan: _Plan) -> dict[NodeId, tuple[Health, str]]:
         """What each is told to be, and why.  Of a node listed twice, the worse word counts."""
         told: dict[NodeId, tuple[Health, str]] = {}
-        there: dict[tuple[str, int], NodeId] = {}
-        for e in plan.cluster.endpoints:
-            if e.lifecycle is not Lifecycle.REMOVED:
-                there[e.host, e.port] = max(e.node, there.get((e.host, e.port), e.node), key=_start)
+        there = _there(plan.cluster)
         for e in plan.cluster.endpoints:
             if e.lifecycle is Lifecycle.REMOVED:
                 continue
@@ -260,7 +279,7 @@
         limits = self.limits
         present = sum(warm.values()) + sum(e.weight * share for e, share in cold.values())
         demand, carried = plan.loads.demand, plan.loads.carried(now, warm)
-        mates: dict[int, int] = {}
+        mates: dict[str, int] = {}
         for n in plan.nodes.values():
             if n.pool:
                 mates[n.pool] = mates.get(n.pool, 0) + 1
@@ -276,33 +295,51 @@
         return parts
 
     def _held(self, plan: _Plan, e: Endpoint) -> str:
-        place = plan.places.get((e.host, e.port))
-        if place is not None:
-            for carrier in self._carriers.carriers:
-                if carrier.generation < place.gone:
-                    return f"{carrier.name} may still send to the one that stood there"
+        place, behind = plan.places.get((e.host, e.port)), self._behind
+        if place is not None and behind is not None and behind.generation < place.gone:
+            return f"{behind.name} may still send to the one that stood there"
         return ""
 
-    def _decision(self, now: int, plan: _Plan, e: Endpoint, word: tuple[Health, str],
-                  part: int | None) -> Decision:
+    def _decision(self, now: int, plan: _Plan, e: Endpoint, word: tuple[Health, str]) -> Decision:
+        """Of one that is closed or warm."""
         health, reason = word
         node = plan.nodes[e.node]
         if node.left_pool and now - node.left_at >= HANDOVER_US:
-            node.left_pool = 0
+            node.left_pool = ""
         if health not in OPEN:
             # A pool that others are in must not hand them its part before the routes follow.
             node.part_ppm = node.weight = 0
             return Decision(e, health, 0, node.pool, 0, reason, node.left_pool)
-        if part is not None:
-            node.part_ppm = part
-            return Decision(e, health, 0, node.pool, node.part_ppm, reason)
         if node.pool:
-            node.pool, node.left_pool, node.left_at, node.part_ppm = 0, node.pool, now, 0
+            node.pool, node.left_pool, node.left_at, node.part_ppm = "", node.pool, now, 0
         belief, weight = plan.views.get(e.node), e.weight
         if belief is not None and belief.suspect:
             weight, reason = weight * SUSPECT, "suspect: it failed lately"
         node.weight = _step(node.weight, max(1, min(MOST_WEIGHT, round(weight * UNIT))))
-        return Decision(e, health, node.weight, 0, 0, reason or "warm", node.left_pool)
+        return Decision(e, health, node.weight, "", 0, reason or "warm", node.left_pool)
+
+
+def up_in(picture: Picture) -> frozenset[NodeId]:
+    """The nodes that a picture has up, as `order.Pictured` wants them.
+
+    One that it also has draining is not, nor one at whose address another has started since.
+    """
+    return frozenset(node for cluster in picture.clusters.values() for node in _up(cluster))
+
+
+def _up(cluster: Cluster) -> set[NodeId]:
+    there = _there(cluster)
+    ends = {e.node for e in cluster.endpoints if e.lifecycle is not Lifecycle.UP}
+    return {e.node for e in cluster.endpoints if e.node not in ends and there[e.host, e.port] == e.node}
+
+
+def _there(cluster: Cluster) -> dict[tuple[str, int], NodeId]:
+    """Who stands at each address: of several the one started last."""
+    there: dict[tuple[str, int], NodeId] = {}
+    for e in cluster.endpoints:
+        if e.lifecycle is not Lifecycle.REMOVED:
+            there[e.host, e.port] = max(e.node, there.get((e.host, e.port), e.node), key=_start)
+    return there
 
 
 def _start(node: NodeId) -> tuple[int, str]:
--- a/tests/control/shares.py
+++ b/tests/control/control_shares.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from random import Random
 
-from proxies import Proxy
+from control_proxies import Proxy
 
 from roadlb.control.events import MILLION, Decisions, Fleet, LoadReport, Tick
 from roadlb.control.forms import Form, express, parts_of
@@ -17,7 +17,7 @@
 def planned(decisions: Decisions) -> dict[NodeId, float]:
     """What part of all traffic each node is meant to have."""
     told = decisions.clusters["grid"]
-    rest, weights = parts_of(told)[0] / MILLION, sum(d.weight for d in told)
+    rest, weights = parts_of(told)[""] / MILLION, sum(d.weight for d in told)
     return {d.node: d.part_ppm / MILLION if d.pool else rest * d.weight / weights for d in told if d.open}
 
 
