Pools by their nodes' names; load reports are asked for anew as pools come and go

A client that reports only on clusters that it was asked about hears of new pools with its next report.

--- a/roadlb/control/service.py
+++ b/roadlb/control/service.py
@@ -34,8 +34,8 @@
 from ..xds.resources import ENDPOINTS
 from ..xds.sotw import SotwStream
 from . import events, order, subscribers
-from .forms import Form, form_of, pool_name
-from .plan import POOLS, Plan
+from .forms import Form, form_of, parts_of, pool_name
+from .plan import Plan
 from .settings import Settings, address, written
 
 logger = logging.getLogger(__name__)
@@ -247,14 +247,16 @@
 
     async def _reports(self, context: Context) -> None:
         """A stream of load reports: the first message says who reports, the others what."""
-        subscriber = ""
+        subscriber, features, asked = "", tuple[str, ...](), b""
         while (data := await next_message(context)) is not None:
             wire = loads.read_stats(data)
             if not subscriber:
-                subscriber = wire.node.id or context.peer()
-                names = [pool_name(self.settings.cluster, pool) for pool in range(POOLS + 1)]
-                await context.write(loads.ask(
-                    names, round(self.settings.load_report_s * 1e6), wire.node.client_features))
+                subscriber, features = wire.node.id or context.peer(), tuple(wire.node.client_features)
+            # Pools come and go, and some clients report only on those that they were asked about.
+            asking = loads.ask(self._pools(), round(self.settings.load_report_s * 1e6), features)
+            if asking != asked:
+                asked = asking
+                await context.write(asking)
             for report in loads.reports(subscriber, wire, self._node_at, self._fleet_name):
                 if report is None:
                     self.counts["reports of nobody"] += 1
@@ -262,6 +264,17 @@
                 self.counts["reports"] += 1
                 self._do_plan(self.plan.handle(self._clock(), report))
 
+    def _pools(self) -> list[str]:
+        """The names of all clusters on the wire."""
+        told = self.publisher.decisions.clusters if self.publisher.decisions else {}
+        return sorted({self.settings.cluster, *(
+            pool_name(name, pool) for name, all_of_it in told.items() for pool in parts_of(all_of_it))})
+
+    def _fleet_name(self, name: str) -> str:
+        """The fleet's cluster of a pool's name."""
+        ours = self.settings.cluster
+        return ours if name.startswith(pool_name(ours, "*").removesuffix("*")) else name
+
     async def _client_status(self, context: Context) -> None:
         while (data := await next_message(context)) is not None:
             await context.write(client_status(data, self._sessions()))
@@ -272,11 +285,6 @@
     def _node_at(self, host: str, port: int) -> NodeId | None:
         return self._places.get((host, port))
 
-    @staticmethod
-    def _fleet_name(name: str) -> str:
-        """The fleet's cluster of a pool's name."""
-        return name.partition("~cold-")[0]
-
     # For operators
 
     @property
