--- a/roadlb/control/plan.py
+++ b/roadlb/control/plan.py
@@ -126,10 +126,8 @@
         for name, cluster in picture.clusters.items():
             plan = self._clusters.setdefault(name, _Plan(cluster))
             self._take(now, plan, cluster, event.unix_ms)
-        if urgent or now - self._at >= self.gap_us:
-            return self._decide(now, urgent)
         self._dirty = True
-        return []
+        return self._decide(now, urgent) if urgent or now - self._at >= self.gap_us else []
 
     def _closes(self, picture: Picture) -> bool:
         """Does anyone that proxies may be sending to drain, vanish or start anew?"""
--- a/tests/control/test_plan.py
+++ b/tests/control/test_plan.py
@@ -106,6 +106,14 @@
     assert case.of("n2", UNIX_MS + 100).pool
 
 
+def test_a_picture_that_changes_no_decision_is_told_all_the_same() -> None:
+    # Who waits for a generation to be carried must hear of it, however long after the last word it came.
+    case = Case(*OLD)
+    case.wait(10)
+    assert case.fleet(*OLD)
+    assert case.last.generation == case.generation
+
+
 def test_an_older_picture_changes_nothing() -> None:
     case = Case(*OLD)
     case.generation = -5
