--- a/benchmarks/control_drains.py
+++ b/benchmarks/control_drains.py
@@ -199,6 +199,8 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        for proxy in proxies:
+            await proxy.close()
         for node in (*up, *gone):
             await node.server.stop(0)
 
@@ -232,5 +234,5 @@
 
 
 if __name__ == "__main__":
-    os.environ["NO_PROXY"] = "*"
+    os.environ |= {"NO_PROXY": "*", "GRPC_VERBOSITY": "ERROR"}
     main()
