Control service: calls open at a cluster that is replaced run once and get their one answer

Change: a test in which two stand-in proxies and gRPC's own client each hold a call open while discovery replaces all nodes at once. The old nodes count one call of each, the new ones get all that follows.

--- a/tests/control_service/grid_parties.py
+++ b/tests/control_service/grid_parties.py
@@ -95,10 +95,12 @@
 
 
 class Node:
-    """A grid node: answers calls, and keeps when each began and who made it."""
+    """A grid node: answers calls or holds them, and keeps when each began and who made it."""
 
     def __init__(self, name: str) -> None:
         self.name, self.calls, self.callers = name, [], []
+        self.answers = asyncio.Event()
+        self.answers.set()
 
     async def start(self) -> None:
         self.server = grpc.aio.server()
@@ -110,6 +112,7 @@
     async def _read(self, request: bytes, context: grpc.aio.ServicerContext) -> bytes:
         self.calls.append(time.monotonic())
         self.callers.append(request.decode())
+        await self.answers.wait()
         context.set_trailing_metadata((("endpoint-load-metrics-bin", LOAD),))
         return self.name.encode()
 
--- a/tests/control_service/test_grpc_client.py
+++ b/tests/control_service/test_grpc_client.py
@@ -140,3 +140,33 @@
 
 def test_no_call_of_three_kinds_of_proxy_later_than_1_s_after_a_drain() -> None:
     asyncio.run(together())
+
+
+async def replaced() -> None:
+    """All nodes of the cluster are replaced at once while each proxy has a call open at one of them."""
+    sotw, delta = StandIn("sotw", "sotw"), StandIn("delta", "delta")
+    names = ("sotw", "delta", "grpc-1")
+    async with (nodes(4) as (a, b, c, d), platform(**{n.name: n.entry() for n in (a, b)}) as told,
+                service(told) as control, grpc_client(control.port) as said,
+                connected(sotw, control.port, True), connected(delta, control.port, True)):
+        await until(lambda: all({*names} <= {*n.callers} for n in (a, b)), "calls of all at both")
+        a.answers.clear()
+        b.answers.clear()
+        before = len(a.callers), len(b.callers)
+
+        def held() -> list[str]:
+            return a.callers[before[0]:] + b.callers[before[1]:]
+        await until(lambda: {*names} <= {*held()}, "a call of each is held")
+        told.tell(**{n.name: {"lifecycle": "removed"} for n in (a, b)}, **{n.name: n.entry() for n in (c, d)})
+        await until(lambda: acknowledged(control, told.generation, *names), "all know of the new nodes")
+        await asyncio.sleep(RULE_S)
+        assert sorted(held()) == sorted(names) and not c.calls and not d.calls, "no open call was sent again"
+        a.answers.set()
+        b.answers.set()
+        await until(lambda: all({*names} <= {*n.callers} for n in (c, d)), "calls at the new nodes")
+        assert sorted(held()) == sorted(names), "nothing new went to the old ones"
+        assert said == ["ready"] and not sotw.failures and not delta.failures
+
+
+def test_calls_open_at_a_cluster_that_is_replaced_get_their_one_answer_and_run_once() -> None:
+    asyncio.run(replaced())
