The parties' tests run on the lab's own simulated network; the shedding model joins the lab

Change: tests/lab/parties/hosts.py puts the parties on hosts of the simulated network, 1 ms apart (tiny_loop.py goes); tests/overload/sim.py is roadlb/lab/model/shedding.py, held by the import contract of deciders and by strict mypy.

--- a/benchmarks/overload_sim.py
+++ b/benchmarks/overload_sim.py
@@ -1,4 +1,4 @@
-"""Ways to shed, compared in the simulation of tests/overload/sim.py: worth and lateness against load.
+"""Ways to shed, compared in the simulation of roadlb/lab/model/shedding.py: worth and lateness against load.
 
     python benchmarks/overload_sim.py [--loads 0.5,1,2] [--slow 4] [--connections 341] [--png FILE]
     python benchmarks/overload_sim.py --compare            every way, with bursts and rude clients
@@ -18,9 +18,9 @@
 from statistics import fmean, pstdev
 
 ROOT = Path(__file__).resolve().parent.parent
-sys.path[:0] = [str(ROOT), str(ROOT / "tests")]
+sys.path.insert(0, str(ROOT))
 
-from overload.sim import ORDER, READ, SECOND, Controller, Costs, Sim, Site  # noqa: E402
+from roadlb.lab.model.shedding import ORDER, READ, SECOND, Controller, Costs, Sim, Site  # noqa: E402
 
 from roadlb.overload import controller as chosen  # noqa: E402
 from roadlb.overload.controller import Action, Shed  # noqa: E402
--- a/tests/lab/parties/test_grid_node.py
+++ b/tests/lab/parties/test_grid_node.py
@@ -4,7 +4,7 @@
 from random import Random
 
 import pytest
-from tiny_loop import DELAY_S, virtual
+from hosts import DELAY_S, HERE, virtual
 
 from roadlb.lab.model.spec import NodeSpec, Spoil
 from roadlb.lab.parties.bodies import asked, is_right
@@ -13,7 +13,7 @@
 from roadlb.lab.wire import NodeFell, NodeGave, NodeGot, NodeRan, NodeStarted, NodeState, WireLog
 
 MS = 0.001
-AT = ("10.0.0.1", 8080)
+AT = (HERE, 8080)
 
 
 class Caller(asyncio.Protocol):
--- a/tests/lab/parties/test_parties_clients.py
+++ b/tests/lab/parties/test_parties_clients.py
@@ -7,7 +7,7 @@
 
 import pytest
 import uvloop
-from tiny_loop import virtual
+from hosts import virtual
 
 from roadlb.lab.model.classes import ClassSpec, Habits, TenantSpec
 from roadlb.lab.model.keys import Keys
@@ -101,7 +101,7 @@
     Balancer.script, Balancer.requests = script, []
     log = WireLog()
     front = Front(log, loop.clock, Random(1))
-    loop.servers["10.0.0.4", 80] = Balancer
+    await loop.create_server(Balancer, "10.0.0.4", 80)
     front.place("n0", "hall-a", ("10.0.0.4", 80))
     await asyncio.sleep(0.1)
     clients = Clients("c0", "hall-a", traffic, front, log, loop.clock, Random(2), **more)
@@ -217,7 +217,7 @@
 @virtual
 async def test_orders_go_elsewhere_when_the_balancer_was_not_reached(loop):
     clients, front, log = await stage(loop, ["served"], Wishes(ORDER, S))
-    loop.servers.clear()
+    loop.servers["10.0.0.4"].close()
     await asyncio.sleep(0.95)
     await loop.create_server(Balancer, "10.0.0.4", 80)
     await asyncio.sleep(3)
@@ -240,7 +240,7 @@
     assert all(isinstance(e, BalancerState) for e in log)
     assert {front.pick("hall-a")[0] for _ in range(5)} == {"n0"}
     assert {front.pick("hall-c")[0] for _ in range(5)} == {"n0", "n1"}
-    loop.servers.pop(("10.0.0.4", 80))
+    loop.servers["10.0.0.4"].close()
     front.failed("n0")
     await asyncio.sleep(1.29)
     assert front.pick("hall-a")[0] == "n0"
--- a/tests/lab/parties/test_parties_discovery.py
+++ b/tests/lab/parties/test_parties_discovery.py
@@ -5,14 +5,14 @@
 from random import Random
 
 import pytest
-from tiny_loop import DELAY_S, virtual
+from hosts import DELAY_S, HERE, virtual
 
 from roadlb.lab.parties.discovery import Agent, DiscoveryFigures, Entry, Registry
 from roadlb.lab.wire import Told, WireLog
 
 FIGURES = DiscoveryFigures((1_000_000, 1_000_000), (8_000_000, 8_000_000), (2_000_000, 2_000_000), 500_000,
                            (100_000, 100_000))
-AT = ("10.2.0.1", 8500)
+AT = (HERE, 8500)
 
 
 def entry(name, **more):
@@ -180,7 +180,7 @@
     registry, agent = await start(loop, log)
     link = await watch(loop)
     await asyncio.sleep(1)
-    await agent.move(("10.2.0.2", 8500))
+    await agent.move((HERE, 8501))
     moved = loop.time()
     with pytest.raises(ConnectionRefusedError):
         await watch(loop)
--- a/tests/overload/test_claims.py
+++ b/tests/overload/test_claims.py
@@ -16,7 +16,7 @@
 from roadlb.overload.meter import Reading
 from roadlb.policy.interface import Effect, RequestClass
 
-from .sim import ORDER, READ, SECOND, Costs, Sim, Site
+from roadlb.lab.model.shedding import ORDER, READ, SECOND, Costs, Sim, Site
 
 AIM_US = 500_000
 CHEAP = 40 / 230        # what a refusal costs of a served request, with the costs of `Costs`
