Lab: one shape of traffic, one end of a node, one stage for runs and live grids

Read again, the lab held twins: the course of arrivals in the crowd and in the load tool (now drawn.shape_of); stop and kill of a node; the building and the steps of a stage in the live grid; the file and environment of a balancer's process; whether two halls are parted, three times. What nobody reads goes: the worlds' names, what ended() gave, a relay's balancer.

--- a/benchmarks/lab.py
+++ b/benchmarks/lab.py
@@ -16,6 +16,7 @@
 import time
 from collections import Counter, defaultdict
 from concurrent.futures import FIRST_COMPLETED, Future, ProcessPoolExecutor, wait
+from functools import cache
 from hashlib import blake2b
 from pathlib import Path
 from random import Random
@@ -44,12 +45,15 @@
 
 # Many seeds
 
+@cache
+def sources() -> bytes:
+    """Of the program and the lab."""
+    return b"".join(source.read_bytes() for source in sorted((ROOT / "roadlb").rglob("*.py")))
+
+
 def code_of(file: Path) -> str:
     """Changes with the program, the lab and the incident: older results of it do not count."""
-    total = blake2b(file.read_bytes(), digest_size=6)
-    for source in sorted((ROOT / "roadlb").rglob("*.py")):
-        total.update(source.read_bytes())
-    return total.hexdigest()
+    return blake2b(file.read_bytes() + sources(), digest_size=6).hexdigest()
 
 
 def one_run(file: str, seed: int, code: str) -> dict[str, Any]:
--- a/roadlb/lab/grid/live.py
+++ b/roadlb/lab/grid/live.py
@@ -9,6 +9,7 @@
 import tempfile
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from math import prod
 from pathlib import Path
 
 import msgspec
@@ -16,14 +17,11 @@
 from ..incident import Incident
 from ..incident import steps as s
 from ..incident.targets import balancers_at_start
-from ..incident.words import describe
 from ..parties.discovery import Address
 from ..run.drawn import draw
 from ..run.sim_world import generators
 from ..run.stage import Stage
-from ..run.steps import Player
 from ..run.world import Process
-from ..wire import Note
 from .picture import Picture
 from .processes import ByHand, LiveWorld, Started
 from .watch import Inside, PassingLog, Watch
@@ -100,7 +98,7 @@
         self._names = [one.name for one in balancers_at_start(self._incident)]
         random, log = generators(seed), PassingLog()
         drawn = draw(self._incident, random)
-        self._world = LiveWorld(self._incident, drawn, log, folder, random, self._process)
+        self._world = LiveWorld(drawn, log, folder, random, self._process)
         self._watch = Watch(self._incident, self._world.clock(), traffic)
         log.listen(self._watch.see)
         self._stage = Stage(self._incident, drawn, self._world, log)
@@ -113,8 +111,7 @@
     async def play(self, ended: asyncio.Event, seconds: float | None, show: Show) -> Picture:
         stage = self._stage
         try:
-            await stage.fleet.begin()
-            await stage.balancers.begin(lambda hall: stage.crowd.places[hall])
+            await stage.build()
             if await self._ready(ended):
                 self._introduce()
                 gc.collect()
@@ -170,9 +167,9 @@
         stage, loop = self._stage, asyncio.get_running_loop()
         stage.origin_us = self._watch.origin_us = self._world.clock()
         if self._traffic:
-            stage.crowd.begin()
-            self._world.clients = list(stage.crowd.clients.values())
-        tasks = [loop.create_task(self._step(number)) for number in range(len(self._incident.steps))]
+            stage.arrive()
+        tasks = [loop.create_task(stage.step(number, self._say_step))
+                 for number in range(len(self._incident.steps))]
         try:
             began, second = loop.time(), 0
             while not ended.is_set() and (seconds is None or loop.time() - began < seconds):
@@ -189,13 +186,8 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _step(self, number: int) -> None:
-        step = self._incident.steps[number]
-        await asyncio.sleep(step.at_s)
-        text = step.label or describe(step, self._incident)
-        self._stage.log.write(Note(self._world.clock(), text))
+    def _say_step(self, step: s.Step, text: str) -> None:
         self._say(f"{step.at_s:6.1f} s  {text}")
-        await Player(self._stage, number).play(step)
 
     def _picture(self) -> Picture:
         return self._watch.picture(self._world.clock(), self._inside)
@@ -206,10 +198,7 @@
             return None
         model, capacity = one.party.model, one.spec.capacity
         now = model.capacity(self._world.clock())
-        slowed = 1.0
-        for factor in one.slowed:
-            slowed *= factor
-        return Inside(now / capacity, now, slowed, model.waiting, model.running)
+        return Inside(now / capacity, now, prod(one.slowed, start=1.0), model.waiting, model.running)
 
     async def _end(self) -> None:
         """Balancers answer what they have taken, then the rest goes."""
--- a/roadlb/lab/grid/processes.py
+++ b/roadlb/lab/grid/processes.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import os
 import resource
 import signal
@@ -16,10 +15,9 @@
 
 import roadlb
 
-from ..incident import Incident
 from ..parties.discovery import Address
 from ..run.drawn import Drawn
-from ..run.real_world import RealWorld
+from ..run.real_world import RealWorld, environment, write
 from ..run.world import Process
 from ..wire import WireLog
 
@@ -38,13 +36,13 @@
 
     def start(self, configuration: Mapping[str, Any]) -> None:
         self.configure(configuration)
-        own = {key: value for key, value in os.environ.items() if not key.startswith("PROXY_")}
+        own = environment(self._config_file)
         path = os.pathsep.join(filter(None, [str(Path(roadlb.__file__).parents[1]), own.get("PYTHONPATH")]))
         with self.log_file.open("ab") as log:
             # A session of its own: a terminal's Ctrl-C is this program's to pass on.
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "roadlb"], stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-                env={**own, "PYTHONPATH": path, "PROXY_CONFIG": str(self._config_file)},
+                env={**own, "PYTHONPATH": path},
                 start_new_session=True)
         limit(self._process.pid, configuration["limits"])
 
@@ -58,18 +56,10 @@
     def kill(self) -> None:
         self.signal(signal.SIGKILL)
 
-    async def ended(self) -> bool:
+    async def ended(self) -> None:
         assert self._process is not None
-        while (code := self._process.poll()) is None:
+        while self._process.poll() is None:
             await asyncio.sleep(LOOK_S)
-        return code == 0
-
-
-def write(file: Path, configuration: Mapping[str, Any]) -> None:
-    """In one step: a balancer may be reading it."""
-    new = file.with_name(file.name + ".new")
-    new.write_text(json.dumps(configuration, indent=1) + "\n", encoding="utf-8")
-    new.replace(file)
 
 
 def limit(pid: int, limits: Mapping[str, Any]) -> None:
@@ -108,7 +98,7 @@
     def kill(self) -> None:
         self.signal(signal.SIGKILL)
 
-    async def ended(self) -> bool:
+    async def ended(self) -> None:
         while True:
             await asyncio.sleep(NEVER_S)
 
@@ -116,9 +106,9 @@
 class LiveWorld(RealWorld):
     """`make` gives the process of a balancer by its name and address, which the real world keeps for it."""
 
-    def __init__(self, incident: Incident, drawn: Drawn, log: WireLog, folder: Path,
-                 random: Callable[[str], Random], make: Callable[[str, Address], Process]) -> None:
-        super().__init__(incident, drawn, log, folder, random)
+    def __init__(self, drawn: Drawn, log: WireLog, folder: Path, random: Callable[[str], Random],
+                 make: Callable[[str, Address], Process]) -> None:
+        super().__init__(drawn, log, folder, random)
         self._make = make
         self.processes: dict[str, Process] = {}
 
--- a/roadlb/lab/load/play.py
+++ b/roadlb/lab/load/play.py
@@ -10,12 +10,12 @@
 from random import Random
 
 from ...clock import Clock, monotonic_us
-from ..incident import Incident, micro, schema
-from ..model.shapes import Part, Schedule, Shape, Steady, Swung
+from ..incident import Incident, schema
+from ..model.shapes import Part
 from ..model.traffic import Traffic, Wish
 from ..parties.clients import Clients
 from ..parties.front import Front
-from ..run.drawn import draw
+from ..run.drawn import draw, shape_of
 from .loopback import loopback_address
 from .result import Counts, LoadResult
 
@@ -97,16 +97,6 @@
         front.stop()
 
 
-def shape_of(traffic: schema.Traffic, start_us: int) -> Shape:
-    """First tries a second, if every customer sends its share."""
-    base: Shape = Steady(traffic.rate)
-    if traffic.rates:
-        base = Schedule(tuple((start_us + micro(point.at_s), point.per_s) for point in traffic.rates))
-    if traffic.shape == "wave":
-        base = Swung(base, traffic.swing, micro(traffic.period_s), start_us)
-    return base
-
-
 async def _ready(front: Front, url: str) -> None:
     try:
         async with asyncio.timeout(READY_WITHIN_S):
--- a/roadlb/lab/run/crowd.py
+++ b/roadlb/lab/run/crowd.py
@@ -6,16 +6,16 @@
 from collections.abc import Callable
 from typing import Any
 
-from ..incident import Incident, micro
+from ..incident import Incident
 from ..incident.steps import Flood
 from ..incident.steps import Rude as RudeStep
-from ..model.shapes import Part, Schedule, Shape, Steady, Swung
+from ..model.shapes import Part
 from ..model.traffic import Traffic
 from ..parties.clients import Clients
 from ..parties.front import Front
 from ..parties.rude import Rude
 from ..wire import WireLog
-from .drawn import Drawn
+from .drawn import Drawn, shape_of
 from .world import Machine, Role, World
 
 # A client leaves only when even a late answer could not come any more: 8 ms by the rules, 50 ms of sockets.
@@ -35,7 +35,8 @@
     def begin(self) -> None:
         """Arrivals begin now."""
         incident, drawn, halls = self._incident, self._drawn, self._incident.network.halls
-        now, base = self._world.clock(), self._shape()
+        now = self._world.clock()
+        base = shape_of(incident.traffic, now)
         hears_us = round((incident.rules.answer_slack_ms + incident.rules.slack_ms) * 1_000)
         for number, hall in enumerate(halls):
             name = f"clients of {hall}"
@@ -47,16 +48,6 @@
                 hears_us=hears_us)
             self.places[hall].call(clients.start)
 
-    def _shape(self) -> Shape:
-        """First tries a second in all halls, if every customer sends its share."""
-        told, now = self._incident.traffic, self._world.clock()
-        base: Shape = Steady(told.rate)
-        if told.rates:
-            base = Schedule(tuple((now + micro(point.at_s), point.per_s) for point in told.rates))
-        if told.shape == "wave":
-            base = Swung(base, told.swing, micro(told.period_s), now)
-        return base
-
     async def end(self, longest_s: float) -> None:
         """No more arrivals; waits until what is open has been played out."""
         loop = asyncio.get_running_loop()
--- a/roadlb/lab/run/drawn.py
+++ b/roadlb/lab/run/drawn.py
@@ -8,9 +8,10 @@
 from random import Random
 
 from ..incident import Incident, Range, micro
-from ..incident.schema import Machine, RequestClass
+from ..incident.schema import Machine, RequestClass, Traffic
 from ..model.classes import ClassSpec, Habits, TenantSpec
 from ..model.keys import Keys
+from ..model.shapes import Schedule, Shape, Steady, Swung
 from ..model.spec import NodeSpec
 from ..parties.discovery import DiscoveryFigures
 
@@ -162,3 +163,13 @@
         report_noise=drawn("report noise", fleet.report_noise),
         fall_multiple=rules.fall_multiple, fall_us=micro(rules.fall_s), fall_each_us=FALL_EACH_US,
         fall_slack_us=FALL_SLACK_US)
+
+
+def shape_of(traffic: Traffic, start_us: int) -> Shape:
+    """First tries a second, if every customer sends its share."""
+    base: Shape = Steady(traffic.rate)
+    if traffic.rates:
+        base = Schedule(tuple((start_us + micro(point.at_s), point.per_s) for point in traffic.rates))
+    if traffic.shape == "wave":
+        base = Swung(base, traffic.swing, micro(traffic.period_s), start_us)
+    return base
--- a/roadlb/lab/run/fleet.py
+++ b/roadlb/lab/run/fleet.py
@@ -15,7 +15,7 @@
 from ..parties.grid_node import GridNode
 from ..wire import NodeFell, NodeState, WireEvent, WireLog
 from .drawn import Drawn, rough_weight
-from .world import Machine, Role, World
+from .world import Machine, Role, World, parted
 
 
 class Life(Enum):
@@ -131,12 +131,15 @@
             one.place.call(one.party.drain)
             self._registry.drain(one.name)
 
-    def stop(self, one: Standing) -> None:
-        """Its process ends at the end of its drain, whatever it still has."""
-        if one.life is not Life.GONE:
-            one.place.call(one.party.stop)
-            one.place.end()
-            self._gone(one)
+    def stop(self, one: Standing, silent: bool = False) -> None:
+        """Its process ends, whatever it still has; `silent`: its machine vanishes from the network first."""
+        if one.life is Life.GONE:
+            return
+        if silent:
+            one.place.vanish()
+        one.place.call(one.party.stop)
+        one.place.end()
+        self._gone(one, silent)
 
     async def succeed(self, one: Standing, in_place: bool) -> None:
         """A cold successor with a name of its own starts, on the same machine or on another."""
@@ -150,16 +153,6 @@
             successor = await self._new(name, one.hall, one.machine, place, {})
         self._registry.up(_entry(successor))
 
-    def kill(self, one: Standing, silent: bool) -> None:
-        """Its process dies, or its machine vanishes from the network without a word."""
-        if one.life is Life.GONE:
-            return
-        if silent:
-            one.place.vanish()
-        one.place.call(one.party.stop)
-        one.place.end()
-        self._gone(one, silent)
-
     async def back(self, one: Standing) -> None:
         """A dead node starts again, cold, under its name and at its addresses."""
         one.place.restart()
@@ -213,7 +206,7 @@
 
     def _parted(self, hall: str) -> bool:
         """Is a node of this hall cut off from some balancer?"""
-        return any((one.hall == cut) != (hall == cut) for cut in self._cuts for one in self._balancers)
+        return any(parted(one.hall, hall, self._cuts) for one in self._balancers)
 
     def cut(self, hall: str) -> None:
         self._cuts_are([*self._cuts, hall], "cut")
--- a/roadlb/lab/run/real_world.py
+++ b/roadlb/lab/run/real_world.py
@@ -19,13 +19,12 @@
 from typing import Any, ParamSpec, TypeVar
 
 from ...clock import monotonic_us, unix_us
-from ..incident import Incident
 from ..parties.clients import Clients
 from ..parties.discovery import Address
 from ..wire import Lagged, WireLog
 from .drawn import Drawn
 from .relay import Relay, Way
-from .world import Role
+from .world import Role, parted
 
 T = TypeVar("T")
 P = ParamSpec("P")
@@ -35,6 +34,19 @@
 FIRST_NET = 64                           # machines have 127.64.0.1 and up, in 64 nets by process id
 
 
+def environment(config: Path) -> dict[str, str]:
+    """Of a balancer that finds its configuration there, and nothing else that was set for another."""
+    return {**{name: value for name, value in os.environ.items() if not name.startswith("PROXY_")},
+            "PROXY_CONFIG": str(config)}
+
+
+def write(file: Path, configuration: Mapping[str, Any]) -> None:
+    """In one step: a balancer may be reading it."""
+    new = file.with_name(file.name + ".new")
+    new.write_text(json.dumps(configuration, indent=1) + "\n", encoding="utf-8")
+    new.replace(file)
+
+
 class RealMachine:
     """An address of the loopback net; its parties run in the lab's loop, as all do."""
 
@@ -90,20 +102,16 @@
         self._starting = asyncio.get_running_loop().create_task(self._run())
 
     async def _run(self) -> None:
-        environment = {name: value for name, value in os.environ.items() if not name.startswith("PROXY_")}
         with self._log().open("wb") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "roadlb", stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
-                env={**environment, "PROXY_CONFIG": str(self._config)})
+                env=environment(self._config))
 
     def _log(self) -> Path:
         return self._folder / f"{self.name}-{self._starts}.log"
 
     def configure(self, configuration: Mapping[str, Any]) -> None:
-        """Replaced in one step: the program may be reading it."""
-        new = self._config.with_suffix(".new")
-        new.write_text(json.dumps(configuration))
-        new.replace(self._config)
+        write(self._config, configuration)
 
     def signal(self, number: int) -> None:
         if self._process and self._process.returncode is None:
@@ -112,7 +120,7 @@
     def kill(self) -> None:
         self.signal(signal.SIGKILL)
 
-    async def ended(self) -> bool:
+    async def ended(self) -> None:
         assert self._starting is not None
         await self._starting
         assert self._process is not None
@@ -120,7 +128,6 @@
         self._read(self._log())
         if code not in (0, -signal.SIGKILL):
             self._faults.append(f"{self.name}: ended with {code}")
-        return code in (0, -signal.SIGKILL)
 
     def _read(self, log: Path) -> None:
         """What the program has said: its errors, and its counters where it ended in order; once."""
@@ -154,11 +161,8 @@
 class RealWorld:
     """`folder` takes configurations and logs of the processes."""
 
-    name = "real"
-
-    def __init__(self, incident: Incident, drawn: Drawn, log: WireLog, folder: Path,
-                 random: Callable[[str], Random]) -> None:
-        self._incident, self._drawn, self._log, self._folder = incident, drawn, log, folder
+    def __init__(self, drawn: Drawn, log: WireLog, folder: Path, random: Callable[[str], Random]) -> None:
+        self._drawn, self._log, self._folder = drawn, log, folder
         self.random, self.clock, self.wall = random, monotonic_us, unix_us
         self.faults: list[str] = []
         self.counters: dict[str, dict[str, int]] = {}
@@ -201,9 +205,9 @@
         """Through a relay, which stays where it is for as long as the machine's address does."""
         relay = machine.relays.get(balancer)
         if relay is None or relay.target != address:
-            way = Way(balancer, balancer_hall, machine.hall)
+            way = Way(balancer_hall, machine.hall)
             relay = machine.relays[balancer] = Relay(way, machine.ip, address, self._delay(way))
-            relay.silent = self._parted(way)
+            relay.silent = parted(way.balancer_hall, way.node_hall, self._cut)
             self._relays.append(relay)
         relay.open()
         return relay.address
@@ -216,9 +220,6 @@
 
     # The network
 
-    def _parted(self, way: Way) -> bool:
-        return any((way.balancer_hall == cut) != (way.node_hall == cut) for cut in self._cut)
-
     def cut(self, hall: str) -> list[str]:
         """Between balancers and nodes; clients and balancers are not parted here."""
         self._cut.append(hall)
@@ -231,7 +232,8 @@
 
     def _silence(self) -> None:
         for relay in self._relays:
-            relay.silence(relay.vanished or self._parted(relay.way))
+            way = relay.way
+            relay.silence(relay.vanished or parted(way.balancer_hall, way.node_hall, self._cut))
 
     def reset(self, share: float, between: Role, hall: str | None) -> list[str]:
         rng = self._delays
--- a/roadlb/lab/run/rehearsal.py
+++ b/roadlb/lab/run/rehearsal.py
@@ -73,7 +73,7 @@
     async def play(folder: Path) -> tuple[int, int, dict[str, Any]]:
         random = generators(seed)
         drawn = draw(incident, random)
-        stage = Stage(incident, drawn, RealWorld(incident, drawn, log, folder, random), log)
+        stage = Stage(incident, drawn, RealWorld(drawn, log, folder, random), log)
         end_us = await _played(stage)
         return stage.origin_us, end_us, stage.figures() | {"program_errors": []}
 
--- a/roadlb/lab/run/relay.py
+++ b/roadlb/lab/run/relay.py
@@ -146,7 +146,6 @@
 class Way:
     """Which two machines a relay stands between."""
 
-    balancer: str
     balancer_hall: str
     node_hall: str
 
--- a/roadlb/lab/run/sim_world.py
+++ b/roadlb/lab/run/sim_world.py
@@ -15,7 +15,7 @@
 from ..parties.discovery import Address
 from ..sim import Connection, Host, HostDown, Network, SimLoop
 from .drawn import Drawn
-from .world import Role
+from .world import Role, parted
 
 T = TypeVar("T")
 P = ParamSpec("P")
@@ -90,16 +90,14 @@
         self._note()
         self.host.kill()
 
-    async def ended(self) -> bool:
+    async def ended(self) -> None:
         assert self._task is not None
         try:
             await asyncio.shield(self._task)
-            return True
         except HostDown:
-            return True
+            pass
         except Exception as e:
             self._world.faults.append(f"{self.host.name}: {type(e).__name__}: {e}")
-            return False
         finally:
             self._note()
             self.host.kill(fin=True)     # whatever it held, its kernel closes
@@ -114,8 +112,6 @@
 class SimWorld:
     """Made on a running `SimLoop`.  `app` makes each balancer; a test may hand in one with a defect."""
 
-    name = "sim"
-
     def __init__(self, incident: Incident, drawn: Drawn, app: AppFactory = App) -> None:
         self.loop, self.app = SimLoop.running(), app
         self.network = Network(self.loop, abort_resets=False)      # as uvloop, on which the program runs
@@ -187,11 +183,10 @@
         sites = [(hall, _place(hall, role)) for hall in self._halls for role in (Role.NODE, Role.CLIENTS)]
         for i, (hall, site) in enumerate(sites):
             for other, far in sites[i + 1:]:
-                if hall != other:
-                    if hall in self._cut or other in self._cut:
-                        self.network.cut(site, far)
-                    else:
-                        self.network.heal(site, far)
+                if parted(hall, other, self._cut):
+                    self.network.cut(site, far)
+                elif hall != other:
+                    self.network.heal(site, far)
 
     def reset(self, share: float, between: Role, hall: str | None) -> list[str]:
         among = [connection for connection in self.network.connections()
--- a/roadlb/lab/run/stage.py
+++ b/roadlb/lab/run/stage.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from ..incident import Incident, micro
+from ..incident.steps import Step
 from ..incident.words import describe
 from ..parties.discovery import Registry
 from ..parties.front import Front
@@ -39,15 +40,23 @@
         self._silences = 0
         self.origin_us = 0              # the clock when arrivals begin
 
-    async def play(self) -> None:
+    async def build(self) -> None:
+        """The fleet and the balancers start, and no clients yet."""
         await self.fleet.begin()
         await self.balancers.begin(lambda hall: self.crowd.places[hall])
-        await self._ready()
-        self.origin_us = self.world.clock()
+
+    def arrive(self) -> None:
+        """Arrivals begin now."""
         self.crowd.begin()
         self.world.clients = list(self.crowd.clients.values())
+
+    async def play(self) -> None:
+        await self.build()
+        await self._ready()
+        self.origin_us = self.world.clock()
+        self.arrive()
         async with asyncio.TaskGroup() as group:
-            steps = [group.create_task(self._step(number)) for number in range(len(self.incident.steps))]
+            steps = [group.create_task(self.step(number)) for number in range(len(self.incident.steps))]
             await asyncio.sleep(self.incident.duration_s)
             longest_s = max(row.deadline_s for row in self.incident.traffic.classes)
             await self.crowd.end(longest_s + PLAYED_OUT_S)
@@ -73,10 +82,14 @@
                 raise RuntimeError(f"{', '.join(sorted(out))}: not ready within {READY_S:g} s of their start")
             await asyncio.sleep(LOOK_S)
 
-    async def _step(self, number: int) -> None:
+    async def step(self, number: int, say: Callable[[Step, str], None] | None = None) -> None:
+        """Play one step when its time has come; `say` is told of it as it begins."""
         step = self.incident.steps[number]
         await asyncio.sleep(step.at_s)
-        self.log.write(Note(self.world.clock(), step.label or describe(step, self.incident)))
+        text = step.label or describe(step, self.incident)
+        self.log.write(Note(self.world.clock(), text))
+        if say:
+            say(step, text)
         await Player(self, number).play(step)
 
     def silence(self) -> Callable[[], None]:
--- a/roadlb/lab/run/steps.py
+++ b/roadlb/lab/run/steps.py
@@ -65,9 +65,7 @@
         if one.life is not Life.UP:
             return
         self._fleet.awaited += 1
-        self._fleet.drain(one)
-        await asyncio.sleep(step.drain_s)
-        self._fleet.stop(one)
+        await self._leave(one, step.drain_s)
         await self._fleet.succeed(one, step.address == "same")
         self._fleet.awaited -= 1
 
@@ -87,7 +85,7 @@
     async def _kill(self, step: s.KillNode) -> None:
         whom = self._nodes(step)
         for one in whom:
-            self._fleet.kill(one, step.silent)
+            self._fleet.stop(one, step.silent)
         if step.back_after_s is not None:
             await self._until(step.back_after_s)
             for one in whom:
--- a/roadlb/lab/run/world.py
+++ b/roadlb/lab/run/world.py
@@ -23,6 +23,11 @@
     AGENT = auto()
 
 
+def parted(hall: str, other: str, cuts: Sequence[str]) -> bool:
+    """Has one of these cuts come between the halls?  A hall that is cut off still hears itself."""
+    return hall != other and (hall in cuts or other in cuts)
+
+
 class Machine(Protocol):
     """Where parties run.  Its address is its own for the whole run."""
 
@@ -61,8 +66,8 @@
 
     def kill(self) -> None: ...
 
-    async def ended(self) -> bool:
-        """Wait until the program has ended by itself, or was killed; whether it ended as it should."""
+    async def ended(self) -> None:
+        """Wait until the program has ended by itself, or was killed."""
 
 
 class World(Protocol):
@@ -70,9 +75,6 @@
 
     clients: Sequence[Clients]           # told by the stage once they are there
 
-    @property
-    def name(self) -> str: ...
-
     def clock(self) -> int: ...
 
     def wall(self) -> int: ...
--- a/roadlb/lab/sim/loop.py
+++ b/roadlb/lab/sim/loop.py
@@ -359,13 +359,14 @@
     async def create_server(self, protocol_factory: Callable[[], asyncio.BaseProtocol],  # type: ignore[override]
                             host: Any = None, port: Any = None, **options: Any) -> SimServer:
         """`asyncio`'s, on the network of the host that calls; options: see `Network.create_server`."""
-        return await self.the_network().create_server(self._life(), protocol_factory, host, port, **options)
+        network = self.the_network()
+        return await network.create_server(self.current_host(), protocol_factory, host, port, **options)
 
     async def create_connection(  # type: ignore[override]
             self, protocol_factory: Callable[[], asyncio.BaseProtocol], host: Any = None, port: Any = None,
             **options: Any) -> tuple[SimTransport, asyncio.BaseProtocol]:
         network = self.the_network()
-        return await network.create_connection(self._life(), protocol_factory, host, port, **options)
+        return await network.create_connection(self.current_host(), protocol_factory, host, port, **options)
 
     async def create_datagram_endpoint(
             self, protocol_factory: Callable[[], asyncio.BaseProtocol], local_addr: Any = None,
--- a/roadlb/lab/sim/network.py
+++ b/roadlb/lab/sim/network.py
@@ -12,7 +12,6 @@
 from .dial import Dial, Verdict
 from .errors import SimError, refuse
 from .host import Host
-from .life import Life
 from .loop import SimLoop
 from .names import Names, is_literal, is_loopback
 from .route import Link, Route
@@ -178,7 +177,7 @@
         family = like[0] if like else socket.AF_INET
         return SimSocket(self, self.loop.current_host(), family=family)
 
-    async def create_server(self, life: Life, factory: Callable[[], asyncio.BaseProtocol], host: Any,
+    async def create_server(self, machine: Host, factory: Callable[[], asyncio.BaseProtocol], host: Any,
                             port: Any, *, family: int = 0, flags: int = 0, sock: Any = None,
                             backlog: int = 100, reuse_address: bool | None = None,
                             reuse_port: bool | None = None, start_serving: bool = True,
@@ -187,8 +186,6 @@
         _plain("create_server", sock, options)
         if reuse_port:
             refuse("reuse_port", "listen once, or give each listener a host of its own")
-        machine = life.host
-        assert machine is not None
         if sock is not None:
             if sock.listener is None:
                 sock.listen(backlog)
@@ -219,15 +216,13 @@
                     ips[info[4][0]] = None
         return list(ips)
 
-    async def create_connection(self, life: Life, factory: Callable[[], asyncio.BaseProtocol], host: Any,
+    async def create_connection(self, machine: Host, factory: Callable[[], asyncio.BaseProtocol], host: Any,
                                 port: Any, *, family: int = 0, proto: int = 0, flags: int = 0,
                                 sock: Any = None, local_addr: Any = None,
                                 happy_eyeballs_delay: float | None = None, interleave: int | None = None,
                                 **options: Any) -> tuple[SimTransport, asyncio.BaseProtocol]:
         """See `asyncio`; addresses are tried one after another."""
         _plain("create_connection", sock, options)
-        machine = life.host
-        assert machine is not None
         if sock is not None:
             end = sock.end
             if end is None:
--- a/tests/lab/run/test_run_real.py
+++ b/tests/lab/run/test_run_real.py
@@ -37,7 +37,7 @@
     """Run a test with an open relay before an echo."""
     async def main(test: Callable[[Relay], Coroutine[Any, Any, None]]) -> None:
         server = await asyncio.get_running_loop().create_server(Echo, "127.0.0.1", 0)
-        relay = Relay(Way("b", "x", "y"), "127.0.0.1", server.sockets[0].getsockname(), lambda: 0.01)
+        relay = Relay(Way("x", "y"), "127.0.0.1", server.sockets[0].getsockname(), lambda: 0.01)
         relay.open()
         await test(relay)
         relay.close()
