Line ends behind a node's answer are seen wherever the answer is cut

Line ends that llhttp passes over were looked for in the last segment alone, and only as a whole CRLF; the connection was used again. They reach no client and no next answer, as each answer has a parser's state of its own, but nothing may be kept that belongs to no request.

Change: what has no body, or a chunked one, ends with two line ends: the last five bytes, over segments, say whether more came. A test of every cut with CRLF, LF and CR behind fails in all six cases without it.

--- a/roadlb/net/instance_connection.py
+++ b/roadlb/net/instance_connection.py
@@ -54,7 +54,7 @@
 
     __slots__ = ("_answer", "_body", "_call", "_extra", "_final", "_head_whole", "_headers", "_interim",
                  "_keep", "_pairs", "_parser", "_pool", "_size", "_spoilt", "_stall", "_status",
-                 "_unwritten", "address", "rested_us", "server", "transport")
+                 "_tail", "_unwritten", "address", "rested_us", "server", "transport")
 
     def __init__(self, pool: Pool, server: ServerId, address: object) -> None:
         self._pool, self.server, self.address = pool, server, address
@@ -80,6 +80,7 @@
         self._final = self._extra = False              # the final answer is whole; something came behind it
         self._keep = False                             # the instance lets the connection live on
         self._spoilt = ""                              # why the answer cannot be used
+        self._tail = b""                               # the last bytes of those before this segment
         self._answer: Result | None = None
 
     # The pool's side
@@ -156,16 +157,20 @@
             if self._size > HEAD_MOST:
                 self._spoilt = self._spoilt or "too long"
         elif self._final and not self._extra:
-            # The parser passes over line ends in front of a next answer, which there must not be.
+            # The parser passes over line ends in front of a next answer, which there must not be.  What has
+            # no body, or a chunked one, ends with two of them, cut up as it may be.
             body = self._body[-1] if self._body and not self._headers.encodings else b""
-            self._extra = not data.endswith(body) if body else data.endswith(b"\r\n\r\n\r\n")
+            tail = (self._tail + data[-5:])[-5:]
+            self._extra = not data.endswith(body) if body else not tail.strip(b"\r\n")
         if self._spoilt:
             self._end(Result(Ending.GARBLED), self._spoilt, keep=False)
         elif self._answer:
             self._end(self._answer, "", keep=self._keep and not self._extra and not self._unwritten)
-        elif not self._stall:
-            self._stall = self._pool.wheel.at(
-                self._pool.clock() + int(ANSWER_S * 1e6), InstanceConnection._stalled, self)
+        else:
+            self._tail = (self._tail + data[-5:])[-5:]
+            if not self._stall:
+                self._stall = self._pool.wheel.at(
+                    self._pool.clock() + int(ANSWER_S * 1e6), InstanceConnection._stalled, self)
 
     # The parser's side
 
--- a/tests/net/test_behaviour.py
+++ b/tests/net/test_behaviour.py
@@ -304,6 +304,16 @@
     check_node(message, harness.node(segments, gap))
 
 
+@pytest.mark.parametrize("behind", [b"\r\n", b"\n", b"\r"])
+@pytest.mark.parametrize("whole", [answer(status="204 S", length=False),
+                                   answer(CHUNKED, body=BODY_3 + LAST, length=False)])
+def test_line_ends_behind_an_answer_are_seen_wherever_it_is_cut(whole: str, behind: bytes) -> None:
+    # Only those were seen that came with the answer's own last line ends in one segment.
+    data = whole.encode("latin-1") + behind
+    for at in range(1, len(data)):
+        assert harness.node([data[:at], data[at:]], 0).next != "reused", at
+
+
 # From end to end
 
 def id_of(ran: Ran) -> str:
