One watch for the balancer and the control service, and other twins of the network side

The dial, the silence and the end of one watch stood in NameTable and in FleetWatch: now watch.listen, with its limits beside it. The module's view asks silent() and suspect() instead of writing them out; a class keeps its quickest answer itself; the status page's JSON goes out by http.plain; the pool knows an address by its own type. The module decides as before.

--- a/roadlb/net/fleet_watch.py
+++ b/roadlb/net/fleet_watch.py
@@ -12,15 +12,10 @@
 from ..fleet.model import Picture
 from ..fleet.platform import MalformedList, read_line, take_into
 from ..log import fields
-from .watch import Watch, WatchBroken
+from .watch import PAUSE_MOST_S, PAUSE_S, Watch, WatchBroken, listen
 
 logger = logging.getLogger(__name__)
 
-# A sound watch says something every 2 s.  A silent one is opened again well before what discovery has to
-# tell counts as told without having come.
-SILENCE_S = 3.0
-DIAL_S = 1.0
-PAUSE_S, PAUSE_MOST_S = 0.1, 1.0
 CALL_S = 2.0                 # an answer to a call that has not come by then will not come
 LINGER_S = 0.05              # for the lines behind the first one of a call
 
@@ -41,7 +36,7 @@
         while True:
             before = self.counts["line"]
             try:
-                await self._watch()
+                await listen(self.at, self._generation, self._line)
                 self.error = "the watch has ended"
             except (MalformedList, WatchBroken, ValueError) as e:
                 self.counts["malformed"] += 1
@@ -56,26 +51,9 @@
             logger.warning("watch broken", extra=fields(error=self.error, again_s=pause))
             await asyncio.sleep(pause)
 
-    def _open(self, line: Callable[[bytes], None]) -> Watch:
-        after = self.picture.generation if self.picture else 0
-        return Watch(f"/v1/servers?watch=1&after={after}", str(self.at), line)
-
-    async def _watch(self) -> None:
-        """One watch, to its end; raises what ended it, TimeoutError after a silence."""
-        loop = asyncio.get_running_loop()
-        watch = self._open(self._line)
-        try:
-            async with asyncio.timeout(DIAL_S):
-                await loop.create_connection(lambda: watch, self.at.host, self.at.port)
-            while not watch.ended.done():
-                left = watch.heard + SILENCE_S - loop.time()
-                if left <= 0:
-                    raise TimeoutError(f"silent for {SILENCE_S} s")
-                await asyncio.wait([watch.ended], timeout=left)
-            watch.ended.result()
-        finally:
-            watch.ended.cancel()
-            watch.close()
+    @property
+    def _generation(self) -> int:
+        return self.picture.generation if self.picture else 0
 
     async def call(self) -> int | None:
         """Ask for what there is beside the watch; the generation then held, None if the call failed.
@@ -87,7 +65,7 @@
         def line(text: bytes) -> None:
             self._line(text)
             first.set()
-        watch = self._open(line)
+        watch = Watch(self.at, self._generation, line)
         try:
             async with asyncio.timeout(CALL_S):
                 await asyncio.get_running_loop().create_connection(lambda: watch, self.at.host, self.at.port)
--- a/roadlb/net/http.py
+++ b/roadlb/net/http.py
@@ -27,11 +27,12 @@
     return plain(502, answer.reason, last)
 
 
-def plain(status: int, text: str, last: bool, more: bytes = b"") -> bytes:
+def plain(status: int, text: str, last: bool, more: bytes = b"",
+          kind: bytes = b"text/plain; charset=utf-8") -> bytes:
     """An answer of our own with a line of text for a person; `more`: further header lines."""
     body = text.encode() + b"\n"
-    return b"%bContent-Type: text/plain; charset=utf-8\r\n%b%bContent-Length: %d\r\n\r\n%b" % (
-        _STATUS[status], more, _CLOSE if last else b"", len(body), body)
+    return b"%bContent-Type: %b\r\n%b%bContent-Length: %d\r\n\r\n%b" % (
+        _STATUS[status], kind, more, _CLOSE if last else b"", len(body), body)
 
 
 def empty(status: int, last: bool) -> bytes:
--- a/roadlb/net/instance_connection.py
+++ b/roadlb/net/instance_connection.py
@@ -19,6 +19,7 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
+from ..config import Address
 from ..exchange import Ending, Result, Served
 from ..policy.interface import ServerId
 from ..wheel import Timer
@@ -33,7 +34,7 @@
 ANSWER_S = 0.3
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, init=False)
 class Call:
     """One request to one instance: `data` goes out as it is, `ended` hears once what came of it.
 
@@ -44,9 +45,14 @@
     data: bytes
     until_us: int
     ended: Callable[[Result, str], None]
-    connection: InstanceConnection | None = None
-    dialling: asyncio.Task[None] | None = None
-    timer: Timer | None = None
+    connection: InstanceConnection | None
+    dialling: asyncio.Task[None] | None
+    timer: Timer | None
+
+    def __init__(self, server: ServerId, data: bytes, until_us: int,
+                 ended: Callable[[Result, str], None]) -> None:
+        self.server, self.data, self.until_us, self.ended = server, data, until_us, ended
+        self.connection, self.dialling, self.timer = None, None, None
 
 
 class InstanceConnection:
@@ -56,7 +62,7 @@
                  "_keep", "_pairs", "_parser", "_pool", "_size", "_spoilt", "_stall", "_status",
                  "_tail", "_unwritten", "address", "rested_us", "server", "transport")
 
-    def __init__(self, pool: Pool, server: ServerId, address: object) -> None:
+    def __init__(self, pool: Pool, server: ServerId, address: Address) -> None:
         self._pool, self.server, self.address = pool, server, address
         self._parser = HttpResponseParser(self)
         # A control byte in a header, such as a load report that cannot be read, costs no good answer.  Line
--- a/roadlb/net/name_table.py
+++ b/roadlb/net/name_table.py
@@ -17,15 +17,10 @@
 from ..log import fields
 from ..policy.interface import ListKind, Member, ServerId, ServerState
 from .instances import Instances
-from .watch import Watch, WatchBroken
+from .watch import PAUSE_MOST_S, PAUSE_S, WatchBroken, listen
 
 logger = logging.getLogger(__name__)
 
-# A sound watch says something every 2 s.  A silent one is opened again well before what discovery has to
-# tell counts as told without having come.
-SILENCE_S = 3.0
-DIAL_S = 1.0
-PAUSE_S, PAUSE_MOST_S = 0.1, 1.0
 STATES = {"up": ServerState.READY, "draining": ServerState.DRAINING, "removed": ServerState.GONE}
 
 
@@ -142,7 +137,7 @@
             before, error = self._counters["list.line"], "ended"
             try:
                 self._moved.clear()
-                await self._until_moved(self._watch(self._discovery, self._generation))
+                await self._until_moved(listen(self._discovery, self._generation, self._line))
             except (MalformedList, WatchBroken) as e:
                 self._counters.add("list.malformed")
                 error = f"malformed: {e}"
@@ -160,23 +155,6 @@
             logger.warning("watch broken", extra=fields(error=error, again_s=pause))
             await self._until_moved(asyncio.sleep(pause))
 
-    async def _watch(self, discovery: Address, generation: int) -> None:
-        """One watch, to its end; raises what ended it, TimeoutError after a silence."""
-        loop = asyncio.get_running_loop()
-        watch = Watch(f"/v1/servers?watch=1&after={generation}", str(discovery), self._line)
-        try:
-            async with asyncio.timeout(DIAL_S):
-                await loop.create_connection(lambda: watch, discovery.host, discovery.port)
-            while not watch.ended.done():
-                left = watch.heard + SILENCE_S - loop.time()
-                if left <= 0:
-                    raise TimeoutError(f"silent for {SILENCE_S} s")
-                await asyncio.wait([watch.ended], timeout=left)
-            watch.ended.result()
-        finally:
-            watch.ended.cancel()
-            watch.close()
-
     def _line(self, line: bytes) -> None:
         if self._moved.is_set():
             return                                   # what the old place still says is out of date
--- a/roadlb/net/pool.py
+++ b/roadlb/net/pool.py
@@ -10,9 +10,10 @@
 import asyncio
 import errno
 from collections.abc import Mapping
-from typing import Protocol, cast
+from typing import cast
 
 from ..clock import Clock
+from ..config import Address
 from ..exchange import Ending, Result
 from ..policy.interface import ServerId
 from ..wheel import Wheel
@@ -24,16 +25,6 @@
 NO_DESCRIPTOR = frozenset({errno.EMFILE, errno.ENFILE})
 
 
-class Address(Protocol):
-    """Where an instance listens."""
-
-    @property
-    def host(self) -> str: ...
-
-    @property
-    def port(self) -> int: ...
-
-
 class Pool:
     """At most `most` connections, idle for at most `keep_us`; `dial_us` is how long a dial may take."""
 
--- a/roadlb/net/service_client.py
+++ b/roadlb/net/service_client.py
@@ -49,10 +49,9 @@
 REJECTS_LOGGED = 20    # a second; the others are only counted
 
 
-def key_number(text: str | bytes) -> int:
+def key_number(key: bytes) -> int:
     """A key as the module wants it: 64 bits, alike in every process; 0 stands for none."""
-    data = text.encode() if isinstance(text, str) else text
-    return int.from_bytes(blake2b(data, digest_size=8).digest(), "little") or 1 if data else 0
+    return int.from_bytes(blake2b(key, digest_size=8).digest(), "little") or 1 if key else 0
 
 
 def passable(target: bytes) -> bool:
--- a/roadlb/net/status_page.py
+++ b/roadlb/net/status_page.py
@@ -4,14 +4,11 @@
 
 import asyncio
 import json
-import logging
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from .http import plain
 
-logger = logging.getLogger(__name__)
-
 HEAD_MOST = 8_192
 HEAD_S = 5.0                 # who has not asked by then is let go
 ANSWERED_MOST = 20           # at once: a page of 10,000 subscribers is some MB
@@ -27,9 +24,8 @@
     def written(self) -> bytes:
         if isinstance(self.content, str):
             return plain(self.status, self.content, True)
-        body = json.dumps(self.content, indent=1).encode() + b"\n"
-        return (b"HTTP/1.1 %d OK\r\nContent-Type: application/json\r\nCache-Control: no-store\r\n"
-                b"Connection: close\r\nContent-Length: %d\r\n\r\n%b" % (self.status, len(body), body))
+        return plain(self.status, json.dumps(self.content, indent=1), True, b"Cache-Control: no-store\r\n",
+                     b"application/json")
 
 
 class StatusPage:
--- a/roadlb/net/watch.py
+++ b/roadlb/net/watch.py
@@ -8,7 +8,14 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
+from ..config import Address
+
 LINE_MOST = 4 << 20
+# A sound watch says something every 2 s.  A silent one is opened again well before what discovery has to
+# tell counts as told without having come.
+SILENCE_S = 3.0
+DIAL_S = 1.0
+PAUSE_S, PAUSE_MOST_S = 0.1, 1.0     # before it is opened again
 
 
 class WatchBroken(Exception):
@@ -16,10 +23,14 @@
 
 
 class Watch(asyncio.Protocol):
-    """Asks on connecting; `line` gets each line without its end; `ended` is done when it is over."""
+    """Asks on connecting for what came after a generation, and all that is yet to come.
+
+    `line` gets each line without its end; `ended` is done when it is over.
+    """
 
-    def __init__(self, target: str, host: str, line: Callable[[bytes], None]) -> None:
-        self._ask = f"GET {target} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode()
+    def __init__(self, discovery: Address, after: int, line: Callable[[bytes], None]) -> None:
+        self._ask = (f"GET /v1/servers?watch=1&after={after} HTTP/1.1\r\nHost: {discovery}\r\n"
+                     "Accept: application/json\r\n\r\n").encode()
         self._line, self._rest = line, b""
         self._parser = HttpResponseParser(self)
         self._loop = asyncio.get_running_loop()
@@ -74,3 +85,21 @@
     def close(self) -> None:
         if self._transport:
             self._transport.abort()
+
+
+async def listen(discovery: Address, after: int, line: Callable[[bytes], None]) -> None:
+    """One watch, to its end; raises what ended it, TimeoutError after a silence."""
+    loop = asyncio.get_running_loop()
+    watch = Watch(discovery, after, line)
+    try:
+        async with asyncio.timeout(DIAL_S):
+            await loop.create_connection(lambda: watch, discovery.host, discovery.port)
+        while not watch.ended.done():
+            left = watch.heard + SILENCE_S - loop.time()
+            if left <= 0:
+                raise TimeoutError(f"silent for {SILENCE_S} s")
+            await asyncio.wait([watch.ended], timeout=left)
+        watch.ended.result()
+    finally:
+        watch.ended.cancel()
+        watch.close()
--- a/roadlb/policy/interface.py
+++ b/roadlb/policy/interface.py
@@ -182,7 +182,7 @@
         self.left_us, self.work_us, self.is_retry = left_us, work_us, is_retry
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, init=False)
 class Offer:
     """A request's head has come, its body has not: would it be refused now?
 
@@ -196,6 +196,10 @@
     left_us: int
     work_us: int
 
+    def __init__(self, class_index: int, tenant: int, key: int, left_us: int, work_us: int) -> None:
+        self.class_index, self.tenant, self.key = class_index, tenant, key
+        self.left_us, self.work_us = left_us, work_us
+
 
 @dataclass(slots=True)
 class Shortage:
--- a/roadlb/policy/logic.py
+++ b/roadlb/policy/logic.py
@@ -67,7 +67,6 @@
         self.tenant_rate, self.tenant_count = [0.0] * len(settings.tenants), [0] * len(settings.tenants)
         self.pressure, self.pressed_at, self.gap, self.ranks = 0.0, 0, 10_000.0, [0.0] * 64
         self.own, self.watched = 0.0, False      # this process's own shortage; has one been told at all?
-        self.quickest: dict[ClassState, int] = {}
         self.aim = min(c.aim_us for c in settings.classes)
         self.wheel: dict[int, list[int]] = {}
         self.now, self.started, self.asks, self.retries, self.hedges = 0, False, 0, 10.0, 10.0
@@ -81,9 +80,9 @@
 
     def handle(self, now: int, event: Event) -> list[Action]:
         """Take one event at clock time `now` and return the actions to carry out, in order."""
+        self.now, self.actions = now, []
         if type(event) is Report:      # reads only: it starts nothing, draws no number, moves no mean
             return [self.view(now)]
-        self.now, self.actions = now, []
         if not self.started:
             self.started, self.fleet.at = True, now
             self.alarm(now + TICK_US, TICK)
@@ -214,11 +213,10 @@
         for s in sorted(self.servers.values(), key=lambda s: s.id):
             share, passed = self.part(s, now), max(0, now - s.at)
             mean = s.mean + (s.out - s.mean) * passed / (passed + TAU_US)
-            silent = s.out > 0 and now - max(s.heard, s.since) > self.aim
-            again = now >= s.eject_until and not s.out if s.eject_until else not silent
+            again = now >= s.eject_until and not s.out if s.eject_until else not self.silent(s)
             servers.append(ServerView(
                 s.id, s.up and s.full_until <= now and again, share, s.eject_until > 0,
-                s.suspect_until > now and s.failing > DOUBT, (mean + s.out) / (s.weight * share), s.born))
+                self.suspect(s), (mean + s.out) / (s.weight * share), s.born))
         return View(servers)
 
     def silent(self, s: Server) -> bool:
@@ -231,7 +229,7 @@
         if status is Status.OK:
             if s.share < 1:
                 self.proved(s, r.work or 1)
-            self.quickest[cls] = min(latency, self.quickest.get(cls, latency))
+            cls.quickest = latency if cls.quickest < 0 else min(latency, cls.quickest)
             cls.latency += (latency - cls.latency) * 0.02
             cls.tail = max(cls.latency, cls.tail + cls.latency * 0.05 * (0.9 if latency > cls.tail else -0.1))
             s.failing, s.fulls = s.failing * 0.8, 0
@@ -462,7 +460,7 @@
 
     def hopeless(self, e: Arrival | Offer, cls: ClassState) -> bool:
         """Can no answer be in time?  A node would work for nothing, and be blamed for the time-out."""
-        return self.watched and e.left_us < HOPELESS * self.quickest.get(cls, 0)
+        return self.watched and e.left_us < HOPELESS * cls.quickest
 
     def press(self, change: float) -> None:
         """Pressure to shed rises with aims missed, as they are missed, and falls with those met early."""
--- a/roadlb/policy/state.py
+++ b/roadlb/policy/state.py
@@ -69,6 +69,7 @@
     spec: RequestClass
     latency: float
     tail: float                  # about the ninetieth percentile
+    quickest: int = -1           # of all its good answers; -1 before the first
 
 
 class Attempt:
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -275,7 +275,7 @@
            for at in ("10.1.0.18:8080", "127.0.0.9:1")]
     assert table().parse(raw[0]).members == table().parse(raw[1]).members
     # Known values: another process, or another version, must come to the same.
-    assert (server_id("s-1").hex(), key_number("k"), key_number("")) == (
+    assert (server_id("s-1").hex(), key_number(b"k"), key_number(b"")) == (
         "03231059c9d4de0d", 7193521810918036140, 0)
 
 
