Servers of other halls come later in a key's order: fewer crossings, dials and strangers

Change: in a key's weighted rendezvous order a server of another hall stands 4 times as far. Order stays hashed, balancers of a hall agree, and a hall without room or servers runs over into the others. Off where crossing costs nothing.

--- a/roadlb/policy/logic.py
+++ b/roadlb/policy/logic.py
@@ -25,6 +25,7 @@
 TAU_US = 2_000_000            # memory of a server's mean load
 LOW, HIGH = 1.1, 1.5          # T_low and T_high, as multiples of the fleet's mean load ...
 FLOOR = 0.4                   # ... plus this many requests, below which a count says nothing
+FAR = 4.0                     # a server in another hall comes after so many as good ones in our own
 SAMPLE, ORDER = 4, 8          # servers looked at for the least loaded, and kept, of a key's order
 MAX_SETS, SHRINK_US = 4_096, 5_000_000     # the longest unused goes; one that has not grown lately shrinks
 EJECT_US, EJECT_MOST_US = 1_000_000, 16_000_000
@@ -58,7 +59,7 @@
         self.ready: list[Server] = []
         self.hashes: list[tuple[int, float]] = []
         self.groups: dict[tuple[int, int], list[Server]] = {}
-        self.version, self.weight, self.ejected = 0, 1.0, 0
+        self.version, self.weight, self.near, self.ejected = 0, 1.0, 1.0, 0
         self.sets: dict[int, KeySet] = {}
         self.requests: dict[int, Request] = {}
         self.fleet = Server(b"")          # stands for all of them
@@ -164,7 +165,9 @@
             self.groups.setdefault((Group.ZONE, s.zone), []).append(s)
         self.weight = sum(s.weight * s.share for s in self.ready) or 1.0
         self.fleet.inverse = 1 / self.weight
-        self.hashes = [(s.hash, s.inverse) for s in self.ready]
+        far = FAR if self.s.cross_zone_cost > 0 else 1.0
+        self.hashes = [(s.hash, s.inverse * (1.0 if s.zone == self.s.zone else far)) for s in self.ready]
+        self.near = sum(1 / inverse for _, inverse in self.hashes) or 1.0
 
     def part(self, s: Server, now: int) -> float:
         """The least part of its capacity that a server can have by now."""
@@ -262,7 +265,7 @@
         """The first few servers of a key's weighted rendezvous order."""
         k = mix(key)
         low, odd = k & HASH, k >> 34 | 1
-        most = (ORDER + 4) * HASH / self.weight
+        most = (ORDER + 4) * HASH / self.near
         distance = [((h ^ low) * odd & HASH) * inverse for h, inverse in self.hashes]
         near = [i for i, d in enumerate(distance) if d < most]
         if len(near) < min(ORDER, len(distance)):
--- a/tests/policy/test_many_instances.py
+++ b/tests/policy/test_many_instances.py
@@ -1,4 +1,4 @@
-"""What many balancers do together, each of which sees a small part: sums over all of them, in simulated time."""
+"""What many balancers do together, each of which sees a small part: sums over all, in simulated time."""
 
 from __future__ import annotations
 
@@ -10,7 +10,8 @@
 
 from roadlb import Balancer
 from roadlb.policy.interface import (
-    Arrival, ListKind, ListUpdate, Member, Outcome, Send, SetTimer, Settings, Status, TimerFired,
+    Arrival, ListKind, ListUpdate, Member, Outcome, Send, ServerState, SetTimer, Settings, Status,
+    TimerFired,
 )
 
 SECOND = 1_000_000
@@ -65,8 +66,8 @@
 
 @pytest.mark.parametrize("instances", [1, 3, 12, 40])
 def test_a_cold_server_gets_what_it_can_do_from_all_of_them_together(instances: int) -> None:
-    # Each keeps to its part of one budget.  With a budget a third as large, forty balancers, none of which sees
-    # enough to prove more, used a tenth of what twelve cold servers of twenty could do.
+    # Each keeps to its part of one budget.  With a budget a third as large, forty balancers, none of which
+    # sees enough to prove more, used a tenth of what twelve cold servers of twenty could do.
     fleet = Together(instances, warm=8, seed=instances)
     fleet.play(8, rate=8 * EACH)
     born, cold = fleet.now, [b"cold%d" % i for i in range(12)]
@@ -81,3 +82,31 @@
         used.append(len(at))
     could = sum(EACH * (COLD_FROM + (1 - COLD_FROM) * (s + 0.5) / 20) for s in range(10))
     assert sum(used) / len(used) >= 0.25 * could
+
+
+def test_a_key_goes_to_a_server_of_the_own_hall_mostly_and_moves_with_as_few_others() -> None:
+    # Crossing costs, and a connection to each of sixty servers costs forty balancers 2,400 handshakes.
+    halls = {bytes([i]): i % 3 for i in range(60)}
+    balancers = [Balancer(Settings(instances=40, zone=zone, cross_zone_cost=cost, second_copies=False), 1)
+                 for zone, cost in ((0, 0.02), (0, 0.02), (1, 0.02), (1, 0.0))]
+    members = [Member(s, zone=hall) for s, hall in halls.items()]
+    went: list[list[bytes]] = []
+    for b in balancers:
+        b.handle(0, ListUpdate(ListKind.CACHED, members))
+        went.append([])
+        for key in range(1, 601):
+            (send,) = (a for a in b.handle(key * SECOND, Arrival(key, 0, 0, key, SECOND, 0))
+                       if isinstance(a, Send))
+            went[-1].append(send.server)
+            b.handle(key * SECOND + 1000, Outcome(key, 0, send.server, Status.OK, 1000, True))
+    own = [sum(halls[s] == b.s.zone for s in servers) / 600
+           for b, servers in zip(balancers, went, strict=True)]
+    assert all(0.6 < part < 0.75 for part in own[:3]) and own[3] < 0.45
+    assert went[0] == went[1]                               # balancers of a hall agree
+    b = balancers[0]
+    b.handle(700 * SECOND, ListUpdate(ListKind.DELTA, [Member(bytes([0]), ServerState.GONE)]))
+    for key, before in enumerate(went[0], 1):
+        sends = b.handle(701 * SECOND + key, Arrival(1000 + key, 0, 0, key, SECOND, 0))
+        (send,) = (a for a in sends if isinstance(a, Send))
+        b.handle(701 * SECOND + key, Outcome(1000 + key, 0, send.server, Status.OK, 1000, True))
+        assert send.server == before or before == bytes([0])
