Control plane: what nobody used goes, one form of an address, turns apart from time

Fields and events that nothing reads (Belief.load, Carrier.share, order.Forgive, takes_work) looked like features; host:port was written in three places; and letting a newcomer in walked through everybody who owes an answer, which belongs to a tick. Change: those go; write_host_port and can_be_written stand once; Turn lets newcomers in, Tick also watches for lag. An address such as unix::0 that cannot be written is now left out as a bad one, instead of failing the whole message.

--- a/roadlb/control/events.py
+++ b/roadlb/control/events.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field, replace
 from typing import TypeAlias
 
-from roadlb.fleet.model import Endpoint, Health, NodeId, Picture
+from roadlb.fleet.model import OPEN, Endpoint, Health, NodeId, Picture
 
 MILLION = 1_000_000
 
@@ -27,14 +27,12 @@
 
 @dataclass(slots=True, frozen=True)
 class Belief:
-    """What the decision module believes of a node: its `ServerView`, by the node's id."""
+    """What the decision module believes of a node, from its `ServerView`, by the node's id."""
 
     node: NodeId
-    eligible: bool = True
     share: float = 1.0
     ejected: bool = False
     suspect: bool = False
-    load: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -68,7 +66,6 @@
 
     name: str
     generation: int
-    share: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -121,9 +118,6 @@
     return f"{node.name}@{node.started_ms}"
 
 
-OPEN = frozenset({Health.UNKNOWN, Health.HEALTHY, Health.DEGRADED})
-
-
 @dataclass(slots=True, frozen=True)
 class Decisions:
     """Everything decided, made on the picture `generation`; `serial` counts up within one plan.
--- a/roadlb/control/forms.py
+++ b/roadlb/control/forms.py
@@ -146,20 +146,21 @@
             assignments.append(_assignment(form, name, ((d, d.weight) for d in kept)))
             splits.append(Split(name, ((name, MILLION),)))
             continue
-        parts = parts_of(told)
+        parts, members = parts_of(told), _members(told)
         for pool in sorted(parts):
-            assignments.append(_assignment(form, pool_name(name, pool), _members(told, pool)))
+            assignments.append(_assignment(form, pool_name(name, pool), members.get(pool, ())))
         splits.append(Split(name, tuple((pool_name(name, p), parts[p]) for p in sorted(parts))))
     return Expression(form, tuple(assignments), tuple(splits), tuple(left))
 
 
-def _members(told: Iterable[Decision], pool: str) -> Iterable[tuple[Decision, int]]:
-    """Who is in a pool, with the weight there; one that has left it is still listed."""
+def _members(told: Iterable[Decision]) -> dict[str, list[tuple[Decision, int]]]:
+    """Who is in each pool, with the weight there; one that has left it is still listed."""
+    members: dict[str, list[tuple[Decision, int]]] = {}
     for d in told:
-        if d.pool == pool:
-            yield d, d.part_ppm if pool else d.weight
-        elif d.left_pool == pool and pool:
-            yield d, 1
+        members.setdefault(d.pool, []).append((d, d.part_ppm if d.pool else d.weight))
+        if d.left_pool and d.left_pool != d.pool:
+            members.setdefault(d.left_pool, []).append((d, 1))
+    return members
 
 
 def _flat(told: tuple[Decision, ...]) -> list[Decision]:
--- a/roadlb/control/order.py
+++ b/roadlb/control/order.py
@@ -75,13 +75,6 @@
     generation: int | None
 
 
-@dataclass(slots=True, frozen=True)
-class Forgive:
-    """An operator says: what this subscriber claims to have acknowledged is of no account."""
-
-    subscriber: str
-
-
 @dataclass(slots=True, frozen=True)
 class Tick:
     """Time has passed; every 250 ms or more often."""
@@ -125,7 +118,7 @@
     reason: str
 
 
-Event: TypeAlias = Proposed | Pictured | Connected | Acknowledged | Disconnected | Listed | Forgive | Tick
+Event: TypeAlias = Proposed | Pictured | Connected | Acknowledged | Disconnected | Listed | Tick
 Action: TypeAlias = Release | Withheld | Silence | Speak | CatchUp
 
 
@@ -158,9 +151,6 @@
                 if self._known.get(event.subscriber) == event.stream:
                     del self._known[event.subscriber]
                     self.silent.pop(event.subscriber, None)
-            case Forgive():
-                if self.silent.pop(event.subscriber, None) is not None:
-                    return [Speak(event.subscriber)]
             case Listed():
                 return self._listed(now, event)
             case Tick():
--- a/roadlb/control/plan.py
+++ b/roadlb/control/plan.py
@@ -24,13 +24,13 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from roadlb.fleet.model import Cluster, Endpoint, Health, Lifecycle, NodeId, Picture
+from roadlb.fleet.model import OPEN, Cluster, Endpoint, Health, Lifecycle, NodeId, Picture
 
 from .events import (
-    MILLION, OPEN, Belief, Carrier, Carriers, Decision, Decisions, Fleet, LoadReport, PlanEvent, Publish,
+    MILLION, Belief, Carrier, Carriers, Decision, Decisions, Fleet, LoadReport, PlanEvent, Publish,
     Tick, View, sub_zone,
 )
 from .loads import Loads
@@ -82,6 +82,10 @@
     told: tuple[Decision, ...] = ()
     stirred: bool = True             # may it be decided differently now than it was?
 
+    def pools(self) -> Counter[str]:
+        """How many are in each pool but that of the warm ones."""
+        return Counter(n.pool for n in self.nodes.values() if n.pool)
+
 
 class Plan:
     """A decider: `handle(now, event) -> [Publish]` or `[]`; give it a `Tick` every 250 ms or more often."""
@@ -120,28 +124,24 @@
         if picture.generation <= self._generation:
             return []
         self._generation = picture.generation
-        urgent = not self._serial or self._closes(picture)
+        up = {name: _up(cluster) for name, cluster in picture.clusters.items()}
+        urgent = not self._serial or self._closes(up)
         for name in [n for n in self._clusters if n not in picture.clusters]:
             del self._clusters[name]
         for name, cluster in picture.clusters.items():
             plan = self._clusters.setdefault(name, _Plan(cluster))
-            self._take(now, plan, cluster, event.unix_ms)
+            self._take(now, plan, cluster, up[name], event.unix_ms)
         self._dirty = True
         return self._decide(now, urgent) if urgent or now - self._at >= self.gap_us else []
 
-    def _closes(self, picture: Picture) -> bool:
+    def _closes(self, up: Mapping[str, set[NodeId]]) -> bool:
         """Does anyone that proxies may be sending to drain, vanish or start anew?"""
-        for name, plan in self._clusters.items():
-            new = picture.clusters.get(name)
-            stay = _up(new) if new else set()
-            if any(d.open and d.node not in stay for d in plan.told):
-                return True
-        return False
-
-    def _take(self, now: int, plan: _Plan, cluster: Cluster, unix_ms: int) -> None:
+        return any(d.open and d.node not in up.get(name, ())
+                   for name, plan in self._clusters.items() for d in plan.told)
+
+    def _take(self, now: int, plan: _Plan, cluster: Cluster, up: set[NodeId], unix_ms: int) -> None:
         plan.cluster, plan.stirred, first = cluster, True, not plan.told
         listed = {e.node for e in cluster.endpoints if e.lifecycle is not Lifecycle.REMOVED}
-        up = _up(cluster)
         for d in plan.told:
             if d.node not in up and (d.open or d.left_pool):
                 plan.places[d.endpoint.host, d.endpoint.port] = _Place(self._generation, now)
@@ -149,7 +149,7 @@
             del plan.places[where]
         for gone in [n for n in plan.nodes if n not in listed]:
             del plan.nodes[gone]
-        used = Counter(n.pool for n in plan.nodes.values() if n.pool)
+        used = plan.pools()
         for e in cluster.endpoints:
             if e.node in plan.nodes or e.node not in listed:
                 continue
@@ -277,11 +277,7 @@
         limits = self.limits
         present = sum(warm.values()) + sum(e.weight * share for e, share in cold.values())
         demand, carried = plan.loads.demand, plan.loads.carried(now, warm)
-        mates: dict[str, int] = {}
-        for n in plan.nodes.values():
-            if n.pool:
-                mates[n.pool] = mates.get(n.pool, 0) + 1
-        parts = {}
+        mates, parts = plan.pools(), {}
         for node, (e, share) in cold.items():
             part = e.weight * share / present
             if demand > 0 and carried > 0:
@@ -289,7 +285,7 @@
             else:
                 # Not even the proportion is sure to be within its means: nobody knows the demand.
                 part *= limits.unreported * share
-            parts[node] = part if mates.get(plan.nodes[node].pool, 0) <= 1 else part / 2
+            parts[node] = part if mates[plan.nodes[node].pool] <= 1 else part / 2
         return parts
 
     def _held(self, plan: _Plan, e: Endpoint) -> str:
--- a/roadlb/control/routes.py
+++ b/roadlb/control/routes.py
@@ -69,7 +69,6 @@
     """
 
     max_requests: int
-    max_pending: int
     max_retries: int
     retry_percent: float = RETRY_PERCENT
     panic_percent: float = 0.0   # in panic Envoy sends to nodes that drain: it must never panic
@@ -105,4 +104,4 @@
     if not 0 < share <= 1:
         raise ValueError(f"share: {share!r} must be above 0 and at most 1")
     most = max(OPEN_EACH, round(OPEN_EACH * sum(weights.values()) * min(1.0, 2 * share)))
-    return Limits(most, most, max(RETRY_LEAST, round(most * RETRY_PERCENT / 100)))
+    return Limits(most, max(RETRY_LEAST, round(most * RETRY_PERCENT / 100)))
--- a/roadlb/control/service.py
+++ b/roadlb/control/service.py
@@ -18,10 +18,11 @@
 
 from ..clock import Clock, monotonic_us, unix_us
 from ..config import Address
-from ..fleet.model import Lifecycle, NodeId, Picture
+from ..fleet.model import NodeId, Picture
 from ..log import Limit, fields
 from ..net.fleet_watch import FleetWatch
 from ..net.status_page import Page, StatusPage
+from ..xds.codec.endpoint import can_be_written
 from ..xds.delta import DeltaStream
 from ..xds.grpc import loads
 from ..xds.grpc.client_status import client_status
@@ -30,13 +31,13 @@
 from ..xds.grpc.session import Session
 from ..xds.grpc.transport import ADS, HEALTH, LRS, STATUS, Context, listen, next_message, server
 from ..xds.messages import ErrorDetail
-from ..xds.publisher import Publisher, can_be_dialled
+from ..xds.publisher import Publisher
 from ..xds.resources import ENDPOINTS
 from ..xds.sotw import SotwStream
 from . import events, order, subscribers
-from .forms import Form, form_of, parts_of, pool_name
-from .plan import Plan
-from .settings import Settings, address, written
+from .forms import Form, form_of, pool_name
+from .plan import Plan, up_in
+from .settings import Settings, address
 
 logger = logging.getLogger(__name__)
 
@@ -51,7 +52,6 @@
     session: Session
     form: Form
     admitted: bool = False
-    since_us: int = 0
     refusals: int = 0
 
 
@@ -74,6 +74,7 @@
         self.started_us = clock()
         self._numbers = 0
         self._places: dict[tuple[str, int], NodeId] = {}
+        self._pools = [settings.cluster]             # the names of all clusters on the wire
         self._again = asyncio.Event()                # a newcomer's turn may be sooner than the next tick
         self._tasks: set[asyncio.Task[None]] = set()
         self._warnings = Limit(clock, 20)
@@ -86,9 +87,7 @@
     def told(self, picture: Picture) -> None:
         """A picture of discovery: what it closes goes out before anything is planned anew."""
         now, picture = self._clock(), self._reachable(picture)
-        up = frozenset(e.node for cluster in picture.clusters.values() for e in cluster.endpoints
-                       if e.lifecycle is Lifecycle.UP)
-        self._do_order(self.order.handle(now, order.Pictured(picture.generation, up)))
+        self._do_order(self.order.handle(now, order.Pictured(picture.generation, up_in(picture))))
         # A plan of 1,000 endpoints takes 30 ms: what was just pushed is written first.
         asyncio.get_running_loop().call_soon(self._plan_for, events.Fleet(picture, self._wall() // 1000))
 
@@ -96,11 +95,11 @@
         """Without nodes that no proxy could dial: one bad address must not hold up the others' drains."""
         clusters = dict(picture.clusters)
         for name, cluster in picture.clusters.items():
-            bad = [e for e in cluster.endpoints if not can_be_dialled(e)]
+            bad = [e for e in cluster.endpoints if not can_be_written(e.host, e.port)]
             if bad:
                 self.counts["bad addresses"] += len(bad)
                 self._warn("bad address", node=bad[0].node.name, host=bad[0].host, port=bad[0].port)
-                kept = tuple(e for e in cluster.endpoints if can_be_dialled(e))
+                kept = tuple(e for e in cluster.endpoints if can_be_written(e.host, e.port))
                 clusters[name] = replace(cluster, endpoints=kept)
         return replace(picture, clusters=clusters)
 
@@ -109,15 +108,15 @@
 
     def tick(self) -> None:
         """Time has passed, TICK_US or more."""
-        self.let_in()
         now = self._clock()
+        self._do_subscribers(self.subscribers.handle(now, subscribers.Tick()))
         self.plan.handle(now, self.subscribers.carriers())
         self._do_plan(self.plan.handle(now, events.Tick()))
         self._do_order(self.order.handle(now, order.Tick()))
 
     def let_in(self) -> None:
         """Those newcomers whose turn has come, which may be well before the next tick."""
-        self._do_subscribers(self.subscribers.handle(self._clock(), subscribers.Tick()))
+        self._do_subscribers(self.subscribers.handle(self._clock(), subscribers.Turn()))
 
     def _do_plan(self, actions: list[events.Publish]) -> None:
         for action in actions:
@@ -146,6 +145,9 @@
         self.publisher.take(decisions)
         self._places = {(d.endpoint.host, d.endpoint.port): d.node
                         for told in decisions.clusters.values() for d in told}
+        self._pools = sorted({self.settings.cluster, *decisions.clusters, *(
+            pool_name(name, pool) for name, told in decisions.clusters.items()
+            for d in told for pool in (d.pool, d.left_pool))})
         self.counts["published"] += 1
         if decisions.urgent:
             self._do_subscribers(self.subscribers.handle(self._clock(), subscribers.Hurry()))
@@ -199,7 +201,7 @@
             return str(e)
         # Two streams at once of one id may be two proxies with one id: each gets its own account.
         session.name = node.id if node.id not in self.clients else f"{node.id}#{session.number}"
-        self.clients[session.name] = Client(session, form, since_us=self._clock())
+        self.clients[session.name] = Client(session, form)
         now, shown = self._clock(), session.floor or None
         logger.info("subscriber", extra=fields(
             name=session.name, form=form.value, agent=node.user_agent_name, peer=session.peer,
@@ -253,7 +255,7 @@
             if not subscriber:
                 subscriber, features = wire.node.id or context.peer(), tuple(wire.node.client_features)
             # Pools come and go, and some clients report only on those that they were asked about.
-            asking = loads.ask(self._pools(), round(self.settings.load_report_s * 1e6), features)
+            asking = loads.ask(self._pools, round(self.settings.load_report_s * 1e6), features)
             if asking != asked:
                 asked = asking
                 await context.write(asking)
@@ -264,12 +266,6 @@
                 self.counts["reports"] += 1
                 self._do_plan(self.plan.handle(self._clock(), report))
 
-    def _pools(self) -> list[str]:
-        """The names of all clusters on the wire."""
-        told = self.publisher.decisions.clusters if self.publisher.decisions else {}
-        return sorted({self.settings.cluster, *(
-            pool_name(name, pool) for name, all_of_it in told.items() for pool in parts_of(all_of_it))})
-
     def _fleet_name(self, name: str) -> str:
         """The fleet's cluster of a pool's name."""
         ours = self.settings.cluster
@@ -349,7 +345,7 @@
             (STATUS, "StreamClientStatus"): self._client_status,
         }, {
             (STATUS, "FetchClientStatus"): lambda data: client_status(data, self._sessions()),
-            (HEALTH, "Check"): lambda data: health(data, SERVING if self.serving else WAITING),
+            (HEALTH, "Check"): lambda _: health(SERVING if self.serving else WAITING),
         })
         self.port = listen(self._server, at.host, at.port)
         await self._server.start()
@@ -363,7 +359,7 @@
             listen=f"{at.host}:{self.port}", status=self.page.port if self.page else "none",
             discovery=self.discovery.at))
         if not _loopback(at.host):
-            logger.warning("listens beyond loopback without TLS", extra=fields(listen=written(at)))
+            logger.warning("listens beyond loopback without TLS", extra=fields(listen=self.settings.listen))
 
     async def _ticks(self) -> None:
         tick_at = 0
--- a/roadlb/control/settings.py
+++ b/roadlb/control/settings.py
@@ -129,8 +129,3 @@
 def address(text: str) -> Place:
     """`host:port` of settings without faults."""
     return Place(*read_host_port(text, "address"))
-
-
-def written(place: Place) -> str:
-    """`host:port`, an IPv6 host in brackets."""
-    return f"[{place.host}]:{place.port}" if ":" in place.host else f"{place.host}:{place.port}"
--- a/roadlb/control/subscribers.py
+++ b/roadlb/control/subscribers.py
@@ -43,7 +43,6 @@
     subscriber: str
     stream: int
     acknowledged: int | None = None
-    share: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -82,9 +81,14 @@
     """A drain goes out: nobody who has a view waits any longer."""
 
 
+@dataclass(slots=True, frozen=True)
+class Turn:
+    """A newcomer's turn has come; see `Subscribers.next_at`."""
+
+
 @dataclass(slots=True, frozen=True)
 class Tick:
-    """Time has passed; see `Subscribers.next_at`."""
+    """Time has passed, so that somebody may lag or be forgotten."""
 
 
 # Actions
@@ -135,7 +139,7 @@
     subscriber: str
 
 
-Event: TypeAlias = Came | Left | Sent | Acked | Nacked | Hurry | Tick
+Event: TypeAlias = Came | Left | Sent | Acked | Nacked | Hurry | Turn | Tick
 Action: TypeAlias = Admit | TurnAway | Refuses | Lags | CaughtUp | Forgot
 
 
@@ -165,7 +169,6 @@
     stream: int
     number: int                  # of its coming
     generation: int = -1
-    share: float = 0.0
     has_view: bool = False
     types: dict[str, Progress] = field(default_factory=dict)
 
@@ -184,8 +187,8 @@
         self._step, self._next = 1e6 / admit_per_s, float("-inf")
         self._queue: list[tuple[int, int, str]] = []        # turn, number, subscriber
         self._numbers = 0
-        self._away: dict[str, int] = {}                     # since when, the longest first
-        self._owing: dict[tuple[str, str], int] = {}        # since when, the longest first
+        self._away: dict[str, None] = {}                    # the longest first
+        self._owing: dict[tuple[str, str], None] = {}       # subscriber and type that owe an answer
 
     def handle(self, now: int, event: Event) -> list[Action]:
         actions: list[Action]
@@ -197,8 +200,10 @@
             case Hurry():
                 waiting = [s for s in self.known.values() if s.state is State.WAITING and s.has_view]
                 actions = [self._admit(now, s) for s in waiting]
+            case Turn():
+                actions = self._turns(now)
             case Tick():
-                actions = self._time(now)
+                actions = [*self._turns(now), *self._time(now)]
             case _:
                 actions = self._progress(now, event)
         return actions
@@ -210,8 +215,7 @@
 
     def carriers(self) -> Carriers:
         """For the plan: who may be sending, and by which generation."""
-        return Carriers(tuple(Carrier(s.name, s.generation, s.share)
-                              for s in self.known.values() if s.has_view))
+        return Carriers(tuple(Carrier(s.name, s.generation) for s in self.known.values() if s.has_view))
 
     # Coming and going
 
@@ -228,7 +232,7 @@
             self._settle(known)
         self._numbers += 1
         s = self.known[event.subscriber] = Subscriber(event.subscriber, State.WAITING, now, event.stream,
-                                                      self._numbers, share=event.share)
+                                                      self._numbers)
         # What it says it has is what it goes by, whatever we remember of it.
         s.generation = -1 if event.acknowledged is None else event.acknowledged
         s.has_view = event.acknowledged is not None
@@ -249,7 +253,7 @@
             return []
         self._settle(s)
         s.state, s.since = State.AWAY, now
-        self._away[s.name] = now
+        self._away[s.name] = None
         return []
 
     def _forget(self, name: str) -> Forgot:
@@ -281,7 +285,7 @@
             if event.number > p.sent:
                 p.sent = event.number
                 p.open = (*p.open[-KEPT + 1:], (event.number, event.generation, now))
-                self._owing.setdefault((s.name, event.type_url), now)
+                self._owing[s.name, event.type_url] = None
                 if event.type_url == self._counted and not s.has_view:
                     s.has_view, s.generation = True, event.generation      # it has this, or nothing yet
             return []
@@ -298,9 +302,8 @@
             p.refused, p.reason = p.refused + 1, event.reason[:REASONS]
             actions.append(Refuses(s.name, event.type_url, p.reason, p.refused))
         p.open = tuple(o for o in p.open if o[0] > event.number)
-        self._owing.pop((s.name, event.type_url), None)
-        if p.open:
-            self._owing[s.name, event.type_url] = p.open[0][2]
+        if not p.open:
+            self._owing.pop((s.name, event.type_url), None)
         if p.lagging and not (p.open and self._late(now, p)):
             p.lagging = False
             actions.append(CaughtUp(s.name, event.type_url))
@@ -312,15 +315,19 @@
 
     # Time
 
-    def _time(self, now: int) -> list[Action]:
+    def _turns(self, now: int) -> list[Action]:
         actions: list[Action] = []
         while self._queue and self._queue[0][0] <= now:
             _, number, name = heappop(self._queue)
             if self._waits(name, number):
                 actions.append(self._admit(now, self.known[name]))
+        return actions
+
+    def _time(self, now: int) -> list[Action]:
+        actions: list[Action] = []
         while self._away:
-            name, since = next(iter(self._away.items()))
-            if now - since < self._stale_us:
+            name = next(iter(self._away))
+            if now - self.known[name].since < self._stale_us:
                 break
             actions.append(self._forget(name))
         for name, type_url in list(self._owing):
--- a/roadlb/fleet/model.py
+++ b/roadlb/fleet/model.py
@@ -39,6 +39,9 @@
     DEGRADED = 5
 
 
+OPEN = frozenset({Health.UNKNOWN, Health.HEALTHY, Health.DEGRADED})      # may be sent new work
+
+
 @dataclass(frozen=True, slots=True, order=True)
 class NodeId:
     """Who a node is: its name and its last start (0: long ago).  Restarted, it is another of that name."""
@@ -93,12 +96,6 @@
     origin: bytes | None = field(default=None, repr=False)
 
 
-def takes_work(endpoint: Endpoint) -> bool:
-    """Whether the node may get new work: up, not told unfit by anybody, and with a weight."""
-    return (endpoint.lifecycle is Lifecycle.UP and endpoint.weight > 0
-            and endpoint.health in (Health.UNKNOWN, Health.HEALTHY, Health.DEGRADED))
-
-
 @dataclass(frozen=True, slots=True)
 class LocalityGroup:
     """The endpoints of one locality and priority, as far as something is told of them together.
--- a/roadlb/fleet/platform.py
+++ b/roadlb/fleet/platform.py
@@ -101,6 +101,11 @@
     return host.removeprefix("[").removesuffix("]"), int(port)
 
 
+def write_host_port(host: str, port: int) -> str:
+    """The same as a text."""
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
 def plain(value: object) -> Plain:
     """JSON as read, made immutable; numbers become floats, as they would on the way through protobuf."""
     if isinstance(value, Mapping):
@@ -153,10 +158,9 @@
 
 def write_instance(endpoint: Endpoint) -> dict[str, object]:
     """One entry.  Health, priority and other metadata have no place in the platform's form."""
-    host = f"[{endpoint.host}]" if ":" in endpoint.host else endpoint.host
     entry: dict[str, object] = {"instanceId": endpoint.node.name}
     if endpoint.host:
-        entry["hostPort"] = f"{host}:{endpoint.port}"
+        entry["hostPort"] = write_host_port(endpoint.host, endpoint.port)
     entry |= {"zone": endpoint.locality.zone, "machineType": endpoint.machine, "cell": endpoint.cell,
               "lifecycle": endpoint.lifecycle.value, "weight": endpoint.weight,
               "startedAtMs": endpoint.node.started_ms}
--- a/roadlb/xds/codec/endpoint.py
+++ b/roadlb/xds/codec/endpoint.py
@@ -9,14 +9,13 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 
-from ...fleet.model import NO_METADATA, Endpoint, Health, Lifecycle, Locality, NodeId, Place, Plain
+from ...fleet.model import NO_METADATA, OPEN, Endpoint, Health, Lifecycle, Locality, NodeId, Place, Plain
 from . import plain, weights
 from .protos import CodecError, LbEndpoint, Wire, WireEndpoint, held, parsed, says
 
 HEALTH = {health.value: health for health in Health}
 HEALTH_BY_NAME = {health.name: health for health in Health}
 LIFECYCLE = {lifecycle.value: lifecycle for lifecycle in Lifecycle}
-OPEN = (Health.UNKNOWN, Health.HEALTHY, Health.DEGRADED)
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,16 +41,27 @@
     return Place("", 0)
 
 
+def _local(host: str, port: int) -> tuple[str, str]:
+    """Scheme and path or name of what is no host and port; two empty texts for one that is."""
+    scheme, _, rest = host.partition(":")
+    return (scheme, rest) if port == 0 and scheme in ("unix", "internal") and rest else ("", "")
+
+
+def can_be_written(host: str, port: int) -> bool:
+    """Has it a host and a port, or a path or name instead of both?"""
+    return bool(host) and 0 < port <= 65535 or _local(host, port) != ("", "")
+
+
 def write_place(address: Wire, place: Place) -> None:
     """Make `address` say this; a field beside host and port stays if the kind does."""
-    scheme, _, rest = place.host.partition(":")
-    if place.port == 0 and scheme in ("unix", "internal") and rest:
+    scheme, rest = _local(place.host, place.port)
+    if scheme:
         if scheme == "unix":
             address.pipe.path = rest
         else:
             address.envoy_internal_address.server_listener_name = rest
         return
-    if not place.host or not 0 < place.port <= 65535:
+    if not can_be_written(place.host, place.port):
         raise CodecError(f"address {place.host!r}, port {place.port}: must be a host and 1 to 65535")
     address.socket_address.address = place.host
     address.socket_address.port_value = place.port
--- a/roadlb/xds/grpc/encoding.py
+++ b/roadlb/xds/grpc/encoding.py
@@ -9,6 +9,7 @@
 from ..codec.discovery import write_delta_response, write_response
 from ..messages import DeltaResponse, DiscoveryResponse, Response
 from ..resources import Resource
+from ..stream import version_of
 
 NONCE = bytes([5 << 3 | 2])          # tag in both kinds of response: all that differs from stream to stream
 KEPT_BYTES = 16 << 20                # of responses; those of all types and forms of one step are some 2 MB
@@ -28,9 +29,7 @@
 
     def encode(self, response: Response) -> bytes:
         removed = response.removed_resources if isinstance(response, DeltaResponse) else None
-        version = (response.version_info if isinstance(response, DiscoveryResponse)
-                   else response.system_version_info)
-        key = response.type_url, version, tuple(map(id, response.resources)), removed
+        key = response.type_url, version_of(response), tuple(map(id, response.resources)), removed
         held = self._kept.get(key)
         if held is None:
             held = response.resources, self._write(response)
--- a/roadlb/xds/grpc/health.py
+++ b/roadlb/xds/grpc/health.py
@@ -5,11 +5,10 @@
 
 from __future__ import annotations
 
-UNKNOWN, SERVING, WAITING = 0, 1, 2          # the enum: UNKNOWN, SERVING, NOT_SERVING
+SERVING, WAITING = 1, 2                      # of the enum: SERVING, NOT_SERVING
 STATUS = bytes([1 << 3])                     # tag of the answer's field
 
 
-def health(request: bytes, status: int) -> bytes:
+def health(status: int) -> bytes:
     """The answer for the whole server; all its services have the same health, whichever is named."""
-    del request
     return STATUS + bytes([status])
--- a/roadlb/xds/grpc/transport.py
+++ b/roadlb/xds/grpc/transport.py
@@ -11,6 +11,7 @@
 import grpc  # type: ignore[import-untyped]
 import grpc.aio  # type: ignore[import-untyped]
 
+from ...fleet.platform import write_host_port
 from ..codec.protos import CodecError
 
 Context: TypeAlias = Any                 # grpc.aio.ServicerContext, which comes without types
@@ -45,7 +46,7 @@
 
 def listen(made: Any, host: str, port: int) -> int:
     """Have a server listen; the port, which the kernel chooses for 0.  OSError names the address."""
-    where = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+    where = write_host_port(host, port)
     try:
         return int(made.add_insecure_port(where))
     except RuntimeError as e:
--- a/roadlb/xds/publisher.py
+++ b/roadlb/xds/publisher.py
@@ -118,11 +118,6 @@
                  timeout_us=rule.timeout_us, retry=retry, hedge=rule.hedge)
 
 
-def can_be_dialled(endpoint: Endpoint) -> bool:
-    """Has it a host and a port, or a path or name instead of both?"""
-    return endpoint.port > 0 and bool(endpoint.host) or endpoint.host.startswith(("unix:", "internal:"))
-
-
 class Publisher:
     """Snapshots of the newest decisions, for the forms that anybody speaks."""
 
--- a/tests/control/control_world.py
+++ b/tests/control/control_world.py
@@ -135,7 +135,7 @@
                 machine.drained_told.setdefault(name, now)
         self.do_order(self.order.handle(now, order.Connected(name, link.number, acknowledged)))
         self.do_subscribers(self.subscribers.handle(
-            now, subscribers.Came(name, link.number, acknowledged, link.proxy.share)))
+            now, subscribers.Came(name, link.number, acknowledged)))
         self.do_subscribers(self.subscribers.handle(now, subscribers.Tick()))
 
     def closed(self, link: "Link") -> None:
--- a/tests/control_service/test_streams_over_grpc.py
+++ b/tests/control_service/test_streams_over_grpc.py
@@ -128,8 +128,8 @@
 
 async def bad_addresses() -> None:
     proxy = StandIn("proxy", "sotw")
-    bad = {"hostPort": f"{HOST}:0"}
-    async with platform(**ENTRIES, bad=bad) as told, service(told) as control, connected(proxy, control.port):
+    bad = {"bad": {"hostPort": f"{HOST}:0"}, "worse": {"hostPort": "unix::0"}}
+    async with platform(**ENTRIES, **bad) as told, service(told) as control, connected(proxy, control.port):
         await until(lambda: len(proxy.endpoints()) == 3, "the others are told")
         await drained(told, "n0", proxy)
         assert control.counts["bad addresses"] and not control.counts["not published"]
