--- a/roadlb/app.py
+++ b/roadlb/app.py
@@ -10,10 +10,15 @@
 from collections.abc import Callable
 from contextlib import suppress
 
+from .admin.door import Door
+from .admin.report import report
 from .clock import Clock, monotonic_us, unix_us
 from .config import Config, ConfigError
 from .counters import Counters
 from .engine import Engine
+from .lifecycle.lifecycle import (
+    LINGER_US, CloseIdle, CloseUnfinished, Ending, Event, GiveUp, Leave, Lifecycle, StopListening, Wake,
+)
 from .log import fields
 from .net.instances import Instances
 from .net.name_table import NameTable
@@ -28,9 +33,9 @@
 
 BACKLOG = 512
 GC_THRESHOLD = 5_000, 10, 10
-LINGER_S = 0.5      # after SIGTERM the front goes on dealing us connections for so long
 TAKE_OVER_S = 10.0  # how long a predecessor may take to end
-OWN_SOCKETS = 10    # log, listener, loop and its wake-ups, discovery
+OWN_SOCKETS = 10    # log, listeners, loop and its wake-ups, discovery
+LONGEST_US = 3_000_000     # of deadlines, as far as the platform waits for them after SIGTERM
 
 
 class App:
@@ -60,12 +65,63 @@
         self.own_load = OwnLoad(
             clock, self.engine, Limits(config.cores, config.memory_mb, config.sockets),
             min(c.aim_us for c in config.settings.classes), self._descriptors, self._tighten, self.cpu_us)
-        self.service_client = ServiceClient(config, self.engine, counters, lambda: self.name_table.filled,
-                                            clock, self.wheel, self.own_load.came_us)
+        self.lifecycle = Lifecycle(min(LONGEST_US, int(config.longest_s * 1e6)), config.socket_fd is not None)
+        self._leave = asyncio.Event()
+        self._leave_by_us = 0
+        self.service_client = ServiceClient(
+            config, self.engine, counters, lambda: self.name_table.filled and self.lifecycle.healthy,
+            clock, self.wheel, self.own_load.came_us)
         self.sweeping = asyncio.create_task(self.service_client.sweep_for_ever())
+        self.door = Door({
+            ("GET", "/control/ready"): lambda: (200, "yes") if self.lifecycle.takes_clients else (503, "no"),
+            ("GET", "/control/counters"): lambda: (200, self.report()),
+            ("PUT", "/control/out-of-service"): lambda: self.tell(Event.OUT_OF_SERVICE),
+            ("PUT", "/control/in-service"): lambda: self.tell(Event.IN_SERVICE)}, counters)
+        if config.admin:
+            await self.door.listen(config.admin)
         self.listener = await self._listen()
+        self._life(Event.STARTED)
         logger.info("listening", extra=fields(name=config.name, address=config.listen))
 
+    # The lifecycle
+
+    def tell(self, event: Event) -> tuple[int, str]:
+        """Out of service, or in service again: in effect when it returns."""
+        self._life(event)
+        return 200, self.lifecycle.state.value
+
+    def _life(self, event: Event) -> None:
+        """Carry out what the lifecycle makes of an event."""
+        before = self.lifecycle.state
+        for action in self.lifecycle.handle(self.clock(), event):
+            if isinstance(action, Ending):
+                self.service_client.draining = action.on
+            elif isinstance(action, CloseIdle):
+                self.service_client.close_idle(action.part)
+            elif isinstance(action, CloseUnfinished):
+                self.service_client.close_unfinished()
+            elif isinstance(action, GiveUp):
+                self.engine.finish(action.came_after_us)
+            elif isinstance(action, StopListening):
+                self.listener.close()
+            elif isinstance(action, Leave):
+                self._leave_by_us = action.by_us
+                self._leave.set()
+            elif isinstance(action, Wake):
+                self.wheel.at(action.at_us, self._life, Event.WAKE)
+        if self.lifecycle.state is not before:
+            logger.info("lifecycle", extra=fields(state=self.lifecycle.state.value, event=event.value))
+
+    def gauges(self) -> dict[str, int]:
+        """What holds now, under the names that operators see."""
+        servers = self.engine.view().servers
+        return {"current": self.engine.current, "cluster_size": len(servers),
+                "cluster_unhealthy": sum(s.ejected or not s.eligible for s in servers)}
+
+    def report(self) -> str:
+        """The figures as operators fetch them."""
+        return report(self.counters.all(), [c.name for c in self.config.settings.classes], self.gauges())
+
     async def _listen(self) -> asyncio.Server:
         """Take the address; one that a predecessor still holds is waited for, as ending would be a crash."""
         loop, at = asyncio.get_running_loop(), self.config.listen
@@ -88,7 +144,7 @@
 
     def print_counters(self, reason: str) -> None:
         """One log line with all counts and the last reading of the program's own load."""
-        self.counters.print(reason, **self.own_load.figures())
+        self.counters.print(reason, **self.own_load.figures(), **self.gauges())
 
     @property
     def port(self) -> int:
@@ -111,20 +167,17 @@
         logger.info("configuration read", extra=fields(discovery=config.discovery))
         self.name_table.move(config.discovery)
 
-    async def stop(self, linger_s: float = LINGER_S) -> None:
-        """Go on accepting for a while, then answer all that was taken, and end."""
-        # From now on each answer ends its connection, so that few are left to be closed in a request's way.
-        self.service_client.draining = True
-        await asyncio.sleep(linger_s)
-        self.listener.close()
-        # What was taken has its answer by its deadline; nothing may keep the program from ending after it.
-        last_call = asyncio.get_running_loop().call_later(self.config.longest_s, self.engine.finish)
-        await self.service_client.end(self.config.longest_s + 0.1)
-        last_call.cancel()
+    async def stop(self, linger_s: float = LINGER_US / 1e6) -> None:
+        """Leave as the lifecycle has it, after accepting for a while if the listener is our own; then end."""
+        self.lifecycle.linger_us = int(linger_s * 1e6)
+        self._life(Event.LEAVE)
+        await self._leave.wait()
+        await self.service_client.all_gone(self._leave_by_us)
         for task in (self.watch, self.sweeping):
             task.cancel()
             with suppress(asyncio.CancelledError):
                 await task
+        await self.door.close()
         self.own_load.stop()
         await self.instances.close()
         self.wheel.close()
--- a/roadlb/config.py
+++ b/roadlb/config.py
@@ -170,6 +170,8 @@
     max_open: int                          # exchanges at once; more are turned away before the module
     client_sockets: int                    # connections of clients at once
     instance_sockets: int                  # and to instances
+    admin: Address | None = None           # where operators call; None: nowhere
+    socket_fd: int | None = None           # a listening socket that is inherited; None: `listen` is bound
 
     @property
     def longest_s(self) -> float:
@@ -178,7 +180,8 @@
 
 
 def read_config(raw: object, env: Mapping[str, str], again: bool = False) -> Config:
-    """Check a parsed configuration; PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY go before the file.
+    """Check a parsed configuration; the variables PROXY_NAME, PROXY_LISTEN, PROXY_DISCOVERY and
+    PROXY_ADMIN_ADDR go before the file.
 
     Read `again`, the file's `discovery` goes first: the variable tells what held at the start and cannot
     change, so a new address in the file would never be seen.
@@ -222,10 +225,15 @@
     # request open, or never send one, hold connections as well.
     client_sockets = (int(sockets) - SPARE_SOCKETS) // 2
     limits_of["max_open"] = min(limits_of["max_open"], client_sockets)
+    admin = env.get("PROXY_ADMIN_ADDR") or raw.get("admin_addr")
+    fd = env.get("PROXY_SOCKET_FD")
+    if fd and not (fd.isascii() and fd.isdigit()):
+        raise ConfigError(f"PROXY_SOCKET_FD: {fd!r} is not the number of a descriptor")
     return Config(
         name=str(told("name")), listen=read_address("listen", told("listen")), **amounts,
         discovery=read_address("discovery", told("discovery")), seed=seed, sockets=int(sockets), known=known,
         settings=read_settings(pairs), zones=pairs.words("dcs"), kinds=pairs.words("machine_types"),
+        admin=read_address("admin_addr", admin) if admin else None, socket_fd=int(fd) if fd else None,
         client_sockets=client_sockets, instance_sockets=int(sockets) - SPARE_SOCKETS - client_sockets,
         **limits_of)
 
--- a/roadlb/counters.py
+++ b/roadlb/counters.py
@@ -11,7 +11,7 @@
 
 
 class Counters:
-    """Named counts, such as `taken`, `execution.reset`, `answer.served` or `rejected.413`."""
+    """Named counts, such as `taken`, `execution.reset`, `answered.<class>` or `rejected.413`."""
 
     def __init__(self) -> None:
         self._counts: Counter[str] = Counter()
--- a/roadlb/engine.py
+++ b/roadlb/engine.py
@@ -17,7 +17,7 @@
 from .log import fields
 from .policy.interface import (
     Action, Arrival, Cancel, ClientGone, Event, Fail, ListKind, ListUpdate, Log, Member, Offer, Outcome,
-    Probe, Probed, Refuse, Send, ServerId, SetTimer, Shortage, Subscribe, TimerFired,
+    Probe, Probed, Refuse, Report, Send, ServerId, SetTimer, Shortage, Subscribe, TimerFired, View,
 )
 from .wheel import Wheel
 
@@ -57,6 +57,8 @@
         self._open: dict[int, Exchange] = {}      # with an answer owed, or an execution still out
         self._short = False                       # of this program's own means, as the module was told
         self._asked = self._refused = 0           # requests that came, and those refused before any execution
+        self._answers = {(kind, i): f"{_ANSWER[kind]}.{name}" for kind in _ANSWER
+                         for i, name in enumerate(class_names)}
         self._shed = {(i, short): f"shed.{name}.{'own' if short else 'fleet'}"
                       for i, name in enumerate(class_names) for short in (False, True)}
         self.executor: Executor | None = None
@@ -72,6 +74,7 @@
             # Out of sockets every request would fail; nothing of this one has run, so it may come again.
             self._counters.add("full")
             exchange.answer = Nack(FULL_RETRY_US)
+            self._count_answer(Nack, exchange.class_index)
             exchange.on_answer(exchange, exchange.answer)
             return
         exchange.id, self._next_id = self._next_id, self._next_id + 1
@@ -93,10 +96,23 @@
             self._feed(ClientGone(exchange.id))
             self._forget(exchange)
 
-    def finish(self) -> None:
-        """Give all that is still open its answer now."""
+    def finish(self, came_after_us: int = 0) -> None:
+        """Give all that is still open, and came after this time, its answer now."""
         for exchange in list(self._open.values()):
-            self._give_up(exchange, "stopping")
+            if not exchange.closed and exchange.until_us - exchange.left_us > came_after_us:
+                self._give_up(exchange, "stopping")
+
+    @property
+    def current(self) -> int:
+        """Requests taken and not ended."""
+        return sum(not exchange.closed for exchange in self._open.values())
+
+    def view(self) -> View:
+        """What the module believes of each server now."""
+        for action in self._balancer.handle(self._clock(), Report()):
+            if isinstance(action, View):
+                return action
+        return View([])
 
     @property
     def short(self) -> bool:
@@ -116,6 +132,7 @@
             if isinstance(action, Refuse):
                 self._asked += 1
                 self._counters.add("offer.nack")
+                self._count_answer(Nack, class_index)
                 self._count_shed(class_index)
                 return Nack(action.retry_after_us)
         return None
@@ -129,6 +146,10 @@
         """Requests that have come so far, and how many of them were refused with nothing sent for them."""
         return self._asked, self._refused
 
+    def _count_answer(self, kind: type, class_index: int) -> None:
+        if name := self._answers.get((kind, class_index)):
+            self._counters.add(name)
+
     def _count_shed(self, class_index: int) -> None:
         self._refused += 1
         if name := self._shed.get((class_index, self._short)):
@@ -189,7 +210,7 @@
 
     def _give_up(self, exchange: Exchange, reason: str) -> None:
         """Answer without the module, and let it know that the request is over."""
-        self._answer(exchange.id, Failed(reason))
+        self._answer(exchange.id, Failed(reason) if exchange.executions else Nack(FULL_RETRY_US))
         self._feed(ClientGone(exchange.id))
 
     # Actions out
@@ -242,7 +263,7 @@
         exchange = self._open.get(request)
         if exchange is None or exchange.closed:
             return
-        self._counters.add(_ANSWER[type(answer)])
+        self._count_answer(type(answer), exchange.class_index)
         exchange.answer = answer
         self._forget(exchange)
         try:
@@ -263,4 +284,4 @@
 
 
 _EXECUTION = {ending: f"execution.{ending.value}" for ending in Ending}
-_ANSWER: dict[type, str] = {kind: f"answer.{kind.__name__.lower()}" for kind in (Served, Nack, Failed)}
+_ANSWER: dict[type, str] = {Served: "answered", Nack: "deferred", Failed: "errored"}
--- a/roadlb/net/instance_connection.py
+++ b/roadlb/net/instance_connection.py
@@ -36,7 +36,8 @@
 
 @dataclass(slots=True, eq=False, init=False)
 class Call:
-    """One request to one instance: `data` goes out as it is, `ended` hears once what came of it.
+    """One request to one instance: `data` goes out as it is, `ended` hears once what came of it, `written`
+    that its last byte has gone out.
 
     `until_us` is a time of the program's clock.
     """
@@ -48,10 +49,12 @@
     connection: InstanceConnection | None
     dialling: asyncio.Task[None] | None
     timer: Timer | None
+    written: Callable[[], None] | None
 
     def __init__(self, server: ServerId, data: bytes, until_us: int,
-                 ended: Callable[[Result, str], None]) -> None:
+                 ended: Callable[[Result, str], None], written: Callable[[], None] | None = None) -> None:
         self.server, self.data, self.until_us, self.ended = server, data, until_us, ended
+        self.written = written
         self.connection, self.dialling, self.timer = None, None, None
 
 
@@ -105,6 +108,9 @@
             self.transport.write(call.data)
         except RuntimeError as e:              # uvloop, where it has closed it and not said so yet
             self._end(Result(Ending.BROKE_UNSENT), str(e), keep=False)
+        else:
+            if not self._unwritten and call.written:
+                call.written()
 
     def give_up(self) -> None:
         """End the connection, and with it the call it carries, of which nothing more is heard."""
@@ -131,6 +137,8 @@
 
     def resume_writing(self) -> None:
         self._unwritten = False
+        if self._call and self._call.written:
+            self._call.written()
 
     def eof_received(self) -> None:
         self._broke("closed by the instance")
--- a/roadlb/net/instances.py
+++ b/roadlb/net/instances.py
@@ -70,9 +70,13 @@
             self._over(call, result, error)
             self._engine.execution_ended(execution, result)
 
-        call = self._calls[execution] = Call(execution.server, data, execution.until_us, ended)
+        call = self._calls[execution] = Call(execution.server, data, execution.until_us, ended,
+                                              self._written)
         self._go(call)
 
+    def _written(self) -> None:
+        self._counters.add("sends")
+
     def cancel(self, execution: Execution) -> None:
         """Give an execution up; its connection is closed, which tells the instance."""
         if call := self._calls.get(execution):
--- a/roadlb/net/service_client.py
+++ b/roadlb/net/service_client.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from functools import lru_cache
 from hashlib import blake2b
+from math import ceil
 from typing import cast
 
 from ..clock import Clock
@@ -22,6 +23,7 @@
 from .client_connection import BadRequest, ClientConnection, Request
 from .headers import ACCOUNT, CORRELATION_ID, FACTS, HOST, REPEAT, TIME_LEFT, Faulty, name_values
 from .http import answered, empty, plain
+from .sockets import unread
 
 logger = logging.getLogger(__name__)
 
@@ -92,7 +94,7 @@
         self._rejects = Limit(clock, REJECTS_LOGGED)
         self.connections: dict[ClientConnection, None] = {}      # in the order in which they came
         self._all_ended: asyncio.Future[None] | None = None
-        self.draining = False
+        self.draining = False                  # each answer ends its connection
         self.tight = False                     # memory or descriptors are short: idle connections go sooner
 
     def __call__(self) -> asyncio.Protocol:
@@ -164,29 +166,33 @@
         while self._answered and (self._answered[0][0] <= now or len(self._answered) > RECENT_MOST):
             self._ids.discard(self._answered.popleft()[1])
 
-    async def end(self, seconds: float) -> None:
-        """Close the connections that are quiet, wait for those that are owed an answer, abort the rest.
+    def close_idle(self, part: float) -> None:
+        """Close this part of the connections that carry no request, the longest idle first.
 
-        One that has been accepted a moment ago may have its first request on the way, and its client could
-        not tell that it was never read: it is waited for as long as a client takes that means to ask.
+        One that was accepted a moment ago may have its first request on the way, and its client could not
+        tell that it was never read: it is left alone for as long as a client takes that means to ask.
         """
-        now = self.clock()
+        before = self.clock() - int(SILENT_S * 1e6)
+        idle = [c for c in self._quiet() if not c.started_us and (c.asked or c.since_us <= before)]
+        idle.sort(key=lambda c: c.since_us)
+        for connection in idle[:ceil(len(idle) * part)]:
+            if connection.transport and not unread(connection.transport):
+                connection.close()
+
+    def close_unfinished(self) -> None:
+        """Close the connections that have begun a request and not ended it."""
         for connection in self._quiet():
-            asks_by = connection.since_us + int(SILENT_S * 1e6)
-            if connection.asked or asks_by <= now:
+            if connection.started_us:
                 connection.close()
-            else:
-                self._wheel.at(asks_by, self._close_if_quiet, connection)
+
+    async def all_gone(self, until_us: int) -> None:
+        """Wait until no connection is left, or the clock shows this time; then end what is left."""
         if self.connections:
             self._all_ended = asyncio.get_running_loop().create_future()
-            await asyncio.wait([self._all_ended], timeout=seconds)
+            await asyncio.wait([self._all_ended], timeout=max(0, until_us - self.clock()) / 1e6)
         for connection in list(self.connections):
             connection.abort()
 
-    def _close_if_quiet(self, connection: ClientConnection) -> None:
-        if not connection.busy and not connection.started_us:
-            connection.close()
-
     # Requests
 
     def serve(self, connection: ClientConnection, request: Request) -> None:
--- /dev/null
+++ b/tests/lifecycle/test_lifecycle.py
@@ -0,0 +1,102 @@
+"""The lifecycle's table, and what its schedules promise, over every order of events."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from roadlb.lifecycle.lifecycle import (
+    DRAINED_US, RECENT_US, CloseIdle, CloseUnfinished, Ending, Event, GiveUp, Leave, Lifecycle, State,
+    StopListening, Wake,
+)
+
+TABLE = {
+    State.STARTING: (State.SERVING, State.DRAINING, State.STARTING, State.LEAVING),
+    State.SERVING: (State.SERVING, State.DRAINING, State.SERVING, State.LEAVING),
+    State.DRAINING: (State.DRAINING, State.DRAINING, State.SERVING, State.LEAVING),
+    State.LEAVING: (State.LEAVING,) * 4,
+}
+EVENTS = (Event.STARTED, Event.OUT_OF_SERVICE, Event.IN_SERVICE, Event.LEAVE)
+TO = {State.STARTING: [], State.SERVING: [Event.STARTED], State.DRAINING: [Event.OUT_OF_SERVICE],
+      State.LEAVING: [Event.LEAVE]}
+
+
+@pytest.mark.parametrize("state, at", list(itertools.product(State, range(4))))
+def test_each_event_leads_where_the_table_says_and_twice_is_once(state: State, at: int) -> None:
+    life = Lifecycle(2_000_000)
+    for event in TO[state]:
+        life.handle(0, event)
+    assert life.state is state
+    life.handle(1, EVENTS[at])
+    assert life.state is TABLE[state][at]
+    if life.state is not state:
+        assert life.handle(2, EVENTS[at]) == []
+
+
+def played(life: Lifecycle, now: int, actions: list[object], until: int) -> list[tuple[int, object]]:
+    """What it does from there on, woken as it asks to be."""
+    seen = [(now, a) for a in actions if not isinstance(a, Wake)]
+    wakes = [a.at_us for a in actions if isinstance(a, Wake)]
+    while wakes and wakes[0] <= until:
+        now = wakes.pop(0)
+        more = life.handle(now, Event.WAKE)
+        seen += [(now, a) for a in more if not isinstance(a, Wake)]
+        wakes += [a.at_us for a in more if isinstance(a, Wake)]
+    return seen
+
+
+@given(st.integers(0, 3_000_000))
+def test_a_drain_leaves_nothing_idle_nor_recent_when_its_time_is_over(began: int) -> None:
+    life = Lifecycle(2_500_000)
+    life.handle(0, Event.STARTED)
+    assert life.healthy
+    seen = played(life, began, life.handle(began, Event.OUT_OF_SERVICE), began + DRAINED_US)
+    assert not life.healthy and life.takes_clients
+    assert seen[0] == (began, Ending(True))
+    idle = [(at - began, a.part) for at, a in seen if isinstance(a, CloseIdle)]
+    assert idle[0][0] >= 300_000 and idle[0][1] < 0.2            # not at once, not in one instant
+    assert any(part == 1.0 for at, part in idle if at < DRAINED_US - RECENT_US)
+    assert idle[-1][1] == 1.0 and idle[-1][0] > DRAINED_US - 200_000
+    assert [at < began + DRAINED_US for at, a in seen if isinstance(a, CloseUnfinished)] == [True]
+    (gives_up_at, gives_up), = [(at, a) for at, a in seen if isinstance(a, GiveUp)]
+    assert gives_up_at < began + DRAINED_US - 300_000
+    assert gives_up.came_after_us < began + DRAINED_US - 2_000_000
+
+
+@pytest.mark.parametrize("shared", [False, True])
+@pytest.mark.parametrize("longest", [400_000, 3_000_000])
+def test_who_leaves_is_done_before_it_is_killed(shared: bool, longest: int) -> None:
+    life = Lifecycle(longest, shared)
+    life.handle(0, Event.STARTED)
+    actions = life.handle(0, Event.LEAVE)
+    assert (StopListening() in actions) == shared        # what waits at a shared socket is the successor's
+    seen = played(life, 0, actions, 10_000_000)
+    stops = [at for at, a in seen if isinstance(a, StopListening)]
+    assert len(stops) == 1 and not life.takes_clients
+    # A request of 0.7 s after the signal has its time; the rest gets its answer before the process is killed.
+    (done, _), = [(at, a) for at, a in seen if a == GiveUp(0)]
+    assert longest + 300_000 <= done <= longest + 600_000
+    assert max(a.by_us for _, a in seen if isinstance(a, Leave)) < longest + 700_000
+    last_idle = max(at for at, a in seen if a == CloseIdle(1.0))
+    assert last_idle >= stops[0]
+
+
+@given(st.lists(st.tuples(st.sampled_from(EVENTS), st.integers(0, 2_000_000)), max_size=12))
+def test_whatever_comes_in_whatever_order_there_is_one_state_and_no_way_back(
+        events: list[tuple[Event, int]]) -> None:
+    life, now, left, listening = Lifecycle(1_000_000), 0, False, True
+    wakes: list[int] = []
+    for event, pause in [*events, (Event.LEAVE, 5_000_000)]:
+        for at in sorted(w for w in wakes if w <= now + pause):
+            for action in life.handle(at, Event.WAKE):
+                listening &= not isinstance(action, StopListening)
+        now += pause
+        actions = life.handle(now, event)
+        wakes = [a.at_us for a in actions if isinstance(a, Wake)]
+        left |= event is Event.LEAVE
+        assert (life.state is State.LEAVING) == left
+        assert life.healthy == (life.state is not State.DRAINING)
+    assert not life.takes_clients
--- a/tests/net/test_net.py
+++ b/tests/net/test_net.py
@@ -14,6 +14,33 @@
 from roadlb.net.instances import IDLE_PART
 
 SCENARIOS = {
+    "a drain lets idle clients go, ends what is open well, serves new ones, and is over at once": """
+        b send GET /grid-read/k
+        i1 expect GET
+        i1 send 200 one
+        b expect 200 one
+        a send POST /order/k
+        i1 expect POST
+        out-of-service
+        out-of-service
+        h send GET /healthz
+        h expect 503 "Connection: close"
+        c send GET /grid-read/k
+        i2 expect GET
+        i2 send 200 two
+        c expect 200 two "Connection: close"
+        c expect closed
+        b expect closed
+        i1 send 200 done
+        a expect 200 done "Connection: close"
+        a expect closed
+        in-service
+        g send GET /healthz
+        g expect 200 "!Connection: close"
+        f send GET /grid-read/k
+        i2 expect GET
+        i2 send 200 three
+        f expect 200 three "!Connection: close" """,
     "target byte for byte, load report kept back, the rest passed on": """
         a send GET /grid-read/a%2Fb//..;x?q=%41&&b=%c3 Accept:text/x
         i1 expect "GET /grid-read/a%2Fb//..;x?q=%41&&b=%c3 HTTP/1.1" "Accept: text/x" X-Time-Left !User-Agent
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -13,6 +13,7 @@
     reload [TEXT]           the configuration is read again: discovery is now at `e`, or TEXT is wrong with it
     X close / X expect closed                      ends X's connection / waits until the balancer has
     wait SECONDS            only where it is time that is tested
+    out-of-service / in-service     what the operators tell the balancer
     stop [SECONDS] / stopped                       the balancer is told to end, after lingering / has ended
 
 A text with `!` before it must not be there.  Any name of a client, execution or discovery may carry a
@@ -35,6 +36,7 @@
 
 from roadlb.app import App
 from roadlb.config import read_config
+from roadlb.lifecycle.lifecycle import Event
 
 LIMIT_S = 10.0
 LOOPS = {"uvloop": uvloop.new_event_loop, "asyncio": asyncio.new_event_loop}
@@ -207,6 +209,8 @@
                 self.stopping.cancel()
             self.stopping = asyncio.create_task(self.app.stop(linger_s=float(rest[0]) if rest else 0))
             await asyncio.sleep(0)
+        elif who in ("out-of-service", "in-service"):
+            self.app.tell(Event(who.replace("-", " ")))
         elif who == "stopped":
             await self.stopping
         elif rest[0] == "close":
