--- a/roadlb/app.py
+++ b/roadlb/app.py
@@ -7,8 +7,10 @@
 import gc
 import logging
 import signal
+import socket
 from collections.abc import Callable
 from contextlib import suppress
+from pathlib import Path
 
 from .admin.door import Door
 from .admin.report import report
@@ -16,9 +18,12 @@
 from .config import Config, ConfigError
 from .counters import Counters
 from .engine import Engine
+from .lifecycle.handover import Handover, Held
 from .lifecycle.lifecycle import (
-    LINGER_US, CloseIdle, CloseUnfinished, Ending, Event, GiveUp, Leave, Lifecycle, StopListening, Wake,
+    LINGER_US, CloseIdle, CloseUnfinished, Ending, Event, GiveUp, Leave, Lifecycle, State, StopListening,
+    Wake,
 )
+from .lifecycle.succession import Succession
 from .log import fields
 from .net.instances import Instances
 from .net.name_table import NameTable
@@ -33,11 +38,30 @@
 
 BACKLOG = 512
 GC_THRESHOLD = 5_000, 10, 10
+HEARD_S = 1.5        # for discovery's first word, before the known list alone is served from
+PART_LEAST = 4       # beside another process, at least this part of each limit
 TAKE_OVER_S = 10.0  # how long a predecessor may take to end
 OWN_SOCKETS = 10    # log, listeners, loop and its wake-ups, discovery
 LONGEST_US = 3_000_000     # of deadlines, as far as the platform waits for them after SIGTERM
 
 
+def inherited(fd: int) -> socket.socket:
+    """The listening socket that the platform holds for every process of this balancer."""
+    try:
+        found = socket.socket(fileno=fd)
+    except OSError as e:
+        raise ConfigError(f"PROXY_SOCKET_FD: descriptor {fd} is no socket: {e.strerror}") from None
+    try:
+        listens = found.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+    except OSError:
+        listens = 0
+    if found.type != socket.SOCK_STREAM or not listens:
+        found.detach()
+        raise ConfigError(f"PROXY_SOCKET_FD: descriptor {fd} is not a TCP socket that listens")
+    found.setblocking(False)
+    return found
+
+
 class App:
     """One balancer: `await start()`, then `await stop()`.  Signals are the caller's, see `run`.
 
@@ -50,6 +74,8 @@
                  cpu_us: Clock = cpu_used_us) -> None:
         self.config, self.counters, self.clock, self.wall = config, Counters(), clock, wall
         self.cpu_us = cpu_us
+        self.succession: Succession | None = None
+        self._twins = 1
 
     async def start(self) -> None:
         config, counters, clock = self.config, self.counters, self.clock
@@ -60,7 +86,12 @@
         self.engine.executor = self.instances
         self.name_table = NameTable(config.discovery, config.zones, config.kinds, self.engine, self.instances,
                                     counters, clock, self.wall, config.seed)
-        self.name_table.start_from(config.known)
+        known, draining = config.known, False
+        if config.shared_dir:
+            self.succession = Succession(Path(config.shared_dir), counters, self._held, self._handover,
+                                         self._beside)
+            known, draining = self.succession.inherited(str(config.discovery), known)
+        self.name_table.start_from(known)
         self.watch = asyncio.create_task(self.name_table.run())
         self.own_load = OwnLoad(
             clock, self.engine, Limits(config.cores, config.memory_mb, config.sockets),
@@ -79,7 +110,16 @@
             ("PUT", "/control/in-service"): lambda: self.tell(Event.IN_SERVICE)}, counters)
         if config.admin:
             await self.door.listen(config.admin)
+        if config.socket_fd is not None:
+            # The predecessor serves till we can: with the list as it is now, not as it was.
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self.name_table.told.wait(), HEARD_S)
         self.listener = await self._listen()
+        if draining:
+            self._life(Event.OUT_OF_SERVICE)
+        if self.succession:
+            self.name_table.on_list = self.succession.write_soon
+            self.succession.begin()
         self._life(Event.STARTED)
         logger.info("listening", extra=fields(name=config.name, address=config.listen))
 
@@ -110,8 +150,36 @@
             elif isinstance(action, Wake):
                 self.wheel.at(action.at_us, self._life, Event.WAKE)
         if self.lifecycle.state is not before:
+            if self.succession:
+                if self.lifecycle.state is State.LEAVING:
+                    self.succession.leave()
+                else:
+                    self.succession.write_soon()
             logger.info("lifecycle", extra=fields(state=self.lifecycle.state.value, event=event.value))
 
+    # Beside another process of this balancer
+
+    def _held(self) -> Held:
+        return Held(len(self.service_client.connections), len(self.instances.pool.open))
+
+    def _handover(self) -> Handover:
+        discovery, known = self.name_table.held
+        return Handover(discovery, known, self.lifecycle.state is State.DRAINING)
+
+    def _beside(self, others: list[Held]) -> None:
+        """What others hold is not ours to hold: the limits are the sum's."""
+        config = self.config
+        clients = max(config.client_sockets // PART_LEAST,
+                      config.client_sockets - sum(o.clients for o in others))
+        self.service_client.limit(clients)
+        self.engine.limit(min(config.max_open, clients))
+        self.instances.pool.limit(max(config.instance_sockets // PART_LEAST,
+                                      config.instance_sockets - sum(o.instances for o in others)))
+        if self._twins != 1 + len(others):
+            self._twins = 1 + len(others)
+            self.engine.twins(self._twins)
+            logger.info("processes", extra=fields(count=self._twins))
+
     def gauges(self) -> dict[str, int]:
         """What holds now, under the names that operators see."""
         servers = self.engine.view().servers
@@ -125,6 +193,9 @@
     async def _listen(self) -> asyncio.Server:
         """Take the address; one that a predecessor still holds is waited for, as ending would be a crash."""
         loop, at = asyncio.get_running_loop(), self.config.listen
+        if self.config.socket_fd is not None:
+            return await loop.create_server(self.service_client, sock=inherited(self.config.socket_fd),
+                                            backlog=BACKLOG)
         until = loop.time() + TAKE_OVER_S
         while True:
             try:
@@ -178,6 +249,8 @@
             with suppress(asyncio.CancelledError):
                 await task
         await self.door.close()
+        if self.succession:
+            self.succession.end()
         self.own_load.stop()
         await self.instances.close()
         self.wheel.close()
--- a/roadlb/config.py
+++ b/roadlb/config.py
@@ -172,6 +172,7 @@
     instance_sockets: int                  # and to instances
     admin: Address | None = None           # where operators call; None: nowhere
     socket_fd: int | None = None           # a listening socket that is inherited; None: `listen` is bound
+    shared_dir: str | None = None          # kept from one process to its successor; None: there is none
 
     @property
     def longest_s(self) -> float:
@@ -234,6 +235,7 @@
         discovery=read_address("discovery", told("discovery")), seed=seed, sockets=int(sockets), known=known,
         settings=read_settings(pairs), zones=pairs.words("dcs"), kinds=pairs.words("machine_types"),
         admin=read_address("admin_addr", admin) if admin else None, socket_fd=int(fd) if fd else None,
+        shared_dir=(env.get("TMPDIR") or None) if fd else None,
         client_sockets=client_sockets, instance_sockets=int(sockets) - SPARE_SOCKETS - client_sockets,
         **limits_of)
 
--- a/roadlb/engine.py
+++ b/roadlb/engine.py
@@ -17,7 +17,8 @@
 from .log import fields
 from .policy.interface import (
     Action, Arrival, Cancel, ClientGone, Event, Fail, ListKind, ListUpdate, Log, Member, Offer, Outcome,
-    Probe, Probed, Refuse, Report, Send, ServerId, SetTimer, Shortage, Subscribe, TimerFired, View,
+    Probe, Probed, Refuse, Report, Send, ServerId, SetTimer, Shortage, Subscribe, TimerFired, Twins,
+    View,
 )
 from .wheel import Wheel
 
@@ -142,6 +143,14 @@
         self._short = share > 0
         self._feed(Shortage(share))
 
+    def limit(self, max_open: int) -> None:
+        """So many exchanges may be open at once from now on."""
+        self._max_open = max_open
+
+    def twins(self, count: int) -> None:
+        """So many processes are this one instance now."""
+        self._feed(Twins(count))
+
     def asked_and_refused(self) -> tuple[int, int]:
         """Requests that have come so far, and how many of them were refused with nothing sent for them."""
         return self._asked, self._refused
--- /dev/null
+++ b/roadlb/lifecycle/succession.py
@@ -0,0 +1,89 @@
+"""One process's side of an upgrade: what its predecessor left, what its successor needs, who else lives."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Mapping
+from contextlib import suppress
+from pathlib import Path
+
+from ..counters import Counters
+from ..log import fields
+from .handover import Handover, Held, Neighbours, generation_of, read, write
+
+logger = logging.getLogger(__name__)
+
+LOOK_S = 0.25          # between looks at who lives
+WRITE_S = 0.1          # a list that changes again and again is written once in so long
+
+
+class Succession:
+    """`held` tells what this process holds, `handover` what a successor is to know; `changed` hears, at every
+    look, what the others hold."""
+
+    def __init__(self, directory: Path, counters: Counters, held: Callable[[], Held],
+                 handover: Callable[[], Handover], changed: Callable[[list[Held]], None]) -> None:
+        self._directory, self._counters = directory, counters
+        self._held, self._handover, self._changed = held, handover, changed
+        self._neighbours = Neighbours(directory)
+        self._writing: asyncio.TimerHandle | None = None
+        self._looking: asyncio.Task[None] | None = None
+
+    def inherited(self, discovery: str, known: Mapping[str, object]) -> tuple[Mapping[str, object], bool]:
+        """The list to begin with, and whether a predecessor that lives is out of service.
+
+        The predecessor's list is taken if the same discovery told it and it is newer than `known`.
+        """
+        try:
+            handover = read(self._directory)
+        except (ValueError, KeyError, TypeError, RecursionError) as e:
+            self._counters.add("handover.ignored")
+            logger.warning("handover ignored", extra=fields(error=e))
+            return known, False
+        if handover is None:
+            return known, False
+        draining = handover.draining and bool(self._neighbours.others())
+        if handover.discovery != discovery or generation_of(handover.known) <= generation_of(known):
+            self._counters.add("handover.old")
+            return known, draining
+        self._counters.add("handover.taken")
+        return handover.known, draining
+
+    def begin(self) -> None:
+        """From now on this process is the one that a successor takes over from."""
+        self.look()
+        self.write_soon()
+        self._looking = asyncio.create_task(self._look_for_ever())
+
+    def look(self) -> None:
+        """Tell the others what this process holds, and hear what they hold."""
+        with suppress(OSError):                # a full directory must not end the program
+            self._neighbours.tell(self._held())
+            self._changed(self._neighbours.others())
+
+    async def _look_for_ever(self) -> None:
+        while True:
+            await asyncio.sleep(LOOK_S)
+            self.look()
+
+    def write_soon(self) -> None:
+        """The list or the state has changed."""
+        if self._writing is None:
+            self._writing = asyncio.get_running_loop().call_later(WRITE_S, self._write)
+
+    def _write(self) -> None:
+        self._writing = None
+        write(self._directory, self._handover())
+
+    def leave(self) -> None:
+        """Nothing more is written: what is there may be the successor's by now."""
+        if self._writing:
+            self._writing.cancel()
+            self._writing = None
+
+    def end(self) -> None:
+        self.leave()
+        if self._looking:
+            self._looking.cancel()
+        self._neighbours.leave()
--- a/roadlb/net/name_table.py
+++ b/roadlb/net/name_table.py
@@ -6,7 +6,7 @@
 import json
 import logging
 import math
-from collections.abc import Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass
 from hashlib import blake2b
 
@@ -41,6 +41,7 @@
     kind: ListKind
     members: list[Member]
     names: dict[ServerId, tuple[str, Address]]
+    entries: dict[str, object]           # as they came, by instanceId; None: removed
 
 
 class NameTable:
@@ -60,6 +61,9 @@
         self._generation = 0
         self._moved = asyncio.Event()
         self.filled = False                # an instance has been listed
+        self.told = asyncio.Event()        # discovery has told a list since the start
+        self.on_list: Callable[[], None] = lambda: None
+        self._entries: dict[str, object] = {}
 
     def parse(self, raw: object) -> Line:
         """Check a whole line, as text or as JSON read already, before any of it is believed."""
@@ -73,12 +77,13 @@
             raise ValueError("not an object with a list of instances")
         if not isinstance(raw["reset"], bool):
             raise ValueError("reset: must be true or false")
-        members, names = [], {}
+        members, names, entries = [], {}, dict[str, object]()
         for entry in raw["instances"]:
             name, state = entry["instanceId"], STATES[entry["lifecycle"]]
             if not isinstance(name, str) or not name:
                 raise ValueError("instanceId: must be a name")
             id = server_id(name)
+            entries[name] = None if state is ServerState.GONE else entry
             if state is ServerState.GONE:
                 members.append(Member(id, state))
                 continue
@@ -90,21 +95,29 @@
                 id, state, int(entry.get("cell") or 0), self._kinds.get(entry.get("machineType"), 0),
                 self._zones.get(entry.get("zone"), 0), weight, born))
             names[id] = name, read_address("hostPort", entry["hostPort"])
-        return Line(int(raw["generation"]), ListKind.FULL if raw["reset"] else ListKind.DELTA, members, names)
+        return Line(int(raw["generation"]), ListKind.FULL if raw["reset"] else ListKind.DELTA, members, names,
+                    entries)
 
     def start_from(self, known: Mapping[str, object]) -> None:
         """Begin with the list as it was last held, which may be old."""
         try:
-            line = self.parse(known) if known else Line(0, ListKind.FULL, [], {})
+            line = self.parse(known) if known else Line(0, ListKind.FULL, [], {}, {})
         except MalformedList as e:
             logger.error("known list malformed", extra=fields(key="known", error=e))
-            line = Line(0, ListKind.FULL, [], {})
+            line = Line(0, ListKind.FULL, [], {}, {})
         line.kind = ListKind.CACHED
         self._take(line)
 
     def _take(self, line: Line) -> None:
         self._generation = line.generation
         gone = [m.server for m in line.members if m.state is ServerState.GONE]
+        if line.kind is not ListKind.DELTA:
+            self._entries.clear()
+        for name, entry in line.entries.items():
+            if entry is None:
+                self._entries.pop(name, None)
+            else:
+                self._entries[name] = entry
         self._instances.list_update(line.names, gone, whole=line.kind is not ListKind.DELTA)
         self._engine.list_update(line.kind, line.members)
         self.filled = self.filled or bool(line.names)
@@ -113,6 +126,12 @@
             kind=line.kind.name.lower(), generation=line.generation,
             **{s.name.lower(): sum(m.state is s for m in line.members) for s in ServerState}))
 
+    @property
+    def held(self) -> tuple[str, dict[str, object]]:
+        """Which discovery told the list held, and that list in discovery's form."""
+        return str(self._discovery), {"generation": self._generation, "reset": True,
+                                      "instances": list(self._entries.values())}
+
     def move(self, discovery: Address) -> None:
         """Watch at another address from now on; the list held stays valid until that one tells more."""
         if discovery != self._discovery:
@@ -163,4 +182,6 @@
             return                                   # what the old place still says is out of date
         if line.strip():
             self._take(self.parse(line))
+            self.told.set()
+            self.on_list()
         self._counters.add("list.line")
--- a/roadlb/net/pool.py
+++ b/roadlb/net/pool.py
@@ -42,6 +42,10 @@
         self._resting: list[InstanceConnection] = []
         self._sweeping = False
 
+    def limit(self, connections: int) -> None:
+        """So many connections there may be from now on; what is too much goes as it idles."""
+        self._most = connections
+
     # Calls
 
     def start(self, call: Call) -> None:
--- a/roadlb/net/service_client.py
+++ b/roadlb/net/service_client.py
@@ -101,6 +101,10 @@
         """A protocol for a new connection."""
         return cast(asyncio.Protocol, ClientConnection(self))
 
+    def limit(self, connections: int) -> None:
+        """So many connections there may be from now on; those that are open stay."""
+        self._most = connections
+
     # Connections
 
     def connected(self, new: ClientConnection) -> None:
--- a/roadlb/policy/interface.py
+++ b/roadlb/policy/interface.py
@@ -212,6 +212,13 @@
     share: float
 
 
+@dataclass(slots=True)
+class Twins:
+    """So many processes, this one among them, are one instance now: what an instance may do is divided."""
+
+    count: int
+
+
 @dataclass(slots=True, init=False)
 class Outcome:
     """How one attempt ended; `closed`: the request has had its final answer."""
@@ -271,8 +278,8 @@
 
 
 Event: TypeAlias = (
-    ListUpdate | Arrival | Offer | Shortage | Outcome | StreamStarted | ClientGone | TimerFired | Probed
-    | PeerMessage | Report
+    ListUpdate | Arrival | Offer | Shortage | Twins | Outcome | StreamStarted | ClientGone | TimerFired
+    | Probed | PeerMessage | Report
 )
 
 
--- a/roadlb/policy/logic.py
+++ b/roadlb/policy/logic.py
@@ -18,7 +18,7 @@
 from .interface import (
     NEVER_RAN, Action, Arrival, Cancel, ClientGone, Effect, Event, Fail, Group, ListKind, ListUpdate, Offer,
     Outcome, Refuse, Report, Send, ServerId, ServerState, ServerView, SetTimer, Settings, Shortage, Status,
-    StreamStarted, Subscribe, TimerFired, View,
+    StreamStarted, Subscribe, TimerFired, Twins, View,
 )
 from .state import HASH, Attempt, ClassState, KeySet, Request, Server, mix
 
@@ -65,6 +65,7 @@
         self.fleet = Server(b"")          # stands for all of them
         self.carried, self.work_sent, self.work_mean = 0.0, 0, 0.0
         self.tenant_rate, self.tenant_count = [0.0] * len(settings.tenants), [0] * len(settings.tenants)
+        self.parts = settings.instances      # among which what all nodes together may do is divided
         self.pressure, self.pressed_at, self.gap, self.ranks = 0.0, 0, 10_000.0, [0.0] * 64
         self.own, self.watched = 0.0, False      # this process's own shortage; has one been told at all?
         self.aim = min(c.aim_us for c in settings.classes)
@@ -76,7 +77,7 @@
         self.handlers: dict[type, Callable[..., None]] = {
             Arrival: self.arrival, Outcome: self.outcome, TimerFired: self.timer,
             ClientGone: self.client_gone, ListUpdate: self.list_update, StreamStarted: self.stream_started,
-            Offer: self.offer, Shortage: self.shortage}
+            Offer: self.offer, Shortage: self.shortage, Twins: self.twins}
 
     def handle(self, now: int, event: Event) -> list[Action]:
         """Take one event at clock time `now` and return the actions to carry out, in order."""
@@ -460,6 +461,9 @@
     def shortage(self, e: Shortage) -> None:
         self.own, self.watched = min(OWN_MOST, max(0.0, e.share)), True
 
+    def twins(self, e: Twins) -> None:
+        self.parts = self.s.instances * max(1, e.count)
+
     def hopeless(self, e: Arrival | Offer, cls: ClassState) -> bool:
         """Can no answer be in time?  A node would work for nothing, and be blamed for the time-out."""
         return self.watched and e.left_us < HOPELESS * cls.quickest
@@ -479,7 +483,7 @@
         worth, tenants = cls.spec.worth, e.tenant < len(self.s.tenants)
         if tenants:
             self.tenant_count[e.tenant] += not coming
-            quota = self.s.tenants[e.tenant].quota_per_s / self.s.instances
+            quota = self.s.tenants[e.tenant].quota_per_s / self.parts
             if self.tenant_rate[e.tenant] * self.random.random() > quota:
                 worth *= self.s.over_share_worth
         if not self.s.worth_by_work and e.work_us:
@@ -516,7 +520,7 @@
         carried = self.carried / TICK_US / self.weight * self.s.instances
         window = self.s.fall_multiple * s.share * carried * s.weight * self.s.fall_us / mean
         proved = self.s.fall_multiple * PROVED * sure(self.proved(s, 0) / mean, CHANCE / 3)
-        rate = max(max(sure(window, CHANCE), FIRST) / self.s.instances, proved) * mean / self.s.fall_us
+        rate = max(max(sure(window, CHANCE), FIRST) / self.parts, proved) * mean / self.s.fall_us
         if not s.budget_at:       # each node's first request to it falls at another moment
             s.budget, s.budget_at = self.random.random() * mean, now
         s.budget = min(mean + rate * self.s.fall_us / 4, s.budget + rate * (now - s.budget_at))
