--- a/roadlb/net/client_connection.py
+++ b/roadlb/net/client_connection.py
@@ -36,6 +36,15 @@
 NO_HEADERS = Headers()
 
 
+def origin_form(target: bytes) -> bytes:
+    """Path and query of a target in absolute form (RFC 9112, 3.2.2); any other as it is."""
+    scheme, _, rest = target.partition(b"://")
+    authority, slash, path = rest.partition(b"/")
+    if scheme.lower() != b"http" or not authority or b"?" in authority:
+        return target
+    return slash + path
+
+
 class BadRequest(Exception):
     """Input that is the client's fault; answered with a plain 4xx."""
 
@@ -193,7 +202,9 @@
         request, pairs, self._pairs = self._reading, self._pairs, None
         if not request or pairs is None:
             return
-        request.head_whole = True
+        request.head_whole, self.started_us = True, self._came_us      # the body's time begins
+        if request.target[:1] != b"/":
+            request.target = origin_form(request.target)
         request.method = self._parser.get_method()
         request.headers = headers = Headers(pairs)
         version = self._parser.get_http_version()
--- a/tests/net/test_net.py
+++ b/tests/net/test_net.py
@@ -58,6 +58,12 @@
         i1 send raw HTTP/1.1 101 Go\\r\\nConnection: upgrade\\r\\nUpgrade: x\\r\\n\\r\\nx
         a expect 502
         i1 expect closed""",
+    "a target in absolute form is its path and query": """
+        a send raw GET http://any.host:80/grid-read/k?q=%41 HTTP/1.1\\r\\nHost: any.host:80\\r\\n
+        a send raw X-Correlation-Id: 7\\r\\nX-Account: acme\\r\\n\\r\\n
+        i1 expect "GET /grid-read/k?q=%41 HTTP/1.1"
+        i1 send 200 one
+        a expect 200 one""",
     "a long answer begins before it is whole, and one that breaks ends unfinished": """
         a send GET /grid-read/k
         i1 expect GET
