Two processes share the memory limit; the lab drains balancers and judges it

Need: memory of an upgrade's two processes counts together, and each measured itself against the whole limit; no incident had a drain. Change: each tells the other its resident memory, and the overload meter reads the sum.

--- a/roadlb/app.py
+++ b/roadlb/app.py
@@ -30,7 +30,7 @@
 from .net.name_table import NameTable
 from .net.service_client import ServiceClient
 from .overload.meter import Limits
-from .overload.readings import cpu_used_us
+from .overload.readings import cpu_used_us, memory_bytes
 from .own_load import OwnLoad
 from .policy.logic import Balancer
 from .wheel import Wheel
@@ -76,7 +76,7 @@
         self.config, self.counters, self.clock, self.wall = config, Counters(), clock, wall
         self.cpu_us = cpu_us
         self.succession: Succession | None = None
-        self._twins = 1
+        self._twins, self._memory_beside = 1, 0
 
     async def start(self) -> None:
         config, counters, clock = self.config, self.counters, self.clock
@@ -96,7 +96,8 @@
         self.watch = asyncio.create_task(self.name_table.run())
         self.own_load = OwnLoad(
             clock, self.engine, Limits(config.cores, config.memory_mb, config.sockets),
-            min(c.aim_us for c in config.settings.classes), self._descriptors, self._tighten, self.cpu_us)
+            min(c.aim_us for c in config.settings.classes), self._descriptors, self._tighten, self.cpu_us,
+            lambda: memory_bytes() + self._memory_beside)
         self.lifecycle = Lifecycle(min(LONGEST_US, int(config.longest_s * 1e6)), config.socket_fd is not None)
         self._leave = asyncio.Event()
         self._leave_by_us = 0
@@ -161,7 +162,7 @@
     # Beside another process of this balancer
 
     def _held(self) -> Held:
-        return Held(len(self.service_client.connections), len(self.instances.pool.open))
+        return Held(len(self.service_client.connections), len(self.instances.pool.open), memory_bytes())
 
     def _handover(self) -> Handover:
         discovery, known = self.name_table.held
@@ -176,6 +177,7 @@
         self.engine.limit(min(config.max_open, clients))
         self.instances.pool.limit(max(config.instance_sockets // PART_LEAST,
                                       config.instance_sockets - sum(o.instances for o in others)))
+        self._memory_beside = sum(o.memory for o in others)
         if self._twins != 1 + len(others):
             self._twins = 1 + len(others)
             self.engine.twins(self._twins)
--- a/roadlb/lab/grid/processes.py
+++ b/roadlb/lab/grid/processes.py
@@ -17,7 +17,7 @@
 
 from ..parties.discovery import Address
 from ..run.drawn import Drawn
-from ..run.real_world import RealWorld, environment, write
+from ..run.real_world import Door, RealWorld, environment, write
 from ..run.world import Process
 from ..wire import WireLog
 
@@ -33,6 +33,8 @@
         self.name, self.address = name, address
         self.log_file, self._config_file = folder / f"{name}.log", folder / f"{name}.json"
         self._process: subprocess.Popen[bytes] | None = None
+        self._faults: list[str] = []
+        self._door = Door(name, address[0], self._faults)
 
     def start(self, configuration: Mapping[str, Any]) -> None:
         self.configure(configuration)
@@ -47,7 +49,10 @@
         limit(self._process.pid, configuration["limits"])
 
     def configure(self, configuration: Mapping[str, Any]) -> None:
-        write(self._config_file, configuration)
+        write(self._config_file, {**configuration, "admin_addr": self._door.address})
+
+    def tell(self, call: str) -> None:
+        self._door.tell(call)
 
     def signal(self, number: int) -> None:
         if self._process and self._process.poll() is None:
@@ -95,6 +100,9 @@
     def signal(self, number: int) -> None:
         self._say(f"{self.name}: send it {signal.Signals(number).name} now")
 
+    def tell(self, call: str) -> None:
+        self._say(f"{self.name}: call PUT /control/{call} at its admin_addr now, if it has one")
+
     def kill(self) -> None:
         self.signal(signal.SIGKILL)
 
--- a/roadlb/lab/incident/steps.py
+++ b/roadlb/lab/incident/steps.py
@@ -104,6 +104,14 @@
     down_s: Seconds = 0.3                           # from its end to the next start
 
 
+class BalancerDrain(AtBalancers, frozen=True, kw_only=True):
+    """Balancers are told that they are out of service, and after a while that they are in service again."""
+
+    do: ClassVar[str] = "balancer_drain"
+    every_s: Seconds = 5.0                          # from one balancer to the next
+    for_s: SomeSeconds = 6.0
+
+
 class Pause(LastingAtNodes, frozen=True, kw_only=True):
     """Processes stand still and connections stay open, as in a long collection or on a stopped machine."""
 
@@ -192,5 +200,5 @@
 
 STEPS: dict[str, type[Step]] = {
     kind.do: kind for kind in (
-        Deploy, Shrink, BalancerCrash, BalancerRestart, Pause, Slow, CutHall, DiscoveryOutage, DiscoveryMove,
-        Flood, Errors, Spoilt, Reset, Rude, KillNode)}
+        Deploy, Shrink, BalancerCrash, BalancerRestart, BalancerDrain, Pause, Slow, CutHall, DiscoveryOutage,
+        DiscoveryMove, Flood, Errors, Spoilt, Reset, Rude, KillNode)}
--- a/roadlb/lab/incident/words.py
+++ b/roadlb/lab/incident/words.py
@@ -106,6 +106,11 @@
     return f"{whom(step, 'balancers')} are killed and {back}"
 
 
+def _drain(step: s.BalancerDrain, _: Incident) -> str:
+    return (f"{whom(step, 'balancers')} are told that they are out of service, one every "
+            f"{step.every_s:g} s, and in service again {step.for_s:g} s later")
+
+
 def _restart(step: s.BalancerRestart, _: Incident) -> str:
     return (f"{whom(step, 'balancers')} get SIGTERM, one every {step.every_s:g} s, and SIGKILL after "
             f"{step.kill_after_s:g} s if they are still there")
@@ -135,6 +140,7 @@
 
 WORDS: dict[type[s.Step], Callable[[Any, Incident], str]] = {
     s.Deploy: _deploy, s.Shrink: _shrink, s.BalancerCrash: _crash, s.BalancerRestart: _restart,
+    s.BalancerDrain: _drain,
     s.Pause: _pause,
     s.Slow: lambda step, _: f"{whom(step)} take {step.factor:g} times as long {lasting(step.for_s)}",
     s.CutHall: lambda step, _: f"{step.hall} is cut off from the other halls {lasting(step.for_s)}, silently",
--- a/roadlb/lab/judge/book.py
+++ b/roadlb/lab/judge/book.py
@@ -111,6 +111,7 @@
 
     started_at: int = 0
     reloaded_at: int = -1
+    out_at: int = NEVER                         # since when it is out of service
     terminated_at: int = -1                     # SIGTERM to the present process
     terminated_before_at: int = -1              # and to the one before it
     gone: tuple[int, int] = (NEVER, NEVER)      # from its last end in order to the next start
@@ -133,6 +134,10 @@
             self.dead.moment(event.at)
         elif event.state == "terminated":
             self.terminated_at = event.at
+        elif event.state == "out of service":
+            self.out_at = event.at
+        elif event.state == "in service":
+            self.out_at = NEVER
         elif event.state == "reloaded":
             self.reloaded_at = event.at
         elif event.state == "ended":
@@ -143,7 +148,7 @@
             self._release("paused", event.at)
             self.gone = (self.gone[0], min(event.at, self.gone[1]))
             self.terminated_before_at, self.terminated_at = self.terminated_at, -1
-            self.started_at = event.at
+            self.started_at, self.out_at = event.at, NEVER
         return asked
 
     def hold(self, at: int) -> None:
--- a/roadlb/lab/judge/judge.py
+++ b/roadlb/lab/judge/judge.py
@@ -104,6 +104,12 @@
         else:       # sent once more, as the balancer had closed the connection before it read the request
             request.sent, request.limit_at, request.loss = event, limit, None
         request.events.append(event)
+        balancer = self._balancers.get(event.balancer)
+        if balancer and event.at > balancer.out_at + self.rules.drained_us + self.rules.limit_slack_us:
+            self._add(Violation(Rule.HELD, event.at, event.balancer, (
+                f"{event.balancer} was told that it is out of service "
+                f"{seconds(event.at - balancer.out_at)} ago, and a client's connection to it was still open"),
+                (*balancer.events, event)))
         self._latest[event.wish, event.attempt] = event.request
         self._at(limit + SILENCE_US, lambda: self._settle(request, limit))
 
--- a/roadlb/lab/judge/rules.py
+++ b/roadlb/lab/judge/rules.py
@@ -64,6 +64,7 @@
     dial_us: int = 250_000              # an attempt that is being dialled may still be written after the end
     fall_us: int = 1_000_000
     fall_share: float = 2 / 3           # of the pressure, by balancers that had been told of the start
+    drained_us: int = 4_000_000         # then a balancer out of service holds no client's connection
     cold_us: int = 23_000_000
     max_attempts: int = 5
     second_copies: bool = True
--- a/roadlb/lab/judge/verdict.py
+++ b/roadlb/lab/judge/verdict.py
@@ -23,6 +23,7 @@
     ATTEMPTS = "attempts"               # more than are allowed
     SMUGGLED = "smuggled"               # a node ran what no client had sent
     DRAIN = "drain"                     # new work to a node that was told to be draining or gone
+    HELD = "held"                       # a client's connection, by a balancer out of service for too long
     PUSHED_OVER = "pushed-over"         # a cold node
     UNPAID = "unpaid"                   # a rude client had neither an error nor a close in time
     CRASH = "crash"                     # a balancer ended by itself
--- a/roadlb/lab/parties/front.py
+++ b/roadlb/lab/parties/front.py
@@ -100,6 +100,17 @@
         name, place = near[self._turn % len(near)]
         return name, place.address
 
+    def out(self, name: str) -> None:
+        """It said no at its last look: no new connection until it says yes again."""
+        if place := self._places.get(name):
+            place.taken_in = False
+
+    def back(self, name: str) -> None:
+        """It may say yes again."""
+        place = self._places.get(name)
+        if place and not place.taken_in and not place.looking:
+            self._look_at(name, place)
+
     def failed(self, name: str) -> None:
         """A connection to it was refused or reset, or never came up: some time later this is noticed."""
         place = self._places.get(name)
--- a/roadlb/lab/run/balancers.py
+++ b/roadlb/lab/run/balancers.py
@@ -17,6 +17,8 @@
 from .settings import configuration, text
 from .world import Machine, Process, Role, World
 
+DEALT_S = 0.3                        # to a balancer that drains, from when it is told
+
 
 @dataclass(slots=True, eq=False)
 class Standing:
@@ -44,9 +46,11 @@
         self._incident, self._drawn, self._world, self._log = incident, drawn, world, log
         self._registry, self._front = registry, front
         self.all: list[Standing] = []
+        self._at_front: Callable[[str], Machine]
 
     async def begin(self, at_front: Callable[[str], Machine]) -> None:
         """All of them start, knowing the fleet; `at_front`: where the front looks at those of a hall from."""
+        self._at_front = at_front
         for me, placed in enumerate(balancers_at_start(self._incident)):
             process = self._world.process(placed.name, placed.hall)
             place = self._world.machine(f"agent of {placed.name}", placed.hall, Role.AGENT)
@@ -129,6 +133,22 @@
                     self.state(one, "resumed")
         return end
 
+    def drain(self, one: Standing) -> Callable[[], None]:
+        """Gives what ends it; one that is started again meanwhile has nothing to end."""
+        start, loop = one.starts, asyncio.get_running_loop()
+        if one.runs:
+            self.state(one, "out of service")
+            one.process.tell("out-of-service")
+            # The front looks every 0.1 s, and goes on dealing for 0.2 s after the first no.
+            loop.call_later(DEALT_S, self._front.out, one.name)
+
+        def end() -> None:
+            if one.runs and one.starts == start:
+                one.process.tell("in-service")
+                self.state(one, "in service")
+                self._at_front(one.hall).call(self._front.back, one.name)
+        return end
+
     def state_of(self, name: str, state: str) -> None:
         self.state(self._named(name), state)
 
--- a/roadlb/lab/run/real_world.py
+++ b/roadlb/lab/run/real_world.py
@@ -82,6 +82,42 @@
         self._look_again()
 
 
+class Door:
+    """A balancer's second address, kept for it, and the calls of its operators there."""
+
+    def __init__(self, name: str, ip: str, faults: list[str]) -> None:
+        self._name, self._faults = name, faults
+        # Bound and never listening, as the first address is.
+        self._reserved = socket.socket()
+        self._reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._reserved.bind((ip, 0))
+        self._at: Address = self._reserved.getsockname()
+        self._calls: set[asyncio.Task[None]] = set()
+
+    @property
+    def address(self) -> str:
+        return f"{self._at[0]}:{self._at[1]}"
+
+    def tell(self, call: str) -> None:
+        task = asyncio.get_running_loop().create_task(self._put(call))
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    async def _put(self, call: str) -> None:
+        try:
+            reader, writer = await asyncio.open_connection(*self._at)
+            writer.write(f"PUT /control/{call} HTTP/1.1\r\nHost: {self._name}\r\n\r\n".encode())
+            answer = await reader.read()
+            writer.close()
+        except OSError as e:
+            answer = str(e).encode()
+        if not answer.startswith(b"HTTP/1.1 2"):
+            self._faults.append(f"{self._name}: {call}: {answer[:60]!r}")
+
+    def close(self) -> None:
+        self._reserved.close()
+
+
 class RealProcess:
     def __init__(self, name: str, ip: str, folder: Path, counters: dict[str, dict[str, int]],
                  faults: list[str]) -> None:
@@ -91,6 +127,7 @@
         self._reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._reserved.bind((ip, 0))
         self.address: Address = self._reserved.getsockname()
+        self._door = Door(name, ip, faults)
         self._config, self._starts = folder / f"{name}.json", 0
         self._read_logs: set[Path] = set()
         self._process: asyncio.subprocess.Process | None = None
@@ -111,7 +148,10 @@
         return self._folder / f"{self.name}-{self._starts}.log"
 
     def configure(self, configuration: Mapping[str, Any]) -> None:
-        write(self._config, configuration)
+        write(self._config, {**configuration, "admin_addr": self._door.address})
+
+    def tell(self, call: str) -> None:
+        self._door.tell(call)
 
     def signal(self, number: int) -> None:
         if self._process and self._process.returncode is None:
@@ -156,6 +196,7 @@
                 await self._process.wait()
             self._read(self._log())
         self._reserved.close()
+        self._door.close()
 
 
 class RealWorld:
--- a/roadlb/lab/run/sim_world.py
+++ b/roadlb/lab/run/sim_world.py
@@ -10,6 +10,7 @@
 
 from ...app import App
 from ...config import read_config
+from ...lifecycle.lifecycle import Event
 from ..incident import Incident
 from ..parties.clients import Clients
 from ..parties.discovery import Address
@@ -86,6 +87,10 @@
         if not self.host.life.dead:
             self.host.raise_signal(number)
 
+    def tell(self, call: str) -> None:
+        if self.app is not None and not self.host.life.dead:
+            self.host.call(self.app.tell, Event(call.replace("-", " ")))
+
     def kill(self) -> None:
         self._note()
         self.host.kill()
--- a/roadlb/lab/run/steps.py
+++ b/roadlb/lab/run/steps.py
@@ -27,7 +27,8 @@
         self._began_s = asyncio.get_running_loop().time()
         self._plays: dict[type[s.Step], Callable[[Any], Coroutine[Any, Any, None]]] = {
             s.Deploy: self._deploy, s.Shrink: self._shrink, s.BalancerCrash: self._crash,
-            s.BalancerRestart: self._restart, s.Pause: self._pause, s.Slow: self._slow,
+            s.BalancerRestart: self._restart, s.BalancerDrain: self._drain,
+            s.Pause: self._pause, s.Slow: self._slow,
             s.CutHall: self._cut_hall, s.DiscoveryOutage: self._outage, s.DiscoveryMove: self._move,
             s.Flood: self._flood, s.Errors: self._errors, s.Spoilt: self._spoilt, s.Reset: self._reset,
             s.Rude: self._rude, s.KillNode: self._kill}
@@ -141,6 +142,17 @@
             await asyncio.sleep(step.down_s)
             self._balancers.start_again(one)
 
+    async def _drain(self, step: s.BalancerDrain) -> None:
+        async with asyncio.TaskGroup() as group:
+            for number, one in enumerate(chosen(step, self._balancers.running, self._rng)):
+                await self._until(number * step.every_s)
+                group.create_task(self._drain_one(one, step))
+
+    async def _drain_one(self, one: BalancerStanding, step: s.BalancerDrain) -> None:
+        end = self._balancers.drain(one)
+        await asyncio.sleep(step.for_s)
+        end()
+
     # Network, discovery, clients
 
     async def _cut_hall(self, step: s.CutHall) -> None:
--- a/roadlb/lab/run/world.py
+++ b/roadlb/lab/run/world.py
@@ -64,6 +64,9 @@
 
     def signal(self, number: int) -> None: ...
 
+    def tell(self, call: str) -> None:
+        """Have its operators call `PUT /control/<call>`."""
+
     def kill(self) -> None: ...
 
     async def ended(self) -> None:
--- a/roadlb/lifecycle/handover.py
+++ b/roadlb/lifecycle/handover.py
@@ -24,7 +24,7 @@
 VERSION = 1
 SIZE_MOST = 8 << 20
 FILE, LOCKS = "roadlb.handover", "roadlb.*.lock"
-_HELD = struct.Struct("<II")
+_HELD = struct.Struct("<IIQ")
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,10 +44,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Held:
-    """Connections that a process holds: of clients and to instances."""
+    """What a process holds: connections of clients and to instances, and resident memory in bytes."""
 
     clients: int
     instances: int
+    memory: int
 
 
 class Neighbours:
@@ -60,7 +61,7 @@
 
     def tell(self, held: Held) -> None:
         """Say what this process holds, for the others to leave it its part of the limits."""
-        os.pwrite(self._lock, _HELD.pack(held.clients, held.instances), 0)
+        os.pwrite(self._lock, _HELD.pack(held.clients, held.instances, held.memory), 0)
 
     def others(self) -> list[Held]:
         """What each of the others that live holds; the files of dead ones are removed."""
@@ -75,7 +76,7 @@
                     path.unlink()
                 except BlockingIOError:
                     told = os.pread(lock, _HELD.size, 0)
-                    others.append(Held(*_HELD.unpack(told)) if len(told) == _HELD.size else Held(0, 0))
+                    others.append(Held(*_HELD.unpack(told)) if len(told) == _HELD.size else Held(0, 0, 0))
                 finally:
                     os.close(lock)
         return others
--- a/roadlb/own_load.py
+++ b/roadlb/own_load.py
@@ -29,11 +29,12 @@
 
     def __init__(self, clock: Clock, engine: Engine, limits: Limits, aim_us: int,
                  descriptors: Callable[[], int], tighten: Callable[[bool], None],
-                 cpu_us: Callable[[], int] = cpu_used_us) -> None:
+                 cpu_us: Callable[[], int] = cpu_used_us,
+                 memory: Callable[[], int] = memory_bytes) -> None:
         self._clock, self._engine, self._tighten = clock, engine, tighten
         self._loop, now = asyncio.get_running_loop(), clock()
         self._pulse = Pulse(now)
-        self._meter = Meter(now, self._pulse, limits, cpu_us, memory_bytes, descriptors,
+        self._meter = Meter(now, self._pulse, limits, cpu_us, memory, descriptors,
                             engine.asked_and_refused)
         self._controller = Controller(aim_us, REFUSAL)
         self._reading = Reading(0, 0.0)
--- a/tests/lab/judge/test_judge_rules.py
+++ b/tests/lab/judge/test_judge_rules.py
@@ -292,6 +292,19 @@
     s.sent(1000).lost(3700, "reset").does(3690, "killed").does(4000, "started")
 
 
+@breaks(Rule.HELD)
+def a_drained_balancer_still_takes_requests_on_connections_it_kept(s: Story, bad: bool) -> None:
+    s.does(100, "out of service").whole(4200 if bad else 4100)
+
+
+@breaks(Rule.HELD)
+def a_balancer_is_used_again_before_it_is_in_service(s: Story, bad: bool) -> None:
+    s.does(100, "out of service")
+    if not bad:
+        s.does(6000, "in service")
+    s.whole(6500)
+
+
 @breaks(Rule.CRASH)
 def a_balancer_ends_by_itself(s: Story, bad: bool) -> None:
     s.whole(0).does(500, "ended")
--- a/tests/lab/run/faulty_balancers.py
+++ b/tests/lab/run/faulty_balancers.py
@@ -10,6 +10,7 @@
 from roadlb.app import App
 from roadlb.exchange import Answer, Ending, Exchange, Execution, Failed, Message, Nack, Result, Served
 from roadlb.lab.sim import SimLoop
+from roadlb.lifecycle.lifecycle import Event
 from roadlb.policy.interface import ListKind, Member, ServerState
 
 EVERY = 10          # one in so many requests is treated wrongly
@@ -169,10 +170,20 @@
         asyncio.get_running_loop().call_later(1.5, host.raise_signal, 15)
 
 
+class Keeps(App):
+    """Says that it is out of service, and lets nobody go."""
+
+    def _life(self, event: Event) -> None:
+        if event is not Event.WAKE:
+            super()._life(event)
+        self.service_client.draining = False
+
+
 FAULTS: dict[str, tuple[type[App], str]] = {
     "lost": (Loses, ""), "doubled": (Doubles, ""), "misdelivered": (Swaps, ""), "altered": (Alters, ""),
     "refused-after-run": (Refuses, "errors"), "repeated": (Repeats, "resets"),
     "sent-after-end": (Lingers, ""), "smuggled": (Invents, ""), "drain": (HearsLate, "deploy"),
-    "drain, reopened": (Forgets, "deploy"), "pushed-over": (NeverCold, "cold"), "crash": (Ends, "")}
+    "drain, reopened": (Forgets, "deploy"), "pushed-over": (NeverCold, "cold"), "crash": (Ends, ""),
+    "held": (Keeps, "drain")}
 
 
--- a/tests/lab/run/test_run_incidents.py
+++ b/tests/lab/run/test_run_incidents.py
@@ -17,7 +17,8 @@
 # What must be on the wire, or else the step was not played.
 MARKS = {
     "deploy": {"draining", "stopped"}, "shrink": {"draining", "stopped"}, "balancer_crash": {"killed"},
-    "balancer_restart": {"terminated", "ended"}, "pause": {"paused", "resumed"}, "slow": {"slowed"},
+    "balancer_restart": {"terminated", "ended"}, "balancer_drain": {"out of service", "in service"},
+     "pause": {"paused", "resumed"}, "slow": {"slowed"},
     "cut_hall": {"cut", "healed"}, "discovery_move": {"reloaded"}, "kill_node": {"stopped"}}
 
 
@@ -57,3 +58,11 @@
         rehearsal = rehearse(small(flood, seconds=2.2, rate=130, more=more), seed=1, app=Watched)
         assert (sum(share > 0.95 for share in Watched.shares) > 5) is short
         assert broken(rehearsal) == {} and rehearsal.figures["faults"] == []
+
+
+def test_a_drained_balancer_is_dealt_to_again_when_it_is_in_service() -> None:
+    incident = small('do = "balancer_drain"; at_s = 0.5; count = 1; for_s = 2', seconds=5, rate=60)
+    rehearsal = rehearse(incident, seed=3)
+    happened = seen(rehearsal)
+    assert broken(rehearsal) == {} and rehearsal.verdict.worth.whole > 0.97
+    assert happened["ready"] == happened["started"] + 1
--- a/tests/lab/run/test_run_real.py
+++ b/tests/lab/run/test_run_real.py
@@ -103,6 +103,7 @@
         do = "reset"; at_s = 0.8; connections = 0.5
         do = "balancer_crash"; at_s = 1.0; count = 1; back_after_s = 0.1
         do = "balancer_restart"; at_s = 1.1; count = 1; every_s = 0.1
+        do = "balancer_drain"; at_s = 0.3; count = 1; for_s = 0.4; hall = "hall-a"
         do = "deploy"; at_s = 0.2; share = 0.3; over_s = 1.8; drain_s = 0.2; address = "same"
         """, seconds=2.2, rate=40)
     rehearsal = rehearse(incident, seed=1, world="real")
--- a/tests/lifecycle/test_upgrade.py
+++ b/tests/lifecycle/test_upgrade.py
@@ -150,7 +150,7 @@
 
 
 def succession(directory: Path, counters: Counts) -> Succession:
-    return Succession(directory, counters, lambda: Held(1, 2), lambda: Handover("d:1", KNOWN, False),
+    return Succession(directory, counters, lambda: Held(1, 2, 3), lambda: Handover("d:1", KNOWN, False),
                       lambda others: None)
 
 
@@ -183,13 +183,13 @@
     (tmp_path / "roadlb.1.lock").write_bytes(b"")                   # of one that died
     assert mine.others() == [] and not (tmp_path / "roadlb.1.lock").exists()
     child = ("import sys, time; from pathlib import Path; from roadlb.lifecycle.handover import *\n"
-             "n = Neighbours(Path(sys.argv[1])); n.tell(Held(3, 4)); print(flush=True); sys.stdin.read()")
+             "n = Neighbours(Path(sys.argv[1])); n.tell(Held(3, 4, 5)); print(flush=True); sys.stdin.read()")
 
     async def main() -> None:
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-c", child, str(tmp_path), cwd=ROOT, stdin=-1, stdout=-1)
         assert process.stdout and await process.stdout.readline()
-        assert mine.others() == [Held(3, 4)]
+        assert mine.others() == [Held(3, 4, 5)]
         process.kill()
         await process.wait()
         assert mine.others() == []
--- a/tests/net/test_net.py
+++ b/tests/net/test_net.py
@@ -58,6 +58,13 @@
         i1 send raw HTTP/1.1 101 Go\\r\\nConnection: upgrade\\r\\nUpgrade: x\\r\\n\\r\\nx
         a expect 502
         i1 expect closed""",
+    "an early answer says nothing of when the final one comes": """
+        a send POST /order/k
+        i1 expect POST
+        i1 send raw HTTP/1.1 103 Early Hints\\r\\nX: y\\r\\n\\r\\n
+        wait 0.7
+        i1 send 200 done
+        a expect 200 done""",
     "a target in absolute form is its path and query": """
         a send raw GET http://any.host:80/grid-read/k?q=%41 HTTP/1.1\\r\\nHost: any.host:80\\r\\n
         a send raw X-Correlation-Id: 7\\r\\nX-Account: acme\\r\\n\\r\\n
