--- a/roadlb/lab/run/steps.py
+++ b/roadlb/lab/run/steps.py
@@ -125,11 +125,16 @@
             for one in whom:
                 self._balancers.start_again(one, held_at)
 
-    async def _restart(self, step: s.BalancerRestart) -> None:
+    async def _in_turn(self, step: s.BalancerRestart | s.BalancerDrain,
+                       each: Callable[[BalancerStanding, Any], Coroutine[Any, Any, None]]) -> None:
+        """What befalls the balancers chosen, one after another."""
         async with asyncio.TaskGroup() as group:
             for number, one in enumerate(chosen(step, self._balancers.running, self._rng)):
                 await self._until(number * step.every_s)
-                group.create_task(self._restart_one(one, step))
+                group.create_task(each(one, step))
+
+    async def _restart(self, step: s.BalancerRestart) -> None:
+        await self._in_turn(step, self._restart_one)
 
     async def _restart_one(self, one: BalancerStanding, step: s.BalancerRestart) -> None:
         if not one.runs:
@@ -143,10 +148,7 @@
             self._balancers.start_again(one)
 
     async def _drain(self, step: s.BalancerDrain) -> None:
-        async with asyncio.TaskGroup() as group:
-            for number, one in enumerate(chosen(step, self._balancers.running, self._rng)):
-                await self._until(number * step.every_s)
-                group.create_task(self._drain_one(one, step))
+        await self._in_turn(step, self._drain_one)
 
     async def _drain_one(self, one: BalancerStanding, step: s.BalancerDrain) -> None:
         end = self._balancers.drain(one)
