Bind the listening sockets ourselves: one thread instead of five in each balancer

Ruled out: dials (uvloop takes numeric addresses as they are, no further thread after the start), the log, signals. At fault: App._listen and Door.listen, which handed host and port to loop.create_server: uvloop has even a numeric host looked up by libuv's thread pool, and loads the IDNA tables for it. With 200 balancers these were 800 threads. Change: net.sockets.listening makes the socket; the lab's simulated loop goes on making its own. Measured: 5 threads before, 1 after; the deploy test counts them, with the door open, and fails without the change.

--- a/roadlb/admin/door.py
+++ b/roadlb/admin/door.py
@@ -10,19 +10,21 @@
 import asyncio
 import logging
 from collections.abc import Callable, Mapping
-from typing import TypeAlias, cast
+from typing import Any, TypeAlias, cast
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from ..config import Address
 from ..counters import Counters
 from ..net.http import plain
+from ..net.sockets import Bind
 
 logger = logging.getLogger(__name__)
 
 HEAD_MOST = 8_192
 CALL_S = 2.0
 OPEN_MOST = 16
+BACKLOG = 100
 
 Calls: TypeAlias = Mapping[tuple[str, str], Callable[[], tuple[int, str]]]
 
@@ -41,10 +43,11 @@
         self.open: dict[Caller, None] = {}             # in the order in which they came
         self._server: asyncio.Server | None = None
 
-    async def listen(self, at: Address) -> None:
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: cast(asyncio.Protocol, Caller(self)), at.host,
-        at.port)
+    async def listen(self, at: Address, bind: Bind | None = None) -> None:
+        """`bind` makes the socket; None: the running loop does."""
+        where: dict[str, Any] = {"sock": bind(at, BACKLOG)} if bind else {"host": at.host, "port": at.port}
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: cast(asyncio.Protocol, Caller(self)), **where, backlog=BACKLOG)
 
     @property
     def port(self) -> int:
--- a/roadlb/app.py
+++ b/roadlb/app.py
@@ -29,6 +29,7 @@
 from .net.instances import Instances
 from .net.name_table import NameTable
 from .net.service_client import ServiceClient
+from .net.sockets import Bind, listening
 from .overload.meter import Limits
 from .overload.readings import cpu_used_us, memory_bytes
 from .own_load import OwnLoad
@@ -67,14 +68,14 @@
     """One balancer: `await start()`, then `await stop()`.  Signals are the caller's, see `run`.
 
     It takes time from `clock` (monotonic) and `wall` (Unix) alone, its own CPU time from `cpu_us`, all in
-    microseconds, and listens and dials through the running loop alone, so that it runs on a simulated one as
-    well.
+    microseconds, and dials through the running loop alone, so that it runs on a simulated one as well.
+    `bind` makes the sockets that listen; without it the running loop does that too.
     """
 
     def __init__(self, config: Config, clock: Clock = monotonic_us, wall: Clock = unix_us,
-                 cpu_us: Clock = cpu_used_us) -> None:
+                 cpu_us: Clock = cpu_used_us, bind: Bind | None = None) -> None:
         self.config, self.counters, self.clock, self.wall = config, Counters(), clock, wall
-        self.cpu_us = cpu_us
+        self.cpu_us, self.bind = cpu_us, bind
         self.succession: Succession | None = None
         self._twins, self._memory_beside = 1, 0
 
@@ -111,7 +112,7 @@
             ("PUT", "/control/out-of-service"): lambda: self.tell(Event.OUT_OF_SERVICE),
             ("PUT", "/control/in-service"): lambda: self.tell(Event.IN_SERVICE)}, counters)
         if config.admin:
-            await self.door.listen(config.admin)
+            await self.door.listen(config.admin, self.bind)
         if config.socket_fd is not None:
             # The predecessor serves till we can: with the list as it is now, not as it was.
             with suppress(TimeoutError):
@@ -202,6 +203,9 @@
         until = loop.time() + TAKE_OVER_S
         while True:
             try:
+                if self.bind:
+                    return await loop.create_server(self.service_client, sock=self.bind(at, BACKLOG),
+                                                    backlog=BACKLOG)
                 return await loop.create_server(self.service_client, at.host, at.port, backlog=BACKLOG)
             except OSError as e:
                 if e.errno != errno.EADDRINUSE or loop.time() > until:
@@ -262,7 +266,7 @@
 
 async def run(config: Config, read_again: Callable[[], Config] | None = None) -> None:
     """Serve until SIGTERM or SIGINT; SIGHUP has the configuration read again, SIGUSR1 prints the counters."""
-    app, loop, ended = App(config), asyncio.get_running_loop(), asyncio.Event()
+    app, loop, ended = App(config, bind=listening), asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
     loop.add_signal_handler(signal.SIGUSR1, app.print_counters, "signal")
--- a/roadlb/net/sockets.py
+++ b/roadlb/net/sockets.py
@@ -1,4 +1,4 @@
-"""What the kernel tells of a connection."""
+"""Sockets: one that listens, and what the kernel tells of a connection."""
 
 from __future__ import annotations
 
@@ -7,7 +7,13 @@
 import socket
 import struct
 import termios
+from collections.abc import Callable
 from contextlib import suppress
+from typing import TypeAlias
+
+from ..config import Address
+
+Bind: TypeAlias = Callable[[Address, int], socket.socket]
 
 _INT = struct.Struct("i")
 
@@ -15,6 +21,18 @@
 BUFFER = 65_536        # of the kernel, on either side of a body that flows
 
 
+def listening(at: Address, backlog: int) -> socket.socket:
+    """A TCP socket that listens at this address; raises OSError where it cannot.
+
+    Left to `loop.create_server`, uvloop has libuv's thread pool look up even a numeric host: four threads,
+    each with its stack, for as long as the process lives.
+    """
+    family = socket.AF_INET6 if ":" in at.host else socket.AF_INET
+    made = socket.create_server((at.host, at.port), family=family, backlog=backlog)
+    made.setblocking(False)
+    return made
+
+
 def bound(transport: asyncio.BaseTransport | None) -> None:
     """Have the kernel hold little of what flows, so that a slow reader is felt and memory stays bounded."""
     connection = transport.get_extra_info("socket") if transport else None
--- a/tests/house/test_deploy.py
+++ b/tests/house/test_deploy.py
@@ -112,21 +112,23 @@
     assert process.returncode == 0 and "reason=exit" in errors and "Traceback" not in errors
 
 
-def test_run_is_one_process_with_no_child_linked_dynamically(tmp_path: Path) -> None:
+def test_run_is_one_process_with_one_thread_and_no_child_linked_dynamically(tmp_path: Path) -> None:
     # On the days of the large fleet the bench loads a library into this process and no other: a shell
     # left in front, a helper or a static program would be out of its reach.  libuv makes an io_uring where
-    # it may, whatever UV_USE_IO_URING says, and does without one where the kernel answers ENOSYS.
-    process = start(tmp_path, RAW["settings"])
+    # it may, whatever UV_USE_IO_URING says, and does without one where the kernel answers ENOSYS.  Its thread
+    # pool it makes with the first look-up: four threads that run in step with the program, for nothing.
+    process = start(tmp_path, RAW["settings"], PROXY_ADMIN_ADDR="127.0.0.1:0")
     assert process.stderr
     while "event=listening" not in (line := process.stderr.readline()):
         assert line, "ended before it listened"
     proc = Path("/proc", str(process.pid))
     program, maps = (proc / "exe").resolve(), (proc / "maps").read_text()
+    threads = [(task / "comm").read_text().strip() for task in proc.glob("task/*")]
     children = "".join(f.read_text() for f in proc.glob("task/*/children"))
     process.send_signal(signal.SIGTERM)
     process.communicate(timeout=60)
     assert program == Path(sys.executable).resolve() and "libc.so" in maps
-    assert not children
+    assert not children and len(threads) == 1, threads
 
 
 def test_sighup_follows_the_file_though_the_environment_names_the_old_place(tmp_path: Path) -> None:
