Prefer a server with an idle connection among a key's first eight

Ruled out: dials that fail (0 to 2 a second of 2,000), the pool dropping connections early (it keeps them 0.7 of conn_idle_us), retries (1.07 attempts a request). At fault: Balancer.pick, which takes the key's member whether or not a connection to it is there. Change: the module keeps when connections came to rest (from Outcome, as the pool does: last in, first out, keep_us); where the member would have to be dialled, a connected one of the key's order with a low load is taken, the set staying as it is. Only where costs.handshake is told.

--- a/roadlb/config.py
+++ b/roadlb/config.py
@@ -18,6 +18,9 @@
 T = TypeVar("T")
 
 EFFECTS = {"idempotent": Effect.SAFE, "deduplicated": Effect.KEYED, "at_most_once": Effect.UNSAFE}
+# Of the time after which an instance drops an idle connection, we keep one for this part, and for one sweep
+# of the pool more: a request that crosses the closing is a reset, and an order among those is lost.
+IDLE_PART = 0.7
 SPARE_SOCKETS = 40      # for the log, the listener, the event loop, discovery, and what is just being closed
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
 FIELDS = {"rif": "inflight", "q": "queue", "busy": "util", "lat_ms": "latency_ms", "rate": "qps",
@@ -125,7 +128,9 @@
         probes=p.flag("limits.probes", "false"), peers=p.flag("limits.peers", "false"),
         ask_within_us=p.integer("invariants.ask_within_us", "10000000"),
         cold_from=p.number("invariants.cold_from"), cold_us=p.integer("invariants.cold_us"),
-        fall_multiple=p.number("invariants.fall_multiple"), fall_us=p.integer("invariants.fall_us"))
+        fall_multiple=p.number("invariants.fall_multiple"), fall_us=p.integer("invariants.fall_us"),
+        handshake_cost=p.number("costs.handshake", "0"),
+        keep_us=int(p.integer("limits.conn_idle_us", "0") * IDLE_PART))
     try:
         settings.check()
     except ValueError as e:
--- a/roadlb/net/instances.py
+++ b/roadlb/net/instances.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 
 from ..clock import Clock
-from ..config import Address, Config
+from ..config import IDLE_PART, Address, Config
 from ..counters import Counters
 from ..engine import Engine
 from ..exchange import Ending, Execution, Result
@@ -20,9 +20,6 @@
 
 logger = logging.getLogger(__name__)
 
-# Of the time after which an instance drops an idle connection, we keep one for this part, and for one sweep
-# of the pool more: a request that crosses the closing is a reset, and an order among those is lost.
-IDLE_PART = 0.7
 PROBE_US = 300_000
 ENDINGS_LOGGED = 50    # a second; the others are only counted
 
--- a/roadlb/policy/interface.py
+++ b/roadlb/policy/interface.py
@@ -113,6 +113,8 @@
     cold_us: int = 0                       # and the time after which it is warm, at the latest
     fall_multiple: float = 3.0             # pushed over by this multiple of what it can do at the moment
     fall_us: int = 2_000_000               # for this long
+    handshake_cost: float = 0.0            # price of a new connection to a server, beside what it takes
+    keep_us: int = 0                       # for so long a connection to a server is kept idle; 0: not known
 
     def check(self) -> None:
         """Raise ValueError, naming the setting, where a value makes no sense."""
@@ -133,6 +135,7 @@
             ("cold_us", self.cold_us >= 0),
             ("fall_multiple", self.fall_multiple > 0),
             ("fall_us", self.fall_us > 0),
+            ("keep_us", self.keep_us >= 0),
             ("ask_within_us", self.ask_within_us > 0),
             ("over_share_worth", 0 <= self.over_share_worth <= 1),
             ("max_retry_after_us", self.max_retry_after_us >= 0),
--- a/roadlb/policy/logic.py
+++ b/roadlb/policy/logic.py
@@ -13,20 +13,21 @@
 
 import random
 from collections.abc import Callable, Iterable
-from math import log2, sqrt
+from math import log2
 
 from .interface import (
     NEVER_RAN, Action, Arrival, BodyWhole, Cancel, ClientGone, Effect, Event, Fail, Group, ListKind,
     ListUpdate, Offer, Outcome, Refuse, Report, Send, ServerId, ServerState, ServerView, SetTimer, Settings,
     Shortage, Status, StreamStarted, Subscribe, TimerFired, Twins, View,
 )
-from .state import HASH, Attempt, ClassState, KeySet, Request, Server, mix
+from .state import HASH, Attempt, ClassState, KeySet, Request, Server, mix, sure
 
 TAU_US = 2_000_000            # memory of a server's mean load
 LOW, HIGH = 1.1, 1.5          # T_low and T_high, as multiples of the fleet's mean load ...
 FLOOR = 0.4                   # ... plus this many requests, below which a count says nothing
 FAR = 4.0                     # a server in another hall comes after so many as good ones in our own
 SAMPLE, ORDER = 4, 8          # servers looked at for the least loaded, and kept, of a key's order
+NEAR = 8                      # and of these, where a connection that idles saves a dial
 MAX_SETS, SHRINK_US = 4_096, 5_000_000     # the longest unused goes; one that has not grown lately shrinks
 EJECT_US, EJECT_MOST_US = 1_000_000, 16_000_000
 EJECT_SHARE = 0.34            # of the fleet may be ejected; more is not a matter of single servers
@@ -43,11 +44,6 @@
 TICK, ASK = -1, -2            # entries of the timer wheel that are not requests
 
 
-def sure(count: float, deviations: float) -> float:
-    """The mean of a count that by chance stays below `count`, but for so many deviations."""
-    return float((sqrt(count + deviations * deviations / 4) - deviations / 2) ** 2)
-
-
 class Balancer:
     """One node's decisions: feed it events with the clock's time, carry out the actions it returns."""
 
@@ -72,6 +68,7 @@
         self.wheel: dict[int, list[int]] = {}
         self.now, self.started, self.asks, self.retries, self.hedges = 0, False, 0, 10.0, 10.0
         self.actions: list[Action] = []
+        self.dialling = settings.handshake_cost > 0 and settings.keep_us > 0
         queue = [i for i, f in enumerate(settings.report_fields) if f in ("queue", "inflight")]
         self.queue_field = queue[0] if queue and settings.report_source != "off" else -1
         self.handlers: dict[type, Callable[..., None]] = {
@@ -149,6 +146,7 @@
                 self.ejected -= s.eject_until > 0
                 s.born, s.failing, s.budget_at, s.proved = m.born_us, 0.0, 0, 0.0
                 s.suspect_until = s.eject_until = s.eject_for = s.full_until = 0
+                s.rested = []
             s.up, s.cell, s.zone = m.state is ServerState.READY, m.cell, m.zone
             if m.weight > 0 and self.s.weight_source != "off":
                 # A live weight falls and rises with load; the most it has been comes nearest to a size.
@@ -231,6 +229,7 @@
         """Learn from an outcome: latencies, failures, ejection."""
         now, cls = self.now, r.cls
         if status is Status.OK:
+            s.rested.append(now)
             if s.share < 1:
                 self.proved(s, r.work or 1)
             cls.quickest = latency if cls.quickest < 0 else min(latency, cls.quickest)
@@ -305,6 +304,17 @@
             return self.least(self.groups.get((spec.group, number), ()), r, tried, SAMPLE)
         if not r.key:
             return self.anywhere(r, tried)
+        s, ks = self.member(r, tried)
+        if s and self.dialling and not s.connected(self.now, self.s.keep_us):
+            # Each server that one node uses seldom costs it a dial for nearly every request.
+            known = [o for o in ks.order[:NEAR] if o.connected(self.now, self.s.keep_us)]
+            o = self.least(known, r, tried, SAMPLE) if known else None
+            if o and self.load(o) <= max(self.load(s), self.low(o, self.load(self.fleet))):
+                return o
+        return s
+
+    def member(self, r: Request, tried: list[Server]) -> tuple[Server | None, KeySet]:
+        """The server of the key's set for the next attempt, which may have to join it first; and the set."""
         ks = self.sets.pop(r.key, None)
         if ks is None:
             if len(self.sets) >= MAX_SETS:
@@ -329,15 +339,15 @@
                     ks.grown = self.now
                     if load < self.low(best, mean):
                         ks.members.pop()
-                return best
+                return best, ks
             other = self.least(ks.order, r, tried + ks.members, SAMPLE)
             least = self.load(other) if other else load
             if not other or least > self.low(other, mean) and load < max(2 * high, least):
-                return best
+                return best, ks
         if other and other not in ks.members:
             ks.members.append(other)
             ks.grown = self.now
-        return other
+        return other, ks
 
     # Attempts
 
@@ -352,6 +362,7 @@
         self.work_mean += (work - self.work_mean) * (0.02 if self.work_mean else 1.0)
         if s.share < 1:
             s.budget -= work
+        del s.rested[-1:]
         r.attempts.append(Attempt(s, now))
         r.open += 1
         if not r.coming:
--- a/roadlb/policy/state.py
+++ b/roadlb/policy/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from math import sqrt
 
 from .interface import RequestClass, ServerId
 
@@ -17,6 +18,11 @@
     return x ^ x >> 31
 
 
+def sure(count: float, deviations: float) -> float:
+    """The mean of a count that by chance stays below `count`, but for so many deviations."""
+    return float((sqrt(count + deviations * deviations / 4) - deviations / 2) ** 2)
+
+
 @dataclass(slots=True, eq=False)
 class Server:
     """What this node knows of one server."""
@@ -46,11 +52,19 @@
     budget_at: int = 0
     proved: float = 0.0          # work that it has done for this node lately, while cold
     proved_at: int = 0
+    rested: list[int] = field(default_factory=list)     # when each connection that idles there came to rest
     hash: int = field(init=False)
 
     def __post_init__(self) -> None:
         self.hash = mix(int.from_bytes(self.id, "big")) & HASH
 
+    def connected(self, now: int, keep: int) -> bool:
+        """Does a connection idle there that a request could take, where each is kept for `keep` us?"""
+        rested = self.rested
+        while rested and now - rested[0] > keep:     # the longest idle ends first; the last is taken first
+            del rested[0]
+        return bool(rested)
+
 
 @dataclass(slots=True, eq=False)
 class KeySet:
--- a/tests/net/test_net.py
+++ b/tests/net/test_net.py
@@ -11,7 +11,7 @@
 from roadlb.engine import Engine
 from roadlb.exchange import Exchange
 from roadlb.net import pool, service_client, watch
-from roadlb.net.instances import IDLE_PART
+from roadlb.config import IDLE_PART
 
 SCENARIOS = {
     "a drain lets idle clients go, ends what is open well, serves new ones, and is over at once": """
--- a/tests/policy/test_many_instances.py
+++ b/tests/policy/test_many_instances.py
@@ -4,7 +4,8 @@
 
 import heapq
 import random
-from bisect import bisect_left
+from bisect import bisect_left, bisect_right, insort
+from typing import Any
 
 import pytest
 
@@ -16,20 +17,25 @@
 
 SECOND = 1_000_000
 COLD_FROM, COLD_US, MULTIPLE = 0.2, 20 * SECOND, 3.0
+KEEP = 7 * SECOND
 EACH = 16                # requests a second that a warm server carries
 
 
 class Together:
-    """Balancers that share nothing but the servers; a server answers each request after 50 ms."""
+    """Balancers that share nothing but the servers; a server answers each request after 50 ms.
 
-    def __init__(self, instances: int, warm: int, seed: int) -> None:
+    Each has a pool: the connection that rests for the shortest time is taken first, one is kept for KEEP.
+    """
+
+    def __init__(self, instances: int, warm: int, seed: int, **settings: Any) -> None:
+        self.dials, self.idle = 0, [dict[bytes, list[int]]() for _ in range(instances)]
         self.now, self.random, self.number, self.requests = 60 * SECOND, random.Random(seed), 0, 0
         self.queue: list[tuple[int, int, int, object]] = []       # time, number, balancer, event
         self.sent: dict[bytes, list[int]] = {}                     # by server, when
         self.balancers = [
             Balancer(Settings(instances=instances, instance=i, cold_from=COLD_FROM, cold_us=COLD_US,
                               fall_multiple=MULTIPLE, fall_us=SECOND, warm_keys=True,
-                              second_copies=False), seed * 100 + i)
+                              second_copies=False, **settings), seed * 100 + i)
             for i in range(instances)]
         self.tell(ListUpdate(ListKind.CACHED, [Member(b"warm%d" % i) for i in range(warm)]))
 
@@ -43,6 +49,11 @@
                 self.put(max(a.at_us, self.now), i, TimerFired(a.token))
             elif isinstance(a, Send):
                 self.sent.setdefault(a.server, []).append(self.now)
+                idle = self.idle[i].setdefault(a.server, [])
+                free = bisect_right(idle, self.now)         # the others still carry a request
+                if not free or idle.pop(free - 1) < self.now - KEEP:
+                    self.dials += 1
+                insort(idle, self.now + 50_000)
                 self.put(self.now + 50_000, i, Outcome(a.request, 0, a.server, Status.OK, 50_000, True))
 
     def put(self, at: int, i: int, event: object) -> None:
@@ -109,3 +120,45 @@
         (send,) = (a for a in sends if isinstance(a, Send))
         b.handle(701 * SECOND + key, Outcome(1000 + key, 0, send.server, Status.OK, 1000, True))
         assert send.server == before or before == bytes([0])
+
+
+@pytest.mark.parametrize(("rate", "part"), [(1, 0.55), (4, 0.4), (16, 0.4)])
+def test_balancers_that_see_few_requests_use_the_connections_they_have(rate: int, part: float) -> None:
+    # A balancer that spreads a few requests a second over sixty servers uses each once in many seconds, and nearly
+    # every second request had to dial.  What is saved must not cost the servers their even loads.
+    dials, spread = [], []
+    for price in (0.0, 0.08):
+        fleet = Together(50, warm=60, seed=rate, handshake_cost=price, keep_us=KEEP)
+        fleet.play(20, rate=50 * rate)
+        before = fleet.dials
+        fleet.play(10, rate=50 * rate)
+        dials.append((fleet.dials - before) / (10 * 50 * rate))
+        sent = [len(at) for at in fleet.sent.values()]
+        spread.append(max(sent) / (sum(sent) / 60))
+    assert dials[1] <= part * dials[0], dials
+    assert spread[1] <= 1.25 * spread[0], spread
+
+
+def test_a_connection_is_no_reason_to_go_to_a_loaded_server() -> None:
+    balancer = Balancer(Settings(handshake_cost=0.08, keep_us=KEEP, second_copies=False), 1)
+    balancer.handle(0, ListUpdate(ListKind.CACHED, [Member(b"a"), Member(b"b")]))
+
+    def went(request: int, at: int) -> bytes:
+        actions = balancer.handle(at, Arrival(request, 0, 0, request, SECOND, 0))
+        (send,) = (a for a in actions if isinstance(a, Send))
+        return send.server
+
+    first = went(1, SECOND)
+    balancer.handle(SECOND + 1000, Outcome(1, 0, first, Status.OK, 1000, True))
+    assert [went(n, SECOND + 2000 + n) for n in (2, 3)] == [first, b"b" if first == b"a" else b"a"]
+    for n, server in ((2, first), (3, b"b" if first == b"a" else b"a")):
+        balancer.handle(SECOND + 3000, Outcome(n, 0, server, Status.OK, 1000, True))
+    # Idle for longer than connections are kept: nothing is saved, and keys go where they belong.
+    late = SECOND + 4000 + KEEP
+    again = Balancer(Settings(second_copies=False), 1)
+    again.handle(0, ListUpdate(ListKind.CACHED, [Member(b"a"), Member(b"b")]))
+    for n in range(10, 20):
+        (send,) = (a for a in again.handle(late, Arrival(n, 0, 0, n, SECOND, 0)) if isinstance(a, Send))
+        again.handle(late, Outcome(n, 0, send.server, Status.OK, 1000, True))
+        assert went(n, late) == send.server
+        balancer.handle(late, Outcome(n, 0, send.server, Status.CANCELLED, 1000, True))
