--- a/tests/policy/test_many_instances.py
+++ b/tests/policy/test_many_instances.py
@@ -124,8 +124,8 @@
 
 @pytest.mark.parametrize(("rate", "part"), [(1, 0.55), (4, 0.4), (16, 0.4)])
 def test_balancers_that_see_few_requests_use_the_connections_they_have(rate: int, part: float) -> None:
-    # A balancer that spreads a few requests a second over sixty servers uses each once in many seconds, and nearly
-    # every second request had to dial.  What is saved must not cost the servers their even loads.
+    # A balancer that spreads a few requests a second over sixty servers uses each once in many seconds: every
+    # other request had to dial.  What is saved must not cost the servers their even loads.
     dials, spread = [], []
     for price in (0.0, 0.08):
         fleet = Together(50, warm=60, seed=rate, handshake_cost=price, keep_us=KEEP)
