Shut a hall that cannot be reached instead of taking its lateness for too much work

Ruled out: CPU, cold budgets (their own hall had room), ejection (2 of 129 nodes at a balancer). At fault: Balancer.look_at, where each request that waits for an unreachable node raises the pressure by 0.4 at ten requests a second; Balancer.usable, which knows servers but no halls. Change: routing/halls.py, a decider without I/O below the module: three servers of a hall failing with no answer between shut it but for a trial a second; the pressure that came from it is taken back. The floor of routing is now below policy.

--- a/roadlb/policy/logic.py
+++ b/roadlb/policy/logic.py
@@ -4,9 +4,8 @@
 weighted rendezvous-hash winner if that is below T_low, else with the least loaded server; later requests
 go to the least loaded member.  A member above T_high while some server is below T_low, or at 2 T_high,
 makes the least loaded server join the set and take the request.  Load is this node's own requests in
-flight, now and lately, for the server's capacity; the marks are multiples of the fleet's mean load.  The
-least loaded server is sought among the next few in the key's rendezvous order, so that nodes that share
-nothing grow the same sets.
+flight, now and lately, for the server's capacity; the marks are multiples of the fleet's mean.  The least
+loaded is sought among the next few in the key's order, so that nodes that share nothing grow the same sets.
 """
 
 from __future__ import annotations
@@ -15,6 +14,7 @@
 from collections.abc import Callable, Iterable
 from math import log2
 
+from ..routing.halls import Halls
 from .interface import (
     NEVER_RAN, Action, Arrival, BodyWhole, Cancel, ClientGone, Effect, Event, Fail, Group, ListKind,
     ListUpdate, Offer, Outcome, Refuse, Report, Send, ServerId, ServerState, ServerView, SetTimer, Settings,
@@ -27,7 +27,6 @@
 FLOOR = 0.4                   # ... plus this many requests, below which a count says nothing
 FAR = 4.0                     # a server in another hall comes after so many as good ones in our own
 SAMPLE, ORDER = 4, 8          # servers looked at for the least loaded, and kept, of a key's order
-NEAR = 8                      # and of these, where a connection that idles saves a dial
 MAX_SETS, SHRINK_US = 4_096, 5_000_000     # the longest unused goes; one that has not grown lately shrinks
 EJECT_US, EJECT_MOST_US = 1_000_000, 16_000_000
 EJECT_SHARE = 0.34            # of the fleet may be ejected; more is not a matter of single servers
@@ -58,7 +57,7 @@
         self.version, self.weight, self.near, self.ejected = 0, 1.0, 1.0, 0
         self.sets: dict[int, KeySet] = {}
         self.requests: dict[int, Request] = {}
-        self.fleet = Server(b"")          # stands for all of them
+        self.fleet, self.halls = Server(b""), Halls()          # the former stands for all of them
         self.carried, self.work_sent, self.work_mean = 0.0, 0, 0.0
         self.tenant_rate, self.tenant_count = [0.0] * len(settings.tenants), [0] * len(settings.tenants)
         self.parts = settings.instances      # among which what all nodes together may do is divided
@@ -194,7 +193,8 @@
 
     def usable(self, s: Server, r: Request) -> bool:
         """May this request go to this server now?"""
-        if not s.up or s.full_until > self.now:
+        if not s.up or s.full_until > self.now or not r.bold and self.halls.shut(
+                self.now, s.zone, r.cls.spec.effect is Effect.SAFE):
             return False
         if s.eject_until:
             # Ejected: after the back-off one request at a time may try it again, if it can be repeated.
@@ -242,17 +242,17 @@
                 s.eject_for -= s.eject_for // 8
             return
         if status in (Status.FULL, Status.CONNECT_FAILED):
-            # One that drains, and is not known to, has nothing in flight and would draw all traffic.
             wait = min(FULL_MOST_US, cls.latency * 2 ** min(s.fulls, 9))
             s.full_until, s.fulls = now + int(wait * (0.5 + self.random.random())), s.fulls + 1
         if status is Status.CANCELLED and unheard and latency > r.cls.spec.aim_us:
             status = Status.TIMEOUT       # called off, but it never came
         if status in (Status.ERROR, Status.RESET, Status.CONNECT_FAILED, Status.TIMEOUT, Status.SPOILT):
-            # A server that fails fast has the least in flight and would draw all traffic: leave it out.
-            # Answers are spoilt now and then at all servers alike, which says little against one of them.
+            # One that fails fast would draw all traffic.  Answers are spoilt now and then at all alike.
             s.failing += (1 - s.failing) * (0.05 if status is Status.SPOILT else 0.2)
             if status is not Status.SPOILT:
                 s.suspect_until = now + SUSPECT_US
+                if self.halls.missed(now, s.zone, s.id):
+                    self.pressure = 0.0       # what was late for want of this hall was no sign of work
             if s.eject_until or s.failing > 0.35:
                 if not s.eject_until and self.ejected + 1 > EJECT_SHARE * len(self.ready):
                     return
@@ -307,8 +307,7 @@
         s, ks = self.member(r, tried)
         if s and self.dialling and not s.connected(self.now, self.s.keep_us):
             # Each server that one node uses seldom costs it a dial for nearly every request.
-            known = [o for o in ks.order[:NEAR] if o.connected(self.now, self.s.keep_us)]
-            o = self.least(known, r, tried, SAMPLE) if known else None
+            o = self.least([o for o in ks.order if o.connected(self.now, self.s.keep_us)], r, tried, SAMPLE)
             if o and self.load(o) <= max(self.load(s), self.low(o, self.load(self.fleet))):
                 return o
         return s
@@ -363,6 +362,7 @@
         if s.share < 1:
             s.budget -= work
         del s.rested[-1:]
+        self.halls.sent(now, s.zone)
         r.attempts.append(Attempt(s, now))
         r.open += 1
         if not r.coming:
@@ -394,7 +394,7 @@
             return
         if self.now >= r.due and not r.late:
             r.late = True
-            self.press(1.0)
+            self.press(0.0 if self.halls.shut(self.now, r.attempts[-1].server.zone, True) else 1.0)
         if r.open == 1 and self.hedges >= 1 and self.now + r.cls.latency < r.due and self.may_resend(r):
             self.hedges -= self.send(r)
 
@@ -411,6 +411,7 @@
             s.queue, s.queue_at = e.report[self.queue_field] / self.s.instances, self.now
         if e.status in (Status.OK, Status.ERROR, Status.FULL, Status.SPOILT):
             s.heard = self.now
+            self.halls.answered(s.zone)
         self.judge(s, r, e.status, e.latency_us, unheard=a.sent > s.heard)
         if e.status is Status.FULL and s.fulls == 1 or e.status is Status.OK and not r.late:
             # Work turned away again and again says that a server drains, not that there is too much work.
@@ -497,8 +498,7 @@
         return self.watched and e.left_us < HOPELESS * cls.quickest
 
     def press(self, change: float) -> None:
-        """Pressure to shed rises with aims missed, as they are missed, and falls with those met early."""
-        # The mean gap sets the step, since late ones come many in one instant.
+        """Pressure to shed rises with aims missed and falls with those met early, by the mean gap."""
         self.gap += (min(100_000, self.now - self.pressed_at) - self.gap) * 0.05
         self.pressure = min(0.95, max(0.0, self.pressure + PRESS * self.gap / 1e6 * change))
         self.pressed_at = self.now
@@ -542,8 +542,8 @@
 
     def cold_room(self, s: Server, r: Request) -> float:
         """What is left of this node's part of a cold server's budget, in work."""
-        # All nodes together must not push it over: each keeps to its part of the least that it can do by
-        # now, judged by what peers of its size carry, with room for chance, or to what it was seen to do.
+        # All together must not push it over: each keeps to its part of what peers of its size carry, as far
+        # as it can do that by now, with room for chance, or to what it was seen to do.
         now, mean = self.now, self.work_mean or 1.0
         carried = self.carried / TICK_US / self.weight * self.s.instances
         window = self.s.fall_multiple * s.share * carried * s.weight * self.s.fall_us / mean
--- /dev/null
+++ b/roadlb/routing/__init__.py
@@ -0,0 +1,1 @@
+"""What the decision module knows of the ways to servers; deciders without I/O."""
--- a/setup.py
+++ b/setup.py
@@ -8,8 +8,8 @@
 
 from setuptools import setup
 
-HOT = ("clock", "wheel", "flow", "exchange", "engine", "policy/interface", "policy/state", "policy/logic",
-       "net/headers", "net/http", "net/client_connection", "net/service_client", "net/instance_connection",
+HOT = ("clock", "wheel", "flow", "exchange", "engine", "routing/halls", "policy/interface", "policy/state",
+       "policy/logic", "net/headers", "net/http", "net/client_connection", "net/service_client", "net/instance_connection",
        "net/pool", "net/instances", "overload/pulse", "own_load")
 
 
--- a/tests/house/test_floors.py
+++ b/tests/house/test_floors.py
@@ -53,7 +53,7 @@
     ("overload/controller", "import roadlb.overload.readings",
      "overload.controller -> roadlb.overload.readings"),
     ("xds/__init__", "import roadlb.net", "roadlb.xds is not allowed to import roadlb.net"),
-    ("fleet/__init__", "import roadlb.routing", "roadlb.fleet is not allowed to import roadlb.routing"),
+    ("routing/index", "import roadlb.policy.state", "roadlb.routing is not allowed to import roadlb.policy"),
     ("routing/index", "import socket", "roadlb.routing.index -> socket"),
     ("attic", "", "- roadlb.attic"),
 ])
--- /dev/null
+++ b/tests/policy/test_halls.py
@@ -0,0 +1,136 @@
+"""A hall that is lost or cut off: told from few failures, not taken for too much work, and found again."""
+
+from __future__ import annotations
+
+import pytest
+
+from roadlb import Balancer
+from roadlb.policy.interface import (
+    Arrival, Effect, ListKind, ListUpdate, Member, Outcome, Refuse, RequestClass, Send, Settings, SetTimer,
+    Status, TimerFired,
+)
+from roadlb.routing.halls import AGAIN_US, SERVERS, Halls
+
+SECOND = 1_000_000
+EACH = 40                # servers in each of three halls
+READ, ORDER = 0, 1
+
+
+class World:
+    """One balancer of hall 0 at ten requests a second, a quarter of them orders; some halls never answer."""
+
+    def __init__(self, status: Status = Status.CONNECT_FAILED, took: int = 250_000) -> None:
+        self.how = status, took                            # an attempt at a dark hall ends
+        classes = [RequestClass("read", 500_000, 2_500_000, 2.0, 0.5),
+                   RequestClass("order", 500_000, 2_500_000, 10.0, 0.5, effect=Effect.UNSAFE)]
+        self.balancer = Balancer(Settings(classes=classes, instances=200, cross_zone_cost=0.02,
+                                          second_copies=False), 3)
+        self.halls = {bytes([65 + n // EACH, n % EACH]): n // EACH for n in range(3 * EACH)}
+        self.now, self.number, self.dark = SECOND, 0, set[int]()
+        self.due: list[tuple[int, int, object]] = []
+        self.attempts: dict[int, int] = {}
+        self.sends: list[tuple[int, int, int]] = []        # when, which class, to which hall
+        self.refused = 0
+        self.do(ListUpdate(ListKind.CACHED, [Member(s, zone=hall) for s, hall in self.halls.items()]))
+
+    def do(self, event: object) -> None:
+        for a in self.balancer.handle(self.now, event):  # type: ignore[arg-type]
+            if isinstance(a, SetTimer):
+                self.put(a.at_us, TimerFired(a.token))
+            elif isinstance(a, Refuse):
+                self.refused += 1
+            elif isinstance(a, Send):
+                hall, attempt = self.halls[a.server], self.attempts.get(a.request, 0)
+                self.attempts[a.request] = attempt + 1
+                self.sends.append((self.now, a.request % 4 == 0, hall))
+                dark = hall in self.dark
+                status, took = self.how if dark else (Status.OK, 50_000)
+                self.put(self.now + took, Outcome(a.request, attempt, a.server, status, took, not dark))
+
+    def put(self, at: int, event: object) -> None:
+        self.number += 1
+        self.due.append((at, self.number, event))
+
+    def play(self, seconds: int, orders_only: bool = False) -> None:
+        end = self.now + seconds * SECOND
+        first = len(self.attempts) + self.refused + 1
+        for n in range(10 * seconds):
+            request = 1000 * (self.now // SECOND) + first + n
+            request *= 4 if orders_only else 1
+            self.put(self.now + n * SECOND // 10,
+                     Arrival(request, ORDER if request % 4 == 0 else READ, 0, request * 7919, 2_500_000, 0))
+        while self.due and min(self.due)[0] < end:
+            self.due.sort()
+            at, _, event = self.due.pop(0)
+            self.now = max(self.now, at)
+            self.do(event)
+        self.now = end
+
+    def sent_since(self, at: int, dark: bool = True) -> list[tuple[int, int, int]]:
+        return [s for s in self.sends if s[0] >= at and (s[2] in self.dark) is dark]
+
+
+@pytest.mark.parametrize(("status", "took", "more"), [
+    (Status.CONNECT_FAILED, 250_000, 12), (Status.TIMEOUT, 1_000_000, 24)])
+def test_two_halls_out_of_reach_cost_a_few_requests_and_no_shedding(
+        status: Status, took: int, more: int) -> None:
+    # Cut off, a balancer took the lateness of what it sent to the other halls for too much work: it shed up
+    # to 0.95 of what its own hall had room for, and heard nothing more that would have told it better.
+    world = World(status, took)
+    world.play(10)
+    assert len(world.sent_since(0, dark=False)) == 100 and not world.refused
+    world.dark = {1, 2}
+    began = world.now
+    world.play(4)
+    so_far = world.refused                                 # what waited there too long
+    world.play(6)
+    assert 2 * SERVERS <= len(world.sent_since(began)) <= 2 * (SERVERS + more)
+    assert world.refused - so_far <= 3
+    assert world.balancer.pressure < 0.3
+
+
+def test_a_shut_hall_is_tried_once_a_second_with_what_may_run_twice_and_taken_back_when_it_answers() -> None:
+    world = World()
+    world.play(5)
+    world.dark = {1, 2}
+    world.play(5)
+    began = world.now
+    world.play(20)
+    tried = world.sent_since(began)
+    assert 10 <= len(tried) <= 2 * 20 + 2
+    assert not any(order for _, order, _ in tried)
+    world.dark = set()
+    world.play(5)
+    began = world.now
+    world.play(10)
+    assert sum(hall != 0 for at, _, hall in world.sends if at >= began) > 20     # a third to a half again
+
+
+def test_where_all_halls_are_shut_orders_alone_find_them_again() -> None:
+    world = World()
+    world.dark = {0, 1, 2}
+    world.play(6)
+    began, world.dark = world.now, set()
+    world.play(3, orders_only=True)
+    assert len(world.sent_since(began, dark=False)) > 15
+
+
+@pytest.mark.parametrize("answers", [True, False])
+def test_one_answer_from_a_hall_keeps_it_open(answers: bool) -> None:
+    halls = Halls()
+    for n in range(10):
+        halls.missed(n, 1, bytes([n]))
+        if answers and n % SERVERS == 1:
+            halls.answered(1)
+    assert halls.shut(20, 1, True) is not answers
+    assert not halls.shut(20, 0, True)
+
+
+def test_one_server_that_fails_again_and_again_does_not_shut_its_hall() -> None:
+    halls = Halls()
+    assert not any(halls.missed(n, 1, b"one") for n in range(100)) and not halls.shut(100, 1, True)
+    assert [halls.missed(101 + n, 1, bytes([n])) for n in range(4)] == [False, True, False, False]
+    assert halls.shut(102, 1, True) and not halls.shut(102 + AGAIN_US, 1, True)
+    assert halls.shut(102 + AGAIN_US, 1, False)
+    halls.sent(102 + AGAIN_US, 1)
+    assert halls.shut(103 + AGAIN_US, 1, True)
