--- a/setup.py
+++ b/setup.py
@@ -9,8 +9,8 @@
 from setuptools import setup
 
 HOT = ("clock", "wheel", "flow", "exchange", "engine", "routing/halls", "policy/interface", "policy/state",
-       "policy/logic", "net/headers", "net/http", "net/client_connection", "net/service_client", "net/instance_connection",
-       "net/pool", "net/instances", "overload/pulse", "own_load")
+       "policy/logic", "net/headers", "net/http", "net/client_connection", "net/service_client",
+       "net/instance_connection", "net/pool", "net/instances", "overload/pulse", "own_load")
 
 
 def compiled() -> list:
