Lab: the kill with requests open is played with a seed at which a request is open

Seen: at seed 1 one of the two balancers now had no request open in the instant of its kill, as answers come sooner over connections that are there; the test asks for one. Change: seed 2 instead; the assertions stay.

--- a/tests/lab/run/test_run_hard_cases.py
+++ b/tests/lab/run/test_run_hard_cases.py
@@ -186,7 +186,7 @@
         do = "deploy"; at_s = 0.5; share = 0.7; batch = 0.2; over_s = 6; drain_s = 0.8
         do = "balancer_crash"; at_s = 3.5; count = 2; back_after_s = 0.5; list_age_s = 3.4
         """, seconds=9, rate=90, more="[discovery]\nnotice_s = [0.3, 0.8]\nadd_s = [0.3, 0.6]\n")
-    rehearsal = rehearse(incident, seed=1)
+    rehearsal = rehearse(incident, seed=2)
     states = [event for event in rehearsal.log if isinstance(event, BalancerState)]
     back = {event.balancer: event.at for event in states
             if event.state == "started" and event.at > rehearsal.origin_us}
