--- /dev/null
+++ b/roadlb/issuing/desk.py
@@ -0,0 +1,91 @@
+"""Followers' streams over gRPC: each a `Line`, a bounded queue of what is to be written, a reader."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from ..agreement.events import FromFollower, InForce, Lease, Withdrawn
+from ..log import fields
+from ..xds.codec.discovery import read_delta_request, write_delta_response
+from ..xds.codec.protos import CodecError
+from ..xds.grpc.transport import Context, next_message, refuse
+from ..xds.messages import DeltaRequest, DeltaResponse
+from .line import Action, Asked, End, Line, Offer, Refused, Said, Send, Tell
+
+logger = logging.getLogger(__name__)
+
+UNSENT_MOST = 256            # responses; a follower that takes none is let go, and asks again
+
+
+class Stream:
+    """One follower's stream; `said` is told whatever it says."""
+
+    def __init__(self, peer: str, said: Callable[[Stream, FromFollower], None]) -> None:
+        self.peer, self.refusals, self.bytes_sent, self.bytes_read = peer, 0, 0, 0
+        self._line, self._said = Line(), said
+        self._out: asyncio.Queue[DeltaResponse] = asyncio.Queue()
+        self._ended: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+
+    @property
+    def name(self) -> str:
+        return self._line.name
+
+    def tell(self, message: Offer | InForce | Withdrawn | Lease) -> None:
+        self._do(self._line.handle(Tell(message)))
+
+    def end(self, reason: str) -> None:
+        if not self._ended.done():
+            self._ended.set_result(reason)
+
+    def hear(self, request: DeltaRequest) -> None:
+        self._do(self._line.handle(Asked(request)))
+
+    async def serve(self, context: Context, first: bytes) -> None:
+        """From its first request on, to the end."""
+        tasks = [asyncio.create_task(self._write(context)), asyncio.create_task(self._read(context, first))]
+        until: list[asyncio.Future[Any]] = [*tasks, self._ended]
+        try:
+            await asyncio.wait(until, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        if self._ended.done():
+            await refuse(context, self._ended.result())
+
+    async def _read(self, context: Context, first: bytes) -> None:
+        data: bytes | None = first
+        while data is not None:
+            self.bytes_read += len(data)
+            try:
+                request = read_delta_request(data)
+            except CodecError as e:
+                self.end(str(e))
+                return
+            self.hear(request)
+            data = await next_message(context)
+
+    async def _write(self, context: Context) -> None:
+        while True:
+            data = write_delta_response(await self._out.get())
+            await context.write(data)
+            self.bytes_sent += len(data)
+
+    def _do(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Send(response):
+                    self._out.put_nowait(response)
+                    if self._out.qsize() > UNSENT_MOST:
+                        self.end(f"{UNSENT_MOST} responses were not taken")
+                case Said(message):
+                    self._said(self, message)
+                case Refused(type_url, reason):
+                    self.refusals += 1
+                    logger.warning("follower refuses", extra=fields(
+                        follower=self.name, type=type_url.rpartition(".")[2], reason=reason[:400]))
+                case End(reason):
+                    self.end(reason)
--- a/roadlb/xds/grpc/session.py
+++ b/roadlb/xds/grpc/session.py
@@ -158,12 +158,12 @@
 
     # The transport
 
-    async def serve(self, context: Context) -> None:
-        """The stream's life, from the first request to its end."""
+    async def serve(self, context: Context, first: bytes | None = None) -> None:
+        """The stream's life, from the first request to its end; `first`: that request, if it was read."""
         writer = asyncio.create_task(self._write(context))
         try:
             while not self._ending:
-                data = await next_message(context)
+                data, first = first if first is not None else await next_message(context), None
                 if data is None:
                     break
                 self.hear(data)
--- /dev/null
+++ b/tests/issuing/test_seat.py
@@ -0,0 +1,115 @@
+"""Seats round the stand-in over gRPC: one leads, another follows, and writes of an old leader are refused."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncIterator, Callable, Mapping
+from contextlib import asynccontextmanager
+
+from roadlb.control.leading import Action, Lead, Leading, State, StepDown, era_of
+from roadlb.etcd.client import Etcd
+from roadlb.etcd.model import Pair, Put
+from roadlb.issuing.keys import Keys
+from roadlb.issuing.seat import Seat
+from roadlb.lab.standin_etcd.server import Fault, StandIn
+
+PATIENCE_S = 60.0            # generous: only a defect takes so long
+KEYS = Keys("/t")
+
+
+async def until(what: Callable[[], bool], label: str) -> None:
+    end = time.monotonic() + PATIENCE_S
+    while not what():
+        assert time.monotonic() < end, f"in vain: {label}"
+        await asyncio.sleep(0.01)
+
+
+class One:
+    """A service: its seat, what it was told, and the keys as it sees them."""
+
+    def __init__(self, store: StandIn, name: str) -> None:
+        self.client, self.keys = Etcd([store.address], call_s=0.3), dict[str, Pair]()
+        self.told: list[Action] = []
+        self.seat = Seat(self.client, KEYS, lambda: name, Leading(ttl_s=3), self.told.append, self.see)
+        self.task = asyncio.create_task(self.seat.run())
+
+    def see(self, found: Mapping[str, Pair | None], whole: bool) -> None:
+        if whole:
+            self.keys.clear()
+        for name, pair in found.items():
+            if pair is None:
+                self.keys.pop(name, None)
+            else:
+                self.keys[name] = pair
+
+    @property
+    def epochs(self) -> list[int]:
+        return [action.epoch for action in self.told if isinstance(action, Lead)]
+
+    async def end(self) -> None:
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+        await self.client.close()
+
+
+@asynccontextmanager
+async def two() -> AsyncIterator[tuple[StandIn, One, One]]:
+    """Two services, of which the first leads."""
+    async with StandIn() as store:
+        a = One(store, "a")
+        await until(lambda: a.seat.leads() is not None, "one leads")
+        b = One(store, "b")
+        try:
+            await until(lambda: b.seat.decider.state is State.WAITING, "the other waits")
+            yield store, a, b
+        finally:
+            await asyncio.gather(a.end(), b.end())
+
+
+async def hand_over() -> None:
+    async with two() as (store, a, b):
+        epoch = a.seat.leads()
+        assert epoch and b.seat.decider.holder == epoch
+        await a.seat.write(epoch, Put(KEYS["force"], b"1"))
+        await until(lambda: "force" in b.keys and b.keys["force"].value == b"1", "the other sees it")
+        await a.end()                                    # it retires: nobody waits for its lease
+        assert isinstance(a.told[-1], StepDown)
+        await until(lambda: b.seat.leads() is not None, "the other leads")
+        assert b.epochs[0] > epoch and b.keys["seat"].value == b"b"
+        assert not (await a.seat.write(epoch, Put(KEYS["force"], b"old"))).held
+        assert store.store._pair(KEYS["force"], store.store.revision).value == b"1"  # type: ignore[union-attr]
+
+
+def test_one_that_retires_hands_over_and_writes_no_more() -> None:
+    asyncio.run(asyncio.wait_for(hand_over(), 4 * PATIENCE_S))
+
+
+async def silent() -> None:
+    async with two() as (store, a, b):
+        store.fault = Fault.DEAF
+        await until(lambda: isinstance(a.told[-1], StepDown), "it steps down without the store")
+        assert a.seat.leads() is None and b.seat.leads() is None and a.seat.error
+        store.fault = Fault.NONE
+        await until(lambda: a.seat.leads() is not None or b.seat.leads() is not None, "one leads again")
+        assert max(a.epochs + b.epochs) > a.epochs[0]
+
+
+def test_without_the_store_nobody_leads_and_one_does_when_it_is_back() -> None:
+    asyncio.run(asyncio.wait_for(silent(), 4 * PATIENCE_S))
+
+
+async def backup() -> None:
+    async with two() as (store, a, _):
+        epoch = a.seat.leads()
+        assert epoch
+        kept = store.store.backup()
+        for i in range(20):
+            await a.seat.write(epoch, Put(KEYS["force"], b"%d" % i))
+        store.restore(kept)
+        await until(lambda: len(a.epochs) > 1, "it leads in an era of its own")
+        assert a.seat.went_back == 1 and era_of(a.epochs[1]) == 1 and era_of(epoch) == 0
+
+
+def test_a_leader_whose_store_goes_back_leads_on_above_all_it_ever_said() -> None:
+    asyncio.run(asyncio.wait_for(backup(), 4 * PATIENCE_S))
