Wait with asyncio.timeout: wait_for swallowed the end of a seat, and of others like it

Seen: tests/issuing/test_seat.py hung for 240 s, in the end of a service, at a load of 25 (1 of 2,534 tests). The trace ends in Seat.run at asyncio.wait_for, cancelled 240 s after it should have been. Cause: in Python 3.11 wait_for returns what was waited for if that is done in the turn in which its caller is cancelled, and the cancellation is lost; the loop round it goes on for ever. Ruled out: the client's own turning of cancellations into StoreError (it raises where the task is being cancelled).

--- a/roadlb/app.py
+++ b/roadlb/app.py
@@ -324,7 +324,8 @@
         if config.socket_fd is not None:
             # The predecessor serves till we can: with the list as it is now, not as it was.
             with suppress(TimeoutError):
-                await asyncio.wait_for(app.name_table.told.wait(), HEARD_S)
+                async with asyncio.timeout(HEARD_S):
+                    await app.name_table.told.wait()
         app.listener = await serve(app.service_client, config.listen, config.socket_fd, app.bind)
 
 
--- a/roadlb/control/service.py
+++ b/roadlb/control/service.py
@@ -395,7 +395,8 @@
             until = tick_at if turn is None else min(tick_at, turn)
             self._again.clear()
             try:
-                await asyncio.wait_for(self._again.wait(), max(0, until - self._clock()) / 1e6)
+                async with asyncio.timeout(max(0, until - self._clock()) / 1e6):
+                    await self._again.wait()
             except TimeoutError:
                 continue
 
--- a/roadlb/issuing/seat.py
+++ b/roadlb/issuing/seat.py
@@ -75,7 +75,8 @@
                 self._again.clear()
                 wait = max(0.001, (self.decider.wake_at - self._clock()) / 1e6)
                 try:
-                    await asyncio.wait_for(self._again.wait(), wait)
+                    async with asyncio.timeout(wait):
+                        await self._again.wait()
                 except TimeoutError:
                     continue
         finally:
--- a/roadlb/lab/agreement/faults.py
+++ b/roadlb/lab/agreement/faults.py
@@ -35,7 +35,8 @@
     async def _pause(self, least_s: float, most_s: float) -> bool:
         """Some time passes; is it all over?"""
         with suppress(TimeoutError):
-            await asyncio.wait_for(self._over.wait(), self._random.uniform(least_s, most_s))
+            async with asyncio.timeout(self._random.uniform(least_s, most_s)):
+                await self._over.wait()
         return self._over.is_set()
 
     async def heal(self, running: asyncio.Task[None] | None = None) -> None:
--- a/roadlb/lab/grid/live.py
+++ b/roadlb/lab/grid/live.py
@@ -175,7 +175,8 @@
             while not ended.is_set() and (seconds is None or loop.time() - began < seconds):
                 second += 1
                 try:
-                    await asyncio.wait_for(ended.wait(), max(0.0, began + second * SECOND_S - loop.time()))
+                    async with asyncio.timeout(max(0.0, began + second * SECOND_S - loop.time())):
+                        await ended.wait()
                 except TimeoutError:
                     show(self._picture())
                 for task in tasks:
--- a/roadlb/lab/run/children.py
+++ b/roadlb/lab/run/children.py
@@ -93,7 +93,8 @@
         self.go_on()
         self.terminate()
         try:
-            await asyncio.wait_for(self._process.wait(), LAST_S)
+            async with asyncio.timeout(LAST_S):
+                await self._process.wait()
         except TimeoutError:
             self.kill()
             await self._process.wait()
--- a/roadlb/lab/run/real_world.py
+++ b/roadlb/lab/run/real_world.py
@@ -232,7 +232,8 @@
             self.signal(signal.SIGCONT)
             self.signal(signal.SIGTERM)
             try:
-                await asyncio.wait_for(self._process.wait(), LAST_S)
+                async with asyncio.timeout(LAST_S):
+                    await self._process.wait()
             except TimeoutError:
                 self.kill()
                 await self._process.wait()
--- a/roadlb/lab/together/plays.py
+++ b/roadlb/lab/together/plays.py
@@ -214,7 +214,8 @@
         await asyncio.sleep(random.uniform(0.5, 1.5) * house.contradiction_s)
         gives = 1 - gives
         with suppress(TimeoutError):
-            await asyncio.wait_for(_proposed(house, gives), house.contradiction_s)
+            async with asyncio.timeout(house.contradiction_s):
+                await _proposed(house, gives)
 
 
 async def _proposed(house: House, gives: int) -> None:
--- a/tests/issuing/test_seat.py
+++ b/tests/issuing/test_seat.py
@@ -7,7 +7,7 @@
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 
-from roadlb.control.leading import Action, Lead, Leading, State, StepDown, era_of
+from roadlb.control.leading import Action, Lead, Leading, State, StepDown, Tick, era_of
 from roadlb.etcd.client import Etcd
 from roadlb.etcd.model import Pair, Put
 from roadlb.issuing.keys import Keys
@@ -99,6 +99,18 @@
     asyncio.run(asyncio.wait_for(silent(), 4 * PATIENCE_S))
 
 
+async def told_and_ended() -> None:
+    async with two() as (_, a, _):
+        a.seat.tell(Tick())                              # it wakes, and is ended, in one turn of the loop
+        a.task.cancel()
+        done, _ = await asyncio.wait({a.task}, timeout=10)
+        assert done, "a cancellation beside a wake-up is swallowed"
+
+
+def test_one_that_is_ended_as_it_wakes_ends() -> None:
+    asyncio.run(asyncio.wait_for(told_and_ended(), 4 * PATIENCE_S))
+
+
 async def backup() -> None:
     async with two() as (store, a, _):
         epoch = a.seat.leads()
