Tests run side by side, and a port that a process is to bind stays its own till then

Side by side, two tests of eight balancers failed beside other work: a door's answer was 'the path's first part names no class'. Cause: tests/membership/real_peers.py looked a free port up, let it go and handed it to a process that binds it seconds later; meanwhile the kernel gave it to a balancer that listens where the kernel chooses. So it may fail one after another too, seldom.

--- a/roadlb/lab/run/real_world.py
+++ b/roadlb/lab/run/real_world.py
@@ -10,7 +10,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 import time
 from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
@@ -24,6 +23,7 @@
 from ..parties.discovery import Address
 from ..wire import Lagged, WireLog
 from .drawn import Drawn
+from .ports import reserved
 from .relay import Relay, Way
 from .world import Role, parted
 
@@ -107,10 +107,7 @@
 
     def __init__(self, name: str, ip: str, faults: list[str]) -> None:
         self._name, self._faults = name, faults
-        # Bound and never listening, as the first address is.
-        self._reserved = socket.socket()
-        self._reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._reserved.bind((ip, 0))
+        self._reserved = reserved(ip)
         self._at: Address = self._reserved.getsockname()
         self._calls: set[asyncio.Task[None]] = set()
 
@@ -153,10 +150,7 @@
         self._more = more
         self.takes_clients = False       # it has been started, and not told to end
         self.ends: Callable[[], None] = lambda: None     # called when it no longer does
-        # Bound and never listening, it keeps the port for this process, which binds it as well.
-        self._reserved = socket.socket()
-        self._reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._reserved.bind((ip, 0))
+        self._reserved = reserved(ip)
         self.address: Address = self._reserved.getsockname()
         self.door = Door(name, ip, faults)
         self._config, self._starts = folder / f"{name}.json", 0
--- a/roadlb/lab/run/rig.py
+++ b/roadlb/lab/run/rig.py
@@ -57,6 +57,7 @@
 from .datagrams import Datagrams
 from .drawn import draw
 from .link import Link
+from .ports import reserved
 from .real_world import More, RealWorld, write
 from .relay import Pair, Relay, Ways
 from .sim_world import generators
@@ -132,8 +133,8 @@
         finally:
             for link in self.links.values():
                 link.end()
-            for reserved in self._reserved:
-                reserved.close()
+            for held in self._reserved:
+                held.close()
             self._folder.cleanup()
             if self._collects:
                 gc.enable()
@@ -154,11 +155,9 @@
 
     def reserve(self) -> Address:
         """For one that is to listen on TCP with SO_REUSEADDR, or to bind for datagrams."""
-        reserved = socket.socket()
-        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        reserved.bind((self.world.ip(), 0))
-        self._reserved.append(reserved)
-        address: Address = reserved.getsockname()
+        held = reserved(self.world.ip())
+        self._reserved.append(held)
+        address: Address = held.getsockname()
         return address
 
     async def spawn(self, name: str, argv: Sequence[str], env: Mapping[str, str] | None = None) -> Child:
--- a/tests/house/test_commands.py
+++ b/tests/house/test_commands.py
@@ -25,7 +25,8 @@
 PROJECT = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
 STATIC = ["ruff check .", "mypy", "lint-imports --no-logo"]
 BUILD = "python setup.py -q build --build-lib .venv-dev/compiled --build-temp .venv-dev/temp"
-TESTS = ["python -P -m pytest -q -m not interpreted tests/net tests/engine tests/policy", "pytest -q"]
+TESTS = ["python -P -m pytest -q -m not interpreted tests/net tests/engine tests/policy",
+         "pytest -q -n 4 --dist loadgroup --no-loadscope-reorder"]
 FIRST, LATER = [*STATIC, BUILD, *TESTS], [*STATIC, *TESTS]
 STUB = """#!/bin/sh
 # Stands in for Python and for the tools: notes what it was asked for, fails where a file FAIL-name is.
--- a/tests/lifecycle/test_upgrade.py
+++ b/tests/lifecycle/test_upgrade.py
@@ -17,6 +17,7 @@
 
 from roadlb.config import ConfigError, read_config
 from roadlb.counters import Counters as Counts
+from roadlb.lab.run.ports import reserved
 from roadlb.lifecycle import handover
 from roadlb.lifecycle.handover import Handover, Held, Neighbours
 from roadlb.lifecycle.succession import Succession
@@ -72,11 +73,6 @@
     return answer
 
 
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as s:
-        return int(s.getsockname()[1])
-
-
 def test_two_upgrades_in_a_row_under_load_cost_no_request_and_run_each_order_once(tmp_path: Path) -> None:
     met: Counter[str] = Counter()
 
@@ -106,10 +102,11 @@
         party, over = Party(), asyncio.Event()
         await party.listen()
         with socket.create_server(("127.0.0.1", 0), backlog=512) as listener:
-            port, started = listener.getsockname()[1], []
+            port, started, held = listener.getsockname()[1], [], list[socket.socket]()
 
             async def start() -> tuple[asyncio.subprocess.Process, int]:
-                admin, config = free_port(), tmp_path / "config.json"
+                held.append(reserved())
+                admin, config = held[-1].getsockname()[1], tmp_path / "config.json"
                 config.write_text(json.dumps({**RAW, "discovery": party.agent}))
                 env = {**os.environ, "PYTHONPATH": str(ROOT), "PROXY_CONFIG": str(config),
                        "PROXY_SOCKET_FD": str(listener.fileno()), "TMPDIR": str(tmp_path),
@@ -139,8 +136,8 @@
         assert max(party.ran.values()) == 1
         assert not list(tmp_path.glob("*.lock"))
         assert b"Traceback" not in b"".join(f.read_bytes() for f in tmp_path.glob("*.log"))
-        for server in party.servers:
-            server.close()
+        for socket_or_server in (*party.servers, *held):
+            socket_or_server.close()
 
     run(asyncio.wait_for(main(), LIMIT_S))
 
--- a/tests/membership/real_peers.py
+++ b/tests/membership/real_peers.py
@@ -20,6 +20,7 @@
 from samples import RAW
 
 from roadlb.lab.run.datagrams import Datagrams
+from roadlb.lab.run.ports import reserved
 from roadlb.lab.run.real_world import environment
 
 GENEROUS_S = 240.0      # starved, one who is deaf doubts itself first, and accuses later
@@ -27,18 +28,13 @@
 KEY = "a key for tests only"
 
 
-def free_port(kind: int) -> int:
-    with socket.socket(socket.AF_INET, kind) as found:
-        found.bind(("127.0.0.1", 0))
-        port: int = found.getsockname()[1]
-        return port
-
-
 class OnePeer:
     def __init__(self, name: str) -> None:
         self.name, self.process = name, None
         self.process: asyncio.subprocess.Process | None
-        self.door, self.port = free_port(socket.SOCK_STREAM), free_port(socket.SOCK_DGRAM)
+        self.held, self.mine = reserved(), reserved(kind=socket.SOCK_DGRAM)      # the latter till it starts
+        self.door: int = self.held.getsockname()[1]
+        self.port: int = self.mine.getsockname()[1]
         self.link: Datagrams
         self.stopped = False
 
@@ -80,6 +76,8 @@
                 one.process.kill()
                 await one.process.wait()
             one.link.end()
+            one.held.close()
+            one.mine.close()
 
     def _filter(self, link: Datagrams, to: str) -> None:
         pass_on = link.there
@@ -102,6 +100,7 @@
         self.change(name, raw)
         config = self.folder / f"{name}.json"
         config.write_text(json.dumps(raw))
+        one.mine.close()
         with (self.folder / f"{name}.log").open("ab") as log:
             one.process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "roadlb", stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
--- a/tests/shared_state/test_share_processes.py
+++ b/tests/shared_state/test_share_processes.py
@@ -8,20 +8,22 @@
 
 import asyncio
 import signal
-import socket
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
-from real_peers import RealPeers, free_port
+from real_peers import RealPeers
+
+from roadlb.lab.run.ports import reserved
 
 PART = 1 / 8
 
 
 def play(folder: Path, test: Callable[[RealPeers, list[int]], Coroutine[Any, Any, None]], share: bool = True
          ) -> None:
-    ports = [free_port(socket.SOCK_STREAM) for _ in range(8)]
+    held = [reserved() for _ in range(8)]
+    ports: list[int] = [one.getsockname()[1] for one in held]
 
     def change(name: str, raw: dict[str, Any]) -> None:
         raw["listen"] = f"127.0.0.1:{ports[int(name[3:])]}"
@@ -36,7 +38,11 @@
             errors = [line for log in folder.glob("*.log") for line in log.read_text().splitlines()
                       if "level=error" in line or not line.startswith("at=")]
             assert not errors, errors[:3]
-    asyncio.run(main())
+    try:
+        asyncio.run(main())
+    finally:
+        for one in held:
+            one.close()
 
 
 async def ask(port: int) -> None:
