Sites: orders keep away from a site that answers reads alone; returns outlive the list

Cause: any answer of any kind clears a site's doubt (`Sites.answered`), so a hall that answers what is cheap and lets each order hang got orders again and again.

Change: failed orders are kept apart (`missed`, `answered`, `sent` are told whether the request could be repeated): after LOSS servers, none answered for QUIET_US, while the site answered other requests and another site an order, orders keep away but for one trial at a time, 1 s to 8 s apart. A return outlives the list and begins at its first step; an order never goes to a lost site and is refused at once.

--- a/roadlb/policy/logic.py
+++ b/roadlb/policy/logic.py
@@ -223,7 +223,8 @@
             self.standings.failed(now, s, status is Status.SPOILT, len(self.ready))
             # One that had less than the usual time left says nothing of the site: it may have been under way.
             short = status is Status.TIMEOUT and latency < cls.tail
-            if status is not Status.SPOILT and not short and self.sites.missed(now, s.zone, s.id):
+            if status is not Status.SPOILT and not short and self.sites.missed(
+                    now, s.zone, s.id, r.order):
                 for other in self.requests.values():     # what is held up there is no sign of work
                     if other.attempts and other.attempts[-1].server.zone == s.zone:
                         self.let_go(other)
@@ -329,7 +330,7 @@
         if self.shares.bounded:
             self.shares.sent(now, s.zone, self.sites.away(s.zone), bool(r.attempts))
         if not r.spare:
-            self.sites.sent(now, s.zone)
+            self.sites.sent(now, s.zone, s.id, r.order)
         r.attempts.append(a := Attempt(s, now))
         r.open += 1
         if not r.coming:
@@ -388,7 +389,7 @@
             s.queue = s.told / self.shares.alike
         if e.status in (Status.OK, Status.ERROR, Status.FULL, Status.SPOILT):
             s.heard = self.now
-            self.sites.answered(self.now, s.zone)
+            self.sites.answered(self.now, s.zone, r.order)
             if e.status is not Status.FULL:
                 self.hand.answered(self.now)
         self.judge(s, r, e.status, e.latency_us, unheard=a.sent > s.heard)
--- a/roadlb/policy/state.py
+++ b/roadlb/policy/state.py
@@ -7,7 +7,7 @@
 from ..routing.cold import ColdBudget
 from ..routing.key_order import HASH, mix
 from ..routing.standing import Standing
-from .interface import RequestClass, ServerId, ServerView
+from .interface import Effect, RequestClass, ServerId, ServerView
 
 TAU_US = 2_000_000            # memory of a server's mean load
 
@@ -108,12 +108,13 @@
     """A request with its attempts, until all of them are over."""
 
     __slots__ = ("attempts", "bold", "closed", "cls", "coming", "due", "held", "id", "key", "late", "open",
-                 "site", "spare", "streaming", "until", "work")
+                 "order", "site", "spare", "streaming", "until", "work")
 
     def __init__(self, id: int, cls: ClassState, key: int, work: int, until: int, due: int,
                  coming: bool = False) -> None:
         self.coming = coming         # no server has begun with it, as its body still comes
         self.id, self.cls, self.key, self.work = id, cls, key, work
+        self.order = cls.spec.effect is not Effect.SAFE    # it may not be repeated at will
         self.until = until           # the client gives this try up then
         self.due = due               # the answer is wanted by then
         self.attempts: list[Attempt] = []
--- a/roadlb/sites/events.py
+++ b/roadlb/sites/events.py
@@ -30,10 +30,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Answered:
-    """A server has answered, whatever it said."""
+    """A server has answered, whatever it said; an `order` if it was a request that may not be repeated."""
 
     site: int
     server: bytes
+    order: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -42,6 +43,7 @@
 
     site: int
     server: bytes
+    order: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -49,6 +51,8 @@
     """A request goes to a server of the site."""
 
     site: int
+    server: bytes = b""
+    order: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -107,7 +111,19 @@
         return f"site {self.site}: {self.cause}"
 
 
-Action: TypeAlias = Changed | Declined
+@dataclass(slots=True, frozen=True)
+class OrdersKept:
+    """Requests that may not be repeated keep away from the site now, or go there again; why, for a person."""
+
+    site: int
+    away: bool
+    cause: str
+
+    def __str__(self) -> str:
+        return f"site {self.site}: orders {'keep away' if self.away else 'go there'}: {self.cause}"
+
+
+Action: TypeAlias = Changed | Declined | OrdersKept
 
 
 @dataclass(slots=True, frozen=True)
@@ -122,3 +138,4 @@
     since_us: int                # clock time of the last change of state
     relapses: int                # losses during or soon after a return, in a row
     heard_us: int = -1           # clock time of its last answer; -1: never
+    orders_away: bool = False    # it answers other requests, and orders keep away
--- a/roadlb/sites/life.py
+++ b/roadlb/sites/life.py
@@ -34,6 +34,26 @@
                none answers for QUIET_US                       look alike to one who calls all of them off
     any        an operator takes it out             out        nothing new goes there, whatever it answers
     out        an operator puts it in               returning  from the first step, as after a loss
+    returning  all its servers leave the list       returning  from the first step once they are listed again:
+                                                               what is back for a moment has proved nothing
+
+Beside its state, whether orders keep away: a site may answer what is cheap and let each order hang, and then
+any answer would clear the doubt that orders have raised, again and again:
+
+    orders     what happens                         orders     reason
+    go there   LOSS servers fail orders, none has   keep away  an answer to what is cheap is no evidence for
+               been answered since the first nor               orders.  What fails everywhere is our own
+               for QUIET_US, but other requests,               link's or the orders' fault, and one that
+               and orders at another site                      answers nothing is the table's above
+    keep away  a trial's time has come              (a trial)  one order at a time, by its usual way: none is
+                                                               sent there for the trial's sake
+    keep away  the trial fails                      keep away  the next waits twice as long; and by now no
+                                                               order goes there for want of another site
+    keep away  an order is answered                 go there   that is all that was missing
+    keep away  fewer than DOUBT of those that       go there   as above, who drains or restarts says nothing
+               failed are left as they were                    of its site
+    any        it is lost and answers again, or an  go there   failures before a loss were its own; what kept
+               operator puts it in                             orders away before it still does
 
 A site with fewer than LOSS servers listed is not judged as a site: its servers are ejected one by one.
 """
@@ -43,8 +63,8 @@
 from collections.abc import Iterable, Mapping
 
 from .events import (
-    Action, Answered, Changed, Declined, Doubted, Event, Listed, Missed, PutIn, Sent, SiteView, State,
-    TakeOut)
+    Action, Answered, Changed, Declined, Doubted, Event, Listed, Missed, OrdersKept, PutIn, Sent, SiteView,
+    State, TakeOut)
 
 DOUBT, LOSS = 2, 3           # servers of a site that have failed, with no answer from any of it meanwhile
 DOUBT_US = 1_500_000         # so long it may be in doubt: then one more failure is enough
@@ -63,9 +83,10 @@
 class Site:
     """One site as this balancer sees it."""
 
-    __slots__ = ("answers", "back", "born", "heard", "hearsay", "keep_at", "number", "overtaken", "relapses",
-                 "room", "room_at", "servers", "silent", "silent_since", "since", "state", "step", "step_at",
-                 "trial_at", "usual")
+    __slots__ = ("answers", "back", "born", "heard", "hearsay", "keep_at", "number", "order_at",
+                 "order_heard", "order_trial", "orders_away", "orders_failed", "orders_since", "overtaken",
+                 "relapses", "room", "room_at", "servers", "silent", "silent_since", "since", "state", "step",
+                 "step_at", "trial_at", "trials_failed", "usual")
 
     def __init__(self, number: int) -> None:
         self.number, self.state, self.since = number, State.WHOLE, 0
@@ -80,6 +101,11 @@
         self.heard, self.silent_since = -1, 0     # its last answer; the first failure since
         self.overtaken, self.keep_at = 0, 0       # attempts since then whose copies were quicker
         self.hearsay = 0                          # until then others say that it does not answer
+        self.orders_failed: set[bytes] = set()    # at these, and none answered since; LOSS at the most
+        self.orders_since, self.order_heard = 0, -1       # the first of them; the last answer to an order
+        self.orders_away = False                  # orders keep away, but for a trial in turn ...
+        self.order_at, self.order_trial = 0, b""  # ... from then on; the server that one is at
+        self.trials_failed = 0
 
 
 class Sites:
@@ -90,11 +116,12 @@
     and `view` change nothing.
     """
 
-    __slots__ = ("_troubled", "decided", "sites", "trial_us")
+    __slots__ = ("_orders_away", "_troubled", "decided", "sites", "trial_us")
 
     def __init__(self) -> None:
         self.sites: dict[int, Site] = {}
         self._troubled: dict[int, Site] = {}      # those that are not whole, or have a silent server
+        self._orders_away: dict[int, Site] = {}   # those that orders keep away from
         self.decided: list[Action] = []
         self.trial_us = TRIAL_US
 
@@ -105,11 +132,11 @@
     def tell(self, now: int, event: Event) -> None:
         """As `handle`; what is decided waits for `take`."""
         if isinstance(event, Answered):
-            self.answered(now, event.site)
+            self.answered(now, event.site, event.order)
         elif isinstance(event, Missed):
-            self.missed(now, event.site, event.server)
+            self.missed(now, event.site, event.server, event.order)
         elif isinstance(event, Sent):
-            self.sent(now, event.site)
+            self.sent(now, event.site, event.server, event.order)
         elif isinstance(event, Listed):
             self._listed(now, event)
         elif isinstance(event, TakeOut):
@@ -146,6 +173,8 @@
                     continue
                 site = self.sites[number] = Site(number)
             self._forget(now, site, servers)
+            if servers and not site.servers and site.state is State.RETURNING:
+                self._first_step(now, site)
             site.servers = servers
             newest = max(servers.values(), default=0)
             if newest > site.born:
@@ -153,14 +182,21 @@
                     site.trial_at = now           # what failed was another process
                 site.born = newest
         for number in [n for n, site in self.sites.items() if n not in event.sites]:
-            if self.sites[number].state in (State.OUT, State.LOST):
-                self.sites[number].servers = {}   # what was said or found out outlives the list
+            site = self.sites[number]
+            if site.state in (State.OUT, State.LOST, State.RETURNING):
+                site.servers = {}                 # what was said or found out outlives the list
             else:
                 del self.sites[number]
                 self._troubled.pop(number, None)
+                self._orders_away.pop(number, None)
 
     def _forget(self, now: int, site: Site, servers: Mapping[bytes, int]) -> None:
         """What has failed and is no longer listed, or is another process by now."""
+        if site.orders_failed:
+            site.orders_failed = {
+                s for s in site.orders_failed if s in servers and servers[s] == site.servers.get(s)}
+            if site.orders_away and len(site.orders_failed) < DOUBT:
+                self._orders_go(site, "those that failed orders have left the list")
         if not site.silent or site.state is State.LOST:
             return
         site.silent = {s for s in site.silent if s in servers and servers[s] == site.servers.get(s)}
@@ -185,6 +221,7 @@
             self.decided.append(Declined(number, "no such site in the list"))
         elif site.state is State.OUT:
             site.silent.clear()
+            self._orders_go(site, "an operator's word")
             self._return(now, site, "an operator's word")
 
     def _doubted(self, now: int, event: Doubted) -> None:
@@ -203,12 +240,16 @@
 
     # What happens for each request
 
-    def answered(self, now: int, number: int) -> None:
-        """A server of it has answered."""
+    def answered(self, now: int, number: int, order: bool = False) -> None:
+        """A server of it has answered, an `order` if it was a request that may not be repeated."""
         site = self.sites.get(number)
         if site is None:
             return
         site.heard, site.overtaken = now, 0
+        if order:
+            site.order_heard = now
+            if site.orders_failed:
+                self._orders_go(site, "an order is answered")
         if not self._troubled or number not in self._troubled:
             return
         site.silent.clear()
@@ -221,27 +262,34 @@
             else:
                 self._become(now, site, State.WHOLE, "a server answers")
         elif state is State.LOST:
+            if not site.orders_away:
+                site.orders_failed.clear()
             if now - site.since < SHORT_US and not site.relapses:
                 self._become(now, site, State.WHOLE, "a server answers at once")
             else:
                 self._return(now, site, "a server answers")
         elif state is State.RETURNING:
-            site.answers += 1
+            site.answers += 1 if site.servers else 0
             if site.answers >= STEP_ANSWERS and now - site.step_at >= STEP_US:
                 site.step, site.step_at, site.answers = site.step + 1, now, 0
                 if site.step >= len(STEPS):
                     self._become(now, site, State.WHOLE, "it has carried every step")
 
     def _return(self, now: int, site: Site, cause: str) -> None:
-        site.step, site.step_at, site.answers, site.room, site.room_at = 0, now, 0, 1.0, now
+        self._first_step(now, site)
         self._become(now, site, State.RETURNING, cause)
 
-    def missed(self, now: int, number: int, server: bytes) -> bool:
+    def _first_step(self, now: int, site: Site) -> None:
+        site.step, site.step_at, site.answers, site.room, site.room_at = 0, now, 0, 1.0, now
+
+    def missed(self, now: int, number: int, server: bytes, order: bool = False) -> bool:
         """An attempt there failed with no answer.  Is the site lost by this one?"""
         site = self.sites.get(number)
         if site is None or site.state is State.OUT or site.state is State.LOST or (
                 len(site.servers) < LOSS or server not in site.servers):
             return False
+        if order:
+            self._order_missed(now, site, server)
         if not site.silent:
             site.silent_since = now
         if len(site.silent) < LOSS:
@@ -261,6 +309,33 @@
             self._become(now, site, State.DOUBTFUL, f"{failed} servers fail, none answers")
         return False
 
+    def _order_missed(self, now: int, site: Site, server: bytes) -> None:
+        if not site.orders_failed:
+            site.orders_since = now
+        if len(site.orders_failed) < LOSS:
+            site.orders_failed.add(server)
+        if site.orders_away:
+            if server == site.order_trial:
+                site.order_trial, site.trials_failed = b"", site.trials_failed + 1
+                site.order_at = now + min(TRIAL_MOST_US, self.trial_us << min(site.trials_failed, 3))
+            return
+        if len(site.orders_failed) >= LOSS and site.heard >= site.orders_since and (
+                now - site.order_heard >= QUIET_US) and any(
+                other.order_heard >= site.orders_since for other in self.sites.values() if other is not site):
+            site.orders_away, site.order_trial, site.trials_failed = True, b"", 0
+            site.order_at = now + self.trial_us
+            self._orders_away[site.number] = site
+            self.decided.append(OrdersKept(
+                site.number, True, f"{len(site.orders_failed)} servers fail them and answer other requests"))
+
+    def _orders_go(self, site: Site, cause: str) -> None:
+        """Nothing that orders have met there counts any more."""
+        site.orders_failed.clear()
+        if site.orders_away:
+            site.orders_away = False
+            del self._orders_away[site.number]
+            self.decided.append(OrdersKept(site.number, False, cause))
+
     def overtaken(self, now: int, number: int, server: bytes) -> None:
         """An attempt was called off unheard, as its copy was answered: too little to raise a doubt, but
         enough to end a long one, for each trial of a silent site is overtaken.  Where two servers have ended
@@ -296,8 +371,12 @@
         """Has any other site answered since this one fell silent?"""
         return any(other.heard >= site.silent_since and other is not site for other in self.sites.values())
 
-    def sent(self, now: int, number: int) -> None:
+    def sent(self, now: int, number: int, server: bytes = b"", order: bool = False) -> None:
         """A request goes there: a trial, if the site is lost, and the next one waits for its turn."""
+        if order and number in self._orders_away:
+            away = self._orders_away[number]
+            if now >= away.order_at or not away.order_trial:
+                away.order_trial, away.order_at = server, now + TRIAL_MOST_US     # if it is never heard of
         site = self._troubled.get(number)
         if site is None:
             return
@@ -309,13 +388,18 @@
 
     def shut(self, now: int, number: int, repeatable: bool, bold: bool = False, spare: bool = False) -> bool:
         """Is it out of bounds for a request now?  A bold one has nowhere else to go; only an operator's word
-        keeps it away.  A spare one would else be refused: it waits for no step of a return."""
+        keeps it away, and what a failed one has shown: an order that may be lost is better refused.  A spare
+        one would else be refused: it waits for no step of a return."""
+        if not repeatable and number in self._orders_away:
+            away = self._orders_away[number]
+            if now < away.order_at and (not bold or away.trials_failed):
+                return True
         site = self._troubled.get(number)
         if site is None:
             return False
         state = site.state
         if bold or state is State.OUT:
-            return state is State.OUT
+            return state is State.OUT or state is State.LOST and not repeatable
         if state is State.LOST:
             return now < site.trial_at or not repeatable
         if state is State.DOUBTFUL and now < site.hearsay:
@@ -348,7 +432,7 @@
         if not self._troubled:
             return -1
         for number, site in self._troubled.items():
-            if site.state is State.RETURNING and self._room(now, site) >= 1.0:
+            if site.state is State.RETURNING and site.servers and self._room(now, site) >= 1.0:
                 return number
         return self.due(now)
 
@@ -378,5 +462,5 @@
         shares = {State.WHOLE: 1.0, State.DOUBTFUL: 1.0, State.LOST: 0.0, State.OUT: 0.0}
         return [SiteView(
             n, site.state, shares.get(site.state, STEPS[min(site.step, len(STEPS) - 1)]),
-            len(site.servers), len(site.silent), site.since, site.relapses, site.heard)
+            len(site.servers), len(site.silent), site.since, site.relapses, site.heard, site.orders_away)
             for n, site in sorted(self.sites.items())]
