Sites: an order that finds no other server is refused rather than hung; the word is told

Need: orders that keep away from a hall still went there where nothing else would take them, until a trial had failed; what is said of a lost hall, that an order is better refused than lost, holds for it alike.

Change: no bold order out of turn. `/control/sites` has `orders_away`.

--- a/roadlb/admin/sites.py
+++ b/roadlb/admin/sites.py
@@ -28,6 +28,7 @@
     def told(view: SiteView) -> dict[str, Any]:
         return {"site": name(view.site), "state": view.state.value, "share": view.share,
                 "servers": view.servers, "silent": view.silent, "relapses": view.relapses,
+                "orders_away": view.orders_away,
                 "for_s": round(max(0, clock() - view.since_us) / 1e6, 1) if view.since_us else None}
 
     def status() -> tuple[int, str]:
--- a/roadlb/sites/life.py
+++ b/roadlb/sites/life.py
@@ -45,10 +45,9 @@
                been answered since the first nor               orders.  What fails everywhere is our own
                for QUIET_US, but other requests,               link's or the orders' fault, and one that
                and orders at another site                      answers nothing is the table's above
-    keep away  a trial's time has come              (a trial)  one order at a time, by its usual way: none is
-                                                               sent there for the trial's sake
-    keep away  the trial fails                      keep away  the next waits twice as long; and by now no
-                                                               order goes there for want of another site
+    keep away  a trial's time has come              (a trial)  one order at a time, and only one that would go
+                                                               there anyway: what it loses stays lost
+    keep away  the trial fails                      keep away  the next waits twice as long
     keep away  an order is answered                 go there   that is all that was missing
     keep away  fewer than DOUBT of those that       go there   as above, who drains or restarts says nothing
                failed are left as they were                    of its site
@@ -375,8 +374,7 @@
         """A request goes there: a trial, if the site is lost, and the next one waits for its turn."""
         if order and number in self._orders_away:
             away = self._orders_away[number]
-            if now >= away.order_at or not away.order_trial:
-                away.order_trial, away.order_at = server, now + TRIAL_MOST_US     # if it is never heard of
+            away.order_trial, away.order_at = server, now + TRIAL_MOST_US     # if it is never heard of
         site = self._troubled.get(number)
         if site is None:
             return
@@ -388,12 +386,10 @@
 
     def shut(self, now: int, number: int, repeatable: bool, bold: bool = False, spare: bool = False) -> bool:
         """Is it out of bounds for a request now?  A bold one has nowhere else to go; only an operator's word
-        keeps it away, and what a failed one has shown: an order that may be lost is better refused.  A spare
-        one would else be refused: it waits for no step of a return."""
-        if not repeatable and number in self._orders_away:
-            away = self._orders_away[number]
-            if now < away.order_at and (not bold or away.trials_failed):
-                return True
+        keeps it away, or, if it may not be repeated, a loss: better refused than lost.  A spare one would
+        else be refused: it waits for no step of a return."""
+        if not repeatable and number in self._orders_away and now < self._orders_away[number].order_at:
+            return True
         site = self._troubled.get(number)
         if site is None:
             return False
