A seat's end heard of before an older answer no longer costs three leases of waiting

Looked at: the store's client (dials back off by at most 1 s, calls end after store_call_s, a left channel ends its watch and the watch is read anew), the reading of the book under the new epoch (tries again four times in a call's time), the stand-in's timer. What does is in Leading: `Vacant` counted only in the state `waiting`. A service that looked at the seat by running for it, and whose answer ("another's") was handed over after the watch's news of the seat's end, dropped the news, believed the answer, and looked again after LOOK = 3 leases, 12 s. gRPC's asyncio hands over a watch's message before a call's answer that was sent earlier when both come at once.

A vacancy heard of while a run is open makes it run once more. Who waits no longer looks by runs, but reads the seat twice in a lease, so that a channel that died without a word is left after half a lease and store_call_s, not after 13 s of gRPC's keepalive. A late vacancy no longer takes the holder away from one that leads.

--- a/roadlb/control/leading.py
+++ b/roadlb/control/leading.py
@@ -11,9 +11,10 @@
     leasing    the lease is granted              running
     running    the seat has our lease            leading    created by this try, or one whose answer was lost
     running    another's                         waiting    the lease is given back
+    running    another's, and vacant since then  running    the end was heard of before the older answer
     running    no answer                         running    again after PAUSE_US, while the lease lasts
     waiting    the seat is vacant                leasing
-    waiting    LOOK of a lease has passed        leasing    whoever watches the seat may have missed its end
+    waiting    a lease's LOOKS-th has passed     waiting    the seat is read: its end may have been missed
     leading    the lease is renewed              leading    sure for longer, counted from before we asked
     leading    not renewed in time               away       by our own clock, before the store's lease can end
     leading    the store has no such lease       away
@@ -46,7 +47,7 @@
 RATE_PPM = 200                   # a monotonic clock runs at most so much faster or slower than true time
 PAUSE_US = 250_000               # between two tries at a store that did not answer
 RENEWALS = 4                     # in a lease: two lost answers do not end it
-LOOK = 3                         # so many leases without news of the seat: it is looked at anyway
+LOOKS = 2                        # in a lease, at the seat that another has: a channel can die without a word
 
 
 class State(Enum):
@@ -120,6 +121,11 @@
     """Nobody has the seat."""
 
 
+@dataclass(slots=True, frozen=True)
+class Taken:
+    """Somebody has the seat: what `Look` found."""
+
+
 @dataclass(slots=True, frozen=True)
 class Fenced:
     """A guarded write of this epoch was refused: the seat is another's, or nobody's."""
@@ -144,7 +150,8 @@
     pass
 
 
-Event: TypeAlias = Granted | Ran | Renewed | Raised | Failed | Vacant | Fenced | Overtaken | Retire | Tick
+Event: TypeAlias = (Granted | Ran | Renewed | Raised | Failed | Vacant | Taken | Fenced | Overtaken | Retire
+                    | Tick)
 
 
 # Actions
@@ -176,6 +183,11 @@
     era: int
 
 
+@dataclass(slots=True, frozen=True)
+class Look:
+    """Read the seat: `Vacant` or `Taken`; that there was no answer is not told."""
+
+
 @dataclass(slots=True, frozen=True)
 class Revoke:
     """Give a lease back; whatever becomes of it."""
@@ -206,7 +218,7 @@
     known: bool = True
 
 
-Action: TypeAlias = AskLease | Run | Renew | RaiseEra | Revoke | Lead | Extend | StepDown
+Action: TypeAlias = AskLease | Run | Renew | RaiseEra | Look | Revoke | Lead | Extend | StepDown
 
 
 def sure_us(ttl_s: int, margin_us: int, rate_ppm: int = RATE_PPM) -> int:
@@ -229,6 +241,7 @@
         self.state, self.since, self.holder = State.AWAY, 0, 0
         self._lease, self._epoch, self._until, self._asked = 0, 0, 0, False
         self._next, self._known = 0, 0
+        self._vacated = False                # heard of since the seat was run for, and that is not answered
         self._actions: list[Action] = []
 
     def handle(self, now: int, event: Event) -> list[Action]:
@@ -244,7 +257,7 @@
                 self._lease, self._asked = lease, False
                 self._until = asked_at + sure_us(ttl_s, self._margin_us, self._rate_ppm)
                 self._move(now, State.RUNNING)
-                self._ask(Run(lease))
+                self._run()
             case Ran() if self.state is State.RUNNING and self._asked:
                 self._ran(now, event)
             case Renewed(_, lease, _) if self.state is State.LEADING and lease == self._lease:
@@ -256,8 +269,8 @@
                 self._asked, self._next = False, now + PAUSE_US
                 if self.state is State.LEASING:
                     self._move(now, State.AWAY)
-            case Vacant():
-                self.holder = 0
+            case Vacant() if self.state not in (State.LEADING, State.RAISING):   # there it is older news
+                self.holder, self._vacated = 0, True
                 if self.state is State.WAITING:
                     self._lease_anew(now)
             case Fenced(epoch) if epoch == self._epoch and self.state in (State.LEADING, State.RAISING):
@@ -294,10 +307,13 @@
         if self._asked or now < self._next:
             return
         match self.state:
-            case State.AWAY | State.WAITING:
+            case State.AWAY:
                 self._lease_anew(now)
+            case State.WAITING:
+                self._look_later(now)
+                self._actions.append(Look())
             case State.RUNNING:
-                self._ask(Run(self._lease))
+                self._run()
             case State.LEADING:
                 self._ask(Renew(self._lease))
             case State.RAISING:
@@ -307,10 +323,17 @@
         self._move(now, State.LEASING)
         self._ask(AskLease(self._ttl_s))
 
+    def _run(self) -> None:
+        self._vacated = False
+        self._ask(Run(self._lease))
+
     def _ran(self, now: int, event: Ran) -> None:
         self._asked, epoch = False, epoch_of(event.era, event.created)
         self.holder = epoch
-        if event.lease != self._lease:
+        if event.lease != self._lease and self._vacated:
+            # The store answered before the seat's end, and its watch was the faster.
+            self._run()
+        elif event.lease != self._lease:
             self._give_back()
             self._wait(now)
         elif epoch > self._known:
@@ -366,9 +389,13 @@
             self._move(now, state)
 
     def _wait(self, now: int) -> None:
-        self._asked, self._next = False, now + LOOK * self._ttl_s * 1_000_000
+        self._asked = False
+        self._look_later(now)
         self._move(now, State.WAITING)
 
+    def _look_later(self, now: int) -> None:
+        self._next = now + self._ttl_s * 1_000_000 // LOOKS
+
     def _give_back(self) -> None:
         if self._lease:
             self._actions.append(Revoke(self._lease))
--- a/roadlb/issuing/keys.py
+++ b/roadlb/issuing/keys.py
@@ -18,6 +18,7 @@
     Failed,
     Fenced,
     Granted,
+    Look,
     RaiseEra,
     Raised,
     Ran,
@@ -25,6 +26,8 @@
     Renewed,
     Revoke,
     Run,
+    Taken,
+    Vacant,
     created_of,
     epoch_of,
 )
@@ -47,7 +50,7 @@
 )
 from ..etcd.model import Revoke as RevokeLease
 
-Question = AskLease | Run | Renew | RaiseEra | Revoke
+Question = AskLease | Run | Renew | RaiseEra | Look | Revoke
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +76,8 @@
             return Grant(ttl_s)
         case Renew(lease):
             return KeepAlive(lease)
+        case Look():
+            return Get(keys["seat"])
         case Revoke(lease):
             return RevokeLease(lease)
         case RaiseEra(created, era):
@@ -92,6 +97,8 @@
             return Renewed(asked_at, lease, ttl_s)
         case RaiseEra(_, era), Decided(_, held):
             return Raised(era) if held else Fenced(epoch)
+        case Look(), Got():
+            return Vacant() if pair_of(reply) is None else Taken()
         case Run(), Decided(_, _, answers):
             seat, raised = (pair_of(told) for told in answers[-2:])
             if seat is not None:
--- a/roadlb/issuing/seat.py
+++ b/roadlb/issuing/seat.py
@@ -90,7 +90,7 @@
             reply = await self.store.call(question(asked, self.keys, self._who()))
         except StoreError as e:
             self._failed(e)
-            if not isinstance(asked, leading.Revoke):        # it ends by itself
+            if not isinstance(asked, leading.Revoke | leading.Look):     # a lease ends by itself
                 self.tell(leading.Failed(str(e)))
             return
         self._heard(reply.revision, floor)
--- a/tests/issuing/test_leading.py
+++ b/tests/issuing/test_leading.py
@@ -19,6 +19,7 @@
     Granted,
     Lead,
     Leading,
+    Look,
     Overtaken,
     Raised,
     RaiseEra,
@@ -30,12 +31,13 @@
     Run,
     State,
     StepDown,
+    Taken,
     Tick,
     Vacant,
     created_of,
     epoch_of,
 )
-from roadlb.etcd.model import Decided, Put
+from roadlb.etcd.model import Decided, Get, Put
 from roadlb.issuing.keys import Keys, answer, guarded, question
 from roadlb.lab.standin_etcd.events import Answer, Asked
 from roadlb.lab.standin_etcd.events import Tick as StoreTick
@@ -95,12 +97,27 @@
     one.handle(0, Granted(0, 7, 4))
     assert one.handle(0, Ran(0, created=5, lease=6, era=1)) == [Revoke(7)]
     assert (one.state, one.holder) == (State.WAITING, epoch_of(1, 5))
-    assert one.handle(11 * S, Tick()) == [] and one.handle(11 * S, Vacant()) == [AskLease(4)]
-    one.handle(11 * S, Failed("away"))
-    assert one.handle(11 * S, Tick()) == [] and one.handle(12 * S, Tick()) == [AskLease(4)]
-    one.handle(12 * S, Granted(12 * S, 8, 4))
-    one.handle(12 * S, Ran(12 * S, created=5, lease=6, era=1))
-    assert one.handle(24 * S, Tick()) == [AskLease(4)]
+    assert one.handle(2 * S - 1, Tick()) == [] and one.handle(2 * S, Tick()) == [Look()]
+    assert one.handle(2 * S, Taken()) == [] and one.handle(3 * S, Tick()) == []
+    assert one.handle(4 * S, Tick()) == [Look()]         # whatever became of the one before
+    assert one.handle(5 * S, Vacant()) == [AskLease(4)]
+    one.handle(5 * S, Failed("away"))
+    assert one.handle(5 * S, Tick()) == [] and one.handle(6 * S, Tick()) == [AskLease(4)]
+
+
+def test_a_seat_that_ended_after_the_store_answered_and_was_told_before_is_run_for_again() -> None:
+    one = Leading(ttl_s=4)
+    one.handle(0, Tick())
+    assert one.handle(0, Granted(0, 7, 4)) == [Run(7)]   # carried out while another has the seat
+    assert one.handle(10, Vacant()) == []
+    assert one.handle(20, Ran(0, created=5, lease=6, era=0)) == [Run(7)]
+    assert one.handle(30, Ran(20, created=8, lease=9, era=0)) == [Revoke(7)]     # once for each such word
+    assert one.state is State.WAITING
+
+
+def test_an_old_vacancy_told_late_says_nothing_of_the_seat_that_is_ours() -> None:
+    one = leading()
+    assert one.handle(1, Vacant()) == [] and one.holder == 9 and one.leads(1) == 9
 
 
 def test_a_seat_that_was_taken_by_a_try_whose_answer_was_lost_is_known_by_its_lease() -> None:
@@ -155,6 +172,8 @@
         self.led: list[tuple[int, int]] = []                     # (epoch, by whom), as it began
         self.written: list[int] = []                             # guarded writes carried out: the seat's
         self.mending = self.away = self.went_back = False
+        self.dead: set[int] = set()                              # whose channel is, until a call has failed
+        self.taken = False                                       # the seat, as watches were told last
         self.store_rate = 1 + self.random.uniform(-200e-6, 200e-6)
         for i in range(services):
             self.at(self.random.randrange(S), lambda i=i: self.tick(i))      # type: ignore[misc]
@@ -165,7 +184,18 @@
     def at(self, delay: int, do: Callable[[], None]) -> None:
         heapq.heappush(self.heap, (self.true + delay, next(self.order), do))
 
+    def watched(self) -> None:
+        """Watches are told of the seat's end; one over a dead channel is not, nor later."""
+        taken = self.store._pair(KEYS["seat"], self.store.revision) is not None
+        if self.taken and not taken:
+            for i in range(len(self.ones)):
+                if i not in self.dead:
+                    self.at(self.random.randrange(1, 20_000), lambda i=i: self.tell(i, Vacant()))  # type: ignore[misc]
+        self.taken = taken
+
     def tick(self, i: int) -> None:
+        self.store.handle(int(self.true * self.store_rate), StoreTick())
+        self.watched()
         self.tell(i, Tick())
         self.at(50_000, lambda: self.tick(i))
 
@@ -194,7 +224,7 @@
             case Lead(epoch):
                 assert self.went_back or epoch > max(self.led, default=(0, 0))[0], "an epoch is used again"
                 self.led.append((epoch, i))
-            case AskLease() | Run() | Renew() | RaiseEra() | Revoke():
+            case AskLease() | Run() | Renew() | RaiseEra() | Look() | Revoke():
                 epoch = self.ones[i].holder
                 self.ask(i, question(action, KEYS, str(i)),
                          lambda reply, asked_at: self.tell(i, answer(action, asked_at, reply, epoch)))
@@ -209,18 +239,24 @@
             (told,) = store.handle(at, Asked(0, request))        # type: ignore[arg-type]
             if isinstance(request, type(guarded(KEYS, 1))) and isinstance(told, Answer) and request.then:
                 self.carried(request, told, seat.created if seat else 0)
+            self.watched()
             if self.random.random() < bad or not isinstance(told, Answer):
-                self.at(S, lambda: self.tell(i, Failed("silent")))
+                self.at(S, lambda: self.failed(i, request, "silent"))
             else:
                 self.at(delay(), lambda: then(told.reply, asked_at))
 
         def delay() -> int:
             return self.random.randrange(1, 2 * S if self.random.random() < bad else 20_000)
-        if self.random.random() < bad or self.away:
-            self.at(S, lambda: self.tell(i, Failed("lost")))
+        if self.random.random() < bad or self.away or i in self.dead:
+            self.at(S, lambda: self.failed(i, request, "lost"))
         else:
             self.at(delay(), arrive)
 
+    def failed(self, i: int, request: object, why: str) -> None:
+        self.dead.discard(i)                                     # its channel is left
+        if not isinstance(request, Get):                         # a look at the seat
+            self.tell(i, Failed(why))
+
     def carried(self, request: object, told: Answer, created: int) -> None:
         """A write of version state was carried out under the seat as it then was."""
         then = request.then                                      # type: ignore[attr-defined]
@@ -250,6 +286,22 @@
     assert created_of(world.led[-1][0]) == created_of(sure[0].holder)
 
 
+@pytest.mark.parametrize("dead", [False, True])
+@pytest.mark.parametrize("seed", range(20))
+def test_a_leader_that_dies_is_followed_within_a_lease_and_a_look(seed: int, dead: bool) -> None:
+    world = World(seed, 2)
+    world.run((20 + seed % 7) * S, faults=False)
+    (leader,) = (i for i, one in enumerate(world.ones) if one.leads(world.clock(i)))
+    world.stopped[leader] = 1 << 60
+    if dead:                                 # and in the same moment the other's channel, without a word
+        world.dead.add(1 - leader)
+    died, led = world.true, len(world.led)
+    while len(world.led) == led:
+        world.run(world.true + 50_000, faults=False)
+    # The lease; half of one until the other looks, 1 s until its call has failed, half of one more.
+    assert world.true - died <= (4 + (5 if dead else 0)) * S + S // 2
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_a_store_that_goes_back_is_led_again_in_an_epoch_that_nobody_has_seen(seed: int) -> None:
     world = World(seed, 3)
--- a/tests/issuing/test_seat.py
+++ b/tests/issuing/test_seat.py
@@ -7,11 +7,13 @@
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 
-from roadlb.control.leading import Action, Lead, Leading, State, StepDown, era_of
+from roadlb.control.leading import Action, Lead, Leading, State, StepDown, Vacant, era_of
 from roadlb.etcd.client import Etcd
-from roadlb.etcd.model import Pair, Put
+from roadlb.etcd.model import Pair, Put, Txn
 from roadlb.issuing.keys import Keys
 from roadlb.issuing.seat import Seat
+from roadlb.lab.run.link import Link
+from roadlb.lab.standin_etcd import events
 from roadlb.lab.standin_etcd.server import Fault, StandIn
 
 PATIENCE_S = 60.0            # generous: only a defect takes so long
@@ -28,10 +30,10 @@
 class One:
     """A service: its seat, what it was told, and the keys as it sees them."""
 
-    def __init__(self, store: StandIn, name: str) -> None:
-        self.client, self.keys = Etcd([store.address], call_s=0.3), dict[str, Pair]()
+    def __init__(self, store: str, name: str, ttl_s: int = 3, call_s: float = 0.3) -> None:
+        self.client, self.keys = Etcd([store], call_s), dict[str, Pair]()
         self.told: list[Action] = []
-        self.seat = Seat(self.client, KEYS, lambda: name, Leading(ttl_s=3), self.told.append, self.see)
+        self.seat = Seat(self.client, KEYS, lambda: name, Leading(ttl_s), self.told.append, self.see)
         self.task = asyncio.create_task(self.seat.run())
 
     def see(self, found: Mapping[str, Pair | None], whole: bool) -> None:
@@ -57,9 +59,9 @@
 async def two() -> AsyncIterator[tuple[StandIn, One, One]]:
     """Two services, of which the first leads."""
     async with StandIn() as store:
-        a = One(store, "a")
+        a = One(store.address, "a")
         await until(lambda: a.seat.leads() is not None, "one leads")
-        b = One(store, "b")
+        b = One(store.address, "b")
         try:
             await until(lambda: b.seat.decider.state is State.WAITING, "the other waits")
             yield store, a, b
@@ -85,6 +87,41 @@
     asyncio.run(asyncio.wait_for(hand_over(), 4 * PATIENCE_S))
 
 
+class Counting(StandIn):
+    runs = 0
+
+    def tell(self, event: events.Event) -> None:
+        super().tell(event)
+        self.runs += isinstance(event, events.Asked) and isinstance(event.request, Txn)
+
+
+async def stalled() -> None:
+    async with Counting() as store:
+        host, port = store.address.split(":")
+        link = Link("b to store", host, (host, int(port)), lambda text: 0)
+        a = Etcd([store.address])
+        lease = (await a.grant(600)).lease
+        await a.put(KEYS["seat"], b"a", lease)
+        # Its next look at the seat is 300 s away: it must not be what helps.
+        b = One("{}:{}".format(*link.address), "b", ttl_s=600, call_s=PATIENCE_S)
+        try:
+            await until(lambda: b.seat.decider.state is State.WAITING and "seat" in b.keys, "it waits")
+            fallen, runs = link.when(b"/t/era", lambda: link.silent("back")), store.runs
+            b.seat.tell(Vacant())                        # an old word: it runs for a seat that another has
+            await fallen
+            await until(lambda: store.runs > runs, "the store has answered")
+            await a.revoke(lease)
+            link.heal()                                  # the answer and the watch's news, at once
+            await until(lambda: b.seat.leads() is not None, "it leads")
+        finally:
+            await asyncio.gather(b.end(), a.close())
+            link.end()
+
+
+def test_a_seat_that_ends_while_the_answer_to_a_run_for_it_is_stalled_is_taken() -> None:
+    asyncio.run(asyncio.wait_for(stalled(), 4 * PATIENCE_S))
+
+
 async def silent() -> None:
     async with two() as (store, a, b):
         store.fault = Fault.DEAF
