Settings that change while requests are open, as one event of the module

`Changed` hands the module another `Settings`; policy/change.py, not the decisions, does the rest: open requests of a class whose effect, group or window changes bear a class record of their own, held to the stricter of their rule and each one since; what was counted by rank goes if ranks mean something else; capacities and orders are made anew only if they follow from the change. Two decisions were not by the settings at the moment of use: a copy noted before now asks at its moment whether copies are allowed, and a repeat that waits for its connection is called off (`Cancel.unsent`: while it is dialled only, so that what is out keeps its answer).

--- a/roadlb/engine.py
+++ b/roadlb/engine.py
@@ -17,9 +17,9 @@
 from .exchange import Answer, Ending, Exchange, Execution, Failed, Nack, Result, Served
 from .log import fields
 from .policy.interface import (
-    Action, Arrival, BodyWhole, Cancel, ClientGone, Event, Fail, Heard, ListKind, ListUpdate, Log, Member,
-    Offer, Outcome, Probe, Probed, Refuse, Report, Send, ServerId, SetTimer, Shortage, SiteWord,
-    Status, Subscribe, TimerFired, Twins, View,
+    Action, Arrival, BodyWhole, Cancel, Changed, ClientGone, Event, Fail, Heard, ListKind, ListUpdate, Log,
+    Member, Offer, Outcome, Probe, Probed, Refuse, Report, Send, ServerId, SetTimer, Settings, Shortage,
+    SiteWord, Status, Subscribe, TimerFired, Twins, View,
 )
 from .sites.events import SiteView
 from .wheel import Wheel
@@ -43,7 +43,8 @@
 
     def start(self, execution: Execution) -> None: ...
 
-    def cancel(self, execution: Execution) -> None: ...
+    def cancel(self, execution: Execution, unsent: bool = False) -> None:
+        """`unsent`: only if nothing of it can have been sent, which its ending then tells."""
 
     def extend(self, execution: Execution) -> None:
         """Its `until_us` has changed."""
@@ -189,6 +190,10 @@
         """What balancers share, as far as this one knows by now."""
         self._feed(event)
 
+    def changed(self, settings: Settings) -> None:
+        """These hold from now on, for what is open as `policy.interface.Changed` has it."""
+        self._feed(Changed(settings))
+
     def site_word(self, site: int, out: bool) -> SiteView | None:
         """An operator's word on a hall, by its number, and how it stands then; None: there is no such
         hall."""
@@ -306,7 +311,7 @@
         exchange = self._open.get(action.request)
         if exchange and exchange.executions[action.attempt].ending is None:
             assert self.executor
-            self.executor.cancel(exchange.executions[action.attempt])
+            self.executor.cancel(exchange.executions[action.attempt], action.unsent)
 
     def _probe(self, action: Probe) -> None:
         assert self.executor
--- a/roadlb/net/instances.py
+++ b/roadlb/net/instances.py
@@ -79,9 +79,13 @@
     def _written(self) -> None:
         self._counters.add("sends")
 
-    def cancel(self, execution: Execution) -> None:
-        """Give an execution up; its connection is closed, which tells the instance."""
-        if call := self._calls.get(execution):
+    def cancel(self, execution: Execution, unsent: bool = False) -> None:
+        """Give an execution up; its connection is closed, which tells the instance.  `unsent`: only while it
+        is being dialled."""
+        call = self._calls.get(execution)
+        if call and unsent and not call.connection:
+            self._cut_off(call, Ending.NEVER_STARTED)
+        elif call and not unsent:
             self._cut_off(call, Ending.CANCELLED)
 
     def extend(self, execution: Execution) -> None:
--- a/roadlb/policy/interface.py
+++ b/roadlb/policy/interface.py
@@ -121,6 +121,17 @@
     refusals: tuple[PlanLine, ...] = ()    # what is refused first; empty: what is worth least
     keep_us: int = 0                       # for so long a connection to a server is kept idle; 0: not known
 
+    @property
+    def dialling(self) -> bool:
+        """Does a new connection to a server cost something?"""
+        return self.handshake_cost > 0 and self.keep_us > 0
+
+    @property
+    def queue_field(self) -> int:
+        """Where in `report_fields` a queue is told; -1: nowhere."""
+        queue = [i for i, name in enumerate(self.report_fields) if name in ("queue", "inflight")]
+        return queue[0] if queue and self.report_source != "off" else -1
+
     def check(self) -> None:
         """Raise ValueError, naming the setting, where a value makes no sense."""
         if not self.classes:
@@ -294,6 +305,22 @@
     stale: int = 0
 
 
+@dataclass(slots=True)
+class Changed:
+    """These settings hold from now on, for the requests that are open as well.
+
+    Classes and customers are those of the start, in their order, with the same aims; so are `instances`, the
+    quotas, `weight_source`, `report_source` and `report_fields`.
+
+    An open request keeps its deadline, and is held to the stricter of the rule that it came under and each
+    one since: one whose class may run at most once by now is neither repeated nor copied, and a class that
+    may now be repeated may be so for what comes from now on.  What is refused is ranked anew, by what is
+    asked from now on, if ranks have another meaning.
+    """
+
+    settings: Settings
+
+
 @dataclass(slots=True)
 class SiteWord:
     """An operator's word on a hall, by its number: nothing new goes there, or it takes load again, in
@@ -362,8 +389,8 @@
 
 
 Event: TypeAlias = (
-    ListUpdate | Arrival | BodyWhole | Offer | Shortage | Twins | Heard | SiteWord | Outcome | StreamStarted
-    | ClientGone | TimerFired | Probed | PeerMessage | Report
+    ListUpdate | Arrival | BodyWhole | Offer | Shortage | Twins | Heard | Changed | SiteWord | Outcome
+    | StreamStarted | ClientGone | TimerFired | Probed | PeerMessage | Report
 )
 
 
@@ -401,8 +428,11 @@
 
 @dataclass(slots=True)
 class Cancel:
+    """Give an attempt up; `unsent`: only if nothing of it can have been sent by now."""
+
     request: int
     attempt: int
+    unsent: bool = False
 
 
 @dataclass(slots=True, init=False)
--- a/roadlb/policy/logic.py
+++ b/roadlb/policy/logic.py
@@ -22,10 +22,11 @@
 from ..sites.life import Sites
 from ..sites.refusal import Quotas, Refusals
 from ..sites.work_in_hand import WorkInHand
+from .change import change
 from .interface import (
-    NEVER_RAN, Action, Arrival, BodyWhole, Cancel, ClientGone, Effect, Event, Fail, Group, Heard, ListKind,
-    ListUpdate, Log, Offer, Outcome, Refuse, Report, Send, ServerId, ServerState, SetTimer, Settings,
-    Shortage, SiteWord, Status, StreamStarted, Subscribe, TimerFired, Twins, View,
+    NEVER_RAN, Action, Arrival, BodyWhole, Cancel, Changed, ClientGone, Effect, Event, Fail, Group, Heard,
+    ListKind, ListUpdate, Log, Offer, Outcome, Refuse, Report, Send, ServerId, ServerState, SetTimer,
+    Settings, Shortage, SiteWord, Status, StreamStarted, Subscribe, TimerFired, Twins, View,
 )
 from .state import Attempt, ClassState, Request, Server
 
@@ -49,7 +50,7 @@
         self.servers: dict[ServerId, Server] = {}
         self.ready: list[Server] = []
         self.groups: dict[tuple[int, int], list[Server]] = {}
-        self.keys, self.version, self.weight = KeyOrder(), 0, 1.0
+        self.keys, self.version, self.weight, self.dialling = KeyOrder(), 0, 1.0, settings.dialling
         self.standings = Standings(self.random.random)
         self.sets: KeySets[Server] = KeySets(self.order)
         self.requests: dict[int, Request] = {}
@@ -60,18 +61,15 @@
         self.pressure, self.alone, self.refusals = 0.0, 0.0, Refusals(settings.refusals)
         self.hand, self.quotas = WorkInHand(), Quotas([t.quota_per_s for t in settings.tenants])
         self.own, self.watched = 0.0, False      # this process's own shortage; has one been told at all?
-        self.aim = min(c.aim_us for c in settings.classes)
+        self.aim, self.queue_field = min(c.aim_us for c in settings.classes), settings.queue_field
         self.wheel: dict[int, list[int]] = {}
         self.now, self.started, self.asks, self.retries, self.hedges = 0, False, 0, 10.0, 10.0
         self.actions: list[Action] = []
-        self.dialling = settings.handshake_cost > 0 and settings.keep_us > 0
-        queue = [i for i, f in enumerate(settings.report_fields) if f in ("queue", "inflight")]
-        self.queue_field = queue[0] if queue and settings.report_source != "off" else -1
         self.handlers: dict[type, Callable[..., None]] = {
             Arrival: self.arrival, Outcome: self.outcome, TimerFired: self.timer,
             ClientGone: self.client_gone, ListUpdate: self.list_update, StreamStarted: self.stream_started,
             Offer: self.offer, Shortage: self.shortage, Twins: self.twins, Heard: self.heard,
-            BodyWhole: self.body_whole, SiteWord: self.site_word}
+            BodyWhole: self.body_whole, SiteWord: self.site_word, Changed: self.changed}
 
     def handle(self, now: int, event: Event) -> list[Action]:
         """Take one event at clock time `now` and return the actions to carry out, in order."""
@@ -155,6 +153,10 @@
             there.setdefault(s.zone, {})[s.id] = s.born
         self.sites.tell(self.now, Listed(there))
 
+    def changed(self, e: Changed) -> None:
+        old, self.s, self.dialling = self.s, e.settings, e.settings.dialling
+        self.actions += change(old, self.s, self.classes, self.requests, self.refusals, self.rebuild)
+
     def site_word(self, e: SiteWord) -> None:
         self.sites.tell(self.now, (TakeOut if e.out else PutIn)(e.site))
 
@@ -367,7 +369,8 @@
         if self.now >= r.due and not r.late:
             r.late = True
             self.let_go(r)
-        if r.open == 1 and self.hedges >= 1 and self.now + r.cls.latency < r.due and self.may_resend(r):
+        if self.s.second_copies and r.open == 1 and self.hedges >= 1 and (
+                self.now + r.cls.latency < r.due) and self.may_resend(r):
             self.hedges -= self.send(r)
 
     def outcome(self, e: Outcome) -> None:
--- a/roadlb/policy/state.py
+++ b/roadlb/policy/state.py
@@ -78,6 +78,7 @@
     latency: float
     tail: float                  # about the ninetieth percentile
     quickest: int = -1           # of all its good answers; -1 before the first
+    of: ClassState | None = None         # requests that keep a former rule of this class
     least: float = field(init=False)     # the least that `latency` has been: its work, against other classes
 
     def __post_init__(self) -> None:
--- a/roadlb/sites/refusal.py
+++ b/roadlb/sites/refusal.py
@@ -40,6 +40,14 @@
     __slots__ = ("asked", "plan", "total")
 
     def __init__(self, plan: Sequence[PlanLine] = ()) -> None:
+        self.asked, self.total = [0.0] * RANKS, 0.0
+        self.begin(plan)
+
+    def begin(self, plan: Sequence[PlanLine]) -> None:
+        """Ranks mean something else from now on: what was counted in each is dropped.
+
+        The same share goes from the first request on, at first by chance rather than by rank.
+        """
         if len(plan) >= RANKS:
             raise ValueError(f"refusal.plan: {len(plan)} lines; at most {RANKS - 1}")
         self.plan = tuple(plan)
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -45,7 +45,7 @@
     def start(self, execution: Execution) -> None:
         self.started.append(execution)
 
-    def cancel(self, execution: Execution) -> None:
+    def cancel(self, execution: Execution, unsent: bool = False) -> None:
         self.cancelled.append(execution)
 
     def probe(self, server: bytes) -> None:
--- a/tests/engine/test_own_load.py
+++ b/tests/engine/test_own_load.py
@@ -43,7 +43,7 @@
     def start(self, execution: Any) -> None:
         self.started.append(execution)
 
-    def cancel(self, execution: Any) -> None:
+    def cancel(self, execution: Any, unsent: bool = False) -> None:
         raise AssertionError("nothing is called off here")
 
     def probe(self, server: bytes) -> None:
--- a/tests/net/harness.py
+++ b/tests/net/harness.py
@@ -302,7 +302,7 @@
         else:
             self._engine.execution_ended(execution, Result(Ending.SERVED, (), new_served(body)))
 
-    def cancel(self, execution: Execution) -> None:
+    def cancel(self, execution: Execution, unsent: bool = False) -> None:
         self._engine.execution_ended(execution, Result(Ending.CANCELLED))
 
     def probe(self, server: bytes) -> None:
--- a/tests/net/test_pool.py
+++ b/tests/net/test_pool.py
@@ -88,3 +88,30 @@
         assert NODE_ID == exchanges[1].executions[0].server
 
     assert run(main)[1] == []
+
+
+def test_what_is_called_off_unsent_is_what_is_dialled_and_no_request_that_is_out(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    # A class that may run once by now: its repeat is called off unless a node may have it already.
+    made = StubLoop.create_connection
+
+    async def held(self: StubLoop, factory: Any, *told: Any, **more: Any) -> Any:
+        await asyncio.Event().wait()
+
+    async def main(loop: StubLoop, counters: Recorded) -> None:
+        execution, instances = await send_one(loop, counters)
+        wire = loop.wires[-1]
+        instances.cancel(execution, unsent=True)
+        assert execution.ending is None and not wire.is_closing()
+        instances.cancel(execution)
+        assert execution.ending is Ending.CANCELLED and wire.is_closing()
+        monkeypatch.setattr(StubLoop, "create_connection", held)
+        dialled, others = await send_one(loop, counters)
+        assert dialled.ending is None
+        others.cancel(dialled, unsent=True)
+        assert dialled.ending is Ending.NEVER_STARTED
+        await settle(loop)
+        assert not others.pool.open and len(loop.wires) == 1
+        monkeypatch.setattr(StubLoop, "create_connection", made)
+
+    assert run(main)[1] == []
