Versions change a running balancer's settings, key by key; grants under their lease

Followed now: deadlines, values, effect, group and window of classes, over_share_worth, counted_by, refusal.plan, warm keys, prices of crossing and of dials, cancelling, copies, attempts, retry_after_us, and invariants.*. What the follower says is in use at the moment (a meet while something is prepared, the floors without a lease) is read over the file's settings and handed to the module as one `Changed`; a value out of range is refused by its path, before it is read, and the settings before it stay. NaN, infinities and worths that overflow when multiplied were not caught by the file's own check. A key that grants and is left out after it was said is refused, since each balancer's file would count again; stated floors that no balancer could run with end the start. The clients' side takes deadlines anew; the lifecycle waits for the longest that was ever in force. The method of a class stays that of the start: clients and nodes could not change it in one instant, and no part here repeats by the method.

--- a/roadlb/app.py
+++ b/roadlb/app.py
@@ -35,7 +35,7 @@
 from .overload.meter import Limits
 from .overload.readings import cpu_used_us, memory_bytes
 from .own_load import OwnLoad
-from .policy.interface import Heard
+from .policy.interface import Heard, Settings
 from .policy.logic import Balancer
 from .wheel import Wheel
 
@@ -71,6 +71,7 @@
     def __init__(self, config: Config, clock: Clock = monotonic_us, wall: Clock = unix_us,
                  cpu_us: Clock = cpu_used_us, bind: Bind | None = None) -> None:
         self.config, self.counters, self.clock, self.wall = config, Counters(), clock, wall
+        self.settings = config.settings    # those that hold now
         self.cpu_us, self.bind = cpu_us, bind
         self.succession: Succession | None = None
         self.following: Following | None = None
@@ -123,6 +124,15 @@
                 parts.append(Shared(self, merging))
         return parts
 
+    def changed(self, settings: Settings) -> None:
+        """These hold from now on; requests that are open keep their deadlines."""
+        self.settings = settings
+        self.engine.changed(settings)
+        longest = max(c.deadline_us for c in settings.classes)
+        self.lifecycle.longest_us = max(self.lifecycle.longest_us, min(LONGEST_US, longest))
+        if hasattr(self, "service_client"):
+            self.service_client.deadlines(settings)
+
     # The lifecycle
 
     def tell(self, event: Event) -> tuple[int, str]:
@@ -285,6 +295,7 @@
         app.service_client = ServiceClient(
             config, app.engine, app.counters, lambda: app.name_table.filled and app.lifecycle.healthy,
             app.clock, app.wheel, app.own_load.came_us)
+        app.service_client.deadlines(app.settings)         # a store's version holds by now
         await super().start()
 
     async def stop(self) -> None:
@@ -382,7 +393,7 @@
             raise ConfigError(f"agreement.store: {told.store} cannot be had: {e.strerror}") from None
         self._following = app.following = Following(
             told, config.name, config.seed, app.clock, app.wall, app.counters,
-            app.name_table.lead, hear, lapse_at, dial, disk, disk)
+            app.name_table.lead, hear, lapse_at, dial, disk, disk, app.changed)
         self._following.load()
         engine.lapsed, app.name_table.drained = self._following.lapsed, self._following.drained
 
--- a/roadlb/following/following.py
+++ b/roadlb/following/following.py
@@ -38,7 +38,7 @@
 )
 from ..agreement.follower import Follower
 from ..clock import Clock
-from ..config import Agreement
+from ..config import Agreement, ConfigError
 from ..counters import Counters
 from ..engine import NEVER
 from ..fleet.guard import Guard, Offer, Pass, Refuse, Took
@@ -46,6 +46,7 @@
 from ..fleet.steps import up
 from ..log import fields
 from ..policy.interface import Heard as ModuleHeard
+from ..policy.interface import Settings
 from ..store.disk import Disk
 from ..store.state import Change, Drain, Refusal, State, after
 from ..store.store import Store
@@ -62,6 +63,7 @@
 PULSES = 10                  # in a lease
 FRESH_MS = 3_600_000         # a stored list of this age is no measure of how much capacity may go
 RETRY_S = 1.0                # after a write that failed
+CHANGES_TOLD = 12            # in one line of the log
 REOPENED_MOST = 16           # versions of which it is known what they were meant to reopen
 
 
@@ -76,20 +78,24 @@
 class Following:
     """`load()` reads the store, `start()` applies what it holds; then it follows until `stop()`.
 
-    `lead` takes a list in discovery's form and whether it is old; `tell` what the module hears; `lapse_at` is
-    called with the time at which what is granted ends; `wall` is Unix time in microseconds.  `lock` says
-    whether the disk is ours to write: while a predecessor of this balancer still runs it is not, and this
-    process is a follower by another name that keeps nothing.
+    `lead` takes a list in discovery's form and whether it is old; `tell` what the module hears, `rule` the
+    settings that hold from now on; `lapse_at` is called with the time at which what is granted ends; `wall`
+    is Unix time in microseconds.  `lock` says whether the disk is ours to write: while a predecessor of this
+    balancer still runs it is not, and this process is a follower by another name that keeps nothing.
     """
 
     def __init__(self, told: Agreement, name: str, seed: int, clock: Clock, wall: Clock, counters: Counters,
                  lead: Callable[[Mapping[str, object], bool], None], tell: Callable[[ModuleHeard], None],
                  lapse_at: Callable[[int], None], dial: Dial, disk: Disk | None,
-                 lock: Lock | None = None) -> None:
+                 lock: Lock | None = None, rule: Callable[[Settings], None] = lambda settings: None) -> None:
+        """ConfigError where a bound cannot be kept, or a floor not be held."""
         self.timing = timing_of(told)
         self.counters, self._clock, self._wall = counters, clock, wall
         self._lead, self._tell, self._lapse_at, self._cluster = lead, tell, lapse_at, told.cluster
         self._running, self._lists, self._twins = Running(told.settings), Lists(), 1
+        if wrong := self._running.bad_floors(told.floors):
+            raise ConfigError(f"agreement.floors: {wrong}")
+        self._rule, self._texts = rule, dict[str, str]()      # the latter: what holds by versions
         self.follower = Follower(self.timing, told.floors)
         self._guard = Guard(thresholds_of(told), self.drained, self._running.bad, self._running.fixed)
         self._store = Store(disk, name, counters) if disk is not None else None
@@ -268,7 +274,16 @@
         """What the module is to hear; nothing before there is a version: the file's settings hold."""
         if self.follower.told is None:
             return
-        heard = self._running.heard(self.follower.used(self._clock()).settings, self._twins)
+        used = self.follower.used(self._clock()).settings
+        if used != self._texts:
+            before, self._texts = self._texts, dict(used)
+            settings = self._running.rules(used)
+            if differ := self._running.differ(before, used):
+                self.counters.add("follow.settings")
+                logger.info("settings", extra=fields(
+                    changed=" ".join(differ[:CHANGES_TOLD]), more=max(0, len(differ) - CHANGES_TOLD)))
+                self._rule(settings)
+        heard = self._running.heard(used, self._twins)
         known = self._heard if self._heard is not None else self._running.heard({}, self._twins)
         if heard != known:
             self._heard = heard
--- a/roadlb/lifecycle/lifecycle.py
+++ b/roadlb/lifecycle/lifecycle.py
@@ -122,7 +122,7 @@
         self.state, self._since, self._woken, self._listening = State.STARTING, 0, 0, True
         self._next = 0                     # wakes before are those of a state that is over
         self._started = False
-        self._longest_us, self._shared, self.linger_us = longest_us, shared, linger_us
+        self.longest_us, self._shared, self.linger_us = longest_us, shared, linger_us
 
     @property
     def takes_clients(self) -> bool:
@@ -168,7 +168,7 @@
 
     def _leave(self, now: int) -> list[Action]:
         passed, actions = now - self._since, list[Action]()
-        self._woken, last = now, self._longest_us + (SPARE_US if self._shared else self.linger_us)
+        self._woken, last = now, self.longest_us + (SPARE_US if self._shared else self.linger_us)
         if self._listening and passed >= self.linger_us:
             self._listening = False
             actions.append(StopListening())
--- a/roadlb/net/service_client.py
+++ b/roadlb/net/service_client.py
@@ -18,7 +18,7 @@
 from ..engine import Engine
 from ..exchange import Exchange, Message, Nack
 from ..log import Limit, fields
-from ..policy.interface import Effect
+from ..policy.interface import Effect, Settings
 from ..wheel import Wheel
 from .client_connection import BadRequest, ClientConnection, Request
 from .headers import ACCOUNT, CORRELATION_ID, FACTS, HOST, REPEAT, TIME_LEFT, Faulty, name_values
@@ -106,6 +106,10 @@
         """So many connections there may be from now on; those that are open stay."""
         self._most = connections
 
+    def deadlines(self, settings: Settings) -> None:
+        """Those that hold from now on; a request that was read keeps its own."""
+        self._deadlines_us = [c.deadline_us for c in settings.classes]
+
     # Connections
 
     def connected(self, new: ClientConnection) -> None:
