--- a/roadlb/policy/logic.py
+++ b/roadlb/policy/logic.py
@@ -18,15 +18,16 @@
 from ..routing.key_sets import RECENT_US, KeySet, KeySets
 from ..routing.shares import Shares
 from ..routing.standing import Standings
-from ..routing.warmth import Warmth
-from ..sites.events import Changed, Doubted, Listed, Pulse, PutIn, State, TakeOut
+from ..sites.events import Doubted, Listed, Pulse, PutIn, TakeOut
 from ..sites.life import Sites
 from ..sites.refusal import Quotas, Refusals
+from ..sites.warmth import Warmth
 from ..sites.work_in_hand import WorkInHand
+from .change import apply
 from .interface import (
-    NEVER_RAN, Action, Arrival, BodyWhole, Cancel, ClientGone, Effect, Event, Fail, Group, Heard, ListKind,
-    ListUpdate, Log, Offer, Outcome, Refuse, Report, Send, ServerId, ServerState, SetTimer, Settings,
-    Shortage, SiteWord, Status, StreamStarted, Subscribe, TimerFired, Twins, View,
+    NEVER_RAN, Action, Arrival, BodyWhole, Cancel, Changed, ClientGone, Effect, Event, Fail, Group, Heard,
+    ListKind, ListUpdate, Log, Offer, Outcome, Refuse, Report, Send, ServerId, ServerState, SetTimer,
+    Settings, Shortage, SiteWord, Status, StreamStarted, Subscribe, TimerFired, Twins, View,
 )
 from .state import Attempt, ClassState, Request, Server
 
@@ -50,8 +51,9 @@
         self.servers: dict[ServerId, Server] = {}
         self.ready: list[Server] = []
         self.groups: dict[tuple[int, int], list[Server]] = {}
-        self.warmth, self.version, self.weight = Warmth(settings.cold_from, settings.cold_us), 0, 1.0
-        self.standings, self.keys = Standings(self.random.random), KeyOrder()
+        self.keys, self.version, self.weight, self.dialling = KeyOrder(), 0, 1.0, settings.dialling
+        self.standings = Standings(self.random.random)
+        self.warmth = Warmth(settings.cold_from, settings.cold_us)
         self.sets: KeySets[Server] = KeySets(self.order)
         self.requests: dict[int, Request] = {}
         self.fleet, self.sites = Server(b""), Sites()          # the former stands for all of them
@@ -61,18 +63,15 @@
         self.pressure, self.alone, self.refusals = 0.0, 0.0, Refusals(settings.refusals)
         self.hand, self.quotas = WorkInHand(), Quotas([t.quota_per_s for t in settings.tenants])
         self.own, self.watched = 0.0, False      # this process's own shortage; has one been told at all?
-        self.aim = min(c.aim_us for c in settings.classes)
+        self.aim, self.queue_field = min(c.aim_us for c in settings.classes), settings.queue_field
         self.wheel: dict[int, list[int]] = {}
         self.now, self.started, self.asks, self.retries, self.hedges = 0, False, 0, 10.0, 10.0
         self.actions: list[Action] = []
-        self.dialling = settings.handshake_cost > 0 and settings.keep_us > 0
-        queue = [i for i, f in enumerate(settings.report_fields) if f in ("queue", "inflight")]
-        self.queue_field = queue[0] if queue and settings.report_source != "off" else -1
         self.handlers: dict[type, Callable[..., None]] = {
             Arrival: self.arrival, Outcome: self.outcome, TimerFired: self.timer,
             ClientGone: self.client_gone, ListUpdate: self.list_update, StreamStarted: self.stream_started,
             Offer: self.offer, Shortage: self.shortage, Heard: self.heard, BodyWhole: self.body_whole,
-            Twins: lambda e: self.shares.twins(self.now, e.count),
+            Changed: self.changed, Twins: lambda e: self.shares.twins(self.now, e.count),
             SiteWord: lambda e: self.sites.tell(self.now, (TakeOut if e.out else PutIn)(e.site))}
 
     def handle(self, now: int, event: Event) -> list[Action]:
@@ -87,10 +86,9 @@
                 self.alarm(now + int(self.random.random() * min(2_000_000, self.s.ask_within_us // 4)), ASK)
         if handler := self.handlers.get(type(event)):
             handler(event)
-        for change in self.sites.take() if self.sites.decided else ():
-            self.actions.append(Log(str(change)))
-            if isinstance(change, Changed) and self.warmth.changed(
-                    now, change.site, change.after is State.LOST, change.after is State.RETURNING):
+        if self.sites.decided:
+            self.actions += map(Log, map(str, decided := self.sites.take()))
+            if self.warmth.hear(now, decided):
                 self.rebuild()
         return self.actions
 
@@ -144,9 +142,9 @@
         for m in present:
             s = self.servers.get(m.server)
             if s is None:
-                s = self.servers[m.server] = Server(m.server, born=m.born_us, at=self.now)
+                s = self.servers[m.server] = Server(m.server, born=m.born_us, zone=m.zone, at=self.now)
                 # Not heard from: at half the others' mean, for what it can do by now.
-                s.mean = self.fleet.load(self.now, self.aim) * m.weight * self.part(s, self.now) / 2
+                s.mean = self.fleet.load(self.now, self.aim) * m.weight * s.part(self.warmth, self.now) / 2
             elif m.born_us != s.born:
                 # A fresh process under an old name: nothing said of the old one counts.
                 self.standings.fresh(s)
@@ -161,13 +159,17 @@
             there.setdefault(s.zone, {})[s.id] = s.born
         self.sites.tell(self.now, Listed(there))
 
+    def changed(self, e: Changed) -> None:
+        old, self.s, self.dialling = self.s, (new := e.settings), e.settings.dialling
+        self.actions += apply(old, new, self.classes, self.requests, self.refusals, self.warmth, self.rebuild)
+
     def rebuild(self) -> None:
         """Set up what is looked up for each request: who is ready, at what capacity, in which group."""
         self.version += 1
         self.ready = sorted((s for s in self.servers.values() if s.up), key=lambda s: s.id)
         self.groups = {}
         for s in self.ready:
-            if (part := self.part(s, self.now)) < s.share:
+            if (part := s.part(self.warmth, self.now)) < s.share:
                 s.cold = ColdBudget()      # a fresh process, or it may be
             s.share = part
             s.inverse = 1 / (s.weight * s.share)
@@ -180,10 +182,6 @@
         self.keys = KeyOrder(
             (s.hash, s.inverse * (1.0 if s.zone == self.s.zone else far)) for s in self.ready)
 
-    def part(self, s: Server, now: int) -> float:
-        """The least part of its capacity that a server can have by now."""
-        return self.warmth.part(now, s.zone, s.born)
-
     # Load and health
 
     def count(self, s: Server, change: int) -> None:
@@ -203,7 +201,7 @@
     def view(self, now: int) -> View:
         """What is believed of each server, and of each site, at clock time `now`."""
         servers = sorted(self.servers.values(), key=lambda s: s.id)
-        return View([s.view(now, self.part(s, now), self.aim) for s in servers], self.sites.view(),
+        return View([s.view(now, s.part(self.warmth, now), self.aim) for s in servers], self.sites.view(),
                     self.alone, self.quotas.rates, self.shares.repeats_held, dict(self.shares.dials_held))
 
     def judge(self, s: Server, r: Request, status: Status, latency: int, unheard: bool) -> None:
@@ -372,7 +370,8 @@
         if self.now >= r.due and not r.late:
             r.late = True
             self.let_go(r)
-        if r.open == 1 and self.hedges >= 1 and self.now + r.cls.latency < r.due and self.may_resend(r):
+        if self.s.second_copies and r.open == 1 and self.hedges >= 1 and (
+                self.now + r.cls.latency < r.due) and self.may_resend(r):
             self.hedges -= self.send(r)
 
     def outcome(self, e: Outcome) -> None:
--- a/roadlb/policy/state.py
+++ b/roadlb/policy/state.py
@@ -7,6 +7,7 @@
 from ..routing.cold import ColdBudget
 from ..routing.key_order import HASH, mix
 from ..routing.standing import Standing
+from ..sites.warmth import Warmth
 from .interface import Effect, RequestClass, ServerId, ServerView
 
 TAU_US = 2_000_000            # memory of a server's mean load
@@ -37,6 +38,10 @@
     def __post_init__(self) -> None:
         self.hash = mix(int.from_bytes(self.id, "big")) & HASH
 
+    def part(self, warmth: Warmth, now: int) -> float:
+        """The least part of its capacity that it can have by now."""
+        return warmth.part(now, self.zone, self.born)
+
     def load(self, now: int, aim_us: int) -> float:
         """Own requests in flight, now and on the mean of late, for the capacity; plus a reported queue."""
         dt = now - self.at
@@ -78,6 +83,7 @@
     latency: float
     tail: float                  # about the ninetieth percentile
     quickest: int = -1           # of all its good answers; -1 before the first
+    of: ClassState | None = None         # requests that keep a former rule of this class
     least: float = field(init=False)     # the least that `latency` has been: its work, against other classes
 
     def __post_init__(self) -> None:
--- a/roadlb/routing/warmth.py
+++ b/roadlb/sites/warmth.py
@@ -13,6 +13,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
+from .events import Action, Changed, State
+
 LISTED_US = 4_000_000        # a started server is listed for every balancer by then (the lab: 3.4 s at most)
 
 
@@ -22,19 +26,25 @@
     __slots__ = ("_back", "_cold_from", "_cold_us", "_lost")
 
     def __init__(self, cold_from: float, cold_us: int) -> None:
-        """Of its capacity a server has `cold_from` when it starts, and all after `cold_us`; 0: at once."""
-        self._cold_from, self._cold_us = cold_from, cold_us
+        self.grow(cold_from, cold_us)
         self._lost: dict[int, int] = {}       # by site: since when it was lost, the last time
         self._back: dict[int, int] = {}       # and when it answered again
 
-    def changed(self, now: int, site: int, lost: bool, back: bool) -> bool:
-        """It is lost now, or it is on its way back.  May its servers be colder than they were?"""
-        if lost:
-            self._lost[site] = now
-        elif back and site in self._lost:
-            self._back[site] = now
-            return True
-        return False
+    def grow(self, cold_from: float, cold_us: int) -> None:
+        """Of its capacity a server has `cold_from` when it starts, and all after `cold_us`; 0: at once."""
+        self._cold_from, self._cold_us = cold_from, cold_us
+
+    def hear(self, now: int, decided: Iterable[Action]) -> bool:
+        """What is decided of sites.  May any servers be colder by it than they were?"""
+        colder = False
+        for change in decided:
+            if not isinstance(change, Changed):
+                continue
+            if change.after is State.LOST:
+                self._lost[change.site] = now
+            elif change.after is State.RETURNING and change.site in self._lost:
+                self._back[change.site], colder = now, True
+        return colder
 
     def part(self, now: int, site: int, born: int) -> float:
         """Of a server of this site that by the list has started at `born`; 0: long ago."""
--- a/tests/routing/test_warmth.py
+++ b/tests/sites/test_warmth.py
@@ -4,15 +4,16 @@
 
 import pytest
 
-from roadlb.routing.warmth import LISTED_US, Warmth
+from roadlb.sites.events import Changed, State
+from roadlb.sites.warmth import LISTED_US, Warmth
 
 SECOND = 1_000_000
 
 
 def back_at(lost: int, back: int) -> Warmth:
     warmth = Warmth(0.2, 20 * SECOND)
-    assert not warmth.changed(lost, 1, lost=True, back=False)
-    assert warmth.changed(back, 1, lost=False, back=True)
+    assert not warmth.hear(lost, [Changed(1, State.DOUBTFUL, State.LOST, "")])
+    assert warmth.hear(back, [Changed(1, State.LOST, State.RETURNING, "")])
     return warmth
 
 
@@ -33,5 +34,5 @@
 def test_a_site_that_was_never_lost_keeps_its_servers_warm() -> None:
     # An operator has put it in again: its processes are those that the list has.
     warmth = Warmth(0.2, 20 * SECOND)
-    assert not warmth.changed(60 * SECOND, 1, lost=False, back=True)
+    assert not warmth.hear(60 * SECOND, [Changed(1, State.OUT, State.RETURNING, "")])
     assert warmth.part(60 * SECOND, 1, 0) == 1.0
