--- a/benchmarks/agreement_narrowing.py
+++ b/benchmarks/agreement_narrowing.py
@@ -43,8 +43,8 @@
             whole = max(last for name, last in turn.last_us.items() if name not in turn.hurt)
             cut, stopped = ((turn.last_us[name] for name in turn.hurt) if turn.hurt else (0, 0))
             print(f"seed {seed} load {os.getloadavg()[0]:4.1f}  narrow: in force "
-                  f"{turn.force_us / 1e6:.2f} s, last repeat {whole / 1e6:.2f} s, cut off {cut / 1e6:.2f} s, stopped "
-                  f"{stopped / 1e6:.2f} s, then {len(turn.after_us)}; wide: in force "
+                  f"{turn.force_us / 1e6:.2f} s, last repeat {whole / 1e6:.2f} s, cut off {cut / 1e6:.2f} s, "
+                  f"stopped {stopped / 1e6:.2f} s, then {len(turn.after_us)}; wide: in force "
                   f"{turn.widened_us / 1e6:.2f} s, all repeat {max(turn.first_us.values()) / 1e6:.2f} s; "
                   f"late {turn.late_us / 1e6:.2f} s", flush=True)
         print(f"seed {seed} {'sound' if outcome.sound else 'WRONG'}: {outcome.requests} requests read, "
