Let the played house itself name the claims that it breaks

benchmarks/together.py worked out the five claims of Outcome.sound a second time, with the 0.25 s and the 1e-9 written out where plays.py has EXTRA_US and ROUNDING: a bound changed in one place would have printed 'none' beside a play that fails, or the other way round.

Outcome.broken names them, sound is that there is none, and the benchmark prints it.

--- a/benchmarks/together.py
+++ b/benchmarks/together.py
@@ -22,19 +22,13 @@
            "ForgetsItsGifts": "lost_with_its_leader"}
 
 
-def broken(told: Outcome) -> str:
-    """Which claims."""
-    parts = {"once": bool(told.twice), "shares": told.shares.most > 1 + 1e-9, "answered": bool(told.spared),
-             "drained": told.late_us > told.bound_us + 250_000 + told.loop_us, "said": bool(told.said)}
-    return ", ".join(name for name, holds in parts.items() if holds) or "none"
-
-
 def row(what: str, told: Outcome, took_s: float) -> None:
     figures = "; ".join(f"{name} {us / 1e6:.1f} s" for name, us in told.took_us.items())
     print(f"{what}, seed {told.seed}: {took_s:.0f} s, {told.requests} requests, {told.orders} orders, "
           f"{told.faults} faults, {told.drains} drains; shares at most {told.shares.most:.7f}; "
           f"late {told.late_us / 1e6:.2f} of {told.bound_us / 1e6:g} s; "
-          f"judge held up {told.loop_us / 1e6:.2f} s; broken: {broken(told)}; {figures}", flush=True)
+          f"judge held up {told.loop_us / 1e6:.2f} s; broken: {', '.join(told.broken) or 'none'}; {figures}",
+          flush=True)
     for line in told.said[:5]:
         print(f"    {line[-600:]}")
 
--- a/roadlb/lab/together/plays.py
+++ b/roadlb/lab/together/plays.py
@@ -62,10 +62,17 @@
     took_us: dict[str, int]
     notes: tuple[tuple[int, str], ...]
 
+    @property
+    def broken(self) -> tuple[str, ...]:
+        """The claims that do not hold, by name."""
+        broken = {"once": bool(self.twice), "shares": self.shares.most > 1 + ROUNDING,
+                  "answered": bool(self.spared), "said": bool(self.said),
+                  "drained": self.late_us > self.bound_us + EXTRA_US + self.loop_us}
+        return tuple(name for name, is_broken in broken.items() if is_broken)
+
     @property
     def sound(self) -> bool:
-        return (not self.twice and self.shares.most <= 1 + ROUNDING and not self.spared and not self.said
-                and self.late_us <= self.bound_us + EXTRA_US + self.loop_us)
+        return not self.broken
 
 
 async def lost_with_its_leader(house: House, took: dict[str, int]) -> tuple[list[Drain], int]:
