Write an incident's steps of agreement_outage by one function

The steps of its incidents stood as two texts of the same shape, key by key. step() writes one; the three incidents are equal to those before, read by lab.incident.load.read and compared.

--- a/benchmarks/agreement_outage.py
+++ b/benchmarks/agreement_outage.py
@@ -30,46 +30,24 @@
 quota_per_s = 140
 rate = {rate}
 """
+
+
+def step(do: str, **words: float | str) -> str:
+    """One of an incident's steps, as its file has it."""
+    return "\n".join(("[[step]]", *(f"{key} = {word!r}" for key, word in {"do": do, **words}.items()), ""))
+
+
+# The rate of arrivals, and what befalls.
 STEPS = {
-    # Nothing befalls.
     "calm": (70, ""),
     # One customer sends fifteen times its share for 40 s: quotas say whose requests go first.
-    "flood": (80, """
-[[step]]
-do = "flood"
-at_s = 18
-for_s = 40
-times = 15
-tenant = "cesty-vychod"
-"""),
+    "flood": (80, step("flood", at_s=18, for_s=40, times=15, tenant="cesty-vychod")),
     # What repeats and copies are for: nodes that stop, die, err and slow down, and connections that break.
-    "rough": (80, """
-[[step]]
-do = "pause"
-at_s = 14
-for_s = 2.5
-count = 2
-[[step]]
-do = "errors"
-at_s = 22
-for_s = 10
-answers = 0.3
-count = 2
-[[step]]
-do = "reset"
-at_s = 30
-connections = 0.5
-[[step]]
-do = "slow"
-at_s = 36
-for_s = 12
-factor = 3
-count = 2
-[[step]]
-do = "kill_node"
-at_s = 52
-count = 1
-"""),
+    "rough": (80, step("pause", at_s=14, for_s=2.5, count=2)
+              + step("errors", at_s=22, for_s=10, answers=0.3, count=2)
+              + step("reset", at_s=30, connections=0.5)
+              + step("slow", at_s=36, for_s=12, factor=3, count=2)
+              + step("kill_node", at_s=52, count=1)),
 }
 # A class that may be repeated by its nature, the file's attempts, cold nodes as they are, and a part of each
 # customer's quota that no version goes below.
