One shape for the lab's runs in processes of their own: benchmarks/apart.py

sites_runs, shared_beside and rig_planted each wrote anew how a job goes into a process by stdin, how its incident is read from a file of its own, how the clients' connections are set, how the figures come back, and what is said where a run failed.

apart.answer is the run's side, ask and ask_all the other; the connections of shared_beside are a word of its job, as they were of sites_runs'.

--- a/benchmarks/rig_planted.py
+++ b/benchmarks/rig_planted.py
@@ -10,15 +10,13 @@
 from __future__ import annotations
 
 import argparse
-import json
-import os
-import subprocess
-import sys
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from statistics import mean
 from typing import Any
 
+from apart import ask
+
 from roadlb.lab import mutants
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -28,15 +26,8 @@
 
 def run(incident: str, seed: int, defect: str) -> dict[str, Any]:
     job = {"incident": (ROOT / "examples" / "incidents" / incident).read_text(), "seed": seed}
-    env = {**os.environ, "PYTHONPATH": str(ROOT)}
-    if defect:
-        env |= mutants.variables(defect)
-    done = subprocess.run([sys.executable, ROOT / "benchmarks" / "sites_runs.py"], input=json.dumps(job),
-                          capture_output=True, text=True, env=env)
-    if done.returncode:
-        raise RuntimeError(f"{incident}, seed {seed}, {defect or 'sound'}: {done.stderr[-2000:]}")
-    found: dict[str, Any] = json.loads(done.stdout)
-    return found
+    return ask([ROOT / "benchmarks" / "sites_runs.py"], job, ROOT,
+               mutants.variables(defect) if defect else None)
 
 
 def figures(lost: dict[str, Any], paused: dict[str, Any]) -> dict[str, float]:
--- a/benchmarks/shared_beside.py
+++ b/benchmarks/shared_beside.py
@@ -14,21 +14,20 @@
 from __future__ import annotations
 
 import json
-import sys
-import tempfile
 import time
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
-from concurrent.futures import ThreadPoolExecutor
-from functools import partial
 from pathlib import Path
 from statistics import fmean, pstdev
-from subprocess import run as run_process
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import click
+from apart import Job, answer, ask_all
 from sites_figures import interval, keep, tell
 
+if TYPE_CHECKING:
+    from roadlb.lab.incident import Incident
+
 ROOT = Path(__file__).resolve().parent.parent
 SECOND = 1_000_000
 RATE, NODES, CONNECTIONS = 390.0, 11, 300       # the lab's own deployment, which sizes are multiples of
@@ -47,8 +46,8 @@
               each: float | None = None) -> str:
     """The incident as a file has it; `each`: first tries a second for each node, at a factor of 1."""
     balancers, nodes = map(int, size.split("x"))
-    times, step = CASES[case]
-    rate = round((each or RATE / NODES) * nodes * times)
+    step = CASES[case][1]
+    rate = rate_of(size, case, each)
     of_hall = balancers // 3
     bad = bad_node(nodes)
     return (f'title = "Sharing beside none"\nduration_s = {duration_s}\n'
@@ -58,25 +57,21 @@
             f"quota_per_s = {rate}\n[[step]]\n" + step.format(at=at_s, out=out_s, bad=bad))
 
 
+def rate_of(size: str, case: str, each: float | None) -> int:
+    """First tries a second."""
+    return round((each or RATE / NODES) * int(size.partition("x")[2]) * CASES[case][0])
+
+
 def bad_node(nodes: int) -> str:
     return f"node-{BAD:0{max(2, len(str(nodes)))}}"
 
 
 # One run, in a process of its own
 
-def played() -> None:
-    """A job as JSON from stdin, its figures as JSON to stdout."""
+def played(job: Job, incident: Incident) -> dict[str, Any]:
     import sites_runs
 
-    from roadlb.lab.incident import load
-    from roadlb.lab.run import crowd, rehearse
-    job = json.load(sys.stdin)
-    with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
-        file.write(job["incident"])
-        file.flush()
-        incident = load(file.name)
-    rate = incident.traffic.rate
-    crowd.Clients = partial(crowd.Clients, most=round(CONNECTIONS * rate / RATE))  # type: ignore[misc, assignment]
+    from roadlb.lab.run import rehearse
     began = time.process_time()
     seen, heard = Seen(), Heard(job["deaf_s"] if job["way"] == "deafened" else None)
     rehearsal = rehearse(incident, job["seed"])
@@ -94,11 +89,11 @@
         **since_deaf(seconds, bounds["bound"], incident, job["deaf_s"]), **heard.figures(),
         **log_figures(log, incident, job["seed"], origin, at, until), **seen.figures(zero, at, until),
         **messages(rehearsal.figures["counters"], incident.duration_s)}
-    json.dump({
+    return {
         **job, "figures": found, "seconds": seconds, "bound": bounds["bound"],
         "broken": {rule.value: count for rule, count in verdict.counts.items()},
         "fell": len(verdict.figures.fallen), "took_s": round(time.process_time() - began, 1),
-        "errors": rehearsal.figures["program_errors"][:5] + rehearsal.figures["faults"][:5]}, sys.stdout)
+        "errors": rehearsal.figures["program_errors"][:5] + rehearsal.figures["faults"][:5]}
 
 
 def of(seconds: dict[int, tuple[float, float]], bound: dict[int, float], since: float, until: float) -> float:
@@ -261,23 +256,18 @@
          ) -> None:
     """The same seeds with each way."""
     wanted = [{"size": size, "case": case, "way": way, "seed": seed, "at_s": at_s, "out_s": out_s,
-               "deaf_s": deaf_s, "incident": described(size, case, way, at_s, out_s, duration_s, each)}
+               "deaf_s": deaf_s, "connections": round(CONNECTIONS * rate_of(size, case, each) / RATE),
+               "incident": described(size, case, way, at_s, out_s, duration_s, each)}
               for seed in range(first, first + seeds) for way in ways.split(",")]
-    with ThreadPoolExecutor(jobs) as pool:
-        runs = list(pool.map(partial(one_run, tree=Path(tree).resolve()), wanted))
+    runs = ask_all([__file__, "one"], wanted, Path(tree).resolve(), jobs)
     keep(out, runs)
     told(runs)
 
 
-def one_run(job: dict[str, Any], tree: Path) -> dict[str, Any]:
-    import os
-    done = run_process([sys.executable, "-c", "import shared_beside; shared_beside.played()"],
-                       input=json.dumps(job), capture_output=True, text=True, cwd=ROOT / "benchmarks",
-                       env={**os.environ, "PYTHONPATH": str(tree)})
-    if done.returncode:
-        raise RuntimeError(f"seed {job['seed']}, {job['way']}: {done.stderr[-2000:]}")
-    found: dict[str, Any] = json.loads(done.stdout)
-    return found
+@main.command(hidden=True)
+def one() -> None:
+    """A run of `play`, in the process of its own."""
+    answer(played)
 
 
 @main.command()
--- a/benchmarks/sites_runs.py
+++ b/benchmarks/sites_runs.py
@@ -6,17 +6,15 @@
 
 from __future__ import annotations
 
-import json
-import sys
-import tempfile
 import time
 from collections import defaultdict
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
-from functools import partial
 from pathlib import Path
 from typing import Any
 
+from apart import Job, answer, ask_all
+
 import roadlb.lab
 import roadlb.lab.judge
 
@@ -25,9 +23,9 @@
 roadlb.lab.judge.__path__.append(str(HERE / "judge"))
 
 from roadlb.lab.bound import Bound, Capacity, demand, first  # noqa: E402
-from roadlb.lab.incident import Incident, load, rules_of  # noqa: E402
+from roadlb.lab.incident import Incident, rules_of  # noqa: E402
 from roadlb.lab.judge.order import order_of_refusals, ranks_by  # noqa: E402
-from roadlb.lab.run import crowd, rehearse  # noqa: E402
+from roadlb.lab.run import rehearse  # noqa: E402
 from roadlb.lab.run.drawn import draw  # noqa: E402
 from roadlb.lab.run.settings import plan_of  # noqa: E402
 from roadlb.lab.run.sim_world import generators  # noqa: E402
@@ -39,19 +37,8 @@
 PREFIX_S = 5                # the strict bound is looked at every so many seconds
 
 
-def main() -> None:
-    job = json.load(sys.stdin)
-    with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
-        file.write(job["incident"])
-        file.flush()
-        incident = load(file.name)
-    if connections := job.get("connections"):       # of the clients of one hall; the lab's own is 300
-        crowd.Clients = partial(crowd.Clients, most=connections)    # type: ignore[misc, assignment]
-    json.dump(run(incident, job["seed"]), sys.stdout)
-
-
-def run(incident: Incident, seed: int) -> dict[str, Any]:
-    began = time.process_time()
+def run(job: Job, incident: Incident) -> dict[str, Any]:
+    seed, began = job["seed"], time.process_time()
     with changes_seen() as changes:
         rehearsal = rehearse(incident, seed)
     took_s, verdict = time.process_time() - began, rehearsal.verdict
@@ -165,23 +152,10 @@
     return root
 
 
-def play(jobs: Sequence[dict[str, Any]], tree: Path, processes: int = 2) -> list[dict[str, Any]]:
+def play(jobs: Sequence[Job], tree: Path, processes: int = 2) -> list[dict[str, Any]]:
     """Each job in a process of its own, with the sources of `tree`; results in the jobs' order."""
-    import os
-    import subprocess
-    from concurrent.futures import ThreadPoolExecutor
-
-    def one(job: dict[str, Any]) -> dict[str, Any]:
-        done = subprocess.run([sys.executable, __file__], input=json.dumps(job), capture_output=True,
-                              text=True, env={**os.environ, "PYTHONPATH": str(tree)})
-        if done.returncode:
-            raise RuntimeError(f"seed {job['seed']} with {tree.name}: {done.stderr[-2000:]}")
-        found: dict[str, Any] = json.loads(done.stdout)
-        return found
-
-    with ThreadPoolExecutor(processes) as pool:
-        return list(pool.map(one, jobs))
+    return ask_all([__file__], jobs, tree, processes)
 
 
 if __name__ == "__main__":
-    main()
+    answer(run)
