Play the agreement's seeds by one loop, whatever is judged

main() played the turns of balancers without a data path by a loop of its own beside each(), which plays drains and quotas: the same seeds, defects, rows, errors and file. turns() now is a line for each(), as the other two; a run that did not settle is kept with the same words.

--- a/benchmarks/agreement_processes.py
+++ b/benchmarks/agreement_processes.py
@@ -30,18 +30,10 @@
            "control=unfenced", "control=mute")   # with --whole: balancer=deaf and control=mute
 
 
-async def one(seed: int, told: argparse.Namespace) -> Outcome | str:
-    """What came of a seed; a text if it did not come to an end."""
-    defects = dict(word.split("=") for word in told.defect)
-    try:
-        return await play(seed, told.seconds, told.bound, not told.quiet, defects)
-    except DidNotCome as e:
-        return "\n".join((f"did not settle: {e}", *e.__notes__))
-
-
 def each(told: argparse.Namespace, played: Callable[..., Coroutine[Any, Any, Any]],
-         line: Callable[[Any], str]) -> None:
-    """Plays each seed, prints its line, and keeps what was played."""
+         line: Callable[[Any], str]) -> list[dict[str, Any]]:
+    """Plays each seed, prints its line, and keeps what was played; a row with `error` is of one that did not
+    come to an end."""
     rows = list[dict[str, Any]]()
     for seed in range(told.first, told.first + told.seeds):
         try:
@@ -55,6 +47,22 @@
         print(f"{seed:>5} {line(one)}{'' if one.sound else '  BROKEN'}", flush=True)
     if told.out:
         Path(told.out).write_text(json.dumps(rows, indent=1))
+    return rows
+
+
+def turns(told: argparse.Namespace) -> None:
+    """Balancers without a data path: a line for each seed, and what came of all."""
+    print(f"{'seed':>5} {'turns':>6} {'lost':>5} {'judged':>7} {'whole':>6} {'longest s':>10} {'bound s':>8} "
+          f"{'after ms':>9} {'faults':>7} {'requests':>9}")
+
+    def line(one: Outcome) -> str:
+        return (f"{one.turns:>6} {one.lost:>5} {one.judged:>7} {one.whole:>6} {one.longest_us / 1e6:>10.3f} "
+                f"{one.bound_us / 1e6:>8.1f} {after(one)} {one.faults:>7} {one.requests:>9}")
+    conclude(each(told, play, line), told.plot)
+
+
+def after(one: Any) -> str:
+    return f"{f'{one.after_us / 1e3:.1f}' if one.after_us >= 0 else '-':>9}"
 
 
 def drains(told: argparse.Namespace) -> None:
@@ -63,9 +71,8 @@
           f"{'kept from s':>12} {'faults':>7} {'requests':>9}")
 
     def line(one: Any) -> str:
-        after = f"{one.after_us / 1e3:.1f}" if one.after_us >= 0 else "-"
         return (f"{one.drains:>7} {one.reached:>8} {one.longest_us / 1e6:>10.3f} {one.complete:>9} "
-                f"{after:>9} {one.kept_from_us / 1e6:>12.3f} {one.faults:>7} {one.requests:>9}")
+                f"{after(one)} {one.kept_from_us / 1e6:>12.3f} {one.faults:>7} {one.requests:>9}")
     each(told, whole.play, line)
 
 
@@ -128,29 +135,10 @@
     parser.add_argument("--read", nargs="+", help="what several calls have written with --out, as one")
     told = parser.parse_args()
     signal.signal(signal.SIGTERM, signal.default_int_handler)    # its processes end with it
-    if told.whole or told.pressed:
-        (drains if told.whole else quotas)(told)
-        return
     if told.read:
         conclude([row for file in told.read for row in json.loads(Path(file).read_text())], told.plot)
-        return
-    rows = list[dict[str, Any]]()
-    print(f"{'seed':>5} {'turns':>6} {'lost':>5} {'judged':>7} {'whole':>6} {'longest s':>10} {'bound s':>8} "
-          f"{'after ms':>9} {'faults':>7} {'requests':>9}")
-    for seed in range(told.first, told.first + told.seeds):
-        outcome = uvloop.run(one(seed, told))
-        if isinstance(outcome, str):
-            print(f"{seed:>5} {outcome.partition(chr(10))[0]}", flush=True)
-            rows.append({"seed": seed, "error": outcome})
-            continue
-        rows.append({**asdict(outcome), "sound": outcome.sound})
-        after = f"{outcome.after_us / 1e3:.1f}" if outcome.after_us >= 0 else "-"
-        print(f"{seed:>5} {outcome.turns:>6} {outcome.lost:>5} {outcome.judged:>7} {outcome.whole:>6} "
-              f"{outcome.longest_us / 1e6:>10.3f} {outcome.bound_us / 1e6:>8.1f} {after:>9} "
-              f"{outcome.faults:>7} {outcome.requests:>9}{'' if outcome.sound else '  BROKEN'}", flush=True)
-    if told.out:
-        Path(told.out).write_text(json.dumps(rows, indent=1))
-    conclude(rows, told.plot)
+    else:
+        (drains if told.whole else quotas if told.pressed else turns)(told)
 
 
 def conclude(rows: list[dict[str, Any]], file: str | None) -> None:
