One reader of the records of shares, and one relay that knows datagrams' senders

Sharers.lives and Sharers._told read the files that lab/sharing/records.py read too, the one from where it had stopped, the other from the start each time. The relay that tells a sender by its port stood in Sharers._link, in House._before and in the tests' RealPeers._filter; two of the three let the kernel draw a balancer's port anew between its release and the balancer's bind.

`Records` reads each line once and gives lives and the newest process's words.

--- a/roadlb/lab/sharing/deployment.py
+++ b/roadlb/lab/sharing/deployment.py
@@ -1,18 +1,14 @@
 """Nine balancers that share, each a process, under load, with a relay for datagrams before each of them.
 
-A relay knows who sends by the sender's port, so that any direction between any two can be cut.  Hall-a's
-clients ask for more than its balancers' parts, so that the others' unused parts move there.  Every balancer
-is short of own means by SHORT_BY of what it is asked for: it is pressed all the time, whatever the machine
-does.
+Hall-a's clients ask for more than its balancers' parts, so that the others' unused parts move there.  Every
+balancer is short of own means by SHORT_BY of what it is asked for: it is pressed all the time, whatever the
+machine does.
 What each module is told of its shares is written down by its own process (`record`).
 """
 
 from __future__ import annotations
 
 import asyncio
-import json
-import os
-import socket
 from collections import Counter
 from collections.abc import Callable, Mapping
 from pathlib import Path
@@ -22,12 +18,13 @@
 
 from .. import mutants
 from ..incident import read
-from ..run.datagrams import Datagrams
 from ..run.rig import Rig
 from ..wire import BalancerState, ClientGot, ClientSent, Lagged, NodeFell, NodeGot, NodeStarted
 from .judge import (
-    GOES, Cold, Life, Told, largest_sum, most_of_a_fall, most_of_a_quota, most_of_a_rate, settled)
+    GOES, Cold, Life, largest_sum, most_of_a_fall, most_of_a_quota, most_of_a_rate, settled)
 from .record import SHORT, VARIABLE
+from .records import Records
+from .relays import Relays
 
 WATCHED, QUOTA = "watched", 60           # the customer whose quota is judged from outside, a second
 SHORT_BY = 0.4           # more than what it asks beyond its quota, less than that and what the rest ask
@@ -59,9 +56,6 @@
 [[refusal]]
 customer = "rest"
 """
-KEY, HOST = "a key for this rig only", "127.0.0.1"
-# Balancers listen at an address where nobody's port is drawn by the kernel while theirs is free.
-LISTEN = f"127.{130 + os.getpid() % 100}.0.1"
 GENEROUS_S, LOOK_S = 150.0, 0.1
 AWAY, SAID_US = ("lost", "returning"), 100_000      # a hall's states; from a change until its line is written
 
@@ -73,14 +67,12 @@
     def __init__(self, seed: int, defect: str = "", bounds: Mapping[str, float] | None = None) -> None:
         self.seed, self._defect, self._bounds = seed, defect, bounds or {}
         self.names = [f"balancer-{n + 1}" for n in range(PARTS)]
-        self.links: dict[str, Datagrams] = {}
-        self._listen: dict[str, int] = {}
-        self._by_port: dict[int, str] = {}
-        self._reserved: list[socket.socket] = []
         self.blocked: dict[str, Callable[[str, str], bool]] = {}      # by the fault: from whom to whom
+        self._relays = Relays(lambda a, b: not any(blocked(a, b) for blocked in self.blocked.values()))
+        self.links = self._relays.links
         self.rig: Rig
         self._folder = TemporaryDirectory(prefix="roadlb-shares-")
-        self._read: dict[Path, tuple[int, list[Told]]] = {}
+        self._records = Records(Path(self._folder.name))
 
     async def __aenter__(self) -> Sharers:
         incident = read(INCIDENT, "sharing.toml")
@@ -89,7 +81,7 @@
             variables[mutants.VARIABLE] = self._defect
         try:
             for number, name in enumerate(self.names):
-                await self._link(name, number)
+                await self._relays.before(name, Random(self.seed * 1_000 + number))
             rig = Rig(incident, self.seed, self._further, variables)
             await rig.__aenter__()
         except BaseException:
@@ -105,73 +97,25 @@
             self._end()
 
     def _end(self) -> None:
-        for link in self.links.values():
-            link.end()
-        for reserved in self._reserved:
-            reserved.close()
+        self._relays.end()
         self._folder.cleanup()
 
-    async def _link(self, name: str, number: int) -> None:
-        reserved = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        reserved.bind((LISTEN, 0))
-        port: int = reserved.getsockname()[1]
-        self._reserved.append(reserved)
-        self._listen[name], self._by_port[port] = port, name
-        link = self.links[name] = Datagrams(name, (LISTEN, port), Random(self.seed * 1_000 + number),
-                                            lambda text: 0)
-        await link.start(HOST)
-        pass_on = link.there
-
-        def there(data: bytes, sender: tuple[str, int]) -> None:
-            whose = self._by_port.get(sender[1], "")
-            if not any(blocked(whose, name) for blocked in self.blocked.values()):
-                pass_on(data, sender)
-        link.there = there  # type: ignore[method-assign]
-
     def _further(self, name: str) -> dict[str, Any]:
-        for reserved in self._reserved:          # the balancers bind these themselves from here on
-            reserved.close()
-        self._reserved.clear()
-        return {"peers": {
-            **self._bounds, "listen": f"{LISTEN}:{self._listen[name]}", "key": KEY, "cluster": "rig",
-            "share": True,
-            "advertise": "{}:{}".format(*self.links[name].address),
-            "seeds": ["{}:{}".format(*self.links[seed].address) for seed in self.names[::4]]}}
+        return {"peers": {**self._bounds, **self._relays.peers(name, "rig", 4), "share": True}}
 
     # What processes have written down
 
     def lives(self) -> list[Life]:
         """All processes so far, and what their modules were told."""
-        begun: dict[str, list[tuple[int, Path]]] = {name: [] for name in self.names}
-        for file in Path(self._folder.name).glob("*.shares"):
-            name, at, _ = file.name.split(".")
-            begun[name].append((int(at), file))
-        killed = [(event.at, event.balancer) for event in self.rig.events(BalancerState)
-                  if event.state in ("killed", "ended")]
-        return [Life(name, self._told(file), min((at for at, whose in killed if whose == name and at > start),
-                                                 default=self.rig.now))
-                for name, files in begun.items() for start, file in sorted(files)]
-
-    def _told(self, file: Path) -> list[Told]:
-        where, told = self._read.get(file, (0, []))
-        with file.open("rb") as lines:
-            lines.seek(where)
-            new = lines.read()
-        whole = new[:new.rfind(b"\n") + 1]
-        for line in whole.splitlines():
-            raw = json.loads(line)
-            told.append(Told(raw["at"], raw["done"], raw["until"],
-                             {name: (now, then) for name, (now, then) in raw["shares"].items()}))
-        self._read[file] = where + len(whole), told
-        return told
+        return self._records.lives([(event.at, event.balancer) for event in self.rig.events(BalancerState)
+                                    if event.state in ("killed", "ended")], self.rig.now)
 
     def share(self, name: str, budget: str) -> float:
         """What this balancer's module was last told, parts of its own part; 0: it does not run, or was told
         nothing yet."""
         one = next(one for one in self.rig.stage.balancers.all if one.name == name)
-        files = sorted(Path(self._folder.name).glob(f"{name}.*"),
-                       key=lambda file: int(file.name.split(".")[1]))
-        if not one.runs or len(files) < one.starts or not (told := self._told(files[-1])):
+        count, told = self._records.newest(name)
+        if not one.runs or count < one.starts or not told:
             return 0.0
         return told[-1].shares.get(budget, (0.0, 0.0))[0] * PARTS
 
--- a/roadlb/lab/together/house.py
+++ b/roadlb/lab/together/house.py
@@ -27,15 +27,15 @@
 from ..agreement.deployment import BALANCERS, CUSTOMERS, Deployment
 from ..agreement.parties import Beat
 from ..agreement.watch import HOST
-from ..run.datagrams import Datagrams
 from ..run.link import Link
 from ..sharing.record import SHORT, VARIABLE
+from ..sharing.records import Records
+from ..sharing.relays import Relays
 from .parties import Asker, Nodes
 
 HALLS = ("hall-a", "hall-b", "hall-c")
 NODES = 9                    # three in each hall
 PARTS_OF = {"control-0": "hall-b", "control-1": "hall-a"}        # the first one leads at first
-KEY = "a key for this rig only"
 SHORT_BY = 0.4               # of its own means each balancer is short all the time, so that quotas count
 # From one request of a client to the next, seconds: in the third hall they ask for less than its balancers'
 # parts of the quotas, elsewhere for more, so that unused parts move there.
@@ -59,11 +59,10 @@
         super().__init__(folder, contradiction_s, margin_s, defects=defects)
         self.seed = seed
         self.nodes, self.clients, self.beat = Nodes(), list[Asker](), Beat()
-        self.peers: dict[str, Datagrams] = {}
         self.parted: set[str] = set()                    # halls that hear no other one's datagrams
-        self._held: dict[str, socket.socket] = {}        # a balancer's ports stay its own
-        self._udp: dict[str, int] = {}
-        self._by_port: dict[int, str] = {}
+        self.relays = Relays(lambda a, b: not a or not self.between({hall_of(a), hall_of(b)}))
+        self.records = Records(folder)
+        self._held: dict[str, socket.socket] = {}        # a balancer's port stays its own
 
     async def __aenter__(self) -> House:
         for i in range(NODES):
@@ -72,7 +71,11 @@
                                            (HOST, await self.nodes.start(name)), self.note)
             self.discovery.place(i, link.address[1])
         for i in range(BALANCERS):
-            await self._before(f"balancer-{i}", i)
+            name = f"balancer-{i}"
+            held = self._held[name] = socket.socket()
+            held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            held.bind((HOST, 0))
+            await self.relays.before(name, Random(self.seed * 100 + i))
         await super().__aenter__()
         return self
 
@@ -81,8 +84,7 @@
         await super().__aexit__(*told)
         self.nodes.end()
         self.beat.end()
-        for link in self.peers.values():
-            link.end()
+        self.relays.end()
         for held in self._held.values():
             held.close()
 
@@ -93,28 +95,6 @@
         order = {**read, "name": "order", "effect": "at_most_once", "value": 4.0}
         return {**told, "instances": BALANCERS, "classes": [read, order]}
 
-    async def _before(self, name: str, number: int) -> None:
-        """A relay for datagrams to this balancer, which lets none in from a hall that is parted from its
-        own."""
-        held = self._held[name] = socket.socket()
-        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        held.bind((HOST, 0))
-        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        udp.bind((HOST, 0))
-        port: int = udp.getsockname()[1]
-        udp.close()                                      # the balancer binds it
-        self._udp[name], self._by_port[port] = port, name
-        link = self.peers[name] = Datagrams(name, (HOST, port), Random(self.seed * 100 + number),
-                                            lambda text: 0)
-        await link.start(HOST)
-        pass_on = link.there
-
-        def there(data: bytes, sender: tuple[str, int]) -> None:
-            whose = self._by_port.get(sender[1], "")
-            if not whose or not self.between({hall_of(whose), hall_of(name)}):
-                pass_on(data, sender)
-        link.there = there  # type: ignore[method-assign]
-
     def between(self, halls: set[str]) -> bool:
         """Does a parting stand between these?"""
         return len(halls) > 1 and bool(halls & self.parted)
@@ -128,9 +108,7 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": {"generation": 0, "reset": True, "instances": []},
             "settings": {**self.settings(None), "me": i, "az": HALLS.index(hall_of(name))},
-            "peers": {"listen": f"{HOST}:{self._udp[name]}", "key": KEY, "cluster": "house", "share": True,
-                      "advertise": "{}:{}".format(*self.peers[name].address),
-                      "seeds": ["{}:{}".format(*link.address) for link in list(self.peers.values())[::2]]},
+            "peers": {**self.relays.peers(name, "house", 2), "share": True},
             "agreement": {"control": [f"{host}:{port}" for host, port in told],
                           "contradiction_s": self.contradiction_s, "margin_s": self.margin_s,
                           "store": str(self.folder / f"{name}.store")}})
--- a/roadlb/lab/together/plays.py
+++ b/roadlb/lab/together/plays.py
@@ -31,7 +31,6 @@
 from ..agreement.judge import Sent
 from ..agreement.whole import EXTRA_US, NEVER, Drain, judge, take_drains
 from ..sharing.judge import ROUNDING, Sum, largest_sum
-from ..sharing.records import lives
 from .house import HALLS, House
 
 NODE = "node-0"              # that drains: of the first hall, where nothing else befalls
@@ -239,7 +238,7 @@
 
 def _moved(house: House) -> bool:
     """Has any module been told of more than an even part of a customer's quota?"""
-    last = [life.told[-1].shares for life in lives(house.folder, (), house.now) if life.told]
+    last = [life.told[-1].shares for life in house.records.lives((), house.now) if life.told]
     return any(now * BALANCERS > 1.01 for shares in last
                for name, (now, _) in shares.items() if name.startswith("customer"))
 
@@ -272,7 +271,7 @@
             killed = [(at, text.partition(":")[0]) for at, text in house.notes if text.endswith(": SIGKILL")]
             return Outcome(
                 seed, len(house.nodes.came), sum(one.order for one in house.nodes.came),
-                tuple(house.repeated_orders()), largest_sum(lives(house.folder, killed, monotonic_us())),
+                tuple(house.repeated_orders()), largest_sum(house.records.lives(killed, monotonic_us())),
                 spared, late, round(contradiction_s * 1e6), house.beat.late_us, len(drains), faults,
                 tuple(_errors(house)), took, tuple(house.notes))
 
--- a/tests/membership/real_peers.py
+++ b/tests/membership/real_peers.py
@@ -1,7 +1,6 @@
 """Several balancers that are peers, each a process, with a relay for datagrams before each of them.
 
-A relay knows who sends by the sender's port, so that any direction between any two can be cut; loss, doubling
-and reordering come from its seed.  What balancers believe is asked at their doors.
+Loss, doubling and reordering come from a seed.  What balancers believe is asked at their doors.
 """
 
 from __future__ import annotations
@@ -21,10 +20,10 @@
 
 from roadlb.lab.run.datagrams import Datagrams
 from roadlb.lab.run.real_world import environment
+from roadlb.lab.sharing.relays import Relays
 
 GENEROUS_S = 240.0      # starved, one who is deaf doubts itself first, and accuses later
 LOOK_S = 0.15
-KEY = "a key for tests only"
 
 
 def free_port(kind: int) -> int:
@@ -38,7 +37,7 @@
     def __init__(self, name: str) -> None:
         self.name, self.process = name, None
         self.process: asyncio.subprocess.Process | None
-        self.door, self.port = free_port(socket.SOCK_STREAM), free_port(socket.SOCK_DGRAM)
+        self.door = free_port(socket.SOCK_STREAM)
         self.link: Datagrams
         self.stopped = False
 
@@ -53,19 +52,17 @@
     def __init__(self, size: int, seed: int, folder: Path, halls: int = 3) -> None:
         self.seed, self.folder, self.halls = seed, folder, halls
         self.all = {f"lb-{i}": OnePeer(f"lb-{i}") for i in range(size)}
-        self.by_port = {one.port: one.name for one in self.all.values()}
         self.told: dict[str, dict[str, Any]] = {}       # what each said at the last look
         self.late_s = 0.0       # the longest for which this loop, and with it all relays, stood still
         self.blocked: Callable[[str, str], bool] = lambda sender, to: False
+        self._relays = Relays(lambda sender, to: not self.blocked(sender, to))
         self.change: Callable[[str, dict[str, Any]], None] = lambda name, raw: None     # a configuration
 
     async def __aenter__(self) -> RealPeers:
         try:
             for number, one in enumerate(self.all.values()):
-                link = one.link = Datagrams(one.name, ("127.0.0.1", one.port),
-                                            Random(self.seed * 1_000 + number), lambda text: 0)
-                await link.start("127.0.0.1")
-                self._filter(link, one.name)
+                await self._relays.before(one.name, Random(self.seed * 1_000 + number))
+                one.link = self._relays.links[one.name]
             for one in self.all.values():
                 await self.start(one.name)
             await self.until("all know all", self.agree)
@@ -79,15 +76,7 @@
             if one.process is not None and one.process.returncode is None:
                 one.process.kill()
                 await one.process.wait()
-            one.link.end()
-
-    def _filter(self, link: Datagrams, to: str) -> None:
-        pass_on = link.there
-
-        def there(data: bytes, sender: tuple[str, int]) -> None:
-            if not self.blocked(self.by_port.get(sender[1], ""), to):
-                pass_on(data, sender)
-        link.there = there  # type: ignore[method-assign]
+        self._relays.end()
 
     async def start(self, name: str) -> None:
         one = self.all[name]
@@ -95,10 +84,7 @@
         raw["settings"]["az"] = int(name[3:]) % self.halls
         raw |= {"name": name, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9",
                 "admin_addr": f"127.0.0.1:{one.door}",
-                "peers": {"listen": f"127.0.0.1:{one.port}", "key": KEY, "cluster": "rig",
-                          "advertise": "{}:{}".format(*one.link.address),
-                          "seeds": ["{}:{}".format(*self.all[seed].link.address)
-                                    for seed in list(self.all)[:2]]}}
+                "peers": self._relays.peers(name, "rig", 4)}
         self.change(name, raw)
         config = self.folder / f"{name}.json"
         config.write_text(json.dumps(raw))
--- a/tests/together/test_house.py
+++ b/tests/together/test_house.py
@@ -12,7 +12,7 @@
 import uvloop
 
 from roadlb.lab.sharing.judge import Sum
-from roadlb.lab.sharing.records import lives
+from roadlb.lab.sharing.records import Records
 from roadlb.lab.together.house import hall_of
 from roadlb.lab.together.plays import Outcome, play
 
@@ -34,11 +34,15 @@
 
 def test_what_a_process_wrote_counts_until_it_was_killed_and_half_a_line_does_not(tmp_path: Path) -> None:
     line = json.dumps({"at": 11, "done": 12, "until": 90, "shares": {"customer 0": [0.5, 0.1]}})
-    (tmp_path / "balancer-1.10.shares").write_text(f"{line}\n{line[:20]}")
+    records = Records(tmp_path)
+    (tmp_path / "balancer-1.9.shares").write_text(f"{line}\n{line[:20]}")
     (tmp_path / "balancer-1.40.shares").write_text(f"{line}\n")
-    first, again = lives(tmp_path, [(5, "balancer-1"), (30, "balancer-1"), (35, "balancer-2")], now=100)
-    assert (first.ended, again.ended) == (30, 100)
-    assert [one.shares for one in first.told] == [{"customer 0": (0.5, 0.1)}]
+    for lines in (1, 2):
+        first, again = records.lives([(5, "balancer-1"), (30, "balancer-1"), (35, "balancer-2")], now=100)
+        assert (first.ended, again.ended) == (30, 100)
+        assert [one.shares for one in first.told] == [{"customer 0": (0.5, 0.1)}]
+        assert len(again.told) == lines and records.newest("balancer-1") == (2, again.told)
+        (tmp_path / "balancer-1.40.shares").write_text(f"{line}\n" * 2)      # one more, and none twice
 
 
 def test_a_hall_takes_along_what_stands_in_it() -> None:
