--- a/benchmarks/agreement_model.py
+++ b/benchmarks/agreement_model.py
@@ -12,8 +12,9 @@
 import resource
 import sys
 import time
+from dataclasses import replace
 
-from roadlb.lab.model_check.defects import DEFECTS
+from roadlb.lab.model_check.defects import DEFECTS, STREAMS, Stubborn, Unfenced
 from roadlb.lab.model_check.explore import explore
 from roadlb.lab.model_check.world import DRAINED, FIRST, SECOND, Shape
 
@@ -37,6 +38,11 @@
     "two issuers, longer": Shape(rates=(4, 3, 5, 4), ticks=3, seats=1, on_the_way=1),
     "two issuers, two versions": Shape(followers=1, rates=(4, 5, 4), ticks=3, seats=2, crashes=1,
                                        proposals=(SECOND, FIRST), on_the_way=1),
+    "streams": STREAMS,
+    "streams, no fencing": replace(STREAMS, follower=Unfenced),
+    "streams, no fencing, longer": replace(STREAMS, follower=Unfenced, ticks=3, proposals=(SECOND, SECOND)),
+    "streams, no fencing, a crash": replace(STREAMS, follower=Unfenced, crashes=1),
+    "streams, a leader that goes on": replace(STREAMS, issuer=Stubborn),
     "three followers": Shape(followers=3, issuers=1, rates=(4, 3, 5, 4), ticks=2, on_the_way=1),
 }
 
--- a/roadlb/lab/agreement/deployment.py
+++ b/roadlb/lab/agreement/deployment.py
@@ -13,7 +13,7 @@
 import sys
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, Self
 
 from ...clock import monotonic_us
 from ...control.settings import AgreementSettings
@@ -72,7 +72,7 @@
         self.notes.append((at, text))
         return at
 
-    async def __aenter__(self) -> Deployment:
+    async def __aenter__(self) -> Self:
         try:
             await self.discovery.start()
             at = await self._start_store()
--- a/roadlb/lab/model_check/defects.py
+++ b/roadlb/lab/model_check/defects.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from ...agreement.events import Contents, IssuerAction, Leading, VersionId
+from dataclasses import replace
+
+from ...agreement.events import Contents, FollowerId, IssuerAction, Leading, VersionId
 from ...agreement.follower import Follower
 from ...agreement.issuer import Issuer, Peer
 from .world import SECOND, Shape
@@ -47,6 +49,15 @@
         pass
 
 
+class Stubborn(Issuer):
+    """Goes on when it hears of a later epoch."""
+
+    __slots__ = ()
+
+    def _outrun(self, now: int, name: FollowerId, epoch: int) -> list[IssuerAction]:
+        return []
+
+
 class Unlisted(Issuer):
     """Gives leases to whoever asks, on the roll or not."""
 
@@ -57,9 +68,14 @@
         return []
 
 
+# A follower has one stream at a time, and what it says first there ends a leader of an earlier epoch: so its
+# own fence is the second bar, missed only where such a leader goes on (`Stubborn`).
+STREAMS = Shape(followers=1, rates=(4, 4, 5), seats=1, ticks=2, on_the_way=1, streams=True, moves=2)
+
 DEFECTS = {
     "no fencing": Shape(followers=1, rates=(4, 4, 5), follower=Unfenced, seats=1,
                         proposals=(SECOND, SECOND), ticks=2, on_the_way=1),
+    "no fencing, and a leader that goes on": replace(STREAMS, follower=Unfenced, issuer=Stubborn),
     "lease by wall clock": Shape(wall_leases=True, wall=40, ticks=6, on_the_way=1),
     "ack before store": Shape(ack_first=True, crashes=1, ticks=3, on_the_way=1),
     "grant before the other's end": Shape(issuer=Hasty, ticks=3, on_the_way=1),
--- a/tests/issuing/test_line.py
+++ b/tests/issuing/test_line.py
@@ -133,3 +133,12 @@
     told = [action for number in range(300)
             for action in line.handle(Tell(InForce(1, VersionId(1, number))))]
     assert any(isinstance(action, End) and "without an answer" in action.reason for action in told)
+
+
+def test_nothing_is_said_on_a_stream_before_its_first_ask_which_bears_the_epoch() -> None:
+    """An issuer answers on the stream on which it heard last: so it hears of a later epoch first."""
+    stream = Stream(Random(1))
+    stream.tell_link(Say(Ask(1, 1, 7, VersionId(7, 3), VersionId(7, 4))))
+    said = [action.message for data in stream.there for action in stream.line.handle(
+        Asked(read_delta_request(data))) if isinstance(action, Said)]
+    assert said == [Ask(1, 1, 7, VersionId(7, 3), VersionId(7, 4))] and len(stream.there) > 1
