--- a/benchmarks/agreement_processes.py
+++ b/benchmarks/agreement_processes.py
@@ -27,7 +27,8 @@
 from roadlb.lab.agreement.play import Outcome, play
 
 DEFECTS = ("balancer=floor", "balancer=deaf", "balancer=wall", "balancer=unfenced", "control=early",
-           "control=unfenced", "control=mute")   # with --whole: balancer=deaf and control=mute
+           "control=unfenced", "control=mute",
+           "balancer-3=deaf")    # with --whole: deaf and control=mute, with --pressed: deaf
 
 
 async def one(seed: int, told: argparse.Namespace) -> Outcome | str:
--- a/roadlb/lab/agreement/whole.py
+++ b/roadlb/lab/agreement/whole.py
@@ -142,7 +142,8 @@
                           "contradiction_s": self.contradiction_s, "margin_s": self.margin_s,
                           "store": str(self.folder / f"{name}.store")}})
         child = await self.spawn(name, [sys.executable, "-m", "roadlb.lab.agreement.balancer",
-                                         self.defects.get("balancer", "")], {"PROXY_CONFIG": str(file)})
+                                         self.defects.get(name, self.defects.get("balancer", ""))],
+                                 {"PROXY_CONFIG": str(file)})
         await self.until(f"{name} listens", lambda: "event=listening" in child.said())
         self.clients += [Client(name, listen, f"customer-{j}", "read", line, self.period_s)
                          for j in range(CUSTOMERS) for line in range(self.lines)]
