--- a/tests/membership/real_peers.py
+++ b/tests/membership/real_peers.py
@@ -8,7 +8,6 @@
 import asyncio
 import json
 import signal
-import socket
 import sys
 from collections.abc import Callable
 from copy import deepcopy
