Compile routing/warmth with the rest; a ramp and a part of the demand for large fleets

policy/logic calls routing/warmth at each list and each tick, so it belongs among the modules that mypyc compiles. 200 balancers that begin at full demand with nothing learnt shed from the first second on, and tell nothing of a loss: `sites.py large` takes `--ramp-s`, for demand that rises from a fifth on, and `--part` of the usual demand.

--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -241,15 +241,19 @@
 @click.option("--lost-s", default=8.0, show_default=True)
 @click.option("--duration-s", default=30.0, show_default=True)
 @click.option("--out-s", default=11.0, show_default=True, help="Until the hall is back.")
+@click.option("--part", default=1.0, show_default=True, help="Of the usual demand for each node.")
+@click.option("--ramp-s", default=0.0, show_default=True, help="So long demand rises, from a fifth on.")
 @OUT
 @JOBS
 def large(size: str, seeds: int, first: int, tree: str, lost_s: float, duration_s: float, out_s: float,
-          out: Path | None, jobs: int) -> None:
+          part: float, ramp_s: float, out: Path | None, jobs: int) -> None:
     """The same loss with many balancers and nodes, at the same demand for each node."""
     balancers, nodes = map(int, size.split("x"))
-    rate, each = round(RATE * nodes / 11), balancers // 3
+    rate, each = round(part * RATE * nodes / 11), balancers // 3
+    ramp = f"rates = [[0, {rate / 5}], [{ramp_s}, {rate}]]"
     in_hall = f"in_hall = {{ hall-a = {balancers - 2 * each} }}"
-    text_of = described(rate, duration_s, back=False, lost=(), nodes=nodes, per_hall=each, in_hall=in_hall)
+    text_of = described(rate, duration_s, back=False, lost=(), nodes=nodes, per_hall=each, in_hall=in_hall,
+                        more=ramp if ramp_s else "")
     text_of += (f'[[step]]\ndo = "lose_hall"\nhall = "hall-b"\nat_s = {lost_s}\n'
                 f"back_after_s = {out_s}\nlist_age_s = 10\n")
     runs = play([{"incident": text_of, "seed": seed, "connections": round(300 * rate / RATE)}
--- a/setup.py
+++ b/setup.py
@@ -9,8 +9,9 @@
 from setuptools import setup
 
 HOT = ("clock", "wheel", "flow", "exchange", "engine", "routing/cold", "routing/key_order",
-       "routing/key_sets", "routing/shares", "routing/standing", "sites/events", "sites/life",
-       "sites/refusal", "sites/work_in_hand", "policy/interface", "policy/state", "policy/logic",
+       "routing/key_sets", "routing/shares", "routing/standing", "routing/warmth",
+       "sites/events", "sites/life", "sites/refusal", "sites/work_in_hand",
+       "policy/interface", "policy/state", "policy/logic",
        "net/headers", "net/http",
        "net/client_connection", "net/service_client", "net/instance_connection", "net/pool",
        "net/instances", "overload/pulse", "own_load")
