A hall put in again by an operator, long after a loss, keeps its servers as the list has them

`Warmth.changed` took each return of a site that had ever been lost for the first one after that loss: an operator's word minutes later would have made warm servers cold for 4 s. Seen on reading; only the first return since the last loss counts now, with a test that fails without it.

--- a/roadlb/routing/warmth.py
+++ b/roadlb/routing/warmth.py
@@ -31,8 +31,8 @@
         """It is lost now, or it is on its way back.  May its servers be colder than they were?"""
         if lost:
             self._lost[site] = now
-        elif back and site in self._lost:
-            self._back[site] = now
+        elif back and self._back.get(site, -1) < self._lost.get(site, -1):
+            self._back[site] = now            # the first time since: later on, an operator put it in
             return True
         return False
 
--- a/tests/routing/test_warmth.py
+++ b/tests/routing/test_warmth.py
@@ -35,3 +35,6 @@
     warmth = Warmth(0.2, 20 * SECOND)
     assert not warmth.changed(60 * SECOND, 1, lost=False, back=True)
     assert warmth.part(60 * SECOND, 1, 0) == 1.0
+    warmth = back_at(50 * SECOND, 60 * SECOND)
+    assert not warmth.changed(90 * SECOND, 1, lost=False, back=True)
+    assert warmth.part(90 * SECOND, 1, 0) == 1.0
