Merge: only the first return after a loss makes a site's servers count as cold

Seen on reading by its author: an operator's word minutes after a loss made warm servers cold for 4 s.

--- a/roadlb/sites/warmth.py
+++ b/roadlb/sites/warmth.py
@@ -42,8 +42,9 @@
                 continue
             if change.after is State.LOST:
                 self._lost[change.site] = now
-            elif change.after is State.RETURNING and change.site in self._lost:
-                self._back[change.site], colder = now, True
+            elif change.after is State.RETURNING and (
+                    self._back.get(change.site, -1) < self._lost.get(change.site, -1)):
+                self._back[change.site], colder = now, True     # the first time since it was lost
         return colder
 
     def part(self, now: int, site: int, born: int) -> float:
