--- a/roadlb/lab/together/parties.py
+++ b/roadlb/lab/together/parties.py
@@ -23,6 +23,7 @@
 from ..parties.links import stream
 
 ORDERS = 4                   # every fourth request of a client is one
+ANSWER_S = 20.0              # generous: a busy machine holds balancers up for seconds
 READ, ORDER = "read", "order"
 
 
@@ -97,6 +98,7 @@
 
     def __init__(self, balancer: str, at: tuple[str, int], customer: str, period_s: float) -> None:
         super().__init__(balancer, at, customer, READ, period_s=period_s)
+        self.answer_s = ANSWER_S
 
     def request(self, number: int) -> bytes:
         order = number % ORDERS == 0
