Measure changes one after another, and followers by the thousand that join in steps

At 200 followers on two crowded cores, drains 0.1 s apart were not a measure of a change: followers were up to 29 s behind with those before, p99, and the leader lost its seat meanwhile, which the benchmark did not say. With 1,000 that all began at once, the loop that holds store and service stood still for longer than a call to the store, and they did not all get leases in 100 s.

Each drain now begins when the last follower keeps to the one before; processes of followers join four at a time; the list's size is an option; CPU of a change is told beside its bytes, and what the control service warned of as well.

--- a/benchmarks/agreement_cost.py
+++ b/benchmarks/agreement_cost.py
@@ -1,12 +1,14 @@
 """What the agreement costs end to end: renewals' bytes and CPU of a balancer, and a change's time and bytes.
 
-    PYTHONPATH=. python benchmarks/agreement_cost.py [--followers 12 200] [--seconds 20] [--changes 20]
+    PYTHONPATH=. python benchmarks/agreement_cost.py [--followers 12 200] [--nodes 1000] [--changes 20]
 
 One control service over the stand-in store issues to so many followers over real gRPC on loopback; the
 followers are `Following` as balancers run it, without a disk, FOLLOWERS_EACH to a process, which share
-one HTTP/2 connection.  Figures: bytes of messages of a follower a second while nothing changes, its share of
-its process's CPU, the control service's CPU, and for each of the drains of one node in NODES the time from
-the proposal to in force at the issuer, and to its use by the last follower.
+one HTTP/2 connection; PROCESSES_JOINING begin once those before them have leases.  Figures: bytes of
+messages of a follower a second while nothing changes, its share of its process's CPU, the control service's
+CPU, and for each of the drains of one node in `--nodes`, each begun when the last follower keeps to the one
+before, the time from the proposal to in force at the issuer and to its use by the last follower.  What the
+control service warned of meanwhile is told as well.
 """
 
 from __future__ import annotations
@@ -18,6 +20,7 @@
 import subprocess
 import sys
 import time
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -34,16 +37,16 @@
 from roadlb.xds.grpc.dial import dial
 from roadlb.xds.grpc.transport import ADS, Context, listen, next_message, server
 
-NODES, FOLLOWERS_EACH, BOUND_S = 1_000, 50, 5.0
+FOLLOWERS_EACH, PROCESSES_JOINING, BOUND_S = 50, 4, 5.0
 SETTINGS = json.loads((Path(__file__).parent.parent / "examples" / "config.json").read_text())["settings"]
 
 
-def picture(drained: int) -> Picture:
-    """The first `drained` of NODES drain."""
+def picture(nodes: int, drained: int) -> Picture:
+    """The first `drained` drain."""
     return Picture(drained + 1, {"grid": Cluster("grid", tuple(
         Endpoint(NodeId(f"node-{i:04}", 1_790_000_000_000), f"10.0.{i // 250}.{i % 250}", 9_000,
                  Locality(zone=f"hall-{i % 3}"), Lifecycle.DRAINING if i < drained else Lifecycle.UP)
-        for i in range(NODES)))})
+        for i in range(nodes)))})
 
 
 async def followers(port: int, first: int, count: int) -> None:
@@ -71,6 +74,7 @@
     lines = asyncio.get_running_loop()
     while (await lines.run_in_executor(None, sys.stdin.readline)).strip():
         figures = {
+            "least": min(len(one.drained) for one in them),
             "granted": sum(one.it.view().standing is Standing.GRANTED for one in them),
             "in": sum(one.it.gauges()["follow.bytes_in"] for one in them),
             "out": sum(one.it.gauges()["follow.bytes_out"] for one in them),
@@ -83,13 +87,20 @@
 class Fleet:
     """The processes of followers."""
 
-    def __init__(self, port: int, count: int) -> None:
-        self.count = count
-        self.processes = [subprocess.Popen(
-            [sys.executable, __file__, "--follow", str(port), str(first),
-             str(min(FOLLOWERS_EACH, count - first))],
-            stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
-            for first in range(0, count, FOLLOWERS_EACH)]
+    def __init__(self, port: int) -> None:
+        self.port, self.processes = port, list[subprocess.Popen[str]]()
+
+    async def join(self, count: int) -> None:
+        """So many processes at a time: the next begin once those before them have leases."""
+        while (there := len(self.processes) * FOLLOWERS_EACH) < count:
+            for first in range(there, min(count, there + PROCESSES_JOINING * FOLLOWERS_EACH), FOLLOWERS_EACH):
+                self.processes.append(subprocess.Popen(
+                    [sys.executable, __file__, "--follow", str(self.port), str(first),
+                     str(min(FOLLOWERS_EACH, count - first))],
+                    stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True))
+            there = min(count, len(self.processes) * FOLLOWERS_EACH)
+            while (await self.figures())["granted"] < there:
+                await asyncio.sleep(0.2)
 
     async def figures(self) -> dict[str, Any]:
         found = [await asyncio.to_thread(self._ask, process) for process in self.processes]
@@ -98,7 +109,7 @@
             for key, at in one["used"].items():
                 used[key] = max(at, used.get(key, 0))
         sums = {key: sum(one[key] for one in found) for key in ("granted", "in", "out", "cpu")}
-        return sums | {"used": used}
+        return sums | {"used": used, "least": min(one["least"] for one in found)}
 
     def _ask(self, process: subprocess.Popen[str]) -> Any:
         assert process.stdin is not None and process.stdout is not None
@@ -115,7 +126,7 @@
     return sorted(values)[min(len(values) - 1, int(share * len(values)))]
 
 
-async def measure(count: int, seconds: float, changes: int) -> None:
+async def measure(count: int, nodes: int, seconds: float, changes: int) -> None:
     async with StandIn() as store:
         told = AgreementSettings(store=(store.address,), prefix="/b", name="c", contradiction_s=BOUND_S)
         office = Office(told, monotonic_us, unix_us)
@@ -130,43 +141,58 @@
         await office.start()
         while not office.issuer.leading:
             await asyncio.sleep(0.05)
-        office.pictured(picture(0))
-        fleet = Fleet(port, count)
+        office.pictured(picture(nodes, 0))
+        fleet, joining = Fleet(port), time.monotonic()
         try:
-            while (await fleet.figures())["granted"] < count:
-                await asyncio.sleep(0.5)
+            await fleet.join(count)
+            print(f"{count:5} followers joined in {time.monotonic() - joining:.0f} s", flush=True)
             before, own = await fleet.figures(), time.process_time()
             await asyncio.sleep(seconds)
-            after, own = await fleet.figures(), time.process_time() - own
-            each = count * seconds
-            print(f"{count:5} followers: {(after['out'] - before['out']) / each:6.0f} B/s sent and "
-                  f"{(after['in'] - before['in']) / each:6.0f} B/s read by each, "
-                  f"{(after['cpu'] - before['cpu']) / each * 1e3:6.2f} ms of CPU a second each; the control "
-                  f"service {own / seconds * 1e3:7.1f} ms a second", flush=True)
-            renewals = (after["in"] - before["in"]) / seconds
-            began, in_force, proposed = time.monotonic(), list[float](), dict[int, int]()
+            after, own = await fleet.figures(), (time.process_time() - own) / seconds
+            renewals = {key: (after[key] - before[key]) / seconds for key in ("in", "out", "cpu")}
+            print(f"      renewals: {renewals['out'] / count:.0f} B/s sent and {renewals['in'] / count:.0f} "
+                  f"B/s read by each, {renewals['cpu'] / count * 1e3:.2f} ms of CPU a second each; the "
+                  f"control service {own * 1e3:.1f} ms a second; {after['granted']} leases", flush=True)
+            began, own_before = time.monotonic(), time.process_time()
+            in_force, used = list[float](), list[float]()
             for drained in range(1, changes + 1):
-                proposed[drained], force = monotonic_us(), office.issuer.force
-                office.pictured(picture(drained))
+                at, force = monotonic_us(), office.issuer.force
+                office.pictured(picture(nodes, drained))
                 while office.issuer.force is force:
                     await asyncio.sleep(0.002)
-                in_force.append((monotonic_us() - proposed[drained]) / 1e3)
-                await asyncio.sleep(0.1)
+                in_force.append((monotonic_us() - at) / 1e3)
+                while (now := await fleet.figures())["least"] < drained:
+                    await asyncio.sleep(0.2)
+                used.append((now["used"][str(drained)] - at) / 1e3)
+                print(f"      drain {drained}: in force after {in_force[-1]:.0f} ms, kept to by the last "
+                      f"after {used[-1]:.0f} ms; {now['granted']} leases", flush=True)
             took = time.monotonic() - began
-            last = await fleet.figures()
-            used = [(last["used"][str(drained)] - at) / 1e3 for drained, at in proposed.items()
-                    if str(drained) in last["used"]]
-            size = (last["in"] - after["in"] - renewals * took) / changes / count
-            print(f"      {changes} drains among {NODES} nodes: in force after p50 "
+            last, own_last = await fleet.figures(), time.process_time() - own_before
+            size, cpu = ((last[key] - after[key] - renewals[key] * took) / changes / count
+                         for key in ("in", "cpu"))
+            print(f"      {changes} drains among {nodes} nodes, one after another: in force after p50 "
                   f"{quantile(in_force, 0.5):.0f}, p99 {quantile(in_force, 0.99):.0f} ms; kept to by the "
                   f"last after p50 {quantile(used, 0.5):.0f}, p99 {quantile(used, 0.99):.0f} ms; "
-                  f"{size:.0f} B read by each for a change", flush=True)
+                  f"{size:.0f} B read by each and {cpu * 1e3:.1f} ms of CPU of each for a change; the "
+                  f"control service {(own_last - own * took) / changes * 1e3:.0f} ms", flush=True)
         finally:
             fleet.end()
             await office.stop()
             await grpc_server.stop(0)
 
 
+class Warned(logging.Handler):
+    """What the control service warned of, and how often."""
+
+    def __init__(self) -> None:
+        super().__init__(logging.WARNING)
+        self.counts = Counter[str]()
+
+    def emit(self, record: logging.LogRecord) -> None:
+        said = vars(record).get("fields", {})
+        self.counts[" ".join((record.getMessage(), str(said.get("reason") or said.get("error") or "")))] += 1
+
+
 def main() -> None:
     if sys.argv[1:2] == ["--follow"]:
         logging.disable(logging.CRITICAL)
@@ -174,11 +200,16 @@
         return
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--followers", type=int, nargs="+", default=[12, 200])
+    parser.add_argument("--nodes", type=int, default=1_000)
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--changes", type=int, default=20)
     told = parser.parse_args()
+    logging.getLogger().addHandler(warned := Warned())
+    warnings = warned.counts
     for count in told.followers:
-        asyncio.run(measure(count, told.seconds, told.changes))
+        warnings.clear()
+        asyncio.run(measure(count, told.nodes, told.seconds, told.changes))
+        print(f"      warned of: {', '.join(f'{what} {n}' for what, n in warnings.items()) or 'nothing'}")
 
 
 if __name__ == "__main__":
