--- a/roadlb/lab/agreement/parties.py
+++ b/roadlb/lab/agreement/parties.py
@@ -29,6 +29,7 @@
 from .watch import HOST
 
 BEAT_S = 0.01
+HELD_US = 250_000            # half of what a request may take
 DISCOVERY_BEAT_S = 1.0
 REST_S = 0.01                # between an answer and a client's next request
 REFUSED, SERVED = 503, 200
@@ -37,17 +38,22 @@
 
 
 class Beat:
-    """`late_us`: the longest that this loop was held up."""
+    """`late_us`: the longest that this loop was held up; `held`: from when until when, each time that it was
+    for HELD_US or longer."""
 
     def __init__(self) -> None:
-        self.late_us = 0
+        self.late_us, self.held = 0, list[tuple[int, int]]()
         self._task = asyncio.create_task(self._run())
 
     async def _run(self) -> None:
         while True:
             at = monotonic_us()
             await asyncio.sleep(BEAT_S)
-            self.late_us = max(self.late_us, monotonic_us() - at - round(BEAT_S * 1e6))
+            over = monotonic_us()
+            late_us = over - at - round(BEAT_S * 1e6)
+            self.late_us = max(self.late_us, late_us)
+            if late_us >= HELD_US:
+                self.held.append((at, over))
 
     def end(self) -> None:
         self._task.cancel()
--- a/roadlb/lab/agreement/pressed.py
+++ b/roadlb/lab/agreement/pressed.py
@@ -55,7 +55,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Window:
-    """What a balancer answered from the bound after a turn until the next one."""
+    """What a balancer answered from the bound after a turn until the next one.  `kept_from`: a fault kept the
+    news from it, or the judge's own loop was held up, so that answers were late whatever was sent."""
 
     turn: Turn
     balancer: str
@@ -134,20 +135,21 @@
 
 
 def judge(turns: Sequence[Turn], asked: Sequence[Asked], notes: list[tuple[int, str]],
-          balancers: Iterable[str], bound_us: int) -> list[Window]:
+          balancers: Iterable[str], bound_us: int, held: Sequence[tuple[int, int]] = ()) -> list[Window]:
     """One for each balancer and each turn that was not lost, from the bound after it until the next one, of
-    requests that were sent and answered between."""
+    requests that were sent and answered between.  `held`: when nodes and clients could not run."""
     found = list[Window]()
     for turn, after in zip(turns, turns[1:], strict=False):
         begin, end = turn.answered + bound_us, after.ordered
         if turn.lost or begin >= end:
             continue
+        late = any(since < end and over > begin for since, over in held)
         counts = Counter((one.balancer, one.customer, one.status) for one in asked
                          if begin <= one.sent and one.answered < end)
         for balancer in balancers:
             given, taken = ((counts[balancer, customer, SERVED], counts[balancer, customer, REFUSED])
                             for customer in (turn.gives, turn.takes))
-            kept_from = any(hurt < end and over > turn.ordered - RETURN_US
+            kept_from = late or any(hurt < end and over > turn.ordered - RETURN_US
                             for hurt, over in hurts(notes, balancer))
             found.append(Window(turn, balancer, given[0], taken[0], given[1] + taken[1], kept_from))
     return found
@@ -174,8 +176,8 @@
             finally:
                 await faults.heal(playing)
             asked = whole.asked
-            found = [one for one in judge(turns, asked, whole.notes, names, round(contradiction_s * 1e6))
-                     if one.judged]
+            found = [one for one in judge(turns, asked, whole.notes, names, round(contradiction_s * 1e6),
+                                          whole.beat.held) if one.judged]
             return Outcome(
                 seed, len(turns), tuple((one.balancer, one.given + one.taken, one.taken) for one in found),
                 sum(one.status == REFUSED for one in asked) / max(1, len(asked)), faults.count, len(asked),
--- a/tests/agreement_processes/test_pressed_judge.py
+++ b/tests/agreement_processes/test_pressed_judge.py
@@ -29,6 +29,8 @@
     found = window(asked)
     assert (found.given, found.taken, found.refused, found.judged) == (1, 1, 2, True)
     assert not window(asked, [(2_000, "x to control-0: dropped, both")]).judged
+    assert all(one.judged for one in judge(TURNS, asked, [], ["x"], BOUND, [(4_000, 4_050)]))
+    assert not any(one.judged for one in judge(TURNS, asked, [], ["x"], BOUND, [(4_000, 4_150)]))
     assert not window(asked[:4]).judged                          # it refused too little to say anything
 
 
