--- a/roadlb/issuing/seat.py
+++ b/roadlb/issuing/seat.py
@@ -75,7 +75,8 @@
                 self._again.clear()
                 wait = max(0.001, (self.decider.wake_at - self._clock()) / 1e6)
                 try:
-                    await asyncio.wait_for(self._again.wait(), wait)
+                    async with asyncio.timeout(wait):
+                        await self._again.wait()
                 except TimeoutError:
                     continue
         finally:
@@ -90,7 +91,7 @@
             reply = await self.store.call(question(asked, self.keys, self._who()))
         except StoreError as e:
             self._failed(e)
-            if not isinstance(asked, leading.Revoke):        # it ends by itself
+            if not isinstance(asked, leading.Revoke | leading.Look):     # a lease ends by itself
                 self.tell(leading.Failed(str(e)))
             return
         self._heard(reply.revision, floor)
--- a/roadlb/lab/agreement/parties.py
+++ b/roadlb/lab/agreement/parties.py
@@ -65,16 +65,16 @@
 
     def __init__(self, got: Callable[[str, str], float]) -> None:
         self._got, self._reader = got, RequestReader()
-        self._transport: asyncio.Transport
+        self.transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = stream(transport)
+        self.transport = stream(transport)
 
     def data_received(self, data: bytes) -> None:
         try:
             messages = self._reader.feed(data)
         except Garbled:
-            self._transport.abort()
+            self.transport.abort()
             return
         for message in messages:
             self._answer(message)
@@ -90,11 +90,11 @@
             self._say(message.keep_alive)
 
     def _say(self, keep_alive: bool) -> None:
-        if self._transport.is_closing():
+        if self.transport.is_closing():
             return
-        self._transport.write(write_answer(200, [], b""))
+        self.transport.write(write_answer(200, [], b""))
         if not keep_alive:
-            self._transport.close()
+            self.transport.close()
 
 
 class Platform:
@@ -244,7 +244,7 @@
         self.sent: list[Sent] = []
         self.least_s = self.each_s = 0.0
         self._free_at = 0
-        self._servers: list[asyncio.Server] = []
+        self.servers: list[asyncio.Server] = []
 
     async def start(self, name: str) -> int:
         """One more node; its port."""
@@ -254,10 +254,10 @@
             self._free_at = max(self._free_at, at) + round(self.each_s * 1e6)
             return self.least_s + (self._free_at - at) / 1e6 if self.each_s else self.least_s
         server = await asyncio.get_running_loop().create_server(lambda: Node(got), HOST, 0)
-        self._servers.append(server)
+        self.servers.append(server)
         port: int = server.sockets[0].getsockname()[1]
         return port
 
     def end(self) -> None:
-        for server in self._servers:
+        for server in self.servers:
             server.close()
--- a/roadlb/policy/logic.py
+++ b/roadlb/policy/logic.py
@@ -21,11 +21,13 @@
 from ..sites.events import Doubted, Listed, Pulse, PutIn, TakeOut
 from ..sites.life import Sites
 from ..sites.refusal import Quotas, Refusals
+from ..sites.warmth import Warmth
 from ..sites.work_in_hand import WorkInHand
+from .change import apply
 from .interface import (
-    NEVER_RAN, Action, Arrival, BodyWhole, Cancel, ClientGone, Effect, Event, Fail, Group, Heard, ListKind,
-    ListUpdate, Log, Offer, Outcome, Refuse, Report, Send, ServerId, ServerState, SetTimer, Settings,
-    Shortage, SiteWord, Status, StreamStarted, Subscribe, TimerFired, Twins, View,
+    NEVER_RAN, Action, Arrival, BodyWhole, Cancel, Changed, ClientGone, Effect, Event, Fail, Group, Heard,
+    ListKind, ListUpdate, Log, Offer, Outcome, Refuse, Report, Send, ServerId, ServerState, SetTimer,
+    Settings, Shortage, SiteWord, Status, StreamStarted, Subscribe, TimerFired, Twins, View,
 )
 from .state import Attempt, ClassState, Request, Server
 
@@ -49,8 +51,9 @@
         self.servers: dict[ServerId, Server] = {}
         self.ready: list[Server] = []
         self.groups: dict[tuple[int, int], list[Server]] = {}
-        self.keys, self.version, self.weight = KeyOrder(), 0, 1.0
+        self.keys, self.version, self.weight, self.dialling = KeyOrder(), 0, 1.0, settings.dialling
         self.standings = Standings(self.random.random)
+        self.warmth = Warmth(settings.cold_from, settings.cold_us)
         self.sets: KeySets[Server] = KeySets(self.order)
         self.requests: dict[int, Request] = {}
         self.fleet, self.sites = Server(b""), Sites()          # the former stands for all of them
@@ -60,18 +63,16 @@
         self.pressure, self.alone, self.refusals = 0.0, 0.0, Refusals(settings.refusals)
         self.hand, self.quotas = WorkInHand(), Quotas([t.quota_per_s for t in settings.tenants])
         self.own, self.watched = 0.0, False      # this process's own shortage; has one been told at all?
-        self.aim = min(c.aim_us for c in settings.classes)
+        self.aim, self.queue_field = min(c.aim_us for c in settings.classes), settings.queue_field
         self.wheel: dict[int, list[int]] = {}
         self.now, self.started, self.asks, self.retries, self.hedges = 0, False, 0, 10.0, 10.0
         self.actions: list[Action] = []
-        self.dialling = settings.handshake_cost > 0 and settings.keep_us > 0
-        queue = [i for i, f in enumerate(settings.report_fields) if f in ("queue", "inflight")]
-        self.queue_field = queue[0] if queue and settings.report_source != "off" else -1
         self.handlers: dict[type, Callable[..., None]] = {
             Arrival: self.arrival, Outcome: self.outcome, TimerFired: self.timer,
             ClientGone: self.client_gone, ListUpdate: self.list_update, StreamStarted: self.stream_started,
-            Offer: self.offer, Shortage: self.shortage, Twins: self.twins, Heard: self.heard,
-            BodyWhole: self.body_whole, SiteWord: self.site_word}
+            Offer: self.offer, Shortage: self.shortage, Heard: self.heard, BodyWhole: self.body_whole,
+            Changed: self.changed, Twins: lambda e: self.shares.twins(self.now, e.count),
+            SiteWord: lambda e: self.sites.tell(self.now, (TakeOut if e.out else PutIn)(e.site))}
 
     def handle(self, now: int, event: Event) -> list[Action]:
         """Take one event at clock time `now` and return the actions to carry out, in order."""
@@ -85,7 +86,10 @@
                 self.alarm(now + int(self.random.random() * min(2_000_000, self.s.ask_within_us // 4)), ASK)
         if handler := self.handlers.get(type(event)):
             handler(event)
-        self.actions += map(Log, map(str, self.sites.take())) if self.sites.decided else ()
+        if self.sites.decided:
+            self.actions += map(Log, map(str, decided := self.sites.take()))
+            if self.warmth.hear(now, decided):
+                self.rebuild()
         return self.actions
 
     def alarm(self, at: int, what: int) -> None:
@@ -138,13 +142,13 @@
         for m in present:
             s = self.servers.get(m.server)
             if s is None:
-                s = self.servers[m.server] = Server(m.server, born=m.born_us, at=self.now)
+                s = self.servers[m.server] = Server(m.server, born=m.born_us, zone=m.zone, at=self.now)
                 # Not heard from: at half the others' mean, for what it can do by now.
-                s.mean = self.fleet.load(self.now, self.aim) * m.weight * self.part(s, self.now) / 2
+                s.mean = self.fleet.load(self.now, self.aim) * m.weight * s.part(self.warmth, self.now) / 2
             elif m.born_us != s.born:
                 # A fresh process under an old name: nothing said of the old one counts.
                 self.standings.fresh(s)
-                s.born, s.cold, s.rested = m.born_us, ColdBudget(), []
+                s.born, s.rested = m.born_us, []
             s.up, s.cell, s.zone = m.state is ServerState.READY, m.cell, m.zone
             if m.weight > 0 and self.s.weight_source != "off":
                 # A live weight falls and rises with load; the most it has been comes nearest to a size.
@@ -155,8 +159,9 @@
             there.setdefault(s.zone, {})[s.id] = s.born
         self.sites.tell(self.now, Listed(there))
 
-    def site_word(self, e: SiteWord) -> None:
-        self.sites.tell(self.now, (TakeOut if e.out else PutIn)(e.site))
+    def changed(self, e: Changed) -> None:
+        old, self.s, self.dialling = self.s, (new := e.settings), e.settings.dialling
+        self.actions += apply(old, new, self.classes, self.requests, self.refusals, self.warmth, self.rebuild)
 
     def rebuild(self) -> None:
         """Set up what is looked up for each request: who is ready, at what capacity, in which group."""
@@ -164,7 +169,9 @@
         self.ready = sorted((s for s in self.servers.values() if s.up), key=lambda s: s.id)
         self.groups = {}
         for s in self.ready:
-            s.share = self.part(s, self.now)
+            if (part := s.part(self.warmth, self.now)) < s.share:
+                s.cold = ColdBudget()      # a fresh process, or it may be
+            s.share = part
             s.inverse = 1 / (s.weight * s.share)
             self.groups.setdefault((Group.CELL, s.cell), []).append(s)
             self.groups.setdefault((Group.ZONE, s.zone), []).append(s)
@@ -175,11 +182,6 @@
         self.keys = KeyOrder(
             (s.hash, s.inverse * (1.0 if s.zone == self.s.zone else far)) for s in self.ready)
 
-    def part(self, s: Server, now: int) -> float:
-        """The least part of its capacity that a server can have by now."""
-        part = (now - s.born) / self.s.cold_us if s.born and self.s.cold_us else 1.0
-        return min(1.0, self.s.cold_from + (1 - self.s.cold_from) * max(0.0, part))
-
     # Load and health
 
     def count(self, s: Server, change: int) -> None:
@@ -199,7 +201,7 @@
     def view(self, now: int) -> View:
         """What is believed of each server, and of each site, at clock time `now`."""
         servers = sorted(self.servers.values(), key=lambda s: s.id)
-        return View([s.view(now, self.part(s, now), self.aim) for s in servers], self.sites.view(),
+        return View([s.view(now, s.part(self.warmth, now), self.aim) for s in servers], self.sites.view(),
                     self.alone, self.quotas.rates, self.shares.repeats_held, dict(self.shares.dials_held))
 
     def judge(self, s: Server, r: Request, status: Status, latency: int, unheard: bool) -> None:
@@ -223,7 +225,8 @@
             self.standings.failed(now, s, status is Status.SPOILT, len(self.ready))
             # One that had less than the usual time left says nothing of the site: it may have been under way.
             short = status is Status.TIMEOUT and latency < cls.tail
-            if status is not Status.SPOILT and not short and self.sites.missed(now, s.zone, s.id):
+            if status is not Status.SPOILT and not short and self.sites.missed(
+                    now, s.zone, s.id, r.order):
                 for other in self.requests.values():     # what is held up there is no sign of work
                     if other.attempts and other.attempts[-1].server.zone == s.zone:
                         self.let_go(other)
@@ -329,7 +332,7 @@
         if self.shares.bounded:
             self.shares.sent(now, s.zone, self.sites.away(s.zone), bool(r.attempts))
         if not r.spare:
-            self.sites.sent(now, s.zone)
+            self.sites.sent(now, s.zone, s.id, r.order)
         r.attempts.append(a := Attempt(s, now))
         r.open += 1
         if not r.coming:
@@ -367,7 +370,8 @@
         if self.now >= r.due and not r.late:
             r.late = True
             self.let_go(r)
-        if r.open == 1 and self.hedges >= 1 and self.now + r.cls.latency < r.due and self.may_resend(r):
+        if self.s.second_copies and r.open == 1 and self.hedges >= 1 and (
+                self.now + r.cls.latency < r.due) and self.may_resend(r):
             self.hedges -= self.send(r)
 
     def outcome(self, e: Outcome) -> None:
@@ -388,7 +392,7 @@
             s.queue = s.told / self.shares.alike
         if e.status in (Status.OK, Status.ERROR, Status.FULL, Status.SPOILT):
             s.heard = self.now
-            self.sites.answered(self.now, s.zone)
+            self.sites.answered(self.now, s.zone, r.order)
             if e.status is not Status.FULL:
                 self.hand.answered(self.now)
         self.judge(s, r, e.status, e.latency_us, unheard=a.sent > s.heard)
@@ -490,9 +494,6 @@
     def shortage(self, e: Shortage) -> None:
         self.own, self.watched = min(OWN_MOST, max(0.0, e.share)), True
 
-    def twins(self, e: Twins) -> None:
-        self.shares.twins(self.now, e.count)
-
     def heard(self, e: Heard) -> None:
         self.shares.told(self.now, e.parts, e.cold, e.quotas, e.pressure, e.until, e.floor, e.wholes, e.lean,
                          e.stale)
--- a/roadlb/policy/state.py
+++ b/roadlb/policy/state.py
@@ -7,7 +7,8 @@
 from ..routing.cold import ColdBudget
 from ..routing.key_order import HASH, mix
 from ..routing.standing import Standing
-from .interface import RequestClass, ServerId, ServerView
+from ..sites.warmth import Warmth
+from .interface import Effect, RequestClass, ServerId, ServerView
 
 TAU_US = 2_000_000            # memory of a server's mean load
 
@@ -37,6 +38,10 @@
     def __post_init__(self) -> None:
         self.hash = mix(int.from_bytes(self.id, "big")) & HASH
 
+    def part(self, warmth: Warmth, now: int) -> float:
+        """The least part of its capacity that it can have by now."""
+        return warmth.part(now, self.zone, self.born)
+
     def load(self, now: int, aim_us: int) -> float:
         """Own requests in flight, now and on the mean of late, for the capacity; plus a reported queue."""
         dt = now - self.at
@@ -78,6 +83,7 @@
     latency: float
     tail: float                  # about the ninetieth percentile
     quickest: int = -1           # of all its good answers; -1 before the first
+    of: ClassState | None = None         # requests that keep a former rule of this class
     least: float = field(init=False)     # the least that `latency` has been: its work, against other classes
 
     def __post_init__(self) -> None:
@@ -108,12 +114,13 @@
     """A request with its attempts, until all of them are over."""
 
     __slots__ = ("attempts", "bold", "closed", "cls", "coming", "due", "held", "id", "key", "late", "open",
-                 "site", "spare", "streaming", "until", "work")
+                 "order", "site", "spare", "streaming", "until", "work")
 
     def __init__(self, id: int, cls: ClassState, key: int, work: int, until: int, due: int,
                  coming: bool = False) -> None:
         self.coming = coming         # no server has begun with it, as its body still comes
         self.id, self.cls, self.key, self.work = id, cls, key, work
+        self.order = cls.spec.effect is not Effect.SAFE    # it may not be repeated at will
         self.until = until           # the client gives this try up then
         self.due = due               # the answer is wanted by then
         self.attempts: list[Attempt] = []
