Begin the play of killed balancers anew where a drain did not wait for all

Its moment is a drain that is in force with the word of all six; in force it also is once the leases of those who said nothing have run out, which is the protocol's rule and no fault.

A drain that never gets the word of all still fails, with its reason.

--- a/tests/agreement_processes/test_directed.py
+++ b/tests/agreement_processes/test_directed.py
@@ -5,10 +5,12 @@
 
 from __future__ import annotations
 
+import pytest
 import uvloop
 
 from roadlb.lab.agreement import directed
-from roadlb.lab.agreement.directed import Outcome, turned
+from roadlb.lab.agreement.directed import ATTEMPTS, Disturbed, Outcome, acknowledged, turned, undisturbed
+from roadlb.lab.agreement.ends import DidNotCome
 from roadlb.lab.agreement.judge import Sent, Turn
 
 BOUND_S, MARGIN_S, SEAT_S = 4.0, 1.0, 3      # a margin that a busy machine does not use up
@@ -48,3 +50,24 @@
     x, y = turned(turn, sent, ("x", "y"), 250)
     assert (x.lasted_us, x.after_us, x.sound) == (50, -200, True)
     assert (y.lasted_us, y.after_us, y.sound) == (270, 20, False)
+
+
+def test_a_play_whose_moment_did_not_come_is_begun_anew_and_not_without_end() -> None:
+    reasons = [Disturbed("2.2 is in force")] * ATTEMPTS
+
+    async def once() -> str:
+        if reasons:
+            raise reasons.pop()
+        return "judged"
+    with pytest.raises(DidNotCome, match="2.2 is in force"):
+        uvloop.run(undisturbed(once))
+    reasons[:] = [Disturbed("2.2 is in force")] * (ATTEMPTS - 1)
+    assert uvloop.run(undisturbed(once)) == "judged"
+
+
+def test_a_drain_in_force_by_the_end_of_leases_is_no_moment_for_the_play() -> None:
+    before = ("2.1", "acknowledged by 0 of 0", "0")
+    acknowledged("2.2", [before, ("2.2", "acknowledged by 6 of 6", "6")])
+    for said in ([], [("2.2", "acknowledged by 4 of 6; its drains do not reach balancer-0", "6")]):
+        with pytest.raises(Disturbed):
+            acknowledged("2.2", [before, *said])
