A slow hall's silence has to be longer than its answers took before it is held lost

Seen: tests/sites/test_processes.py::test_a_hall_slow_by_overload_is_not_lost failed beside other work: two of six balancers said 'lost' 2.7 s after the hall had become six times slower (3 servers fail, none answers). Ruled out: the rig held up (its lateness was under 0.2 s of the 2 s before; beside eight loops on two cores, four runs, nobody is lost). At fault: life.py, missed: 1 s of silence is asked for whatever the site's answers took, and answers of an overloaded hall take that long. Change: 1 s or four times its slowest answer of the last 5 s, 3 s at the most; the same where a doubt has lasted.

--- a/roadlb/policy/logic.py
+++ b/roadlb/policy/logic.py
@@ -392,7 +392,7 @@
             s.queue = s.told / self.shares.alike
         if e.status in (Status.OK, Status.ERROR, Status.FULL, Status.SPOILT):
             s.heard = self.now
-            self.sites.answered(self.now, s.zone, r.order)
+            self.sites.answered(self.now, s.zone, r.order, e.latency_us)
             if e.status is not Status.FULL:
                 self.hand.answered(self.now)
         self.judge(s, r, e.status, e.latency_us, unheard=a.sent > s.heard)
--- a/roadlb/sites/events.py
+++ b/roadlb/sites/events.py
@@ -30,11 +30,13 @@
 
 @dataclass(slots=True, frozen=True)
 class Answered:
-    """A server has answered, whatever it said; an `order` if it was a request that may not be repeated."""
+    """A server has answered, whatever it said, after `took_us`; an `order` if it was a request that may
+    not be repeated."""
 
     site: int
     server: bytes
     order: bool = False
+    took_us: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/roadlb/sites/life.py
+++ b/roadlb/sites/life.py
@@ -9,9 +9,11 @@
     doubtful   any server answers                   whole      slow by overload is not lost: answers prove it
     doubtful   LOSS servers fail, another site has  lost       failures alike everywhere are our own link's:
                answered since the first, and this one          no site is lost on what holds for all; and one
-               is unheard for QUIET_US                         that answered just now is slow
+               is unheard for QUIET_US, or for                 that answered just now is slow, as is one
+               QUIET_TIMES its slowest answer of               whose answers took long before it fell
+               late, QUIET_MOST_US at the most                 silent: its silence has to be longer
     doubtful   it fails again after DOUBT_US, while lost       what has failed is avoided one by one: a third
-               another site has answered                       server might never be asked
+               another has answered; as quiet                  server might never be asked
     doubtful   a trial's time has come              (a trial)  as when lost: an answer is all that is needed
     whole,     others have had no answer from it    doubtful,  they have asked it: what would be sent there
     doubtful   since this one's last, and another   by trials  would wait for nothing.  On their word alone
@@ -71,6 +73,8 @@
 TRIAL_PART = 20              # and between two trials at least so many requests of this balancer
 TRIAL_MOST_US = 8_000_000    # the same for one that relapses again and again
 QUIET_US, KEEP_US = 1_000_000, 250_000    # unheard for so long; between attempts that then run to their end
+QUIET_TIMES, QUIET_MOST_US = 4, 3_000_000    # or for so often its slowest answer, and at the most
+SLOW_US = 5_000_000          # a slowest answer is of late for so long
 SHORT_US = 1_000_000         # lost for less than this, it is whole with its first answer: nothing is cold
 STEP_US = 500_000            # a step of the return takes at least this long ...
 STEP_ANSWERS = 2             # ... and so many answers
@@ -84,8 +88,8 @@
 
     __slots__ = ("answers", "back", "born", "heard", "hearsay", "keep_at", "number", "order_at",
                  "order_heard", "order_trial", "orders_away", "orders_failed", "orders_since", "overtaken",
-                 "relapses", "room", "room_at", "servers", "silent", "silent_since", "since", "state", "step",
-                 "step_at", "trial_at", "trials_failed", "usual")
+                 "relapses", "room", "room_at", "servers", "silent", "silent_since", "since", "slow",
+                 "slow_at", "state", "step", "step_at", "trial_at", "trials_failed", "usual")
 
     def __init__(self, number: int) -> None:
         self.number, self.state, self.since = number, State.WHOLE, 0
@@ -98,6 +102,7 @@
         self.usual = 0.0                          # requests a second that it would get, were it whole
         self.room, self.room_at = 0.0, 0          # of them, what it may still take on its return
         self.heard, self.silent_since = -1, 0     # its last answer; the first failure since
+        self.slow, self.slow_at = 0, 0            # its slowest answer of late, us, and when
         self.overtaken, self.keep_at = 0, 0       # attempts since then whose copies were quicker
         self.hearsay = 0                          # until then others say that it does not answer
         self.orders_failed: set[bytes] = set()    # at these, and none answered since; LOSS at the most
@@ -131,7 +136,7 @@
     def tell(self, now: int, event: Event) -> None:
         """As `handle`; what is decided waits for `take`."""
         if isinstance(event, Answered):
-            self.answered(now, event.site, event.order)
+            self.answered(now, event.site, event.order, event.took_us)
         elif isinstance(event, Missed):
             self.missed(now, event.site, event.server, event.order)
         elif isinstance(event, Sent):
@@ -239,12 +244,15 @@
 
     # What happens for each request
 
-    def answered(self, now: int, number: int, order: bool = False) -> None:
-        """A server of it has answered, an `order` if it was a request that may not be repeated."""
+    def answered(self, now: int, number: int, order: bool = False, took_us: int = 0) -> None:
+        """A server of it has answered, `took_us` after it was asked; an `order` if it was a request that may
+        not be repeated."""
         site = self.sites.get(number)
         if site is None:
             return
         site.heard, site.overtaken = now, 0
+        if took_us >= site.slow or now - site.slow_at > SLOW_US:
+            site.slow, site.slow_at = took_us, now
         if order:
             site.order_heard = now
             if site.orders_failed:
@@ -299,8 +307,8 @@
             self._lose(now, site, f"{failed} servers fail on its return")
             return True
         waited = site.state is State.DOUBTFUL and now - site.since >= DOUBT_US and failed >= DOUBT
-        silent = failed >= LOSS and now - site.heard >= QUIET_US
-        if (silent or waited) and self._others_answer(site):
+        quiet = now - site.heard >= max(QUIET_US, min(QUIET_MOST_US, QUIET_TIMES * site.slow))
+        if quiet and (failed >= LOSS or waited) and self._others_answer(site):
             self._lose(now, site, f"{failed} servers fail, none answers")
             return True
         if failed >= DOUBT and site.state is State.WHOLE:
--- a/tests/sites/test_life.py
+++ b/tests/sites/test_life.py
@@ -9,9 +9,8 @@
 from roadlb.sites.events import (
     Answered, Changed, Declined, Doubted, Listed, Missed, Pulse, PutIn, Sent, State, TakeOut)
 from roadlb.sites.life import (
-    DOUBT, DOUBT_US, KEEP_US, LOSS, MOST_SITES, QUIET_US, SHORT_US, STEADY_US, STEP_ANSWERS, STEP_US, STEPS,
-    TRIAL_MOST_US, TRIAL_US,
-    Sites)
+    DOUBT, DOUBT_US, KEEP_US, LOSS, MOST_SITES, QUIET_MOST_US, QUIET_TIMES, QUIET_US, SHORT_US, SLOW_US,
+    STEADY_US, STEP_ANSWERS, STEP_US, STEPS, TRIAL_MOST_US, TRIAL_US, Sites)
 
 SECOND = 1_000_000
 HERE, THERE, FAR = 0, 1, 2
@@ -157,6 +156,26 @@
     assert world.state(THERE) is State.LOST
 
 
+def test_one_whose_answers_took_long_is_lost_by_a_longer_silence_alone() -> None:
+    def silence(took_us: int, ago_us: int = 0) -> int:
+        """How long it was unheard when it was lost."""
+        world = World()
+        world.tell(Answered(THERE, world.server(THERE, 0), took_us=took_us))
+        world.now += ago_us
+        world.tell(Answered(THERE, world.server(THERE, 0), took_us=20_000))
+        heard = world.now
+        while world.state(THERE) is not State.LOST:
+            world.now += 50_000
+            world.answer(HERE)
+            world.fail(THERE, LOSS)
+        return world.now - heard
+    usual = silence(20_000)
+    assert QUIET_US <= usual < QUIET_US + 200_000
+    assert QUIET_TIMES * 500_000 <= silence(500_000) < QUIET_TIMES * 500_000 + 200_000
+    assert QUIET_MOST_US <= silence(5 * SECOND) < QUIET_MOST_US + 200_000, "in the end it is lost"
+    assert silence(500_000, SLOW_US + 1) == usual, "that was long ago"
+
+
 @pytest.mark.parametrize("servers", [1, LOSS - 1])
 def test_a_site_of_few_servers_is_not_judged_as_one(servers: int) -> None:
     world = World(4, servers, 4)
