--- a/roadlb/lab/agreement/narrowing.py
+++ b/roadlb/lab/agreement/narrowing.py
@@ -50,10 +50,10 @@
         super().__init__(lambda balancer, customer: 0.0)
         self._nodes = nodes
 
-    def _answer(self, message: Message) -> None:
+    def answer(self, message: Message) -> None:
         id = message.headers.get(CORRELATION_ID.lower(), "")
         if id.count(".") != 2 or self._nodes.met(id):
-            super()._answer(message)
+            super().answer(message)
         else:
             reset(self.transport)
 
--- a/roadlb/lab/agreement/parties.py
+++ b/roadlb/lab/agreement/parties.py
@@ -61,8 +61,8 @@
 
 
 class Node(asyncio.Protocol):
-    """One connection of a node; `got` is called with (balancer, customer) for each request of a client, and
-    gives the seconds until its answer."""
+    """One connection of a node, which has an `answer` for each message; `got` is called with (balancer,
+    customer) for each request of a client, and gives the seconds until its answer."""
 
     def __init__(self, got: Callable[[str, str], float]) -> None:
         self._got, self._reader = got, RequestReader()
@@ -78,9 +78,9 @@
             self.transport.abort()
             return
         for message in messages:
-            self._answer(message)
+            self.answer(message)
 
-    def _answer(self, message: Message) -> None:
+    def answer(self, message: Message) -> None:
         id, later_s = message.headers.get(CORRELATION_ID.lower(), ""), 0.0
         if id.count(".") == 2:
             balancer, customer, _ = id.split(".")
--- a/roadlb/lab/together/parties.py
+++ b/roadlb/lab/together/parties.py
@@ -9,18 +9,9 @@
 from dataclasses import dataclass
 
 from ...clock import monotonic_us
-from ..agreement.parties import Client
+from ..agreement.parties import Client, Node
 from ..agreement.watch import HOST
-from ..parties.http import (
-    ACCOUNT,
-    CORRELATION_ID,
-    Garbled,
-    Message,
-    RequestReader,
-    write_answer,
-    write_request,
-)
-from ..parties.links import stream
+from ..parties.http import ACCOUNT, CORRELATION_ID, Message, write_request
 
 ORDERS = 4                   # every fourth request of a client is one
 ANSWER_S = 20.0              # generous: a busy machine holds balancers up for seconds
@@ -66,31 +57,17 @@
             server.close()
 
 
-class _Connection(asyncio.Protocol):
+class _Connection(Node):
     def __init__(self, node: str, came: list[Came]) -> None:
-        self._node, self._came, self._reader = node, came, RequestReader()
-        self._transport: asyncio.Transport
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = stream(transport)
-
-    def data_received(self, data: bytes) -> None:
-        try:
-            messages = self._reader.feed(data)
-        except Garbled:
-            self._transport.abort()
-            return
-        for message in messages:
-            self._answer(message)
-
-    def _answer(self, message: Message) -> None:
+        super().__init__(lambda balancer, customer: 0.0)
+        self._node, self._came = node, came
+
+    def answer(self, message: Message) -> None:
         request = message.headers.get(CORRELATION_ID.lower(), "")
         if request.count(".") == 2:
             self._came.append(Came(monotonic_us(), self._node, request.partition(".")[0], request,
                                    message.method == "POST"))
-        self._transport.write(write_answer(200, [], b""))
-        if not message.keep_alive:
-            self._transport.close()
+        super().answer(message)
 
 
 class Asker(Client):
