--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -23,33 +23,54 @@
 from subjects import HERE, Parties, Process, Relay, Roadlb, end_on_signal
 
 ASSEMBLED = {
-    "relay": [], "relay on asyncio": ["--loop", "asyncio"],
-    "+ tasks and futures": ["--tasks"], "+ the same, asyncio": ["--tasks", "--loop", "asyncio"],
-    "+ module": ["--module"], "+ aiohttp's server": ["--front", "aiohttp"],
+    "relay": [],
+    "relay on asyncio": ["--loop", "asyncio"],
+    "+ tasks and futures": ["--tasks"],
+    "+ the same, asyncio": ["--tasks", "--loop", "asyncio"],
+    "+ module": ["--module"],
+    "+ aiohttp's server": ["--front", "aiohttp"],
     "+ aiohttp's client": ["--back", "aiohttp"],
     "+ both": ["--front", "aiohttp", "--back", "aiohttp"],
-    "+ both, asyncio": ["--front", "aiohttp", "--back", "aiohttp", "--loop", "asyncio"]}
-VARIANTS = {"roadlb": "as-is", "roadlb on uvloop": "uvloop", "roadlb, no log": "no-log",
-            "roadlb, no GC": "no-gc", "roadlb, no guards": "no-guards"}
+    "+ both, asyncio": ["--front", "aiohttp", "--back", "aiohttp", "--loop", "asyncio"],
+}
+VARIANTS = {
+    "roadlb": "as-is",
+    "roadlb on uvloop": "uvloop",
+    "roadlb, no log": "no-log",
+    "roadlb, no GC": "no-gc",
+    "roadlb, no guards": "no-guards",
+}
 
 
 class Assembled(Relay):
     def __init__(self, arguments: list[str], root: Path, nodes: list[int], core: int) -> None:
-        Process.__init__(self, [
-            sys.executable, str(HERE / "probes" / "assembled.py"), *arguments,
-            *(f"127.0.0.1:{p}" for p in nodes)], {core}, env={"PYTHONPATH": str(root)})
+        Process.__init__(
+            self,
+            [
+                sys.executable,
+                str(HERE / "probes" / "assembled.py"),
+                *arguments,
+                *(f"127.0.0.1:{p}" for p in nodes),
+            ],
+            {core},
+            env={"PYTHONPATH": str(root)},
+        )
         self.port = int(self.first_line())
 
 
-def subjects(options: argparse.Namespace, parties: Parties, core: int,
-             ) -> dict[str, Callable[[], Relay | Roadlb]]:
+def subjects(
+    options: argparse.Namespace,
+    parties: Parties,
+    core: int,
+) -> dict[str, Callable[[], Relay | Roadlb]]:
     found: dict[str, Callable[[], Relay | Roadlb]] = {}
     for name, arguments in ASSEMBLED.items():
         found[name] = lambda a=arguments: Assembled(a, options.root, parties.nodes, core)  # type: ignore[misc]
     for name, variant in VARIANTS.items():
         command = [str(HERE / "probes" / "variant.py"), variant]
         found[name] = lambda c=command: Roadlb(  # type: ignore[misc]
-            options.python, options.root, parties.nodes, parties.discovery, {core}, c)
+            options.python, options.root, parties.nodes, parties.discovery, {core}, c
+        )
     return {name: make for name, make in found.items() if not options.only or name in options.only}
 
 
@@ -92,9 +113,11 @@
         base = "roadlb" if name.startswith("roadlb") else "relay on asyncio" if "asyncio" in name else "relay"
         steps = [a - b for a, b in zip(row, costs.get(base, row), strict=True)]
         times = [a / b for a, b in zip(row, costs.get("relay", row), strict=True)]
-        lines.append(f"{name:<24}{statistics.median(row):>8.0f}{min(row):>8.0f}"
-                     f"{statistics.median(steps):>+13.0f}{f'({min(steps):+.0f} to {max(steps):+.0f})':>18}"
-                     f"{statistics.median(times):>13.2f}x")
+        lines.append(
+            f"{name:<24}{statistics.median(row):>8.0f}{min(row):>8.0f}"
+            f"{statistics.median(steps):>+13.0f}{f'({min(steps):+.0f} to {max(steps):+.0f})':>18}"
+            f"{statistics.median(times):>13.2f}x"
+        )
     return "\n".join(lines)
 
 
--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -22,7 +22,7 @@
 from roadlb.lab.model_check.fleet import BOUND_US, CHOICES, CLEAR, ROUGH, Fleet, Result, Weather
 from roadlb.lab.model_check.lists import Walk
 
-LENGTHS = {12: 60.0, 200: 60.0, 1000: 30.0}      # followers, and simulated seconds of one run
+LENGTHS = {12: 60.0, 200: 60.0, 1000: 30.0}  # followers, and simulated seconds of one run
 
 
 def one(followers: int, weather: Weather, lists: bool, seed: int) -> tuple[Result, float]:
@@ -46,11 +46,16 @@
     figure, axes = pyplot.subplots(figsize=(7, 3.4))
     for followers, values in longest.items():
         values = sorted(values)
-        axes.step([value / 1e6 for value in values], [(i + 1) / len(values) for i in range(len(values))],
-                  where="post", label=f"{followers} followers, {len(values)} seeds")
+        axes.step(
+            [value / 1e6 for value in values],
+            [(i + 1) / len(values) for i in range(len(values))],
+            where="post",
+            label=f"{followers} followers, {len(values)} seeds",
+        )
     axes.axvline(BOUND_US / 1e6, color="black", linestyle="--", label=f"bound, {BOUND_US / 1e6:.2f} s")
-    axes.set(xlabel="longest contradiction of a run, s", ylabel="share of runs", xlim=(0, None),
-             ylim=(0, 1.02))
+    axes.set(
+        xlabel="longest contradiction of a run, s", ylabel="share of runs", xlim=(0, None), ylim=(0, 1.02)
+    )
     axes.legend(loc="lower right", fontsize=8)
     axes.grid(alpha=0.3)
     figure.tight_layout()
@@ -67,14 +72,19 @@
     told = parser.parse_args()
     longest: dict[int, list[int]] = {}
     bad = 0
-    print("followers  weather  seeds  longest: p50   p99   most (bound)  apart  across  versions"
-          "  in force: p50   p99  used by all: p50   p99  messages/s each  CPU s/run")
+    print(
+        "followers  weather  seeds  longest: p50   p99   most (bound)  apart  across  versions"
+        "  in force: p50   p99  used by all: p50   p99  messages/s each  CPU s/run"
+    )
     with ProcessPoolExecutor(told.jobs) as pool:
         for followers, seeds in zip(LENGTHS, told.seeds, strict=True):
             for name, weather in (("rough", ROUGH), ("clear", CLEAR)) if seeds else ():
                 count = seeds if weather is ROUGH else max(2, seeds // 10)
-                done = list(pool.map(partial(one, followers, weather, told.list),
-                                     range(told.first, told.first + count)))
+                done = list(
+                    pool.map(
+                        partial(one, followers, weather, told.list), range(told.first, told.first + count)
+                    )
+                )
                 results = [result for result, _ in done]
                 worst = [result.longest for result in results]
                 if weather is ROUGH:
@@ -84,12 +94,15 @@
                 used = [us for result in results for us in result.used]
                 messages = sum(result.messages for result in results)
                 rate = messages / count / followers / LENGTHS[followers]
-                print(f"{followers:9}  {name:7} {count:6}  {at(worst, 0.5):>12} {at(worst, 0.99):>6} "
-                      f"{max(worst) / 1e6:6.2f} ({BOUND_US / 1e6:.2f}) "
-                      f"{max(result.apart for result in results) / 1e6:6.2f} {across:7}  "
-                      f"{sum(result.versions for result in results):8}  {at(in_force, 0.5):>12} "
-                      f"{at(in_force, 0.99):>5} {at(used, 0.5):>16} {at(used, 0.99):>5}  {rate:15.1f}  "
-                      f"{sum(cpu for _, cpu in done) / count:9.2f}", flush=True)
+                print(
+                    f"{followers:9}  {name:7} {count:6}  {at(worst, 0.5):>12} {at(worst, 0.99):>6} "
+                    f"{max(worst) / 1e6:6.2f} ({BOUND_US / 1e6:.2f}) "
+                    f"{max(result.apart for result in results) / 1e6:6.2f} {across:7}  "
+                    f"{sum(result.versions for result in results):8}  {at(in_force, 0.5):>12} "
+                    f"{at(in_force, 0.99):>5} {at(used, 0.5):>16} {at(used, 0.99):>5}  {rate:15.1f}  "
+                    f"{sum(cpu for _, cpu in done) / count:9.2f}",
+                    flush=True,
+                )
                 bad += across + (max(worst) > BOUND_US)
     if told.plot:
         plot(told.plot, longest)
--- a/benchmarks/agreement_cost.py
+++ b/benchmarks/agreement_cost.py
@@ -43,22 +43,49 @@
 
 def picture(nodes: int, drained: int) -> Picture:
     """The first `drained` drain."""
-    return Picture(drained + 1, {"grid": Cluster("grid", tuple(
-        Endpoint(NodeId(f"node-{i:04}", 1_790_000_000_000), f"10.0.{i // 250}.{i % 250}", 9_000,
-                 Locality(zone=f"hall-{i % 3}"), Lifecycle.DRAINING if i < drained else Lifecycle.UP)
-        for i in range(nodes)))})
+    return Picture(
+        drained + 1,
+        {
+            "grid": Cluster(
+                "grid",
+                tuple(
+                    Endpoint(
+                        NodeId(f"node-{i:04}", 1_790_000_000_000),
+                        f"10.0.{i // 250}.{i % 250}",
+                        9_000,
+                        Locality(zone=f"hall-{i % 3}"),
+                        Lifecycle.DRAINING if i < drained else Lifecycle.UP,
+                    )
+                    for i in range(nodes)
+                ),
+            )
+        },
+    )
 
 
 async def followers(port: int, first: int, count: int) -> None:
     """A process of followers: a word on stdin, a line of figures on stdout."""
-    used: dict[int, int] = {}                # by how many nodes drain: when the last follower used it
+    used: dict[int, int] = {}  # by how many nodes drain: when the last follower used it
 
     class One:
         def __init__(self, number: int) -> None:
-            told = read_agreement({"control": [f"127.0.0.1:{port}"], "contradiction_s": BOUND_S},
-                                  Pairs.from_json(SETTINGS).values)
-            self.it = Following(told, f"n{first + number}", number, monotonic_us, unix_us, Counters(),
-                                self.lead, lambda _: None, lambda _: None, dial, None)
+            told = read_agreement(
+                {"control": [f"127.0.0.1:{port}"], "contradiction_s": BOUND_S},
+                Pairs.from_json(SETTINGS).values,
+            )
+            self.it = Following(
+                told,
+                f"n{first + number}",
+                number,
+                monotonic_us,
+                unix_us,
+                Counters(),
+                self.lead,
+                lambda _: None,
+                lambda _: None,
+                dial,
+                None,
+            )
             self.drained: set[str] = set()
 
         def lead(self, raw: Any, old: bool) -> None:
@@ -78,7 +105,9 @@
             "granted": sum(one.it.view().standing is Standing.GRANTED for one in them),
             "in": sum(one.it.gauges()["follow.bytes_in"] for one in them),
             "out": sum(one.it.gauges()["follow.bytes_out"] for one in them),
-            "cpu": time.process_time(), "used": used}
+            "cpu": time.process_time(),
+            "used": used,
+        }
         print(json.dumps(figures), flush=True)
     for one in them:
         await one.it.stop()
@@ -94,10 +123,21 @@
         """So many processes at a time: the next begin once those before them have leases."""
         while (there := len(self.processes) * FOLLOWERS_EACH) < count:
             for first in range(there, min(count, there + PROCESSES_JOINING * FOLLOWERS_EACH), FOLLOWERS_EACH):
-                self.processes.append(subprocess.Popen(
-                    [sys.executable, __file__, "--follow", str(self.port), str(first),
-                     str(min(FOLLOWERS_EACH, count - first))],
-                    stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True))
+                self.processes.append(
+                    subprocess.Popen(
+                        [
+                            sys.executable,
+                            __file__,
+                            "--follow",
+                            str(self.port),
+                            str(first),
+                            str(min(FOLLOWERS_EACH, count - first)),
+                        ],
+                        stdin=subprocess.PIPE,
+                        stdout=subprocess.PIPE,
+                        text=True,
+                    )
+                )
             there = min(count, len(self.processes) * FOLLOWERS_EACH)
             while (await self.figures())["granted"] < there:
                 await asyncio.sleep(0.2)
@@ -135,6 +175,7 @@
             first = await next_message(context)
             if first is not None and office.serves(read_delta_request(first)):
                 await office.serve(context, first)
+
         grpc_server = server({(ADS, "DeltaAggregatedResources"): ads}, {})
         port = listen(grpc_server, "127.0.0.1", 0)
         await grpc_server.start()
@@ -150,9 +191,12 @@
             await asyncio.sleep(seconds)
             after, own = await fleet.figures(), (time.process_time() - own) / seconds
             renewals = {key: (after[key] - before[key]) / seconds for key in ("in", "out", "cpu")}
-            print(f"      renewals: {renewals['out'] / count:.0f} B/s sent and {renewals['in'] / count:.0f} "
-                  f"B/s read by each, {renewals['cpu'] / count * 1e3:.2f} ms of CPU a second each; the "
-                  f"control service {own * 1e3:.1f} ms a second; {after['granted']} leases", flush=True)
+            print(
+                f"      renewals: {renewals['out'] / count:.0f} B/s sent and {renewals['in'] / count:.0f} "
+                f"B/s read by each, {renewals['cpu'] / count * 1e3:.2f} ms of CPU a second each; the "
+                f"control service {own * 1e3:.1f} ms a second; {after['granted']} leases",
+                flush=True,
+            )
             began, own_before = time.monotonic(), time.process_time()
             in_force, used = list[float](), list[float]()
             for drained in range(1, changes + 1):
@@ -164,17 +208,24 @@
                 while (now := await fleet.figures())["least"] < drained:
                     await asyncio.sleep(0.2)
                 used.append((now["used"][str(drained)] - at) / 1e3)
-                print(f"      drain {drained}: in force after {in_force[-1]:.0f} ms, kept to by the last "
-                      f"after {used[-1]:.0f} ms; {now['granted']} leases", flush=True)
+                print(
+                    f"      drain {drained}: in force after {in_force[-1]:.0f} ms, kept to by the last "
+                    f"after {used[-1]:.0f} ms; {now['granted']} leases",
+                    flush=True,
+                )
             took = time.monotonic() - began
             last, own_last = await fleet.figures(), time.process_time() - own_before
-            size, cpu = ((last[key] - after[key] - renewals[key] * took) / changes / count
-                         for key in ("in", "cpu"))
-            print(f"      {changes} drains among {nodes} nodes, one after another: in force after p50 "
-                  f"{quantile(in_force, 0.5):.0f}, p99 {quantile(in_force, 0.99):.0f} ms; kept to by the "
-                  f"last after p50 {quantile(used, 0.5):.0f}, p99 {quantile(used, 0.99):.0f} ms; "
-                  f"{size:.0f} B read by each and {cpu * 1e3:.1f} ms of CPU of each for a change; the "
-                  f"control service {(own_last - own * took) / changes * 1e3:.0f} ms", flush=True)
+            size, cpu = (
+                (last[key] - after[key] - renewals[key] * took) / changes / count for key in ("in", "cpu")
+            )
+            print(
+                f"      {changes} drains among {nodes} nodes, one after another: in force after p50 "
+                f"{quantile(in_force, 0.5):.0f}, p99 {quantile(in_force, 0.99):.0f} ms; kept to by the "
+                f"last after p50 {quantile(used, 0.5):.0f}, p99 {quantile(used, 0.99):.0f} ms; "
+                f"{size:.0f} B read by each and {cpu * 1e3:.1f} ms of CPU of each for a change; the "
+                f"control service {(own_last - own * took) / changes * 1e3:.0f} ms",
+                flush=True,
+            )
         finally:
             fleet.end()
             await office.stop()
--- a/benchmarks/agreement_directed.py
+++ b/benchmarks/agreement_directed.py
@@ -29,13 +29,20 @@
     """A play as a row: `found`, or `error` if it did not come to its end."""
     row: dict[str, Any] = {"play": name, "seed": seed, "defect": defect, "load": os.getloadavg()[0]}
     try:
-        outcome = uvloop.run(play(name, seed, contradiction_s=bound_s, defects=dict(
-            [defect.split("=")] if defect else [])))
+        outcome = uvloop.run(
+            play(name, seed, contradiction_s=bound_s, defects=dict([defect.split("=")] if defect else []))
+        )
     except DidNotCome as e:
         return row | {"error": str(e), "notes": e.__notes__}
     worst = max(outcome.verdicts, key=lambda v: (not v.sound, v.after_us, v.lasted_us))
-    return row | {"found": not outcome.sound, "by": worst.balancer, "lasted_s": worst.lasted_us / 1e6,
-                  "after_s": worst.after_us / 1e6, "bound_s": bound_s, "notes": outcome.notes}
+    return row | {
+        "found": not outcome.sound,
+        "by": worst.balancer,
+        "lasted_s": worst.lasted_us / 1e6,
+        "after_s": worst.after_us / 1e6,
+        "bound_s": bound_s,
+        "notes": outcome.notes,
+    }
 
 
 def line(row: dict[str, Any]) -> str:
@@ -45,8 +52,10 @@
         lasted = f"{row['lasted_s']:.2f}" if row["lasted_s"] >= 0 else "-"
         after = f"{row['after_s']:.2f}" if row["after_s"] >= 0 else "-"
         right = row["found"] == bool(row["defect"])
-        said = (f"{'found' if row['found'] else 'not found':9} {row['by']:10} lasted {lasted:>5} s of "
-                f"{row['bound_s']:g}, after {after:>5} s{'' if right else '  WRONG'}")
+        said = (
+            f"{'found' if row['found'] else 'not found':9} {row['by']:10} lasted {lasted:>5} s of "
+            f"{row['bound_s']:g}, after {after:>5} s{'' if right else '  WRONG'}"
+        )
     return f"{row['play']:7} {row['defect'] or 'sound':18} {row['seed']:>4} load {row['load']:5.1f}  {said}"
 
 
@@ -59,8 +68,10 @@
         found = sum(row["found"] for row in ended)
         wrong += len(ended) - found if defect else found
         longest = max((row["lasted_s"] for row in ended), default=-1)
-        print(f"{name:7} {defect or 'sound':18} found in {found} of {len(ended)}, longest {longest:.2f} s"
-              f"{f'; {len(mine) - len(ended)} did not settle' if len(mine) > len(ended) else ''}")
+        print(
+            f"{name:7} {defect or 'sound':18} found in {found} of {len(ended)}, longest {longest:.2f} s"
+            f"{f'; {len(mine) - len(ended)} did not settle' if len(mine) > len(ended) else ''}"
+        )
     return wrong
 
 
@@ -74,7 +85,7 @@
     parser.add_argument("--out", help="a file to which each row is added as a line of JSON")
     parser.add_argument("--read", nargs="+", help="what several calls have written")
     told = parser.parse_args()
-    signal.signal(signal.SIGTERM, signal.default_int_handler)    # its processes end with it
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # its processes end with it
     if told.read:
         rows = [json.loads(row) for file in told.read for row in Path(file).read_text().splitlines()]
         return summary(rows)
--- a/benchmarks/agreement_model.py
+++ b/benchmarks/agreement_model.py
@@ -18,26 +18,31 @@
 from roadlb.lab.model_check.explore import explore
 from roadlb.lab.model_check.world import DRAINED, FIRST, SECOND, Shape
 
-RATES = (4, 3, 5)                     # a follower without error, one that is slow, an issuer that is fast
+RATES = (4, 3, 5)  # a follower without error, one that is slow, an issuer that is fast
 SHAPES = {
     "one version, late and lost": Shape(issuers=1, rates=RATES, ticks=4, on_the_way=1),
     "messages doubled": Shape(issuers=1, rates=RATES, ticks=3, doubles=1, on_the_way=1),
     "two on each way, overtaking": Shape(issuers=1, rates=RATES, ticks=2, on_the_way=2),
     "a version refused": Shape(issuers=1, rates=(5, 3, 4), ticks=3, nacks=1, on_the_way=1),
     "followers crash": Shape(issuers=1, rates=RATES, ticks=2, crashes=1, on_the_way=1),
-    "the second back to the first": Shape(issuers=1, rates=RATES, ticks=2, proposals=(SECOND, FIRST),
-                                          on_the_way=1),
+    "the second back to the first": Shape(
+        issuers=1, rates=RATES, ticks=2, proposals=(SECOND, FIRST), on_the_way=1
+    ),
     "a node drained": Shape(issuers=1, rates=RATES, ticks=4, proposals=(DRAINED,), on_the_way=1),
-    "a node drained and reopened": Shape(issuers=1, rates=RATES, ticks=3, proposals=(DRAINED, FIRST),
-                                         on_the_way=1),
-    "the same, and a crash": Shape(issuers=1, rates=RATES, ticks=2, crashes=1, proposals=(DRAINED, FIRST),
-                                   on_the_way=1),
-    "two issuers, a drain": Shape(followers=1, rates=(3, 5, 4), ticks=4, seats=1, proposals=(DRAINED, FIRST),
-                                  on_the_way=1),
+    "a node drained and reopened": Shape(
+        issuers=1, rates=RATES, ticks=3, proposals=(DRAINED, FIRST), on_the_way=1
+    ),
+    "the same, and a crash": Shape(
+        issuers=1, rates=RATES, ticks=2, crashes=1, proposals=(DRAINED, FIRST), on_the_way=1
+    ),
+    "two issuers, a drain": Shape(
+        followers=1, rates=(3, 5, 4), ticks=4, seats=1, proposals=(DRAINED, FIRST), on_the_way=1
+    ),
     "two issuers": Shape(rates=(4, 3, 5, 4), ticks=2, seats=1, on_the_way=1),
     "two issuers, longer": Shape(rates=(4, 3, 5, 4), ticks=3, seats=1, on_the_way=1),
-    "two issuers, two versions": Shape(followers=1, rates=(4, 5, 4), ticks=3, seats=2, crashes=1,
-                                       proposals=(SECOND, FIRST), on_the_way=1),
+    "two issuers, two versions": Shape(
+        followers=1, rates=(4, 5, 4), ticks=3, seats=2, crashes=1, proposals=(SECOND, FIRST), on_the_way=1
+    ),
     "streams": STREAMS,
     "streams, no fencing": replace(STREAMS, follower=Unfenced),
     "streams, no fencing, longer": replace(STREAMS, follower=Unfenced, ticks=3, proposals=(SECOND, SECOND)),
@@ -57,8 +62,11 @@
         began = time.monotonic()
         found = explore(shape, told.most, recover_each=0 if told.defects else 1000)
         what = "all" if found.whole else "cut off at"
-        print(f"{name:32} {what:>10} {found.states:8} states, {found.steps:8} steps, depth {found.depth:3}, "
-              f"recovered {found.recovered:4}, {time.monotonic() - began:6.1f} s", flush=True)
+        print(
+            f"{name:32} {what:>10} {found.states:8} states, {found.steps:8} steps, depth {found.depth:3}, "
+            f"recovered {found.recovered:4}, {time.monotonic() - began:6.1f} s",
+            flush=True,
+        )
         if found.wrong:
             print("  " + "\n    ".join((found.wrong, *found.way)))
         bad += bool(found.wrong) is not told.defects
--- a/benchmarks/agreement_narrowing.py
+++ b/benchmarks/agreement_narrowing.py
@@ -30,7 +30,7 @@
     parser.add_argument("--bound", type=float, default=3.0, help="agreement.contradiction_s")
     parser.add_argument("--calm", action="store_true")
     told = parser.parse_args()
-    signal.signal(signal.SIGTERM, signal.default_int_handler)    # its processes end with it
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # its processes end with it
     wrong = 0
     for seed in range(told.first, told.first + told.seeds):
         try:
@@ -41,14 +41,20 @@
         wrong += not outcome.sound
         for turn in outcome.turns:
             whole = max(last for name, last in turn.last_us.items() if name not in turn.hurt)
-            cut, stopped = ((turn.last_us[name] for name in turn.hurt) if turn.hurt else (0, 0))
-            print(f"seed {seed} load {os.getloadavg()[0]:4.1f}  narrow: in force "
-                  f"{turn.force_us / 1e6:.2f} s, last repeat {whole / 1e6:.2f} s, cut off {cut / 1e6:.2f} s, "
-                  f"stopped {stopped / 1e6:.2f} s, then {len(turn.after_us)}; wide: in force "
-                  f"{turn.widened_us / 1e6:.2f} s, all repeat {max(turn.first_us.values()) / 1e6:.2f} s; "
-                  f"late {turn.late_us / 1e6:.2f} s", flush=True)
-        print(f"seed {seed} {'sound' if outcome.sound else 'WRONG'}: {outcome.requests} requests read, "
-              f"{outcome.repeats} repeats, answers {dict(sorted(outcome.answers.items()))}", flush=True)
+            cut, stopped = (turn.last_us[name] for name in turn.hurt) if turn.hurt else (0, 0)
+            print(
+                f"seed {seed} load {os.getloadavg()[0]:4.1f}  narrow: in force "
+                f"{turn.force_us / 1e6:.2f} s, last repeat {whole / 1e6:.2f} s, cut off {cut / 1e6:.2f} s, "
+                f"stopped {stopped / 1e6:.2f} s, then {len(turn.after_us)}; wide: in force "
+                f"{turn.widened_us / 1e6:.2f} s, all repeat {max(turn.first_us.values()) / 1e6:.2f} s; "
+                f"late {turn.late_us / 1e6:.2f} s",
+                flush=True,
+            )
+        print(
+            f"seed {seed} {'sound' if outcome.sound else 'WRONG'}: {outcome.requests} requests read, "
+            f"{outcome.repeats} repeats, answers {dict(sorted(outcome.answers.items()))}",
+            flush=True,
+        )
     return 1 if wrong else 0
 
 
--- a/benchmarks/agreement_outage.py
+++ b/benchmarks/agreement_outage.py
@@ -49,18 +49,27 @@
     # One customer sends fifteen times its share for 40 s: quotas say whose requests go first.
     "flood": (80, step("flood", at_s=18, for_s=40, times=15, tenant="cesty-vychod")),
     # What repeats and copies are for: nodes that stop, die, err and slow down, and connections that break.
-    "rough": (80, step("pause", at_s=14, for_s=2.5, count=2)
-              + step("errors", at_s=22, for_s=10, answers=0.3, count=2)
-              + step("reset", at_s=30, connections=0.5)
-              + step("slow", at_s=36, for_s=12, factor=3, count=2)
-              + step("kill_node", at_s=52, count=1)),
+    "rough": (
+        80,
+        step("pause", at_s=14, for_s=2.5, count=2)
+        + step("errors", at_s=22, for_s=10, answers=0.3, count=2)
+        + step("reset", at_s=30, connections=0.5)
+        + step("slow", at_s=36, for_s=12, factor=3, count=2)
+        + step("kill_node", at_s=52, count=1),
+    ),
 }
 # A class that may be repeated by its nature, the file's attempts, cold nodes as they are, and a part of each
 # customer's quota that no version goes below.
 STATED = {
-    "classes.grid-read.effect": "idempotent", "limits.max_attempts": "5", "limits.second_copies": "true",
-    "invariants.cold_from": "0.12", "invariants.cold_us": "23000000", "invariants.fall_multiple": "3",
-    "tenants.energia-sever.quota_per_s": "56", "tenants.cesty-vychod.quota_per_s": "14"}
+    "classes.grid-read.effect": "idempotent",
+    "limits.max_attempts": "5",
+    "limits.second_copies": "true",
+    "invariants.cold_from": "0.12",
+    "invariants.cold_us": "23000000",
+    "invariants.fall_multiple": "3",
+    "tenants.energia-sever.quota_per_s": "56",
+    "tenants.cesty-vychod.quota_per_s": "14",
+}
 PLANS = {"there": Plan(), "away": Plan(away=AWAY_S), "stated": Plan(away=AWAY_S, floors=STATED)}
 
 
@@ -71,10 +80,16 @@
     played = play(told, seed, PLANS[plan])
     worth, figures = played.verdict.worth, played.verdict.figures
     away = {standing: count for (gone, standing), count in played.standings.items() if gone}
-    return {"whole": worth.whole, "worst": worth.worst_window, "tenants": dict(worth.by_tenant),
-            "classes": dict(worth.by_class), "fell": len(figures.fallen),
-            "broken": sum(played.verdict.counts.values()), "errors": len(played.errors),
-            "lapsed": away.get(Standing.LAPSED, 0) / max(1, sum(away.values()))}
+    return {
+        "whole": worth.whole,
+        "worst": worth.worst_window,
+        "tenants": dict(worth.by_tenant),
+        "classes": dict(worth.by_class),
+        "fell": len(figures.fallen),
+        "broken": sum(played.verdict.counts.values()),
+        "errors": len(played.errors),
+        "lapsed": away.get(Standing.LAPSED, 0) / max(1, sum(away.values())),
+    }
 
 
 def play_restarts(seeds: range, jobs: int, stores: bool) -> None:
@@ -83,15 +98,23 @@
     with ProcessPoolExecutor(jobs) as pool:
         for seed, found in zip(seeds, pool.map(partial(restarts, stores=stores), seeds), strict=True):
             all_of_it.append(found)
-            print(f"{seed:4} {found.drained:14} {found.astray:17} {found.fell:16} {found.returns:8} "
-                  f"{100 * found.worth:8.2f} {found.broken:7} {found.errors:7}", flush=True)
-    seeds_with = {what: sum(getattr(one, what) > 0 for one in all_of_it)
-                  for what in ("astray", "fell", "broken", "errors")}
-    print(f"{len(all_of_it)} seeds, {sum(one.returns for one in all_of_it)} returns; requests to drained "
-          f"nodes in {seeds_with['astray']}, cold nodes that fell in {seeds_with['fell']}, broken "
-          f"rules in {seeds_with['broken']}, errors in {seeds_with['errors']}; worth "
-          f"{100 * min(one.worth for one in all_of_it):.1f} to "
-          f"{100 * max(one.worth for one in all_of_it):.1f}%", flush=True)
+            print(
+                f"{seed:4} {found.drained:14} {found.astray:17} {found.fell:16} {found.returns:8} "
+                f"{100 * found.worth:8.2f} {found.broken:7} {found.errors:7}",
+                flush=True,
+            )
+    seeds_with = {
+        what: sum(getattr(one, what) > 0 for one in all_of_it)
+        for what in ("astray", "fell", "broken", "errors")
+    }
+    print(
+        f"{len(all_of_it)} seeds, {sum(one.returns for one in all_of_it)} returns; requests to drained "
+        f"nodes in {seeds_with['astray']}, cold nodes that fell in {seeds_with['fell']}, broken "
+        f"rules in {seeds_with['broken']}, errors in {seeds_with['errors']}; worth "
+        f"{100 * min(one.worth for one in all_of_it):.1f} to "
+        f"{100 * max(one.worth for one in all_of_it):.1f}%",
+        flush=True,
+    )
 
 
 def main() -> None:
@@ -113,18 +136,25 @@
         for job, row in zip(jobs, pool.map(one, jobs), strict=True):
             found[job] = row
             print(*job, *(f"{key} {value}" for key, value in row.items()), flush=True)
-    print("incident  control  worth %  worst 10 s  least customer  lapsed  fell  broken  errors  "
-          "points lost: mean  most")
+    print(
+        "incident  control  worth %  worst 10 s  least customer  lapsed  fell  broken  errors  "
+        "points lost: mean  most"
+    )
     for incident, plan in product(told.only, PLANS):
         rows = [found[incident, plan, seed] for seed in seeds]
-        lost = [100 * (found[incident, "there", seed]["whole"] - found[incident, plan, seed]["whole"])
-                for seed in seeds]
-        print(f"{incident:9} {plan:8} {100 * mean(r['whole'] for r in rows):7.2f} "
-              f"{100 * mean(r['worst'] for r in rows):11.2f} "
-              f"{100 * mean(min(r['tenants'].values()) for r in rows):15.2f} "
-              f"{mean(r['lapsed'] for r in rows):7.2f} {sum(r['fell'] for r in rows):5} "
-              f"{sum(r['broken'] for r in rows):7} {sum(r['errors'] for r in rows):7} "
-              f"{mean(lost):18.3f} {max(lost):5.2f}", flush=True)
+        lost = [
+            100 * (found[incident, "there", seed]["whole"] - found[incident, plan, seed]["whole"])
+            for seed in seeds
+        ]
+        print(
+            f"{incident:9} {plan:8} {100 * mean(r['whole'] for r in rows):7.2f} "
+            f"{100 * mean(r['worst'] for r in rows):11.2f} "
+            f"{100 * mean(min(r['tenants'].values()) for r in rows):15.2f} "
+            f"{mean(r['lapsed'] for r in rows):7.2f} {sum(r['fell'] for r in rows):5} "
+            f"{sum(r['broken'] for r in rows):7} {sum(r['errors'] for r in rows):7} "
+            f"{mean(lost):18.3f} {max(lost):5.2f}",
+            flush=True,
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/codec.py
+++ b/benchmarks/codec.py
@@ -29,10 +29,21 @@
 def fleet(size: int) -> Cluster:
     """Nodes as the platform tells them, in three halls."""
     halls = [Locality("zilina", zone) for zone in "abc"]
-    return Cluster("grid", tuple(
-        Endpoint(NodeId(f"s-{i:08x}", 1_790_000_000_000 + i), f"10.{i >> 16}.{i >> 8 & 255}.{i & 255}", 8080,
-                 halls[i * 3 // size], weight=1.0, machine="m2", cell=i % 7)
-        for i in range(size)))
+    return Cluster(
+        "grid",
+        tuple(
+            Endpoint(
+                NodeId(f"s-{i:08x}", 1_790_000_000_000 + i),
+                f"10.{i >> 16}.{i >> 8 & 255}.{i & 255}",
+                8080,
+                halls[i * 3 // size],
+                weight=1.0,
+                machine="m2",
+                cell=i % 7,
+            )
+            for i in range(size)
+        ),
+    )
 
 
 def foreign(cluster: Cluster) -> bytes:
@@ -103,25 +114,29 @@
     rounds = parser.parse_args().rounds
     print("us of CPU for each endpoint, bytes of each; foreign: as others make them; one change: us of all\n")
     print(f"{'':>9} |{'own list':^35} |{'foreign':^26} |{'one change':^35}")
-    print(f"{'endpoints':>9} |{'encode':>8} {'decode':>8} {'bytes':>8} {'memory':>8} |{'decode':>8} "
-          f"{'encode':>8} {'memory':>8} |{'encode':>8} {'of all':>8} {'diff':>8} {'checks':>8}")
+    print(
+        f"{'endpoints':>9} |{'encode':>8} {'decode':>8} {'bytes':>8} {'memory':>8} |{'decode':>8} "
+        f"{'encode':>8} {'memory':>8} |{'encode':>8} {'of all':>8} {'diff':>8} {'checks':>8}"
+    )
     for size in SIZES:
         cluster = fleet(size)
         data = write_assignment(cluster)
         others = foreign(cluster)
         theirs = read_assignment(others)
-        encode = best(lambda: write_assignment(cluster), rounds)              # noqa: B023
-        decode = best(lambda: read_assignment(data), rounds)                  # noqa: B023
-        decode_theirs = best(lambda: read_assignment(others), rounds)         # noqa: B023
-        encode_theirs = best(lambda: write_assignment(theirs), rounds)        # noqa: B023
-        held_bytes = memory(lambda: read_assignment(data))                    # noqa: B023
-        held_theirs = memory(lambda: read_assignment(others))                 # noqa: B023
+        encode = best(lambda: write_assignment(cluster), rounds)  # noqa: B023
+        decode = best(lambda: read_assignment(data), rounds)  # noqa: B023
+        decode_theirs = best(lambda: read_assignment(others), rounds)  # noqa: B023
+        encode_theirs = best(lambda: write_assignment(theirs), rounds)  # noqa: B023
+        held_bytes = memory(lambda: read_assignment(data))  # noqa: B023
+        held_theirs = memory(lambda: read_assignment(others))  # noqa: B023
         write, differ, check = one_change(cluster, rounds)
         each = 1e6 / size
-        print(f"{size:9} |{encode * each:8.1f} {decode * each:8.1f} {len(data) / size:8.0f} "
-              f"{held_bytes / size:8.0f} |{decode_theirs * each:8.1f} {encode_theirs * each:8.1f} "
-              f"{held_theirs / size:8.0f} |{write * 1e6:8.0f} {write / encode:8.3f} {differ * 1e6:8.0f} "
-              f"{check * 1e6:8.0f}")
+        print(
+            f"{size:9} |{encode * each:8.1f} {decode * each:8.1f} {len(data) / size:8.0f} "
+            f"{held_bytes / size:8.0f} |{decode_theirs * each:8.1f} {encode_theirs * each:8.1f} "
+            f"{held_theirs / size:8.0f} |{write * 1e6:8.0f} {write / encode:8.3f} {differ * 1e6:8.0f} "
+            f"{check * 1e6:8.0f}"
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/control_drains.py
+++ b/benchmarks/control_drains.py
@@ -40,8 +40,12 @@
 class Relay:
     """A port in front of `target()`; `lag()`: how late what comes back is, after PROMPT_S of a connection."""
 
-    def __init__(self, target: Callable[[], int], lag: Callable[[], float] = lambda: 0.0,
-                 came: Callable[[], None] = lambda: None) -> None:
+    def __init__(
+        self,
+        target: Callable[[], int],
+        lag: Callable[[], float] = lambda: 0.0,
+        came: Callable[[], None] = lambda: None,
+    ) -> None:
         self._target, self._lag, self._came, self._writers = target, lag, came, set()
 
     async def start(self) -> Relay:
@@ -86,7 +90,7 @@
     def __init__(self, rng: Random) -> None:
         self.rng, self.services, self.at = rng, [], {}
         self.connected: set[str] = set()
-        self.told: dict[tuple[str, str], float] = {}         # (proxy, node): since when
+        self.told: dict[tuple[str, str], float] = {}  # (proxy, node): since when
 
     def add(self, control: Service) -> None:
         handle = control.discovery._told
@@ -96,6 +100,7 @@
                 if where is control and proxy in self.connected:
                     self.knows(proxy, picture)
             handle(picture)
+
         control.discovery._told = told
         self.services.append(control)
 
@@ -118,8 +123,11 @@
 
     def late(self, node: Node, stall: float) -> list[tuple[str, float]]:
         made = zip(node.calls, node.callers, strict=True)
-        return [(who, at - self.told[who, node.name]) for at, who in made
-                if at > self.told.get((who, node.name), at) + RULE_S + stall]
+        return [
+            (who, at - self.told[who, node.name])
+            for at, who in made
+            if at > self.told.get((who, node.name), at) + RULE_S + stall
+        ]
 
 
 async def stream_for_ever(proxy: StandIn, port: int) -> None:
@@ -144,6 +152,7 @@
             before = time.monotonic()
             await asyncio.sleep(0.02)
             stall = max(stall, time.monotonic() - before - 0.02)
+
     up = [await start() for _ in range(NODES)]
     gone: list[Node] = []
     async with AsyncExitStack() as stack:
@@ -156,8 +165,12 @@
                 control.plan.handle = careless_plan(control.plan.handle)
             here.add(control)
         here.at = dict.fromkeys(("sotw", "delta", "grpc"), here.services[0])
-        relays = {name: await Relay(lambda name=name: here.at[name].port,
-                                    came=lambda name=name: here.came(name)).start() for name in here.at}
+        relays = {
+            name: await Relay(
+                lambda name=name: here.at[name].port, came=lambda name=name: here.came(name)
+            ).start()
+            for name in here.at
+        }
         proxies = [StandIn("sotw", "sotw"), StandIn("delta", "delta")]
         said = await stack.enter_async_context(grpc_client(relays["grpc"].port, "grpc"))
         for proxy in proxies:
@@ -169,8 +182,9 @@
         async def end(node: Node) -> None:
             await asyncio.sleep(ENDS_S)
             told.tell(**{node.name: {"lifecycle": "removed"}})
-            await asyncio.sleep(5.0)                     # a watch that is 4 s late has not told it yet
+            await asyncio.sleep(5.0)  # a watch that is 4 s late has not told it yet
             gone.append(node)
+
         ends = []
         for _ in range(drains):
             for name, relay in relays.items():
@@ -188,14 +202,20 @@
         await asyncio.gather(*ends)
         late = [(node.name, *one) for node in gone for one in here.late(node, stall)]
         calls = sum(len(n.calls) for n in (*up, *gone))
-        print(f"{drains} drains, seed {seed}, {calls} calls, {len(here.told)} times told, "
-              f"longest stall {stall * 1e3:.0f} ms")
-        print(f"late calls: {len(late)}", *(
-            f"{node} by {who} after {after:.2f} s;" for node, who, after in late[:5]))
-        print(f"failed calls: grpc {len(said) - 1}, "
-              + ", ".join(f"{p.node.id} {p.failures}" for p in proxies)
-              + f"; silenced {[s.counts['silenced'] for s in here.services]}, "
-              f"asked discovery {[s.counts['calls'] for s in here.services]}")
+        print(
+            f"{drains} drains, seed {seed}, {calls} calls, {len(here.told)} times told, "
+            f"longest stall {stall * 1e3:.0f} ms"
+        )
+        print(
+            f"late calls: {len(late)}",
+            *(f"{node} by {who} after {after:.2f} s;" for node, who, after in late[:5]),
+        )
+        print(
+            f"failed calls: grpc {len(said) - 1}, "
+            + ", ".join(f"{p.node.id} {p.failures}" for p in proxies)
+            + f"; silenced {[s.counts['silenced'] for s in here.services]}, "
+            f"asked discovery {[s.counts['calls'] for s in here.services]}"
+        )
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -221,6 +241,7 @@
         if held and now - held[0][0] > 3_000_000:
             return handle(now, held.pop()[1])
         return handle(now, event)
+
     return careless
 
 
--- a/benchmarks/control_plan.py
+++ b/benchmarks/control_plan.py
@@ -79,14 +79,18 @@
         for name in (n for n in PROOFS if any(word in n for word in only.split(","))):
             rows = pool.map(one, [(name, seed) for seed in range(seeds)])
             fallen, late, drains, refused, requests = (sum(column) for column in zip(*rows, strict=True))
-            print(f"| {name} | {fallen} | {sum(r[0] > 0 for r in rows)} of {seeds} | {drains} | {late} "
-                  f"| {refused / requests:.1%} |", flush=True)
+            print(
+                f"| {name} | {fallen} | {sum(r[0] > 0 for r in rows)} of {seeds} | {drains} | {late} "
+                f"| {refused / requests:.1%} |",
+                flush=True,
+            )
 
 
 def picture(generation: int, n: int, cold: int, change: int = 0) -> Picture:
     """`n` endpoints of which `cold` started 2 s ago; `change` of them drain."""
-    nodes = [Endpoint(NodeId(f"node-{i}", UNIX_MS - 2_000 if i < cold else 0), "10.0.0.1", i)
-             for i in range(n)]
+    nodes = [
+        Endpoint(NodeId(f"node-{i}", UNIX_MS - 2_000 if i < cold else 0), "10.0.0.1", i) for i in range(n)
+    ]
     for i in range(change):
         nodes[-1 - i] = replace(nodes[-1 - i], lifecycle=Lifecycle.DRAINING)
     return Picture(generation, {"grid": Cluster("grid", tuple(nodes))})
@@ -104,24 +108,24 @@
     for _ in range(times):
         plan, guard = Plan(), Order()
         first = picture(1, n, n // 5)
-        whole, (publish,) = timed(lambda: plan.handle(0, Fleet(first, UNIX_MS)))      # noqa: B023
+        whole, (publish,) = timed(lambda: plan.handle(0, Fleet(first, UNIX_MS)))  # noqa: B023
         guard.handle(0, Proposed(publish.decisions))
         for e in first.clusters["grid"].endpoints:
             plan.handle(1, LoadReport("p", "grid", e.node, 20, 0, SECOND))
         plan.handle(SECOND, Tick())
-        tick, _ = timed(lambda: plan.handle(2 * SECOND + 1, Tick()))                  # noqa: B023
+        tick, _ = timed(lambda: plan.handle(2 * SECOND + 1, Tick()))  # noqa: B023
         told = picture(2, n, n // 5, 1)
-        drain, actions = timed(
-            lambda: guard.handle(2 * SECOND + 2, Pictured(2, up_in(told))))           # noqa: B023
+        drain, actions = timed(lambda: guard.handle(2 * SECOND + 2, Pictured(2, up_in(told))))  # noqa: B023
         change, _ = timed(lambda: plan.handle(2 * SECOND + 2, Fleet(told, UNIX_MS)))  # noqa: B023
-        form, _ = timed(lambda: express(Form.GRPC, actions[0].decisions))             # noqa: B023
+        form, _ = timed(lambda: express(Form.GRPC, actions[0].decisions))  # noqa: B023
         rows.append((whole, tick, drain, change, form))
     return [median(column) for column in zip(*rows, strict=True)]
 
 
 def main() -> None:
     parser = argparse.ArgumentParser(
-        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--prove", nargs="?", type=int, const=50, metavar="SEEDS")
     parser.add_argument("--only", default="", help="cases whose names have one of these, parted by commas")
     options = parser.parse_args()
--- a/benchmarks/control_service.py
+++ b/benchmarks/control_service.py
@@ -39,6 +39,7 @@
     def __init__(self, name: str, variant: str, agent: str) -> None:
         from roadlb.xds.messages import DeltaRequest, DiscoveryRequest, Node
         from roadlb.xds.resources import CLUSTER, ENDPOINTS
+
         self.node, self.variant = Node(name, user_agent_name=agent), variant
         self.kind = DiscoveryRequest if variant == "sotw" else DeltaRequest
         self.types, self.endpoints = (CLUSTER, ENDPOINTS), ENDPOINTS
@@ -48,6 +49,7 @@
     async def run(self, port: int) -> None:
         from envoy.service.discovery.v3.discovery_pb2 import DeltaDiscoveryResponse, DiscoveryResponse
         from roadlb.xds.codec.discovery import write_delta_request, write_request
+
         kind = DiscoveryResponse if self.variant == "sotw" else DeltaDiscoveryResponse
         write = write_request if self.variant == "sotw" else write_delta_request
         options = (("grpc.use_local_subchannel_pool", 1), ("grpc.max_receive_message_length", -1))
@@ -60,8 +62,12 @@
                 if response.type_url == self.endpoints:
                     self.receipts.append((at, len(data)))
                 if self.variant == "sotw":
-                    answer = self.kind(response.type_url, self.names[response.type_url],
-                                       response.version_info, response.nonce)
+                    answer = self.kind(
+                        response.type_url,
+                        self.names[response.type_url],
+                        response.version_info,
+                        response.nonce,
+                    )
                 else:
                     answer = self.kind(response.type_url, response_nonce=response.nonce)
                 await call.write(write(answer))
@@ -73,7 +79,8 @@
     tasks = [asyncio.create_task(s.run(port)) for s in subscribers]
     reader = asyncio.StreamReader()
     await asyncio.get_running_loop().connect_read_pipe(
-        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
     while await reader.readline():
         end = time.monotonic() + WAIT_S
         while not all(s.receipts for s in subscribers) and time.monotonic() < end:
@@ -92,18 +99,31 @@
 async def measure(count: int, endpoints: int, changes: int, variant: str, agent: str) -> dict[str, float]:
     """The service's process."""
     from grid_parties import platform, service, until
-    entries = {f"node-{i:05d}": {"hostPort": f"10.0.{i // 250}.{i % 250 + 1}:8080", "zone": f"hall-{i % 3}"}
-               for i in range(endpoints)}
+
+    entries = {
+        f"node-{i:05d}": {"hostPort": f"10.0.{i // 250}.{i % 250 + 1}:8080", "zone": f"hall-{i % 3}"}
+        for i in range(endpoints)
+    }
     async with platform(**entries) as told, service(told, plan_gap_s=1.0) as control:
         await until(lambda: control.serving, "published")
         empty = rss_mb()
         child = await asyncio.create_subprocess_exec(
-            sys.executable, __file__, "--child", str(control.port), str(count), variant, agent,
-            stdin=subprocess.PIPE, stdout=subprocess.PIPE, limit=1 << 24)
+            sys.executable,
+            __file__,
+            "--child",
+            str(control.port),
+            str(count),
+            variant,
+            agent,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            limit=1 << 24,
+        )
 
         async def receipts() -> list[list[tuple[float, int]]]:
             child.stdin.write(b"\n")
             return json.loads(await child.stdout.readline())
+
         began, used = time.monotonic(), time.process_time()
         first = await receipts()
         joined = max(at for got in first for at, _ in got) - began
@@ -125,9 +145,16 @@
         child.stdin.close()
         await child.wait()
         cuts = statistics.quantiles(times, n=100)
-        return {"p50 ms": cuts[49] * 1e3, "p99 ms": cuts[98] * 1e3, "last ms": max(last) * 1e3,
-                "CPU ms": statistics.mean(cpu) * 1e3, "KB each": statistics.mean(size) / 1e3,
-                "join s": joined, "join CPU s": join_cpu, "KB/subscriber": (full - empty) * 1024 / count}
+        return {
+            "p50 ms": cuts[49] * 1e3,
+            "p99 ms": cuts[98] * 1e3,
+            "last ms": max(last) * 1e3,
+            "CPU ms": statistics.mean(cpu) * 1e3,
+            "KB each": statistics.mean(size) / 1e3,
+            "join s": joined,
+            "join CPU s": join_cpu,
+            "KB/subscriber": (full - empty) * 1024 / count,
+        }
 
 
 def run(what: Coroutine[None, None, T]) -> T:
@@ -149,22 +176,30 @@
         port, count, variant, agent = options.child
         run(subscribe(int(port), int(count), variant, agent))
         return
-    if options.case:                     # a process of its own, so that memory is told from a fresh heap
+    if options.case:  # a process of its own, so that memory is told from a fresh heap
         endpoints, count, variant = options.case
         found = run(measure(int(count), int(endpoints), options.changes, variant, options.agent))
         print(json.dumps(found))
         return
-    cases = [(str(endpoints), str(count), variant) for endpoints in options.endpoints
-             for count in options.subscribers for variant in METHODS]
+    cases = [
+        (str(endpoints), str(count), variant)
+        for endpoints in options.endpoints
+        for count in options.subscribers
+        for variant in METHODS
+    ]
     for i, case in enumerate(cases):
         command = [sys.executable, __file__, "--changes", str(options.changes), "--agent", options.agent]
-        done = subprocess.run([*command, "--case", *case], check=True, stdout=subprocess.PIPE,
-                              stderr=subprocess.DEVNULL)
+        done = subprocess.run(
+            [*command, "--case", *case], check=True, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL
+        )
         found = json.loads(done.stdout)
         if not i:
             print("endpoints subscribers variant " + " ".join(f"{key:>13}" for key in found))
-        print(f"{case[0]:>9} {case[1]:>11} {case[2]:7} "
-              + " ".join(f"{value:13.1f}" for value in found.values()), flush=True)
+        print(
+            f"{case[0]:>9} {case[1]:>11} {case[2]:7} "
+            + " ".join(f"{value:13.1f}" for value in found.values()),
+            flush=True,
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/data_path.py
+++ b/benchmarks/data_path.py
@@ -26,16 +26,23 @@
 from load import Kind, Load, Round, histogram
 from subjects import Parties, Process, Relay, Roadlb, end_on_signal
 
-KINDS = {k.name: k for k in (
-    Kind("served"), Kind("retried", again=0.15), Kind("refused", expects=503),
-    Kind("order", orders=1.0), Kind("mix", orders=0.3))}
-ALONE = {"refused": "empty"}       # the subject that only this kind is played at: one whose list is empty
+KINDS = {
+    k.name: k
+    for k in (
+        Kind("served"),
+        Kind("retried", again=0.15),
+        Kind("refused", expects=503),
+        Kind("order", orders=1.0),
+        Kind("mix", orders=0.3),
+    )
+}
+ALONE = {"refused": "empty"}  # the subject that only this kind is played at: one whose list is empty
 # The module retries at most one read in five, and sheds when over a quarter of its tries are turned away.
 # A rate is held if this share is answered as expected, and the half of it in so much time: past the limit a
 # backlog grows all through the round, which the median shows first.
 HELD_SHARE, HELD_P50_MS = 0.995, 15.0
 FIRST_TRY, CLIMB, FALL, MOST_TRIES = 0.8, 1.15, 0.85, 5
-REST_S = 1.0          # after overload, the module sheds for about so long
+REST_S = 1.0  # after overload, the module sheds for about so long
 PERCENTILES = (50.0, 99.0, 99.9)
 
 
@@ -43,13 +50,12 @@
 class Measured:
     """One round of one subject."""
 
-    cpu_us: float          # a request
-    tries: float           # requests at nodes for each of a client's
+    cpu_us: float  # a request
+    tries: float  # requests at nodes for each of a client's
     round: Round
 
     def held(self, expects: int) -> bool:
-        return (self.round.share(expects) >= HELD_SHARE
-                and percentiles_ms([self], (50.0,))[0] <= HELD_P50_MS)
+        return self.round.share(expects) >= HELD_SHARE and percentiles_ms([self], (50.0,))[0] <= HELD_P50_MS
 
 
 def percentiles_ms(rounds: Iterable[Measured], wanted: tuple[float, ...] = PERCENTILES) -> list[float]:
@@ -67,9 +73,9 @@
     kind: Kind
     rate: float
     rounds: dict[str, list[Measured]] = field(default_factory=dict)
-    versus: list[float] = field(default_factory=list)      # us that each round of roadlb is compared with
+    versus: list[float] = field(default_factory=list)  # us that each round of roadlb is compared with
     derived: dict[str, list[float]] = field(default_factory=dict)
-    at_limit: bool = False             # at the highest rate that both hold
+    at_limit: bool = False  # at the highest rate that both hold
 
     def costs(self, subject: str) -> list[float]:
         return self.derived.get(subject) or [m.cpu_us for m in self.rounds.get(subject, [])]
@@ -78,20 +84,26 @@
         return [a / b for a, b in zip(self.costs("roadlb"), self.versus, strict=True)]
 
     def summary(self) -> dict[str, object]:
-        out: dict[str, object] = {"kind": self.kind.name, "rate": self.rate, "at_limit": self.at_limit,
-                                  "ratio": spread(self.ratios()),
-                                  "ratio_to": "own served read" if self.kind.expects == 503 else "relay"}
+        out: dict[str, object] = {
+            "kind": self.kind.name,
+            "rate": self.rate,
+            "at_limit": self.at_limit,
+            "ratio": spread(self.ratios()),
+            "ratio_to": "own served read" if self.kind.expects == 503 else "relay",
+        }
         for name, rounds in self.rounds.items():
             lasted = percentiles_ms(rounds)
             out[name] = {
-                "cpu_us": spread(self.costs(name)), "round_cpu_us": [m.cpu_us for m in rounds],
+                "cpu_us": spread(self.costs(name)),
+                "round_cpu_us": [m.cpu_us for m in rounds],
                 "tries": statistics.mean(m.tries for m in rounds),
                 "ms": {f"p{p:g}": v for p, v in zip(PERCENTILES, lasted, strict=True)},
                 "sent": sum(m.round.sent for m in rounds),
                 "statuses": sum((m.round.statuses for m in rounds), start=type(rounds[0].round.statuses)()),
                 "rounds_not_held": sum(not m.held(self.kind.expects) for m in rounds),
                 "repeated_by_client": sum(m.round.repeated for m in rounds),
-                "load_late_ms": max(m.round.late_us for m in rounds) / 1000}
+                "load_late_ms": max(m.round.late_us for m in rounds) / 1000,
+            }
         return out
 
 
@@ -112,8 +124,7 @@
 
     async def start(self, kinds: list[Kind]) -> None:
         core, nodes = {self.subject_core}, self.parties.nodes
-        subjects: list[Roadlb | Relay] = [
-            self.roadlb(nodes), Relay(nodes, core)]
+        subjects: list[Roadlb | Relay] = [self.roadlb(nodes), Relay(nodes, core)]
         for name, subject in zip(("roadlb", "relay"), subjects, strict=True):
             self.processes[name], self.loads[name] = subject, Load(subject.port, self.o.connections)
         for name in {ALONE[kind.name] for kind in kinds if kind.name in ALONE}:
@@ -123,8 +134,14 @@
             await load.connect()
 
     def roadlb(self, nodes: list[int]) -> Roadlb:
-        return Roadlb(self.o.python, self.o.root, nodes, self.parties.discovery, {self.subject_core},
-                      installed=self.o.installed)
+        return Roadlb(
+            self.o.python,
+            self.o.root,
+            nodes,
+            self.parties.discovery,
+            {self.subject_core},
+            installed=self.o.installed,
+        )
 
     def stop(self) -> None:
         for load in self.loads.values():
@@ -152,7 +169,8 @@
             for row in rows:
                 for name in [ALONE[row.kind.name]] if row.kind.name in ALONE else ["roadlb", "relay"]:
                     self.progress(
-                        f"round {i + 1} of {self.o.rounds}: {row.kind.name} at {row.rate:g}/s, {name}")
+                        f"round {i + 1} of {self.o.rounds}: {row.kind.name} at {row.rate:g}/s, {name}"
+                    )
                     one = await self.one(name, row.kind, row.rate, self.o.seconds, self.o.seed + i)
                     row.rounds.setdefault("roadlb" if row.kind.name in ALONE else name, []).append(one)
 
@@ -168,7 +186,7 @@
             top = Row(KINDS["mix"], rate, at_limit=True)
             await self.play([top])
             if not all(m.held(200) for rounds in top.rounds.values() for m in rounds):
-                self.rows.remove(top)          # it was the limit's luck to be held once
+                self.rows.remove(top)  # it was the limit's luck to be held once
                 await self.rest()
                 await self.play([Row(KINDS["mix"], round(rate * FALL, -1), at_limit=True)])
         compare(self.rows)
@@ -204,10 +222,15 @@
     def report(self) -> dict[str, object]:
         return {
             "options": {k: str(v) if isinstance(v, Path) else v for k, v in vars(self.o).items()},
-            "machine": {"python": platform.python_version(), "system": platform.release(),
-                        "uvloop": version("uvloop"), "httptools": version("httptools")},
+            "machine": {
+                "python": platform.python_version(),
+                "system": platform.release(),
+                "uvloop": version("uvloop"),
+                "httptools": version("httptools"),
+            },
             "peak_mb": {name: p.peak_mb() for name, p in self.processes.items()},
-            "rows": [row.summary() for row in self.rows]}
+            "rows": [row.summary() for row in self.rows],
+        }
 
 
 def compare(rows: list[Row]) -> None:
@@ -225,18 +248,20 @@
                 seconds = statistics.mean(m.tries for m in rounds) - 1
                 row.derived[name] = [
                     left_out(plain, i) + (left_out(mixed, i) - left_out(plain, i)) / max(seconds, 1e-3)
-                    for i in range(len(rounds))]
+                    for i in range(len(rounds))
+                ]
         refused = row.kind.expects == 503
         row.versus = (served or row).costs("roadlb") if refused else row.costs("relay")
 
 
 def left_out(values: list[float], i: int) -> float:
     """The mean without the value at `i`, or of a single value."""
-    return statistics.mean(values[:i] + values[i + 1:] or values)
+    return statistics.mean(values[:i] + values[i + 1 :] or values)
 
 
 def table(report: dict[str, object]) -> str:
     """The report for a person."""
+
     def figures(summary: dict[str, object], name: str, one: Callable[[dict[str, object]], str]) -> str:
         found = summary.get(name)
         return one(found) if isinstance(found, dict) else "-"
@@ -257,9 +282,11 @@
             said.append(f"{late} rounds not held")
         return ", ".join(said)
 
-    lines = [f"{'':<18}{'CPU us a request':^18}{'ratio':^20}{'p50/p99/p99.9 ms':^34}{'tries':>7}  other",
-             f"{'kind':<10}{'rate':>6}  {'roadlb':>8}{'relay':>8}  {'(lowest-highest)':^20}"
-             f"{'roadlb':^17}{'relay':^17}{'roadlb':>7}"]
+    lines = [
+        f"{'':<18}{'CPU us a request':^18}{'ratio':^20}{'p50/p99/p99.9 ms':^34}{'tries':>7}  other",
+        f"{'kind':<10}{'rate':>6}  {'roadlb':>8}{'relay':>8}  {'(lowest-highest)':^20}"
+        f"{'roadlb':^17}{'relay':^17}{'roadlb':>7}",
+    ]
     rows = report["rows"]
     assert isinstance(rows, list)
     for row in rows:
@@ -270,7 +297,8 @@
             f"{row['kind']:<10}{row['rate']:>6.0f}  {figures(row, 'roadlb', cost):>8}"
             f"{figures(row, 'relay', cost):>8}  {ratio_text:^20}{figures(row, 'roadlb', lasted):^17}"
             f"{figures(row, 'relay', lasted):^17}{row['roadlb']['tries']:>7.3f}  "
-            + unexpected(row["roadlb"], KINDS[row["kind"]].expects, row["at_limit"]))
+            + unexpected(row["roadlb"], KINDS[row["kind"]].expects, row["at_limit"])
+        )
     lines.append("* to roadlb's own served read of the same run")
     peaks = report["peak_mb"]
     assert isinstance(peaks, dict)
@@ -297,10 +325,17 @@
     add("--rounds", type=int, default=5, help="of each subject and kind (5)")
     add("--kinds", type=lambda t: t.split(","), default=list(KINDS), help=f"of {','.join(KINDS)} (all)")
     add("--python", default=sys.executable, help="interpreter that runs roadlb (this one)")
-    add("--root", type=Path, default=Path(__file__).resolve().parent.parent,
-        help="tree whose roadlb is measured (the one this file is in)")
-    add("--installed", action="store_true",
-        help="measure the roadlb that the interpreter has installed, as the platform runs it")
+    add(
+        "--root",
+        type=Path,
+        default=Path(__file__).resolve().parent.parent,
+        help="tree whose roadlb is measured (the one this file is in)",
+    )
+    add(
+        "--installed",
+        action="store_true",
+        help="measure the roadlb that the interpreter has installed, as the platform runs it",
+    )
     add("--cpus", type=cores, default=default_cores(), help="core of the subject, then those of the rest")
     add("--nodes", type=int, default=6, help="grid nodes (6)")
     add("--delay-ms", type=float, default=2.0, help="of a node's answer (2)")
@@ -315,8 +350,10 @@
         parser.error(f"--root: {found.root} holds no roadlb")
     found.root = found.root.resolve()
     if len(found.cpus) < 2:
-        print("one core only: the load and the nodes share it with the subject, so latencies say little",
-              file=sys.stderr)
+        print(
+            "one core only: the load and the nodes share it with the subject, so latencies say little",
+            file=sys.stderr,
+        )
     return found
 
 
--- a/benchmarks/following.py
+++ b/benchmarks/following.py
@@ -46,8 +46,11 @@
 from roadlb.xds.messages import DeltaRequest, DeltaResponse
 from roadlb.xds.resources import Resource
 
-SETTINGS = {f"classes.{i}.{key}": "100000" for i in range(6)
-            for key in ("name", "promise_us", "deadline_us", "value", "late_worth", "window_us")}
+SETTINGS = {
+    f"classes.{i}.{key}": "100000"
+    for i in range(6)
+    for key in ("name", "promise_us", "deadline_us", "value", "late_worth", "window_us")
+}
 ID = VersionId(5 << 40 | 1_234, 8)
 
 
@@ -62,9 +65,17 @@
 
 def drain(nodes: int) -> None:
     endpoints = [
-        Endpoint(NodeId(f"node-{i}", 1_790_000_000_000 + i), f"10.{i // 250}.0.{i % 250}", 9000,
-                 Locality(zone=f"hall-{i % 3}"), weight=1.0 + 0.5 * (i % 3), machine="m1", cell=i % 40)
-        for i in range(nodes)]
+        Endpoint(
+            NodeId(f"node-{i}", 1_790_000_000_000 + i),
+            f"10.{i // 250}.0.{i % 250}",
+            9000,
+            Locality(zone=f"hall-{i % 3}"),
+            weight=1.0 + 0.5 * (i % 3),
+            machine="m1",
+            cell=i % 40,
+        )
+        for i in range(nodes)
+    ]
     writer, reader, times = VersionWriter(), PartsReader(), []
     before: dict[tuple[str, str], bytes] = {}
     for step in (None, nodes // 2):
@@ -81,9 +92,11 @@
     prepared = Resource.make(STRUCT, PREPARED, write_prepared(Prepare(5, Version(ID, told)), parts), 8)
     size = response(*(one for one in changed if one.type_url == PARTS)) + response(prepared)
     whole = len(write_assignment(told.clusters["grid"]))
-    print(f"{nodes:>6} nodes  {len(parts):>4} resources  a drain {size:>6} B ({response(prepared)} B of it "
-          f"`prepared`)  whole {whole:>8} B  write {times[0]:6.1f} ms, a drain {times[2]:5.2f} ms  "
-          f"read {times[1]:6.1f} ms, a drain {times[3]:5.2f} ms")
+    print(
+        f"{nodes:>6} nodes  {len(parts):>4} resources  a drain {size:>6} B ({response(prepared)} B of it "
+        f"`prepared`)  whole {whole:>8} B  write {times[0]:6.1f} ms, a drain {times[2]:5.2f} ms  "
+        f"read {times[1]:6.1f} ms, a drain {times[3]:5.2f} ms"
+    )
 
 
 def renewal() -> None:
@@ -105,8 +118,11 @@
     began = time.process_time()
     for i in range(count):
         now += 1_000_000
-        [ask] = [a.message for a in follower.handle(now, Pulse())
-                 if isinstance(a, Tell) and isinstance(a.message, Ask)]
+        [ask] = [
+            a.message
+            for a in follower.handle(now, Pulse())
+            if isinstance(a, Tell) and isinstance(a.message, Ask)
+        ]
         lease = Lease(ID.epoch, ID, ask.life, ask.number, 4_000_000)
         out = link.handle(now, Say(ask))
         answer = Resource.make(LEASES, ask_name(ask), write_lease(lease), 8, 4_000_000)
@@ -123,7 +139,8 @@
 
 def main() -> None:
     parser = argparse.ArgumentParser(
-        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--nodes", default="12,200,1000,10000")
     for nodes in parser.parse_args().nodes.split(","):
         drain(int(nodes))
--- a/benchmarks/lab.py
+++ b/benchmarks/lab.py
@@ -34,7 +34,7 @@
 
 ROOT = Path(__file__).parent.parent
 INCIDENTS = sorted((ROOT / "examples" / "incidents").glob("*.toml"))
-TOLD = 5                # violations of a run that are kept in full
+TOLD = 5  # violations of a run that are kept in full
 DAY_S = 45.0
 
 
@@ -45,6 +45,7 @@
 
 # Many seeds
 
+
 @cache
 def sources() -> bytes:
     """Of the program and the lab."""
@@ -62,15 +63,29 @@
     rehearsal = rehearse(incident, seed)
     verdict, told, figures = rehearsal.verdict, rehearsal.verdict.figures, rehearsal.figures
     return {
-        "incident": incident.name, "seed": seed, "code": code, "took_s": round(figures["took_s"], 2),
-        "lasted_s": incident.duration_s, "broken": {rule.value: n for rule, n in verdict.counts.items()},
-        "violations": [f"{(one.at - rehearsal.origin_us) / 1e6:.3f} {one.rule.value}: {one.text}"
-                       for one in verdict.violations[:TOLD]],
+        "incident": incident.name,
+        "seed": seed,
+        "code": code,
+        "took_s": round(figures["took_s"], 2),
+        "lasted_s": incident.duration_s,
+        "broken": {rule.value: n for rule, n in verdict.counts.items()},
+        "violations": [
+            f"{(one.at - rehearsal.origin_us) / 1e6:.3f} {one.rule.value}: {one.text}"
+            for one in verdict.violations[:TOLD]
+        ],
         "errors": [*figures["program_errors"], *figures["faults"]][:TOLD],
-        "service": verdict.worth.service, "whole": verdict.worth.whole,
-        "worst_window": verdict.worth.worst_window, "wishes": told.wishes, "tries": told.tries,
-        "in_time": told.in_time, "unanswered": told.unanswered, "refused": told.refused,
-        "failed": told.failed, "ran_twice": told.ran_twice, "fell": list(told.fallen)}
+        "service": verdict.worth.service,
+        "whole": verdict.worth.whole,
+        "worst_window": verdict.worth.worst_window,
+        "wishes": told.wishes,
+        "tries": told.tries,
+        "in_time": told.in_time,
+        "unanswered": told.unanswered,
+        "refused": told.refused,
+        "failed": told.failed,
+        "ran_twice": told.ran_twice,
+        "fell": list(told.fallen),
+    }
 
 
 def made_up(seed: int) -> Incident:
@@ -81,19 +96,26 @@
     rng = Random(f"incident {seed}")
     seconds = rng.choice((8.0, 12.0, 16.0))
     calm = Incident(name=f"made-up-{seed}", title="Made up", duration_s=seconds)
-    machines = tuple(msgspec.structs.replace(
-        kind, cold_s=Range(kind.cold_s.low / 4, kind.cold_s.high / 4)) for kind in calm.fleet.machines)
+    machines = tuple(
+        msgspec.structs.replace(kind, cold_s=Range(kind.cold_s.low / 4, kind.cold_s.high / 4))
+        for kind in calm.fleet.machines
+    )
     nodes = rng.randint(4, 12)
     return msgspec.structs.replace(
-        calm, steps=tuple(made_up_step(rng, seconds) for _ in range(rng.randint(2, 8))),
-        fleet=msgspec.structs.replace(calm.fleet, nodes=nodes, machines=machines,
-                                      warm_at_start=rng.random() < 0.8),
+        calm,
+        steps=tuple(made_up_step(rng, seconds) for _ in range(rng.randint(2, 8))),
+        fleet=msgspec.structs.replace(
+            calm.fleet, nodes=nodes, machines=machines, warm_at_start=rng.random() < 0.8
+        ),
         balancers=msgspec.structs.replace(calm.balancers, per_hall=rng.randint(1, 2)),
         traffic=msgspec.structs.replace(calm.traffic, rate=nodes * rng.uniform(8, 40)),
         discovery=msgspec.structs.replace(
-            calm.discovery, notice_s=Range(0.2, 2), silent_notice_s=Range(1, 5), add_s=Range(0.1, 1.5)),
-        rules=msgspec.structs.replace(calm.rules, cold_s=calm.rules.cold_s / 4,
-                                      second_copies=rng.random() < 0.8))
+            calm.discovery, notice_s=Range(0.2, 2), silent_notice_s=Range(1, 5), add_s=Range(0.1, 1.5)
+        ),
+        rules=msgspec.structs.replace(
+            calm.rules, cold_s=calm.rules.cold_s / 4, second_copies=rng.random() < 0.8
+        ),
+    )
 
 
 def made_up_step(rng: Random, seconds: float) -> Step:
@@ -105,13 +127,24 @@
     drain_s = rng.uniform(0, min(4.0, over_s))
     kind = rng.choice(list(s.STEPS.values()))
     if kind is s.Deploy:
-        return s.Deploy(at_s=at_s, share=rng.uniform(0.2, 1), batch=rng.uniform(0.1, 0.5), over_s=over_s,
-                        drain_s=drain_s, address=rng.choice(("new", "same")))
+        return s.Deploy(
+            at_s=at_s,
+            share=rng.uniform(0.2, 1),
+            batch=rng.uniform(0.1, 0.5),
+            over_s=over_s,
+            drain_s=drain_s,
+            address=rng.choice(("new", "same")),
+        )
     if kind is s.Shrink:
         return s.Shrink(at_s=at_s, to=rng.uniform(0.3, 0.9), over_s=over_s, drain_s=drain_s)
     if kind is s.BalancerCrash:
-        return s.BalancerCrash(at_s=at_s, back_after_s=rng.uniform(0.1, 4), back=rng.random() < 0.9,
-                               list_age_s=rng.choice((0.0, rng.uniform(0, 10))), **some)
+        return s.BalancerCrash(
+            at_s=at_s,
+            back_after_s=rng.uniform(0.1, 4),
+            back=rng.random() < 0.9,
+            list_age_s=rng.choice((0.0, rng.uniform(0, 10))),
+            **some,
+        )
     if kind is s.BalancerRestart:
         return s.BalancerRestart(at_s=at_s, every_s=rng.uniform(0, 4), down_s=rng.uniform(0, 1), **some)
     if kind is s.Pause:
@@ -122,15 +155,24 @@
     if kind is s.DiscoveryMove:
         return s.DiscoveryMove(at_s=at_s, old_closes_s=rng.uniform(0, 3))
     if kind is s.Flood:
-        return s.Flood(times=rng.uniform(0.3, 6), of_class=rng.choice((None, "order", "grid-read")),
-                       tenant=rng.choice((None, "cesty-vychod")), **lasts)
+        return s.Flood(
+            times=rng.uniform(0.3, 6),
+            of_class=rng.choice((None, "order", "grid-read")),
+            tenant=rng.choice((None, "cesty-vychod")),
+            **lasts,
+        )
     if kind is s.Reset:
         return s.Reset(at_s=at_s, connections=rng.random() or 1.0, between=rng.choice(("nodes", "clients")))
     if kind is s.Rude:
         return s.Rude(every_s=rng.uniform(0.3, 2), **lasts)
     if kind is s.KillNode:
-        return s.KillNode(at_s=at_s, share=rng.uniform(0.1, 0.4), count=None, silent=rng.random() < 0.5,
-                          back_after_s=rng.choice((None, rng.uniform(0, 4))))
+        return s.KillNode(
+            at_s=at_s,
+            share=rng.uniform(0.1, 0.4),
+            count=None,
+            silent=rng.random() < 0.5,
+            back_after_s=rng.choice((None, rng.uniform(0, 4))),
+        )
     if kind is s.Slow:
         return s.Slow(factor=rng.uniform(0.5, 8), **lasts, **some)
     if kind is s.Errors:
@@ -155,8 +197,13 @@
     """Play every shipped incident with many seeds in the simulated world."""
     files = [file for file in INCIDENTS if not only or file.stem in only]
     codes = {file.stem: code_of(file) for file in files}
-    play_all([(file.stem, str(file), seed) for seed in range(first, first + seeds) for file in files],
-             codes, out, jobs, for_s)
+    play_all(
+        [(file.stem, str(file), seed) for seed in range(first, first + seeds) for file in files],
+        codes,
+        out,
+        jobs,
+        for_s,
+    )
     results = [line for line in done_in(out) if line["code"] == codes.get(line["incident"])]
     if not report(results):
         raise SystemExit(1)
@@ -178,22 +225,31 @@
     for run in faulty:
         print(f"seed {run['seed']}: {run['broken']}", *run["violations"], *run["errors"], sep="\n  ")
     wishes, served = (sum(run[key] for run in runs) for key in ("wishes", "in_time"))
-    print(f"{len(runs)} made-up incidents, {len(faulty)} faulty; {wishes} wishes, {served} answered in time, "
-          f"{sum(len(run['fell']) for run in runs)} nodes fell, "
-          f"{sum(run['ran_twice'] for run in runs)} orders ran twice")
+    print(
+        f"{len(runs)} made-up incidents, {len(faulty)} faulty; {wishes} wishes, {served} answered in time, "
+        f"{sum(len(run['fell']) for run in runs)} nodes fell, "
+        f"{sum(run['ran_twice'] for run in runs)} orders ran twice"
+    )
     if faulty:
         raise SystemExit(1)
 
 
-def play_all(wanted: list[tuple[str, str, int]], codes: dict[str, str], out: Path, jobs: int, for_s: float
-             ) -> None:
+def play_all(
+    wanted: list[tuple[str, str, int]], codes: dict[str, str], out: Path, jobs: int, for_s: float
+) -> None:
     """(incident, its file, seed) of each run that is wanted; those that `out` has already are left out."""
-    done = {(line["incident"], line["seed"]) for line in done_in(out)
-            if line["code"] == codes.get(line["incident"])}
+    done = {
+        (line["incident"], line["seed"])
+        for line in done_in(out)
+        if line["code"] == codes.get(line["incident"])
+    }
     todo = [run for run in wanted if (run[0], run[2]) not in done]
     until, running = time.monotonic() + for_s, set[Future[dict[str, Any]]]()
-    with (Progress(console=Console(stderr=True)) as bar, ProcessPoolExecutor(jobs) as pool,
-          out.open("a") as lines):
+    with (
+        Progress(console=Console(stderr=True)) as bar,
+        ProcessPoolExecutor(jobs) as pool,
+        out.open("a") as lines,
+    ):
         task = bar.add_task("rehearsals", total=len(wanted), completed=len(wanted) - len(todo))
         while todo or running:
             while todo and len(running) < jobs and time.monotonic() < until:
@@ -216,18 +272,33 @@
     broken: Counter[str] = Counter()
     rows = []
     for name, runs in sorted(by_name.items()):
-        whole, bad = sorted(run["whole"] for run in runs), [
-            run for run in runs if run["broken"] or run["errors"]]
+        whole, bad = (
+            sorted(run["whole"] for run in runs),
+            [run for run in runs if run["broken"] or run["errors"]],
+        )
         for run in runs:
             broken.update(run["broken"])
             broken["program's errors"] += len(run["errors"])
         refused = sum(run["refused"] for run in runs) / max(1, sum(run["tries"] for run in runs))
-        rows.append((name, len(runs), len(bad), f"{whole[0]:.1%}", f"{whole[len(whole) // 2]:.1%}",
-                     f"{whole[-1]:.1%}", f"{refused:.2%}", sum(len(run["fell"]) for run in runs),
-                     f"{sum(run['took_s'] for run in runs) / sum(run['lasted_s'] for run in runs):.2f}"))
-    Console(width=140).print(table(
-        ("incident", "runs", "faulty", "worst whole", "median", "best", "refused", "fell", "s a second"),
-        [tuple(map(str, row)) for row in rows]))
+        rows.append(
+            (
+                name,
+                len(runs),
+                len(bad),
+                f"{whole[0]:.1%}",
+                f"{whole[len(whole) // 2]:.1%}",
+                f"{whole[-1]:.1%}",
+                f"{refused:.2%}",
+                sum(len(run["fell"]) for run in runs),
+                f"{sum(run['took_s'] for run in runs) / sum(run['lasted_s'] for run in runs):.2f}",
+            )
+        )
+    Console(width=140).print(
+        table(
+            ("incident", "runs", "faulty", "worst whole", "median", "best", "refused", "fell", "s a second"),
+            [tuple(map(str, row)) for row in rows],
+        )
+    )
     for what, count in broken.items():
         if count:
             print(f"{what}: {count}")
@@ -236,6 +307,7 @@
 
 # Two worlds
 
+
 @main.command()
 @click.option("--only", multiple=True, help="Names of incidents; all of them without it.")
 @click.option("--seed", default=1, show_default=True)
@@ -248,25 +320,60 @@
             continue
         incident = load(str(file))
         for world in ("sim", "real"):
-            rehearsal = rehearse(incident, seed, world)       # type: ignore[arg-type]
+            rehearsal = rehearse(incident, seed, world)  # type: ignore[arg-type]
             worth, told = rehearsal.verdict.worth, rehearsal.verdict.figures
             order = told.latency_ms.get("order", {})
-            rows.append((incident.name, world, f"{worth.whole:.2%}", f"{worth.service:.2%}",
-                         f"{told.refused / max(1, told.tries):.2%}",
-                         f"{told.failed / max(1, told.tries):.2%}", f"{told.attempts_per_try:.3f}",
-                         f"{order.get('p50', 0):.0f}", f"{order.get('p99', 0):.0f}", len(told.fallen),
-                         sum(rehearsal.verdict.counts.values()), f"{told.lagged_s:.2f}"))
+            rows.append(
+                (
+                    incident.name,
+                    world,
+                    f"{worth.whole:.2%}",
+                    f"{worth.service:.2%}",
+                    f"{told.refused / max(1, told.tries):.2%}",
+                    f"{told.failed / max(1, told.tries):.2%}",
+                    f"{told.attempts_per_try:.3f}",
+                    f"{order.get('p50', 0):.0f}",
+                    f"{order.get('p99', 0):.0f}",
+                    len(told.fallen),
+                    sum(rehearsal.verdict.counts.values()),
+                    f"{told.lagged_s:.2f}",
+                )
+            )
             with out.open("a") as lines:
-                lines.write(json.dumps({
-                    "row": rows[-1], "errors": rehearsal.figures["faults"][:TOLD],
-                    "violations": [one.text for one in rehearsal.verdict.violations[:TOLD]]}) + "\n")
-    Console(width=140).print(table(
-        ("incident", "world", "whole", "service", "refused", "failed", "attempts", "order p50 ms", "p99",
-         "fell", "violations", "held up s"), [tuple(map(str, row)) for row in rows]))
+                lines.write(
+                    json.dumps(
+                        {
+                            "row": rows[-1],
+                            "errors": rehearsal.figures["faults"][:TOLD],
+                            "violations": [one.text for one in rehearsal.verdict.violations[:TOLD]],
+                        }
+                    )
+                    + "\n"
+                )
+    Console(width=140).print(
+        table(
+            (
+                "incident",
+                "world",
+                "whole",
+                "service",
+                "refused",
+                "failed",
+                "attempts",
+                "order p50 ms",
+                "p99",
+                "fell",
+                "violations",
+                "held up s",
+            ),
+            [tuple(map(str, row)) for row in rows],
+        )
+    )
 
 
 # Speed
 
+
 @main.command()
 @click.option("--rate", default=390.0, show_default=True)
 @click.option("--profile/--no-profile", default=True)
@@ -274,22 +381,28 @@
     """A day of the whole program: 3 balancers, 12 nodes; how long it takes, and where the time goes."""
     import cProfile
     import pstats
+
     calm = load(str(ROOT / "examples" / "incidents" / "calm.toml"))
     day = msgspec.structs.replace(
-        calm, duration_s=DAY_S, fleet=msgspec.structs.replace(calm.fleet, nodes=12),
-        traffic=msgspec.structs.replace(calm.traffic, rate=rate, shape="steady"))
+        calm,
+        duration_s=DAY_S,
+        fleet=msgspec.structs.replace(calm.fleet, nodes=12),
+        traffic=msgspec.structs.replace(calm.traffic, rate=rate, shape="steady"),
+    )
     began = time.process_time()
     rehearsal = rehearse(day, 1)
     took, told = time.process_time() - began, rehearsal.verdict.figures
-    print(f"{DAY_S:g} s at {rate:g}/s took {took:.1f} s of CPU, {took / DAY_S:.2f} of its length; "
-          f"{took / told.wishes * 1e3:.2f} ms a wish, {len(rehearsal.log) / told.wishes:.1f} wire events and "
-          f"{rehearsal.figures['segments'] / told.wishes:.1f} segments each")
+    print(
+        f"{DAY_S:g} s at {rate:g}/s took {took:.1f} s of CPU, {took / DAY_S:.2f} of its length; "
+        f"{took / told.wishes * 1e3:.2f} ms a wish, {len(rehearsal.log) / told.wishes:.1f} wire events and "
+        f"{rehearsal.figures['segments'] / told.wishes:.1f} segments each"
+    )
     if not profile:
         return
     profiler = cProfile.Profile()
     profiler.runcall(rehearse, msgspec.structs.replace(day, duration_s=DAY_S / 4), 1)
     parts: Counter[str] = Counter()
-    for (file, _, name), (_, _, own, _, _) in pstats.Stats(profiler).stats.items():      # type: ignore[attr-defined]
+    for (file, _, name), (_, _, own, _, _) in pstats.Stats(profiler).stats.items():  # type: ignore[attr-defined]
         parts[part_of(file, name)] += own
     for part, own in parts.most_common(16):
         print(f"  {own / parts.total():6.1%}  {part}")
--- a/benchmarks/lab_load.py
+++ b/benchmarks/lab_load.py
@@ -36,7 +36,7 @@
             whole = end + 4 + int(headers.get("Content-Length", 0))
             if len(self.data) < whole:
                 return
-            body, self.data = self.data[end + 4:whole], self.data[whole:]
+            body, self.data = self.data[end + 4 : whole], self.data[whole:]
             method, target, _ = line.split(" ")
             there = asked(method, target, body)
             answer = answer_body(headers.get("X-Correlation-Id", ""), there, "g", 0, 1, 600)
@@ -58,19 +58,26 @@
 
 
 def main(rates):
-    server = subprocess.Popen([sys.executable, __file__, "serve"], text=True, stdin=subprocess.PIPE,
-                              stdout=subprocess.PIPE)
+    server = subprocess.Popen(
+        [sys.executable, __file__, "serve"], text=True, stdin=subprocess.PIPE, stdout=subprocess.PIPE
+    )
     port = int(server.stdout.readline())
-    print(f"{'asked/s':>8}{'sent/s':>8}{'served':>8}{'core':>6}{'of the server':>15}{'late p50':>10}"
-          f"{'p99':>8}{'max ms':>8}")
+    print(
+        f"{'asked/s':>8}{'sent/s':>8}{'served':>8}{'core':>6}{'of the server':>15}{'late p50':>10}"
+        f"{'p99':>8}{'max ms':>8}"
+    )
     for rate in rates:
         before = cpu_s(server)
-        result = uvloop.run(load(f"http://127.0.0.1:{port}", Traffic(rate=float(rate)), SECONDS,
-                                 lambda second, figures: None))
+        result = uvloop.run(
+            load(f"http://127.0.0.1:{port}", Traffic(rate=float(rate)), SECONDS, lambda second, figures: None)
+        )
         late, spent = result.late_ms, cpu_s(server) - before
-        print(f"{rate:8}{result.counts['wished'] / SECONDS:8.0f}{result.counts['served']:8}"
-              f"{result.cpu_s / result.seconds:6.2f}{result.cpu_s / spent:15.2f}{late['p50']:10.2f}"
-              f"{late['p99']:8.2f}{late['max']:8.2f}", flush=True)
+        print(
+            f"{rate:8}{result.counts['wished'] / SECONDS:8.0f}{result.counts['served']:8}"
+            f"{result.cpu_s / result.seconds:6.2f}{result.cpu_s / spent:15.2f}{late['p50']:10.2f}"
+            f"{late['p99']:8.2f}{late['max']:8.2f}",
+            flush=True,
+        )
     server.stdin.close()
     server.wait()
 
--- a/benchmarks/lab_parties.py
+++ b/benchmarks/lab_parties.py
@@ -26,9 +26,21 @@
 
 REQUESTS, CALLERS = 30_000, 20
 CLASSES = [ClassSpec("grid-read", 0.7, 15_000, work_cv=2.0), ClassSpec("order", 0.3, 95_000, "pareto", 2.0)]
-SPEC = NodeSpec(cores=2, slots=2, room=40, choke=0.1, cache_keys=60, cache_us=8_000_000, cache_gain=0.5,
-                work_noise=0.3, report_period_us=200_000, report_delay_us=50_000, report_noise=0.1,
-                connection_work_us=1_500, table_tax=0.1)
+SPEC = NodeSpec(
+    cores=2,
+    slots=2,
+    room=40,
+    choke=0.1,
+    cache_keys=60,
+    cache_us=8_000_000,
+    cache_gain=0.5,
+    work_noise=0.3,
+    report_period_us=200_000,
+    report_delay_us=50_000,
+    report_noise=0.1,
+    connection_work_us=1_500,
+    table_tax=0.1,
+)
 
 
 def yardstick(count: int = 300_000) -> float:
@@ -83,7 +95,7 @@
         transport.write(self.request)
 
     def data_received(self, data):
-        if data.endswith(b"\n"):               # bodies end so, and nothing else does
+        if data.endswith(b"\n"):  # bodies end so, and nothing else does
             self.left[0] -= 1
             if self.left[0] > 0:
                 self.transport.write(self.request)
@@ -108,12 +120,23 @@
         address = server.sockets[0].getsockname()
     else:
         spec = NodeSpec(cores=64, slots=64, report_period_us=200_000)
-        node = GridNode("g", spec, Random(1), WireLog(), lambda: time.monotonic_ns() // 1000,
-                        lambda: time.time_ns() // 10**6, warm=True, body_bytes=1)
+        node = GridNode(
+            "g",
+            spec,
+            Random(1),
+            WireLog(),
+            lambda: time.monotonic_ns() // 1000,
+            lambda: time.time_ns() // 10**6,
+            warm=True,
+            body_bytes=1,
+        )
         await node.start({"n0": ("127.0.0.1", 0)})
         address = node.addresses["n0"]
-    request = write_request("GET", "/grid-read/f01?w=0", [
-        ("Host", "backend.local"), ("X-Correlation-Id", "0" * 16), ("X-Time-Left", "0.5")])
+    request = write_request(
+        "GET",
+        "/grid-read/f01?w=0",
+        [("Host", "backend.local"), ("X-Correlation-Id", "0" * 16), ("X-Time-Left", "0.5")],
+    )
     left, done = [REQUESTS], loop.create_future()
     began = time.perf_counter()
     for _ in range(CALLERS):
@@ -132,8 +155,10 @@
         print(f"{name:30} {rate:12,.0f} a second   {rate / unit:.3f} of the yardstick")
     for name, run in (("asyncio", asyncio.run), ("uvloop", uvloop.run)):
         bare, full = run(requests_per_s(True)), run(requests_per_s(False))
-        print(f"GridNode on {name:18} {full:12,.0f} requests a second, caller included; "
-              f"{full / bare:.2f} of a server that reads nothing")
+        print(
+            f"GridNode on {name:18} {full:12,.0f} requests a second, caller included; "
+            f"{full / bare:.2f} of a server that reads nothing"
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/lab_sim.py
+++ b/benchmarks/lab_sim.py
@@ -79,6 +79,7 @@
     async def sleeper(number: int) -> None:
         for _ in range(100):
             await asyncio.sleep(0.01 * (1 + number % 7))
+
     await asyncio.gather(*(sleeper(number) for number in range(200)))
     return 20_000
 
@@ -120,6 +121,7 @@
         def answered(data: bytes) -> None:
             guard.cancel()
             self.transport.write(data)
+
         self.idle.popleft().ask(data, answered)
 
 
@@ -133,8 +135,9 @@
         asyncio.get_running_loop().call_later(0.02, self.transport.write, ANSWER)
 
 
-async def listen(factory: Callable[[], asyncio.BaseProtocol], onward: Host | None, idle: deque[Upstream]
-                 ) -> None:
+async def listen(
+    factory: Callable[[], asyncio.BaseProtocol], onward: Host | None, idle: deque[Upstream]
+) -> None:
     loop = asyncio.get_running_loop()
     if onward is not None:
         for _ in range(CONNECTIONS):
@@ -147,6 +150,7 @@
 
     def got(data: bytes) -> None:
         answered[0] += 1
+
     for _ in range(CONNECTIONS):
         await loop.create_connection(lambda: Upstream(idle), onward.ip, PORT)
     start = loop.time()
@@ -192,11 +196,16 @@
         pstats.Stats(profile).sort_stats("tottime").print_stats(25)
         return
     real, deliveries = measure(real_echo, asyncio.SelectorEventLoop)
-    for name, what in (("20,000 sleeps", sleeps), ("20,000 echo deliveries", echo),
-                       (f"{RATE} requests/s x {SECONDS} s, 3 hops", day)):
+    for name, what in (
+        ("20,000 sleeps", sleeps),
+        ("20,000 echo deliveries", echo),
+        (f"{RATE} requests/s x {SECONDS} s, 3 hops", day),
+    ):
         seconds, done = measure(what, simulated)
-        print(f"{name:36} {seconds:6.2f} s  {done / seconds:9,.0f} a second  "
-              f"{done / seconds / (deliveries / real):5.2f} of asyncio's echo on loopback")
+        print(
+            f"{name:36} {seconds:6.2f} s  {done / seconds:9,.0f} a second  "
+            f"{done / seconds / (deliveries / real):5.2f} of asyncio's echo on loopback"
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -19,7 +19,7 @@
 
 IDS = itertools.count(time.time_ns())
 KEYS, ORDER_BODY, PATIENCE_S = 200, b"o" * 212, 3.0
-SPIN_S = 0.0015       # uvloop's timers have milliseconds: nearer than this, the loop asks again each turn
+SPIN_S = 0.0015  # uvloop's timers have milliseconds: nearer than this, the loop asks again each turn
 MOST_US = 60_000_000
 
 
@@ -43,10 +43,10 @@
     """What came of one round."""
 
     sent: int = 0
-    statuses: Counter[int] = field(default_factory=Counter)    # 0: the connection broke, or no answer came
-    latencies_us: list[int] = field(default_factory=list)      # of the answers that were expected
-    late_us: int = 0                                           # the load's own worst lateness
-    repeated: int = 0                                          # tries that the client itself sent again
+    statuses: Counter[int] = field(default_factory=Counter)  # 0: the connection broke, or no answer came
+    latencies_us: list[int] = field(default_factory=list)  # of the answers that were expected
+    late_us: int = 0  # the load's own worst lateness
+    repeated: int = 0  # tries that the client itself sent again
 
     def share(self, status: int) -> float:
         return self.statuses[status] / max(1, self.sent)
@@ -64,15 +64,21 @@
     while (at := at + rng.expovariate(rate)) < seconds:
         key = f"run-7-{rng.randrange(KEYS)}"
         account = "energia-sever" if rng.random() < 0.8 else "cesty-vychod"
-        id = next(IDS) * 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF     # odd, so each number has its own
+        id = next(IDS) * 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF  # odd, so each number has its own
         if rng.random() < kind.orders:
             head, left, body = f"POST /order/{key}", "2.000", ORDER_BODY
         else:
             again = "again-" if rng.random() < kind.again else ""
             head, left, body = f"GET /grid-read/{again}{key}", "2.500", b""
         length = f"Content-Length: {len(body)}\r\n" if body else ""
-        yield at, (f"{head} HTTP/1.1\r\nHost: 127.0.0.1\r\n{length}X-Correlation-Id: {id:016x}\r\n"
-                   f"X-Account: {account}\r\nX-Time-Left: {left}\r\n\r\n").encode() + body
+        yield (
+            at,
+            (
+                f"{head} HTTP/1.1\r\nHost: 127.0.0.1\r\n{length}X-Correlation-Id: {id:016x}\r\n"
+                f"X-Account: {account}\r\nX-Time-Left: {left}\r\n\r\n"
+            ).encode()
+            + body,
+        )
 
 
 class Connection(asyncio.Protocol):
@@ -113,7 +119,8 @@
 
     async def _dial(self) -> None:
         _, c = await asyncio.get_running_loop().create_connection(
-            lambda: Connection(self), "127.0.0.1", self.port)
+            lambda: Connection(self), "127.0.0.1", self.port
+        )
         self.open.add(c)
         self._free(c)
 
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -90,17 +90,23 @@
                     learned.append((fleet.now - joined) / 1e6)
                     fleet.run(SETTLE_S)
                     fleet.news.clear()
-            print(f"  {links_name:9} {size:5} members, {seeds * rounds:3} each: "
-                  + "; ".join(f"{what} {quantile(values, 0.5):5.2f} {quantile(values, 0.99):5.2f} "
-                              f"{max(values):5.2f}"
-                              for what, values in (("death", deaths), ("join", joins)))
-                  + f"; newcomer {max(learned):5.2f}", flush=True)
+            print(
+                f"  {links_name:9} {size:5} members, {seeds * rounds:3} each: "
+                + "; ".join(
+                    f"{what} {quantile(values, 0.5):5.2f} {quantile(values, 0.99):5.2f} {max(values):5.2f}"
+                    for what, values in (("death", deaths), ("join", joins))
+                )
+                + f"; newcomer {max(learned):5.2f}",
+                flush=True,
+            )
 
 
 def cost(sizes: list[int], seeds: int) -> None:
     """Bytes and datagrams a second that each member sends, CPU, and wrong accusations."""
-    print("for each member and second: bytes and datagrams sent, CPU us; suspicions of the living for each "
-          "member and minute; burials of the living")
+    print(
+        "for each member and second: bytes and datagrams sent, CPU us; suspicions of the living for each "
+        "member and minute; burials of the living"
+    )
     for links_name, links in (("clean", {}), ("30% lost", LOSSY)):
         for size in sizes:
             for seed in range(min(seeds, 2)):
@@ -117,10 +123,13 @@
                 top = max(p.sent_bytes - most[name] for name, p in fleet.running.items())
                 doubts = sum(isinstance(n, Suspected) and n.by == whom for _, whom, n in fleet.news)
                 buried = len({n.member.name for _, _, n in fleet.news if isinstance(n, Left)})
-                print(f"  {links_name:9} {size:5} members, seed {seed}: {data / size / seconds:7.0f} B "
-                      f"(most {top / seconds:6.0f}), {sent / size / seconds:5.1f} datagrams, "
-                      f"{cpu / size / seconds * 1e6:6.0f} us; {doubts / size / seconds * 60:5.2f} "
-                      f"suspicions; {buried} buried", flush=True)
+                print(
+                    f"  {links_name:9} {size:5} members, seed {seed}: {data / size / seconds:7.0f} B "
+                    f"(most {top / seconds:6.0f}), {sent / size / seconds:5.1f} datagrams, "
+                    f"{cpu / size / seconds * 1e6:6.0f} us; {doubts / size / seconds * 60:5.2f} "
+                    f"suspicions; {buried} buried",
+                    flush=True,
+                )
     codec, payload = Codec(b"k" * 32, "grid"), b"x" * 60
     began, rounds = time.process_time(), 20_000
     for number in range(rounds):
@@ -148,17 +157,21 @@
 
 def pauses(sizes: list[int], seeds: int) -> None:
     """A tenth sleeps again and again, or is starved, with and without doubt about oneself."""
-    print("60 s, in which a tenth sleeps 1 to 8 s at a time, or is starved (runs 20 to 200 ms, then stands "
-          "for 0.6 to 2 s): the running accused by the stopped, by the running; the running buried")
+    print(
+        "60 s, in which a tenth sleeps 1 to 8 s at a time, or is starved (runs 20 to 200 ms, then stands "
+        "for 0.6 to 2 s): the running accused by the stopped, by the running; the running buried"
+    )
 
     def without() -> Iterator[None]:
         late, most = decider.LATE_US, self_doubt.HEALTH_MOST
         decider.LATE_US, self_doubt.HEALTH_MOST = 1 << 60, 0
         yield
         decider.LATE_US, self_doubt.HEALTH_MOST = late, most
+
     modes: list[tuple[str, dict[str, Any]]] = [("asleep", {}), ("starved", {}), ("asleep, 30% lost", LOSSY)]
-    for size, (mode, links), doubt in [(size, mode, doubt) for size in sizes if size <= 200
-                                       for mode in modes for doubt in (True, False)]:
+    for size, (mode, links), doubt in [
+        (size, mode, doubt) for size in sizes if size <= 200 for mode in modes for doubt in (True, False)
+    ]:
         by_stopped = by_running = buried = 0
         for seed in range(seeds):
             changed = None if doubt else without()
@@ -169,23 +182,30 @@
             for name in stopped:
                 stop_and_go(fleet, name, Random(f"{seed}{name}"), mode == "starved")
             fleet.run(60)
-            accused = [(whom, n.member.name) for _, whom, n in fleet.news
-                       if isinstance(n, Suspected) and n.by == whom and n.member.name not in stopped]
+            accused = [
+                (whom, n.member.name)
+                for _, whom, n in fleet.news
+                if isinstance(n, Suspected) and n.by == whom and n.member.name not in stopped
+            ]
             by_stopped += sum(whom in stopped for whom, _ in accused)
             by_running += sum(whom not in stopped for whom, _ in accused)
             buried += len({n.member.name for _, _, n in fleet.news if isinstance(n, Left)} - stopped)
             if changed:
                 next(changed, None)
-        print(f"  {size:5} members, {seeds} seeds, {mode:16}, "
-              f"{'with' if doubt else 'without'} self-doubt: "
-              f"{by_stopped:4} {by_running:4}; {buried} buried", flush=True)
+        print(
+            f"  {size:5} members, {seeds} seeds, {mode:16}, "
+            f"{'with' if doubt else 'without'} self-doubt: "
+            f"{by_stopped:4} {by_running:4}; {buried} buried",
+            flush=True,
+        )
 
 
 def sick(sizes: list[int], seeds: int) -> None:
     """One whose own link loses most, both ways, with and without points of ill health."""
     print("60 s for each seed: doubts that it has of others")
-    for size, lost, most in [(size, lost, most) for size in sizes if size <= 50 for lost in (0.6, 0.8)
-                             for most in (2, 0)]:
+    for size, lost, most in [
+        (size, lost, most) for size in sizes if size <= 50 for lost in (0.6, 0.8) for most in (2, 0)
+    ]:
         before, self_doubt.HEALTH_MOST = self_doubt.HEALTH_MOST, most
         accused = 0
         for seed in range(seeds):
@@ -195,8 +215,10 @@
             fleet.run(60)
             accused += sum(isinstance(n, Suspected) and n.by == whom == "m7" for _, whom, n in fleet.news)
         self_doubt.HEALTH_MOST = before
-        print(f"  {size:5} members, {lost:.0%} lost, {most} points at most: {accused} in {seeds} seeds",
-              flush=True)
+        print(
+            f"  {size:5} members, {lost:.0%} lost, {most} points at most: {accused} in {seeds} seeds",
+            flush=True,
+        )
 
 
 def stop_and_go(fleet: Fleet, name: str, random: Random, starved: bool) -> None:
@@ -210,6 +232,7 @@
     def go() -> None:
         fleet.go_on(name)
         fleet.later(random.uniform(*runs), stop)
+
     fleet.later(random.uniform(0, 3), stop)
 
 
@@ -217,28 +240,33 @@
     """Splits, until each side holds its own alone, and their end, until all hold all."""
     print("seconds until each side knows, and from the end until all are one again: median, worst seed")
     shapes: list[tuple[str, Callable[[int], int]]] = [
-        ("50/50", lambda size: size // 2), ("90/10", lambda size: max(1, size // 10)),
-        ("single", lambda size: 1)]
+        ("50/50", lambda size: size // 2),
+        ("90/10", lambda size: max(1, size // 10)),
+        ("single", lambda size: 1),
+    ]
     for size in sizes:
         for shape, part in shapes:
             known, healed, failed = [], [], 0
             for seed in range(seeds if size <= 200 else 1):
                 fleet = fleet_of(size, seed)
-                side = set(list(fleet.running)[-part(size):])
+                side = set(list(fleet.running)[-part(size) :])
                 other = set(fleet.running) - side
                 fleet.blocked = lambda a, b, side=side: (a in side) != (b in side)
                 began = fleet.now
-                failed += not fleet.run(LONG_S, lambda f=fleet, s=side, o=other: f.agree(s) and f.agree(o),
-                                        500_000)
+                failed += not fleet.run(
+                    LONG_S, lambda f=fleet, s=side, o=other: f.agree(s) and f.agree(o), 500_000
+                )
                 known.append((fleet.now - began) / 1e6)
                 fleet.run(20)
                 fleet.blocked = None
                 began = fleet.now
                 failed += not fleet.run(LONG_S, fleet.agree, 500_000)
                 healed.append((fleet.now - began) / 1e6)
-            print(f"  {size:5} members, {shape:6}: {statistics.median(known):5.1f} {max(known):5.1f}; "
-                  f"{statistics.median(healed):5.1f} {max(healed):5.1f}; not within {LONG_S:.0f} s: {failed}",
-                  flush=True)
+            print(
+                f"  {size:5} members, {shape:6}: {statistics.median(known):5.1f} {max(known):5.1f}; "
+                f"{statistics.median(healed):5.1f} {max(healed):5.1f}; not within {LONG_S:.0f} s: {failed}",
+                flush=True,
+            )
 
 
 def storms(sizes: list[int], seeds: int) -> None:
@@ -257,9 +285,12 @@
                 fleet = Fleet(size, seed, **links)
                 fleet.run(LONG_S, lambda f=fleet, n=size: len(f.running) == n and f.agree())
                 started.append(fleet.now / 1e6)
-            print(f"  {size:5} members, {what:9}: seven of ten killed {statistics.median(killed):5.1f} "
-                  f"{max(killed):5.1f}; all started in one second {statistics.median(started):5.1f} "
-                  f"{max(started):5.1f}", flush=True)
+            print(
+                f"  {size:5} members, {what:9}: seven of ten killed {statistics.median(killed):5.1f} "
+                f"{max(killed):5.1f}; all started in one second {statistics.median(started):5.1f} "
+                f"{max(started):5.1f}",
+                flush=True,
+            )
 
 
 def real(sizes: list[int], seeds: int) -> None:
@@ -271,16 +302,27 @@
         seeds_at = [f"127.0.0.1:{free_port()}" for _ in range(count)]
         for name, group in groups.items():
             for i in range(count):
-                raw = {**example, "name": f"lb-{i}", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9",
-                       "admin_addr": "127.0.0.1:0",
-                       "peers": {**example["peers"], "listen": seeds_at[i], "seeds": seeds_at[:3]}}
+                raw = {
+                    **example,
+                    "name": f"lb-{i}",
+                    "listen": "127.0.0.1:0",
+                    "discovery": "127.0.0.1:9",
+                    "admin_addr": "127.0.0.1:0",
+                    "peers": {**example["peers"], "listen": seeds_at[i], "seeds": seeds_at[:3]},
+                }
                 if name == "without":
                     del raw["peers"]
                 config = Path(folder) / f"{name} {i}.json"
                 config.write_text(json.dumps(raw))
-                group.append(ends.enter_context(subprocess.Popen(
-                    [sys.executable, "-m", "roadlb"], stderr=subprocess.DEVNULL,
-                    env={**os.environ, "PROXY_CONFIG": str(config)})))
+                group.append(
+                    ends.enter_context(
+                        subprocess.Popen(
+                            [sys.executable, "-m", "roadlb"],
+                            stderr=subprocess.DEVNULL,
+                            env={**os.environ, "PROXY_CONFIG": str(config)},
+                        )
+                    )
+                )
                 ends.callback(group[-1].kill)
         time.sleep(10)
         before = {name: [used(one.pid) for one in group] for name, group in groups.items()}
@@ -288,8 +330,11 @@
         for name, group in groups.items():
             now = [used(one.pid) for one in group]
             cpu = [(b[0] - a[0]) / seconds * 1e6 for a, b in zip(before[name], now, strict=True)]
-            print(f"  {count} processes {name:10}: {statistics.mean(cpu):6.0f} us of CPU a second each, "
-                  f"{statistics.mean(b[1] for b in now):5.1f} MB resident", flush=True)
+            print(
+                f"  {count} processes {name:10}: {statistics.mean(cpu):6.0f} us of CPU a second each, "
+                f"{statistics.mean(b[1] for b in now):5.1f} MB resident",
+                flush=True,
+            )
 
 
 def free_port() -> int:
@@ -306,13 +351,20 @@
 
 
 PARTS: dict[str, Callable[[list[int], int], None]] = {
-    "know": know, "cost": cost, "pauses": pauses, "splits": splits, "storms": storms, "sick": sick,
-    "real": real}
+    "know": know,
+    "cost": cost,
+    "pauses": pauses,
+    "splits": splits,
+    "storms": storms,
+    "sick": sick,
+    "real": real,
+}
 
 
 def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__,
-                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("parts", nargs="*", choices=[*PARTS, []], help=", ".join(PARTS))
     parser.add_argument("--sizes", default="12,50,200,1000")
     parser.add_argument("--seeds", type=int, default=5)
--- a/benchmarks/overload_sim.py
+++ b/benchmarks/overload_sim.py
@@ -27,8 +27,8 @@
 from roadlb.overload.meter import Reading  # noqa: E402
 
 AIM_US = 500_000
-REFUSAL = 40 / 230     # what a refusal costs of a served request, by `Costs`
-START, END = 2 * SECOND, 5 * SECOND        # of what is judged; a run ends a second later
+REFUSAL = 40 / 230  # what a refusal costs of a served request, by `Costs`
+START, END = 2 * SECOND, 5 * SECOND  # of what is judged; a run ends a second later
 
 
 class Integral:
@@ -95,10 +95,15 @@
 
 
 WAYS: dict[str, Callable[[], Controller | None]] = {
-    "none": lambda: None, "integral 0.85": Integral, "integral 0.95": lambda: Integral(0.95),
+    "none": lambda: None,
+    "integral 0.85": Integral,
+    "integral 0.95": lambda: Integral(0.95),
     "delay 30 ms": Delay,
-    "delay 60 ms to 0.75": lambda: Delay(60_000, 0.75), "aimd": Aimd, "model": Model,
-    "chosen": lambda: chosen.Controller(AIM_US, REFUSAL)}
+    "delay 60 ms to 0.75": lambda: Delay(60_000, 0.75),
+    "aimd": Aimd,
+    "model": Model,
+    "chosen": lambda: chosen.Controller(AIM_US, REFUSAL),
+}
 
 
 def steady(site: Site, load: float, way: str, seed: int, rude: int = 0) -> Sim:
@@ -107,8 +112,10 @@
 
 def burst(site: Site, base: float, way: str, seed: int) -> Sim:
     """Eight times the reads from START on for 2 s, at a load of `base` else."""
+
     def rate(t: int) -> float:
         return base * site.capacity * (0.3 + 0.7 * (8 if START <= t < START + 2 * SECOND else 1))
+
     orders = 0.3 * base * site.capacity
     return Sim(site, rate, WAYS[way](), seed, order_share=lambda t: orders / rate(t)).play(END + 3 * SECOND)
 
@@ -116,32 +123,49 @@
 def row(s: Sim) -> tuple[float, ...]:
     """Worth a second, share of orders and of reads served, refusals a second, lateness in ms, share shed."""
     samples = [x for x in s.samples if START <= x.at < END]
-    return (s.worth(START, END), s.share_served(ORDER, START, END), s.share_served(READ, START, END),
-            s.refused / s.now * SECOND, fmean(x.reading.late_mean_us for x in samples) / 1000,
-            max(x.reading.late_max_us for x in samples) / 1000, fmean(x.share for x in samples))
+    return (
+        s.worth(START, END),
+        s.share_served(ORDER, START, END),
+        s.share_served(READ, START, END),
+        s.refused / s.now * SECOND,
+        fmean(x.reading.late_mean_us for x in samples) / 1000,
+        max(x.reading.late_max_us for x in samples) / 1000,
+        fmean(x.share for x in samples),
+    )
 
 
 def sweep(site: Site, loads: Sequence[float], png: str) -> None:
-    print(f"{'load':>5} {'way':8}{'worth/s':>9}{'orders':>8}{'reads':>7}{'refused/s':>11}{'late ms':>9}"
-          f"{'most':>6}{'shed':>6}")
+    print(
+        f"{'load':>5} {'way':8}{'worth/s':>9}{'orders':>8}{'reads':>7}{'refused/s':>11}{'late ms':>9}"
+        f"{'most':>6}{'shed':>6}"
+    )
     table: dict[str, list[tuple[float, ...]]] = {"none": [], "chosen": []}
     for load in loads:
         for way, rows in table.items():
             rows.append(row(steady(site, load, way, 1)))
             worth, orders, reads, refused, late, most, shed = rows[-1]
-            print(f"{load:5.2f} {way:8}{worth:9.0f}{orders:8.2f}{reads:7.2f}{refused:11.0f}{late:9.1f}"
-                  f"{most:6.0f}{shed:6.2f}", flush=True)
+            print(
+                f"{load:5.2f} {way:8}{worth:9.0f}{orders:8.2f}{reads:7.2f}{refused:11.0f}{late:9.1f}"
+                f"{most:6.0f}{shed:6.2f}",
+                flush=True,
+            )
     if png:
         plot(loads, table, png)
 
 
 def plot(loads: Sequence[float], table: dict[str, list[tuple[float, ...]]], png: str) -> None:
     import matplotlib
+
     matplotlib.use("Agg")
     from matplotlib import pyplot
+
     figure, axes = pyplot.subplots(1, 3, figsize=(13, 4))
-    for axis, column, title in zip(axes, (0, 3, 4), (
-            "worth served a second", "refused a second", "loop's mean lateness, ms"), strict=True):
+    for axis, column, title in zip(
+        axes,
+        (0, 3, 4),
+        ("worth served a second", "refused a second", "loop's mean lateness, ms"),
+        strict=True,
+    ):
         for name, way in (("without", "none"), ("with", "chosen")):
             axis.plot(loads, [r[column] for r in table[way]], "o-", label=name)
         axis.set(title=title, xlabel="load (1: serving all takes all CPU)", xscale="log", ylim=(0, None))
@@ -156,8 +180,11 @@
 
 def compare(site: Site, loads: Sequence[float], ways: Sequence[str]) -> None:
     """Worth a second at each load (mean of two seeds), the share's deviation; a burst; five rude clients."""
-    print(f"{'way':22}" + "".join(f"{load:>11g}" for load in loads)
-          + "   burst: worth orders   reads 1 s, 2 s after   rude")
+    print(
+        f"{'way':22}"
+        + "".join(f"{load:>11g}" for load in loads)
+        + "   burst: worth orders   reads 1 s, 2 s after   rude"
+    )
     for way in ways:
         cells = []
         for load in loads:
@@ -167,9 +194,13 @@
         s, over = burst(site, 0.7, way, 1), START + 2 * SECOND
         after = [s.share_served(READ, over + i * SECOND, over + (i + 1) * SECOND) for i in (0, 1)]
         rude = steady(site, 0.6, way, 1, rude=5).worth(START, END)
-        print(f"{way:22}" + "".join(f"{c:>11}" for c in cells)
-              + f"{s.worth(START, over):15.0f} {s.share_served(ORDER, START, over):6.2f}"
-              f"{after[0]:15.2f}, {after[1]:.2f}{rude:13.0f}", flush=True)
+        print(
+            f"{way:22}"
+            + "".join(f"{c:>11}" for c in cells)
+            + f"{s.worth(START, over):15.0f} {s.share_served(ORDER, START, over):6.2f}"
+            f"{after[0]:15.2f}, {after[1]:.2f}{rude:13.0f}",
+            flush=True,
+        )
 
 
 def numbers(text: str) -> list[float]:
--- a/benchmarks/parties.py
+++ b/benchmarks/parties.py
@@ -19,7 +19,7 @@
 
 AGAIN = b"/again-"
 BODY = b"x" * 300
-QUIET_S = 2.0       # discovery says an empty line so often
+QUIET_S = 2.0  # discovery says an empty line so often
 
 
 def answer(first_line: bytes, headers: bytes, body: bytes) -> bytes:
@@ -109,8 +109,10 @@
 
 async def serve(nodes: int, delay_s: float) -> None:
     loop, counts = asyncio.get_running_loop(), Counts()
-    servers = [await loop.create_server(lambda: Node(counts, delay_s), "127.0.0.1", 0, backlog=512)
-               for _ in range(nodes)]
+    servers = [
+        await loop.create_server(lambda: Node(counts, delay_s), "127.0.0.1", 0, backlog=512)
+        for _ in range(nodes)
+    ]
     servers.append(await loop.create_server(Discovery, "127.0.0.1", 0))
     *ports, discovery = (s.sockets[0].getsockname()[1] for s in servers)
     print(json.dumps({"nodes": ports, "discovery": discovery}), flush=True)
--- a/benchmarks/probes/accepts.py
+++ b/benchmarks/probes/accepts.py
@@ -40,10 +40,10 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.tally.made[self.tally.turn] += 1
-        if self.tally.counts_open:     # costs 100 us, and a descriptor
+        if self.tally.counts_open:  # costs 100 us, and a descriptor
             self.tally.most_open = max(self.tally.most_open, len(os.listdir("/proc/self/fd")))
         if self.tally.made.total() > self.most:
-            transport.abort()      # type: ignore[attr-defined]
+            transport.abort()  # type: ignore[attr-defined]
 
     def connection_lost(self, exc: BaseException | None) -> None:
         self.tally.lost += 1
@@ -81,22 +81,25 @@
                 return
             new.setblocking(False)
             task: asyncio.Task[object] = loop.create_task(
-                loop.connect_accepted_socket(lambda: Accepted(tally, most), new))
+                loop.connect_accepted_socket(lambda: Accepted(tally, most), new)
+            )
             tasks.add(task)
             task.add_done_callback(tasks.discard)
+
     loop.add_reader(sock, accept)
     return sock
 
 
-async def burst(serve: Callable[[Tally, int], Awaitable[socket.socket]], most: int, cap: bool,
-                counts_open: bool) -> str:
+async def burst(
+    serve: Callable[[Tally, int], Awaitable[socket.socket]], most: int, cap: bool, counts_open: bool
+) -> str:
     tally = Tally()
     sock = await serve(tally, most)
     clients = [socket.socket() for _ in range(CONNECT)]
     await asyncio.sleep(0.01)
     asyncio.get_running_loop().call_soon(tally.next_turn)
     await asyncio.sleep(0)
-    for c in clients:              # the loop has no turn until all of them stand in line
+    for c in clients:  # the loop has no turn until all of them stand in line
         c.connect(sock.getsockname()[:2])
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     if cap:
@@ -125,19 +128,24 @@
         c.close()
     if counts_open:
         return f"descriptors of the server at most {tally.most_open - CONNECT - before}"
-    return (f"a turn {made[:4]}{'...' if len(made) > 4 else ''}, {sum(made)} in {turns} turns, "
-            f"closed at clients {closed}, {took / max(1, sum(made)):.0f} us each")
+    return (
+        f"a turn {made[:4]}{'...' if len(made) > 4 else ''}, {sum(made)} in {turns} turns, "
+        f"closed at clients {closed}, {took / max(1, sum(made)):.0f} us each"
+    )
 
 
 def main() -> None:
-    logging.disable(logging.CRITICAL)      # asyncio logs each accept that fails
+    logging.disable(logging.CRITICAL)  # asyncio logs each accept that fails
     print(f"uvloop {version('uvloop')}; {CONNECT} connect at once")
     for way in (servers, few, own):
         print(way.__doc__)
         for loop, factory in (("asyncio", asyncio.new_event_loop), ("uvloop", uvloop.new_event_loop)):
             for name, most, cap, counts in (
-                    ("all kept", CONNECT, False, False), ("past 50 aborted", 50, False, False),
-                    ("past 50 aborted", 50, False, True), ("descriptors for 100", CONNECT, True, False)):
+                ("all kept", CONNECT, False, False),
+                ("past 50 aborted", 50, False, False),
+                ("past 50 aborted", 50, False, True),
+                ("descriptors for 100", CONNECT, True, False),
+            ):
                 with asyncio.Runner(loop_factory=factory) as runner:
                     print(f"  {loop:<8} {name:<20}", runner.run(burst(way, most, cap, counts)))
 
--- a/benchmarks/probes/assembled.py
+++ b/benchmarks/probes/assembled.py
@@ -35,8 +35,9 @@
 
     dialling: asyncio.Task[None] | None = None
 
-    def __init__(self, method: bytes, url: bytes, head: list[bytes], body: bytes,
-                 answered: Callable[[bytes], None]) -> None:
+    def __init__(
+        self, method: bytes, url: bytes, head: list[bytes], body: bytes, answered: Callable[[bytes], None]
+    ) -> None:
         self.method, self.url, self.head, self.body, self.answered = method, url, head, body, answered
         self.transport = self
 
@@ -50,7 +51,7 @@
         self.answered(b"HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n")
 
 
-Step = Callable[[Exchange], None]      # takes an exchange one part further
+Step = Callable[[Exchange], None]  # takes an exchange one part further
 
 
 class BareFront(Front):
@@ -87,6 +88,7 @@
         task: asyncio.Task[None] = loop.create_task(coroutine)  # type: ignore[arg-type]
         tasks.add(task)
         task.add_done_callback(tasks.discard)
+
     return lambda exchange: start(handle(exchange))
 
 
@@ -94,13 +96,32 @@
     """roadlb's decisions choose; a minimal driver carries out what they say, but for second copies."""
     from roadlb import Balancer
     from roadlb.policy.interface import (
-        Arrival, Effect, Event, ListKind, ListUpdate, Member, Outcome, RequestClass, Send, Settings, SetTimer,
-        Status, TimerFired,
+        Arrival,
+        Effect,
+        Event,
+        ListKind,
+        ListUpdate,
+        Member,
+        Outcome,
+        RequestClass,
+        Send,
+        Settings,
+        SetTimer,
+        Status,
+        TimerFired,
+    )
+
+    classes = [
+        RequestClass("grid-read", 500_000, 2_500_000, 2.0, 0.5, Effect.SAFE),
+        RequestClass("order", 600_000, 2_000_000, 10.0, 0.5, Effect.UNSAFE),
+    ]
+    settings = Settings(
+        classes=classes,
+        warm_keys=True,
+        report_source="inline",
+        report_fields=("eps", "queue"),
+        second_copies=False,
     )
-    classes = [RequestClass("grid-read", 500_000, 2_500_000, 2.0, 0.5, Effect.SAFE),
-               RequestClass("order", 600_000, 2_000_000, 10.0, 0.5, Effect.UNSAFE)]
-    settings = Settings(classes=classes, warm_keys=True, report_source="inline",
-                        report_fields=("eps", "queue"), second_copies=False)
     module, loop, ids = Balancer(settings, seed=1), asyncio.get_running_loop(), itertools.count(1)
     names = [i.to_bytes(8, "big") for i in range(1, len(steps) + 1)]
     open: dict[int, Exchange] = {}
@@ -121,14 +142,17 @@
         def answered(data: bytes) -> None:
             exchange.answered(data)
             feed(Outcome(request, 0, server, Status.OK, now() - began, True, (0.0, 0.0)))
+
         steps[names.index(server)](
-            Exchange(exchange.method, exchange.url, exchange.head, exchange.body, answered))
+            Exchange(exchange.method, exchange.url, exchange.head, exchange.body, answered)
+        )
 
     def step(exchange: Exchange) -> None:
         request = next(ids)
         open[request] = exchange
         order = exchange.method == b"POST"
         feed(Arrival(request, int(order), 0, hash(exchange.url), 2_000_000 if order else 2_500_000, 0))
+
     feed(ListUpdate(ListKind.CACHED, [Member(name) for name in names]))
     return step
 
@@ -136,19 +160,26 @@
 def aiohttp_back(addresses: list[str]) -> Callable[[int], Step]:
     """aiohttp's client, in a task for each request."""
     import aiohttp
+
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0), auto_decompress=False,
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=0.25), cookie_jar=aiohttp.DummyCookieJar(),
-        skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent", "Content-Type"))
+        connector=aiohttp.TCPConnector(limit=0),
+        auto_decompress=False,
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=0.25),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent", "Content-Type"),
+    )
     loop, tasks = asyncio.get_running_loop(), set[asyncio.Task[None]]()
 
     async def fetch(exchange: Exchange, address: str) -> None:
         headers = [line.decode().rstrip().split(": ", 1) for line in exchange.head]
         async with asyncio.timeout(2.5):
             async with session.request(
-                    exchange.method.decode(), f"http://{address}{exchange.url.decode()}",
-                    data=exchange.body or None, allow_redirects=False,
-                    headers=[(k, v) for k, v in headers if k.lower() not in NOT_PASSED_ON]) as answer:
+                exchange.method.decode(),
+                f"http://{address}{exchange.url.decode()}",
+                data=exchange.body or None,
+                allow_redirects=False,
+                headers=[(k, v) for k, v in headers if k.lower() not in NOT_PASSED_ON],
+            ) as answer:
                 body = await answer.read()
         head = "".join(f"{k}: {v}\r\n" for k, v in answer.headers.items())
         exchange.answered(b"HTTP/1.1 %d OK\r\n%b\r\n%b" % (answer.status, head.encode(), body))
@@ -158,18 +189,22 @@
             task = loop.create_task(fetch(exchange, addresses[i]))
             tasks.add(task)
             task.add_done_callback(tasks.discard)
+
         return step
+
     return to
 
 
 async def listen_bare(step: Step) -> asyncio.Server:
     return await asyncio.get_running_loop().create_server(
-        lambda: BareFront(step), "127.0.0.1", 0, backlog=512)
+        lambda: BareFront(step), "127.0.0.1", 0, backlog=512
+    )
 
 
 async def listen_aiohttp(step: Step) -> asyncio.Server:
     """aiohttp's low-level server: a task for each connection, woken for each request."""
     from aiohttp import web
+
     loop = asyncio.get_running_loop()
 
     async def handle(request: web.BaseRequest) -> web.Response:
@@ -180,8 +215,12 @@
         answer_head, _, answer_body = (await answer).partition(b"\r\n\r\n")
         first, *lines = answer_head.decode().split("\r\n")
         pairs = (line.split(": ", 1) for line in lines)
-        return web.Response(status=int(first[9:12]), body=answer_body,
-                            headers=[(k, v) for k, v in pairs if k.lower() not in NOT_PASSED_ON])
+        return web.Response(
+            status=int(first[9:12]),
+            body=answer_body,
+            headers=[(k, v) for k, v in pairs if k.lower() not in NOT_PASSED_ON],
+        )
+
     return await loop.create_server(web.Server(handle, access_log=None), "127.0.0.1", 0, backlog=512)
 
 
--- a/benchmarks/probes/imports.py
+++ b/benchmarks/probes/imports.py
@@ -46,15 +46,17 @@
     rounds = parser.parse_args().rounds
     samples: dict[str, list[tuple[float, int, int, int]]] = {name: [] for name in KINDS}
     for counted in [False] + [True] * rounds:
-        for name, code in KINDS.items():      # alternating, so that noise hits all alike
+        for name, code in KINDS.items():  # alternating, so that noise hits all alike
             one = sample(code)
             if counted:
                 samples[name].append(one)
     print(f"{'imported':<22}{'start ms':>10}{'lowest':>8}{'RSS MB':>8}{'peak MB':>9}{'modules':>9}")
     for name, rows in samples.items():
         ms, rss, peak, modules = zip(*rows, strict=True)
-        print(f"{name:<22}{statistics.median(ms):>10.0f}{min(ms):>8.0f}{statistics.median(rss) / 1024:>8.1f}"
-              f"{statistics.median(peak) / 1024:>9.1f}{modules[0]:>9}")
+        print(
+            f"{name:<22}{statistics.median(ms):>10.0f}{min(ms):>8.0f}{statistics.median(rss) / 1024:>8.1f}"
+            f"{statistics.median(peak) / 1024:>9.1f}{modules[0]:>9}"
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/probes/parsers.py
+++ b/benchmarks/probes/parsers.py
@@ -20,13 +20,20 @@
 from aiohttp.http import HttpRequestParser, HttpResponseParser
 
 N, ROUNDS = 20_000, 5
-REQUEST = (b"GET /grid-read/run-7/tatry/12 HTTP/1.1\r\nHost: 127.0.0.1:8080\r\n"
-           b"X-Correlation-Id: 9b1f03aa5c7e2d41\r\nX-Account: energia-sever\r\nX-Time-Left: 2.500\r\n\r\n")
-ORDER = (b"POST /order/run-7 HTTP/1.1\r\nHost: 127.0.0.1:8080\r\nContent-Length: 212\r\n"
-         b"X-Correlation-Id: 9b1f03aa5c7e2d41\r\nX-Account: energia-sever\r\nX-Time-Left: 2.000\r\n\r\n"
-         + b"o" * 212)
-ANSWER = (b"HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nContent-Length: 300\r\n"
-          b"X-Backend-Load: eps=0,queue=0\r\n\r\n" + b"a" * 300)
+REQUEST = (
+    b"GET /grid-read/run-7/tatry/12 HTTP/1.1\r\nHost: 127.0.0.1:8080\r\n"
+    b"X-Correlation-Id: 9b1f03aa5c7e2d41\r\nX-Account: energia-sever\r\nX-Time-Left: 2.500\r\n\r\n"
+)
+ORDER = (
+    b"POST /order/run-7 HTTP/1.1\r\nHost: 127.0.0.1:8080\r\nContent-Length: 212\r\n"
+    b"X-Correlation-Id: 9b1f03aa5c7e2d41\r\nX-Account: energia-sever\r\nX-Time-Left: 2.000\r\n\r\n"
+    + b"o"
+    * 212
+)
+ANSWER = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nContent-Length: 300\r\n"
+    b"X-Backend-Load: eps=0,queue=0\r\n\r\n" + b"a" * 300
+)
 
 
 Parser = httptools.HttpRequestParser | httptools.HttpResponseParser
@@ -68,13 +75,15 @@
     loop = asyncio.new_event_loop()
     protocol = BaseProtocol(loop)
     parser = (HttpResponseParser if answer else HttpRequestParser)(
-        protocol, loop, 65_536, max_line_size=8190, max_headers=128, max_field_size=8190)
+        protocol, loop, 65_536, max_line_size=8190, max_headers=128, max_field_size=8190
+    )
 
     def one() -> object:
         messages, _, _ = parser.feed_data(data)
         message, payload = messages[0]
         assert not payload or payload.is_eof()
         return message.headers
+
     return one
 
 
@@ -91,6 +100,7 @@
         connection.send(h11.EndOfMessage())
         connection.start_next_cycle()
         return event
+
     return one
 
 
@@ -99,6 +109,7 @@
         head, _, body = data.partition(b"\r\n\r\n")
         first, *lines = head.split(b"\r\n")
         return first.split(b" "), [line.split(b": ", 1) for line in lines], body
+
     return one
 
 
@@ -113,12 +124,15 @@
     request, answer = httptools.HttpRequestParser, httptools.HttpResponseParser
     kinds = {
         "bytes.split": (split(REQUEST), split(ORDER), split(ANSWER)),
-        "httptools, kept": tuple(httptools_kept(d, m) for d, m in (
-            (REQUEST, request), (ORDER, request), (ANSWER, answer))),
-        "httptools, made anew": tuple(httptools_anew(d, m) for d, m in (
-            (REQUEST, request), (ORDER, request), (ANSWER, answer))),
-        "aiohttp's in C": tuple(aiohttp_kept(d, a) for d, a in (
-            (REQUEST, False), (ORDER, False), (ANSWER, True))),
+        "httptools, kept": tuple(
+            httptools_kept(d, m) for d, m in ((REQUEST, request), (ORDER, request), (ANSWER, answer))
+        ),
+        "httptools, made anew": tuple(
+            httptools_anew(d, m) for d, m in ((REQUEST, request), (ORDER, request), (ANSWER, answer))
+        ),
+        "aiohttp's in C": tuple(
+            aiohttp_kept(d, a) for d, a in ((REQUEST, False), (ORDER, False), (ANSWER, True))
+        ),
         "h11, and its answer": (h11_kept(REQUEST), h11_kept(ORDER), None),
     }
     best: dict[tuple[str, int], float] = {}
@@ -130,8 +144,10 @@
     print(", ".join(f"{p} {version(p)}" for p in ("httptools", "aiohttp", "h11")))
     print(f"{'us a message':<24}{'read':>8}{'order':>8}{'answer':>8}")
     for name in kinds:
-        print(f"{name:<24}" + "".join(f"{best[name, i]:>8.2f}" if (name, i) in best else f"{'-':>8}"
-                                      for i in range(3)))
+        print(
+            f"{name:<24}"
+            + "".join(f"{best[name, i]:>8.2f}" if (name, i) in best else f"{'-':>8}" for i in range(3))
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/probes/timers.py
+++ b/benchmarks/probes/timers.py
@@ -111,6 +111,7 @@
 async def tasks() -> None:
     async def one() -> None:
         pass
+
     for _ in range(STEPS // 10):
         await asyncio.get_running_loop().create_task(one())
 
@@ -121,10 +122,14 @@
 
 
 KINDS = {
-    "a step with no timer": (bare, STEPS), "call_later + cancel": (loops_own, STEPS),
-    "wheel, taken out": (wheel, STEPS), "wheel, left in": (wheel_left, STEPS),
-    "a turn of the loop": (turns, STEPS // 10), "future set + awaited": (future, STEPS // 10),
-    "task made + awaited": (tasks, STEPS // 10)}
+    "a step with no timer": (bare, STEPS),
+    "call_later + cancel": (loops_own, STEPS),
+    "wheel, taken out": (wheel, STEPS),
+    "wheel, left in": (wheel_left, STEPS),
+    "a turn of the loop": (turns, STEPS // 10),
+    "future set + awaited": (future, STEPS // 10),
+    "task made + awaited": (tasks, STEPS // 10),
+}
 
 
 def main() -> None:
--- a/benchmarks/probes/variant.py
+++ b/benchmarks/probes/variant.py
@@ -31,8 +31,9 @@
 class Unguarded(asyncio.SelectorEventLoop):
     """Sets no timer that would be cancelled in the usual course of a request."""
 
-    def call_later(self, delay: float, callback: Callable[..., object], *args: object,
-                   context: Context | None = None) -> asyncio.TimerHandle:
+    def call_later(
+        self, delay: float, callback: Callable[..., object], *args: object, context: Context | None = None
+    ) -> asyncio.TimerHandle:
         if delay >= 1.0 and getattr(callback, "__name__", "") == "_give_up":
             return NEVER
         return super().call_later(delay, callback, *args, context=context)
@@ -40,11 +41,15 @@
 
 NEVER = asyncio.TimerHandle(0.0, lambda: None, (), asyncio.new_event_loop())
 LOOPS: dict[str, Callable[[], asyncio.AbstractEventLoop]] = {
-    "uvloop": uvloop.new_event_loop, "asyncio": asyncio.new_event_loop, "no-guards": Unguarded}
+    "uvloop": uvloop.new_event_loop,
+    "asyncio": asyncio.new_event_loop,
+    "no-guards": Unguarded,
+}
 
 
 def allow_retries() -> None:
     from roadlb.policy import logic
+
     logic.RETRY_SHARE, logic.PRESS, logic.FULL_MOST_US = 1.0, 0.0, 0
 
 
@@ -53,14 +58,16 @@
     sys.argv = ["roadlb"]
     sys.path.insert(0, os.getcwd())
     if name == "uvloop":
-        for module in ("connections", "service_client"):     # sets what only asyncio's transports have
+        for module in ("connections", "service_client"):  # sets what only asyncio's transports have
             part = importlib.import_module(f"roadlb.net.{module}")
             if hasattr(part, "read_little"):
                 setattr(part, "read_little", lambda transport: None)  # noqa: B010
     if name in LOOPS:
+
         class Policy(asyncio.DefaultEventLoopPolicy):
             def new_event_loop(self) -> asyncio.AbstractEventLoop:
                 return LOOPS[name]()
+
         asyncio.set_event_loop_policy(Policy())
     elif name == "no-log":
         logging.disable(logging.CRITICAL)
--- a/benchmarks/probes/writes.py
+++ b/benchmarks/probes/writes.py
@@ -17,7 +17,7 @@
 
 import uvloop
 
-BIG = 8 << 20     # more than both ends' socket buffers hold on loopback
+BIG = 8 << 20  # more than both ends' socket buffers hold on loopback
 
 
 class Watched(asyncio.Protocol):
@@ -30,7 +30,7 @@
         self.at_data: Callable[[], None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport: asyncio.Transport = transport      # type: ignore[assignment]
+        self.transport: asyncio.Transport = transport  # type: ignore[assignment]
 
     def size(self) -> str:
         try:
@@ -87,6 +87,7 @@
         p.transport.write(b"x" * 100)
         look("after a second write")
         loop.call_soon(look, "next callback (call_soon)")
+
     p.at_data = at_data
     far.send(b"go")
     await asyncio.sleep(0.05)
@@ -167,6 +168,7 @@
         def connection_made(self, transport: asyncio.BaseTransport) -> None:
             super().connection_made(transport)
             dial.cancel()
+
     p = Made()
     dial = loop.create_task(loop.create_connection(lambda: p, *server.getsockname()))
     try:
@@ -190,6 +192,7 @@
     def at_data() -> None:
         p.transport.write(b"x" * 100)
         p.seen.append(f"after write: buffer {p.size()}, at peer {at_peer(far)}")
+
     p.at_data = at_data
     far.send(b"go")
     far.shutdown(socket.SHUT_WR)
@@ -225,13 +228,19 @@
 
 
 CASES: dict[str, Callable[[], Coroutine[Any, Any, list[str]]]] = {
-    "two writes in data_received": written, "writelines": writelines,
-    "write, close": lambda: then("close"), "write, abort": lambda: then("abort"),
-    "peer has closed, then write": peer_closed, "peer has reset, then write": peer_reset,
-    "peer has closed, write twice": peer_reset_seen, "close, write": after_close,
+    "two writes in data_received": written,
+    "writelines": writelines,
+    "write, close": lambda: then("close"),
+    "write, abort": lambda: then("abort"),
+    "peer has closed, then write": peer_closed,
+    "peer has reset, then write": peer_reset,
+    "peer has closed, write twice": peer_reset_seen,
+    "close, write": after_close,
     "dial called off as it succeeds": dial_called_off,
-    "data and FIN together, write": eof_in_turn, "8 MiB, then reset": big_then_reset,
-    "8 MiB, half closed, abort": big_then_closed}
+    "data and FIN together, write": eof_in_turn,
+    "8 MiB, then reset": big_then_reset,
+    "8 MiB, half closed, abort": big_then_closed,
+}
 
 
 def main() -> None:
--- a/benchmarks/profile_path.py
+++ b/benchmarks/profile_path.py
@@ -28,29 +28,54 @@
 
 HERTZ, CONNECTIONS = 250, 48
 # The first rule that a frame matches gives its group; a frame that none names takes its caller's.
-RULES = [(group, re.compile("|".join(patterns))) for group, patterns in {
-    "collector": (r"^gc_collect",),
-    "logging": (r"/logging/", r"roadlb/log\.py"),
-    "decision module": (r"roadlb/policy/",),
-    "writing": (r"^(send|write|writev) \(libc", r"Transport\.write(lines)? ", r"http_writer",
-                r"Response\.(prepare|_start|_prepare\w*|_write_headers|write_eof|_send) ",
-                r"ClientRequest\.(send|write_bytes|_write) ", r"\b_?write\w* \(roadlb/net/"),
-    "engine": (r"roadlb/(engine|exchange|counters)\.py",),
-    "client side: parsing": (r"(RequestHandler|_Connection)\.data_received ", r"HttpRequestParser",
-                             r"ClientConnection\.(data_received|on_\w+|_pump) "),
-    "client side: the rest": (r"roadlb/net/(service_client|client_connection)", r"aiohttp/web_"),
-    "instance side: reading the answer": (
-        r"(ResponseHandler|InstanceConnection)\.(data_received|feed_data|on_\w+) ", r"HttpResponseParser",
-        r"InstanceConnection\.(_head\w*|_end\w*|_over|_judge) ", r"ClientResponse\.(start|read) "),
-    "instance side: the rest": (r"roadlb/net/(instance|connections|pool)", r"aiohttp/(client|connector)"),
-    "discovery": (r"roadlb/net/name_table",),
-    "tasks, futures, timers": (
-        r"roadlb/wheel", r"asyncio/(tasks|futures|base_futures|timeouts|locks)\.py", r"_asynciomodule",
-        r"\.(call_soon|_call_soon|call_later|call_at|create_task|create_future) ",
-        r"(Timer)?Handle\.(__\w+__|cancel) ", r"timer_handle", r"heap", r"Context\.run"),
-    "event loop and its system calls": (
-        r"asyncio/", r"selectors\.py", r"uvloop", r"libuv", r"^(recv|read|epoll_\w+) \(libc"),
-}.items()]
+RULES = [
+    (group, re.compile("|".join(patterns)))
+    for group, patterns in {
+        "collector": (r"^gc_collect",),
+        "logging": (r"/logging/", r"roadlb/log\.py"),
+        "decision module": (r"roadlb/policy/",),
+        "writing": (
+            r"^(send|write|writev) \(libc",
+            r"Transport\.write(lines)? ",
+            r"http_writer",
+            r"Response\.(prepare|_start|_prepare\w*|_write_headers|write_eof|_send) ",
+            r"ClientRequest\.(send|write_bytes|_write) ",
+            r"\b_?write\w* \(roadlb/net/",
+        ),
+        "engine": (r"roadlb/(engine|exchange|counters)\.py",),
+        "client side: parsing": (
+            r"(RequestHandler|_Connection)\.data_received ",
+            r"HttpRequestParser",
+            r"ClientConnection\.(data_received|on_\w+|_pump) ",
+        ),
+        "client side: the rest": (r"roadlb/net/(service_client|client_connection)", r"aiohttp/web_"),
+        "instance side: reading the answer": (
+            r"(ResponseHandler|InstanceConnection)\.(data_received|feed_data|on_\w+) ",
+            r"HttpResponseParser",
+            r"InstanceConnection\.(_head\w*|_end\w*|_over|_judge) ",
+            r"ClientResponse\.(start|read) ",
+        ),
+        "instance side: the rest": (r"roadlb/net/(instance|connections|pool)", r"aiohttp/(client|connector)"),
+        "discovery": (r"roadlb/net/name_table",),
+        "tasks, futures, timers": (
+            r"roadlb/wheel",
+            r"asyncio/(tasks|futures|base_futures|timeouts|locks)\.py",
+            r"_asynciomodule",
+            r"\.(call_soon|_call_soon|call_later|call_at|create_task|create_future) ",
+            r"(Timer)?Handle\.(__\w+__|cancel) ",
+            r"timer_handle",
+            r"heap",
+            r"Context\.run",
+        ),
+        "event loop and its system calls": (
+            r"asyncio/",
+            r"selectors\.py",
+            r"uvloop",
+            r"libuv",
+            r"^(recv|read|epoll_\w+) \(libc",
+        ),
+    }.items()
+]
 
 
 def group_of(stack: list[str]) -> str:
@@ -61,8 +86,9 @@
     return "unnamed"
 
 
-async def under_load(options: argparse.Namespace, command: list[str], env: dict[str, str],
-                     seconds: float) -> tuple[float, float]:
+async def under_load(
+    options: argparse.Namespace, command: list[str], env: dict[str, str], seconds: float
+) -> tuple[float, float]:
     """Play the load against roadlb; py-spy watches if `options.output` says so.  Returns requests, CPU us."""
     core, others = options.cpus[0], set(options.cpus[1:]) or {options.cpus[0]}
     os.sched_setaffinity(0, others)
@@ -76,11 +102,29 @@
             load = Load(roadlb.port, CONNECTIONS)
             await load.connect()
             sent = (await load.play(kind, options.rate, 1.0, 0)).sent
-            spy = subprocess.Popen([
-                str(Path(sys.executable).with_name("py-spy")), "record", "--native",
-                "--pid", str(roadlb.pid), "--duration", str(int(seconds) - 1),
-                "--rate", str(HERTZ), "--format", "raw", "--output", str(options.output)],
-                stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL) if options.how == "sample" else None
+            spy = (
+                subprocess.Popen(
+                    [
+                        str(Path(sys.executable).with_name("py-spy")),
+                        "record",
+                        "--native",
+                        "--pid",
+                        str(roadlb.pid),
+                        "--duration",
+                        str(int(seconds) - 1),
+                        "--rate",
+                        str(HERTZ),
+                        "--format",
+                        "raw",
+                        "--output",
+                        str(options.output),
+                    ],
+                    stdout=subprocess.DEVNULL,
+                    stderr=subprocess.DEVNULL,
+                )
+                if options.how == "sample"
+                else None
+            )
             before = roadlb.cpu_us()
             result = await load.play(kind, options.rate, seconds, 1)
             cpu = roadlb.cpu_us() - before
@@ -108,7 +152,7 @@
     _, cpu_us = uvloop.run(under_load(options, command, {}, options.seconds))
     groups, leaves = Counter[str](), Counter[str]()
     for stack, count in samples(options.output):
-        if not stack[-1].startswith(("epoll_wait", "epoll_pwait")):       # asleep, or about to be
+        if not stack[-1].startswith(("epoll_wait", "epoll_pwait")):  # asleep, or about to be
             groups[group_of(stack)] += count
             leaves[f"{group_of(stack)}: {stack[-1]}"] += count
     total = groups.total()
@@ -139,12 +183,14 @@
         file, each = function[0], (n - few[function]) / (long - short)
         if file == "~":
             builtin += each
-        else:      # PACKAGE/FILE.py, or the file alone for a module of the standard library
+        else:  # PACKAGE/FILE.py, or the file alone for a module of the standard library
             place = re.sub(r".*/(?:site-packages/|lib/python3\.\d+/|(?=roadlb/))", "", file)
             places[place] = places.get(place, 0.0) + each
-    print(f"{options.kind}: {sum(places.values()):.0f} calls of Python functions and {builtin:.0f} of "
-          "built-in ones for each request")
-    for place, each in sorted(places.items(), key=lambda item: -item[1])[:options.top]:
+    print(
+        f"{options.kind}: {sum(places.values()):.0f} calls of Python functions and {builtin:.0f} of "
+        "built-in ones for each request"
+    )
+    for place, each in sorted(places.items(), key=lambda item: -item[1])[: options.top]:
         print(f"  {each:>7.1f}  {place}")
 
 
@@ -161,8 +207,12 @@
     add("--root", type=Path, default=HERE.parent, help="tree whose roadlb is measured")
     add("--cpus", type=cores, default=default_cores(), help="core of the subject, then those of the rest")
     add("--delay-ms", type=float, default=2.0)
-    add("--output", type=Path, default=Path(tempfile.gettempdir()) / "roadlb-stacks.txt",
-        help="where the stacks go that were sampled")
+    add(
+        "--output",
+        type=Path,
+        default=Path(tempfile.gettempdir()) / "roadlb-stacks.txt",
+        help="where the stacks go that were sampled",
+    )
     options = parser.parse_args()
     options.root = options.root.resolve()
     {"sample": sample, "calls": calls}[options.how](options)
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -74,8 +74,10 @@
         front, self.front = self.front, None
         self.pool.idle.append(self)
         if front:
-            front.transport.write(b"HTTP/1.1 %d OK\r\n%b\r\n%b" % (
-                self.parser.get_status_code(), b"".join(self.head), self.body))
+            front.transport.write(
+                b"HTTP/1.1 %d OK\r\n%b\r\n%b"
+                % (self.parser.get_status_code(), b"".join(self.head), self.body)
+            )
 
 
 class Front(asyncio.Protocol):
@@ -107,8 +109,11 @@
         self.body += body
 
     def on_message_complete(self) -> None:
-        next(self.pools).forward(self, b"%b %b HTTP/1.1\r\n%b\r\n%b" % (
-            self.parser.get_method(), self.url, b"".join(self.head), self.body))
+        next(self.pools).forward(
+            self,
+            b"%b %b HTTP/1.1\r\n%b\r\n%b"
+            % (self.parser.get_method(), self.url, b"".join(self.head), self.body),
+        )
 
 
 async def serve(addresses: list[str]) -> None:
--- a/benchmarks/rig_planted.py
+++ b/benchmarks/rig_planted.py
@@ -20,14 +20,15 @@
 from roadlb.lab import mutants
 
 ROOT = Path(__file__).resolve().parent.parent
-LOST, BACK = 12, 27                  # seconds, in hall-lost.toml
-KNOWN = 4                            # after the loss, all have found out
+LOST, BACK = 12, 27  # seconds, in hall-lost.toml
+KNOWN = 4  # after the loss, all have found out
 
 
 def run(incident: str, seed: int, defect: str) -> dict[str, Any]:
     job = {"incident": (ROOT / "examples" / "incidents" / incident).read_text(), "seed": seed}
-    return ask([ROOT / "benchmarks" / "sites_runs.py"], job, ROOT,
-               mutants.variables(defect) if defect else None)
+    return ask(
+        [ROOT / "benchmarks" / "sites_runs.py"], job, ROOT, mutants.variables(defect) if defect else None
+    )
 
 
 def figures(lost: dict[str, Any], paused: dict[str, Any]) -> dict[str, float]:
@@ -36,14 +37,20 @@
     after = [share for second, share in seconds.items() if BACK <= second < 42]
     told = lost["order"]["within 0.5 s"]
     return {
-        "whole run": 100 * lost["whole"], "outage, mean": 100 * mean(out), "outage, worst s": 100 * min(out),
-        "return, worst s": 100 * min(after), "orders": 100 * lost["classes"]["order"],
+        "whole run": 100 * lost["whole"],
+        "outage, mean": 100 * mean(out),
+        "outage, worst s": 100 * min(out),
+        "return, worst s": 100 * min(after),
+        "orders": 100 * lost["classes"]["order"],
         "order of refusals kept": 100 * told["kept"] / max(1, told["refusals"]),
-        "returns without steps": float(skipped(lost["changes"])), "felled": float(len(lost["fell"])),
-        "false losses, halls": float(sum(state == "lost" and (site != 1 or at < LOST)
-                                         for at, _, site, state, _ in lost["changes"])),
+        "returns without steps": float(skipped(lost["changes"])),
+        "felled": float(len(lost["fell"])),
+        "false losses, halls": float(
+            sum(state == "lost" and (site != 1 or at < LOST) for at, _, site, state, _ in lost["changes"])
+        ),
         "false losses, nodes": float(sum(state == "lost" for _, _, _, state, _ in paused["changes"])),
-        "paused, whole run": 100 * paused["whole"]}
+        "paused, whole run": 100 * paused["whole"],
+    }
 
 
 def skipped(changes: list[list[Any]]) -> int:
@@ -64,18 +71,35 @@
     options.add_argument("--defects", nargs="*", choices=list(mutants.DEFECTS), default=list(mutants.DEFECTS))
     told = options.parse_args()
     names = ["", *told.defects]
-    jobs = [(incident, seed, name) for name in names for seed in told.seeds
-            for incident in ("hall-lost.toml", "node-pause.toml")]
+    jobs = [
+        (incident, seed, name)
+        for name in names
+        for seed in told.seeds
+        for incident in ("hall-lost.toml", "node-pause.toml")
+    ]
     with ThreadPoolExecutor(told.processes) as pool:
         runs = dict(zip(jobs, pool.map(lambda job: run(*job), jobs), strict=True))
-    rows = {name: [figures(runs["hall-lost.toml", seed, name], runs["node-pause.toml", seed, name])
-                   for seed in told.seeds] for name in names}
-    print("| figure, mean of seeds " + ", ".join(map(str, told.seeds)) + " | "
-          + " | ".join(name or "sound" for name in names) + " |")
+    rows = {
+        name: [
+            figures(runs["hall-lost.toml", seed, name], runs["node-pause.toml", seed, name])
+            for seed in told.seeds
+        ]
+        for name in names
+    }
+    print(
+        "| figure, mean of seeds "
+        + ", ".join(map(str, told.seeds))
+        + " | "
+        + " | ".join(name or "sound" for name in names)
+        + " |"
+    )
     print("| --- " * (len(names) + 1) + "|")
     for figure in rows[""][0]:
-        print(f"| {figure} | " + " | ".join(f"{mean(row[figure] for row in rows[name]):.1f}"
-                                            for name in names) + " |")
+        print(
+            f"| {figure} | "
+            + " | ".join(f"{mean(row[figure] for row in rows[name]):.1f}" for name in names)
+            + " |"
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/shared_processes.py
+++ b/benchmarks/shared_processes.py
@@ -37,28 +37,35 @@
     began = time.monotonic()
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         one = runner.run(rates.play_rates(seed, defect))
-    print(f"{name}: {'sound' if one.sound else 'NOT SOUND'}; of what is said {one.repeats:.2f} in {one.made} "
-          f"repeats, {one.dials:.2f} in {one.sent} requests to a hall that is away, one held {one.moved:.1f} "
-          f"parts; sum of shares {one.shares.most:.7f}; {one.faults} faults, late {one.late_s:.1f} s; "
-          f"{time.monotonic() - began:.0f} s{''.join('; ' + line for line in one.said)}", flush=True)
+    print(
+        f"{name}: {'sound' if one.sound else 'NOT SOUND'}; of what is said {one.repeats:.2f} in {one.made} "
+        f"repeats, {one.dials:.2f} in {one.sent} requests to a hall that is away, one held {one.moved:.1f} "
+        f"parts; sum of shares {one.shares.most:.7f}; {one.faults} faults, late {one.late_s:.1f} s; "
+        f"{time.monotonic() - began:.0f} s{''.join('; ' + line for line in one.said)}",
+        flush=True,
+    )
     if not one.sound:
         print(f"    {one.shares}")
     return one
 
 
 def show(name: str, one: Outcome, began: float) -> None:
-    print(f"{name}: {'sound' if one.sound else 'NOT SOUND'}; sum of shares {one.shares.most:.7f}, one held "
-          f"{one.moved:.1f} parts; cold {one.cold:.2f} of a fall, {one.fell} fell; customer "
-          f"{one.customer:.2f} of its quota; repeated {one.repeated}; {one.faults} faults, late "
-          f"{one.late_s:.1f} s; {time.monotonic() - began:.0f} s"
-          f"{''.join('; ' + line for line in (*one.said, *one.missing))}", flush=True)
+    print(
+        f"{name}: {'sound' if one.sound else 'NOT SOUND'}; sum of shares {one.shares.most:.7f}, one held "
+        f"{one.moved:.1f} parts; cold {one.cold:.2f} of a fall, {one.fell} fell; customer "
+        f"{one.customer:.2f} of its quota; repeated {one.repeated}; {one.faults} faults, late "
+        f"{one.late_s:.1f} s; {time.monotonic() - began:.0f} s"
+        f"{''.join('; ' + line for line in (*one.said, *one.missing))}",
+        flush=True,
+    )
     if not one.sound:
         print(f"    {one.shares}")
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(description=__doc__,
-                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--seeds", type=int, default=50)
     parser.add_argument("--seconds", type=float, default=40)
--- a/benchmarks/shared_state.py
+++ b/benchmarks/shared_state.py
@@ -57,12 +57,18 @@
     print(f"{'scope':50}{'states':>10}{'depth':>7}  all seen?  above the whole?")
     for name, scope in scopes.items():
         found = search(replace(scope, states=states))
-        print(f"{name:50}{found.states:>10}{found.depth:>7}  {'yes' if found.whole else 'no':9}  "
-              f"{' > '.join(found.steps) or 'no'}", flush=True)
+        print(
+            f"{name:50}{found.states:>10}{found.depth:>7}  {'yes' if found.whole else 'no':9}  "
+            f"{' > '.join(found.steps) or 'no'}",
+            flush=True,
+        )
     for defect in DEFECTS:
         found = search(Scope(make=defect, restarts=int(defect is ForgetsItsGifts), states=states))
-        print(f"{defect.__name__:50}{found.states:>10}{found.depth:>7}  {'':9}  "
-              f"{' > '.join(found.steps) or 'no'}", flush=True)
+        print(
+            f"{defect.__name__:50}{found.states:>10}{found.depth:>7}  {'':9}  "
+            f"{' > '.join(found.steps) or 'no'}",
+            flush=True,
+        )
 
 
 def fleet(members: int, first: int, seeds: int, seconds: float, weathers: Sequence[str]) -> None:
@@ -77,25 +83,37 @@
             messages += f.messages
             if f.most > most:
                 most, worst = f.most, seed
-        print(f"{members} balancers, {name} weather, seeds {first} to {first + seeds - 1} of {seconds:g} s: "
-              f"most of the whole {most:.6f} (seed {worst}), "
-              f"{messages / seeds / seconds / members:.1f} messages a second each", flush=True)
+        print(
+            f"{members} balancers, {name} weather, seeds {first} to {first + seeds - 1} of {seconds:g} s: "
+            f"most of the whole {most:.6f} (seed {worst}), "
+            f"{messages / seeds / seconds / members:.1f} messages a second each",
+            flush=True,
+        )
 
 
 def idle(members: int) -> None:
     """How much lies idle where one of ten has all the demand."""
     terms = Terms(instances=members)
     for alive in (1.0, 0.3):
-        f = ShareFleet(members, terms, 1, CALM, resources=1, settled=True, needs=lambda i, _: {
-            b"thing000": terms.part * (40 if i % 10 == 0 else 0)})
-        f.kill(f.names[int(members * alive):])
+        f = ShareFleet(
+            members,
+            terms,
+            1,
+            CALM,
+            resources=1,
+            settled=True,
+            needs=lambda i, _: {b"thing000": terms.part * (40 if i % 10 == 0 else 0)},
+        )
+        f.kill(f.names[int(members * alive) :])
         f.play(20)
         shares = sorted((p.shares[b"thing000"] / terms.part for p in f.processes.values()), reverse=True)
-        print(f"{members} balancers, {alive:.0%} alive, one of ten has all the demand: "
-              f"{f.used(b'thing000'):.1%} of the whole is in hand; a busy one has {shares[0]:.1f} parts")
+        print(
+            f"{members} balancers, {alive:.0%} alive, one of ten has all the demand: "
+            f"{f.used(b'thing000'):.1%} of the whole is in hand; a busy one has {shares[0]:.1f} parts"
+        )
 
 
-FEW = [10.0] * 4 + [1.0] * 36          # four of the forty balancers get ten times as much as the others
+FEW = [10.0] * 4 + [1.0] * 36  # four of the forty balancers get ten times as much as the others
 COLD_FROM, COLD_US, FALL, EACH = 0.2, 20 * SECOND, 3.0, 16
 Ways = {"without": (False, None), "with": (True, None), "deaf": (True, Air(loss=1.0))}
 
@@ -107,14 +125,29 @@
     f.bad[b"node-7"] = f.now, None
     f.play(20, 900)
     bad = [s for s in f.sent if not s.good]
-    return {"orders lost": sum(s.cls == ORDER for s in bad), "reads that failed": len(bad) - sum(
-        s.cls == ORDER for s in bad), "bytes/s each": f.bytes / 25 / 40}
+    return {
+        "orders lost": sum(s.cls == ORDER for s in bad),
+        "reads that failed": len(bad) - sum(s.cls == ORDER for s in bad),
+        "bytes/s each": f.bytes / 25 / 40,
+    }
 
 
 def cold_nodes(seed: int, share: bool, air: Air | None, weights: list[float] | None) -> dict[str, float]:
     """Twelve of 72 nodes are new; of what they can do, and of what makes one fall."""
-    f = ToldFleet(40, 60, seed, share, air, weights=weights, cold_from=COLD_FROM, cold_us=COLD_US,
-                  fall_multiple=FALL, fall_us=SECOND, warm_keys=True, second_copies=False)
+    f = ToldFleet(
+        40,
+        60,
+        seed,
+        share,
+        air,
+        weights=weights,
+        cold_from=COLD_FROM,
+        cold_us=COLD_US,
+        fall_multiple=FALL,
+        fall_us=SECOND,
+        warm_keys=True,
+        second_copies=False,
+    )
     f.play(8, 60 * EACH)
     born, new = f.now, [b"new-%d" % n for n in range(12)]
     f.tell(ListUpdate(ListKind.DELTA, [Member(s, born_us=born) for s in new]))
@@ -128,9 +161,11 @@
     for at in sent.values():
         for n, t in enumerate(at):
             can = EACH * (COLD_FROM + (1 - COLD_FROM) * (t - born) / COLD_US)
-            most = max(most, sum(x < t + SECOND for x in at[n:n + 200]) / (FALL * can))
-    return {"use of what they can do, %": 100 * sum(map(len, sent.values())) / 12 / could,
-            "most of a fall, %": 100 * most}
+            most = max(most, sum(x < t + SECOND for x in at[n : n + 200]) / (FALL * can))
+    return {
+        "use of what they can do, %": 100 * sum(map(len, sent.values())) / 12 / could,
+        "most of a fall, %": 100 * most,
+    }
 
 
 def quota(seed: int, share: bool, air: Air | None) -> dict[str, float]:
@@ -146,24 +181,32 @@
         f.weights = [1.0] * 4 + [0.0] * 36
         asked += 80
         f.play(0.5, 160, tenant=0)
-    return {"refused of the one within its quota, %": 100 * f.refused_of.get(0, 0) / asked,
-            "refused of all": f.refused}
+    return {
+        "refused of the one within its quota, %": 100 * f.refused_of.get(0, 0) / asked,
+        "refused of all": f.refused,
+    }
 
 
 def worth(seeds: int) -> None:
-    for name, play in (("a node answers errors at once", bad_node),
-                       ("cold nodes, even demand", lambda *way: cold_nodes(*way, None)),
-                       ("cold nodes, four of forty busy", lambda *way: cold_nodes(*way, FEW)),
-                       ("a customer within its quota at few balancers", quota)):
+    for name, play in (
+        ("a node answers errors at once", bad_node),
+        ("cold nodes, even demand", lambda *way: cold_nodes(*way, None)),
+        ("cold nodes, four of forty busy", lambda *way: cold_nodes(*way, FEW)),
+        ("a customer within its quota at few balancers", quota),
+    ):
         for way, (share, air) in Ways.items():
             rows = [play(seed, share, air) for seed in range(seeds)]
-            print(f"{name:46}{way:9}" + "; ".join(
-                f"{what}: " + ", ".join(f"{row[what]:.4g}" for row in rows) for what in rows[0]), flush=True)
+            print(
+                f"{name:46}{way:9}"
+                + "; ".join(f"{what}: " + ", ".join(f"{row[what]:.4g}" for row in rows) for what in rows[0]),
+                flush=True,
+            )
 
 
 def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__,
-                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("what", choices=("model", "fleet", "idle", "worth"))
     parser.add_argument("--states", type=int, default=1_000_000)
     parser.add_argument("--members", type=int, default=200)
--- a/benchmarks/sites_account.py
+++ b/benchmarks/sites_account.py
@@ -37,8 +37,8 @@
     def __init__(self, log: WireLog) -> None:
         self.wished: dict[int, ClientWished] = {}
         self.sent: dict[str, ClientSent] = {}
-        self.won: dict[int, ClientGot] = {}                      # by wish, the first good answer
-        self.came: dict[tuple[str, str], NodeGot] = {}           # by request and node
+        self.won: dict[int, ClientGot] = {}  # by wish, the first good answer
+        self.came: dict[tuple[str, str], NodeGot] = {}  # by request and node
         self.ran: list[NodeRan] = []
         self.gave: dict[tuple[str, str], NodeGave] = {}
         for event in log:
@@ -85,7 +85,7 @@
     book, rules = Book(rehearsal.log), {row.name: row for row in rules_of(incident).classes}
     room = Capacity(rehearsal.log, drawn.kinds).between(since, until)
     gain = next(iter(drawn.kinds.values())).cache_gain
-    work, waits, tries = defaultdict(float), defaultdict(list), Counter[int]()     # type: ignore[var-annotated]
+    work, waits, tries = defaultdict(float), defaultdict(list), Counter[int]()  # type: ignore[var-annotated]
     for ran in book.ran:
         if since <= ran.at < until and ran.request in book.sent:
             sent, came = book.sent[ran.request], book.came[ran.request, ran.node]
@@ -97,8 +97,10 @@
     click.echo(f"begun, of what nodes can do: {sum(work.values()):.3f}")
     for name, share in sorted(work.items(), key=lambda one: -one[1]):
         click.echo(f"  {name:14} {share:.3f}")
-    click.echo("wait at the nodes, of the aim: "
-               + ", ".join(f"{node} {fmean(found):.2f}" for node, found in sorted(waits.items())))
+    click.echo(
+        "wait at the nodes, of the aim: "
+        + ", ".join(f"{node} {fmean(found):.2f}" for node, found in sorted(waits.items()))
+    )
     click.echo(f"begun by try: {dict(sorted(tries.items()))}")
     if views:
         for at, number, *view in seen:
@@ -116,7 +118,7 @@
 def viewed() -> Iterator[list[tuple[int, int, float, float, float, int]]]:
     """Now and then: when, which balancer, its shortage, wait, usual wait, and what is in hand."""
     seen: list[tuple[int, int, float, float, float, int]] = []
-    known: dict[Balancer, tuple[int, int]] = {}                  # its number, and when it was looked at
+    known: dict[Balancer, tuple[int, int]] = {}  # its number, and when it was looked at
     wanting = Balancer.wanting
 
     def looked(self: Balancer) -> float:
@@ -125,15 +127,23 @@
         if self.now - at >= VIEW_US:
             known[self] = number, self.now
             hand = self.hand
-            seen.append((self.now, number, round(share, 2), round(hand.wait(self.now), 2),
-                         round(hand._usual, 2), hand.out))
+            seen.append(
+                (
+                    self.now,
+                    number,
+                    round(share, 2),
+                    round(hand.wait(self.now), 2),
+                    round(hand._usual, 2),
+                    hand.out,
+                )
+            )
         return share
 
-    Balancer.wanting = looked                   # type: ignore[method-assign]
+    Balancer.wanting = looked  # type: ignore[method-assign]
     try:
         yield seen
     finally:
-        Balancer.wanting = wanting              # type: ignore[method-assign]
+        Balancer.wanting = wanting  # type: ignore[method-assign]
 
 
 if __name__ == "__main__":
--- a/benchmarks/sites_busy.py
+++ b/benchmarks/sites_busy.py
@@ -30,10 +30,13 @@
 from sites_figures import tell
 
 ROOT = Path(__file__).resolve().parent.parent
-FILES = tuple(str(path.relative_to(ROOT)) for path in sorted((ROOT / "tests" / "sites").glob(
-    "test_processes*.py")) if "planted" not in path.name)
-EVIDENCE = 12                       # lines of it that are shown of a claim that failed
-LAST_S = 1_200.0                    # for one run; one that takes longer has failed, and is ended
+FILES = tuple(
+    str(path.relative_to(ROOT))
+    for path in sorted((ROOT / "tests" / "sites").glob("test_processes*.py"))
+    if "planted" not in path.name
+)
+EVIDENCE = 12  # lines of it that are shown of a claim that failed
+LAST_S = 1_200.0  # for one run; one that takes longer has failed, and is ended
 
 
 @contextmanager
@@ -57,14 +60,20 @@
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / "report.xml"
         command = [sys.executable, "-m", "pytest", "-q", "--tb=short", f"--junitxml={report}", *files]
-        started = subprocess.Popen(command, cwd=ROOT, env={**os.environ, "PYTHONPATH": str(ROOT)},
-                                   stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True,
-                                   start_new_session=True)
+        started = subprocess.Popen(
+            command,
+            cwd=ROOT,
+            env={**os.environ, "PYTHONPATH": str(ROOT)},
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+            start_new_session=True,
+        )
         os.sched_setaffinity(started.pid, cores)
         try:
             said, _ = started.communicate(timeout=LAST_S)
         except BaseException as error:
-            os.killpg(started.pid, signal.SIGKILL)         # with the balancers that it started
+            os.killpg(started.pid, signal.SIGKILL)  # with the balancers that it started
             said, _ = started.communicate()
             if not isinstance(error, subprocess.TimeoutExpired):
                 raise
@@ -76,8 +85,12 @@
             failed[case.get("name", "")] = evidence(bad.text or bad.get("message") or "")
     if started.returncode and not failed:
         failed["the run itself"] = said.splitlines()[-EVIDENCE:]
-    return {"took_s": took_s, "load": [load, os.getloadavg()[0]], "failed": failed,
-            "seconds": {case.get("name", ""): float(case.get("time", 0)) for case in cases}}
+    return {
+        "took_s": took_s,
+        "load": [load, os.getloadavg()[0]],
+        "failed": failed,
+        "seconds": {case.get("name", ""): float(case.get("time", 0)) for case in cases},
+    }
 
 
 def evidence(text: str) -> list[str]:
@@ -88,18 +101,37 @@
 
 def told(runs: Sequence[dict[str, Any]]) -> int:
     """Tables of durations and verdicts; how the command ends."""
-    tell(("run", "seconds", "load at its start, end", "scenarios", "failed"),
-         [(str(number), f"{one['took_s']:.0f}", f"{one['load'][0]:.0f}, {one['load'][1]:.0f}",
-           str(len(one["seconds"])), ", ".join(one["failed"]) or "none")
-          for number, one in enumerate(runs, 1)])
+    tell(
+        ("run", "seconds", "load at its start, end", "scenarios", "failed"),
+        [
+            (
+                str(number),
+                f"{one['took_s']:.0f}",
+                f"{one['load'][0]:.0f}, {one['load'][1]:.0f}",
+                str(len(one["seconds"])),
+                ", ".join(one["failed"]) or "none",
+            )
+            for number, one in enumerate(runs, 1)
+        ],
+    )
     by_name: dict[str, list[float]] = {}
     for one in runs:
         for name, seconds in one["seconds"].items():
             by_name.setdefault(name, []).append(seconds)
     failures = Counter(name for one in runs for name in one["failed"])
-    tell(("scenario", "least s", "mean s", "most s", "failed"),
-         [(name, f"{min(each):.1f}", f"{sum(each) / len(each):.1f}", f"{max(each):.1f}",
-           f"{failures[name]} of {len(runs)}") for name, each in by_name.items()])
+    tell(
+        ("scenario", "least s", "mean s", "most s", "failed"),
+        [
+            (
+                name,
+                f"{min(each):.1f}",
+                f"{sum(each) / len(each):.1f}",
+                f"{max(each):.1f}",
+                f"{failures[name]} of {len(runs)}",
+            )
+            for name, each in by_name.items()
+        ],
+    )
     for number, one in enumerate(runs, 1):
         for name, lines in one["failed"].items():
             click.echo(f"run {number}, {name}:")
@@ -109,8 +141,11 @@
         click.echo(f"one verdict: all passed, {len(runs)} of {len(runs)} runs")
         return 0
     alike = all(count == len(runs) for count in failures.values())
-    click.echo("one verdict: the same fail in each run" if alike else
-               f"no single verdict: {sum(bool(one['failed']) for one in runs)} of {len(runs)} runs failed")
+    click.echo(
+        "one verdict: the same fail in each run"
+        if alike
+        else f"no single verdict: {sum(bool(one['failed']) for one in runs)} of {len(runs)} runs failed"
+    )
     return 2 if alike else 1
 
 
--- a/benchmarks/sites_cost.py
+++ b/benchmarks/sites_cost.py
@@ -17,25 +17,42 @@
 import click
 
 from roadlb.policy.interface import (
-    Arrival, Effect, Heard, ListKind, ListUpdate, Member, Outcome, RequestClass, Send, Settings, SetTimer,
-    SiteWord, Status, TimerFired)
+    Arrival,
+    Effect,
+    Heard,
+    ListKind,
+    ListUpdate,
+    Member,
+    Outcome,
+    RequestClass,
+    Send,
+    Settings,
+    SetTimer,
+    SiteWord,
+    Status,
+    TimerFired,
+)
 from roadlb.policy.logic import Balancer
 
 SECOND, TOOK_US, EVERY_US, DIAL_US = 1_000_000, 50_000, 2_000, 250_000
-STAY = 250                   # requests, 0.5 s, after which the trouble is begun anew
-HALL = 1                     # the one with the trouble
+STAY = 250  # requests, 0.5 s, after which the trouble is begun anew
+HALL = 1  # the one with the trouble
 
 
 class Play:
     """One balancer of hall 0; the dark hall's servers never come up, the others answer after 50 ms."""
 
     def __init__(self, servers: int) -> None:
-        classes = [RequestClass("read", 500_000, 2_500_000, 2.0, 0.5),
-                   RequestClass("order", 600_000, 2_000_000, 10.0, 0.5, effect=Effect.UNSAFE)]
-        self.balancer = Balancer(Settings(classes=classes, instances=6, cross_zone_cost=0.02,
-                                          second_copies=False), 1)
-        self.halls = {bytes([65 + hall, n % 256, n // 256]): hall
-                      for hall in range(3) for n in range(servers)}
+        classes = [
+            RequestClass("read", 500_000, 2_500_000, 2.0, 0.5),
+            RequestClass("order", 600_000, 2_000_000, 10.0, 0.5, effect=Effect.UNSAFE),
+        ]
+        self.balancer = Balancer(
+            Settings(classes=classes, instances=6, cross_zone_cost=0.02, second_copies=False), 1
+        )
+        self.halls = {
+            bytes([65 + hall, n % 256, n // 256]): hall for hall in range(3) for n in range(servers)
+        }
         self.now, self.number, self.request, self.dark = SECOND, 0, 0, -1
         self.due: list[tuple[int, int, object]] = []
         self.tried: dict[int, int] = {}
@@ -85,7 +102,12 @@
 
 
 CASES: dict[str, Callable[[Play], None]] = {
-    "whole": lambda play: None, "lost": lost, "out": out, "returning": returning, "half is shed": shedding}
+    "whole": lambda play: None,
+    "lost": lost,
+    "out": out,
+    "returning": returning,
+    "half is shed": shedding,
+}
 
 
 @click.command()
@@ -96,7 +118,7 @@
     plays = {name: Play(servers) for name in CASES}
     took: dict[str, list[float]] = {name: [] for name in CASES}
     for play in plays.values():
-        play.play(requests)                    # sets and means are there
+        play.play(requests)  # sets and means are there
     for _ in range(rounds):
         for name, case in CASES.items():
             began = time.process_time()
--- a/benchmarks/sites_figures.py
+++ b/benchmarks/sites_figures.py
@@ -11,20 +11,20 @@
 
 import click
 
-LOST_S, BACK_S, SETTLED_S = 12, 27, 4       # the hall goes, comes back; counted from so long after the loss
+LOST_S, BACK_S, SETTLED_S = 12, 27, 4  # the hall goes, comes back; counted from so long after the loss
 RESAMPLES = 4_000
-PLAYED_OUT_S = 3            # before a run's end: what came due then is not all judged when it ends
-AGAIN_S = 3                                 # a share holds again from the first of so many seconds in a row
+PLAYED_OUT_S = 3  # before a run's end: what came due then is not all judged when it ends
+AGAIN_S = 3  # a share holds again from the first of so many seconds in a row
 
 
 # What is told of a run
 
+
 def seconds(run: dict[str, Any], since_s: float, until_s: float) -> list[int]:
     """The whole seconds, as the run counts them, that lie within so long after arrivals began."""
     first = run["origin"] + since_s
     start = int(first) + (first > int(first))
-    return [second for second in range(start, int(run["origin"] + until_s))
-            if str(second) in run["seconds"]]
+    return [second for second in range(start, int(run["origin"] + until_s)) if str(second) in run["seconds"]]
 
 
 def share(run: dict[str, Any], within: Iterable[int]) -> float:
@@ -42,11 +42,19 @@
         both = [found.get(str(s), [0, 0]) for s in within]
         by_class[name] = sum(b[1] for b in both) / max(1e-9, sum(b[0] for b in both))
     each = [share(run, [s]) for s in within]
-    return {"served": served / asked, "least": min(each), "most": max(each), "bound": bound / asked,
-            "bound_orders": orders_first / asked, "of_bound": served / bound,
-            "borne": fmean(run["borne"][str(s)] for s in within), "worth_s": served / len(within),
-            "asked_s": asked / len(within), "order": by_class.get("order", 1.0),
-            "read": by_class.get("grid-read", 1.0)}
+    return {
+        "served": served / asked,
+        "least": min(each),
+        "most": max(each),
+        "bound": bound / asked,
+        "bound_orders": orders_first / asked,
+        "of_bound": served / bound,
+        "borne": fmean(run["borne"][str(s)] for s in within),
+        "worth_s": served / len(within),
+        "asked_s": asked / len(within),
+        "order": by_class.get("order", 1.0),
+        "read": by_class.get("grid-read", 1.0),
+    }
 
 
 def again(run: dict[str, Any], share_of: float, back_s: float = BACK_S) -> float | None:
@@ -62,18 +70,32 @@
     """`knee`: worth a second that the nodes left serve at the demand that they just bear."""
     after = [share(run, [s]) for s in seconds(run, BACK_S, BACK_S + 10)]
     out = outage(run)
-    of_knee = [run["seconds"][str(s)][1] / min(knee, run["seconds"][str(s)][0]) if knee else None
-               for s in seconds(run, LOST_S + SETTLED_S, BACK_S)]
+    of_knee = [
+        run["seconds"][str(s)][1] / min(knee, run["seconds"][str(s)][0]) if knee else None
+        for s in seconds(run, LOST_S + SETTLED_S, BACK_S)
+    ]
     there = [value for value in of_knee if value is not None]
-    return {"whole": run["whole"], "worst 10 s": run["worst"], "reads": run["classes"].get("grid-read"),
-            "orders": run["classes"].get("order"), "outage": out["served"], "least s": out["least"],
-            "of knee": out["worth_s"] / min(knee, out["asked_s"]) if knee else None,
-            "least of knee": min(there) if there else None, "bound": out["bound"],
-            "of bound": out["of_bound"], "borne": out["borne"], "orders then": out["order"],
-            "reads then": out["read"], "after, least s": min(after),
-            "after less outage": min(after) - out["served"], "95% after s": again(run, 0.95),
-            "98% after s": again(run, 0.98), "refused": run["refused"] / run["tries"],
-            "order kept": kept(run, "within 0.5 s")}
+    return {
+        "whole": run["whole"],
+        "worst 10 s": run["worst"],
+        "reads": run["classes"].get("grid-read"),
+        "orders": run["classes"].get("order"),
+        "outage": out["served"],
+        "least s": out["least"],
+        "of knee": out["worth_s"] / min(knee, out["asked_s"]) if knee else None,
+        "least of knee": min(there) if there else None,
+        "bound": out["bound"],
+        "of bound": out["of_bound"],
+        "borne": out["borne"],
+        "orders then": out["order"],
+        "reads then": out["read"],
+        "after, least s": min(after),
+        "after less outage": min(after) - out["served"],
+        "95% after s": again(run, 0.95),
+        "98% after s": again(run, 0.98),
+        "refused": run["refused"] / run["tries"],
+        "order kept": kept(run, "within 0.5 s"),
+    }
 
 
 def kept(run: dict[str, Any], how: str) -> float:
@@ -83,15 +105,23 @@
 
 # Tables
 
+
 def tell(head: Sequence[str], lines: Sequence[Sequence[str]]) -> None:
     """As Markdown, which a page takes as it is."""
     widths = [max(len(row[i]) for row in (head, *lines)) for i in range(len(head))]
     for number, row in enumerate((head, *lines)):
-        click.echo("| " + " | ".join(word.rjust(w) if i else word.ljust(w)
-                                     for i, (word, w) in enumerate(zip(row, widths, strict=True))) + " |")
+        click.echo(
+            "| "
+            + " | ".join(
+                word.rjust(w) if i else word.ljust(w)
+                for i, (word, w) in enumerate(zip(row, widths, strict=True))
+            )
+            + " |"
+        )
         if not number:
-            click.echo("|" + "|".join("-" * (w + 1) + ("-" if not i else ":")
-                                      for i, w in enumerate(widths)) + "|")
+            click.echo(
+                "|" + "|".join("-" * (w + 1) + ("-" if not i else ":") for i, w in enumerate(widths)) + "|"
+            )
 
 
 def interval(differences: Sequence[float]) -> tuple[float, float]:
@@ -128,11 +158,13 @@
 
 def faults(runs: Sequence[dict[str, Any]]) -> str:
     """What must be nothing: falls, broken rules, errors, and more served than the strict bound."""
-    return (f"nodes fell {sum(len(run['fell']) for run in runs)}, "
-            f"rules broken {sum(sum(run['broken'].values()) for run in runs)}, "
-            f"errors {sum(run['errors'] for run in runs)}, "
-            f"orders run twice {sum(run['ran_twice'] for run in runs)}, served of the strict bound at most "
-            f"{max(run['strict'] for run in runs):.1%}; a run took {fmean(r['took_s'] for r in runs):.0f} s")
+    return (
+        f"nodes fell {sum(len(run['fell']) for run in runs)}, "
+        f"rules broken {sum(sum(run['broken'].values()) for run in runs)}, "
+        f"errors {sum(run['errors'] for run in runs)}, "
+        f"orders run twice {sum(run['ran_twice'] for run in runs)}, served of the strict bound at most "
+        f"{max(run['strict'] for run in runs):.1%}; a run took {fmean(r['took_s'] for r in runs):.0f} s"
+    )
 
 
 def paired(before: Sequence[dict[str, float | None]], after: Sequence[dict[str, float | None]]) -> None:
@@ -145,7 +177,14 @@
             differences = [b - a for a, b in pairs]
             low, high = interval(differences)
             unit = 1 if key.endswith("after s") or key == "borne" else 100
-            lines.append((key, text(key, fmean(a for a, _ in pairs)), text(key, fmean(b for _, b in pairs)),
-                          f"{unit * fmean(differences):+.2f}", f"{unit * low:+.2f} to {unit * high:+.2f}",
-                          str(len(pairs))))
+            lines.append(
+                (
+                    key,
+                    text(key, fmean(a for a, _ in pairs)),
+                    text(key, fmean(b for _, b in pairs)),
+                    f"{unit * fmean(differences):+.2f}",
+                    f"{unit * low:+.2f} to {unit * high:+.2f}",
+                    str(len(pairs)),
+                )
+            )
     tell(("figure", "before", "after", "difference", "95%", "pairs"), lines)
--- a/benchmarks/sites_hard.py
+++ b/benchmarks/sites_hard.py
@@ -56,9 +56,12 @@
 
 
 def figures(run: dict[str, Any], case: Case) -> dict[str, float | None]:
-    told: dict[str, float | None] = {"whole": run["whole"], "worst 10 s": run["worst"],
-                                     "reads": run["classes"].get("grid-read"),
-                                     "orders": run["classes"].get("order")}
+    told: dict[str, float | None] = {
+        "whole": run["whole"],
+        "worst 10 s": run["worst"],
+        "reads": run["classes"].get("grid-read"),
+        "orders": run["classes"].get("order"),
+    }
     spans = []
     for name, since_s, until_s in case.spans:
         within = settled(run, since_s, until_s)
@@ -67,9 +70,14 @@
             spans.append((share(run, within), swing(run, within)))
             told |= {f"{name}, mean": spans[-1][0], f"{name}, least s": min(each)}
     after = [share(run, [second]) for second in seconds(run, case.back_s + 2, case.back_s + 10)]
-    return {**told, "swing": max(width for _, width in spans), "after 2 s, least s": min(after),
-            "after less outage": min(after) - spans[-1][0], "95% after s": again(run, 0.95, case.back_s),
-            "refused": run["refused"] / run["tries"]}
+    return {
+        **told,
+        "swing": max(width for _, width in spans),
+        "after 2 s, least s": min(after),
+        "after less outage": min(after) - spans[-1][0],
+        "95% after s": again(run, 0.95, case.back_s),
+        "refused": run["refused"] / run["tries"],
+    }
 
 
 def breaches(run: dict[str, Any], case: Case) -> list[str]:
@@ -78,13 +86,20 @@
     found += [f"rule {rule} broken {count} times" for rule, count in run["broken"].items() if count]
     found += [f"{run['ran_twice']} orders ran twice"] if run["ran_twice"] else []
     found += [f"{run['errors']} errors of the program"] if run["errors"] else []
-    said = Counter((balancer, site) for _, balancer, site, state, _ in run["changes"]
-                   if state == "lost" and site not in case.lost)
-    found += [f"balancer {balancer} said {count} times that hall {site} is lost"
-              for (balancer, site), count in sorted(said.items())]
+    said = Counter(
+        (balancer, site)
+        for _, balancer, site, state, _ in run["changes"]
+        if state == "lost" and site not in case.lost
+    )
+    found += [
+        f"balancer {balancer} said {count} times that hall {site} is lost"
+        for (balancer, site), count in sorted(said.items())
+    ]
     skipped = Counter(site for _, _, site, state, _ in run["changes"] if state == "forgotten")
-    found += [f"hall {site} was whole to {count} balancers without a step: the list dropped it on its return"
-              for site, count in skipped.items()]
+    found += [
+        f"hall {site} was whole to {count} balancers without a step: the list dropped it on its return"
+        for site, count in skipped.items()
+    ]
     for name, since_s, until_s in case.spans:
         width = swing(run, settled(run, since_s, until_s))
         found += [f"a swing of {width:.2f} in {name}"] if width > SWING else []
@@ -103,11 +118,18 @@
     """Hard cases: a relapse, overlapping returns, a dark hall, a loss in a release; ends with 1 if a rule is
     broken."""
     chosen = [case for case in CASES if only in case.name]
-    runs = play([{"incident": (INCIDENTS / f"{case.name}.toml").read_text(), "seed": seed}
-                 for case in chosen for seed in range(first, first + seeds)], tree_of(tree), jobs)
+    runs = play(
+        [
+            {"incident": (INCIDENTS / f"{case.name}.toml").read_text(), "seed": seed}
+            for case in chosen
+            for seed in range(first, first + seeds)
+        ],
+        tree_of(tree),
+        jobs,
+    )
     broken = 0
     for number, case in enumerate(chosen):
-        mine = runs[number * seeds:(number + 1) * seeds]
+        mine = runs[number * seeds : (number + 1) * seeds]
         show(case.name, [(str(run["seed"]), figures(run, case)) for run in mine])
         click.echo(faults(mine))
         for run in mine:
@@ -124,8 +146,10 @@
 def traced(run: dict[str, Any], case: Case) -> str:
     """Served by second from before the first fault to 10 s after the last; who said what of which hall."""
     within = seconds(run, case.spans[0][1] - 2, min(case.back_s + 12, 99))
-    lines = [f"{case.name}, seed {run['seed']}, from second {within[0]}: "
-             + " ".join(f"{100 * share(run, [second]):.0f}" for second in within)]
+    lines = [
+        f"{case.name}, seed {run['seed']}, from second {within[0]}: "
+        + " ".join(f"{100 * share(run, [second]):.0f}" for second in within)
+    ]
     return "\n".join([*lines, *told(run["changes"])])
 
 
@@ -134,5 +158,7 @@
     when: dict[tuple[int, str], list[float]] = {}
     for at, _, site, state, _ in changes:
         when.setdefault((site, state), []).append(at)
-    return [f"  hall {site} {state}: {len(at)} times, {min(at):.1f} to {max(at):.1f} s, mean {fmean(at):.1f}"
-            for (site, state), at in sorted(when.items())]
+    return [
+        f"  hall {site} {state}: {len(at)} times, {min(at):.1f} to {max(at):.1f} s, mean {fmean(at):.1f}"
+        for (site, state), at in sorted(when.items())
+    ]
--- a/benchmarks/sites_runs.py
+++ b/benchmarks/sites_runs.py
@@ -34,7 +34,7 @@
 from roadlb.sites.life import Sites  # noqa: E402
 
 SECOND = 1_000_000
-PREFIX_S = 5                # the strict bound is looked at every so many seconds
+PREFIX_S = 5  # the strict bound is looked at every so many seconds
 
 
 def run(job: Job, incident: Incident) -> dict[str, Any]:
@@ -45,20 +45,32 @@
     worth, told, origin = verdict.worth, verdict.figures, rehearsal.origin_us
     zero = origin // SECOND
     return {
-        "seed": seed, "took_s": round(took_s, 1), "origin": origin % SECOND / SECOND, "whole": worth.whole,
-        "worst": worth.worst_window, "classes": dict(worth.by_class), "service": worth.service,
+        "seed": seed,
+        "took_s": round(took_s, 1),
+        "origin": origin % SECOND / SECOND,
+        "whole": worth.whole,
+        "worst": worth.worst_window,
+        "classes": dict(worth.by_class),
+        "service": worth.service,
         "seconds": {second - zero: both for second, both in worth.by_second.items()},
-        "by_class": by_class(rehearsal.log, incident, zero), "wishes": told.wishes, "tries": told.tries,
-        "refused": told.refused, "fell": list(told.fallen), "ran_twice": told.ran_twice,
+        "by_class": by_class(rehearsal.log, incident, zero),
+        "wishes": told.wishes,
+        "tries": told.tries,
+        "refused": told.refused,
+        "fell": list(told.fallen),
+        "ran_twice": told.ran_twice,
         "broken": {rule.value: count for rule, count in verdict.counts.items()},
         "errors": len(rehearsal.figures["program_errors"]) + len(rehearsal.figures["faults"]),
-        "hits": told.hit_share, "order": order(rehearsal.log, incident),
+        "hits": told.hit_share,
+        "order": order(rehearsal.log, incident),
         "changes": [((at - origin) / SECOND, *rest) for at, *rest in changes],
-        **bounds(rehearsal.log, incident, seed, origin, worth.by_second)}
+        **bounds(rehearsal.log, incident, seed, origin, worth.by_second),
+    }
 
 
-def bounds(log: WireLog, incident: Incident, seed: int, origin: int,
-           by_second: dict[int, tuple[float, float]]) -> dict[str, Any]:
+def bounds(
+    log: WireLog, incident: Incident, seed: int, origin: int, by_second: dict[int, tuple[float, float]]
+) -> dict[str, Any]:
     """Worth that could have been carried by second; `borne`: the demand that is, as a multiple of what was
     asked; `strict`: the most that was served of the strict bound, over any time from the start."""
     drawn = draw(incident, generators(seed))
@@ -71,11 +83,15 @@
         strict = max(strict, served / bound.at_best(zero * SECOND, end * SECOND))
     return {
         "bound": {second - zero: value for second, value in bound.by_second(zero, last).items()},
-        "bound_orders": {second - zero: value
-                         for second, value in bound.by_second(zero, last, first("order")).items()},
-        "borne": {second - zero: bound.borne(second * SECOND, (second + 1) * SECOND)
-                  for second in range(zero, last + 1)},
-        "strict": strict}
+        "bound_orders": {
+            second - zero: value for second, value in bound.by_second(zero, last, first("order")).items()
+        },
+        "borne": {
+            second - zero: bound.borne(second * SECOND, (second + 1) * SECOND)
+            for second in range(zero, last + 1)
+        },
+        "strict": strict,
+    }
 
 
 def by_class(log: WireLog, incident: Incident, zero: int) -> dict[str, dict[int, list[float]]]:
@@ -90,8 +106,11 @@
             found[event.class_name][event.at // SECOND - zero][0] += 1
         elif isinstance(event, ClientSent):
             wish_of[event.request] = event.wish
-        elif isinstance(event, ClientGot) and event.status == 200 and (
-                (wish := due.pop(wish_of.get(event.request, -1), None)) is not None):
+        elif (
+            isinstance(event, ClientGot)
+            and event.status == 200
+            and ((wish := due.pop(wish_of.get(event.request, -1), None)) is not None)
+        ):
             rule, took = rules[wish[1]], event.at - wish[0]
             share = 1.0 if took <= rule.aim_us else rule.late_share if took <= rule.deadline_us else 0.0
             found[wish[1]][wish[0] // SECOND - zero][1] += share
@@ -102,13 +121,24 @@
     """Refusals that kept the order.  `told`: where the wire does not tell whether a customer is beyond its
     share, either counts; `within`: it is taken as within."""
     traffic, counted = incident.traffic, {}
-    for name, over, window_us in (("told 0.5 s", None, 500_000), ("within 0.5 s", False, 500_000),
-                                  ("within 0.1 s", False, 100_000)):
-        ranks = ranks_by(plan_of(incident), {row.name: row.worth for row in traffic.classes},
-                         [row.name for row in traffic.tenants], traffic.over_share_worth, over)
+    for name, over, window_us in (
+        ("told 0.5 s", None, 500_000),
+        ("within 0.5 s", False, 500_000),
+        ("within 0.1 s", False, 100_000),
+    ):
+        ranks = ranks_by(
+            plan_of(incident),
+            {row.name: row.worth for row in traffic.classes},
+            [row.name for row in traffic.tenants],
+            traffic.over_share_worth,
+            over,
+        )
         kept = order_of_refusals(log, ranks, window_us)
-        counted[name] = {"refusals": kept.refusals, "kept": kept.kept,
-                         "pairs": {" for ".join(pair): count for pair, count in kept.pairs.items()}}
+        counted[name] = {
+            "refusals": kept.refusals,
+            "kept": kept.kept,
+            "pairs": {" for ".join(pair): count for pair, count in kept.pairs.items()},
+        }
     return counted
 
 
@@ -118,7 +148,7 @@
     `forgotten`: on its return the site leaves the list, and is whole without a step when it is back there."""
     seen: list[tuple[int, int, int, str, str]] = []
     numbers: dict[int, int] = {}
-    kept: list[Sites] = []                      # so that no number is given twice
+    kept: list[Sites] = []  # so that no number is given twice
     become, listed = Sites._become, Sites._listed
 
     def number_of(one: Sites) -> int:
@@ -134,14 +164,17 @@
     def list_heard(self: Sites, now: int, event: Any) -> None:
         returning = [number for number, site in self.sites.items() if site.state is State.RETURNING]
         listed(self, now, event)
-        seen.extend((now, number_of(self), number, "forgotten", "it left the list on its return")
-                    for number in returning if number not in self.sites)
+        seen.extend(
+            (now, number_of(self), number, "forgotten", "it left the list on its return")
+            for number in returning
+            if number not in self.sites
+        )
 
-    Sites._become, Sites._listed = heard, list_heard       # type: ignore[method-assign]
+    Sites._become, Sites._listed = heard, list_heard  # type: ignore[method-assign]
     try:
         yield seen
     finally:
-        Sites._become, Sites._listed = become, listed      # type: ignore[method-assign]
+        Sites._become, Sites._listed = become, listed  # type: ignore[method-assign]
 
 
 def tree_of(path: str | Path) -> Path:
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -38,6 +38,7 @@
     def step(number: int, name: str, body: bytes) -> None:
         os.write(file, body)
         os.fsync(file)
+
     return step
 
 
@@ -49,25 +50,42 @@
     def step(number: int, name: str, body: bytes) -> None:
         held = store.state.version
         assert held is not None
-        store.put(Change(number, Version(str(number), 1, number, {**held.resources, name: body}),
-                         drains={f"node-{number}": Drain(number, number)}))
+        store.put(
+            Change(
+                number,
+                Version(str(number), 1, number, {**held.resources, name: body}),
+                drains={f"node-{number}": Drain(number, number)},
+            )
+        )
+
     return step
 
 
 def whole(directory: Path, resources: dict[str, bytes]) -> Step:
-    disk, state = Directory(directory), after(Store(None, "n1", Counters()).state,     # type: ignore[arg-type]
-                                              Change(0, Version("0", 1, 0, resources)))
+    disk, state = (
+        Directory(directory),
+        after(
+            Store(None, "n1", Counters()).state,  # type: ignore[arg-type]
+            Change(0, Version("0", 1, 0, resources)),
+        ),
+    )
 
     def step(number: int, name: str, body: bytes) -> None:
         nonlocal state
         assert state.version is not None
-        state = after(state, Change(number, Version(str(number), 1, number,
-                                                    {**state.version.resources, name: body}),
-                                    drains={f"node-{number}": Drain(number, number)}))
+        state = after(
+            state,
+            Change(
+                number,
+                Version(str(number), 1, number, {**state.version.resources, name: body}),
+                drains={f"node-{number}": Drain(number, number)},
+            ),
+        )
         disk.write("new", write_state(state, {}))
         disk.sync("new")
         disk.rename("new", "snap")
         disk.sync_names()
+
     return step
 
 
@@ -85,12 +103,15 @@
             base.execute("INSERT OR REPLACE INTO resource VALUES (?, ?)", (name, body))
             base.execute("INSERT OR REPLACE INTO drain VALUES (?, ?, ?)", (f"node-{number}", number, number))
             base.execute("COMMIT")
+
         return step
+
     return make
 
 
 def lmdb(directory: Path, resources: dict[str, bytes]) -> Step:
-    import lmdb as package     # type: ignore[import-not-found]
+    import lmdb as package  # type: ignore[import-not-found]
+
     base = package.open(str(directory / "lmdb"), map_size=64 << 20)
     with base.begin(write=True) as transaction:
         for name, body in resources.items():
@@ -100,12 +121,18 @@
         with base.begin(write=True) as transaction:
             transaction.put(name.encode(), body)
             transaction.put(b"drain/%d" % number, b"%d" % number)
+
     return step
 
 
 WAYS: dict[str, Callable[[Path, dict[str, bytes]], Step]] = {
-    "bare append": bare, "store": own, "whole snapshot": whole, "sqlite, wal": sqlite("WAL"),
-    "sqlite, delete": sqlite("DELETE"), "lmdb": lmdb}
+    "bare append": bare,
+    "store": own,
+    "whole snapshot": whole,
+    "sqlite, wal": sqlite("WAL"),
+    "sqlite, delete": sqlite("DELETE"),
+    "lmdb": lmdb,
+}
 
 
 def one(way: str, nodes: int, changes: int, directory: Path) -> dict[str, float]:
@@ -120,15 +147,20 @@
         times.append((time.perf_counter() - began) * 1e6)
     times.sort()
     after_it = resource.getrusage(resource.RUSAGE_SELF)
-    return {"p50": times[len(times) // 2], "p99": times[int(len(times) * 0.99)],
-            "cpu": (time.process_time() - cpu) / changes * 1e6, "rss": after_it.ru_maxrss / 1024,
-            "grew": (after_it.ru_maxrss - before.ru_maxrss) / 1024,
-            "disk": sum(f.stat().st_blocks * 512 for f in directory.rglob("*") if f.is_file()) / 1e6}
+    return {
+        "p50": times[len(times) // 2],
+        "p99": times[int(len(times) * 0.99)],
+        "cpu": (time.process_time() - cpu) / changes * 1e6,
+        "rss": after_it.ru_maxrss / 1024,
+        "grew": (after_it.ru_maxrss - before.ru_maxrss) / 1024,
+        "disk": sum(f.stat().st_blocks * 512 for f in directory.rglob("*") if f.is_file()) / 1e6,
+    }
 
 
 def main() -> None:
     parser = argparse.ArgumentParser(
-        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--nodes", default="200,1000,10000")
     parser.add_argument("--changes", type=int, default=300)
     parser.add_argument("--rounds", type=int, default=3)
@@ -144,19 +176,35 @@
             for way in WAYS:
                 with tempfile.TemporaryDirectory(dir=options.directory) as directory:
                     done = subprocess.run(
-                        [sys.executable, __file__, "--one", way, "--nodes", nodes, "--changes",
-                         str(options.changes), "--directory", directory], capture_output=True, text=True)
+                        [
+                            sys.executable,
+                            __file__,
+                            "--one",
+                            way,
+                            "--nodes",
+                            nodes,
+                            "--changes",
+                            str(options.changes),
+                            "--directory",
+                            directory,
+                        ],
+                        capture_output=True,
+                        text=True,
+                    )
                 if done.returncode == 0:
                     found[way].append(json.loads(done.stdout))
         bare_p50 = statistics.median(r["p50"] for r in found["bare append"])
         for way, rounds in found.items():
             if rounds:
                 mean = {key: statistics.median(r[key] for r in rounds) for key in rounds[0]}
-                print(f"{nodes:>6} nodes  {way:15} p50 {mean['p50']:7.0f} us"
-                      f" ({mean['p50'] / bare_p50:4.1f} x)"
-                      f"  p99 {mean['p99']:7.0f} us  CPU {mean['cpu']:6.0f} us"
-                      f"  memory {mean['rss']:5.1f} MB (+{mean['grew']:.1f})"
-                      f"  disk {mean['disk']:5.1f} MB", flush=True)
+                print(
+                    f"{nodes:>6} nodes  {way:15} p50 {mean['p50']:7.0f} us"
+                    f" ({mean['p50'] / bare_p50:4.1f} x)"
+                    f"  p99 {mean['p99']:7.0f} us  CPU {mean['cpu']:6.0f} us"
+                    f"  memory {mean['rss']:5.1f} MB (+{mean['grew']:.1f})"
+                    f"  disk {mean['disk']:5.1f} MB",
+                    flush=True,
+                )
             else:
                 print(f"{nodes:>6} nodes  {way:15} not installed")
 
