--- a/benchmarks/subjects.py
+++ b/benchmarks/subjects.py
@@ -29,11 +29,24 @@
 class Process:
     """A child process on the cores it is given."""
 
-    def __init__(self, command: Sequence[str], cores: set[int], cwd: Path | None = None,
-                 env: Mapping[str, str] | None = None, log: Path | None = None) -> None:
+    def __init__(
+        self,
+        command: Sequence[str],
+        cores: set[int],
+        cwd: Path | None = None,
+        env: Mapping[str, str] | None = None,
+        log: Path | None = None,
+    ) -> None:
         err = open(log, "wb") if log else None
-        self.child = subprocess.Popen(command, cwd=cwd, env={**os.environ, **(env or {})}, text=True,
-                                      stdout=subprocess.PIPE, stderr=err, stdin=subprocess.DEVNULL)
+        self.child = subprocess.Popen(
+            command,
+            cwd=cwd,
+            env={**os.environ, **(env or {})},
+            text=True,
+            stdout=subprocess.PIPE,
+            stderr=err,
+            stdin=subprocess.DEVNULL,
+        )
         if err:
             err.close()
         self.log, self.pid = log, self.child.pid
@@ -75,8 +88,10 @@
     """The grid nodes and their discovery service."""
 
     def __init__(self, nodes: int, delay_ms: float, cores: set[int]) -> None:
-        super().__init__([sys.executable, str(HERE / "parties.py"), "--nodes", str(nodes),
-                          "--delay-ms", str(delay_ms)], cores)
+        super().__init__(
+            [sys.executable, str(HERE / "parties.py"), "--nodes", str(nodes), "--delay-ms", str(delay_ms)],
+            cores,
+        )
         ports = json.loads(self.first_line())
         self.nodes: list[int] = ports["nodes"]
         self.discovery: int = ports["discovery"]
@@ -103,22 +118,50 @@
 
     name = "roadlb"
 
-    def __init__(self, python: str, root: Path, nodes: Sequence[int], discovery: int, cores: set[int],
-                 command: Sequence[str] = ("-m", "roadlb"), installed: bool = False) -> None:
+    def __init__(
+        self,
+        python: str,
+        root: Path,
+        nodes: Sequence[int],
+        discovery: int,
+        cores: set[int],
+        command: Sequence[str] = ("-m", "roadlb"),
+        installed: bool = False,
+    ) -> None:
         self.dir = tempfile.TemporaryDirectory(prefix="roadlb-bench-")
         self.port = free_port()
         config = json.loads((root / "examples" / "config.json").read_text())
         config |= {
-            "name": "bench", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{discovery}",
-            "known": {"generation": 1, "reset": True, "instances": [
-                {"instanceId": f"node-{i}", "hostPort": f"127.0.0.1:{port}", "zone": "hall-a",
-                 "machineType": "toy", "cell": 0, "lifecycle": "up", "weight": 1.0, "startedAtMs": 0}
-                for i, port in enumerate(nodes)]}}
+            "name": "bench",
+            "listen": f"127.0.0.1:{self.port}",
+            "discovery": f"127.0.0.1:{discovery}",
+            "known": {
+                "generation": 1,
+                "reset": True,
+                "instances": [
+                    {
+                        "instanceId": f"node-{i}",
+                        "hostPort": f"127.0.0.1:{port}",
+                        "zone": "hall-a",
+                        "machineType": "toy",
+                        "cell": 0,
+                        "lifecycle": "up",
+                        "weight": 1.0,
+                        "startedAtMs": 0,
+                    }
+                    for i, port in enumerate(nodes)
+                ],
+            },
+        }
         path = Path(self.dir.name) / "config.json"
         path.write_text(json.dumps(config))
-        super().__init__([python, *(["-P"] if installed else []), *command], cores, cwd=root,
-                         log=Path(self.dir.name) / "log",
-                         env={"PROXY_CONFIG": str(path), "PYTHONPATH": "" if installed else str(root)})
+        super().__init__(
+            [python, *(["-P"] if installed else []), *command],
+            cores,
+            cwd=root,
+            log=Path(self.dir.name) / "log",
+            env={"PROXY_CONFIG": str(path), "PYTHONPATH": "" if installed else str(root)},
+        )
         self._await_listening()
 
     def _await_listening(self) -> None:
@@ -128,7 +171,7 @@
                 urllib.request.urlopen(f"http://127.0.0.1:{self.port}/healthz", timeout=1).close()
                 return
             except urllib.error.HTTPError:
-                return                     # 503: it knows no instance
+                return  # 503: it knows no instance
             except OSError:
                 time.sleep(0.02)
         assert self.log
--- a/benchmarks/xds_streams.py
+++ b/benchmarks/xds_streams.py
@@ -43,7 +43,7 @@
 from roadlb.xds.sotw import SotwStream  # noqa: E402
 from roadlb.xds.stream import Stream  # noqa: E402
 
-CLUSTER_BYTES, ENDPOINT_BYTES = 200, 60      # of Envoy's messages for our nodes, about
+CLUSTER_BYTES, ENDPOINT_BYTES = 200, 60  # of Envoy's messages for our nodes, about
 CHANGES = 7
 
 
@@ -82,22 +82,30 @@
 
 def fleet(endpoints: int, per_cluster: int) -> Snapshot:
     names = [f"cluster-{n:05d}" for n in range(endpoints // per_cluster)]
-    return Snapshot.of(1, [
-        *(Resource.make(CLUSTER, name, name.encode().ljust(CLUSTER_BYTES), 1) for name in names),
-        *(Resource.make(ENDPOINTS, name, name.encode().ljust(per_cluster * ENDPOINT_BYTES), 1)
-          for name in names)])
-
-
-def measure(sotw: bool, subscribers: int, endpoints: int, per_cluster: int,
-            type_url: str) -> dict[str, float]:
+    return Snapshot.of(
+        1,
+        [
+            *(Resource.make(CLUSTER, name, name.encode().ljust(CLUSTER_BYTES), 1) for name in names),
+            *(
+                Resource.make(ENDPOINTS, name, name.encode().ljust(per_cluster * ENDPOINT_BYTES), 1)
+                for name in names
+            ),
+        ],
+    )
+
+
+def measure(
+    sotw: bool, subscribers: int, endpoints: int, per_cluster: int, type_url: str
+) -> dict[str, float]:
     snapshot = fleet(endpoints, per_cluster)
     names = [resource.name for resource in snapshot.collections[CLUSTER].resources]
     kind = SotwStream if sotw else DeltaStream
-    few = min(subscribers, 50)        # tracemalloc is slow, and streams do not know of each other
+    few = min(subscribers, 50)  # tracemalloc is slow, and streams do not know of each other
 
     def start(count: int, answer: bool) -> list[Proxy]:
-        started = [Proxy(kind(snapshot), sotw, tuple(name[:1] + name[1:] for name in names))
-                   for _ in range(count)]
+        started = [
+            Proxy(kind(snapshot), sotw, tuple(name[:1] + name[1:] for name in names)) for _ in range(count)
+        ]
         for proxy in started:
             proxy.open(answer)
         return started
@@ -108,7 +116,7 @@
         tracemalloc.start()
         kept = start(few, answer)
         for proxy in kept:
-            proxy.names = ()                         # the subscriber's own copy is not the stream's
+            proxy.names = ()  # the subscriber's own copy is not the stream's
         collect()
         memory.append(tracemalloc.get_traced_memory()[0] / few)
         tracemalloc.stop()
@@ -128,31 +136,42 @@
             proxy.tell(Published(snapshot), taken=sent.append)
         times.append(process_time() - began + published)
         assert len(sent) == subscribers * (1 if type_url == ENDPOINTS else 2)
-        bytes_each = sum(len(frame(response)) for response in sent[:len(sent) // subscribers])
-    return {"cpu_ms": median(times) * 1e3, "us_each": median(times) * 1e6 / subscribers, "bytes": bytes_each,
-            "memory": memory[0], "most": memory[1]}
+        bytes_each = sum(len(frame(response)) for response in sent[: len(sent) // subscribers])
+    return {
+        "cpu_ms": median(times) * 1e3,
+        "us_each": median(times) * 1e6 / subscribers,
+        "bytes": bytes_each,
+        "memory": memory[0],
+        "most": memory[1],
+    }
 
 
 def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__,
-                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--subscribers", default="10,100,1000")
     parser.add_argument("--endpoints", type=int, default=1000)
     parser.add_argument("--per-cluster", default="1000,10,1")
     args = parser.parse_args()
-    print("| clusters | change | subscribers | variant | CPU, ms | us each "
-          "| bytes each | memory, KB | most, KB |")
+    print(
+        "| clusters | change | subscribers | variant | CPU, ms | us each "
+        "| bytes each | memory, KB | most, KB |"
+    )
     print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
     for per_cluster in map(int, args.per_cluster.split(",")):
         for subscribers in map(int, args.subscribers.split(",")):
             for change, sotw in product((ENDPOINTS, CLUSTER), (True, False)):
                 found = measure(sotw, subscribers, args.endpoints, per_cluster, change)
-                print(f"| {args.endpoints // per_cluster} "
-                      f"| {'endpoint' if change == ENDPOINTS else 'cluster'} | {subscribers} "
-                      f"| {'state of the world' if sotw else 'incremental'} "
-                      f"| {found['cpu_ms']:.1f} "
-                      f"| {found['us_each']:.0f} | {found['bytes']} | {found['memory'] / 1024:.1f} "
-                      f"| {found['most'] / 1024:.1f} |", flush=True)
+                print(
+                    f"| {args.endpoints // per_cluster} "
+                    f"| {'endpoint' if change == ENDPOINTS else 'cluster'} | {subscribers} "
+                    f"| {'state of the world' if sotw else 'incremental'} "
+                    f"| {found['cpu_ms']:.1f} "
+                    f"| {found['us_each']:.0f} | {found['bytes']} | {found['memory'] / 1024:.1f} "
+                    f"| {found['most'] / 1024:.1f} |",
+                    flush=True,
+                )
 
 
 if __name__ == "__main__":
--- a/roadlb/admin/door.py
+++ b/roadlb/admin/door.py
@@ -38,14 +38,15 @@
         self._paths: dict[str, list[str]] = {}
         for method, path in calls:
             self._paths.setdefault(path, []).append(method)
-        self.open: dict[Caller, None] = {}             # in the order in which they came
+        self.open: dict[Caller, None] = {}  # in the order in which they came
         self._server: asyncio.Server | None = None
 
     async def listen(self, at: Address, bind: Bind | None = None) -> None:
         """`bind` makes the socket; None: the running loop does."""
         where: dict[str, Any] = {"sock": bind(at, BACKLOG)} if bind else {"host": at.host, "port": at.port}
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: cast(asyncio.Protocol, Caller(self)), **where, backlog=BACKLOG)
+            lambda: cast(asyncio.Protocol, Caller(self)), **where, backlog=BACKLOG
+        )
 
     @property
     def port(self) -> int:
--- a/roadlb/admin/report.py
+++ b/roadlb/admin/report.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Mapping
 
 PREFIX = "edge_proxy"
-ANSWERS = ("answered", "deferred", "errored")      # served, refused, failed
+ANSWERS = ("answered", "deferred", "errored")  # served, refused, failed
 
 
 def report(counts: Mapping[str, int], classes: Iterable[str], gauges: Mapping[str, int]) -> str:
--- a/roadlb/admin/sites.py
+++ b/roadlb/admin/sites.py
@@ -22,14 +22,21 @@
 
 def site_calls(engine: Engine, zones: Sequence[str], clock: Clock) -> Calls:
     """The door's calls; a site's NAME is its zone's, percent-encoded."""
+
     def name(number: int) -> str:
         return zones[number] if number < len(zones) else str(number)
 
     def told(view: SiteView) -> dict[str, Any]:
-        return {"site": name(view.site), "state": view.state.value, "share": view.share,
-                "servers": view.servers, "silent": view.silent, "relapses": view.relapses,
-                "orders_away": view.orders_away,
-                "for_s": round(max(0, clock() - view.since_us) / 1e6, 1) if view.since_us else None}
+        return {
+            "site": name(view.site),
+            "state": view.state.value,
+            "share": view.share,
+            "servers": view.servers,
+            "silent": view.silent,
+            "relapses": view.relapses,
+            "orders_away": view.orders_away,
+            "for_s": round(max(0, clock() - view.since_us) / 1e6, 1) if view.since_us else None,
+        }
 
     def status() -> tuple[int, str]:
         return 200, json.dumps({"sites": [told(view) for view in engine.view().sites]})
@@ -42,6 +49,7 @@
             if out and view.state is not State.OUT:
                 return 409, f"{name(number)}: is the last site in service, and stays"
             return 200, json.dumps(told(view))
+
         return call
 
     calls: dict[tuple[str, str], Callable[[], tuple[int, str]]] = {("GET", "/control/sites"): status}
--- a/roadlb/agreement/events.py
+++ b/roadlb/agreement/events.py
@@ -55,6 +55,7 @@
 
 # Messages from the issuer.  `epoch` is the leader's own; a version may be of an earlier one.
 
+
 @dataclass(slots=True, frozen=True)
 class Prepare:
     """Keep to what this version narrows from now on, and say whether it can be taken."""
@@ -97,6 +98,7 @@
 
 # Messages from a follower.
 
+
 @dataclass(slots=True, frozen=True)
 class Ask:
     """Wants a lease.  `force` is the newest version in force that it keeps to, `told` the newest that it has
@@ -137,6 +139,7 @@
 
 # What a follower is told
 
+
 @dataclass(slots=True, frozen=True)
 class Memory:
     """What a follower keeps from one life to the next.
@@ -198,13 +201,14 @@
 
 # What a follower answers
 
+
 class Standing(Enum):
     """How a follower stands; `follower` has how it gets from one to another."""
 
-    EMPTY = "empty"            # knows no version
-    LAPSED = "lapsed"          # serves on the last good version, its grants at their floors
-    GRANTED = "granted"        # has a lease for the version that it holds as in force
-    NARROWED = "narrowed"      # the same, and keeps to what a prepared version narrows
+    EMPTY = "empty"  # knows no version
+    LAPSED = "lapsed"  # serves on the last good version, its grants at their floors
+    GRANTED = "granted"  # has a lease for the version that it holds as in force
+    NARROWED = "narrowed"  # the same, and keeps to what a prepared version narrows
 
 
 @dataclass(slots=True, frozen=True)
@@ -243,13 +247,13 @@
     GRANTED = "granted"
     LAPSED = "lapsed"
     FENCED = "fenced"
-    APART = "apart"            # hears nothing: what the list takes away does not reach it
+    APART = "apart"  # hears nothing: what the list takes away does not reach it
     BACK = "back"
-    UNKNOWN = "unknown"        # a follower holds a version that the issuer does not know
+    UNKNOWN = "unknown"  # a follower holds a version that the issuer does not know
     FORGOTTEN = "forgotten"
     FULL = "full"
     LEADING = "leading"
-    ALONE = "alone"            # leadership is not sure: nothing is granted, what narrows goes out
+    ALONE = "alone"  # leadership is not sure: nothing is granted, what narrows goes out
     DEPOSED = "deposed"
     DECLINED = "declined"
 
@@ -269,6 +273,7 @@
 
 # What an issuer is told
 
+
 @dataclass(slots=True, frozen=True)
 class Book:
     """What the issuers' store holds: the version in force, and the newest prepared one if it is newer."""
@@ -362,6 +367,7 @@
 
 # What an issuer answers
 
+
 @dataclass(slots=True, frozen=True)
 class To:
     """To one follower; a message that cannot be sent is lost, and comes again."""
@@ -396,6 +402,7 @@
 
 # What both sides show
 
+
 @dataclass(slots=True, frozen=True)
 class FollowerView:
     """How a follower stands, by its own account; `left_us` of its lease."""
--- a/roadlb/agreement/follower.py
+++ b/roadlb/agreement/follower.py
@@ -24,36 +24,77 @@
 
 from . import rules
 from .events import (
-    NOTHING, Ack, Apply, Ask, Contents, Fenced, FollowerAction, FollowerEvent, FollowerView, Heard, InForce,
-    Lease, Linked, Memory, Nack, Offered, Prepare, Pulse, Remember, Remembered, Reported, Restarted, Standing,
-    Tell, Version, VersionId, Word)
+    NOTHING,
+    Ack,
+    Apply,
+    Ask,
+    Contents,
+    Fenced,
+    FollowerAction,
+    FollowerEvent,
+    FollowerView,
+    Heard,
+    InForce,
+    Lease,
+    Linked,
+    Memory,
+    Nack,
+    Offered,
+    Prepare,
+    Pulse,
+    Remember,
+    Remembered,
+    Reported,
+    Restarted,
+    Standing,
+    Tell,
+    Version,
+    VersionId,
+    Word,
+)
 from .lease import Timing
 from .rules import Floors
 
-MOST_ASKS = 16               # that wait for their answers; the oldest is given up
-MOST_PASSED = 64             # versions taken since the one in force that are told apart
+MOST_ASKS = 16  # that wait for their answers; the oldest is given up
+MOST_PASSED = 64  # versions taken since the one in force that are told apart
 EMPTY = Contents()
 
 
 class Follower:
     """Decides for one balancer: `handle(now, event) -> actions`; `used`, `allowed` at the moment of use."""
 
-    __slots__ = ("acked", "asked_at", "asks", "bound", "epoch", "floored", "floors", "force", "life",
-                 "number", "passed", "shown", "timing", "told", "until", "waiting")
+    __slots__ = (
+        "acked",
+        "asked_at",
+        "asks",
+        "bound",
+        "epoch",
+        "floored",
+        "floors",
+        "force",
+        "life",
+        "number",
+        "passed",
+        "shown",
+        "timing",
+        "told",
+        "until",
+        "waiting",
+    )
 
     def __init__(self, timing: Timing, floors: Floors | None = None) -> None:
         self.timing, self.floors = timing, floors
         self.life, self.number = 0, 0
-        self.epoch = 0                                     # the highest heard of
-        self.told: Version | None = None                   # the newest taken
-        self.acked = NOTHING                               # the newest that is remembered
-        self.force = NOTHING                               # the newest in force that `bound` keeps to
-        self.bound, self.floored = EMPTY, EMPTY            # what is used with a lease, and without
-        self.until = -1                                    # the lease runs until then
-        self.asks: dict[int, int] = {}                     # when each `Ask` was sent
+        self.epoch = 0  # the highest heard of
+        self.told: Version | None = None  # the newest taken
+        self.acked = NOTHING  # the newest that is remembered
+        self.force = NOTHING  # the newest in force that `bound` keeps to
+        self.bound, self.floored = EMPTY, EMPTY  # what is used with a lease, and without
+        self.until = -1  # the lease runs until then
+        self.asks: dict[int, int] = {}  # when each `Ask` was sent
         self.asked_at: int | None = None
-        self.passed: list[VersionId] = []                  # taken since `bound` was a version as a whole
-        self.waiting: dict[int, VersionId] = {}            # acknowledged once the store has it
+        self.passed: list[VersionId] = []  # taken since `bound` was a version as a whole
+        self.waiting: dict[int, VersionId] = {}  # acknowledged once the store has it
         self.shown = Standing.EMPTY
 
     # At the moment of use
@@ -73,8 +114,13 @@
     def in_use(self, now: int) -> rules.InUse:
         """As `rules.contradict` takes it."""
         told = self.told
-        return rules.InUse(told.id if told else NOTHING, told.contents if told else EMPTY, self.used(now),
-                           not self.granted(now), self.force)
+        return rules.InUse(
+            told.id if told else NOTHING,
+            told.contents if told else EMPTY,
+            self.used(now),
+            not self.granted(now),
+            self.force,
+        )
 
     def standing(self, now: int) -> Standing:
         if self.told is None:
@@ -105,9 +151,15 @@
             return [*out, self._ask(now)]
         message = event.prepare if isinstance(event, Offered) else event.message
         if self._fenced(message.epoch):
-            return [*out, Tell(Fenced(self.epoch)), Reported(
-                Word.FENCED, message.version.id if isinstance(message, Prepare) else message.id,
-                text=f"a message of epoch {message.epoch}, after {self.epoch}")]
+            return [
+                *out,
+                Tell(Fenced(self.epoch)),
+                Reported(
+                    Word.FENCED,
+                    message.version.id if isinstance(message, Prepare) else message.id,
+                    text=f"a message of epoch {message.epoch}, after {self.epoch}",
+                ),
+            ]
         raised, self.epoch = message.epoch > self.epoch, message.epoch
         out += self._heard(now, event)
         if raised and not any(isinstance(action, Remember) for action in out):
@@ -138,8 +190,9 @@
         self.passed, self.until, self.asked_at = list(memory.passed), -1, None
         self.epoch, self.force, self.told = memory.epoch, memory.force, memory.told
         self.acked = memory.told.id if memory.told else NOTHING
-        self._bind(memory.bound if memory.bound is not None
-                   else memory.told.contents if memory.told else EMPTY)
+        self._bind(
+            memory.bound if memory.bound is not None else memory.told.contents if memory.told else EMPTY
+        )
         self.shown = Standing.EMPTY
         return [*self._show(now), self._ask(now)]
 
@@ -159,7 +212,7 @@
             return [Tell(Nack(version.id, refusal)), Reported(Word.REFUSED, version.id, text=refusal)]
         self._bind(rules.meet(self.bound, version.contents) if self.told is not None else version.contents)
         self.told = version
-        self.passed = [*self.passed[1 - MOST_PASSED:], version.id]
+        self.passed = [*self.passed[1 - MOST_PASSED :], version.id]
         out: list[FollowerAction] = [Apply(version.id, self.used(now), self.standing(now))]
         self.shown = self.standing(now)
         out += self._taken(version.id)
@@ -184,22 +237,26 @@
     def _refusal(self, version: Version) -> str:
         """What must hold for versions to be compared at all; all else is the guard's matter."""
         if names := rules.unknown(version.contents):
-            return (f"settings: {names[0]} is not known here: upgrade this balancer first, or leave the key "
-                    "out")
+            return (
+                f"settings: {names[0]} is not known here: upgrade this balancer first, or leave the key out"
+            )
         try:
             rules.check(version.contents)
             low = rules.below_floor(version.contents, self.floors)
         except rules.Unreadable as e:
             return f"settings: {e}"
         if low:
-            return (f"settings: {low[0]} is below its floor, so balancers that hear nothing would contradict "
-                    "it: lower the floor everywhere first, or raise the value")
+            return (
+                f"settings: {low[0]} is below its floor, so balancers that hear nothing would contradict "
+                "it: lower the floor everywhere first, or raise the value"
+            )
         return ""
 
     def _remember(self) -> Remember:
         self.number += 1
-        return Remember(self.number, Memory(
-            self.epoch, self.force, self.told, self.bound, tuple(self.passed)))
+        return Remember(
+            self.number, Memory(self.epoch, self.force, self.told, self.bound, tuple(self.passed))
+        )
 
     def _remembered(self, number: int) -> list[FollowerAction]:
         id = self.waiting.pop(number, None)
@@ -221,7 +278,7 @@
 
     def _in_force(self, now: int, id: VersionId) -> list[FollowerAction]:
         if id in self.passed and id > self.force:
-            self.force = id                                # `bound` keeps to it, and to what came after
+            self.force = id  # `bound` keeps to it, and to what came after
             return [self._remember(), self._ask(now)]
         return [self._ask(now)] if self._newer(id) else []
 
@@ -237,7 +294,7 @@
         if lease.id == self.force:
             self.until = max(self.until, until)
             return self._show(now)
-        return []                                          # `InForce` has not come: it will on the next `Ask`
+        return []  # `InForce` has not come: it will on the next `Ask`
 
     def _whole(self, now: int, until: int) -> list[FollowerAction]:
         """A lease for the version told: it is in force."""
--- a/roadlb/agreement/issuer.py
+++ b/roadlb/agreement/issuer.py
@@ -39,18 +39,51 @@
 
 from . import rules
 from .events import (
-    NOTHING, Ack, Ask, Book, Contents, Deposed, Exclude, Fenced, FollowerId, From, FromFollower, FromIssuer,
-    Include, InForce, IssuerAction, IssuerEvent, IssuerView, Keep, Kept, Leading, Lease, Line, Nack, PeerView,
-    Prepare, Propose, Reported, RollKept, StillLeading, To, Unkept, Version, VersionId, Withdrawn, Word)
+    NOTHING,
+    Ack,
+    Ask,
+    Book,
+    Contents,
+    Deposed,
+    Exclude,
+    Fenced,
+    FollowerId,
+    From,
+    FromFollower,
+    FromIssuer,
+    Include,
+    InForce,
+    IssuerAction,
+    IssuerEvent,
+    IssuerView,
+    Keep,
+    Kept,
+    Leading,
+    Lease,
+    Line,
+    Nack,
+    PeerView,
+    Prepare,
+    Propose,
+    Reported,
+    RollKept,
+    StillLeading,
+    To,
+    Unkept,
+    Version,
+    VersionId,
+    Withdrawn,
+    Word,
+)
 from .lease import Timing
 from .roll import Roll
 from .rules import Floors
 
 MOST_FOLLOWERS = 4096
-MOST_VERSIONS = 64           # of which it is remembered what became of them
-FORGET_US = 600_000_000      # a follower that was not heard of for so long is gone
-REASON_MOST = 400            # characters of a refusal that are kept
-NAMES_MOST = 8               # of followers that are said
+MOST_VERSIONS = 64  # of which it is remembered what became of them
+FORGET_US = 600_000_000  # a follower that was not heard of for so long is gone
+REASON_MOST = 400  # characters of a refusal that are kept
+NAMES_MOST = 8  # of followers that are said
 
 
 class State(Enum):
@@ -63,14 +96,25 @@
 class Peer:
     """One follower as the issuer knows it."""
 
-    __slots__ = ("acked", "apart", "force", "heard", "heard_at", "life", "number", "refused", "sent",
-                 "sent_at", "until")
+    __slots__ = (
+        "acked",
+        "apart",
+        "force",
+        "heard",
+        "heard_at",
+        "life",
+        "number",
+        "refused",
+        "sent",
+        "sent_at",
+        "until",
+    )
 
     def __init__(self) -> None:
         self.acked, self.force = NOTHING, NOTHING
-        self.until = -1                       # the lease given last is surely gone then
+        self.until = -1  # the lease given last is surely gone then
         self.heard, self.heard_at = False, 0  # False: it is known by the roll alone
-        self.life, self.number = 0, 0         # of its last `Ask`
+        self.life, self.number = 0, 0  # of its last `Ask`
         self.sent, self.sent_at = NOTHING, 0  # the last `Prepare` to it
         self.apart, self.refused = False, ""
 
@@ -78,9 +122,28 @@
 class Issuer:
     """Decides for one control service: `handle(now, event) -> actions`."""
 
-    __slots__ = ("alone", "epoch", "excluded", "floors", "force", "full", "history", "keeping", "kept_at",
-                 "leading", "number", "peers", "pending", "prepared", "ready_at", "roll", "strange",
-                 "sure_until", "timing", "unknown")
+    __slots__ = (
+        "alone",
+        "epoch",
+        "excluded",
+        "floors",
+        "force",
+        "full",
+        "history",
+        "keeping",
+        "kept_at",
+        "leading",
+        "number",
+        "peers",
+        "pending",
+        "prepared",
+        "ready_at",
+        "roll",
+        "strange",
+        "sure_until",
+        "timing",
+        "unknown",
+    )
 
     def __init__(self, timing: Timing, floors: Floors | None = None) -> None:
         self.timing, self.floors = timing, floors
@@ -89,16 +152,16 @@
         self.force: Version | None = None
         self.prepared: Version | None = None
         self.keeping: Version | None = None
-        self.kept_at = 0                                   # when the store was asked to keep it, last
-        self.pending: Propose | None = None                # waits for the one in preparation
-        self.number = 0                                    # of the newest version known of
+        self.kept_at = 0  # when the store was asked to keep it, last
+        self.pending: Propose | None = None  # waits for the one in preparation
+        self.number = 0  # of the newest version known of
         self.peers: dict[FollowerId, Peer] = {}
         self.roll = Roll()
         self.excluded: set[FollowerId] = set()
         self.history: deque[Line] = deque(maxlen=MOST_VERSIONS)
-        self.unknown = NOTHING                             # what a follower holds and this one does not
+        self.unknown = NOTHING  # what a follower holds and this one does not
         self.full = False
-        self.strange = 0                                   # the highest epoch that cannot be
+        self.strange = 0  # the highest epoch that cannot be
 
     @property
     def state(self) -> State:
@@ -111,13 +174,29 @@
     def view(self, now: int) -> IssuerView:
         """For the operator."""
         newest = self._newest()
-        peers = tuple(PeerView(name, p.acked, p.force, max(0, p.until - now), now - p.heard_at,
-                               self._apart(now, p, newest), name in self.excluded, p.refused,
-                               p.heard)
-                      for name, p in sorted(self.peers.items()))
-        return IssuerView(self._sure(now), self.epoch, self.force.id if self.force else NOTHING,
-                          self.prepared.id if self.prepared else NOTHING, max(0, self.ready_at - now), peers,
-                          tuple(self.history))
+        peers = tuple(
+            PeerView(
+                name,
+                p.acked,
+                p.force,
+                max(0, p.until - now),
+                now - p.heard_at,
+                self._apart(now, p, newest),
+                name in self.excluded,
+                p.refused,
+                p.heard,
+            )
+            for name, p in sorted(self.peers.items())
+        )
+        return IssuerView(
+            self._sure(now),
+            self.epoch,
+            self.force.id if self.force else NOTHING,
+            self.prepared.id if self.prepared else NOTHING,
+            max(0, self.ready_at - now),
+            peers,
+            tuple(self.history),
+        )
 
     def handle(self, now: int, event: IssuerEvent) -> list[IssuerAction]:
         if isinstance(event, From):
@@ -135,7 +214,7 @@
         if isinstance(event, Kept):
             return self._kept(now, event.id)
         if isinstance(event, Unkept):
-            return []                                      # it is tried again on a pulse
+            return []  # it is tried again on a pulse
         if isinstance(event, RollKept):
             return self._roll_kept(now, event)
         if isinstance(event, Exclude):
@@ -153,16 +232,23 @@
 
     def _lead(self, now: int, event: Leading) -> list[IssuerAction]:
         if event.epoch <= self.epoch and self.epoch:
-            return [Reported(Word.DECLINED, NOTHING, text=f"epoch {event.epoch} is not after {self.epoch}: "
-                                                          "the store is an older one; raise its epoch")]
+            return [
+                Reported(
+                    Word.DECLINED,
+                    NOTHING,
+                    text=f"epoch {event.epoch} is not after {self.epoch}: "
+                    "the store is an older one; raise its epoch",
+                )
+            ]
         self.leading, self.alone, self.epoch = True, False, event.epoch
         self.sure_until, self.ready_at = event.until_us, now + self._wait_us()
         self.force, self.prepared, self.keeping = event.book.force, None, None
         self._take_roll(now, event)
         newest = event.book.prepared or event.book.force
         self.number = max(self.number, newest.id.number if newest is not None else 0)
-        out: list[IssuerAction] = [Reported(
-            Word.LEADING, newest.id if newest is not None else NOTHING, text=f"epoch {self.epoch}")]
+        out: list[IssuerAction] = [
+            Reported(Word.LEADING, newest.id if newest is not None else NOTHING, text=f"epoch {self.epoch}")
+        ]
         return out + (self._make(now, newest.contents, newest.meant) if newest is not None else [])
 
     def _take_roll(self, now: int, event: Leading) -> None:
@@ -185,8 +271,10 @@
             return []
         new, force = self.roll.kept(event.number), self.force
         out: list[IssuerAction] = [
-            To(name, InForce(self.epoch, force.id)) for name in sorted(new)
-            if force is not None and name in self.peers and self.peers[name].acked >= force.id]
+            To(name, InForce(self.epoch, force.id))
+            for name in sorted(new)
+            if force is not None and name in self.peers and self.peers[name].acked >= force.id
+        ]
         return out + self._enrol(now)
 
     def _wait_us(self) -> int:
@@ -205,9 +293,15 @@
         if epoch <= self.strange:
             return []
         self.strange = epoch
-        return [Reported(
-            Word.FENCED, NOTHING, name, f"it has heard epoch {epoch}, the store gave {self.epoch}: clear the "
-            "follower's store if it is of another fleet, else raise the store's epoch")]
+        return [
+            Reported(
+                Word.FENCED,
+                NOTHING,
+                name,
+                f"it has heard epoch {epoch}, the store gave {self.epoch}: clear the "
+                "follower's store if it is of another fleet, else raise the store's epoch",
+            )
+        ]
 
     # Versions
 
@@ -251,13 +345,19 @@
         except rules.Unreadable as e:
             return f"settings: {e}"
         if low:
-            return (f"settings: {low[0]} is below its floor: balancers that hear nothing would contradict "
-                    "it; lower the floor everywhere first, or raise the value")
+            return (
+                f"settings: {low[0]} is below its floor: balancers that hear nothing would contradict "
+                "it; lower the floor everywhere first, or raise the value"
+            )
         return ""
 
     def _prepare_all(self, now: int) -> list[IssuerAction]:
-        return [action for name, peer in self.peers.items() if peer.heard
-                for action in self._prepare(now, name, peer)]
+        return [
+            action
+            for name, peer in self.peers.items()
+            if peer.heard
+            for action in self._prepare(now, name, peer)
+        ]
 
     def _prepare(self, now: int, name: FollowerId, peer: Peer) -> list[IssuerAction]:
         """The newest version, unless it is on its way; to one who lags, the one in force before it: it gets
@@ -293,7 +393,7 @@
         return Keep(self.epoch, Book(force, newer))
 
     def holds_up(self, now: int, peer: Peer, id: VersionId) -> bool:
-        return peer.acked != id and now < peer.until      # one it does not know of says nothing about this
+        return peer.acked != id and now < peer.until  # one it does not know of says nothing about this
 
     def _kept(self, now: int, id: VersionId) -> list[IssuerAction]:
         if not self.leading or self.keeping is None or id != self.keeping.id:
@@ -318,11 +418,16 @@
     def _refused(self, now: int, name: FollowerId, peer: Peer, nack: Nack) -> list[IssuerAction]:
         peer.refused = f"{nack.id}: {nack.reason}"[:REASON_MOST]
         out: list[IssuerAction] = [Reported(Word.REFUSED, nack.id, name, nack.reason[:REASON_MOST])]
-        if (self.prepared is None or nack.id != self.prepared.id or name in self.excluded
-                or self.keeping is not None and self.keeping.id == nack.id):
-            return out                                     # it is left behind, and shows as apart
+        if (
+            self.prepared is None
+            or nack.id != self.prepared.id
+            or name in self.excluded
+            or self.keeping is not None
+            and self.keeping.id == nack.id
+        ):
+            return out  # it is left behind, and shows as apart
         if self.force is not None and self.prepared.contents == self.force.contents:
-            return out                                     # nothing is newer that could be gone back to
+            return out  # nothing is newer that could be gone back to
         reason = f"{name}: {nack.reason}"
         self._note(nack.id, Word.REFUSED, reason)
         self.prepared = None
@@ -343,8 +448,18 @@
         if peer is None:
             if len(self.peers) >= MOST_FOLLOWERS:
                 full, self.full = self.full, True
-                return [] if full else [Reported(Word.FULL, NOTHING, name, f"{MOST_FOLLOWERS} followers: no "
-                                                 "lease for more; they serve at their floors")]
+                return (
+                    []
+                    if full
+                    else [
+                        Reported(
+                            Word.FULL,
+                            NOTHING,
+                            name,
+                            f"{MOST_FOLLOWERS} followers: no lease for more; they serve at their floors",
+                        )
+                    ]
+                )
             peer = self.peers[name] = Peer()
         peer.heard, peer.heard_at = True, now
         out = self._enrol(now) if name not in self.roll.held else []
@@ -367,17 +482,23 @@
 
     def _asked(self, now: int, name: FollowerId, peer: Peer, ask: Ask) -> list[IssuerAction]:
         if ask.life == peer.life and ask.number < peer.number:
-            return []                                      # overtaken by a later one of the same life
+            return []  # overtaken by a later one of the same life
         peer.life, peer.number, peer.force = ask.life, ask.number, ask.force
         lost = ask.told < peer.acked
-        peer.acked = ask.told                              # less than before: its store is another
+        peer.acked = ask.told  # less than before: its store is another
         out = self._back(now, name, peer)
         newest = self._newest_id()
         if ask.told > newest and ask.told > self.unknown:
             self.unknown = ask.told
             self.number = max(self.number, ask.told.number)
-            out.append(Reported(Word.UNKNOWN, ask.told, name, "holds a version that the store does not have: "
-                                                              "propose anew to take its place"))
+            out.append(
+                Reported(
+                    Word.UNKNOWN,
+                    ask.told,
+                    name,
+                    "holds a version that the store does not have: propose anew to take its place",
+                )
+            )
         if self._may_lease(now, name, ask, newest):
             assert self.force is not None
             peer.until = max(peer.until, now + self.timing.gone_us)
@@ -395,9 +516,9 @@
         if not self._sure(now) or self.force is None or name in self.excluded:
             return False
         if name not in self.roll.held:
-            return False                                   # a later leader would not know of it
+            return False  # a later leader would not know of it
         if self.keeping is not None and self.keeping.id != newest:
-            return False                                   # which one is in force is not known
+            return False  # which one is in force is not known
         keeps = self.force.id in (ask.force, ask.told)
         return keeps and (self.prepared is None or ask.told == newest)
 
@@ -418,8 +539,13 @@
         out: list[IssuerAction] = []
         if self.alone is self._sure(now):
             self.alone = not self.alone
-            out.append(Reported(Word.ALONE if self.alone else Word.LEADING, self._newest_id(),
-                                text="the store does not answer" if self.alone else f"epoch {self.epoch}"))
+            out.append(
+                Reported(
+                    Word.ALONE if self.alone else Word.LEADING,
+                    self._newest_id(),
+                    text="the store does not answer" if self.alone else f"epoch {self.epoch}",
+                )
+            )
         newest = self._newest()
         for name, peer in list(self.peers.items()):
             if now - peer.heard_at > FORGET_US and now >= peer.until:
@@ -428,8 +554,14 @@
                 out.append(Reported(Word.FORGOTTEN, peer.acked, name))
             elif not peer.apart and self._apart(now, peer, newest):
                 peer.apart = True
-                out.append(Reported(Word.APART, peer.acked, name, "has not acknowledged the newest version "
-                                                                  "and has no lease: drains do not reach it"))
+                out.append(
+                    Reported(
+                        Word.APART,
+                        peer.acked,
+                        name,
+                        "has not acknowledged the newest version and has no lease: drains do not reach it",
+                    )
+                )
         if self.keeping is not None and self._sure(now) and now - self.kept_at >= self.timing.renew_us:
             self.kept_at = now
             out.append(self._keep())
--- a/roadlb/agreement/lease.py
+++ b/roadlb/agreement/lease.py
@@ -15,8 +15,8 @@
 
 from dataclasses import dataclass
 
-RATE_PPM = 200                 # a monotonic clock runs at most so much faster or slower than true time
-MOST_RENEWALS = 3              # so many renewals at the least in a lease: two lost answers do not end it
+RATE_PPM = 200  # a monotonic clock runs at most so much faster or slower than true time
+MOST_RENEWALS = 3  # so many renewals at the least in a lease: two lost answers do not end it
 
 
 class TimingError(ValueError):
@@ -56,14 +56,22 @@
     return timing.gone_us
 
 
-def timing_for(contradiction_s: float, lease_s: float | None = None, renew_s: float | None = None,
-               margin_s: float = 0.5, rate_ppm: int = RATE_PPM) -> Timing:
+def timing_for(
+    contradiction_s: float,
+    lease_s: float | None = None,
+    renew_s: float | None = None,
+    margin_s: float = 0.5,
+    rate_ppm: int = RATE_PPM,
+) -> Timing:
     """The times that keep a stated bound, `agreement.contradiction_s`; what is not told follows from it.
 
     Raises TimingError where they cannot keep it.
     """
-    told = {"agreement.contradiction_s": contradiction_s, "agreement.lease_s": lease_s,
-            "agreement.renew_s": renew_s}
+    told = {
+        "agreement.contradiction_s": contradiction_s,
+        "agreement.lease_s": lease_s,
+        "agreement.renew_s": renew_s,
+    }
     for key, value in told.items():
         if value is not None and not 0 < value < 86_400:
             raise TimingError(f"{key}: {value!r} must lie between 0 and 86400 seconds")
@@ -77,8 +85,10 @@
     else:
         lease = int(lease_s * 1e6)
     if lease <= 0:
-        raise TimingError(f"agreement.contradiction_s: {contradiction_s} leaves no time for a lease beside "
-                          f"the margin of {margin_s} s; raise it, or lower agreement.margin_s")
+        raise TimingError(
+            f"agreement.contradiction_s: {contradiction_s} leaves no time for a lease beside "
+            f"the margin of {margin_s} s; raise it, or lower agreement.margin_s"
+        )
     renew = lease // (MOST_RENEWALS + 1) if renew_s is None else int(renew_s * 1e6)
     timing = Timing(lease, renew, margin, rate_ppm)
     least = least_bound_us(timing)
@@ -86,9 +96,11 @@
         raise TimingError(
             f"agreement.contradiction_s: {contradiction_s} cannot be kept by a lease of {lease / 1e6:g} s "
             f"with a margin of {margin_s:g} s and clocks {rate_ppm} ppm off: the least is "
-            f"{least / 1e6:.3f}; raise it, or lower agreement.lease_s")
+            f"{least / 1e6:.3f}; raise it, or lower agreement.lease_s"
+        )
     if renew <= 0 or renew * MOST_RENEWALS > lease:
         raise TimingError(
             f"agreement.renew_s: {renew / 1e6:g} is more than a third of the lease of {lease / 1e6:g} s: two "
-            "lost answers would end it; lower it, or raise agreement.lease_s")
+            "lost answers would end it; lower it, or raise agreement.lease_s"
+        )
     return timing
--- a/roadlb/agreement/roll.py
+++ b/roadlb/agreement/roll.py
@@ -13,7 +13,7 @@
 
 from .events import FollowerId, KeepRoll
 
-NAME_MOST = 253              # bytes of a follower's name: 4,096 of them fit into one value of the store
+NAME_MOST = 253  # bytes of a follower's name: 4,096 of them fit into one value of the store
 
 Names = frozenset[FollowerId]
 NOBODY: Names = frozenset()
@@ -26,7 +26,7 @@
 
     def __init__(self) -> None:
         self.held: Names = NOBODY
-        self.asked: Names | None = None        # of the write under way
+        self.asked: Names | None = None  # of the write under way
         self.asked_at, self.number = 0, 0
 
     def begin(self, held: Names) -> None:
@@ -42,7 +42,7 @@
         if wanted != self.asked:
             self.number += 1
         self.asked, self.asked_at = wanted, now
-        self.held &= wanted                    # the write may be carried out and its answer be lost
+        self.held &= wanted  # the write may be carried out and its answer be lost
         return [KeepRoll(epoch, self.number, wanted)]
 
     def kept(self, number: int) -> Names:
--- a/roadlb/agreement/rules.py
+++ b/roadlb/agreement/rules.py
@@ -16,7 +16,7 @@
 from .events import NOTHING, Contents, VersionId
 from .table import HEALTH, KEEP, LIFECYCLE, Kind, Line, line_of
 
-Floors = Mapping[str, str]          # by key, or by the table's pattern: floors that operators have stated
+Floors = Mapping[str, str]  # by key, or by the table's pattern: floors that operators have stated
 
 _REMOVED = LIFECYCLE.width("removed")
 
@@ -97,24 +97,33 @@
     for cluster in contents.clusters.values():
         for endpoint in cluster.endpoints:
             if not math.isfinite(endpoint.weight):
-                raise Unreadable(f"list.{cluster.name}.{endpoint.node.name}.weight: {endpoint.weight!r} is "
-                                 "not a number")
+                raise Unreadable(
+                    f"list.{cluster.name}.{endpoint.node.name}.weight: {endpoint.weight!r} is not a number"
+                )
 
 
 def below_floor(contents: Contents, floors: Floors | None = None) -> list[str]:
     """Keys in which a version allows less than their floor: it could not reach those that hear nothing."""
-    return [s.key for s in granting(contents.settings).values()
-            if not s.line.choice and (at := _floor(s, floors)) != KEEP
-            and _width(s.line, s.text) < _width(s.line, at)]
+    return [
+        s.key
+        for s in granting(contents.settings).values()
+        if not s.line.choice
+        and (at := _floor(s, floors)) != KEEP
+        and _width(s.line, s.text) < _width(s.line, at)
+    ]
 
 
 def split(before: Contents, after: Contents) -> Split:
     """A change in its parts; `narrowed` is what holds from when it is prepared until it is in force."""
-    free = [path for path in dict.fromkeys((*before.settings, *after.settings))
-            if ((line := line_of(path)) is None or line.free)
-            and before.settings.get(path) != after.settings.get(path)]
-    return Split(meet(before, after), tuple(exceeds(before, after)), tuple(exceeds(after, before)),
-                 tuple(free))
+    free = [
+        path
+        for path in dict.fromkeys((*before.settings, *after.settings))
+        if ((line := line_of(path)) is None or line.free)
+        and before.settings.get(path) != after.settings.get(path)
+    ]
+    return Split(
+        meet(before, after), tuple(exceeds(before, after)), tuple(exceeds(after, before)), tuple(free)
+    )
 
 
 def meet(a: Contents, b: Contents) -> Contents:
@@ -129,8 +138,10 @@
         text = _narrower(ours, _default(ours.line) if other is None else other.text)
         if text != ours.text:
             settings[ours.path] = text
-    clusters = {name: held if (told := b.clusters.get(name)) is held else _meet_cluster(held, told)
-                for name, held in a.clusters.items()}
+    clusters = {
+        name: held if (told := b.clusters.get(name)) is held else _meet_cluster(held, told)
+        for name, held in a.clusters.items()
+    }
     return Contents(settings, clusters)
 
 
@@ -219,6 +230,7 @@
 
 # The list
 
+
 def _by_name(endpoints: Iterable[Endpoint]) -> dict[str, list[Endpoint]]:
     found: dict[str, list[Endpoint]] = {}
     for endpoint in endpoints:
@@ -236,7 +248,10 @@
 
 # Of an endpoint, what is more than free: its key's last part, and how much it allows.
 OF_ENDPOINT: tuple[tuple[str, Callable[[Endpoint], float]], ...] = (
-    ("lifecycle", _life), ("health", _health), ("weight", lambda e: e.weight))
+    ("lifecycle", _life),
+    ("health", _health),
+    ("weight", lambda e: e.weight),
+)
 
 
 def _cluster_exceeds(used: Cluster, told: Cluster | None) -> list[str]:
@@ -248,14 +263,17 @@
         if endpoint in others:
             continue
         if others and all(other.node.started_ms < endpoint.node.started_ms for other in others):
-            continue                                  # restarted since: the other cannot know of it
+            continue  # restarted since: the other cannot know of it
         same = [other for other in others if other.node == endpoint.node]
         if not same:
             if _life(endpoint) > _REMOVED:
                 found.append(f"{at}{endpoint.node.name}.lifecycle")
             continue
-        found += [f"{at}{endpoint.node.name}.{name}" for name, width in OF_ENDPOINT
-                  if width(endpoint) > min(map(width, same))]
+        found += [
+            f"{at}{endpoint.node.name}.{name}"
+            for name, width in OF_ENDPOINT
+            if width(endpoint) > min(map(width, same))
+        ]
     weights = {group_key(g): g.weight for g in told.groups} if told is not None else {}
     for group in used.groups:
         other_weight = weights.get(group_key(group))
@@ -277,14 +295,18 @@
 
 def _meet_cluster(held: Cluster, told: Cluster | None) -> Cluster:
     lines = _by_name(told.endpoints) if told is not None else {}
-    endpoints = tuple(_meet_endpoint(endpoint, lines.get(endpoint.node.name, []))
-                      for endpoint in held.endpoints)
+    endpoints = tuple(
+        _meet_endpoint(endpoint, lines.get(endpoint.node.name, [])) for endpoint in held.endpoints
+    )
     if told is None:
         return replace(held, endpoints=endpoints)
     weights = {group_key(g): g.weight for g in told.groups}
-    groups = tuple(replace(g, weight=min(g.weight, w))
-                   if g.weight is not None and (w := weights.get(group_key(g))) is not None else g
-                   for g in held.groups)
+    groups = tuple(
+        replace(g, weight=min(g.weight, w))
+        if g.weight is not None and (w := weights.get(group_key(g))) is not None
+        else g
+        for g in held.groups
+    )
     turned = _drops(told.drops)
     drops = tuple(replace(d, millionths=max(d.millionths, turned.pop(d.category, 0))) for d in held.drops)
     drops += tuple(Drop(category, millionths) for category, millionths in turned.items())
@@ -293,7 +315,7 @@
 
 def _meet_endpoint(held: Endpoint, others: list[Endpoint]) -> Endpoint:
     if len(others) == 1 and others[0] == held:
-        return held                                   # the commonest: 10,000 take 18 ms, not 156
+        return held  # the commonest: 10,000 take 18 ms, not 156
     if not others:
         return replace(held, lifecycle=Lifecycle.REMOVED)
     newest = max(others, key=lambda other: other.node.started_ms)
@@ -302,14 +324,34 @@
         return held if held.lifecycle is Lifecycle.REMOVED else newest
     same = [other for other in others if other.node == held.node]
     if not same:
-        return held                                   # the other has an older start: it cannot know
-    least = replace(held, lifecycle=min((held, *same), key=_life).lifecycle,
-                    health=min((held, *same), key=_health).health,
-                    weight=min(held.weight, *(other.weight for other in same)))
+        return held  # the other has an older start: it cannot know
+    least = replace(
+        held,
+        lifecycle=min((held, *same), key=_life).lifecycle,
+        health=min((held, *same), key=_health).health,
+        weight=min(held.weight, *(other.weight for other in same)),
+    )
     return held if least == held else least
 
 
 __all__ = [
-    "Floors", "InUse", "Kind", "Line", "Setting", "Split", "Unreadable", "below_floor", "check",
-    "contradict", "exceeds", "floor", "granting", "in_use_across", "keeps", "line_of", "meet", "split",
-    "unknown"]
+    "Floors",
+    "InUse",
+    "Kind",
+    "Line",
+    "Setting",
+    "Split",
+    "Unreadable",
+    "below_floor",
+    "check",
+    "contradict",
+    "exceeds",
+    "floor",
+    "granting",
+    "in_use_across",
+    "keeps",
+    "line_of",
+    "meet",
+    "split",
+    "unknown",
+]
--- a/roadlb/agreement/table.py
+++ b/roadlb/agreement/table.py
@@ -27,7 +27,7 @@
     GRANT = "grants"
 
 
-KEEP = "(as it was)"        # a floor that is no floor: the last good version's value stays
+KEEP = "(as it was)"  # a floor that is no floor: the last good version's value stays
 
 
 @dataclass(slots=True, frozen=True)
@@ -76,8 +76,9 @@
     return Line(key, of, Kind.FREE, Kind.FREE, reason)
 
 
-def _more(key: str, of: str, reason: str, floor: str = KEEP, values: tuple[str, ...] = (),
-          absent: str | None = None) -> Line:
+def _more(
+    key: str, of: str, reason: str, floor: str = KEEP, values: tuple[str, ...] = (), absent: str | None = None
+) -> Line:
     """More of it allows more."""
     return Line(key, of, Kind.GRANT, Kind.NARROW, reason, floor, values, absent)
 
@@ -100,25 +101,55 @@
     _free("classes.*.deadline_us", "RequestClass.deadline_us", PROMISE),
     _free("classes.*.value", "RequestClass.worth", PROMISE),
     _free("classes.*.late_worth", "RequestClass.late_worth", PROMISE),
-    _more("classes.*.effect", "RequestClass.effect",
-          "a repeat of what must not run twice cannot be taken back", "at_most_once",
-          ("at_most_once", "deduplicated", "idempotent")),
-    _more("classes.*.group", "RequestClass.group",
-          "a repeat outside the group that discards it runs twice", "cell", ("cell", "zone", "all"), "all"),
-    _more("classes.*.window_us", "RequestClass.window_us",
-          "a repeat after the time in which it is discarded runs twice", "0", absent="0"),
+    _more(
+        "classes.*.effect",
+        "RequestClass.effect",
+        "a repeat of what must not run twice cannot be taken back",
+        "at_most_once",
+        ("at_most_once", "deduplicated", "idempotent"),
+    ),
+    _more(
+        "classes.*.group",
+        "RequestClass.group",
+        "a repeat outside the group that discards it runs twice",
+        "cell",
+        ("cell", "zone", "all"),
+        "all",
+    ),
+    _more(
+        "classes.*.window_us",
+        "RequestClass.window_us",
+        "a repeat after the time in which it is discarded runs twice",
+        "0",
+        absent="0",
+    ),
     _free("classes.*.stream", "RequestClass.stream", "how an answer comes, which the node shows by itself"),
     _free("tenants.count", "Settings.tenants", "customers are told apart by their names"),
     _free("tenants.*.name", "Tenant.name", "what tells a customer from another"),
     _free("tenants.*.share", "", "what a customer was told, for a person; `quota_per_s` is what counts"),
-    _more("tenants.*.quota_per_s", "Tenant.quota_per_s",
-          "quotas are parts of one whole: one grows by what others have given up; at the floor all customers "
-          "are beyond their shares, and so alike", "0"),
-    Line("routes.*", "", Kind.GRANT, Kind.GRANT, "a class sent to two pools at once is counted whole by "
-         "neither; at the floor it takes the pool that all know", "", absent=""),
+    _more(
+        "tenants.*.quota_per_s",
+        "Tenant.quota_per_s",
+        "quotas are parts of one whole: one grows by what others have given up; at the floor all customers "
+        "are beyond their shares, and so alike",
+        "0",
+    ),
+    Line(
+        "routes.*",
+        "",
+        Kind.GRANT,
+        Kind.GRANT,
+        "a class sent to two pools at once is counted whole by "
+        "neither; at the floor it takes the pool that all know",
+        "",
+        absent="",
+    ),
     _free("me", "Settings.instance", OWN),
-    _less("instances", "Settings.instances",
-          "quotas are divided by it, whose own floor is 0; as a measure of the whole it must not jump"),
+    _less(
+        "instances",
+        "Settings.instances",
+        "quotas are divided by it, whose own floor is 0; as a measure of the whole it must not jump",
+    ),
     _free("az", "Settings.zone", OWN),
     _free("over_share_worth", "Settings.over_share_worth", ORDER),
     _free("counted_by", "Settings.worth_by_work", ORDER),
@@ -132,20 +163,42 @@
     _free("costs.probe", "Settings.probe_cost", PRICE),
     _free("costs.handshake", "Settings.handshake_cost", PRICE),
     _free("limits.cancelling", "Settings.cancelling", "calls off only what this balancer has sent itself"),
-    _more("limits.second_copies", "Settings.second_copies",
-          "a copy is a repeat before the first has failed", "false", ("false", "true"), "false"),
-    _more("limits.max_attempts", "Settings.max_attempts",
-          "repeats add up over all balancers, on nodes that are late already", "1"),
+    _more(
+        "limits.second_copies",
+        "Settings.second_copies",
+        "a copy is a repeat before the first has failed",
+        "false",
+        ("false", "true"),
+        "false",
+    ),
+    _more(
+        "limits.max_attempts",
+        "Settings.max_attempts",
+        "repeats add up over all balancers, on nodes that are late already",
+        "1",
+    ),
     _free("limits.max_retry_after_us", "Settings.max_retry_after_us", "a word to its own clients"),
     _free("limits.probes", "Settings.probes", BELIEF),
     _free("limits.peers", "Settings.peers", OWN),
     _free("invariants.ask_within_us", "Settings.ask_within_us", OWN),
-    _more("invariants.cold_from", "Settings.cold_from",
-          "all balancers together fill a cold node: the share of each rests on that of the others", "0.1"),
-    _less("invariants.cold_us", "Settings.cold_us", "as cold_from: a node thought warm too early falls",
-          "60000000"),
-    _more("invariants.fall_multiple", "Settings.fall_multiple",
-          "how far a node may be pushed by all together", "1"),
+    _more(
+        "invariants.cold_from",
+        "Settings.cold_from",
+        "all balancers together fill a cold node: the share of each rests on that of the others",
+        "0.1",
+    ),
+    _less(
+        "invariants.cold_us",
+        "Settings.cold_us",
+        "as cold_from: a node thought warm too early falls",
+        "60000000",
+    ),
+    _more(
+        "invariants.fall_multiple",
+        "Settings.fall_multiple",
+        "how far a node may be pushed by all together",
+        "1",
+    ),
     # A cold node that has proved nothing is tried with one request in each such time: in less than a second
     # that is more than its part of what it can carry (routing/cold.py).
     _more("invariants.fall_us", "Settings.fall_us", "and for how long", "1000000"),
@@ -165,13 +218,24 @@
     _free("list.*.groups", "Cluster.groups", "group by group, below"),
     _free("list.*.drops", "Cluster.drops", "category by category, below"),
     _free("list.*.origin", "Cluster.origin", PASSED_ON),
-    _free("list.*.*.node", "Endpoint.node",
-          "name and start tell a node from another; a newer start is a newer process, and is taken at once"),
-    _more("list.*.*.lifecycle", "Endpoint.lifecycle",
-          "a drain holds at once; a node reopened or added gets work once all know of it",
-          values=("removed", "draining", "up"), absent="removed"),
-    _more("list.*.*.health", "Endpoint.health", "told to drain, or believed dead, holds at once",
-          values=("DRAINING", "TIMEOUT|UNHEALTHY", "DEGRADED|UNKNOWN|HEALTHY")),
+    _free(
+        "list.*.*.node",
+        "Endpoint.node",
+        "name and start tell a node from another; a newer start is a newer process, and is taken at once",
+    ),
+    _more(
+        "list.*.*.lifecycle",
+        "Endpoint.lifecycle",
+        "a drain holds at once; a node reopened or added gets work once all know of it",
+        values=("removed", "draining", "up"),
+        absent="removed",
+    ),
+    _more(
+        "list.*.*.health",
+        "Endpoint.health",
+        "told to drain, or believed dead, holds at once",
+        values=("DRAINING", "TIMEOUT|UNHEALTHY", "DEGRADED|UNKNOWN|HEALTHY"),
+    ),
     _more("list.*.*.weight", "Endpoint.weight", "a larger share rests on what other balancers send there"),
     _free("list.*.*.host", "Endpoint.host", WHERE),
     _free("list.*.*.port", "Endpoint.port", WHERE),
@@ -190,8 +254,12 @@
     _more("list.*.group.weight", "LocalityGroup.weight", "a larger share of the work for a hall"),
     _free("list.*.group.origin", "LocalityGroup.origin", PASSED_ON),
     _free("list.*.drop.category", "Drop.category", "what tells a drop from another"),
-    _less("list.*.drop.millionths", "Drop.millionths", "work turned away everywhere, or only in some places",
-          absent="0"),
+    _less(
+        "list.*.drop.millionths",
+        "Drop.millionths",
+        "work turned away everywhere, or only in some places",
+        absent="0",
+    ),
 )
 
 TABLE = {line.key: line for line in (*SETTINGS, *LIST)}
--- a/roadlb/app.py
+++ b/roadlb/app.py
@@ -21,7 +21,16 @@
 from .engine import Engine
 from .lifecycle.handover import Handover, Held
 from .lifecycle.lifecycle import (
-    LINGER_US, CloseIdle, CloseUnfinished, Ending, Event, GiveUp, Leave, Lifecycle, State, StopListening,
+    LINGER_US,
+    CloseIdle,
+    CloseUnfinished,
+    Ending,
+    Event,
+    GiveUp,
+    Leave,
+    Lifecycle,
+    State,
+    StopListening,
     Wake,
 )
 from .lifecycle.parts import Calls, Part, Parts
@@ -48,10 +57,10 @@
 logger = logging.getLogger(__name__)
 
 GC_THRESHOLD = 5_000, 10, 10
-HEARD_S = 1.5        # for discovery's first word, before the known list alone is served from
-PART_LEAST = 4       # beside another process, at least this part of each limit
-OWN_SOCKETS = 10    # log, listeners, loop and its wake-ups, discovery
-LONGEST_US = 3_000_000     # of deadlines, as far as the platform waits for them after SIGTERM
+HEARD_S = 1.5  # for discovery's first word, before the known list alone is served from
+PART_LEAST = 4  # beside another process, at least this part of each limit
+OWN_SOCKETS = 10  # log, listeners, loop and its wake-ups, discovery
+LONGEST_US = 3_000_000  # of deadlines, as far as the platform waits for them after SIGTERM
 
 
 class App:
@@ -68,27 +77,48 @@
     door: Door
     listener: asyncio.Server
 
-    def __init__(self, config: Config, clock: Clock = monotonic_us, wall: Clock = unix_us,
-                 cpu_us: Clock = cpu_used_us, bind: Bind | None = None) -> None:
+    def __init__(
+        self,
+        config: Config,
+        clock: Clock = monotonic_us,
+        wall: Clock = unix_us,
+        cpu_us: Clock = cpu_used_us,
+        bind: Bind | None = None,
+    ) -> None:
         self.config, self.counters, self.clock, self.wall = config, Counters(), clock, wall
-        self.settings = config.settings    # those that hold now
+        self.settings = config.settings  # those that hold now
         self.cpu_us, self.bind = cpu_us, bind
         self.succession: Succession | None = None
         self.following: Following | None = None
         self.peers: Peers | None = None
         self.sharing: Sharing | None = None
         self.twins, self.memory_beside = 1, 0
-        self._draining = False             # did a predecessor leave it so?
+        self._draining = False  # did a predecessor leave it so?
 
     async def start(self) -> None:
         config, counters, clock = self.config, self.counters, self.clock
         self.wheel = Wheel(clock)
-        self.engine = Engine(Balancer(config.settings, config.seed), counters, clock, self.wheel,
-                             config.max_open, [c.name for c in config.settings.classes])
+        self.engine = Engine(
+            Balancer(config.settings, config.seed),
+            counters,
+            clock,
+            self.wheel,
+            config.max_open,
+            [c.name for c in config.settings.classes],
+        )
         self.instances = Instances(config, self.engine, counters, clock, self.wheel)
         self.engine.executor = self.instances
-        self.name_table = NameTable(config.discovery, config.zones, config.kinds, self.engine, self.instances,
-                                    counters, clock, self.wall, config.seed)
+        self.name_table = NameTable(
+            config.discovery,
+            config.zones,
+            config.kinds,
+            self.engine,
+            self.instances,
+            counters,
+            clock,
+            self.wall,
+            config.seed,
+        )
         self.lifecycle = Lifecycle(min(LONGEST_US, int(config.longest_s * 1e6)), config.socket_fd is not None)
         self._leave = asyncio.Event()
         self._leave_by_us = 0
@@ -106,18 +136,29 @@
         parts: list[Part] = [Outward(self)]
         if config.agreement and config.peers and config.peers.share:
             from .net.merging import Merging
+
             merging = Merging(self.clock, self.engine.heard)
             parts.append(Beside(merging.beside))
-        followed = [Followed(self, config.agreement, merging.versions if merging else self.engine.heard)
-                    ] if config.agreement else []
+        followed = (
+            [Followed(self, config.agreement, merging.versions if merging else self.engine.heard)]
+            if config.agreement
+            else []
+        )
         known = config.known
         if config.shared_dir:
-            self.succession = Succession(Path(config.shared_dir), self.counters, self._held, self._handover,
-                                         self._beside)
+            self.succession = Succession(
+                Path(config.shared_dir), self.counters, self._held, self._handover, self._beside
+            )
             known, self._draining = self.succession.inherited(str(config.discovery), known)
             parts.append(Succeeding(self, self.succession))
-        parts += [Known(self, known), *followed, Running(self.name_table.run), Clients(self),
-                  Operators(self), Listening(self)]
+        parts += [
+            Known(self, known),
+            *followed,
+            Running(self.name_table.run),
+            Clients(self),
+            Operators(self),
+            Listening(self),
+        ]
         if config.peers:
             parts.append(Among(self, config.peers))
             if config.peers.share:
@@ -175,12 +216,17 @@
     def _beside(self, others: list[Held]) -> None:
         """What others hold is not ours to hold: the limits are the sum's."""
         config = self.config
-        clients = max(config.client_sockets // PART_LEAST,
-                      config.client_sockets - sum(o.clients for o in others))
+        clients = max(
+            config.client_sockets // PART_LEAST, config.client_sockets - sum(o.clients for o in others)
+        )
         self.service_client.limit(clients)
         self.engine.limit(min(config.max_open, clients))
-        self.instances.pool.limit(max(config.instance_sockets // PART_LEAST,
-                                      config.instance_sockets - sum(o.instances for o in others)))
+        self.instances.pool.limit(
+            max(
+                config.instance_sockets // PART_LEAST,
+                config.instance_sockets - sum(o.instances for o in others),
+            )
+        )
         self.memory_beside = sum(o.memory for o in others)
         if self.twins != 1 + len(others):
             self.twins = 1 + len(others)
@@ -191,9 +237,12 @@
     def gauges(self) -> dict[str, int]:
         """What holds now, under the names that operators see."""
         servers = self.engine.view().servers
-        return {"current": self.engine.current, "cluster_size": len(servers),
-                "cluster_unhealthy": sum(s.ejected or not s.eligible for s in servers),
-                **self.parts.gauges()}
+        return {
+            "current": self.engine.current,
+            "cluster_size": len(servers),
+            "cluster_unhealthy": sum(s.ejected or not s.eligible for s in servers),
+            **self.parts.gauges(),
+        }
 
     def report(self) -> str:
         """The figures as operators fetch them."""
@@ -243,6 +292,7 @@
 
 # The parts that every balancer has
 
+
 class Outward(Part):
     """What reaches the instances, and the timers of all."""
 
@@ -289,13 +339,25 @@
     async def start(self) -> None:
         app, config = self._app, self._app.config
         app.own_load = OwnLoad(
-            app.clock, app.engine, Limits(config.cores, config.memory_mb, config.sockets),
-            min(c.aim_us for c in config.settings.classes), app.descriptors, app.tighten, app.cpu_us,
-            lambda: memory_bytes() + app.memory_beside)
+            app.clock,
+            app.engine,
+            Limits(config.cores, config.memory_mb, config.sockets),
+            min(c.aim_us for c in config.settings.classes),
+            app.descriptors,
+            app.tighten,
+            app.cpu_us,
+            lambda: memory_bytes() + app.memory_beside,
+        )
         app.service_client = ServiceClient(
-            config, app.engine, app.counters, lambda: app.name_table.filled and app.lifecycle.healthy,
-            app.clock, app.wheel, app.own_load.came_us)
-        app.service_client.deadlines(app.settings)         # a store's version holds by now
+            config,
+            app.engine,
+            app.counters,
+            lambda: app.name_table.filled and app.lifecycle.healthy,
+            app.clock,
+            app.wheel,
+            app.own_load.came_us,
+        )
+        app.service_client.deadlines(app.settings)  # a store's version holds by now
         await super().start()
 
     async def stop(self) -> None:
@@ -311,12 +373,19 @@
 
     async def start(self) -> None:
         app = self._app
-        app.door = Door({
-            ("GET", "/control/ready"): lambda: (200, "yes") if app.lifecycle.takes_clients else (503, "no"),
-            ("GET", "/control/counters"): lambda: (200, app.report()),
-            ("PUT", "/control/out-of-service"): lambda: app.tell(Event.OUT_OF_SERVICE),
-            ("PUT", "/control/in-service"): lambda: app.tell(Event.IN_SERVICE),
-            **app.parts.calls(), **site_calls(app.engine, app.config.zones, app.clock)}, app.counters)
+        app.door = Door(
+            {
+                ("GET", "/control/ready"): lambda: (
+                    (200, "yes") if app.lifecycle.takes_clients else (503, "no")
+                ),
+                ("GET", "/control/counters"): lambda: (200, app.report()),
+                ("PUT", "/control/out-of-service"): lambda: app.tell(Event.OUT_OF_SERVICE),
+                ("PUT", "/control/in-service"): lambda: app.tell(Event.IN_SERVICE),
+                **app.parts.calls(),
+                **site_calls(app.engine, app.config.zones, app.clock),
+            },
+            app.counters,
+        )
         if app.config.admin:
             await app.door.listen(app.config.admin, app.bind)
 
@@ -342,6 +411,7 @@
 
 # The parts that are configured
 
+
 class Succeeding(Part):
     """What a successor takes over, and what others of this balancer hold."""
 
@@ -393,8 +463,20 @@
         except OSError as e:
             raise ConfigError(f"agreement.store: {told.store} cannot be had: {e.strerror}") from None
         self._following = app.following = Following(
-            told, config.name, config.seed, app.clock, app.wall, app.counters,
-            app.name_table.lead, hear, lapse_at, dial, disk, disk, app.changed)
+            told,
+            config.name,
+            config.seed,
+            app.clock,
+            app.wall,
+            app.counters,
+            app.name_table.lead,
+            hear,
+            lapse_at,
+            dial,
+            disk,
+            disk,
+            app.changed,
+        )
         self._following.load()
         engine.lapsed, app.name_table.drained = self._following.lapsed, self._following.drained
 
@@ -416,16 +498,25 @@
 
     def __init__(self, app: App, told: PeersConfig) -> None:
         from .net.peers import Peers
+
         self._app, config = app, app.config
-        self._peers = app.peers = Peers(config.name, config.hall, told, app.counters, app.clock, app.wall,
-                                        config.seed, own_socket=app.bind is not None)
+        self._peers = app.peers = Peers(
+            config.name,
+            config.hall,
+            told,
+            app.counters,
+            app.clock,
+            app.wall,
+            config.seed,
+            own_socket=app.bind is not None,
+        )
 
     async def start(self) -> None:
         await self._peers.start()
 
     def changed(self, state: State) -> None:
         if state is State.LEAVING:
-            self._peers.stop(farewell=self._app.twins == 1)      # a successor takes the name up
+            self._peers.stop(farewell=self._app.twins == 1)  # a successor takes the name up
 
     def calls(self) -> Calls:
         return {("GET", "/control/peers"): lambda: (200, json.dumps(self._peers.report()))}
@@ -439,11 +530,17 @@
 
     def __init__(self, app: App, merging: Merging | None) -> None:
         from .net.sharing import Sharing
+
         assert app.peers
         self._sharing = app.sharing = Sharing(
-            app.config, app.peers, app.engine, app.counters, app.clock,
+            app.config,
+            app.peers,
+            app.engine,
+            app.counters,
+            app.clock,
             merging.shares if merging else lambda instances, heard: app.engine.heard(heard),
-            app.name_table.names)
+            app.name_table.names,
+        )
         if merging:
             merging.agree = self._sharing.agreed
 
--- a/roadlb/benchlink.py
+++ b/roadlb/benchlink.py
@@ -14,8 +14,28 @@
 
 from .config import ConfigError, read_settings
 from .policy.interface import (
-    Action, Arrival, Cancel, ClientGone, Event, Fail, ListKind, ListUpdate, Log, Member, Outcome, PeerMessage,
-    Probe, Probed, Refuse, Send, ServerState, SetTimer, Status, StreamStarted, Subscribe, TimerFired,
+    Action,
+    Arrival,
+    Cancel,
+    ClientGone,
+    Event,
+    Fail,
+    ListKind,
+    ListUpdate,
+    Log,
+    Member,
+    Outcome,
+    PeerMessage,
+    Probe,
+    Probed,
+    Refuse,
+    Send,
+    ServerState,
+    SetTimer,
+    Status,
+    StreamStarted,
+    Subscribe,
+    TimerFired,
 )
 from .policy.logic import Balancer
 
@@ -47,23 +67,25 @@
 PROBE = struct.Struct("<BH6s15x").pack
 TEXT = struct.Struct("<BHII13x").pack
 
-STATUS = {int(s): s for s in Status if s is not Status.SPOILT}      # the wire has no such outcome
+STATUS = {int(s): s for s in Status if s is not Status.SPOILT}  # the wire has no such outcome
 STATE = {int(s): s for s in ServerState}
 KIND = {int(k): k for k in ListKind}
 
 
 # Frames
 
+
 def tail_slice(tail: memoryview, offset: int, length: int, what: str) -> memoryview:
     if offset + length > len(tail):
         raise WireError(f"{what} points past the end of the frame")
-    return tail[offset:offset + length]
+    return tail[offset : offset + length]
 
 
 def read_members(tail: memoryview, offset: int, count: int) -> list[Member]:
     members = []
     for cell, kind, zone, phase, server, weight, born in ENTRY.iter_unpack(
-            tail_slice(tail, offset, count * ENTRY_SIZE, "a view's member list")):
+        tail_slice(tail, offset, count * ENTRY_SIZE, "a view's member list")
+    ):
         if phase not in STATE:
             raise WireError(f"unknown phase {phase} in a directory entry")
         members.append(Member(server, STATE[phase], cell, kind, zone, weight, born))
@@ -151,7 +173,7 @@
             try:
                 for action in balancer.handle(now, event):
                     records.append(encode(node, action, text_record))
-            except Exception as e:      # whatever goes wrong in the module is reported as its fault
+            except Exception as e:  # whatever goes wrong in the module is reported as its fault
                 place = e.__traceback__
                 while place and place.tb_next:
                     place = place.tb_next
@@ -208,7 +230,7 @@
 
 def main() -> int:
     gc.freeze()
-    gc.disable()        # the module keeps no reference cycles; its tables are bounded
+    gc.disable()  # the module keeps no reference cycles; its tables are bounded
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except (WireError, ConfigError) as e:
--- a/roadlb/cli/agreement/status.py
+++ b/roadlb/cli/agreement/status.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from ...issuing.archive import Archive
 
-CALL_S = 3.0                 # for the leader's page
+CALL_S = 3.0  # for the leader's page
 
 
 @click.command()
@@ -25,8 +25,10 @@
 
     Ends with 1 where nobody leads, or a balancer has no lease.
     """
+
     async def read(at: Archive) -> dict[str, str]:
         return dict((await at.read()).holder)
+
     holder = with_archive(file, read)
     if not holder:
         raise click.ClickException("nobody leads: no control service holds the seat; grants lapse meanwhile")
@@ -50,7 +52,7 @@
     """One word for how a balancer stands."""
     if follower["excluded"]:
         return "excluded"
-    if not follower.get("heard", True):                # a leader of an earlier release says nothing of it
+    if not follower.get("heard", True):  # a leader of an earlier release says nothing of it
         return "unheard"
     if follower["apart"]:
         return "apart"
@@ -59,17 +61,44 @@
 
 def _show(told: dict[str, Any]) -> None:
     store = told["store"]
-    click.echo(f"{told['name']} leads in epoch {told['epoch']} for {told['for_s']:.1f} s"
-               + ("" if told["leads"] else ", but is not sure of it: nothing is granted"))
-    click.echo(f"in force {told['force']}, prepared {told['prepared']}; contradictions end within "
-               f"{told['contradiction_s']:g} s; store {store['endpoint']}"
-               + (f": {store['error']}" if store["error"] else "")
-               + (f"; it went back {store['went_back']} times" if store["went_back"] else ""))
-    table("balancers", ("balancer", "stands", "acknowledged", "since", "in force", "lease left", "silent",
-                        "connected", "refused"), [
-        (one["name"], stands(one), one["acknowledged"], f"{one['since_s']:.1f} s", one["force"],
-         f"{one['lease_left_s']:.1f} s", f"{one['silent_s']:.1f} s", "yes" if one["connected"] else "no",
-         one["refused"] or "-") for one in told["followers"]])
+    click.echo(
+        f"{told['name']} leads in epoch {told['epoch']} for {told['for_s']:.1f} s"
+        + ("" if told["leads"] else ", but is not sure of it: nothing is granted")
+    )
+    click.echo(
+        f"in force {told['force']}, prepared {told['prepared']}; contradictions end within "
+        f"{told['contradiction_s']:g} s; store {store['endpoint']}"
+        + (f": {store['error']}" if store["error"] else "")
+        + (f"; it went back {store['went_back']} times" if store["went_back"] else "")
+    )
+    table(
+        "balancers",
+        (
+            "balancer",
+            "stands",
+            "acknowledged",
+            "since",
+            "in force",
+            "lease left",
+            "silent",
+            "connected",
+            "refused",
+        ),
+        [
+            (
+                one["name"],
+                stands(one),
+                one["acknowledged"],
+                f"{one['since_s']:.1f} s",
+                one["force"],
+                f"{one['lease_left_s']:.1f} s",
+                f"{one['silent_s']:.1f} s",
+                "yes" if one["connected"] else "no",
+                one["refused"] or "-",
+            )
+            for one in told["followers"]
+        ],
+    )
 
 
 def word(do: str, text: str, done: str) -> click.Command:
@@ -80,11 +109,18 @@
     @WAIT
     @JSON
     def command(file: str, balancer: str, why: str, wait_s: float, as_json: bool) -> None:
-        give(file, need("roadlb.issuing.history").Order(do, why, follower=balancer), wait_s,
-             f"{balancer}: {done}", as_json)
+        give(
+            file,
+            need("roadlb.issuing.history").Order(do, why, follower=balancer),
+            wait_s,
+            f"{balancer}: {done}",
+            as_json,
+        )
+
     return command
 
 
-exclude = word("exclude", "BALANCER's refusals stop nothing, and it gets no lease: it serves at its floors.",
-               "excluded")
+exclude = word(
+    "exclude", "BALANCER's refusals stop nothing, and it gets no lease: it serves at its floors.", "excluded"
+)
 include = word("include", "BALANCER counts again.", "counts again")
--- a/roadlb/cli/agreement/store.py
+++ b/roadlb/cli/agreement/store.py
@@ -20,8 +20,14 @@
 FILE = click.argument("file", type=click.Path(dir_okay=False))
 JSON = click.option("--json", "as_json", is_flag=True, help="For machines.")
 WHY = click.option("--why", required=True, help="For those who read the history.")
-WAIT = click.option("--wait", "wait_s", type=click.FloatRange(0.1, 60), default=10.0, show_default=True,
-                    help="Seconds for the leader to carry it out.")
+WAIT = click.option(
+    "--wait",
+    "wait_s",
+    type=click.FloatRange(0.1, 60),
+    default=10.0,
+    show_default=True,
+    help="Seconds for the leader to carry it out.",
+)
 
 
 def settings(file: str) -> AgreementSettings:
@@ -41,6 +47,7 @@
             return await do(opened)
         finally:
             await opened.close()
+
     try:
         return asyncio.run(run())
     except (need("roadlb.etcd.model").StoreError, archive.ArchiveError) as e:
@@ -52,6 +59,7 @@
     answer = with_archive(file, lambda archive: archive.order(order, wait_s))
     if as_json:
         import json
+
         click.echo(json.dumps({"done": not answer, "reason": answer}))
     elif not answer:
         click.echo(done)
@@ -66,6 +74,7 @@
     from rich import box
     from rich.console import Console
     from rich.table import Table
+
     console = Console()
     made = Table(*columns, title=title, title_justify="left", box=box.SIMPLE)
     for row in rows:
--- a/roadlb/cli/agreement/versions.py
+++ b/roadlb/cli/agreement/versions.py
@@ -29,6 +29,7 @@
 
     async def find(at: Archive) -> dict[str, Any]:
         return dict(archive.shown(at.find(await at.read(), version)))
+
     told = with_archive(file, find)
     if as_json:
         click.echo(json.dumps(told, indent=1))
@@ -36,8 +37,11 @@
     click.echo(f"version {told['version']}" + (f", meant: {told['meant']}" if told["meant"] else ""))
     table("settings", ("path", "value"), list(told["settings"].items()))
     for name, nodes in told["clusters"].items():
-        table(f"list {name}", ("node", "started_ms", "address", "hall", "lifecycle", "health", "weight"),
-              [tuple(str(value) for value in node.values()) for node in nodes])
+        table(
+            f"list {name}",
+            ("node", "started_ms", "address", "hall", "lifecycle", "health", "weight"),
+            [tuple(str(value) for value in node.values()) for node in nodes],
+        )
 
 
 @click.command()
@@ -52,16 +56,21 @@
     async def compare(at: Archive) -> list[dict[str, str]]:
         seen = await at.read()
         found: list[dict[str, str]] = archive.differences(
-            at.find(seen, before).contents, at.find(seen, after).contents)
+            at.find(seen, before).contents, at.find(seen, after).contents
+        )
         return found
+
     rows = with_archive(file, compare)
     if as_json:
         click.echo(json.dumps(rows, indent=1))
     elif not rows:
         click.echo("they say the same")
     else:
-        table(f"{before} to {after}", ("key", "before", "after", "kind"),
-              [(row["key"], row["before"] or "-", row["after"] or "-", row["kind"]) for row in rows])
+        table(
+            f"{before} to {after}",
+            ("key", "before", "after", "kind"),
+            [(row["key"], row["before"] or "-", row["after"] or "-", row["kind"]) for row in rows],
+        )
 
 
 @click.command()
@@ -73,14 +82,26 @@
 
     async def read(at: Archive) -> list[dict[str, Any]]:
         return [archive.shown_line(line) for line in (await at.read()).lines]
+
     lines = with_archive(file, read)
     if as_json:
         click.echo(json.dumps(lines, indent=1))
     else:
-        table("history", ("line", "when", "what", "version", "by", "why"), [
-            (f"#{line['line']}{'*' if line['kept'] else ''}",
-             datetime.fromtimestamp(line["at_ms"] / 1e3).isoformat(" ", "seconds"), line["word"],
-             line["version"] or "-", line["by"], line["text"]) for line in lines])
+        table(
+            "history",
+            ("line", "when", "what", "version", "by", "why"),
+            [
+                (
+                    f"#{line['line']}{'*' if line['kept'] else ''}",
+                    datetime.fromtimestamp(line["at_ms"] / 1e3).isoformat(" ", "seconds"),
+                    line["word"],
+                    line["version"] or "-",
+                    line["by"],
+                    line["text"],
+                )
+                for line in lines
+            ],
+        )
 
 
 @click.command()
--- a/roadlb/cli/config/check.py
+++ b/roadlb/cli/config/check.py
@@ -16,10 +16,12 @@
 def check(file: str) -> None:
     """Check the platform's JSON configuration in FILE, with the PROXY_ variables that are set."""
     from ...config import ConfigError, read_config
+
     try:
         config = read_config(json.loads(Path(file).read_text(encoding="utf-8")), os.environ)
         if config.agreement is not None:
             from ...following.keys import thresholds_of, timing_of
+
             timing_of(config.agreement)
             thresholds_of(config.agreement)
     except OSError as e:
@@ -30,9 +32,11 @@
         problem = str(e)
     else:
         classes = ", ".join(one.name for one in config.settings.classes)
-        click.echo(f"{file}: sound; {config.name} listens on {config.listen}, asks {config.discovery}, "
-                   f"serves {classes}, and holds {config.client_sockets} connections of clients and "
-                   f"{config.instance_sockets} to instances")
+        click.echo(
+            f"{file}: sound; {config.name} listens on {config.listen}, asks {config.discovery}, "
+            f"serves {classes}, and holds {config.client_sockets} connections of clients and "
+            f"{config.instance_sockets} to instances"
+        )
         return
     click.echo(f"{file}: {problem}", err=True)
     raise click.exceptions.Exit(FAULTY)
--- a/roadlb/cli/control.py
+++ b/roadlb/cli/control.py
@@ -56,8 +56,10 @@
             faulty = True
         else:
             names = ", ".join(one.name for one in settings.listeners)
-            click.echo(f"{file}: sound; listens on {settings.listen}, asks {settings.discovery}, "
-                       f"tells of {settings.cluster} under {names}")
+            click.echo(
+                f"{file}: sound; listens on {settings.listen}, asks {settings.discovery}, "
+                f"tells of {settings.cluster} under {names}"
+            )
     if faulty:
         raise click.exceptions.Exit(FAULTY)
 
@@ -93,6 +95,8 @@
         found.extend(kind.faults(settings))
     if found:
         where = lines.key_lines(text)
-        problems += [(lines.line_of(where, path), f"{load.dotted(path)}: {what}" if path else what)
-                     for path, what in found]
+        problems += [
+            (lines.line_of(where, path), f"{load.dotted(path)}: {what}" if path else what)
+            for path, what in found
+        ]
     return settings
--- a/roadlb/cli/lab/check.py
+++ b/roadlb/cli/lab/check.py
@@ -12,6 +12,7 @@
 def check(files: tuple[str, ...]) -> None:
     """Check incident FILES; each problem is one line with file, line, key and remedy."""
     from ...lab.incident import IncidentError, load
+
     faulty = False
     for file in files:
         try:
--- a/roadlb/cli/lab/run.py
+++ b/roadlb/cli/lab/run.py
@@ -17,7 +17,7 @@
     from ...lab.wire import WireLog
 
 
-NOT_THE_RUNS = frozenset({"took_s"})            # of the figures: it differs where nothing else does
+NOT_THE_RUNS = frozenset({"took_s"})  # of the figures: it differs where nothing else does
 ERRORS, MOST_ERRORS = ("program_errors", "faults"), 20
 
 
@@ -37,16 +37,31 @@
 @click.command()
 @click.argument("file", type=click.Path(dir_okay=False))
 @click.option("--seed", type=int, default=1, show_default=True, help="Of all that is drawn.")
-@click.option("--world", type=click.Choice(["sim", "real"]), default="sim", show_default=True,
-              help="Simulated time and network, or real time on loopback sockets.")
-@click.option("--times", type=click.IntRange(1), default=1, show_default=True,
-              help="Play it so often with the same seed, and compare the runs.")
-@click.option("--json", "json_to", type=click.Path(dir_okay=False, allow_dash=True),
-              help="Write the report for machines; - for standard output.")
+@click.option(
+    "--world",
+    type=click.Choice(["sim", "real"]),
+    default="sim",
+    show_default=True,
+    help="Simulated time and network, or real time on loopback sockets.",
+)
+@click.option(
+    "--times",
+    type=click.IntRange(1),
+    default=1,
+    show_default=True,
+    help="Play it so often with the same seed, and compare the runs.",
+)
+@click.option(
+    "--json",
+    "json_to",
+    type=click.Path(dir_okay=False, allow_dash=True),
+    help="Write the report for machines; - for standard output.",
+)
 @click.option("--html", "html_to", type=click.Path(dir_okay=False), help="Write the report as one page.")
 @click.option("--png", "png_to", type=click.Path(file_okay=False), help="Write pictures into a folder.")
-def run(file: str, seed: int, world: str, times: int, json_to: str | None, html_to: str | None,
-        png_to: str | None) -> None:
+def run(
+    file: str, seed: int, world: str, times: int, json_to: str | None, html_to: str | None, png_to: str | None
+) -> None:
     """Rehearse the incident in FILE.
 
     Ends with 0 if every rule was kept, the program logged no error, and the runs agree: byte for byte in the
@@ -68,9 +83,18 @@
 def subject_of(incident: Incident, rehearsal: Rehearsal, seed: int, world: str) -> Subject:
     from ...lab.incident import rules_of
     from ...lab.report import Subject
-    return Subject(incident.name, incident.title, seed, world, rehearsal.log, rehearsal.verdict,
-                   rules_of(incident), rehearsal.origin_us,
-                   {key: value for key, value in rehearsal.figures.items() if key not in NOT_THE_RUNS})
+
+    return Subject(
+        incident.name,
+        incident.title,
+        seed,
+        world,
+        rehearsal.log,
+        rehearsal.verdict,
+        rules_of(incident),
+        rehearsal.origin_us,
+        {key: value for key, value in rehearsal.figures.items() if key not in NOT_THE_RUNS},
+    )
 
 
 def agreed(subjects: list[Subject], world: str) -> bool:
@@ -85,6 +109,7 @@
     from rich.console import Console
 
     from ...lab.report import html, machine, tables
+
     tables.print_report(subject, Console(stderr=json_to == "-"))
     if json_to == "-":
         click.echo(machine.text(subject), nl=False)
--- a/roadlb/cli/lab/show.py
+++ b/roadlb/cli/lab/show.py
@@ -12,4 +12,5 @@
 def show(file: str) -> None:
     """Explain the incident in FILE: who is there, what is asked, and what happens when."""
     from ...lab.incident.words import explain
+
     click.echo(explain(incident_at(file)))
--- a/roadlb/cli/need.py
+++ b/roadlb/cli/need.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from ..lab.incident import Incident
 
-FAULTY = 1      # exit code: what was looked at is wrong; click's own 2 means a wrong command line
+FAULTY = 1  # exit code: what was looked at is wrong; click's own 2 means a wrong command line
 
 
 def need(name: str) -> ModuleType:
@@ -27,6 +27,7 @@
 def incident_at(path: str) -> Incident:
     """The incident in a file; its problems go to standard error, a line for each."""
     from ..lab.incident import IncidentError, load
+
     try:
         return load(path)
     except IncidentError as e:
--- a/roadlb/cli/site/plan.py
+++ b/roadlb/cli/site/plan.py
@@ -15,18 +15,27 @@
     from ...lab.incident import Incident
     from ...sites.forecast import Demand, Loss, SiteSize
 
-WORDS: dict[str, Callable[[Demand], str]] = {       # by which refusals are summed up
-    "class": lambda demand: demand.name, "customer": lambda demand: demand.customer}
-TIMES = [0.25 + 0.125 * i for i in range(31)]        # of the demand, in the picture
+WORDS: dict[str, Callable[[Demand], str]] = {  # by which refusals are summed up
+    "class": lambda demand: demand.name,
+    "customer": lambda demand: demand.customer,
+}
+TIMES = [0.25 + 0.125 * i for i in range(31)]  # of the demand, in the picture
 
 
 @click.command()
 @click.argument("file", type=click.Path(dir_okay=False))
-@click.option("--saved", type=click.FloatRange(0, 0.95),
-              help="Share of the work that caches at the nodes save.  [default: foretold from the keys]")
+@click.option(
+    "--saved",
+    type=click.FloatRange(0, 0.95),
+    help="Share of the work that caches at the nodes save.  [default: foretold from the keys]",
+)
 @click.option("--json", "as_json", is_flag=True, help="For machines.")
-@click.option("--plot", "plot_to", type=click.Path(dir_okay=False),
-              help="Draw worth served against demand, into a .png or .svg file.")
+@click.option(
+    "--plot",
+    "plot_to",
+    type=click.Path(dir_okay=False),
+    help="Draw worth served against demand, into a .png or .svg file.",
+)
 def plan(file: str, saved: float | None, as_json: bool, plot_to: str | None) -> None:
     """What the loss of sites does to the deployment in FILE, which is described as an incident is.
 
@@ -57,7 +66,8 @@
     parts = [(1 - traffic.fresh_keys) * weight / sum(weights) for weight in weights]
     asks = sum(middle(customer.sends) * customer.share for customer in traffic.tenants) * traffic.rate
     hits: float = need("roadlb.sites.forecast").hit_share(
-        parts, asks, cores * middle(cache.keys_per_core), middle(cache.remember_s))
+        parts, asks, cores * middle(cache.keys_per_core), middle(cache.remember_s)
+    )
     return middle(cache.gain) * hits
 
 
@@ -73,11 +83,19 @@
         here = [kinds[node.machine] for node in targets.nodes_at_start(incident) if node.hall == hall]
         capacity = sum(kind.cores * middle(kind.speed) for kind in here)
         cold = sum(kind.cores * middle(kind.speed) * middle(kind.cold_share) for kind in here)
-        sites.append(forecast.SiteSize(hall, len(here), capacity, cold / capacity if capacity else 1.0,
-                                       max((middle(kind.cold_s) for kind in here), default=0.0)))
+        sites.append(
+            forecast.SiteSize(
+                hall,
+                len(here),
+                capacity,
+                cold / capacity if capacity else 1.0,
+                max((middle(kind.cold_s) for kind in here), default=0.0),
+            )
+        )
     if saved is None:
-        saved = saved_by_caches(incident, sum(kinds[node.machine].cores
-                                              for node in targets.nodes_at_start(incident)))
+        saved = saved_by_caches(
+            incident, sum(kinds[node.machine].cores for node in targets.nodes_at_start(incident))
+        )
     refusals = need("roadlb.sites.refusal").Refusals(plan_of(incident))
     demands = []
     for tenant, customer in enumerate(traffic.tenants):
@@ -87,46 +105,77 @@
             for over, part in ((False, within), (True, 1 - within)):
                 worth = row.worth * (traffic.over_share_worth if over else 1.0)
                 if part > 0:
-                    demands.append(forecast.Demand(
-                        row.name, customer.name, over, asks * row.share * part,
-                        middle(row.work_ms) / 1_000 * (1 - saved), worth,
-                        forecast.ranked(refusals, index, tenant, over, worth)))
+                    demands.append(
+                        forecast.Demand(
+                            row.name,
+                            customer.name,
+                            over,
+                            asks * row.share * part,
+                            middle(row.work_ms) / 1_000 * (1 - saved),
+                            worth,
+                            forecast.ranked(refusals, index, tenant, over, worth),
+                        )
+                    )
     return sites, demands, middle(found.add_s) + (middle(found.period_ms) + middle(found.spread_ms)) / 1_000
 
 
 def as_data(one: Loss) -> dict[str, Any]:
-    return {"lost": list(one.lost), "borne": one.borne, "worth": round(one.worth, 4),
-            "load": {name: round(share, 3) for name, share in one.load.items()},
-            "refused": [{"class": d.name, "customer": d.customer,
-                         "share": "over" if d.over_share else "within",
-                         "asked_per_s": round(d.per_s, 2), "refused": round(1 - kept, 4),
-                        "worth_refused_per_s": round(d.per_s * d.worth * (1 - kept), 2)}
-                        for d, kept in one.kept.items()],
-            "worth_refused_per_s": {
-                word: {name: round(refused, 2) for name, (_, refused) in one.refused_worth(by).items()}
-                for word, by in WORDS.items()},
-            "back_95_s": one.back_95_s, "back_98_s": one.back_98_s}
+    return {
+        "lost": list(one.lost),
+        "borne": one.borne,
+        "worth": round(one.worth, 4),
+        "load": {name: round(share, 3) for name, share in one.load.items()},
+        "refused": [
+            {
+                "class": d.name,
+                "customer": d.customer,
+                "share": "over" if d.over_share else "within",
+                "asked_per_s": round(d.per_s, 2),
+                "refused": round(1 - kept, 4),
+                "worth_refused_per_s": round(d.per_s * d.worth * (1 - kept), 2),
+            }
+            for d, kept in one.kept.items()
+        ],
+        "worth_refused_per_s": {
+            word: {name: round(refused, 2) for name, (_, refused) in one.refused_worth(by).items()}
+            for word, by in WORDS.items()
+        },
+        "back_95_s": one.back_95_s,
+        "back_98_s": one.back_98_s,
+    }
 
 
 def lines(sites: Sequence[SiteSize], found: Sequence[Loss]) -> list[str]:
     """A table for a person."""
-    said = [f"{site.name}: {site.nodes} nodes, {site.capacity:.1f} standard cores, "
-            f"{site.cold_share:.0%} of it when cold, warm after {site.cold_s:.0f} s" for site in sites]
+    said = [
+        f"{site.name}: {site.nodes} nodes, {site.capacity:.1f} standard cores, "
+        f"{site.cold_share:.0%} of it when cold, warm after {site.cold_s:.0f} s"
+        for site in sites
+    ]
     said += ["", f"{'lost':<24} {'borne':<6} {'worth':>6} {'load':>6}  {'95%, 98% again after':<21} refused"]
     for one in found:
         load = max(one.load.values(), default=0.0)
         back = ", ".join("never" if at is None else f"{at:.1f} s" for at in (one.back_95_s, one.back_98_s))
-        said.append(f"{' and '.join(one.lost) or 'nothing':<24} {'yes' if one.borne else 'no':<6} "
-                    f"{one.worth:>6.1%} {load:>6.0%}  {back if one.lost else '':<21} {refused_of(one)}")
+        said.append(
+            f"{' and '.join(one.lost) or 'nothing':<24} {'yes' if one.borne else 'no':<6} "
+            f"{one.worth:>6.1%} {load:>6.0%}  {back if one.lost else '':<21} {refused_of(one)}"
+        )
     return said
 
 
 def refused_of(one: Loss) -> str:
     """What is refused, and what that is in worth a second, by class and by customer."""
-    parts = [f"{1 - kept:.0%} of {d.name} ({d.customer}{', over its share' if d.over_share else ''})"
-             for d, kept in one.kept.items() if kept < 1 - 1e-9]
-    worth = [f"{name} {refused:.0f} of {asked:.0f}" for by in WORDS.values()
-             for name, (asked, refused) in one.refused_worth(by).items() if refused > 1e-9]
+    parts = [
+        f"{1 - kept:.0%} of {d.name} ({d.customer}{', over its share' if d.over_share else ''})"
+        for d, kept in one.kept.items()
+        if kept < 1 - 1e-9
+    ]
+    worth = [
+        f"{name} {refused:.0f} of {asked:.0f}"
+        for by in WORDS.values()
+        for name, (asked, refused) in one.refused_worth(by).items()
+        if refused > 1e-9
+    ]
     return f"{', '.join(parts)}; worth a second: {', '.join(worth)}" if parts else "nothing"
 
 
@@ -136,8 +185,11 @@
     figure = figures.Figure(figsize=(7, 4.2), layout="constrained")
     axes = figure.subplots()
     for one in found:
-        axes.plot(TIMES, forecast.curve(sites, demands, one.lost, TIMES),
-                  label=" and ".join(one.lost) + " lost" if one.lost else "nothing lost")
+        axes.plot(
+            TIMES,
+            forecast.curve(sites, demands, one.lost, TIMES),
+            label=" and ".join(one.lost) + " lost" if one.lost else "nothing lost",
+        )
     axes.set_xlabel("demand, in multiples of the usual")
     axes.set_ylabel("worth served a second")
     axes.set_ylim(bottom=0)
--- a/roadlb/cli/site/words.py
+++ b/roadlb/cli/site/words.py
@@ -12,7 +12,7 @@
 
 from ..need import FAULTY
 
-CALL_S = 2.0        # for one balancer's answer
+CALL_S = 2.0  # for one balancer's answer
 
 
 def ask(door: str, method: str, path: str) -> tuple[bool, str]:
@@ -44,12 +44,16 @@
     if as_json:
         click.echo(json.dumps({"sites": rows, "faults": faults}, indent=1))
     elif rows:
-        click.echo(f"{'balancer':<22} {'site':<12} {'state':<10} {'share':>6} {'for s':>8} {'servers':>7} "
-                   f"{'silent':>6} {'relapses':>8}")
+        click.echo(
+            f"{'balancer':<22} {'site':<12} {'state':<10} {'share':>6} {'for s':>8} {'servers':>7} "
+            f"{'silent':>6} {'relapses':>8}"
+        )
         for row in rows:
             held = "-" if row["for_s"] is None else f"{row['for_s']:.1f}"
-            click.echo(f"{row['balancer']:<22} {row['site']:<12} {row['state']:<10} {row['share']:>6.0%} "
-                       f"{held:>8} {row['servers']:>7} {row['silent']:>6} {row['relapses']:>8}")
+            click.echo(
+                f"{row['balancer']:<22} {row['site']:<12} {row['state']:<10} {row['share']:>6.0%} "
+                f"{held:>8} {row['servers']:>7} {row['silent']:>6} {row['relapses']:>8}"
+            )
     for door, text in faults.items():
         click.echo(f"{door}: {text}", err=True)
     if faults:
@@ -72,6 +76,7 @@
     def command(site: str, doors: tuple[str, ...], as_json: bool) -> None:
         path = f"/control/site/{quote(site, safe='')}/{name}"
         say(((door, *ask(door, "PUT", path)) for door in doors), as_json)
+
     return command
 
 
--- a/roadlb/config.py
+++ b/roadlb/config.py
@@ -22,10 +22,16 @@
 # Of the time after which an instance drops an idle connection, we keep one for this part, and for one sweep
 # of the pool more: a request that crosses the closing is a reset, and an order among those is lost.
 IDLE_PART = 0.7
-SPARE_SOCKETS = 40      # for the log, the listener, the event loop, discovery, and what is just being closed
+SPARE_SOCKETS = 40  # for the log, the listener, the event loop, discovery, and what is just being closed
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
-FIELDS = {"rif": "inflight", "q": "queue", "busy": "util", "lat_ms": "latency_ms", "rate": "qps",
-          "fail_rate": "eps"}
+FIELDS = {
+    "rif": "inflight",
+    "q": "queue",
+    "busy": "util",
+    "lat_ms": "latency_ms",
+    "rate": "qps",
+    "fail_rate": "eps",
+}
 
 
 class ConfigError(Exception):
@@ -100,8 +106,10 @@
 
 
 PLAN_WORDS: dict[str, dict[str, bool]] = {
-    "share": {"over": True, "within": False}, "try": {"repeat": True, "first": False},
-    "key": {"warm": True, "cold": False}}
+    "share": {"over": True, "within": False},
+    "try": {"repeat": True, "first": False},
+    "key": {"warm": True, "cold": False},
+}
 
 
 def read_plan(p: Pairs, classes: Sequence[str], tenants: Sequence[str]) -> tuple[PlanLine, ...]:
@@ -135,8 +143,11 @@
             else:
                 known = ", ".join([*numbers, *PLAN_WORDS])
                 raise ConfigError(f"{p.source}: {at}{key}: is not known; there are {known}")
-        lines.append(PlanLine(numbers["class"], numbers["customer"], words.get("share"), words.get("try"),
-                              words.get("key")))
+        lines.append(
+            PlanLine(
+                numbers["class"], numbers["customer"], words.get("share"), words.get("try"), words.get("key")
+            )
+        )
     return tuple(lines)
 
 
@@ -146,34 +157,53 @@
     classes = []
     for i in range(p.integer("classes.count")):
         at = f"classes.{i}."
-        classes.append(RequestClass(
-            name=p.word(at + "name", ""), aim_us=p.integer(at + "promise_us"),
-            deadline_us=p.integer(at + "deadline_us"), worth=p.number(at + "value"),
-            late_worth=p.number(at + "late_worth", "0"), effect=p.read(at + "effect", EFFECTS.__getitem__),
-            group=p.read(at + "group", GROUPS.__getitem__, "all"),
-            window_us=p.integer(at + "window_us", "0"), stream=p.flag(at + "stream", "false")))
-    tenants = [Tenant(p.word(f"tenants.{i}.name", ""), p.number(f"tenants.{i}.quota_per_s"))
-               for i in range(p.integer("tenants.count", "0"))]
+        classes.append(
+            RequestClass(
+                name=p.word(at + "name", ""),
+                aim_us=p.integer(at + "promise_us"),
+                deadline_us=p.integer(at + "deadline_us"),
+                worth=p.number(at + "value"),
+                late_worth=p.number(at + "late_worth", "0"),
+                effect=p.read(at + "effect", EFFECTS.__getitem__),
+                group=p.read(at + "group", GROUPS.__getitem__, "all"),
+                window_us=p.integer(at + "window_us", "0"),
+                stream=p.flag(at + "stream", "false"),
+            )
+        )
+    tenants = [
+        Tenant(p.word(f"tenants.{i}.name", ""), p.number(f"tenants.{i}.quota_per_s"))
+        for i in range(p.integer("tenants.count", "0"))
+    ]
     settings = Settings(
-        classes=classes, tenants=tenants, instance=p.integer("me"), instances=p.integer("instances"),
-        zone=p.integer("az", "0"), over_share_worth=p.number("over_share_worth", "1"),
+        classes=classes,
+        tenants=tenants,
+        instance=p.integer("me"),
+        instances=p.integer("instances"),
+        zone=p.integer("az", "0"),
+        over_share_worth=p.number("over_share_worth", "1"),
         worth_by_work=p.word("counted_by", "request") == "work",
         warm_keys=p.flag("domain.warm_keys", "false"),
         discovery_on_request=p.word("discovery") == "on_request",
-        weight_source=p.word("weight_source", "off"), report_source=p.word("report.source", "off"),
+        weight_source=p.word("weight_source", "off"),
+        report_source=p.word("report.source", "off"),
         report_fields=tuple(FIELDS.get(f, f) for f in p.words("report.fields")),
-        cross_zone_cost=p.number("costs.cross_zone", "0"), probe_cost=p.number("costs.probe", "0"),
+        cross_zone_cost=p.number("costs.cross_zone", "0"),
+        probe_cost=p.number("costs.probe", "0"),
         cancelling=p.flag("limits.cancelling", "false"),
         second_copies=p.flag("limits.second_copies", "false"),
         max_attempts=p.integer("limits.max_attempts"),
         max_retry_after_us=p.integer("limits.max_retry_after_us", "0"),
-        probes=p.flag("limits.probes", "false"), peers=p.flag("limits.peers", "false"),
+        probes=p.flag("limits.probes", "false"),
+        peers=p.flag("limits.peers", "false"),
         ask_within_us=p.integer("invariants.ask_within_us", "10000000"),
-        cold_from=p.number("invariants.cold_from"), cold_us=p.integer("invariants.cold_us"),
-        fall_multiple=p.number("invariants.fall_multiple"), fall_us=p.integer("invariants.fall_us"),
+        cold_from=p.number("invariants.cold_from"),
+        cold_us=p.integer("invariants.cold_us"),
+        fall_multiple=p.number("invariants.fall_multiple"),
+        fall_us=p.integer("invariants.fall_us"),
         handshake_cost=p.number("costs.handshake", "0"),
         refusals=read_plan(p, [c.name for c in classes], [t.name for t in tenants]),
-        keep_us=int(p.integer("limits.conn_idle_us", "0") * IDLE_PART))
+        keep_us=int(p.integer("limits.conn_idle_us", "0") * IDLE_PART),
+    )
     try:
         settings.check()
     except ValueError as e:
@@ -206,8 +236,8 @@
     the others.  `guard`: thresholds by name, for `fleet.guard.Thresholds`; `floors` by key, for the follower.
     """
 
-    control: tuple[Address, ...]           # in order of preference
-    store: str | None                      # a directory; None: nothing outlives the process
+    control: tuple[Address, ...]  # in order of preference
+    store: str | None  # a directory; None: nothing outlives the process
     contradiction_s: float
     lease_s: float | None
     renew_s: float | None
@@ -222,8 +252,17 @@
     """The key `agreement`; what is not known in it is an error, as a misspelt bound would not be kept."""
     if not isinstance(raw, dict):
         raise ConfigError("agreement: must be an object")
-    known = ("control", "store", "contradiction_s", "lease_s", "renew_s", "margin_s", "cluster", "guard",
-             "floors")
+    known = (
+        "control",
+        "store",
+        "contradiction_s",
+        "lease_s",
+        "renew_s",
+        "margin_s",
+        "cluster",
+        "guard",
+        "floors",
+    )
     for key in raw:
         if key not in known:
             raise ConfigError(f"agreement.{key}: is not known; there are {', '.join(known)}")
@@ -237,10 +276,15 @@
         return float(value)
 
     if raw.get("contradiction_s") is None:
-        raise ConfigError("agreement.contradiction_s: is missing; the longest that two balancers may act on "
-                          "rules that contradict each other, in seconds")
-    told = {key: seconds(key, raw[key]) for key in ("contradiction_s", "lease_s", "renew_s", "margin_s")
-            if raw.get(key) is not None}
+        raise ConfigError(
+            "agreement.contradiction_s: is missing; the longest that two balancers may act on "
+            "rules that contradict each other, in seconds"
+        )
+    told = {
+        key: seconds(key, raw[key])
+        for key in ("contradiction_s", "lease_s", "renew_s", "margin_s")
+        if raw.get(key) is not None
+    }
     tables: dict[str, dict[str, object]] = {}
     for key in ("guard", "floors"):
         tables[key] = raw.get(key) or {}
@@ -255,29 +299,45 @@
     if not isinstance(cluster, str) or not cluster:
         raise ConfigError(f"agreement.cluster: {cluster!r} must be a name")
     return Agreement(
-        tuple(read_address(f"agreement.control.{i}", at) for i, at in enumerate(control)), store,
-        told["contradiction_s"], told.get("lease_s"), told.get("renew_s"), told.get("margin_s", 0.5), cluster,
+        tuple(read_address(f"agreement.control.{i}", at) for i, at in enumerate(control)),
+        store,
+        told["contradiction_s"],
+        told.get("lease_s"),
+        told.get("renew_s"),
+        told.get("margin_s", 0.5),
+        cluster,
         {name: float(str(value)) for name, value in tables["guard"].items()},
-        {name: str(value) for name, value in tables["floors"].items()}, settings)
+        {name: str(value) for name, value in tables["floors"].items()},
+        settings,
+    )
 
 
 @dataclass(frozen=True, slots=True)
 class PeersConfig:
     """How this balancer talks to others; without the key `peers` it does not."""
 
-    listen: Address                        # UDP
-    key: bytes                             # shared by all
-    cluster: str                           # its name; another one's datagrams are dropped
-    seeds: tuple[Address, ...]             # whom to ask first
-    advertise: Address | None = None       # where others send to, if not to `listen`; port 0: listen's
-    share: bool = False                    # decide by what is shared, and not only show it
-    repeats_per_s: float = 0.0             # that all together may make; 0: no bound
-    dials_per_s: float = 0.0               # requests of all together to a hall that is lost or returns
-
-
-KEY_LEAST = 16          # bytes
-PEERS_KEYS = ("listen", "advertise", "key", "key_file", "cluster", "seeds", "share", "repeats_per_s",
-              "dials_per_s")
+    listen: Address  # UDP
+    key: bytes  # shared by all
+    cluster: str  # its name; another one's datagrams are dropped
+    seeds: tuple[Address, ...]  # whom to ask first
+    advertise: Address | None = None  # where others send to, if not to `listen`; port 0: listen's
+    share: bool = False  # decide by what is shared, and not only show it
+    repeats_per_s: float = 0.0  # that all together may make; 0: no bound
+    dials_per_s: float = 0.0  # requests of all together to a hall that is lost or returns
+
+
+KEY_LEAST = 16  # bytes
+PEERS_KEYS = (
+    "listen",
+    "advertise",
+    "key",
+    "key_file",
+    "cluster",
+    "seeds",
+    "share",
+    "repeats_per_s",
+    "dials_per_s",
+)
 
 
 def read_peers(raw: object) -> PeersConfig | None:
@@ -292,18 +352,21 @@
 
     def number(key: str, value: object) -> Address:
         from ipaddress import ip_address
+
         at = read_address(f"peers.{key}", value)
         try:
-            return Address(str(ip_address(at.host)), at.port)      # one spelling: datagrams are signed for it
+            return Address(str(ip_address(at.host)), at.port)  # one spelling: datagrams are signed for it
         except ValueError:
             raise ConfigError(f"peers.{key}: {at.host!r} is no numeric address") from None
+
     if "listen" not in raw:
         raise ConfigError("peers.listen: is missing")
     listen = number("listen", raw["listen"])
     advertise = number("advertise", raw["advertise"]) if "advertise" in raw else None
     if advertise is None and listen.host in ("0.0.0.0", "::"):
-        raise ConfigError(f"peers.listen: {listen.host} is no address that others can send to; "
-                          "set peers.advertise")
+        raise ConfigError(
+            f"peers.listen: {listen.host} is no address that others can send to; set peers.advertise"
+        )
     seeds, share, cluster = raw.get("seeds", []), raw.get("share", False), raw.get("cluster", "roadlb")
     if not isinstance(seeds, list):
         raise ConfigError("peers.seeds: must be a list of host:port")
@@ -317,8 +380,15 @@
             raise ConfigError(f"peers.{key}: {rate!r} must be a number of at least 0")
         if rate and not share:
             raise ConfigError(f"peers.{key}: needs peers.share")
-    return PeersConfig(listen, _read_key(raw), cluster, tuple(
-        number(f"seeds.{i}", seed) for i, seed in enumerate(seeds)), advertise, share, *rates)
+    return PeersConfig(
+        listen,
+        _read_key(raw),
+        cluster,
+        tuple(number(f"seeds.{i}", seed) for i, seed in enumerate(seeds)),
+        advertise,
+        share,
+        *rates,
+    )
 
 
 def _read_key(raw: Mapping[str, object]) -> bytes:
@@ -347,23 +417,23 @@
     listen: Address
     discovery: Address
     seed: int
-    cores: float                           # CPU time that the process may use, in cores
-    memory_mb: float                       # resident memory that it may use; 0: no limit
-    sockets: int                           # descriptors that it may hold
-    known: Mapping[str, object]            # the list of instances as last held, in discovery's form
+    cores: float  # CPU time that the process may use, in cores
+    memory_mb: float  # resident memory that it may use; 0: no limit
+    sockets: int  # descriptors that it may hold
+    known: Mapping[str, object]  # the list of instances as last held, in discovery's form
     settings: Settings
     zones: tuple[str, ...]
     kinds: tuple[str, ...]
     conn_idle_us: int
     dial_timeout_us: int
-    max_open: int                          # exchanges at once; more are turned away before the module
-    client_sockets: int                    # connections of clients at once
-    instance_sockets: int                  # and to instances
-    admin: Address | None = None           # where operators call; None: nowhere
-    socket_fd: int | None = None           # a listening socket that is inherited; None: `listen` is bound
-    shared_dir: str | None = None          # kept from one process to its successor; None: there is none
-    agreement: Agreement | None = None     # None: discovery's list alone, and the settings of the file
-    peers: PeersConfig | None = None       # other balancers; None: this one works alone
+    max_open: int  # exchanges at once; more are turned away before the module
+    client_sockets: int  # connections of clients at once
+    instance_sockets: int  # and to instances
+    admin: Address | None = None  # where operators call; None: nowhere
+    socket_fd: int | None = None  # a listening socket that is inherited; None: `listen` is bound
+    shared_dir: str | None = None  # kept from one process to its successor; None: there is none
+    agreement: Agreement | None = None  # None: discovery's list alone, and the settings of the file
+    peers: PeersConfig | None = None  # other balancers; None: this one works alone
 
     @property
     def hall(self) -> str:
@@ -406,10 +476,15 @@
     if isinstance(sockets, bool) or not isinstance(sockets, int | float) or sockets < 64:
         raise ConfigError(f"limits.sockets: {sockets!r} must be a number of at least 64")
     amounts = {}
-    for key, most in (("cores", 1.0), ("memory_mb", 0.0)):         # without a word, the one core it can use
+    for key, most in (("cores", 1.0), ("memory_mb", 0.0)):  # without a word, the one core it can use
         amounts[key] = limits.get(key, most)
-        if isinstance(amounts[key], bool) or not isinstance(amounts[key], int | float) or (
-                not 0 <= amounts[key] < float("inf")) or key == "cores" and not amounts[key]:
+        if (
+            isinstance(amounts[key], bool)
+            or not isinstance(amounts[key], int | float)
+            or (not 0 <= amounts[key] < float("inf"))
+            or key == "cores"
+            and not amounts[key]
+        ):
             raise ConfigError(f"limits.{key}: {amounts[key]!r} must be a positive number")
     if "settings" not in raw:
         raise ConfigError("settings: is missing")
@@ -428,15 +503,25 @@
     if fd and not (fd.isascii() and fd.isdigit()):
         raise ConfigError(f"PROXY_SOCKET_FD: {fd!r} is not the number of a descriptor")
     return Config(
-        name=str(told("name")), listen=read_address("listen", told("listen")), **amounts,
-        discovery=read_address("discovery", told("discovery")), seed=seed, sockets=int(sockets), known=known,
-        settings=read_settings(pairs), zones=pairs.words("dcs"), kinds=pairs.words("machine_types"),
-        admin=read_address("admin_addr", admin) if admin else None, socket_fd=int(fd) if fd else None,
+        name=str(told("name")),
+        listen=read_address("listen", told("listen")),
+        **amounts,
+        discovery=read_address("discovery", told("discovery")),
+        seed=seed,
+        sockets=int(sockets),
+        known=known,
+        settings=read_settings(pairs),
+        zones=pairs.words("dcs"),
+        kinds=pairs.words("machine_types"),
+        admin=read_address("admin_addr", admin) if admin else None,
+        socket_fd=int(fd) if fd else None,
         shared_dir=(env.get("TMPDIR") or None) if fd else None,
         peers=read_peers(raw.get("peers")),
         agreement=read_agreement(raw["agreement"], pairs.values) if "agreement" in raw else None,
-        client_sockets=client_sockets, instance_sockets=int(sockets) - SPARE_SOCKETS - client_sockets,
-        **limits_of)
+        client_sockets=client_sockets,
+        instance_sockets=int(sockets) - SPARE_SOCKETS - client_sockets,
+        **limits_of,
+    )
 
 
 def load(env: Mapping[str, str], again: bool = False) -> Config:
--- a/roadlb/control/events.py
+++ b/roadlb/control/events.py
@@ -17,6 +17,7 @@
 
 # Into the plan
 
+
 @dataclass(slots=True, frozen=True)
 class Fleet:
     """A picture, and the Unix time in milliseconds at the `now` at which it is handed over."""
@@ -82,6 +83,7 @@
 
 # Out of the plan
 
+
 @dataclass(slots=True, frozen=True)
 class Decision:
     """What is to become of one endpoint, before it is put in any proxy's form.
--- a/roadlb/control/forms.py
+++ b/roadlb/control/forms.py
@@ -27,13 +27,13 @@
 
 
 class Form(Enum):
-    ENVOY = "envoy"          # weights of endpoints, parts of routes
-    GRPC = "grpc"            # a locality for each node, parts of routes
-    GENERIC = "generic"      # warm nodes only, weights of both kinds
-    WEIGHTS = "weights"      # one pool, cold nodes by weight alone: for comparison; safe only while none fail
+    ENVOY = "envoy"  # weights of endpoints, parts of routes
+    GRPC = "grpc"  # a locality for each node, parts of routes
+    GENERIC = "generic"  # warm nodes only, weights of both kinds
+    WEIGHTS = "weights"  # one pool, cold nodes by weight alone: for comparison; safe only while none fail
 
 
-FORM_KEY = "roadlb.form"     # in a node's metadata: the operator's word, before any guess
+FORM_KEY = "roadlb.form"  # in a node's metadata: the operator's word, before any guess
 
 
 def form_of(user_agent: str, metadata: Mapping[str, str] | None = None, features: Iterable[str] = ()) -> Form:
@@ -185,6 +185,11 @@
         placed = Placed(d.node, d.endpoint.host, d.endpoint.port, d.health, max(1, weight))
         places.setdefault((d.endpoint.priority, where), []).append(placed)
     ranks = {priority: rank for rank, priority in enumerate(sorted({p for p, _ in places}))}
-    return Assignment(cluster, tuple(
-        Place(where, ranks[priority], sum(e.weight for e in endpoints), tuple(endpoints))
-        for (priority, where), endpoints in places.items()), localities=form is not Form.ENVOY)
+    return Assignment(
+        cluster,
+        tuple(
+            Place(where, ranks[priority], sum(e.weight for e in endpoints), tuple(endpoints))
+            for (priority, where), endpoints in places.items()
+        ),
+        localities=form is not Form.ENVOY,
+    )
--- a/roadlb/control/leading.py
+++ b/roadlb/control/leading.py
@@ -42,12 +42,12 @@
 from enum import Enum
 from typing import TypeAlias
 
-ERA_SHIFT = 40                   # an epoch's lower bits hold the revision: 10^12 writes in one era
+ERA_SHIFT = 40  # an epoch's lower bits hold the revision: 10^12 writes in one era
 REVISIONS = (1 << ERA_SHIFT) - 1
-RATE_PPM = 200                   # a monotonic clock runs at most so much faster or slower than true time
-PAUSE_US = 250_000               # between two tries at a store that did not answer
-RENEWALS = 4                     # in a lease: two lost answers do not end it
-LOOKS = 2                        # in a lease, at the seat that another has: a channel can die without a word
+RATE_PPM = 200  # a monotonic clock runs at most so much faster or slower than true time
+PAUSE_US = 250_000  # between two tries at a store that did not answer
+RENEWALS = 4  # in a lease: two lost answers do not end it
+LOOKS = 2  # in a lease, at the seat that another has: a channel can die without a word
 
 
 class State(Enum):
@@ -76,6 +76,7 @@
 
 # Events.  `asked_at`: our clock before the store was asked.
 
+
 @dataclass(slots=True, frozen=True)
 class Granted:
     asked_at: int
@@ -150,12 +151,14 @@
     pass
 
 
-Event: TypeAlias = (Granted | Ran | Renewed | Raised | Failed | Vacant | Taken | Fenced | Overtaken | Retire
-                    | Tick)
+Event: TypeAlias = (
+    Granted | Ran | Renewed | Raised | Failed | Vacant | Taken | Fenced | Overtaken | Retire | Tick
+)
 
 
 # Actions
 
+
 @dataclass(slots=True, frozen=True)
 class AskLease:
     """Answered by `Granted` or `Failed`, as are the next three by their events."""
@@ -235,13 +238,15 @@
 
     def __init__(self, ttl_s: int, margin_us: int = 500_000, rate_ppm: int = RATE_PPM) -> None:
         if sure_us(ttl_s, margin_us, rate_ppm) <= ttl_s * 1_000_000 // 2:
-            raise ValueError(f"ttl_s: {ttl_s} s with a margin of {margin_us / 1e6:g} s leave too little to "
-                             "renew in; raise the one or lower the other")
+            raise ValueError(
+                f"ttl_s: {ttl_s} s with a margin of {margin_us / 1e6:g} s leave too little to "
+                "renew in; raise the one or lower the other"
+            )
         self._ttl_s, self._margin_us, self._rate_ppm = ttl_s, margin_us, rate_ppm
         self.state, self.since, self.holder = State.AWAY, 0, 0
         self._lease, self._epoch, self._until, self._asked = 0, 0, 0, False
         self._next, self._known = 0, 0
-        self._vacated = False                # heard of since the seat was run for, and that is not answered
+        self._vacated = False  # heard of since the seat was run for, and that is not answered
         self._actions: list[Action] = []
 
     def handle(self, now: int, event: Event) -> list[Action]:
@@ -269,7 +274,7 @@
                 self._asked, self._next = False, now + PAUSE_US
                 if self.state is State.LEASING:
                     self._move(now, State.AWAY)
-            case Vacant() if self.state not in (State.LEADING, State.RAISING):   # there it is older news
+            case Vacant() if self.state not in (State.LEADING, State.RAISING):  # there it is older news
                 self.holder, self._vacated = 0, True
                 if self.state is State.WAITING:
                     self._lease_anew(now)
@@ -282,7 +287,7 @@
                 self._give_back()
                 self._step_down(now, State.RETIRED, "retired")
             case _:
-                pass                         # an answer to what is no longer asked
+                pass  # an answer to what is no longer asked
         return self._actions
 
     def leads(self, now: int) -> int | None:
@@ -349,8 +354,7 @@
             self._lease = 0
             self._step_down(now, State.AWAY, "the store no longer has our lease")
             return
-        self._until = max(self._until,
-                          event.asked_at + sure_us(event.ttl_s, self._margin_us, self._rate_ppm))
+        self._until = max(self._until, event.asked_at + sure_us(event.ttl_s, self._margin_us, self._rate_ppm))
         self._next = event.asked_at + event.ttl_s * 1_000_000 // RENEWALS
         self._actions.append(Extend(self._epoch, self._until))
 
--- a/roadlb/control/loads.py
+++ b/roadlb/control/loads.py
@@ -9,19 +9,19 @@
 
 from .events import LoadReport
 
-DEMAND_US = 2_000_000        # memory of a subscriber's rate to a node
-MEMORY_US = 5_000_000        # memory of what a node carries
-STALE_US = 10_000_000        # a node that a subscriber has not named for so long gets nothing from it
-FORGET_US = 60_000_000       # one that is cut off goes on sending: its last word counts so long
-ENOUGH = 20                  # requests before the errors among them say anything
-FAILING, MORE = 0.5, 0.3     # part that fails, and by how much more than all nodes' part, that speaks against
-                             # one: in overload all turn work away, and fewer nodes would turn away more
-MOST_SUBSCRIBERS = 10_000    # the longest silent goes
+DEMAND_US = 2_000_000  # memory of a subscriber's rate to a node
+MEMORY_US = 5_000_000  # memory of what a node carries
+STALE_US = 10_000_000  # a node that a subscriber has not named for so long gets nothing from it
+FORGET_US = 60_000_000  # one that is cut off goes on sending: its last word counts so long
+ENOUGH = 20  # requests before the errors among them say anything
+FAILING, MORE = 0.5, 0.3  # part that fails, and by how much more than all nodes' part, that speaks against
+# one: in overload all turn work away, and fewer nodes would turn away more
+MOST_SUBSCRIBERS = 10_000  # the longest silent goes
 
 
 @dataclass(slots=True)
 class _Rate:
-    rate: float              # requests a second
+    rate: float  # requests a second
     at: int
 
 
@@ -35,19 +35,19 @@
 @dataclass(slots=True)
 class _Done:
     at: int
-    rate: float              # answered well, a second, by all subscribers
-    failing: float = 0.0     # part of the requests that failed, on the mean of late
-    seen: float = 0.0        # requests of late
+    rate: float  # answered well, a second, by all subscribers
+    failing: float = 0.0  # part of the requests that failed, on the mean of late
+    seen: float = 0.0  # requests of late
 
 
 class Loads:
     """One cluster's reports, in sums that cost the same to read whatever their number."""
 
     def __init__(self) -> None:
-        self._senders: dict[str, _Sender] = {}       # the longest silent first
+        self._senders: dict[str, _Sender] = {}  # the longest silent first
         self._done: dict[NodeId, _Done] = {}
         self._sum = 0.0
-        self._asked = self._failed = 0.0             # of all nodes' requests of late, with those that failed
+        self._asked = self._failed = 0.0  # of all nodes' requests of late, with those that failed
         self._at = 0
 
     def add(self, now: int, report: LoadReport) -> None:
--- a/roadlb/control/order.py
+++ b/roadlb/control/order.py
@@ -25,8 +25,8 @@
 
 from .events import Decision, Decisions
 
-ASK_US = 250_000             # between two calls of discovery: a drain must be with the proxies within 1 s
-WAIT_US = 2_000_000          # an answer to a call that has not come by then will not come
+ASK_US = 250_000  # between two calls of discovery: a drain must be with the proxies within 1 s
+WAIT_US = 2_000_000  # an answer to a call that has not come by then will not come
 
 
 @dataclass(slots=True, frozen=True)
@@ -131,10 +131,10 @@
     def __init__(self) -> None:
         self.out: Decisions | None = None
         self.silent: dict[str, int] = {}
-        self._known: dict[str, int] = {}               # to its stream
-        self._picture: Pictured | None = None          # the newest
+        self._known: dict[str, int] = {}  # to its stream
+        self._picture: Pictured | None = None  # the newest
         self._asked_at: int | None = None
-        self._open, self._wish = False, ""             # a call of discovery is out; another is wished for
+        self._open, self._wish = False, ""  # a call of discovery is out; another is wished for
 
     def handle(self, now: int, event: Event) -> list[Action]:
         match event:
@@ -169,13 +169,16 @@
 
     def _proposed(self, d: Decisions) -> list[Action]:
         if self.out is not None and (d.generation, d.serial) <= (self.out.generation, self.out.serial):
-            return [Withheld(d.generation, d.serial,
-                             f"{self.out.generation}.{self.out.serial} has gone out already")]
+            return [
+                Withheld(
+                    d.generation, d.serial, f"{self.out.generation}.{self.out.serial} has gone out already"
+                )
+            ]
         return self._release(self._closed(d))
 
     def _pictured(self, event: Pictured) -> list[Action]:
         if event.generation <= max(self._picture.generation if self._picture else -1, self.generation):
-            return []                                  # what went out was decided in the knowledge of it
+            return []  # what went out was decided in the knowledge of it
         self._picture = event
         if self.out is None:
             return []
--- a/roadlb/control/plan.py
+++ b/roadlb/control/plan.py
@@ -30,21 +30,32 @@
 from roadlb.fleet.model import OPEN, Cluster, Endpoint, Health, Lifecycle, NodeId, Picture
 
 from .events import (
-    MILLION, Belief, Carrier, Carriers, Decision, Decisions, Fleet, LoadReport, PlanEvent, Publish,
-    Tick, View, sub_zone,
+    MILLION,
+    Belief,
+    Carrier,
+    Carriers,
+    Decision,
+    Decisions,
+    Fleet,
+    LoadReport,
+    PlanEvent,
+    Publish,
+    Tick,
+    View,
+    sub_zone,
 )
 from .loads import Loads
 from .ramp import RampLimits
 
-STEP = 1.25                 # a part that differs by less is not worth telling: from 12% to all in ten steps
-POOLS = 16                  # a route lists them all; a deploy starts 19% of the fleet at a time
-HANDOVER_US = 2_000_000     # until all proxies' routes have followed: the 1 s in which they must, twice
-EJECT_SHARE = 0.34          # as the decision module's: more is not a matter of single nodes
-SUSPECT = 0.5               # of its weight, for one that failed lately
-UNIT = 1_000                # of a weight on the wire, for the weight 1
-MOST_WEIGHT = 400_000       # 10,000 of them stay under the 2^32 - 1 that xDS allows for a priority
-CLOCKS_US = 5_000_000       # a node is told by then; what its clock says beyond that is not believed
-VIEW_US = 10_000_000        # without a new one, what a decision module believed is of no account any more
+STEP = 1.25  # a part that differs by less is not worth telling: from 12% to all in ten steps
+POOLS = 16  # a route lists them all; a deploy starts 19% of the fleet at a time
+HANDOVER_US = 2_000_000  # until all proxies' routes have followed: the 1 s in which they must, twice
+EJECT_SHARE = 0.34  # as the decision module's: more is not a matter of single nodes
+SUSPECT = 0.5  # of its weight, for one that failed lately
+UNIT = 1_000  # of a weight on the wire, for the weight 1
+MOST_WEIGHT = 400_000  # 10,000 of them stay under the 2^32 - 1 that xDS allows for a priority
+CLOCKS_US = 5_000_000  # a node is told by then; what its clock says beyond that is not believed
+VIEW_US = 10_000_000  # without a new one, what a decision module believed is of no account any more
 OLD_PLACE_US = 120_000_000  # that a proxy cut off may still send where a node stood
 
 
@@ -52,13 +63,13 @@
 class _Node:
     """What the plan remembers of a node from one look to the next."""
 
-    born: int                        # on our clock, at the latest that it can be
+    born: int  # on our clock, at the latest that it can be
     pool: str = ""
     part_ppm: int = 0
     weight: int = 0
     left_pool: str = ""
     left_at: int = 0
-    reason: str = ""                 # of its part, when that was last changed
+    reason: str = ""  # of its part, when that was last changed
 
 
 @dataclass(slots=True)
@@ -80,7 +91,7 @@
     viewed: int = 0
     places: dict[tuple[str, int], _Place] = field(default_factory=dict)
     told: tuple[Decision, ...] = ()
-    stirred: bool = True             # may it be decided differently now than it was?
+    stirred: bool = True  # may it be decided differently now than it was?
 
     def pools(self) -> Counter[str]:
         """How many are in each pool but that of the warm ones."""
@@ -94,7 +105,7 @@
         self.limits, self.gap_us = limits or RampLimits(), gap_us
         self._clusters: dict[str, _Plan] = {}
         self._generation, self._serial, self._at = -1, 0, -gap_us
-        self._behind: Carrier | None = None            # the one with the oldest view
+        self._behind: Carrier | None = None  # the one with the oldest view
         self._dirty = False
 
     def handle(self, now: int, event: PlanEvent) -> list[Publish]:
@@ -136,8 +147,11 @@
 
     def _closes(self, up: Mapping[str, set[NodeId]]) -> bool:
         """Does anyone that proxies may be sending to drain, vanish or start anew?"""
-        return any(d.open and d.node not in up.get(name, ())
-                   for name, plan in self._clusters.items() for d in plan.told)
+        return any(
+            d.open and d.node not in up.get(name, ())
+            for name, plan in self._clusters.items()
+            for d in plan.told
+        )
 
     def _take(self, now: int, plan: _Plan, cluster: Cluster, up: set[NodeId], unix_ms: int) -> None:
         plan.cluster, plan.stirred, first = cluster, True, not plan.told
@@ -191,8 +205,16 @@
             return []
         self._dirty, self._at = False, now
         self._serial += 1
-        return [Publish(Decisions(self._generation, self._serial,
-                                  {name: plan.told for name, plan in self._clusters.items()}, urgent))]
+        return [
+            Publish(
+                Decisions(
+                    self._generation,
+                    self._serial,
+                    {name: plan.told for name, plan in self._clusters.items()},
+                    urgent,
+                )
+            )
+        ]
 
     def _cluster(self, now: int, plan: _Plan) -> Iterable[Decision]:
         health = self._health(now, plan)
@@ -207,9 +229,11 @@
                     warm[e.node] = e.weight
         parts = self._parts(now, plan, cold, warm)
         held = {node: why for node, (e, _) in cold.items() if (why := self._held(plan, e))}
-        stepped = {node: 0 if node in held else _step(plan.nodes[node].part_ppm, int(part * MILLION))
-                   for node, part in parts.items()}
-        if (total := sum(stepped.values())) > MILLION:     # those that kept their step may be too many
+        stepped = {
+            node: 0 if node in held else _step(plan.nodes[node].part_ppm, int(part * MILLION))
+            for node, part in parts.items()
+        }
+        if (total := sum(stepped.values())) > MILLION:  # those that kept their step may be too many
             stepped = {node: part * MILLION // total for node, part in stepped.items()}
         seen: set[NodeId] = set()
         for e in plan.cluster.endpoints:
@@ -256,7 +280,7 @@
         room = int(EJECT_SHARE * len(candidates))
         before = {d.node for d in plan.told if d.health is Health.UNHEALTHY}
         bad = [(n not in before, n, why) for n in candidates if (why := self._ejection(now, plan, n))]
-        for _, node, why in sorted(bad)[:room]:       # those that are out stay out, so that none alternate
+        for _, node, why in sorted(bad)[:room]:  # those that are out stay out, so that none alternate
             told[node] = Health.UNHEALTHY, why
         return told
 
@@ -269,8 +293,9 @@
 
     # Parts and weights
 
-    def _parts(self, now: int, plan: _Plan, cold: dict[NodeId, tuple[Endpoint, float]],
-               warm: dict[NodeId, float]) -> dict[NodeId, float]:
+    def _parts(
+        self, now: int, plan: _Plan, cold: dict[NodeId, tuple[Endpoint, float]], warm: dict[NodeId, float]
+    ) -> dict[NodeId, float]:
         """The part of all traffic that each cold node may have."""
         if not cold:
             return {}
--- a/roadlb/control/ramp.py
+++ b/roadlb/control/ramp.py
@@ -22,21 +22,27 @@
 class RampLimits:
     """Figures of the rule (see `roadlb.policy.interface.Settings`) and how much room is left below it."""
 
-    on: bool = True              # False: cold nodes get full weight at once, to see that tests can fail
-    cold_from: float = 0.12      # share of its capacity that a node starts with, at the least
-    cold_us: int = 23_000_000    # and the time after which it is warm, at the latest
+    on: bool = True  # False: cold nodes get full weight at once, to see that tests can fail
+    cold_from: float = 0.12  # share of its capacity that a node starts with, at the least
+    cold_us: int = 23_000_000  # and the time after which it is warm, at the latest
     fall_multiple: float = 3.0
     fall_us: int = 1_000_000
-    carried: float = 0.7         # caches save warm nodes 25 to 70% of the work that a cold one has
-    chance: float = 3.0          # standard deviations of room below the budget; at 2 a node falls in overload
-    lumps: float = 3.0           # E[W^2] / E[W]^2 of the requests' work W: 3.1 for 70% reads, 30% orders
-    unreported: float = 0.25     # of the proportional part, while no load report has come
+    carried: float = 0.7  # caches save warm nodes 25 to 70% of the work that a cold one has
+    chance: float = 3.0  # standard deviations of room below the budget; at 2 a node falls in overload
+    lumps: float = 3.0  # E[W^2] / E[W]^2 of the requests' work W: 3.1 for 70% reads, 30% orders
+    unreported: float = 0.25  # of the proportional part, while no load report has come
 
     def __post_init__(self) -> None:
-        for key, ok in (("cold_from", 0 < self.cold_from <= 1), ("cold_us", self.cold_us >= 0),
-                        ("fall_multiple", self.fall_multiple > 0), ("fall_us", self.fall_us > 0),
-                        ("carried", 0 < self.carried <= 1), ("chance", self.chance >= 0),
-                        ("lumps", self.lumps >= 1), ("unreported", 0 < self.unreported <= 1)):
+        for key, ok in (
+            ("cold_from", 0 < self.cold_from <= 1),
+            ("cold_us", self.cold_us >= 0),
+            ("fall_multiple", self.fall_multiple > 0),
+            ("fall_us", self.fall_us > 0),
+            ("carried", 0 < self.carried <= 1),
+            ("chance", self.chance >= 0),
+            ("lumps", self.lumps >= 1),
+            ("unreported", 0 < self.unreported <= 1),
+        ):
             if not ok:
                 raise ValueError(f"{key}: {getattr(self, key)!r} makes no sense: see RampLimits")
 
--- a/roadlb/control/routes.py
+++ b/roadlb/control/routes.py
@@ -28,10 +28,10 @@
 MAY_HAVE_RUN = ("reset", "gateway-error")
 GRPC_CODES = ("unavailable", "resource-exhausted")
 UNPROCESSED = ("X-Unprocessed", "1")
-RETRY_PERCENT = 20.0         # of the requests open, as the decision module's RETRY_SHARE
-RETRY_LEAST = 3              # at once, so that a quiet proxy may retry at all; Envoy's own default
-OPEN_EACH = 32               # requests open on a node of weight 1: at 39 ms each they take 1.2 s
-BACK_OFF_US = 25_000         # base of the wait before a retry; Envoy's own default
+RETRY_PERCENT = 20.0  # of the requests open, as the decision module's RETRY_SHARE
+RETRY_LEAST = 3  # at once, so that a quiet proxy may retry at all; Envoy's own default
+OPEN_EACH = 32  # requests open on a node of weight 1: at 39 ms each they take 1.2 s
+BACK_OFF_US = 25_000  # base of the wait before a retry; Envoy's own default
 
 
 @dataclass(slots=True, frozen=True)
@@ -45,7 +45,7 @@
     header: tuple[str, str]
     grpc_codes: tuple[str, ...]
     tries: int
-    try_timeout_us: int          # 0: until the request's own time-out
+    try_timeout_us: int  # 0: until the request's own time-out
     back_off_us: int = BACK_OFF_US
     elsewhere: bool = True
 
@@ -57,7 +57,7 @@
     name: str
     timeout_us: int
     retry: Retry
-    hedge: bool                  # may a second copy be sent when a try takes long?
+    hedge: bool  # may a second copy be sent when a try takes long?
 
 
 @dataclass(slots=True, frozen=True)
@@ -71,7 +71,7 @@
     max_requests: int
     max_retries: int
     retry_percent: float = RETRY_PERCENT
-    panic_percent: float = 0.0   # in panic Envoy sends to nodes that drain: it must never panic
+    panic_percent: float = 0.0  # in panic Envoy sends to nodes that drain: it must never panic
 
 
 def rule_of(spec: RequestClass, settings: Settings) -> Rule:
@@ -79,10 +79,17 @@
     tries = max(0, settings.max_attempts - 1)
     safe = spec.effect is Effect.SAFE
     return Rule(
-        spec.name, spec.deadline_us,
-        Retry(NEVER_RAN + MAY_HAVE_RUN if safe else NEVER_RAN, UNPROCESSED, GRPC_CODES if safe else (),
-              tries, spec.aim_us if safe and tries else 0),
-        hedge=safe and settings.second_copies and tries > 0)
+        spec.name,
+        spec.deadline_us,
+        Retry(
+            NEVER_RAN + MAY_HAVE_RUN if safe else NEVER_RAN,
+            UNPROCESSED,
+            GRPC_CODES if safe else (),
+            tries,
+            spec.aim_us if safe and tries else 0,
+        ),
+        hedge=safe and settings.second_copies and tries > 0,
+    )
 
 
 def rules(settings: Settings) -> tuple[Rule, ...]:
--- a/roadlb/control/service.py
+++ b/roadlb/control/service.py
@@ -42,8 +42,8 @@
 
 logger = logging.getLogger(__name__)
 
-STOP_S = 0.5                 # for what is being written when the service ends
-TICK_US = 250_000            # a look of the plan at 1,000 endpoints takes 25 ms
+STOP_S = 0.5  # for what is being written when the service ends
+TICK_US = 250_000  # a look of the plan at 1,000 endpoints takes 25 ms
 
 
 @dataclass(slots=True)
@@ -59,18 +59,28 @@
 class Service:
     """Wires the deciders; it is the streams' `Desk`."""
 
-    def __init__(self, settings: Settings, clock: Clock = monotonic_us, wall: Clock = unix_us,
-                 random: Random | None = None) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock = monotonic_us,
+        wall: Clock = unix_us,
+        random: Random | None = None,
+    ) -> None:
         self.office: Any = None
-        if settings.agreement is not None:           # all of it is loaded for who asks for it
+        if settings.agreement is not None:  # all of it is loaded for who asks for it
             from ..issuing.office import Office
+
             self.office = Office(settings.agreement, clock, wall, self._status_at)
         self.settings, self._clock, self._wall = settings, clock, wall
         self.plan = Plan(settings.ramp.limits(), gap_us=round(settings.plan_gap_s * 1e6))
         self.order = order.Order()
         self.subscribers = subscribers.Subscribers(
-            random or Random(), ENDPOINTS, stale_us=round(settings.stale_s * 1e6),
-            admit_per_s=settings.admit_per_s, most=settings.subscribers_most)
+            random or Random(),
+            ENDPOINTS,
+            stale_us=round(settings.stale_s * 1e6),
+            admit_per_s=settings.admit_per_s,
+            most=settings.subscribers_most,
+        )
         self.publisher, self.encoder = Publisher(settings), Encoder()
         at = address(settings.discovery)
         self.discovery = FleetWatch(Address(at.host, at.port), settings.cluster, self.told)
@@ -79,8 +89,8 @@
         self.started_us = clock()
         self._numbers = 0
         self._places: dict[tuple[str, int], NodeId] = {}
-        self._pools = [settings.cluster]             # the names of all clusters on the wire
-        self._again = asyncio.Event()                # a newcomer's turn may be sooner than the next tick
+        self._pools = [settings.cluster]  # the names of all clusters on the wire
+        self._again = asyncio.Event()  # a newcomer's turn may be sooner than the next tick
         self._tasks: set[asyncio.Task[None]] = set()
         self._warnings = Limit(clock, 20)
         self.port = 0
@@ -138,8 +148,12 @@
                     self._push(name)
                 case order.Silence(name, generation):
                     self.counts["silenced"] += 1
-                    self._warn("subscriber is ahead of us", subscriber=name, generation=generation,
-                               ours=self.order.generation)
+                    self._warn(
+                        "subscriber is ahead of us",
+                        subscriber=name,
+                        generation=generation,
+                        ours=self.order.generation,
+                    )
                 case order.Withheld(generation, serial, reason):
                     self.counts["withheld"] += 1
                     self._warn("withheld", generation=generation, serial=serial, reason=reason)
@@ -150,11 +164,21 @@
 
     def _release(self, decisions: events.Decisions) -> None:
         self.publisher.take(decisions)
-        self._places = {(d.endpoint.host, d.endpoint.port): d.node
-                        for told in decisions.clusters.values() for d in told}
-        self._pools = sorted({self.settings.cluster, *decisions.clusters, *(
-            pool_name(name, pool) for name, told in decisions.clusters.items()
-            for d in told for pool in (d.pool, d.left_pool))})
+        self._places = {
+            (d.endpoint.host, d.endpoint.port): d.node for told in decisions.clusters.values() for d in told
+        }
+        self._pools = sorted(
+            {
+                self.settings.cluster,
+                *decisions.clusters,
+                *(
+                    pool_name(name, pool)
+                    for name, told in decisions.clusters.items()
+                    for d in told
+                    for pool in (d.pool, d.left_pool)
+                ),
+            }
+        )
         self.counts["published"] += 1
         if decisions.urgent:
             self._do_subscribers(self.subscribers.handle(self._clock(), subscribers.Hurry()))
@@ -170,7 +194,7 @@
         if client is not None and client.admitted and self.order.may_tell(name):
             try:
                 snapshot = self.publisher.snapshot(client.form)
-            except ValueError as e:      # CodecError is one; the other forms must be told all the same
+            except ValueError as e:  # CodecError is one; the other forms must be told all the same
                 self.counts["not published"] += 1
                 if self._warnings.allows():
                     logger.error("not published", extra=fields(form=client.form.value, error=e))
@@ -210,33 +234,47 @@
         session.name = node.id if node.id not in self.clients else f"{node.id}#{session.number}"
         self.clients[session.name] = Client(session, form)
         now, shown = self._clock(), session.floor or None
-        logger.info("subscriber", extra=fields(
-            name=session.name, form=form.value, agent=node.user_agent_name, peer=session.peer,
-            shows=shown or 0))
-        self._do_subscribers(self.subscribers.handle(
-            now, subscribers.Came(session.name, session.number, shown)))
+        logger.info(
+            "subscriber",
+            extra=fields(
+                name=session.name,
+                form=form.value,
+                agent=node.user_agent_name,
+                peer=session.peer,
+                shows=shown or 0,
+            ),
+        )
+        self._do_subscribers(
+            self.subscribers.handle(now, subscribers.Came(session.name, session.number, shown))
+        )
         self._do_order(self.order.handle(now, order.Connected(session.name, session.number, shown)))
         self._again.set()
         return ""
 
     def saw(self, session: Session) -> None:
         if session.name in self.clients:
-            self._do_order(self.order.handle(
-                self._clock(), order.Acknowledged(session.name, session.floor)))
+            self._do_order(self.order.handle(self._clock(), order.Acknowledged(session.name, session.floor)))
 
     def sent(self, session: Session, type_url: str, number: int, generation: int) -> None:
-        self._do_subscribers(self.subscribers.handle(
-            self._clock(), subscribers.Sent(session.name, type_url, number, generation)))
+        self._do_subscribers(
+            self.subscribers.handle(
+                self._clock(), subscribers.Sent(session.name, type_url, number, generation)
+            )
+        )
 
     def acked(self, session: Session, type_url: str, number: int) -> None:
-        self._do_subscribers(self.subscribers.handle(
-            self._clock(), subscribers.Acked(session.name, type_url, number)))
+        self._do_subscribers(
+            self.subscribers.handle(self._clock(), subscribers.Acked(session.name, type_url, number))
+        )
 
     def nacked(self, session: Session, type_url: str, number: int, error: ErrorDetail) -> None:
         if session.name in self.clients:
             self.clients[session.name].refusals += 1
-        self._do_subscribers(self.subscribers.handle(
-            self._clock(), subscribers.Nacked(session.name, type_url, number, error.message)))
+        self._do_subscribers(
+            self.subscribers.handle(
+                self._clock(), subscribers.Nacked(session.name, type_url, number, error.message)
+            )
+        )
 
     def left(self, session: Session) -> None:
         now = self._clock()
@@ -258,6 +296,7 @@
                     await self.office.serve(context, first)
                 else:
                     await session.serve(context, first)
+
         return serve
 
     async def _reports(self, context: Context) -> None:
@@ -315,55 +354,82 @@
         """All that operators look at, as JSON's own types; times in seconds."""
         now, told, heard = self._clock(), self.publisher.decisions, self.discovery.heard_at
         return {
-            "generation": self.order.generation, "serial": told.serial if told else 0,
+            "generation": self.order.generation,
+            "serial": told.serial if told else 0,
             "up_s": (now - self.started_us) / 1e6,
             "discovery": {
-                "at": str(self.discovery.at), "error": self.discovery.error,
+                "at": str(self.discovery.at),
+                "error": self.discovery.error,
                 "generation": self.discovery.picture.generation if self.discovery.picture else -1,
                 "heard_s_ago": asyncio.get_running_loop().time() - heard if heard else None,
-                **self.discovery.counts},
+                **self.discovery.counts,
+            },
             "counts": {**self.counts, "encoded": self.encoder.encoded, "shared": self.encoder.shared},
             "endpoints": [
-                {"cluster": name, "node": d.node.name, "started_ms": d.node.started_ms,
-                 "address": f"{d.endpoint.host}:{d.endpoint.port}", "health": d.health.name.lower(),
-                 "weight": d.weight, "pool": d.pool, "part": d.part_ppm / events.MILLION,
-                 "reason": d.reason}
-                for name, all_of_it in (told.clusters if told else {}).items() for d in all_of_it],
-            "subscribers": [self._subscriber(now, s) for s in self.subscribers.known.values()]}
+                {
+                    "cluster": name,
+                    "node": d.node.name,
+                    "started_ms": d.node.started_ms,
+                    "address": f"{d.endpoint.host}:{d.endpoint.port}",
+                    "health": d.health.name.lower(),
+                    "weight": d.weight,
+                    "pool": d.pool,
+                    "part": d.part_ppm / events.MILLION,
+                    "reason": d.reason,
+                }
+                for name, all_of_it in (told.clusters if told else {}).items()
+                for d in all_of_it
+            ],
+            "subscribers": [self._subscriber(now, s) for s in self.subscribers.known.values()],
+        }
 
     def _subscriber(self, now: int, s: subscribers.Subscriber) -> dict[str, object]:
         client = self.clients.get(s.name)
         session = client.session if client else None
         return {
-            "name": s.name, "state": s.state.value, "for_s": (now - s.since) / 1e6,
-            "acknowledged": s.generation, "silent": s.name in self.order.silent,
+            "name": s.name,
+            "state": s.state.value,
+            "for_s": (now - s.since) / 1e6,
+            "acknowledged": s.generation,
+            "silent": s.name in self.order.silent,
             "form": client.form.value if client else None,
             "incremental": session.incremental if session else None,
             "peer": session.peer if session else None,
             "refusals": client.refusals if client else 0,
-            "responses": session.responses if session else 0, "bytes": session.bytes_sent if session else 0,
+            "responses": session.responses if session else 0,
+            "bytes": session.bytes_sent if session else 0,
             "holds": session.holding if session else {},
             "types": {
                 type_url.rpartition(".")[2]: {
-                    "sent": p.sent, "accepted": p.acked, "behind": p.sent - p.settled, "refused": p.refused,
-                    "reason": p.reason, "lags": p.lagging,
-                    "waits_s": (now - p.open[0][2]) / 1e6 if p.open else 0.0}
-                for type_url, p in s.types.items()}}
+                    "sent": p.sent,
+                    "accepted": p.acked,
+                    "behind": p.sent - p.settled,
+                    "refused": p.refused,
+                    "reason": p.reason,
+                    "lags": p.lagging,
+                    "waits_s": (now - p.open[0][2]) / 1e6 if p.open else 0.0,
+                }
+                for type_url, p in s.types.items()
+            },
+        }
 
     # Its life
 
     async def start(self) -> None:
         """Serve; `port` is then where."""
         at = address(self.settings.listen)
-        self._server = server({
-            (ADS, "StreamAggregatedResources"): self._ads(SotwStream),
-            (ADS, "DeltaAggregatedResources"): self._ads(DeltaStream),
-            (LRS, "StreamLoadStats"): self._reports,
-            (STATUS, "StreamClientStatus"): self._client_status,
-        }, {
-            (STATUS, "FetchClientStatus"): lambda data: client_status(data, self._sessions()),
-            (HEALTH, "Check"): lambda _: health(SERVING if self.serving else WAITING),
-        })
+        self._server = server(
+            {
+                (ADS, "StreamAggregatedResources"): self._ads(SotwStream),
+                (ADS, "DeltaAggregatedResources"): self._ads(DeltaStream),
+                (LRS, "StreamLoadStats"): self._reports,
+                (STATUS, "StreamClientStatus"): self._client_status,
+            },
+            {
+                (STATUS, "FetchClientStatus"): lambda data: client_status(data, self._sessions()),
+                (HEALTH, "Check"): lambda _: health(SERVING if self.serving else WAITING),
+            },
+        )
         self.port = listen(self._server, at.host, at.port)
         await self._server.start()
         self._spawn(self.discovery.run())
@@ -377,9 +443,14 @@
             await self.page.start(where.host, where.port)
         if self.office is not None:
             await self.office.start()
-        logger.info("ready", extra=fields(
-            listen=f"{at.host}:{self.port}", status=self.page.port if self.page else "none",
-            discovery=self.discovery.at))
+        logger.info(
+            "ready",
+            extra=fields(
+                listen=f"{at.host}:{self.port}",
+                status=self.page.port if self.page else "none",
+                discovery=self.discovery.at,
+            ),
+        )
         if not _loopback(at.host):
             logger.warning("listens beyond loopback without TLS", extra=fields(listen=self.settings.listen))
 
--- a/roadlb/control/settings.py
+++ b/roadlb/control/settings.py
@@ -63,8 +63,12 @@
     fall_s: Seconds = 1.0
 
     def limits(self) -> RampLimits:
-        return RampLimits(cold_from=self.cold_from, cold_us=round(self.cold_s * 1e6),
-                          fall_multiple=self.fall_multiple, fall_us=round(self.fall_s * 1e6))
+        return RampLimits(
+            cold_from=self.cold_from,
+            cold_us=round(self.cold_s * 1e6),
+            fall_multiple=self.fall_multiple,
+            fall_us=round(self.fall_s * 1e6),
+        )
 
 
 class AgreementSettings(Section, frozen=True, kw_only=True):
@@ -113,38 +117,55 @@
     subscribers_most: Count = 10_000
     admit_per_s: Annotated[float, Meta(ge=1, le=100_000)] = 1_500.0
     listeners: tuple[ListenerSettings, ...] = field(
-        default=(ListenerSettings(name="grid-web"),), name="listener")
+        default=(ListenerSettings(name="grid-web"),), name="listener"
+    )
     classes: tuple[ClassSettings, ...] = field(default=(ClassSettings(name="all"),), name="class")
     ramp: RampSettings = RampSettings()
     agreement: AgreementSettings | None = None
 
     def module(self) -> ModuleSettings:
         """The classes as the decision module has them."""
-        return ModuleSettings(classes=[
-            RequestClass(c.name, aim_us=round(c.aim_ms * 1000), deadline_us=round(c.deadline_ms * 1000),
-                         effect=EFFECTS[c.effect]) for c in self.classes], max_attempts=self.attempts)
+        return ModuleSettings(
+            classes=[
+                RequestClass(
+                    c.name,
+                    aim_us=round(c.aim_ms * 1000),
+                    deadline_us=round(c.deadline_ms * 1000),
+                    effect=EFFECTS[c.effect],
+                )
+                for c in self.classes
+            ],
+            max_attempts=self.attempts,
+        )
 
 
 def faults(settings: Settings) -> Iterator[tuple[tuple[str | int, ...], str]]:
     """What is wrong beyond the single keys: path and text."""
-    for key, text in (("discovery", settings.discovery), ("listen", settings.listen),
-                      ("status", settings.status or "none:0")):
-        if (fault := _address(key, text)):
+    for key, text in (
+        ("discovery", settings.discovery),
+        ("listen", settings.listen),
+        ("status", settings.status or "none:0"),
+    ):
+        if fault := _address(key, text):
             yield (key,), fault
     if settings.agreement is not None:
         yield from _agreement_faults(settings.agreement)
     for i, one in enumerate(settings.listeners):
         if one.address and (fault := _address("address", one.address)):
             yield ("listener", i, "address"), fault
-    for key, names in (("listener", [one.name for one in settings.listeners]),
-                       ("class", [one.name for one in settings.classes])):
+    for key, names in (
+        ("listener", [one.name for one in settings.listeners]),
+        ("class", [one.name for one in settings.classes]),
+    ):
         for i, name in enumerate(names):
             if name in names[:i]:
                 yield (key, i, "name"), f"{name!r} is there twice: give each its own name"
     for i, c in enumerate(settings.classes):
         if c.aim_ms > c.deadline_ms:
-            yield (("class", i, "aim_ms"),
-                   f"is {c.aim_ms:g}, and must be at most deadline_ms, which is {c.deadline_ms:g}")
+            yield (
+                ("class", i, "aim_ms"),
+                f"is {c.aim_ms:g}, and must be at most deadline_ms, which is {c.deadline_ms:g}",
+            )
     if settings.classes and (settings.classes[-1].prefix, settings.classes[-1].method) != ("/", ""):
         last = len(settings.classes) - 1
         yield ("class", last), "the last class must take what no other does: leave out prefix and method"
@@ -161,8 +182,13 @@
         yield tuple(key.split(".")), text
     margin_us = round(told.margin_s * 1e6)
     if sure_us(told.seat_s, margin_us) <= told.seat_s * 500_000:
-        yield ("agreement", "seat_s"), (f"{told.seat_s} s leave too little to renew in beside a margin of "
-                                        f"{told.margin_s:g} s; raise it, or lower margin_s")
+        yield (
+            ("agreement", "seat_s"),
+            (
+                f"{told.seat_s} s leave too little to renew in beside a margin of "
+                f"{told.margin_s:g} s; raise it, or lower margin_s"
+            ),
+        )
 
 
 def _address(key: str, text: str) -> str:
--- a/roadlb/control/subscribers.py
+++ b/roadlb/control/subscribers.py
@@ -20,12 +20,12 @@
 
 from .events import Carrier, Carriers
 
-ADMIT_PER_S = 1_500.0        # 1,000 proxies that come back at once are let in within 0.7 s
-BURST = 20                   # and so many at once, as on any calm day
-LAG_US = 1_000_000           # a proxy that has not acknowledged by then is late: drains count by it
+ADMIT_PER_S = 1_500.0  # 1,000 proxies that come back at once are let in within 0.7 s
+BURST = 20  # and so many at once, as on any calm day
+LAG_US = 1_000_000  # a proxy that has not acknowledged by then is late: drains count by it
 LAG_VERSIONS = 3
-MOST = 10_000                # subscribers known, those away among them
-REASONS = 200                # characters of a refusal that are kept
+MOST = 10_000  # subscribers known, those away among them
+REASONS = 200  # characters of a refusal that are kept
 
 
 class State(Enum):
@@ -36,6 +36,7 @@
 
 # Events
 
+
 @dataclass(slots=True, frozen=True)
 class Came:
     """A stream has opened; `acknowledged`: the generation in its first versions, None: it has no view."""
@@ -93,6 +94,7 @@
 
 # Actions
 
+
 @dataclass(slots=True, frozen=True)
 class Admit:
     """From now on it may be answered."""
@@ -149,14 +151,14 @@
 
     sent: int = 0
     acked: int = 0
-    settled: int = 0             # the newest acknowledged or refused
-    open: tuple[tuple[int, int, int], ...] = ()      # number, generation, time of KEPT sent since
-    refused: int = 0             # times in a row
+    settled: int = 0  # the newest acknowledged or refused
+    open: tuple[tuple[int, int, int], ...] = ()  # number, generation, time of KEPT sent since
+    refused: int = 0  # times in a row
     reason: str = ""
     lagging: bool = False
 
 
-KEPT = 8                     # sent versions remembered: a proxy is owed the newest state, not every one
+KEPT = 8  # sent versions remembered: a proxy is owed the newest state, not every one
 
 
 @dataclass(slots=True)
@@ -167,7 +169,7 @@
     state: State
     since: int
     stream: int
-    number: int                  # of its coming
+    number: int  # of its coming
     generation: int = -1
     has_view: bool = False
     types: dict[str, Progress] = field(default_factory=dict)
@@ -180,15 +182,21 @@
     that is away is taken to go on by its last view.
     """
 
-    def __init__(self, random: Random, counted: str, stale_us: int = 60_000_000,
-                 admit_per_s: float = ADMIT_PER_S, most: int = MOST) -> None:
+    def __init__(
+        self,
+        random: Random,
+        counted: str,
+        stale_us: int = 60_000_000,
+        admit_per_s: float = ADMIT_PER_S,
+        most: int = MOST,
+    ) -> None:
         self.known: dict[str, Subscriber] = {}
         self._random, self._counted, self._stale_us, self._most = random, counted, stale_us, most
         self._step, self._next = 1e6 / admit_per_s, float("-inf")
-        self._queue: list[tuple[int, int, str]] = []        # turn, number, subscriber
+        self._queue: list[tuple[int, int, str]] = []  # turn, number, subscriber
         self._numbers = 0
-        self._away: dict[str, None] = {}                    # the longest first
-        self._owing: dict[tuple[str, str], None] = {}       # subscriber and type that owe an answer
+        self._away: dict[str, None] = {}  # the longest first
+        self._owing: dict[tuple[str, str], None] = {}  # subscriber and type that owe an answer
 
     def handle(self, now: int, event: Event) -> list[Action]:
         actions: list[Action]
@@ -224,15 +232,21 @@
         known = self.known.get(event.subscriber)
         if known is None and len(self.known) >= self._most:
             if not self._away:
-                return [TurnAway(event.subscriber, f"{self._most} subscribers are connected: start another "
-                                                   "instance of the service, or raise its limit")]
+                return [
+                    TurnAway(
+                        event.subscriber,
+                        f"{self._most} subscribers are connected: start another "
+                        "instance of the service, or raise its limit",
+                    )
+                ]
             actions.append(self._forget(next(iter(self._away))))
         self._away.pop(event.subscriber, None)
         if known is not None:
             self._settle(known)
         self._numbers += 1
-        s = self.known[event.subscriber] = Subscriber(event.subscriber, State.WAITING, now, event.stream,
-                                                      self._numbers)
+        s = self.known[event.subscriber] = Subscriber(
+            event.subscriber, State.WAITING, now, event.stream, self._numbers
+        )
         # What it says it has is what it goes by, whatever we remember of it.
         s.generation = -1 if event.acknowledged is None else event.acknowledged
         s.has_view = event.acknowledged is not None
@@ -242,7 +256,7 @@
         if turn > now:
             turn += int(self._random.random() * min(self._step * BURST, turn - now))
         heappush(self._queue, (turn, s.number, s.name))
-        if len(self._queue) > 2 * len(self.known):      # most are of streams that have ended
+        if len(self._queue) > 2 * len(self.known):  # most are of streams that have ended
             self._queue = [q for q in self._queue if self._waits(q[2], q[1])]
             heapify(self._queue)
         return actions
@@ -284,13 +298,13 @@
         if isinstance(event, Sent):
             if event.number > p.sent:
                 p.sent = event.number
-                p.open = (*p.open[-KEPT + 1:], (event.number, event.generation, now))
+                p.open = (*p.open[-KEPT + 1 :], (event.number, event.generation, now))
                 self._owing[s.name, event.type_url] = None
                 if event.type_url == self._counted and not s.has_view:
-                    s.has_view, s.generation = True, event.generation      # it has this, or nothing yet
+                    s.has_view, s.generation = True, event.generation  # it has this, or nothing yet
             return []
         if not p.settled < event.number <= p.sent:
-            return []                          # of a version never sent, or one that a later word has settled
+            return []  # of a version never sent, or one that a later word has settled
         p.settled = event.number
         actions: list[Action] = []
         if isinstance(event, Acked):
--- a/roadlb/engine.py
+++ b/roadlb/engine.py
@@ -17,9 +17,36 @@
 from .exchange import Answer, Ending, Exchange, Execution, Failed, Nack, Result, Served
 from .log import fields
 from .policy.interface import (
-    Action, Arrival, BodyWhole, Cancel, Changed, ClientGone, Event, Fail, Heard, ListKind, ListUpdate, Log,
-    Member, Offer, Outcome, Probe, Probed, Refuse, Report, Send, ServerId, SetTimer, Settings, Shortage,
-    SiteWord, Status, Subscribe, TimerFired, Twins, View,
+    Action,
+    Arrival,
+    BodyWhole,
+    Cancel,
+    Changed,
+    ClientGone,
+    Event,
+    Fail,
+    Heard,
+    ListKind,
+    ListUpdate,
+    Log,
+    Member,
+    Offer,
+    Outcome,
+    Probe,
+    Probed,
+    Refuse,
+    Report,
+    Send,
+    ServerId,
+    SetTimer,
+    Settings,
+    Shortage,
+    SiteWord,
+    Status,
+    Subscribe,
+    TimerFired,
+    Twins,
+    View,
 )
 from .sites.events import SiteView
 from .wheel import Wheel
@@ -27,9 +54,9 @@
 logger = logging.getLogger(__name__)
 
 FULL_RETRY_US = 200_000
-UPLOAD_US = 600_000_000     # 32 MB at 64 kB a second take 500 s
+UPLOAD_US = 600_000_000  # 32 MB at 64 kB a second take 500 s
 NEVER = 1 << 62
-GUARD_US = 10_000   # past its deadline an exchange is answered whatever the module says
+GUARD_US = 10_000  # past its deadline an exchange is answered whatever the module says
 
 
 class Decider(Protocol):
@@ -55,29 +82,47 @@
 class Engine:
     """Feeds a balancer one event at a time and carries out what it decides."""
 
-    def __init__(self, balancer: Decider, counters: Counters, clock: Clock, wheel: Wheel,
-                 max_open: int = 20_000, class_names: Sequence[str] = ()) -> None:
+    def __init__(
+        self,
+        balancer: Decider,
+        counters: Counters,
+        clock: Clock,
+        wheel: Wheel,
+        max_open: int = 20_000,
+        class_names: Sequence[str] = (),
+    ) -> None:
         """`max_open`: exchanges at once; `class_names`: for the counters of what is refused unsent."""
         self._balancer, self._counters, self._max_open = balancer, counters, max_open
         self._clock, self._wheel = clock, wheel
         self._events: deque[Event] = deque()
-        self._busy, self._now = False, 0          # carrying out an event, and when it began
+        self._busy, self._now = False, 0  # carrying out an event, and when it began
         self._next_id = 1
-        self._open: dict[int, Exchange] = {}      # with an answer owed, or an execution still out
-        self._short = False                       # of this program's own means, as the module was told
-        self._flowing = 0                         # answers that are on their way to clients
-        self._asked = self._refused = 0           # requests that came, and those refused before any execution
-        self._answers = {(kind, i): f"{_ANSWER[kind]}.{name}" for kind in _ANSWER
-                         for i, name in enumerate(class_names)}
-        self._shed = {(i, short): f"shed.{name}.{'own' if short else 'fleet'}"
-                      for i, name in enumerate(class_names) for short in (False, True)}
+        self._open: dict[int, Exchange] = {}  # with an answer owed, or an execution still out
+        self._short = False  # of this program's own means, as the module was told
+        self._flowing = 0  # answers that are on their way to clients
+        self._asked = self._refused = 0  # requests that came, and those refused before any execution
+        self._answers = {
+            (kind, i): f"{_ANSWER[kind]}.{name}" for kind in _ANSWER for i, name in enumerate(class_names)
+        }
+        self._shed = {
+            (i, short): f"shed.{name}.{'own' if short else 'fleet'}"
+            for i, name in enumerate(class_names)
+            for short in (False, True)
+        }
         self.executor: Executor | None = None
-        self.on_outcome: Callable[[ServerId, Status], None] | None = None    # told of each execution's end
-        self.lapse_us = NEVER                     # what was granted for a time ends then: `lapsed` is called
+        self.on_outcome: Callable[[ServerId, Status], None] | None = None  # told of each execution's end
+        self.lapse_us = NEVER  # what was granted for a time ends then: `lapsed` is called
         self.lapsed: Callable[[], None] = lambda: None
         self._carry_out: dict[type, Callable[[Any], None]] = {
-            Send: self._send, Refuse: self._refuse, Fail: self._fail, Cancel: self._cancel,
-            SetTimer: self._set_timer, Probe: self._probe, Subscribe: self._subscribe, Log: self._log}
+            Send: self._send,
+            Refuse: self._refuse,
+            Fail: self._fail,
+            Cancel: self._cancel,
+            SetTimer: self._set_timer,
+            Probe: self._probe,
+            Subscribe: self._subscribe,
+            Log: self._log,
+        }
 
     # Events in
 
@@ -98,9 +143,19 @@
         self._open[exchange.id] = exchange
         self._asked += 1
         self._counters.add("taken")
-        self._feed(Arrival(exchange.id, exchange.class_index, exchange.tenant, exchange.key,
-                           max(1, exchange.until_us - now), exchange.work_us, exchange.is_retry,
-                           exchange.coming), now)
+        self._feed(
+            Arrival(
+                exchange.id,
+                exchange.class_index,
+                exchange.tenant,
+                exchange.key,
+                max(1, exchange.until_us - now),
+                exchange.work_us,
+                exchange.is_retry,
+                exchange.coming,
+            ),
+            now,
+        )
         self._watch_over(exchange)
 
     def _watch_over(self, exchange: Exchange) -> None:
@@ -135,7 +190,8 @@
         """Give all that is still open, and came after this time, its answer now."""
         for exchange in list(self._open.values()):
             if not exchange.closed and (
-                    exchange.coming or exchange.until_us - exchange.left_us > came_after_us):
+                exchange.coming or exchange.until_us - exchange.left_us > came_after_us
+            ):
                 self._give_up(exchange, "stopping")
 
     @property
@@ -158,8 +214,7 @@
     def offer(self, class_index: int, tenant: int, key: int, left_us: int, work_us: int) -> Nack | None:
         """Would the module refuse this request, whose body has not come?  Then it need not be opened."""
         try:
-            actions = self._balancer.handle(
-                self._clock(), Offer(class_index, tenant, key, left_us, work_us))
+            actions = self._balancer.handle(self._clock(), Offer(class_index, tenant, key, left_us, work_us))
         except Exception:
             self._counters.add("fault.engine")
             logger.exception("offer failed")
@@ -223,8 +278,18 @@
         if result.answer is not None:
             self._answer(exchange.id, result.answer)
         now = self._clock()
-        self._feed(Outcome(exchange.id, execution.number, execution.server, result.ending.status,
-                           now - execution.started_us, exchange.closed, result.report), now)
+        self._feed(
+            Outcome(
+                exchange.id,
+                execution.number,
+                execution.server,
+                result.ending.status,
+                now - execution.started_us,
+                exchange.closed,
+                result.report,
+            ),
+            now,
+        )
         if self.on_outcome:
             self.on_outcome(execution.server, result.ending.status)
         self._forget(exchange)
@@ -267,7 +332,7 @@
         self._counters.add("fault.engine")
         logger.exception("event or action failed", extra=fields(kind=type(what).__name__))
         exchange = self._open.get(getattr(what, "request", 0))
-        if exchange and not exchange.closed:      # once only: telling the module may fail as well
+        if exchange and not exchange.closed:  # once only: telling the module may fail as well
             self._give_up(exchange, "fault")
 
     def _overdue(self, exchange: Exchange) -> None:
@@ -287,10 +352,17 @@
         assert self.executor
         exchange, now = self._open.get(action.request), self._now
         if exchange is None:
-            return      # answered without the module, which hears of it in its next event
+            return  # answered without the module, which hears of it in its next event
         until = min(exchange.until_us, now + action.timeout_us) if action.timeout_us else exchange.until_us
-        execution = Execution(exchange.id, exchange.message, len(exchange.executions), action.server, now,
-                              until, exchange.left_us if exchange.coming else 0)
+        execution = Execution(
+            exchange.id,
+            exchange.message,
+            len(exchange.executions),
+            action.server,
+            now,
+            until,
+            exchange.left_us if exchange.coming else 0,
+        )
         exchange.executions.append(execution)
         self._counters.add("execution")
         if exchange.closed:
--- a/roadlb/etcd/client.py
+++ b/roadlb/etcd/client.py
@@ -46,13 +46,18 @@
     Written,
 )
 
-CALL_S = 1.0                 # a store that is well answers in milliseconds
+CALL_S = 1.0  # a store that is well answers in milliseconds
 # The library would wait up to 120 s between two dials of an endpoint that is away.
-OPTIONS = (("grpc.initial_reconnect_backoff_ms", 100), ("grpc.min_reconnect_backoff_ms", 100),
-           ("grpc.max_reconnect_backoff_ms", 1_000), ("grpc.keepalive_time_ms", 10_000),
-           ("grpc.keepalive_timeout_ms", 3_000), ("grpc.enable_http_proxy", 0),
-           ("grpc.use_local_subchannel_pool", 1),
-           ("grpc.max_receive_message_length", 64 << 20))     # a range of many large values
+OPTIONS = (
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1_000),
+    ("grpc.keepalive_time_ms", 10_000),
+    ("grpc.keepalive_timeout_ms", 3_000),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.max_receive_message_length", 64 << 20),
+)  # a range of many large values
 AWAY = (grpc.StatusCode.UNAVAILABLE, grpc.StatusCode.DEADLINE_EXCEEDED, grpc.StatusCode.CANCELLED)
 
 
@@ -86,8 +91,9 @@
     async def compact(self, revision: int) -> Written:
         return await self._write(Compact(revision))
 
-    async def txn(self, compares: Sequence[Compare], then: Sequence[Operation],
-                  otherwise: Sequence[Operation] = ()) -> Decided:
+    async def txn(
+        self, compares: Sequence[Compare], then: Sequence[Operation], otherwise: Sequence[Operation] = ()
+    ) -> Decided:
         reply = await self.call(Txn(tuple(compares), tuple(then), tuple(otherwise)))
         assert isinstance(reply, Decided)
         return reply
@@ -110,8 +116,10 @@
         """
         at, channel = self.endpoint, self._open()
         stream = channel.stream_stream(
-            f"/{codec.WATCH}/Watch", request_serializer=codec.WatchRequest.SerializeToString,
-            response_deserializer=codec.WatchResponse.FromString)()
+            f"/{codec.WATCH}/Watch",
+            request_serializer=codec.WatchRequest.SerializeToString,
+            response_deserializer=codec.WatchResponse.FromString,
+        )()
         try:
             with self._errors("watch", at, channel):
                 async with asyncio.timeout(self.call_s):
@@ -162,8 +170,7 @@
         at, channel = self.endpoint, self._open()
         path, wire = f"/{service}/{method}", codec.write_request(request)
         make = channel.stream_stream if kind is KeepAlive else channel.unary_unary
-        call = make(path, request_serializer=asks.SerializeToString,
-                    response_deserializer=answers.FromString)
+        call = make(path, request_serializer=asks.SerializeToString, response_deserializer=answers.FromString)
         with self._errors(method, at, channel):
             if kind is not KeepAlive:
                 return codec.read_reply(kind, await call(wire, timeout=self.call_s))
@@ -196,7 +203,7 @@
         except asyncio.CancelledError:
             task = asyncio.current_task()
             if task is None or task.cancelling():
-                raise                        # who waits was cancelled
+                raise  # who waits was cancelled
             raise StoreError(Trouble.UNREACHABLE, f"{away}its channel was left meanwhile") from None
 
     def _error(self, what: str, at: str, channel: Any, error: Any) -> StoreError:
@@ -214,7 +221,7 @@
     def _leave(self, channel: Any) -> None:
         """The next call goes to the next endpoint, over a new channel; what is open on this one may end."""
         if channel is not self._channel:
-            return                           # another call has left it already
+            return  # another call has left it already
         self._channel = None
         self._at = (self._at + 1) % len(self.endpoints)
         task = asyncio.get_running_loop().create_task(channel.close(self.call_s))
--- a/roadlb/etcd/codec.py
+++ b/roadlb/etcd/codec.py
@@ -49,17 +49,25 @@
     Revoke: (LEASE, "LeaseRevoke", rpc_pb2.LeaseRevokeRequest, rpc_pb2.LeaseRevokeResponse),
 }
 WatchRequest, WatchResponse = rpc_pb2.WatchRequest, rpc_pb2.WatchResponse
-_FIELDS = {Field.VERSION: "version", Field.CREATED: "create_revision", Field.MODIFIED: "mod_revision",
-           Field.VALUE: "value", Field.LEASE: "lease"}
+_FIELDS = {
+    Field.VERSION: "version",
+    Field.CREATED: "create_revision",
+    Field.MODIFIED: "mod_revision",
+    Field.VALUE: "value",
+    Field.LEASE: "lease",
+}
 _BRANCHES: dict[type[Operation], tuple[str, str]] = {
-    Get: ("request_range", "response_range"), Put: ("request_put", "response_put"),
-    Delete: ("request_delete_range", "response_delete_range")}
+    Get: ("request_range", "response_range"),
+    Put: ("request_put", "response_put"),
+    Delete: ("request_delete_range", "response_delete_range"),
+}
 _REQUEST_OF = {there: kind for kind, (there, _) in _BRANCHES.items()}
 _RESPONSE_OF = {back: kind for kind, (_, back) in _BRANCHES.items()}
 
 
 # Requests
 
+
 def write_request(request: Request) -> Wire:
     match request:
         case Get(key, end, revision, most):
@@ -69,8 +77,11 @@
         case Delete(key, end):
             return rpc_pb2.DeleteRangeRequest(key=key, range_end=end)
         case Txn(compares, then, otherwise):
-            return rpc_pb2.TxnRequest(compare=map(_compare, compares), success=map(_operation, then),
-                                      failure=map(_operation, otherwise))
+            return rpc_pb2.TxnRequest(
+                compare=map(_compare, compares),
+                success=map(_operation, then),
+                failure=map(_operation, otherwise),
+            )
         case Grant(ttl_s):
             return rpc_pb2.LeaseGrantRequest(TTL=ttl_s)
         case KeepAlive(lease):
@@ -90,8 +101,11 @@
     if kind is Delete:
         return Delete(wire.key, wire.range_end)
     if kind is Txn:
-        return Txn(tuple(map(_read_compare, wire.compare)), tuple(map(_read_operation, wire.success)),
-                   tuple(map(_read_operation, wire.failure)))
+        return Txn(
+            tuple(map(_read_compare, wire.compare)),
+            tuple(map(_read_operation, wire.success)),
+            tuple(map(_read_operation, wire.failure)),
+        )
     if kind is Grant:
         return Grant(wire.TTL)
     if kind is Compact:
@@ -100,8 +114,13 @@
 
 
 def _compare(compare: Compare) -> Wire:
-    return rpc_pb2.Compare(result=compare.relation.value, target=compare.field.value, key=compare.key,
-                           range_end=compare.end, **{_FIELDS[compare.field]: compare.than})
+    return rpc_pb2.Compare(
+        result=compare.relation.value,
+        target=compare.field.value,
+        key=compare.key,
+        range_end=compare.end,
+        **{_FIELDS[compare.field]: compare.than},
+    )
 
 
 def _read_compare(wire: Wire) -> Compare:
@@ -124,12 +143,14 @@
 
 # Replies
 
+
 def write_reply(kind: type[Request], reply: Reply) -> Wire:
     header = rpc_pb2.ResponseHeader(revision=reply.revision)
     match reply:
         case Got(_, pairs, count):
-            return rpc_pb2.RangeResponse(header=header, kvs=map(_pair, pairs), count=count,
-                                         more=count > len(pairs))
+            return rpc_pb2.RangeResponse(
+                header=header, kvs=map(_pair, pairs), count=count, more=count > len(pairs)
+            )
         case Written(_, deleted):
             made: Wire = METHODS[kind][3](header=header)
             if deleted is not None:
@@ -172,8 +193,14 @@
 
 
 def _pair(pair: Pair) -> Wire:
-    return kv_pb2.KeyValue(key=pair.key, value=pair.value, create_revision=pair.created,
-                           mod_revision=pair.modified, version=pair.version, lease=pair.lease)
+    return kv_pb2.KeyValue(
+        key=pair.key,
+        value=pair.value,
+        create_revision=pair.created,
+        mod_revision=pair.modified,
+        version=pair.version,
+        lease=pair.lease,
+    )
 
 
 def _read_pair(wire: Wire) -> Pair:
@@ -182,17 +209,22 @@
 
 # Watches
 
+
 def write_watch(key: bytes, end: bytes, start: int) -> Wire:
-    return WatchRequest(create_request=rpc_pb2.WatchCreateRequest(
-        key=key, range_end=end, start_revision=start))
+    return WatchRequest(
+        create_request=rpc_pb2.WatchCreateRequest(key=key, range_end=end, start_revision=start)
+    )
 
 
 def write_news(watch: int, news: News) -> Wire:
     return WatchResponse(
-        header=rpc_pb2.ResponseHeader(revision=news.revision), watch_id=watch,
-        events=[kv_pb2.Event(type=int(change.deleted), kv=_pair(change.pair)) for change in news.changes])
+        header=rpc_pb2.ResponseHeader(revision=news.revision),
+        watch_id=watch,
+        events=[kv_pb2.Event(type=int(change.deleted), kv=_pair(change.pair)) for change in news.changes],
+    )
 
 
 def read_news(wire: Wire) -> News:
-    return News(wire.header.revision, tuple(
-        Change(_read_pair(event.kv), bool(event.type)) for event in wire.events))
+    return News(
+        wire.header.revision, tuple(Change(_read_pair(event.kv), bool(event.type)) for event in wire.events)
+    )
--- a/roadlb/etcd/model.py
+++ b/roadlb/etcd/model.py
@@ -172,11 +172,11 @@
 class Trouble(Enum):
     """Why the store did not do what it was asked."""
 
-    UNREACHABLE = "unreachable"      # nobody answered, or not in time: whether it was done is not known
+    UNREACHABLE = "unreachable"  # nobody answered, or not in time: whether it was done is not known
     NO_LEASE = "no such lease"
-    COMPACTED = "compacted"          # a revision that the store no longer has
-    AHEAD = "ahead"                  # a revision that the store does not have yet: it went back
-    REFUSED = "refused"              # anything else that it said no to
+    COMPACTED = "compacted"  # a revision that the store no longer has
+    AHEAD = "ahead"  # a revision that the store does not have yet: it went back
+    REFUSED = "refused"  # anything else that it said no to
 
 
 class StoreError(Exception):
--- a/roadlb/exchange.py
+++ b/roadlb/exchange.py
@@ -17,20 +17,20 @@
 class Ending(Enum):
     """Every way in which an execution's connection can end."""
 
-    SERVED = "served"                      # a whole 200
-    INSTANCE_ERROR = "instance_error"      # any other whole answer that does not prove that nothing ran
-    TURNED_AWAY = "turned_away"            # 503 or 504 with the mark that it never ran
-    DIAL_FAILED = "dial_failed"            # refused or unreachable
+    SERVED = "served"  # a whole 200
+    INSTANCE_ERROR = "instance_error"  # any other whole answer that does not prove that nothing ran
+    TURNED_AWAY = "turned_away"  # 503 or 504 with the mark that it never ran
+    DIAL_FAILED = "dial_failed"  # refused or unreachable
     DIAL_TIMED_OUT = "dial_timed_out"
-    BROKE_UNSENT = "broke_unsent"          # before the request's last byte was written
-    RESET = "reset"                        # after it, with no answer begun
-    CUT_SHORT = "cut_short"                # within an answer
-    GARBLED = "garbled"                    # an answer came that cannot be used
-    TIMED_OUT = "timed_out"                # no answer in the time that it was given
-    CANCELLED = "cancelled"                # called off by the balancer
-    NO_SOCKET = "no_socket"                # nothing was dialled, for want of a descriptor
-    NEVER_STARTED = "never_started"        # the exchange was over, or the instance is not known
-    FAULT = "fault"                        # an exception of our own; it may have run
+    BROKE_UNSENT = "broke_unsent"  # before the request's last byte was written
+    RESET = "reset"  # after it, with no answer begun
+    CUT_SHORT = "cut_short"  # within an answer
+    GARBLED = "garbled"  # an answer came that cannot be used
+    TIMED_OUT = "timed_out"  # no answer in the time that it was given
+    CANCELLED = "cancelled"  # called off by the balancer
+    NO_SOCKET = "no_socket"  # nothing was dialled, for want of a descriptor
+    NEVER_STARTED = "never_started"  # the exchange was over, or the instance is not known
+    FAULT = "fault"  # an exception of our own; it may have run
 
     @property
     def status(self) -> Status:
@@ -105,8 +105,9 @@
     body: bytes = b""
     flow: Flow | None = None
 
-    def __init__(self, method: bytes, target: bytes, head: bytes = b"", body: bytes = b"",
-                 flow: Flow | None = None) -> None:
+    def __init__(
+        self, method: bytes, target: bytes, head: bytes = b"", body: bytes = b"", flow: Flow | None = None
+    ) -> None:
         self.method, self.target, self.head, self.body, self.flow = method, target, head, body, flow
 
 
@@ -119,8 +120,16 @@
 
     __slots__ = ("ending", "left_us", "message", "number", "request", "server", "started_us", "until_us")
 
-    def __init__(self, request: int, message: Message, number: int, server: ServerId, started_us: int,
-                 until_us: int, left_us: int = 0) -> None:
+    def __init__(
+        self,
+        request: int,
+        message: Message,
+        number: int,
+        server: ServerId,
+        started_us: int,
+        until_us: int,
+        left_us: int = 0,
+    ) -> None:
         """`left_us`: how long its answer will be waited for, from the request's last byte on."""
         self.left_us = left_us or until_us - started_us
         self.request, self.message, self.number, self.server = request, message, number, server
@@ -136,11 +145,37 @@
     `on_answer` is called once, with the final answer, within the engine's turn; not if the client has gone.
     """
 
-    __slots__ = ("answer", "came_us", "class_index", "coming", "executions", "gone", "guard", "id",
-                 "is_retry", "key", "left_us", "message", "on_answer", "tenant", "until_us", "work_us")
-
-    def __init__(self, message: Message, class_index: int, tenant: int, key: int, left_us: int, work_us: int,
-                 is_retry: bool, on_answer: Callable[[Exchange, Answer], None], came_us: int = 0) -> None:
+    __slots__ = (
+        "answer",
+        "came_us",
+        "class_index",
+        "coming",
+        "executions",
+        "gone",
+        "guard",
+        "id",
+        "is_retry",
+        "key",
+        "left_us",
+        "message",
+        "on_answer",
+        "tenant",
+        "until_us",
+        "work_us",
+    )
+
+    def __init__(
+        self,
+        message: Message,
+        class_index: int,
+        tenant: int,
+        key: int,
+        left_us: int,
+        work_us: int,
+        is_retry: bool,
+        on_answer: Callable[[Exchange, Answer], None],
+        came_us: int = 0,
+    ) -> None:
         self.message, self.class_index, self.tenant, self.key = message, class_index, tenant, key
         self.left_us, self.work_us, self.is_retry = left_us, work_us, is_retry
         self.on_answer, self.came_us = on_answer, came_us
@@ -149,7 +184,7 @@
         self.executions: list[Execution] = []
         self.guard: Timer | None = None
         self.answer: Answer | None = None
-        self.gone = False                  # the client, before it had an answer
+        self.gone = False  # the client, before it had an answer
 
     @property
     def closed(self) -> bool:
