--- a/roadlb/fleet/checks.py
+++ b/roadlb/fleet/checks.py
@@ -11,15 +11,15 @@
 
 from .model import Cluster, Endpoint, Health, Lifecycle, NodeId, Picture
 
-NAMES_MOST = 5      # a text names so many nodes and counts the others: it must fit a log line
+NAMES_MOST = 5  # a text names so many nodes and counts the others: it must fit a log line
 
 
 class Severity(IntEnum):
     """How bad a finding is by itself; what is done about it is the guard's matter."""
 
-    NOTE = 1        # may well be meant
-    WARNING = 2     # somebody should look
-    GRAVE = 3       # acting on it can lose work
+    NOTE = 1  # may well be meant
+    WARNING = 2  # somebody should look
+    GRAVE = 3  # acting on it can lose work
 
 
 class Check(Enum):
@@ -90,8 +90,13 @@
 def check_cluster(cluster: Cluster, name: str | None = None) -> Iterator[Finding]:
     """Findings on one cluster; `name` is the one under which the picture holds it."""
     if name is not None and name != cluster.name:
-        yield Finding(Check.CLUSTER_MISNAMED, Severity.GRAVE, name, (),
-                      f"cluster {name!r} calls itself {cluster.name!r}: give it one name")
+        yield Finding(
+            Check.CLUSTER_MISNAMED,
+            Severity.GRAVE,
+            name,
+            (),
+            f"cluster {name!r} calls itself {cluster.name!r}: give it one name",
+        )
     yield from _whole(cluster)
     yield from _each(cluster)
     yield from _identities(cluster)
@@ -100,22 +105,43 @@
 def _whole(cluster: Cluster) -> Iterator[Finding]:
     live = [e for e in cluster.endpoints if e.lifecycle is not Lifecycle.REMOVED]
     if not live:
-        yield Finding(Check.CLUSTER_EMPTY, Severity.WARNING, cluster.name, (),
-                      f"cluster {cluster.name!r} has no endpoint: all its requests will fail")
+        yield Finding(
+            Check.CLUSTER_EMPTY,
+            Severity.WARNING,
+            cluster.name,
+            (),
+            f"cluster {cluster.name!r} has no endpoint: all its requests will fail",
+        )
     elif not any(e.lifecycle is Lifecycle.UP and e.weight > 0 for e in live):
-        yield Finding(Check.CLUSTER_CLOSED, Severity.GRAVE, cluster.name, tuple(e.node for e in live),
-                      f"cluster {cluster.name!r}: none of {len(live)} endpoints is up and has a weight")
+        yield Finding(
+            Check.CLUSTER_CLOSED,
+            Severity.GRAVE,
+            cluster.name,
+            tuple(e.node for e in live),
+            f"cluster {cluster.name!r}: none of {len(live)} endpoints is up and has a weight",
+        )
     priorities = {e.priority for e in live}
     if priorities and min(priorities) >= 0 and len(priorities) != max(priorities) + 1:
         absent = min(set(range(max(priorities))) - priorities)
-        yield Finding(Check.PRIORITY_GAP, Severity.WARNING, cluster.name, (),
-                      f"cluster {cluster.name!r}: no endpoint of priority {absent}, but of "
-                      f"{max(priorities)}: gRPC's client refuses such a list; leave no gap", absent)
+        yield Finding(
+            Check.PRIORITY_GAP,
+            Severity.WARNING,
+            cluster.name,
+            (),
+            f"cluster {cluster.name!r}: no endpoint of priority {absent}, but of "
+            f"{max(priorities)}: gRPC's client refuses such a list; leave no gap",
+            absent,
+        )
     for drop in cluster.drops:
         if not drop.category or not 0 <= drop.millionths <= 1_000_000:
-            yield Finding(Check.DROPS_BAD, Severity.WARNING, cluster.name, (),
-                          f"cluster {cluster.name!r}: drops {drop.millionths} millionths for "
-                          f"{drop.category!r}: give a category and 0 to 1000000")
+            yield Finding(
+                Check.DROPS_BAD,
+                Severity.WARNING,
+                cluster.name,
+                (),
+                f"cluster {cluster.name!r}: drops {drop.millionths} millionths for "
+                f"{drop.category!r}: give a category and 0 to 1000000",
+            )
 
 
 def _weight(e: Endpoint) -> bool:
@@ -129,18 +155,42 @@
 
 # Of each endpoint by itself: what is wrong, how bad it is, when, and what to say.
 EACH: tuple[tuple[Check, Severity, Callable[[Endpoint], bool], Callable[[Endpoint], str]], ...] = (
-    (Check.NAME_EMPTY, Severity.GRAVE, lambda e: not e.node.name,
-     lambda e: f"an endpoint at {e.host}:{e.port} has no id: drains and restarts cannot be followed"),
-    (Check.WEIGHT_BAD, Severity.GRAVE, _weight,
-     lambda e: f"weight {e.weight!r}: must be a finite number >= 0"),
-    (Check.ADDRESS_BAD, Severity.GRAVE, _address,
-     lambda e: f"address {e.host!r}, port {e.port}: not host:port"),
-    (Check.PRIORITY_BAD, Severity.GRAVE, lambda e: not 0 <= e.priority <= 128,
-     lambda e: f"priority {e.priority}: xDS has 0 to 128"),
-    (Check.LIFECYCLE_UNKNOWN, Severity.GRAVE, lambda e: not isinstance(e.lifecycle, Lifecycle),
-     lambda e: f"lifecycle {e.lifecycle!r}: must be up, draining or removed"),
-    (Check.HEALTH_UNKNOWN, Severity.WARNING, lambda e: not isinstance(e.health, Health),
-     lambda e: f"health {e.health!r}: not one that xDS has"),
+    (
+        Check.NAME_EMPTY,
+        Severity.GRAVE,
+        lambda e: not e.node.name,
+        lambda e: f"an endpoint at {e.host}:{e.port} has no id: drains and restarts cannot be followed",
+    ),
+    (
+        Check.WEIGHT_BAD,
+        Severity.GRAVE,
+        _weight,
+        lambda e: f"weight {e.weight!r}: must be a finite number >= 0",
+    ),
+    (
+        Check.ADDRESS_BAD,
+        Severity.GRAVE,
+        _address,
+        lambda e: f"address {e.host!r}, port {e.port}: not host:port",
+    ),
+    (
+        Check.PRIORITY_BAD,
+        Severity.GRAVE,
+        lambda e: not 0 <= e.priority <= 128,
+        lambda e: f"priority {e.priority}: xDS has 0 to 128",
+    ),
+    (
+        Check.LIFECYCLE_UNKNOWN,
+        Severity.GRAVE,
+        lambda e: not isinstance(e.lifecycle, Lifecycle),
+        lambda e: f"lifecycle {e.lifecycle!r}: must be up, draining or removed",
+    ),
+    (
+        Check.HEALTH_UNKNOWN,
+        Severity.WARNING,
+        lambda e: not isinstance(e.health, Health),
+        lambda e: f"health {e.health!r}: not one that xDS has",
+    ),
 )
 
 
@@ -149,8 +199,14 @@
         bad = [endpoint for endpoint in cluster.endpoints if wrong(endpoint)]
         if bad:
             nodes = tuple(endpoint.node for endpoint in bad)
-            yield Finding(check, severity, cluster.name, nodes,
-                          f"cluster {cluster.name!r}, {named(nodes)}: {text(bad[0])}", len(bad))
+            yield Finding(
+                check,
+                severity,
+                cluster.name,
+                nodes,
+                f"cluster {cluster.name!r}, {named(nodes)}: {text(bad[0])}",
+                len(bad),
+            )
 
 
 def _identities(cluster: Cluster) -> Iterator[Finding]:
@@ -166,9 +222,15 @@
     for (host, port), ids in by_place.items():
         if len(ids) > 1:
             nodes = tuple(ids.values())
-            yield Finding(Check.ADDRESS_SHARED, Severity.WARNING, cluster.name, nodes,
-                          f"cluster {cluster.name!r}: {host}:{port} is the address of {named(nodes)}: "
-                          "one process would get the work of all", len(nodes))
+            yield Finding(
+                Check.ADDRESS_SHARED,
+                Severity.WARNING,
+                cluster.name,
+                nodes,
+                f"cluster {cluster.name!r}: {host}:{port} is the address of {named(nodes)}: "
+                "one process would get the work of all",
+                len(nodes),
+            )
 
 
 def _twice(cluster: str, name: str, lines: list[Endpoint]) -> Finding:
@@ -176,11 +238,29 @@
     head = f"cluster {cluster!r}: {name or '(no name)'} is told {len(lines)} times"
     if len(nodes) > 1:
         starts = ", ".join(str(node.started_ms) for node in nodes)
-        return Finding(Check.TWO_STARTS, Severity.GRAVE, cluster, nodes,
-                       f"{head}, with starts {starts}: drop the older", len(lines))
+        return Finding(
+            Check.TWO_STARTS,
+            Severity.GRAVE,
+            cluster,
+            nodes,
+            f"{head}, with starts {starts}: drop the older",
+            len(lines),
+        )
     if len({(line.health, line.lifecycle) for line in lines}) > 1:
         words = ", ".join(f"{line.lifecycle.value}/{line.health.name.lower()}" for line in lines)
-        return Finding(Check.HEALTH_CONTRADICTED, Severity.GRAVE, cluster, nodes,
-                       f"{head}, as {words}: which is true cannot be known from here", len(lines))
-    return Finding(Check.TOLD_TWICE, Severity.WARNING, cluster, nodes,
-                   f"{head}: it would get a share for each", len(lines))
+        return Finding(
+            Check.HEALTH_CONTRADICTED,
+            Severity.GRAVE,
+            cluster,
+            nodes,
+            f"{head}, as {words}: which is true cannot be known from here",
+            len(lines),
+        )
+    return Finding(
+        Check.TOLD_TWICE,
+        Severity.WARNING,
+        cluster,
+        nodes,
+        f"{head}: it would get a share for each",
+        len(lines),
+    )
--- a/roadlb/fleet/diff.py
+++ b/roadlb/fleet/diff.py
@@ -26,15 +26,16 @@
     def restarted(self) -> tuple[tuple[Endpoint, Endpoint], ...]:
         """Pairs of old and new whose node has the same name and another start."""
         old = {endpoint.node.name: endpoint for endpoint in self.removed}
-        return tuple((old[endpoint.node.name], endpoint) for endpoint in self.added
-                     if endpoint.node.name in old)
+        return tuple(
+            (old[endpoint.node.name], endpoint) for endpoint in self.added if endpoint.node.name in old
+        )
 
 
 @dataclass(frozen=True, slots=True)
 class Changes:
     """From one picture to another: whole clusters added and removed, and those that differ."""
 
-    before: int                            # generations
+    before: int  # generations
     after: int
     added: tuple[Cluster, ...] = ()
     removed: tuple[Cluster, ...] = ()
@@ -85,8 +86,9 @@
     return list(dict.fromkeys(endpoint.node for endpoint in of if endpoint.node in known))
 
 
-def _by_node(old: Iterable[Endpoint], new: Iterable[Endpoint]) -> tuple[
-        list[Endpoint], list[Endpoint], list[tuple[Endpoint, Endpoint]]]:
+def _by_node(
+    old: Iterable[Endpoint], new: Iterable[Endpoint]
+) -> tuple[list[Endpoint], list[Endpoint], list[tuple[Endpoint, Endpoint]]]:
     held: defaultdict[NodeId, list[Endpoint]] = defaultdict(list)
     for endpoint in old:
         held[endpoint.node].append(endpoint)
--- a/roadlb/fleet/guard.py
+++ b/roadlb/fleet/guard.py
@@ -37,23 +37,31 @@
 Settings: TypeAlias = Mapping[str, str]
 NO_SETTINGS: Settings = MappingProxyType({})
 
-SAMPLES = 16                 # lists kept of a window; they share what did not change
-ACCEPTED_MOST = 16           # words of operators that wait for their version
-TEXTS_MOST = 4               # findings told in one refusal; the others are counted
+SAMPLES = 16  # lists kept of a window; they share what did not change
+ACCEPTED_MOST = 16  # words of operators that wait for their version
+TEXTS_MOST = 4  # findings told in one refusal; the others are counted
 
 # Findings of `steps` that are no matter of a threshold.
-ALWAYS = frozenset({Check.GENERATION_BACK, Check.CLUSTER_GONE, Check.CLUSTER_EMPTIED, Check.START_BACK,
-                    Check.REOPENED})
-OF_MEASURE = frozenset({Check.CLUSTER_EMPTIED, Check.HALL_EMPTIED, Check.MACHINE_VANISHED,
-                        Check.CAPACITY_GONE, Check.CLUSTER_GONE})
+ALWAYS = frozenset(
+    {Check.GENERATION_BACK, Check.CLUSTER_GONE, Check.CLUSTER_EMPTIED, Check.START_BACK, Check.REOPENED}
+)
+OF_MEASURE = frozenset(
+    {
+        Check.CLUSTER_EMPTIED,
+        Check.HALL_EMPTIED,
+        Check.MACHINE_VANISHED,
+        Check.CAPACITY_GONE,
+        Check.CLUSTER_GONE,
+    }
+)
 
 
 @dataclass(slots=True, frozen=True)
 class Thresholds:
     """From where on a step is refused.  Shares are of the open weight, 0..1; a share above 1 never is."""
 
-    hall_least: int = 2                  # open endpoints of a hall that empties
-    machine_least: int = 2               # and of a machine type
+    hall_least: int = 2  # open endpoints of a hall that empties
+    machine_least: int = 2  # and of a machine type
     capacity_at_once: float = 0.5
     capacity_in_window: float = 0.6
     window_us: int = 600_000_000
@@ -61,15 +69,19 @@
     def check(self) -> None:
         """Raise ValueError, naming the setting, where a value makes no sense."""
         for name, value, least in (
-                ("hall_least", self.hall_least, 1), ("machine_least", self.machine_least, 1),
-                ("capacity_at_once", self.capacity_at_once, 0.01),
-                ("capacity_in_window", self.capacity_in_window, 0.01), ("window_us", self.window_us, 1)):
+            ("hall_least", self.hall_least, 1),
+            ("machine_least", self.machine_least, 1),
+            ("capacity_at_once", self.capacity_at_once, 0.01),
+            ("capacity_in_window", self.capacity_in_window, 0.01),
+            ("window_us", self.window_us, 1),
+        ):
             if not value >= least:
                 raise ValueError(f"{name}: {value!r} must be at least {least}")
 
 
 # Events
 
+
 @dataclass(slots=True, frozen=True)
 class Offer:
     """A version asks to be taken.  `id` is its exact name; `meant`: it carries an operator's word itself."""
@@ -100,6 +112,7 @@
 
 # Actions
 
+
 @dataclass(slots=True, frozen=True)
 class Pass:
     """May be taken.  `overruled`: what would have been refused, had an operator not accepted it; `reopened`:
@@ -126,7 +139,7 @@
 class _Fault:
     check: str
     text: str
-    final: bool = False                  # no operator's word mends it
+    final: bool = False  # no operator's word mends it
     nodes: tuple[NodeId, ...] = ()
 
 
@@ -137,15 +150,19 @@
     is wrong with settings, or nothing.  All three are looked at while an offer is judged.
     """
 
-    def __init__(self, thresholds: Thresholds, drained: Callable[[str, int], bool],
-                 settings_bad: Callable[[Settings], str] = lambda _: "",
-                 settings_fixed: Callable[[Settings], str] = lambda _: "") -> None:
+    def __init__(
+        self,
+        thresholds: Thresholds,
+        drained: Callable[[str, int], bool],
+        settings_bad: Callable[[Settings], str] = lambda _: "",
+        settings_fixed: Callable[[Settings], str] = lambda _: "",
+    ) -> None:
         thresholds.check()
         self._limits, self._drained = thresholds, drained
         self._settings_bad, self._settings_fixed = settings_bad, settings_fixed
         self._held: Picture | None = None
         self._fresh = False
-        self._window: list[tuple[int, float, Picture]] = []      # when, open weight, list; the oldest first
+        self._window: list[tuple[int, float, Picture]] = []  # when, open weight, list; the oldest first
         self._accepted: dict[str, None] = {}
 
     def handle(self, now: int, event: Event) -> list[Action]:
@@ -169,8 +186,9 @@
         if left:
             return Refuse(offer.id, tuple(dict.fromkeys(fault.check for fault in left)), _text(left))
         self._accepted.pop(offer.id, None)
-        reopened = tuple(node for fault in faults if fault.check == Check.REOPENED.value
-                         for node in fault.nodes)
+        reopened = tuple(
+            node for fault in faults if fault.check == Check.REOPENED.value for node in fault.nodes
+        )
         return Pass(offer.id, tuple(dict.fromkeys(fault.check for fault in faults)), reopened)
 
     def _of_settings(self, settings: Settings) -> Iterator[_Fault]:
@@ -186,19 +204,32 @@
             for finding in check_step(self._held, new):
                 if self._counts(finding):
                     reopened = reopened or finding.check is Check.REOPENED
-                    yield _Fault(finding.check.value, finding.text,
-                                 finding.check is Check.GENERATION_BACK, finding.nodes)
+                    yield _Fault(
+                        finding.check.value,
+                        finding.text,
+                        finding.check is Check.GENERATION_BACK,
+                        finding.nodes,
+                    )
         if not reopened:
             yield from self._of_drains(new)
         yield from self._of_window(now, new)
 
     def _of_itself(self, new: Picture) -> Iterator[_Fault]:
         """Grave findings that the list in force does not have about the same nodes."""
-        had = {(f.check, f.cluster, frozenset(f.nodes)) for f in check_picture(self._held)
-               if f.severity is Severity.GRAVE} if self._held is not None else set()
+        had = (
+            {
+                (f.check, f.cluster, frozenset(f.nodes))
+                for f in check_picture(self._held)
+                if f.severity is Severity.GRAVE
+            }
+            if self._held is not None
+            else set()
+        )
         for finding in check_picture(new):
-            if finding.severity is Severity.GRAVE and (
-                    finding.check, finding.cluster, frozenset(finding.nodes)) not in had:
+            if (
+                finding.severity is Severity.GRAVE
+                and (finding.check, finding.cluster, frozenset(finding.nodes)) not in had
+            ):
                 yield _Fault(finding.check.value, finding.text, nodes=finding.nodes)
 
     def _counts(self, finding: Finding) -> bool:
@@ -217,11 +248,16 @@
     def _of_drains(self, new: Picture) -> Iterator[_Fault]:
         """Nodes told drained before the list in force: it may have left them out meanwhile."""
         for cluster in new.clusters.values():
-            again = tuple(e.node for e in cluster.endpoints
-                          if up(e) and self._drained(e.node.name, e.node.started_ms))
+            again = tuple(
+                e.node for e in cluster.endpoints if up(e) and self._drained(e.node.name, e.node.started_ms)
+            )
             if again:
-                yield _Fault(Check.REOPENED.value, f"cluster {cluster.name!r}, {named(again)}: told drained, "
-                             "now open again without a newer start", nodes=again)
+                yield _Fault(
+                    Check.REOPENED.value,
+                    f"cluster {cluster.name!r}, {named(again)}: told drained, "
+                    "now open again without a newer start",
+                    nodes=again,
+                )
 
     def _of_window(self, now: int, new: Picture) -> Iterator[_Fault]:
         """Capacity that has gone in however many steps, against the fullest list of the window."""
@@ -231,12 +267,14 @@
             return
         at, _, fullest = max(self._window, key=lambda kept: kept[1])
         if fullest is self._held:
-            return                                   # the step itself, which has its own threshold
+            return  # the step itself, which has its own threshold
         for finding in check_step(fullest, new):
             if finding.check is Check.CAPACITY_GONE and finding.figure >= self._limits.capacity_in_window:
-                yield _Fault("capacity_drained",
-                             f"in {(now - at) / 60e6:.1f} minutes, in several steps: {finding.text}",
-                             nodes=finding.nodes)
+                yield _Fault(
+                    "capacity_drained",
+                    f"in {(now - at) / 60e6:.1f} minutes, in several steps: {finding.text}",
+                    nodes=finding.nodes,
+                )
 
     def _remember(self, now: int, picture: Picture) -> None:
         """The fullest list of each sixteenth of the window."""
@@ -248,7 +286,7 @@
                 return
             self._window.pop()
         self._window.append((now, weight, picture))
-        del self._window[:-SAMPLES - 1]
+        del self._window[: -SAMPLES - 1]
 
 
 def _sane(endpoint: Endpoint) -> bool:
--- a/roadlb/fleet/merge.py
+++ b/roadlb/fleet/merge.py
@@ -61,8 +61,11 @@
     conflicts: list[Conflict] = []
     clusters = {}
     for name in dict.fromkeys(name for source in sources for name in source.picture.clusters):
-        told = [(source.name, source.picture.clusters[name]) for source in sources
-                if name in source.picture.clusters]
+        told = [
+            (source.name, source.picture.clusters[name])
+            for source in sources
+            if name in source.picture.clusters
+        ]
         cluster = told[0][1] if len(told) == 1 else _cluster(name, told, conflicts)
         held = before.clusters.get(name) if before is not None else None
         clusters[name] = held if held is not None and held == cluster else cluster
@@ -70,34 +73,44 @@
 
 
 def _cluster(name: str, told: Sequence[tuple[str, Cluster]], conflicts: list[Conflict]) -> Cluster:
-    lines: dict[str, dict[str, list[Endpoint]]] = defaultdict(dict)      # by node, then by source
+    lines: dict[str, dict[str, list[Endpoint]]] = defaultdict(dict)  # by node, then by source
     for source, cluster in told:
         for endpoint in cluster.endpoints:
             lines[endpoint.node.name].setdefault(source, []).append(endpoint)
     endpoints: list[Endpoint] = []
     for node, by_source in lines.items():
-        endpoints += (next(iter(by_source.values())) if len(by_source) == 1
-                      else _node(name, node, by_source, conflicts))
+        endpoints += (
+            next(iter(by_source.values())) if len(by_source) == 1 else _node(name, node, by_source, conflicts)
+        )
     groups = {group_key(group): group for _, cluster in reversed(told) for group in cluster.groups}
     ordered = dict.fromkeys(group_key(group) for _, cluster in told for group in cluster.groups)
     return Cluster(
-        name, tuple(endpoints), tuple(groups[key] for key in ordered),
+        name,
+        tuple(endpoints),
+        tuple(groups[key] for key in ordered),
         next((cluster.drops for _, cluster in told if cluster.drops), ()),
-        next((cluster.origin for _, cluster in told if cluster.origin is not None), None))
+        next((cluster.origin for _, cluster in told if cluster.origin is not None), None),
+    )
 
 
-def _node(cluster: str, node: str, said: Mapping[str, list[Endpoint]], conflicts: list[Conflict]
-          ) -> list[Endpoint]:
+def _node(
+    cluster: str, node: str, said: Mapping[str, list[Endpoint]], conflicts: list[Conflict]
+) -> list[Endpoint]:
     """The lines about one node that several sources tell."""
     starts = {source: max(line.node.started_ms for line in lines) for source, lines in said.items()}
     newest = max(starts.values())
     chosen = next(source for source, start in starts.items() if start == newest)
     if len(set(starts.values())) > 1:
         conflicts.append(Conflict(cluster, node, "started_ms", tuple(starts.items()), chosen))
-    same = {source: [line for line in lines if line.node.started_ms == newest]
-            for source, lines in said.items() if starts[source] == newest}
-    furthest = {source: max((line.lifecycle for line in lines), key=COURSE.__getitem__)
-                for source, lines in same.items()}
+    same = {
+        source: [line for line in lines if line.node.started_ms == newest]
+        for source, lines in said.items()
+        if starts[source] == newest
+    }
+    furthest = {
+        source: max((line.lifecycle for line in lines), key=COURSE.__getitem__)
+        for source, lines in same.items()
+    }
     word = max(furthest.values(), key=COURSE.__getitem__)
     for about in CONTRADICTED:
         values: dict[str, object] = {source: getattr(lines[0], about) for source, lines in same.items()}
@@ -107,5 +120,7 @@
             by = next(source for source, value in furthest.items() if value is word)
         if len(set(values.values())) > 1:
             conflicts.append(Conflict(cluster, node, about, tuple(values.items()), by))
-    return [line if COURSE[line.lifecycle] >= COURSE[word] else replace(line, lifecycle=word)
-            for line in same[chosen]]
+    return [
+        line if COURSE[line.lifecycle] >= COURSE[word] else replace(line, lifecycle=word)
+        for line in same[chosen]
+    ]
--- a/roadlb/fleet/model.py
+++ b/roadlb/fleet/model.py
@@ -24,7 +24,7 @@
     """What discovery says of a node's process."""
 
     UP = "up"
-    DRAINING = "draining"      # finishes what it has, wants nothing new
+    DRAINING = "draining"  # finishes what it has, wants nothing new
     REMOVED = "removed"
 
 
@@ -39,7 +39,7 @@
     DEGRADED = 5
 
 
-OPEN = frozenset({Health.UNKNOWN, Health.HEALTHY, Health.DEGRADED})      # may be sent new work
+OPEN = frozenset({Health.UNKNOWN, Health.HEALTHY, Health.DEGRADED})  # may be sent new work
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -165,8 +165,12 @@
     last, members = None, list[Endpoint]()
     for endpoint in cluster.endpoints:
         # Neighbours mostly share one group and one object for it: of 10,000 endpoints that saves 8 of 9 ms.
-        if (last is None or endpoint.locality is not last.locality or endpoint.priority != last.priority
-                or endpoint.part != last.part):
+        if (
+            last is None
+            or endpoint.locality is not last.locality
+            or endpoint.priority != last.priority
+            or endpoint.part != last.part
+        ):
             last, members = endpoint, found.setdefault(group_key(endpoint), [])
         members.append(endpoint)
     return found
--- a/roadlb/fleet/platform.py
+++ b/roadlb/fleet/platform.py
@@ -17,7 +17,8 @@
 
 EXTRA = "roadlb.platform"
 KNOWN = frozenset(
-    ("instanceId", "hostPort", "zone", "machineType", "cell", "lifecycle", "weight", "startedAtMs"))
+    ("instanceId", "hostPort", "zone", "machineType", "cell", "lifecycle", "weight", "startedAtMs")
+)
 LIFECYCLES = {lifecycle.value: lifecycle for lifecycle in Lifecycle}
 
 
@@ -45,8 +46,9 @@
         raise MalformedList(f"reset: {reset!r} must be true or false")
     if not isinstance(entries, list):
         raise MalformedList(f"instances: {entries!r:.80} must be a list")
-    return Line(generation, reset, tuple(
-        read_instance(entry, f"instances[{i}]") for i, entry in enumerate(entries)))
+    return Line(
+        generation, reset, tuple(read_instance(entry, f"instances[{i}]") for i, entry in enumerate(entries))
+    )
 
 
 def read_instance(entry: object, key: str = "instance") -> Endpoint:
@@ -58,7 +60,8 @@
         raise MalformedList(f"{key}.instanceId: {name!r} must be a name")
     if lifecycle is None:
         raise MalformedList(
-            f"{key}.lifecycle: {entry.get('lifecycle')!r} must be one of {', '.join(LIFECYCLES)}")
+            f"{key}.lifecycle: {entry.get('lifecycle')!r} must be one of {', '.join(LIFECYCLES)}"
+        )
     started = _whole(entry, "startedAtMs", key)
     weight = entry.get("weight", 1.0)
     if not isinstance(weight, int | float) or not math.isfinite(weight):
@@ -68,9 +71,16 @@
         host, port = read_host_port(entry.get("hostPort"), f"{key}.hostPort")
     extra = {str(k): plain(v) for k, v in entry.items() if k not in KNOWN}
     return Endpoint(
-        NodeId(name, max(0, started)), host, port, hall(_text(entry, "zone", key)), lifecycle,
-        weight=float(weight), machine=_text(entry, "machineType", key), cell=_whole(entry, "cell", key),
-        metadata=MappingProxyType({EXTRA: MappingProxyType(extra)}) if extra else NO_METADATA)
+        NodeId(name, max(0, started)),
+        host,
+        port,
+        hall(_text(entry, "zone", key)),
+        lifecycle,
+        weight=float(weight),
+        machine=_text(entry, "machineType", key),
+        cell=_whole(entry, "cell", key),
+        metadata=MappingProxyType({EXTRA: MappingProxyType(extra)}) if extra else NO_METADATA,
+    )
 
 
 @lru_cache(maxsize=1024)
@@ -161,17 +171,28 @@
     entry: dict[str, object] = {"instanceId": endpoint.node.name}
     if endpoint.host:
         entry["hostPort"] = write_host_port(endpoint.host, endpoint.port)
-    entry |= {"zone": endpoint.locality.zone, "machineType": endpoint.machine, "cell": endpoint.cell,
-              "lifecycle": endpoint.lifecycle.value, "weight": endpoint.weight,
-              "startedAtMs": endpoint.node.started_ms}
+    entry |= {
+        "zone": endpoint.locality.zone,
+        "machineType": endpoint.machine,
+        "cell": endpoint.cell,
+        "lifecycle": endpoint.lifecycle.value,
+        "weight": endpoint.weight,
+        "startedAtMs": endpoint.node.started_ms,
+    }
     return entry | {key: json_of(value) for key, value in endpoint.metadata.get(EXTRA, {}).items()}
 
 
 def write_whole(cluster: Cluster, generation: int) -> dict[str, object]:
     """The whole list.  Entries that are removed are left out, as only changes tell them."""
-    return {"generation": generation, "reset": True,
-            "instances": [write_instance(endpoint) for endpoint in cluster.endpoints
-                          if endpoint.lifecycle is not Lifecycle.REMOVED]}
+    return {
+        "generation": generation,
+        "reset": True,
+        "instances": [
+            write_instance(endpoint)
+            for endpoint in cluster.endpoints
+            if endpoint.lifecycle is not Lifecycle.REMOVED
+        ],
+    }
 
 
 def write_delta(change: ClusterChange, generation: int) -> dict[str, object]:
@@ -179,6 +200,11 @@
     told = [*change.added, *(new for _, new in change.changed)]
     names = {endpoint.node.name for endpoint in told}
     gone = dict.fromkeys(e.node.name for e in change.removed if e.node.name not in names)
-    return {"generation": generation, "reset": False, "instances": [
-        *({"instanceId": name, "lifecycle": Lifecycle.REMOVED.value} for name in gone),
-        *(write_instance(endpoint) for endpoint in told)]}
+    return {
+        "generation": generation,
+        "reset": False,
+        "instances": [
+            *({"instanceId": name, "lifecycle": Lifecycle.REMOVED.value} for name in gone),
+            *(write_instance(endpoint) for endpoint in told),
+        ],
+    }
--- a/roadlb/fleet/traffic.py
+++ b/roadlb/fleet/traffic.py
@@ -20,7 +20,7 @@
     pending: int | None = None
     requests: int | None = None
     retries: int | None = None
-    retry_percent: float | None = None     # of the requests open
+    retry_percent: float | None = None  # of the requests open
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +43,7 @@
     panic_percent: float | None = None
     locality_weights: bool = False
     reports: bool = False
-    endpoints: Cluster | None = None       # told with the cluster itself
+    endpoints: Cluster | None = None  # told with the cluster itself
     origin: bytes | None = field(default=None, repr=False)
 
 
@@ -56,7 +56,7 @@
     try_timeout_us: int | None = None
     back_off_us: int | None = None
     headers: tuple[tuple[str, str], ...] = ()
-    elsewhere: bool = False                # not to a node tried already
+    elsewhere: bool = False  # not to a node tried already
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +74,7 @@
     clusters: tuple[tuple[str, int], ...] = ()
     timeout_us: int | None = None
     retry: Retry | None = None
-    hedge: bool = False                    # a second copy when a try takes too long
+    hedge: bool = False  # a second copy when a try takes too long
     origin: bytes | None = field(default=None, repr=False)
 
 
--- a/roadlb/following/following.py
+++ b/roadlb/following/following.py
@@ -59,12 +59,12 @@
 
 logger = logging.getLogger(__name__)
 
-SILENCE_US = 3_000_000       # at the least, before a stream on which nothing comes is opened again
-PULSES = 10                  # in a lease
-FRESH_MS = 3_600_000         # a stored list of this age is no measure of how much capacity may go
-RETRY_S = 1.0                # after a write that failed
-CHANGES_TOLD = 12            # in one line of the log
-REOPENED_MOST = 16           # versions of which it is known what they were meant to reopen
+SILENCE_US = 3_000_000  # at the least, before a stream on which nothing comes is opened again
+PULSES = 10  # in a lease
+FRESH_MS = 3_600_000  # a stored list of this age is no measure of how much capacity may go
+RETRY_S = 1.0  # after a write that failed
+CHANGES_TOLD = 12  # in one line of the log
+REOPENED_MOST = 16  # versions of which it is known what they were meant to reopen
 
 
 class Lock(Protocol):
@@ -84,10 +84,22 @@
     balancer still runs it is not, and this process is a follower by another name that keeps nothing.
     """
 
-    def __init__(self, told: Agreement, name: str, seed: int, clock: Clock, wall: Clock, counters: Counters,
-                 lead: Callable[[Mapping[str, object], bool], None], tell: Callable[[ModuleHeard], None],
-                 lapse_at: Callable[[int], None], dial: Dial, disk: Disk | None,
-                 lock: Lock | None = None, rule: Callable[[Settings], None] = lambda settings: None) -> None:
+    def __init__(
+        self,
+        told: Agreement,
+        name: str,
+        seed: int,
+        clock: Clock,
+        wall: Clock,
+        counters: Counters,
+        lead: Callable[[Mapping[str, object], bool], None],
+        tell: Callable[[ModuleHeard], None],
+        lapse_at: Callable[[int], None],
+        dial: Dial,
+        disk: Disk | None,
+        lock: Lock | None = None,
+        rule: Callable[[Settings], None] = lambda settings: None,
+    ) -> None:
         """ConfigError where a bound cannot be kept, or a floor not be held."""
         self.timing = timing_of(told)
         self.counters, self._clock, self._wall = counters, clock, wall
@@ -95,7 +107,7 @@
         self._running, self._lists, self._twins = Running(told.settings), Lists(), 1
         if wrong := self._running.bad_floors(told.floors):
             raise ConfigError(f"agreement.floors: {wrong}")
-        self._rule, self._texts = rule, dict[str, str]()      # the latter: what holds by versions
+        self._rule, self._texts = rule, dict[str, str]()  # the latter: what holds by versions
         self.follower = Follower(self.timing, told.floors)
         self._guard = Guard(thresholds_of(told), self.drained, self._running.bad, self._running.fixed)
         self._store = Store(disk, name, counters) if disk is not None else None
@@ -104,12 +116,19 @@
         self._life = int.from_bytes(os.urandom(6), "big") or 1
         alone = self._claimed or disk is None
         self._connection = Connection(
-            name if alone else f"{name}+{self._life:x}", tuple(map(str, told.control)), dial, seed,
-            max(SILENCE_US, self.timing.lease_us), clock, counters, self._hears,
-            lambda: self._decide(Linked()))
+            name if alone else f"{name}+{self._life:x}",
+            tuple(map(str, told.control)),
+            dial,
+            seed,
+            max(SILENCE_US, self.timing.lease_us),
+            clock,
+            counters,
+            self._hears,
+            lambda: self._decide(Linked()),
+        )
         self._reopened: dict[VersionId, tuple[NodeId, ...]] = {}
         self._heard: ModuleHeard | None = None
-        self._old = True                     # nothing was granted since the start
+        self._old = True  # nothing was granted since the start
         self._waiting: list[tuple[Change, list[Remember]]] = []
         self._due = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
@@ -137,11 +156,16 @@
             fresh = 0 <= age_ms <= FRESH_MS
             held = memory.told.contents if memory.told.id == memory.force else memory.bound
             self._guard.handle(self._clock(), Took(_picture(memory.force, held or Contents()), fresh))
-            logger.info("remembered", extra=fields(
-                version=memory.told.id, in_force=memory.force, epoch=memory.epoch, fresh=fresh))
+            logger.info(
+                "remembered",
+                extra=fields(version=memory.told.id, in_force=memory.force, epoch=memory.epoch, fresh=fresh),
+            )
         self._decide(Restarted(self._life, memory))
-        self._tasks = [asyncio.create_task(self._connection.run()), asyncio.create_task(self._pulse()),
-                       asyncio.create_task(self._write())]
+        self._tasks = [
+            asyncio.create_task(self._connection.run()),
+            asyncio.create_task(self._pulse()),
+            asyncio.create_task(self._write()),
+        ]
 
     async def stop(self) -> None:
         for task in self._tasks:
@@ -168,10 +192,16 @@
     def gauges(self) -> dict[str, int]:
         """Under the names that operators see."""
         view = self.view()
-        return {"follow.standing": list(Standing).index(view.standing), "follow.epoch": view.epoch,
-                "follow.version": view.told.number, "follow.in_force": view.force.number,
-                "follow.lease_ms": view.left_us // 1000, "follow.drains": len(self._state.drains),
-                "follow.bytes_in": self._connection.bytes_in, "follow.bytes_out": self._connection.bytes_out}
+        return {
+            "follow.standing": list(Standing).index(view.standing),
+            "follow.epoch": view.epoch,
+            "follow.version": view.told.number,
+            "follow.in_force": view.force.number,
+            "follow.lease_ms": view.left_us // 1000,
+            "follow.drains": len(self._state.drains),
+            "follow.bytes_in": self._connection.bytes_in,
+            "follow.bytes_out": self._connection.bytes_out,
+        }
 
     @property
     def control(self) -> str:
@@ -204,7 +234,7 @@
         actions = self.follower.handle(self._clock(), Offered(message, refusal))
         self._perform(actions)
         told = self.follower.told
-        waits = told is not None and told.id == version.id       # for the disk, and is acknowledged then
+        waits = told is not None and told.id == version.id  # for the disk, and is acknowledged then
         if not waits and not any(isinstance(action, Tell) for action in actions):
             self._connection.nothing(version.id)
 
@@ -213,8 +243,12 @@
         version = prepare.version
         if self._cluster not in version.contents.clusters:
             return f"cluster_missing: there is no cluster {self._cluster!r}, which agreement.cluster names"
-        offer = Offer(str(version.id), _picture(version.id, version.contents), version.contents.settings,
-                      bool(version.meant))
+        offer = Offer(
+            str(version.id),
+            _picture(version.id, version.contents),
+            version.contents.settings,
+            bool(version.meant),
+        )
         [verdict] = self._guard.handle(self._clock(), offer)
         if isinstance(verdict, Refuse):
             for check in verdict.checks:
@@ -222,8 +256,10 @@
             return verdict.text
         assert isinstance(verdict, Pass)
         if verdict.overruled:
-            logger.warning("version meant", extra=fields(
-                version=version.id, checks=" ".join(verdict.overruled), word=version.meant))
+            logger.warning(
+                "version meant",
+                extra=fields(version=version.id, checks=" ".join(verdict.overruled), word=version.meant),
+            )
         self._reopened[version.id] = verdict.reopened
         while len(self._reopened) > REOPENED_MOST:
             del self._reopened[next(iter(self._reopened))]
@@ -247,8 +283,7 @@
 
     def _report(self, action: Reported) -> None:
         self.counters.add(f"follow.{action.word.value.replace(' ', '_')}")
-        logger.info("agreement", extra=fields(
-            word=action.word.value, version=action.id, text=action.text))
+        logger.info("agreement", extra=fields(word=action.word.value, version=action.id, text=action.text))
         if action.word.value == "refused":
             check = action.text.partition(":")[0]
             now_ms = self._wall() // 1000
@@ -280,8 +315,12 @@
             settings = self._running.rules(used)
             if differ := self._running.differ(before, used):
                 self.counters.add("follow.settings")
-                logger.info("settings", extra=fields(
-                    changed=" ".join(differ[:CHANGES_TOLD]), more=max(0, len(differ) - CHANGES_TOLD)))
+                logger.info(
+                    "settings",
+                    extra=fields(
+                        changed=" ".join(differ[:CHANGES_TOLD]), more=max(0, len(differ) - CHANGES_TOLD)
+                    ),
+                )
                 self._rule(settings)
         heard = self._running.heard(used, self._twins)
         known = self._heard if self._heard is not None else self._running.heard({}, self._twins)
@@ -368,8 +407,9 @@
     return Picture(id.epoch << 64 | id.number, contents.clusters)
 
 
-def _drains(cluster: Cluster, state: State, meant: set[str], now_ms: int, told: dict[str, Drain],
-            lifted: list[str]) -> None:
+def _drains(
+    cluster: Cluster, state: State, meant: set[str], now_ms: int, told: dict[str, Drain], lifted: list[str]
+) -> None:
     """Drains that this list tells and that are not known; those that it ends."""
     for endpoint in cluster.endpoints:
         name, started = endpoint.node.name, endpoint.node.started_ms
--- a/roadlb/following/keys.py
+++ b/roadlb/following/keys.py
@@ -28,10 +28,12 @@
         if name in values:
             given[name] = values.pop(name)
     for name in values:
-        raise ConfigError(f"agreement.guard.{name}: is not known; there are hall_least, machine_least, "
-                          "capacity_at_once, capacity_in_window, window_s")
+        raise ConfigError(
+            f"agreement.guard.{name}: is not known; there are hall_least, machine_least, "
+            "capacity_at_once, capacity_in_window, window_s"
+        )
     try:
-        made = Thresholds(**given)           # type: ignore[arg-type]
+        made = Thresholds(**given)  # type: ignore[arg-type]
         made.check()
     except ValueError as e:
         raise ConfigError(f"agreement.guard.{e}") from None
--- a/roadlb/following/memory.py
+++ b/roadlb/following/memory.py
@@ -29,7 +29,9 @@
         """`id` tells this one from any other."""
         told, resources = memory.told, dict[str, bytes]()
         head: dict[str, object] = {
-            "force": _plain(memory.force), "passed": [_plain(one) for one in memory.passed]}
+            "force": _plain(memory.force),
+            "passed": [_plain(one) for one in memory.passed],
+        }
         if told is not None:
             head |= {"told": _plain(told.id), "meant": told.meant}
             parts = self._told.write(told.contents)
--- a/roadlb/following/settings.py
+++ b/roadlb/following/settings.py
@@ -88,17 +88,23 @@
     def __init__(self, file: Texts) -> None:
         """`file`: the module's settings by path, as `config.Pairs` has them."""
         self._file = file
-        self._quotas = {path: float(text) for path, text in file.items()
-                        if path.startswith("tenants.") and path.endswith(QUOTA)}
-        self._said: dict[str, str] = {}          # of followed keys, by the version in use
+        self._quotas = {
+            path: float(text)
+            for path, text in file.items()
+            if path.startswith("tenants.") and path.endswith(QUOTA)
+        }
+        self._said: dict[str, str] = {}  # of followed keys, by the version in use
         self._made: tuple[dict[str, str], Settings] | None = None
 
     def bad(self, settings: Texts) -> str:
         """Why these settings could not be started with either; empty if they could."""
         told = {path: text for path, text in settings.items() if not own(path)}
         for path, text in told.items():
-            if followed(path) and not alike(text, self._file.get(path)) and (
-                    said := out_of_range(path, text)):
+            if (
+                followed(path)
+                and not alike(text, self._file.get(path))
+                and (said := out_of_range(path, text))
+            ):
                 return said
         try:
             read_settings(Pairs(_over(self._file, told), "settings"))
@@ -122,13 +128,17 @@
             if path in self._quotas:
                 if self._quotas[path] > 0 or float(text) == 0:
                     continue
-            return (f"{path}: {text!r}, while this balancer runs with {held!r}, which it cannot change "
-                    "before a restart: restart all with a file that says so, then propose it")
+            return (
+                f"{path}: {text!r}, while this balancer runs with {held!r}, which it cannot change "
+                "before a restart: restart all with a file that says so, then propose it"
+            )
         for path, held in self._said.items():
             line = line_of(path)
             if path not in settings and line is not None and not line.free:
-                return (f"{path}: is left out, after a version that says {held!r}: the file of each balancer "
-                        "would count again; say what is to hold")
+                return (
+                    f"{path}: is left out, after a version that says {held!r}: the file of each balancer "
+                    "would count again; say what is to hold"
+                )
         return ""
 
     def rules(self, settings: Texts) -> Settings:
@@ -141,8 +151,10 @@
 
     def differ(self, before: Texts, after: Texts) -> list[str]:
         """Followed keys that hold another value after than before, with that value."""
-        a, b = (_over(self._file, {path: text for path, text in texts.items() if followed(path)})
-                for texts in (before, after))
+        a, b = (
+            _over(self._file, {path: text for path, text in texts.items() if followed(path)})
+            for texts in (before, after)
+        )
         return [f"{path}={b.get(path, '')}" for path in dict.fromkeys((*a, *b)) if a.get(path) != b.get(path)]
 
     def heard(self, settings: Texts, twins: int) -> Heard:
--- a/roadlb/issuing/archive.py
+++ b/roadlb/issuing/archive.py
@@ -23,8 +23,8 @@
 from .history import ANSWERS, HISTORY, ORDERS, Line, Order, line_key, read_line, write_order
 from .keys import Keys
 
-ORDER_TTL_S = 60             # an order that nobody has carried out by then is gone
-LOOK_S = 0.05                # between two looks for an answer
+ORDER_TTL_S = 60  # an order that nobody has carried out by then is gone
+LOOK_S = 0.05  # between two looks for an answer
 
 
 class ArchiveError(Exception):
@@ -39,7 +39,7 @@
     holder: Mapping[str, str]
     force: Version | None
     prepared: Version | None
-    lines: tuple[Line, ...]                  # from the oldest on
+    lines: tuple[Line, ...]  # from the oldest on
 
 
 class Archive:
@@ -61,10 +61,16 @@
             holder = json.loads(seat.value) if seat is not None else {}
         except ValueError:
             holder = {}
-        lines = (read_line(name, pair.value) for name, pair in sorted(pairs.items())
-                 if name.startswith(HISTORY))
-        return Seen(got.revision, holder, self._version(pairs.get("force")),
-                    self._version(pairs.get("prepared")), tuple(line for line in lines if line is not None))
+        lines = (
+            read_line(name, pair.value) for name, pair in sorted(pairs.items()) if name.startswith(HISTORY)
+        )
+        return Seen(
+            got.revision,
+            holder,
+            self._version(pairs.get("force")),
+            self._version(pairs.get("prepared")),
+            tuple(line for line in lines if line is not None),
+        )
 
     def find(self, seen: Seen, name: str) -> Version:
         """A version by `force`, `prepared`, its `epoch.number`, or its line in the history as `#LINE`."""
@@ -91,8 +97,10 @@
                     await asyncio.sleep(LOOK_S)
             return found[0].value.decode(errors="replace")
         except TimeoutError:
-            raise ArchiveError(f"no leader has carried it out in {wait_s:g} s, and none will: ask "
-                               "`roadlb agreement status` who leads") from None
+            raise ArchiveError(
+                f"no leader has carried it out in {wait_s:g} s, and none will: ask "
+                "`roadlb agreement status` who leads"
+            ) from None
         finally:
             await self._store.revoke(lease)
 
@@ -108,17 +116,30 @@
 
 # As JSON's own types
 
+
 def shown(version: Version) -> dict[str, Any]:
     """A version in full."""
     return {
-        "version": str(version.id), "meant": version.meant, "settings": dict(version.contents.settings),
-        "clusters": {name: [_node(endpoint) for endpoint in cluster.endpoints]
-                     for name, cluster in version.contents.clusters.items()}}
+        "version": str(version.id),
+        "meant": version.meant,
+        "settings": dict(version.contents.settings),
+        "clusters": {
+            name: [_node(endpoint) for endpoint in cluster.endpoints]
+            for name, cluster in version.contents.clusters.items()
+        },
+    }
 
 
 def shown_line(line: Line) -> dict[str, Any]:
-    return {"line": line.number, "at_ms": line.at_ms, "word": line.word, "version": line.version,
-            "by": line.by, "text": line.text, "kept": bool(line.record)}
+    return {
+        "line": line.number,
+        "at_ms": line.at_ms,
+        "word": line.word,
+        "version": line.version,
+        "by": line.by,
+        "text": line.text,
+        "kept": bool(line.record),
+    }
 
 
 def differences(before: Contents, after: Contents) -> list[dict[str, str]]:
@@ -127,18 +148,34 @@
     kinds = {**dict.fromkeys(told.narrowing, "narrows"), **dict.fromkeys(told.granting, "grants")}
 
     def kind(*keys: str) -> str:
-        found = dict.fromkeys(kinds[key] for key in kinds if key in keys or key.startswith(
-            tuple(one + "." for one in keys)))
+        found = dict.fromkeys(
+            kinds[key] for key in kinds if key in keys or key.startswith(tuple(one + "." for one in keys))
+        )
         return " and ".join(found) or "free"
+
     old, new = before.settings, after.settings
-    rows = [{"key": path, "before": old.get(path, ""), "after": new.get(path, ""),
-             "kind": kind(path, *(s.key for s in _named(before, after, path)))}
-            for path in dict.fromkeys((*old, *new)) if old.get(path) != new.get(path)]
+    rows = [
+        {
+            "key": path,
+            "before": old.get(path, ""),
+            "after": new.get(path, ""),
+            "kind": kind(path, *(s.key for s in _named(before, after, path))),
+        }
+        for path in dict.fromkeys((*old, *new))
+        if old.get(path) != new.get(path)
+    ]
     for name in dict.fromkeys((*before.clusters, *after.clusters)):
         was, is_ = _texts(before, name), _texts(after, name)
-        rows += [{"key": f"list.{name}.{node}", "before": was.get(node, ""), "after": is_.get(node, ""),
-                  "kind": kind(f"list.{name}.{node}")}
-                 for node in dict.fromkeys((*was, *is_)) if was.get(node) != is_.get(node)]
+        rows += [
+            {
+                "key": f"list.{name}.{node}",
+                "before": was.get(node, ""),
+                "after": is_.get(node, ""),
+                "kind": kind(f"list.{name}.{node}"),
+            }
+            for node in dict.fromkeys((*was, *is_))
+            if was.get(node) != is_.get(node)
+        ]
     return rows
 
 
@@ -151,18 +188,24 @@
 def _texts(contents: Contents, cluster: str) -> dict[str, str]:
     found: dict[str, str] = {}
     for endpoint in contents.clusters[cluster].endpoints if cluster in contents.clusters else ():
-        text = ", ".join(f"{key} {value}" for key, value in _node(endpoint).items()
-                         if key != "node" and value != "")
+        text = ", ".join(
+            f"{key} {value}" for key, value in _node(endpoint).items() if key != "node" and value != ""
+        )
         name = endpoint.node.name
         found[name] = f"{found[name]}; {text}" if name in found else text
     return found
 
 
 def _node(endpoint: Endpoint) -> dict[str, Any]:
-    return {"node": endpoint.node.name, "started_ms": endpoint.node.started_ms,
-            "address": f"{endpoint.host}:{endpoint.port}", "hall": endpoint.locality.zone,
-            "lifecycle": endpoint.lifecycle.value, "health": endpoint.health.name.lower(),
-            "weight": endpoint.weight}
+    return {
+        "node": endpoint.node.name,
+        "started_ms": endpoint.node.started_ms,
+        "address": f"{endpoint.host}:{endpoint.port}",
+        "hall": endpoint.locality.zone,
+        "lifecycle": endpoint.lifecycle.value,
+        "health": endpoint.health.name.lower(),
+        "weight": endpoint.weight,
+    }
 
 
 __all__ = ["Archive", "ArchiveError", "Seen", "differences", "line_key", "shown", "shown_line"]
--- a/roadlb/issuing/books.py
+++ b/roadlb/issuing/books.py
@@ -17,7 +17,7 @@
 
 KIND = "version"
 SCHEMA = 1
-BYTES_MOST = 1_400_000           # of one value: a store as it comes takes requests of 1.5 MiB
+BYTES_MOST = 1_400_000  # of one value: a store as it comes takes requests of 1.5 MiB
 
 
 class Books:
@@ -33,8 +33,12 @@
         """CodecError if it cannot be said, or does not fit into the store."""
         parts = self._parts(version)
         said: dict[str, object] = {
-            "kind": KIND, "schema": SCHEMA, "id": [version.id.epoch, version.id.number],
-            "meant": version.meant, "names": [list(key) for key in parts]}
+            "kind": KIND,
+            "schema": SCHEMA,
+            "id": [version.id.epoch, version.id.number],
+            "meant": version.meant,
+            "names": [list(key) for key in parts],
+        }
         made = zlib.compress(pack(said, tuple(parts.values())), 1)
         if len(made) > BYTES_MOST:
             raise CodecError(f"version {version.id}: {len(made)} bytes, the store takes {BYTES_MOST}")
@@ -59,12 +63,15 @@
             resources = dict[Key, Resource]()
             for of, body in parts.items():
                 before = self._resources.get(of)
-                resources[of] = (before if before is not None and before.body == body
-                                 else Resource.make(*of, body, number))
+                resources[of] = (
+                    before if before is not None and before.body == body else Resource.make(*of, body, number)
+                )
             self._resources = resources
             told = Resource.make(STRUCT, PREPARED, write_prepared(prepare, parts), number)
-            self._offers = {**dict(list(self._offers.items())[-3:]),
-                            key: Offer(prepare.version.id, resources, told)}
+            self._offers = {
+                **dict(list(self._offers.items())[-3:]),
+                key: Offer(prepare.version.id, resources, told),
+            }
         return self._offers[key]
 
     def _parts(self, version: Version) -> Mapping[Key, bytes]:
@@ -75,8 +82,10 @@
 
 def _in_order(cluster: Cluster) -> Cluster:
     """By name: the buckets' order depends on how many there were before."""
-    return replace(cluster, endpoints=tuple(sorted(
-        cluster.endpoints, key=lambda e: (e.node, e.locality, e.priority, e.part))))
+    return replace(
+        cluster,
+        endpoints=tuple(sorted(cluster.endpoints, key=lambda e: (e.node, e.locality, e.priority, e.part))),
+    )
 
 
 def read_version_record(data: bytes, reader: PartsReader) -> Version:
@@ -89,8 +98,9 @@
             raise ValueError(f"schema {record.said['schema']!r}, this program knows {SCHEMA}: update it")
         said: dict[str, Any] = record.said
         epoch, number = said["id"]
-        parts = {(str(of), str(name)): body for (of, name), body in
-                 zip(said["names"], record.blobs, strict=True)}
+        parts = {
+            (str(of), str(name)): body for (of, name), body in zip(said["names"], record.blobs, strict=True)
+        }
         return Version(VersionId(int(epoch), int(number)), reader.contents(parts), str(said["meant"]))
     except (KeyError, TypeError, ValueError, zlib.error) as e:
         raise CodecError(f"version in the store: {e}") from None
--- a/roadlb/issuing/desk.py
+++ b/roadlb/issuing/desk.py
@@ -17,7 +17,7 @@
 
 logger = logging.getLogger(__name__)
 
-UNSENT_MOST = 256            # responses; a follower that takes none is let go, and asks again
+UNSENT_MOST = 256  # responses; a follower that takes none is let go, and asks again
 
 
 class Stream:
@@ -85,7 +85,11 @@
                     self._said(self, message)
                 case Refused(type_url, reason):
                     self.refusals += 1
-                    logger.warning("follower refuses", extra=fields(
-                        follower=self.name, type=type_url.rpartition(".")[2], reason=reason[:400]))
+                    logger.warning(
+                        "follower refuses",
+                        extra=fields(
+                            follower=self.name, type=type_url.rpartition(".")[2], reason=reason[:400]
+                        ),
+                    )
                 case End(reason):
                     self.end(reason)
--- a/roadlb/issuing/history.py
+++ b/roadlb/issuing/history.py
@@ -17,7 +17,7 @@
 
 HISTORY, ORDERS, ANSWERS = "history/", "orders/", "answers/"
 HISTORY_MOST = 64
-TEXT_MOST = 2_000            # characters of a text in a line
+TEXT_MOST = 2_000  # characters of a text in a line
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,18 +42,31 @@
 
 
 def write_line(line: Line) -> bytes:
-    return json.dumps({
-        "at_ms": line.at_ms, "word": line.word, "version": line.version, "text": line.text[:TEXT_MOST],
-        "by": line.by, "record": base64.b64encode(line.record).decode()}).encode()
+    return json.dumps(
+        {
+            "at_ms": line.at_ms,
+            "word": line.word,
+            "version": line.version,
+            "text": line.text[:TEXT_MOST],
+            "by": line.by,
+            "record": base64.b64encode(line.record).decode(),
+        }
+    ).encode()
 
 
 def read_line(key: str, value: bytes) -> Line | None:
     """None for what is no line."""
     try:
         said: dict[str, Any] = json.loads(value)
-        return Line(int(key.removeprefix(HISTORY)), int(said["at_ms"]), str(said["word"]),
-                    str(said["version"]), str(said["text"]), str(said["by"]),
-                    base64.b64decode(said["record"]))
+        return Line(
+            int(key.removeprefix(HISTORY)),
+            int(said["at_ms"]),
+            str(said["word"]),
+            str(said["version"]),
+            str(said["text"]),
+            str(said["by"]),
+            base64.b64decode(said["record"]),
+        )
     except (KeyError, TypeError, ValueError):
         return None
 
@@ -74,8 +87,13 @@
 
 
 def write_order(order: Order) -> bytes:
-    said = {"do": order.do, "why": order.why, "settings": order.settings, "line": order.line,
-            "follower": order.follower}
+    said = {
+        "do": order.do,
+        "why": order.why,
+        "settings": order.settings,
+        "line": order.line,
+        "follower": order.follower,
+    }
     return json.dumps(said).encode()
 
 
--- a/roadlb/issuing/keys.py
+++ b/roadlb/issuing/keys.py
@@ -1,11 +1,11 @@
 """The keys that control services share in the store, and questions about the seat as requests.  No I/O.
 
-    PREFIX/seat            who leads: its name; bound to its lease
-    PREFIX/era             a decimal number: see control/leading.py
-    PREFIX/force           the version in force
-    PREFIX/prepared        a newer one that is being prepared
-    PREFIX/roll            who follows: each who may have a lease is on it
-    PREFIX/history/NUMBER  versions proposed, accepted, refused: the newest HISTORY_MOST
+PREFIX/seat            who leads: its name; bound to its lease
+PREFIX/era             a decimal number: see control/leading.py
+PREFIX/force           the version in force
+PREFIX/prepared        a newer one that is being prepared
+PREFIX/roll            who follows: each who may have a lease is on it
+PREFIX/history/NUMBER  versions proposed, accepted, refused: the newest HISTORY_MOST
 """
 
 from __future__ import annotations
--- a/roadlb/issuing/ledger.py
+++ b/roadlb/issuing/ledger.py
@@ -23,23 +23,30 @@
 
 logger = logging.getLogger(__name__)
 
-LINES_WAITING = 64           # lines of history that wait for the store
+LINES_WAITING = 64  # lines of history that wait for the store
 
 
 class Ledger:
     """`told` gets `Kept` and `Unkept`, `enrolled` `RollKept`.  `book`: the newest that the store was seen to
     hold; `lines`: of the history, by key."""
 
-    def __init__(self, keys: Keys, books: Books, by: str, clock: Clock, wall: Clock,
-                 told: Callable[[Kept | Unkept, Book], None],
-                 enrolled: Callable[[RollKept], None]) -> None:
+    def __init__(
+        self,
+        keys: Keys,
+        books: Books,
+        by: str,
+        clock: Clock,
+        wall: Clock,
+        told: Callable[[Kept | Unkept, Book], None],
+        enrolled: Callable[[RollKept], None],
+    ) -> None:
         self.book, self.lines = Book(), dict[str, Line]()
-        self.kept_force = NOTHING                        # the newest in force that this service knows there
+        self.kept_force = NOTHING  # the newest in force that this service knows there
         self._keys, self._books, self._by, self._wall, self._told = keys, books, by, wall, told
         self._enrolled = enrolled
         self._keep: Keep | None = None
         self._roll: KeepRoll | None = None
-        self._waiting: list[tuple[int, Line]] = []       # with the epoch that said it
+        self._waiting: list[tuple[int, Line]] = []  # with the epoch that said it
         self._last_line = 0
         self._work = asyncio.Event()
         self._warnings = Limit(clock, 20)
@@ -60,8 +67,9 @@
                     self._last_line = max(self._last_line, line.number)
         if whole or "force" in found or "prepared" in found:
             force = self.version(found.get("force"))
-            prepared = (self.version(found.get("prepared")) if whole or "prepared" in found
-                        else self.book.prepared)
+            prepared = (
+                self.version(found.get("prepared")) if whole or "prepared" in found else self.book.prepared
+            )
             self.book = Book(newest(self.book.force, force), prepared)
 
     def version(self, pair: Pair | None) -> Version | None:
@@ -97,8 +105,15 @@
     def add(self, epoch: int, word: str, id: VersionId, text: str, by: str = "", record: bytes = b"") -> int:
         """A line of history under this epoch; its number."""
         self._last_line += 1
-        line = Line(self._last_line, self._wall() // 1000, word, str(id) if id != NOTHING else "", text,
-                    by or self._by, record)
+        line = Line(
+            self._last_line,
+            self._wall() // 1000,
+            word,
+            str(id) if id != NOTHING else "",
+            text,
+            by or self._by,
+            record,
+        )
         self._waiting = [*self._waiting, (epoch, line)][-LINES_WAITING:]
         self._work.set()
         return line.number
@@ -122,8 +137,11 @@
         try:
             if force is not None and force.id > self.kept_force:
                 then.append(Put(self._keys["force"], self._books.write(force)))
-            then.append(Put(self._keys["prepared"], self._books.write(prepared)) if prepared is not None
-                        else Delete(self._keys["prepared"]))
+            then.append(
+                Put(self._keys["prepared"], self._books.write(prepared))
+                if prepared is not None
+                else Delete(self._keys["prepared"])
+            )
             reason = "" if (await seat.write(keep.epoch, *then)).held else "the seat is another's"
         except (StoreError, CodecError) as e:
             reason = str(e)
@@ -146,7 +164,7 @@
             self._enrolled(RollKept(roll.number))
 
     async def _write_line(self, seat: Seat, epoch: int, line: Line) -> None:
-        old = [Delete(self._keys[key]) for key in sorted(self.lines)[:-HISTORY_MOST + 1]][:HISTORY_MOST]
+        old = [Delete(self._keys[key]) for key in sorted(self.lines)[: -HISTORY_MOST + 1]][:HISTORY_MOST]
         try:
             await seat.write(epoch, Put(self._keys[line.key], write_line(line)), *old)
         except StoreError as e:
--- a/roadlb/issuing/line.py
+++ b/roadlb/issuing/line.py
@@ -37,9 +37,9 @@
 from ..xds.messages import DeltaRequest, DeltaResponse
 from ..xds.resources import Resource, digest_of
 
-IN_FLIGHT_MOST = 256             # responses that a follower may leave unanswered; in order it answers each
-ASKS_MOST = 16                   # that wait for their answers
-BYTES_MOST = 1 << 20             # of bodies in one response
+IN_FLIGHT_MOST = 256  # responses that a follower may leave unanswered; in order it answers each
+ASKS_MOST = 16  # that wait for their answers
+BYTES_MOST = 1 << 20  # of bodies in one response
 TYPES = (STRUCT, PARTS, LEASES)
 
 
@@ -54,6 +54,7 @@
 
 # Events
 
+
 @dataclass(frozen=True, slots=True)
 class Asked:
     request: DeltaRequest
@@ -69,6 +70,7 @@
 
 # Actions
 
+
 @dataclass(frozen=True, slots=True)
 class Send:
     response: DeltaResponse
@@ -111,10 +113,10 @@
 
     def __init__(self) -> None:
         self.name = ""
-        self._held: dict[str, dict[str, str]] = {}           # by type and name: the version that it has
-        self._flights: dict[str, _Flight] = {}               # by nonce
-        self._asks: dict[tuple[int, int], str] = {}          # by life and number: the name that asked
-        self._offer: Offer | None = None                     # what it is told once it subscribes
+        self._held: dict[str, dict[str, str]] = {}  # by type and name: the version that it has
+        self._flights: dict[str, _Flight] = {}  # by nonce
+        self._asks: dict[tuple[int, int], str] = {}  # by life and number: the name that asked
+        self._offer: Offer | None = None  # what it is told once it subscribes
         self._nonces = 0
 
     def handle(self, event: Event) -> list[Action]:
@@ -124,8 +126,12 @@
         else:
             self._tell(event.message, actions)
         if len(self._flights) > IN_FLIGHT_MOST:
-            actions.append(End(f"{len(self._flights)} responses without an answer: more than "
-                               f"{IN_FLIGHT_MOST} are not kept"))
+            actions.append(
+                End(
+                    f"{len(self._flights)} responses without an answer: more than "
+                    f"{IN_FLIGHT_MOST} are not kept"
+                )
+            )
         return actions
 
     # What it asks
@@ -138,7 +144,7 @@
             return
         type_url = request.type_url
         if type_url not in TYPES:
-            return                                           # nothing of it is served on this stream
+            return  # nothing of it is served on this stream
         self._answered(request, actions)
         if type_url == LEASES:
             for name in request.resource_names_subscribe:
@@ -191,8 +197,11 @@
 
     def _prepare(self, offer: Offer, actions: list[Action]) -> None:
         parts = self._held[PARTS]
-        changed = [resource for (type_url, _), resource in offer.parts.items()
-                   if type_url == PARTS and not _has(parts, resource)]
+        changed = [
+            resource
+            for (type_url, _), resource in offer.parts.items()
+            if type_url == PARTS and not _has(parts, resource)
+        ]
         gone = tuple(name for name in parts if (PARTS, name) not in offer.parts)
         while changed or gone:
             size, count = 0, 0
@@ -203,15 +212,24 @@
                     break
             self._send(PARTS, tuple(changed[:count]), gone, None, actions)
             changed, gone = changed[count:], ()
-        others = [resource for (type_url, _), resource in offer.parts.items()
-                  if type_url == STRUCT and not _has(self._held[STRUCT], resource)]
+        others = [
+            resource
+            for (type_url, _), resource in offer.parts.items()
+            if type_url == STRUCT and not _has(self._held[STRUCT], resource)
+        ]
         self._send(STRUCT, (*others, offer.prepared), (), offer.id, actions)
 
     def _one(self, resource: Resource, actions: list[Action]) -> None:
         self._send(resource.type_url, (resource,), (), None, actions)
 
-    def _send(self, type_url: str, resources: tuple[Resource, ...], gone: tuple[str, ...],
-              prepared: VersionId | None, actions: list[Action]) -> None:
+    def _send(
+        self,
+        type_url: str,
+        resources: tuple[Resource, ...],
+        gone: tuple[str, ...],
+        prepared: VersionId | None,
+        actions: list[Action],
+    ) -> None:
         held = self._held.setdefault(type_url, {}) if type_url != LEASES else {}
         for resource in resources:
             held[resource.name] = resource.version
--- a/roadlb/issuing/office.py
+++ b/roadlb/issuing/office.py
@@ -76,39 +76,60 @@
 
 logger = logging.getLogger(__name__)
 
-HOLD_S = 1.0                 # a stream at a service that does not lead
-PULSES = 10                  # in a lease
-TOLD = (Word.PREPARED, Word.IN_FORCE, Word.REFUSED, Word.WITHDRAWN, Word.SUPERSEDED, Word.DECLINED,
-        Word.LEADING, Word.DEPOSED)          # what becomes a line of history
+HOLD_S = 1.0  # a stream at a service that does not lead
+PULSES = 10  # in a lease
+TOLD = (
+    Word.PREPARED,
+    Word.IN_FORCE,
+    Word.REFUSED,
+    Word.WITHDRAWN,
+    Word.SUPERSEDED,
+    Word.DECLINED,
+    Word.LEADING,
+    Word.DEPOSED,
+)  # what becomes a line of history
 
 
 class Office:
     """The agreement's part of one control service; `status_at`: where its page is, for commands."""
 
-    def __init__(self, settings: AgreementSettings, clock: Clock, wall: Clock,
-                 status_at: Callable[[], str] = lambda: "") -> None:
+    def __init__(
+        self,
+        settings: AgreementSettings,
+        clock: Clock,
+        wall: Clock,
+        status_at: Callable[[], str] = lambda: "",
+    ) -> None:
         self.settings, self._clock, self._wall, self._status_at = settings, clock, wall, status_at
         self.timing, self.keys, self.books = settings.timing(), Keys(settings.prefix), Books()
         self.name = settings.name or socket.gethostname()
         self.issuer = Issuer(self.timing, settings.floors)
         self.store = Etcd(settings.store, settings.store_call_s)
         margin = round(settings.margin_s * 1e6)
-        self.seat = Seat(self.store, self.keys, self._who, leading.Leading(settings.seat_s, margin),
-                         self._seat_said, self._seen, clock)
+        self.seat = Seat(
+            self.store,
+            self.keys,
+            self._who,
+            leading.Leading(settings.seat_s, margin),
+            self._seat_said,
+            self._seen,
+            clock,
+        )
         self.guard = Guard(Thresholds(), lambda *_: False, bad_settings)
-        self.ledger = Ledger(self.keys, self.books, self.name, clock, wall, self._kept,
-                             lambda told: self._tell(told))
-        self.holder: dict[str, str] = {}                 # who has the seat, as it said of itself
-        self.streams: dict[str, Stream] = {}             # the newest of each follower
-        self._told_at: dict[str, tuple[VersionId, int]] = {}      # what each has acknowledged, since when
+        self.ledger = Ledger(
+            self.keys, self.books, self.name, clock, wall, self._kept, lambda told: self._tell(told)
+        )
+        self.holder: dict[str, str] = {}  # who has the seat, as it said of itself
+        self.streams: dict[str, Stream] = {}  # the newest of each follower
+        self._told_at: dict[str, tuple[VersionId, int]] = {}  # what each has acknowledged, since when
         self._picture: Picture | None = None
-        self._texts: Mapping[str, str] | None = None     # the settings to propose with the next picture
-        self._declined: Contents | None = None           # what the guard has refused last
-        self._made: dict[VersionId, Version] = {}        # of those that we prepared, for their lines
-        self._refused = NOTHING                          # the last version that somebody refused
+        self._texts: Mapping[str, str] | None = None  # the settings to propose with the next picture
+        self._declined: Contents | None = None  # what the guard has refused last
+        self._made: dict[VersionId, Version] = {}  # of those that we prepared, for their lines
+        self._refused = NOTHING  # the last version that somebody refused
         self._file = SettingsFile(settings.settings)
-        self._orders: dict[str, Pair] = {}               # as the store has them
-        self._obeyed = set[str]()                        # those of them that are done
+        self._orders: dict[str, Pair] = {}  # as the store has them
+        self._obeyed = set[str]()  # those of them that are done
         self._tasks: set[asyncio.Task[None]] = set()
         self._warnings = Limit(clock, 20)
 
@@ -116,8 +137,12 @@
 
     async def start(self) -> None:
         self._texts = self._file.read()
-        for what in (self.seat.run(), self.ledger.run(self.seat), self._pulses(),
-                     self._file.watch(self._file_changed)):
+        for what in (
+            self.seat.run(),
+            self.ledger.run(self.seat),
+            self._pulses(),
+            self._file.watch(self._file_changed),
+        ):
             self._spawn(what)
 
     async def stop(self) -> None:
@@ -155,7 +180,8 @@
         while self.seat.leads() == epoch:
             try:
                 read = await self.seat.write(
-                    epoch, *(Get(self.keys[key]) for key in ("force", "prepared", ROLL)))
+                    epoch, *(Get(self.keys[key]) for key in ("force", "prepared", ROLL))
+                )
             except StoreError as e:
                 self._warn("book not read", error=e)
                 await asyncio.sleep(self.settings.store_call_s / 4)
@@ -177,8 +203,9 @@
             self.guard.handle(self._clock(), Took(Picture(0, book.force.contents.clusters)))
         if held is not None:
             self._texts = held.contents.settings
-        logger.info("leads", extra=fields(epoch=epoch, force=book.force.id if book.force else "none",
-                                           roll=len(roll)))
+        logger.info(
+            "leads", extra=fields(epoch=epoch, force=book.force.id if book.force else "none", roll=len(roll))
+        )
         self._tell(NowLeading(epoch, until, book, roll))
         if book.force is not None and book.force.id != self.ledger.kept_force:
             self._do([Keep(epoch, Book(book.force, book.prepared))])
@@ -201,8 +228,11 @@
                     self._orders[name] = pair
         if whole or "seat" in found:
             seat = found.get("seat")
-            if (seat is not None and self.seat.leads() != self.issuer.epoch
-                    and seat.created != leading.created_of(self.issuer.epoch)):
+            if (
+                seat is not None
+                and self.seat.leads() != self.issuer.epoch
+                and seat.created != leading.created_of(self.issuer.epoch)
+            ):
                 self._tell(Deposed())
             try:
                 self.holder = json.loads(seat.value) if seat is not None else {}
@@ -241,18 +271,26 @@
             # Prepared while the store did not answer, by a leader that is gone: ours must take its place.
             asyncio.get_running_loop().call_soon(self._put_forward, self._picture)
         grave = told.word in (Word.REFUSED, Word.APART, Word.ALONE, Word.DEPOSED, Word.UNKNOWN, Word.FULL)
-        logger.log(logging.WARNING if grave else logging.INFO, told.word.value, extra=fields(
-            version=told.id, follower=told.about or "-", text=told.text))
+        logger.log(
+            logging.WARNING if grave else logging.INFO,
+            told.word.value,
+            extra=fields(version=told.id, follower=told.about or "-", text=told.text),
+        )
         if told.word in TOLD and not (told.word is Word.DECLINED and told.id != NOTHING):
             version = self._made.get(told.id)
             if told.word is Word.REFUSED:
                 if told.id == self._refused:
-                    return                   # by others too: one line is enough
+                    return  # by others too: one line is enough
                 self._refused = told.id
             shown = version is not None and told.word in (Word.PREPARED, Word.REFUSED)
             text = f"{told.about}: {told.text}" if told.about else told.text
-            self.ledger.add(self.issuer.epoch, told.word.value, told.id, text,
-                           record=self.books.write(version) if version and shown else b"")
+            self.ledger.add(
+                self.issuer.epoch,
+                told.word.value,
+                told.id,
+                text,
+                record=self.books.write(version) if version and shown else b"",
+            )
 
     # Proposals
 
@@ -277,26 +315,38 @@
             self._warn("cannot be said", error=e)
             return str(e)
         held = newest(self.issuer.prepared, self.issuer.force)
-        unknown = held is None or self.issuer.unknown > held.id      # a follower has one that we do not know
-        if not meant and (contents == self._declined or (
-                held is not None and held.contents == contents and not unknown
-                and self.issuer.pending is None)):
+        unknown = held is None or self.issuer.unknown > held.id  # a follower has one that we do not know
+        if not meant and (
+            contents == self._declined
+            or (
+                held is not None and held.contents == contents and not unknown and self.issuer.pending is None
+            )
+        ):
             return "nothing changes"
         now = self._clock()
-        (verdict,) = self.guard.handle(now, Offer(
-            "proposed", Picture(generation, contents.clusters), contents.settings, bool(meant)))
+        (verdict,) = self.guard.handle(
+            now, Offer("proposed", Picture(generation, contents.clusters), contents.settings, bool(meant))
+        )
         if isinstance(verdict, Refuse):
             self._declined = contents
-            number = self.ledger.add(self.issuer.epoch, Word.DECLINED.value, NOTHING, verdict.text, by,
-                                     self.books.write(Version(NOTHING, contents)))
-            logger.warning("not proposed", extra=fields(line=number, checks=",".join(verdict.checks),
-                                                        text=verdict.text))
+            number = self.ledger.add(
+                self.issuer.epoch,
+                Word.DECLINED.value,
+                NOTHING,
+                verdict.text,
+                by,
+                self.books.write(Version(NOTHING, contents)),
+            )
+            logger.warning(
+                "not proposed", extra=fields(line=number, checks=",".join(verdict.checks), text=verdict.text)
+            )
             return f"{verdict.text} (line {number})"
         self._declined = None
         actions = self.issuer.handle(now, Propose(contents, meant))
         self._do(actions)
-        reason = next((told.text for told in actions
-                       if isinstance(told, Reported) and told.word is Word.DECLINED), "")
+        reason = next(
+            (told.text for told in actions if isinstance(told, Reported) and told.word is Word.DECLINED), ""
+        )
         if reason:
             self._declined = contents
         return reason
@@ -307,13 +357,18 @@
         if self.issuer.leading:
             self._take_settings(texts, "", "file")
         else:
-            self._texts = texts              # for a store that holds no version yet
+            self._texts = texts  # for a store that holds no version yet
 
     def _take_settings(self, texts: Mapping[str, str], meant: str, by: str) -> str:
         before, self._texts = self._texts, texts
         held = newest(self.issuer.prepared, self.issuer.force)
-        clusters = (self._picture.clusters if self._picture is not None
-                    else held.contents.clusters if held is not None else None)
+        clusters = (
+            self._picture.clusters
+            if self._picture is not None
+            else held.contents.clusters
+            if held is not None
+            else None
+        )
         if clusters is None:
             return "discovery has told no list yet"
         reason = self._propose(Contents(texts, clusters), self._generation, meant, by)
@@ -426,21 +481,42 @@
         """As JSON's own types; times in seconds."""
         now, view, decider = self._clock(), self.issuer.view(self._clock()), self.seat.decider
         return {
-            "name": self.name, "state": decider.state.value, "for_s": (now - decider.since) / 1e6,
-            "leads": view.leads, "epoch": view.epoch, "holder": self.holder,
-            "store": {"endpoint": self.store.endpoint, "error": self.seat.error,
-                      "heard_s_ago": (now - self.seat.heard_at) / 1e6 if self.seat.heard_at else None,
-                      "revision": self.seat.revision, "went_back": self.seat.went_back},
-            "issuer": self.issuer.state.value, "force": str(view.force), "prepared": str(view.prepared),
+            "name": self.name,
+            "state": decider.state.value,
+            "for_s": (now - decider.since) / 1e6,
+            "leads": view.leads,
+            "epoch": view.epoch,
+            "holder": self.holder,
+            "store": {
+                "endpoint": self.store.endpoint,
+                "error": self.seat.error,
+                "heard_s_ago": (now - self.seat.heard_at) / 1e6 if self.seat.heard_at else None,
+                "revision": self.seat.revision,
+                "went_back": self.seat.went_back,
+            },
+            "issuer": self.issuer.state.value,
+            "force": str(view.force),
+            "prepared": str(view.prepared),
             "waits_s": view.waits_us / 1e6,
-            "contradiction_s": self.settings.contradiction_s, "lease_s": self.timing.lease_us / 1e6,
+            "contradiction_s": self.settings.contradiction_s,
+            "lease_s": self.timing.lease_us / 1e6,
             "followers": [
-                {"name": p.follower, "acknowledged": str(p.acknowledged), "force": str(p.force),
-                 "lease_left_s": p.left_us / 1e6, "silent_s": p.silent_us / 1e6, "apart": p.apart,
-                 "since_s": (now - self._told_at.get(p.follower, (NOTHING, now))[1]) / 1e6,
-                 "excluded": p.excluded, "refused": p.refused, "heard": p.heard,
-                 "connected": p.follower in self.streams}
-                for p in view.peers]}
+                {
+                    "name": p.follower,
+                    "acknowledged": str(p.acknowledged),
+                    "force": str(p.force),
+                    "lease_left_s": p.left_us / 1e6,
+                    "silent_s": p.silent_us / 1e6,
+                    "apart": p.apart,
+                    "since_s": (now - self._told_at.get(p.follower, (NOTHING, now))[1]) / 1e6,
+                    "excluded": p.excluded,
+                    "refused": p.refused,
+                    "heard": p.heard,
+                    "connected": p.follower in self.streams,
+                }
+                for p in view.peers
+            ],
+        }
 
     def _warn(self, event: str, **values: object) -> None:
         if self._warnings.allows():
@@ -455,4 +531,3 @@
         self._tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
             logger.error("fault", exc_info=error)
-
--- a/roadlb/issuing/roll.py
+++ b/roadlb/issuing/roll.py
@@ -14,13 +14,18 @@
 from ..store.records import Record, pack, unpack
 from ..xds.codec.protos import CodecError
 
-ROLL = "roll"                # the key under the fleet's prefix
+ROLL = "roll"  # the key under the fleet's prefix
 SCHEMA = 1
 
 
 def write_roll(names: Iterable[str]) -> bytes:
-    return zlib.compress(pack({"kind": ROLL, "schema": SCHEMA}, tuple(
-        name.encode(errors="surrogatepass") for name in sorted(names))), 1)
+    return zlib.compress(
+        pack(
+            {"kind": ROLL, "schema": SCHEMA},
+            tuple(name.encode(errors="surrogatepass") for name in sorted(names)),
+        ),
+        1,
+    )
 
 
 def read_roll(data: bytes) -> frozenset[str]:
--- a/roadlb/issuing/seat.py
+++ b/roadlb/issuing/seat.py
@@ -25,17 +25,23 @@
 
 logger = logging.getLogger(__name__)
 
-AGAIN_S = 0.5                # between two readings of a store that fails
+AGAIN_S = 0.5  # between two readings of a store that fails
 
 
 class Seat:
     """`told` gets `Lead`, `Extend` and `StepDown`; `seen` the keys that changed, by their names under the
     prefix, with None for one that is gone; with True, first and after each break, all keys there are."""
 
-    def __init__(self, store: Etcd, keys: Keys, who: Callable[[], str], decider: leading.Leading,
-                 told: Callable[[leading.Action], None],
-                 seen: Callable[[Mapping[str, Pair | None], bool], None],
-                 clock: Clock = monotonic_us) -> None:
+    def __init__(
+        self,
+        store: Etcd,
+        keys: Keys,
+        who: Callable[[], str],
+        decider: leading.Leading,
+        told: Callable[[leading.Action], None],
+        seen: Callable[[Mapping[str, Pair | None], bool], None],
+        clock: Clock = monotonic_us,
+    ) -> None:
         self.store, self.keys, self.decider, self.revision = store, keys, decider, 0
         self.error, self.heard_at, self.went_back = "", 0, 0
         self._who, self._told, self._seen, self._clock = who, told, seen, clock
@@ -91,7 +97,7 @@
             reply = await self.store.call(question(asked, self.keys, self._who()))
         except StoreError as e:
             self._failed(e)
-            if not isinstance(asked, leading.Revoke | leading.Look):     # a lease ends by itself
+            if not isinstance(asked, leading.Revoke | leading.Look):  # a lease ends by itself
                 self.tell(leading.Failed(str(e)))
             return
         self._heard(reply.revision, floor)
@@ -109,8 +115,13 @@
                 async for news in self.store.watch(prefix, prefix_end(prefix), read.revision + 1):
                     self._heard(news.revision, 0)
                     if news.changes:
-                        self._see({self._name(change.pair): None if change.deleted else change.pair
-                                   for change in news.changes}, whole=False)
+                        self._see(
+                            {
+                                self._name(change.pair): None if change.deleted else change.pair
+                                for change in news.changes
+                            },
+                            whole=False,
+                        )
             except StoreError as e:
                 self._failed(e)
             await asyncio.sleep(AGAIN_S)
--- a/roadlb/issuing/settings_file.py
+++ b/roadlb/issuing/settings_file.py
@@ -14,7 +14,7 @@
 
 logger = logging.getLogger(__name__)
 
-LOOK_S = 1.0                 # between two looks at the file
+LOOK_S = 1.0  # between two looks at the file
 
 
 class SettingsFile:
--- a/roadlb/lab/agreement/control.py
+++ b/roadlb/lab/agreement/control.py
@@ -1,6 +1,6 @@
 """`roadlb control FILE` as a process of a rehearsal, in which one fault can be planted.
 
-    python -m roadlb.lab.agreement.control FILE [DEFECT]
+python -m roadlb.lab.agreement.control FILE [DEFECT]
 """
 
 from __future__ import annotations
@@ -46,12 +46,12 @@
 
 def plant(defect: str) -> None:
     """ValueError for a defect that is none."""
-    if defect == "early":                    # grants before the leases of what was before are gone
+    if defect == "early":  # grants before the leases of what was before are gone
         vars(office)["Issuer"] = Hasty
-    elif defect == "unfenced":               # no clock, no seat in the store's writes
+    elif defect == "unfenced":  # no clock, no seat in the store's writes
         vars(office)["Issuer"], vars(leading)["Leading"] = Unfenced, Clockless
         vars(seat)["guarded"] = lambda keys, epoch, *then: Txn((), then)
-    elif defect == "forgetful":              # a new leader knows of nobody but those that it has heard
+    elif defect == "forgetful":  # a new leader knows of nobody but those that it has heard
         vars(office)["Issuer"] = Forgetful
     elif defect == "mute":
         vars(leading)["Leading"] = Mute
@@ -64,6 +64,7 @@
     from pathlib import Path
 
     import msgspec
+
     return msgspec.convert(tomllib.loads(Path(file).read_text(encoding="utf-8")), Settings)
 
 
--- a/roadlb/lab/agreement/deployment.py
+++ b/roadlb/lab/agreement/deployment.py
@@ -34,19 +34,42 @@
 def settings(gives: int | None) -> dict[str, Any]:
     """Of a balancer: one customer has its quota, the other has none; None: both, as each balancer's file."""
     return {
-        "me": 0, "instances": 1, "az": 0, "dcs": ["hall-a", "hall-b", "hall-c"], "machine_types": ["toy"],
+        "me": 0,
+        "instances": 1,
+        "az": 0,
+        "dcs": ["hall-a", "hall-b", "hall-c"],
+        "machine_types": ["toy"],
         "discovery": "pushed",
-        "classes": [{"name": "read", "effect": "idempotent", "promise_us": 500_000, "deadline_us": 2_500_000,
-                     "value": 1.0, "late_worth": 0.5}],
-        "domain": {"warm_keys": True}, "report": {"source": "inline", "fields": ["fail_rate", "q"]},
+        "classes": [
+            {
+                "name": "read",
+                "effect": "idempotent",
+                "promise_us": 500_000,
+                "deadline_us": 2_500_000,
+                "value": 1.0,
+                "late_worth": 0.5,
+            }
+        ],
+        "domain": {"warm_keys": True},
+        "report": {"source": "inline", "fields": ["fail_rate", "q"]},
         "weight_source": "rough",
-        "limits": {"cancelling": True, "second_copies": True, "probes": True, "max_attempts": 5,
-                   "max_retry_after_us": 1_200_000, "max_open": 20_000, "conn_idle_us": 10_000_000,
-                   "dial_timeout_us": 250_000},
+        "limits": {
+            "cancelling": True,
+            "second_copies": True,
+            "probes": True,
+            "max_attempts": 5,
+            "max_retry_after_us": 1_200_000,
+            "max_open": 20_000,
+            "conn_idle_us": 10_000_000,
+            "dial_timeout_us": 250_000,
+        },
         "invariants": {"cold_from": 0.12, "cold_us": 23_000_000, "fall_multiple": 3.0, "fall_us": 1_000_000},
         "over_share_worth": 0.2,
-        "tenants": [{"name": f"customer-{i}", "share": 0.5, "quota_per_s": QUOTA if gives in (i, None) else 0}
-                    for i in range(CUSTOMERS)]}
+        "tenants": [
+            {"name": f"customer-{i}", "share": 0.5, "quota_per_s": QUOTA if gives in (i, None) else 0}
+            for i in range(CUSTOMERS)
+        ],
+    }
 
 
 class Deployment:
@@ -54,18 +77,24 @@
 
     count = BALANCERS
 
-    def __init__(self, folder: Path, contradiction_s: float = 3.0, margin_s: float = 0.4, seat_s: int = 4,
-                 defects: dict[str, str] | None = None) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        contradiction_s: float = 3.0,
+        margin_s: float = 0.4,
+        seat_s: int = 4,
+        defects: dict[str, str] | None = None,
+    ) -> None:
         self.folder, self.contradiction_s = folder, contradiction_s
         self.margin_s, self.seat_s = margin_s, seat_s
         self.ears, self.discovery = Ears(), Platform()
         for i in range(NODES):
-            self.discovery.place(i, 9_000 + i)           # nobody calls them
+            self.discovery.place(i, 9_000 + i)  # nobody calls them
         self.children: dict[str, Child] = {}
         self.links: dict[str, Link] = {}
         self.notes: list[tuple[int, str]] = []
         self.store: asyncio.subprocess.Process
-        self.defects = defects or {}                     # by a process's name, or of a kind
+        self.defects = defects or {}  # by a process's name, or of a kind
 
     def note(self, text: str) -> int:
         at = monotonic_us()
@@ -79,8 +108,9 @@
             ports = [await self._start_control(i, at) for i in range(CONTROLS)]
             for i in range(self.count):
                 await self.start_balancer(i, ports)
-            self.archive = Archive(AgreementSettings(store=(f"{HOST}:{at[1]}",), prefix="/judged",
-                                                     store_call_s=1.0))
+            self.archive = Archive(
+                AgreementSettings(store=(f"{HOST}:{at[1]}",), prefix="/judged", store_call_s=1.0)
+            )
         except BaseException:
             await self.__aexit__()
             raise
@@ -108,8 +138,12 @@
 
     async def _start_store(self) -> tuple[str, int]:
         self.store = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "roadlb.lab.standin_etcd", stdin=asyncio.subprocess.PIPE,
-            stdout=asyncio.subprocess.PIPE)
+            sys.executable,
+            "-m",
+            "roadlb.lab.standin_etcd",
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+        )
         assert self.store.stdout
         _, where = (await ends("the store serves", self.store.stdout.readline())).decode().split()
         return HOST, int(where.rpartition(":")[2])
@@ -129,25 +163,44 @@
         link = self.links[f"{name} to store"] = Link(f"{name} to store", HOST, store, self.note)
         file = self.folder / f"{name}.toml"
         first = self.write("first.json", {"settings": self.settings(0)})
-        text = (f'discovery = "{HOST}:{self.discovery.address[1]}"\nlisten = "{HOST}:PORT"\nstatus = ""\n'
-                f'[agreement]\nstore = ["{HOST}:{link.address[1]}"]\nprefix = "/judged"\nname = "{name}"\n'
-                f'contradiction_s = {self.contradiction_s}\nmargin_s = {self.margin_s}\n'
-                f'seat_s = {self.seat_s}\nstore_call_s = 0.5\nsettings = "{first}"\n')
+        text = (
+            f'discovery = "{HOST}:{self.discovery.address[1]}"\nlisten = "{HOST}:PORT"\nstatus = ""\n'
+            f'[agreement]\nstore = ["{HOST}:{link.address[1]}"]\nprefix = "/judged"\nname = "{name}"\n'
+            f"contradiction_s = {self.contradiction_s}\nmargin_s = {self.margin_s}\n"
+            f'seat_s = {self.seat_s}\nstore_call_s = 0.5\nsettings = "{first}"\n'
+        )
         file.write_text(text.replace("PORT", "0"))
-        child = await self.spawn(name, [sys.executable, "-m", "roadlb.lab.agreement.control", str(file),
-                                         self.defects.get(name, self.defects.get("control", ""))])
+        child = await self.spawn(
+            name,
+            [
+                sys.executable,
+                "-m",
+                "roadlb.lab.agreement.control",
+                str(file),
+                self.defects.get(name, self.defects.get("control", "")),
+            ],
+        )
         await self.until(f"{name} listens", lambda: "event=ready" in child.said())
         port = int(child.said().partition(f"listen={HOST}:")[2].split()[0])
-        file.write_text(text.replace("PORT", str(port)))             # again there, when it is started again
+        file.write_text(text.replace("PORT", str(port)))  # again there, when it is started again
         return port
 
     async def start_balancer(self, i: int, ports: list[int]) -> None:
         name, told = f"balancer-{i}", self.links_to_controls(i, ports)
-        file = self.write(f"{name}.json", {
-            "name": name, "seed": i, "control": told, "store": str(self.folder / f"{name}.store"),
-            "contradiction_s": self.contradiction_s, "margin_s": self.margin_s, "settings": settings(None),
-            "judge": list(self.ears.address),
-            "defect": self.defects.get(name, self.defects.get("balancer", ""))})
+        file = self.write(
+            f"{name}.json",
+            {
+                "name": name,
+                "seed": i,
+                "control": told,
+                "store": str(self.folder / f"{name}.store"),
+                "contradiction_s": self.contradiction_s,
+                "margin_s": self.margin_s,
+                "settings": settings(None),
+                "judge": list(self.ears.address),
+                "defect": self.defects.get(name, self.defects.get("balancer", "")),
+            },
+        )
         await self.spawn(name, [sys.executable, "-m", "roadlb.lab.agreement.follower", str(file)])
 
     def links_to_controls(self, i: int, ports: list[int]) -> list[tuple[str, int]]:
@@ -215,4 +268,5 @@
 
 def _flat(told: dict[str, Any]) -> list[tuple[str, str]]:
     from ...config import Pairs
+
     return list(Pairs.from_json(told).values.items())
--- a/roadlb/lab/agreement/directed.py
+++ b/roadlb/lab/agreement/directed.py
@@ -39,13 +39,17 @@
 from .parties import Beat
 
 TAKES, GIVES = "customer-0", "customer-1"
-AGAIN_S = 0.2                # after an order that nobody took
-PAST_S = 0.5                 # behind the bound, and behind the first that is granted: what must not be comes
-REST_S = 1.0                 # a store on which nothing was written for so long holds what there was to keep
-ATTEMPTS = 4                 # of a play whose moment did not come, as somebody was held up
-WATCHED = 40                 # requests to other nodes of one that has come back: 2 s of them
-DEFECTS = {"cut": ("balancer=floor", "balancer=wall", "balancer=deaf", "control=early"),
-           "split": ("control=unfenced",), "killed": ("balancer=forgetful",), "mute": ("control=mute",)}
+AGAIN_S = 0.2  # after an order that nobody took
+PAST_S = 0.5  # behind the bound, and behind the first that is granted: what must not be comes
+REST_S = 1.0  # a store on which nothing was written for so long holds what there was to keep
+ATTEMPTS = 4  # of a play whose moment did not come, as somebody was held up
+WATCHED = 40  # requests to other nodes of one that has come back: 2 s of them
+DEFECTS = {
+    "cut": ("balancer=floor", "balancer=wall", "balancer=deaf", "control=early"),
+    "split": ("control=unfenced",),
+    "killed": ("balancer=forgetful",),
+    "mute": ("control=mute",),
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,8 +92,15 @@
 Play = Callable[[Deployment, Random, Sequence[str]], Coroutine[Any, Any, list[Verdict]]]
 
 
-async def play(name: str, seed: int, whom: Sequence[str] = (), contradiction_s: float = 3.0,
-               margin_s: float = 0.4, seat_s: int = 4, defects: dict[str, str] | None = None) -> Outcome:
+async def play(
+    name: str,
+    seed: int,
+    whom: Sequence[str] = (),
+    contradiction_s: float = 3.0,
+    margin_s: float = 0.4,
+    seat_s: int = 4,
+    defects: dict[str, str] | None = None,
+) -> Outcome:
     """One of PLAYS, after all is up.  `whom`: the balancers it befalls; empty: the seed draws one."""
     random = Random(f"{name} {seed}")
     chosen = whom or (f"balancer-{random.randrange(BALANCERS)}",)
@@ -98,9 +109,10 @@
         with TemporaryDirectory(prefix="roadlb-directed-") as folder:
             async with Deployment(Path(folder), contradiction_s, margin_s, seat_s, defects) as all_of_it:
                 await _served(all_of_it, TAKES, all_of_it.note("begun"))
-                await asyncio.sleep(random.uniform(0.0, contradiction_s / 4))    # somewhere in a lease
+                await asyncio.sleep(random.uniform(0.0, contradiction_s / 4))  # somewhere in a lease
                 verdicts = await PLAYS[name](all_of_it, random, chosen)
                 return Outcome(name, seed, tuple(verdicts), tuple(all_of_it.notes))
+
     return await undisturbed(once)
 
 
@@ -116,9 +128,10 @@
 
 # Turns
 
+
 async def cut(all_of_it: Deployment, random: Random, whom: Sequence[str]) -> list[Verdict]:
     for link in _links(all_of_it, lambda balancer, _: balancer in whom):
-        link.drop(random.choice(("back", "both")))           # `there` alone would let it hear
+        link.drop(random.choice(("back", "both")))  # `there` alone would let it hear
     await asyncio.sleep(random.uniform(0.0, 0.2))
     for name in whom:
         all_of_it.children[name].signal(SET_BACK)
@@ -131,7 +144,7 @@
     all_of_it.links[f"{leader} to store"].drop()
     for link in _links(all_of_it, lambda balancer, control: (balancer in whom) != (control == leader)):
         link.drop()
-        link.reset()                                         # so that no stream is waited for in vain
+        link.reset()  # so that no stream is waited for in vain
     end = monotonic_us() + GENEROUS_S * 1e6
     while await _leader(all_of_it) == leader:
         if monotonic_us() > end:
@@ -160,38 +173,56 @@
     found = list[Verdict]()
     for name in whom:
         [one] = judge([turn], [one for one in sent if one.balancer == name or one.what == turn.gives])
-        found.append(Verdict(name, max(0, one.lasted_us - (turn.answered - turn.ordered)), one.after_us,
-                             bound_us))
+        found.append(
+            Verdict(name, max(0, one.lasted_us - (turn.answered - turn.ordered)), one.after_us, bound_us)
+        )
     return found
 
 
 # Drains
 
+
 async def killed(all_of_it: Deployment, random: Random, whom: Sequence[str]) -> list[Verdict]:
     for name in whom:
         await _rests(all_of_it, all_of_it.folder / f"{name}.store")
         all_of_it.children[name].signal(SLOW)
     ends_of = [asyncio.ensure_future(_killed_behind_ack(all_of_it, name)) for name in whom]
     node = f"node-{random.randrange(NODES)}"
-    await asyncio.sleep(0)                                   # they look at what goes by
+    await asyncio.sleep(0)  # they look at what goes by
     all_of_it.discovery.tell(node, lifecycle="draining")
     all_of_it.note(f"turn: {node} drains")
     await ends("each is killed behind its acknowledgement", asyncio.gather(*ends_of))
     version = await _drained(all_of_it, node)
     force = all_of_it.note(f"the drain of {node} is in force")
-    acknowledged(version, [words for i in range(CONTROLS) for words in whole.IN_FORCE.findall(
-        all_of_it.children[f"control-{i}"].said())])
+    acknowledged(
+        version,
+        [
+            words
+            for i in range(CONTROLS)
+            for words in whole.IN_FORCE.findall(all_of_it.children[f"control-{i}"].said())
+        ],
+    )
     for link in _links(all_of_it, lambda balancer, _: balancer in whom):
         link.drop()
     for name in whom:
         await all_of_it.children[name].start()
     other = next(f"node-{i}" for i in range(NODES) if f"node-{i}" != node)
-    await all_of_it.until("each is back and sends", lambda: all(
-        sum(one.balancer == name and one.what == other and one.at > force
-            for one in list(all_of_it.ears.sent)) >= WATCHED for name in whom))
+    await all_of_it.until(
+        "each is back and sends",
+        lambda: all(
+            sum(
+                one.balancer == name and one.what == other and one.at > force
+                for one in list(all_of_it.ears.sent)
+            )
+            >= WATCHED
+            for name in whom
+        ),
+    )
     sent = list(all_of_it.ears.sent)
-    last = {name: max((one.at for one in sent if (one.balancer, one.what) == (name, node)), default=0)
-            for name in whom}
+    last = {
+        name: max((one.at for one in sent if (one.balancer, one.what) == (name, node)), default=0)
+        for name in whom
+    }
     return [Verdict(name, -1, last[name] - force, round(all_of_it.contradiction_s * 1e6)) for name in whom]
 
 
@@ -203,8 +234,10 @@
 
 async def _rests(all_of_it: Deployment, store: Path) -> None:
     """What it kept since its start is on the disk."""
+
     def size() -> int:
         return sum(file.stat().st_size for file in store.iterdir() if file.is_file())
+
     at, known = monotonic_us(), 0
 
     def rests() -> bool:
@@ -212,6 +245,7 @@
         if (found := size()) != known:
             at, known = monotonic_us(), found
         return known > 0 and monotonic_us() - at > REST_S * 1e6
+
     await all_of_it.until(f"{store.name} rests", rests)
 
 
@@ -232,9 +266,15 @@
     end = monotonic_us() + GENEROUS_S * 1e6
     while True:
         seen = await all_of_it.seen()
-        if seen is not None and seen.force is not None and any(
+        if (
+            seen is not None
+            and seen.force is not None
+            and any(
                 one.node.name == node and not up(one)
-                for cluster in seen.force.contents.clusters.values() for one in cluster.endpoints):
+                for cluster in seen.force.contents.clusters.values()
+                for one in cluster.endpoints
+            )
+        ):
             return str(seen.force.id)
         if monotonic_us() > end:
             raise DidNotCome(f"the drain of {node} is in force", GENEROUS_S)
@@ -262,6 +302,7 @@
 
 # What they share
 
+
 def _links(all_of_it: Deployment, which: Callable[[str, str], bool]) -> list[Link]:
     """Between balancers and control services, by the names of both."""
     pairs = [(both.split(" to "), link) for both, link in all_of_it.links.items()]
@@ -280,8 +321,9 @@
 
 async def _served(all_of_it: Deployment, customer: str, since: int) -> None:
     names = {name for name in all_of_it.children if name.startswith("balancer")}
-    await all_of_it.until(f"every balancer serves {customer}",
-                          lambda: all_of_it.senders(customer, since) == names)
+    await all_of_it.until(
+        f"every balancer serves {customer}", lambda: all_of_it.senders(customer, since) == names
+    )
 
 
 async def _past(at: int) -> None:
--- a/roadlb/lab/agreement/ends.py
+++ b/roadlb/lab/agreement/ends.py
@@ -7,7 +7,7 @@
 from typing import Any, TypeVar
 
 T = TypeVar("T")
-GENEROUS_S = 90.0            # for what must come to pass; no verdict depends on it
+GENEROUS_S = 90.0  # for what must come to pass; no verdict depends on it
 
 
 class DidNotCome(Exception):
@@ -24,7 +24,7 @@
     task = asyncio.ensure_future(waits)
     done, _ = await asyncio.wait([task], timeout=within_s)
     if not done:
-        error = DidNotCome(what, within_s)           # before the task is gone from the stacks
+        error = DidNotCome(what, within_s)  # before the task is gone from the stacks
         task.cancel()
         raise error
     return task.result()
--- a/roadlb/lab/agreement/faults.py
+++ b/roadlb/lab/agreement/faults.py
@@ -10,10 +10,10 @@
 from .deployment import Deployment
 from .ends import ends
 
-PAUSE_S = (0.2, 1.6)         # between two faults
-LASTS_S = (0.2, 5.0)         # one that lasts
-CUT_S = (1.0, 9.0)           # a balancer that nobody hears: longer than its lease, and shorter
-DEPOSED_S = (6.0, 12.0)      # a control service without the store: another has the seat, and waits out leases
+PAUSE_S = (0.2, 1.6)  # between two faults
+LASTS_S = (0.2, 5.0)  # one that lasts
+CUT_S = (1.0, 9.0)  # a balancer that nobody hears: longer than its lease, and shorter
+DEPOSED_S = (6.0, 12.0)  # a control service without the store: another has the seat, and waits out leases
 STORE_FAULTS = ("deaf", "silent", "away")
 
 
@@ -22,7 +22,7 @@
 
     def __init__(self, deployment: Deployment, seed: int, pause_s: tuple[float, float] = PAUSE_S) -> None:
         self._all, self._random, self._pause_s = deployment, Random(seed), pause_s
-        self._lasting: set[str] = set()          # whom one befell that has not ended
+        self._lasting: set[str] = set()  # whom one befell that has not ended
         self._ends: list[asyncio.Task[None]] = []
         self._over = asyncio.Event()
         self.count = 0
@@ -72,6 +72,7 @@
         async def heal() -> None:
             for link in links:
                 link.heal()
+
         self._last(f"{name}, cut", heal, CUT_S)
 
     def _depose(self) -> None:
@@ -84,6 +85,7 @@
 
         async def heal() -> None:
             link.heal()
+
         self._last(name, heal, DEPOSED_S)
 
     async def _link(self) -> None:
@@ -105,6 +107,7 @@
 
         async def heal() -> None:
             link.heal()
+
         self._last(name, heal)
 
     async def _process(self) -> None:
@@ -117,6 +120,7 @@
 
             async def go_on() -> None:
                 child.go_on()
+
             self._last(name, go_on)
         else:
             child.kill()
@@ -124,6 +128,7 @@
 
             async def start() -> None:
                 await child.start()
+
             self._last(name, start)
 
     async def _store(self) -> None:
@@ -133,6 +138,7 @@
 
         async def mend() -> None:
             await self._all.order_store("fault none")
+
         self._last("store", mend)
 
     def _spared(self) -> bool:
@@ -140,8 +146,9 @@
         hurt = any(whom == "store" or whom.startswith("control") for whom in self._lasting)
         return self._random.random() < (0.9 if hurt else 0.3)
 
-    def _last(self, whom: str, end: Callable[[], Awaitable[None]],
-              lasts_s: tuple[float, float] = LASTS_S) -> None:
+    def _last(
+        self, whom: str, end: Callable[[], Awaitable[None]], lasts_s: tuple[float, float] = LASTS_S
+    ) -> None:
         self.count += 1
         self._lasting.add(whom)
 
@@ -149,4 +156,5 @@
             await self._pause(*lasts_s)
             await end()
             self._lasting.discard(whom)
-        self._ends.append(asyncio.create_task(later()))          # kept, so that `heal` raises what one raised
+
+        self._ends.append(asyncio.create_task(later()))  # kept, so that `heal` raises what one raised
--- a/roadlb/lab/agreement/follower.py
+++ b/roadlb/lab/agreement/follower.py
@@ -22,8 +22,7 @@
 from pathlib import Path
 from typing import Any
 
-from ...agreement.events import (
-    Ack, Contents, FollowerAction, FollowerEvent, Reported, Tell, VersionId, Word)
+from ...agreement.events import Ack, Contents, FollowerAction, FollowerEvent, Reported, Tell, VersionId, Word
 from ...agreement.follower import Follower
 from ...clock import monotonic_us, unix_us
 from ...config import Address, Agreement, Pairs
@@ -37,10 +36,10 @@
 from ..model_check.defects import NoFloor, Unfenced
 
 TICK_S = 0.005
-SET_BACK_US, EVERY_US = 4_000_000, 6_000_000     # more than a lease, often enough to be seen in a play
+SET_BACK_US, EVERY_US = 4_000_000, 6_000_000  # more than a lease, often enough to be seen in a play
 SET_BACK, SLOW = signal.SIGUSR1, signal.SIGUSR2
-SLOW_S = 1.5                 # longer than a busy judge is late who kills in that time
-NODES_EACH = 10              # ticks from one round over the nodes to the next
+SLOW_S = 1.5  # longer than a busy judge is late who kills in that time
+NODES_EACH = 10  # ticks from one round over the nodes to the next
 
 
 class Requests:
@@ -72,7 +71,7 @@
         try:
             self._socket.send(data)
         except OSError:
-            pass                             # the judge is gone, or its queue is full: it counts what came
+            pass  # the judge is gone, or its queue is full: it counts what came
 
 
 class Deaf(Follower):
@@ -97,7 +96,7 @@
 class Wall(Follower):
     """Leases by a wall clock, which is set back now and then."""
 
-    __slots__ = ("inside",)                  # of `handle`, which has turned the clock already
+    __slots__ = ("inside",)  # of `handle`, which has turned the clock already
 
     def handle(self, now: int, event: FollowerEvent) -> list[FollowerAction]:
         self.inside = True
@@ -128,7 +127,7 @@
 
 
 DEFECTS = {"floor": NoFloor, "deaf": Deaf, "wall": Wall, "unfenced": Unfenced, "forgetful": Forgetful}
-jumps = [0]                  # of the wall clock, beside those that come by themselves
+jumps = [0]  # of the wall clock, beside those that come by themselves
 
 
 def plant(defect: str) -> None:
@@ -152,14 +151,34 @@
     plant(told.get("defect", ""))
     settings = Pairs.from_json(told["settings"]).values
     agreement = Agreement(
-        tuple(Address(host, port) for host, port in told["control"]), told["store"],
-        told["contradiction_s"], None, None, told["margin_s"], "grid", {}, {}, settings)
+        tuple(Address(host, port) for host, port in told["control"]),
+        told["store"],
+        told["contradiction_s"],
+        None,
+        None,
+        told["margin_s"],
+        "grid",
+        {},
+        {},
+        settings,
+    )
     disk, loop = Disk(Path(told["store"])), asyncio.get_running_loop()
     loop.add_signal_handler(SET_BACK, jump)
     loop.add_signal_handler(SLOW, disk.slow)
     following = Following(
-        agreement, told["name"], told["seed"], monotonic_us, unix_us, Counters(), lambda list, old: None,
-        lambda heard: None, lambda at: None, dial, disk, disk)
+        agreement,
+        told["name"],
+        told["seed"],
+        monotonic_us,
+        unix_us,
+        Counters(),
+        lambda list, old: None,
+        lambda heard: None,
+        lambda at: None,
+        dial,
+        disk,
+        disk,
+    )
     following.load()
     following.start()
     customers = sum(path.endswith(".quota_per_s") for path in settings)
--- a/roadlb/lab/agreement/judge.py
+++ b/roadlb/lab/agreement/judge.py
@@ -76,8 +76,9 @@
     return found
 
 
-def judge(turns: Sequence[Turn], sent: Sequence[Sent],
-          went_on: Sequence[tuple[int, str]] = ()) -> list[Contradiction]:
+def judge(
+    turns: Sequence[Turn], sent: Sequence[Sent], went_on: Sequence[tuple[int, str]] = ()
+) -> list[Contradiction]:
     """One for each turn that was not lost; the last one's requests must have had time to end.
 
     `went_on`: when which balancer, having been stopped, was told to go on.
@@ -101,8 +102,15 @@
                 first = one
         if turn.lost:
             continue
-        found.append(Contradiction(
-            turn, last.at - turn.ordered if last else 0, last.balancer if last else "",
-            last.at - first.at if last and first else -1, first is not None,
-            first.at - turn.ordered if first else -1, end - turn.ordered))
+        found.append(
+            Contradiction(
+                turn,
+                last.at - turn.ordered if last else 0,
+                last.balancer if last else "",
+                last.at - first.at if last and first else -1,
+                first is not None,
+                first.at - turn.ordered if first else -1,
+                end - turn.ordered,
+            )
+        )
     return found
--- a/roadlb/lab/agreement/narrowing.py
+++ b/roadlb/lab/agreement/narrowing.py
@@ -39,8 +39,8 @@
 WIDE, NARROW = "idempotent", "at_most_once"
 PATH = "classes.0.effect"
 LOOK_S = 0.02
-AGAIN_S = 0.2                # after an order that nobody took
-PAST_S = 1.0                 # behind what must be over: what must not be comes
+AGAIN_S = 0.2  # after an order that nobody took
+PAST_S = 1.0  # behind what must be over: what must not be comes
 
 
 class Breaking(Node):
@@ -88,8 +88,9 @@
 
     period_s = 0.05
 
-    def __init__(self, folder: Path, contradiction_s: float, margin_s: float,
-                 defects: dict[str, str] | None) -> None:
+    def __init__(
+        self, folder: Path, contradiction_s: float, margin_s: float, defects: dict[str, str] | None
+    ) -> None:
         super().__init__(folder, contradiction_s, margin_s, defects)
         self.nodes = self.breaking = BreakingNodes()
 
@@ -116,8 +117,11 @@
         end = monotonic_us() + GENEROUS_S * 1e6
         while True:
             seen = await self.seen()
-            if seen is not None and seen.force is not None and (
-                    seen.force.contents.settings.get(PATH) == effect):
+            if (
+                seen is not None
+                and seen.force is not None
+                and (seen.force.contents.settings.get(PATH) == effect)
+            ):
                 return self.note(f"in force: {effect}")
             if monotonic_us() > end:
                 raise DidNotCome(f"{effect} is in force", GENEROUS_S)
@@ -162,11 +166,18 @@
         return all(
             max(turn.after_us, default=0) <= turn.late_us
             and max(turn.last_us.values()) - turn.answered_us <= self.bound_us + turn.late_us
-            for turn in self.turns)
-
-
-async def play(seed: int, turns: int = 2, contradiction_s: float = 3.0, margin_s: float = 0.4,
-               faulty: bool = True, defects: dict[str, str] | None = None) -> Outcome:
+            for turn in self.turns
+        )
+
+
+async def play(
+    seed: int,
+    turns: int = 2,
+    contradiction_s: float = 3.0,
+    margin_s: float = 0.4,
+    faulty: bool = True,
+    defects: dict[str, str] | None = None,
+) -> Outcome:
     random = Random(seed)
     with TemporaryDirectory(prefix="roadlb-narrowing-") as folder:
         async with Narrowing(Path(folder), contradiction_s, margin_s, defects) as it:
@@ -178,14 +189,21 @@
             for client in it.clients:
                 for status, count in client.answers.items():
                     answers[status] = answers.get(status, 0) + count
-            return Outcome(seed, tuple(found), len(it.breaking.sent), len(it.breaking.repeats), answers,
-                           round(contradiction_s * 1e6), tuple(it.notes))
+            return Outcome(
+                seed,
+                tuple(found),
+                len(it.breaking.sent),
+                len(it.breaking.repeats),
+                answers,
+                round(contradiction_s * 1e6),
+                tuple(it.notes),
+            )
 
 
 async def _turn(it: Narrowing, random: Random, names: list[str], faulty: bool) -> Turned:
-    it.beat.late_us = 0                                      # by which all was held up as it began
+    it.beat.late_us = 0  # by which all was held up as it began
     hurt = tuple(random.sample(names, 2)) if faulty else ()
-    await asyncio.sleep(random.uniform(0.0, it.contradiction_s / 4))         # somewhere in a lease
+    await asyncio.sleep(random.uniform(0.0, it.contradiction_s / 4))  # somewhere in a lease
     if hurt:
         _cut(it, hurt[0], True)
         it.stop(hurt[1])
@@ -205,12 +223,18 @@
     await it.until("every balancer repeats again", lambda: it.repeated(wide) == set(names))
     later = [one for one in it.breaking.repeats if one.at >= widened]
     return Turned(
-        force - ordered, answered - ordered,
-        {name: max((one.at - ordered for one in narrow if one.balancer == name), default=0)
-         for name in names},
-        tuple(one.at - force for one in narrow if one.at > force), wide - widened,
+        force - ordered,
+        answered - ordered,
+        {
+            name: max((one.at - ordered for one in narrow if one.balancer == name), default=0)
+            for name in names
+        },
+        tuple(one.at - force for one in narrow if one.at > force),
+        wide - widened,
         {name: min(one.at - widened for one in later if one.balancer == name) for name in names},
-        late_us, hurt)
+        late_us,
+        hurt,
+    )
 
 
 def _cut(it: Deployment, balancer: str, on: bool) -> None:
@@ -220,4 +244,3 @@
                 link.drop()
             else:
                 link.heal()
-
--- a/roadlb/lab/agreement/parties.py
+++ b/roadlb/lab/agreement/parties.py
@@ -30,11 +30,11 @@
 from .watch import HOST
 
 BEAT_S = 0.01
-HELD_US = 250_000            # half of what a request may take
+HELD_US = 250_000  # half of what a request may take
 DISCOVERY_BEAT_S = 1.0
-REST_S = 0.01                # between an answer and a client's next request
+REST_S = 0.01  # between an answer and a client's next request
 REFUSED, SERVED = 503, 200
-PERIODS = 0.5, 1.5           # of a client's period, from one request to the next
+PERIODS = 0.5, 1.5  # of a client's period, from one request to the next
 ANSWER_S = 5.0
 
 
@@ -105,7 +105,7 @@
         self.entries: dict[str, dict[str, object]] = {}
         self.address: tuple[str, int] = (HOST, 0)
         self._generation = 1
-        self.lines: list[bytes] = []                    # told since the beginning
+        self.lines: list[bytes] = []  # told since the beginning
         self._server: asyncio.Server
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -116,15 +116,23 @@
     def place(self, i: int, port: int) -> None:
         """Node i is in the list, before anybody asks for it."""
         self.entries[f"node-{i}"] = {
-            "instanceId": f"node-{i}", "hostPort": f"{HOST}:{port}", "lifecycle": "up", "weight": 1.0,
-            "zone": f"hall-{'abc'[i % 3]}", "startedAtMs": 1_000}
+            "instanceId": f"node-{i}",
+            "hostPort": f"{HOST}:{port}",
+            "lifecycle": "up",
+            "weight": 1.0,
+            "zone": f"hall-{'abc'[i % 3]}",
+            "startedAtMs": 1_000,
+        }
 
     def tell(self, name: str, **values: object) -> int:
         """An entry changes; the clock then."""
         self._generation += 1
         self.entries[name] = {**self.entries[name], **values}
-        self.lines.append(json.dumps({"generation": self._generation, "reset": False,
-                                       "instances": [self.entries[name]]}).encode())
+        self.lines.append(
+            json.dumps(
+                {"generation": self._generation, "reset": False, "instances": [self.entries[name]]}
+            ).encode()
+        )
         return monotonic_us()
 
     def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -136,9 +144,12 @@
         with suppress(asyncio.IncompleteReadError, ConnectionError):
             await reader.readuntil(b"\r\n\r\n")
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-            told, line = len(self.lines), json.dumps({
-                "generation": self._generation, "reset": True,
-                "instances": list(self.entries.values())}).encode()
+            told, line = (
+                len(self.lines),
+                json.dumps(
+                    {"generation": self._generation, "reset": True, "instances": list(self.entries.values())}
+                ).encode(),
+            )
             at = monotonic_us()
             while not writer.is_closing():
                 if line or monotonic_us() - at > DISCOVERY_BEAT_S * 1e6:
@@ -179,15 +190,22 @@
     `asked`: of each answered request when it was sent, when it was answered, and the status.
     """
 
-    def __init__(self, balancer: str, at: tuple[str, int], customer: str, class_name: str, line: int = 0,
-                 period_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        balancer: str,
+        at: tuple[str, int],
+        customer: str,
+        class_name: str,
+        line: int = 0,
+        period_s: float = 0.0,
+    ) -> None:
         self.balancer, self._at, self.customer, self._class = balancer, at, customer, class_name
         self.line, self.period_s = line, period_s
         self.answers: dict[int, int] = {}
         self.asked: list[Asked] = []
         self.why, self.answer_s = Counter[str](), ANSWER_S
         self._random = Random(f"{balancer} {customer} {line}")
-        self.then: Callable[[], None] | None = None      # once, right behind the bytes of a request
+        self.then: Callable[[], None] | None = None  # once, right behind the bytes of a request
         self._number = 0
         self._task = asyncio.create_task(self._run())
 
@@ -208,7 +226,7 @@
             except (OSError, TimeoutError, asyncio.IncompleteReadError) as e:
                 self.answers[0] = self.answers.get(0, 0) + 1
                 self.why[type(e).__name__] += 1
-                await asyncio.sleep(10 * REST_S)         # it is stopped, or starts again
+                await asyncio.sleep(10 * REST_S)  # it is stopped, or starts again
             finally:
                 if writer is not None:
                     writer.close()
@@ -217,8 +235,11 @@
         """The one of this number, from 1."""
         id = f"{self.balancer}.{self.customer}.{self.line}x{number}"
         key = self.line * 1_000 + number % 1_000
-        return write_request("GET", f"/{self._class}/{key}?w=1", (
-            ("Host", "backend.local"), (CORRELATION_ID, id), (ACCOUNT, self.customer)))
+        return write_request(
+            "GET",
+            f"/{self._class}/{key}?w=1",
+            (("Host", "backend.local"), (CORRELATION_ID, id), (ACCOUNT, self.customer)),
+        )
 
     async def _one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> int:
         self._number += 1
@@ -228,8 +249,9 @@
             then()
         head = await reader.readuntil(b"\r\n\r\n")
         lines = head.split(b"\r\n")
-        size = next((int(line.partition(b":")[2]) for line in lines
-                     if line.lower().startswith(b"content-length:")), 0)
+        size = next(
+            (int(line.partition(b":")[2]) for line in lines if line.lower().startswith(b"content-length:")), 0
+        )
         await reader.readexactly(size)
         return int(lines[0].split()[1])
 
@@ -252,11 +274,13 @@
 
     async def start(self, name: str) -> int:
         """One more node; its port."""
+
         def got(balancer: str, customer: str) -> float:
             at = monotonic_us()
             self.sent.append(Sent(at, balancer, name))
             self._free_at = max(self._free_at, at) + round(self.each_s * 1e6)
             return self.least_s + (self._free_at - at) / 1e6 if self.each_s else self.least_s
+
         server = await asyncio.get_running_loop().create_server(lambda: Node(got), HOST, 0)
         self.servers.append(server)
         port: int = server.sockets[0].getsockname()[1]
--- a/roadlb/lab/agreement/pressed.py
+++ b/roadlb/lab/agreement/pressed.py
@@ -35,11 +35,11 @@
 from .play import take_turns
 from .whole import RETURN_US, Whole, hurts
 
-LINES, PERIOD_S = 8, 0.4     # 20 requests a second of each customer, within the quota of 50
-MADE_PER_S = 80              # of 240 that are asked of all six
-LEAST_S, LEARN_S = 0.05, 4.0         # what an answer takes, and for how long balancers see no more than that
-SEEN_US = 3_000_000          # for so long each must have refused enough before the first turn
-FAULTS_S = 4.0, 10.0         # between two: most windows are to meet none
+LINES, PERIOD_S = 8, 0.4  # 20 requests a second of each customer, within the quota of 50
+MADE_PER_S = 80  # of 240 that are asked of all six
+LEAST_S, LEARN_S = 0.05, 4.0  # what an answer takes, and for how long balancers see no more than that
+SEEN_US = 3_000_000  # for so long each must have refused enough before the first turn
+FAULTS_S = 4.0, 10.0  # between two: most windows are to meet none
 OFTEN, LONG_TURN = 0.7, (1.8, 2.8)
 REFUSED_LEAST, SHARE_MOST = 0.4, 0.2
 BY_CHANCE = 1e-4
@@ -49,8 +49,13 @@
     """That of so many that are served so many or more are of the customer whose quota is taken, if each is
     with SHARE_MOST, the most that the claim allows."""
     its, other, ways = log(SHARE_MOST), log(1 - SHARE_MOST), lgamma(served + 1)
-    return min(1.0, sum(exp(ways - lgamma(k + 1) - lgamma(served - k + 1) + k * its + (served - k) * other)
-                        for k in range(taken, served + 1)))
+    return min(
+        1.0,
+        sum(
+            exp(ways - lgamma(k + 1) - lgamma(served - k + 1) + k * its + (served - k) * other)
+            for k in range(taken, served + 1)
+        ),
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,14 +133,27 @@
 
     def refuse(self, names: Iterable[str], since: int) -> bool:
         """Has each of them refused enough of what was answered since then?"""
-        answers = Counter((client.balancer, one.status) for client in self.clients
-                          for one in reversed(client.asked) if one.answered >= since)
-        return all(answers[name, REFUSED] > REFUSED_LEAST * sum(
-            count for (balancer, _), count in answers.items() if balancer == name) for name in names)
-
-
-def judge(turns: Sequence[Turn], asked: Sequence[Asked], notes: list[tuple[int, str]],
-          balancers: Iterable[str], bound_us: int, held: Sequence[tuple[int, int]] = ()) -> list[Window]:
+        answers = Counter(
+            (client.balancer, one.status)
+            for client in self.clients
+            for one in reversed(client.asked)
+            if one.answered >= since
+        )
+        return all(
+            answers[name, REFUSED]
+            > REFUSED_LEAST * sum(count for (balancer, _), count in answers.items() if balancer == name)
+            for name in names
+        )
+
+
+def judge(
+    turns: Sequence[Turn],
+    asked: Sequence[Asked],
+    notes: list[tuple[int, str]],
+    balancers: Iterable[str],
+    bound_us: int,
+    held: Sequence[tuple[int, int]] = (),
+) -> list[Window]:
     """One for each balancer and each turn that was not lost, from the bound after it until the next one, of
     requests that were sent and answered between.  `held`: when nodes and clients could not run."""
     found = list[Window]()
@@ -144,41 +162,69 @@
         if turn.lost or begin >= end:
             continue
         late = any(since < end and over > begin for since, over in held)
-        counts = Counter((one.balancer, one.customer, one.status) for one in asked
-                         if begin <= one.sent and one.answered < end)
+        counts = Counter(
+            (one.balancer, one.customer, one.status)
+            for one in asked
+            if begin <= one.sent and one.answered < end
+        )
         for balancer in balancers:
-            given, taken = ((counts[balancer, customer, SERVED], counts[balancer, customer, REFUSED])
-                            for customer in (turn.gives, turn.takes))
-            kept_from = late or any(hurt < end and over > turn.ordered - RETURN_US
-                            for hurt, over in hurts(notes, balancer))
+            given, taken = (
+                (counts[balancer, customer, SERVED], counts[balancer, customer, REFUSED])
+                for customer in (turn.gives, turn.takes)
+            )
+            kept_from = late or any(
+                hurt < end and over > turn.ordered - RETURN_US for hurt, over in hurts(notes, balancer)
+            )
             found.append(Window(turn, balancer, given[0], taken[0], given[1] + taken[1], kept_from))
     return found
 
 
-async def play(seed: int, seconds: float, contradiction_s: float = 3.0, faulty: bool = True,
-               defects: dict[str, str] | None = None, margin_s: float = 0.4) -> Outcome:
+async def play(
+    seed: int,
+    seconds: float,
+    contradiction_s: float = 3.0,
+    faulty: bool = True,
+    defects: dict[str, str] | None = None,
+    margin_s: float = 0.4,
+) -> Outcome:
     with TemporaryDirectory(prefix="roadlb-pressed-") as folder:
         async with Pressed(Path(folder), contradiction_s, margin_s, defects) as whole:
             names = sorted(one for one in whole.children if one.startswith("balancer"))
             whole.nodes.least_s, begun = LEAST_S, whole.note("begun")
-            await whole.until("every balancer sends to every node", lambda: all(
-                whole.reached(node, begun) == set(names) for node in whole.discovery.entries))
+            await whole.until(
+                "every balancer sends to every node",
+                lambda: all(whole.reached(node, begun) == set(names) for node in whole.discovery.entries),
+            )
             await asyncio.sleep(LEARN_S)
             whole.nodes.each_s = 1 / MADE_PER_S
             pressed = whole.note("pressed")
-            await whole.until("every balancer refuses enough", lambda: (
-                (now := monotonic_us()) > pressed + SEEN_US and whole.refuse(names, now - SEEN_US)))
+            await whole.until(
+                "every balancer refuses enough",
+                lambda: (now := monotonic_us()) > pressed + SEEN_US and whole.refuse(names, now - SEEN_US),
+            )
             faults, turns = Faults(whole, seed, FAULTS_S), list[Turn]()
             playing = asyncio.create_task(faults.run()) if faulty else None
             try:
-                await take_turns(whole, Random(seed + 1), turns, monotonic_us() + round(seconds * 1e6),
-                                 OFTEN, LONG_TURN)
+                await take_turns(
+                    whole, Random(seed + 1), turns, monotonic_us() + round(seconds * 1e6), OFTEN, LONG_TURN
+                )
             finally:
                 await faults.heal(playing)
             asked = whole.asked
-            found = [one for one in judge(turns, asked, whole.notes, names, round(contradiction_s * 1e6),
-                                          whole.beat.held) if one.judged]
+            found = [
+                one
+                for one in judge(
+                    turns, asked, whole.notes, names, round(contradiction_s * 1e6), whole.beat.held
+                )
+                if one.judged
+            ]
             return Outcome(
-                seed, len(turns), tuple((one.balancer, one.given + one.taken, one.taken) for one in found),
-                sum(one.status == REFUSED for one in asked) / max(1, len(asked)), faults.count, len(asked),
-                min(found, key=lambda one: one.by_chance, default=None), tuple(whole.notes))
+                seed,
+                len(turns),
+                tuple((one.balancer, one.given + one.taken, one.taken) for one in found),
+                sum(one.status == REFUSED for one in asked) / max(1, len(asked)),
+                faults.count,
+                len(asked),
+                min(found, key=lambda one: one.by_chance, default=None),
+                tuple(whole.notes),
+            )
--- a/roadlb/lab/agreement/watch.py
+++ b/roadlb/lab/agreement/watch.py
@@ -13,7 +13,7 @@
 
 HOST = "127.0.0.1"
 QUEUE_BYTES = 8 << 20
-STAMPS = 35                  # Linux's SO_TIMESTAMPNS, which the socket module does not name
+STAMPS = 35  # Linux's SO_TIMESTAMPNS, which the socket module does not name
 
 
 class Ears:
--- a/roadlb/lab/agreement/whole.py
+++ b/roadlb/lab/agreement/whole.py
@@ -37,15 +37,15 @@
 from .parties import Beat, Client, Nodes
 from .watch import HOST
 
-NODES = 9                    # three in each hall
-DRAINED_MOST = 2             # at a time, of different halls: more is refused by the guard
-TURN_S = (0.6, 2.4)          # from one change of the list to the next
-PAUSE_S = (0.5, 4.0)         # between two faults: many drains are to meet none
-RETURN_US = 9_000_000        # after a fault, until all is as if there had been none: a seat, a call again
+NODES = 9  # three in each hall
+DRAINED_MOST = 2  # at a time, of different halls: more is refused by the guard
+TURN_S = (0.6, 2.4)  # from one change of the list to the next
+PAUSE_S = (0.5, 4.0)  # between two faults: many drains are to meet none
+RETURN_US = 9_000_000  # after a fault, until all is as if there had been none: a seat, a call again
 LOOK_S = 0.05
-LONG, LONG_TURN = 0.4, (1.1, 1.6)        # the others are longer than the bound by so much
+LONG, LONG_TURN = 0.4, (1.1, 1.6)  # the others are longer than the bound by so much
 NEVER = 1 << 62
-EXTRA_US = 250_000           # a dial that had begun may take as long (`limits.dial_timeout_us`)
+EXTRA_US = 250_000  # a dial that had begun may take as long (`limits.dial_timeout_us`)
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,8 +105,13 @@
 
     lines, period_s = 1, 0.0
 
-    def __init__(self, folder: Path, contradiction_s: float = 3.0, margin_s: float = 0.4,
-                 defects: dict[str, str] | None = None) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        contradiction_s: float = 3.0,
+        margin_s: float = 0.4,
+        defects: dict[str, str] | None = None,
+    ) -> None:
         super().__init__(folder, contradiction_s, margin_s, defects=defects)
         self.nodes, self.clients = Nodes(), list[Client]()
         self.beat = Beat()
@@ -128,25 +133,39 @@
 
     async def start_balancer(self, i: int, ports: list[int]) -> None:
         name, told = f"balancer-{i}", self.links_to_controls(i, ports)
-        held = socket.socket()                           # its port stays its own while it does not run
+        held = socket.socket()  # its port stays its own while it does not run
         held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         held.bind((HOST, 0))
         self._held.append(held)
         listen: tuple[str, int] = held.getsockname()
-        file = self.write(f"{name}.json", {
-            "name": name, "listen": f"{HOST}:{listen[1]}", "seed": f"{i + 1:016x}",
-            "discovery": f"{HOST}:{self.discovery.address[1]}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "known": {"generation": 0, "reset": True, "instances": []}, "settings": settings(None),
-            "agreement": {"control": [f"{host}:{port}" for host, port in told],
-                          "contradiction_s": self.contradiction_s, "margin_s": self.margin_s,
-                          "store": str(self.folder / f"{name}.store")}})
+        file = self.write(
+            f"{name}.json",
+            {
+                "name": name,
+                "listen": f"{HOST}:{listen[1]}",
+                "seed": f"{i + 1:016x}",
+                "discovery": f"{HOST}:{self.discovery.address[1]}",
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                "known": {"generation": 0, "reset": True, "instances": []},
+                "settings": settings(None),
+                "agreement": {
+                    "control": [f"{host}:{port}" for host, port in told],
+                    "contradiction_s": self.contradiction_s,
+                    "margin_s": self.margin_s,
+                    "store": str(self.folder / f"{name}.store"),
+                },
+            },
+        )
         defect = self.defects.get(name, self.defects.get("balancer", ""))
-        child = await self.spawn(name, [sys.executable, "-m", "roadlb.lab.agreement.balancer", defect],
-                                 {"PROXY_CONFIG": str(file)})
+        child = await self.spawn(
+            name, [sys.executable, "-m", "roadlb.lab.agreement.balancer", defect], {"PROXY_CONFIG": str(file)}
+        )
         await self.until(f"{name} listens", lambda: "event=listening" in child.said())
-        self.clients += [Client(name, listen, f"customer-{j}", "read", line, self.period_s)
-                         for j in range(CUSTOMERS) for line in range(self.lines)]
+        self.clients += [
+            Client(name, listen, f"customer-{j}", "read", line, self.period_s)
+            for j in range(CUSTOMERS)
+            for line in range(self.lines)
+        ]
 
     def stop(self, name: str) -> None:
         """A balancer is stopped with a request in hand: right behind the bytes of its client's next one."""
@@ -179,8 +198,9 @@
     for at, text in notes:
         begun, ended = BEGINS.fullmatch(text), ENDS.fullmatch(text)
         whom = (ended or begun or {"whom": ""})["whom"]
-        if whom.endswith(" to store") or not (whom.startswith((f"{balancer} to ", "control-"))
-                                              or whom == balancer):
+        if whom.endswith(" to store") or not (
+            whom.startswith((f"{balancer} to ", "control-")) or whom == balancer
+        ):
             continue
         if ended:
             found.append((open_.pop(whom, at), at))
@@ -189,8 +209,14 @@
     return found + [(at, 1 << 62) for at in open_.values()]
 
 
-def judge(drains: list[Drain], sent: list[Sent], notes: list[tuple[int, str]], balancers: list[str],
-          bound_us: int, force: dict[tuple[str, int], tuple[int, set[str]]]) -> list[Late]:
+def judge(
+    drains: list[Drain],
+    sent: list[Sent],
+    notes: list[tuple[int, str]],
+    balancers: list[str],
+    bound_us: int,
+    force: dict[tuple[str, int], tuple[int, set[str]]],
+) -> list[Late]:
     """One for each drain and balancer.  `force`: of a drain, by node and start, when it was seen
     in force, and who was named as not reached."""
     went_on = [(at, text.partition(":")[0]) for at, text in notes if text.endswith(": SIGCONT")]
@@ -205,12 +231,21 @@
         hurt = hurts(notes, balancer)
         for j, drain in enumerate(drains):
             at = last.get((j, balancer), 0)
-            kept_from = any(begin <= drain.told + bound_us and end > drain.told - RETURN_US
-                            for begin, end in hurt)
+            kept_from = any(
+                begin <= drain.told + bound_us and end > drain.told - RETURN_US for begin, end in hurt
+            )
             seen, named = force.get((drain.node, drain.started_ms), (NEVER, set[str]()))
             complete = seen < drain.until and balancer not in named
-            found.append(Late(drain, balancer, max(0, at - drain.told), at - seen if at and complete else -1,
-                              kept_from, complete))
+            found.append(
+                Late(
+                    drain,
+                    balancer,
+                    max(0, at - drain.told),
+                    at - seen if at and complete else -1,
+                    kept_from,
+                    complete,
+                )
+            )
     return found
 
 
@@ -243,15 +278,23 @@
     return found
 
 
-async def play(seed: int, seconds: float, contradiction_s: float = 3.0, faulty: bool = True,
-               defects: dict[str, str] | None = None, margin_s: float = 0.4) -> Outcome:
+async def play(
+    seed: int,
+    seconds: float,
+    contradiction_s: float = 3.0,
+    faulty: bool = True,
+    defects: dict[str, str] | None = None,
+    margin_s: float = 0.4,
+) -> Outcome:
     """`seconds` of drains and returns under load, after all is up; then time for the last one."""
     with TemporaryDirectory(prefix="roadlb-whole-") as folder:
         async with Whole(Path(folder), contradiction_s, margin_s, defects) as whole:
             names = sorted(one for one in whole.children if one.startswith("balancer"))
             begun = whole.note("begun")
-            await whole.until("every balancer sends to every node", lambda: all(
-                whole.reached(node, begun) == set(names) for node in whole.discovery.entries))
+            await whole.until(
+                "every balancer sends to every node",
+                lambda: all(whole.reached(node, begun) == set(names) for node in whole.discovery.entries),
+            )
             faults, seen = Faults(whole, seed, PAUSE_S), dict[tuple[str, int], tuple[int, str]]()
             watching = asyncio.create_task(watch_force(whole, seen))
             playing = asyncio.create_task(faults.run()) if faulty else None
@@ -263,10 +306,15 @@
             closed = {drain.node for drain in drains if drain.until == NEVER}
             unsettled = ""
             try:
-                await whole.until("every balancer sends to every node that is open", lambda: all(
-                    whole.reached(node, since) == set(names)
-                    for node in whole.discovery.entries if node not in closed))
-            except DidNotCome as e:              # who never hears of a return is judged all the same
+                await whole.until(
+                    "every balancer sends to every node that is open",
+                    lambda: all(
+                        whole.reached(node, since) == set(names)
+                        for node in whole.discovery.entries
+                        if node not in closed
+                    ),
+                )
+            except DidNotCome as e:  # who never hears of a return is judged all the same
                 unsettled = str(e)
             await asyncio.sleep(1.2 * contradiction_s)
             watching.cancel()
@@ -289,28 +337,50 @@
             found.append(replace(closed.pop(node), until=back))
         else:
             halls = {whole.discovery.entries[node]["zone"] for node in closed}
-            node = random.choice(sorted(name for name, entry in whole.discovery.entries.items()
-                                        if entry["zone"] not in halls))
+            node = random.choice(
+                sorted(name for name, entry in whole.discovery.entries.items() if entry["zone"] not in halls)
+            )
             told = whole.discovery.tell(node, lifecycle="draining")
             whole.note(f"turn: {node} drains")
             closed[node] = Drain(node, int(str(whole.discovery.entries[node]["startedAtMs"])), told, NEVER)
     return sorted([*found, *closed.values()], key=lambda drain: drain.told)
 
 
-def _outcome(seed: int, whole: Whole, drains: list[Drain], seen: dict[tuple[str, int], tuple[int, str]],
-             names: list[str], faults: int, unsettled: str) -> Outcome:
+def _outcome(
+    seed: int,
+    whole: Whole,
+    drains: list[Drain],
+    seen: dict[tuple[str, int], tuple[int, str]],
+    names: list[str],
+    faults: int,
+    unsettled: str,
+) -> Outcome:
     bound_us, unreached = round(whole.contradiction_s * 1e6), named(whole)
-    force = {(node, started): (at, unreached[version]) for (node, started), (at, version) in seen.items()
-             if version in unreached}                    # else its leader ended before it said so
+    force = {
+        (node, started): (at, unreached[version])
+        for (node, started), (at, version) in seen.items()
+        if version in unreached
+    }  # else its leader ended before it said so
     found = judge(drains, whole.nodes.sent, whole.notes, names, bound_us, force)
     reached = [one for one in found if not one.kept_from and one.drain.until - one.drain.told > bound_us]
     answers = Counter[int]()
     for client in whole.clients:
         answers.update(client.answers)
     return Outcome(
-        seed, len(drains), len(reached), sum(one.complete for one in found),
-        max((one.lasted_us for one in reached), default=0), max((one.after_us for one in found), default=-1),
-        max((one.lasted_us for one in found if one.kept_from), default=0), bound_us, len(whole.nodes.sent),
-        dict(answers), faults, whole.beat.late_us, tuple(one.lasted_us for one in reached),
+        seed,
+        len(drains),
+        len(reached),
+        sum(one.complete for one in found),
+        max((one.lasted_us for one in reached), default=0),
+        max((one.after_us for one in found), default=-1),
+        max((one.lasted_us for one in found if one.kept_from), default=0),
+        bound_us,
+        len(whole.nodes.sent),
+        dict(answers),
+        faults,
+        whole.beat.late_us,
+        tuple(one.lasted_us for one in reached),
         max(found, key=lambda one: (one.after_us, one.lasted_us * (not one.kept_from)), default=None),
-        unsettled, tuple(whole.notes))
+        unsettled,
+        tuple(whole.notes),
+    )
--- a/roadlb/lab/bound/bound.py
+++ b/roadlb/lab/bound/bound.py
@@ -33,8 +33,9 @@
 class Bound:
     """Times are in microseconds of the rehearsal's clock; worth in the judge's units."""
 
-    def __init__(self, incident: Incident, drawn: Drawn, log: WireLog, capacity: Capacity,
-                 asked: Sequence[Asked]) -> None:
+    def __init__(
+        self, incident: Incident, drawn: Drawn, log: WireLog, capacity: Capacity, asked: Sequence[Asked]
+    ) -> None:
         self.capacity, self._asked = capacity, sorted(asked, key=lambda one: one.at)
         spec = next(iter(drawn.kinds.values()))
         self._gain, self._cache_us = spec.cache_gain, spec.cache_us
@@ -54,8 +55,10 @@
         means = {}
         for name, all_works in works.items():
             most = self._most_us[name]
-            means[name] = (sum(min(work, most) for work in all_works) / len(all_works),
-                           sum(work <= most for work in all_works) / len(all_works))
+            means[name] = (
+                sum(min(work, most) for work in all_works) / len(all_works),
+                sum(work <= most for work in all_works) / len(all_works),
+            )
         return means
 
     def _groups(self, since: int, until: int) -> list[Group]:
@@ -74,11 +77,14 @@
         """The worth that the capacity of a time could have carried, of what came due in it."""
         return greedy(self._groups(since, until), self.capacity.between(since, until), order)
 
-    def by_second(self, first: int, last: int, order: Callable[[Group], tuple[float, ...]] = by_worth
-                  ) -> dict[int, float]:
+    def by_second(
+        self, first: int, last: int, order: Callable[[Group], tuple[float, ...]] = by_worth
+    ) -> dict[int, float]:
         """The same for each whole second from `first` to `last`, seconds of the rehearsal's clock."""
-        return {second: self.over(second * SECOND, (second + 1) * SECOND, order)
-                for second in range(first, last + 1)}
+        return {
+            second: self.over(second * SECOND, (second + 1) * SECOND, order)
+            for second in range(first, last + 1)
+        }
 
     def borne(self, since: int, until: int) -> float:
         """The demand that the capacity of a time just bears, as a multiple of what came due in it."""
@@ -89,7 +95,7 @@
         """The worth that nobody could have passed: of what came due in that time, with the capacity until the
         last of it is over, single requests chosen by their own work."""
         groups, met = [], dict[str, int]()
-        remembered_us = self._cache_us + self._longest_us       # the last one may have been served that late
+        remembered_us = self._cache_us + self._longest_us  # the last one may have been served that late
         for one in self._asked:
             known = bool(one.key) and one.at - met.get(one.key, -NEVER) <= remembered_us
             met[one.key] = one.at
--- a/roadlb/lab/bound/capacity.py
+++ b/roadlb/lab/bound/capacity.py
@@ -17,10 +17,10 @@
     """One start of a node; times in microseconds."""
 
     hall: str
-    speed: float                 # of one core
-    capacity: float              # warm, in standard cores
-    cold_share: float            # of it at the start; 1: it starts warm
-    warm_us: int                 # until it has all
+    speed: float  # of one core
+    capacity: float  # warm, in standard cores
+    cold_share: float  # of it at the start; 1: it starts warm
+    warm_us: int  # until it has all
     since: int
     until: int = NEVER
     pauses: list[tuple[int, int]] = field(default_factory=list)
@@ -30,8 +30,9 @@
         since, until = max(since, self.since), min(until, self.until)
         if until <= since:
             return 0.0
-        stood_us = sum(self._warm(max(since, a), min(until, b)) for a, b in self.pauses
-                       if max(since, a) < min(until, b))
+        stood_us = sum(
+            self._warm(max(since, a), min(until, b)) for a, b in self.pauses if max(since, a) < min(until, b)
+        )
         return self.capacity * (self._warm(since, until) - stood_us)
 
     def _warm(self, since: int, until: int) -> float:
@@ -58,8 +59,14 @@
         for event in log:
             if isinstance(event, NodeStarted):
                 kind = kinds[event.kind]
-                life = Life(event.hall, event.capacity / kind.cores, event.capacity,
-                            kind.cold_share if event.cold_share < 1 else 1.0, kind.warm_us, event.at)
+                life = Life(
+                    event.hall,
+                    event.capacity / kind.cores,
+                    event.capacity,
+                    kind.cold_share if event.cold_share < 1 else 1.0,
+                    kind.warm_us,
+                    event.at,
+                )
                 self.lives.append(life)
                 present[event.node, event.started_ms] = life
             elif isinstance(event, NodeState | NodeFell):
--- a/roadlb/lab/bound/carry.py
+++ b/roadlb/lab/bound/carry.py
@@ -25,8 +25,9 @@
     return lambda group: (group.name != name, *by_worth(group))
 
 
-def greedy(groups: Sequence[Group], capacity_us: float,
-           order: Callable[[Group], tuple[float, ...]] = by_worth) -> float:
+def greedy(
+    groups: Sequence[Group], capacity_us: float, order: Callable[[Group], tuple[float, ...]] = by_worth
+) -> float:
     """The worth that fits, where groups are taken in this order and the last one that fits at all in part."""
     left, worth = max(0.0, capacity_us), 0.0
     for group in sorted(groups, key=order):
--- a/roadlb/lab/followers/control.py
+++ b/roadlb/lab/followers/control.py
@@ -37,7 +37,7 @@
 from ..parties.discovery import Registry
 
 WAY_US = 2_000
-TURN_S = 0.05                # between looks at the registry, and pulses
+TURN_S = 0.05  # between looks at the registry, and pulses
 CLUSTER = "grid"
 
 
@@ -70,8 +70,15 @@
 class Control:
     """`call` runs a function in the service's own name; `run` is its life, `away` its fault."""
 
-    def __init__(self, registry: Registry, settings: Mapping[str, str], timing: Timing,
-                 floors: Mapping[str, str], clock: Callable[[], int], call: Callable[..., object]) -> None:
+    def __init__(
+        self,
+        registry: Registry,
+        settings: Mapping[str, str],
+        timing: Timing,
+        floors: Mapping[str, str],
+        clock: Callable[[], int],
+        call: Callable[..., object],
+    ) -> None:
         self._registry, self._clock, self._call = registry, clock, call
         # The platform's settings have some that this program does not read: they are in no version.
         self._settings = {path: text for path, text in settings.items() if line_of(path) is not None}
@@ -82,7 +89,7 @@
 
     async def run(self) -> None:
         self._do(self.issuer.handle(self._clock(), Leading(1, 1 << 60, Book())))
-        self.issuer.ready_at = 0             # nobody led before: there are no leases to wait for
+        self.issuer.ready_at = 0  # nobody led before: there are no leases to wait for
         while True:
             if not self.away:
                 if self._registry.entries and self._registry.generation != self._generation:
--- a/roadlb/lab/followers/rehearsal.py
+++ b/roadlb/lab/followers/rehearsal.py
@@ -29,14 +29,18 @@
 from .control import Control
 
 CONTRADICTION_S = 5.0
-LOOK_S = 0.25                # between looks at how balancers stand
+LOOK_S = 0.25  # between looks at how balancers stand
 
 
 class Loop(SimLoop):
     """What a thread would do for a balancer's store is done at once."""
 
-    def run_in_executor(self, executor: Any, func: Callable[..., Any], *args: Any  # type: ignore[override]
-                        ) -> asyncio.Future[Any]:
+    def run_in_executor(  # type: ignore[override]
+        self,
+        executor: Any,
+        func: Callable[..., Any],
+        *args: Any,
+    ) -> asyncio.Future[Any]:
         done = self.create_future()
         try:
             done.set_result(func(*args))
@@ -70,8 +74,7 @@
     log, judge = WireLog(), Judge(rules_of(incident))
     folder = Path(tempfile.mkdtemp(prefix="roadlb-followers-"))
     try:
-        with heard() as errors, asyncio.Runner(
-                loop_factory=lambda: Loop(seed, start_us=START_US)) as runner:
+        with heard() as errors, asyncio.Runner(loop_factory=lambda: Loop(seed, start_us=START_US)) as runner:
             origin_us, end_us, standings = runner.run(_played(incident, seed, plan, log, folder))
             found = list(errors)
     finally:
@@ -81,8 +84,9 @@
     return Played(log, judge.verdict(end_us), origin_us, standings, found)
 
 
-async def _played(incident: Incident, seed: int, plan: Plan, log: WireLog, folder: Path
-                  ) -> tuple[int, int, dict[tuple[bool, Standing], int]]:
+async def _played(
+    incident: Incident, seed: int, plan: Plan, log: WireLog, folder: Path
+) -> tuple[int, int, dict[tuple[bool, Standing], int]]:
     settings = Pairs.from_json(settings_of(incident, 0, incident.network.halls[0])).values
     made: list[App] = []
     drawn = draw(incident, generators(seed))
@@ -94,9 +98,10 @@
 
     stage = Stage(incident, drawn, world := SimWorld(incident, drawn, app), log)
     place = world.machine("control", incident.network.halls[0], Role.AGENT)
-    control = Control(stage.registry, settings, timing_for(CONTRADICTION_S), plan.floors, world.clock,
-                      place.call)
-    real, vars(grpc)["dial"] = grpc.dial, control.dial           # which App looks up as it starts
+    control = Control(
+        stage.registry, settings, timing_for(CONTRADICTION_S), plan.floors, world.clock, place.call
+    )
+    real, vars(grpc)["dial"] = grpc.dial, control.dial  # which App looks up as it starts
     tasks = [place.run(control.run())]
     standings: dict[tuple[bool, Standing], int] = {}
     try:
@@ -123,8 +128,9 @@
         control.away = False
 
 
-async def _looks(made: list[App], control: Control, standings: dict[tuple[bool, Standing], int],
-                 stage: Stage) -> None:
+async def _looks(
+    made: list[App], control: Control, standings: dict[tuple[bool, Standing], int], stage: Stage
+) -> None:
     while True:
         await asyncio.sleep(LOOK_S)
         if stage.origin_us:
@@ -135,8 +141,11 @@
 
 
 def _agreement(plan: Plan, settings: Mapping[str, str], store: Path) -> Agreement:
-    raw: dict[str, Any] = {"control": ["10.0.0.1:1"], "contradiction_s": CONTRADICTION_S,
-                           "floors": dict(plan.floors)}
+    raw: dict[str, Any] = {
+        "control": ["10.0.0.1:1"],
+        "contradiction_s": CONTRADICTION_S,
+        "floors": dict(plan.floors),
+    }
     return read_agreement(raw | ({"store": str(store)} if plan.stores else {}), settings)
 
 
--- a/roadlb/lab/followers/restarts.py
+++ b/roadlb/lab/followers/restarts.py
@@ -51,7 +51,7 @@
 list_age_s = 20
 """
 AWAY_S = 19.5, 60.0
-TOLD_S = 6.0            # from a drain: discovery's notice and beat, a version, and what was on its way
+TOLD_S = 6.0  # from a drain: discovery's notice and beat, a version, and what was on its way
 
 
 @dataclass(slots=True, frozen=True)
@@ -77,16 +77,35 @@
     """`stores` false: what a balancer has when it returns is its configuration's list."""
     played = play(incident(), seed, Plan(away=AWAY_S, stores=stores))
     gone_us = played.origin_us + round(AWAY_S[0] * 1e6)
-    drained = {(event.node, event.started_ms): event.at for event in played.log
-               if isinstance(event, NodeState) and event.state == "draining"
-               and event.at < gone_us - round(TOLD_S * 1e6)}
-    stopped = {(event.node, event.started_ms) for event in played.log
-               if isinstance(event, NodeState) and event.state == "stopped" and event.at < gone_us}
+    drained = {
+        (event.node, event.started_ms): event.at
+        for event in played.log
+        if isinstance(event, NodeState)
+        and event.state == "draining"
+        and event.at < gone_us - round(TOLD_S * 1e6)
+    }
+    stopped = {
+        (event.node, event.started_ms)
+        for event in played.log
+        if isinstance(event, NodeState) and event.state == "stopped" and event.at < gone_us
+    }
     there = drained.keys() - stopped
-    astray = sum(isinstance(event, NodeGot) and (event.node, event.started_ms) in there
-                 and event.at > gone_us for event in played.log)
+    astray = sum(
+        isinstance(event, NodeGot) and (event.node, event.started_ms) in there and event.at > gone_us
+        for event in played.log
+    )
     figures, worth = played.verdict.figures, played.verdict.worth
-    starts = [event.balancer for event in played.log
-              if isinstance(event, BalancerState) and event.state == "started"]
-    return Restarts(len(there), astray, len(figures.fallen), len(starts) - len(set(starts)), worth.whole,
-                    sum(played.verdict.counts.values()), len(played.errors))
+    starts = [
+        event.balancer
+        for event in played.log
+        if isinstance(event, BalancerState) and event.state == "started"
+    ]
+    return Restarts(
+        len(there),
+        astray,
+        len(figures.fallen),
+        len(starts) - len(set(starts)),
+        worth.whole,
+        sum(played.verdict.counts.values()),
+        len(played.errors),
+    )
--- a/roadlb/lab/grid/live.py
+++ b/roadlb/lab/grid/live.py
@@ -27,10 +27,10 @@
 from .watch import Inside, PassingLog, Watch
 
 SECOND_S = 1.0
-READY_S, LOOK_S = 10.0, 0.02        # for the balancers that are started to be ready
-END_S = 10.0                        # for a balancer to end, once told to; its longest deadline is 2.5 s
+READY_S, LOOK_S = 10.0, 0.02  # for the balancers that are started to be ready
+END_S = 10.0  # for a balancer to end, once told to; its longest deadline is 2.5 s
 NEEDS_TRAFFIC = (s.Flood, s.Rude)
-TAIL = 5                            # lines of the log of a balancer that did not start
+TAIL = 5  # lines of the log of a balancer that did not start
 
 Say = Callable[[str], None]
 Show = Callable[[Picture], None]
@@ -40,8 +40,17 @@
     """A balancer that was started does not serve; the text has the end of its log."""
 
 
-async def grid(incident: Incident, seed: int, say: Say, *, balancers: int = 0, traffic: bool = False,
-               config: Path | None = None, seconds: float | None = None, show: Show | None = None) -> Picture:
+async def grid(
+    incident: Incident,
+    seed: int,
+    say: Say,
+    *,
+    balancers: int = 0,
+    traffic: bool = False,
+    config: Path | None = None,
+    seconds: float | None = None,
+    show: Show | None = None,
+) -> Picture:
     """Play the nodes and the discovery of an incident until SIGINT, SIGTERM or SIGHUP, or for `seconds`.
 
     Starts so many balancers, and one more is expected to be started by a person, with the configuration that
@@ -53,7 +62,8 @@
         with told_to_end() as ended:
             by_hand = config if config or balancers else folder / "balancer.json"
             return await _Live(incident, seed, say, balancers, by_hand, traffic, folder).play(
-                ended, seconds, show or (lambda picture: None))
+                ended, seconds, show or (lambda picture: None)
+            )
     finally:
         shutil.rmtree(folder, ignore_errors=True)
 
@@ -86,13 +96,21 @@
         else:
             steps.append(step)
     return msgspec.structs.replace(
-        incident, steps=tuple(steps),
-        balancers=msgspec.structs.replace(incident.balancers, in_hall=in_hall))
+        incident, steps=tuple(steps), balancers=msgspec.structs.replace(incident.balancers, in_hall=in_hall)
+    )
 
 
 class _Live:
-    def __init__(self, incident: Incident, seed: int, say: Say, balancers: int, by_hand: Path | None,
-                 traffic: bool, folder: Path) -> None:
+    def __init__(
+        self,
+        incident: Incident,
+        seed: int,
+        say: Say,
+        balancers: int,
+        by_hand: Path | None,
+        traffic: bool,
+        folder: Path,
+    ) -> None:
         self._incident = fitted(incident, balancers + (by_hand is not None), traffic, say)
         self._say, self._traffic, self._by_hand, self._folder = say, traffic, by_hand, folder
         self._names = [one.name for one in balancers_at_start(self._incident)]
@@ -115,7 +133,7 @@
             if await self._ready(ended):
                 self._introduce()
                 gc.collect()
-                gc.freeze()         # what the imports left behind need not be looked at again and again
+                gc.freeze()  # what the imports left behind need not be looked at again and again
                 await self._run(ended, seconds, show)
             return self._picture()
         finally:
@@ -125,8 +143,9 @@
     async def _ready(self, ended: asyncio.Event) -> bool:
         """All that were started serve; False: told to end before."""
         stage, loop = self._stage, asyncio.get_running_loop()
-        started = {name: process for name, process in self._world.processes.items()
-                   if isinstance(process, Started)}
+        started = {
+            name: process for name, process in self._world.processes.items() if isinstance(process, Started)
+        }
         until = loop.time() + READY_S
         while out := started.keys() - set(stage.front.taken_in):
             running = {one.name for one in stage.balancers.running}
@@ -142,12 +161,16 @@
     def _introduce(self) -> None:
         """Where everything is, and what to do with it."""
         stage = self._stage
-        self._say(f"grid        {len(stage.fleet.there)} nodes in {len(self._incident.network.halls)} halls: "
-                  f"{self._incident.title}")
+        self._say(
+            f"grid        {len(stage.fleet.there)} nodes in {len(self._incident.network.halls)} halls: "
+            f"{self._incident.title}"
+        )
         for one in stage.balancers.all:
             host, port = one.agent.address
-            self._say(f"{one.name}  http://{one.process.address[0]}:{one.process.address[1]} in {one.hall}, "
-                      f"its discovery on {host}:{port}")
+            self._say(
+                f"{one.name}  http://{one.process.address[0]}:{one.process.address[1]} in {one.hall}, "
+                f"its discovery on {host}:{port}"
+            )
             if isinstance(one.process, ByHand):
                 self._say(f"start it    PROXY_CONFIG={one.process.file} python -m roadlb")
         self._say(f"ask it      {self._curl()}")
@@ -158,18 +181,22 @@
         """A line for a shell, each second with another id."""
         told, name = self._incident.traffic, self._stage.balancers.all[0].process.address
         row = next((row for row in told.classes if row.repeatable), told.classes[0])
-        return (f'curl -i{"" if row.repeatable else " -X POST"} '
-                f'-H "X-Correlation-Id: $(printf %016x $(date +%s))" '
-                f"-H 'X-Account: {told.tenants[0].name}' -H 'X-Time-Left: {row.deadline_s:g}' "
-                f"'http://{name[0]}:{name[1]}/{row.name}/f0001?w={round(row.work_ms.middle * 1000)}'")
+        return (
+            f"curl -i{'' if row.repeatable else ' -X POST'} "
+            f'-H "X-Correlation-Id: $(printf %016x $(date +%s))" '
+            f"-H 'X-Account: {told.tenants[0].name}' -H 'X-Time-Left: {row.deadline_s:g}' "
+            f"'http://{name[0]}:{name[1]}/{row.name}/f0001?w={round(row.work_ms.middle * 1000)}'"
+        )
 
     async def _run(self, ended: asyncio.Event, seconds: float | None, show: Show) -> None:
         stage, loop = self._stage, asyncio.get_running_loop()
         stage.origin_us = self._watch.origin_us = self._world.clock()
         if self._traffic:
             stage.arrive()
-        tasks = [loop.create_task(stage.step(number, self._say_step))
-                 for number in range(len(self._incident.steps))]
+        tasks = [
+            loop.create_task(stage.step(number, self._say_step))
+            for number in range(len(self._incident.steps))
+        ]
         try:
             began, second = loop.time(), 0
             while not ended.is_set() and (seconds is None or loop.time() - began < seconds):
@@ -181,7 +208,7 @@
                     show(self._picture())
                 for task in tasks:
                     if task.done():
-                        task.result()           # a fault of this program ends it
+                        task.result()  # a fault of this program ends it
         finally:
             for task in tasks:
                 task.cancel()
--- a/roadlb/lab/grid/processes.py
+++ b/roadlb/lab/grid/processes.py
@@ -21,9 +21,9 @@
 from ..run.world import Process
 from ..wire import WireLog
 
-LOOK_S = 0.02           # between two looks whether a process has ended
+LOOK_S = 0.02  # between two looks whether a process has ended
 MIB = 1 << 20
-NEVER_S = 3600.0        # a balancer that a person starts is not known to end: it is asked after so seldom
+NEVER_S = 3600.0  # a balancer that a person starts is not known to end: it is asked after so seldom
 
 
 class Started:
@@ -43,9 +43,13 @@
         with self.log_file.open("ab") as log:
             # A session of its own: a terminal's Ctrl-C is this program's to pass on.
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "roadlb"], stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                [sys.executable, "-m", "roadlb"],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
                 env={**own, "PYTHONPATH": path},
-                start_new_session=True)
+                start_new_session=True,
+            )
         limit(self._process.pid, configuration["limits"])
 
     def configure(self, configuration: Mapping[str, Any]) -> None:
@@ -73,12 +77,14 @@
     Of a core more than one is of no use to it; less is the machine's to enforce, and is not done here.
     """
     if hasattr(resource, "prlimit"):
-        for kind, most in ((resource.RLIMIT_NOFILE, int(limits["sockets"])),
-                           (resource.RLIMIT_DATA, int(limits["memory_mb"]) * MIB)):
+        for kind, most in (
+            (resource.RLIMIT_NOFILE, int(limits["sockets"])),
+            (resource.RLIMIT_DATA, int(limits["memory_mb"]) * MIB),
+        ):
             try:
                 resource.prlimit(pid, kind, (most, most))
             except (ProcessLookupError, PermissionError, ValueError):
-                return                  # it has ended already, or may not have so much
+                return  # it has ended already, or may not have so much
 
 
 class ByHand:
@@ -114,8 +120,14 @@
 class LiveWorld(RealWorld):
     """`make` gives the process of a balancer by its name and address, which the real world keeps for it."""
 
-    def __init__(self, drawn: Drawn, log: WireLog, folder: Path, random: Callable[[str], Random],
-                 make: Callable[[str, Address], Process]) -> None:
+    def __init__(
+        self,
+        drawn: Drawn,
+        log: WireLog,
+        folder: Path,
+        random: Callable[[str], Random],
+        make: Callable[[str, Address], Process],
+    ) -> None:
         super().__init__(drawn, log, folder, random)
         self._make = make
         self.processes: dict[str, Process] = {}
--- a/roadlb/lab/grid/watch.py
+++ b/roadlb/lab/grid/watch.py
@@ -11,18 +11,37 @@
 from ..judge import Judge, Rule
 from ..judge.rules import ClassRule
 from ..wire import (
-    BalancerState, ClientGot, ClientLost, ClientSent, ClientWished, NodeFell, NodeGot, NodeStarted, NodeState,
-    WireEvent, WireLog)
+    BalancerState,
+    ClientGot,
+    ClientLost,
+    ClientSent,
+    ClientWished,
+    NodeFell,
+    NodeGot,
+    NodeStarted,
+    NodeState,
+    WireEvent,
+    WireLog,
+)
 from .picture import BalancerRow, NodeRow, Picture
 
-GONE_SHOWN_US = 10_000_000          # a node that is gone stays in the picture for so long
+GONE_SHOWN_US = 10_000_000  # a node that is gone stays in the picture for so long
 REFUSALS = (429, 503)
 # Anybody may ask the balancers of a live grid, with curl or the load tool: that none of its own clients had
 # sent a request tells nothing here.
 NOT_HELD = (Rule.SMUGGLED,)
-NODE_STATES = {"resumed": "up", "healed": "up", "slowed": ""}           # empty: told apart by its factor
-BALANCER_STATES = {"started": "starting", "ready": "up", "terminated": "stopping", "killed": "down",
-                   "ended": "down", "resumed": "up", "healed": "up", "reloaded": "", "reset": ""}
+NODE_STATES = {"resumed": "up", "healed": "up", "slowed": ""}  # empty: told apart by its factor
+BALANCER_STATES = {
+    "started": "starting",
+    "ready": "up",
+    "terminated": "stopping",
+    "killed": "down",
+    "ended": "down",
+    "resumed": "up",
+    "healed": "up",
+    "reloaded": "",
+    "reset": "",
+}
 
 
 class PassingLog(WireLog):
@@ -51,15 +70,15 @@
     state: str = "up"
     drains: bool = False
     gone_at: int | None = None
-    got: int = 0                    # in this second
+    got: int = 0  # in this second
 
 
 @dataclass(slots=True)
 class _Balancer:
     hall: str
     state: str = "starting"
-    ends: Counter[str] = field(default_factory=Counter)         # in this second, by how they ended
-    asked: float = 0.0              # worth of all tries that have ended
+    ends: Counter[str] = field(default_factory=Counter)  # in this second, by how they ended
+    asked: float = 0.0  # worth of all tries that have ended
     served: float = 0.0
 
     @property
@@ -93,9 +112,16 @@
         self._wished = 0
         self.origin_us = self._since = now
         self._seen: dict[type[Any], Callable[[Any], None]] = {
-            ClientWished: self._due, ClientSent: self._sent, ClientGot: self._got, ClientLost: self._lost,
-            NodeStarted: self._started, NodeGot: self._came, NodeFell: self._fell,
-            NodeState: self._node_state, BalancerState: self._balancer_state}
+            ClientWished: self._due,
+            ClientSent: self._sent,
+            ClientGot: self._got,
+            ClientLost: self._lost,
+            NodeStarted: self._started,
+            NodeGot: self._came,
+            NodeFell: self._fell,
+            NodeState: self._node_state,
+            BalancerState: self._balancer_state,
+        }
 
     def see(self, event: WireEvent) -> None:
         self._judge.see(event)
@@ -161,22 +187,40 @@
     def picture(self, now: int, inside: Callable[[str], Inside | None]) -> Picture:
         """`inside` tells of a node by its name; None: there is none now."""
         span_s = max(1, now - self._since) / 1e6
-        gone = [key for key, node in self._nodes.items()
-                if node.gone_at is not None and now - node.gone_at > GONE_SHOWN_US]
+        gone = [
+            key
+            for key, node in self._nodes.items()
+            if node.gone_at is not None and now - node.gone_at > GONE_SHOWN_US
+        ]
         for key in gone:
             del self._nodes[key]
         verdict = self._judge.verdict()
         held = [violation for violation in verdict.violations if violation.rule not in NOT_HELD]
         latest = max(held, key=lambda violation: violation.at, default=None)
         made = Picture(
-            self._incident.title, (now - self.origin_us) / 1e6, self._incident.duration_s,
+            self._incident.title,
+            (now - self.origin_us) / 1e6,
+            self._incident.duration_s,
             tuple(self._rows(span_s, inside)),
-            tuple(BalancerRow(name, b.state, b.hall, b.ends["served"] / span_s, b.ends["refused"] / span_s,
-                              b.ends["failed"] / span_s, b.ends["lost"] / span_s, b.worth)
-                  for name, b in self._balancers.items()),
-            self._wished / span_s, verdict.worth.service if self._traffic else None,
+            tuple(
+                BalancerRow(
+                    name,
+                    b.state,
+                    b.hall,
+                    b.ends["served"] / span_s,
+                    b.ends["refused"] / span_s,
+                    b.ends["failed"] / span_s,
+                    b.ends["lost"] / span_s,
+                    b.worth,
+                )
+                for name, b in self._balancers.items()
+            ),
+            self._wished / span_s,
+            verdict.worth.service if self._traffic else None,
             {rule.value: count for rule, count in verdict.counts.items() if rule not in NOT_HELD},
-            latest.text if latest else "", verdict.figures.lagged_s)
+            latest.text if latest else "",
+            verdict.figures.lagged_s,
+        )
         for node in self._nodes.values():
             node.got = 0
         for balancer in self._balancers.values():
@@ -188,5 +232,15 @@
         for (name, _), node in self._nodes.items():
             told = inside(name) if node.gone_at is None else None
             told = told or Inside(0.0, 0.0, 1.0, 0, 0)
-            yield NodeRow(name, node.state, node.kind, node.hall, told.cold_share, told.capacity, told.slowed,
-                          told.queue, told.running, node.got / span_s)
+            yield NodeRow(
+                name,
+                node.state,
+                node.kind,
+                node.hall,
+                told.cold_share,
+                told.capacity,
+                told.slowed,
+                told.queue,
+                told.running,
+                node.got / span_s,
+            )
--- a/roadlb/lab/incident/__init__.py
+++ b/roadlb/lab/incident/__init__.py
@@ -12,5 +12,15 @@
 from .steps import STEPS, Step
 from .values import Range, micro
 
-__all__ = ["STEPS", "Incident", "IncidentError", "Problem", "Range", "Step", "load", "micro", "read",
-           "rules_of"]
+__all__ = [
+    "STEPS",
+    "Incident",
+    "IncidentError",
+    "Problem",
+    "Range",
+    "Step",
+    "load",
+    "micro",
+    "read",
+    "rules_of",
+]
--- a/roadlb/lab/incident/checks.py
+++ b/roadlb/lab/incident/checks.py
@@ -9,12 +9,23 @@
 from .lines import Path
 from .schema import Incident
 from .steps import (
-    AtBalancers, AtNodes, CutHall, Deploy, Flood, Lasting, LastingAtNodes, LoseHall, Pause, Reset,
-    Shrink, Step)
+    AtBalancers,
+    AtNodes,
+    CutHall,
+    Deploy,
+    Flood,
+    Lasting,
+    LastingAtNodes,
+    LoseHall,
+    Pause,
+    Reset,
+    Shrink,
+    Step,
+)
 from .targets import balancers_at_start, nodes_at_start
 
 Found = Iterator[tuple[Path, str]]
-WHOLE = 0.001       # shares that should add up to 1 may miss it by this much, as 0.333 three times does
+WHOLE = 0.001  # shares that should add up to 1 may miss it by this much, as 0.333 three times does
 
 
 def check(incident: Incident, raw_steps: Sequence[Any]) -> Found:
@@ -83,10 +94,14 @@
             key = "error_share" if kind.error_share.high > 1 else "cold_share"
             yield ("fleet", "machine", i, key), f"is {getattr(kind, key)}, and must be a share from 0 to 1"
         if kind.cold_share.low < incident.rules.cold_from or kind.cold_s.high > incident.rules.cold_s:
-            yield ("fleet", "machine", i, "cold_share"), (
-                f"{kind.name} starts at {kind.cold_share} and is warm after {kind.cold_s} s, but balancers "
-                f"are told rules.cold_from = {incident.rules.cold_from:g} and rules.cold_s = "
-                f"{incident.rules.cold_s:g}")
+            yield (
+                ("fleet", "machine", i, "cold_share"),
+                (
+                    f"{kind.name} starts at {kind.cold_share} and is warm after {kind.cold_s} s, but "
+                    f"balancers are told rules.cold_from = {incident.rules.cold_from:g} and rules.cold_s = "
+                    f"{incident.rules.cold_s:g}"
+                ),
+            )
     for i, group in enumerate(fleet.groups):
         for text in unless_known(group.machine, names, "kind of machine"):
             yield ("fleet", "group", i, "machine"), text
@@ -137,8 +152,13 @@
         yield "at_s", f"{step.at_s:g} is not before the end of the run, {end:g} s (duration_s)"
         return
     if isinstance(step, Lasting | LastingAtNodes) and step.for_s is not None and step.at_s + step.for_s > end:
-        yield "for_s", (f"it would end at {step.at_s + step.for_s:g} s, after the run, {end:g} s; "
-                        "leave it out to hold to the end")
+        yield (
+            "for_s",
+            (
+                f"it would end at {step.at_s + step.for_s:g} s, after the run, {end:g} s; "
+                "leave it out to hold to the end"
+            ),
+        )
     if isinstance(step, Deploy | Shrink):
         if step.at_s + step.over_s > end:
             yield "over_s", f"it would end at {step.at_s + step.over_s:g} s, after the run, {end:g} s"
@@ -163,8 +183,9 @@
             yield "tenant", text
 
 
-def check_aim(incident: Incident, step: AtNodes | AtBalancers, raw: dict[str, Any]
-              ) -> Iterator[tuple[str, str]]:
+def check_aim(
+    incident: Incident, step: AtNodes | AtBalancers, raw: dict[str, Any]
+) -> Iterator[tuple[str, str]]:
     """That a step says once how many it takes, and of what there is."""
     if "share" in raw and "count" in raw:
         yield "count", "share is given too; one of them must go"
@@ -174,8 +195,9 @@
             if key in raw:
                 yield key, f"says nothing where what = {step.what!r}"
     if isinstance(step, AtNodes):
-        for text in unless_known(step.machine, [kind.name for kind in incident.fleet.machines],
-                                 "kind of machine"):
+        for text in unless_known(
+            step.machine, [kind.name for kind in incident.fleet.machines], "kind of machine"
+        ):
             yield "machine", text
         for name in step.nodes:
             for text in unless_known(name, [one.name for one in nodes_at_start(incident)], "node"):
--- a/roadlb/lab/incident/lines.py
+++ b/roadlb/lab/incident/lines.py
@@ -17,8 +17,9 @@
     r'''(?P<comment>\#[^\n]*)
       | (?P<text>"""(?:\\.|[^\\])*?"{3,5} | \'{3}.*?\'{3,5} | "(?:\\.|[^"\\\n])*" | '[^'\n]*')
       | (?P<open>[\[{]) | (?P<close>[\]}]) | (?P<newline>\n) | (?P<other>[^\#"'\[\]{}\n]+)''',
-    re.VERBOSE | re.DOTALL)
-KEY = re.compile(r'''\s*("(?:\\.|[^"\\])*"|'[^']*'|[A-Za-z0-9_-]+)\s*(\.|=|\]|$)''')
+    re.VERBOSE | re.DOTALL,
+)
+KEY = re.compile(r"""\s*("(?:\\.|[^"\\])*"|'[^']*'|[A-Za-z0-9_-]+)\s*(\.|=|\]|$)""")
 
 
 def statements(text: str) -> Iterator[tuple[int, str]]:
--- a/roadlb/lab/incident/load.py
+++ b/roadlb/lab/incident/load.py
@@ -25,9 +25,15 @@
 PART = re.compile(r"\.([^.\[\]]+)|\[(\d+)\]")
 UNKNOWN = re.compile(r"Object contains unknown field `(.*)`")
 MISSING = re.compile(r"Object missing required field `(.*)`")
-WORDS = {"float": "a number", "int": "a whole number", "str": "a text", "bool": "true or false",
-         "array": "a list", "object": "a table"}
-MOST_PROBLEMS = 100     # of one table; each round takes a faulty key out, so few get this far
+WORDS = {
+    "float": "a number",
+    "int": "a whole number",
+    "str": "a text",
+    "bool": "true or false",
+    "array": "a list",
+    "object": "a table",
+}
+MOST_PROBLEMS = 100  # of one table; each round takes a faulty key out, so few get this far
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -125,8 +131,10 @@
             return msgspec.convert(raw, kind, dec_hook=decode)
         except msgspec.ValidationError as e:
             where, message = AT.search(str(e)), AT.sub("", str(e))
-            path: Path = tuple(int(number) if number else name
-                               for name, number in PART.findall(where.group("path") if where else ""))
+            path: Path = tuple(
+                int(number) if number else name
+                for name, number in PART.findall(where.group("path") if where else "")
+            )
             if missing := MISSING.search(message):
                 if (*path, missing.group(1)) not in out:
                     found.append(((*at, *path), f"{missing.group(1)} is missing"))
@@ -186,8 +194,11 @@
     if not message.startswith("Expected"):
         return message
     wanted = re.sub(r", got .*$", "", message.removeprefix("Expected "))
-    wanted = re.sub(r"`([^`]*)`", lambda m: " or ".join(
-        WORDS.get(word, word) for word in m.group(1).split(" | ") if word != "null"), wanted)
+    wanted = re.sub(
+        r"`([^`]*)`",
+        lambda m: " or ".join(WORDS.get(word, word) for word in m.group(1).split(" | ") if word != "null"),
+        wanted,
+    )
     return f"is {value!r}, and must be {wanted}"
 
 
--- a/roadlb/lab/incident/steps.py
+++ b/roadlb/lab/incident/steps.py
@@ -13,12 +13,40 @@
 from .values import Count, Factor, Seconds, Section, SomeSeconds, SomeShare, Word
 
 # The words of `model.spec.Spoil` and of `parties.rude.KINDS`.
-Spoil = Literal["noise", "head unreadable", "head endless", "length long", "length twice", "length negative",
-                "chunks broken", "huge", "cut", "copy behind", "noise behind", "report unreadable",
-                "interim first"]
-Rudeness = Literal["noise", "endless head", "length wrong", "length negative", "length huge", "body 60 MB",
-                   "no such class", "no such tenant", "deadline no number", "no id", "stolen id",
-                   "half a request", "silent", "silent hundreds", "hundreds at once", "two lengths", "again"]
+Spoil = Literal[
+    "noise",
+    "head unreadable",
+    "head endless",
+    "length long",
+    "length twice",
+    "length negative",
+    "chunks broken",
+    "huge",
+    "cut",
+    "copy behind",
+    "noise behind",
+    "report unreadable",
+    "interim first",
+]
+Rudeness = Literal[
+    "noise",
+    "endless head",
+    "length wrong",
+    "length negative",
+    "length huge",
+    "body 60 MB",
+    "no such class",
+    "no such tenant",
+    "deadline no number",
+    "no id",
+    "stolen id",
+    "half a request",
+    "silent",
+    "silent hundreds",
+    "hundreds at once",
+    "two lengths",
+    "again",
+]
 SPOILS: tuple[Spoil, ...] = get_args(Spoil)
 RUDE: tuple[Rudeness, ...] = get_args(Rudeness)
 
@@ -28,7 +56,7 @@
 
     do: ClassVar[str]
     at_s: Seconds
-    label: str = ""                                 # for the report; empty: told from the step itself
+    label: str = ""  # for the report; empty: told from the step itself
 
 
 class Lasting(Step, frozen=True, kw_only=True):
@@ -40,11 +68,11 @@
 class AtNodes(Step, frozen=True, kw_only=True):
     """Which nodes: those up at that time that match all the words given, and of them a share or a count."""
 
-    share: SomeShare | None = None                  # of those that match; rounded down, one at least
+    share: SomeShare | None = None  # of those that match; rounded down, one at least
     count: Count | None = None
     hall: Word | None = None
     machine: Word | None = None
-    nodes: tuple[Word, ...] = ()                    # by name, as `roadlb lab show` prints them
+    nodes: tuple[Word, ...] = ()  # by name, as `roadlb lab show` prints them
 
 
 class LastingAtNodes(AtNodes, frozen=True, kw_only=True):
@@ -70,17 +98,17 @@
 
     do: ClassVar[str] = "deploy"
     share: SomeShare | None = 0.81
-    batch: SomeShare = 0.19                         # share of the whole fleet that is replaced at a time
-    over_s: SomeSeconds = 25.0                      # from the first drain to the last start
+    batch: SomeShare = 0.19  # share of the whole fleet that is replaced at a time
+    over_s: SomeSeconds = 25.0  # from the first drain to the last start
     drain_s: Seconds = 4.0
-    address: Literal["new", "same"] = "new"         # of the successors; their ids are always new
+    address: Literal["new", "same"] = "new"  # of the successors; their ids are always new
 
 
 class Shrink(Step, frozen=True, kw_only=True):
     """The fleet is made smaller, node after node."""
 
     do: ClassVar[str] = "shrink"
-    to: SomeShare = 0.5                             # share of the nodes that stay
+    to: SomeShare = 0.5  # share of the nodes that stay
     over_s: SomeSeconds = 15.0
     drain_s: Seconds = 4.0
 
@@ -91,24 +119,24 @@
     do: ClassVar[str] = "balancer_crash"
     share: SomeShare | None = 0.42
     back_after_s: SomeSeconds = 4.0
-    back: bool = True                               # false: they stay away
-    list_age_s: Seconds = 0.0                       # the list is the one held so long before the crash
+    back: bool = True  # false: they stay away
+    list_age_s: Seconds = 0.0  # the list is the one held so long before the crash
 
 
 class BalancerRestart(AtBalancers, frozen=True, kw_only=True):
     """A planned restart: SIGTERM, and SIGKILL to what is still there; then the process starts again."""
 
     do: ClassVar[str] = "balancer_restart"
-    every_s: Seconds = 5.0                          # from one balancer to the next
-    kill_after_s: SomeSeconds = 3.7                 # the longest deadline and 0.7 s, or 3.7 s
-    down_s: Seconds = 0.3                           # from its end to the next start
+    every_s: Seconds = 5.0  # from one balancer to the next
+    kill_after_s: SomeSeconds = 3.7  # the longest deadline and 0.7 s, or 3.7 s
+    down_s: Seconds = 0.3  # from its end to the next start
 
 
 class BalancerDrain(AtBalancers, frozen=True, kw_only=True):
     """Balancers are told that they are out of service, and after a while that they are in service again."""
 
     do: ClassVar[str] = "balancer_drain"
-    every_s: Seconds = 5.0                          # from one balancer to the next
+    every_s: Seconds = 5.0  # from one balancer to the next
     for_s: SomeSeconds = 6.0
 
 
@@ -144,7 +172,7 @@
     """Discovery moves: a new configuration, SIGHUP, and the old address closes."""
 
     do: ClassVar[str] = "discovery_move"
-    old_closes_s: Seconds = 1.5                     # the old address takes no new connection from the start
+    old_closes_s: Seconds = 1.5  # the old address takes no new connection from the start
 
 
 class Flood(Lasting, frozen=True, kw_only=True):
@@ -178,7 +206,7 @@
     do: ClassVar[str] = "reset"
     connections: SomeShare = 0.5
     between: Literal["nodes", "clients"] = "nodes"  # balancers and nodes, or clients and balancers
-    hall: Word | None = None                        # of the balancers
+    hall: Word | None = None  # of the balancers
 
 
 class Rude(Lasting, frozen=True, kw_only=True):
@@ -186,7 +214,7 @@
 
     do: ClassVar[str] = "rude"
     kinds: tuple[Rudeness, ...] = RUDE
-    every_s: SomeSeconds = 0.5                      # in each hall one comes so often, of the kinds in turn
+    every_s: SomeSeconds = 0.5  # in each hall one comes so often, of the kinds in turn
 
 
 class KillNode(AtNodes, frozen=True, kw_only=True):
@@ -195,7 +223,7 @@
     do: ClassVar[str] = "kill_node"
     count: Count | None = 1
     silent: bool = False
-    back_after_s: SomeSeconds | None = None         # the same id starts again, cold; none: it stays away
+    back_after_s: SomeSeconds | None = None  # the same id starts again, cold; none: it stays away
 
 
 class LoseHall(Step, frozen=True, kw_only=True):
@@ -203,11 +231,29 @@
 
     do: ClassVar[str] = "lose_hall"
     hall: Word
-    back_after_s: SomeSeconds | None = None         # nodes start again, cold, and balancers; none: never
-    list_age_s: Seconds = 0.0                       # the balancers' list is the one held so long before
+    back_after_s: SomeSeconds | None = None  # nodes start again, cold, and balancers; none: never
+    list_age_s: Seconds = 0.0  # the balancers' list is the one held so long before
 
 
 STEPS: dict[str, type[Step]] = {
-    kind.do: kind for kind in (
-        Deploy, Shrink, BalancerCrash, BalancerRestart, BalancerDrain, Pause, Slow, CutHall, DiscoveryOutage,
-        DiscoveryMove, Flood, Errors, Spoilt, Reset, Rude, KillNode, LoseHall)}
+    kind.do: kind
+    for kind in (
+        Deploy,
+        Shrink,
+        BalancerCrash,
+        BalancerRestart,
+        BalancerDrain,
+        Pause,
+        Slow,
+        CutHall,
+        DiscoveryOutage,
+        DiscoveryMove,
+        Flood,
+        Errors,
+        Spoilt,
+        Reset,
+        Rude,
+        KillNode,
+        LoseHall,
+    )
+}
--- a/roadlb/lab/incident/targets.py
+++ b/roadlb/lab/incident/targets.py
@@ -10,7 +10,7 @@
 from .schema import Fleet, Incident
 from .steps import AtBalancers, AtNodes, Deploy, Shrink
 
-ROUNDING = 1e-9     # a share such as 0.29 of 100 is 28.999999999999996
+ROUNDING = 1e-9  # a share such as 0.29 of 100 is 28.999999999999996
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,7 +53,7 @@
     wanted = [fleet.nodes * kind.share / total for kind in fleet.machines]
     counts = [int(w) for w in wanted]
     by_remainder = sorted(range(len(wanted)), key=lambda i: counts[i] - wanted[i])
-    for i in by_remainder[:fleet.nodes - sum(counts)]:
+    for i in by_remainder[: fleet.nodes - sum(counts)]:
         counts[i] += 1
     return [kind.name for kind, count in zip(fleet.machines, counts, strict=True) for _ in range(count)]
 
@@ -69,8 +69,13 @@
     """Those that have all of a step's words."""
     names = step.nodes if isinstance(step, AtNodes) else step.balancers
     machine = step.machine if isinstance(step, AtNodes) else None
-    return [one for one in there if (not names or one.name in names) and step.hall in (None, one.hall)
-            and machine in (None, one.machine)]
+    return [
+        one
+        for one in there
+        if (not names or one.name in names)
+        and step.hall in (None, one.hall)
+        and machine in (None, one.machine)
+    ]
 
 
 def chosen(step: AtNodes | AtBalancers, there: Iterable[C], rng: Random) -> list[C]:
@@ -96,7 +101,7 @@
 def deploy_batches(step: Deploy, whom: Sequence[C], fleet: int) -> list[tuple[float, Sequence[C]]]:
     """(second at which they begin to drain, nodes) of each batch; the last ends its drain at `over_s`."""
     size = max(1, round(step.batch * fleet))
-    batches = [whom[i:i + size] for i in range(0, len(whom), size)]
+    batches = [whom[i : i + size] for i in range(0, len(whom), size)]
     last_s = step.at_s + max(0.0, step.over_s - step.drain_s)
     return list(zip(evenly(step.at_s, last_s, len(batches)), batches, strict=True))
 
--- a/roadlb/lab/incident/values.py
+++ b/roadlb/lab/incident/values.py
@@ -10,11 +10,11 @@
 SECOND_US = 1_000_000
 
 # The bound in each type is what msgspec checks; "nan" fails every one of them.
-Share = Annotated[float, Meta(ge=0, le=1)]               # part of a whole
-SomeShare = Annotated[float, Meta(gt=0, le=1)]           # part of a whole, not nothing
-Seconds = Annotated[float, Meta(ge=0, le=86_400)]        # a rehearsal of over a day is a mistake in units
+Share = Annotated[float, Meta(ge=0, le=1)]  # part of a whole
+SomeShare = Annotated[float, Meta(gt=0, le=1)]  # part of a whole, not nothing
+Seconds = Annotated[float, Meta(ge=0, le=86_400)]  # a rehearsal of over a day is a mistake in units
 SomeSeconds = Annotated[float, Meta(gt=0, le=86_400)]
-Amount = Annotated[float, Meta(ge=0, le=1e9)]            # a rate, price or weight; infinity is none
+Amount = Annotated[float, Meta(ge=0, le=1e9)]  # a rate, price or weight; infinity is none
 Factor = Annotated[float, Meta(gt=0, le=1e6)]
 Count = Annotated[int, Meta(ge=1, le=1_000_000)]
 CountOrNone = Annotated[int, Meta(ge=0, le=1_000_000)]
@@ -38,8 +38,11 @@
         self._first, self._second = first, second
 
     def __eq__(self, other: object) -> bool:
-        return (isinstance(other, Pair) and type(other) is type(self)
-                and (other._first, other._second) == (self._first, self._second))
+        return (
+            isinstance(other, Pair)
+            and type(other) is type(self)
+            and (other._first, other._second) == (self._first, self._second)
+        )
 
     def __hash__(self) -> int:
         return hash((type(self), self._first, self._second))
@@ -92,9 +95,12 @@
     if not issubclass(wanted, Pair):
         raise NotImplementedError(f"{wanted.__name__} cannot be read from a file")
     numbers = [value, value] if wanted is Range and not isinstance(value, list) else value
-    if (not isinstance(numbers, list) or len(numbers) != 2
-            or not all(isinstance(n, int | float) and not isinstance(n, bool) for n in numbers)
-            or not all(0 <= n <= 1e9 for n in numbers)):
+    if (
+        not isinstance(numbers, list)
+        or len(numbers) != 2
+        or not all(isinstance(n, int | float) and not isinstance(n, bool) for n in numbers)
+        or not all(0 <= n <= 1e9 for n in numbers)
+    ):
         raise ValueError(f"must be {wanted.shape}, no number under 0, and is {value!r}")
     if wanted is Range and numbers[0] > numbers[1]:
         raise ValueError(f"must have the lowest number first, and is {value!r}")
