--- a/roadlb/lab/incident/words.py
+++ b/roadlb/lab/incident/words.py
@@ -13,8 +13,17 @@
 
 def explain(incident: Incident) -> str:
     """Some lines of plain text."""
-    return "\n".join([f"{incident.name}: {incident.title}", f"  lasts {incident.duration_s:g} s", "",
-                      *world(incident), "", "What happens:", *timeline(incident)])
+    return "\n".join(
+        [
+            f"{incident.name}: {incident.title}",
+            f"  lasts {incident.duration_s:g} s",
+            "",
+            *world(incident),
+            "",
+            "What happens:",
+            *timeline(incident),
+        ]
+    )
 
 
 def world(incident: Incident) -> Iterator[str]:
@@ -22,13 +31,19 @@
     yield f"Nodes ({len(nodes)}):"
     for kind in incident.fleet.machines:
         these = [node for node in nodes if node.machine == kind.name]
-        yield (f"  {kind.name:<10} {len(these)} ({by_hall(these)}); {kind.cores} cores of speed "
-               f"{kind.speed}, room for {kind.waiting_per_core} waiting per core")
-        yield (f"  {'':<10} {names(these)}; a started one has {kind.cold_share} of its capacity and is warm "
-               f"after {kind.cold_s} s")
+        yield (
+            f"  {kind.name:<10} {len(these)} ({by_hall(these)}); {kind.cores} cores of speed "
+            f"{kind.speed}, room for {kind.waiting_per_core} waiting per core"
+        )
+        yield (
+            f"  {'':<10} {names(these)}; a started one has {kind.cold_share} of its capacity and is warm "
+            f"after {kind.cold_s} s"
+        )
     yield f"Balancers ({len(balancers)}):"
-    yield (f"  {names(balancers)} ({by_hall(balancers)}); each with {incident.balancers.cores:g} cores, "
-           f"{incident.balancers.memory_mb} MB, {incident.balancers.sockets} sockets")
+    yield (
+        f"  {names(balancers)} ({by_hall(balancers)}); each with {incident.balancers.cores:g} cores, "
+        f"{incident.balancers.memory_mb} MB, {incident.balancers.sockets} sockets"
+    )
     yield f"Network: {len(net.halls)} halls ({', '.join(net.halls)})"
     yield f"  one way {net.same_hall_ms} ms within a hall, {net.cross_hall_ms} ms between halls"
     for link in net.links:
@@ -38,9 +53,11 @@
     rate = ", then ".join(f"{p.per_s:g} from {p.at_s:g} s" for p in points) or f"{incident.traffic.rate:g}"
     yield f"  first tries a second: {rate}; {incident.traffic.shape}"
     for row in incident.traffic.classes:
-        yield (f"  {row.share:.0%} {row.name}: {row.work_ms} ms of work, wanted in {row.aim_s:g} s, given up "
-               f"after {row.deadline_s:g} s, worth {row.worth:g}, "
-               f"{'may' if row.repeatable else 'must not'} run twice")
+        yield (
+            f"  {row.share:.0%} {row.name}: {row.work_ms} ms of work, wanted in {row.aim_s:g} s, given up "
+            f"after {row.deadline_s:g} s, worth {row.worth:g}, "
+            f"{'may' if row.repeatable else 'must not'} run twice"
+        )
     for tenant in incident.traffic.tenants:
         yield f"  {tenant.name}: a share of {tenant.share:.0%}, sends {tenant.sends} times that"
 
@@ -90,14 +107,18 @@
     nodes = nodes_at_start(incident)
     many = step.count or max(1, int((step.share or 1) * len(nodes)))
     batches = len(deploy_batches(step, nodes[:many], len(nodes)))
-    return (f"{whom(step)} are replaced by cold successors at {step.address} addresses, in {batches} batches "
-            f"over {step.over_s:g} s; each drains for {step.drain_s:g} s")
+    return (
+        f"{whom(step)} are replaced by cold successors at {step.address} addresses, in {batches} batches "
+        f"over {step.over_s:g} s; each drains for {step.drain_s:g} s"
+    )
 
 
 def _shrink(step: s.Shrink, incident: Incident) -> str:
     leaving = len(shrink_times(step, len(nodes_at_start(incident))))
-    return (f"the fleet shrinks to {step.to:.0%} over {step.over_s:g} s ({leaving} of those at the start); "
-            f"each drains for {step.drain_s:g} s")
+    return (
+        f"the fleet shrinks to {step.to:.0%} over {step.over_s:g} s ({leaving} of those at the start); "
+        f"each drains for {step.drain_s:g} s"
+    )
 
 
 def _crash(step: s.BalancerCrash, _: Incident) -> str:
@@ -107,13 +128,17 @@
 
 
 def _drain(step: s.BalancerDrain, _: Incident) -> str:
-    return (f"{whom(step, 'balancers')} are told that they are out of service, one every "
-            f"{step.every_s:g} s, and in service again {step.for_s:g} s later")
+    return (
+        f"{whom(step, 'balancers')} are told that they are out of service, one every "
+        f"{step.every_s:g} s, and in service again {step.for_s:g} s later"
+    )
 
 
 def _restart(step: s.BalancerRestart, _: Incident) -> str:
-    return (f"{whom(step, 'balancers')} get SIGTERM, one every {step.every_s:g} s, and SIGKILL after "
-            f"{step.kill_after_s:g} s if they are still there")
+    return (
+        f"{whom(step, 'balancers')} get SIGTERM, one every {step.every_s:g} s, and SIGKILL after "
+        f"{step.kill_after_s:g} s if they are still there"
+    )
 
 
 def _pause(step: s.Pause, _: Incident) -> str:
@@ -121,8 +146,16 @@
 
 
 def _flood(step: s.Flood, _: Incident) -> str:
-    of = " ".join(filter(None, [step.of_class or "requests", step.tenant and f"of {step.tenant}",
-                                step.hall and f"in {step.hall}"]))
+    of = " ".join(
+        filter(
+            None,
+            [
+                step.of_class or "requests",
+                step.tenant and f"of {step.tenant}",
+                step.hall and f"in {step.hall}",
+            ],
+        )
+    )
     return f"{of} at {step.times:g} times the usual rate {lasting(step.for_s)}"
 
 
@@ -146,23 +179,29 @@
 
 
 WORDS: dict[type[s.Step], Callable[[Any, Incident], str]] = {
-    s.Deploy: _deploy, s.Shrink: _shrink, s.BalancerCrash: _crash, s.BalancerRestart: _restart,
+    s.Deploy: _deploy,
+    s.Shrink: _shrink,
+    s.BalancerCrash: _crash,
+    s.BalancerRestart: _restart,
     s.BalancerDrain: _drain,
     s.Pause: _pause,
     s.Slow: lambda step, _: f"{whom(step)} take {step.factor:g} times as long {lasting(step.for_s)}",
     s.CutHall: lambda step, _: f"{step.hall} is cut off from the other halls {lasting(step.for_s)}, silently",
     s.DiscoveryOutage: lambda step, _: f"discovery falls silent {lasting(step.for_s)}",
     s.DiscoveryMove: lambda step, _: (
-        f"discovery moves: new configuration, SIGHUP, the old address closes after {step.old_closes_s:g} s"),
+        f"discovery moves: new configuration, SIGHUP, the old address closes after {step.old_closes_s:g} s"
+    ),
     s.Flood: _flood,
     s.Errors: lambda step, _: f"{whom(step)} answer 500 to {step.answers:.0%} {lasting(step.for_s)}",
     s.Spoilt: lambda step, _: (
         f"{whom(step)} spoil {step.answers:.0%} of their answers {lasting(step.for_s)}: "
-        f"{', '.join(step.kinds)}"),
+        f"{', '.join(step.kinds)}"
+    ),
     s.Reset: _reset,
     s.Rude: lambda step, _: (
         f"rude clients, one every {step.every_s:g} s in each hall {lasting(step.for_s)}: "
-        f"{', '.join(step.kinds)}"),
+        f"{', '.join(step.kinds)}"
+    ),
     s.KillNode: _kill,
     s.LoseHall: _lose,
 }
--- a/roadlb/lab/judge/__init__.py
+++ b/roadlb/lab/judge/__init__.py
@@ -13,5 +13,16 @@
 from .rules import ClassRule, Prices, Rules, TenantRule, Weights
 from .verdict import Figures, Rule, Verdict, Violation, Worth
 
-__all__ = ["ClassRule", "Figures", "Judge", "Prices", "Rule", "Rules", "TenantRule", "Verdict", "Violation",
-           "Weights", "Worth"]
+__all__ = [
+    "ClassRule",
+    "Figures",
+    "Judge",
+    "Prices",
+    "Rule",
+    "Rules",
+    "TenantRule",
+    "Verdict",
+    "Violation",
+    "Weights",
+    "Worth",
+]
--- a/roadlb/lab/judge/answers.py
+++ b/roadlb/lab/judge/answers.py
@@ -20,8 +20,13 @@
     """A first whole answer; `owners` tells for which request a node made a body."""
     late = answer.at - request.limit_at
     if late > 0:
-        yield Rule.LOST, (f"was answered with {answer.status} after {seconds(answer.at - request.sent.at)}, "
-                          f"{seconds(late)} after the last moment")
+        yield (
+            Rule.LOST,
+            (
+                f"was answered with {answer.status} after {seconds(answer.at - request.sent.at)}, "
+                f"{seconds(late)} after the last moment"
+            ),
+        )
     if answer.status != 200:
         return
     given = [attempt.gave for attempt in request.attempts if attempt.gave is not None]
--- a/roadlb/lab/judge/book.py
+++ b/roadlb/lab/judge/book.py
@@ -7,13 +7,13 @@
 
 from ..wire import BalancerState, ClientGot, ClientLost, ClientSent, NodeGave, NodeGot, NodeState, WireEvent
 
-TAIL = 24           # events kept of one request, node or balancer; a request has 5 at best and 20 at worst
+TAIL = 24  # events kept of one request, node or balancer; a request has 5 at best and 20 at worst
 # Answers that are good, the last four with more than belongs to them; any other kind is of no use.
 SOUND = frozenset({"ok", "copy behind", "noise behind", "report unreadable", "interim first"})
 REFUSALS = frozenset({429, 503})
 NEVER = 1 << 62
 BEGINS = frozenset({"paused", "cut"})
-ENDS = {"resumed": "paused", "healed": "cut"}           # what ends, by the state that says so
+ENDS = {"resumed": "paused", "healed": "cut"}  # what ends, by the state that says so
 # After a pause or a cut, what was written long before still arrives.  TCP tries again after twice as long
 # each time, so that after a cut it may take as long again as the cut, and the 0.2 s of the first time.
 BLIND_US, FIRST_RETRY_US = 1_000_000, 300_000
@@ -47,7 +47,7 @@
 
     sent: ClientSent
     repeatable: bool
-    limit_at: int                               # an answer after it is none
+    limit_at: int  # an answer after it is none
     attempts: list[Attempt] = field(default_factory=list)
     answer: ClientGot | None = None
     loss: ClientLost | None = None
@@ -81,7 +81,7 @@
 class Holds:
     """When a process stood still or was cut off; reasons may overlap, and the last one to end counts."""
 
-    reasons: dict[str, int] = field(default_factory=dict)       # that hold now, and since when
+    reasons: dict[str, int] = field(default_factory=dict)  # that hold now, and since when
     spans: deque[tuple[int, int]] = field(default_factory=lambda: deque(maxlen=TAIL))
 
     def begin(self, reason: str, at: int) -> None:
@@ -111,13 +111,13 @@
 
     started_at: int = 0
     reloaded_at: int = -1
-    out_at: int = NEVER                         # since when it is out of service
-    terminated_at: int = -1                     # SIGTERM to the present process
-    terminated_before_at: int = -1              # and to the one before it
-    gone: tuple[int, int] = (NEVER, NEVER)      # from its last end in order to the next start
-    held: Holds = field(default_factory=Holds)          # standing still or cut off, whatever it was told
-    dead: Holds = field(default_factory=Holds)          # killed, or reset by the network
-    stood_still_at: int = -NEVER                # the last moment at which it was paused
+    out_at: int = NEVER  # since when it is out of service
+    terminated_at: int = -1  # SIGTERM to the present process
+    terminated_before_at: int = -1  # and to the one before it
+    gone: tuple[int, int] = (NEVER, NEVER)  # from its last end in order to the next start
+    held: Holds = field(default_factory=Holds)  # standing still or cut off, whatever it was told
+    dead: Holds = field(default_factory=Holds)  # killed, or reset by the network
+    stood_still_at: int = -NEVER  # the last moment at which it was paused
     events: deque[WireEvent] = field(default_factory=tail)
 
     def see(self, event: BalancerState) -> bool:
@@ -171,7 +171,7 @@
         taken nothing more, if it did not stand still.
         """
         if self.gone[0] <= sent_at < self.gone[1]:
-            return True                         # on a connection whose end the client had not seen yet
+            return True  # on a connection whose end the client had not seen yet
         if self.held.overlaps(sent_at, ended_at):
             return True
         if not self.dead.overlaps(sent_at, ended_at):
@@ -184,11 +184,11 @@
 class Node:
     """One start of a node."""
 
-    cold_at: int | None = None                  # when it started cold; None: it has long been running
+    cold_at: int | None = None  # when it started cold; None: it has long been running
     hall: str = ""
     held: Holds = field(default_factory=Holds)  # standing still or cut off
     blind_until: int = 0
-    pressure: deque[tuple[int, str, int]] = field(default_factory=deque)    # (at, balancer, work in us)
+    pressure: deque[tuple[int, str, int]] = field(default_factory=deque)  # (at, balancer, work in us)
     events: deque[WireEvent] = field(default_factory=tail)
 
     def see(self, event: NodeState) -> None:
--- a/roadlb/lab/judge/effects.py
+++ b/roadlb/lab/judge/effects.py
@@ -27,8 +27,10 @@
             yield Rule.REPEATED, f"was sent to {got.node} although it {may_have_run(out, got.first_at)}"
         elif request.answer is not None and request.answer.at < got.first_at and is_refusal(request.answer):
             after = seconds(got.first_at - request.answer.at)
-            yield Rule.REFUSED_AFTER_RUN, (f"came to {got.node} {after} after its client had been told that "
-                                           "trying again is harmless")
+            yield (
+                Rule.REFUSED_AFTER_RUN,
+                (f"came to {got.node} {after} after its client had been told that trying again is harmless"),
+            )
             return
     end = request.ended_at
     margin = rules.limit_slack_us + rules.dial_us
@@ -42,19 +44,26 @@
     if not request.repeatable and is_refusal(answer):
         out = [one for one in request.attempts if not one.never_ran_by(answer.at)]
         if out:
-            yield Rule.REFUSED_AFTER_RUN, (
-                f"was refused with {answer.status} although it {may_have_run(out, answer.at)}")
+            yield (
+                Rule.REFUSED_AFTER_RUN,
+                (f"was refused with {answer.status} although it {may_have_run(out, answer.at)}"),
+            )
 
 
 def check_second_copy(request: Request, ended: Attempt, at: int, rules: Rules) -> Broken:
     """An attempt was answered on a connection that was still open: was it out beside a later one?"""
     if rules.second_copies:
         return
-    later = request.attempts[request.attempts.index(ended) + 1:]
+    later = request.attempts[request.attempts.index(ended) + 1 :]
     beside = [one for one in later if one.got.first_at + rules.limit_slack_us < at]
     if beside:
-        yield Rule.SECOND_COPY, (f"was sent to {beside[0].got.node} while it was out at {ended.got.node}, "
-                                 "and second copies are not allowed")
+        yield (
+            Rule.SECOND_COPY,
+            (
+                f"was sent to {beside[0].got.node} while it was out at {ended.got.node}, "
+                "and second copies are not allowed"
+            ),
+        )
 
 
 def may_have_run(out: list[Attempt], at: int) -> str:
--- a/roadlb/lab/judge/judge.py
+++ b/roadlb/lab/judge/judge.py
@@ -8,8 +8,23 @@
 from typing import Any
 
 from ..wire import (
-    BalancerState, ClientGot, ClientLost, ClientSent, ClientWished, Lagged, NodeFell, NodeGave, NodeGot,
-    NodeRan, NodeStarted, NodeState, Note, RudeLeft, Told, WireEvent)
+    BalancerState,
+    ClientGot,
+    ClientLost,
+    ClientSent,
+    ClientWished,
+    Lagged,
+    NodeFell,
+    NodeGave,
+    NodeGot,
+    NodeRan,
+    NodeStarted,
+    NodeState,
+    Note,
+    RudeLeft,
+    Told,
+    WireEvent,
+)
 from .answers import Broken, check_answer, check_loss, check_second, check_silence, seconds
 from .book import SOUND, Attempt, Balancer, Node, Request
 from .effects import check_attempt, check_refusal, check_second_copy
@@ -19,13 +34,13 @@
 from .verdict import Rule, Verdict, Violation
 from .worth import WorthBook
 
-SETTLE_US = 100_000         # after an end it is judged: what led to it may be written a little later
-SILENCE_US = 1_000_000      # after its last moment, for a request of which no end was written
-KEEP_US = 20_000_000        # and is held for so long, as an attempt may still come to a node that stood still
+SETTLE_US = 100_000  # after an end it is judged: what led to it may be written a little later
+SILENCE_US = 1_000_000  # after its last moment, for a request of which no end was written
+KEEP_US = 20_000_000  # and is held for so long, as an attempt may still come to a node that stood still
 MOST_LAGS = 64
-MOST_OF_A_RULE = 200        # violations told in full, of each rule; the rest is counted
+MOST_OF_A_RULE = 200  # violations told in full, of each rule; the rest is counted
 PROBES = ("/healthz", "/load")
-TIMED = (Rule.DRAIN, Rule.SENT_AFTER_END)       # depend on when a node saw something: a lag may be behind it
+TIMED = (Rule.DRAIN, Rule.SENT_AFTER_END)  # depend on when a node saw something: a lag may be behind it
 
 
 class Judge:
@@ -35,24 +50,36 @@
         self.rules = rules
         self._now = 0
         self._requests: dict[str, Request] = {}
-        self._latest: dict[tuple[int, int], str] = {}       # (wish, attempt): its last id
-        self._owners: dict[str, str] = {}                   # body made by a node: for which request
-        self._strangers: dict[str, NodeGot] = {}            # came to a node, and no client had sent it
+        self._latest: dict[tuple[int, int], str] = {}  # (wish, attempt): its last id
+        self._owners: dict[str, str] = {}  # body made by a node: for which request
+        self._strangers: dict[str, NodeGot] = {}  # came to a node, and no client had sent it
         self._balancers: dict[str, Balancer] = {}
         self._nodes: dict[tuple[str, int], Node] = {}
         self._lists = Lists(rules)
         self._worth = WorthBook(rules)
         self._tally = Tally()
-        self._due: list[tuple[int, int, Callable[[], None]]] = []       # (time, number, what is to be done)
+        self._due: list[tuple[int, int, Callable[[], None]]] = []  # (time, number, what is to be done)
         self._number = 0
         self._violations: list[Violation] = []
         self._counts: Counter[Rule] = Counter()
         self._lags: deque[Lagged] = deque(maxlen=MOST_LAGS)
         self._seen: dict[type[Any], Callable[[Any], None]] = {
-            ClientWished: self._wished, ClientSent: self._sent, ClientGot: self._got, ClientLost: self._lost,
-            NodeStarted: self._started, NodeGot: self._came, NodeRan: self._ran, NodeGave: self._gave,
-            NodeFell: self._fell, NodeState: self._state, Told: self._told, BalancerState: self._balancer,
-            RudeLeft: self._rude, Lagged: self._lag, Note: lambda event: None}
+            ClientWished: self._wished,
+            ClientSent: self._sent,
+            ClientGot: self._got,
+            ClientLost: self._lost,
+            NodeStarted: self._started,
+            NodeGot: self._came,
+            NodeRan: self._ran,
+            NodeGave: self._gave,
+            NodeFell: self._fell,
+            NodeState: self._state,
+            Told: self._told,
+            BalancerState: self._balancer,
+            RudeLeft: self._rude,
+            Lagged: self._lag,
+            Note: lambda event: None,
+        }
 
     @property
     def held(self) -> int:
@@ -69,8 +96,12 @@
         if at is not None:
             self._advance(at)
         open_now = sum(not request.settled for request in self._requests.values())
-        return Verdict(tuple(sorted(self._violations, key=lambda v: v.at)), dict(self._counts),
-                       self._worth.worth(), self._tally.figures(self._worth, open_now))
+        return Verdict(
+            tuple(sorted(self._violations, key=lambda v: v.at)),
+            dict(self._counts),
+            self._worth.worth(),
+            self._tally.figures(self._worth, open_now),
+        )
 
     # Time.
 
@@ -101,15 +132,24 @@
             self._tally.tries += 1
             repeatable = self._worth.class_rule(event.class_name).repeatable
             request = self._requests[event.request] = Request(event, repeatable, limit)
-        else:       # sent once more, as the balancer had closed the connection before it read the request
+        else:  # sent once more, as the balancer had closed the connection before it read the request
             request.sent, request.limit_at, request.loss = event, limit, None
         request.events.append(event)
         balancer = self._balancers.get(event.balancer)
         if balancer and event.at > balancer.out_at + self.rules.drained_us + self.rules.limit_slack_us:
-            self._add(Violation(Rule.HELD, event.at, event.balancer, (
-                f"{event.balancer} was told that it is out of service "
-                f"{seconds(event.at - balancer.out_at)} ago, and a client's connection to it was still open"),
-                (*balancer.events, event)))
+            self._add(
+                Violation(
+                    Rule.HELD,
+                    event.at,
+                    event.balancer,
+                    (
+                        f"{event.balancer} was told that it is out of service "
+                        f"{seconds(event.at - balancer.out_at)} ago, and a client's connection to "
+                        f"it was still open"
+                    ),
+                    (*balancer.events, event),
+                )
+            )
         self._latest[event.wish, event.attempt] = event.request
         self._at(limit + SILENCE_US, lambda: self._settle(request, limit))
 
@@ -197,7 +237,7 @@
         request = self._requests.get(got.request)
         blind = node.blind_at(got.first_at)
         if request is None:
-            if not blind:               # else it may have been forgotten while the node stood still
+            if not blind:  # else it may have been forgotten while the node stood still
                 self._strangers[got.request] = got
                 self._at(self._now + KEEP_US, lambda: self._forget_stranger(got.request))
             return
@@ -207,17 +247,30 @@
         self._broken(request, check_attempt(request, got, self.rules, blind), got.first_at)
         request.attempts.append(Attempt(got))
         from_hall = self.rules.halls.get(got.balancer, "")
-        self._worth.attempted(self._worth.open.get(request.sent.wish), got,
-                              bool(from_hall and node.hall and from_hall != node.hall))
+        self._worth.attempted(
+            self._worth.open.get(request.sent.wish),
+            got,
+            bool(from_hall and node.hall and from_hall != node.hall),
+        )
 
     def _ran(self, event: NodeRan) -> None:
         self._tally.ran(event)
         request = self._requests.get(event.request)
         if request is None:
             if (got := self._strangers.pop(event.request, None)) is not None:
-                self._add(Violation(Rule.SMUGGLED, event.at, event.request, (
-                    f"{event.node} ran {got.method} {got.target} ({event.request}), which {got.balancer} "
-                    "passed on and no client had sent"), (got, event)))
+                self._add(
+                    Violation(
+                        Rule.SMUGGLED,
+                        event.at,
+                        event.request,
+                        (
+                            f"{event.node} ran {got.method} {got.target} ({event.request}), which "
+                            f"{got.balancer} "
+                            "passed on and no client had sent"
+                        ),
+                        (got, event),
+                    )
+                )
             return
         request.events.append(event)
         attempt = request.attempt_at(event.node, event.started_ms, given=False)
@@ -251,17 +304,33 @@
         balancer = self._balancers.setdefault(got.balancer, Balancer())
         shut_at = self._lists.shut_at(got.balancer, got.node, balancer)
         allowed = self.rules.drain_grace_us + self.rules.limit_slack_us
-        if shut_at is None or got.first_at <= shut_at + allowed or node.blind_at(got.first_at) or (
-                balancer.blind_at(got.first_at, self.rules.limit_slack_us)):
+        if (
+            shut_at is None
+            or got.first_at <= shut_at + allowed
+            or node.blind_at(got.first_at)
+            or (balancer.blind_at(got.first_at, self.rules.limit_slack_us))
+        ):
             return
         stale = self._lists.stale(got.balancer, got.node)
-        reopened = f"; a stale entry (generation {stale.generation}) had come since" if (
-            stale is not None and stale.at >= shut_at) else ""
+        reopened = (
+            f"; a stale entry (generation {stale.generation}) had come since"
+            if (stale is not None and stale.at >= shut_at)
+            else ""
+        )
         after = seconds(got.first_at - shut_at)
-        self._add(Violation(Rule.DRAIN, got.first_at, got.node, (
-            f"{got.balancer} sent {got.request} to {got.node} {after} after it was told that the node drains "
-            f"or is gone{reopened}"),
-            (*self._lists.events(got.balancer, got.node), *node.events, got)))
+        self._add(
+            Violation(
+                Rule.DRAIN,
+                got.first_at,
+                got.node,
+                (
+                    f"{got.balancer} sent {got.request} to {got.node} {after} after it was told "
+                    f"that the node drains "
+                    f"or is gone{reopened}"
+                ),
+                (*self._lists.events(got.balancer, got.node), *node.events, got),
+            )
+        )
 
     def _press(self, node: Node, got: NodeGot) -> None:
         node.pressure.append((got.at, got.balancer, got.work_us))
@@ -277,27 +346,44 @@
         for at, name, work_us in node.pressure:
             if at >= event.at - self.rules.fall_us:
                 work[name] += work_us
-                if self._lists.informed(name, event.node, event.started_ms, at,
-                                        self._balancers.setdefault(name, Balancer())):
+                if self._lists.informed(
+                    name, event.node, event.started_ms, at, self._balancers.setdefault(name, Balancer())
+                ):
                     told[name] += work_us
         if not cold or not work or told.total() < self.rules.fall_share * work.total():
             return
         by = ", ".join(f"{name} {us / 1000:.0f} ms" for name, us in work.most_common())
         entries = (one for name in told for one in self._lists.events(name, event.node))
-        self._add(Violation(Rule.PUSHED_OVER, event.at, event.node, (
-            f"{event.node} fell {seconds(event.at - (node.cold_at or 0))} after its start: sent "
-            f"{event.sent_us / 1000:.0f} ms of work with room for {event.room_us / 1000:.0f} ms ({by}); "
-            f"{told.total() / work.total():.0%} came from balancers that had been told of its start"),
-            in_order((*node.events, *entries))))
+        self._add(
+            Violation(
+                Rule.PUSHED_OVER,
+                event.at,
+                event.node,
+                (
+                    f"{event.node} fell {seconds(event.at - (node.cold_at or 0))} after its start: sent "
+                    f"{event.sent_us / 1000:.0f} ms of work with room for "
+                    f"{event.room_us / 1000:.0f} ms ({by}); "
+                    f"{told.total() / work.total():.0%} came from balancers that had been told of its start"
+                ),
+                in_order((*node.events, *entries)),
+            )
+        )
 
     # Balancers.
 
     def _balancer(self, event: BalancerState) -> None:
         balancer = self._balancers.setdefault(event.balancer, Balancer())
         if not balancer.see(event):
-            self._add(Violation(Rule.CRASH, event.at, event.balancer,
-                                f"{event.balancer} ended, and nobody had told it to", tuple(balancer.events)))
-            balancer.hold(event.at)     # said once: what it had taken is lost with it
+            self._add(
+                Violation(
+                    Rule.CRASH,
+                    event.at,
+                    event.balancer,
+                    f"{event.balancer} ended, and nobody had told it to",
+                    tuple(balancer.events),
+                )
+            )
+            balancer.hold(event.at)  # said once: what it had taken is lost with it
         if event.state == "started":
             self._lists.restarted(event.balancer, event.at)
 
@@ -306,12 +392,23 @@
             return
         balancer = self._balancers.setdefault(event.balancer, Balancer())
         if balancer.excuses(event.since, event.at, self.rules.term_grace_us) or (
-                self._lagged(event.since, event.at)):
+            self._lagged(event.since, event.at)
+        ):
             return
         what = "was served" if event.how == "served" else "had neither an error nor a close"
-        self._add(Violation(Rule.UNPAID, event.at, event.balancer, (
-            f"one of {event.client} ({event.kind}) {what} {seconds(event.at - event.since)} after it had "
-            f"connected to {event.balancer}"), (event,)))
+        self._add(
+            Violation(
+                Rule.UNPAID,
+                event.at,
+                event.balancer,
+                (
+                    f"one of {event.client} ({event.kind}) {what} {seconds(event.at - event.since)} "
+                    f"after it had "
+                    f"connected to {event.balancer}"
+                ),
+                (event,),
+            )
+        )
 
     def _lag(self, event: Lagged) -> None:
         self._lags.append(event)
--- a/roadlb/lab/judge/lists.py
+++ b/roadlb/lab/judge/lists.py
@@ -18,9 +18,9 @@
 
     started_ms: int = -1
     generation: int = -1
-    start_at: int = 0                   # when that start was first told
-    shut_at: int | None = None          # since when it is told to be draining or gone
-    stale: Told | None = None           # the last entry that was older than what had been told
+    start_at: int = 0  # when that start was first told
+    shut_at: int | None = None  # since when it is told to be draining or gone
+    stale: Told | None = None  # the last entry that was older than what had been told
     events: deque[WireEvent] = field(default_factory=tail)
 
     def see(self, event: Told) -> None:
@@ -35,7 +35,7 @@
         elif self.shut_at is None or started_ms > self.started_ms:
             self.shut_at = event.at
         else:
-            self.shut_at = min(event.at, self.shut_at)      # told again to a new process
+            self.shut_at = min(event.at, self.shut_at)  # told again to a new process
         if started_ms > self.started_ms:
             self.start_at = event.at
         self.started_ms, self.generation = started_ms, event.generation
@@ -79,8 +79,11 @@
         view, listed = self._views.get((balancer, node)), self._listed.get(node)
         if view is not None and view.started_ms >= started_ms:
             return True
-        return (listed is not None and listed.started_ms >= started_ms
-                and self._deemed(listed.start_at, told) <= at)
+        return (
+            listed is not None
+            and listed.started_ms >= started_ms
+            and self._deemed(listed.start_at, told) <= at
+        )
 
     def stale(self, balancer: str, node: str) -> Told | None:
         """An entry that the balancer was told, and that was older than one before it."""
--- a/roadlb/lab/judge/order.py
+++ b/roadlb/lab/judge/order.py
@@ -21,7 +21,7 @@
 from .book import NEVER, REFUSALS
 
 WINDOW_US = 500_000
-Ranks = Callable[[ClientSent], tuple[int, int]]         # the least and the most that a request may have
+Ranks = Callable[[ClientSent], tuple[int, int]]  # the least and the most that a request may have
 
 
 @dataclass(slots=True, frozen=True)
@@ -46,8 +46,14 @@
     class_name: str
 
 
-def ranks_by(plan: Sequence[PlanLine], worths: Mapping[str, float], tenants: Sequence[str],
-             over_share_worth: float = 1.0, over: bool | None = None, warm: bool | None = None) -> Ranks:
+def ranks_by(
+    plan: Sequence[PlanLine],
+    worths: Mapping[str, float],
+    tenants: Sequence[str],
+    over_share_worth: float = 1.0,
+    over: bool | None = None,
+    warm: bool | None = None,
+) -> Ranks:
     """Ranks by a plan, or by worth where it is empty.
 
     `worths`: of each class, in the order of the plan's numbers, as are `tenants`.  `over` and `warm` say
@@ -60,16 +66,26 @@
 
     def ranks(sent: ClientSent) -> tuple[int, int]:
         tenant, repeat = numbers.get(sent.tenant, len(numbers)), sent.attempt > 0
-        found = [refusals.rank(worths[sent.class_name] * (over_share_worth if is_over else 1.0)
-                               * (2 if is_warm else 1), classes[sent.class_name], tenant, is_over, repeat,
-                               is_warm)
-                 for is_over in overs for is_warm in warms]
+        found = [
+            refusals.rank(
+                worths[sent.class_name] * (over_share_worth if is_over else 1.0) * (2 if is_warm else 1),
+                classes[sent.class_name],
+                tenant,
+                is_over,
+                repeat,
+                is_warm,
+            )
+            for is_over in overs
+            for is_warm in warms
+        ]
         return min(found), max(found)
+
     return ranks
 
 
-def order_of_refusals(events: Iterable[WireEvent], ranks: Ranks, window_us: int = WINDOW_US, since: int = 0,
-                      until: int = NEVER) -> Kept:
+def order_of_refusals(
+    events: Iterable[WireEvent], ranks: Ranks, window_us: int = WINDOW_US, since: int = 0, until: int = NEVER
+) -> Kept:
     """Over the refusals told to clients from `since` on and before `until`."""
     sent: dict[str, ClientSent] = {}
     passed: dict[str, list[_Decided]] = defaultdict(list)
@@ -82,8 +98,13 @@
             at_nodes.add(event.request)
             one = sent[event.request]
             passed[one.balancer].append(_Decided(event.at, ranks(one), one.class_name))
-        elif (isinstance(event, ClientGot) and event.status in REFUSALS and since <= event.at < until
-              and event.request in sent and event.request not in at_nodes):
+        elif (
+            isinstance(event, ClientGot)
+            and event.status in REFUSALS
+            and since <= event.at < until
+            and event.request in sent
+            and event.request not in at_nodes
+        ):
             one = sent[event.request]
             refused[one.balancer].append(_Decided(event.at, ranks(one), one.class_name))
     pairs: Counter[tuple[str, str]] = Counter()
@@ -93,13 +114,12 @@
     return Kept(count, count - pairs.total(), dict(pairs))
 
 
-def _broken(refused: Sequence[_Decided], passed: list[_Decided], window_us: int
-            ) -> Iterable[tuple[str, str]]:
+def _broken(refused: Sequence[_Decided], passed: list[_Decided], window_us: int) -> Iterable[tuple[str, str]]:
     """For each refusal that broke the order, its class and that of what should have gone first."""
     passed.sort(key=lambda one: one.at)
     times = [one.at for one in passed]
     for one in refused:
-        near = passed[bisect_left(times, one.at - window_us):bisect_right(times, one.at + window_us)]
+        near = passed[bisect_left(times, one.at - window_us) : bisect_right(times, one.at + window_us)]
         worst = min(near, key=lambda other: other.ranks[1], default=None)
         if worst is not None and worst.ranks[1] < one.ranks[0]:
             yield one.class_name, worst.class_name
--- a/roadlb/lab/judge/tally.py
+++ b/roadlb/lab/judge/tally.py
@@ -12,7 +12,7 @@
 from .verdict import Figures
 from .worth import WorthBook
 
-LONGEST_US = 3_600_000_000      # the histograms' bounds: 1 us to an hour, three digits kept
+LONGEST_US = 3_600_000_000  # the histograms' bounds: 1 us to an hour, three digits kept
 QUANTILES = {"p50": 50.0, "p90": 90.0, "p99": 99.0, "p99.9": 99.9, "max": 100.0}
 
 
@@ -59,12 +59,28 @@
             self.failed += 1
 
     def figures(self, worth: WorthBook, open_at_end: int) -> Figures:
-        latency = {name: {told: histogram.get_value_at_percentile(q) / 1000 for told, q in QUANTILES.items()}
-                   for name, histogram in sorted(self.latency.items())}
+        latency = {
+            name: {told: histogram.get_value_at_percentile(q) / 1000 for told, q in QUANTILES.items()}
+            for name, histogram in sorted(self.latency.items())
+        }
         return Figures(
-            wishes=worth.wishes, tries=self.tries, served=self.served, refused=self.refused,
-            failed=self.failed, lost=self.lost, gone=self.gone, open_at_end=open_at_end,
-            in_time=worth.in_time, late=worth.late, unanswered=worth.unanswered, attempts=self.attempts,
-            attempts_per_try=self.attempts / self.tries if self.tries else 0.0, probes=worth.costs.probes,
-            ran_twice=worth.ran_twice, hit_share=self.hits / self.hits_told if self.hits_told else None,
-            latency_ms=latency, fallen=tuple(self.fallen), lagged_s=self.lagged_us / 1e6)
+            wishes=worth.wishes,
+            tries=self.tries,
+            served=self.served,
+            refused=self.refused,
+            failed=self.failed,
+            lost=self.lost,
+            gone=self.gone,
+            open_at_end=open_at_end,
+            in_time=worth.in_time,
+            late=worth.late,
+            unanswered=worth.unanswered,
+            attempts=self.attempts,
+            attempts_per_try=self.attempts / self.tries if self.tries else 0.0,
+            probes=worth.costs.probes,
+            ran_twice=worth.ran_twice,
+            hit_share=self.hits / self.hits_told if self.hits_told else None,
+            latency_ms=latency,
+            fallen=tuple(self.fallen),
+            lagged_s=self.lagged_us / 1e6,
+        )
--- a/roadlb/lab/judge/worth.py
+++ b/roadlb/lab/judge/worth.py
@@ -12,7 +12,7 @@
 
 SECOND = 1_000_000
 WINDOW_S = 10
-QUOTA_BURST_S = 1.0         # a tenant's share is a bucket that fills at its quota, and holds so much
+QUOTA_BURST_S = 1.0  # a tenant's share is a bucket that fills at its quota, and holds so much
 
 
 @dataclass(slots=True)
@@ -22,12 +22,12 @@
     rule: ClassRule
     tenant: str
     due_at: int
-    weight: float               # of its worth: less where the tenant asks beyond its share
+    weight: float  # of its worth: less where the tenant asks beyond its share
     served_at: int | None = None
-    ended_at: int | None = None # of its last try that ended
+    ended_at: int | None = None  # of its last try that ended
     sat_on: bool = False
-    work_us: int = 0            # of its first attempt that came to a node
-    ran: int = 0                # times that it began at a node
+    work_us: int = 0  # of its first attempt that came to a node
+    ran: int = 0  # times that it began at a node
 
     @property
     def over_at(self) -> int:
@@ -60,8 +60,10 @@
 
     def within(self, at: int) -> bool:
         if self.at is not None:
-            self.level = min(self.quota_per_s * QUOTA_BURST_S,
-                             self.level + self.quota_per_s * max(0, at - self.at) / SECOND)
+            self.level = min(
+                self.quota_per_s * QUOTA_BURST_S,
+                self.level + self.quota_per_s * max(0, at - self.at) / SECOND,
+            )
         self.at = max(at, self.at or at)
         if self.level < 1:
             return False
@@ -73,12 +75,12 @@
 class Costs:
     """What is priced."""
 
-    fresh: int = 0              # new connections to nodes
+    fresh: int = 0  # new connections to nodes
     probes: int = 0
-    crossings: int = 0          # attempts at a node in another hall
-    offered_us: int = 0         # work that was asked for, once for each wish
-    wasted_us: int = 0          # work begun for an answer that nobody got
-    late_fail: float = 0.0      # worth that ended unserved after its aim
+    crossings: int = 0  # attempts at a node in another hall
+    offered_us: int = 0  # work that was asked for, once for each wish
+    wasted_us: int = 0  # work begun for an answer that nobody got
+    late_fail: float = 0.0  # worth that ended unserved after its aim
 
 
 @dataclass(slots=True)
@@ -102,8 +104,10 @@
 
     def __post_init__(self) -> None:
         self.by_name = {rule.name: rule for rule in self.rules.classes}
-        self.buckets = {tenant.name: Bucket(tenant.quota_per_s, tenant.quota_per_s * QUOTA_BURST_S)
-                        for tenant in self.rules.tenants}
+        self.buckets = {
+            tenant.name: Bucket(tenant.quota_per_s, tenant.quota_per_s * QUOTA_BURST_S)
+            for tenant in self.rules.tenants
+        }
 
     def class_rule(self, name: str) -> ClassRule:
         if name not in self.by_name:
@@ -115,8 +119,12 @@
         at = event.at if isinstance(event, ClientWished) else event.due_at
         bucket = self.buckets.get(event.tenant)
         within = bucket is None or bucket.within(at)
-        wish = Wish(self.class_rule(event.class_name), event.tenant, at,
-                    1.0 if within else self.rules.over_share_worth)
+        wish = Wish(
+            self.class_rule(event.class_name),
+            event.tenant,
+            at,
+            1.0 if within else self.rules.over_share_worth,
+        )
         self.open[event.wish] = wish
         self.wishes += 1
         return wish
@@ -140,16 +148,24 @@
     def settled(self, wish: Wish | None, request: Request, served: bool, excused: bool) -> None:
         """A try is over: what ran for nothing, and whether nobody had worked on it for too long."""
         for attempt in request.attempts:
-            used = served and attempt.gave is not None and request.answer is not None and (
-                attempt.gave.body == request.answer.body)
+            used = (
+                served
+                and attempt.gave is not None
+                and request.answer is not None
+                and (attempt.gave.body == request.answer.body)
+            )
             if attempt.ran and not used:
                 self.costs.wasted_us += attempt.got.work_us
         end = request.limit_at if request.ended_at is None else request.ended_at
         if wish is None:
             return
         wish.ended_at = max(end, wish.ended_at or end)
-        if not served and not excused and not request.attempts and (
-                end - request.sent.at > request.sent.left_us / 2):
+        if (
+            not served
+            and not excused
+            and not request.attempts
+            and (end - request.sent.at > request.sent.left_us / 2)
+        ):
             wish.sat_on = True
 
     def close(self, wish_id: int) -> None:
@@ -181,12 +197,25 @@
         by_tenant = {name: total.share for name, total in sorted(self.tenants.items())}
         window_at_s, window = worst_window(self.by_second)
         prices, weights = self._prices(), self.rules.weights
-        service = (weights.whole * self.total.share + weights.worst_window * window
-                   + weights.worst_class * min(by_class.values(), default=1.0)
-                   + weights.worst_tenant * min(by_tenant.values(), default=1.0) - sum(prices.values()))
-        return Worth(self.total.asked, self.total.served, self.total.share, window, window_at_s, by_class,
-                     by_tenant, {s: (sum_.asked, sum_.served) for s, sum_ in sorted(self.by_second.items())},
-                     prices, service)
+        service = (
+            weights.whole * self.total.share
+            + weights.worst_window * window
+            + weights.worst_class * min(by_class.values(), default=1.0)
+            + weights.worst_tenant * min(by_tenant.values(), default=1.0)
+            - sum(prices.values())
+        )
+        return Worth(
+            self.total.asked,
+            self.total.served,
+            self.total.share,
+            window,
+            window_at_s,
+            by_class,
+            by_tenant,
+            {s: (sum_.asked, sum_.served) for s, sum_ in sorted(self.by_second.items())},
+            prices,
+            service,
+        )
 
     def _prices(self) -> dict[str, float]:
         costs, prices, firsts = self.costs, self.rules.prices, max(1, self.wishes)
--- a/roadlb/lab/load/loopback.py
+++ b/roadlb/lab/load/loopback.py
@@ -32,9 +32,11 @@
     try:
         local = ip_address(host).is_loopback
     except ValueError:
-        raise NotLoopback(f"{url}: {host} is a name, and load is sent to loopback addresses only; "
-                          f"{REMEDY}") from None
+        raise NotLoopback(
+            f"{url}: {host} is a name, and load is sent to loopback addresses only; {REMEDY}"
+        ) from None
     if not local:
-        raise NotLoopback(f"{url}: {host} is no loopback address, and load is sent to this machine only; "
-                          f"{REMEDY}")
+        raise NotLoopback(
+            f"{url}: {host} is no loopback address, and load is sent to this machine only; {REMEDY}"
+        )
     return host, port
--- a/roadlb/lab/load/play.py
+++ b/roadlb/lab/load/play.py
@@ -21,9 +21,9 @@
 
 Progress = Callable[[float, Mapping[str, float]], None]
 
-READY_WITHIN_S = 5.0            # a balancer that has just been started asks discovery first
-LOOK_S = 0.02                   # between two looks whether it is ready, or whether all is answered
-LEAD_S = 0.05                   # from ready to the first moment at which a wish may be due
+READY_WITHIN_S = 5.0  # a balancer that has just been started asks discovery first
+LOOK_S = 0.02  # between two looks whether it is ready, or whether all is answered
+LEAD_S = 0.05  # from ready to the first moment at which a wish may be due
 BALANCER, HALL = "balancer", "here"
 
 
@@ -50,9 +50,17 @@
         return wish
 
 
-async def load(url: str, traffic: schema.Traffic, seconds: float, progress: Progress, *,
-               edges: Sequence[float] = (), connections: int = 300, seed: int = 1,
-               clock: Clock = monotonic_us) -> LoadResult:
+async def load(
+    url: str,
+    traffic: schema.Traffic,
+    seconds: float,
+    progress: Progress,
+    *,
+    edges: Sequence[float] = (),
+    connections: int = 300,
+    seed: int = 1,
+    clock: Clock = monotonic_us,
+) -> LoadResult:
     """Send `traffic` to the balancer at `url` for so long, and tell how it answered.
 
     `edges` are the seconds at which a stair ends and the next begins, each told apart in the result.
@@ -64,6 +72,7 @@
 
     def random(name: str) -> Random:
         return Random(f"{seed}/load/{name}")
+
     ends = [*(edge for edge in edges if 0 < edge < seconds), seconds]
     counts = Counts(list(zip([0.0, *ends], ends, strict=False)))
     front = Front(counts, clock, random("front"))
@@ -78,8 +87,9 @@
         counts.began_at = start_us
         drawn = draw(Incident(name="load", title="load", traffic=traffic), random)
         shape = shape_of(traffic, start_us)
-        wishes = Paced(shape, drawn.classes, drawn.tenants, drawn.keys, drawn.habits, random("wishes"),
-                       start_us)
+        wishes = Paced(
+            shape, drawn.classes, drawn.tenants, drawn.keys, drawn.habits, random("wishes"), start_us
+        )
         wishes.shape = Part(shape, wishes.usage)
         wishes.watch(counts, clock)
         clients = Clients(HALL, HALL, wishes, front, counts, clock, random("clients"), connections)
@@ -103,8 +113,10 @@
             while not front.taken_in:
                 await asyncio.sleep(LOOK_S)
     except TimeoutError:
-        raise NoAnswer(f"{url}: nothing there said 200 to GET /healthz within {READY_WITHIN_S:g} s; start a "
-                       "balancer there, or look why it is not ready") from None
+        raise NoAnswer(
+            f"{url}: nothing there said 200 to GET /healthz within {READY_WITHIN_S:g} s; start a "
+            "balancer there, or look why it is not ready"
+        ) from None
 
 
 async def _play(clients: Clients, counts: Counts, seconds: float, progress: Progress, clock: Clock) -> None:
--- a/roadlb/lab/load/result.py
+++ b/roadlb/lab/load/result.py
@@ -59,7 +59,7 @@
     from_s: float
     to_s: float
     wished: int = 0
-    unreached: int = 0                    # tries that found no balancer that took them
+    unreached: int = 0  # tries that found no balancer that took them
     cells: dict[str, Cell] = field(default_factory=dict)
 
     def cell(self, class_name: str) -> Cell:
@@ -73,10 +73,14 @@
 
 def totals(stairs: Sequence[Stair]) -> dict[str, int]:
     cells = [cell for stair in stairs for cell in stair.cells.values()]
-    return {"wished": sum(stair.wished for stair in stairs),
-            "served": sum(cell.served for cell in cells), "refused": sum(cell.refused for cell in cells),
-            "failed": sum(cell.failed for cell in cells), "lost": sum(cell.lost for cell in cells),
-            "unreached": sum(stair.unreached for stair in stairs)}
+    return {
+        "wished": sum(stair.wished for stair in stairs),
+        "served": sum(cell.served for cell in cells),
+        "refused": sum(cell.refused for cell in cells),
+        "failed": sum(cell.failed for cell in cells),
+        "lost": sum(cell.lost for cell in cells),
+        "unreached": sum(stair.unreached for stair in stairs),
+    }
 
 
 @dataclass(slots=True, frozen=True)
@@ -86,7 +90,7 @@
     url: str
     stairs: tuple[Stair, ...]
     late: HdrHistogram
-    cpu_s: float                          # that the tool's process used meanwhile
+    cpu_s: float  # that the tool's process used meanwhile
     seconds: float
 
     @property
@@ -133,9 +137,9 @@
         self.stairs = tuple(Stair(*edge) for edge in edges)
         self.began_at = 0
         self.late = histogram()
-        self._late_most = 0                                 # in this second
+        self._late_most = 0  # in this second
         self._before: dict[str, int] = {}
-        self._second = histogram()                          # latency of what was served in it
+        self._second = histogram()  # latency of what was served in it
         self._begins = [stair.from_s for stair in self.stairs]
         self._open: dict[str, Cell] = {}
         self._answered: Cell | None = None
@@ -173,7 +177,7 @@
                     cell.refused += 1
                 else:
                     cell.failed += 1
-            case ClientLost(how="extra"):           # beside its answer, which counts
+            case ClientLost(how="extra"):  # beside its answer, which counts
                 pass
             case ClientLost():
                 taken = self._open.pop(event.request, None)
--- a/roadlb/lab/members.py
+++ b/roadlb/lab/members.py
@@ -20,15 +20,30 @@
 
 from ..membership.admission import Admission, Verdict
 from ..membership.events import (
-    LIFE_SHIFT, Action, Distrust, Event, Leave, Member, News, Odd, Received, Send, Start, Tell, Tick, Trust,
-    WakeAt, first_incarnation)
+    LIFE_SHIFT,
+    Action,
+    Distrust,
+    Event,
+    Leave,
+    Member,
+    News,
+    Odd,
+    Received,
+    Send,
+    Start,
+    Tell,
+    Tick,
+    Trust,
+    WakeAt,
+    first_incarnation,
+)
 from ..membership.members import Members
 
-ENVELOPE = 54            # bytes of a datagram round its item, its sender's name left out
+ENVELOPE = 54  # bytes of a datagram round its item, its sender's name left out
 KEPT_WHILE_PAUSED = 256  # datagrams in a kernel's buffer
 EPOCH_MS = 1_790_000_000_000
 
-Flight = tuple[str, int, int, bytes]         # sender, incarnation, number, payload
+Flight = tuple[str, int, int, bytes]  # sender, incarnation, number, payload
 
 
 class Process:
@@ -79,7 +94,7 @@
         verdict = self.fleet.judge(self.admission, self.clock(), sender, incarnation, number)
         if verdict in (Verdict.PASS, Verdict.ASK):
             self.tell(Received(sender, incarnation, payload, verdict is Verdict.PASS))
-            if verdict is Verdict.ASK:     # it may have proved itself just now: its numbers count from here
+            if verdict is Verdict.ASK:  # it may have proved itself just now: its numbers count from here
                 self.fleet.judge(self.admission, self.clock(), sender, incarnation, number)
         else:
             self.odd[verdict.value] = self.odd.get(verdict.value, 0) + 1
@@ -92,10 +107,23 @@
     `reorder` up to `reorder_us` more.  `blocked(from, to)` may forbid a direction.
     """
 
-    def __init__(self, size: int, seed: int, *, seeds: int = 3, halls: int = 3, loss: float = 0.0,
-                 double: float = 0.0, reorder: float = 0.0, reorder_us: int = 3_000_000,
-                 delay_us: tuple[int, int] = (200, 2_000), ppm: float = 200.0, start_over_us: int = 1_000_000,
-                 acquainted: bool = False, make: Callable[..., Members] = Members) -> None:
+    def __init__(
+        self,
+        size: int,
+        seed: int,
+        *,
+        seeds: int = 3,
+        halls: int = 3,
+        loss: float = 0.0,
+        double: float = 0.0,
+        reorder: float = 0.0,
+        reorder_us: int = 3_000_000,
+        delay_us: tuple[int, int] = (200, 2_000),
+        ppm: float = 200.0,
+        start_over_us: int = 1_000_000,
+        acquainted: bool = False,
+        make: Callable[..., Members] = Members,
+    ) -> None:
         self.random, self.ppm, self.make = Random(seed), ppm, make
         self.loss, self.double, self.reorder, self.reorder_us = loss, double, reorder, reorder_us
         self.delay_us, self.halls = delay_us, halls
@@ -145,7 +173,7 @@
     def go_on(self, name: str) -> None:
         process = self.running[name]
         kept, process.paused = process.paused or [], None
-        for flight in kept[:1]:            # a loop's turn takes one datagram, then the timers that are due
+        for flight in kept[:1]:  # a loop's turn takes one datagram, then the timers that are due
             process.take(flight)
         if process.tick_kept:
             process.tick_kept = False
@@ -222,5 +250,3 @@
 
     def later_life(self, name: str) -> int:
         return self.running[name].members.me.incarnation >> LIFE_SHIFT
-
-
--- a/roadlb/lab/model/classes.py
+++ b/roadlb/lab/model/classes.py
@@ -14,16 +14,16 @@
     """One class of requests.  Work in microseconds of a standard core."""
 
     name: str
-    share: float                     # of all wishes; shares are compared with one another
-    work_us: int                     # mean
+    share: float  # of all wishes; shares are compared with one another
+    work_us: int  # mean
     distribution: str = "lognormal"
-    work_cv: float = 1.0             # standard deviation over mean
+    work_cv: float = 1.0  # standard deviation over mean
     aim_us: int = 500_000
-    give_up_us: int = 2_500_000      # a wish's whole time, all tries together
+    give_up_us: int = 2_500_000  # a wish's whole time, all tries together
     worth: float = 1.0
-    late_worth: float = 0.5          # part of the worth after the aim
+    late_worth: float = 0.5  # part of the worth after the aim
     repeatable: bool = True
-    body_bytes: int = 0              # of a POST; a class that is safe to repeat uses GET and has none
+    body_bytes: int = 0  # of a POST; a class that is safe to repeat uses GET and has none
 
     def __post_init__(self) -> None:
         if self.distribution not in DISTRIBUTIONS:
@@ -39,11 +39,11 @@
         if self.distribution == "fixed" or not self.work_cv:
             return self.work_us
         if self.distribution == "lognormal":
-            variance = math.log1p(self.work_cv ** 2)
+            variance = math.log1p(self.work_cv**2)
             work = self.work_us * math.exp(rng.gauss(0, math.sqrt(variance)) - variance / 2)
         else:
             # Of a Pareto distribution with shape a the variation is 1 / sqrt(a (a - 2)).
-            shape = 1 + math.sqrt(1 + 1 / self.work_cv ** 2)
+            shape = 1 + math.sqrt(1 + 1 / self.work_cv**2)
             work = self.work_us * (shape - 1) / shape * rng.paretovariate(shape)
         return max(1, round(work))
 
@@ -51,22 +51,22 @@
 @dataclass(slots=True, frozen=True)
 class TenantSpec:
     name: str
-    share: float                     # of the service, as agreed
-    usage: float = 1.0               # what it sends, as a multiple of its share
+    share: float  # of the service, as agreed
+    usage: float = 1.0  # what it sends, as a multiple of its share
 
 
 @dataclass(slots=True, frozen=True)
 class Habits:
     """How clients try again."""
 
-    try_share: float = 0.4           # a try is given up after this part of the class's give-up time
+    try_share: float = 0.4  # a try is given up after this part of the class's give-up time
     retries: int = 3
-    wait_us: int = 0                 # before a retry
-    honour: float = 0.2              # the part of the clients that keep to Retry-After
+    wait_us: int = 0  # before a retry
+    honour: float = 0.2  # the part of the clients that keep to Retry-After
     retry_after_most_us: int = 1_200_000
-    marks_retry: bool = True         # X-Repeat: 1
-    once: float = 0.0                # the part that opens a connection for one request only
-    hold: float = 0.0                # and of those, the part that keeps it open and silent for good
+    marks_retry: bool = True  # X-Repeat: 1
+    once: float = 0.0  # the part that opens a connection for one request only
+    hold: float = 0.0  # and of those, the part that keeps it open and silent for good
 
     def __post_init__(self) -> None:
         if not 0 < self.try_share <= 1:
--- a/roadlb/lab/model/events.py
+++ b/roadlb/lab/model/events.py
@@ -38,10 +38,10 @@
     """A request's last byte has come."""
 
     connection: int
-    request: str             # correlation id
-    work_us: int             # of a standard core, caches not counted
+    request: str  # correlation id
+    work_us: int  # of a standard core, caches not counted
     key: str
-    left_us: int             # how long the caller waits, from now on
+    left_us: int  # how long the caller waits, from now on
 
 
 @dataclass(slots=True, frozen=True)
@@ -78,7 +78,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Slow:
-    factor: float            # of its usual speed; 1 ends it
+    factor: float  # of its usual speed; 1 ends it
 
 
 @dataclass(slots=True, frozen=True)
@@ -95,8 +95,9 @@
     """The process is dead."""
 
 
-Event: TypeAlias = (Connected | Disconnected | Request | Withdrawn | Probe | Tick
-                    | Drain | Pause | Resume | Slow | Ail | Stop)
+Event: TypeAlias = (
+    Connected | Disconnected | Request | Withdrawn | Probe | Tick | Drain | Pause | Resume | Slow | Ail | Stop
+)
 
 
 @dataclass(slots=True, frozen=True)
@@ -105,7 +106,7 @@
 
     connection: int
     request: str
-    hit: bool                # its key was known
+    hit: bool  # its key was known
 
 
 @dataclass(slots=True, frozen=True)
@@ -118,7 +119,7 @@
     kind: str
     load: Load | None
     spoil: Spoil | None = None
-    closes: bool = False     # the connection is of no use afterwards: there are too many
+    closes: bool = False  # the connection is of no use afterwards: there are too many
 
 
 @dataclass(slots=True, frozen=True)
@@ -133,7 +134,7 @@
     """Pushed over: the process is gone, and all its connections are reset."""
 
     sent_us: int
-    room_us: int             # what it could have done in the window
+    room_us: int  # what it could have done in the window
 
 
 @dataclass(slots=True, frozen=True)
--- a/roadlb/lab/model/jobs.py
+++ b/roadlb/lab/model/jobs.py
@@ -19,14 +19,14 @@
     request: str = ""
     work_us: int = 0
     key: str = ""
-    until: int = 0               # the caller's deadline
-    wanted: bool = True          # somebody waits for the answer
-    slot: bool = False           # it takes one when in work
-    number: int = 0              # at the machine; 0: not in work
+    until: int = 0  # the caller's deadline
+    wanted: bool = True  # somebody waits for the answer
+    slot: bool = False  # it takes one when in work
+    number: int = 0  # at the machine; 0: not in work
 
 
 @dataclass(slots=True)
 class Connection:
-    over: bool                   # one too many
-    ready: bool                  # its handshake is done
-    job: Job | None = None       # what its caller waits for
+    over: bool  # one too many
+    ready: bool  # its handshake is done
+    job: Job | None = None  # what its caller waits for
--- a/roadlb/lab/model/keys.py
+++ b/roadlb/lab/model/keys.py
@@ -19,7 +19,7 @@
             raise ValueError(f"count: {count!r}: there must be at least 1 key")
         numbers = list(range(count))
         rng.shuffle(numbers)
-        self.names = [f"f{number:04x}" for number in numbers]      # the most popular first
+        self.names = [f"f{number:04x}" for number in numbers]  # the most popular first
         self._ends = list(accumulate(float((rank + 1) ** -exponent) for rank in range(count)))
         self._fresh = fresh
 
--- a/roadlb/lab/model/machine.py
+++ b/roadlb/lab/model/machine.py
@@ -21,8 +21,8 @@
     def __init__(self, cores: int, now: int) -> None:
         self.cores, self._at = cores, now
         self._core_rate, self._rate = 0, 0
-        self._served = 0                                     # the counter
-        self._heap: list[tuple[int, int]] = []               # its value when the job ends, and the job
+        self._served = 0  # the counter
+        self._heap: list[tuple[int, int]] = []  # its value when the job ends, and the job
         self._ends: dict[int, int] = {}
 
     def __len__(self) -> int:
--- a/roadlb/lab/model/node.py
+++ b/roadlb/lab/model/node.py
@@ -67,20 +67,30 @@
         self._pressure = Pressure(spec.fall_multiple, spec.fall_us, spec.fall_slack_us)
         self._reporter = Reporter(spec.report_period_us, spec.report_delay_us, spec.report_noise, rng, now)
         self._connections: dict[int, Connection] = {}
-        self._open = 0                                   # of these, those that are not one too many
-        self._waiting: dict[int, Job] = {}              # by connection, in order of arrival
-        self._jobs: dict[int, Job] = {}                 # in work, by number
+        self._open = 0  # of these, those that are not one too many
+        self._waiting: dict[int, Job] = {}  # by connection, in order of arrival
+        self._jobs: dict[int, Job] = {}  # in work, by number
         self._numbers, self._in_slots, self._done_us = 0, 0, 0
         self._timers: list[tuple[int, int, Callable[[], None]]] = []
         self._timer_numbers = 0
-        self._probes: list[int] = []                     # times of the last second's
-        self._unread: list[tuple[int, Event]] = []       # came in a pause
-        self._told: int | None = None                    # by WakeAt
+        self._probes: list[int] = []  # times of the last second's
+        self._unread: list[tuple[int, Event]] = []  # came in a pause
+        self._told: int | None = None  # by WakeAt
         self._out: list[Action] = []
         self._reactions: dict[type, Callable[[Any], None]] = {
-            Connected: self._connected, Disconnected: self._disconnected, Request: self._request,
-            Withdrawn: self._withdrawn, Probe: self._probe, Tick: self._tick, Drain: self._drain,
-            Pause: self._pause, Resume: self._resume, Slow: self._slowed, Ail: self._ailed, Stop: self._stop}
+            Connected: self._connected,
+            Disconnected: self._disconnected,
+            Request: self._request,
+            Withdrawn: self._withdrawn,
+            Probe: self._probe,
+            Tick: self._tick,
+            Drain: self._drain,
+            Pause: self._pause,
+            Resume: self._resume,
+            Slow: self._slowed,
+            Ail: self._ailed,
+            Stop: self._stop,
+        }
         self._retune()
 
     # What can be seen from outside, for reports of the rehearsal and for tests.
@@ -97,8 +107,9 @@
     @property
     def idle(self) -> bool:
         """Has it finished all that it had?"""
-        return not (self._in_slots or self._waiting or self._unread
-                    or any(c.job for c in self._connections.values()))
+        return not (
+            self._in_slots or self._waiting or self._unread or any(c.job for c in self._connections.values())
+        )
 
     def capacity(self, now: int) -> float:
         """What it can do at this time, in seconds of standard work a second: its size times its warmth."""
@@ -223,8 +234,15 @@
                 self._out.append(Fell(*too_much))
                 return
         connection = self._connections[event.connection]
-        job = connection.job = Job(Kind.REQUEST, event.connection, event.request, event.work_us, event.key,
-                                    at + event.left_us, slot=True)
+        job = connection.job = Job(
+            Kind.REQUEST,
+            event.connection,
+            event.request,
+            event.work_us,
+            event.key,
+            at + event.left_us,
+            slot=True,
+        )
         if connection.ready:
             self._admit(connection, job)
 
@@ -248,8 +266,9 @@
         if job.kind is Kind.PROBE:
             self._out.append(ProbeAnswer(job.connection, 503, self._load()))
         else:
-            self._out.append(Answer(
-                job.connection, job.request, status, "unprocessed", self._load(), closes=closes))
+            self._out.append(
+                Answer(job.connection, job.request, status, "unprocessed", self._load(), closes=closes)
+            )
 
     def _begin(self, job: Job) -> None:
         """Into a slot.  Of a request, this is where its effect may begin."""
@@ -259,7 +278,7 @@
             hit = self._cache.knows(self._now, job.key)
             self._out.append(Began(job.connection, job.request, hit))
             if self.spec.work_noise:
-                variance = math.log1p(self.spec.work_noise ** 2)
+                variance = math.log1p(self.spec.work_noise**2)
                 work *= math.exp(self._rng.gauss(0, math.sqrt(variance)) - variance / 2)
             if hit:
                 work *= 1 - self.spec.cache_gain
@@ -306,8 +325,11 @@
             self._cache.meet(self._now, job.key)
         if job.wanted and connection:
             connection.job = None
-            self._out.append(ProbeAnswer(job.connection, 200, self._load()) if job.kind is Kind.PROBE
-                             else self._answer(job))
+            self._out.append(
+                ProbeAnswer(job.connection, 200, self._load())
+                if job.kind is Kind.PROBE
+                else self._answer(job)
+            )
         self._fill()
 
     def _answer(self, job: Job) -> Answer:
@@ -347,8 +369,13 @@
 
     def _probe(self, event: Probe) -> None:
         connection = self._connections[event.connection]
-        job = connection.job = Job(Kind.PROBE, event.connection, work_us=self.spec.probe_work_us,
-                                    until=self._now + 60_000_000, slot=self.spec.probe_deep)
+        job = connection.job = Job(
+            Kind.PROBE,
+            event.connection,
+            work_us=self.spec.probe_work_us,
+            until=self._now + 60_000_000,
+            slot=self.spec.probe_deep,
+        )
         self._probes = [at for at in self._probes if self._now - at < PROBE_WINDOW_US]
         self._probes.append(self._now)
         if len(self._probes) > self.spec.probes_per_s:
@@ -393,9 +420,16 @@
         if not self.paused:
             return
         self.paused = False
-        self._reactions.update({
-            Connected: self._connected, Disconnected: self._disconnected, Request: self._request,
-            Withdrawn: self._withdrawn, Probe: self._probe, Drain: self._drain})
+        self._reactions.update(
+            {
+                Connected: self._connected,
+                Disconnected: self._disconnected,
+                Request: self._request,
+                Withdrawn: self._withdrawn,
+                Probe: self._probe,
+                Drain: self._drain,
+            }
+        )
         self._machine.sleep(self._now)
         while self._timers and self._timers[0][0] <= self._now:
             heappop(self._timers)[2]()
@@ -405,7 +439,8 @@
         unread, self._unread = self._unread, []
         ends = (Withdrawn, Disconnected)
         for at, later in [u for u in unread if not isinstance(u[1], ends)] + [
-                u for u in unread if isinstance(u[1], ends)]:
+            u for u in unread if isinstance(u[1], ends)
+        ]:
             if isinstance(later, Request):
                 self._request(later, at)
                 if not self.alive:
@@ -414,5 +449,7 @@
                 self._reactions[type(later)](later)
         self._reporter.renew(self._now, len(self._waiting))
         # All these answers go out now, when everything has been read.
-        self._out[:] = [replace(action, load=self._load()) if isinstance(action, Answer | ProbeAnswer)
-                        else action for action in self._out]
+        self._out[:] = [
+            replace(action, load=self._load()) if isinstance(action, Answer | ProbeAnswer) else action
+            for action in self._out
+        ]
--- a/roadlb/lab/model/report.py
+++ b/roadlb/lab/model/report.py
@@ -7,7 +7,7 @@
 
 from .events import Load
 
-ERRORS_US = 1_000_000       # errors a second are those of the last second
+ERRORS_US = 1_000_000  # errors a second are those of the last second
 
 
 class Reporter:
@@ -16,7 +16,7 @@
     def __init__(self, period_us: int, delay_us: int, noise: float, rng: Random, now: int) -> None:
         self._period_us, self._delay_us, self._noise, self._rng = period_us, delay_us, noise, rng
         self._next = now + int(rng.random() * period_us) if period_us else now
-        self._late: deque[tuple[int, Load]] = deque()        # seen, and not yet shown
+        self._late: deque[tuple[int, Load]] = deque()  # seen, and not yet shown
         self._shown = Load(0.0, 0.0)
         self._errors: deque[int] = deque()
 
--- a/roadlb/lab/model/share_fleet.py
+++ b/roadlb/lab/model/share_fleet.py
@@ -27,16 +27,16 @@
 
     loss: float = 0.3
     double: float = 0.1
-    delay_us: int = 20_000           # most are under it
-    late: float = 0.05               # of the messages take up to `late_us`
+    delay_us: int = 20_000  # most are under it
+    late: float = 0.05  # of the messages take up to `late_us`
     late_us: int = 6 * SECOND
-    drift_ppm: int = 200             # clocks are off by up to this
+    drift_ppm: int = 200  # clocks are off by up to this
     restart: float = 0.02
-    again_us: int = 1 * SECOND       # a process is away for up to this long before it starts anew
+    again_us: int = 1 * SECOND  # a process is away for up to this long before it starts anew
     pause: float = 0.02
-    pause_us: int = 8 * SECOND       # a stop lasts up to this long
-    split: float = 0.2               # a second: the fleet splits, or heals
-    one_way: float = 0.2             # of the splits hold one way only
+    pause_us: int = 8 * SECOND  # a stop lasts up to this long
+    split: float = 0.2  # a second: the fleet splits, or heals
+    one_way: float = 0.2  # of the splits hold one way only
 
 
 CALM = Weather(loss=0, double=0, late=0, restart=0, pause=0, split=0)
@@ -64,10 +64,17 @@
 class ShareFleet:
     """`play(seconds)`; `needs(i, random)` tells what a process could use, drawn anew now and then."""
 
-    def __init__(self, members: int, terms: Terms, seed: int, weather: Weather = CALM,
-                 make: Callable[[int, str, int, Terms], Budgets] = Budgets,
-                 needs: Callable[[int, random.Random], dict[bytes, int]] | None = None,
-                 resources: int = 3, settled: bool = False) -> None:
+    def __init__(
+        self,
+        members: int,
+        terms: Terms,
+        seed: int,
+        weather: Weather = CALM,
+        make: Callable[[int, str, int, Terms], Budgets] = Budgets,
+        needs: Callable[[int, random.Random], dict[bytes, int]] | None = None,
+        resources: int = 3,
+        settled: bool = False,
+    ) -> None:
         self.random, self.weather, self.terms, self.make = random.Random(seed), weather, terms, make
         self.resources = [b"thing%03d" % n for n in range(resources)]
         self.needs = needs or self._any_need
@@ -80,7 +87,7 @@
         self.names = tuple(f"lb-{i}" for i in range(members))
         for name in self.names:
             rate = 1 + self.random.uniform(-1, 1) * weather.drift_ppm / 1e6
-            offset = self.random.randrange(10 ** 12)
+            offset = self.random.randrange(10**12)
             life = make(offset - (terms.gift_us if settled else 0), name, 1, terms)
             self.processes[name] = Process(life, rate, offset)
             self._started(name)
@@ -126,7 +133,7 @@
         p = self.processes[name]
         now = p.clock(self.now)
         actions = p.budgets.handle(now, event)
-        self._look(name)                        # before anything it says has left
+        self._look(name)  # before anything it says has left
         if isinstance(event, Came):
             for span in (self.terms.gift_us, self.terms.lease_us):
                 self._put(max(0, p.true(now + span) - self.now), self._look, name)
--- a/roadlb/lab/model/shares.py
+++ b/roadlb/lab/model/shares.py
@@ -28,13 +28,14 @@
 
 THING = b"the thing"[:8]
 # A lease is three ticks of the slowest clock.  Clocks are off by up to a quarter: 4 units are one true tick.
-TERMS = Terms(instances=2, whole=4, lease_us=9, drift_ppm=250_000, margin_us=1, renew_us=0, wait_us=0,
-              skip_us=0)
+TERMS = Terms(
+    instances=2, whole=4, lease_us=9, drift_ppm=250_000, margin_us=1, renew_us=0, wait_us=0, skip_us=0
+)
 FAST, TRUE, SLOW = 5, 4, 3
 ENDLESS = -1
 
 Make: TypeAlias = Callable[[int, str, int, Terms], Budgets]
-Message: TypeAlias = tuple[str, str, int, "Ask | Answer"]          # from, to, life it is from
+Message: TypeAlias = tuple[str, str, int, "Ask | Answer"]  # from, to, life it is from
 
 
 @dataclass(frozen=True)
@@ -43,12 +44,12 @@
 
     rates: tuple[int, ...] = (FAST, SLOW)
     terms: Terms = TERMS
-    flying: int = 2                  # messages under way at a time; further ones are lost
-    restarts: int = 1                # of all processes together; or ENDLESS
-    doubles: bool = True             # may a message arrive again?
-    sizes: tuple[int, ...] = ()      # among how many the whole may be divided
-    askers: tuple[int, ...] = (1,)   # processes whose need changes; the others only give
-    states: int = 1_000_000          # the search ends after so many
+    flying: int = 2  # messages under way at a time; further ones are lost
+    restarts: int = 1  # of all processes together; or ENDLESS
+    doubles: bool = True  # may a message arrive again?
+    sizes: tuple[int, ...] = ()  # among how many the whole may be divided
+    askers: tuple[int, ...] = (1,)  # processes whose need changes; the others only give
+    states: int = 1_000_000  # the search ends after so many
     make: Make = Budgets
 
     @property
@@ -71,7 +72,7 @@
     """A search's end: `steps` lead to a sum above the whole; empty: there is none."""
 
     states: int
-    whole: bool                      # has every state been seen?
+    whole: bool  # has every state been seen?
     depth: int
     steps: list[str]
 
@@ -82,11 +83,16 @@
     for cls in type(b).__mro__:
         for slot in getattr(cls, "__slots__", ()):
             setattr(c, slot, getattr(b, slot))
-    c.takers = {who: Taker(t.number, {r: Gift(g.old, g.old_until, g.new, g.new_until)
-                                      for r, g in t.gifts.items()}) for who, t in b.takers.items()}
-    c.partners = {name: Partner(p.number, p.sent, p.answered, p.wants,
-                                {r: Held(h.units, h.until) for r, h in p.held.items()})
-                  for name, p in b.partners.items()}
+    c.takers = {
+        who: Taker(t.number, {r: Gift(g.old, g.old_until, g.new, g.new_until) for r, g in t.gifts.items()})
+        for who, t in b.takers.items()
+    }
+    c.partners = {
+        name: Partner(
+            p.number, p.sent, p.answered, p.wants, {r: Held(h.units, h.until) for r, h in p.held.items()}
+        )
+        for name, p in b.partners.items()
+    }
     c.skip = dict(b.skip)
     return c
 
@@ -97,8 +103,10 @@
 
 def _gift(gift: Gift, now: int) -> tuple[tuple[int, int], ...]:
     """Its two leases, by units and what is left of them; one that the other outdoes in both has no effect."""
-    first, second = sorted(((gift.old, _left(gift.old_until, now)), (gift.new, _left(gift.new_until, now))),
-                           key=lambda lease: (bool(lease[1]), *lease))
+    first, second = sorted(
+        ((gift.old, _left(gift.old_until, now)), (gift.new, _left(gift.new_until, now))),
+        key=lambda lease: (bool(lease[1]), *lease),
+    )
     if not second[0] or not second[1]:
         return ()
     return (second,) if not first[1] or first[1] <= second[1] else (first, second)
@@ -111,34 +119,50 @@
         return True
     process = state.processes[ord(to) - ord("A")]
     partner = process.partners.get(sender)
-    return (partner is not None and what.life == process.life and what.number == partner.number
-            and not partner.answered)
+    return (
+        partner is not None
+        and what.life == process.life
+        and what.number == partner.number
+        and not partner.answered
+    )
 
 
-Flown: TypeAlias = tuple[str, int, str, bool, "Ask | Answer"]      # taker, its life, giver, is it an ask?
+Flown: TypeAlias = tuple[str, int, str, bool, "Ask | Answer"]  # taker, its life, giver, is it an ask?
 
 
 @dataclass(slots=True)
 class Known:
     """What of a state anybody may still look at: accounts of all processes, and messages."""
 
-    takers: list[tuple[str, str, int, Taker]]        # giver, taker, its life
-    partners: list[tuple[str, int, str, Partner]]    # taker, its life, giver
+    takers: list[tuple[str, str, int, Taker]]  # giver, taker, its life
+    partners: list[tuple[str, int, str, Partner]]  # taker, its life, giver
     flying: list[Flown]
 
 
 def known(state: State, lean: bool) -> Known:
     flying: list[Flown] = [
-        (sender, life, to, True, message) if isinstance(message, Ask)
-        else (to, message.life, sender, False, message) for sender, to, life, message in state.flying]
+        (sender, life, to, True, message)
+        if isinstance(message, Ask)
+        else (to, message.life, sender, False, message)
+        for sender, to, life, message in state.flying
+    ]
     asks = {flown[:3] for flown in flying if flown[3]}
     now = {b.name: now for now, b in zip(state.clocks, state.processes, strict=True)}
     return Known(
-        [(b.name, *who, t) for b in state.processes for who, t in b.takers.items()
-         if not lean or (*who, b.name) in asks or any(g.units(now[b.name]) for g in t.gifts.values())],
-        [(b.name, b.life, name, p) for b in state.processes for name, p in b.partners.items()
-         if not (lean and p.answered) or any(now[b.name] < h.until for h in p.held.values())],
-        flying)
+        [
+            (b.name, *who, t)
+            for b in state.processes
+            for who, t in b.takers.items()
+            if not lean or (*who, b.name) in asks or any(g.units(now[b.name]) for g in t.gifts.values())
+        ],
+        [
+            (b.name, b.life, name, p)
+            for b in state.processes
+            for name, p in b.partners.items()
+            if not (lean and p.answered) or any(now[b.name] < h.until for h in p.held.values())
+        ],
+        flying,
+    )
 
 
 def _ranks(what: Known) -> dict[tuple[str, int, str], dict[int, int]]:
@@ -161,8 +185,9 @@
         lives[name].add(life)
     for name, life, *_ in what.flying:
         lives[name].add(life)
-    return {(name, life): n for name, some in lives.items()
-            for n, life in enumerate(sorted(some, reverse=True))}
+    return {
+        (name, life): n for name, some in lives.items() for n, life in enumerate(sorted(some, reverse=True))
+    }
 
 
 def shape(state: State, lean: bool = True) -> tuple[Any, ...]:
@@ -175,22 +200,48 @@
     ranks, lives = _ranks(what), _lives(state, what)
     clocks = {b.name: now for now, b in zip(state.clocks, state.processes, strict=True)}
     takers = sorted(
-        (giver, name, lives[name, life], ranks[name, life, giver][t.number],
-         tuple(sorted(_gift(g, clocks[giver]) for g in t.gifts.values() if g.units(clocks[giver]))))
-        for giver, name, life, t in what.takers)
+        (
+            giver,
+            name,
+            lives[name, life],
+            ranks[name, life, giver][t.number],
+            tuple(sorted(_gift(g, clocks[giver]) for g in t.gifts.values() if g.units(clocks[giver]))),
+        )
+        for giver, name, life, t in what.takers
+    )
     lease = state.processes[0].terms.lease_us
     partners = tuple(
-        (name, giver, ranks[name, life, giver][p.number], p.answered,
-         0 if lean and p.answered else min(clocks[name] - p.sent, lease),
-         () if lean and p.answered else tuple(p.wants.items()),
-         tuple((r, h.units, _left(h.until, clocks[name])) for r, h in p.held.items()
-               if clocks[name] < h.until))
-        for name, life, giver, p in what.partners)
-    flying = {(name, lives[name, life], giver, is_ask, ranks[name, life, giver][message.number],
-               message.items, message.instances if isinstance(message, Ask) else 0)
-              for name, life, giver, is_ask, message in what.flying}
-    processes = tuple((need, _left(b.free_from, now), b.next % len(b.peers), b.terms.instances)
-                      for now, b, need in zip(state.clocks, state.processes, state.needs, strict=True))
+        (
+            name,
+            giver,
+            ranks[name, life, giver][p.number],
+            p.answered,
+            0 if lean and p.answered else min(clocks[name] - p.sent, lease),
+            () if lean and p.answered else tuple(p.wants.items()),
+            tuple(
+                (r, h.units, _left(h.until, clocks[name]))
+                for r, h in p.held.items()
+                if clocks[name] < h.until
+            ),
+        )
+        for name, life, giver, p in what.partners
+    )
+    flying = {
+        (
+            name,
+            lives[name, life],
+            giver,
+            is_ask,
+            ranks[name, life, giver][message.number],
+            message.items,
+            message.instances if isinstance(message, Ask) else 0,
+        )
+        for name, life, giver, is_ask, message in what.flying
+    }
+    processes = tuple(
+        (need, _left(b.free_from, now), b.next % len(b.peers), b.terms.instances)
+        for now, b, need in zip(state.clocks, state.processes, state.needs, strict=True)
+    )
     return processes, tuple(takers), partners, tuple(sorted(flying)), state.restarts
 
 
@@ -198,15 +249,16 @@
     names = [chr(ord("A") + i) for i in range(len(scope.rates))]
     state = State([0] * len(names), [], [False] * len(names), [], 0)
     for name in names:
-        process = scope.make(-scope.terms.gift_us, name, 1, scope.terms)      # started long enough ago
+        process = scope.make(-scope.terms.gift_us, name, 1, scope.terms)  # started long enough ago
         process.handle(0, Partners(tuple(names)))
         state.processes.append(process)
     return state
 
 
 def branch(state: State) -> State:
-    return State(list(state.clocks), list(state.processes), list(state.needs), list(state.flying),
-                 state.restarts)
+    return State(
+        list(state.clocks), list(state.processes), list(state.needs), list(state.flying), state.restarts
+    )
 
 
 def tell(scope: Scope, state: State, i: int, event: Any) -> State:
@@ -217,8 +269,11 @@
     _drop(scope, after)
     for action in told:
         message = process.name, action.to, process.life, action.message
-        if (len(after.flying) < scope.flying and message not in after.flying
-                and (not scope.lean or alive(after, message))):
+        if (
+            len(after.flying) < scope.flying
+            and message not in after.flying
+            and (not scope.lean or alive(after, message))
+        ):
             after.flying.append(message)
     return after
 
@@ -253,7 +308,7 @@
             yield f"restart {process.name}", after
     for n, (sender, to, life, message) in enumerate(state.flying):
         what = f"{type(message).__name__.lower()} {message.number} {sender} to {to}"
-        rest = state.flying[:n] + state.flying[n + 1:]
+        rest = state.flying[:n] + state.flying[n + 1 :]
         without = branch(state)
         without.flying = rest
         yield f"lose {what}", without
--- a/roadlb/lab/model/shedding.py
+++ b/roadlb/lab/model/shedding.py
@@ -23,14 +23,30 @@
 from roadlb.overload.meter import READ_US, Limits, Meter, Reading
 from roadlb.overload.pulse import Pulse
 from roadlb.policy.interface import (
-    Arrival, Cancel, ClientGone, Effect, Event, Fail, ListKind, ListUpdate, Member, Outcome, Refuse,
-    RequestClass, Send, SetTimer, Settings, Shortage, Status, TimerFired,
+    Arrival,
+    Cancel,
+    ClientGone,
+    Effect,
+    Event,
+    Fail,
+    ListKind,
+    ListUpdate,
+    Member,
+    Outcome,
+    Refuse,
+    RequestClass,
+    Send,
+    SetTimer,
+    Settings,
+    Shortage,
+    Status,
+    TimerFired,
 )
 
 SECOND = 1_000_000
-PERIOD_US = 100_000        # of the quota
-MARGIN_US = 10_000         # what the way here and back takes off a client's time, as in net/service_client.py
-WAY_US = 1_000             # to the balancer and back
+PERIOD_US = 100_000  # of the quota
+MARGIN_US = 10_000  # what the way here and back takes off a client's time, as in net/service_client.py
+WAY_US = 1_000  # to the balancer and back
 READ, ORDER = 0, 1
 
 
@@ -38,12 +54,12 @@
 class Costs:
     """CPU time of each thing the process does.  Serving one request takes 230, refusing one 40."""
 
-    read: int = 15             # a segment from a client: system call, parse
-    refuse: int = 25           # then: the module, the refusal's text, a write
-    take: int = 95             # or: the module, headers, a write to a node
-    answer: int = 120          # a node's answer read, and passed on
-    accept: int = 60           # a new connection
-    gone: int = 20             # a client's close
+    read: int = 15  # a segment from a client: system call, parse
+    refuse: int = 25  # then: the module, the refusal's text, a write
+    take: int = 95  # or: the module, headers, a write to a node
+    answer: int = 120  # a node's answer read, and passed on
+    accept: int = 60  # a new connection
+    gone: int = 20  # a client's close
     timer: int = 4
 
     @property
@@ -58,18 +74,18 @@
     """How a client that is refused comes again."""
 
     AT_ONCE = 0
-    SOON = 1           # after a fixed wait
-    AS_TOLD = 2        # after Retry-After
+    SOON = 1  # after a fixed wait
+    AS_TOLD = 2  # after Retry-After
 
 
 @dataclass(frozen=True)
 class Site:
     """What is asked of the balancer, and what it may use."""
 
-    costs: Costs = Costs().times(4)          # a slow machine: as much overload for a quarter of the events
+    costs: Costs = Costs().times(4)  # a slow machine: as much overload for a quarter of the events
     cores: float = 0.7
-    told_cores: float = 0.0                  # what it believes that it may use; 0: what it may
-    connections: int = 341                   # a third of 1,024 descriptors
+    told_cores: float = 0.0  # what it believes that it may use; 0: what it may
+    connections: int = 341  # a third of 1,024 descriptors
     order_share: float = 0.3
     manners: tuple[float, float, float] = (0.5, 0.3, 0.2)
     retries: int = 3
@@ -78,8 +94,9 @@
     keys: int = 1_000
     classes: tuple[RequestClass, ...] = (
         RequestClass("grid-read", 500_000, 2_500_000, 2.0, 0.5),
-        RequestClass("order", 600_000, 2_000_000, 10.0, 0.5, Effect.UNSAFE))
-    try_share: tuple[float, float] = (0.30, 0.55)     # of its give-up time, after which a try is given up
+        RequestClass("order", 600_000, 2_000_000, 10.0, 0.5, Effect.UNSAFE),
+    )
+    try_share: tuple[float, float] = (0.30, 0.55)  # of its give-up time, after which a try is given up
 
     @property
     def capacity(self) -> float:
@@ -97,22 +114,22 @@
     asked: int
     until: int
     tries: int = 0
-    sends: int = 0                # attempts at nodes
-    answered: int = 0             # when it was served; 0: it was not
-    ends: int = 0                 # final answers, over all tries
+    sends: int = 0  # attempts at nodes
+    answered: int = 0  # when it was served; 0: it was not
+    ends: int = 0  # final answers, over all tries
     burst: bool = False
 
 
 @dataclass(eq=False, slots=True)
 class Try:
     request: Request
-    sent: int                     # when its bytes were at the balancer
-    given_up: int                 # when the client leaves
+    sent: int  # when its bytes were at the balancer
+    given_up: int  # when the client leaves
     gone: bool = False
-    done: bool = False            # answered, or seen to be gone
-    until: int = 0                # as the balancer knows it
+    done: bool = False  # answered, or seen to be gone
+    until: int = 0  # as the balancer knows it
     ends: int = 0
-    tellers: list[tuple[bytes, int]] = field(default_factory=list)      # attempts: server, sent at
+    tellers: list[tuple[bytes, int]] = field(default_factory=list)  # attempts: server, sent at
     over: list[bool] = field(default_factory=list)
 
 
@@ -133,10 +150,18 @@
 class Sim:
     """Play `site` for some time; then look at `requests`, `samples` and the counts."""
 
-    def __init__(self, site: Site, rate: Callable[[int], float], controller: Controller | None, seed: int = 1,
-                 stops: Iterable[tuple[int, int]] = (), own_work: Iterable[tuple[int, int, bool]] = (),
-                 order_share: Callable[[int], float] | None = None, rude: int = 0,
-                 ages: str = "told") -> None:
+    def __init__(
+        self,
+        site: Site,
+        rate: Callable[[int], float],
+        controller: Controller | None,
+        seed: int = 1,
+        stops: Iterable[tuple[int, int]] = (),
+        own_work: Iterable[tuple[int, int, bool]] = (),
+        order_share: Callable[[int], float] | None = None,
+        rude: int = 0,
+        ages: str = "told",
+    ) -> None:
         """`rate(t)` requests a second; the host stops the process at `stops` (when, for how long); at
         `own_work` it is busy with itself (when, for how long, is the list of nodes new then?).  From 1 s on
         so many `rude` clients send rubbish at full speed.  `ages`: where the pulse is late, the kernel tells
@@ -154,17 +179,23 @@
         self.open: dict[int, Try] = {}
         self.next_id = 1
         self.samples: list[Sample] = []
-        self.waits: list[int] = []           # from bytes at the balancer to its reading them
-        self.late_answers = 0                # written when the client had gone
+        self.waits: list[int] = []  # from bytes at the balancer to its reading them
+        self.late_answers = 0  # written when the client had gone
         self.told: list[Action] = []
         self.share = 0.0
         self.tries = self.read_tries = self.refused = self.unreachable = 0
         self.balancer = Balancer(Settings(classes=list(site.classes), max_retry_after_us=1_200_000), seed)
         self.pulse = Pulse(0)
         limits = Limits(site.told_cores or site.cores, 64.0, 1_024)
-        self.meter = Meter(0, self.pulse, limits, lambda: self.cpu, lambda: 32 << 20,
-                           lambda: 100 + site.connections - self.free,
-                           lambda: (self.read_tries, self.refused))
+        self.meter = Meter(
+            0,
+            self.pulse,
+            limits,
+            lambda: self.cpu,
+            lambda: 32 << 20,
+            lambda: 100 + site.connections - self.free,
+            lambda: (self.read_tries, self.refused),
+        )
         self.new_list(None)
         self.at(10_000, self.beat, None)
         self.at(READ_US, self.measure, None)
@@ -258,7 +289,7 @@
         self.free += 1
         self.readable.append((self.read_close, t))
         self.readable.append((self.read_accept, None))
-        if t.request.cls == READ:              # an order may have run
+        if t.request.cls == READ:  # an order may have run
             self.again(at, t.request, 0)
 
     def answered(self, t: Try, served: bool, retry_after_us: int = 0) -> None:
--- a/roadlb/lab/model/told_fleet.py
+++ b/roadlb/lab/model/told_fleet.py
@@ -15,8 +15,24 @@
 from typing import Any
 
 from ...policy.interface import (
-    Action, Arrival, Effect, Heard, ListKind, ListUpdate, Member, Outcome, Refuse, Report, RequestClass, Send,
-    SetTimer, Settings, Status, TimerFired, View)
+    Action,
+    Arrival,
+    Effect,
+    Heard,
+    ListKind,
+    ListUpdate,
+    Member,
+    Outcome,
+    Refuse,
+    Report,
+    RequestClass,
+    Send,
+    SetTimer,
+    Settings,
+    Status,
+    TimerFired,
+    View,
+)
 from ...policy.logic import Balancer
 from ...shared_state import told as shared
 from ...shared_state.budgets import Terms
@@ -28,9 +44,13 @@
 ANSWER_US, ERROR_US = 50_000, 2_000
 AIM_US, LEFT_US, WORTH = 250_000, 500_000, (2.0, 10.0)
 TROUBLES = {
-    Status.OK: Trouble.NONE, Status.ERROR: Trouble.ERRORS, Status.FULL: Trouble.FULL,
-    Status.TIMEOUT: Trouble.SILENT, Status.RESET: Trouble.SILENT,
-    Status.CONNECT_FAILED: Trouble.SILENT}
+    Status.OK: Trouble.NONE,
+    Status.ERROR: Trouble.ERRORS,
+    Status.FULL: Trouble.FULL,
+    Status.TIMEOUT: Trouble.SILENT,
+    Status.RESET: Trouble.SILENT,
+    Status.CONNECT_FAILED: Trouble.SILENT,
+}
 
 
 @dataclass(frozen=True)
@@ -63,9 +83,20 @@
 class ToldFleet:
     """`play(seconds, rate)`; what was sent is in `sent`, what was refused unsent in `refused`."""
 
-    def __init__(self, balancers: int, servers: int, seed: int, share: bool, air: Air | None = None,
-                 halls: int = 3, weights: Sequence[float] | None = None, orders: float = 0.3,
-                 settled: bool = True, carries: float = 0.0, **settings: Any) -> None:
+    def __init__(
+        self,
+        balancers: int,
+        servers: int,
+        seed: int,
+        share: bool,
+        air: Air | None = None,
+        halls: int = 3,
+        weights: Sequence[float] | None = None,
+        orders: float = 0.3,
+        settled: bool = True,
+        carries: float = 0.0,
+        **settings: Any,
+    ) -> None:
         """`carries`: requests a second of a server, which works one after another; 0: any number."""
         self.demand, self.net = random.Random(seed), random.Random(seed + 1)
         self.air, self.halls, self.orders = air or Air(), halls, orders
@@ -74,27 +105,38 @@
         self.queue: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
         self.sent: list[Sent] = []
         self.refused, self.messages, self.bytes, self.in_time = 0, 0, 0, 0.0
-        self.carries, self.free = carries, dict[bytes, int]()       # ... and when it has done what it has
-        self.refused_of: dict[int, int] = {}                        # by customer
+        self.carries, self.free = carries, dict[bytes, int]()  # ... and when it has done what it has
+        self.refused_of: dict[int, int] = {}  # by customer
         self.tenants: dict[int, int] = {}
         self.classes: dict[int, tuple[int, int]] = {}
-        self.bad: dict[bytes, tuple[int, int | None]] = {}      # since when, and for whose hall; None: all
-        self.erring: dict[bytes, float] = {}                    # part of a server's that fail by chance
-        self.avoided_us: dict[bytes, int] = {}                  # on others' word, over all balancers
-        self.all_avoid: dict[bytes, int] = {}                   # when all of them first did at once
+        self.bad: dict[bytes, tuple[int, int | None]] = {}  # since when, and for whose hall; None: all
+        self.erring: dict[bytes, float] = {}  # part of a server's that fail by chance
+        self.avoided_us: dict[bytes, int] = {}  # on others' word, over all balancers
+        self.all_avoid: dict[bytes, int] = {}  # when all of them first did at once
         self._avoided: dict[tuple[int, bytes], int] = {}
-        self.cut: set[tuple[int, int]] = set()                  # a balancer's hall hears none of a server's
-        self.unheard: list[Sent] = []                           # what was sent over such a cut
-        self.flaky = 0.0                                        # part of all requests that fail by chance
+        self.cut: set[tuple[int, int]] = set()  # a balancer's hall hears none of a server's
+        self.unheard: list[Sent] = []  # what was sent over such a cut
+        self.flaky = 0.0  # part of all requests that fail by chance
         terms = Terms(instances=balancers)
-        classes = [RequestClass("read", AIM_US, LEFT_US, WORTH[READ]), RequestClass(
-            "order", AIM_US, LEFT_US, WORTH[ORDER], effect=Effect.UNSAFE)]
+        classes = [
+            RequestClass("read", AIM_US, LEFT_US, WORTH[READ]),
+            RequestClass("order", AIM_US, LEFT_US, WORTH[ORDER], effect=Effect.UNSAFE),
+        ]
         self.parties: list[Party] = []
         for i in range(balancers):
             s = Settings(classes=classes, instances=balancers, instance=i, zone=i % halls, **settings)
-            told = Told(
-                self.now - (terms.gift_us if settled else 0), f"lb-{i}", 1, f"hall-{i % halls}", terms,
-                [(t.name, t.quota_per_s) for t in s.tenants]) if share else None
+            told = (
+                Told(
+                    self.now - (terms.gift_us if settled else 0),
+                    f"lb-{i}",
+                    1,
+                    f"hall-{i % halls}",
+                    terms,
+                    [(t.name, t.quota_per_s) for t in s.tenants],
+                )
+                if share
+                else None
+            )
             self.parties.append(Party(Balancer(s, seed * 1000 + i), told, random.Random(seed * 1000 + i)))
             if told:
                 self._put(self.net.randrange(shared.PULSE_US), self._pulse, i)
@@ -157,8 +199,9 @@
             if cut:
                 self.unheard.append(self.sent[-1])
                 wait = a.timeout_us or LEFT_US
-                self._put(wait, self._outcome, i, Outcome(
-                    a.request, attempt, a.server, Status.TIMEOUT, wait, False))
+                self._put(
+                    wait, self._outcome, i, Outcome(a.request, attempt, a.server, Status.TIMEOUT, wait, False)
+                )
                 return
             took, status = (ANSWER_US, Status.OK) if good else (ERROR_US, Status.ERROR)
             if good and self.carries:
@@ -212,11 +255,16 @@
             self.avoided_us[server] = self.avoided_us.get(server, 0) + max(0, until - since)
             self._avoided[i, server] = max(until, since)
             if server not in self.all_avoid and all(
-                    self._avoided.get((n, server), 0) > self.now for n in range(len(self.parties))):
+                self._avoided.get((n, server), 0) > self.now for n in range(len(self.parties))
+            ):
                 self.all_avoid[server] = self.now
 
     def _message(self, i: int, to: int, payload: bytes) -> None:
         self.messages, self.bytes = self.messages + 1, self.bytes + len(payload)
         if self.net.random() >= self.air.loss and self.air.heard(self.now, i, to):
-            self._put(self.net.randrange(self.air.delay_us) + 100, self._shared, to,
-                      shared.Message(f"lb-{i}", 1, payload))
+            self._put(
+                self.net.randrange(self.air.delay_us) + 100,
+                self._shared,
+                to,
+                shared.Message(f"lb-{i}", 1, payload),
+            )
--- a/roadlb/lab/model/traffic.py
+++ b/roadlb/lab/model/traffic.py
@@ -15,14 +15,14 @@
 @dataclass(slots=True, frozen=True)
 class Wish:
     number: int
-    due: int                 # when its first try is meant to be sent
+    due: int  # when its first try is meant to be sent
     class_index: int
     tenant: str
     key: str
     work_us: int
-    honours: bool            # its client keeps to Retry-After
-    once: bool               # its client opens a connection for it alone
-    holds: bool              # and keeps that open for good
+    honours: bool  # its client keeps to Retry-After
+    once: bool  # its client opens a connection for it alone
+    holds: bool  # and keeps that open for good
 
 
 class Traffic:
@@ -32,8 +32,18 @@
     `flood` called, at any time: they bear on wishes that were not drawn yet.
     """
 
-    def __init__(self, shape: Shape, classes: Sequence[ClassSpec], tenants: Sequence[TenantSpec], keys: Keys,
-                 habits: Habits, rng: Random, from_us: int = 0, first_number: int = 0, step: int = 1) -> None:
+    def __init__(
+        self,
+        shape: Shape,
+        classes: Sequence[ClassSpec],
+        tenants: Sequence[TenantSpec],
+        keys: Keys,
+        habits: Habits,
+        rng: Random,
+        from_us: int = 0,
+        first_number: int = 0,
+        step: int = 1,
+    ) -> None:
         self.shape, self.classes, self.habits = shape, tuple(classes), habits
         self._keys, self._rng, self._at = keys, rng, float(from_us)
         self._number, self._step = first_number, step
@@ -42,8 +52,9 @@
         self._share = {t.name: t.share for t in tenants} or {"": 1.0}
         self._weigh()
 
-    def flood(self, times: float, of_class: str | None = None, tenant: str | None = None
-              ) -> Callable[[], None]:
+    def flood(
+        self, times: float, of_class: str | None = None, tenant: str | None = None
+    ) -> Callable[[], None]:
         """From now on `times` as many wishes of this class and tenant (none: of any); the rest goes on as it
         was.  Returns what ends that.  Floods may overlap, and multiply."""
         flood = (of_class, tenant, times)
@@ -53,6 +64,7 @@
         def end() -> None:
             self._floods.remove(flood)
             self._weigh()
+
         return end
 
     def surge(self, tenant: str, usage: float) -> None:
@@ -73,8 +85,10 @@
     def _weigh(self) -> None:
         """How much there is of each class and tenant, and of all, as a multiple of what the shape says."""
         self._kinds = [(index, tenant) for index in range(len(self.classes)) for tenant in self._usage]
-        usual = [self.classes[index].share * self._usage[tenant] * self._share[tenant]
-                 for index, tenant in self._kinds]
+        usual = [
+            self.classes[index].share * self._usage[tenant] * self._share[tenant]
+            for index, tenant in self._kinds
+        ]
         present = list(usual)
         for of_class, of_tenant, times in self._floods:
             for i, (index, tenant) in enumerate(self._kinds):
@@ -104,5 +118,14 @@
         index, tenant = rng.choices(self._kinds, cum_weights=self._kind_ends)[0]
         number, self._number = self._number, self._number + self._step
         once = habits.once > 0 and rng.random() < habits.once
-        return Wish(number, due, index, tenant, self._keys.draw(rng), self.classes[index].draw_work_us(rng),
-                    rng.random() < habits.honour, once, once and rng.random() < habits.hold)
+        return Wish(
+            number,
+            due,
+            index,
+            tenant,
+            self._keys.draw(rng),
+            self.classes[index].draw_work_us(rng),
+            rng.random() < habits.honour,
+            once,
+            once and rng.random() < habits.hold,
+        )
--- a/roadlb/lab/model/tries.py
+++ b/roadlb/lab/model/tries.py
@@ -11,14 +11,14 @@
     """How one try of a wish ended."""
 
     SERVED = auto()
-    REFUSED = auto()         # 429 or 503, whoever worded it
-    FAILED = auto()          # any other answer, or one that cannot be right
-    UNREACHED = auto()       # no balancer's machine had taken it
-    BROKEN = auto()          # taken, and the connection ended with no whole answer
-    GIVEN_UP = auto()        # taken, and its time ran out
+    REFUSED = auto()  # 429 or 503, whoever worded it
+    FAILED = auto()  # any other answer, or one that cannot be right
+    UNREACHED = auto()  # no balancer's machine had taken it
+    BROKEN = auto()  # taken, and the connection ended with no whole answer
+    GIVEN_UP = auto()  # taken, and its time ran out
 
 
-SAFE_TO_REPEAT = frozenset({TryEnd.REFUSED, TryEnd.UNREACHED})      # whatever the class
+SAFE_TO_REPEAT = frozenset({TryEnd.REFUSED, TryEnd.UNREACHED})  # whatever the class
 
 
 def time_left(now: int, due: int, spec: ClassSpec, habits: Habits) -> int:
@@ -26,8 +26,16 @@
     return min(round(spec.give_up_us * habits.try_share), due + spec.give_up_us - now)
 
 
-def next_try(now: int, due: int, spec: ClassSpec, habits: Habits, honours: bool, attempt: int, end: TryEnd,
-             retry_after_us: int = -1) -> int | None:
+def next_try(
+    now: int,
+    due: int,
+    spec: ClassSpec,
+    habits: Habits,
+    honours: bool,
+    attempt: int,
+    end: TryEnd,
+    retry_after_us: int = -1,
+) -> int | None:
     """When the client tries again after try number `attempt` (from 0) has ended; none: it does not."""
     if end is TryEnd.SERVED or attempt >= habits.retries:
         return None
--- a/roadlb/lab/model_check/defects.py
+++ b/roadlb/lab/model_check/defects.py
@@ -73,14 +73,22 @@
 STREAMS = Shape(followers=1, rates=(4, 4, 5), seats=1, ticks=2, on_the_way=1, streams=True, moves=2)
 
 DEFECTS = {
-    "no fencing": Shape(followers=1, rates=(4, 4, 5), follower=Unfenced, seats=1,
-                        proposals=(SECOND, SECOND), ticks=2, on_the_way=1),
+    "no fencing": Shape(
+        followers=1,
+        rates=(4, 4, 5),
+        follower=Unfenced,
+        seats=1,
+        proposals=(SECOND, SECOND),
+        ticks=2,
+        on_the_way=1,
+    ),
     "no fencing, and a leader that goes on": replace(STREAMS, follower=Unfenced, issuer=Stubborn),
     "lease by wall clock": Shape(wall_leases=True, wall=40, ticks=6, on_the_way=1),
     "ack before store": Shape(ack_first=True, crashes=1, ticks=3, on_the_way=1),
     "grant before the other's end": Shape(issuer=Hasty, ticks=3, on_the_way=1),
-    "a roll that is not read": Shape(issuer=Forgetful, seats=1, renews=1, proposals=(), ticks=4,
-                                     on_the_way=1),
+    "a roll that is not read": Shape(
+        issuer=Forgetful, seats=1, renews=1, proposals=(), ticks=4, on_the_way=1
+    ),
     "a lease before the roll": Shape(issuer=Unlisted, seats=0, proposals=(), ticks=2, on_the_way=1),
     "a floor that is not a floor": Shape(follower=NoFloor, ticks=6, on_the_way=1),
 }
--- a/roadlb/lab/model_check/fleet.py
+++ b/roadlb/lab/model_check/fleet.py
@@ -14,27 +14,67 @@
 
 from ...agreement import rules
 from ...agreement.events import (
-    NOTHING, Book, Contents, Deposed, FollowerAction, FollowerEvent, From, FromFollower, FromIssuer, Heard,
-    IssuerAction, IssuerEvent, Keep, KeepRoll, Kept, Leading, Memory, Offered, Prepare, Propose, Pulse,
-    Remember, Remembered, Restarted, RollKept, StillLeading, Tell, To, Unkept, VersionId)
+    NOTHING,
+    Book,
+    Contents,
+    Deposed,
+    FollowerAction,
+    FollowerEvent,
+    From,
+    FromFollower,
+    FromIssuer,
+    Heard,
+    IssuerAction,
+    IssuerEvent,
+    Keep,
+    KeepRoll,
+    Kept,
+    Leading,
+    Memory,
+    Offered,
+    Prepare,
+    Propose,
+    Pulse,
+    Remember,
+    Remembered,
+    Restarted,
+    RollKept,
+    StillLeading,
+    Tell,
+    To,
+    Unkept,
+    VersionId,
+)
 from ...agreement.follower import Follower
 from ...agreement.issuer import Issuer
 from ...agreement.lease import Timing, least_bound_us
 
 TIMING = Timing()
 SECOND_US = 1_000_000
-SEAT_US = 3 * SECOND_US               # a leader's seat, renewed each third of it
+SEAT_US = 3 * SECOND_US  # a leader's seat, renewed each third of it
 PULSE_US = 250_000
-STORE_US = 2_000                      # a write of a follower's store or of the issuers'
+STORE_US = 2_000  # a write of a follower's store or of the issuers'
 
 
 def contents(pool: str, attempts: int, quota: int) -> Contents:
-    return Contents({"routes.read": pool, "limits.max_attempts": str(attempts), "tenants.count": "1",
-                     "tenants.0.name": "t", "tenants.0.quota_per_s": str(quota)})
-
-
-CHOICES = (contents("p", 3, 50), contents("q", 1, 80), contents("p", 2, 20), contents("", 3, 80),
-           contents("q", 2, 50))
+    return Contents(
+        {
+            "routes.read": pool,
+            "limits.max_attempts": str(attempts),
+            "tenants.count": "1",
+            "tenants.0.name": "t",
+            "tenants.0.quota_per_s": str(quota),
+        }
+    )
+
+
+CHOICES = (
+    contents("p", 3, 50),
+    contents("q", 1, 80),
+    contents("p", 2, 20),
+    contents("", 3, 80),
+    contents("q", 2, 50),
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,11 +82,11 @@
     """What goes wrong, and how often.  Shares 0..1; counts are for a whole run."""
 
     loss: float = 0.02
-    late: float = 0.02                # share of messages that take up to `late_us`
+    late: float = 0.02  # share of messages that take up to `late_us`
     late_us: int = 3 * SECOND_US
-    cuts: int = 6                     # links between a follower and an issuer, one way or both, up to 12 s
-    stops: int = 4                    # followers or issuers, up to 12 s
-    crashes: int = 3                  # followers, back after up to 3 s
+    cuts: int = 6  # links between a follower and an issuer, one way or both, up to 12 s
+    stops: int = 4  # followers or issuers, up to 12 s
+    crashes: int = 3  # followers, back after up to 3 s
     ppm: int = 200
 
 
@@ -78,8 +118,8 @@
     longest: int = 0
     apart: int = 0
     across: int = 0
-    in_force: list[int] = field(default_factory=list)      # from the proposal to the store's word
-    used: list[int] = field(default_factory=list)          # to the last follower that uses it
+    in_force: list[int] = field(default_factory=list)  # from the proposal to the store's word
+    used: list[int] = field(default_factory=list)  # to the last follower that uses it
     messages: int = 0
     versions: int = 0
 
@@ -87,9 +127,17 @@
 class Fleet:
     """One run; `run` gives its `Result`."""
 
-    def __init__(self, seed: int, followers: int = 12, length_s: float = 60.0, weather: Weather = ROUGH,
-                 timing: Timing = TIMING, every_s: float = 8.0, follower: type[Follower] = Follower,
-                 proposals: Callable[[Random], Contents] = lambda random: random.choice(CHOICES)) -> None:
+    def __init__(
+        self,
+        seed: int,
+        followers: int = 12,
+        length_s: float = 60.0,
+        weather: Weather = ROUGH,
+        timing: Timing = TIMING,
+        every_s: float = 8.0,
+        follower: type[Follower] = Follower,
+        proposals: Callable[[Random], Contents] = lambda random: random.choice(CHOICES),
+    ) -> None:
         self.random, self.weather, self.timing, self.make = Random(seed), weather, timing, follower
         self.end, self.now, self.order, self.proposals = int(length_s * 1e6), 0, 0, proposals
         self.queue: list[tuple[int, int, Callable[[], None]]] = []
@@ -101,8 +149,8 @@
         count = followers + 2
         self.rates = [1 + self.random.uniform(-weather.ppm, weather.ppm) / 1e6 for _ in range(count)]
         self.offsets = [self.random.randrange(10**12) for _ in range(count)]
-        self.stopped: dict[int, list[Callable[[], None]]] = {}         # what waits for a process to go on
-        self.cut: dict[tuple[int, int], int] = {}                      # a link, one way, until then
+        self.stopped: dict[int, list[Callable[[], None]]] = {}  # what waits for a process to go on
+        self.cut: dict[tuple[int, int], int] = {}  # a link, one way, until then
         self.book, self.epoch, self.seat, self.held_until = Book(), 0, -1, 0
         self.roll: frozenset[str] = frozenset()
         self.proposed: dict[VersionId, int] = {}
@@ -138,10 +186,10 @@
     def _plan(self, every_s: float) -> None:
         draw, n, weather = self.random.randrange, len(self.followers), self.weather
         for f in range(n):
-            self.at(draw(PULSE_US), lambda f=f: self.restart(f, first=True))           # type: ignore[misc]
+            self.at(draw(PULSE_US), lambda f=f: self.restart(f, first=True))  # type: ignore[misc]
         for i in range(2):
-            self.at(draw(PULSE_US), lambda i=i: self.pulse_issuer(i))                  # type: ignore[misc]
-        when = 6 * SECOND_US                # a first leader has waited
+            self.at(draw(PULSE_US), lambda i=i: self.pulse_issuer(i))  # type: ignore[misc]
+        when = 6 * SECOND_US  # a first leader has waited
         while when < self.end:
             self.at(when, self.propose)
             when += int(self.random.expovariate(1 / (every_s * 1e6))) + 1
@@ -149,14 +197,18 @@
             process, i = draw(n), n + draw(2)
             ways = self.random.choice((((process, i),), ((i, process),), ((process, i), (i, process))))
             when, length = draw(self.end), draw(12 * SECOND_US)
-            self.at(when, lambda ways=ways, length=length:                             # type: ignore[misc]
-                    self.cut.update({way: self.now + length for way in ways}))
+            self.at(
+                when,
+                lambda ways=ways, length=length: (  # type: ignore[misc]
+                    self.cut.update({way: self.now + length for way in ways})
+                ),
+            )
         for _ in range(weather.stops):
             process, length = draw(n + 2), draw(12 * SECOND_US)
-            self.at(draw(self.end), lambda p=process, us=length: self.stop(p, us))     # type: ignore[misc]
+            self.at(draw(self.end), lambda p=process, us=length: self.stop(p, us))  # type: ignore[misc]
         for _ in range(weather.crashes):
             f, when, down = draw(n), draw(self.end), draw(3 * SECOND_US)
-            self.at(when, lambda f=f, down=down: self.crash(f, down))                  # type: ignore[misc]
+            self.at(when, lambda f=f, down=down: self.crash(f, down))  # type: ignore[misc]
 
     # Faults
 
@@ -209,11 +261,14 @@
         for action in actions:
             if isinstance(action, Tell):
                 for i in range(2):
-                    self.send(f, len(self.followers) + i,
-                              lambda i=i, m=action.message: self._from(i, f, m))       # type: ignore[misc]
+                    self.send(f, len(self.followers) + i, lambda i=i, m=action.message: self._from(i, f, m))  # type: ignore[misc]
             elif isinstance(action, Remember):
-                self.at(self.now + STORE_US, lambda a=action: self.reach(              # type: ignore[misc]
-                    f, lambda: self._remembered(f, life, a)))
+                self.at(
+                    self.now + STORE_US,
+                    lambda a=action: self.reach(  # type: ignore[misc]
+                        f, lambda: self._remembered(f, life, a)
+                    ),
+                )
 
     def _remembered(self, f: int, life: int, action: Remember) -> None:
         if life == self.lives[f]:
@@ -236,9 +291,9 @@
                 f = int(action.follower)
                 self.send(process, f, lambda f=f, m=action.message: self._heard(f, m))  # type: ignore[misc]
             elif isinstance(action, Keep):
-                self.at(self.now + STORE_US, lambda a=action: self._keep(i, a))        # type: ignore[misc]
+                self.at(self.now + STORE_US, lambda a=action: self._keep(i, a))  # type: ignore[misc]
             elif isinstance(action, KeepRoll):
-                self.at(self.now + STORE_US, lambda a=action: self._keep_roll(i, a))   # type: ignore[misc]
+                self.at(self.now + STORE_US, lambda a=action: self._keep_roll(i, a))  # type: ignore[misc]
 
     def _heard(self, f: int, message: FromIssuer) -> None:
         event = Offered(message) if isinstance(message, Prepare) else Heard(message)
@@ -323,8 +378,13 @@
         one, clock = self.followers[f], self.clock(f)
         state = None
         if one.told is not None:
-            state = Group(one.told.id, self._same(one.told.contents), self._same(one.used(clock)),
-                          not one.granted(clock), one.force)
+            state = Group(
+                one.told.id,
+                self._same(one.told.contents),
+                self._same(one.used(clock)),
+                not one.granted(clock),
+                one.force,
+            )
             if one.until > clock and self.until[f] != one.until:
                 self.until[f] = one.until
                 left = int((one.until - clock) / self.rates[f]) + 2
@@ -355,8 +415,11 @@
 
     def _across(self, a: Group, b: Group) -> bool:
         older, newer = (a, b) if a.force < b.force else (b, a)
-        return (not newer.lapsed and older.force != newer.force
-                and self._contradicts(older, self.versions[newer.force]))
+        return (
+            not newer.lapsed
+            and older.force != newer.force
+            and self._contradicts(older, self.versions[newer.force])
+        )
 
     def _judge(self, f: int, against: bool, apart: bool) -> None:
         self.result.longest = max(self.result.longest, self._lasted(self.since, f, against))
--- a/roadlb/lab/model_check/lists.py
+++ b/roadlb/lab/model_check/lists.py
@@ -41,7 +41,7 @@
             return replace(one, lifecycle=Lifecycle.DRAINING)
         if one.lifecycle is Lifecycle.DRAINING and draw < 0.4:
             return replace(one, lifecycle=Lifecycle.REMOVED)
-        if one.lifecycle is Lifecycle.DRAINING and draw < 0.7:       # meant: the same start is reopened
+        if one.lifecycle is Lifecycle.DRAINING and draw < 0.7:  # meant: the same start is reopened
             return replace(one, lifecycle=Lifecycle.UP)
         self._starts += 1
         return replace(one, lifecycle=Lifecycle.UP, node=NodeId(one.node.name, self._starts))
--- a/roadlb/lab/model_check/world.py
+++ b/roadlb/lab/model_check/world.py
@@ -19,31 +19,66 @@
 
 from ...agreement import rules
 from ...agreement.events import (
-    NOTHING, Ack, Ask, Book, Contents, Fenced, FollowerAction, From, FromFollower, FromIssuer, Heard, InForce,
-    IssuerAction, Keep, KeepRoll, Kept, Leading, Lease, Linked, Memory, Nack, Offered, Prepare, Propose,
-    Pulse, Remember, Remembered, Reported, Restarted, RollKept, StillLeading, Tell, To, Version, VersionId,
-    Word)
+    NOTHING,
+    Ack,
+    Ask,
+    Book,
+    Contents,
+    Fenced,
+    FollowerAction,
+    From,
+    FromFollower,
+    FromIssuer,
+    Heard,
+    InForce,
+    IssuerAction,
+    Keep,
+    KeepRoll,
+    Kept,
+    Leading,
+    Lease,
+    Linked,
+    Memory,
+    Nack,
+    Offered,
+    Prepare,
+    Propose,
+    Pulse,
+    Remember,
+    Remembered,
+    Reported,
+    Restarted,
+    RollKept,
+    StillLeading,
+    Tell,
+    To,
+    Version,
+    VersionId,
+    Word,
+)
 from ...agreement.follower import Follower
 from ...agreement.issuer import Issuer, Peer
 from ...agreement.lease import Timing, least_bound_us
 from ...agreement.roll import NOBODY, Roll
 from ...fleet.model import Cluster, Endpoint, Lifecycle, NodeId
 
-UNIT = 4                              # what an exact clock shows in a tick
+UNIT = 4  # what an exact clock shows in a tick
 TIMING = Timing(lease_us=4, renew_us=2, margin_us=0, rate_ppm=250_000)
-BOUND = -(-least_bound_us(TIMING) // UNIT)      # ticks within which no contradiction lasts
-TERM = 2                              # ticks of true time that a leader's seat lasts
-SURE = TERM * (UNIT - 1)              # what even the slowest clock may show of it
+BOUND = -(-least_bound_us(TIMING) // UNIT)  # ticks within which no contradiction lasts
+TERM = 2  # ticks of true time that a leader's seat lasts
+SURE = TERM * (UNIT - 1)  # what even the slowest clock may show of it
 
 
 def contents(pool: str, attempts: int, node: Lifecycle = Lifecycle.UP) -> Contents:
-    return Contents({"routes.read": pool, "limits.max_attempts": str(attempts)},
-                    {"grid": Cluster("grid", (Endpoint(NodeId("a", 1), "10.0.0.1", 80, lifecycle=node),))})
+    return Contents(
+        {"routes.read": pool, "limits.max_attempts": str(attempts)},
+        {"grid": Cluster("grid", (Endpoint(NodeId("a", 1), "10.0.0.1", 80, lifecycle=node),))},
+    )
 
 
 FIRST, SECOND, THIRD = contents("p", 3), contents("q", 1), contents("r", 2)
-DRAINED = contents("p", 3, Lifecycle.DRAINING)         # of keys without a floor: the first, but for the node
-CALM_MOST = 40                        # ticks without faults after which everyone uses what is in force
+DRAINED = contents("p", 3, Lifecycle.DRAINING)  # of keys without a floor: the first, but for the node
+CALM_MOST = 40  # ticks without faults after which everyone uses what is in force
 MOST_DELIVERIES = 1000
 
 # "up" or "down", follower, issuer, what, and the stream's number (0: there are no streams)
@@ -57,21 +92,21 @@
     followers: int = 2
     issuers: int = 2
     rates: tuple[int, ...] = (4, 3, 4, 5)
-    on_the_way: int = 2               # messages on each link each way; the oldest goes lost
+    on_the_way: int = 2  # messages on each link each way; the oldest goes lost
     ticks: int = 8
     proposals: tuple[Contents, ...] = (SECOND,)
-    crashes: int = 0                  # of followers, each with what its store holds
-    doubles: int = 0                  # messages delivered twice
-    nacks: int = 0                    # versions refused
-    seats: int = 0                    # changes of leadership
-    renews: int = 0                   # of the leader's seat
-    wall: int = 0                     # jumps of the wall clock, by so many units back
+    crashes: int = 0  # of followers, each with what its store holds
+    doubles: int = 0  # messages delivered twice
+    nacks: int = 0  # versions refused
+    seats: int = 0  # changes of leadership
+    renews: int = 0  # of the leader's seat
+    wall: int = 0  # jumps of the wall clock, by so many units back
     streams: bool = False
-    moves: int = 0                    # streams that end, each for another to any issuer
+    moves: int = 0  # streams that end, each for another to any issuer
     follower: type[Follower] = Follower
     issuer: type[Issuer] = Issuer
-    ack_first: bool = False           # planted: what is to be remembered is on its way while the ack goes
-    wall_leases: bool = False         # planted: followers count by the wall clock
+    ack_first: bool = False  # planted: what is to be remembered is on its way while the ack goes
+    wall_leases: bool = False  # planted: followers count by the wall clock
 
 
 def _copy_follower(one: Follower) -> Follower:
@@ -101,9 +136,29 @@
 class World:
     """One state; `steps` gives each state that can follow, by the name of the step."""
 
-    __slots__ = ("ages", "book", "budget", "disks", "followers", "heard_on", "held_until", "issuers",
-                 "jumped", "life", "net", "promised", "roll", "seat", "shape", "streams", "t", "told",
-                 "unwritten", "versions", "wrong")
+    __slots__ = (
+        "ages",
+        "book",
+        "budget",
+        "disks",
+        "followers",
+        "heard_on",
+        "held_until",
+        "issuers",
+        "jumped",
+        "life",
+        "net",
+        "promised",
+        "roll",
+        "seat",
+        "shape",
+        "streams",
+        "t",
+        "told",
+        "unwritten",
+        "versions",
+        "wrong",
+    )
 
     def __init__(self, shape: Shape) -> None:
         self.shape, self.t, self.life = shape, 0, 1
@@ -111,24 +166,24 @@
         self.issuers = [shape.issuer(TIMING) for _ in range(shape.issuers)]
         self.disks = [Memory() for _ in self.followers]
         self.net: tuple[Sent, ...] = ()
-        self.book, self.seat, self.held_until = Book(), (-1, 0), 0      # who leads under which epoch
-        self.roll = NOBODY                              # who follows, as the issuers' store has it
+        self.book, self.seat, self.held_until = Book(), (-1, 0), 0  # who leads under which epoch
+        self.roll = NOBODY  # who follows, as the issuers' store has it
         self.budget: tuple[int, ...] = _budget(shape)
-        self.ages: dict[tuple[int, int], int] = {}      # for how many ticks two have contradicted each other
-        self.promised = [NOTHING for _ in self.followers]               # the newest each acknowledged
+        self.ages: dict[tuple[int, int], int] = {}  # for how many ticks two have contradicted each other
+        self.promised = [NOTHING for _ in self.followers]  # the newest each acknowledged
         self.unwritten: list[Memory | None] = [None for _ in self.followers]
-        self.streams = [(0, 1) for _ in self.followers]                 # to which issuer, and which one it is
+        self.streams = [(0, 1) for _ in self.followers]  # to which issuer, and which one it is
         self.heard_on: dict[tuple[int, int], int] = {}  # by issuer and follower, on which one it heard last
         self.jumped = 0
-        self.told = 0                                   # proposals made
+        self.told = 0  # proposals made
         self.wrong = ""
-        self.versions: dict[VersionId, Contents] = {}   # all that were ever prepared, in any state
+        self.versions: dict[VersionId, Contents] = {}  # all that were ever prepared, in any state
 
     def copy(self) -> World:
         new = object.__new__(World)
         for name in World.__slots__:
             setattr(new, name, getattr(self, name))
-        new.followers = list(self.followers)            # each is copied when it is touched
+        new.followers = list(self.followers)  # each is copied when it is touched
         new.issuers = list(self.issuers)
         new.disks, new.promised, new.ages = list(self.disks), list(self.promised), dict(self.ages)
         new.unwritten = list(self.unwritten)
@@ -151,13 +206,13 @@
         if self.shape.streams:
             number = self.streams[f][1]
             if self.streams[f][0] != i or way == "down" and self.heard_on.get((i, f)) != number:
-                return                                  # nobody reads that one any more
+                return  # nobody reads that one any more
         link = [sent for sent in self.net if sent[:3] == (way, f, i)]
         if any(sent[3:] == (message, number) for sent in link):
             return
         if len(link) >= self.shape.on_the_way:
             if number and any(sent[4] == number for sent in link):
-                return                                  # a stream does not lose what it began with
+                return  # a stream does not lose what it began with
             net = list(self.net)
             net.remove(link[0])
             self.net = tuple(net)
@@ -221,7 +276,7 @@
             yield "tick", self._after(World.tick)
         for f, memory in enumerate(self.unwritten):
             if memory is not None:
-                yield f"written {f}", self._after(lambda new, f=f: new.write(f))           # type: ignore[misc]
+                yield f"written {f}", self._after(lambda new, f=f: new.write(f))  # type: ignore[misc]
         yield from self._faults()
 
     def _after(self, step: Callable[[World], None]) -> World:
@@ -246,18 +301,17 @@
                     yield f"propose at {i}", self._after(lambda new, i=i: new.propose(i))  # type: ignore[misc]
         if self.budget[1]:
             for f in range(self.shape.followers):
-                yield f"restart {f}", self._after(lambda new, f=f: new.restart(f))         # type: ignore[misc]
+                yield f"restart {f}", self._after(lambda new, f=f: new.restart(f))  # type: ignore[misc]
         if self.budget[4] and self.t >= self.held_until:
             for i in range(self.shape.issuers):
                 if i != self.seat[0]:
-                    yield f"lead {i}", self._after(lambda new, i=i: new.lead(i))           # type: ignore[misc]
+                    yield f"lead {i}", self._after(lambda new, i=i: new.lead(i))  # type: ignore[misc]
         if self.budget[6] and self.t < self.held_until:
             yield "renew", self._after(World.renew)
         if self.budget[7]:
             for f in range(self.shape.followers):
                 for i in range(self.shape.issuers):
-                    yield f"follower {f} to issuer {i}", self._after(
-                        lambda new, f=f, i=i: new.move(f, i))                              # type: ignore[misc]
+                    yield f"follower {f} to issuer {i}", self._after(lambda new, f=f, i=i: new.move(f, i))  # type: ignore[misc]
         if self.budget[5]:
             yield "wall clock jumps", self._after(World.jump)
 
@@ -278,7 +332,7 @@
         if twice:
             self._spend(2)
         else:
-            self.net = self.net[:index] + self.net[index + 1:]
+            self.net = self.net[:index] + self.net[index + 1 :]
         if way == "up":
             issuer = self.issuers[i] = _copy_issuer(self.issuers[i])
             assert isinstance(message, Ask | Ack | Nack | Fenced)
@@ -294,7 +348,7 @@
                 self._spend(3)
             event: Offered | Heard = Offered(message, refusal)
         else:
-            event = Heard(message)                                      # type: ignore[arg-type]
+            event = Heard(message)  # type: ignore[arg-type]
         before = follower.told.id if follower.told is not None else NOTHING
         self._follower(f, follower.handle(self.follower_now(f), event))
         if follower.told is not None and follower.told.id < before:
@@ -356,8 +410,12 @@
         self._spend(4)
         self.seat, self.held_until = (i, self.seat[1] + 1), self.t + TERM
         issuer = self.issuers[i] = _copy_issuer(self.issuers[i])
-        self._issuer(i, issuer.handle(
-            self.issuer_now(i), Leading(self.seat[1], self.issuer_now(i) + SURE, self.book, self.roll)))
+        self._issuer(
+            i,
+            issuer.handle(
+                self.issuer_now(i), Leading(self.seat[1], self.issuer_now(i) + SURE, self.book, self.roll)
+            ),
+        )
 
     def renew(self) -> None:
         self._spend(6)
@@ -366,8 +424,9 @@
     def _renew(self) -> None:
         i, self.held_until = self.seat[0], self.t + TERM
         issuer = self.issuers[i] = _copy_issuer(self.issuers[i])
-        self._issuer(i, issuer.handle(
-            self.issuer_now(i), StillLeading(self.seat[1], self.issuer_now(i) + SURE)))
+        self._issuer(
+            i, issuer.handle(self.issuer_now(i), StillLeading(self.seat[1], self.issuer_now(i) + SURE))
+        )
 
     def jump(self) -> None:
         self._spend(5)
@@ -401,27 +460,56 @@
 
     def key(self) -> tuple[object, ...]:
         asks = [self._live_asks(f) for f in range(self.shape.followers)]
-        return (self.t, tuple((_tag(sent, asks[sent[1]]), sent[4]) for sent in self.net),
-                tuple(self.streams), tuple(sorted(self.heard_on.items())), _id(self.book.force),
-                _id(self.book.prepared), self.roll, self.seat, max(self.held_until, self.t), self.budget,
-                self.jumped, tuple(self.promised),
-                tuple(sorted(pair for pair in self.ages.items() if pair[1])),
-                tuple(self._follower_key(f, asks[f]) for f in range(self.shape.followers)),
-                tuple(_issuer_key(one, self.issuer_now(i), asks) for i, one in enumerate(self.issuers)))
+        return (
+            self.t,
+            tuple((_tag(sent, asks[sent[1]]), sent[4]) for sent in self.net),
+            tuple(self.streams),
+            tuple(sorted(self.heard_on.items())),
+            _id(self.book.force),
+            _id(self.book.prepared),
+            self.roll,
+            self.seat,
+            max(self.held_until, self.t),
+            self.budget,
+            self.jumped,
+            tuple(self.promised),
+            tuple(sorted(pair for pair in self.ages.items() if pair[1])),
+            tuple(self._follower_key(f, asks[f]) for f in range(self.shape.followers)),
+            tuple(_issuer_key(one, self.issuer_now(i), asks) for i, one in enumerate(self.issuers)),
+        )
 
     def _live_asks(self, f: int) -> list[int]:
         """Numbers of those `Ask`s of this life to which an answer can still come, in order."""
         life = self.followers[f].life
-        return sorted({message.number for _, of, _, message, _ in self.net
-                       if of == f and isinstance(message, Ask | Lease) and message.life == life})
+        return sorted(
+            {
+                message.number
+                for _, of, _, message, _ in self.net
+                if of == f and isinstance(message, Ask | Lease) and message.life == life
+            }
+        )
 
     def _follower_key(self, f: int, asks: list[int]) -> tuple[object, ...]:
         one, disk, now = self.followers[f], self.disks[f], self.follower_now(f)
         asked = None if one.asked_at is None else min(now - one.asked_at, TIMING.renew_us)
-        return (one.life, one.epoch, _id(one.told), one.acked, one.force, _said(one.bound),
-                max(one.until - now, 0), asked, tuple(one.asks.get(number) for number in asks),
-                tuple(one.passed), disk.epoch, _id(disk.told), disk.force, _said(disk.bound or FIRST),
-                disk.passed, self.unwritten[f] is None)
+        return (
+            one.life,
+            one.epoch,
+            _id(one.told),
+            one.acked,
+            one.force,
+            _said(one.bound),
+            max(one.until - now, 0),
+            asked,
+            tuple(one.asks.get(number) for number in asks),
+            tuple(one.passed),
+            disk.epoch,
+            _id(disk.told),
+            disk.force,
+            _said(disk.bound or FIRST),
+            disk.passed,
+            self.unwritten[f] is None,
+        )
 
     # Without faults
 
@@ -439,10 +527,16 @@
     def settled(self) -> bool:
         """Does everyone use the version that the store has in force?"""
         newest = self.book.force
-        return newest is not None and self.book.prepared is None and all(
-            one.told is not None and one.told.id == newest.id == one.force
-            and one.granted(self.follower_now(f))
-            for f, one in enumerate(self.followers))
+        return (
+            newest is not None
+            and self.book.prepared is None
+            and all(
+                one.told is not None
+                and one.told.id == newest.id == one.force
+                and one.granted(self.follower_now(f))
+                for f, one in enumerate(self.followers)
+            )
+        )
 
     def recovers(self) -> bool:
         """Once faults end: a seat is taken, contents are proposed, and all come to use them."""
@@ -468,8 +562,16 @@
 
 
 def _budget(shape: Shape) -> tuple[int, ...]:
-    return (len(shape.proposals), shape.crashes, shape.doubles, shape.nacks, shape.seats,
-            1 if shape.wall else 0, shape.renews, shape.moves)
+    return (
+        len(shape.proposals),
+        shape.crashes,
+        shape.doubles,
+        shape.nacks,
+        shape.seats,
+        1 if shape.wall else 0,
+        shape.renews,
+        shape.moves,
+    )
 
 
 def _id(version: Version | None) -> VersionId:
@@ -487,21 +589,43 @@
 
 
 def _said(contents: Contents) -> tuple[object, ...]:
-    return (*contents.settings.items(), *(end.lifecycle for cluster in contents.clusters.values()
-                                          for end in cluster.endpoints))
+    return (
+        *contents.settings.items(),
+        *(end.lifecycle for cluster in contents.clusters.values() for end in cluster.endpoints),
+    )
 
 
 def _issuer_key(one: Issuer, now: int, asks: list[list[int]]) -> tuple[object, ...]:
     if not one.leading:
         return one.epoch, one.number
     half = TIMING.renew_us // 2
-    return (one.epoch, one.number, max(one.sure_until - now, 0), max(one.ready_at - now, 0),
-            _id(one.force), _id(one.prepared),
-            _id(one.keeping), one.pending and _said(one.pending.contents), one.unknown,
-            one.roll.held, one.roll.asked,
-            tuple((n, p.heard, p.acked, p.force, max(p.until - now, 0), p.life,
-                   sum(number < p.number for number in asks[int(n)]), p.sent, min(now - p.sent_at, half))
-                  for n, p in one.peers.items()))
+    return (
+        one.epoch,
+        one.number,
+        max(one.sure_until - now, 0),
+        max(one.ready_at - now, 0),
+        _id(one.force),
+        _id(one.prepared),
+        _id(one.keeping),
+        one.pending and _said(one.pending.contents),
+        one.unknown,
+        one.roll.held,
+        one.roll.asked,
+        tuple(
+            (
+                n,
+                p.heard,
+                p.acked,
+                p.force,
+                max(p.until - now, 0),
+                p.life,
+                sum(number < p.number for number in asks[int(n)]),
+                p.sent,
+                min(now - p.sent_at, half),
+            )
+            for n, p in one.peers.items()
+        ),
+    )
 
 
 def _shown(message: FromFollower | FromIssuer) -> str:
--- a/roadlb/lab/mutants/__init__.py
+++ b/roadlb/lab/mutants/__init__.py
@@ -59,11 +59,14 @@
 
 
 DEFECTS: Mapping[str, Callable[[], None]] = {
-    "no hysteresis": no_hysteresis, "blind spill": blind_spill, "return at once": return_at_once,
+    "no hysteresis": no_hysteresis,
+    "blind spill": blind_spill,
+    "return at once": return_at_once,
     "reversed plan": reversed_plan,
     "RepeatsAreFree": lambda: put(Shares, "sent", rates.repeats_are_free),
     "DialsAreFree": lambda: put(Shares, "sent", rates.dials_are_free),
-    **{defect.__name__: _budgets(defect) for defect in (*budgets.DEFECTS, budgets.TakesTheWhole)}}
+    **{defect.__name__: _budgets(defect) for defect in (*budgets.DEFECTS, budgets.TakesTheWhole)},
+}
 
 
 def plant(name: str) -> None:
--- a/roadlb/lab/mutants/at_start/sitecustomize.py
+++ b/roadlb/lab/mutants/at_start/sitecustomize.py
@@ -16,7 +16,7 @@
     import roadlb.net.sharing
     import roadlb.xds.grpc.dial  # noqa: F401
 
-    os.kill(os.getpid(), signal.SIGSTOP)     # until SIGCONT
+    os.kill(os.getpid(), signal.SIGSTOP)  # until SIGCONT
 if folder := os.environ.get("ROADLB_SHARES"):
     from roadlb.lab.sharing.record import begin
 
--- a/roadlb/lab/mutants/budgets.py
+++ b/roadlb/lab/mutants/budgets.py
@@ -11,8 +11,11 @@
     """A gift is on the books only once its taker says that it holds it."""
 
     def given(self, now: int, resource: Key, but: tuple[str, int] | None = None) -> int:
-        return sum(t.gifts[resource].old for who, t in self.takers.items()
-                   if resource in t.gifts and who != but and now < t.gifts[resource].old_until)
+        return sum(
+            t.gifts[resource].old
+            for who, t in self.takers.items()
+            if resource in t.gifts and who != but and now < t.gifts[resource].old_until
+        )
 
 
 class LeaseFromReceipt(Budgets):
@@ -65,5 +68,11 @@
         return self.terms.whole
 
 
-DEFECTS = [DeductsOnAcknowledgement, LeaseFromReceipt, ForgetsItsGifts, TakesReturnsTwice, FloorBesideTheSum,
-           TakesOldAnswers]
+DEFECTS = [
+    DeductsOnAcknowledgement,
+    LeaseFromReceipt,
+    ForgetsItsGifts,
+    TakesReturnsTwice,
+    FloorBesideTheSum,
+    TakesOldAnswers,
+]
--- a/roadlb/lab/parties/bodies.py
+++ b/roadlb/lab/parties/bodies.py
@@ -13,7 +13,7 @@
 def answer_body(id: str, asked: str, node: str, started_ms: int, serial: int, size: int) -> bytes:
     """About `size` bytes that no other request, process or answer has: one line, again and again."""
     line = f"{id} {asked} {node} {started_ms} {serial} {size}\n".encode()
-    return (line * (size // len(line) + 1))[:max(size, len(line))]
+    return (line * (size // len(line) + 1))[: max(size, len(line))]
 
 
 def is_right(body: bytes, id: str, asked: str) -> bool:
--- a/roadlb/lab/parties/clients.py
+++ b/roadlb/lab/parties/clients.py
@@ -34,7 +34,7 @@
 )
 from .links import reset, stream
 
-HORIZON_US = 500_000             # wishes are drawn this far ahead at most, so that a changed rate soon holds
+HORIZON_US = 500_000  # wishes are drawn this far ahead at most, so that a changed rate soon holds
 LATENCY_MOST_US = 60_000_000
 # A connection that ends in order within this time of a request crossed it: the balancer had closed it before
 # it can have read the request.  Twice the longest way to a balancer (0.88 ms with jitter) is under 3 ms.
@@ -46,17 +46,17 @@
     wish: Wish
     attempt: int
     id: str
-    until: int                               # when the client gives it up
+    until: int  # when the client gives it up
     timer: asyncio.TimerHandle | None = None
     link: _Link | None = None
     dial: asyncio.Task[None] | None = None
     balancer: str = ""
     target: str = ""
     body: bytes = b""
-    left_us: int = 0                         # as its header says
-    sent_at: int = -1                        # its last byte was written; -1: not yet
-    crossed: bool = False                    # it has been sent a second time, the connection having ended
-    over: bool = False                       # given up; its client only listens
+    left_us: int = 0  # as its header says
+    sent_at: int = -1  # its last byte was written; -1: not yet
+    crossed: bool = False  # it has been sent a second time, the connection having ended
+    over: bool = False  # given up; its client only listens
 
 
 class _Link(asyncio.Protocol):
@@ -66,15 +66,15 @@
         self.clients, self.balancer = clients, balancer
         self.reader = AnswerReader()
         self.current: _Try | None = None
-        self.served = 0                      # answers that it has brought
-        self.in_order = False                # the balancer ended it in order
-        self.was_reset = False               # by the network
+        self.served = 0  # answers that it has brought
+        self.in_order = False  # the balancer ended it in order
+        self.was_reset = False  # by the network
         self.writable = True
         self.transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = stream(transport)
-        self.transport.set_write_buffer_limits(0)     # so that we are told when a request's last byte is out
+        self.transport.set_write_buffer_limits(0)  # so that we are told when a request's last byte is out
         self.clients.links[self] = None
 
     def data_received(self, data: bytes) -> None:
@@ -112,8 +112,18 @@
     `hears_us` it stays for so much longer, though it has given the try up, so that a judge can tell.
     """
 
-    def __init__(self, name: str, hall: str, traffic: Traffic, front: Front, log: WireLog,
-                 clock: Callable[[], int], rng: Random, most: int = 300, hears_us: int = 0) -> None:
+    def __init__(
+        self,
+        name: str,
+        hall: str,
+        traffic: Traffic,
+        front: Front,
+        log: WireLog,
+        clock: Callable[[], int],
+        rng: Random,
+        most: int = 300,
+        hears_us: int = 0,
+    ) -> None:
         self.name, self.hall, self.traffic = name, hall, traffic
         self._front, self._log, self._clock, self._rng, self._most = front, log, clock, rng, most
         self._hears_us = hears_us
@@ -157,8 +167,11 @@
 
     def open_ids(self, balancer: str) -> list[str]:
         """Of requests that were sent to this balancer and have no answer yet."""
-        return [link.current.id for link in self.links
-                if link.balancer == balancer and link.current and link.current.sent_at >= 0]
+        return [
+            link.current.id
+            for link in self.links
+            if link.balancer == balancer and link.current and link.current.sent_at >= 0
+        ]
 
     def _call_at(self, at: int, action: Callable[..., None], *arguments: object) -> asyncio.TimerHandle:
         return self._loop.call_later(max(0, at - self._clock()) / 1e6, action, *arguments)
@@ -178,8 +191,15 @@
             return
         self.open_wishes += 1
         self.tallies["wish"] += 1
-        self._log.write(ClientWished(self._clock(), wish.number, self.name,
-                                     self.traffic.classes[wish.class_index].name, wish.tenant))
+        self._log.write(
+            ClientWished(
+                self._clock(),
+                wish.number,
+                self.name,
+                self.traffic.classes[wish.class_index].name,
+                wish.tenant,
+            )
+        )
         self._next_wish()
         self._try(wish, 0)
 
@@ -188,13 +208,13 @@
     def _try(self, wish: Wish, attempt: int) -> None:
         now, spec = self._clock(), self.traffic.classes[wish.class_index]
         left = time_left(now, wish.due, spec, self.traffic.habits)
-        if left <= 0:                        # this machine lags behind
+        if left <= 0:  # this machine lags behind
             self._over(served=False)
             return
         id = f"{self._rng.getrandbits(64):016x}"
         this = _Try(wish, attempt, id, now + left, target=f"/{spec.name}/{wish.key}?w={wish.work_us}")
         if spec.body_bytes:
-            this.body = (id * (spec.body_bytes // len(id) + 1))[:spec.body_bytes].encode()
+            this.body = (id * (spec.body_bytes // len(id) + 1))[: spec.body_bytes].encode()
         this.timer = self._call_at(this.until, self._given_up, this)
         self._find_link(this)
 
@@ -221,7 +241,7 @@
         except OSError:
             self._front.failed(this.balancer)
         except asyncio.CancelledError:
-            if link in self.links:           # it came up in the moment in which the client gave it up
+            if link in self.links:  # it came up in the moment in which the client gave it up
                 link.transport.abort()
             raise
         finally:
@@ -237,8 +257,11 @@
         spec = self.traffic.classes[this.wish.class_index]
         this.link, this.balancer, link.current = link, link.balancer, this
         this.left_us = max(1, this.until - self._clock())
-        headers = [("Host", "backend.local"), (CORRELATION_ID, this.id),
-                   (TIME_LEFT, f"{this.left_us / 1e6:.6f}")]
+        headers = [
+            ("Host", "backend.local"),
+            (CORRELATION_ID, this.id),
+            (TIME_LEFT, f"{this.left_us / 1e6:.6f}"),
+        ]
         if this.wish.tenant:
             headers.append((ACCOUNT, this.wish.tenant))
         if this.attempt and self.traffic.habits.marks_retry:
@@ -253,9 +276,21 @@
         now, wish = self._clock(), this.wish
         this.sent_at = now
         self.tallies["sent"] += 1
-        self._log.write(ClientSent(
-            now, this.id, wish.number, this.attempt, self.name, link.balancer,
-            self.traffic.classes[wish.class_index].name, wish.tenant, wish.key, this.left_us, wish.due))
+        self._log.write(
+            ClientSent(
+                now,
+                this.id,
+                wish.number,
+                this.attempt,
+                self.name,
+                link.balancer,
+                self.traffic.classes[wish.class_index].name,
+                wish.tenant,
+                wish.key,
+                this.left_us,
+                wish.due,
+            )
+        )
 
     # How it ends
 
@@ -281,7 +316,8 @@
         if this.over:
             self.tallies["late"] += 1
         elif answer.status == 200 and is_right(
-                answer.body, this.id, asked(spec.method, this.target, this.body)):
+            answer.body, this.id, asked(spec.method, this.target, this.body)
+        ):
             self.latency[spec.name].record_value(min(max(1, now - this.wish.due), LATENCY_MOST_US))
             self._ended(this, TryEnd.SERVED)
         elif answer.status in (429, 503):
@@ -339,7 +375,7 @@
 
     def _leave(self, this: _Try) -> None:
         if this.over and not this.link:
-            return                           # something came after all
+            return  # something came after all
         if this.link:
             this.link.current = None
             this.link.transport.close()
@@ -356,8 +392,16 @@
             this.timer.cancel()
         self.tallies[end.name.lower()] += 1
         wish, spec = this.wish, self.traffic.classes[this.wish.class_index]
-        again = next_try(self._clock(), wish.due, spec, self.traffic.habits, wish.honours, this.attempt, end,
-                         retry_after_us)
+        again = next_try(
+            self._clock(),
+            wish.due,
+            spec,
+            self.traffic.habits,
+            wish.honours,
+            this.attempt,
+            end,
+            retry_after_us,
+        )
         if again is None:
             self._over(end is TryEnd.SERVED)
         else:
--- a/roadlb/lab/parties/discovery.py
+++ b/roadlb/lab/parties/discovery.py
@@ -23,8 +23,8 @@
 Address = tuple[str, int]
 
 EMPTY_LINE_S = 2.0
-HISTORY = 200                # generations that an agent can tell the changes of
-MOVE_S = 1.5                 # after which a left address closes its open connections
+HISTORY = 200  # generations that an agent can tell the changes of
+MOVE_S = 1.5  # after which a left address closes its open connections
 UP, DRAINING, REMOVED = "up", "draining", "removed"
 
 
@@ -43,22 +43,29 @@
 
     def listed(self, balancer: str) -> dict[str, object]:
         host, port = self.at[balancer]
-        return {"instanceId": self.name, "hostPort": f"{host}:{port}", "zone": self.zone,
-                "machineType": self.kind, "cell": self.cell, "lifecycle": self.lifecycle,
-                "weight": self.weight, "startedAtMs": self.started_ms}
+        return {
+            "instanceId": self.name,
+            "hostPort": f"{host}:{port}",
+            "zone": self.zone,
+            "machineType": self.kind,
+            "cell": self.cell,
+            "lifecycle": self.lifecycle,
+            "weight": self.weight,
+            "startedAtMs": self.started_ms,
+        }
 
 
 @dataclass(slots=True, frozen=True)
 class DiscoveryFigures:
     """How late it is, in microseconds; pairs are the lowest and highest of a draw."""
 
-    notice_us: tuple[int, int] = (710_000, 4_300_000)        # a drain or an end that is announced
-    silent_us: tuple[int, int] = (5_300_000, 14_000_000)     # a machine that is gone without a word
-    add_us: tuple[int, int] = (950_000, 2_100_000)           # a new one, or one that has started again
-    period_us: int = 500_000                                 # between two lists
-    spread_us: tuple[int, int] = (0, 430_000)                # from a list to each agent
-    told_us: int = 6_000_000                                 # from a list until it counts as told
-    told_after_move_us: int = 4_000_000                      # and from a reload on
+    notice_us: tuple[int, int] = (710_000, 4_300_000)  # a drain or an end that is announced
+    silent_us: tuple[int, int] = (5_300_000, 14_000_000)  # a machine that is gone without a word
+    add_us: tuple[int, int] = (950_000, 2_100_000)  # a new one, or one that has started again
+    period_us: int = 500_000  # between two lists
+    spread_us: tuple[int, int] = (0, 430_000)  # from a list to each agent
+    told_us: int = 6_000_000  # from a list until it counts as told
+    told_after_move_us: int = 4_000_000  # and from a reload on
 
 
 class Registry:
@@ -67,10 +74,10 @@
     def __init__(self, figures: DiscoveryFigures, rng: Random) -> None:
         self.figures, self._rng = figures, rng
         self.generation = 0
-        self.entries: dict[str, Entry] = {}                  # as published
+        self.entries: dict[str, Entry] = {}  # as published
         self._truth: dict[str, Entry] = {}
         self._pending: dict[str, Entry] = {}
-        self._due: dict[str, float] = {}                     # when the last change of an instance is noticed
+        self._due: dict[str, float] = {}  # when the last change of an instance is noticed
         self._agents: list[Agent] = []
         self._publishing: asyncio.TimerHandle | None = None
         self._down = False
@@ -97,8 +104,9 @@
     def remove(self, name: str, silent: bool = False) -> None:
         """It has ended; `silent`: without a word, so that it is noticed late."""
         figures = self.figures
-        self._happen(replace(self._truth[name], lifecycle=REMOVED),
-                     figures.silent_us if silent else figures.notice_us)
+        self._happen(
+            replace(self._truth[name], lifecycle=REMOVED), figures.silent_us if silent else figures.notice_us
+        )
 
     def _happen(self, entry: Entry, late_us: tuple[int, int]) -> None:
         loop = asyncio.get_running_loop()
@@ -154,7 +162,7 @@
     def __init__(self, agent: Agent) -> None:
         self.agent = agent
         self.reader = RequestReader()
-        self.after = -1                            # the generation told over this watch; -1: it is none
+        self.after = -1  # the generation told over this watch; -1: it is none
         self.transport: asyncio.Transport
         self._beat: asyncio.TimerHandle | None = None
 
@@ -192,23 +200,24 @@
 class Agent:
     """Speaks the platform's protocol to one balancer, on that balancer's own machine; writes `Told`."""
 
-    def __init__(self, balancer: str, figures: DiscoveryFigures, log: WireLog,
-                 clock: Callable[[], int]) -> None:
+    def __init__(
+        self, balancer: str, figures: DiscoveryFigures, log: WireLog, clock: Callable[[], int]
+    ) -> None:
         self.balancer, self.figures, self._log, self._clock = balancer, figures, log, clock
         self.silent = False
-        self.absent = False                                  # the balancer does not run
-        self.due = 0.0                                       # when the registry's last list arrives
-        self.links: dict[_Watcher, None] = {}                # in order: a set's would vary
+        self.absent = False  # the balancer does not run
+        self.due = 0.0  # when the registry's last list arrives
+        self.links: dict[_Watcher, None] = {}  # in order: a set's would vary
         self.address: Address = ("", 0)
         self._servers: list[asyncio.Server] = []
         self._generation = 0
         self._list: dict[str, Entry] = {}
         self._history: deque[tuple[int, tuple[Entry, ...]]] = deque(maxlen=HISTORY)
-        self._told: dict[str, Entry] = {}                    # written to the balancer
-        self._counted: dict[str, Entry] = {}                 # what counts as told: that, or overdue
+        self._told: dict[str, Entry] = {}  # written to the balancer
+        self._counted: dict[str, Entry] = {}  # what counts as told: that, or overdue
         self._told_generation = 0
-        self._asked: list[tuple[_Watcher, Message]] = []     # while silent
-        self._unsaid: list[tuple[int, tuple[Entry, ...]]] = []     # would count as told, but for the silence
+        self._asked: list[tuple[_Watcher, Message]] = []  # while silent
+        self._unsaid: list[tuple[int, tuple[Entry, ...]]] = []  # would count as told, but for the silence
         # What the balancer's list was from which time on: a process may come back with an old one.
         self._past: deque[tuple[int, int, tuple[Entry, ...]]] = deque(maxlen=HISTORY)
 
@@ -234,8 +243,12 @@
             server.close()
         for link in left:
             loop.call_later(closes_s, link.transport.close)
-        loop.call_later(self.figures.told_after_move_us / 1e6, self._counts_as_told, self._generation,
-                        tuple(self._list.values()))
+        loop.call_later(
+            self.figures.told_after_move_us / 1e6,
+            self._counts_as_told,
+            self._generation,
+            tuple(self._list.values()),
+        )
 
     def stop(self) -> None:
         for server in self._servers:
@@ -251,7 +264,8 @@
         unsaid, self._unsaid = self._unsaid, []
         for generation, changes in unsaid:
             asyncio.get_running_loop().call_later(
-                self.figures.told_us / 1e6, self._counts_as_told, generation, changes)
+                self.figures.told_us / 1e6, self._counts_as_told, generation, changes
+            )
         asked, self._asked = self._asked, []
         for link, message in asked:
             if link in self.links:
@@ -271,7 +285,8 @@
                 self._list[entry.name] = entry
         self._tell_watchers()
         asyncio.get_running_loop().call_later(
-            self.figures.told_us / 1e6, self._counts_as_told, generation, changes)
+            self.figures.told_us / 1e6, self._counts_as_told, generation, changes
+        )
 
     def preload(self) -> dict[str, object]:
         """The list as it is now, for the `known` of a first start; it counts as told at once."""
@@ -286,16 +301,18 @@
         self.absent = False
         if held_at is not None and self._past:
             _, self._told_generation, entries = next(
-                (past for past in reversed(self._past) if past[0] <= held_at), self._past[0])
+                (past for past in reversed(self._past) if past[0] <= held_at), self._past[0]
+            )
             self._told = {entry.name: entry for entry in entries}
         self._counted.clear()
         for entry in self._told.values():
             self._count(self._told_generation, entry)
-        gone = tuple(replace(entry, lifecycle=REMOVED) for name, entry in self._told.items()
-                     if name not in self._list)
+        gone = tuple(
+            replace(entry, lifecycle=REMOVED) for name, entry in self._told.items() if name not in self._list
+        )
         asyncio.get_running_loop().call_later(
-            self.figures.told_us / 1e6, self._counts_as_told, self._generation,
-            (*self._list.values(), *gone))
+            self.figures.told_us / 1e6, self._counts_as_told, self._generation, (*self._list.values(), *gone)
+        )
         return self.known()
 
     def known(self) -> dict[str, object]:
@@ -303,15 +320,21 @@
         return self._line(self._told_generation, self._told.values(), reset=True)
 
     def _line(self, generation: int, entries: Iterable[Entry], reset: bool) -> dict[str, object]:
-        return {"generation": generation, "reset": reset,
-                "instances": [entry.listed(self.balancer) for entry in entries]}
+        return {
+            "generation": generation,
+            "reset": reset,
+            "instances": [entry.listed(self.balancer) for entry in entries],
+        }
 
     def _mark(self, generation: int, entries: tuple[Entry, ...], whole: bool) -> None:
         """These were written to the balancer."""
         if whole:
             listed = {entry.name for entry in entries}
-            entries += tuple(replace(entry, lifecycle=REMOVED) for name, entry in self._counted.items()
-                             if name not in listed)
+            entries += tuple(
+                replace(entry, lifecycle=REMOVED)
+                for name, entry in self._counted.items()
+                if name not in listed
+            )
             self._told.clear()
         for entry in entries:
             if entry.lifecycle == REMOVED:
@@ -331,8 +354,9 @@
         else:
             self._counted[entry.name] = entry
         if before is None or (entry.lifecycle, entry.started_ms) != (before.lifecycle, before.started_ms):
-            self._log.write(Told(self._clock(), self.balancer, entry.name, entry.started_ms,
-                                 entry.lifecycle, generation))
+            self._log.write(
+                Told(self._clock(), self.balancer, entry.name, entry.started_ms, entry.lifecycle, generation)
+            )
 
     def _counts_as_told(self, generation: int, changes: tuple[Entry, ...]) -> None:
         """Time is up: these count as told, arrived or not, unless something newer is known of them.
@@ -361,8 +385,9 @@
             link.transport.write(write_answer(404))
         elif query.get("watch") == ["1"]:
             after = query.get("after", ["0"])[0]
-            link.transport.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-                                 b"Transfer-Encoding: chunked\r\n\r\n")
+            link.transport.write(
+                b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
+            )
             link.after = int(after) if after.isascii() and after.isdigit() else 0
             self._tell(link, first=True)
         else:
--- a/roadlb/lab/parties/front.py
+++ b/roadlb/lab/parties/front.py
@@ -17,8 +17,8 @@
 
 Address = tuple[str, int]
 
-LOOK_S = 0.1                      # between two looks at a balancer that is out
-LOOK_MOST_S = 0.5                 # for one look
+LOOK_S = 0.1  # between two looks at a balancer that is out
+LOOK_MOST_S = 0.5  # for one look
 NOTICE_US = (1_300_000, 3_900_000)
 
 
@@ -62,8 +62,9 @@
 class Front:
     """Balancers are `place`d when they are to be dealt to; writes their `ready` when they first are."""
 
-    def __init__(self, log: WireLog, clock: Callable[[], int], rng: Random,
-                 notice_us: tuple[int, int] = NOTICE_US) -> None:
+    def __init__(
+        self, log: WireLog, clock: Callable[[], int], rng: Random, notice_us: tuple[int, int] = NOTICE_US
+    ) -> None:
         self._log, self._clock, self._rng, self._notice_us = log, clock, rng, notice_us
         self._places: dict[str, _Place] = {}
         self._turn = 0
--- a/roadlb/lab/parties/grid_node.py
+++ b/roadlb/lab/parties/grid_node.py
@@ -55,11 +55,11 @@
 
 Address = tuple[str, int]
 
-FORM: Final = re.compile(r"[0-9a-f]{16}")            # of a correlation id
+FORM: Final = re.compile(r"[0-9a-f]{16}")  # of a correlation id
 WORK: Final = re.compile(r"[?&]w=(\d{1,12})(?:&|$)")
-NO_LIMIT_US = 60_000_000                             # where X-Time-Left says nothing
-SWEEP_S = 0.25                                       # how often idle connections are looked at
-PIECE_S = 0.005                                      # between two pieces of an endless answer: 3 MB a second
+NO_LIMIT_US = 60_000_000  # where X-Time-Left says nothing
+SWEEP_S = 0.25  # how often idle connections are looked at
+PIECE_S = 0.005  # between two pieces of an endless answer: 3 MB a second
 BACKLOG = 512
 
 
@@ -70,13 +70,13 @@
         self.node, self.balancer = node, balancer
         self.number = 0
         self.reader = RequestReader()
-        self.first_at = -1                           # the first byte of what is being read
-        self.busy: tuple[str, str] | None = None     # id and digest of the request that the model has
+        self.first_at = -1  # the first byte of what is being read
+        self.busy: tuple[str, str] | None = None  # id and digest of the request that the model has
         self.line: deque[tuple[int, Message]] = deque()
         self.idle_since = 0
-        self.fresh = True                            # it has brought no request yet
-        self.useless = False                         # after a spoilt answer
-        self.last = False                            # its caller wants no more after this answer
+        self.fresh = True  # it has brought no request yet
+        self.useless = False  # after a spoilt answer
+        self.last = False  # its caller wants no more after this answer
         self.writable = True
         self.transport: asyncio.Transport
 
@@ -124,19 +124,29 @@
     running, and discovery tells its start as 0.
     """
 
-    def __init__(self, name: str, spec: NodeSpec, rng: Random, log: WireLog, clock: Callable[[], int],
-                 wall_ms: Callable[[], int], hall: str = "", warm: bool = False, body_bytes: int = 600,
-                 idle_us: int = 10_000_000) -> None:
+    def __init__(
+        self,
+        name: str,
+        spec: NodeSpec,
+        rng: Random,
+        log: WireLog,
+        clock: Callable[[], int],
+        wall_ms: Callable[[], int],
+        hall: str = "",
+        warm: bool = False,
+        body_bytes: int = 600,
+        idle_us: int = 10_000_000,
+    ) -> None:
         self.name, self.spec, self.hall, self.warm = name, spec, hall, warm
         self.clock, self._wall_ms, self._log, self._rng = clock, wall_ms, log, rng
         self._body_bytes, self._idle_us = body_bytes, idle_us
         self.started_ms = 0
-        self.addresses: dict[str, Address] = {}              # where each balancer finds it
-        self.probes = self.malformed = self.unknown = 0      # what it was asked, beside requests
+        self.addresses: dict[str, Address] = {}  # where each balancer finds it
+        self.probes = self.malformed = self.unknown = 0  # what it was asked, beside requests
         self._servers: list[asyncio.Server] = []
         self._links: dict[int, _Link] = {}
         self._numbers = self._serial = 0
-        self._later: list[Callable[[], None]] = []           # what a paused process does on waking up
+        self._later: list[Callable[[], None]] = []  # what a paused process does on waking up
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = 0
         self._sweeper: asyncio.TimerHandle | None = None
@@ -152,14 +162,26 @@
         for balancer, (host, port) in listen.items():
             server = await self._loop.create_server(
                 lambda balancer=balancer: _Link(self, balancer),  # type: ignore[misc]
-                host, port, backlog=BACKLOG)
+                host,
+                port,
+                backlog=BACKLOG,
+            )
             self._servers.append(server)
             self.addresses[balancer] = (host, server.sockets[0].getsockname()[1])
         self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
         now = self.clock()
         capacity = self.spec.capacity
-        self._log.write(NodeStarted(now, self.name, self.started_ms, self.spec.kind, self.hall, capacity,
-                                    round(self.model.capacity(now) / capacity, 6)))
+        self._log.write(
+            NodeStarted(
+                now,
+                self.name,
+                self.started_ms,
+                self.spec.kind,
+                self.hall,
+                capacity,
+                round(self.model.capacity(now) / capacity, 6),
+            )
+        )
 
     @property
     def alive(self) -> bool:
@@ -248,9 +270,20 @@
         probe = _is_probe(message)
         if probe or FORM.fullmatch(id):
             work_us = self.spec.probe_work_us if probe else int(work[1]) if work else 0
-            self._log.write(NodeGot(
-                self.clock(), first_at, self.name, self.started_ms, link.balancer, "" if probe else id,
-                message.method, message.target, work_us, link.fresh))
+            self._log.write(
+                NodeGot(
+                    self.clock(),
+                    first_at,
+                    self.name,
+                    self.started_ms,
+                    link.balancer,
+                    "" if probe else id,
+                    message.method,
+                    message.target,
+                    work_us,
+                    link.fresh,
+                )
+            )
             link.fresh = False
         if link.busy or link.line:
             link.line.append((self.clock(), message))
@@ -275,15 +308,24 @@
         else:
             link.busy = (id, asked(message.method, target, message.body))
             path = target.partition("?")[0].split("/")
-            self._tell(Request(link.number, id, int(work[1]), path[-1] if len(path) > 2 else "",
-                               _time_left(headers.get(TIME_LEFT.lower())) - waited_us))
+            self._tell(
+                Request(
+                    link.number,
+                    id,
+                    int(work[1]),
+                    path[-1] if len(path) > 2 else "",
+                    _time_left(headers.get(TIME_LEFT.lower())) - waited_us,
+                )
+            )
 
     def _refuse(self, link: _Link, status: int) -> None:
         """It is no request for this machine."""
+
         def answer() -> None:
             link.transport.write(write_answer(status))
             if link.last:
                 link.transport.close()
+
         self.when_awake(answer)
 
     def _sweep(self) -> None:
@@ -345,8 +387,17 @@
             self._serial += 1
             body = answer_body(id, asked_for, self.name, self.started_ms, self._serial, self._body_bytes)
         usable = action.spoil is None or action.spoil.usable
-        self._log.write(NodeGave(now, self.name, self.started_ms, id, action.status, action.kind,
-                                 digest(body) if usable else ""))
+        self._log.write(
+            NodeGave(
+                now,
+                self.name,
+                self.started_ms,
+                id,
+                action.status,
+                action.kind,
+                digest(body) if usable else "",
+            )
+        )
         if action.spoil:
             self._spoil(link, spoilt_answer(action.spoil, headers, body, self._rng))
         else:
@@ -361,8 +412,13 @@
         if link is None or link.busy is None:
             return
         report = _report(action.load) if action.load else ""
-        link.transport.write(write_answer(action.status, [(LOAD, report)] if report else [],
-                                          report.encode() if link.busy[0] == "/load" else b""))
+        link.transport.write(
+            write_answer(
+                action.status,
+                [(LOAD, report)] if report else [],
+                report.encode() if link.busy[0] == "/load" else b"",
+            )
+        )
         self._answered(link, self.clock())
 
     def _answered(self, link: _Link, now: int) -> None:
--- a/roadlb/lab/parties/http.py
+++ b/roadlb/lab/parties/http.py
@@ -17,8 +17,14 @@
 CORRELATION_ID, ACCOUNT, TIME_LEFT, REPEAT = "X-Correlation-Id", "X-Account", "X-Time-Left", "X-Repeat"
 LOAD, UNPROCESSED, RETRY_AFTER = "X-Backend-Load", "X-Unprocessed", "Retry-After"
 
-REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 500: "Internal Server Error",
-           503: "Service Unavailable", 504: "Gateway Timeout"}
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
 
 
 class Garbled(Exception):
@@ -113,8 +119,13 @@
     def _message(self) -> Message:
         parser = self._parser
         assert isinstance(parser, httptools.HttpRequestParser)
-        return Message(self._headers, b"".join(self._body), parser.should_keep_alive(),
-                       parser.get_method().decode("latin-1"), self._target.decode("latin-1"))
+        return Message(
+            self._headers,
+            b"".join(self._body),
+            parser.should_keep_alive(),
+            parser.get_method().decode("latin-1"),
+            self._target.decode("latin-1"),
+        )
 
 
 class AnswerReader(_Reader):
@@ -134,8 +145,9 @@
         return self._parser.get_status_code()
 
     def _message(self) -> Message:
-        return Message(self._headers, b"".join(self._body), self._parser.should_keep_alive(),
-                       status=self._status())
+        return Message(
+            self._headers, b"".join(self._body), self._parser.should_keep_alive(), status=self._status()
+        )
 
     def end(self) -> Message | None:
         """The connection has ended: an answer of no stated length is whole now, any other is not."""
@@ -151,6 +163,9 @@
 
 
 def write_answer(status: int, headers: Iterable[tuple[str, str]] = (), body: bytes = b"") -> bytes:
-    lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}",
-             *(f"{name}: {value}" for name, value in headers), f"Content-Length: {len(body)}"]
+    lines = [
+        f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}",
+        *(f"{name}: {value}" for name, value in headers),
+        f"Content-Length: {len(body)}",
+    ]
     return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
--- a/roadlb/lab/parties/rude.py
+++ b/roadlb/lab/parties/rude.py
@@ -17,12 +17,12 @@
 from .http import ACCOUNT, CORRELATION_ID, TIME_LEFT, AnswerReader, Garbled, write_request
 from .links import stream
 
-OWED_US, OWED_BIG_US = 3_000_000, 6_000_000      # to be answered or closed in; the second with 60 MB to send
+OWED_US, OWED_BIG_US = 3_000_000, 6_000_000  # to be answered or closed in; the second with 60 MB to send
 BIG = 60_000_000
 PIECE = 65_536
-PIECE_GAP_S = 0.0005                             # 130 MB a second at most on one connection
+PIECE_GAP_S = 0.0005  # 130 MB a second at most on one connection
 FLOOD_CONNECTIONS, FLOOD_REQUESTS = 200, 200
-AGAIN_MOST = 50                                  # times that one client sends the same thing again
+AGAIN_MOST = 50  # times that one client sends the same thing again
 
 
 @dataclass(slots=True, frozen=True)
@@ -31,16 +31,29 @@
 
     chunks: Callable[[Rude], Iterator[bytes]]
     connections: int = 1
-    closes: bool = False         # hangs up when it has written all
-    again: bool = False          # sends it all again at once when it is answered
-    owed: bool = True            # an error or a close is owed to it
+    closes: bool = False  # hangs up when it has written all
+    again: bool = False  # sends it all again at once when it is answered
+    owed: bool = True  # an error or a close is owed to it
     owed_us: int = OWED_US
 
 
-def _good(rude: Rude, method: str = "GET", path: str = "", left: str = "0.5", id: str | None = None,
-          more: Sequence[tuple[str, str]] = (), body: bytes = b"", account: str | None = None) -> bytes:
-    headers = [("Host", "backend.local"), (CORRELATION_ID, rude.new_id() if id is None else id),
-               (ACCOUNT, rude.tenant if account is None else account), (TIME_LEFT, left), *more]
+def _good(
+    rude: Rude,
+    method: str = "GET",
+    path: str = "",
+    left: str = "0.5",
+    id: str | None = None,
+    more: Sequence[tuple[str, str]] = (),
+    body: bytes = b"",
+    account: str | None = None,
+) -> bytes:
+    headers = [
+        ("Host", "backend.local"),
+        (CORRELATION_ID, rude.new_id() if id is None else id),
+        (ACCOUNT, rude.tenant if account is None else account),
+        (TIME_LEFT, left),
+        *more,
+    ]
     return write_request(method, path or rude.read_path, [h for h in headers if h[1]], body)
 
 
@@ -177,12 +190,20 @@
     read_path: str
     order_path: str
 
-    def __init__(self, hall: str, front: Front, rng: Random, classes: Sequence[str], tenant: str = "",
-                 open_ids: Callable[[str], Sequence[str]] = lambda balancer: (), log: WireLog | None = None,
-                 clock: Callable[[], int] = lambda: 0) -> None:
+    def __init__(
+        self,
+        hall: str,
+        front: Front,
+        rng: Random,
+        classes: Sequence[str],
+        tenant: str = "",
+        open_ids: Callable[[str], Sequence[str]] = lambda balancer: (),
+        log: WireLog | None = None,
+        clock: Callable[[], int] = lambda: 0,
+    ) -> None:
         self.hall, self.rng, self.tenant = hall, rng, tenant
         self._log, self._clock = log, clock
-        self._balancer = ""              # that the client which is just coming has picked
+        self._balancer = ""  # that the client which is just coming has picked
         self.read_path, self.order_path = f"/{classes[0]}/f0000?w=10000", f"/{classes[-1]}/f0000?w=10000"
         self._front, self._open_ids = front, open_ids
         self.tallies: dict[str, Counter[str]] = {}
@@ -220,7 +241,7 @@
         since, picked = 0, self._front.pick(self.hall)
         self._balancer = picked[0] if picked else ""
         if name == "stolen id" and not self._open_ids(self._balancer):
-            return                       # there is nothing to steal
+            return  # there is nothing to steal
         link = _Link(self, name, kind)
         try:
             async with asyncio.timeout(kind.owed_us / 1e6):
@@ -236,10 +257,16 @@
                 link.transport.abort()
         self.tallies.setdefault(name, Counter())[how] += 1
         if self._log and picked and hasattr(link, "transport"):
-            self._log.write(RudeLeft(
-                self._clock(), since, f"rude clients of {self.hall}", picked[0], name, how, kind.owed))
+            self._log.write(
+                RudeLeft(
+                    self._clock(), since, f"rude clients of {self.hall}", picked[0], name, how, kind.owed
+                )
+            )
 
     def unpaid(self) -> dict[str, int]:
         """Clients that were owed an error or a close and got neither in time, by kind."""
-        return {name: tally["late"] + tally["served"] for name, tally in self.tallies.items()
-                if KINDS[name].owed and tally["late"] + tally["served"]}
+        return {
+            name: tally["late"] + tally["served"]
+            for name, tally in self.tallies.items()
+            if KINDS[name].owed and tally["late"] + tally["served"]
+        }
--- a/roadlb/lab/parties/spoilt.py
+++ b/roadlb/lab/parties/spoilt.py
@@ -9,15 +9,15 @@
 from .http import LOAD, write_answer
 
 HUGE_BYTES = 3_000_000_000
-PIECE = 16_384                  # of what keeps coming
+PIECE = 16_384  # of what keeps coming
 UNREADABLE = ("eps=,queue=", "queue", "eps=nan,queue=-1", "\xa7\xa7;;=", "eps=1e999,queue=0x7")
 
 
 @dataclass(slots=True, frozen=True)
 class SpoiltAnswer:
     data: bytes
-    piece: bytes = b""           # and then this, again and again, until the connection ends
-    cuts: bool = False           # and then the connection ends
+    piece: bytes = b""  # and then this, again and again, until the connection ends
+    cuts: bool = False  # and then the connection ends
 
 
 def spoilt_answer(spoil: Spoil, headers: list[tuple[str, str]], body: bytes, rng: Random) -> SpoiltAnswer:
@@ -41,13 +41,15 @@
         case Spoil.LENGTH_NEGATIVE:
             return SpoiltAnswer(good.replace(length, f"Content-Length: -{len(body)}\r\n".encode()))
         case Spoil.CHUNKS_BROKEN:
-            chunks = b"%x\r\n%s\r\n" % (len(body) // 2, body)          # the size of half of it
+            chunks = b"%x\r\n%s\r\n" % (len(body) // 2, body)  # the size of half of it
             return SpoiltAnswer(good.replace(length, b"Transfer-Encoding: chunked\r\n").replace(body, chunks))
         case Spoil.HUGE:
-            return SpoiltAnswer(good.replace(length, f"Content-Length: {HUGE_BYTES}\r\n".encode()),
-                                (body * (PIECE // max(1, len(body)) + 1))[:PIECE])
+            return SpoiltAnswer(
+                good.replace(length, f"Content-Length: {HUGE_BYTES}\r\n".encode()),
+                (body * (PIECE // max(1, len(body)) + 1))[:PIECE],
+            )
         case Spoil.CUT:
-            return SpoiltAnswer(good[:len(good) - max(1, len(body) // 2)], cuts=True)
+            return SpoiltAnswer(good[: len(good) - max(1, len(body) // 2)], cuts=True)
         case Spoil.COPY_BEHIND:
             return SpoiltAnswer(good + good)
         case Spoil.NOISE_BEHIND:
--- a/roadlb/lab/report/html.py
+++ b/roadlb/lab/report/html.py
@@ -12,7 +12,7 @@
 from .subject import SECOND_US, Subject
 from .svg import Chart
 
-MOST_VIOLATIONS = 100       # shown on the page; the JSON has more
+MOST_VIOLATIONS = 100  # shown on the page; the JSON has more
 
 
 def page(subject: Subject) -> str:
@@ -48,8 +48,13 @@
         _say(body, "p", "All rules kept", "kept")
     else:
         _say(body, "p", f"{sum(verdict.counts.values())} violations", "broken")
-    _say(body, "p", f"{subject.name}, seed {subject.seed}, world {subject.world}, {subject.seconds:.1f} s, "
-                    f"{len(subject.log)} events, digest {subject.digest}", "fine")
+    _say(
+        body,
+        "p",
+        f"{subject.name}, seed {subject.seed}, world {subject.world}, {subject.seconds:.1f} s, "
+        f"{len(subject.log)} events, digest {subject.digest}",
+        "fine",
+    )
 
 
 def _worth_cards(body: Element, subject: Subject) -> None:
@@ -104,8 +109,15 @@
     asked = [(float(second - start), told[0]) for second, told in seconds.items()]
     served = [(float(second - start), max(0.0, told[1])) for second, told in seconds.items()]
     _say(body, "h2", "Worth asked for and served, a second")
-    _legend(body, (("asked", "asked for"), ("served", "served"), ("step", "step of the incident"),
-                   ("violation", "violation")))
+    _legend(
+        body,
+        (
+            ("asked", "asked for"),
+            ("served", "served"),
+            ("step", "step of the incident"),
+            ("violation", "violation"),
+        ),
+    )
     chart = Chart(subject.seconds, max((value for _, value in asked), default=1), 140, "worth over time")
     body.append(_marked(chart.area(asked, "asked").area(served, "served"), subject).axes().root)
 
@@ -131,9 +143,21 @@
 
 def _nodes(body: Element, subject: Subject, series: Series) -> None:
     _say(body, "h2", "Nodes: work sent, as seconds of standard work a second")
-    _legend(body, (("sent", "sent"), ("capacity", "capacity"), ("open", "requests in hand (own scale)"),
-                   ("cold", "cold"), ("draining", "draining"), ("paused", "paused"), ("cut", "cut off"),
-                   ("slowed", "slowed"), ("fell", "fell"), ("stopped", "stopped")))
+    _legend(
+        body,
+        (
+            ("sent", "sent"),
+            ("capacity", "capacity"),
+            ("open", "requests in hand (own scale)"),
+            ("cold", "cold"),
+            ("draining", "draining"),
+            ("paused", "paused"),
+            ("cut", "cut off"),
+            ("slowed", "slowed"),
+            ("fell", "fell"),
+            ("stopped", "stopped"),
+        ),
+    )
     rows = series.nodes.values()
     most = max((max(_sent(series, node), default=0.0) for node in rows), default=1.0)
     most = max([most, *(capacity for node in rows for _, capacity, _ in node.starts)])
@@ -154,8 +178,12 @@
     for second, _, cold_share in node.starts:
         if cold_share < 1:
             until = min([second + cold_s, *(end for end in ends if end > second)])
-            chart.span(second, until, "cold", (
-                f"cold: {cold_share:.0%} of its capacity at the start, all of it within {cold_s:g} s"))
+            chart.span(
+                second,
+                until,
+                "cold",
+                (f"cold: {cold_share:.0%} of its capacity at the start, all of it within {cold_s:g} s"),
+            )
     for span in node.spans:
         until = subject.seconds if span.until_s is None else span.until_s
         chart.span(span.since_s, until, span.state, f"{span.state} from {span.since_s:.2f} to {until:.2f} s")
@@ -197,26 +225,54 @@
     rows = []
     for event in one.events:
         told = {key: value for key, value in asdict(event).items() if key != "at"}
-        rows.append((f"{subject.second(event.at):.6f}", type(event).__name__,
-                     "  ".join(f"{key}={value}" for key, value in told.items())))
+        rows.append(
+            (
+                f"{subject.second(event.at):.6f}",
+                type(event).__name__,
+                "  ".join(f"{key}={value}" for key, value in told.items()),
+            )
+        )
     _table(details, ("second", "event", "what it says"), rows)
 
 
 def _figures(body: Element, subject: Subject) -> None:
     worth, figures = subject.verdict.worth, subject.verdict.figures
     _say(body, "h2", "Figures")
-    rows = [(name.replace("_", " "), f"{value:.3f}" if isinstance(value, float) else str(value))
-            for name, value in asdict(figures).items() if isinstance(value, int | float)]
+    rows = [
+        (name.replace("_", " "), f"{value:.3f}" if isinstance(value, float) else str(value))
+        for name, value in asdict(figures).items()
+        if isinstance(value, int | float)
+    ]
     _table(body, ("figure", "value"), rows)
-    _table(body, ("worth served", "share"), [(name, f"{share:.2%}") for shares in (
-        worth.by_class, worth.by_tenant) for name, share in shares.items()])
+    _table(
+        body,
+        ("worth served", "share"),
+        [
+            (name, f"{share:.2%}")
+            for shares in (worth.by_class, worth.by_tenant)
+            for name, share in shares.items()
+        ],
+    )
     quantiles = list(next(iter(figures.latency_ms.values()), {}))
-    _table(body, ("latency of those served, ms", *quantiles), [
-        (name, *(f"{told[q]:.1f}" for q in quantiles)) for name, told in figures.latency_ms.items()])
+    _table(
+        body,
+        ("latency of those served, ms", *quantiles),
+        [(name, *(f"{told[q]:.1f}" for q in quantiles)) for name, told in figures.latency_ms.items()],
+    )
     if subject.fallen:
-        _table(body, ("fell, in this order", "second", "sent", "had room for"), [
-            (fell.node, f"{subject.second(fell.at):.3f}", f"{fell.sent_us / 1000:.0f} ms",
-             f"{fell.room_us / 1000:.0f} ms") for fell in subject.fallen])
+        _table(
+            body,
+            ("fell, in this order", "second", "sent", "had room for"),
+            [
+                (
+                    fell.node,
+                    f"{subject.second(fell.at):.3f}",
+                    f"{fell.sent_us / 1000:.0f} ms",
+                    f"{fell.room_us / 1000:.0f} ms",
+                )
+                for fell in subject.fallen
+            ],
+        )
 
 
 def _table(parent: Element, heads: Sequence[str], rows: Iterable[Sequence[str]]) -> None:
--- a/roadlb/lab/report/plots.py
+++ b/roadlb/lab/report/plots.py
@@ -16,8 +16,16 @@
 DPI = 110
 # Okabe and Ito's, told apart by the colour-blind.
 BLUE, SKY, GREEN, ORANGE, RED, PINK = "#0072b2", "#56b4e9", "#009e73", "#e69f00", "#d55e00", "#cc79a7"
-LOOKS = {"served": BLUE, "refused": ORANGE, "failed": RED, "broken": PINK,
-         "draining": ORANGE, "paused": "#1c1c1c", "cut": RED, "slowed": GREEN}
+LOOKS = {
+    "served": BLUE,
+    "refused": ORANGE,
+    "failed": RED,
+    "broken": PINK,
+    "draining": ORANGE,
+    "paused": "#1c1c1c",
+    "cut": RED,
+    "slowed": GREEN,
+}
 
 
 def save(subject: Subject, folder: str | Path) -> list[Path]:
@@ -49,8 +57,12 @@
     """Tries by how they ended."""
     figure, (axes,) = _figure(1, 4.0)
     times = [series.at(i) for i in range(series.bins)]
-    axes.stackplot(times, [[n / series.bin_s for n in counts] for counts in series.ended.values()],
-                   labels=list(series.ended), colors=[LOOKS[name] for name in series.ended])
+    axes.stackplot(
+        times,
+        [[n / series.bin_s for n in counts] for counts in series.ended.values()],
+        labels=list(series.ended),
+        colors=[LOOKS[name] for name in series.ended],
+    )
     axes.set_ylabel("tries a second")
     _finish(axes, subject, subject.title)
     return figure
@@ -72,8 +84,13 @@
                 warm = min(until, second + subject.rules.cold_us / SECOND_US)
                 axes.axvspan(second, warm, color=BLUE, alpha=0.12, lw=0)
         for span in node.spans:
-            axes.axvspan(span.since_s, subject.seconds if span.until_s is None else span.until_s,
-                         color=LOOKS[span.state], alpha=0.25, lw=0)
+            axes.axvspan(
+                span.since_s,
+                subject.seconds if span.until_s is None else span.until_s,
+                color=LOOKS[span.state],
+                alpha=0.25,
+                lw=0,
+            )
         for second in node.fell_s:
             axes.plot([second], [0], "x", color=RED, ms=9, mew=3, clip_on=False)
         axes.set_ylabel(node.name, rotation=0, ha="right", va="center", fontsize=8)
@@ -82,8 +99,9 @@
         axes.tick_params(labelsize=7)
         for second, _ in subject.steps:
             axes.axvline(second, color="#888888", ls=":", lw=0.8)
-    all_axes[0].set_title(f"{subject.title}: work sent and capacity, s a second; "
-                          f"{', '.join(SPANS)} shaded", fontsize=9)
+    all_axes[0].set_title(
+        f"{subject.title}: work sent and capacity, s a second; {', '.join(SPANS)} shaded", fontsize=9
+    )
     all_axes[-1].set_xlabel("seconds")
     return figure
 
@@ -102,12 +120,17 @@
 
 
 PICTURES: dict[str, Callable[[Subject, Series], Figure]] = {
-    "worth": worth, "outcomes": outcomes, "nodes": nodes, "latency": latency}
+    "worth": worth,
+    "outcomes": outcomes,
+    "nodes": nodes,
+    "latency": latency,
+}
 
 
 def _figure(rows: int, height: float) -> tuple[Figure, list[Axes]]:
     """A figure apart from pyplot's, whose state is global; pictures of one size, whatever is in them."""
     from matplotlib.figure import Figure
+
     figure = Figure(figsize=(10, height), layout="constrained")
     axes = figure.subplots(rows, 1, sharex=rows > 1, squeeze=False)
     return figure, [row[0] for row in axes]
--- a/roadlb/lab/report/series.py
+++ b/roadlb/lab/report/series.py
@@ -7,13 +7,22 @@
 
 from ..judge.book import REFUSALS
 from ..wire import (
-    ClientGot, ClientLost, ClientSent, NodeFell, NodeGave, NodeGot, NodeStarted, NodeState, WireEvent)
+    ClientGot,
+    ClientLost,
+    ClientSent,
+    NodeFell,
+    NodeGave,
+    NodeGot,
+    NodeStarted,
+    NodeState,
+    WireEvent,
+)
 from .subject import SECOND_US, Subject
 
 MOST_BINS = 180
 SHORTEST_BIN_S = 0.25
 OUTCOMES = ("served", "refused", "failed", "broken")
-ENDS = {"resumed": "paused", "healed": "cut"}       # states that end others
+ENDS = {"resumed": "paused", "healed": "cut"}  # states that end others
 SPANS = ("draining", "paused", "cut", "slowed")
 
 
@@ -33,8 +42,8 @@
     name: str
     kind: str = ""
     hall: str = ""
-    sent_us: list[int] = field(default_factory=list)        # work that came, by bin
-    open: list[int] = field(default_factory=list)           # the most requests in hand, by bin
+    sent_us: list[int] = field(default_factory=list)  # work that came, by bin
+    open: list[int] = field(default_factory=list)  # the most requests in hand, by bin
     starts: list[tuple[float, float, float]] = field(default_factory=list)  # (second, capacity, cold share)
     spans: list[Span] = field(default_factory=list)
     fell_s: list[float] = field(default_factory=list)
@@ -48,8 +57,8 @@
 
     bin_s: float
     bins: int
-    sent: dict[str, list[int]]                  # tries taken, by class
-    ended: dict[str, list[int]]                 # tries by how they ended: OUTCOMES
+    sent: dict[str, list[int]]  # tries taken, by class
+    ended: dict[str, list[int]]  # tries by how they ended: OUTCOMES
     nodes: dict[str, NodeSeries]
 
     def at(self, index: int) -> float:
@@ -65,8 +74,8 @@
         bin_s = max(SHORTEST_BIN_S, subject.seconds / MOST_BINS)
         bins = int(subject.seconds / bin_s) + 1
         self.series = Series(bin_s, bins, {}, {name: [0] * bins for name in OUTCOMES}, {})
-        self._over: dict[str, int] = {}                     # when a request's time is up
-        self._open: dict[tuple[str, str], int] = {}         # (node, request): until when it is in hand
+        self._over: dict[str, int] = {}  # when a request's time is up
+        self._open: dict[tuple[str, str], int] = {}  # (node, request): until when it is in hand
         self._swept = 0
 
     def bin(self, at_us: int) -> int:
@@ -129,8 +138,9 @@
         elif event.state in ENDS:
             self._close(node, (ENDS[event.state],), second)
         elif event.state == "slowed" and any(
-                span.state == "slowed" and span.until_s is None for span in node.spans):
-            self._close(node, ("slowed",), second)      # the same word ends it
+            span.state == "slowed" and span.until_s is None for span in node.spans
+        ):
+            self._close(node, ("slowed",), second)  # the same word ends it
         elif event.state in SPANS:
             node.spans.append(Span(event.state, second))
 
--- a/roadlb/lab/report/svg.py
+++ b/roadlb/lab/report/svg.py
@@ -10,7 +10,7 @@
 from xml.etree.ElementTree import Element, SubElement
 
 WIDTH, LEFT, RIGHT, TOP, FOOT, FLAG = 1000, 46, 8, 4, 16, 9
-TICKS = (1, 2, 5, 10, 15, 30, 60, 120, 300, 600, 1200, 3600)     # seconds between two
+TICKS = (1, 2, 5, 10, 15, 30, 60, 120, 300, 600, 1200, 3600)  # seconds between two
 MOST_TICKS = 12
 
 
@@ -60,9 +60,20 @@
     def span(self, since: float, until: float, look: str, title: str = "") -> Chart:
         """A band over the whole height."""
         width = max(1.0, self.x(until) - self.x(since))
-        self._titled(SubElement(self.root, "rect", {
-            "x": str(self.x(since)), "y": str(TOP), "width": f"{width:.1f}",
-            "height": str(self._height - FOOT - TOP), "class": look}), title)
+        self._titled(
+            SubElement(
+                self.root,
+                "rect",
+                {
+                    "x": str(self.x(since)),
+                    "y": str(TOP),
+                    "width": f"{width:.1f}",
+                    "height": str(self._height - FOOT - TOP),
+                    "class": look,
+                },
+            ),
+            title,
+        )
         return self
 
     def mark(self, second: float, look: str, title: str) -> Chart:
@@ -80,13 +91,18 @@
     def cross(self, second: float, value: float, look: str, title: str) -> Chart:
         """An x that stands out."""
         x, y = self.x(second), self.y(value)
-        self._titled(SubElement(self.root, "path", {
-            "d": f"M{x - 5:.1f} {y - 5:.1f}l10 10m0 -10l-10 10", "class": look}), title)
+        self._titled(
+            SubElement(
+                self.root, "path", {"d": f"M{x - 5:.1f} {y - 5:.1f}l10 10m0 -10l-10 10", "class": look}
+            ),
+            title,
+        )
         return self
 
     def _line(self, x1: float, y1: float, x2: float, y2: float, look: str) -> Element:
-        return SubElement(self.root, "line", {"x1": str(x1), "y1": str(y1), "x2": str(x2), "y2": str(y2),
-                                              "class": look})
+        return SubElement(
+            self.root, "line", {"x1": str(x1), "y1": str(y1), "x2": str(x2), "y2": str(y2), "class": look}
+        )
 
     def _text(self, x: float, y: float, text: str, look: str) -> None:
         SubElement(self.root, "text", {"x": str(x), "y": str(y), "class": look}).text = text
--- a/roadlb/lab/run/balancers.py
+++ b/roadlb/lab/run/balancers.py
@@ -17,7 +17,7 @@
 from .settings import configuration, text
 from .world import Machine, Process, Role, World
 
-DEALT_S = 0.3                        # to a balancer that drains, from when it is told
+DEALT_S = 0.3  # to a balancer that drains, from when it is told
 
 
 @dataclass(slots=True, eq=False)
@@ -29,20 +29,21 @@
     process: Process
     agent: Agent
     agent_place: Machine
-    raw: dict[str, Any]              # its configuration, but for `discovery` and `known`
+    raw: dict[str, Any]  # its configuration, but for `discovery` and `known`
     runs: bool = False
     starts: int = 0
-    pauses: int = 0                  # that are on
-    cuts: int = 0                    # that part it from clients
+    pauses: int = 0  # that are on
+    cuts: int = 0  # that part it from clients
     watch: asyncio.Task[None] | None = None
-    machine: str = ""                # it has no kind: what a step's choice asks for
+    machine: str = ""  # it has no kind: what a step's choice asks for
 
 
 class Balancers:
     """`all`: those of the incident, whether they run or not."""
 
-    def __init__(self, incident: Incident, drawn: Drawn, world: World, log: WireLog, registry: Registry,
-                 front: Front) -> None:
+    def __init__(
+        self, incident: Incident, drawn: Drawn, world: World, log: WireLog, registry: Registry, front: Front
+    ) -> None:
         self._incident, self._drawn, self._world, self._log = incident, drawn, world, log
         self._registry, self._front = registry, front
         self.all: list[Standing] = []
@@ -57,9 +58,15 @@
             agent = Agent(placed.name, self._drawn.discovery, self._log, self._world.clock)
             await place.run(agent.start((place.ip, 0)))
             self._registry.attach(agent)
-            raw = configuration(self._incident, me, placed.name, placed.hall,
-                                self._world.random(f"balancer {placed.name}"), process.address,
-                                [before.process.address for before in self.all])
+            raw = configuration(
+                self._incident,
+                me,
+                placed.name,
+                placed.hall,
+                self._world.random(f"balancer {placed.name}"),
+                process.address,
+                [before.process.address for before in self.all],
+            )
             one = Standing(placed.name, placed.hall, process, agent, place, raw)
             self.all.append(one)
             self._start(one, agent.preload)
@@ -132,6 +139,7 @@
                 if not one.pauses:
                     one.process.signal(signal.SIGCONT)
                     self.state(one, "resumed")
+
         return end
 
     def drain(self, one: Standing) -> Callable[[], None]:
@@ -148,6 +156,7 @@
                 one.process.tell("in-service")
                 self.state(one, "in service")
                 self._at_front(one.hall).call(self._front.back, one.name)
+
         return end
 
     def state_of(self, name: str, state: str) -> None:
