--- a/roadlb/lab/run/children.py
+++ b/roadlb/lab/run/children.py
@@ -11,14 +11,20 @@
 from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
 
-LAST_S = 5.0            # from SIGTERM until a process that has not ended is killed
+LAST_S = 5.0  # from SIGTERM until a process that has not ended is killed
 
 
 class Child:
     """Made by `Rig.spawn`.  Each call is noted in the rig's log, with the machine's clock."""
 
-    def __init__(self, name: str, argv: Sequence[str], variables: Mapping[str, str], folder: Path,
-                 note: Callable[[str], int]) -> None:
+    def __init__(
+        self,
+        name: str,
+        argv: Sequence[str],
+        variables: Mapping[str, str],
+        folder: Path,
+        note: Callable[[str], int],
+    ) -> None:
         self.name, self.argv, self._variables = name, list(argv), dict(variables)
         self._folder, self._note = folder, note
         self.starts = 0
@@ -32,8 +38,12 @@
         self.starts += 1
         with self.log.open("wb") as log:
             self._process = await asyncio.create_subprocess_exec(
-                *self.argv, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
-                env={**os.environ, **self._variables, **(further or {})})
+                *self.argv,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, **self._variables, **(further or {})},
+            )
         self._note(f"{self.name}: started, process {self._process.pid}")
 
     @property
--- a/roadlb/lab/run/crowd.py
+++ b/roadlb/lab/run/crowd.py
@@ -27,8 +27,8 @@
         self._incident, self._drawn, self._world, self._log = incident, drawn, world, log
         self._front = front
         self.places: dict[str, Machine] = {
-            hall: world.machine(f"clients of {hall}", hall, Role.CLIENTS)
-            for hall in incident.network.halls}
+            hall: world.machine(f"clients of {hall}", hall, Role.CLIENTS) for hall in incident.network.halls
+        }
         self.clients: dict[str, Clients] = {}
         self.rude: dict[str, Rude] = {}
 
@@ -40,12 +40,28 @@
         hears_us = round((incident.rules.answer_slack_ms + incident.rules.slack_ms) * 1_000)
         for number, hall in enumerate(halls):
             name = f"clients of {hall}"
-            traffic = Traffic(base, drawn.classes, drawn.tenants, drawn.keys, drawn.habits,
-                              self._world.random(f"wishes of {hall}"), now, number, len(halls))
+            traffic = Traffic(
+                base,
+                drawn.classes,
+                drawn.tenants,
+                drawn.keys,
+                drawn.habits,
+                self._world.random(f"wishes of {hall}"),
+                now,
+                number,
+                len(halls),
+            )
             traffic.shape = Part(base, drawn.hall_shares[hall] * traffic.usage)
             clients = self.clients[hall] = Clients(
-                name, hall, traffic, self._front, self._log, self._world.clock, self._world.random(name),
-                hears_us=hears_us)
+                name,
+                hall,
+                traffic,
+                self._front,
+                self._log,
+                self._world.clock,
+                self._world.random(name),
+                hears_us=hears_us,
+            )
             self.places[hall].call(clients.start)
 
     async def end(self, longest_s: float) -> None:
@@ -64,31 +80,49 @@
     # What befalls
 
     def flood(self, step: Flood) -> Callable[[], None]:
-        ends = [clients.traffic.flood(step.times, step.of_class, step.tenant)
-                for hall, clients in self.clients.items() if step.hall in (None, hall)]
+        ends = [
+            clients.traffic.flood(step.times, step.of_class, step.tenant)
+            for hall, clients in self.clients.items()
+            if step.hall in (None, hall)
+        ]
 
         def end() -> None:
             for one in ends:
                 one()
+
         return end
 
     async def be_rude(self, step: RudeStep, for_s: float) -> None:
         until = asyncio.get_running_loop().time() + for_s
-        await asyncio.gather(*(
-            self.places[hall].run(self._rude(hall).play(step.kinds, step.every_s, until))
-            for hall in self._incident.network.halls))
+        await asyncio.gather(
+            *(
+                self.places[hall].run(self._rude(hall).play(step.kinds, step.every_s, until))
+                for hall in self._incident.network.halls
+            )
+        )
 
     def _rude(self, hall: str) -> Rude:
         if hall not in self.rude:
             names = [row.name for row in self._incident.traffic.classes]
             self.rude[hall] = Rude(
-                hall, self._front, self._world.random(f"rude clients of {hall}"), names,
-                self._incident.traffic.tenants[0].name, self.clients[hall].open_ids, self._log,
-                self._world.clock)
+                hall,
+                self._front,
+                self._world.random(f"rude clients of {hall}"),
+                names,
+                self._incident.traffic.tenants[0].name,
+                self.clients[hall].open_ids,
+                self._log,
+                self._world.clock,
+            )
         return self.rude[hall]
 
     def figures(self) -> dict[str, Any]:
-        return {"clients": {clients.name: dict(sorted(clients.tallies.items()))
-                            for clients in self.clients.values()},
-                "rude": {hall: {kind: dict(sorted(tally.items())) for kind, tally in rude.tallies.items()}
-                         for hall, rude in self.rude.items()}}
+        return {
+            "clients": {
+                clients.name: dict(sorted(clients.tallies.items())) for clients in self.clients.values()
+            },
+            "rude": {
+                hall: {kind: dict(sorted(tally.items())) for kind, tally in rude.tallies.items()}
+                for hall, rude in self.rude.items()
+            },
+        }
--- a/roadlb/lab/run/datagrams.py
+++ b/roadlb/lab/run/datagrams.py
@@ -60,9 +60,10 @@
         self._near: asyncio.DatagramTransport
         self._far: dict[Address, asyncio.DatagramTransport] = {}
         self._dials: dict[Address, asyncio.Task[None]] = {}
-        self._waiting: dict[Address, list[bytes]] = {}       # until the sender's socket is there
-        self._conditions: list[tuple[Ways, Callable[[bytes], bool], asyncio.Future[int],
-                                     Callable[[], None] | None]] = []
+        self._waiting: dict[Address, list[bytes]] = {}  # until the sender's socket is there
+        self._conditions: list[
+            tuple[Ways, Callable[[bytes], bool], asyncio.Future[int], Callable[[], None] | None]
+        ] = []
         self._over = False
 
     async def start(self, ip: str) -> None:
@@ -73,13 +74,23 @@
 
     # Faults
 
-    def fail(self, lost: float = 0.0, doubled: float = 0.0, reordered: float = 0.0, delay_ms: float = 0.0,
-             jitter_ms: float = 0.0, behind_ms: float = 50.0) -> None:
+    def fail(
+        self,
+        lost: float = 0.0,
+        doubled: float = 0.0,
+        reordered: float = 0.0,
+        delay_ms: float = 0.0,
+        jitter_ms: float = 0.0,
+        behind_ms: float = 50.0,
+    ) -> None:
         """From now on, both ways; takes the place of what was said before."""
-        self._note(f"{self.name}: lost {lost:g}, doubled {doubled:g}, reordered {reordered:g}, "
-                   f"{delay_ms:g} ms and up to {jitter_ms:g} more")
-        self.weather = Weather(lost, doubled, reordered, behind_ms / 1_000, delay_ms / 1_000,
-                               jitter_ms / 1_000)
+        self._note(
+            f"{self.name}: lost {lost:g}, doubled {doubled:g}, reordered {reordered:g}, "
+            f"{delay_ms:g} ms and up to {jitter_ms:g} more"
+        )
+        self.weather = Weather(
+            lost, doubled, reordered, behind_ms / 1_000, delay_ms / 1_000, jitter_ms / 1_000
+        )
 
     def drop(self, way: str = "both") -> None:
         """All that goes this way is lost."""
@@ -99,8 +110,9 @@
         for far in self._far.values():
             far.close()
 
-    def when(self, fits: Callable[[bytes], bool], then: Callable[[], None] | None = None, way: str = "there"
-             ) -> asyncio.Future[int]:
+    def when(
+        self, fits: Callable[[bytes], bool], then: Callable[[], None] | None = None, way: str = "there"
+    ) -> asyncio.Future[int]:
         """Once, as the first datagram comes that fits: `then`, which may cut it off as well.  Gives the clock
         at that moment."""
         fallen: asyncio.Future[int] = asyncio.get_running_loop().create_future()
@@ -125,7 +137,8 @@
 
     async def _dial(self, sender: Address) -> None:
         far, _ = await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: _Far(self, sender), remote_addr=self._target)
+            lambda: _Far(self, sender), remote_addr=self._target
+        )
         self._far[sender] = far
         for data in self._waiting.pop(sender):
             far.sendto(data)
@@ -162,6 +175,7 @@
             if not self._over:
                 self.counts["went"] += 1
                 send()
+
         if wait_s:
             asyncio.get_running_loop().call_later(wait_s, go)
         else:
--- a/roadlb/lab/run/fleet.py
+++ b/roadlb/lab/run/fleet.py
@@ -39,15 +39,15 @@
 
     name: str
     hall: str
-    machine: str                     # its kind
+    machine: str  # its kind
     spec: NodeSpec
     weight: float
     place: Machine
     party: GridNode
-    addresses: Mapping[str, Address]     # where each balancer finds it
+    addresses: Mapping[str, Address]  # where each balancer finds it
     starts: int = 1
     life: Life = Life.UP
-    pauses: int = 0                  # that are on
+    pauses: int = 0  # that are on
     slowed: list[float] = field(default_factory=list)
     ails: list[Ailment] = field(default_factory=list)
 
@@ -55,15 +55,16 @@
 class Fleet:
     """`there`: all that are up or draining, by name, in the order of their starts."""
 
-    def __init__(self, incident: Incident, drawn: Drawn, world: World, log: WireLog,
-                 registry: Registry) -> None:
+    def __init__(
+        self, incident: Incident, drawn: Drawn, world: World, log: WireLog, registry: Registry
+    ) -> None:
         self._incident, self._drawn, self._world, self._log = incident, drawn, world, log
         self._registry = registry
         self._balancers = balancers_at_start(incident)
-        self._cuts: list[str] = []               # halls that are cut off; one may be so twice
+        self._cuts: list[str] = []  # halls that are cut off; one may be so twice
         self._numbers = 0
         self.there: dict[str, Standing] = {}
-        self.awaited = 0                         # successors of nodes that drain
+        self.awaited = 0  # successors of nodes that drain
         log.listen(self._see)
 
     async def begin(self) -> None:
@@ -75,21 +76,41 @@
             await self._new(one.name, one.hall, one.machine, place, {}, self._incident.fleet.warm_at_start)
         self._registry.begin([_entry(one) for one in self.there.values()])
 
-    async def _new(self, name: str, hall: str, kind: str, place: Machine, at: Mapping[str, Address],
-                   warm: bool = False) -> Standing:
+    async def _new(
+        self, name: str, hall: str, kind: str, place: Machine, at: Mapping[str, Address], warm: bool = False
+    ) -> Standing:
         rng = self._world.random(f"machine {name}")
         spec = self._drawn.machine(kind, rng)
         return await self._start(name, hall, kind, spec, rough_weight(spec, rng), place, at, warm=warm)
 
-    async def _start(self, name: str, hall: str, kind: str, spec: NodeSpec, weight: float, place: Machine,
-                     at: Mapping[str, Address], starts: int = 1, warm: bool = False) -> Standing:
+    async def _start(
+        self,
+        name: str,
+        hall: str,
+        kind: str,
+        spec: NodeSpec,
+        weight: float,
+        place: Machine,
+        at: Mapping[str, Address],
+        starts: int = 1,
+        warm: bool = False,
+    ) -> Standing:
         """`at`: where each balancer finds it; empty: wherever there is room."""
-        party = GridNode(name, spec, self._world.random(f"node {name} start {starts}"), self._log,
-                         self._world.clock, lambda: self._world.wall() // 1_000, hall, warm,
-                         idle_us=micro(self._incident.fleet.idle_s))
+        party = GridNode(
+            name,
+            spec,
+            self._world.random(f"node {name} start {starts}"),
+            self._log,
+            self._world.clock,
+            lambda: self._world.wall() // 1_000,
+            hall,
+            warm,
+            idle_us=micro(self._incident.fleet.idle_s),
+        )
         await place.run(party.start(at or {b.name: (place.ip, 0) for b in self._balancers}))
-        addresses = {b.name: self._world.way(b.name, b.hall, place, party.addresses[b.name])
-                     for b in self._balancers}
+        addresses = {
+            b.name: self._world.way(b.name, b.hall, place, party.addresses[b.name]) for b in self._balancers
+        }
         one = Standing(name, hall, kind, spec, weight, place, party, addresses, starts)
         self.there[name] = one
         if self._parted(hall):
@@ -156,8 +177,16 @@
     async def back(self, one: Standing) -> None:
         """A dead node starts again, cold, under its name and at its addresses."""
         one.place.restart()
-        again = await self._start(one.name, one.hall, one.machine, one.spec, one.weight, one.place,
-                                  one.party.addresses, one.starts + 1)
+        again = await self._start(
+            one.name,
+            one.hall,
+            one.machine,
+            one.spec,
+            one.weight,
+            one.place,
+            one.party.addresses,
+            one.starts + 1,
+        )
         self._registry.up(_entry(again))
 
     # What holds for a time.  Each gives what ends it, which finds nothing to end at a node that is gone.
@@ -171,10 +200,12 @@
             one.pauses -= 1
             if one.life is not Life.GONE and not one.pauses:
                 one.place.call(one.party.resume)
+
         return end
 
     def slow(self, one: Standing, factor: float) -> Callable[[], None]:
         """Those that overlap multiply."""
+
         def tell() -> None:
             if one.life is not Life.GONE:
                 one.place.call(one.party.slow, 1 / prod(one.slowed))
@@ -182,22 +213,26 @@
         def end() -> None:
             one.slowed.remove(factor)
             tell()
+
         one.slowed.append(factor)
         tell()
         return end
 
     def ail(self, one: Standing, ailment: Ailment) -> Callable[[], None]:
         """Of those that overlap, the greatest share of each kind holds."""
+
         def tell() -> None:
             if one.life is not Life.GONE:
                 own = Ailment(one.spec.error_share, one.spec.spoilt_share, one.spec.spoilt_kinds)
                 worst = max([own, *one.ails], key=lambda ails: ails.spoilt)
-                one.place.call(one.party.ail, max(ails.errors for ails in [own, *one.ails]), worst.spoilt,
-                               worst.kinds)
+                one.place.call(
+                    one.party.ail, max(ails.errors for ails in [own, *one.ails]), worst.spoilt, worst.kinds
+                )
 
         def end() -> None:
             one.ails.remove(ailment)
             tell()
+
         one.ails.append(ailment)
         tell()
         return end
@@ -225,5 +260,6 @@
 
 
 def _entry(one: Standing) -> Entry:
-    return Entry(one.name, one.addresses, one.hall, one.machine, weight=one.weight,
-                 started_ms=one.party.started_ms)
+    return Entry(
+        one.name, one.addresses, one.hall, one.machine, weight=one.weight, started_ms=one.party.started_ms
+    )
--- a/roadlb/lab/run/link.py
+++ b/roadlb/lab/run/link.py
@@ -32,8 +32,8 @@
     after: int
     fallen: asyncio.Future[int]
     then: Callable[[], None] | None
-    tails: dict[Pair, bytes] = field(default_factory=dict)       # the last bytes, where a needle may begin
-    left: dict[Pair, int] = field(default_factory=dict)          # where the needle has passed: bytes to go
+    tails: dict[Pair, bytes] = field(default_factory=dict)  # the last bytes, where a needle may begin
+    left: dict[Pair, int] = field(default_factory=dict)  # where the needle has passed: bytes to go
 
     def reach(self, pair: Pair, data: bytes) -> int | None:
         """After how many of these bytes it falls; None: not among them."""
@@ -53,7 +53,7 @@
         if end is not None:
             self.left[pair] = end - len(data)
         elif len(self.needle) > 1:
-            self.tails[pair] = (self.tails.get(pair, b"") + data)[1 - len(self.needle):]
+            self.tails[pair] = (self.tails.get(pair, b"") + data)[1 - len(self.needle) :]
 
 
 class Link:
@@ -68,7 +68,7 @@
         self.relay = Relay(Way(*name.split(" to ")), ip, target, lambda: self._delay_s)
         self.relay.watch = self._see
         self.relay.open()
-        self.passed = {Ways.THERE: 0, Ways.BACK: 0}      # bytes that came and went on, or wait to
+        self.passed = {Ways.THERE: 0, Ways.BACK: 0}  # bytes that came and went on, or wait to
         self._triggers: list[Trigger] = []
 
     @property
@@ -119,8 +119,9 @@
 
     # On what passes
 
-    def when(self, needle: bytes, then: Callable[[], None] | None = None, way: str = "there",
-             after: int = 0) -> asyncio.Future[int]:
+    def when(
+        self, needle: bytes, then: Callable[[], None] | None = None, way: str = "there", after: int = 0
+    ) -> asyncio.Future[int]:
         """Once, when the needle and `after` bytes more have gone this way in one connection, and before the
         next byte does: `then`, with what went before delivered.  Gives the clock at that moment.
 
@@ -133,8 +134,14 @@
 
     def _see(self, way: Ways, data: bytes, pair: Pair) -> tuple[int, Callable[[], None]] | None:
         mine = [trigger for trigger in self._triggers if trigger.way is way]
-        first = min(((reach, number) for number, trigger in enumerate(mine)
-                     if (reach := trigger.reach(pair, data)) is not None), default=None)
+        first = min(
+            (
+                (reach, number)
+                for number, trigger in enumerate(mine)
+                if (reach := trigger.reach(pair, data)) is not None
+            ),
+            default=None,
+        )
         size = len(data) if first is None else first[0]
         self.passed[way] += size
         falls = None if first is None else mine[first[1]]
--- a/roadlb/lab/run/real_world.py
+++ b/roadlb/lab/run/real_world.py
@@ -30,16 +30,18 @@
 T = TypeVar("T")
 P = ParamSpec("P")
 
-WATCH_S, LATE_S = 0.005, 0.020           # how often the loop's own delay is looked at, and what is held up
-LAST_S = 5.0                             # that a process may take to end when the rehearsal is over
-CALL_S = 5.0                             # for an answer at a balancer's door
-FIRST_NET = 64                           # machines have 127.64.0.1 and up, in 64 nets by process id
+WATCH_S, LATE_S = 0.005, 0.020  # how often the loop's own delay is looked at, and what is held up
+LAST_S = 5.0  # that a process may take to end when the rehearsal is over
+CALL_S = 5.0  # for an answer at a balancer's door
+FIRST_NET = 64  # machines have 127.64.0.1 and up, in 64 nets by process id
 
 
 def environment(config: Path) -> dict[str, str]:
     """Of a balancer that finds its configuration there, and nothing else that was set for another."""
-    return {**{name: value for name, value in os.environ.items() if not name.startswith("PROXY_")},
-            "PROXY_CONFIG": str(config)}
+    return {
+        **{name: value for name, value in os.environ.items() if not name.startswith("PROXY_")},
+        "PROXY_CONFIG": str(config),
+    }
 
 
 def merged(base: Mapping[str, Any], further: Mapping[str, Any]) -> dict[str, Any]:
@@ -72,7 +74,7 @@
 
     def __init__(self, ip: str, hall: str, look_again: Callable[[], None]) -> None:
         self.ip, self.hall, self._look_again = ip, hall, look_again
-        self.relays: dict[str, Relay] = {}           # by balancer, where it is a node's
+        self.relays: dict[str, Relay] = {}  # by balancer, where it is a node's
         self._vanished = False
 
     def call(self, function: Callable[P, T], *args: P.args, **kwargs: P.kwargs) -> T:
@@ -144,12 +146,19 @@
 
 
 class RealProcess:
-    def __init__(self, name: str, ip: str, folder: Path, counters: dict[str, dict[str, int]],
-                 faults: list[str], more: More) -> None:
+    def __init__(
+        self,
+        name: str,
+        ip: str,
+        folder: Path,
+        counters: dict[str, dict[str, int]],
+        faults: list[str],
+        more: More,
+    ) -> None:
         self.name, self._folder, self._counters, self._faults = name, folder, counters, faults
         self._more = more
-        self.takes_clients = False       # it has been started, and not told to end
-        self.ends: Callable[[], None] = lambda: None     # called when it no longer does
+        self.takes_clients = False  # it has been started, and not told to end
+        self.ends: Callable[[], None] = lambda: None  # called when it no longer does
         self._reserved = reserved(ip)
         self.address: Address = self._reserved.getsockname()
         self.door = Door(name, ip, faults)
@@ -167,15 +176,23 @@
     async def _run(self) -> None:
         with self._log().open("wb") as log:
             self._process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "roadlb", stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
-                env={**environment(self._config), **self._more.variables})
+                sys.executable,
+                "-m",
+                "roadlb",
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env={**environment(self._config), **self._more.variables},
+            )
 
     def _log(self) -> Path:
         return self._folder / f"{self.name}-{self._starts}.log"
 
     def configure(self, configuration: Mapping[str, Any]) -> None:
-        write(self._config, merged({**configuration, "admin_addr": self.door.address},
-                                   self._more.configuration(self.name)))
+        write(
+            self._config,
+            merged({**configuration, "admin_addr": self.door.address}, self._more.configuration(self.name)),
+        )
 
     def tell(self, call: str) -> None:
         self.door.tell(call)
@@ -239,8 +256,14 @@
 class RealWorld:
     """`folder` takes configurations and logs of the processes."""
 
-    def __init__(self, drawn: Drawn, log: WireLog, folder: Path, random: Callable[[str], Random],
-                 more: More | None = None) -> None:
+    def __init__(
+        self,
+        drawn: Drawn,
+        log: WireLog,
+        folder: Path,
+        random: Callable[[str], Random],
+        more: More | None = None,
+    ) -> None:
         self._more = more or More(lambda name: {}, {})
         self._drawn, self._log, self._folder = drawn, log, folder
         self.random, self.clock, self.wall = random, monotonic_us, unix_us
@@ -248,10 +271,10 @@
         self.counters: dict[str, dict[str, int]] = {}
         self.clients: Sequence[Clients] = ()
         self._machines = 0
-        self._halls: dict[str, str] = {}             # of balancers
+        self._halls: dict[str, str] = {}  # of balancers
         self._processes: list[RealProcess] = []
         self._relays: list[Relay] = []
-        self._client_relays: dict[tuple[str, str], Relay] = {}       # by the clients' hall and the balancer
+        self._client_relays: dict[tuple[str, str], Relay] = {}  # by the clients' hall and the balancer
         self._cut: list[str] = []
         self._delays = random("real delays")
         self._watch = asyncio.get_running_loop().create_task(self._watch_loop())
@@ -303,8 +326,9 @@
         relay = self._client_relays.get((client_hall, balancer))
         if relay is None:
             way = Way(hall, client_hall, balancer)
-            relay = self._client_relays[client_hall, balancer] = Relay(way, self.ip(), address,
-                                                                       self._delay(way))
+            relay = self._client_relays[client_hall, balancer] = Relay(
+                way, self.ip(), address, self._delay(way)
+            )
             relay.open()
             relay.silence(parted(hall, client_hall, self._cut))
         takes = next(process.takes_clients for process in self._processes if process.name == balancer)
@@ -331,8 +355,11 @@
     def cut(self, hall: str) -> list[str]:
         self._cut.append(hall)
         self._silence()
-        crossing = [name for (_, name), relay in self._client_relays.items()
-                    if relay.pairs and (relay.way.node_hall == hall) != (relay.way.balancer_hall == hall)]
+        crossing = [
+            name
+            for (_, name), relay in self._client_relays.items()
+            if relay.pairs and (relay.way.node_hall == hall) != (relay.way.balancer_hall == hall)
+        ]
         return list(dict.fromkeys(crossing))
 
     def heal(self, hall: str) -> None:
@@ -348,8 +375,11 @@
 
     def relays(self, balancer_hall: str | None = None, node_hall: str | None = None) -> list[Relay]:
         """What stands between balancers of one hall and nodes of another; none: of any."""
-        return [relay for relay in self._relays if balancer_hall in (None, relay.way.balancer_hall)
-                and node_hall in (None, relay.way.node_hall)]
+        return [
+            relay
+            for relay in self._relays
+            if balancer_hall in (None, relay.way.balancer_hall) and node_hall in (None, relay.way.node_hall)
+        ]
 
     def door(self, name: str) -> Door:
         """Where operators of this balancer call."""
--- a/roadlb/lab/run/rehearsal.py
+++ b/roadlb/lab/run/rehearsal.py
@@ -49,14 +49,15 @@
         origin_us, end_us, figures = _simulated(incident, seed, log, app)
     else:
         origin_us, end_us, figures = _in_real_time(incident, seed, log)
-    for event in log:            # after the run: in real time it would hold the parties up
+    for event in log:  # after the run: in real time it would hold the parties up
         judge.see(event)
     figures["took_s"] = time.perf_counter() - began
     return Rehearsal(log, judge.verdict(end_us), origin_us, figures)
 
 
-def _simulated(incident: Incident, seed: int, log: WireLog, app: AppFactory
-               ) -> tuple[int, int, dict[str, Any]]:
+def _simulated(
+    incident: Incident, seed: int, log: WireLog, app: AppFactory
+) -> tuple[int, int, dict[str, Any]]:
     async def play() -> tuple[int, int, dict[str, Any]]:
         drawn = draw(incident, generators(seed))
         world = SimWorld(incident, drawn, app)
@@ -78,10 +79,12 @@
         return stage.origin_us, end_us, stage.figures() | {"program_errors": []}
 
     gc.collect()
-    gc.disable()                 # a full collection holds everything up for tens of milliseconds
+    gc.disable()  # a full collection holds everything up for tens of milliseconds
     try:
-        with TemporaryDirectory(prefix="roadlb-lab-") as folder, asyncio.Runner(
-                loop_factory=uvloop.new_event_loop) as runner:
+        with (
+            TemporaryDirectory(prefix="roadlb-lab-") as folder,
+            asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner,
+        ):
             return runner.run(play(Path(folder)))
     finally:
         gc.enable()
--- a/roadlb/lab/run/relay.py
+++ b/roadlb/lab/run/relay.py
@@ -44,8 +44,8 @@
         self.other: _Side
         self.transport: asyncio.Transport | None = None
         self.full = False
-        self.ended = False                   # it has been told that nothing more comes
-        self._under_way: deque[tuple[float, bytes]] = deque()    # due, bytes; b"": the end of its writing
+        self.ended = False  # it has been told that nothing more comes
+        self._under_way: deque[tuple[float, bytes]] = deque()  # due, bytes; b"": the end of its writing
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -124,7 +124,7 @@
             else:
                 self.ended = True
                 self.transport.write_eof()
-                if self.other.ended:         # neither end writes any more
+                if self.other.ended:  # neither end writes any more
                     self.pair.close()
                     return
 
@@ -162,7 +162,7 @@
         self.near, self.far = _Side(self), _Side(self)
         self.near.other, self.far.other = self.far, self.near
         self.over = False
-        self.holds = Ways.NONE               # of this connection alone, to its end
+        self.holds = Ways.NONE  # of this connection alone, to its end
 
     def lost(self, side: _Side, error: Exception | None) -> None:
         """One end is gone; the other one is told, but not through a silent network."""
@@ -201,7 +201,7 @@
 
     balancer_hall: str
     node_hall: str
-    balancer: str = ""           # none: any
+    balancer: str = ""  # none: any
 
 
 class Relay:
@@ -211,11 +211,11 @@
         self.way, self.target, self.delay = way, target, delay
         self.address: Address = (ip, 0)
         self.silent = False
-        self.deaf = False                            # dials never come up
-        self.vanished = False                        # the node's machine is off the network
-        self.holds = Ways.NONE                       # what is sent these ways does not come through
+        self.deaf = False  # dials never come up
+        self.vanished = False  # the node's machine is off the network
+        self.holds = Ways.NONE  # what is sent these ways does not come through
         self.watch: Watch | None = None
-        self.dials = 0                               # that have come up here
+        self.dials = 0  # that have come up here
         self.pairs: dict[Pair, None] = {}
         self._listener: socket.socket | None = None
         self._accepting: asyncio.Task[None] | None = None
--- a/roadlb/lab/run/rig.py
+++ b/roadlb/lab/run/rig.py
@@ -64,11 +64,14 @@
 from .stage import Stage
 from .world import Role
 
-CHANGE = re.compile(rb"^at=(?P<at>[0-9.]+) .*\"site (?P<site>\d+): (?P<before>\w+) to (?P<after>\w+): "
-                    rb"(?P<cause>[^\"]*)", re.MULTILINE)
+CHANGE = re.compile(
+    rb"^at=(?P<at>[0-9.]+) .*\"site (?P<site>\d+): (?P<before>\w+) to (?P<after>\w+): "
+    rb"(?P<cause>[^\"]*)",
+    re.MULTILINE,
+)
 E = TypeVar("E", bound=WireEvent)
 
-GENEROUS_S = 150.0       # for what must come to pass; no verdict depends on how soon it does
+GENEROUS_S = 150.0  # for what must come to pass; no verdict depends on how soon it does
 LOOK_S = 0.1
 
 
@@ -87,17 +90,21 @@
 class Rig:
     """One deployment in real time, from `async with` to its end; nobody is left behind, whatever happens."""
 
-    def __init__(self, incident: Incident, seed: int,
-                 further: Callable[[str], Mapping[str, Any]] = lambda name: {},
-                 variables: Mapping[str, str] | None = None) -> None:
+    def __init__(
+        self,
+        incident: Incident,
+        seed: int,
+        further: Callable[[str], Mapping[str, Any]] = lambda name: {},
+        variables: Mapping[str, str] | None = None,
+    ) -> None:
         self.incident, self.seed, self.log = incident, seed, WireLog()
         self._more = More(further, variables or {})
-        self._kinds: dict[type[Any], list[Any]] = {}               # what is logged, by its kind
-        self._halls: dict[str, str] = {}                           # of nodes
-        self._read: dict[Path, int] = {}                           # bytes of balancers' logs
+        self._kinds: dict[type[Any], list[Any]] = {}  # what is logged, by its kind
+        self._halls: dict[str, str] = {}  # of nodes
+        self._read: dict[Path, int] = {}  # bytes of balancers' logs
         self._changes: list[SiteChange] = []
         self._collects = False
-        self._stopped: set[str] = set()                            # balancers, by SIGSTOP
+        self._stopped: set[str] = set()  # balancers, by SIGSTOP
         self.log.listen(self._see)
         self.children: dict[str, Child] = {}
         self.links: dict[str, Link | Datagrams] = {}
@@ -105,7 +112,7 @@
         self._folder: TemporaryDirectory[str] | None = None
         self.world: RealWorld
         self.stage: Stage
-        self.sites: dict[str, dict[str, dict[str, Any]]] = {}      # by balancer and site, as last asked
+        self.sites: dict[str, dict[str, dict[str, Any]]] = {}  # by balancer and site, as last asked
 
     async def __aenter__(self) -> Rig:
         self._folder = TemporaryDirectory(prefix="roadlb-rig-")
@@ -118,8 +125,9 @@
         self.stage = Stage(self.incident, drawn, self.world, self.log)
         try:
             await self.stage.build()
-            await self.until("all balancers ready",
-                             lambda: len(self.stage.front.taken_in) >= len(self.stage.balancers.all))
+            await self.until(
+                "all balancers ready", lambda: len(self.stage.front.taken_in) >= len(self.stage.balancers.all)
+            )
             self.stage.arrive()
         except BaseException:
             await self.__aexit__()
@@ -199,7 +207,7 @@
     def events(self, kind: type[E], since: int = 0) -> list[E]:
         """Those of one kind since then, found without a look at the rest."""
         found: list[E] = self._kinds.get(kind, [])
-        return found[bisect_left(found, since, key=lambda event: event.at):]
+        return found[bisect_left(found, since, key=lambda event: event.at) :]
 
     # What is waited for
 
@@ -219,8 +227,10 @@
     async def dealt(self) -> None:
         """The front deals to all that run, and to all of them alike: clients, who keep their connections past
         the return of a balancer, have lost them."""
-        await self.until("the front deals to all that run", lambda: (
-            {one.name for one in self.stage.balancers.running} <= set(self.stage.front.taken_in)))
+        await self.until(
+            "the front deals to all that run",
+            lambda: {one.name for one in self.stage.balancers.running} <= set(self.stage.front.taken_in),
+        )
         self.world.reset(1.0, Role.CLIENTS, None)
 
     @property
@@ -235,8 +245,11 @@
 
     def held_up_us(self, since: int, until: int) -> int:
         """For so long between these the rig stood still, and with it nodes, clients and relays."""
-        return sum(max(0, min(event.at, until) - max(event.since, since))
-                   for event in self.events(Lagged, since) if event.since < until)
+        return sum(
+            max(0, min(event.at, until) - max(event.since, since))
+            for event in self.events(Lagged, since)
+            if event.since < until
+        )
 
     def after(self, at: int, us: int) -> int:
         """So long after that clock, the rig's own hold-ups not counted: until they end, what comes is seen
@@ -265,8 +278,9 @@
     # What balancers say
 
     def states(self) -> dict[str, dict[str, str]]:
-        return {name: {site: told["state"] for site, told in sites.items()}
-                for name, sites in self.sites.items()}
+        return {
+            name: {site: told["state"] for site, told in sites.items()} for name, sites in self.sites.items()
+        }
 
     def say(self, balancer: str, site: str, *states: str) -> bool:
         """Does this balancer hold the site to be in one of these states?  `absent`: it knows none of its
@@ -283,26 +297,37 @@
         for file in self.folder.glob("*.log"):
             self._changes += self._said(file)
         self._changes.sort(key=lambda change: change.at)
-        return self._changes[bisect_left(self._changes, since, key=lambda change: change.at):]
+        return self._changes[bisect_left(self._changes, since, key=lambda change: change.at) :]
 
     def _said(self, file: Path) -> list[SiteChange]:
         """What is new in a log, up to its last whole line."""
         with file.open("rb") as log:
             log.seek(self._read.get(file, 0))
             new = log.read()
-        new = new[:new.rfind(b"\n") + 1]
+        new = new[: new.rfind(b"\n") + 1]
         self._read[file] = self._read.get(file, 0) + len(new)
         behind, halls = time.time() - monotonic_us() / 1e6, self.incident.network.halls
-        return [SiteChange(round((float(line["at"]) - behind) * 1e6), file.name.rpartition("-")[0],
-                           halls[int(line["site"])], line["before"].decode(), line["after"].decode(),
-                           line["cause"].decode(errors="replace")) for line in CHANGE.finditer(new)]
+        return [
+            SiteChange(
+                round((float(line["at"]) - behind) * 1e6),
+                file.name.rpartition("-")[0],
+                halls[int(line["site"])],
+                line["before"].decode(),
+                line["after"].decode(),
+                line["cause"].decode(errors="replace"),
+            )
+            for line in CHANGE.finditer(new)
+        ]
 
     # What nodes recorded
 
     def got(self, since: int, hall: str | None = None, method: str | None = None) -> list[NodeGot]:
         """Requests that came whole to nodes (of one hall) since then."""
-        return [event for event in self.events(NodeGot, since)
-                if hall in (None, self._halls.get(event.node)) and method in (None, event.method)]
+        return [
+            event
+            for event in self.events(NodeGot, since)
+            if hall in (None, self._halls.get(event.node)) and method in (None, event.method)
+        ]
 
     def hall_of(self, event: NodeGot) -> str:
         """Of the node that it came to."""
@@ -319,8 +344,11 @@
         once = {row.name for row in self.incident.traffic.classes if not row.repeatable}
         orders = {event.request for event in self.events(ClientSent, since) if event.class_name in once}
         counts = Counter(event.request for event in self.events(NodeGot, since) if event.request in orders)
-        counts.subtract(event.request for event in self.events(NodeGave, since)
-                        if event.request in counts and event.kind == "unprocessed")
+        counts.subtract(
+            event.request
+            for event in self.events(NodeGave, since)
+            if event.request in counts and event.kind == "unprocessed"
+        )
         return [request for request, count in counts.items() if count > 1]
 
     # Faults
@@ -336,6 +364,7 @@
         def go_on() -> None:
             for end in ends:
                 end()
+
         return go_on
 
     def cut(self, hall: str) -> Callable[[], None]:
@@ -345,9 +374,11 @@
 
     def _to(self, node_hall: str, balancers: Collection[str] | None) -> list[Relay]:
         """What stands between its nodes and balancers of other halls: these, or all."""
-        return [relay for relay in self.world.relays(node_hall=node_hall)
-                if relay.way.balancer_hall != node_hall
-                and (balancers is None or relay.way.balancer in balancers)]
+        return [
+            relay
+            for relay in self.world.relays(node_hall=node_hall)
+            if relay.way.balancer_hall != node_hall and (balancers is None or relay.way.balancer in balancers)
+        ]
 
     def mute(self, node_hall: str, balancers: Collection[str] | None = None) -> Callable[[], None]:
         """One way: its nodes hear all balancers of other halls, or these, which do not hear them; gives what
@@ -359,6 +390,7 @@
         def heal() -> None:
             for relay in relays:
                 relay.mute(False)
+
         return heal
 
     def shut(self, node_hall: str, balancers: Collection[str] | None = None) -> Callable[[], None]:
@@ -371,14 +403,17 @@
         def reopen() -> None:
             for relay in relays:
                 relay.open()
+
         return reopen
 
     def no_answers(self, node_hall: str, needle: bytes) -> Callable[[], None]:
         """On connections from balancers of other halls, nothing comes back any more from when the needle has
         been sent whole on one; gives what heals those to come."""
+
         def watch(way: Ways, data: bytes, pair: Pair) -> None:
             if way is Ways.THERE and needle in data:
                 pair.holds = Ways.BACK
+
         relays = self._to(node_hall, None)
         for relay in relays:
             relay.watch = watch
@@ -386,6 +421,7 @@
         def heal() -> None:
             for relay in relays:
                 relay.watch = None
+
         return heal
 
     def stop(self, balancer: str) -> Callable[[], None]:
@@ -397,4 +433,5 @@
         def go_on() -> None:
             one.process.signal(signal.SIGCONT)
             self._stopped.discard(balancer)
+
         return go_on
--- a/roadlb/lab/run/sim_world.py
+++ b/roadlb/lab/run/sim_world.py
@@ -21,11 +21,11 @@
 T = TypeVar("T")
 P = ParamSpec("P")
 
-START_US = 10_000_000                    # the clock's first reading: 0 stands for "never" here and there
-EPOCH_US = 1_700_000_000_000_000         # Unix time when the clock shows 0
+START_US = 10_000_000  # the clock's first reading: 0 stands for "never" here and there
+EPOCH_US = 1_700_000_000_000_000  # Unix time when the clock shows 0
 BALANCER_PORT = 8_080
-AGENT_US = 15                            # an agent stands on its balancer's machine, but does not die with it
-AppFactory = Callable[..., App]          # App's own arguments
+AGENT_US = 15  # an agent stands on its balancer's machine, but does not die with it
+AppFactory = Callable[..., App]  # App's own arguments
 
 
 class SimMachine:
@@ -68,10 +68,15 @@
     async def _program(self) -> None:
         loop, told = asyncio.get_running_loop(), asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, told.set)
-        self.app = app = self._world.app(read_config(self._limited(), {}), clock=self._world.clock,
-                                         wall=self._world.wall, cpu_us=self.host.cpu_used_us)
+        self.app = app = self._world.app(
+            read_config(self._limited(), {}),
+            clock=self._world.clock,
+            wall=self._world.wall,
+            cpu_us=self.host.cpu_used_us,
+        )
         loop.add_signal_handler(
-            signal.SIGHUP, lambda: app.reconfigure(lambda: read_config(self._limited(), {}, again=True)))
+            signal.SIGHUP, lambda: app.reconfigure(lambda: read_config(self._limited(), {}, again=True))
+        )
         await app.start()
         await told.wait()
         await app.stop()
@@ -105,7 +110,7 @@
             self._world.faults.append(f"{self.host.name}: {type(e).__name__}: {e}")
         finally:
             self._note()
-            self.host.kill(fin=True)     # whatever it held, its kernel closes
+            self.host.kill(fin=True)  # whatever it held, its kernel closes
 
     def _note(self) -> None:
         """Add up what this life's program has counted."""
@@ -119,7 +124,7 @@
 
     def __init__(self, incident: Incident, drawn: Drawn, app: AppFactory = App) -> None:
         self.loop, self.app = SimLoop.running(), app
-        self.network = Network(self.loop, abort_resets=False)      # as uvloop, on which the program runs
+        self.network = Network(self.loop, abort_resets=False)  # as uvloop, on which the program runs
         self.clock, self.random = self.loop.clock_us, self.loop.random
         self.clients: Sequence[Clients] = ()
         self.faults: list[str] = []
@@ -178,8 +183,11 @@
     def cut(self, hall: str) -> list[str]:
         self._cut.append(hall)
         self._silence()
-        crossing = [ends for ends in map(self._ends, self.network.connections())
-                    if ends[1] is Role.CLIENTS and (ends[2] == hall) != (ends[0].hall == hall)]
+        crossing = [
+            ends
+            for ends in map(self._ends, self.network.connections())
+            if ends[1] is Role.CLIENTS and (ends[2] == hall) != (ends[0].hall == hall)
+        ]
         return list(dict.fromkeys(balancer.name for balancer, _, _ in crossing))
 
     def heal(self, hall: str) -> None:
@@ -190,15 +198,18 @@
         """Two halls hear each other unless one of them is cut off; cuts may overlap."""
         sites = [(hall, _place(hall, role)) for hall in self._halls for role in (Role.NODE, Role.CLIENTS)]
         for i, (hall, site) in enumerate(sites):
-            for other, far in sites[i + 1:]:
+            for other, far in sites[i + 1 :]:
                 if parted(hall, other, self._cut):
                     self.network.cut(site, far)
                 elif hall != other:
                     self.network.heal(site, far)
 
     def reset(self, share: float, between: Role, hall: str | None) -> list[str]:
-        among = [connection for connection in self.network.connections()
-                 if (ends := self._ends(connection))[1] is between and hall in (None, ends[0].hall)]
+        among = [
+            connection
+            for connection in self.network.connections()
+            if (ends := self._ends(connection))[1] is between and hall in (None, ends[0].hall)
+        ]
         before = {connection.number for connection in among}
         self.network.reset_share(share, among)
         over = before - {connection.number for connection in self.network.connections()}
@@ -225,8 +236,12 @@
         self.network.end()
 
     def figures(self) -> dict[str, Any]:
-        return {"network_digest": self.network.digest(), "segments": self.network.taps.sequence,
-                "counters": self.counters, "faults": list(self.faults)}
+        return {
+            "network_digest": self.network.digest(),
+            "segments": self.network.taps.sequence,
+            "counters": self.counters,
+            "faults": list(self.faults),
+        }
 
 
 def _place(hall: str, role: Role) -> str:
@@ -241,4 +256,3 @@
 def generators(seed: int) -> Callable[[str], Random]:
     """The same as a loop's own, for what is drawn before there is a loop."""
     return lambda name: Random(f"{seed}/{name}")
-
--- a/roadlb/lab/run/stage.py
+++ b/roadlb/lab/run/stage.py
@@ -19,10 +19,10 @@
 from .steps import Player
 from .world import World
 
-READY_S = 90.0          # for all balancers to say that they are ready, on a busy machine too
+READY_S = 90.0  # for all balancers to say that they are ready, on a busy machine too
 LOOK_S = 0.01
-PLAYED_OUT_S = 2.0      # beyond the longest deadline, for what is open at the end
-SETTLED_S = 1.3         # after the last wish has ended, until the judge has seen all that it waits for
+PLAYED_OUT_S = 2.0  # beyond the longest deadline, for what is open at the end
+SETTLED_S = 1.3  # after the last wish has ended, until the judge has seen all that it waits for
 
 
 class _Front(Front):
@@ -49,7 +49,7 @@
         self.balancers = Balancers(incident, drawn, world, log, registry, front)
         self.crowd = Crowd(incident, drawn, world, log, front)
         self._silences = 0
-        self.origin_us = 0              # the clock when arrivals begin
+        self.origin_us = 0  # the clock when arrivals begin
 
     async def build(self) -> None:
         """The fleet and the balancers start, and no clients yet."""
@@ -113,6 +113,7 @@
             self._silences -= 1
             if not self._silences:
                 self.registry.outage(False)
+
         return end
 
     def lose(self, hall: str, held_at: int | None = None) -> Callable[[], Awaitable[None]]:
@@ -130,6 +131,7 @@
                 await self.fleet.back(node)
             for balancer in balancers:
                 self.balancers.start_again(balancer, held_at)
+
         return give_back
 
     def figures(self) -> dict[str, Any]:
--- a/roadlb/lab/run/steps.py
+++ b/roadlb/lab/run/steps.py
@@ -26,12 +26,24 @@
         self._rng = stage.world.random(f"step {number}")
         self._began_s = asyncio.get_running_loop().time()
         self._plays: dict[type[s.Step], Callable[[Any], Coroutine[Any, Any, None]]] = {
-            s.Deploy: self._deploy, s.Shrink: self._shrink, s.BalancerCrash: self._crash,
-            s.BalancerRestart: self._restart, s.BalancerDrain: self._drain,
-            s.Pause: self._pause, s.Slow: self._slow,
-            s.CutHall: self._cut_hall, s.DiscoveryOutage: self._outage, s.DiscoveryMove: self._move,
-            s.Flood: self._flood, s.Errors: self._errors, s.Spoilt: self._spoilt, s.Reset: self._reset,
-            s.Rude: self._rude, s.KillNode: self._kill, s.LoseHall: self._lose_hall}
+            s.Deploy: self._deploy,
+            s.Shrink: self._shrink,
+            s.BalancerCrash: self._crash,
+            s.BalancerRestart: self._restart,
+            s.BalancerDrain: self._drain,
+            s.Pause: self._pause,
+            s.Slow: self._slow,
+            s.CutHall: self._cut_hall,
+            s.DiscoveryOutage: self._outage,
+            s.DiscoveryMove: self._move,
+            s.Flood: self._flood,
+            s.Errors: self._errors,
+            s.Spoilt: self._spoilt,
+            s.Reset: self._reset,
+            s.Rude: self._rude,
+            s.KillNode: self._kill,
+            s.LoseHall: self._lose_hall,
+        }
 
     async def play(self, step: s.Step) -> None:
         await self._plays[type(step)](step)
@@ -117,10 +129,10 @@
         if step.what == "nodes":
             ends = [self._fleet.pause(one) for one in self._nodes(step)]
         else:
-            told = s.AtBalancers(at_s=step.at_s, share=step.share, count=step.count, hall=step.hall,
-                                 balancers=step.balancers)
-            ends = [self._balancers.pause(one)
-                    for one in chosen(told, self._balancers.running, self._rng)]
+            told = s.AtBalancers(
+                at_s=step.at_s, share=step.share, count=step.count, hall=step.hall, balancers=step.balancers
+            )
+            ends = [self._balancers.pause(one) for one in chosen(told, self._balancers.running, self._rng)]
         await self._hold(step.for_s, ends)
 
     # Balancers
@@ -135,8 +147,11 @@
             for one in whom:
                 self._balancers.start_again(one, held_at)
 
-    async def _in_turn(self, step: s.BalancerRestart | s.BalancerDrain,
-                       each: Callable[[BalancerStanding, Any], Coroutine[Any, Any, None]]) -> None:
+    async def _in_turn(
+        self,
+        step: s.BalancerRestart | s.BalancerDrain,
+        each: Callable[[BalancerStanding, Any], Coroutine[Any, Any, None]],
+    ) -> None:
         """What befalls the balancers chosen, one after another."""
         async with asyncio.TaskGroup() as group:
             for number, one in enumerate(chosen(step, self._balancers.running, self._rng)):
@@ -148,7 +163,7 @@
 
     async def _restart_one(self, one: BalancerStanding, step: s.BalancerRestart) -> None:
         if not one.runs:
-            return                       # it has crashed meanwhile, and another step has it
+            return  # it has crashed meanwhile, and another step has it
         start = one.starts
         self._balancers.terminate(one)
         await self._balancers.gone(one, step.kill_after_s)
@@ -175,6 +190,7 @@
             self._stage.world.heal(step.hall)
             self._fleet.heal(step.hall)
             self._balancers.heal(cut_off)
+
         await self._hold(step.for_s, [heal])
 
     async def _outage(self, step: s.DiscoveryOutage) -> None:
--- a/roadlb/lab/run/world.py
+++ b/roadlb/lab/run/world.py
@@ -76,7 +76,7 @@
 class World(Protocol):
     """Times are integer microseconds."""
 
-    clients: Sequence[Clients]           # told by the stage once they are there
+    clients: Sequence[Clients]  # told by the stage once they are there
 
     def clock(self) -> int: ...
 
--- a/roadlb/lab/sharing/deployment.py
+++ b/roadlb/lab/sharing/deployment.py
@@ -20,14 +20,13 @@
 from ..incident import read
 from ..run.rig import Rig
 from ..wire import BalancerState, ClientGot, ClientSent, Lagged, NodeFell, NodeGot, NodeStarted
-from .judge import (
-    GOES, Cold, Life, largest_sum, most_of_a_fall, most_of_a_quota, most_of_a_rate, settled)
+from .judge import GOES, Cold, Life, largest_sum, most_of_a_fall, most_of_a_quota, most_of_a_rate, settled
 from .record import SHORT, VARIABLE
 from .records import Records
 from .relays import Relays
 
-WATCHED, QUOTA = "watched", 60           # the customer whose quota is judged from outside, a second
-SHORT_BY = 0.4           # more than what it asks beyond its quota, less than that and what the rest ask
+WATCHED, QUOTA = "watched", 60  # the customer whose quota is judged from outside, a second
+SHORT_BY = 0.4  # more than what it asks beyond its quota, less than that and what the rest ask
 PARTS = 9
 INCIDENT = f"""
 title = "nine balancers that share"
@@ -57,7 +56,7 @@
 customer = "rest"
 """
 GENEROUS_S, LOOK_S = 150.0, 0.1
-AWAY, SAID_US = ("lost", "returning"), 100_000      # a hall's states; from a change until its line is written
+AWAY, SAID_US = ("lost", "returning"), 100_000  # a hall's states; from a change until its line is written
 
 
 class Sharers:
@@ -67,7 +66,7 @@
     def __init__(self, seed: int, defect: str = "", bounds: Mapping[str, float] | None = None) -> None:
         self.seed, self._defect, self._bounds = seed, defect, bounds or {}
         self.names = [f"balancer-{n + 1}" for n in range(PARTS)]
-        self.blocked: dict[str, Callable[[str, str], bool]] = {}      # by the fault: from whom to whom
+        self.blocked: dict[str, Callable[[str, str], bool]] = {}  # by the fault: from whom to whom
         self._relays = Relays(lambda a, b: not any(blocked(a, b) for blocked in self.blocked.values()))
         self.links = self._relays.links
         self.rig: Rig
@@ -107,8 +106,14 @@
 
     def lives(self) -> list[Life]:
         """All processes so far, and what their modules were told."""
-        return self._records.lives([(event.at, event.balancer) for event in self.rig.events(BalancerState)
-                                    if event.state in ("killed", "ended")], self.rig.now)
+        return self._records.lives(
+            [
+                (event.at, event.balancer)
+                for event in self.rig.events(BalancerState)
+                if event.state in ("killed", "ended")
+            ],
+            self.rig.now,
+        )
 
     def share(self, name: str, budget: str) -> float:
         """What this balancer's module was last told, parts of its own part; 0: it does not run, or was told
@@ -142,11 +147,22 @@
             if (node := warm.get(start.node)) is None:
                 continue
             cold = Cold(start.at, start.capacity, node.cold_share, node.warm_us)
-            most = max(most, most_of_a_fall(cold, came.get((start.node, start.started_ms), []),
-                                            spec.fall_multiple, fall_us, node.fall_each_us, lags))
+            most = max(
+                most,
+                most_of_a_fall(
+                    cold,
+                    came.get((start.node, start.started_ms), []),
+                    spec.fall_multiple,
+                    fall_us,
+                    node.fall_each_us,
+                    lags,
+                ),
+            )
         # One that falls as the rig goes on was sent in a moment what had come in all of the hold-up.
-        return most, sum(not any(since <= event.at <= end + fall_us for since, end in lags)
-                         for event in self.rig.events(NodeFell))
+        return most, sum(
+            not any(since <= event.at <= end + fall_us for since, end in lags)
+            for event in self.rig.events(NodeFell)
+        )
 
     def _lags(self) -> list[tuple[int, int]]:
         """From when until when the rig was held up."""
@@ -155,12 +171,14 @@
     def customer(self) -> float:
         """The most in any window of what the watched customer's quota is there."""
         of = {event.request for event in self.rig.events(ClientSent) if event.tenant == WATCHED}
-        served = [(event.at, event.balancer) for event in self.rig.events(ClientGot)
-                  if event.status == 200 and event.request in of]
+        served = [
+            (event.at, event.balancer)
+            for event in self.rig.events(ClientGot)
+            if event.status == 200 and event.request in of
+        ]
         states = [(event.at, event.balancer, event.state) for event in self.rig.events(BalancerState)]
         halls = {one.name: one.hall for one in self.rig.stage.balancers.all}
-        return most_of_a_quota(served, settled(states, halls, self.rig.now), QUOTA,
-                               lags=self._lags())
+        return most_of_a_quota(served, settled(states, halls, self.rig.now), QUOTA, lags=self._lags())
 
     def repeats(self) -> list[int]:
         """When nodes were sent another attempt at a request that some node had been sent already."""
@@ -179,10 +197,15 @@
         spans: dict[tuple[str, str], list[tuple[int, int]]] = {}
         since: dict[tuple[str, str], int] = {}
         halls = self.rig.incident.network.halls
-        said = [(change.at, change.balancer, change.site, change.after in AWAY)
-                for change in self.rig.changes()]
-        ends = [(event.at, event.balancer, hall, False) for event in self.rig.events(BalancerState)
-                if event.state in (*GOES, "started") and event.state != "paused" for hall in halls]
+        said = [
+            (change.at, change.balancer, change.site, change.after in AWAY) for change in self.rig.changes()
+        ]
+        ends = [
+            (event.at, event.balancer, hall, False)
+            for event in self.rig.events(BalancerState)
+            if event.state in (*GOES, "started") and event.state != "paused"
+            for hall in halls
+        ]
         for at, balancer, hall, away in sorted(said + ends):
             if away:
                 since.setdefault((balancer, hall), at)
--- a/roadlb/lab/sharing/directed.py
+++ b/roadlb/lab/sharing/directed.py
@@ -23,10 +23,10 @@
 
 Evidence: TypeAlias = dict[str, bool]
 Case: TypeAlias = Callable[[Faults], Awaitable[Evidence]]
-WITHIN_S = 1.0               # of its death, its next life
-QUEUED = 20                  # datagrams that one must find when it wakes
+WITHIN_S = 1.0  # of its death, its next life
+QUEUED = 20  # datagrams that one must find when it wakes
 HEALS, STORM_S = 6, 12.0
-MOVED = 0.02                 # of a part: a share that changes by more has moved
+MOVED = 0.02  # of a part: a share that changes by more has moved
 
 
 def life_of(faults: Faults, name: str, nth: int = -1) -> Life:
@@ -47,8 +47,9 @@
     """How often anybody's share of BUDGET changed since then."""
     count = 0
     for life in faults.nine.lives():
-        shares = [PARTS * one.shares[BUDGET][0] for one in life.told
-                  if one.at > since and BUDGET in one.shares]
+        shares = [
+            PARTS * one.shares[BUDGET][0] for one in life.told if one.at > since and BUDGET in one.shares
+        ]
         count += sum(abs(b - a) > MOVED for a, b in zip(shares, shares[1:], strict=False))
     return count
 
@@ -61,16 +62,29 @@
     gave = at(life_of(faults, one.name), died)
     await balancers.gone(one, 10)
     balancers.start_again(one)
-    born = max(event.at for event in rig.events(BalancerState)
-               if event.balancer == one.name and event.state == "started")
+    born = max(
+        event.at
+        for event in rig.events(BalancerState)
+        if event.balancer == one.name and event.state == "started"
+    )
     starts = one.starts
-    await faults.nine.until(f"{one.name} has its whole part again", lambda: len(
-        [life for life in faults.nine.lives() if life.balancer == one.name]) >= starts and at(
-            life_of(faults, one.name), rig.now) > 0.5 + ROUNDING)
-    early = [PARTS * told.shares[BUDGET][0] for told in life_of(faults, one.name).told
-             if told.at < born + LEASE_S * 1e6 - 100_000 and BUDGET in told.shares]
-    return {"it had given of its own": 0 < gave < GAVE, "back within a second": born - died < WITHIN_S * 1e6,
-            "half its part and no more until its gifts are over": max(early, default=0.0) <= 0.5 + ROUNDING}
+    await faults.nine.until(
+        f"{one.name} has its whole part again",
+        lambda: (
+            len([life for life in faults.nine.lives() if life.balancer == one.name]) >= starts
+            and at(life_of(faults, one.name), rig.now) > 0.5 + ROUNDING
+        ),
+    )
+    early = [
+        PARTS * told.shares[BUDGET][0]
+        for told in life_of(faults, one.name).told
+        if told.at < born + LEASE_S * 1e6 - 100_000 and BUDGET in told.shares
+    ]
+    return {
+        "it had given of its own": 0 < gave < GAVE,
+        "back within a second": born - died < WITHIN_S * 1e6,
+        "half its part and no more until its gifts are over": max(early, default=0.0) <= 0.5 + ROUNDING,
+    }
 
 
 async def outslept(faults: Faults) -> Evidence:
@@ -87,11 +101,13 @@
     wake()
     await nine.until(f"{name} holds others' parts again", lambda: at(life_of(faults, name), rig.now) > HOLDS)
     said = [told for told in life_of(faults, name).told if told.at > woke]
-    return {"it held others' parts": held > HOLDS,
-            "stopped for longer than a lease": woke - slept > LEASE_S * 1e6,
-            "a queue of datagrams": queued >= QUEUED,
-            "its old share beside the others' would be above the whole": sum(given) + held > PARTS,
-            "its first word after it woke": bool(said)}
+    return {
+        "it held others' parts": held > HOLDS,
+        "stopped for longer than a lease": woke - slept > LEASE_S * 1e6,
+        "a queue of datagrams": queued >= QUEUED,
+        "its old share beside the others' would be above the whole": sum(given) + held > PARTS,
+        "its first word after it woke": bool(said),
+    }
 
 
 async def healing(faults: Faults) -> Evidence:
@@ -104,8 +120,11 @@
         healed_within_lease += (rig.now - since) < LEASE_S * 1e6
         await asyncio.sleep(0.5)
         moving += moves(faults, since) > 0
-    return {"healed within a lease": healed_within_lease > HEALS / 2,
-            "shares moved": moves(faults, began) >= HEALS, "in most splits": moving > HEALS / 2}
+    return {
+        "healed within a lease": healed_within_lease > HEALS / 2,
+        "shares moved": moves(faults, began) >= HEALS,
+        "in most splits": moving > HEALS / 2,
+    }
 
 
 async def unanswered(faults: Faults) -> Evidence:
@@ -116,6 +135,7 @@
 
     def fallen() -> bool:
         return 0 < at(life_of(faults, taker), rig.now) <= 1 + ROUNDING
+
     await nine.until(f"{taker} has no more than its own", fallen)
     deaf = rig.now
     idle = PARTS - sum(at(life, deaf) for life in nine.lives() if life.ended >= deaf)
@@ -134,18 +154,23 @@
     before = {name: dict(link.counts) for name, link in nine.links.items()}
     since = rig.now
     for link in nine.links.values():
-        link.fail(lost=0.3, doubled=0.3, reordered=0.3, behind_ms=faults.random.uniform(1_000, 3_000),
-                  jitter_ms=100)
+        link.fail(
+            lost=0.3, doubled=0.3, reordered=0.3, behind_ms=faults.random.uniform(1_000, 3_000), jitter_ms=100
+        )
     await asyncio.sleep(STORM_S)
     await faults.taker()
-    count = {what: sum(link.counts[what] - before[name][what] for name, link in nine.links.items())
-             for what in ("came", "lost", "doubled", "reordered")}
+    count = {
+        what: sum(link.counts[what] - before[name][what] for name, link in nine.links.items())
+        for what in ("came", "lost", "doubled", "reordered")
+    }
     moved = moves(faults, since)
     for link in nine.links.values():
         link.heal()
-    return {"a quarter and more lost": count["lost"] > 0.25 * count["came"],
-            "doubled, and late by seconds": min(count["doubled"], count["reordered"]) > 0.1 * count["came"],
-            "shares moved all the same": moved > 0}
+    return {
+        "a quarter and more lost": count["lost"] > 0.25 * count["came"],
+        "doubled, and late by seconds": min(count["doubled"], count["reordered"]) > 0.1 * count["came"],
+        "shares moved all the same": moved > 0,
+    }
 
 
 CASES: Mapping[str, Case] = {case.__name__: case for case in (reborn, outslept, healing, unanswered, stormy)}
--- a/roadlb/lab/sharing/faults.py
+++ b/roadlb/lab/sharing/faults.py
@@ -14,12 +14,12 @@
 from ..run.balancers import Standing
 from .deployment import Sharers
 
-BUDGET = "customer 1"        # of which the givers' own clients need the least
-HOLDS, GAVE = 1.15, 0.95     # parts
-LEASE_S = 4.2                # from a gift until its giver has it back, and a little
-NODE_S = (3.0, 6.0)          # between two new starts of nodes
+BUDGET = "customer 1"  # of which the givers' own clients need the least
+HOLDS, GAVE = 1.15, 0.95  # parts
+LEASE_S = 4.2  # from a gift until its giver has it back, and a little
+NODE_S = (3.0, 6.0)  # between two new starts of nodes
 PATIENCE_S = 15.0
-LEAST = 3                    # turns of a run, however slow the machine: one of them waits for a taker
+LEAST = 3  # turns of a run, however slow the machine: one of them waits for a taker
 Turn: TypeAlias = Callable[["Faults"], Awaitable[None]]
 
 
@@ -53,8 +53,13 @@
         """Half of the links are bad."""
         for link in self.nine.links.values():
             if self.random.random() < 0.5:
-                link.fail(lost=0.3, doubled=0.2, reordered=0.1, behind_ms=self.random.uniform(100, 3_000),
-                          jitter_ms=20)
+                link.fail(
+                    lost=0.3,
+                    doubled=0.2,
+                    reordered=0.1,
+                    behind_ms=self.random.uniform(100, 3_000),
+                    jitter_ms=20,
+                )
             else:
                 link.heal()
 
@@ -94,6 +99,7 @@
             if loop.time() > calm_at:
                 self._calm()
             return bool(self._who(fits))
+
         await self.nine.until(what, there)
         return self.random.choice(self._who(fits))
 
@@ -158,11 +164,14 @@
     """Halves, 8 and 1, or one alone; both ways or one; it heals while shares move."""
     names = list(faults.nine.names)
     faults.random.shuffle(names)
-    side = set(names[:faults.random.choice((4, 1, 1))])
+    side = set(names[: faults.random.choice((4, 1, 1))])
     both = faults.random.random() < 0.7
     await faults.taker()
-    await faults.part(f"{', '.join(sorted(side))} apart{'' if both else ', one way'}",
-                      lambda a, b: (a in side) != (b in side) and (both or a in side), faults.some_s())
+    await faults.part(
+        f"{', '.join(sorted(side))} apart{'' if both else ', one way'}",
+        lambda a, b: (a in side) != (b in side) and (both or a in side),
+        faults.some_s(),
+    )
     await asyncio.sleep(faults.random.uniform(0, 1))
 
 
@@ -179,9 +188,11 @@
     await asyncio.sleep(faults.some_s())
     for one in some:
         balancers.start_again(one)
-    await faults.nine.until("all are there again", lambda: all(
-        faults.nine.share(one.name, BUDGET) > 0 for one in some))
+    await faults.nine.until(
+        "all are there again", lambda: all(faults.nine.share(one.name, BUDGET) > 0 for one in some)
+    )
 
 
-TURNS: Mapping[str, Turn] = {turn.__name__: turn for turn in (
-    late_and_cut, overtaken, reborn, asleep, split, many_killed)}
+TURNS: Mapping[str, Turn] = {
+    turn.__name__: turn for turn in (late_and_cut, overtaken, reborn, asleep, split, many_killed)
+}
--- a/roadlb/lab/sharing/judge.py
+++ b/roadlb/lab/sharing/judge.py
@@ -24,17 +24,17 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
-ROUNDING = 1e-9                  # of the whole
+ROUNDING = 1e-9  # of the whole
 WINDOW_US = 10_000_000
-SETTLED_US = 8_000_000           # 1 - 0.8**8 = 83% of a rate are known by then: at most 10% more in a window
-SOON_US = 100_000                # after a hold-up all is read that came in it
-NOTICED_US = 4_000_000           # until the front deals a dead balancer's clients to its neighbours
+SETTLED_US = 8_000_000  # 1 - 0.8**8 = 83% of a rate are known by then: at most 10% more in a window
+SOON_US = 100_000  # after a hold-up all is read that came in it
+NOTICED_US = 4_000_000  # until the front deals a dead balancer's clients to its neighbours
 # Over a window: what is not known of rates yet (10%), and what chance adds at most to some 600 answers in
 # 10,000 windows, 4 standard deviations (16%).
 ALLOWED = 1.30
 # From a decision until the request is at the node: a dial of at most 250 ms, and a turn of the CPU.
 ON_THE_WAY_US = 500_000
-BEHIND_US = 2_000_000            # what came in a hold-up of the witness is read by so long after its end
+BEHIND_US = 2_000_000  # what came in a hold-up of the witness is read by so long after its end
 
 
 @dataclass(slots=True, frozen=True)
@@ -93,8 +93,12 @@
         for at, share, n in steps:
             held[n] = share
             if (total := sum(held)) > worst.most:
-                worst = Sum(total, at, budget,
-                            tuple((lives[i].balancer, units) for i, units in enumerate(held) if units))
+                worst = Sum(
+                    total,
+                    at,
+                    budget,
+                    tuple((lives[i].balancer, units) for i, units in enumerate(held) if units),
+                )
     return worst
 
 
@@ -122,8 +126,14 @@
     return longest
 
 
-def most_of_a_fall(node: Cold, came: Sequence[tuple[int, int]], multiple: float, fall_us: int,
-                   each_us: int, lags: Sequence[tuple[int, int]] = ()) -> float:
+def most_of_a_fall(
+    node: Cold,
+    came: Sequence[tuple[int, int]],
+    multiple: float,
+    fall_us: int,
+    each_us: int,
+    lags: Sequence[tuple[int, int]] = (),
+) -> float:
     """`came`: (clock, work of a request in microseconds), in order.  The most, in any fall's time while it
     is cold, of what makes it fall; one request counts for `each_us` at most.  `lags`: from when until when
     the node itself was held up."""
@@ -140,9 +150,13 @@
     return most
 
 
-def most_of_a_quota(served: Sequence[tuple[int, str]], settled: Mapping[str, Sequence[tuple[int, int]]],
-                    quota_per_s: float, window_us: int = WINDOW_US,
-                    lags: Sequence[tuple[int, int]] = ()) -> float:
+def most_of_a_quota(
+    served: Sequence[tuple[int, str]],
+    settled: Mapping[str, Sequence[tuple[int, int]]],
+    quota_per_s: float,
+    window_us: int = WINDOW_US,
+    lags: Sequence[tuple[int, int]] = (),
+) -> float:
     """`served`: (clock, balancer) of each answer to a customer, in order; `settled`: from when until when
     each balancer's count.  The most in any window, of its quota there.
 
@@ -161,8 +175,13 @@
     return most
 
 
-def most_of_a_rate(came: Sequence[int], per_s: float, processes: Sequence[tuple[int, int]],
-                   lags: Sequence[tuple[int, int]] = (), saved_s: float = 1.0) -> float:
+def most_of_a_rate(
+    came: Sequence[int],
+    per_s: float,
+    processes: Sequence[tuple[int, int]],
+    lags: Sequence[tuple[int, int]] = (),
+    saved_s: float = 1.0,
+) -> float:
     """`came`: clocks, in order, at which nodes were sent what all together send at most `per_s` of;
     `processes`: from when until when each balancer's process ran.  The most in any time, of what is said.
 
@@ -170,19 +189,30 @@
     """
     starts, ends = (sorted(times) for times in zip(*processes, strict=True))
     ended = [end for _, end in lags]
-    began = [at - ON_THE_WAY_US - sum(end - since for since, end in lags[bisect_left(ended, at - BEHIND_US):]
-                                      if since <= at) for at in came]
-    over = [bisect_left(ends, at) for at in began]                  # so many processes had ended by then
-    ran = [bisect_right(starts, at) for at in came]                 # and so many had begun
-    return max(((n + 1 - k) / (per_s * ((came[n] - began[k]) / 1e6 + saved_s) + ran[n] - over[k])
-                for n in range(len(came)) for k in range(n + 1)), default=0.0)
+    began = [
+        at
+        - ON_THE_WAY_US
+        - sum(end - since for since, end in lags[bisect_left(ended, at - BEHIND_US) :] if since <= at)
+        for at in came
+    ]
+    over = [bisect_left(ends, at) for at in began]  # so many processes had ended by then
+    ran = [bisect_right(starts, at) for at in came]  # and so many had begun
+    return max(
+        (
+            (n + 1 - k) / (per_s * ((came[n] - began[k]) / 1e6 + saved_s) + ran[n] - over[k])
+            for n in range(len(came))
+            for k in range(n + 1)
+        ),
+        default=0.0,
+    )
 
 
 COMES, GOES = ("started", "resumed"), ("paused", "killed", "ended")
 
 
-def settled(states: Iterable[tuple[int, str, str]], halls: Mapping[str, str], end: int
-            ) -> dict[str, list[tuple[int, int]]]:
+def settled(
+    states: Iterable[tuple[int, str, str]], halls: Mapping[str, str], end: int
+) -> dict[str, list[tuple[int, int]]]:
     """From when until when each balancer's answers count.  `states`: (clock, balancer, one of COMES or GOES,
     or what changes nothing), in order; `halls`: where each is."""
     spans: dict[str, list[tuple[int, int]]] = defaultdict(list)
--- a/roadlb/lab/sharing/play.py
+++ b/roadlb/lab/sharing/play.py
@@ -14,9 +14,14 @@
 from .judge import ALLOWED, ROUNDING, Sum
 
 # Planted defects of `roadlb.lab.mutants`, and the turn that shows each.
-PLANTED = {"DeductsOnAcknowledgement": "split", "FloorBesideTheSum": "split",
-           "LeaseFromReceipt": "late_and_cut", "ForgetsItsGifts": "reborn", "TakesOldAnswers": "overtaken"}
-NOTHING = "nothing"          # befalls them
+PLANTED = {
+    "DeductsOnAcknowledgement": "split",
+    "FloorBesideTheSum": "split",
+    "LeaseFromReceipt": "late_and_cut",
+    "ForgetsItsGifts": "reborn",
+    "TakesOldAnswers": "overtaken",
+}
+NOTHING = "nothing"  # befalls them
 FOUND_S, FIND_S = 150.0, 1.0  # a planted defect must have shown by then; looked for so often
 
 
@@ -35,16 +40,24 @@
     faults: int
     late_s: float
     said: tuple[str, ...]
-    missing: tuple[str, ...] = ()        # what a directed case says must have come to pass, and did not
+    missing: tuple[str, ...] = ()  # what a directed case says must have come to pass, and did not
 
     @property
     def sound(self) -> bool:
-        return (self.shares.most <= 1 + ROUNDING and not self.fell and self.cold <= 1
-                and self.customer <= ALLOWED and not self.repeated and not self.said and not self.missing)
+        return (
+            self.shares.most <= 1 + ROUNDING
+            and not self.fell
+            and self.cold <= 1
+            and self.customer <= ALLOWED
+            and not self.repeated
+            and not self.said
+            and not self.missing
+        )
 
 
-async def play(seed: int, seconds: float, defect: str = "", turn: str = "", cases: Sequence[str] = ()
-               ) -> Outcome:
+async def play(
+    seed: int, seconds: float, defect: str = "", turn: str = "", cases: Sequence[str] = ()
+) -> Outcome:
     """Faults for so long, of all kinds in turn; or of one, until what is planted has shown; or these of
     CASES, one after the other."""
     async with Sharers(seed, defect) as nine:
@@ -62,11 +75,28 @@
         lives = nine.lives()
         cold, fell = nine.cold()
         return Outcome(
-            seed, nine.sum(),
-            PARTS * max((now for life in lives for told in life.told for name, (now, _) in told.shares.items()
-                         if name.startswith("customer")), default=0.0),
-            cold, fell, nine.customer(), len(nine.rig.repeated_orders()), faults.count, nine.rig.late_s,
-            tuple(nine.rig.world.faults), tuple(missing))
+            seed,
+            nine.sum(),
+            PARTS
+            * max(
+                (
+                    now
+                    for life in lives
+                    for told in life.told
+                    for name, (now, _) in told.shares.items()
+                    if name.startswith("customer")
+                ),
+                default=0.0,
+            ),
+            cold,
+            fell,
+            nine.customer(),
+            len(nine.rig.repeated_orders()),
+            faults.count,
+            nine.rig.late_s,
+            tuple(nine.rig.world.faults),
+            tuple(missing),
+        )
 
 
 async def _found(shows: Callable[[], bool], what: Coroutine[Any, Any, None]) -> None:
--- a/roadlb/lab/sharing/rates.py
+++ b/roadlb/lab/sharing/rates.py
@@ -15,12 +15,12 @@
 from .faults import HOLDS, TURNS, Faults
 from .judge import ROUNDING, Sum
 
-REPEATS, DIALS = 6.0, 3.0    # a second, of all together
+REPEATS, DIALS = 6.0, 3.0  # a second, of all together
 BOUNDS = {"repeats_per_s": REPEATS, "dials_per_s": DIALS}
 PLANTED = {"RepeatsAreFree": "repeats", "DialsAreFree": "dials", "TakesTheWhole": "repeats"}
 ERRORS, HALL = 0.33, "hall-b"
-PRESSED_S = 6.0              # that nodes answer errors, at least
-MANY = 30                    # repeats without which nothing was pressed
+PRESSED_S = 6.0  # that nodes answer errors, at least
+MANY = 30  # repeats without which nothing was pressed
 FOUND_S = 150.0
 
 
@@ -58,6 +58,7 @@
         def end() -> None:
             for each in ends:
                 each()
+
         return end
 
     async def lose(self) -> None:
@@ -67,8 +68,10 @@
         relays = rig.world.relays(node_hall=HALL)
         for relay in relays:
             relay.close()
-        await rig.until(f"most hold {HALL} for lost", lambda: sum(
-            rig.say(name, HALL, *AWAY) for name in rig.sites) > PARTS / 2)
+        await rig.until(
+            f"most hold {HALL} for lost",
+            lambda: sum(rig.say(name, HALL, *AWAY) for name in rig.sites) > PARTS / 2,
+        )
         for relay in relays:
             relay.open()
 
@@ -86,8 +89,9 @@
         return self.nine.most_of(came, DIALS), len(came)
 
 
-async def play_rates(seed: int, defect: str = "", turns: tuple[str, ...] = ("split", "asleep", "reborn")
-                     ) -> Rates:
+async def play_rates(
+    seed: int, defect: str = "", turns: tuple[str, ...] = ("split", "asleep", "reborn")
+) -> Rates:
     """Without a defect: both kinds, and turns of faults in each.  With one: until it shows, no faults."""
     async with Sharers(seed, defect, BOUNDS) as nine:
         pressed, faults = Pressed(nine), Faults(nine, seed)
@@ -96,11 +100,26 @@
         else:
             await _under_faults(pressed, faults, turns)
         repeats, dials, lives = pressed.repeats(), pressed.dials(), nine.lives()
-        moved = max((PARTS * now for life in lives for told in life.told
-                     for name, (now, _) in told.shares.items() if name.startswith(("repeats", "dials"))),
-                    default=0.0)
-        return Rates(seed, *repeats, *dials, moved, nine.sum(), faults.count, nine.rig.late_s,
-                     tuple(nine.rig.world.faults))
+        moved = max(
+            (
+                PARTS * now
+                for life in lives
+                for told in life.told
+                for name, (now, _) in told.shares.items()
+                if name.startswith(("repeats", "dials"))
+            ),
+            default=0.0,
+        )
+        return Rates(
+            seed,
+            *repeats,
+            *dials,
+            moved,
+            nine.sum(),
+            faults.count,
+            nine.rig.late_s,
+            tuple(nine.rig.world.faults),
+        )
 
 
 async def _under_faults(pressed: Pressed, faults: Faults, turns: tuple[str, ...]) -> None:
@@ -111,8 +130,10 @@
     await asyncio.sleep(max(0.0, began + PRESSED_S - loop.time()))
     nine = pressed.nine
     await nine.until("nodes were sent many repeats", lambda: pressed.repeats()[1] >= MANY)
-    await nine.until("somebody holds others' parts of them", lambda: any(
-        nine.share(name, "repeats") > HOLDS for name in nine.names))
+    await nine.until(
+        "somebody holds others' parts of them",
+        lambda: any(nine.share(name, "repeats") > HOLDS for name in nine.names),
+    )
     end()
     await pressed.lose()
     for turn in turns:
--- a/roadlb/lab/sharing/record.py
+++ b/roadlb/lab/sharing/record.py
@@ -20,7 +20,7 @@
 from ...policy.logic import Balancer
 
 VARIABLE, SHORT = "ROADLB_SHARES", "ROADLB_SHORT"
-FAR = 1 << 61                # of the clock: when every lease is over
+FAR = 1 << 61  # of the clock: when every lease is over
 
 
 def shares(module: Balancer, now: int, told: Heard, halls: int) -> dict[str, tuple[float, float]]:
@@ -33,12 +33,15 @@
             return (1 / held.parts,) * 2
         least = min(share, told.floor)
         return (least if 0 < told.until <= now else share), least
+
     for number in range(len(module.s.tenants)):
         found[f"customer {number}"] = 1 / held.of_quota(now, number), 1 / held.of_quota(FAR, number)
     for server in module.servers.values():
         if server.part(module.warmth, now) < 1:
-            found[f"{server.id.hex()} {server.born}"] = (1 / held.of_cold(now, server.id),
-                                                         1 / held.of_cold(FAR, server.id))
+            found[f"{server.id.hex()} {server.born}"] = (
+                1 / held.of_cold(now, server.id),
+                1 / held.of_cold(FAR, server.id),
+            )
     if told.repeats_per_s:
         found["repeats"] = of_rate(told.repeats)
     if told.dials_per_s:
@@ -68,8 +71,16 @@
         if isinstance(event, Heard):
             last = event
         if last is None:
-            return actions       # it serves nobody until it has heard of what its earlier life gave
-        os.write(file, (json.dumps({"at": at, "done": done, "until": last.until,
-                                    "shares": shares(module, done, last, halls)}) + "\n").encode())
+            return actions  # it serves nobody until it has heard of what its earlier life gave
+        os.write(
+            file,
+            (
+                json.dumps(
+                    {"at": at, "done": done, "until": last.until, "shares": shares(module, done, last, halls)}
+                )
+                + "\n"
+            ).encode(),
+        )
         return actions
+
     setattr(Balancer, "handle", watched)  # noqa: B010
--- a/roadlb/lab/sharing/records.py
+++ b/roadlb/lab/sharing/records.py
@@ -14,14 +14,19 @@
 
     def __init__(self, folder: Path) -> None:
         self._folder = folder
-        self._read: dict[Path, tuple[int, list[Told]]] = {}      # so many bytes, and what they say
+        self._read: dict[Path, tuple[int, list[Told]]] = {}  # so many bytes, and what they say
 
     def lives(self, ended: Iterable[tuple[int, str]], now: int) -> list[Life]:
         """`ended`: when which balancer's process did; one that has not lives until `now`."""
         ends = list(ended)
-        return [Life(name, self._told(file),
-                     min((at for at, whose in ends if whose == name and at > began), default=now))
-                for name, began, file in self._files("*")]
+        return [
+            Life(
+                name,
+                self._told(file),
+                min((at for at, whose in ends if whose == name and at > began), default=now),
+            )
+            for name, began, file in self._files("*")
+        ]
 
     def newest(self, balancer: str) -> tuple[int, list[Told]]:
         """How many processes of it there have been, and what the last one was told."""
@@ -39,10 +44,16 @@
         with file.open("rb") as lines:
             lines.seek(where)
             new = lines.read()
-        whole = new[:new.rfind(b"\n") + 1]
+        whole = new[: new.rfind(b"\n") + 1]
         for line in whole.splitlines():
             raw = json.loads(line)
-            told.append(Told(raw["at"], raw["done"], raw["until"],
-                             {name: (now, then) for name, (now, then) in raw["shares"].items()}))
+            told.append(
+                Told(
+                    raw["at"],
+                    raw["done"],
+                    raw["until"],
+                    {name: (now, then) for name, (now, then) in raw["shares"].items()},
+                )
+            )
         self._read[file] = where + len(whole), told
         return told
--- a/roadlb/lab/sharing/relays.py
+++ b/roadlb/lab/sharing/relays.py
@@ -43,15 +43,20 @@
         def there(data: bytes, sender: tuple[str, int]) -> None:
             if self._passes(self._by_port.get(sender[1], ""), name):
                 pass_on(data, sender)
+
         link.there = there  # type: ignore[method-assign]
 
     def peers(self, name: str, cluster: str, each: int) -> dict[str, Any]:
         """This part of the balancer's configuration, with each so-manieth as a seed; it may bind its port."""
         if (held := self._reserved.pop(name, None)) is not None:
             held.close()
-        return {"listen": f"{LISTEN}:{self._ports[name]}", "key": KEY, "cluster": cluster,
-                "advertise": "{}:{}".format(*self.links[name].address),
-                "seeds": ["{}:{}".format(*link.address) for link in list(self.links.values())[::each]]}
+        return {
+            "listen": f"{LISTEN}:{self._ports[name]}",
+            "key": KEY,
+            "cluster": cluster,
+            "advertise": "{}:{}".format(*self.links[name].address),
+            "seeds": ["{}:{}".format(*link.address) for link in list(self.links.values())[::each]],
+        }
 
     def end(self) -> None:
         for link in self.links.values():
--- a/roadlb/lab/sim/__init__.py
+++ b/roadlb/lab/sim/__init__.py
@@ -10,5 +10,18 @@
 from .tcp import Connection
 from .transport import SimTransport
 
-__all__ = ["Connection", "Deadlock", "Host", "HostDown", "Link", "Livelock", "Network", "NotSimulated",
-           "Seen", "SimError", "SimLoop", "SimSocket", "SimTransport"]
+__all__ = [
+    "Connection",
+    "Deadlock",
+    "Host",
+    "HostDown",
+    "Link",
+    "Livelock",
+    "Network",
+    "NotSimulated",
+    "Seen",
+    "SimError",
+    "SimLoop",
+    "SimSocket",
+    "SimTransport",
+]
--- a/roadlb/lab/sim/cpu.py
+++ b/roadlb/lab/sim/cpu.py
@@ -9,7 +9,7 @@
 # Microseconds of CPU for one callback: a figure, or drawn for each from the host's own generator.
 Cost: TypeAlias = int | Callable[[Random], int]
 
-PERIOD_US = 100_000        # of Linux's bandwidth control, unless told otherwise
+PERIOD_US = 100_000  # of Linux's bandwidth control, unless told otherwise
 
 
 class Cpu:
@@ -21,8 +21,8 @@
             raise ValueError(f"cores={cores}, period_us={period_us}: both must be positive")
         self._cost, self._rng = cost, rng
         self._period, self._quota = period_us, max(1, int(cores * period_us))
-        self._at, self._used = 0, 0        # the period looked at, and what was used of it
-        self.used_us = 0                   # by all callbacks so far
+        self._at, self._used = 0, 0  # the period looked at, and what was used of it
+        self.used_us = 0  # by all callbacks so far
 
     def end(self, now: int) -> int:
         """When one more callback that begins now is done."""
--- a/roadlb/lab/sim/datagrams.py
+++ b/roadlb/lab/sim/datagrams.py
@@ -20,15 +20,16 @@
     from .network import Network
     from .route import Route
 
-READ_MOST = 256 * 1024       # asyncio's own
-LARGEST = 65_507             # bytes that an IPv4 datagram can carry
+READ_MOST = 256 * 1024  # asyncio's own
+LARGEST = 65_507  # bytes that an IPv4 datagram can carry
 
 
 class DatagramSocket:
     """A host's UDP socket.  What comes while `receive_buffer` bytes lie unread is lost, as in a kernel."""
 
-    def __init__(self, network: Network, host: Host, ip: str, port: int,
-                 remote: tuple[str, int] | None) -> None:
+    def __init__(
+        self, network: Network, host: Host, ip: str, port: int, remote: tuple[str, int] | None
+    ) -> None:
         self.network, self.host, self.ip, self.port, self.remote = network, host, ip, port, remote
         self.watcher: SimDatagramTransport | None = None
         self.queue: deque[tuple[bytes, Address]] = deque()
@@ -58,9 +59,10 @@
                 continue
             part = data
             if link.cut_short and rng.random() < link.cut_short:
-                part = data[:rng.randrange(len(data))]
-            network.loop.kernel_at(route.arrival(len(part)),
-                                   partial(self._arrive, route, part, source, ip, port))
+                part = data[: rng.randrange(len(data))]
+            network.loop.kernel_at(
+                route.arrival(len(part)), partial(self._arrive, route, part, source, ip, port)
+            )
 
     def _arrive(self, route: Route, data: bytes, source: str, ip: str, port: int) -> None:
         if route.silent:
@@ -68,8 +70,9 @@
         sockets = route.target.datagram_sockets
         found = sockets.get((ip, port)) or sockets.get(("0.0.0.0", port)) or sockets.get(("::", port))
         if found is not None and found.remote in (None, (source, self.port)):
-            self.network.taps.seen(route.loop.now_us, "datagram", 0, f"{source}:{self.port}", f"{ip}:{port}",
-                                   data)
+            self.network.taps.seen(
+                route.loop.now_us, "datagram", 0, f"{source}:{self.port}", f"{ip}:{port}", data
+            )
             found.take(data, address(source, self.port))
         elif self.remote is not None:
             self.network.route(route.target, self.host).carry(self._refused)
@@ -103,8 +106,14 @@
 class SimDatagramTransport(asyncio.DatagramTransport):
     """As asyncio's, one datagram each turn; `max_size`, bytes read of each, may be set."""
 
-    def __init__(self, loop: SimLoop, socket: DatagramSocket, protocol: asyncio.DatagramProtocol,
-                 context: Context, waiter: asyncio.Future[None]) -> None:
+    def __init__(
+        self,
+        loop: SimLoop,
+        socket: DatagramSocket,
+        protocol: asyncio.DatagramProtocol,
+        context: Context,
+        waiter: asyncio.Future[None],
+    ) -> None:
         super().__init__()
         self.max_size = READ_MOST
         self._loop, self._socket, self._protocol, self._context = loop, socket, protocol, context
@@ -193,9 +202,20 @@
 
 
 async def create_datagram_endpoint(
-        network: Network, host: Host, context: Context, factory: Any, local_addr: Any, remote_addr: Any, *,
-        family: int = 0, proto: int = 0, flags: int = 0, sock: Any = None, reuse_port: bool | None = None,
-        allow_broadcast: bool | None = None) -> tuple[SimDatagramTransport, Any]:
+    network: Network,
+    host: Host,
+    context: Context,
+    factory: Any,
+    local_addr: Any,
+    remote_addr: Any,
+    *,
+    family: int = 0,
+    proto: int = 0,
+    flags: int = 0,
+    sock: Any = None,
+    reuse_port: bool | None = None,
+    allow_broadcast: bool | None = None,
+) -> tuple[SimDatagramTransport, Any]:
     """See asyncio's; a socket of one's own, shared ports and broadcast are refused."""
     for name, value in (("sock", sock), ("reuse_port", reuse_port), ("allow_broadcast", allow_broadcast)):
         if value:
@@ -204,6 +224,7 @@
     def look_up(at: Any) -> tuple[str, int]:
         found: Address = network.names.look_up(at[0], at[1], family)[0][4]
         return found[0], found[1]
+
     remote = look_up(remote_addr) if remote_addr else None
     if local_addr:
         ip, port = look_up(local_addr)
--- a/roadlb/lab/sim/dial.py
+++ b/roadlb/lab/sim/dial.py
@@ -18,8 +18,8 @@
 # What becomes of a dial: `accept` where somebody listens, `refuse` (a reset answers), `ignore` (silence).
 Verdict: TypeAlias = Literal["accept", "refuse", "ignore"]
 
-SYN_AGAIN_US = 1_000_000      # Linux dials again after 1 s, then after twice as long each time ...
-SYN_TRIES = 7                 # ... and gives up 127 s after the first
+SYN_AGAIN_US = 1_000_000  # Linux dials again after 1 s, then after twice as long each time ...
+SYN_TRIES = 7  # ... and gives up 127 s after the first
 
 
 class Listener:
@@ -57,14 +57,15 @@
 class Dial:
     """One `connect()`: `answer` gets the client's end, or the error that the call ends with."""
 
-    def __init__(self, network: Network, host: Host, ip: str, port: int, target_ip: str,
-                 target_port: int) -> None:
+    def __init__(
+        self, network: Network, host: Host, ip: str, port: int, target_ip: str, target_port: int
+    ) -> None:
         self.network, self.loop, self.host = network, network.loop, host
         self.ip, self.port, self.target_ip, self.target_port = ip, port, target_ip, target_port
         self.answer: asyncio.Future[End] = self.loop.create_future()
         self._tries = 0
-        self._over = False                 # connected, failed or given up
-        self._given_up = False             # the program has closed the socket meanwhile
+        self._over = False  # connected, failed or given up
+        self._given_up = False  # the program has closed the socket meanwhile
         self._connection: Connection | None = None
         self._target = network.machine(host, target_ip)
         host.dials[self] = None
@@ -108,7 +109,7 @@
         if self.network.route(self.host, target).silent:
             return
         if self._connection is not None:
-            self._answer(self._syn_ack)         # the first answer was lost, or is on its way
+            self._answer(self._syn_ack)  # the first answer was lost, or is on its way
             return
         verdict = self.network.verdict(self.host, target, self.target_port)
         listener = target.listener(self.target_ip, self.target_port)
@@ -118,8 +119,13 @@
             elif listener.full():
                 verdict = listener.when_full
         if verdict == "refuse":
-            self.network.taps.seen(self.loop.now_us, "refuse", 0, f"{self.ip}:{self.port}",
-                                   f"{self.target_ip}:{self.target_port}")
+            self.network.taps.seen(
+                self.loop.now_us,
+                "refuse",
+                0,
+                f"{self.ip}:{self.port}",
+                f"{self.target_ip}:{self.target_port}",
+            )
             self._answer(self._refused)
         elif verdict == "accept" and listener is not None:
             self._connect(target, listener)
--- a/roadlb/lab/sim/errors.py
+++ b/roadlb/lab/sim/errors.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from typing import Any, NoReturn
 
-TASKS_MOST = 20        # tasks named in one error
+TASKS_MOST = 20  # tasks named in one error
 
 
 class SimError(RuntimeError):
@@ -35,8 +35,9 @@
 
 def waiting(tasks: Iterable[asyncio.Task[Any]]) -> str:
     """One line for each task that is not done: its name, and the place where it waits."""
-    pending = sorted((task for task in tasks if not task.done()),
-                     key=lambda task: (len(task.get_name()), task.get_name()))
+    pending = sorted(
+        (task for task in tasks if not task.done()), key=lambda task: (len(task.get_name()), task.get_name())
+    )
     lines = [f"  {task.get_name()} waits in {_place(task.get_coro())}" for task in pending[:TASKS_MOST]]
     if len(pending) > TASKS_MOST:
         lines.append(f"  and {len(pending) - TASKS_MOST} more tasks")
--- a/roadlb/lab/sim/handles.py
+++ b/roadlb/lab/sim/handles.py
@@ -19,10 +19,11 @@
     """A callback that `call_soon` queued.  asyncio's own fields stay unset: each method is replaced."""
 
     __slots__ = ("callback", "args", "context", "life", "dropped")
-    polled = False         # does the loop learn of it when it polls, behind what was queued in its turn?
+    polled = False  # does the loop learn of it when it polls, behind what was queued in its turn?
 
-    def __init__(self, callback: Callable[..., object], args: tuple[Any, ...], context: Context,
-                 life: Life) -> None:
+    def __init__(
+        self, callback: Callable[..., object], args: tuple[Any, ...], context: Context, life: Life
+    ) -> None:
         self.callback, self.args, self.context, self.life = callback, args, context, life
         self.dropped = False
 
@@ -52,11 +53,12 @@
     __slots__ = ("callback", "args", "context", "life", "dropped", "due", "waits")
     polled = True
 
-    def __init__(self, due: float, callback: Callable[..., object], args: tuple[Any, ...], context: Context,
-                 life: Life) -> None:
+    def __init__(
+        self, due: float, callback: Callable[..., object], args: tuple[Any, ...], context: Context, life: Life
+    ) -> None:
         self.callback, self.args, self.context, self.life = callback, args, context, life
         self.dropped, self.due = False, due
-        self.waits = True          # still on the loop's heap
+        self.waits = True  # still on the loop's heap
 
     def cancel(self) -> None:
         if not self.dropped and self.waits:
@@ -88,7 +90,7 @@
     """A task whose hash is its number, so that a set of tasks is walked in the same order in every run."""
 
     def __init__(self, number: int, life: Life, coro: Any, **options: Any) -> None:
-        self.number, self.life = number, life       # first, as a task is hashed while it is made
+        self.number, self.life = number, life  # first, as a task is hashed while it is made
         super().__init__(coro, **options)
 
     def __hash__(self) -> int:
--- a/roadlb/lab/sim/host.py
+++ b/roadlb/lab/sim/host.py
@@ -23,7 +23,7 @@
 T = TypeVar("T")
 P = ParamSpec("P")
 
-EPHEMERAL = range(32_768, 61_000)       # Linux's ports for who asks for none
+EPHEMERAL = range(32_768, 61_000)  # Linux's ports for who asks for none
 ANY = ("0.0.0.0", "::")
 
 
@@ -38,8 +38,17 @@
     `deferred_writes`: transports made from now on write at the turn's end, as uvloop's.
     """
 
-    def __init__(self, network: Network, name: str, ip: str, hall: str, *, deferred_writes: bool,
-                 send_buffer: int, receive_buffer: int) -> None:
+    def __init__(
+        self,
+        network: Network,
+        name: str,
+        ip: str,
+        hall: str,
+        *,
+        deferred_writes: bool,
+        send_buffer: int,
+        receive_buffer: int,
+    ) -> None:
         self.network, self.loop = network, network.loop
         self.name, self.ip, self.hall = name, ip, hall
         self.deferred_writes = deferred_writes
@@ -47,14 +56,14 @@
         self.descriptors = self.descriptors_open = 0
         self.dials_answered: Verdict = "accept"
         self.when_full: Verdict = "ignore"
-        self.gone = False                      # no segment gets to it or from it
+        self.gone = False  # no segment gets to it or from it
         self.rng = self.loop.random(f"host {name}")
         self.listeners: dict[tuple[str, int], Listener] = {}
         self.datagram_sockets: dict[tuple[str, int], DatagramSocket] = {}
-        self.dials: dict[Dial, None] = {}      # under way
+        self.dials: dict[Dial, None] = {}  # under way
         self._cpu: Cpu | None = None
         self._next_port = EPHEMERAL.start
-        self._ports: set[int] = set()          # in use, by connections that it dialled
+        self._ports: set[int] = set()  # in use, by connections that it dialled
         self.life = Life(self.loop, self)
 
     def __repr__(self) -> str:
@@ -184,8 +193,12 @@
 
     def ends(self) -> list[End]:
         """Its ends of all connections that are not over, oldest first."""
-        return [end for connection in self.network.connections()
-                for end in (connection.client, connection.server) if end.host is self]
+        return [
+            end
+            for connection in self.network.connections()
+            for end in (connection.client, connection.server)
+            if end.host is self
+        ]
 
     def take_descriptor(self) -> None:
         if self.descriptors and self.descriptors_open >= self.descriptors:
@@ -217,15 +230,20 @@
         """An address that its sockets may have, else OSError; any port for 0."""
         ip = ip or ANY[0]
         if ip not in (*ANY, self.ip) and not is_loopback(ip):
-            raise OSError(errno.EADDRNOTAVAIL, f"error while attempting to bind on address ({ip!r}, {port}): "
-                          f"cannot assign requested address, as {self.name} has {self.ip}")
+            raise OSError(
+                errno.EADDRNOTAVAIL,
+                f"error while attempting to bind on address ({ip!r}, {port}): "
+                f"cannot assign requested address, as {self.name} has {self.ip}",
+            )
         return ip, port or self.port()
 
     def listen(self, ip: str, port: int, backlog: int) -> Listener:
         ip, port = self.bindable(ip, port)
         if any(taken == port and (at == ip or at in ANY or ip in ANY) for at, taken in self.listeners):
-            raise OSError(errno.EADDRINUSE, f"error while attempting to bind on address ({ip!r}, {port}): "
-                          "address already in use")
+            raise OSError(
+                errno.EADDRINUSE,
+                f"error while attempting to bind on address ({ip!r}, {port}): address already in use",
+            )
         self.take_descriptor()
         listener = self.listeners[ip, port] = Listener(self, ip, port, backlog, self.when_full)
         return listener
--- a/roadlb/lab/sim/life.py
+++ b/roadlb/lab/sim/life.py
@@ -27,25 +27,41 @@
     all others run straight from the loop's queue.
     """
 
-    __slots__ = ("loop", "host", "held", "dead", "stopped", "signals", "turn_ends", "_cpu", "_soon",
-                 "_polled", "_turn", "_current", "_reasons", "_overrun", "_awake", "_wake",
-                 "_watched")
+    __slots__ = (
+        "loop",
+        "host",
+        "held",
+        "dead",
+        "stopped",
+        "signals",
+        "turn_ends",
+        "_cpu",
+        "_soon",
+        "_polled",
+        "_turn",
+        "_current",
+        "_reasons",
+        "_overrun",
+        "_awake",
+        "_wake",
+        "_watched",
+    )
 
     def __init__(self, loop: SimLoop, host: Host | None, cpu: Cpu | None = None) -> None:
         self.loop, self.host, self._cpu = loop, host, cpu
         self.dead = self.stopped = False
         self.held = cpu is not None
         self.signals: dict[int, tuple[Callable[..., object], tuple[object, ...]]] = {}
-        self.turn_ends: list[Queued] = []           # run when a turn of this life ends
-        self._soon: deque[Queued] = deque()         # queued by its own callbacks, for the next turn
-        self._polled: deque[Queued] = deque()       # timers and sockets that its next poll finds
-        self._turn: deque[Queued] = deque()         # left of the turn that is on
-        self._current: Queued | None = None         # on the CPU
-        self._reasons: set[object] = set()          # why it is stopped
-        self._overrun = False                       # its time was up while the life was stopped
-        self._awake = False                         # a callback is on the CPU, or `_wake` is queued
+        self.turn_ends: list[Queued] = []  # run when a turn of this life ends
+        self._soon: deque[Queued] = deque()  # queued by its own callbacks, for the next turn
+        self._polled: deque[Queued] = deque()  # timers and sockets that its next poll finds
+        self._turn: deque[Queued] = deque()  # left of the turn that is on
+        self._current: Queued | None = None  # on the CPU
+        self._reasons: set[object] = set()  # why it is stopped
+        self._overrun = False  # its time was up while the life was stopped
+        self._awake = False  # a callback is on the CPU, or `_wake` is queued
         self._wake: SimHandle | None = None
-        self._watched: dict[asyncio.Future[Any], str] = {}      # who waits for tasks, and their names
+        self._watched: dict[asyncio.Future[Any], str] = {}  # who waits for tasks, and their names
 
     def __repr__(self) -> str:
         return f"{self.host.name if self.host else 'the rehearsal'}{' (dead)' if self.dead else ''}"
@@ -97,6 +113,7 @@
         def given_up(waiter: asyncio.Future[T]) -> None:
             if waiter.cancelled():
                 task.cancel()
+
         self._watched[waiter] = task.get_name()
         task.add_done_callback(ended, context=Context())
         waiter.add_done_callback(given_up, context=Context())
@@ -119,7 +136,7 @@
         for waiter, name in self._watched.items():
             if not waiter.done():
                 waiter.set_exception(HostDown(f"{self.host and self.host.name} died while it ran {name}"))
-                waiter.exception()         # known: no word of it where nobody waits
+                waiter.exception()  # known: no word of it where nobody waits
         self._watched.clear()
 
     def _wake_up(self) -> None:
--- a/roadlb/lab/sim/loop.py
+++ b/roadlb/lab/sim/loop.py
@@ -34,9 +34,9 @@
 
 # A time on the clock is a whole number of microseconds; `when * 1e6` misses it by less than this below 1e12.
 FLOAT_NOISE_US = 1e-3
-COMPACT_FROM = 1_000     # dropped timers on the heap before it is worth rebuilding
-TASKS_KEPT = 1_000       # tasks, done or not, before those that are done are let go of
-UNWOUND_AFTER = 5        # times that a coroutine is told to end
+COMPACT_FROM = 1_000  # dropped timers on the heap before it is worth rebuilding
+TASKS_KEPT = 1_000  # tasks, done or not, before those that are done are let go of
+UNWOUND_AFTER = 5  # times that a coroutine is told to end
 FOREVER = math.inf
 
 
@@ -59,17 +59,17 @@
 
     def __init__(self, seed: int, *, start_us: int = 0, most_turns: int = 100_000) -> None:
         self.seed, self.now_us = seed, start_us
-        self.network: Network | None = None          # set by Network
-        self.outside = Life(self, None)              # what runs in the name of no host
+        self.network: Network | None = None  # set by Network
+        self.outside = Life(self, None)  # what runs in the name of no host
         self._most_turns = most_turns
         self._heap: list[tuple[int, int, SimTimer | None, Callable[[], None] | None]] = []
-        self._pushed = 0                             # the sequence number of the heap's newest entry
-        self._dropped = 0                            # cancelled timers that the heap still holds
-        self._queue: deque[Queued] = deque()         # this turn's callbacks, and the next one's
-        self._found: list[Queued] = []               # sockets that the next poll finds ready
+        self._pushed = 0  # the sequence number of the heap's newest entry
+        self._dropped = 0  # cancelled timers that the heap still holds
+        self._queue: deque[Queued] = deque()  # this turn's callbacks, and the next one's
+        self._found: list[Queued] = []  # sockets that the next poll finds ready
         self._polling = False
         self._turn_ends: list[Queued] = []
-        self._buried: list[SimTask] = []             # tasks of dead hosts: kept, so that they never unwind
+        self._buried: list[SimTask] = []  # tasks of dead hosts: kept, so that they never unwind
         # Held here, a task that its maker has dropped ends when the seed says, not when garbage is collected.
         self._tasks: list[SimTask] = []
         self._made, self._look_through = 0, TASKS_KEPT
@@ -102,8 +102,12 @@
 
     # Queueing
 
-    def call_soon(self, callback: Callable[..., object], *args: Any,  # type: ignore[override]
-                  context: Context | None = None) -> SimHandle:
+    def call_soon(  # type: ignore[override]
+        self,
+        callback: Callable[..., object],
+        *args: Any,
+        context: Context | None = None,
+    ) -> SimHandle:
         if self._over:
             raise RuntimeError("Event loop is closed")
         if context is None:
@@ -112,29 +116,51 @@
         self._queue.append(handle)
         return handle
 
-    def call_soon_threadsafe(self, callback: Callable[..., object], *args: Any,  # type: ignore[override]
-                             context: Context | None = None) -> SimHandle:
+    def call_soon_threadsafe(  # type: ignore[override]
+        self,
+        callback: Callable[..., object],
+        *args: Any,
+        context: Context | None = None,
+    ) -> SimHandle:
         if self._thread and threading.get_ident() != self._thread:
-            raise NotSimulated("call_soon_threadsafe from another thread: when it comes is not the seed's "
-                               "choice; let the work of threads be a party on the loop")
+            raise NotSimulated(
+                "call_soon_threadsafe from another thread: when it comes is not the seed's "
+                "choice; let the work of threads be a party on the loop"
+            )
         return self.call_soon(callback, *args, context=context)
 
-    def call_at(self, when: float, callback: Callable[..., object], *args: Any,  # type: ignore[override]
-                context: Context | None = None) -> SimTimer:
+    def call_at(  # type: ignore[override]
+        self,
+        when: float,
+        callback: Callable[..., object],
+        *args: Any,
+        context: Context | None = None,
+    ) -> SimTimer:
         at = when if when == FOREVER else math.ceil(when * 1e6 - FLOAT_NOISE_US)
         if at <= self.now_us < when * 1e6:
-            at = self.now_us + 1      # else who finds itself a rounding error early would try again for ever
+            at = self.now_us + 1  # else who finds itself a rounding error early would try again for ever
         return self._call_at(at, when, callback, args, context)
 
-    def call_later(self, delay: float, callback: Callable[..., object],  # type: ignore[override]
-                   *args: Any, context: Context | None = None) -> SimTimer:
+    def call_later(  # type: ignore[override]
+        self,
+        delay: float,
+        callback: Callable[..., object],
+        *args: Any,
+        context: Context | None = None,
+    ) -> SimTimer:
         at = delay if delay == FOREVER else self.now_us + math.ceil(delay * 1e6 - FLOAT_NOISE_US)
         if delay > 0 and at <= self.now_us:
-            at = self.now_us + 1      # as in call_at
+            at = self.now_us + 1  # as in call_at
         return self._call_at(at, self.now_us / 1e6 + delay, callback, args, context)
 
-    def _call_at(self, at: float, when: float, callback: Callable[..., object], args: tuple[Any, ...],
-                 context: Context | None) -> SimTimer:
+    def _call_at(
+        self,
+        at: float,
+        when: float,
+        callback: Callable[..., object],
+        args: tuple[Any, ...],
+        context: Context | None,
+    ) -> SimTimer:
         if self._over:
             raise RuntimeError("Event loop is closed")
         if context is None:
@@ -178,8 +204,13 @@
         except (SystemExit, KeyboardInterrupt):
             raise
         except BaseException as error:
-            self.call_exception_handler({"message": f"Exception in callback {handle.callback!r}",
-                                         "exception": error, "handle": handle})
+            self.call_exception_handler(
+                {
+                    "message": f"Exception in callback {handle.callback!r}",
+                    "exception": error,
+                    "handle": handle,
+                }
+            )
 
     # Turns
 
@@ -230,9 +261,13 @@
                     except (SystemExit, KeyboardInterrupt):
                         raise
                     except BaseException as error:
-                        self.call_exception_handler({
-                            "message": f"Exception in callback {handle.callback!r}", "exception": error,
-                            "handle": handle})
+                        self.call_exception_handler(
+                            {
+                                "message": f"Exception in callback {handle.callback!r}",
+                                "exception": error,
+                                "handle": handle,
+                            }
+                        )
             if self._turn_ends:
                 self._end_turn()
             if self._halt:
@@ -258,7 +293,8 @@
                 f"at {self.now_us} us nothing can ever happen again: no callback, timer or segment is left.  "
                 "Who waits should have a deadline, or its partner should run.  Hosts that are stopped "
                 f"(`resume()` or `network.end()` frees them): {self._stopped() or 'none'}.  Tasks:\n"
-                f"{waiting(self._tasks)}")
+                f"{waiting(self._tasks)}"
+            )
         moved = heap[0][0] > self.now_us
         self.now_us = max(self.now_us, heap[0][0])
         return moved
@@ -270,17 +306,24 @@
     def _livelock(self) -> Livelock:
         due = [timer for at, _, timer, _ in self._heap if timer is not None and at <= self.now_us]
         queued = "\n".join(f"  {handle!r}" for handle in [*self._queue, *self._found, *due][:20])
-        return Livelock(f"{self._most_turns} turns at {self.now_us} us, and the clock stands.  Something "
-                        "queues itself without end (`await asyncio.sleep(0)` in a loop?); let it wait for an "
-                        "event or a time, or raise `most_turns`.  Queued now:\n"
-                        f"{queued or '  events of the network'}")
+        return Livelock(
+            f"{self._most_turns} turns at {self.now_us} us, and the clock stands.  Something "
+            "queues itself without end (`await asyncio.sleep(0)` in a loop?); let it wait for an "
+            "event or a time, or raise `most_turns`.  Queued now:\n"
+            f"{queued or '  events of the network'}"
+        )
 
     # Tasks
 
-    def create_task(self, coro: Generator[Any, None, Any] | Coroutine[Any, Any, Any],  # type: ignore[override]
-                    *, name: str | None = None, context: Context | None = None) -> asyncio.Task[Any]:
+    def create_task(  # type: ignore[override]
+        self,
+        coro: Generator[Any, None, Any] | Coroutine[Any, Any, Any],
+        *,
+        name: str | None = None,
+        context: Context | None = None,
+    ) -> asyncio.Task[Any]:
         if self._over or self._unwinding:
-            coro.close()                  # it will never run, and need not complain of that
+            coro.close()  # it will never run, and need not complain of that
             raise RuntimeError("Event loop is closed")
         self._made += 1
         life = LIFE.get(self.outside) if context is None else context.get(LIFE, self.outside)
@@ -300,7 +343,7 @@
         self._tasks = [task for task in self._tasks if task.life is not life]
 
     def call_exception_handler(self, context: dict[str, Any]) -> None:
-        if not (self._over or self._unwinding):      # what is thrown away after the end is nobody's fault
+        if not (self._over or self._unwinding):  # what is thrown away after the end is nobody's fault
             super().call_exception_handler(context)
 
     def close(self) -> None:
@@ -329,8 +372,12 @@
 
     # Signals
 
-    def add_signal_handler(self, sig: int, callback: Callable[..., object],  # type: ignore[override]
-                           *args: Any) -> None:
+    def add_signal_handler(  # type: ignore[override]
+        self,
+        sig: int,
+        callback: Callable[..., object],
+        *args: Any,
+    ) -> None:
         """For the host whose program runs; `host.raise_signal(sig)` calls it."""
         self._life().signals[signal.Signals(sig)] = callback, args
 
@@ -356,35 +403,52 @@
 
     # The network
 
-    async def create_server(self, protocol_factory: Callable[[], asyncio.BaseProtocol],  # type: ignore[override]
-                            host: Any = None, port: Any = None, **options: Any) -> SimServer:
+    async def create_server(  # type: ignore[override]
+        self,
+        protocol_factory: Callable[[], asyncio.BaseProtocol],
+        host: Any = None,
+        port: Any = None,
+        **options: Any,
+    ) -> SimServer:
         """`asyncio`'s, on the network of the host that calls; options: see `Network.create_server`."""
         network = self.the_network()
         return await network.create_server(self.current_host(), protocol_factory, host, port, **options)
 
     async def create_connection(  # type: ignore[override]
-            self, protocol_factory: Callable[[], asyncio.BaseProtocol], host: Any = None, port: Any = None,
-            **options: Any) -> tuple[SimTransport, asyncio.BaseProtocol]:
+        self,
+        protocol_factory: Callable[[], asyncio.BaseProtocol],
+        host: Any = None,
+        port: Any = None,
+        **options: Any,
+    ) -> tuple[SimTransport, asyncio.BaseProtocol]:
         network = self.the_network()
         return await network.create_connection(self.current_host(), protocol_factory, host, port, **options)
 
     async def create_datagram_endpoint(
-            self, protocol_factory: Callable[[], asyncio.BaseProtocol], local_addr: Any = None,
-            remote_addr: Any = None, **options: Any) -> tuple[SimDatagramTransport, Any]:
+        self,
+        protocol_factory: Callable[[], asyncio.BaseProtocol],
+        local_addr: Any = None,
+        remote_addr: Any = None,
+        **options: Any,
+    ) -> tuple[SimDatagramTransport, Any]:
         """`asyncio`'s, on the same network."""
         host = self.current_host()
-        return await create_datagram_endpoint(self.the_network(), host, copy_context(), protocol_factory,
-                                              local_addr, remote_addr, **options)
+        return await create_datagram_endpoint(
+            self.the_network(), host, copy_context(), protocol_factory, local_addr, remote_addr, **options
+        )
 
     async def sock_connect(self, sock: Any, address: Any) -> None:
         """For sockets made by `network.socket()`, as aiohttp's connector makes them with it."""
         if not isinstance(sock, SimSocket):
-            refuse("loop.sock_connect with a real socket",
-                   "give aiohttp's connector socket_factory=network.socket, or use create_connection")
+            refuse(
+                "loop.sock_connect with a real socket",
+                "give aiohttp's connector socket_factory=network.socket, or use create_connection",
+            )
         sock.end = await self.the_network().dial(self.current_host(), address[0], address[1])
 
-    async def getaddrinfo(self, host: Any, port: Any, *, family: int = 0, type: int = 0, proto: int = 0,
-                          flags: int = 0) -> Any:
+    async def getaddrinfo(
+        self, host: Any, port: Any, *, family: int = 0, type: int = 0, proto: int = 0, flags: int = 0
+    ) -> Any:
         """For IP addresses, and for names that the network knows; never asked outside."""
         return self.the_network().names.look_up(host, port, family, type, proto)
 
@@ -395,5 +459,5 @@
         try:
             coroutine.close()
             return
-        except Exception:             # an `await` in a `finally`, or the loop's refusal
+        except Exception:  # an `await` in a `finally`, or the loop's refusal
             pass
--- a/roadlb/lab/sim/names.py
+++ b/roadlb/lab/sim/names.py
@@ -55,10 +55,21 @@
         ips = (name,) if is_literal(name) else self._ips.get(name, ())
         wanted = [ip for ip in ips if family in (0, family_of(ip))]
         if not wanted:
-            raise socket.gaierror(socket.EAI_NONAME, f"{name!r} is neither an IP address nor a name that "
-                                  "this network knows: tell it with network.names.set(name, ip)")
-        kinds = [(kind, number) for kind, number in ((socket.SOCK_STREAM, socket.IPPROTO_TCP),
-                                                     (socket.SOCK_DGRAM, socket.IPPROTO_UDP))
-                 if type in (0, kind) and proto in (0, number)]
-        return [(family_of(ip), kind, protocol, "", address(ip, number))
-                for ip in wanted for kind, protocol in kinds]
+            raise socket.gaierror(
+                socket.EAI_NONAME,
+                f"{name!r} is neither an IP address nor a name that "
+                "this network knows: tell it with network.names.set(name, ip)",
+            )
+        kinds = [
+            (kind, number)
+            for kind, number in (
+                (socket.SOCK_STREAM, socket.IPPROTO_TCP),
+                (socket.SOCK_DGRAM, socket.IPPROTO_UDP),
+            )
+            if type in (0, kind) and proto in (0, number)
+        ]
+        return [
+            (family_of(ip), kind, protocol, "", address(ip, number))
+            for ip in wanted
+            for kind, protocol in kinds
+        ]
--- a/roadlb/lab/sim/network.py
+++ b/roadlb/lab/sim/network.py
@@ -21,15 +21,23 @@
 from .tcp import Connection, End
 from .transport import SimTransport
 
-LOOPBACK_US = 15            # one way, within one host
+LOOPBACK_US = 15  # one way, within one host
 SEND_BUFFER = 64 * 1024
-RECEIVE_BUFFER = 128 * 1024     # Linux's first receive buffer
+RECEIVE_BUFFER = 128 * 1024  # Linux's first receive buffer
 
 # Asked when a dial has arrived: source, target, port.  None: no opinion.
 Rule = Callable[[Host, Host, int], Verdict | None]
 
-LINK_SETTINGS = ("delay_us", "jitter_us", "bytes_per_s", "segment_bytes", "split", "lose", "repeat",
-                 "cut_short")
+LINK_SETTINGS = (
+    "delay_us",
+    "jitter_us",
+    "bytes_per_s",
+    "segment_bytes",
+    "split",
+    "lose",
+    "repeat",
+    "cut_short",
+)
 _TLS_OPTIONS = ("ssl", "server_hostname", "ssl_handshake_timeout", "ssl_shutdown_timeout")
 
 
@@ -41,9 +49,16 @@
     unless bytes lie unread.
     """
 
-    def __init__(self, loop: SimLoop, *, link: Link | None = None, deferred_writes: bool = False,
-                 abort_resets: bool = True, send_buffer: int = SEND_BUFFER,
-                 receive_buffer: int = RECEIVE_BUFFER) -> None:
+    def __init__(
+        self,
+        loop: SimLoop,
+        *,
+        link: Link | None = None,
+        deferred_writes: bool = False,
+        abort_resets: bool = True,
+        send_buffer: int = SEND_BUFFER,
+        receive_buffer: int = RECEIVE_BUFFER,
+    ) -> None:
         if loop.network is not None:
             raise SimError("this loop has a network already: use loop.network")
         loop.network = self
@@ -53,7 +68,10 @@
         self.hosts: dict[str, Host] = {}
         self._link = link or Link()
         self._host_settings: dict[str, Any] = {
-            "deferred_writes": deferred_writes, "send_buffer": send_buffer, "receive_buffer": receive_buffer}
+            "deferred_writes": deferred_writes,
+            "send_buffer": send_buffer,
+            "receive_buffer": receive_buffer,
+        }
         self._links: dict[tuple[str, str], Link] = {}
         self._routes: dict[tuple[Host, Host], Route] = {}
         self._by_ip: dict[str, Host] = {}
@@ -166,22 +184,47 @@
         self._opened += 1
         return Connection(self._opened, client, server, self._connections)
 
-    def transport(self, end: End, protocol: asyncio.BaseProtocol, context: Context, *,
-                  server: SimServer | None = None,
-                  waiter: asyncio.Future[None] | None = None) -> SimTransport:
-        return SimTransport(self.loop, end, protocol, context, server=server, waiter=waiter,
-                            deferred=end.host.deferred_writes, abort_resets=self.abort_resets)
+    def transport(
+        self,
+        end: End,
+        protocol: asyncio.BaseProtocol,
+        context: Context,
+        *,
+        server: SimServer | None = None,
+        waiter: asyncio.Future[None] | None = None,
+    ) -> SimTransport:
+        return SimTransport(
+            self.loop,
+            end,
+            protocol,
+            context,
+            server=server,
+            waiter=waiter,
+            deferred=end.host.deferred_writes,
+            abort_resets=self.abort_resets,
+        )
 
     def socket(self, like: Any = None) -> SimSocket:
         """A new socket of the host that calls; as `socket_factory` it is given what `getaddrinfo` told."""
         family = like[0] if like else socket.AF_INET
         return SimSocket(self, self.loop.current_host(), family=family)
 
-    async def create_server(self, machine: Host, factory: Callable[[], asyncio.BaseProtocol], host: Any,
-                            port: Any, *, family: int = 0, flags: int = 0, sock: Any = None,
-                            backlog: int = 100, reuse_address: bool | None = None,
-                            reuse_port: bool | None = None, start_serving: bool = True,
-                            **options: Any) -> SimServer:
+    async def create_server(
+        self,
+        machine: Host,
+        factory: Callable[[], asyncio.BaseProtocol],
+        host: Any,
+        port: Any,
+        *,
+        family: int = 0,
+        flags: int = 0,
+        sock: Any = None,
+        backlog: int = 100,
+        reuse_address: bool | None = None,
+        reuse_port: bool | None = None,
+        start_serving: bool = True,
+        **options: Any,
+    ) -> SimServer:
         """See `asyncio`; `sock`: a `SimSocket`, whose own backlog is then the kernel's."""
         _plain("create_server", sock, options)
         if reuse_port:
@@ -202,7 +245,7 @@
         server = SimServer(self, listeners, factory, copy_context(), backlog)
         if start_serving:
             server.serve()
-            await asyncio.sleep(0)        # as asyncio: the loop has begun to accept
+            await asyncio.sleep(0)  # as asyncio: the loop has begun to accept
         return server
 
     def _ips_to_bind(self, host: Any, family: int) -> list[str]:
@@ -216,11 +259,22 @@
                     ips[info[4][0]] = None
         return list(ips)
 
-    async def create_connection(self, machine: Host, factory: Callable[[], asyncio.BaseProtocol], host: Any,
-                                port: Any, *, family: int = 0, proto: int = 0, flags: int = 0,
-                                sock: Any = None, local_addr: Any = None,
-                                happy_eyeballs_delay: float | None = None, interleave: int | None = None,
-                                **options: Any) -> tuple[SimTransport, asyncio.BaseProtocol]:
+    async def create_connection(
+        self,
+        machine: Host,
+        factory: Callable[[], asyncio.BaseProtocol],
+        host: Any,
+        port: Any,
+        *,
+        family: int = 0,
+        proto: int = 0,
+        flags: int = 0,
+        sock: Any = None,
+        local_addr: Any = None,
+        happy_eyeballs_delay: float | None = None,
+        interleave: int | None = None,
+        **options: Any,
+    ) -> tuple[SimTransport, asyncio.BaseProtocol]:
         """See `asyncio`; addresses are tried one after another."""
         _plain("create_connection", sock, options)
         if sock is not None:
@@ -289,4 +343,3 @@
             raise TypeError(f"{what}() got an unexpected keyword argument {name!r}")
         if value:
             refuse(f"{what} with {name}", "leave TLS out of what is rehearsed")
-
--- a/roadlb/lab/sim/route.py
+++ b/roadlb/lab/sim/route.py
@@ -11,8 +11,8 @@
     from .host import Host
     from .loop import SimLoop
 
-FIRST_RETRY_US = 200_000          # Linux sends a lost segment again after 200 ms, then after twice as long
-LONGEST_RETRY_US = 120_000_000    # ... and never waits for longer than 2 minutes
+FIRST_RETRY_US = 200_000  # Linux sends a lost segment again after 200 ms, then after twice as long
+LONGEST_RETRY_US = 120_000_000  # ... and never waits for longer than 2 minutes
 
 
 @dataclass(slots=True)
@@ -36,8 +36,8 @@
     lose: float = 0.0
     repeat: float = 0.0
     cut_short: float = 0.0
-    cut: bool = False             # set by Network.cut
-    free_at_us: int = 0           # when the last byte that it was given will have gone
+    cut: bool = False  # set by Network.cut
+    free_at_us: int = 0  # when the last byte that it was given will have gone
 
 
 class Route:
@@ -73,7 +73,7 @@
     def parts(self, data: bytes) -> list[bytes]:
         """What is written at once, as it is cut on its way."""
         chance, most = self.link.split, self.link.segment_bytes or len(data)
-        parts, rng = [data[at:at + most] for at in range(0, len(data), most)], self.rng
+        parts, rng = [data[at : at + most] for at in range(0, len(data), most)], self.rng
         if not chance:
             return parts
         pieces = []
--- a/roadlb/lab/sim/server.py
+++ b/roadlb/lab/sim/server.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from .network import Network
 
-ACCEPT_AGAIN_S = 1.0       # asyncio's pause when no descriptor is left
+ACCEPT_AGAIN_S = 1.0  # asyncio's pause when no descriptor is left
 
 
 class SimServer(asyncio.AbstractServer):
@@ -27,8 +27,14 @@
     In one turn it accepts as many connections as its backlog says, as asyncio does.
     """
 
-    def __init__(self, network: Network, listeners: list[Listener],
-                 factory: Callable[[], asyncio.BaseProtocol], context: Context, accept_at_once: int) -> None:
+    def __init__(
+        self,
+        network: Network,
+        listeners: list[Listener],
+        factory: Callable[[], asyncio.BaseProtocol],
+        context: Context,
+        accept_at_once: int,
+    ) -> None:
         self._network, self._loop, self._factory, self._context = network, network.loop, factory, context
         self._listeners: list[Listener] | None = listeners
         self._accept_at_once = accept_at_once
@@ -42,8 +48,9 @@
 
     @property
     def sockets(self) -> tuple[SimSocket, ...]:
-        return tuple(SimSocket(self._network, listener.host, listener=listener)
-                     for listener in self._listeners or ())
+        return tuple(
+            SimSocket(self._network, listener.host, listener=listener) for listener in self._listeners or ()
+        )
 
     def get_loop(self) -> asyncio.AbstractEventLoop:
         return self._loop
@@ -118,9 +125,13 @@
             except OSError as error:
                 if error.errno != errno.EMFILE:
                     raise
-                self._loop.call_exception_handler({
-                    "message": "socket.accept() out of system resource", "exception": error,
-                    "socket": SimSocket(self._network, listener.host, listener=listener)})
+                self._loop.call_exception_handler(
+                    {
+                        "message": "socket.accept() out of system resource",
+                        "exception": error,
+                        "socket": SimSocket(self._network, listener.host, listener=listener),
+                    }
+                )
                 return False
             end = listener.queue.popleft()
             end.on_close = listener.host.give_back_descriptor
--- a/roadlb/lab/sim/sockets.py
+++ b/roadlb/lab/sim/sockets.py
@@ -17,8 +17,8 @@
     from .network import Network
     from .tcp import End
 
-LAST_DATA_RECV = struct.Struct("=52xI")        # of struct tcp_info, in milliseconds
-LINGER = struct.Struct("ii")       # SO_LINGER: on or off, seconds
+LAST_DATA_RECV = struct.Struct("=52xI")  # of struct tcp_info, in milliseconds
+LINGER = struct.Struct("ii")  # SO_LINGER: on or off, seconds
 
 
 class StandIns:
@@ -62,8 +62,15 @@
     type = socket.SOCK_STREAM
     proto = socket.IPPROTO_TCP
 
-    def __init__(self, network: Network, host: Host, *, end: End | None = None,
-                 listener: Listener | None = None, family: int = socket.AF_INET) -> None:
+    def __init__(
+        self,
+        network: Network,
+        host: Host,
+        *,
+        end: End | None = None,
+        listener: Listener | None = None,
+        family: int = socket.AF_INET,
+    ) -> None:
         self.network, self.host, self.end, self.listener = network, host, end, listener
         at = end or listener
         self.bound: tuple[str, int] | None = (at.ip, at.port) if at else None
--- a/roadlb/lab/sim/taps.py
+++ b/roadlb/lab/sim/taps.py
@@ -7,7 +7,7 @@
 from hashlib import blake2b
 from typing import TypeAlias
 
-HASH_AT_ONCE = 512      # events are hashed in lumps: a call for each costs as much as the event
+HASH_AT_ONCE = 512  # events are hashed in lumps: a call for each costs as much as the event
 
 
 @dataclass(slots=True, frozen=True)
@@ -19,10 +19,10 @@
     """
 
     sequence: int
-    at: int                  # microseconds
+    at: int  # microseconds
     kind: str
     connection: int
-    source: str              # "ip:port"
+    source: str  # "ip:port"
     target: str
     data: bytes
 
--- a/roadlb/lab/sim/tcp.py
+++ b/roadlb/lab/sim/tcp.py
@@ -16,8 +16,8 @@
     from .route import Route
     from .taps import Taps
 
-GIVE_UP_US = 924_600_000      # Linux ends a connection whose data stay unanswered for so long
-WRITABLE_SHARE = 3            # ... and wakes a writer once a third of the buffer is free
+GIVE_UP_US = 924_600_000  # Linux ends a connection whose data stay unanswered for so long
+WRITABLE_SHARE = 3  # ... and wakes a writer once a third of the buffer is free
 
 
 # What a segment is; the names that taps see.
@@ -34,17 +34,29 @@
 class Pipe:
     """One direction of a connection: segments under way, in order whatever the jitter."""
 
-    __slots__ = ("loop", "route", "taps", "number", "source", "target", "_queue", "_last_us", "_armed",
-                 "_lost_us", "_event")
-
-    def __init__(self, loop: SimLoop, route: Route, taps: Taps, number: int, source: End,
-                 target: End) -> None:
+    __slots__ = (
+        "loop",
+        "route",
+        "taps",
+        "number",
+        "source",
+        "target",
+        "_queue",
+        "_last_us",
+        "_armed",
+        "_lost_us",
+        "_event",
+    )
+
+    def __init__(
+        self, loop: SimLoop, route: Route, taps: Taps, number: int, source: End, target: End
+    ) -> None:
         self.loop, self.route, self.taps, self.number = loop, route, taps, number
         self.source, self.target = source, target
         self._queue: deque[tuple[int, Kind, bytes]] = deque()
         self._last_us = 0
         self._armed = False
-        self._lost_us = -1          # since when segments have been lost; -1: they are not
+        self._lost_us = -1  # since when segments have been lost; -1: they are not
         self._event = self._arrive
 
     def send(self, kind: Kind, data: bytes = b"") -> None:
@@ -53,7 +65,7 @@
         if data and (link.split or 0 < link.segment_bytes < len(data)):
             for part in route.parts(data):
                 self._send(kind, part)
-                self._last_us += 1          # so that the parts are read apart
+                self._last_us += 1  # so that the parts are read apart
             self._last_us -= 1
         else:
             self._send(kind, data)
@@ -133,9 +145,32 @@
     `send` and `recv` behave as on a non-blocking socket.  `window`: how much more the peer's kernel takes.
     """
 
-    __slots__ = ("host", "ip", "port", "name", "peer", "out", "connection", "watcher", "data_at", "unread",
-                 "fin_in", "fin_out", "dead", "closed", "error", "linger_zero", "wants_write", "send_buffer",
-                 "window", "on_close", "_received", "_unsent", "_unsent_size", "_fin_sent")
+    __slots__ = (
+        "host",
+        "ip",
+        "port",
+        "name",
+        "peer",
+        "out",
+        "connection",
+        "watcher",
+        "data_at",
+        "unread",
+        "fin_in",
+        "fin_out",
+        "dead",
+        "closed",
+        "error",
+        "linger_zero",
+        "wants_write",
+        "send_buffer",
+        "window",
+        "on_close",
+        "_received",
+        "_unsent",
+        "_unsent_size",
+        "_fin_sent",
+    )
 
     peer: End
     out: Pipe
@@ -145,17 +180,17 @@
         self.host, self.ip, self.port = host, ip, port
         self.name = f"{ip}:{port}"
         self.watcher: Watcher | None = None
-        self.data_at = 0                   # when bytes last came
-        self.unread = 0                    # bytes received, and not yet read
-        self.fin_in = False                # the peer writes no more
-        self.fin_out = False               # we write no more
-        self.dead = False                  # reset or given up: nothing goes out any more
-        self.closed = False                # by the program, which no longer holds it
+        self.data_at = 0  # when bytes last came
+        self.unread = 0  # bytes received, and not yet read
+        self.fin_in = False  # the peer writes no more
+        self.fin_out = False  # we write no more
+        self.dead = False  # reset or given up: nothing goes out any more
+        self.closed = False  # by the program, which no longer holds it
         self.error: OSError | None = None  # what the next call raises
-        self.linger_zero = False           # SO_LINGER of 0 s: closing resets
-        self.wants_write = False           # the program waits for room
+        self.linger_zero = False  # SO_LINGER of 0 s: closing resets
+        self.wants_write = False  # the program waits for room
         self.send_buffer, self.window = send_buffer, window
-        self.on_close: Callable[[], None] | None = None     # gives back the descriptor
+        self.on_close: Callable[[], None] | None = None  # gives back the descriptor
         self._received: deque[bytes] = deque()
         self._unsent: deque[bytes] = deque()
         self._unsent_size = 0
@@ -269,13 +304,16 @@
     def take(self, kind: Kind, data: bytes) -> None:
         """A segment arrived."""
         if kind == "reset":
-            self.fail(BrokenPipeError(errno.EPIPE, "Broken pipe") if self.fin_in else
-                      ConnectionResetError(errno.ECONNRESET, "Connection reset by peer"))
+            self.fail(
+                BrokenPipeError(errno.EPIPE, "Broken pipe")
+                if self.fin_in
+                else ConnectionResetError(errno.ECONNRESET, "Connection reset by peer")
+            )
             return
         if self.closed or self.dead:
             if kind == "data" and not self.peer.dead:
                 self._die()
-                self.out.send("reset")     # nobody is left to read this
+                self.out.send("reset")  # nobody is left to read this
             elif kind == "fin":
                 self.fin_in = True
                 self.connection.settle()
@@ -310,8 +348,8 @@
         while unsent and self.window > 0:
             data = unsent.popleft()
             if len(data) > self.window:
-                unsent.appendleft(data[self.window:])
-                data = data[:self.window]
+                unsent.appendleft(data[self.window :])
+                data = data[: self.window]
             self.window -= len(data)
             self._unsent_size -= len(data)
             self.out.send("data", data)
--- a/roadlb/lab/sim/transport.py
+++ b/roadlb/lab/sim/transport.py
@@ -24,9 +24,9 @@
 
 logger = logging.getLogger(__name__)
 
-READ_MOST = 256 * 1024          # asyncio's own
-HIGH_WATER = 64 * 1024          # asyncio's own; the low one is a quarter of it
-WARN_AFTER_WRITES = 5           # writes to a connection that is lost, as asyncio
+READ_MOST = 256 * 1024  # asyncio's own
+HIGH_WATER = 64 * 1024  # asyncio's own; the low one is a quarter of it
+WARN_AFTER_WRITES = 5  # writes to a connection that is lost, as asyncio
 
 
 class SimTransport(asyncio.Transport):
@@ -37,17 +37,26 @@
     (its number in the taps).
     """
 
-    def __init__(self, loop: SimLoop, end: End, protocol: asyncio.BaseProtocol, context: Context, *,
-                 server: SimServer | None = None, waiter: asyncio.Future[None] | None = None,
-                 deferred: bool = False, abort_resets: bool = True) -> None:
+    def __init__(
+        self,
+        loop: SimLoop,
+        end: End,
+        protocol: asyncio.BaseProtocol,
+        context: Context,
+        *,
+        server: SimServer | None = None,
+        waiter: asyncio.Future[None] | None = None,
+        deferred: bool = False,
+        abort_resets: bool = True,
+    ) -> None:
         super().__init__()
         self.max_size = READ_MOST
         self._loop, self._end, self._server, self._context = loop, end, server, context
         self._deferred, self._abort_resets = deferred, abort_resets
         self._closing = self._eof = self._read_on = self._paused = False
         self._protocol_paused = self._gone = self._flush_queued = False
-        self._lost = 0                         # lost to us; counts the writes that come all the same
-        self._buffer = bytearray()             # what the kernel has not taken
+        self._lost = 0  # lost to us; counts the writes that come all the same
+        self._buffer = bytearray()  # what the kernel has not taken
         self._high, self._low = HIGH_WATER, HIGH_WATER // 4
         life = context[LIFE]
         self._reader = IoHandle(self._read_ready, (), context, life)
@@ -146,7 +155,7 @@
             else:
                 data = self._end.recv(self.max_size)
                 if data:
-                    self._protocol.data_received(data)           # type: ignore[attr-defined]
+                    self._protocol.data_received(data)  # type: ignore[attr-defined]
                 else:
                     self._read_eof()
         except BlockingIOError:
@@ -160,19 +169,19 @@
             self.readable()
 
     def _read_into(self) -> None:
-        room = self._protocol.get_buffer(-1)                     # type: ignore[attr-defined]
+        room = self._protocol.get_buffer(-1)  # type: ignore[attr-defined]
         if not len(room):
             raise RuntimeError("get_buffer() returned an empty buffer")
         data = self._end.recv(len(room))
         if data:
-            room[:len(data)] = data
-            self._protocol.buffer_updated(len(data))             # type: ignore[attr-defined]
+            room[: len(data)] = data
+            self._protocol.buffer_updated(len(data))  # type: ignore[attr-defined]
         else:
             self._read_eof()
 
     def _read_eof(self) -> None:
-        if self._protocol.eof_received():                        # type: ignore[attr-defined]
-            self._read_on = False                                # half open, until the protocol closes it
+        if self._protocol.eof_received():  # type: ignore[attr-defined]
+            self._read_on = False  # half open, until the protocol closes it
         else:
             self.close()
 
@@ -217,7 +226,7 @@
     def _write_later(self, data: bytes) -> None:
         self._buffer += data
         if len(self._buffer) > self._high and not (self._protocol_paused or self._end.wants_write):
-            self._write_ready()               # uvloop: try before the protocol is paused
+            self._write_ready()  # uvloop: try before the protocol is paused
             if self._lost:
                 return
         self._maybe_pause()
@@ -227,7 +236,7 @@
 
     def _flush(self) -> None:
         self._flush_queued = False
-        if self._lost:                    # aborted in this very turn: uvloop writes all the same
+        if self._lost:  # aborted in this very turn: uvloop writes all the same
             self._send(bytes(self._buffer))
             self._buffer.clear()
         elif not self._end.wants_write:
@@ -304,15 +313,17 @@
         except (SystemExit, KeyboardInterrupt):
             raise
         except BaseException as error:
-            self._loop.call_exception_handler({"message": message, "exception": error, "transport": self,
-                                               "protocol": self._protocol})
+            self._loop.call_exception_handler(
+                {"message": message, "exception": error, "transport": self, "protocol": self._protocol}
+            )
 
     # Ending
 
     def _fatal_error(self, error: BaseException, message: str) -> None:
         if not isinstance(error, OSError):
-            self._loop.call_exception_handler({"message": message, "exception": error, "transport": self,
-                                               "protocol": self._protocol})
+            self._loop.call_exception_handler(
+                {"message": message, "exception": error, "transport": self, "protocol": self._protocol}
+            )
         self._force_close(error)
 
     def _force_close(self, error: BaseException | None) -> None:
@@ -331,7 +342,7 @@
         self._gone = True
         self._lost = max(self._lost, 1)
         try:
-            self._protocol.connection_lost(error)                # type: ignore[arg-type]
+            self._protocol.connection_lost(error)  # type: ignore[arg-type]
         finally:
             self._end.close()
             if self._server is not None:
--- a/roadlb/lab/standin_etcd/server.py
+++ b/roadlb/lab/standin_etcd/server.py
@@ -1,9 +1,9 @@
 """The stand-in store over gRPC on loopback, with faults on demand: a thin shell round `Store`.
 
-    async with StandIn() as store:
-        client = Etcd([store.address])
-        ...
-        store.fault = Fault.SILENT           # carries out what it is asked, and answers nothing
+async with StandIn() as store:
+    client = Etcd([store.address])
+    ...
+    store.fault = Fault.SILENT           # carries out what it is asked, and answers nothing
 """
 
 from __future__ import annotations
@@ -27,9 +27,9 @@
 
 class Fault(Enum):
     NONE = "none"
-    DEAF = "deaf"                # hears nothing: calls wait, nothing is carried out, watches are not told
-    SILENT = "silent"            # carries out, and answers nothing: who asks cannot know
-    AWAY = "away"                # refuses every call at once, as unavailable, and ends watches
+    DEAF = "deaf"  # hears nothing: calls wait, nothing is carried out, watches are not told
+    SILENT = "silent"  # carries out, and answers nothing: who asks cannot know
+    AWAY = "away"  # refuses every call at once, as unavailable, and ends watches
 
 
 class StandIn:
@@ -48,15 +48,26 @@
         services: dict[str, dict[str, Any]] = {}
         for kind, (service, method, asks, answers) in codec.METHODS.items():
             form = {"request_deserializer": asks.FromString, "response_serializer": answers.SerializeToString}
-            handler = (grpc.stream_stream_rpc_method_handler(self._keep_alive, **form) if kind is KeepAlive
-                       else grpc.unary_unary_rpc_method_handler(self._call(kind), **form))
+            handler = (
+                grpc.stream_stream_rpc_method_handler(self._keep_alive, **form)
+                if kind is KeepAlive
+                else grpc.unary_unary_rpc_method_handler(self._call(kind), **form)
+            )
             services.setdefault(service, {})[method] = handler
-        services[codec.WATCH] = {"Watch": grpc.stream_stream_rpc_method_handler(
-            self._watch, request_deserializer=codec.WatchRequest.FromString,
-            response_serializer=codec.WatchResponse.SerializeToString)}
+        services[codec.WATCH] = {
+            "Watch": grpc.stream_stream_rpc_method_handler(
+                self._watch,
+                request_deserializer=codec.WatchRequest.FromString,
+                response_serializer=codec.WatchResponse.SerializeToString,
+            )
+        }
         self._server = grpc.aio.server(options=(("grpc.so_reuseport", 0),))
-        self._server.add_generic_rpc_handlers(tuple(
-            grpc.method_handlers_generic_handler(service, methods) for service, methods in services.items()))
+        self._server.add_generic_rpc_handlers(
+            tuple(
+                grpc.method_handlers_generic_handler(service, methods)
+                for service, methods in services.items()
+            )
+        )
         self._port = self._server.add_insecure_port(f"{HOST}:{self._port}")
         self.address = f"{HOST}:{self._port}"
         await self._server.start()
@@ -131,6 +142,7 @@
     def _call(self, kind: type[Request]) -> Callable[[Any, Any], Any]:
         async def serve(wire: Any, context: Any) -> Any:
             return await self._ask(context, kind, wire)
+
         return serve
 
     async def _keep_alive(self, _: Any, context: Any) -> None:
@@ -150,8 +162,9 @@
                     self._numbers += 1
                     watches.append(self._numbers)
                     self._watches[self._numbers] = told
-                    self.tell(events.Watching(self._numbers, asked.key, asked.range_end,
-                                               asked.start_revision))
+                    self.tell(
+                        events.Watching(self._numbers, asked.key, asked.range_end, asked.start_revision)
+                    )
                 elif wire.HasField("cancel_request") and wire.cancel_request.watch_id < len(watches):
                     self._end_watch(watches[wire.cancel_request.watch_id])
             await writer
@@ -164,8 +177,9 @@
         if self._watches.pop(number, None) is not None:
             self.tell(events.Left(number))
 
-    async def _write_watch(self, context: Any, told: asyncio.Queue[events.Tell | events.Cancel | None],
-                           watches: list[int]) -> None:
+    async def _write_watch(
+        self, context: Any, told: asyncio.Queue[events.Tell | events.Cancel | None], watches: list[int]
+    ) -> None:
         created = set[int]()
         while (action := await told.get()) is not None:
             await self._says()
@@ -174,9 +188,14 @@
             number = watches.index(action.by)
             if isinstance(action, events.Cancel):
                 self._watches.pop(action.by, None)
-                await context.write(codec.WatchResponse(
-                    watch_id=number, canceled=True, compact_revision=action.compacted,
-                    cancel_reason=action.text))
+                await context.write(
+                    codec.WatchResponse(
+                        watch_id=number,
+                        canceled=True,
+                        compact_revision=action.compacted,
+                        cancel_reason=action.text,
+                    )
+                )
                 continue
             wire = codec.write_news(number, action.news)
             if action.by not in created:
--- a/roadlb/lab/standin_etcd/store.py
+++ b/roadlb/lab/standin_etcd/store.py
@@ -55,7 +55,7 @@
 NO_LEASE = "etcdserver: requested lease not found"
 NO_KEY = "etcdserver: key is not provided"
 TWICE = "etcdserver: duplicate key given in txn request"
-OPERATIONS_MOST = 128        # of a transaction, as etcd's default is
+OPERATIONS_MOST = 128  # of a transaction, as etcd's default is
 TOO_MANY = "etcdserver: too many operations in txn request"
 
 
@@ -70,7 +70,7 @@
 @dataclass(slots=True)
 class Lease:
     ttl_s: int
-    until: int                               # microseconds, by the clock that `handle` is given
+    until: int  # microseconds, by the clock that `handle` is given
     keys: set[bytes] = field(default_factory=set)
 
 
@@ -78,7 +78,7 @@
 class Watch:
     key: bytes
     end: bytes
-    next: int                                # the first revision that it has not been told
+    next: int  # the first revision that it has not been told
 
 
 class Store:
@@ -88,9 +88,9 @@
         self.revision, self.compacted = 1, 0
         self.leases: dict[int, Lease] = {}
         self.watches: dict[int, Watch] = {}
-        self._history: dict[bytes, list[tuple[int, Pair | None]]] = {}     # by revision; None: deleted
-        self._changes: dict[int, list[Change]] = {}                        # by revision
-        self._leases_made = 0x6c65_0000
+        self._history: dict[bytes, list[tuple[int, Pair | None]]] = {}  # by revision; None: deleted
+        self._changes: dict[int, list[Change]] = {}  # by revision
+        self._leases_made = 0x6C65_0000
 
     def handle(self, now: int, event: Event) -> list[Action]:
         actions = list[Action]()
@@ -172,16 +172,19 @@
             raise Refusal("OUT_OF_RANGE", FUTURE)
         if 0 < get.revision < self.compacted:
             raise Refusal("OUT_OF_RANGE", COMPACTED)
-        found = [pair for key in self._keys(get.key, get.end)
-                 if (pair := self._pair(key, get.revision or self.revision))]
-        return Got(self.revision, tuple(found[:get.most] if get.most else found), len(found))
+        found = [
+            pair
+            for key in self._keys(get.key, get.end)
+            if (pair := self._pair(key, get.revision or self.revision))
+        ]
+        return Got(self.revision, tuple(found[: get.most] if get.most else found), len(found))
 
     def _transaction(self, txn: Txn) -> Decided:
         for side in (txn.then, txn.otherwise):
             self._check(side)
         held = all(self._holds(compare) for compare in txn.compares)
         operations = txn.then if held else txn.otherwise
-        for one in operations:                # nothing is done unless all can be
+        for one in operations:  # nothing is done unless all can be
             if isinstance(one, Put) and one.lease and one.lease not in self.leases:
                 raise Refusal("NOT_FOUND", NO_LEASE)
             if isinstance(one, Get) and not one.revision <= self.revision:
@@ -222,8 +225,11 @@
 
     def _holds(self, compare: Compare) -> bool:
         if compare.end:
-            found = [pair for key in self._keys(compare.key, compare.end)
-                     if (pair := self._pair(key, self.revision))]
+            found = [
+                pair
+                for key in self._keys(compare.key, compare.end)
+                if (pair := self._pair(key, self.revision))
+            ]
             return all(_compared(compare, pair) for pair in found)
         return _compared(compare, self._pair(compare.key, self.revision))
 
@@ -242,8 +248,14 @@
     def _written(self, operation: Put | Delete, revision: int) -> list[Change]:
         if isinstance(operation, Put):
             key, lease, old = operation.key, operation.lease, self._pair(operation.key, revision)
-            pair = Pair(key, operation.value, old.created if old else revision, revision,
-                        old.version + 1 if old else 1, lease)
+            pair = Pair(
+                key,
+                operation.value,
+                old.created if old else revision,
+                revision,
+                old.version + 1 if old else 1,
+                lease,
+            )
             if old and old.lease in self.leases:
                 self.leases[old.lease].keys.discard(key)
             if lease:
@@ -297,8 +309,12 @@
                 del self.watches[by]
                 yield Cancel(by, self.compacted, COMPACTED)
                 continue
-            told = [change for at in range(watch.next, self.revision + 1)
-                    for change in self._changes.get(at, ()) if within(change.pair.key, watch.key, watch.end)]
+            told = [
+                change
+                for at in range(watch.next, self.revision + 1)
+                for change in self._changes.get(at, ())
+                if within(change.pair.key, watch.key, watch.end)
+            ]
             watch.next = self.revision + 1
             if told:
                 yield Tell(by, News(self.revision, tuple(told)))
@@ -306,7 +322,7 @@
 
 def _compared(compare: Compare, pair: Pair | None) -> bool:
     if pair is None and compare.field is Field.VALUE:
-        return False                          # a key that is not there has no value to compare
+        return False  # a key that is not there has no value to compare
     is_: int | bytes
     match compare.field:
         case Field.VERSION:
@@ -327,6 +343,6 @@
         case Relation.NOT_EQUAL:
             return is_ != than
         case Relation.GREATER:
-            return is_ > than                # type: ignore[operator]
+            return is_ > than  # type: ignore[operator]
         case Relation.LESS:
-            return is_ < than                # type: ignore[operator]
+            return is_ < than  # type: ignore[operator]
--- a/roadlb/lab/together/house.py
+++ b/roadlb/lab/together/house.py
@@ -37,9 +37,9 @@
 from .parties import Asker, Nodes
 
 HALLS = ("hall-a", "hall-b", "hall-c")
-NODES = 9                    # three in each hall
-PARTS_OF = {"control-0": "hall-b", "control-1": "hall-a"}        # the first one leads at first
-SHORT_BY = 0.4               # of its own means each balancer is short all the time, so that quotas count
+NODES = 9  # three in each hall
+PARTS_OF = {"control-0": "hall-b", "control-1": "hall-a"}  # the first one leads at first
+SHORT_BY = 0.4  # of its own means each balancer is short all the time, so that quotas count
 # From one request of a client to the next, seconds: in the third hall they ask for less than its balancers'
 # parts of the quotas, elsewhere for more, so that unused parts move there.
 LEAVES_S = 0.25
@@ -58,21 +58,28 @@
 class House(Deployment):
     """From `async with` to its end.  `defects`: of `roadlb.lab.mutants`, by balancer or for `balancer`."""
 
-    def __init__(self, folder: Path, seed: int, contradiction_s: float = 6.0, margin_s: float = 1.5,
-                 defects: dict[str, str] | None = None) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        seed: int,
+        contradiction_s: float = 6.0,
+        margin_s: float = 1.5,
+        defects: dict[str, str] | None = None,
+    ) -> None:
         super().__init__(folder, contradiction_s, margin_s, defects=defects)
         self.seed = seed
         self.nodes, self.clients, self.beat = Nodes(), list[Asker](), Beat()
-        self.parted: set[str] = set()                    # halls that hear no other one's datagrams
+        self.parted: set[str] = set()  # halls that hear no other one's datagrams
         self.relays = Relays(lambda a, b: not a or not self.between({hall_of(a), hall_of(b)}))
         self.records = Records(folder)
-        self._held: dict[str, socket.socket] = {}        # a balancer's port stays its own
+        self._held: dict[str, socket.socket] = {}  # a balancer's port stays its own
 
     async def __aenter__(self) -> House:
         for i in range(NODES):
             name = f"node-{i}"
-            link = self.links[name] = Link(f"balancers to {name}", HOST,
-                                           (HOST, await self.nodes.start(name)), self.note)
+            link = self.links[name] = Link(
+                f"balancers to {name}", HOST, (HOST, await self.nodes.start(name)), self.note
+            )
             self.discovery.place(i, link.address[1])
         for i in range(BALANCERS):
             name = f"balancer-{i}"
@@ -106,24 +113,38 @@
     async def start_balancer(self, i: int, ports: list[int]) -> None:
         name, told = f"balancer-{i}", self.links_to_controls(i, ports)
         listen: tuple[str, int] = self._held[name].getsockname()
-        file = self.write(f"{name}.json", {
-            "name": name, "listen": f"{HOST}:{listen[1]}", "seed": f"{i + 1:016x}",
-            "discovery": f"{HOST}:{self.discovery.address[1]}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "known": {"generation": 0, "reset": True, "instances": []},
-            "settings": {**self.settings(None), "me": i, "az": HALLS.index(hall_of(name))},
-            "peers": {**self.relays.peers(name, "house", 2), "share": True},
-            "agreement": {"control": [f"{host}:{port}" for host, port in told],
-                          "contradiction_s": self.contradiction_s, "margin_s": self.margin_s,
-                          "store": str(self.folder / f"{name}.store")}})
-        variables = {**mutants.seam(), VARIABLE: str(self.folder), SHORT: str(SHORT_BY),
-                     "PROXY_CONFIG": str(file)}
+        file = self.write(
+            f"{name}.json",
+            {
+                "name": name,
+                "listen": f"{HOST}:{listen[1]}",
+                "seed": f"{i + 1:016x}",
+                "discovery": f"{HOST}:{self.discovery.address[1]}",
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                "known": {"generation": 0, "reset": True, "instances": []},
+                "settings": {**self.settings(None), "me": i, "az": HALLS.index(hall_of(name))},
+                "peers": {**self.relays.peers(name, "house", 2), "share": True},
+                "agreement": {
+                    "control": [f"{host}:{port}" for host, port in told],
+                    "contradiction_s": self.contradiction_s,
+                    "margin_s": self.margin_s,
+                    "store": str(self.folder / f"{name}.store"),
+                },
+            },
+        )
+        variables = {
+            **mutants.seam(),
+            VARIABLE: str(self.folder),
+            SHORT: str(SHORT_BY),
+            "PROXY_CONFIG": str(file),
+        }
         if defect := self.defects.get(name, self.defects.get("balancer", "")):
             variables[mutants.VARIABLE] = defect
         child = await self.spawn(name, [sys.executable, "-m", "roadlb"], variables)
         await self.until(f"{name} listens", lambda: "event=listening" in child.said())
-        self.clients += [Asker(name, listen, f"customer-{j}", period_s=PERIOD_S[hall_of(name)])
-                         for j in range(CUSTOMERS)]
+        self.clients += [
+            Asker(name, listen, f"customer-{j}", period_s=PERIOD_S[hall_of(name)]) for j in range(CUSTOMERS)
+        ]
 
     # Faults
 
@@ -149,7 +170,7 @@
         finally:
             for name, other in others.items():
                 if self.children[name] is not other and other.runs:
-                    other.terminate()                    # as it goes on; who has its place lives on
+                    other.terminate()  # as it goes on; who has its place lives on
                     other.go_on()
                     await ends(f"another {name} ends", other.ended())
 
@@ -198,8 +219,11 @@
     def site(self, balancer: str, hall: str) -> str:
         """What this balancer has logged last of a hall's state since its start; whole, if nothing."""
         number = str(HALLS.index(hall)).encode()
-        said = [match["after"] for match in SITE.finditer(self.children[balancer].log.read_bytes())
-                if match["site"] == number]
+        said = [
+            match["after"]
+            for match in SITE.finditer(self.children[balancer].log.read_bytes())
+            if match["site"] == number
+        ]
         return said[-1].decode() if said else "whole"
 
     def hold(self, balancers: Iterable[str], hall: str, *states: str) -> bool:
--- a/roadlb/lab/together/parties.py
+++ b/roadlb/lab/together/parties.py
@@ -13,8 +13,8 @@
 from ..agreement.watch import HOST
 from ..parties.http import ACCOUNT, CORRELATION_ID, Message, write_request
 
-ORDERS = 4                   # every fourth request of a client is one
-ANSWER_S = 20.0              # generous: a busy machine holds balancers up for seconds
+ORDERS = 4  # every fourth request of a client is one
+ANSWER_S = 20.0  # generous: a busy machine holds balancers up for seconds
 READ, ORDER = "read", "order"
 
 
@@ -65,8 +65,9 @@
     def answer(self, message: Message) -> None:
         request = message.headers.get(CORRELATION_ID.lower(), "")
         if request.count(".") == 2:
-            self._came.append(Came(monotonic_us(), self._node, request.partition(".")[0], request,
-                                   message.method == "POST"))
+            self._came.append(
+                Came(monotonic_us(), self._node, request.partition(".")[0], request, message.method == "POST")
+            )
         super().answer(message)
 
 
@@ -80,6 +81,12 @@
     def request(self, number: int) -> bytes:
         order = number % ORDERS == 0
         name, method = (ORDER, "POST") if order else (READ, "GET")
-        return write_request(method, f"/{name}/{self.line * 1_000 + number % 1_000}?w=1", (
-            ("Host", "backend.local"), (ACCOUNT, self.customer),
-            (CORRELATION_ID, f"{self.balancer}.{self.customer}.{self.line}x{number}")))
+        return write_request(
+            method,
+            f"/{name}/{self.line * 1_000 + number % 1_000}?w=1",
+            (
+                ("Host", "backend.local"),
+                (ACCOUNT, self.customer),
+                (CORRELATION_ID, f"{self.balancer}.{self.customer}.{self.line}x{number}"),
+            ),
+        )
--- a/roadlb/lab/together/plays.py
+++ b/roadlb/lab/together/plays.py
@@ -1,20 +1,20 @@
 """Plays of the whole house, each with the faults that it is for, and what was seen.
 
-    play                 what befalls the house
-    lost_with_its_leader a hall flickers: its balancers, parts of which are on loan, are killed and at once
-                         back.  Then, with parts on loan again, it is lost whole, with the leader in it, right
-                         behind an order; a node drains elsewhere meanwhile; the hall comes back with what its
-                         processes had stored
-    parted               a hall's balancers hear neither control service nor the other halls' balancers, and
-                         serve on; a version and a drain fall into that time
-    by_seed              halls lost, parted, processes stopped and killed, links cut, drains and versions
-
-    claim       what must hold, of each play
-    once        no order came to nodes twice
-    shares      at each instant the shares of a budget are at most the whole, by the processes' own records
-    answered    who nothing befell has answered each request
-    drained     from `bound` after it could know of a drain, a balancer sends nothing to that node
-    said        no process logged an error
+play                 what befalls the house
+lost_with_its_leader a hall flickers: its balancers, parts of which are on loan, are killed and at once
+                     back.  Then, with parts on loan again, it is lost whole, with the leader in it, right
+                     behind an order; a node drains elsewhere meanwhile; the hall comes back with what its
+                     processes had stored
+parted               a hall's balancers hear neither control service nor the other halls' balancers, and
+                     serve on; a version and a drain fall into that time
+by_seed              halls lost, parted, processes stopped and killed, links cut, drains and versions
+
+claim       what must hold, of each play
+once        no order came to nodes twice
+shares      at each instant the shares of a budget are at most the whole, by the processes' own records
+answered    who nothing befell has answered each request
+drained     from `bound` after it could know of a drain, a balancer sends nothing to that node
+said        no process logged an error
 """
 
 from __future__ import annotations
@@ -36,18 +36,18 @@
 from ..sharing.judge import ROUNDING, Sum, Told, largest_sum
 from .house import HALLS, LEAVES_S, House
 
-NODE = "node-0"              # that drains: of the first hall, where nothing else befalls
-NEW_START = 1_000_000        # of nodes that come back
+NODE = "node-0"  # that drains: of the first hall, where nothing else befalls
+NEW_START = 1_000_000  # of nodes that come back
 AGAIN_S = 0.2
-LENT = 0.7                   # of its own part, or less, is left to one who has lent of it
-SOME = 0.1                   # of its own part, or more, has one to whom there is a quota
-USED = 0.98                  # of a quota is used by somebody: what is lent is, too
-PATIENCE_US = 20_000_000     # for that; a machine that makes every answer late may not get there
-FREE_US = 4_200_000          # from a process's begin until it may lend
+LENT = 0.7  # of its own part, or less, is left to one who has lent of it
+SOME = 0.1  # of its own part, or more, has one to whom there is a quota
+USED = 0.98  # of a quota is used by somebody: what is lent is, too
+PATIENCE_US = 20_000_000  # for that; a machine that makes every answer late may not get there
+FREE_US = 4_200_000  # from a process's begin until it may lend
 # What one had lent when it was killed is surely used for so long: its takers ask anew each 1.5 s of 4.
 USED_US = 2_400_000
-FLICKERS = 3                 # until one was that short; a busy machine may not get there
-LONGER_S = 1.0               # than its lease, a hall is parted
+FLICKERS = 3  # until one was that short; a busy machine may not get there
+LONGER_S = 1.0  # than its lease, a hall is parted
 PAUSE_S, LASTS_S = (0.4, 2.0), (1.0, 9.0)
 
 
@@ -75,9 +75,13 @@
     @property
     def broken(self) -> tuple[str, ...]:
         """The claims that do not hold, by name."""
-        broken = {"once": bool(self.twice), "shares": self.shares.most > 1 + ROUNDING,
-                  "answered": bool(self.spared), "said": bool(self.said),
-                  "drained": self.late_us > self.bound_us + EXTRA_US + self.loop_us}
+        broken = {
+            "once": bool(self.twice),
+            "shares": self.shares.most > 1 + ROUNDING,
+            "answered": bool(self.spared),
+            "said": bool(self.said),
+            "drained": self.late_us > self.bound_us + EXTRA_US + self.loop_us,
+        }
         return tuple(name for name, is_broken in broken.items() if is_broken)
 
     @property
@@ -91,7 +95,7 @@
     stays = house.balancers(*(hall for hall in HALLS if hall != lost))
     for client in house.clients:
         if client.balancer in house.balancers(lost):
-            client.period_s = LEAVES_S                   # they need less than their parts
+            client.period_s = LEAVES_S  # they need less than their parts
     await _proposed(house, 1)
     await _in_force(house, {0: False, 1: True})
     await _flickers(house, lost, took)
@@ -102,11 +106,12 @@
     await house.until("control-1 leads", lambda: "event=leads" in house.children["control-1"].said())
     leads = house.now
     took["until another leads"] = leads - began
-    await house.until("the drain holds at all that are left",
-                      lambda: not house.reached(NODE, house.now - 2_000_000))
+    await house.until(
+        "the drain holds at all that are left", lambda: not house.reached(NODE, house.now - 2_000_000)
+    )
     await house.until("the hall is lost to all that are left", lambda: house.hold(stays, lost, "lost"))
     took["until the hall is lost to all"] = house.now - began
-    await _proposed(house, 0)                            # holds already, if its first leader had told anybody
+    await _proposed(house, 0)  # holds already, if its first leader had told anybody
     await _in_force(house, {0: True, 1: False})
     took["from the loss until what was ordered right before is in force"] = house.now - began
     await _proposed(house, 1)
@@ -118,8 +123,9 @@
     await house.give_back(lost, NEW_START)
     back = house.now
     own = house.balancers(lost)
-    await house.until("who came back serves",
-                      lambda: {one.balancer for one in house.nodes.since(back)} >= set(own))
+    await house.until(
+        "who came back serves", lambda: {one.balancer for one in house.nodes.since(back)} >= set(own)
+    )
     serves = house.now
     await house.until("the hall is whole to all", lambda: house.hold(house.balancers(), lost, "whole"))
     took["until the hall is whole to all"] = house.now - back
@@ -157,6 +163,7 @@
         count, told = house.records.newest(name)
         known = (one.done for one in told if one.shares[budget][0] * BALANCERS > SOME)
         return next(known, 0) if count > lives[name] else 0
+
     await house.until("they know their shares again", lambda: all(map(back_at, lent)))
     return max(map(back_at, lent)) - died
 
@@ -175,9 +182,13 @@
 
     def lent(budget: str, told: dict[str, list[Told]]) -> tuple[str, list[str]]:
         has = {name: all_[-1].shares[budget][0] for name, all_ in told.items()}
-        free = [name for name in house.balancers(hall)
-                if told[name][-1].at - told[name][0].at > FREE_US and SOME < has[name] * BALANCERS < LENT]
+        free = [
+            name
+            for name in house.balancers(hall)
+            if told[name][-1].at - told[name][0].at > FREE_US and SOME < has[name] * BALANCERS < LENT
+        ]
         return budget, free if sum(has.values()) > USED or house.now > patient else []
+
     await house.until(f"{hall}: parts are on loan", look)
     return next((budget, names) for budget, names in found if names)
 
@@ -192,10 +203,20 @@
     for link in links:
         link.drop("both")
     began, told = house.now, house.discovery.tell(node, lifecycle="draining")
-    await house.until("who hears no longer sends there", lambda: not {
-        one.balancer for one in house.nodes.since(house.now - 1_000_000) if one.node == node} & set(others))
-    took["drained, who hears"] = max([one.at for one in house.nodes.since(told)
-                                      if one.node == node and one.balancer in others], default=told) - told
+    await house.until(
+        "who hears no longer sends there",
+        lambda: (
+            not {one.balancer for one in house.nodes.since(house.now - 1_000_000) if one.node == node}
+            & set(others)
+        ),
+    )
+    took["drained, who hears"] = (
+        max(
+            [one.at for one in house.nodes.since(told) if one.node == node and one.balancer in others],
+            default=told,
+        )
+        - told
+    )
     await _proposed(house, 1)
     ordered = house.now
     await _in_force(house, {0: False, 1: True})
@@ -210,8 +231,9 @@
     for link in links:
         link.heal()
     healed = house.note(f"{alone}: hears again")
-    await house.until("who was parted no longer sends there",
-                      lambda: not house.reached(node, house.now - 2_000_000))
+    await house.until(
+        "who was parted no longer sends there", lambda: not house.reached(node, house.now - 2_000_000)
+    )
     await asyncio.sleep(1.2 * house.contradiction_s)
     last = max((one.at for one in house.nodes.since(healed) if one.node == node), default=healed)
     took["drained, who was parted, from when it hears"] = last - healed
@@ -239,8 +261,11 @@
     await house.until("all send to each open node", lambda: _all_reach(house, since, closed))
     await asyncio.sleep(1.2 * house.contradiction_s)
     sent = [Sent(one.at, one.balancer, one.node) for one in house.nodes.came]
-    late = [one.lasted_us for one in judge(taken, sent, house.notes, house.balancers(),
-                                           round(house.contradiction_s * 1e6), {}) if not one.kept_from]
+    late = [
+        one.lasted_us
+        for one in judge(taken, sent, house.notes, house.balancers(), round(house.contradiction_s * 1e6), {})
+        if not one.kept_from
+    ]
     return taken, max(late, default=0), count
 
 
@@ -296,6 +321,7 @@
 
 async def _in_force(house: House, has: dict[int, bool]) -> None:
     """Until the store holds a version in force in which these customers have their quota, or none."""
+
     async def look() -> None:
         while True:
             seen = await house.seen()
@@ -305,6 +331,7 @@
                 if quotas == has:
                     return
             await asyncio.sleep(AGAIN_S)
+
     await ends(f"in force: {has}", look())
 
 
@@ -316,11 +343,19 @@
 Directed = Callable[[House, dict[str, int]], Awaitable[tuple[list[Drain], int]]]
 
 
-async def play(what: str, seed: int = 1, seconds: float = 30.0, contradiction_s: float = 6.0,
-               margin_s: float = 1.5, defects: dict[str, str] | None = None) -> Outcome:
+async def play(
+    what: str,
+    seed: int = 1,
+    seconds: float = 30.0,
+    contradiction_s: float = 6.0,
+    margin_s: float = 1.5,
+    defects: dict[str, str] | None = None,
+) -> Outcome:
     """One of the plays by its name; `seconds` of faults, where it has no end of its own."""
     directed: dict[str, tuple[Directed, set[str]]] = {
-        "lost_with_its_leader": (lost_with_its_leader, {"hall-b"}), "parted": (parted, set[str]())}
+        "lost_with_its_leader": (lost_with_its_leader, {"hall-b"}),
+        "parted": (parted, set[str]()),
+    }
     with TemporaryDirectory(prefix="roadlb-house-") as folder:
         async with House(Path(folder), seed, contradiction_s, margin_s, defects) as house:
             begun = house.note("begun")
@@ -329,19 +364,37 @@
             if what in directed:
                 goes, hurt = directed[what]
                 drains, late = await goes(house, took)
-                spared = house.unanswered(name for name in house.balancers()
-                                          if not hurt & {hall for hall in HALLS if name in house.of(hall)})
+                spared = house.unanswered(
+                    name
+                    for name in house.balancers()
+                    if not hurt & {hall for hall in HALLS if name in house.of(hall)}
+                )
             else:
                 drains, late, faults = await by_seed(house, seconds)
             killed = [(at, text.partition(":")[0]) for at, text in house.notes if text.endswith(": SIGKILL")]
             return Outcome(
-                seed, len(house.nodes.came), sum(one.order for one in house.nodes.came),
-                tuple(house.repeated_orders()), largest_sum(house.records.lives(killed, monotonic_us())),
-                spared, late, round(contradiction_s * 1e6), house.beat.late_us, len(drains), faults,
-                tuple(_errors(house)), took, tuple(house.notes))
+                seed,
+                len(house.nodes.came),
+                sum(one.order for one in house.nodes.came),
+                tuple(house.repeated_orders()),
+                largest_sum(house.records.lives(killed, monotonic_us())),
+                spared,
+                late,
+                round(contradiction_s * 1e6),
+                house.beat.late_us,
+                len(drains),
+                faults,
+                tuple(_errors(house)),
+                took,
+                tuple(house.notes),
+            )
 
 
 def _errors(house: House) -> list[str]:
     """What balancers logged as an error."""
-    return [f"{file.stem}: {line}" for file in sorted(house.folder.glob("balancer-*.log"))
-            for line in file.read_text(errors="replace").splitlines() if " level=error " in line]
+    return [
+        f"{file.stem}: {line}"
+        for file in sorted(house.folder.glob("balancer-*.log"))
+        for line in file.read_text(errors="replace").splitlines()
+        if " level=error " in line
+    ]
--- a/roadlb/lab/wire.py
+++ b/roadlb/lab/wire.py
@@ -32,14 +32,14 @@
     at: int
     request: str
     wish: int
-    attempt: int                 # 0: the first try
+    attempt: int  # 0: the first try
     client: str
     balancer: str
     class_name: str
     tenant: str
     key: str
-    left_us: int                 # what X-Time-Left said
-    due_at: int                  # when an open-loop client meant to send the first try
+    left_us: int  # what X-Time-Left said
+    due_at: int  # when an open-loop client meant to send the first try
 
 
 @dataclass(slots=True, frozen=True)
@@ -51,7 +51,7 @@
     balancer: str
     status: int
     body: str
-    retry_after_us: int = -1     # -1: none told
+    retry_after_us: int = -1  # -1: none told
 
 
 @dataclass(slots=True, frozen=True)
@@ -66,7 +66,7 @@
     request: str
     balancer: str
     how: str
-    taken: bool                  # the request's last byte had been written
+    taken: bool  # the request's last byte had been written
 
 
 @dataclass(slots=True, frozen=True)
@@ -79,7 +79,7 @@
     kind: str
     hall: str
     capacity: float
-    cold_share: float            # the part of it that it has now
+    cold_share: float  # the part of it that it has now
 
 
 @dataclass(slots=True, frozen=True)
@@ -94,8 +94,8 @@
     request: str
     method: str
     target: str
-    work_us: int                 # what it asks of a standard core, caches not counted
-    fresh: bool = False          # the first request on its connection
+    work_us: int  # what it asks of a standard core, caches not counted
+    fresh: bool = False  # the first request on its connection
 
 
 @dataclass(slots=True, frozen=True)
@@ -106,7 +106,7 @@
     node: str
     started_ms: int
     request: str
-    hit: bool | None = None      # the key was cached; None: not told
+    hit: bool | None = None  # the key was cached; None: not told
 
 
 @dataclass(slots=True, frozen=True)
@@ -119,7 +119,7 @@
     request: str
     status: int
     kind: str
-    body: str                    # digest
+    body: str  # digest
 
 
 @dataclass(slots=True, frozen=True)
@@ -129,8 +129,8 @@
     at: int
     node: str
     started_ms: int
-    sent_us: int                 # work sent in the window
-    room_us: int                 # what it could have done in it
+    sent_us: int  # work sent in the window
+    room_us: int  # what it could have done in it
 
 
 @dataclass(slots=True, frozen=True)
@@ -154,7 +154,7 @@
     balancer: str
     node: str
     started_ms: int
-    lifecycle: str               # up, draining or removed
+    lifecycle: str  # up, draining or removed
     generation: int
 
 
@@ -185,7 +185,7 @@
     balancer: str
     kind: str
     how: str
-    owed: bool                   # an error or a close was owed to it
+    owed: bool  # an error or a close was owed to it
 
 
 @dataclass(slots=True, frozen=True)
@@ -205,8 +205,21 @@
 
 
 WireEvent: TypeAlias = (
-    ClientWished | ClientSent | ClientGot | ClientLost | NodeStarted | NodeGot | NodeRan | NodeGave | NodeFell
-    | NodeState | Told | BalancerState | RudeLeft | Lagged | Note
+    ClientWished
+    | ClientSent
+    | ClientGot
+    | ClientLost
+    | NodeStarted
+    | NodeGot
+    | NodeRan
+    | NodeGave
+    | NodeFell
+    | NodeState
+    | Told
+    | BalancerState
+    | RudeLeft
+    | Lagged
+    | Note
 )
 
 
@@ -242,5 +255,5 @@
         """One SHA-256 over all events in order: two runs that differ anywhere differ here."""
         total = sha256()
         for event in self._events:
-            total.update(repr(event).encode())      # class and all fields; JSON takes 15 times as long
+            total.update(repr(event).encode())  # class and all fields; JSON takes 15 times as long
         return total.hexdigest()
--- a/roadlb/lifecycle/handover.py
+++ b/roadlb/lifecycle/handover.py
@@ -69,7 +69,7 @@
         for path in self._directory.glob(LOCKS):
             if path == self._mine:
                 continue
-            with suppress(OSError):            # gone meanwhile
+            with suppress(OSError):  # gone meanwhile
                 lock = os.open(path, os.O_RDWR | os.O_CLOEXEC)
                 try:
                     fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
@@ -89,8 +89,10 @@
 
 def write(directory: Path, handover: Handover) -> None:
     """Replace the handover file; what cannot be written is logged, and the one before stays."""
-    body = json.dumps({"discovery": handover.discovery, "known": handover.known,
-                       "draining": handover.draining}, separators=(",", ":")).encode()
+    body = json.dumps(
+        {"discovery": handover.discovery, "known": handover.known, "draining": handover.draining},
+        separators=(",", ":"),
+    ).encode()
     head = b"roadlb-handover %d %b\n" % (VERSION, _sum(body))
     new = directory / f"{FILE}.{os.getpid()}"
     try:
--- a/roadlb/lifecycle/lifecycle.py
+++ b/roadlb/lifecycle/lifecycle.py
@@ -31,13 +31,13 @@
 from typing import TypeAlias
 
 STEP_US = 100_000
-DRAIN_IDLE_US = 300_000, 1_500_000     # idle connections are closed from and until then
-UNFINISHED_US = 3_400_000              # requests that are not whole are let go
+DRAIN_IDLE_US = 300_000, 1_500_000  # idle connections are closed from and until then
+UNFINISHED_US = 3_400_000  # requests that are not whole are let go
 DRAINED_US = 4_000_000
-GIVE_UP_US, RECENT_US = 3_500_000, 2_100_000   # those younger than RECENT_US at DRAINED_US are answered now
-LINGER_US = 500_000                    # after SIGTERM the front goes on dealing us connections for so long
-SHARED_IDLE_US = 700_000               # with a successor at the socket, idle connections are closed from then
-SPARE_US = 400_000                     # after the longest deadline, the last answers are out by then
+GIVE_UP_US, RECENT_US = 3_500_000, 2_100_000  # those younger than RECENT_US at DRAINED_US are answered now
+LINGER_US = 500_000  # after SIGTERM the front goes on dealing us connections for so long
+SHARED_IDLE_US = 700_000  # with a successor at the socket, idle connections are closed from then
+SPARE_US = 400_000  # after the longest deadline, the last answers are out by then
 
 
 class State(Enum):
@@ -48,11 +48,11 @@
 
 
 class Event(Enum):
-    STARTED = "started"                # listening, with a list of nodes
+    STARTED = "started"  # listening, with a list of nodes
     OUT_OF_SERVICE = "out of service"
     IN_SERVICE = "in service"
-    LEAVE = "leave"                    # SIGTERM or SIGINT
-    WAKE = "wake"                      # as asked for by `Wake`
+    LEAVE = "leave"  # SIGTERM or SIGINT
+    WAKE = "wake"  # as asked for by `Wake`
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,7 +120,7 @@
         """`shared`: the listening socket outlives this process; `linger_us`: else it listens on for so long
         when told to leave."""
         self.state, self._since, self._woken, self._listening = State.STARTING, 0, 0, True
-        self._next = 0                     # wakes before are those of a state that is over
+        self._next = 0  # wakes before are those of a state that is over
         self._started = False
         self.longest_us, self._shared, self.linger_us = longest_us, shared, linger_us
 
--- a/roadlb/lifecycle/succession.py
+++ b/roadlb/lifecycle/succession.py
@@ -14,16 +14,22 @@
 
 logger = logging.getLogger(__name__)
 
-LOOK_S = 0.25          # between looks at who lives
-WRITE_S = 0.1          # a list that changes again and again is written once in so long
+LOOK_S = 0.25  # between looks at who lives
+WRITE_S = 0.1  # a list that changes again and again is written once in so long
 
 
 class Succession:
     """`held` tells what this process holds, `handover` what a successor is to know; `changed` hears, at every
     look, what the others hold."""
 
-    def __init__(self, directory: Path, counters: Counters, held: Callable[[], Held],
-                 handover: Callable[[], Handover], changed: Callable[[list[Held]], None]) -> None:
+    def __init__(
+        self,
+        directory: Path,
+        counters: Counters,
+        held: Callable[[], Held],
+        handover: Callable[[], Handover],
+        changed: Callable[[list[Held]], None],
+    ) -> None:
         self._directory, self._counters = directory, counters
         self._held, self._handover, self._changed = held, handover, changed
         self._neighbours = Neighbours(directory)
@@ -58,7 +64,7 @@
 
     def look(self) -> None:
         """Tell the others what this process holds, and hear what they hold."""
-        with suppress(OSError):                # a full directory must not end the program
+        with suppress(OSError):  # a full directory must not end the program
             self._neighbours.tell(self._held())
             self._changed(self._neighbours.others())
 
--- a/roadlb/log.py
+++ b/roadlb/log.py
@@ -22,8 +22,11 @@
 
     def format(self, record: logging.LogRecord) -> str:
         fields: dict[str, object] = {
-            "at": f"{record.created:.6f}", "level": record.levelname.lower(), "logger": record.name,
-            "event": record.getMessage()}
+            "at": f"{record.created:.6f}",
+            "level": record.levelname.lower(),
+            "logger": record.name,
+            "event": record.getMessage(),
+        }
         fields.update(getattr(record, "fields", {}))
         if record.exc_info:
             fields["trace"] = self.formatException(record.exc_info)
--- a/roadlb/membership/admission.py
+++ b/roadlb/membership/admission.py
@@ -19,11 +19,11 @@
 
 from .events import life_of
 
-WINDOW = 1_024                # numbers behind the greatest seen that may still come, each once ...
-LATE_US = 5_000_000           # ... and as long as the greatest was passed less than once or twice this ago
-SENDERS_MOST = 8_192          # remembered; the one heard longest ago goes first
-SENDER_RATE, SENDER_BURST = 300, 600           # datagrams a second, and at once, of one
-ALL_RATE, ALL_BURST = 5_000, 5_000             # and of all: about a tenth of a core at 20 us each
+WINDOW = 1_024  # numbers behind the greatest seen that may still come, each once ...
+LATE_US = 5_000_000  # ... and as long as the greatest was passed less than once or twice this ago
+SENDERS_MOST = 8_192  # remembered; the one heard longest ago goes first
+SENDER_RATE, SENDER_BURST = 300, 600  # datagrams a second, and at once, of one
+ALL_RATE, ALL_BURST = 5_000, 5_000  # and of all: about a tenth of a core at 20 us each
 
 
 class Verdict(Enum):
@@ -93,7 +93,7 @@
             return Verdict.FLOOD
         if life_of(incarnation) != sender.life:
             return Verdict.ASK
-        if sender.top < 0:                     # what went before this one is past
+        if sender.top < 0:  # what went before this one is past
             sender.top, sender.seen, sender.floor_us = number, 1, now
             sender.floor = sender.next_floor = number - 1
             return Verdict.PASS
--- a/roadlb/membership/events.py
+++ b/roadlb/membership/events.py
@@ -26,8 +26,8 @@
 from enum import Enum, IntEnum
 from typing import TypeAlias
 
-LIFE_SHIFT = 16            # bits below a life, for refutations
-NAME_MOST = 64             # bytes of a name, or of a hall's
+LIFE_SHIFT = 16  # bits below a life, for refutations
+NAME_MOST = 64  # bytes of a name, or of a hall's
 
 
 def first_incarnation(wall_ms: int) -> int:
@@ -53,9 +53,9 @@
     """How a member stands.  At equal incarnations the greater overrides."""
 
     ALIVE = 0
-    SUSPECT = 1            # it has not answered; it may still refute
-    DEAD = 2               # it has not refuted in time
-    LEFT = 3               # it has said so itself
+    SUSPECT = 1  # it has not answered; it may still refute
+    DEAD = 2  # it has not refuted in time
+    LEFT = 3  # it has said so itself
 
 
 @dataclass(slots=True, frozen=True)
@@ -76,11 +76,12 @@
 
 # What is told to listeners
 
+
 class Cause(Enum):
     """Why a member is gone."""
 
-    SILENT = "silent"          # suspected, and not refuted in time
-    LEFT = "left"              # its own word
+    SILENT = "silent"  # suspected, and not refuted in time
+    LEFT = "left"  # its own word
 
 
 @dataclass(slots=True, frozen=True)
@@ -137,6 +138,7 @@
 
 # What the decider is told
 
+
 @dataclass(slots=True, frozen=True)
 class Start:
     """Begin: the first tick is now."""
@@ -168,6 +170,7 @@
 
 # What it answers
 
+
 @dataclass(slots=True, frozen=True)
 class Send:
     """An item of kind MEMBERSHIP for this address."""
