--- a/roadlb/membership/members.py
+++ b/roadlb/membership/members.py
@@ -48,28 +48,51 @@
 
 from . import messages as say
 from .events import (
-    LIFE_SHIFT, Action, Cause, Changed, CutOff, Distrust, Doubted, Event, Joined, Leave, Left, Member, News,
-    Odd, Received, Send, Start, State, Suspected, Tell, Tick, Trust, WakeAt, life_of)
+    LIFE_SHIFT,
+    Action,
+    Cause,
+    Changed,
+    CutOff,
+    Distrust,
+    Doubted,
+    Event,
+    Joined,
+    Leave,
+    Left,
+    Member,
+    News,
+    Odd,
+    Received,
+    Send,
+    Start,
+    State,
+    Suspected,
+    Tell,
+    Tick,
+    Trust,
+    WakeAt,
+    life_of,
+)
 from .pings import ANSWER_US, PERIOD_US, Pings, Probe
 from .rumours import Rumours, times_told
 from .self_doubt import LATE_US, SelfDoubt
 from .view import MEMBERS_MOST, Entry, View
 
 TICK_US = 100_000
-RELAYS, AGAIN = 3, 2           # so many, and so often: with 30% lost, 3% of periods fail
-RELAYS_SECOND = 8              # of the second period in a row: then 0.2% of these, and few doubts go round
-GOSSIP_TICKS, GOSSIP_TO = 2, 3             # rumours go so often, in ticks, to so many
-SUSPECT_LEAST, SUSPECT_MOST = 1.5, 6.0     # periods for each tenfold of members, with CONFIRM doubts and none
+RELAYS, AGAIN = 3, 2  # so many, and so often: with 30% lost, 3% of periods fail
+RELAYS_SECOND = 8  # of the second period in a row: then 0.2% of these, and few doubts go round
+GOSSIP_TICKS, GOSSIP_TO = 2, 3  # rumours go so often, in ticks, to so many
+SUSPECT_LEAST, SUSPECT_MOST = 1.5, 6.0  # periods for each tenfold of members, with CONFIRM doubts and none
 CONFIRM = 3
-WIDTH_MOST = 8                 # probes of one period
-CUT_US = 3_000_000             # hearing nobody for so long; with 30% lost something comes each 0.3 s
-PULL_US, PULL_FAST_US = 2_000_000, 150_000   # between two pulls; the same with a tenth of members missing
-PAGES = 3                      # datagrams that answer a pull
-PULLS_A_SECOND = 50            # answered
-CALL_US = 3_000_000            # between calls to one of the dead, and to a seed that is nobody known
-CALL_ALONE_US = 500_000        # to seeds, with nobody known
-CLIMB_US = 1_000_000           # between two lives that this process takes: another may have its name
-ROOM = 1_050                   # bytes of one item
+WIDTH_MOST = 8  # probes of one period
+CUT_US = 3_000_000  # hearing nobody for so long; with 30% lost something comes each 0.3 s
+PULL_US, PULL_FAST_US = 2_000_000, 150_000  # between two pulls; the same with a tenth of members missing
+PAGES = 3  # datagrams that answer a pull
+PULLS_A_SECOND = 50  # answered
+CALL_US = 3_000_000  # between calls to one of the dead, and to a seed that is nobody known
+CALL_ALONE_US = 500_000  # to seeds, with nobody known
+CLIMB_US = 1_000_000  # between two lives that this process takes: another may have its name
+ROOM = 1_050  # bytes of one item
 
 
 class Members:
@@ -78,17 +101,18 @@
     `me` has its first incarnation; `seeds` are addresses to begin with; chance comes from `random` alone.
     """
 
-    def __init__(self, me: Member, seeds: Sequence[tuple[str, int]], random: Random,
-                 most: int = MEMBERS_MOST) -> None:
+    def __init__(
+        self, me: Member, seeds: Sequence[tuple[str, int]], random: Random, most: int = MEMBERS_MOST
+    ) -> None:
         self.me, self.seeds, self._random = me, list(seeds), random
         self.view, self.rumours = View(random, most), Rumours()
         self.doubt, self._pings = SelfDoubt(), Pings(random)
         self._out: list[Action] = []
         self._record = say.record(me)
         self._next_us = self._ticks = self._climbed_us = 0
-        self._probes: dict[int, Probe] = {}        # those of this period, by number
+        self._probes: dict[int, Probe] = {}  # those of this period, by number
         self._width = 1
-        self._heard_us = self._unheard = 0         # when anybody was last heard; periods since then
+        self._heard_us = self._unheard = 0  # when anybody was last heard; periods since then
         self.cut_off = False
         self._probe_us = self._pull_us = self._call_dead_us = self._call_seed_us = 0
         self._order: list[str] = []
@@ -128,9 +152,9 @@
         self._probes.clear()
         self._pings.clear()
         self._give_back(late)
-        self._heard_us = max(self._heard_us, now - CUT_US // 2)      # what came is still in the queue
+        self._heard_us = max(self._heard_us, now - CUT_US // 2)  # what came is still in the queue
         self._out.append(Tell(Doubted(late)))
-        self._next_us = now            # the tick that is due shall not be late a second time
+        self._next_us = now  # the tick that is due shall not be late a second time
         self._vouch_round(now)
 
     def _give_back(self, lost_us: int) -> None:
@@ -148,8 +172,13 @@
         self._heard_us, self._unheard = now, 0
 
     def _listen(self, now: int) -> None:
-        if (not self.cut_off and self._unheard >= 2 and now - self._heard_us >= CUT_US
-                and not self.doubt.doubtful and len(self.view) > 2):
+        if (
+            not self.cut_off
+            and self._unheard >= 2
+            and now - self._heard_us >= CUT_US
+            and not self.doubt.doubtful
+            and len(self.view) > 2
+        ):
             self.cut_off = True
             self._tell(CutOff(True, now - self._heard_us))
 
@@ -171,7 +200,7 @@
         mine, theirs = self.me.incarnation, member.incarnation
         if self.left or theirs < mine or theirs == mine and member.state is State.ALIVE:
             return
-        if member.life > self.me.life:             # our clock was set back; or another has our name
+        if member.life > self.me.life:  # our clock was set back; or another has our name
             self._out.append(Odd("elder"))
             if now - self._climbed_us >= CLIMB_US:
                 self._climbed_us = now
@@ -243,7 +272,7 @@
             if (next_one := self._next_in_round()) is not None:
                 self._begin_probe(now, next_one, False)
         for entry in [entry for entry in self._suspects.values() if self.me.name in entry.suspecters][:4]:
-            self._ping(now, entry.member)          # it shall know, and refute
+            self._ping(now, entry.member)  # it shall know, and refute
 
     def _begin_probe(self, now: int, member: Member, second: bool) -> None:
         number = self._ping(now, member)
@@ -298,8 +327,10 @@
         if now >= self._call_seed_us and self.seeds:
             self._call_seed_us = now + (CALL_ALONE_US if alone else CALL_US)
             for host, port in self.seeds if alone else [self._random.choice(self.seeds)]:
-                known = any(entry.there and (entry.member.host, entry.member.port) == (host, port)
-                            for entry in self.view)
+                known = any(
+                    entry.there and (entry.member.host, entry.member.port) == (host, port)
+                    for entry in self.view
+                )
                 if not known:
                     self._ping(now, Member("", host, port, "", 0))
 
@@ -347,7 +378,7 @@
             self._told_of_me(now, sender)
             return
         trusted = event.trusted
-        for message in said.messages:              # an answer to our own number was made just now
+        for message in said.messages:  # an answer to our own number was made just now
             if isinstance(message, say.Numbered) and message.what == say.ACK:
                 trusted = self._acked(now, sender, message.number) or trusted
         if not trusted:
@@ -377,21 +408,23 @@
         """One who lives and is thought not to shall know, and refute; told at each of its answers, one who
         cannot would be asked as fast as the network carries it."""
         entry = self.view.entries.get(name)
-        if (entry is not None and entry.member.state is not State.ALIVE
-                and now - entry.warned_us >= ANSWER_US):
+        if entry is not None and entry.member.state is not State.ALIVE and now - entry.warned_us >= ANSWER_US:
             entry.warned_us = now
             self._ping(now, entry.member)
 
     def _stranger(self, now: int, sender: Member, said: say.Said) -> None:
         """Nothing it says counts yet: its pings are answered, it is asked, and told what we hold of it."""
         self._out.append(Odd("unproved"))
-        answers = [say.numbered(say.ACK, message.number) for message in said.messages
-                   if isinstance(message, say.Numbered) and message.what == say.PING][:1]
+        answers = [
+            say.numbered(say.ACK, message.number)
+            for message in said.messages
+            if isinstance(message, say.Numbered) and message.what == say.PING
+        ][:1]
         entry = self.view.entries.get(sender.name)
         if entry is not None and entry.member.incarnation > sender.incarnation:
             answers.append(say.update(entry.member))
         if not self._pings.lately(now, sender.name):
-            self._ping(now, sender, *answers)      # in one: overtaken, the earlier one would be past
+            self._ping(now, sender, *answers)  # in one: overtaken, the earlier one would be past
         elif answers:
             self._send(sender, *answers)
 
@@ -441,7 +474,7 @@
         entry.suspecters = ()
         self._suspects.pop(member.name, None)
         if was is None and not entry.there:
-            return                                 # remembered, so that no late rumour brings it back
+            return  # remembered, so that no late rumour brings it back
         self._rumour(member, by)
         if not entry.there:
             self._out.append(Distrust(member.name))
@@ -465,7 +498,7 @@
         """One more doubts it: the more do of themselves, the less time it has."""
         if by in entry.suspecters or len(entry.suspecters) > CONFIRM:
             return
-        entry.suspecters += by,
+        entry.suspecters += (by,)
         tenfolds = max(1.0, log10(len(self.view)))
         least, most = SUSPECT_LEAST * tenfolds, SUSPECT_MOST * tenfolds
         apart, enough = len(entry.suspecters) - 1, max(1, min(CONFIRM, len(self.view) - 2))
--- a/roadlb/membership/messages.py
+++ b/roadlb/membership/messages.py
@@ -91,7 +91,7 @@
 
 
 def digest(count: int, value: int) -> bytes:
-    return _DIGEST.pack(min(count, 0xffff), value)
+    return _DIGEST.pack(min(count, 0xFFFF), value)
 
 
 def numbered(what: int, number: int) -> bytes:
@@ -103,12 +103,18 @@
 
 
 def pull(buckets: list[int]) -> bytes:
-    return bytes([PULL]) + _PULL.pack(*(value & 0xffffffff for value in buckets))
+    return bytes([PULL]) + _PULL.pack(*(value & 0xFFFFFFFF for value in buckets))
 
 
 def update(member: Member, by: str = "") -> bytes:
-    return (_UPDATE.pack(UPDATE, member.state, member.incarnation) + text(member.name) + text(member.host)
-            + _PORT.pack(member.port) + text(member.hall) + text(by))
+    return (
+        _UPDATE.pack(UPDATE, member.state, member.incarnation)
+        + text(member.name)
+        + text(member.host)
+        + _PORT.pack(member.port)
+        + text(member.hall)
+        + text(by)
+    )
 
 
 class _Reader:
@@ -131,7 +137,7 @@
         if self.at > len(self.data) or not least <= length <= most:
             raise Garbled(f"a text of {length} bytes")
         try:
-            return self.data[at:self.at].decode()
+            return self.data[at : self.at].decode()
         except UnicodeDecodeError:
             raise Garbled("not UTF-8") from None
 
@@ -150,7 +156,7 @@
         elif what == UPDATE:
             messages.append(_update(reader))
         elif what == ASK:
-            number, = reader.take(_NUMBER)
+            (number,) = reader.take(_NUMBER)
             messages.append(Ask(number, reader.text(HOST_MOST, 1), reader.take(_PORT)[0]))
         elif what == PULL:
             messages.append(Pull(reader.take(_PULL)))
--- a/roadlb/membership/pings.py
+++ b/roadlb/membership/pings.py
@@ -7,9 +7,9 @@
 
 from .events import Member
 
-PERIOD_US = 1_000_000          # between two probes
-ANSWER_US = 300_000            # for an answer, before others are asked to try
-KEPT_US = 3 * PERIOD_US        # an answer may be that late, and still proves that its sender runs
+PERIOD_US = 1_000_000  # between two probes
+ANSWER_US = 300_000  # for an answer, before others are asked to try
+KEPT_US = 3 * PERIOD_US  # an answer may be that late, and still proves that its sender runs
 UNDER_WAY_MOST = 1_024
 
 
--- a/roadlb/membership/rumours.py
+++ b/roadlb/membership/rumours.py
@@ -4,7 +4,7 @@
 
 from math import ceil, log10
 
-TELL_TIMES = 4            # for each tenfold of members, rounded up: enough for all to hear with 30% lost
+TELL_TIMES = 4  # for each tenfold of members, rounded up: enough for all to hear with 30% lost
 
 
 def times_told(members: int) -> int:
@@ -18,7 +18,7 @@
     __slots__ = ("_tiers", "_where")
 
     def __init__(self) -> None:
-        self._tiers: list[dict[str, bytes]] = [{}]      # by how often they were told
+        self._tiers: list[dict[str, bytes]] = [{}]  # by how often they were told
         self._where: dict[str, int] = {}
 
     def __len__(self) -> int:
@@ -38,7 +38,7 @@
                 if len(rumour) <= room:
                     room -= len(rumour)
                     taken.append((name, rumour, tier))
-                elif room < 24:        # no update is shorter
+                elif room < 24:  # no update is shorter
                     break
         for name, rumour, tier in taken:
             del self._tiers[tier][name]
--- a/roadlb/membership/self_doubt.py
+++ b/roadlb/membership/self_doubt.py
@@ -6,17 +6,17 @@
 
 from __future__ import annotations
 
-HEALTH_MOST = 2                # points of ill health: periods are up to three times as long
-LATE_US = 500_000              # of a tick
-VOUCH = 2                      # others who answer end the doubt ...
-DOUBT_MOST_US = 5_000_000      # ... or so much time
+HEALTH_MOST = 2  # points of ill health: periods are up to three times as long
+LATE_US = 500_000  # of a tick
+VOUCH = 2  # others who answer end the doubt ...
+DOUBT_MOST_US = 5_000_000  # ... or so much time
 
 
 class SelfDoubt:
     __slots__ = ("_until_us", "_vouched", "health", "late_us")
 
     def __init__(self) -> None:
-        self.health, self.late_us = 0, 0           # points; the last lateness
+        self.health, self.late_us = 0, 0  # points; the last lateness
         self._until_us = 0
         self._vouched: set[str] = set()
 
--- a/roadlb/membership/view.py
+++ b/roadlb/membership/view.py
@@ -15,20 +15,29 @@
 from .events import Member, State
 from .messages import BUCKETS
 
-MEMBERS_MOST = 4_096          # there at once; more are passed over, and counted
-GONE_MOST = 1_024             # remembered at once
-GONE_KEEP_US = 120_000_000    # remembered for so long: older rumours of them have died out, and splits heal
+MEMBERS_MOST = 4_096  # there at once; more are passed over, and counted
+GONE_MOST = 1_024  # remembered at once
+GONE_KEEP_US = 120_000_000  # remembered for so long: older rumours of them have died out, and splits heal
 
 
 class Entry:
     """One member as it is known."""
 
-    __slots__ = ("bucket", "due_us", "hash", "heard_us", "member", "since_us", "suspected_us", "suspecters",
-                 "warned_us")
+    __slots__ = (
+        "bucket",
+        "due_us",
+        "hash",
+        "heard_us",
+        "member",
+        "since_us",
+        "suspected_us",
+        "suspecters",
+        "warned_us",
+    )
 
     def __init__(self, member: Member, now: int) -> None:
         self.member, self.since_us, self.heard_us = member, now, 0
-        self.suspecters: tuple[str, ...] = ()      # who doubts it, the first one first
+        self.suspecters: tuple[str, ...] = ()  # who doubts it, the first one first
         self.suspected_us = self.due_us = self.warned_us = 0
         self.bucket = hashed(member.name) % BUCKETS
         self.hash = 0
@@ -52,9 +61,9 @@
         self._random, self.most = random, most
         self.entries: dict[str, Entry] = {}
         self.buckets, self.digest = [0] * BUCKETS, 0
-        self._names: list[str] = []                # of those there, in no order
-        self._at: dict[str, int] = {}              # where each stands in it
-        self._gone: dict[str, int] = {}            # since when, the oldest first
+        self._names: list[str] = []  # of those there, in no order
+        self._at: dict[str, int] = {}  # where each stands in it
+        self._gone: dict[str, int] = {}  # since when, the oldest first
 
     def __len__(self) -> int:
         """How many are there."""
@@ -131,7 +140,7 @@
 
     def differing(self, buckets: tuple[int, ...]) -> list[Entry]:
         """Those in buckets that differ from these, in an order that is drawn; the dead among them."""
-        odd = {i for i, value in enumerate(buckets) if value != self.buckets[i] & 0xffffffff}
+        odd = {i for i, value in enumerate(buckets) if value != self.buckets[i] & 0xFFFFFFFF}
         found = [entry for entry in self if entry.bucket in odd]
         self._random.shuffle(found)
         return found
--- a/roadlb/net/client_connection.py
+++ b/roadlb/net/client_connection.py
@@ -28,9 +28,9 @@
 if TYPE_CHECKING:
     from .service_client import ServiceClient
 
-SLICE = 16_384         # bytes parsed before what is whole among them is served
-BYTE_US = 60           # a body's byte may take so long: 16 kB a second, where clients send 64 kB at the least
-HELD_MOST = 65_536     # bytes read while an earlier request is open; then reading stops
+SLICE = 16_384  # bytes parsed before what is whole among them is served
+BYTE_US = 60  # a body's byte may take so long: 16 kB a second, where clients send 64 kB at the least
+HELD_MOST = 65_536  # bytes read while an earlier request is open; then reading stops
 
 
 NO_HEADERS = Headers()
@@ -48,35 +48,52 @@
 class BadRequest(Exception):
     """Input that is the client's fault; answered with a plain 4xx."""
 
-    def __init__(self, status: int, reason: str, closes: bool = False, lingers: bool = False,
-                 more: bytes = b"") -> None:
+    def __init__(
+        self, status: int, reason: str, closes: bool = False, lingers: bool = False, more: bytes = b""
+    ) -> None:
         super().__init__(reason)
         self.status, self.reason, self.more = status, reason, more
-        self.closes = closes               # what may follow on its connection is not read
-        self.lingers = lingers             # the rest of it is likely to come all the same
+        self.closes = closes  # what may follow on its connection is not read
+        self.lingers = lingers  # the rest of it is likely to come all the same
 
 
 class Request:
     """A request as it is read."""
 
-    __slots__ = ("body", "came_us", "faulty", "flow", "given_up", "head_size", "head_whole", "headers",
-                 "keep", "length", "method", "newest", "offered", "size", "target", "trailer_size")
+    __slots__ = (
+        "body",
+        "came_us",
+        "faulty",
+        "flow",
+        "given_up",
+        "head_size",
+        "head_whole",
+        "headers",
+        "keep",
+        "length",
+        "method",
+        "newest",
+        "offered",
+        "size",
+        "target",
+        "trailer_size",
+    )
 
     def __init__(self, came_us: int) -> None:
-        self.came_us = came_us             # when its last byte came; at first, when its first did
-        self.length = -1                   # of its body, where it is told
-        self.flow: Flow | None = None      # the rest of its body, while that comes
-        self.newest = True                 # it is HTTP/1.1
+        self.came_us = came_us  # when its last byte came; at first, when its first did
+        self.length = -1  # of its body, where it is told
+        self.flow: Flow | None = None  # the rest of its body, while that comes
+        self.newest = True  # it is HTTP/1.1
         self.method = self.target = b""
-        self.headers = NO_HEADERS          # till the head is whole
+        self.headers = NO_HEADERS  # till the head is whole
         self.body: list[bytes] = []
         self.size = self.trailer_size = 0  # of the body and what is behind it, so far
-        self.head_size = 0                 # by whole segments
+        self.head_size = 0  # by whole segments
         self.faulty: BadRequest | None = None
         self.head_whole = False
-        self.keep = False                  # may its connection go on after it?
-        self.offered = False               # the module has been asked whether to read its body
-        self.given_up = False              # answered already: what is left of it is skipped
+        self.keep = False  # may its connection go on after it?
+        self.offered = False  # the module has been asked whether to read its body
+        self.given_up = False  # answered already: what is left of it is skipped
 
 
 class ClientConnection:
@@ -85,35 +102,59 @@
     Not by its base: a compiled class with a base that is not costs a quarter more of each request.
     """
 
-    __slots__ = ("_came_us", "_chunked", "_client", "_flow", "_flow_ended", "_held", "_held_us", "_last",
-                 "_newest", "_pairs", "_parser", "_pumping", "_reading", "_reading_on", "_upload", "_waiting",
-                 "_wanted", "asked", "deaf", "exchange", "id", "since_us", "started_us", "stuck_us",
-                 "transport", "unwanted_us")
+    __slots__ = (
+        "_came_us",
+        "_chunked",
+        "_client",
+        "_flow",
+        "_flow_ended",
+        "_held",
+        "_held_us",
+        "_last",
+        "_newest",
+        "_pairs",
+        "_parser",
+        "_pumping",
+        "_reading",
+        "_reading_on",
+        "_upload",
+        "_waiting",
+        "_wanted",
+        "asked",
+        "deaf",
+        "exchange",
+        "id",
+        "since_us",
+        "started_us",
+        "stuck_us",
+        "transport",
+        "unwanted_us",
+    )
 
     def __init__(self, client: ServiceClient) -> None:
         self._client = client
         self._parser = HttpRequestParser(self)
-        self._reading: Request | None = None            # not whole yet
-        self._pairs: list[tuple[bytes, bytes]] | None = None    # its headers, while its head is not
-        self._waiting: deque[Request] = deque()         # whole, or faulty, behind the open one
-        self._held, self._held_us = b"", 0              # not parsed yet, and when the first of it came
+        self._reading: Request | None = None  # not whole yet
+        self._pairs: list[tuple[bytes, bytes]] | None = None  # its headers, while its head is not
+        self._waiting: deque[Request] = deque()  # whole, or faulty, behind the open one
+        self._held, self._held_us = b"", 0  # not parsed yet, and when the first of it came
         self._came_us = 0
-        self._last = False                              # the open request's answer ends the connection
+        self._last = False  # the open request's answer ends the connection
         self._pumping, self._reading_on = False, True
-        self._upload: Flow | None = None                # the open request's body, while it comes
-        self._wanted = False                            # more of that is wanted
-        self.unwanted_us = 0                            # since when not, while it comes
-        self._flow: Flow | None = None                  # the answer's body, while it comes
-        self._flow_ended = self._chunked = False        # all of that has come; it goes out in chunks
-        self._newest = True                             # the open request is HTTP/1.1
+        self._upload: Flow | None = None  # the open request's body, while it comes
+        self._wanted = False  # more of that is wanted
+        self.unwanted_us = 0  # since when not, while it comes
+        self._flow: Flow | None = None  # the answer's body, while it comes
+        self._flow_ended = self._chunked = False  # all of that has come; it goes out in chunks
+        self._newest = True  # the open request is HTTP/1.1
         self.transport: asyncio.Transport | None = None
-        self.exchange: Exchange | None = None           # the open one
-        self.id = b""                                   # and its correlation id
-        self.since_us = client.clock()                  # its last answer was out, or it was opened
-        self.started_us = 0                             # the first byte of a request not yet whole, if any
-        self.stuck_us = 0                               # since when the client has not taken an answer
-        self.asked = False                              # a request has come whole
-        self.deaf = False                               # nothing more is read
+        self.exchange: Exchange | None = None  # the open one
+        self.id = b""  # and its correlation id
+        self.since_us = client.clock()  # its last answer was out, or it was opened
+        self.started_us = 0  # the first byte of a request not yet whole, if any
+        self.stuck_us = 0  # since when the client has not taken an answer
+        self.asked = False  # a request has come whole
+        self.deaf = False  # nothing more is read
 
     # The transport's side
 
@@ -193,7 +234,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._pairs is not None:
             self._pairs.append((name, value))
-        elif request := self._reading:         # a trailer, of which nothing is passed on
+        elif request := self._reading:  # a trailer, of which nothing is passed on
             request.trailer_size += len(name) + len(value) + 4
             if request.trailer_size > HEAD_MOST:
                 self._fault(BadRequest(400, "the trailers are too large", closes=True))
@@ -202,7 +243,7 @@
         request, pairs, self._pairs = self._reading, self._pairs, None
         if not request or pairs is None:
             return
-        request.head_whole, self.started_us = True, self._came_us      # the body's time begins
+        request.head_whole, self.started_us = True, self._came_us  # the body's time begins
         if request.target[:1] != b"/":
             request.target = origin_form(request.target)
         request.method = self._parser.get_method()
@@ -236,7 +277,7 @@
         if not request:
             return
         request.size += len(body)
-        if self.started_us:            # who sends at a fair rate has the time for it
+        if self.started_us:  # who sends at a fair rate has the time for it
             self.started_us = min(self._came_us, self.started_us + len(body) * BYTE_US)
         if request.size > BODY_MOST:
             self._fault(BadRequest(413, "the body is too large", closes=True))
@@ -293,16 +334,24 @@
                         data, self._held = data[:SLICE], data[SLICE:]
                     self._parse(data)
                     request = self._reading
-                    if request and request.size > self._client.hold and not request.given_up and (
-                            self._upload is None and not self.exchange and not self.deaf):
+                    if (
+                        request
+                        and request.size > self._client.hold
+                        and not request.given_up
+                        and (self._upload is None and not self.exchange and not self.deaf)
+                    ):
                         self._begin_upload(request)
                 else:
                     break
         finally:
             self._pumping = False
         if not self.deaf:
-            if not self._reading_on and not self.stuck_us and len(self._held) <= HELD_MOST // 2 and (
-                    self._upload is None or self._wanted):
+            if (
+                not self._reading_on
+                and not self.stuck_us
+                and len(self._held) <= HELD_MOST // 2
+                and (self._upload is None or self._wanted)
+            ):
                 self._read_on(True)
             request = self._reading
             if request and request.head_whole and not request.offered and not self.exchange:
@@ -328,7 +377,7 @@
         request = self._reading
         if request and not request.head_whole:
             request.head_size += len(data)
-            if request.head_size > HEAD_MOST:      # blanks included; a whole head is measured without
+            if request.head_size > HEAD_MOST:  # blanks included; a whole head is measured without
                 self._fault(BadRequest(400, "the head is too large", closes=True))
 
     def _offer(self, request: Request) -> None:
@@ -350,7 +399,7 @@
         bound(self.transport)
         request.came_us = self._came_us
         self._serve(request)
-        if self.exchange is None and self._upload is not None:      # answered at once: the rest is not read
+        if self.exchange is None and self._upload is not None:  # answered at once: the rest is not read
             self._upload = None
 
     def flow_want(self, on: bool) -> None:
@@ -394,9 +443,9 @@
         self._flow = None
         flow.over(False)
         if flow.size >= 0 or self._chunked:
-            self.close()               # it ends short of what its head or its last chunk would tell
+            self.close()  # it ends short of what its head or its last chunk would tell
         else:
-            self.abort()               # nothing but a reset tells that it is not whole
+            self.abort()  # nothing but a reset tells that it is not whole
 
     def _flow_over(self) -> None:
         flow, self._flow, self._flow_ended = self._flow, None, False
@@ -465,7 +514,7 @@
         if self.transport and not self.transport.is_closing():
             try:
                 self.transport.write(data)
-            except RuntimeError:               # uvloop, where it has closed it and not said so yet
+            except RuntimeError:  # uvloop, where it has closed it and not said so yet
                 self.deaf = True
 
     # Ends
--- a/roadlb/net/datagram.py
+++ b/roadlb/net/datagram.py
@@ -27,13 +27,13 @@
 from ..config import KEY_LEAST
 from ..membership.events import NAME_MOST
 
-MOST = 1_200             # bytes of a datagram: under every path's MTU, tunnels counted in
+MOST = 1_200  # bytes of a datagram: under every path's MTU, tunnels counted in
 VERSION = 1
 TAG = 16
 _HEAD = struct.Struct("!3sB8sQQB")
 _ITEM = struct.Struct("!BH")
 ITEM_HEAD = _ITEM.size
-PAYLOAD_MOST = MOST - _HEAD.size - NAME_MOST - ITEM_HEAD - TAG        # bytes that always fit as one item
+PAYLOAD_MOST = MOST - _HEAD.size - NAME_MOST - ITEM_HEAD - TAG  # bytes that always fit as one item
 
 
 class Fault(Exception):
@@ -50,7 +50,7 @@
     sender: str
     incarnation: int
     number: int
-    items: tuple[tuple[int, bytes], ...]         # (kind, payload)
+    items: tuple[tuple[int, bytes], ...]  # (kind, payload)
 
 
 def room(sender: str) -> int:
@@ -67,8 +67,9 @@
         self._key = key
         self._cluster = sha256(cluster.encode()).digest()[:8]
 
-    def write(self, sender: str, incarnation: int, number: int,
-              items: Iterable[tuple[int, bytes]], to: str) -> bytes:
+    def write(
+        self, sender: str, incarnation: int, number: int, items: Iterable[tuple[int, bytes]], to: str
+    ) -> bytes:
         """For the address `to`; ValueError where it would hold more than MOST bytes."""
         name = sender.encode()
         parts = [_HEAD.pack(b"rlb", VERSION, self._cluster, incarnation, number, len(name)), name]
@@ -97,7 +98,7 @@
         if not 0 < length <= NAME_MOST or end > len(body):
             raise Fault("malformed", f"a name of {length} bytes")
         try:
-            sender = body[_HEAD.size:end].decode()
+            sender = body[_HEAD.size : end].decode()
         except UnicodeDecodeError:
             raise Fault("malformed", "a name that is not UTF-8") from None
         return Datagram(sender, incarnation, number, tuple(_items(body, end)))
@@ -114,5 +115,5 @@
         at += ITEM_HEAD
         if len(body) - at < length:
             raise Fault("malformed", "an item is cut off")
-        yield kind, body[at:at + length]
+        yield kind, body[at : at + length]
         at += length
--- a/roadlb/net/fleet_watch.py
+++ b/roadlb/net/fleet_watch.py
@@ -16,8 +16,8 @@
 
 logger = logging.getLogger(__name__)
 
-CALL_S = 2.0                 # an answer to a call that has not come by then will not come
-LINGER_S = 0.05              # for the lines behind the first one of a call
+CALL_S = 2.0  # an answer to a call that has not come by then will not come
+LINGER_S = 0.05  # for the lines behind the first one of a call
 
 
 class FleetWatch:
@@ -43,7 +43,7 @@
                 self.error, refused = f"malformed: {e}", isinstance(e, WatchRefused)
             except (TimeoutError, OSError) as e:
                 self.error = f"{type(e).__name__}: {e}"
-            except Exception as e:               # whatever a line did, the next one must be heard
+            except Exception as e:  # whatever a line did, the next one must be heard
                 logger.exception("watch failed")
                 self.error = f"fault: {type(e).__name__}: {e}"
             self.counts["broken"] += 1
@@ -67,6 +67,7 @@
         def line(text: bytes) -> None:
             self._line(text)
             first.set()
+
         watch = Watch(self.at, self._generation, line)
         try:
             async with asyncio.timeout(CALL_S):
@@ -90,11 +91,12 @@
             held = self.picture
             if held is not None and line.generation < held.generation:
                 self.counts["older"] += 1
-                logger.warning("list older than ours", extra=fields(
-                    generation=line.generation, ours=held.generation))
+                logger.warning(
+                    "list older than ours", extra=fields(generation=line.generation, ours=held.generation)
+                )
             elif held is None or line.generation > held.generation:
                 if held is None and not line.reset:
-                    held = Picture(0)                # asked after 0: the changes since the empty list
+                    held = Picture(0)  # asked after 0: the changes since the empty list
                 self.picture = take_into(held or Picture(0), self._cluster, line)
                 self._told(self.picture)
         self.counts["line"] += 1
--- a/roadlb/net/headers.py
+++ b/roadlb/net/headers.py
@@ -13,11 +13,26 @@
 CONNECTION, LENGTH, ENCODING, EXPECT = b"connection", b"content-length", b"transfer-encoding", b"expect"
 HOST = b"host"
 
-REPORTS_KEPT, REPORT_MOST = 1_024, 128     # reports remembered, and how long one may be for that
+REPORTS_KEPT, REPORT_MOST = 1_024, 128  # reports remembered, and how long one may be for that
 # Of one connection only (RFC 9110, 7.6.1), or made anew for the next.
-NOT_PASSED_ON = frozenset({
-    CONNECTION, b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
-    b"trailer", ENCODING, b"upgrade", LENGTH, EXPECT, TIME_LEFT, LOAD, UNPROCESSED})
+NOT_PASSED_ON = frozenset(
+    {
+        CONNECTION,
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        ENCODING,
+        b"upgrade",
+        LENGTH,
+        EXPECT,
+        TIME_LEFT,
+        LOAD,
+        UNPROCESSED,
+    }
+)
 # Some readers take these for the names with hyphens, and would see another length than we do.
 LOOK_ALIKE = frozenset({b"content_length", b"transfer_encoding"})
 # Tokens of Connection that name no header, and what no request may lose on its way.
--- a/roadlb/net/http.py
+++ b/roadlb/net/http.py
@@ -6,11 +6,11 @@
 
 from ..exchange import Answer, Nack, Served
 
-HOLD = 65_536          # of a body, before it flows
-HOLD_TIGHT = 4_096     # and where memory is short
+HOLD = 65_536  # of a body, before it flows
+HOLD_TIGHT = 4_096  # and where memory is short
 BODY_MOST = 32 << 20
 HEAD_MOST = 16_384
-INTERIM_MOST = 8       # 1xx answers in front of the final one
+INTERIM_MOST = 8  # 1xx answers in front of the final one
 
 LAST_CHUNK = b"0\r\n\r\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -24,7 +24,12 @@
     close = _CLOSE if last else b""
     if isinstance(answer, Served):
         return b"%b%b%bContent-Length: %d\r\n\r\n%b" % (
-            _STATUS[200], answer.head, close, len(answer.body), answer.body)
+            _STATUS[200],
+            answer.head,
+            close,
+            len(answer.body),
+            answer.body,
+        )
     if isinstance(answer, Nack):
         return b"%bRetry-After: %.3f\r\n%b\r\n" % (_EMPTY[503], answer.retry_after_us / 1e6, close)
     return plain(502, answer.reason, last)
@@ -43,12 +48,19 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
-def plain(status: int, text: str, last: bool, more: bytes = b"",
-          kind: bytes = b"text/plain; charset=utf-8") -> bytes:
+def plain(
+    status: int, text: str, last: bool, more: bytes = b"", kind: bytes = b"text/plain; charset=utf-8"
+) -> bytes:
     """An answer of our own with a line of text for a person; `more`: further header lines."""
     body = text.encode() + b"\n"
     return b"%bContent-Type: %b\r\n%b%bContent-Length: %d\r\n\r\n%b" % (
-        _STATUS[status], kind, more, _CLOSE if last else b"", len(body), body)
+        _STATUS[status],
+        kind,
+        more,
+        _CLOSE if last else b"",
+        len(body),
+        body,
+    )
 
 
 def empty(status: int, last: bool) -> bytes:
--- a/roadlb/net/instance_connection.py
+++ b/roadlb/net/instance_connection.py
@@ -37,7 +37,7 @@
 # Between two pieces of an answer.  One that pauses for longer claims more than it has to give; its request
 # would wait for it till its time is up.  Once it flows, only the client waits, who has part of it.
 PAUSE_S, FLOW_PAUSE_S = 0.5, 10.0
-HOLD_S = 0.05          # an answer of unknown length, which may be long, is held for so long
+HOLD_S = 0.05  # an answer of unknown length, which may be long, is held for so long
 
 
 @dataclass(slots=True, eq=False, init=False)
@@ -56,11 +56,17 @@
     dialling: asyncio.Task[None] | None
     timer: Timer | None
     written: Callable[[], None] | None
-    flow: Flow | None                      # what follows `data`
-
-    def __init__(self, server: ServerId, data: bytes, until_us: int,
-                 ended: Callable[[Result, str], None], written: Callable[[], None] | None = None,
-                 flow: Flow | None = None) -> None:
+    flow: Flow | None  # what follows `data`
+
+    def __init__(
+        self,
+        server: ServerId,
+        data: bytes,
+        until_us: int,
+        ended: Callable[[Result, str], None],
+        written: Callable[[], None] | None = None,
+        flow: Flow | None = None,
+    ) -> None:
         self.flow = flow
         self.server, self.data, self.until_us, self.ended = server, data, until_us, ended
         self.written = written
@@ -70,10 +76,38 @@
 class InstanceConnection:
     """An asyncio.Protocol by its methods, told what to send by the pool, to which it comes back to rest."""
 
-    __slots__ = ("_answer", "_between", "_body", "_call", "_extra", "_final", "_first_us", "_flow",
-                 "_head_whole", "_headers", "_heard_us", "_interim", "_keep", "_last", "_length",
-                 "_pairs", "_parser", "_paused", "_pool", "_size", "_spoilt", "_stall", "_status",
-                 "_tail", "_unwritten", "_upload", "address", "rested_us", "server", "transport")
+    __slots__ = (
+        "_answer",
+        "_between",
+        "_body",
+        "_call",
+        "_extra",
+        "_final",
+        "_first_us",
+        "_flow",
+        "_head_whole",
+        "_headers",
+        "_heard_us",
+        "_interim",
+        "_keep",
+        "_last",
+        "_length",
+        "_pairs",
+        "_parser",
+        "_paused",
+        "_pool",
+        "_size",
+        "_spoilt",
+        "_stall",
+        "_status",
+        "_tail",
+        "_unwritten",
+        "_upload",
+        "address",
+        "rested_us",
+        "server",
+        "transport",
+    )
 
     def __init__(self, pool: Pool, server: ServerId, address: Address) -> None:
         self._pool, self.server, self.address = pool, server, address
@@ -84,29 +118,29 @@
         self._call: Call | None = None
         self._headers = Headers()
         self._stall: Timer | None = None
-        self._unwritten = False                # some of the request has not gone out
-        self._upload: Flow | None = None       # the rest of the request's body, while it comes
-        self._flow: Flow | None = None         # the answer's body, while it flows
-        self._paused = False                   # nothing is read, as the flow's sink is full
-        self._heard_us = self._first_us = 0    # when something last came, and first came of this answer
+        self._unwritten = False  # some of the request has not gone out
+        self._upload: Flow | None = None  # the rest of the request's body, while it comes
+        self._flow: Flow | None = None  # the answer's body, while it flows
+        self._paused = False  # nothing is read, as the flow's sink is full
+        self._heard_us = self._first_us = 0  # when something last came, and first came of this answer
         self.transport: asyncio.Transport | None = None
-        self.rested_us = 0                     # since when it carries no call
+        self.rested_us = 0  # since when it carries no call
         self._await(0)
 
     def _await(self, interim: int) -> None:
         """Begin an answer's head, behind so many 1xx."""
         self._pairs: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
-        self._between = False                          # a 1xx has ended, and nothing has come behind it
-        self._last = b""                               # the last piece of the body
-        self._length = 0                               # of the body; -1: not told
+        self._between = False  # a 1xx has ended, and nothing has come behind it
+        self._last = b""  # the last piece of the body
+        self._length = 0  # of the body; -1: not told
         self._status = 0
-        self._size, self._interim = 0, interim         # bytes of the head, then of the body
-        self._head_whole = False                       # the final answer's
-        self._final = self._extra = False              # the final answer is whole; something came behind it
-        self._keep = False                             # the instance lets the connection live on
-        self._spoilt = ""                              # why the answer cannot be used
-        self._tail = b""                               # the last bytes of those before this segment
+        self._size, self._interim = 0, interim  # bytes of the head, then of the body
+        self._head_whole = False  # the final answer's
+        self._final = self._extra = False  # the final answer is whole; something came behind it
+        self._keep = False  # the instance lets the connection live on
+        self._spoilt = ""  # why the answer cannot be used
+        self._tail = b""  # the last bytes of those before this segment
         self._answer: Result | None = None
 
     # The pool's side
@@ -114,8 +148,12 @@
     @property
     def usable(self) -> bool:
         """Can it carry a call?"""
-        return (self.transport is not None and not self.transport.is_closing() and self._call is None
-                and self._flow is None)
+        return (
+            self.transport is not None
+            and not self.transport.is_closing()
+            and self._call is None
+            and self._flow is None
+        )
 
     def send(self, call: Call) -> None:
         """Write the call's request; the connection must be usable."""
@@ -129,7 +167,7 @@
         self._first_us = 0
         try:
             self.transport.write(call.data)
-        except RuntimeError as e:              # uvloop, where it has closed it and not said so yet
+        except RuntimeError as e:  # uvloop, where it has closed it and not said so yet
             self._end(Result(Ending.BROKE_UNSENT), str(e), keep=False)
         else:
             if call.flow is not None:
@@ -166,7 +204,7 @@
         try:
             if self.transport:
                 self.transport.write(data)
-        except RuntimeError as e:              # as in `send`
+        except RuntimeError as e:  # as in `send`
             self._end(Result(Ending.BROKE_UNSENT), str(e), keep=False)
 
     # The source of an answer's body
@@ -219,9 +257,14 @@
             self._written()
 
     def eof_received(self) -> None:
-        if self._head_whole and self._length < 0 and not self._headers.encodings and not self._final and (
-                self._call is not None or self._flow is not None):
-            self._whole()              # this is how the end of an answer with no length is told
+        if (
+            self._head_whole
+            and self._length < 0
+            and not self._headers.encodings
+            and not self._final
+            and (self._call is not None or self._flow is not None)
+        ):
+            self._whole()  # this is how the end of an answer with no length is told
             self._ended(keep=False)
         else:
             self._broke("closed by the instance")
@@ -234,7 +277,7 @@
 
     def data_received(self, data: bytes) -> None:
         if self._call is None and self._flow is None:
-            self.close()               # these bytes belong to no request
+            self.close()  # these bytes belong to no request
             return
         self._heard_us = self._pool.clock()
         self._first_us = self._first_us or self._heard_us
@@ -252,9 +295,9 @@
     def _fed(self, data: bytes) -> None:
         """The parser has read these bytes: judge what it made of them."""
         if self._between:
-            return                     # the final answer may still take its time
+            return  # the final answer may still take its time
         if not self._head_whole:
-            self._size += len(data)            # blanks included; a whole head is measured without
+            self._size += len(data)  # blanks included; a whole head is measured without
             if self._size > HEAD_MOST:
                 self._spoilt = self._spoilt or "too long"
         elif self._final and not self._extra:
@@ -269,13 +312,22 @@
             self._ended(keep=self._keep and not self._extra and not self._unwritten)
         else:
             self._tail = (self._tail + data[-5:])[-5:]
-            if self._head_whole and self._call is not None and self._status == 200 and (
-                    max(self._length, self._size) > self._pool.hold or self._length < 0 and self._size
-                    and self._heard_us - self._first_us > HOLD_S * 1e6):
+            if (
+                self._head_whole
+                and self._call is not None
+                and self._status == 200
+                and (
+                    max(self._length, self._size) > self._pool.hold
+                    or self._length < 0
+                    and self._size
+                    and self._heard_us - self._first_us > HOLD_S * 1e6
+                )
+            ):
                 self._begin_flow(self._call)
             if not self._stall and (self._call is not None or self._flow is not None):
                 self._stall = self._pool.wheel.at(
-                    self._heard_us + int(PAUSE_S * 1e6), InstanceConnection._stalled, self)
+                    self._heard_us + int(PAUSE_S * 1e6), InstanceConnection._stalled, self
+                )
 
     def _begin_flow(self, call: Call) -> None:
         """The answer is too long to hold: its call has ended well, and its body goes on as it comes."""
@@ -285,7 +337,7 @@
             self._end(Result(Ending.GARBLED), str(e), keep=False)
             return
         if self._upload is not None:
-            self.close()               # it answers what it has not read: neither connection is of further use
+            self.close()  # it answers what it has not read: neither connection is of further use
             call.ended(Result(Ending.GARBLED), "a long answer to half a request")
             return
         held, self._body, self._call = self._body, [], None
@@ -329,7 +381,7 @@
                 self._spoilt = "1xx"
             return
         self._head_whole, self._status, self._size = True, status, 0
-        if self._spoilt or status in (204, 304):       # these have no body
+        if self._spoilt or status in (204, 304):  # these have no body
             return
         try:
             length = headers.framing()
@@ -342,7 +394,7 @@
         elif self._length > BODY_MOST:
             self._spoilt = "too long"
         elif status != 200 and (self._length > HOLD or length == -1):
-            self._whole()              # nobody needs the body of what was not served
+            self._whole()  # nobody needs the body of what was not served
 
     def on_body(self, body: bytes) -> None:
         if self._final or self._spoilt:
@@ -360,13 +412,13 @@
     def on_message_complete(self) -> None:
         if self._final or self._spoilt:
             return
-        if not self._head_whole:               # a 1xx; the final answer may still take its time
+        if not self._head_whole:  # a 1xx; the final answer may still take its time
             self._await(self._interim + 1)
             self._between = True
             self._quiet()
             return
         if self._length < 0 and not self._headers.encodings and self._status not in (204, 304):
-            self._spoilt = "length"    # the parser has read one that `Headers` does not take for one
+            self._spoilt = "length"  # the parser has read one that `Headers` does not take for one
             return
         self._whole()
         self._keep = self._parser.should_keep_alive()
@@ -434,7 +486,8 @@
         until = self._heard_us + int((PAUSE_S if self._flow is None else FLOW_PAUSE_S) * 1e6)
         if self._paused or until > now:
             self._stall = self._pool.wheel.at(
-                max(until, now + int(PAUSE_S * 1e6)), InstanceConnection._stalled, self)
+                max(until, now + int(PAUSE_S * 1e6)), InstanceConnection._stalled, self
+            )
         else:
             self._end(Result(Ending.GARBLED), "never whole", keep=False)
 
--- a/roadlb/net/instances.py
+++ b/roadlb/net/instances.py
@@ -21,7 +21,7 @@
 logger = logging.getLogger(__name__)
 
 PROBE_US = 300_000
-ENDINGS_LOGGED = 50    # a second; the others are only counted
+ENDINGS_LOGGED = 50  # a second; the others are only counted
 
 
 def heard(result: Result, error: str) -> None:
@@ -31,18 +31,26 @@
 class Instances:
     """The engine's executor over HTTP/1.1; told by the name table where instances listen."""
 
-    def __init__(self, config: Config, engine: Engine, counters: Counters, clock: Clock,
-                 wheel: Wheel) -> None:
+    def __init__(
+        self, config: Config, engine: Engine, counters: Counters, clock: Clock, wheel: Wheel
+    ) -> None:
         self._engine, self._counters, self._clock, self._wheel = engine, counters, clock, wheel
         self._listed: dict[ServerId, tuple[str, Address]] = {}
         self._calls: dict[Execution, Call] = {}
         self._probes: dict[Call, None] = {}
         self._logged = Limit(clock, ENDINGS_LOGGED)
-        self.pool = Pool(config.instance_sockets, int(config.conn_idle_us * IDLE_PART),
-                         config.dial_timeout_us, LoadReports(config.settings.report_fields), clock, wheel)
-
-    def list_update(self, listed: Mapping[ServerId, tuple[str, Address]], gone: list[ServerId],
-                    whole: bool) -> None:
+        self.pool = Pool(
+            config.instance_sockets,
+            int(config.conn_idle_us * IDLE_PART),
+            config.dial_timeout_us,
+            LoadReports(config.settings.report_fields),
+            clock,
+            wheel,
+        )
+
+    def list_update(
+        self, listed: Mapping[ServerId, tuple[str, Address]], gone: list[ServerId], whole: bool
+    ) -> None:
         if whole:
             self._listed.clear()
         self._listed.update(listed)
@@ -59,21 +67,28 @@
             self._engine.execution_ended(execution, Result(Ending.NEVER_STARTED))
             return
         length = b""
-        if message.method != b"GET":       # which has no body here; of any other an empty one is told
+        if message.method != b"GET":  # which has no body here; of any other an empty one is told
             length = b"Content-Length: %d\r\n" % (flow.size if flow else len(message.body))
         body = message.body
         if flow is not None and flow.size < 0:
             length, body = b"Transfer-Encoding: chunked\r\n", chunk(body)
         data = b"%b %b HTTP/1.1\r\n%bX-Time-Left: %.3f\r\n%b\r\n%b" % (
-            message.method, message.target, message.head, execution.left_us / 1e6, length, body)
+            message.method,
+            message.target,
+            message.head,
+            execution.left_us / 1e6,
+            length,
+            body,
+        )
 
         def ended(result: Result, error: str) -> None:
             del self._calls[execution]
             self._over(call, result, error)
             self._engine.execution_ended(execution, result)
 
-        call = self._calls[execution] = Call(execution.server, data, execution.until_us, ended,
-                                              self._written, flow)
+        call = self._calls[execution] = Call(
+            execution.server, data, execution.until_us, ended, self._written, flow
+        )
         self._go(call)
 
     def _written(self) -> None:
@@ -128,13 +143,14 @@
         call.ended(Result(ending), "")
 
     def _over(self, call: Call, result: Result, error: str) -> None:
-        call.ended = heard                     # it refers to the call, which would be a cycle
+        call.ended = heard  # it refers to the call, which would be a cycle
         if call.timer:
             call.timer.cancel()
         if error and self._logged.allows():
             name, _ = self._listed.get(call.server, (call.server.hex(), None))
-            logger.info("execution ended", extra=fields(
-                instance=name, ending=result.ending.value, error=error))
+            logger.info(
+                "execution ended", extra=fields(instance=name, ending=result.ending.value, error=error)
+            )
 
     async def close(self) -> None:
         for call in [*self._calls.values(), *self._probes]:
--- a/roadlb/net/name_table.py
+++ b/roadlb/net/name_table.py
@@ -41,15 +41,24 @@
     kind: ListKind
     members: list[Member]
     names: dict[ServerId, tuple[str, Address]]
-    entries: dict[str, object]           # as they came, by instanceId; None: removed
+    entries: dict[str, object]  # as they came, by instanceId; None: removed
 
 
 class NameTable:
     """Discovery's list of instances, told to the engine and to the side that dials them."""
 
-    def __init__(self, discovery: Address, zones: tuple[str, ...], kinds: tuple[str, ...], engine: Engine,
-                 instances: Instances, counters: Counters, clock: Clock, wall: Clock,
-                 seed: int = 0) -> None:
+    def __init__(
+        self,
+        discovery: Address,
+        zones: tuple[str, ...],
+        kinds: tuple[str, ...],
+        engine: Engine,
+        instances: Instances,
+        counters: Counters,
+        clock: Clock,
+        wall: Clock,
+        seed: int = 0,
+    ) -> None:
         """`wall` tells Unix time in microseconds, in which discovery tells instances' starts; `seed` is this
         balancer's own, for the moments at which it asks again."""
         self._discovery, self._engine, self._instances = discovery, engine, instances
@@ -60,12 +69,12 @@
         self._unix_to_clock = clock() - wall()
         self._generation = 0
         self._moved = asyncio.Event()
-        self.filled = False                # an instance has been listed
-        self.told = asyncio.Event()        # discovery has told a list since the start
+        self.filled = False  # an instance has been listed
+        self.told = asyncio.Event()  # discovery has told a list since the start
         self.on_list: Callable[[], None] = lambda: None
         self._entries: dict[str, object] = {}
-        self.led = False                   # the list is another's to tell: what discovery says is passed over
-        self.drained: Callable[[str, int], bool] = lambda name, started_ms: False      # told once so
+        self.led = False  # the list is another's to tell: what discovery says is passed over
+        self.drained: Callable[[str, int], bool] = lambda name, started_ms: False  # told once so
 
     def parse(self, raw: object) -> Line:
         """Check a whole line, as text or as JSON read already, before any of it is believed."""
@@ -95,12 +104,21 @@
             born = (started * 1000 + self._unix_to_clock or 1) if started > 0 else 0
             if state is ServerState.READY and self.drained(name, started):
                 state = ServerState.DRAINING
-            members.append(Member(
-                id, state, int(entry.get("cell") or 0), self._kinds.get(entry.get("machineType"), 0),
-                self._zones.get(entry.get("zone"), 0), weight, born))
+            members.append(
+                Member(
+                    id,
+                    state,
+                    int(entry.get("cell") or 0),
+                    self._kinds.get(entry.get("machineType"), 0),
+                    self._zones.get(entry.get("zone"), 0),
+                    weight,
+                    born,
+                )
+            )
             names[id] = name, read_address("hostPort", entry["hostPort"])
-        return Line(int(raw["generation"]), ListKind.FULL if raw["reset"] else ListKind.DELTA, members, names,
-                    entries)
+        return Line(
+            int(raw["generation"]), ListKind.FULL if raw["reset"] else ListKind.DELTA, members, names, entries
+        )
 
     def start_from(self, known: Mapping[str, object]) -> None:
         """Begin with the list as it was last held, which may be old."""
@@ -122,7 +140,7 @@
             line.kind = ListKind.CACHED
         if not self.led:
             self.led = True
-            self._moved.set()              # ends the watch
+            self._moved.set()  # ends the watch
             logger.info("list led")
         self._take(line)
         self.told.set()
@@ -142,9 +160,14 @@
         self._engine.list_update(line.kind, line.members)
         self.filled = self.filled or bool(line.names)
         self._counters.add("list.taken")
-        logger.info("list", extra=fields(
-            kind=line.kind.name.lower(), generation=line.generation,
-            **{s.name.lower(): sum(m.state is s for m in line.members) for s in ServerState}))
+        logger.info(
+            "list",
+            extra=fields(
+                kind=line.kind.name.lower(),
+                generation=line.generation,
+                **{s.name.lower(): sum(m.state is s for m in line.members) for s in ServerState},
+            ),
+        )
 
     def names(self) -> dict[ServerId, str]:
         """What the instances of the list held are called."""
@@ -153,8 +176,11 @@
     @property
     def held(self) -> tuple[str, dict[str, object]]:
         """Which discovery told the list held, and that list in discovery's form."""
-        return str(self._discovery), {"generation": self._generation, "reset": True,
-                                      "instances": list(self._entries.values())}
+        return str(self._discovery), {
+            "generation": self._generation,
+            "reset": True,
+            "instances": list(self._entries.values()),
+        }
 
     def move(self, discovery: Address) -> None:
         """Watch at another address from now on; the list held stays valid until that one tells more."""
@@ -209,7 +235,7 @@
 
     def _line(self, line: bytes) -> None:
         if self._moved.is_set():
-            return                                   # what the old place still says is out of date
+            return  # what the old place still says is out of date
         if line.strip():
             self._take(self.parse(line))
             self.told.set()
--- a/roadlb/net/peers.py
+++ b/roadlb/net/peers.py
@@ -25,19 +25,40 @@
 from ..log import Limit, fields
 from ..membership.admission import Admission, Bucket, Verdict
 from ..membership.events import (
-    Changed, CutOff, Distrust, Doubted, Event, Joined, Kind, Leave, Left, Member, News, Odd, Received, Send,
-    Start, State, Suspected, Tell, Tick, Trust, WakeAt, first_incarnation)
+    Changed,
+    CutOff,
+    Distrust,
+    Doubted,
+    Event,
+    Joined,
+    Kind,
+    Leave,
+    Left,
+    Member,
+    News,
+    Odd,
+    Received,
+    Send,
+    Start,
+    State,
+    Suspected,
+    Tell,
+    Tick,
+    Trust,
+    WakeAt,
+    first_incarnation,
+)
 from ..membership.members import Members
 from .datagram import ITEM_HEAD, PAYLOAD_MOST, Codec, Fault, room
 
 logger = logging.getLogger(__name__)
 
-TRY_AGAIN_S = 0.2                         # for the address, while another process has it
+TRY_AGAIN_S = 0.2  # for the address, while another process has it
 SOURCE_RATE, SOURCE_BURST = 2_000, 4_000  # datagrams a second of one host, before they are read
 SOURCES_MOST = 8_192
-OUT_RATE, OUT_BURST = 4_000, 4_000        # datagrams a second that leave, and at once
-WAITING_MOST = 4_096                      # items that wait for the turn's end
-LINES_A_SECOND = 20                       # of the log, about members; the rest is counted
+OUT_RATE, OUT_BURST = 4_000, 4_000  # datagrams a second that leave, and at once
+WAITING_MOST = 4_096  # items that wait for the turn's end
+LINES_A_SECOND = 20  # of the log, about members; the rest is counted
 
 OnPayload: TypeAlias = Callable[[str, int, bytes], None]
 OnNews: TypeAlias = Callable[[News], None]
@@ -50,8 +71,17 @@
     drawn.  `own_socket`: make the socket here, as on a real loop no name need be looked up.
     """
 
-    def __init__(self, name: str, hall: str, config: PeersConfig, counters: Counters, clock: Clock,
-                 wall: Clock, seed: int, own_socket: bool = True) -> None:
+    def __init__(
+        self,
+        name: str,
+        hall: str,
+        config: PeersConfig,
+        counters: Counters,
+        clock: Clock,
+        wall: Clock,
+        seed: int,
+        own_socket: bool = True,
+    ) -> None:
         self.config, self.counters, self.clock, self._own_socket = config, counters, clock, own_socket
         self._name, self._hall, self._wall = name, hall, wall
         self._random = Random(f"{seed}/{name}/{wall()}")
@@ -70,7 +100,7 @@
         self._trying: asyncio.Task[None] | None = None
         self._lines = Limit(clock, LINES_A_SECOND)
         self._members: Members | None = None
-        self.parts: dict[str, Callable[[], object]] = {}     # of the report, by their names there
+        self.parts: dict[str, Callable[[], object]] = {}  # of the report, by their names there
 
     # The seam: see roadlb.membership.events
 
@@ -147,8 +177,13 @@
         self._transport = transport
         port = transport.get_extra_info("sockname")[1]
         known_as = self.config.advertise or Address(at.host, port)
-        me = Member(self._name, known_as.host, known_as.port or port, self._hall,
-                    first_incarnation(self._wall() // 1_000))
+        me = Member(
+            self._name,
+            known_as.host,
+            known_as.port or port,
+            self._hall,
+            first_incarnation(self._wall() // 1_000),
+        )
         self._admission.trust(me.name, me.life)
         self._at = f"{me.host}:{me.port}"
         self._members = Members(me, [(seed.host, seed.port) for seed in self.config.seeds], self._random)
@@ -195,7 +230,8 @@
                 if self._timer:
                     self._timer.cancel()
                 self._timer = asyncio.get_running_loop().call_later(
-                    max(0, action.at_us - self.clock()) / 1e6, self._tick)
+                    max(0, action.at_us - self.clock()) / 1e6, self._tick
+                )
 
     def _tick(self) -> None:
         self._handle(Tick())
@@ -254,13 +290,14 @@
             self.counters.add("peers.out_dropped")
             return
         self._number += 1
-        data = self._codec.write(self._name, self._members.me.incarnation, self._number, items,
-                                 f"{address[0]}:{address[1]}")
+        data = self._codec.write(
+            self._name, self._members.me.incarnation, self._number, items, f"{address[0]}:{address[1]}"
+        )
         self.counters.add("peers.sent")
         self.counters.add("peers.sent_bytes", len(data))
         try:
             self._transport.sendto(data, address)
-        except (OSError, ValueError):          # an address that this machine cannot send to
+        except (OSError, ValueError):  # an address that this machine cannot send to
             self.counters.add("peers.unsent")
 
     # What comes in: asyncio.DatagramProtocol
@@ -291,7 +328,7 @@
             return
         payload = next((payload for kind, payload in datagram.items if kind == Kind.MEMBERSHIP), b"")
         self._handle(Received(datagram.sender, datagram.incarnation, payload, verdict is Verdict.PASS))
-        if verdict is Verdict.ASK:             # it may have proved itself just now, and counts from here
+        if verdict is Verdict.ASK:  # it may have proved itself just now, and counts from here
             verdict = self._admission.judge(now, *told)
         if verdict is not Verdict.PASS or datagram.sender == self._name:
             return
@@ -314,24 +351,38 @@
 
     def report(self) -> dict[str, Any]:
         """Who is there and who doubts whom; `parts` add what they hold."""
-        counts = {name.removeprefix("peers."): count for name, count in self.counters.all().items()
-                  if name.startswith("peers.")}
+        counts = {
+            name.removeprefix("peers."): count
+            for name, count in self.counters.all().items()
+            if name.startswith("peers.")
+        }
         said: dict[str, Any] = {"me": None, "live": self.live(), "members": [], "counts": counts}
         members, now = self._members, self.clock()
         if members is not None:
             me = members.me
-            said["me"] = {"name": me.name, "cluster": self.config.cluster, "health": members.doubt.health,
-                          "doubtful": members.doubt.doubtful, "cut_off": members.cut_off,
-                          "late_s": round(members.doubt.late_us / 1e6, 3),
-                          "life": me.life}
+            said["me"] = {
+                "name": me.name,
+                "cluster": self.config.cluster,
+                "health": members.doubt.health,
+                "doubtful": members.doubt.doubtful,
+                "cut_off": members.cut_off,
+                "late_s": round(members.doubt.late_us / 1e6, 3),
+                "life": me.life,
+            }
             said["members"] = [
-                {"name": entry.member.name, "hall": entry.member.hall,
-                 "address": str(Address(entry.member.host, entry.member.port)),
-                 "state": State(entry.member.state).name.lower(), "life": entry.member.life,
-                 "refutations": entry.member.incarnation & 0xffff,
-                 "heard_s": round((now - entry.heard_us) / 1e6, 2) if entry.heard_us else None,
-                 "for_s": round((now - entry.since_us) / 1e6, 1), "doubted_by": list(entry.suspecters)}
-                for entry in sorted(members.view, key=lambda entry: entry.member.name)]
+                {
+                    "name": entry.member.name,
+                    "hall": entry.member.hall,
+                    "address": str(Address(entry.member.host, entry.member.port)),
+                    "state": State(entry.member.state).name.lower(),
+                    "life": entry.member.life,
+                    "refutations": entry.member.incarnation & 0xFFFF,
+                    "heard_s": round((now - entry.heard_us) / 1e6, 2) if entry.heard_us else None,
+                    "for_s": round((now - entry.since_us) / 1e6, 1),
+                    "doubted_by": list(entry.suspecters),
+                }
+                for entry in sorted(members.view, key=lambda entry: entry.member.name)
+            ]
         for name, part in self.parts.items():
             said[name] = part()
         return said
--- a/roadlb/net/pool.py
+++ b/roadlb/net/pool.py
@@ -22,15 +22,16 @@
 from .instance_connection import Call, InstanceConnection
 
 SWEEP_S = 0.25
-CLOSING_TURNS = 10     # of the event loop, at the most, for aborted connections to be told that they ended
+CLOSING_TURNS = 10  # of the event loop, at the most, for aborted connections to be told that they ended
 NO_DESCRIPTOR = frozenset({errno.EMFILE, errno.ENFILE})
 
 
 class Pool:
     """At most `most` connections, idle for at most `keep_us`; `dial_us` is how long a dial may take."""
 
-    def __init__(self, most: int, keep_us: int, dial_us: int, reports: LoadReports, clock: Clock,
-                 wheel: Wheel) -> None:
+    def __init__(
+        self, most: int, keep_us: int, dial_us: int, reports: LoadReports, clock: Clock, wheel: Wheel
+    ) -> None:
         self.reports, self.clock, self.wheel = reports, clock, wheel
         self._most, self._keep_us, self._dial_us = most, keep_us, dial_us
         self._loop = asyncio.get_running_loop()
@@ -42,7 +43,7 @@
         self._all_idle: dict[InstanceConnection, None] = {}
         self._resting: list[InstanceConnection] = []
         self._sweeping = False
-        self.hold = HOLD                       # bytes of an answer before it flows
+        self.hold = HOLD  # bytes of an answer before it flows
 
     def limit(self, connections: int) -> None:
         """So many connections there may be from now on; what is too much goes as it idles."""
@@ -90,7 +91,7 @@
             ending, error = Ending.DIAL_FAILED, f"{type(e).__name__}: {e}"
         call.dialling = None
         if call not in self._dialling:
-            self._unmade(connection)       # given up meanwhile
+            self._unmade(connection)  # given up meanwhile
             return
         del self._dialling[call]
         if ending is None and connection.usable:
@@ -168,7 +169,7 @@
     def _drop_longest_idle(self) -> bool:
         for connection in self._all_idle:
             self._drop(connection)
-            self.open.pop(connection, None)      # its descriptor is free by the time that one is dialled
+            self.open.pop(connection, None)  # its descriptor is free by the time that one is dialled
             return True
         return False
 
--- a/roadlb/net/service_client.py
+++ b/roadlb/net/service_client.py
@@ -31,25 +31,26 @@
 # client's send to the first execution and from an instance's answer to the client, 2.9 and 2.0 ms on a calm
 # day, 8.2 and 5.8 ms on an overloaded one.
 MARGIN_US = 10_000
-REQUEST_S = 2.6        # for a request to come whole, from its first byte, or from connecting for the first
-STUCK_S = 15.0         # for a client to take more of a body that flows, or for a node to
-IDLE_S = 10.0          # for a connection between requests
-SPARE_IDLE_S = 2.0     # and if connections are not plentiful, the longest idle may go after this
-PLENTY, FEW = 1 / 3, 3 / 4     # of the connections that there may be: up to here, and from here on
-SILENT_S = 0.5         # a client that means to ask has asked by then
+REQUEST_S = 2.6  # for a request to come whole, from its first byte, or from connecting for the first
+STUCK_S = 15.0  # for a client to take more of a body that flows, or for a node to
+IDLE_S = 10.0  # for a connection between requests
+SPARE_IDLE_S = 2.0  # and if connections are not plentiful, the longest idle may go after this
+PLENTY, FEW = 1 / 3, 3 / 4  # of the connections that there may be: up to here, and from here on
+SILENT_S = 0.5  # a client that means to ask has asked by then
 SWEEP_S = 0.25
-LINGER_S = 0.3         # open, but not read, after an answer to a body cut off, so that the client reads why
+LINGER_S = 0.3  # open, but not read, after an answer to a body cut off, so that the client reads why
 TIME_LEFT_MOST_S = 3_600.0
 RECENT_US = 5_000_000  # an id is not taken again for so long after its answer ...
-RECENT_MOST = 20_000   # ... or until so many others have come
-TARGETS_KEPT, TARGET_MOST = 4_096, 128     # targets remembered, and how long one may be for that
+RECENT_MOST = 20_000  # ... or until so many others have come
+TARGETS_KEPT, TARGET_MOST = 4_096, 128  # targets remembered, and how long one may be for that
 # One whole read in the form that clients send it: only headers that say nothing of a body or the connection.
 PLAIN_READ = re.compile(
     rb"GET (/[!-~]*) HTTP/1\.1\r\n"
     rb"(?:(?:Host|X-Correlation-Id|X-Time-Left|X-Repeat|Accept|User-Agent): [ -~]+\r\n|"
-    rb"X-Account: ([!-~]+)\r\n)+\r\n").fullmatch
+    rb"X-Account: ([!-~]+)\r\n)+\r\n"
+).fullmatch
 PASSABLE = re.compile(rb'[!"$-~]*').fullmatch
-REJECTS_LOGGED = 20    # a second; the others are only counted
+REJECTS_LOGGED = 20  # a second; the others are only counted
 
 
 def key_number(key: bytes) -> int:
@@ -77,9 +78,16 @@
 class ServiceClient:
     """Accepts clients' connections; `loop.create_server` takes it as the protocol factory."""
 
-    def __init__(self, config: Config, engine: Engine, counters: Counters, ready: Callable[[], bool],
-                 clock: Clock, wheel: Wheel,
-                 came_us: Callable[[asyncio.Transport], int] | None = None) -> None:
+    def __init__(
+        self,
+        config: Config,
+        engine: Engine,
+        counters: Counters,
+        ready: Callable[[], bool],
+        clock: Clock,
+        wheel: Wheel,
+        came_us: Callable[[asyncio.Transport], int] | None = None,
+    ) -> None:
         """`ready`: is a node known?  `came_us`: when bytes read now may first have come (default: now)."""
         self.counters, self.clock = counters, clock
         self.came_us = came_us or (lambda transport: clock())
@@ -90,13 +98,13 @@
         self._deadlines_us = [c.deadline_us for c in classes]
         self._tenants = {t.name.encode(): i for i, t in enumerate(config.settings.tenants)}
         self._most, self._name = config.client_sockets, config.name.encode()
-        self._ids: set[bytes] = set()          # those that are open, or were answered lately
-        self._answered: deque[tuple[int, bytes]] = deque()     # the latter, until which time they count
+        self._ids: set[bytes] = set()  # those that are open, or were answered lately
+        self._answered: deque[tuple[int, bytes]] = deque()  # the latter, until which time they count
         self._rejects = Limit(clock, REJECTS_LOGGED)
-        self.connections: dict[ClientConnection, None] = {}      # in the order in which they came
+        self.connections: dict[ClientConnection, None] = {}  # in the order in which they came
         self._all_ended: asyncio.Future[None] | None = None
-        self.draining = False                  # each answer ends its connection
-        self.tight = False                     # memory or descriptors are short: idle connections go sooner
+        self.draining = False  # each answer ends its connection
+        self.tight = False  # memory or descriptors are short: idle connections go sooner
 
     def __call__(self) -> asyncio.Protocol:
         """A protocol for a new connection."""
@@ -121,13 +129,15 @@
         if len(self.connections) <= self._most:
             return
         if sum(not ended(c) for c in self.connections) <= self._most:
-            return                     # others are just being closed
+            return  # others are just being closed
         quiet, before = self._quiet(), self.clock() - int(SILENT_S * 1e6)
-        silent = [c for c in quiet if not c.asked]         # the new one is the last of them
+        silent = [c for c in quiet if not c.asked]  # the new one is the last of them
         idle = [c for c in quiet if c.asked and not c.started_us]
         self.counters.add("client.crowded")
-        min([c for c in silent if c.since_us < before] or idle or silent[:-1] or silent,
-            key=lambda c: c.since_us).close()
+        min(
+            [c for c in silent if c.since_us < before] or idle or silent[:-1] or silent,
+            key=lambda c: c.since_us,
+        ).close()
 
     def disconnected(self, connection: ClientConnection) -> None:
         self.connections.pop(connection, None)
@@ -186,7 +196,7 @@
         before = self.clock() - int(SILENT_S * 1e6)
         idle = [c for c in self._quiet() if not c.started_us and (c.asked or c.since_us <= before)]
         idle.sort(key=lambda c: c.since_us)
-        for connection in idle[:ceil(len(idle) * part)]:
+        for connection in idle[: ceil(len(idle) * part)]:
             if connection.transport and not unread(connection.transport):
                 connection.close()
 
@@ -252,7 +262,7 @@
         try:
             class_index, tenant, key, left_us, work_us = self._understand(request)
         except BadRequest:
-            return None                        # it is told so in its turn
+            return None  # it is told so in its turn
         left_us -= self.clock() - request.came_us
         return self._engine.offer(class_index, tenant, key, max(1, left_us), work_us)
 
@@ -275,13 +285,19 @@
 
     def _reject(self, connection: ClientConnection, request: Request, e: BadRequest) -> None:
         self.counters.add(f"rejected.{e.status}")
-        if self._rejects.allows():     # whoever sends faults at full speed must not fill the log too
-            logger.warning("request rejected", extra=fields(
-                status=e.status, reason=e, method=request.method.decode("latin-1"),
-                target=request.target[:200].decode("latin-1")))
+        if self._rejects.allows():  # whoever sends faults at full speed must not fill the log too
+            logger.warning(
+                "request rejected",
+                extra=fields(
+                    status=e.status,
+                    reason=e,
+                    method=request.method.decode("latin-1"),
+                    target=request.target[:200].decode("latin-1"),
+                ),
+            )
         answer = plain(e.status, e.reason, e.closes or connection.last, e.more)
         if request.method == b"HEAD":
-            answer = answer[:answer.index(b"\r\n\r\n") + 4]
+            answer = answer[: answer.index(b"\r\n\r\n") + 4]
         if e.closes:
             connection.reject(answer, e.lingers)
         else:
@@ -326,14 +342,20 @@
             head = request.headers.passed_on()
         except Faulty as e:
             raise BadRequest(400, str(e)) from None
-        if HOST not in request.headers.fields:      # as HTTP/1.0 may; the instance is spoken to in 1.1
+        if HOST not in request.headers.fields:  # as HTTP/1.0 may; the instance is spoken to in 1.1
             head = b"Host: %b\r\n%b" % (self._name, head)
         return Exchange(
-            Message(request.method, request.target, head, b"".join(request.body), request.flow), class_index,
-            tenant, key,
-            left_us, work_us, request.headers.fields.get(REPEAT) == b"1", connection.on_answer,
+            Message(request.method, request.target, head, b"".join(request.body), request.flow),
+            class_index,
+            tenant,
+            key,
+            left_us,
+            work_us,
+            request.headers.fields.get(REPEAT) == b"1",
+            connection.on_answer,
             # One that waited, in line behind another or for us to read it, has used that time up.
-            request.came_us)
+            request.came_us,
+        )
 
     def _left_us(self, text: bytes | None, class_index: int) -> int:
         if text is None:
@@ -358,8 +380,11 @@
     if connection.stuck_us:
         return now - connection.stuck_us > (STUCK_S if connection.flowing else REQUEST_S) * 1e6
     if connection.uploading:
-        return (now - connection.unwanted_us > STUCK_S * 1e6 if connection.unwanted_us else
-                now - connection.started_us > REQUEST_S * 1e6)
+        return (
+            now - connection.unwanted_us > STUCK_S * 1e6
+            if connection.unwanted_us
+            else now - connection.started_us > REQUEST_S * 1e6
+        )
     if connection.busy or connection.deaf:
         return False
     if connection.started_us or not connection.asked:
--- a/roadlb/net/sharing.py
+++ b/roadlb/net/sharing.py
@@ -26,9 +26,14 @@
 logger = logging.getLogger(__name__)
 
 TROUBLES = {
-    Status.OK: Trouble.NONE, Status.ERROR: Trouble.ERRORS, Status.FULL: Trouble.FULL,
-    Status.TIMEOUT: Trouble.SILENT, Status.RESET: Trouble.SILENT, Status.CONNECT_FAILED: Trouble.SILENT}
-LINES_A_SECOND = 20          # of the log, about shares; the rest is counted
+    Status.OK: Trouble.NONE,
+    Status.ERROR: Trouble.ERRORS,
+    Status.FULL: Trouble.FULL,
+    Status.TIMEOUT: Trouble.SILENT,
+    Status.RESET: Trouble.SILENT,
+    Status.CONNECT_FAILED: Trouble.SILENT,
+}
+LINES_A_SECOND = 20  # of the log, about shares; the rest is counted
 # What was called off, never started or came back spoilt says nothing of the server.
 NOT_OF_THE_SERVER = frozenset(Status) - TROUBLES.keys()
 
@@ -36,8 +41,16 @@
 class Sharing:
     """`start()` once peers have been started, `stop()` before they are."""
 
-    def __init__(self, config: Config, peers: Peers, engine: Engine, counters: Counters, clock: Clock,
-                 hear: Callable[[int, Heard], None], names: Callable[[], Mapping[ServerId, str]]) -> None:
+    def __init__(
+        self,
+        config: Config,
+        peers: Peers,
+        engine: Engine,
+        counters: Counters,
+        clock: Clock,
+        hear: Callable[[int, Heard], None],
+        names: Callable[[], Mapping[ServerId, str]],
+    ) -> None:
         """`hear` takes what the module is to know, and in parts of how many balancers; `names`: what
         operators call the servers."""
         settings, told = config.settings, config.peers
@@ -45,14 +58,20 @@
         self._peers, self._engine, self._counters, self._clock = peers, engine, counters, clock
         self._hear, self._names, self._zones = hear, names, config.zones
         self._customers = [t.name for t in settings.tenants]
-        self.told = Told(clock(), config.name, 0, config.hall, Terms(instances=settings.instances),
-                         [(t.name, t.quota_per_s) for t in settings.tenants],
-                         Bounds(told.repeats_per_s, told.dials_per_s, config.zones))
+        self.told = Told(
+            clock(),
+            config.name,
+            0,
+            config.hall,
+            Terms(instances=settings.instances),
+            [(t.name, t.quota_per_s) for t in settings.tenants],
+            Bounds(told.repeats_per_s, told.dials_per_s, config.zones),
+        )
         self._timer: asyncio.TimerHandle | None = None
-        self._there = False                  # does the decider know who is there?
+        self._there = False  # does the decider know who is there?
         self._avoided: set[ServerId] = set()
-        self._silent: set[int] = set()       # halls that do not answer others
-        self._apart: set[tuple[str, object]] = set()     # shares that are not an even part
+        self._silent: set[int] = set()  # halls that do not answer others
+        self._apart: set[tuple[str, object]] = set()  # shares that are not an even part
         self._heard_any = False
         self._lines = Limit(clock, LINES_A_SECOND)
         peers.watch(self._news)
@@ -62,7 +81,7 @@
         engine.on_outcome = self._outcome
 
     def start(self) -> None:
-        self._do(Beside(1))                  # before any request: what an earlier life gave may still be used
+        self._do(Beside(1))  # before any request: what an earlier life gave may still be used
         self._timer = asyncio.get_running_loop().call_later(PULSE_US / 1e6, self._pulse)
 
     def stop(self) -> None:
@@ -98,12 +117,19 @@
         self._timer = asyncio.get_running_loop().call_later(PULSE_US / 1e6, self._pulse)
         me = self._peers.me
         if me is None:
-            return                           # another process of this balancer has the address yet
-        self.told.budgets.life = me.life     # it may have had to take a later one
+            return  # another process of this balancer has the address yet
+        self.told.budgets.life = me.life  # it may have had to take a later one
         if not self._there:
             self._there = True
-            self._do(There(tuple(m.name for m in self._peers.members()
-                                 if m.state <= State.SUSPECT and m.name != me.name)))
+            self._do(
+                There(
+                    tuple(
+                        m.name
+                        for m in self._peers.members()
+                        if m.state <= State.SUSPECT and m.name != me.name
+                    )
+                )
+            )
         self._do(Pulse(self._engine.view(), self._engine.asked_and_refused()[0]))
 
     def _do(self, event: Event) -> None:
@@ -116,8 +142,10 @@
                 self._counters.add(f"shared.sent.{action.kind.name.lower()}")
                 self._peers.send(action.to, action.kind, action.payload)
             else:
-                self._counters.add(f"shared.sent.{action.kind.name.lower()}",
-                                   self._peers.spread(action.kind, action.payload, action.most))
+                self._counters.add(
+                    f"shared.sent.{action.kind.name.lower()}",
+                    self._peers.spread(action.kind, action.payload, action.most),
+                )
 
     def _say(self, heard: Heard) -> None:
         """A line where a server begins or ceases to be avoided, a hall to answer nobody, a share to be other
@@ -126,14 +154,17 @@
         for server in avoided ^ self._avoided:
             on = server in avoided
             self._counters.add("shared.avoided" if on else "shared.taken_back")
-            logger.info("server judged", extra=fields(
-                server=self._name(server), avoided="yes" if on else "no"))
+            logger.info(
+                "server judged", extra=fields(server=self._name(server), avoided="yes" if on else "no")
+            )
         self._avoided = avoided
         for hall in set(heard.silent) ^ self._silent:
             on = hall in heard.silent
             self._counters.add("shared.hall_silent" if on else "shared.hall_heard")
-            logger.info("hall judged", extra=fields(
-                hall=self._called("hall", hall), answers_others="no" if on else "yes"))
+            logger.info(
+                "hall judged",
+                extra=fields(hall=self._called("hall", hall), answers_others="no" if on else "yes"),
+            )
         self._silent = set(heard.silent)
         apart: set[tuple[str, object]] = {("server", server) for server in heard.cold}
         apart |= {("customer", number) for number in heard.quotas} | {("hall", n) for n in heard.dials}
@@ -142,8 +173,10 @@
             on = (what, key) in apart
             self._counters.add("shared.apart" if on else "shared.even")
             if self._lines.allows():
-                logger.info("share told", extra=fields(
-                    of=what, name=self._called(what, key), even="no" if on else "yes"))
+                logger.info(
+                    "share told",
+                    extra=fields(of=what, name=self._called(what, key), even="no" if on else "yes"),
+                )
         self._apart = apart
         if bool(self.told.counts.reports) is not self._heard_any:
             self._heard_any = not self._heard_any
--- a/roadlb/net/sockets.py
+++ b/roadlb/net/sockets.py
@@ -23,8 +23,8 @@
 _INT = struct.Struct("i")
 
 BACKLOG = 512
-BUFFER = 65_536        # of the kernel, on either side of a body that flows
-TAKE_OVER_S = 10.0     # how long a predecessor may take to end
+BUFFER = 65_536  # of the kernel, on either side of a body that flows
+TAKE_OVER_S = 10.0  # how long a predecessor may take to end
 
 
 def listening(at: Address, backlog: int) -> socket.socket:
@@ -56,8 +56,9 @@
     return found
 
 
-async def serve(client: Callable[[], asyncio.Protocol], at: Address, fd: int | None,
-                bind: Bind | None) -> asyncio.Server:
+async def serve(
+    client: Callable[[], asyncio.Protocol], at: Address, fd: int | None, bind: Bind | None
+) -> asyncio.Server:
     """Take the address; one that a predecessor still holds is waited for, as ending would be a crash."""
     loop = asyncio.get_running_loop()
     if fd is not None:
--- a/roadlb/net/status_page.py
+++ b/roadlb/net/status_page.py
@@ -10,8 +10,8 @@
 from .http import plain
 
 HEAD_MOST = 8_192
-HEAD_S = 5.0                 # who has not asked by then is let go
-ANSWERED_MOST = 20           # at once: a page of 10,000 subscribers is some MB
+HEAD_S = 5.0  # who has not asked by then is let go
+ANSWERED_MOST = 20  # at once: a page of 10,000 subscribers is some MB
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,8 +24,13 @@
     def written(self) -> bytes:
         if isinstance(self.content, str):
             return plain(self.status, self.content, True)
-        return plain(self.status, json.dumps(self.content, indent=1), True, b"Cache-Control: no-store\r\n",
-                     b"application/json")
+        return plain(
+            self.status,
+            json.dumps(self.content, indent=1),
+            True,
+            b"Cache-Control: no-store\r\n",
+            b"application/json",
+        )
 
 
 class StatusPage:
@@ -47,7 +52,7 @@
                 writer.write(self._answer(head).written())
                 await writer.drain()
         except (TimeoutError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, OSError):
-            writer.transport.abort()         # nobody waits for an answer
+            writer.transport.abort()  # nobody waits for an answer
         finally:
             self._open -= 1
             writer.close()
--- a/roadlb/net/watch.py
+++ b/roadlb/net/watch.py
@@ -16,8 +16,8 @@
 # tell counts as told without having come.
 SILENCE_S = 3.0
 DIAL_S = 1.0
-PAUSE_S, PAUSE_MOST_S = 0.1, 1.0         # before it is opened again where it broke ...
-REFUSED_S, REFUSED_MOST_S = 1.0, 8.0     # ... and where discovery answered, but had no room for one more
+PAUSE_S, PAUSE_MOST_S = 0.1, 1.0  # before it is opened again where it broke ...
+REFUSED_S, REFUSED_MOST_S = 1.0, 8.0  # ... and where discovery answered, but had no room for one more
 
 
 class WatchBroken(Exception):
@@ -58,13 +58,15 @@
     """
 
     def __init__(self, discovery: Address, after: int, line: Callable[[bytes], None]) -> None:
-        self._ask = (f"GET /v1/servers?watch=1&after={after} HTTP/1.1\r\nHost: {discovery}\r\n"
-                     "Accept: application/json\r\n\r\n").encode()
+        self._ask = (
+            f"GET /v1/servers?watch=1&after={after} HTTP/1.1\r\nHost: {discovery}\r\n"
+            "Accept: application/json\r\n\r\n"
+        ).encode()
         self._line, self._rest = line, b""
         self._parser = HttpResponseParser(self)
         self._loop = asyncio.get_running_loop()
         self.ended: asyncio.Future[None] = self._loop.create_future()
-        self.heard = self._loop.time()     # seconds of the loop's time, when something last came
+        self.heard = self._loop.time()  # seconds of the loop's time, when something last came
         self._transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/roadlb/overload/controller.py
+++ b/roadlb/overload/controller.py
@@ -27,18 +27,18 @@
 from .cost import RequestCost
 from .meter import READ_US, Reading
 
-TARGET = 0.92              # of the CPU limit; at 0.85 full load loses a tenth more worth, at 0.98 bursts do
-MEMORY_US = 200_000        # of the mean CPU share: two periods of a quota
-GAIN = 0.8                 # a reading's CPU share over TARGET lowers `kept` by this power of their ratio
-SATURATED, IN_A_ROW = 0.97, 3     # so much in so many readings: by chance that is rare even at a load of 0.9
-FALL, RISE = 0.85, 1.2     # factors a reading: when saturated, and at the most when there is room again
-KEPT_BUSY = 0.25           # refusing costs a sixth to a fifth of serving: 60% of the CPU serves at this part
+TARGET = 0.92  # of the CPU limit; at 0.85 full load loses a tenth more worth, at 0.98 bursts do
+MEMORY_US = 200_000  # of the mean CPU share: two periods of a quota
+GAIN = 0.8  # a reading's CPU share over TARGET lowers `kept` by this power of their ratio
+SATURATED, IN_A_ROW = 0.97, 3  # so much in so many readings: by chance that is rare even at a load of 0.9
+FALL, RISE = 0.85, 1.2  # factors a reading: when saturated, and at the most when there is room again
+KEPT_BUSY = 0.25  # refusing costs a sixth to a fifth of serving: 60% of the CPU serves at this part
 KEPT_LEAST = 0.05
-ASKED_AGAIN = 3            # times that a client tries again, at once or soon
-LATE_PART = 1 / 8          # of the shortest aim, on the mean: a request passes the loop twice
-LATE_LEAST_US = 10_000     # a quota of half a core stops it for 50 ms in 100: late by 8 ms on the mean
-DEAD = 0.03                # less is not worth refusing anything: what is refused is asked for again
-FULL, ROOMY = 0.85, 0.75   # share of memory or descriptors from which, and down to which, they are short
+ASKED_AGAIN = 3  # times that a client tries again, at once or soon
+LATE_PART = 1 / 8  # of the shortest aim, on the mean: a request passes the loop twice
+LATE_LEAST_US = 10_000  # a quota of half a core stops it for 50 ms in 100: late by 8 ms on the mean
+DEAD = 0.03  # less is not worth refusing anything: what is refused is asked for again
+FULL, ROOMY = 0.85, 0.75  # share of memory or descriptors from which, and down to which, they are short
 
 
 @dataclass(slots=True, frozen=True)
@@ -72,7 +72,7 @@
         self._late_most = max(LATE_LEAST_US, aim_us * LATE_PART)
         self._cost, self._saturated = RequestCost(MEMORY_US, TARGET, refusal), 0
         self._late_before = 0.0
-        self._kept, self._share, self._tight = 1.0, -1.0, False     # the first share is always told
+        self._kept, self._share, self._tight = 1.0, -1.0, False  # the first share is always told
 
     @property
     def share(self) -> float:
@@ -98,11 +98,11 @@
         cpu = self._cost.share(r)
         self._saturated = self._saturated + 1 if r.cpu_share >= SATURATED else 0
         late, self._late_before = min(r.late_mean_us, self._late_before), r.late_mean_us
-        readings = min(2.0, r.interval_us / READ_US)       # a late loop reads late; a stop is no experience
+        readings = min(2.0, r.interval_us / READ_US)  # a late loop reads late; a stop is no experience
         factor = float((TARGET / max(cpu, 0.05)) ** (GAIN * readings))
         if self._saturated >= IN_A_ROW and factor < 1:
-            factor = min(factor, float(FALL ** readings))
-        kept, rise = self._kept, float(RISE ** readings)
+            factor = min(factor, float(FALL**readings))
+        kept, rise = self._kept, float(RISE**readings)
         if late > self._late_most:
             by_cpu = max(min(kept, self._kept_busy), kept * min(factor, 1.0))
             return min(by_cpu, max(KEPT_LEAST, kept * max(0.5, sqrt(self._late_most / late))))
--- a/roadlb/overload/cost.py
+++ b/roadlb/overload/cost.py
@@ -11,9 +11,9 @@
 
 from .meter import Reading
 
-WINDOW_US, FEW = 1_000_000, 50.0      # a cost is the mean over so long, and not from fewer requests
-CHEAPER, DEARER = 0.5, 0.05           # so far the cost moves to one that is lower, or higher, in a window
-UNSURE = 1.15              # the cost is known to this factor at worst
+WINDOW_US, FEW = 1_000_000, 50.0  # a cost is the mean over so long, and not from fewer requests
+CHEAPER, DEARER = 0.5, 0.05  # so far the cost moves to one that is lower, or higher, in a window
+UNSURE = 1.15  # the cost is known to this factor at worst
 
 
 class RequestCost:
@@ -24,7 +24,7 @@
         it is then that something else may take whatever is left.  `refusal`: what refusing costs, as a part
         of what serving does."""
         self._memory_us, self._full, self._refusal = memory_us, full, refusal
-        self._cost = 0.0           # us of the limit for a request that is served
+        self._cost = 0.0  # us of the limit for a request that is served
         self._cpu, self._rate = 0.0, 0.0
         self._window, self._used, self._units = 0, 0.0, 0.0
 
--- a/roadlb/overload/meter.py
+++ b/roadlb/overload/meter.py
@@ -7,7 +7,7 @@
 
 from .pulse import Pulse
 
-READ_US = 100_000      # between readings: the period of a CPU quota, so that each holds one of its stops
+READ_US = 100_000  # between readings: the period of a CPU quota, so that each holds one of its stops
 
 
 @dataclass(slots=True, frozen=True)
@@ -47,9 +47,16 @@
     `counts` tells how many requests have come so far, and how many of them were refused at once.
     """
 
-    def __init__(self, now: int, pulse: Pulse, limits: Limits, cpu_used_us: Callable[[], int],
-                 memory_bytes: Callable[[], int], descriptors: Callable[[], int],
-                 counts: Callable[[], tuple[int, int]]) -> None:
+    def __init__(
+        self,
+        now: int,
+        pulse: Pulse,
+        limits: Limits,
+        cpu_used_us: Callable[[], int],
+        memory_bytes: Callable[[], int],
+        descriptors: Callable[[], int],
+        counts: Callable[[], tuple[int, int]],
+    ) -> None:
         for name in ("cores", "memory_mb", "sockets"):
             if getattr(limits, name) < 0:
                 raise ValueError(f"{name}: {getattr(limits, name)!r} is negative; 0 stands for no limit")
@@ -64,9 +71,15 @@
         cpu, (asked, refused), limits = self._cpu_used_us(), self._counts(), self._limits
         interval, delay = max(1, now - self._at), self._pulse.take(now)
         reading = Reading(
-            interval, _share(cpu - self._cpu, limits.cores * interval), delay.largest_us, delay.mean_us,
+            interval,
+            _share(cpu - self._cpu, limits.cores * interval),
+            delay.largest_us,
+            delay.mean_us,
             _share(self._memory_bytes(), limits.memory_mb * 2**20),
-            _share(self._descriptors(), limits.sockets), asked - self._asked, refused - self._refused)
+            _share(self._descriptors(), limits.sockets),
+            asked - self._asked,
+            refused - self._refused,
+        )
         self._at, self._cpu, self._asked, self._refused = now, cpu, asked, refused
         return reading
 
--- a/roadlb/overload/pulse.py
+++ b/roadlb/overload/pulse.py
@@ -8,8 +8,8 @@
 
 from dataclasses import dataclass
 
-BEAT_US = 10_000       # costs 0.05% of a core; less than the margin that is taken off a client's time
-SOUND_US = 2_000       # a turn of a sound loop takes less
+BEAT_US = 10_000  # costs 0.05% of a core; less than the margin that is taken off a client's time
+SOUND_US = 2_000  # a turn of a sound loop takes less
 
 
 @dataclass(slots=True)
@@ -25,7 +25,7 @@
 
     def __init__(self, now: int) -> None:
         self._due = now + BEAT_US
-        self._missed = 0             # the beat before the last one, if the last one was late
+        self._missed = 0  # the beat before the last one, if the last one was late
         self._from = now
         self._largest, self._area = 0, 0.0
 
@@ -58,4 +58,4 @@
 
     def _note(self, late: int) -> None:
         self._largest = max(self._largest, late)
-        self._area += late * late / 2        # the delay grows from 0 to `late` in that time
+        self._area += late * late / 2  # the delay grows from 0 to `late` in that time
--- a/roadlb/overload/readings.py
+++ b/roadlb/overload/readings.py
@@ -13,7 +13,7 @@
 _PAGE = os.sysconf("SC_PAGE_SIZE")
 _MAXRSS_UNIT = 1 if sys.platform == "darwin" else 1024
 _TCP_INFO = getattr(socket, "TCP_INFO", -1)
-_LAST_DATA_RECV = struct.Struct("=52xI")       # struct tcp_info of linux/tcp.h, up to tcpi_last_data_recv
+_LAST_DATA_RECV = struct.Struct("=52xI")  # struct tcp_info of linux/tcp.h, up to tcpi_last_data_recv
 
 
 class Socket(Protocol):
--- a/roadlb/own_load.py
+++ b/roadlb/own_load.py
@@ -27,15 +27,21 @@
     """`aim_us` is the shortest aim of a class; `descriptors` counts those that are open; `tighten` hears when
     memory or descriptors become short, and when that is over."""
 
-    def __init__(self, clock: Clock, engine: Engine, limits: Limits, aim_us: int,
-                 descriptors: Callable[[], int], tighten: Callable[[bool], None],
-                 cpu_us: Callable[[], int] = cpu_used_us,
-                 memory: Callable[[], int] = memory_bytes) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        engine: Engine,
+        limits: Limits,
+        aim_us: int,
+        descriptors: Callable[[], int],
+        tighten: Callable[[bool], None],
+        cpu_us: Callable[[], int] = cpu_used_us,
+        memory: Callable[[], int] = memory_bytes,
+    ) -> None:
         self._clock, self._engine, self._tighten = clock, engine, tighten
         self._loop, now = asyncio.get_running_loop(), clock()
         self._pulse = Pulse(now)
-        self._meter = Meter(now, self._pulse, limits, cpu_us, memory, descriptors,
-                            engine.asked_and_refused)
+        self._meter = Meter(now, self._pulse, limits, cpu_us, memory, descriptors, engine.asked_and_refused)
         self._controller = Controller(aim_us, REFUSAL)
         self._reading = Reading(0, 0.0)
         self._read_at, self._next = now + READ_US, self._loop.call_soon(self._beat)
@@ -72,9 +78,13 @@
     def figures(self) -> dict[str, float]:
         """The last reading and what is shed for it, under the names that operators see."""
         r = self._reading
-        return {"overload.shed_share": self._controller.share, "overload.cpu_share": r.cpu_share,
-                "overload.late_us": r.late_max_us, "overload.memory_share": r.memory_share,
-                "overload.descriptor_share": r.descriptor_share}
+        return {
+            "overload.shed_share": self._controller.share,
+            "overload.cpu_share": r.cpu_share,
+            "overload.late_us": r.late_max_us,
+            "overload.memory_share": r.memory_share,
+            "overload.descriptor_share": r.descriptor_share,
+        }
 
     def stop(self) -> None:
         self._next.cancel()
--- a/roadlb/policy/change.py
+++ b/roadlb/policy/change.py
@@ -22,8 +22,15 @@
 from .state import ClassState, Request
 
 
-def apply(old: Settings, new: Settings, classes: Sequence[ClassState], requests: Mapping[int, Request],
-          refusals: Refusals, warmth: Warmth, rebuild: Callable[[], None]) -> list[Action]:
+def apply(
+    old: Settings,
+    new: Settings,
+    classes: Sequence[ClassState],
+    requests: Mapping[int, Request],
+    refusals: Refusals,
+    warmth: Warmth,
+    rebuild: Callable[[], None],
+) -> list[Action]:
     """Make all that is kept under the settings `old` what it is under `new`.
 
     `rebuild` is called where capacities, or the order of keys' servers, follow from what has changed.
@@ -53,8 +60,12 @@
 
 def stricter(held: RequestClass, rule: RequestClass) -> RequestClass:
     """What neither of both rules forbids, with all else as `held` has it."""
-    return replace(held, effect=max(held.effect, rule.effect), group=max(held.group, rule.group),
-                   window_us=min(held.window_us, rule.window_us))
+    return replace(
+        held,
+        effect=max(held.effect, rule.effect),
+        group=max(held.group, rule.group),
+        window_us=min(held.window_us, rule.window_us),
+    )
 
 
 def _held(cls: ClassState, rule: RequestClass) -> ClassState:
@@ -74,14 +85,22 @@
 def _repeats(r: Request) -> list[Action]:
     """A repeat that waits for its connection is called off: it would reach a server from now on."""
     first = r.first()
-    return [] if r.closed else [Cancel(r.id, n, unsent=True) for n, a in enumerate(r.attempts)
-                                if a.open and a is not first]
+    return (
+        []
+        if r.closed
+        else [Cancel(r.id, n, unsent=True) for n, a in enumerate(r.attempts) if a.open and a is not first]
+    )
 
 
 def _ranks(settings: Settings) -> object:
     """What the ranks of refusals follow from."""
-    return ([c.worth for c in settings.classes], settings.refusals, settings.over_share_worth,
-            settings.worth_by_work, settings.warm_keys)
+    return (
+        [c.worth for c in settings.classes],
+        settings.refusals,
+        settings.over_share_worth,
+        settings.worth_by_work,
+        settings.warm_keys,
+    )
 
 
 def _orders(settings: Settings) -> object:
--- a/roadlb/policy/interface.py
+++ b/roadlb/policy/interface.py
@@ -21,9 +21,9 @@
 class Effect(IntEnum):
     """May a request run more than once?"""
 
-    SAFE = 0      # any number of times
-    KEYED = 1     # a repeat is discarded by the servers of one group, for a while
-    UNSAFE = 2    # never
+    SAFE = 0  # any number of times
+    KEYED = 1  # a repeat is discarded by the servers of one group, for a while
+    UNSAFE = 2  # never
 
 
 class Group(IntEnum):
@@ -41,10 +41,10 @@
 
 
 class ListKind(IntEnum):
-    CACHED = 0    # the whole list, as last held before a restart
-    FULL = 1      # the whole list
-    FAILED = 2    # a call failed or the subscription broke; the list held stays valid
-    DELTA = 3     # changed entries only
+    CACHED = 0  # the whole list, as last held before a restart
+    FULL = 1  # the whole list
+    FAILED = 2  # a call failed or the subscription broke; the list held stays valid
+    DELTA = 3  # changed entries only
 
 
 class Status(IntEnum):
@@ -58,7 +58,7 @@
     RESET = 6
     CANCELLED = 7
     MOOT = 8
-    SPOILT = 9     # it came back, but not so that it could be used; it may have run (on sockets only)
+    SPOILT = 9  # it came back, but not so that it could be used; it may have run (on sockets only)
 
 
 # The outcomes that prove that an attempt never ran.
@@ -99,10 +99,10 @@
     zone: int = 0
     over_share_worth: float = 0.1
     worth_by_work: bool = False
-    warm_keys: bool = False                # a server does less work for a key that it met lately
+    warm_keys: bool = False  # a server does less work for a key that it met lately
     discovery_on_request: bool = False
-    weight_source: str = "off"             # off, nominal, rough or live
-    report_source: str = "off"             # off, inline or on_probe
+    weight_source: str = "off"  # off, nominal, rough or live
+    report_source: str = "off"  # off, inline or on_probe
     report_fields: tuple[str, ...] = ()
     cross_zone_cost: float = 0.0
     probe_cost: float = 0.0
@@ -113,13 +113,13 @@
     probes: bool = False
     peers: bool = False
     ask_within_us: int = 10_000_000
-    cold_from: float = 1.0                 # share of its capacity that a server starts with, at the least
-    cold_us: int = 0                       # and the time after which it is warm, at the latest
-    fall_multiple: float = 3.0             # pushed over by this multiple of what it can do at the moment
-    fall_us: int = 2_000_000               # for this long
-    handshake_cost: float = 0.0            # price of a new connection to a server, beside what it takes
-    refusals: tuple[PlanLine, ...] = ()    # what is refused first; empty: what is worth least
-    keep_us: int = 0                       # for so long a connection to a server is kept idle; 0: not known
+    cold_from: float = 1.0  # share of its capacity that a server starts with, at the least
+    cold_us: int = 0  # and the time after which it is warm, at the latest
+    fall_multiple: float = 3.0  # pushed over by this multiple of what it can do at the moment
+    fall_us: int = 2_000_000  # for this long
+    handshake_cost: float = 0.0  # price of a new connection to a server, beside what it takes
+    refusals: tuple[PlanLine, ...] = ()  # what is refused first; empty: what is worth least
+    keep_us: int = 0  # for so long a connection to a server is kept idle; 0: not known
 
     @property
     def dialling(self) -> bool:
@@ -172,11 +172,12 @@
     kind: int = 0
     zone: int = 0
     weight: float = 1.0
-    born_us: int = 0                       # clock time of its last start; 0: long ago
+    born_us: int = 0  # clock time of its last start; 0: long ago
 
 
 # Events
 
+
 @dataclass(slots=True)
 class ListUpdate:
     kind: ListKind
@@ -190,14 +191,23 @@
     request: int
     class_index: int
     tenant: int
-    key: int                               # 0: none
-    left_us: int                           # until the client gives this try up
-    work_us: int                           # expected work; 0: no hint
+    key: int  # 0: none
+    left_us: int  # until the client gives this try up
+    work_us: int  # expected work; 0: no hint
     is_retry: bool = False
-    coming: bool = False                   # its body still comes: the attempt begins with `BodyWhole`
-
-    def __init__(self, request: int, class_index: int, tenant: int, key: int, left_us: int, work_us: int,
-                 is_retry: bool = False, coming: bool = False) -> None:
+    coming: bool = False  # its body still comes: the attempt begins with `BodyWhole`
+
+    def __init__(
+        self,
+        request: int,
+        class_index: int,
+        tenant: int,
+        key: int,
+        left_us: int,
+        work_us: int,
+        is_retry: bool = False,
+        coming: bool = False,
+    ) -> None:
         self.coming = coming
         self.request, self.class_index, self.tenant, self.key = request, class_index, tenant, key
         self.left_us, self.work_us, self.is_retry = left_us, work_us, is_retry
@@ -218,8 +228,9 @@
     work_us: int
     is_retry: bool = False
 
-    def __init__(self, class_index: int, tenant: int, key: int, left_us: int, work_us: int,
-                 is_retry: bool = False) -> None:
+    def __init__(
+        self, class_index: int, tenant: int, key: int, left_us: int, work_us: int, is_retry: bool = False
+    ) -> None:
         self.class_index, self.tenant, self.key = class_index, tenant, key
         self.left_us, self.work_us, self.is_retry = left_us, work_us, is_retry
 
@@ -342,8 +353,16 @@
     closed: bool
     report: tuple[float, ...] = ()
 
-    def __init__(self, request: int, attempt: int, server: ServerId, status: Status, latency_us: int,
-                 closed: bool, report: tuple[float, ...] = ()) -> None:
+    def __init__(
+        self,
+        request: int,
+        attempt: int,
+        server: ServerId,
+        status: Status,
+        latency_us: int,
+        closed: bool,
+        report: tuple[float, ...] = (),
+    ) -> None:
         self.request, self.attempt, self.server, self.status = request, attempt, server, status
         self.latency_us, self.closed, self.report = latency_us, closed, report
 
@@ -389,20 +408,35 @@
 
 
 Event: TypeAlias = (
-    ListUpdate | Arrival | BodyWhole | Offer | Shortage | Twins | Heard | Changed | SiteWord | Outcome
-    | StreamStarted | ClientGone | TimerFired | Probed | PeerMessage | Report
+    ListUpdate
+    | Arrival
+    | BodyWhole
+    | Offer
+    | Shortage
+    | Twins
+    | Heard
+    | Changed
+    | SiteWord
+    | Outcome
+    | StreamStarted
+    | ClientGone
+    | TimerFired
+    | Probed
+    | PeerMessage
+    | Report
 )
 
 
 # Actions
 
+
 @dataclass(slots=True, init=False)
 class Send:
     """Start an attempt; those of one request are numbered 0, 1, 2 ... in this order."""
 
     request: int
     server: ServerId
-    timeout_us: int                        # 0: until the client gives up
+    timeout_us: int  # 0: until the client gives up
 
     def __init__(self, request: int, server: ServerId, timeout_us: int) -> None:
         self.request, self.server, self.timeout_us = request, server, timeout_us
--- a/roadlb/policy/state.py
+++ b/roadlb/policy/state.py
@@ -10,7 +10,7 @@
 from ..sites.warmth import Warmth
 from .interface import Effect, RequestClass, ServerId, ServerView
 
-TAU_US = 2_000_000            # memory of a server's mean load
+TAU_US = 2_000_000  # memory of a server's mean load
 
 
 @dataclass(slots=True, eq=False)
@@ -18,21 +18,21 @@
     """What this node knows of one server; how it stands with it is its `Standing`."""
 
     id: ServerId
-    born: int = 0                # clock time of its last start; 0: long ago
-    at: int = 0                  # when `mean` was last brought up to date
+    born: int = 0  # clock time of its last start; 0: long ago
+    at: int = 0  # when `mean` was last brought up to date
     cell: int = 0
     zone: int = 0
-    weight: float = 1.0          # its size against the others'
-    up: bool = True              # listed as ready
-    share: float = 1.0           # the part of its capacity that it has by now, at the least
-    inverse: float = 1.0         # 1 / (weight x share)
-    out: int = 0                 # own attempts in flight
-    mean: float = 0.0            # the same on the mean of late
-    queue: float = 0.0           # this node's part of a reported queue, when it was reported
+    weight: float = 1.0  # its size against the others'
+    up: bool = True  # listed as ready
+    share: float = 1.0  # the part of its capacity that it has by now, at the least
+    inverse: float = 1.0  # 1 / (weight x share)
+    out: int = 0  # own attempts in flight
+    mean: float = 0.0  # the same on the mean of late
+    queue: float = 0.0  # this node's part of a reported queue, when it was reported
     queue_at: int = 0
-    told: float = 0.0            # the whole of that queue
+    told: float = 0.0  # the whole of that queue
     cold: ColdBudget = field(default_factory=ColdBudget)
-    rested: list[int] = field(default_factory=list)     # when each connection that idles there came to rest
+    rested: list[int] = field(default_factory=list)  # when each connection that idles there came to rest
     hash: int = field(init=False)
 
     def __post_init__(self) -> None:
@@ -48,7 +48,7 @@
         if dt > 0:
             self.mean += (self.out - self.mean) * dt / (dt + TAU_US)
             self.at = now
-        if self.queue:    # it has been worked off since, though nothing was sent there that would tell
+        if self.queue:  # it has been worked off since, though nothing was sent there that would tell
             age = (now - self.queue_at) / aim_us
             return (self.mean + self.out + self.queue / (1 + age * age)) * self.inverse
         return (self.mean + self.out) * self.inverse
@@ -62,15 +62,22 @@
         """What is believed of it, which has this part of its capacity by now."""
         passed = max(0, now - self.at)
         mean = self.mean + (self.out - self.mean) * passed / (passed + TAU_US)
-        return ServerView(self.id, self.up and self.eligible(now, self.out, patience_us), share,
-                          self.eject_until > 0, self.suspect(now),
-                          (mean + self.out) / (self.weight * share), self.born, self.cold.passed,
-                          self.zone)
+        return ServerView(
+            self.id,
+            self.up and self.eligible(now, self.out, patience_us),
+            share,
+            self.eject_until > 0,
+            self.suspect(now),
+            (mean + self.out) / (self.weight * share),
+            self.born,
+            self.cold.passed,
+            self.zone,
+        )
 
     def connected(self, now: int, keep: int) -> bool:
         """Does a connection idle there that a request could take, where each is kept for `keep` us?"""
         rested = self.rested
-        while rested and now - rested[0] > keep:     # the longest idle ends first; the last is taken first
+        while rested and now - rested[0] > keep:  # the longest idle ends first; the last is taken first
             del rested[0]
         return bool(rested)
 
@@ -81,10 +88,10 @@
 
     spec: RequestClass
     latency: float
-    tail: float                  # about the ninetieth percentile
-    quickest: int = -1           # of all its good answers; -1 before the first
-    of: ClassState | None = None         # requests that keep a former rule of this class
-    least: float = field(init=False)     # the least that `latency` has been: its work, against other classes
+    tail: float  # about the ninetieth percentile
+    quickest: int = -1  # of all its good answers; -1 before the first
+    of: ClassState | None = None  # requests that keep a former rule of this class
+    least: float = field(init=False)  # the least that `latency` has been: its work, against other classes
 
     def __post_init__(self) -> None:
         self.least = self.latency
@@ -94,8 +101,9 @@
         self.quickest = latency if self.quickest < 0 else min(latency, self.quickest)
         self.latency += (latency - self.latency) * 0.02
         self.least = min(self.least, self.latency)
-        self.tail = max(self.latency, self.tail + self.latency * 0.05 * (
-            0.9 if latency > self.tail else -0.1))
+        self.tail = max(
+            self.latency, self.tail + self.latency * 0.05 * (0.9 if latency > self.tail else -0.1)
+        )
 
 
 class Attempt:
@@ -106,31 +114,49 @@
     def __init__(self, server: Server, sent: int) -> None:
         self.server, self.sent = server, sent
         self.open = True
-        self.held = 0.0              # of the capacity of cold servers
-        self.ran = True              # it may have; taken back by an outcome that proves that it did not
+        self.held = 0.0  # of the capacity of cold servers
+        self.ran = True  # it may have; taken back by an outcome that proves that it did not
 
 
 class Request:
     """A request with its attempts, until all of them are over."""
 
-    __slots__ = ("attempts", "bold", "closed", "cls", "coming", "due", "held", "id", "key", "late", "open",
-                 "order", "site", "spare", "streaming", "until", "work")
-
-    def __init__(self, id: int, cls: ClassState, key: int, work: int, until: int, due: int,
-                 coming: bool = False) -> None:
-        self.coming = coming         # no server has begun with it, as its body still comes
+    __slots__ = (
+        "attempts",
+        "bold",
+        "closed",
+        "cls",
+        "coming",
+        "due",
+        "held",
+        "id",
+        "key",
+        "late",
+        "open",
+        "order",
+        "site",
+        "spare",
+        "streaming",
+        "until",
+        "work",
+    )
+
+    def __init__(
+        self, id: int, cls: ClassState, key: int, work: int, until: int, due: int, coming: bool = False
+    ) -> None:
+        self.coming = coming  # no server has begun with it, as its body still comes
         self.id, self.cls, self.key, self.work = id, cls, key, work
-        self.order = cls.spec.effect is not Effect.SAFE    # it may not be repeated at will
-        self.until = until           # the client gives this try up then
-        self.due = due               # the answer is wanted by then
+        self.order = cls.spec.effect is not Effect.SAFE  # it may not be repeated at will
+        self.until = until  # the client gives this try up then
+        self.due = due  # the answer is wanted by then
         self.attempts: list[Attempt] = []
-        self.open = 0                # attempts in flight
+        self.open = 0  # attempts in flight
         self.closed = self.streaming = False
-        self.late = False            # not answered when due
-        self.site = -1               # it goes to this one or nowhere: no other has room for it
-        self.spare = False           # it goes to a server that gets less than it could, or nowhere
-        self.held = False            # counts as work in hand
-        self.bold = False            # may go to a suspect server, as there is no other
+        self.late = False  # not answered when due
+        self.site = -1  # it goes to this one or nowhere: no other has room for it
+        self.spare = False  # it goes to a server that gets less than it could, or nowhere
+        self.held = False  # counts as work in hand
+        self.bold = False  # may go to a suspect server, as there is no other
 
     def first(self) -> Attempt | None:
         """The earliest attempt that may have run, or may be running."""
--- a/roadlb/routing/cold.py
+++ b/roadlb/routing/cold.py
@@ -10,11 +10,11 @@
 from collections.abc import Callable
 from math import sqrt
 
-CHANCE = 3.0                  # standard deviations of room left in a cold server's budget
-PROVED = 0.8                  # of the multiple of what it was seen to do, a cold server may be sent
-REMEMBERED = 0.9              # of what cold servers did, a second later
-SLOWEST = 0.6                 # of their pace that each is taken to have: some are slower than the rest
-FIRST = 1.0                   # requests in a fall's time that all together may try an unproved one with
+CHANCE = 3.0  # standard deviations of room left in a cold server's budget
+PROVED = 0.8  # of the multiple of what it was seen to do, a cold server may be sent
+REMEMBERED = 0.9  # of what cold servers did, a second later
+SLOWEST = 0.6  # of their pace that each is taken to have: some are slower than the rest
+FIRST = 1.0  # requests in a fall's time that all together may try an unproved one with
 
 
 def sure(count: float, deviations: float) -> float:
@@ -33,8 +33,8 @@
     __slots__ = ("_answers", "_at", "_done", "_held", "_spent")
 
     def __init__(self) -> None:
-        self._done, self._answers = 0.0, 0.0                # work answered, in so many answers
-        self._held, self._spent, self._at = 0.0, 0.0, 0     # capacity in hand; its time till `_at`, us
+        self._done, self._answers = 0.0, 0.0  # work answered, in so many answers
+        self._held, self._spent, self._at = 0.0, 0.0, 0  # capacity in hand; its time till `_at`, us
 
     def hold(self, now: int, capacity: float) -> None:
         """A request is in hand at a server of this capacity; with the capacity negative, no more."""
@@ -67,8 +67,8 @@
     __slots__ = ("_at", "_left", "_proved", "_proved_at", "passed")
 
     def __init__(self) -> None:
-        self.passed = 0                         # times that there was no room
-        self._left, self._at = 0.0, 0           # work that it may still be sent; 0: never asked for
+        self.passed = 0  # times that there was no room
+        self._left, self._at = 0.0, 0  # work that it may still be sent; 0: never asked for
         self._proved, self._proved_at = 0.0, 0  # work that it has done for this balancer lately
 
     def spend(self, work: float) -> None:
@@ -81,8 +81,17 @@
         self._proved_at = now
         return self._proved
 
-    def room(self, now: int, carries: float, parts: float, mean: float, multiple: float, fall_us: int,
-             work: float, chance: Callable[[], float]) -> float:
+    def room(
+        self,
+        now: int,
+        carries: float,
+        parts: float,
+        mean: float,
+        multiple: float,
+        fall_us: int,
+        work: float,
+        chance: Callable[[], float],
+    ) -> float:
         """What is left for a request of `work`, if that is over 0.
 
         `carries`: work a second that all balancers together send a server of its size and warmth; `parts`:
--- a/roadlb/routing/key_order.py
+++ b/roadlb/routing/key_order.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 HASH = (1 << 30) - 1
-MORE = 4                     # so many more than are asked for are looked at, in the mean
+MORE = 4  # so many more than are asked for are looked at, in the mean
 
 
 def mix(x: int) -> int:
--- a/roadlb/routing/key_sets.py
+++ b/roadlb/routing/key_sets.py
@@ -18,12 +18,12 @@
 from collections.abc import Callable, Sequence
 from typing import Generic, Protocol, TypeVar
 
-LOW, HIGH = 1.1, 1.5          # T_low and T_high, as multiples of the fleet's mean load ...
-FLOOR = 0.4                   # ... plus this many requests, below which a count says nothing
-CROWD = 2.0                   # requests waiting, beyond HIGH times the mean, that make a server crowded
-RECENT_US = 10_000_000       # so old a report counts in that mean: who is asked seldom is in it too
-ORDER, ORDER_MOST = 8, 64     # servers kept of a key's order, and for a set that has them all
-MAX_SETS, SHRINK_US = 4_096, 5_000_000     # the longest unused goes; one that has not grown lately shrinks
+LOW, HIGH = 1.1, 1.5  # T_low and T_high, as multiples of the fleet's mean load ...
+FLOOR = 0.4  # ... plus this many requests, below which a count says nothing
+CROWD = 2.0  # requests waiting, beyond HIGH times the mean, that make a server crowded
+RECENT_US = 10_000_000  # so old a report counts in that mean: who is asked seldom is in it too
+ORDER, ORDER_MOST = 8, 64  # servers kept of a key's order, and for a set that has them all
+MAX_SETS, SHRINK_US = 4_096, 5_000_000  # the longest unused goes; one that has not grown lately shrinks
 
 
 class Member(Protocol):
@@ -43,12 +43,12 @@
 class KeySet(Generic[S]):
     """The servers that a key's requests go to, and the start of the key's rendezvous order."""
 
-    __slots__ = ("grown", "members", "order", "version")     # mypyc compiles no generic dataclass with slots
+    __slots__ = ("grown", "members", "order", "version")  # mypyc compiles no generic dataclass with slots
 
     def __init__(self) -> None:
         self.members: list[S] = []
         self.order: list[S] = []
-        self.version = -1            # of the server list that `order` was made from
+        self.version = -1  # of the server list that `order` was made from
         self.grown = 0
 
     def join(self, now: int, server: S | None) -> None:
@@ -62,7 +62,7 @@
 
     def __init__(self, order: Callable[[int, int], list[S]]) -> None:
         self._order, self._sets = order, dict[int, KeySet[S]]()
-        self.waiting = 0.0           # what a server reports to be waiting, for its size, on the mean
+        self.waiting = 0.0  # what a server reports to be waiting, for its size, on the mean
 
     def __len__(self) -> int:
         return len(self._sets)
--- a/roadlb/routing/shares.py
+++ b/roadlb/routing/shares.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Mapping
 
-LEAST = 1e-9                 # of a share: one of nothing is as good as none
-SAVED_S = 1.0                # what a rate makes is saved for so long, but one at least
+LEAST = 1e-9  # of a share: one of nothing is as good as none
+SAVED_S = 1.0  # what a rate makes is saved for so long, but one at least
 MOST_HALLS = 256
 
 
@@ -25,27 +25,49 @@
     each process that ran meanwhile: a balancer whose share shrinks keeps what that may have saved, or one.
     """
 
-    __slots__ = ("_cold", "_dialled", "_dials", "_floor", "_instances", "_lean", "_pressure", "_quotas",
-                 "_repeated", "_repeats", "_stale", "_told", "_twins", "_until", "_wholes", "alike",
-                 "bounded", "dials_held", "dials_per_s", "parts", "repeats_held", "repeats_per_s", "rest")
+    __slots__ = (
+        "_cold",
+        "_dialled",
+        "_dials",
+        "_floor",
+        "_instances",
+        "_lean",
+        "_pressure",
+        "_quotas",
+        "_repeated",
+        "_repeats",
+        "_stale",
+        "_told",
+        "_twins",
+        "_until",
+        "_wholes",
+        "alike",
+        "bounded",
+        "dials_held",
+        "dials_per_s",
+        "parts",
+        "repeats_held",
+        "repeats_per_s",
+        "rest",
+    )
 
     def __init__(self, instances: int) -> None:
         self._instances, self._twins, self._told = instances, 1, 0
-        self.parts, self.alike = instances, instances      # so many processes; of them, so many see the same
+        self.parts, self.alike = instances, instances  # so many processes; of them, so many see the same
         self._cold: Mapping[bytes, float] = {}
         self._quotas: Mapping[int, float] = {}
         self._wholes: Mapping[int, float] = {}
-        self._until, self._floor = 0, 1.0                  # after it, no more than this share of any
-        self.rest = 1.0                                    # of a cold server not told of, no more than this
-        self._pressure: float | None = None                # the shortage that all see, if that is known
-        self._lean, self._stale = 1.0, 0                   # its part beside the own; until when it counts
+        self._until, self._floor = 0, 1.0  # after it, no more than this share of any
+        self.rest = 1.0  # of a cold server not told of, no more than this
+        self._pressure: float | None = None  # the shortage that all see, if that is known
+        self._lean, self._stale = 1.0, 0  # its part beside the own; until when it counts
 
-        self.repeats_per_s, self.dials_per_s = 0.0, 0.0    # of all together; 0: no bound
-        self.bounded = False                               # by either
+        self.repeats_per_s, self.dials_per_s = 0.0, 0.0  # of all together; 0: no bound
+        self.bounded = False  # by either
         self._repeats: float | None = None
         self._dials: Mapping[int, float] = {}
         self._repeated, self._dialled = Tokens(0), dict[int, Tokens]()
-        self.repeats_held, self.dials_held = 0, dict[int, int]()   # how often there was none left
+        self.repeats_held, self.dials_held = 0, dict[int, int]()  # how often there was none left
 
     def twins(self, now: int, count: int) -> None:
         """So many processes are this one instance."""
@@ -53,9 +75,19 @@
         self._twins = max(1, count)
         self.parts = self._told or self._instances * self._twins
 
-    def told(self, now: int, parts: int, cold: Mapping[bytes, float], quotas: Mapping[int, float],
-             pressure: float | None, until: int, floor: float, wholes: Mapping[int, float],
-             lean: float = 1.0, stale: int = 0) -> None:
+    def told(
+        self,
+        now: int,
+        parts: int,
+        cold: Mapping[bytes, float],
+        quotas: Mapping[int, float],
+        pressure: float | None,
+        until: int,
+        floor: float,
+        wholes: Mapping[int, float],
+        lean: float = 1.0,
+        stale: int = 0,
+    ) -> None:
         """`roadlb.policy.interface.Heard` has what each means."""
         self._settle(now)
         self._told, self.alike = parts, parts or self._instances
@@ -90,15 +122,22 @@
 
     # Rates
 
-    def bound(self, now: int, rest: float, repeats_per_s: float, repeats: float | None, dials_per_s: float,
-              dials: Mapping[int, float]) -> None:
+    def bound(
+        self,
+        now: int,
+        rest: float,
+        repeats_per_s: float,
+        repeats: float | None,
+        dials_per_s: float,
+        dials: Mapping[int, float],
+    ) -> None:
         """The rest of `Heard`, told after the other figures."""
         if not self.repeats_per_s:
             self._repeated = Tokens(now)
         self.rest, self.bounded = rest, repeats_per_s > 0 or dials_per_s > 0
         self.repeats_per_s, self._repeats = repeats_per_s, repeats
         self.dials_per_s, self._dials = dials_per_s, dials
-        self._settle(now)                        # a share that shrank has less saved
+        self._settle(now)  # a share that shrank has less saved
 
     def may_repeat(self, now: int) -> bool:
         """May one more attempt be made for a request that has had one?"""
--- a/roadlb/routing/standing.py
+++ b/roadlb/routing/standing.py
@@ -20,27 +20,27 @@
 from dataclasses import dataclass, field
 
 EJECT_US, EJECT_MOST_US = 1_000_000, 16_000_000
-EJECT_SHARE = 0.34            # of the fleet may be ejected; more is not a matter of single servers
-EJECT_FAILING = 0.35          # of its outcomes of late
-SUSPECT_US, DOUBT = 3_000_000, 0.1    # after a failure, requests that cannot be repeated keep away ...
-FULL_MOST_US = 500_000        # ... and all of them for a while where work is turned away or no dial comes up
-FAILURE, SPOILT = 0.2, 0.05   # weight of an outcome: answers are spoilt now and then at all alike
+EJECT_SHARE = 0.34  # of the fleet may be ejected; more is not a matter of single servers
+EJECT_FAILING = 0.35  # of its outcomes of late
+SUSPECT_US, DOUBT = 3_000_000, 0.1  # after a failure, requests that cannot be repeated keep away ...
+FULL_MOST_US = 500_000  # ... and all of them for a while where work is turned away or no dial comes up
+FAILURE, SPOILT = 0.2, 0.05  # weight of an outcome: answers are spoilt now and then at all alike
 
 
 @dataclass(slots=True, eq=False)
 class Standing:
     """One server's."""
 
-    since: int = field(default=0, init=False)             # when the first of the attempts out was sent
-    heard: int = field(default=0, init=False)             # when the last answer came, of whatever kind
-    failing: float = field(default=0.0, init=False)       # share of late outcomes that failed
+    since: int = field(default=0, init=False)  # when the first of the attempts out was sent
+    heard: int = field(default=0, init=False)  # when the last answer came, of whatever kind
+    failing: float = field(default=0.0, init=False)  # share of late outcomes that failed
     suspect_until: int = field(default=0, init=False)
-    eject_until: int = field(default=0, init=False)       # 0: not ejected
+    eject_until: int = field(default=0, init=False)  # 0: not ejected
     eject_for: int = field(default=0, init=False)
     full_until: int = field(default=0, init=False)
-    fulls: int = field(default=0, init=False)             # times in a row that it turned work away
-    heeded: int = field(default=0, init=False)            # what others said of it was heeded up to here
-    listed: bool = field(default=True, init=False)        # what left the list is judged no more
+    fulls: int = field(default=0, init=False)  # times in a row that it turned work away
+    heeded: int = field(default=0, init=False)  # what others said of it was heeded up to here
+    listed: bool = field(default=True, init=False)  # what left the list is judged no more
 
     def suspect(self, now: int) -> bool:
         """Has it failed lately, and not done well since?"""
@@ -62,8 +62,11 @@
 
     def eligible(self, now: int, out: int, patience_us: int) -> bool:
         """May a request that can be repeated go there?"""
-        again = now >= self.eject_until and not out if self.eject_until else not self.silent(
-            now, out, patience_us)
+        again = (
+            now >= self.eject_until and not out
+            if self.eject_until
+            else not self.silent(now, out, patience_us)
+        )
         return self.full_until <= now and again
 
 
--- a/roadlb/shared_state/budgets.py
+++ b/roadlb/shared_state/budgets.py
@@ -40,10 +40,10 @@
 
 from .events import Among, Answer, Ask, BudgetEvent, Came, Key, Needs, Partners, Pulse, Tell
 
-MOST_ITEMS = 48           # of an ask: with 16 bytes each it fits a datagram
-MOST_PARTNERS = 24        # that a taker holds shares of at a time
-MOST_TAKERS = 512         # lives that a giver keeps books on
-ASKS = 4                  # sent with one pulse
+MOST_ITEMS = 48  # of an ask: with 16 bytes each it fits a datagram
+MOST_PARTNERS = 24  # that a taker holds shares of at a time
+MOST_TAKERS = 512  # lives that a giver keeps books on
+ASKS = 4  # sent with one pulse
 NEVER = 1 << 62
 
 
@@ -52,14 +52,14 @@
     """What all balancers agree on.  Another lease needs another version of the messages."""
 
     instances: int
-    whole: int = 1_000_000           # units of each budget
+    whole: int = 1_000_000  # units of each budget
     lease_us: int = 4_000_000
-    drift_ppm: int = 200             # that any clock is off true time, at the most
+    drift_ppm: int = 200  # that any clock is off true time, at the most
     margin_us: int = 100_000
-    keep: float = 0.5                # of its own part, that a balancer never gives away
-    renew_us: int = 1_500_000        # after its last ask, a partner is asked again
-    wait_us: int = 500_000           # for an answer, before its units count as not coming
-    skip_us: int = 2_000_000         # a partner that had nothing is left alone for so long
+    keep: float = 0.5  # of its own part, that a balancer never gives away
+    renew_us: int = 1_500_000  # after its last ask, a partner is asked again
+    wait_us: int = 500_000  # for an answer, before its units count as not coming
+    skip_us: int = 2_000_000  # a partner that had nothing is left alone for so long
 
     @property
     def part(self) -> int:
@@ -112,8 +112,8 @@
 class Partner:
     """A taker's account with one giver."""
 
-    number: int = 0                              # of the last ask
-    sent: int = -NEVER                           # when that left
+    number: int = 0  # of the last ask
+    sent: int = -NEVER  # when that left
     answered: bool = True
     wants: dict[Key, int] = field(default_factory=dict)
     held: dict[Key, Held] = field(default_factory=dict)
@@ -126,8 +126,20 @@
     it must be asked again after each event, before its actions are carried out.
     """
 
-    __slots__ = ("_count", "_needs", "free_from", "life", "name", "next", "number", "partners", "peers",
-                 "skip", "takers", "terms")
+    __slots__ = (
+        "_count",
+        "_needs",
+        "free_from",
+        "life",
+        "name",
+        "next",
+        "number",
+        "partners",
+        "peers",
+        "skip",
+        "takers",
+        "terms",
+    )
 
     def __init__(self, now: int, name: str, life: int, terms: Terms) -> None:
         self.name, self.life, self.terms = name, life, terms
@@ -135,9 +147,9 @@
         self.partners: dict[str, Partner] = {}
         self.peers: tuple[str, ...] = ()
         self._needs: Mapping[Key, int] = {}
-        self.skip: dict[str, int] = {}           # partners that had nothing, and until when
+        self.skip: dict[str, int] = {}  # partners that had nothing, and until when
         self.number, self.next, self._count = 0, 0, 1
-        self.free_from = now + terms.gift_us    # what the last life gave has ended by then
+        self.free_from = now + terms.gift_us  # what the last life gave has ended by then
 
     def handle(self, now: int, event: BudgetEvent) -> list[Tell]:
         if isinstance(event, Came):
@@ -167,17 +179,23 @@
         left = self.terms.part - self.given(now, resource)
         if now < self.free_from:
             left = min(left, self.terms.kept) // self._count
-        return max(0, left)                      # below: given of the larger part of before
+        return max(0, left)  # below: given of the larger part of before
 
     def given(self, now: int, resource: Key, but: tuple[str, int] | None = None) -> int:
         """What others may use of the own part, one of them left out."""
-        return sum(taker.gifts[resource].units(now) for who, taker in self.takers.items()
-                   if resource in taker.gifts and who != but)
+        return sum(
+            taker.gifts[resource].units(now)
+            for who, taker in self.takers.items()
+            if resource in taker.gifts and who != but
+        )
 
     def held(self, now: int, resource: Key) -> int:
         """What may be used of others' parts."""
-        return sum(h.units for p in self.partners.values()
-                   if (h := p.held.get(resource)) is not None and now < h.until)
+        return sum(
+            h.units
+            for p in self.partners.values()
+            if (h := p.held.get(resource)) is not None and now < h.until
+        )
 
     def partners_of(self, now: int, resource: Key) -> tuple[dict[str, int], dict[str, int]]:
         """By name, to whom units of it are given, and of whom they are held."""
@@ -185,14 +203,18 @@
         for (name, _), taker in self.takers.items():
             if resource in taker.gifts and (units := taker.gifts[resource].units(now)):
                 given[name] = given.get(name, 0) + units
-        held = {name: h.units for name, p in self.partners.items()
-                if (h := p.held.get(resource)) is not None and now < h.until}
+        held = {
+            name: h.units
+            for name, p in self.partners.items()
+            if (h := p.held.get(resource)) is not None and now < h.until
+        }
         return given, held
 
     def lapses(self, now: int) -> int:
         """When the first of what is held of others ends; 0: nothing is held."""
-        return min((h.until for p in self.partners.values() for h in p.held.values() if now < h.until),
-                   default=0)
+        return min(
+            (h.until for p in self.partners.values() for h in p.held.values() if now < h.until), default=0
+        )
 
     def free(self, now: int) -> bool:
         """Has what an earlier life gave ended?"""
@@ -316,7 +338,7 @@
         self.number += 1
         partner.number, partner.sent, partner.answered, partner.wants = self.number, now, False, wants
         if not items:
-            del self.partners[name]          # all given back; if this is lost, the gifts end anyway
+            del self.partners[name]  # all given back; if this is lost, the gifts end anyway
         return Tell(name, Ask(self.number, terms.instances, tuple(items)))
 
     def _strangers(self, now: int, most: int) -> Iterable[str]:
@@ -356,11 +378,11 @@
         if instances == self.terms.instances:
             return
         self.terms = replace(self.terms, instances=instances)
-        self.partners.clear()                    # what they gave was of parts of another size
+        self.partners.clear()  # what they gave was of parts of another size
 
     def _beside(self, now: int, count: int) -> None:
         if count > 1:
-            self.partners.clear()                # held of others no longer: the twin knows nothing of it
+            self.partners.clear()  # held of others no longer: the twin knows nothing of it
             self.free_from = NEVER
         elif self._count > 1:
             self.free_from = now + self.terms.gift_us
--- a/roadlb/shared_state/counts.py
+++ b/roadlb/shared_state/counts.py
@@ -19,12 +19,12 @@
 from .events import Key, Sort
 
 WINDOW_US = 2_000_000
-SLOTS = 8                    # of a window: what is told is of 7 to 8 eighths of it
-AGE_US = 4_000_000           # a report counts for so long after it has come
-SHORT = 4                    # bytes of a key that are told
-MOST_COUNTS = 64             # of a report
-MOST_KEYS = 4_096            # that a balancer counts of its own; the rest goes into what is left out
-MOST_SENDERS = 2_048         # that reports are kept of
+SLOTS = 8  # of a window: what is told is of 7 to 8 eighths of it
+AGE_US = 4_000_000  # a report counts for so long after it has come
+SHORT = 4  # bytes of a key that are told
+MOST_COUNTS = 64  # of a report
+MOST_KEYS = 4_096  # that a balancer counts of its own; the rest goes into what is left out
+MOST_SENDERS = 2_048  # that reports are kept of
 _SLOT_US = WINDOW_US // SLOTS
 
 
@@ -34,14 +34,14 @@
 
     items: tuple[tuple[Sort, Key, int], ...]
     rest: tuple[int, int, int] = (0, 0, 0)
-    number: int = 0          # grows within a life, and lives of one sender grow
+    number: int = 0  # grows within a life, and lives of one sender grow
 
 
 @dataclass(slots=True, frozen=True)
 class Sum:
     count: int
-    over: int                # so much at most may be missing for want of room in reports
-    heard: int               # balancers whose reports are in it
+    over: int  # so much at most may be missing for want of room in reports
+    heard: int  # balancers whose reports are in it
 
 
 @dataclass(slots=True)
@@ -60,7 +60,7 @@
 
     def __init__(self) -> None:
         self._own: list[dict[tuple[Sort, Key], int]] = [{} for _ in range(SLOTS)]
-        self._slot = 0                               # number of the slot that is being filled
+        self._slot = 0  # number of the slot that is being filled
         self.reports: dict[str, Report] = {}
 
     def add(self, now: int, sort: Sort, key: Key, count: int = 1) -> None:
--- a/roadlb/shared_state/events.py
+++ b/roadlb/shared_state/events.py
@@ -14,24 +14,24 @@
 from typing import TypeAlias
 
 Key: TypeAlias = bytes
-KEY = 8                    # bytes
+KEY = 8  # bytes
 
 
 class Budget(IntEnum):
     """What a budget is of."""
 
-    COLD = 1               # a cold server's room
-    QUOTA = 2              # a customer's requests a second
-    REPEATS = 3            # attempts beyond each request's first, a second
-    DIALS = 4              # requests a second to a hall that is lost or returns
+    COLD = 1  # a cold server's room
+    QUOTA = 2  # a customer's requests a second
+    REPEATS = 3  # attempts beyond each request's first, a second
+    DIALS = 4  # requests a second to a hall that is lost or returns
 
 
 class Sort(IntEnum):
     """What is counted."""
 
-    SENT = 1               # to a server
-    SERVED = 2             # for a customer
-    REFUSED = 3            # of a class
+    SENT = 1  # to a server
+    SERVED = 2  # for a customer
+    REFUSED = 3  # of a class
 
 
 def key(kind: IntEnum, name: bytes) -> Key:
@@ -50,6 +50,7 @@
 
 # Budgets
 
+
 @dataclass(slots=True, frozen=True)
 class Needs:
     """What this balancer could use of each resource, in units, at the moment; absent: nothing."""
@@ -86,7 +87,7 @@
 
     number: int
     instances: int
-    items: tuple[tuple[Key, int, int], ...]         # resource, hold, want
+    items: tuple[tuple[Key, int, int], ...]  # resource, hold, want
 
 
 @dataclass(slots=True, frozen=True)
@@ -95,7 +96,7 @@
 
     life: int
     number: int
-    items: tuple[tuple[Key, int], ...]              # resource, units
+    items: tuple[tuple[Key, int], ...]  # resource, units
 
 
 @dataclass(slots=True, frozen=True)
@@ -112,7 +113,7 @@
     """What agreed versions say of the wholes: among how many balancers they are divided, and of customers'
     quotas, by number, the part of the settings' that holds; absent: all of it."""
 
-    instances: int                           # 0: nothing is said, and the settings hold
+    instances: int  # 0: nothing is said, and the settings hold
     wholes: Mapping[int, float]
 
 
--- a/roadlb/shared_state/halls.py
+++ b/roadlb/shared_state/halls.py
@@ -28,10 +28,10 @@
 from ..sites.life import DOUBT
 from .events import Key
 
-HOLD_US = 6_000_000          # each tells eight members each half second: of 40, 6% are not heard for so long
-LATELY_US = 3_000_000        # a hall that has answered within it lives
-ENOUGH = 4                   # two that hold it for lost, or four in doubt
-MOST_HALLS = 16              # of one message
+HOLD_US = 6_000_000  # each tells eight members each half second: of 40, 6% are not heard for so long
+LATELY_US = 3_000_000  # a hall that has answered within it lives
+ENOUGH = 4  # two that hold it for lost, or four in doubt
+MOST_HALLS = 16  # of one message
 MOST_WITNESSES = 2_048
 
 
@@ -40,9 +40,9 @@
     """What one witness has met in one hall; ages in microseconds, -1: never."""
 
     hall: Key
-    weight: int              # 2: it holds it for lost; 1: it is in doubt; 0: neither
-    since_us: int            # since it does
-    heard_us: int            # since its last answer
+    weight: int  # 2: it holds it for lost; 1: it is in doubt; 0: neither
+    since_us: int  # since it does
+    heard_us: int  # since its last answer
 
 
 @dataclass(slots=True)
@@ -70,7 +70,7 @@
     since: int
     until: int
     accusers: tuple[str, ...]
-    against: tuple[str, ...]     # whom it has answered since
+    against: tuple[str, ...]  # whom it has answered since
 
 
 class Halls:
@@ -81,7 +81,7 @@
     def __init__(self) -> None:
         self._own: dict[Key, SiteView] = {}
         self._halls: Mapping[int, Key] = {}
-        self.urgent = False                          # is there something that all should know at once?
+        self.urgent = False  # is there something that all should know at once?
         self.witnesses: dict[str, Witness] = {}
 
     def saw(self, now: int, sites: Iterable[SiteView], keys: Mapping[int, Key]) -> None:
@@ -97,8 +97,12 @@
         """What this balancer has to tell now: of halls that it, or anybody heard of late, accuses."""
         self.urgent = False
         answered = sum(0 <= now - s.heard_us < LATELY_US for s in self._own.values())
-        accused = {key for w in self.witnesses.values() for key, c in w.claims.items()
-                   if c.weight and now - w.at < HOLD_US}
+        accused = {
+            key
+            for w in self.witnesses.values()
+            for key, c in w.claims.items()
+            if c.weight and now - w.at < HOLD_US
+        }
         signs = []
         for key, site in self._own.items():
             heard = now - site.heard_us if site.heard_us >= 0 else -1
@@ -108,14 +112,17 @@
                 signs.append(HallSign(key, 0, -1, heard))
         return tuple(signs[:MOST_HALLS])
 
-    def came(self, now: int, sender: str, life: int, number: int, hall: Key, signs: Iterable[HallSign]
-             ) -> None:
+    def came(
+        self, now: int, sender: str, life: int, number: int, hall: Key, signs: Iterable[HallSign]
+    ) -> None:
         """All that a witness of this hall has to tell; what was overtaken is dropped."""
         known = self.witnesses.get(sender)
         if known is not None and (life, number) <= (known.life, known.number):
             return
-        claims = {s.hall: Claim(s.weight, now - s.since_us, now - s.heard_us if s.heard_us >= 0 else -1)
-                  for s in list(signs)[:MOST_HALLS]}
+        claims = {
+            s.hall: Claim(s.weight, now - s.since_us, now - s.heard_us if s.heard_us >= 0 else -1)
+            for s in list(signs)[:MOST_HALLS]
+        }
         if known is None and (not claims or len(self.witnesses) >= MOST_WITNESSES):
             return
         self.witnesses[sender] = Witness(life, number, now, hall, claims)
@@ -127,8 +134,11 @@
 
     def _accusers(self, now: int, key: Key) -> list[tuple[int, str, Witness]]:
         """By since when they accuse it, the latest first."""
-        found = [(w.claims[key].since, name, w) for name, w in self.witnesses.items()
-                 if key in w.claims and w.claims[key].weight and now - w.at < HOLD_US]
+        found = [
+            (w.claims[key].since, name, w)
+            for name, w in self.witnesses.items()
+            if key in w.claims and w.claims[key].weight and now - w.at < HOLD_US
+        ]
         return sorted(found, key=lambda a: (-a[0], a[1]))
 
     def silent(self, now: int) -> dict[int, Silent]:
@@ -139,14 +149,19 @@
             if len({w.hall for _, _, w in accusers}) < 2:
                 continue
             since = enough((at, w.claims[key].weight) for at, _, w in accusers)
-            against = [name for name, w in self.witnesses.items()
-                       if key in w.claims and w.claims[key].heard > since and now - w.at < HOLD_US]
+            against = [
+                name
+                for name, w in self.witnesses.items()
+                if key in w.claims and w.claims[key].heard > since and now - w.at < HOLD_US
+            ]
             weighs = sum(w.claims[key].weight for _, _, w in accusers) - 2 * len(against)
             if since >= 0 and weighs >= ENOUGH and site.heard_us <= since:
-                until = enough(sorted(((w.at + HOLD_US, w.claims[key].weight) for _, _, w in accusers),
-                                      reverse=True))
-                found[site.site] = Silent(since, until, tuple(name for _, name, _ in accusers),
-                                          tuple(sorted(against)))
+                until = enough(
+                    sorted(((w.at + HOLD_US, w.claims[key].weight) for _, _, w in accusers), reverse=True)
+                )
+                found[site.site] = Silent(
+                    since, until, tuple(name for _, name, _ in accusers), tuple(sorted(against))
+                )
         return found
 
 
--- a/roadlb/shared_state/judgements.py
+++ b/roadlb/shared_state/judgements.py
@@ -50,28 +50,28 @@
 from .halls import HallSign
 
 HOLD_US, HOLD_MOST_US = 2_000_000, 20_000_000
-RANDOM, DOWN = 0.1, 0.9      # part of its answers that a sound server fails at most, a dead one at least
-FALSE = 1 / 4_000            # so seldom, at most, may failures of a sound server be a run that is believed
-NEED = ceil(log(1 / FALSE) / log(DOWN / RANDOM))         # failures in a row, by all witnesses together
-OF_ONE = 2                   # of them, of one witness
-COUNT_US = HOLD_MOST_US      # a failure counts among them, and a good answer after one is told, for so long
-SEEN_US = 5_000_000          # servers that were asked within it say how a witness itself fares
-SICK = 0.34                  # a witness that fails with more of the servers counts nothing
+RANDOM, DOWN = 0.1, 0.9  # part of its answers that a sound server fails at most, a dead one at least
+FALSE = 1 / 4_000  # so seldom, at most, may failures of a sound server be a run that is believed
+NEED = ceil(log(1 / FALSE) / log(DOWN / RANDOM))  # failures in a row, by all witnesses together
+OF_ONE = 2  # of them, of one witness
+COUNT_US = HOLD_MOST_US  # a failure counts among them, and a good answer after one is told, for so long
+SEEN_US = 5_000_000  # servers that were asked within it say how a witness itself fares
+SICK = 0.34  # a witness that fails with more of the servers counts nothing
 WITNESSES = 2
 AVOID_SHARE = 0.34
-FRESH_US = 3_000_000         # a witness that says nothing more is forgotten
-RECENT_US = 1_500_000        # pressure told longer ago counts nothing
+FRESH_US = 3_000_000  # a witness that says nothing more is forgotten
+RECENT_US = 1_500_000  # pressure told longer ago counts nothing
 PRESSURE_LEAST, TRIM, HEAVY = 3, 0.2, 2.0
-MOST_SIGNS = 36              # of one message
+MOST_SIGNS = 36  # of one message
 MOST_WITNESSES = 2_048
 
 
 class Trouble(IntEnum):
     NONE = 0
-    ERRORS = 1               # it answers with errors
-    SILENT = 2               # it does not answer, or cannot be reached
-    FULL = 3                 # it turns work away
-    SLOW = 4                 # answers come late
+    ERRORS = 1  # it answers with errors
+    SILENT = 2  # it does not answer, or cannot be reached
+    FULL = 3  # it turns work away
+    SLOW = 4  # answers come late
 
 
 DECIDE = (Trouble.ERRORS, Trouble.SILENT)
@@ -83,25 +83,25 @@
 
     server: Key
     trouble: Trouble
-    failures: int            # in a row
-    bad_us: int              # since the last of them
-    before_us: int           # since the one before it, in the same row
-    good_us: int             # since its last good answer
+    failures: int  # in a row
+    bad_us: int  # since the last of them
+    before_us: int  # since the one before it, in the same row
+    good_us: int  # since its last good answer
 
 
 @dataclass(slots=True, frozen=True)
 class Evidence:
     """What one witness tells at one moment."""
 
-    pressure: float | None   # 0..1: the shortage it sees; None: not known
-    weight: int              # requests a second that it serves
-    answering: int           # servers whose last outcome with it, lately, was good
-    failing: int             # ... was a failure
+    pressure: float | None  # 0..1: the shortage it sees; None: not known
+    weight: int  # requests a second that it serves
+    answering: int  # servers whose last outcome with it, lately, was good
+    failing: int  # ... was a failure
     hall: Key
     signs: tuple[Sign, ...] = ()
-    number: int = 0          # grows within a life, and lives of one sender grow
-    whole: bool = True       # all that it has to tell of servers; else what has changed, and the rest holds
-    halls: tuple[HallSign, ...] = ()         # all that it has to tell of halls
+    number: int = 0  # grows within a life, and lives of one sender grow
+    whole: bool = True  # all that it has to tell of servers; else what has changed, and the rest holds
+    halls: tuple[HallSign, ...] = ()  # all that it has to tell of halls
 
     @property
     def sound(self) -> bool:
@@ -115,7 +115,7 @@
 
     trouble: Trouble = Trouble.NONE
     failures: int = 0
-    bad: int = -1            # clock times; -1: never
+    bad: int = -1  # clock times; -1: never
     before: int = -1
     good: int = -1
 
@@ -158,20 +158,30 @@
 class Judgements:
     """One balancer's evidence, and what it makes of others'."""
 
-    __slots__ = ("_away", "_claimed", "_listed", "_news", "_seen", "hall", "luck", "pressure", "weight",
-                 "witnesses")
+    __slots__ = (
+        "_away",
+        "_claimed",
+        "_listed",
+        "_news",
+        "_seen",
+        "hall",
+        "luck",
+        "pressure",
+        "weight",
+        "witnesses",
+    )
 
     def __init__(self, hall: str, luck: int = 0) -> None:
         """`luck`: any number of its own; it decides how early the balancer asks again."""
         self.hall, self.luck = short(hall.encode()), luck
-        self.pressure: float | None = None           # its own, and how much it serves: set before `tell`
+        self.pressure: float | None = None  # its own, and how much it serves: set before `tell`
         self.weight = 0
-        self._news: set[Key] = set()                 # servers of which others should know at once
+        self._news: set[Key] = set()  # servers of which others should know at once
         self._seen: dict[Key, Seen] = {}
-        self._listed: dict[Key, tuple[bytes, int]] = {}      # the server, and the clock time of its start
-        self._away: frozenset[Key] = frozenset()     # servers of halls that this balancer holds for lost
+        self._listed: dict[Key, tuple[bytes, int]] = {}  # the server, and the clock time of its start
+        self._away: frozenset[Key] = frozenset()  # servers of halls that this balancer holds for lost
         self.witnesses: dict[str, Witness] = {}
-        self._claimed: dict[Key, set[str]] = {}      # by server, the witnesses that tell of it
+        self._claimed: dict[Key, set[str]] = {}  # by server, the witnesses that tell of it
 
     @property
     def urgent(self) -> bool:
@@ -186,7 +196,7 @@
         listed = {short(server): (server, born) for server, born in servers.items()}
         for key in list(self._seen):
             if key not in listed or listed[key][1] != self._listed.get(key, (b"", 0))[1]:
-                del self._seen[key]                  # what it did, another process did
+                del self._seen[key]  # what it did, another process did
         self._listed, self._away = listed, frozenset(map(short, away))
         self._news &= self._seen.keys() - self._away
 
@@ -223,17 +233,33 @@
             recovered = key in doubted and seen.good > known and now - seen.good < COUNT_US
             if not whole or seen.counts(now) and seen.bad > known or recovered:
                 bad, before, good = (now - at if at >= 0 else -1 for at in (seen.bad, seen.before, seen.good))
-                signs.append((-max(seen.bad, seen.good), key, Sign(
-                    key, seen.trouble, seen.failures, bad, before, good)))
+                signs.append(
+                    (
+                        -max(seen.bad, seen.good),
+                        key,
+                        Sign(key, seen.trouble, seen.failures, bad, before, good),
+                    )
+                )
         answering, failing = self._fares(now)
         signs.sort(key=lambda s: s[:2])
-        return Evidence(self.pressure, self.weight, answering, failing, self.hall,
-                        tuple(sign for _, _, sign in signs[:MOST_SIGNS]), number, whole)
+        return Evidence(
+            self.pressure,
+            self.weight,
+            answering,
+            failing,
+            self.hall,
+            tuple(sign for _, _, sign in signs[:MOST_SIGNS]),
+            number,
+            whole,
+        )
 
     def _fares(self, now: int) -> tuple[int, int]:
         """Servers whose last outcome, lately, was good, and those where it failed, but for lost halls."""
-        lately = [seen.failures > 0 for key, seen in self._seen.items()
-                  if now - max(seen.bad, seen.good) < SEEN_US and key not in self._away]
+        lately = [
+            seen.failures > 0
+            for key, seen in self._seen.items()
+            if now - max(seen.bad, seen.good) < SEEN_US and key not in self._away
+        ]
         return len(lately) - sum(lately), sum(lately)
 
     def sound(self, now: int) -> bool:
@@ -249,13 +275,19 @@
             return
         if known is None and len(self.witnesses) >= MOST_WITNESSES:
             return
-        claims = {s.server: Claim(s.trouble, s.failures, *(now - age if age >= 0 else -1 for age in (
-            s.bad_us, s.before_us, s.good_us))) for s in told.signs[:MOST_SIGNS]}
+        claims = {
+            s.server: Claim(
+                s.trouble,
+                s.failures,
+                *(now - age if age >= 0 else -1 for age in (s.bad_us, s.before_us, s.good_us)),
+            )
+            for s in told.signs[:MOST_SIGNS]
+        }
         if known is not None:
             self._drop(sender, known)
             if not told.whole and known.life == life:
                 held = sorted(known.claims.items(), key=lambda c: -max(c[1].bad, c[1].good))
-                claims = {**dict(held[:MOST_SIGNS - len(claims)]), **claims}
+                claims = {**dict(held[: MOST_SIGNS - len(claims)]), **claims}
         self.witnesses[sender] = Witness(life, told.number, now, told, claims)
         for key in claims:
             self._claimed.setdefault(key, set()).add(sender)
@@ -317,8 +349,9 @@
             found.append((self.hall, "", Claim(seen.trouble, failures, seen.bad, seen.before, seen.good)))
         return found
 
-    def _accusers(self, now: int, born: int, claims: Iterable[tuple[Key, str, Claim]]
-                  ) -> list[tuple[Key, str, Claim]]:
+    def _accusers(
+        self, now: int, born: int, claims: Iterable[tuple[Key, str, Claim]]
+    ) -> list[tuple[Key, str, Claim]]:
         """Those who failed since the last good answer, if together often enough."""
         claims = list(claims)
         after = max((c.good for _, _, c in claims), default=-1)
@@ -344,7 +377,7 @@
             if everyone := self.against(now, key):
                 found.append((-len(everyone), self._listed[key][0], everyone))
         found.sort(key=lambda f: f[:2])
-        return {server: who for _, server, who in found[:int(AVOID_SHARE * len(self._listed))]}
+        return {server: who for _, server, who in found[: int(AVOID_SHARE * len(self._listed))]}
 
     def avoid(self, now: int) -> dict[bytes, int]:
         """The servers to be avoided, and until when."""
@@ -352,23 +385,28 @@
         for server, who in self.believed(now).items():
             luck = 0.75 + 0.25 * ((hash_of(server) ^ self.luck) % 1024) / 1024
             beyond = sum(c.counts(now) for _, _, c in who) - NEED + 1
-            ends = sorted((c.bad + int(lasts(max(c.failures, beyond)) * luck) for _, _, c in who),
-                          reverse=True)
-            if ends[WITNESSES - 1] > now:            # as long as two hold it
+            ends = sorted(
+                (c.bad + int(lasts(max(c.failures, beyond)) * luck) for _, _, c in who), reverse=True
+            )
+            if ends[WITNESSES - 1] > now:  # as long as two hold it
                 until[server] = ends[WITNESSES - 1]
         return until
 
     def together(self, now: int) -> float | None:
         """The pressure that all see; None: too few are heard."""
-        reports = [(w.evidence.pressure, max(1, w.evidence.weight)) for w in self.witnesses.values()
-                   if w.evidence.pressure is not None and now - w.at < RECENT_US]
+        reports = [
+            (w.evidence.pressure, max(1, w.evidence.weight))
+            for w in self.witnesses.values()
+            if w.evidence.pressure is not None and now - w.at < RECENT_US
+        ]
         if self.pressure is not None:
             reports.append((self.pressure, max(1, self.weight)))
         if len(reports) < PRESSURE_LEAST:
             return None
         most = HEAVY * median(weight for _, weight in reports)
-        ordered = sorted((pressure, min(float(weight), most)) for pressure, weight in reports
-                         if pressure is not None)
+        ordered = sorted(
+            (pressure, min(float(weight), most)) for pressure, weight in reports if pressure is not None
+        )
         total = sum(weight for _, weight in ordered)
         low, high, passed, kept = TRIM * total, (1 - TRIM) * total, 0.0, 0.0
         for pressure, weight in ordered:
--- a/roadlb/shared_state/merged.py
+++ b/roadlb/shared_state/merged.py
@@ -48,11 +48,11 @@
 
     def __init__(self) -> None:
         self._versions, self._shares, self._twins = Heard(), FromShares(0, Heard()), 1
-        self._agreed = Agreed(0, {})             # as the shares were told last
+        self._agreed = Agreed(0, {})  # as the shares were told last
 
     def handle(self, now: int, event: Event) -> list[Action]:
         if isinstance(event, Beside):
-            self._twins = max(1, event.count)    # both sources say what comes of it
+            self._twins = max(1, event.count)  # both sources say what comes of it
             return []
         if isinstance(event, FromShares):
             self._shares = event
@@ -70,9 +70,13 @@
         heard = replace(shares, parts=versions.parts, wholes=versions.wholes)
         if versions.parts and self._shares.instances != versions.parts // self._twins:
             even = 1 / versions.parts
-            heard = replace(heard, cold=_at_most(shares.cold, even), quotas=_at_most(shares.quotas, even),
-                            dials=_at_most(shares.dials, even),
-                            repeats=None if shares.repeats is None else min(shares.repeats, even))
+            heard = replace(
+                heard,
+                cold=_at_most(shares.cold, even),
+                quotas=_at_most(shares.quotas, even),
+                dials=_at_most(shares.dials, even),
+                repeats=None if shares.repeats is None else min(shares.repeats, even),
+            )
         return heard
 
 
--- a/roadlb/shared_state/told.py
+++ b/roadlb/shared_state/told.py
@@ -26,7 +26,20 @@
 from .budgets import Budgets, Terms
 from .counts import SHORT, Counted, Counts
 from .events import (
-    Agreed, Among, Answer, Ask, Beside, Budget, Came, Key, Needs, Partners, Sort, Tell, key, short,
+    Agreed,
+    Among,
+    Answer,
+    Ask,
+    Beside,
+    Budget,
+    Came,
+    Key,
+    Needs,
+    Partners,
+    Sort,
+    Tell,
+    key,
+    short,
 )
 from .events import Pulse as BudgetsPulse
 from .halls import Halls, Silent
@@ -35,18 +48,18 @@
 
 NOTHING: Mapping[int, float] = {}
 PULSE_US = 250_000
-TELL_US = 500_000            # between two reports of evidence, and half as often one of counts, ...
-FAN = 8                      # ... to so many members drawn afresh: each is heard by most within AGE_US of 40
-MOST_WAITING = 1_024         # answers until the next pulse; an ask beyond them is not answered
-URGENT_US = 500_000          # news of a failure, or of a good answer after one, go to all, but no more often
-URGENT_AT_ONCE = 3           # ... than this on the mean, and so often at once
+TELL_US = 500_000  # between two reports of evidence, and half as often one of counts, ...
+FAN = 8  # ... to so many members drawn afresh: each is heard by most within AGE_US of 40
+MOST_WAITING = 1_024  # answers until the next pulse; an ask beyond them is not answered
+URGENT_US = 500_000  # news of a failure, or of a good answer after one, go to all, but no more often
+URGENT_AT_ONCE = 3  # ... than this on the mean, and so often at once
 MORE, LESS, ROOM = 1.5, 0.9, 1.25
 # One that serves so many requests a second goes by its own shortage for a half, and by the one that all see
 # for the rest.  By the latter alone the shedding swings, as that is half a second to three seconds old.
 LEAN_PER_S = 12.0
-STALE_US = 1_000_000         # what all see counts for so long, unless it is told again
+STALE_US = 1_000_000  # what all see counts for so long, unless it is told again
 MOST_NEEDS = 48
-MOST_SHOWN = 20              # servers whose counts operators see, the largest
+MOST_SHOWN = 20  # servers whose counts operators see, the largest
 
 
 @dataclass(slots=True, frozen=True)
@@ -124,30 +137,40 @@
 class Told:
     """One balancer's shared state."""
 
-    def __init__(self, now: int, name: str, life: int, hall: str, terms: Terms,
-                 quotas: Sequence[tuple[str, float]] = (), bounds: Bounds | None = None) -> None:
+    def __init__(
+        self,
+        now: int,
+        name: str,
+        life: int,
+        hall: str,
+        terms: Terms,
+        quotas: Sequence[tuple[str, float]] = (),
+        bounds: Bounds | None = None,
+    ) -> None:
         """`quotas`: each customer's name and its requests a second over all balancers."""
-        self._instances = terms.instances            # as the settings have it
+        self._instances = terms.instances  # as the settings have it
         self._wholes = NOTHING
         self.budgets, self.counts = Budgets(now, name, life, terms), Counts()
         self.judgements = Judgements(hall, hash_of(name.encode()))
         self.halls = Halls()
-        self.faults = 0                              # messages that could not be read
+        self.faults = 0  # messages that could not be read
         self._quotas = [(key(Budget.QUOTA, customer.encode()), quota) for customer, quota in quotas]
-        self._names: dict[Key, str] = {k: customer for (k, _), (customer, _) in
-                                       zip(self._quotas, quotas, strict=True)}
+        self._names: dict[Key, str] = {
+            k: customer for (k, _), (customer, _) in zip(self._quotas, quotas, strict=True)
+        }
         self._bounds = bounds or Bounds()
         self._repeats = key(Budget.REPEATS, b"")
         self._cold: dict[ServerId, Key] = {}
         # All halls from the first word on: what an earlier life gave of them may still be used.
-        self._dials: dict[int, Key] = {n: self._dials_to(n) for n in range(len(self._bounds.halls))
-                                       if self._bounds.dials_per_s}
+        self._dials: dict[int, Key] = {
+            n: self._dials_to(n) for n in range(len(self._bounds.halls)) if self._bounds.dials_per_s
+        }
         self._grown: dict[Key, tuple[float, int]] = {}  # units it could use, how often none were left
-        self._left: dict[ServerId, tuple[Key, int]] = {}         # cold no more; until when gifts may remain
-        self._waiting: list[Tell] = []               # answers, until the module has been told
+        self._left: dict[ServerId, tuple[Key, int]] = {}  # cold no more; until when gifts may remain
+        self._waiting: list[Tell] = []  # answers, until the module has been told
         self._avoid: dict[ServerId, int] = {}
         self._judged: set[Key] = set()
-        self._silent: Mapping[int, Silent] = {}      # as the module was told last
+        self._silent: Mapping[int, Silent] = {}  # as the module was told last
         self._number, self._told_at, self._urgent_at = 0, now, now
         self._served, self._counts_next = 0, False
 
@@ -195,15 +218,16 @@
             message = self._known_alone(message)
         if isinstance(message, Ask | Answer):
             answers = self.budgets.handle(now, Came(event.sender, event.life, message))
-            self._waiting += answers[:MOST_WAITING - len(self._waiting)]
+            self._waiting += answers[: MOST_WAITING - len(self._waiting)]
         elif isinstance(message, Counted):
             self.counts.came(now, event.sender, event.life, message)
         else:
             self.judgements.came(now, event.sender, event.life, message)
             self.halls.came(now, event.sender, event.life, message.number, message.hall, message.halls)
             if self._silent.keys() != self.halls.silent(now).keys() or any(
-                    s.failures and s.server not in self._judged and self.judgements.against(now, s.server)
-                    for s in message.signs):
+                s.failures and s.server not in self._judged and self.judgements.against(now, s.server)
+                for s in message.signs
+            ):
                 return [self._hear(now), *self._urgent(now)]
             return self._urgent(now)
         return []
@@ -211,17 +235,26 @@
     def _known_alone(self, ask: Ask) -> Ask:
         """Nothing is given of what the module is not told of: of a server it would use its whole part, from
         when the list has it until the next pulse.  What the taker holds stays on the books."""
-        known = {*(r for r, _ in self._quotas), *(r for r, _ in self._left.values()), *self._cold.values(),
-                 *self._dials.values(), *([self._repeats] if self._bounds.repeats_per_s else [])}
-        return Ask(ask.number, ask.instances, tuple(
-            (r, hold, want if r in known else 0) for r, hold, want in ask.items))
+        known = {
+            *(r for r, _ in self._quotas),
+            *(r for r, _ in self._left.values()),
+            *self._cold.values(),
+            *self._dials.values(),
+            *([self._repeats] if self._bounds.repeats_per_s else []),
+        }
+        return Ask(
+            ask.number,
+            ask.instances,
+            tuple((r, hold, want if r in known else 0) for r, hold, want in ask.items),
+        )
 
     def _pulse(self, now: int, event: Pulse) -> list[Action]:
         self._need(now, event.view)
         sites = {s.site: s.state for s in event.view.sites}
         self.judgements.listed(
             {s.server: s.born_us for s in event.view.servers},
-            [s.server for s in event.view.servers if sites.get(s.site) in (State.LOST, State.OUT)])
+            [s.server for s in event.view.servers if sites.get(s.site) in (State.LOST, State.OUT)],
+        )
         self.halls.saw(now, event.view.sites, {n: short(self._hall(n).encode()) for n in sites})
         self.halls.forget(now)
         self.judgements.pressure = event.view.shortage
@@ -259,8 +292,11 @@
                 need *= LESS
             self._grown[resource], needs[resource] = (need, held_back), int(need)
 
-        cold = {s.server: self._cold.get(s.server) or key(Budget.COLD, s.server)
-                for s in view.servers if s.share < 1}
+        cold = {
+            s.server: self._cold.get(s.server) or key(Budget.COLD, s.server)
+            for s in view.servers
+            if s.share < 1
+        }
         for server in self._cold.keys() - cold.keys():
             self._left[server] = self._cold[server], now + self.terms.gift_us
         self._left = {s: (r, until) for s, (r, until) in self._left.items() if now < until and s not in cold}
@@ -271,7 +307,7 @@
         if self._bounds.repeats_per_s:
             grow(self._repeats, view.repeats_held, 0.0)
         if self._bounds.dials_per_s:
-            for hall in view.sites:              # one that has left may be listed again before a gift ends
+            for hall in view.sites:  # one that has left may be listed again before a gift ends
                 self._dials[hall.site] = self._dials_to(hall.site)
             for site, resource in self._dials.items():
                 grow(resource, view.dials_held.get(site, 0), 0.0)
@@ -296,20 +332,35 @@
         def share(resource: Key) -> float | None:
             units = budgets.usable(now, resource)
             return None if units == terms.part else units / terms.whole
+
         servers = {**{s: resource for s, (resource, _) in self._left.items()}, **self._cold}
         cold = {s: part for s, resource in servers.items() if (part := share(resource)) is not None}
         dials = {n: part for n, resource in self._dials.items() if (part := share(resource)) is not None}
-        quotas = {n: part for n, (resource, _) in enumerate(self._quotas)
-                  if (part := share(resource)) is not None}
+        quotas = {
+            n: part for n, (resource, _) in enumerate(self._quotas) if (part := share(resource)) is not None
+        }
         self._avoid = judgements.avoid(now)
         self._judged = {short(server) for server in self._avoid}
         self._silent = self.halls.silent(now)
-        return Hear(Heard(0, cold, quotas, dict(self._avoid), judgements.together(now), budgets.lapses(now),
-                          floor := terms.kept / terms.whole, rest=1.0 if budgets.free(now) else floor,
-                          repeats_per_s=bounds.repeats_per_s, dials_per_s=bounds.dials_per_s, dials=dials,
-                          repeats=share(self._repeats) if bounds.repeats_per_s else None,
-                          silent={n: (s.since, s.until) for n, s in self._silent.items()},
-                          lean=LEAN_PER_S / (LEAN_PER_S + judgements.weight), stale=now + STALE_US))
+        return Hear(
+            Heard(
+                0,
+                cold,
+                quotas,
+                dict(self._avoid),
+                judgements.together(now),
+                budgets.lapses(now),
+                floor := terms.kept / terms.whole,
+                rest=1.0 if budgets.free(now) else floor,
+                repeats_per_s=bounds.repeats_per_s,
+                dials_per_s=bounds.dials_per_s,
+                dials=dials,
+                repeats=share(self._repeats) if bounds.repeats_per_s else None,
+                silent={n: (s.since, s.until) for n, s in self._silent.items()},
+                lean=LEAN_PER_S / (LEAN_PER_S + judgements.weight),
+                stale=now + STALE_US,
+            )
+        )
 
     def figures(self, now: int, names: Mapping[ServerId, str] | None = None) -> Mapping[str, Any]:
         """What operators see: shares in parts of the whole, counts of the last WINDOW_US, judgements with
@@ -318,6 +369,7 @@
 
         def name(server: ServerId) -> str:
             return called.get(server) or server.decode("utf-8", "replace")
+
         of: dict[Key, tuple[str, str]] = {r: ("quota", customer) for r, customer in self._names.items()}
         of |= {r: ("cold", name(server)) for server, r in self._cold.items()}
         of |= {r: ("dials", self._hall(n)) for n, r in self._dials.items()}
@@ -327,31 +379,62 @@
         for r in sorted(budgets.resources(), key=lambda r: of.get(r, ("", r.hex()))):
             kind, what = of.get(r, ("", r.hex()))
             given, held = budgets.partners_of(now, r)
-            shares.append({
-                "kind": kind, "budget": what, "share": budgets.usable(now, r) / whole,
-                "given": {who: units / whole for who, units in given.items()},
-                "held": {who: units / whole for who, units in held.items()}})
+            shares.append(
+                {
+                    "kind": kind,
+                    "budget": what,
+                    "share": budgets.usable(now, r) / whole,
+                    "given": {who: units / whole for who, units in given.items()},
+                    "held": {who: units / whole for who, units in held.items()},
+                }
+            )
         servers = {key(Sort.SENT, server)[:SHORT]: server for server in self.judgements.servers()}
-        sums = [(self.counts.sum(now, Sort.SENT, k), servers[k])
-                for k in self.counts.keys(now, Sort.SENT) if k in servers]
+        sums = [
+            (self.counts.sum(now, Sort.SENT, k), servers[k])
+            for k in self.counts.keys(now, Sort.SENT)
+            if k in servers
+        ]
         sums.sort(key=lambda s: (-s[0].count, s[1]))
         return {
-            "lends": budgets.free(now), "instances": self.terms.instances,
-            "pressure": {"own": self.judgements.pressure, "all": self.judgements.together(now),
-                         "heard": len(self.judgements.witnesses)},
-            "counts": {"heard": len(self.counts.reports),
-                       "sent": [{"server": name(server), "count": s.count, "over": s.over, "heard": s.heard}
-                                for s, server in sums[:MOST_SHOWN]]},
+            "lends": budgets.free(now),
+            "instances": self.terms.instances,
+            "pressure": {
+                "own": self.judgements.pressure,
+                "all": self.judgements.together(now),
+                "heard": len(self.judgements.witnesses),
+            },
+            "counts": {
+                "heard": len(self.counts.reports),
+                "sent": [
+                    {"server": name(server), "count": s.count, "over": s.over, "heard": s.heard}
+                    for s, server in sums[:MOST_SHOWN]
+                ],
+            },
             "unread": self.faults,
             "shares": shares,
             "judgements": [
-                {"server": name(server),
-                 "for_s": round((self._avoid.get(server, now) - now) / 1e6, 1),
-                 "witnesses": [{"name": who or budgets.name, "trouble": c.trouble.name.lower(),
-                                "failures": c.failures, "ago_s": round((now - c.bad) / 1e6, 1)}
-                               for _, who, c in witnesses]}
-                for server, witnesses in self.judgements.believed(now).items()],
-            "halls": [{"hall": self._hall(n), "since_s": round((now - s.since) / 1e6, 1),
-                       "witnesses": list(s.accusers), "against": list(s.against)}
-                      for n, s in self.halls.silent(now).items()],
+                {
+                    "server": name(server),
+                    "for_s": round((self._avoid.get(server, now) - now) / 1e6, 1),
+                    "witnesses": [
+                        {
+                            "name": who or budgets.name,
+                            "trouble": c.trouble.name.lower(),
+                            "failures": c.failures,
+                            "ago_s": round((now - c.bad) / 1e6, 1),
+                        }
+                        for _, who, c in witnesses
+                    ],
+                }
+                for server, witnesses in self.judgements.believed(now).items()
+            ],
+            "halls": [
+                {
+                    "hall": self._hall(n),
+                    "since_s": round((now - s.since) / 1e6, 1),
+                    "witnesses": list(s.accusers),
+                    "against": list(s.against),
+                }
+                for n, s in self.halls.silent(now).items()
+            ],
         }
--- a/roadlb/shared_state/wire.py
+++ b/roadlb/shared_state/wire.py
@@ -25,7 +25,7 @@
 from .halls import MOST_HALLS, HallSign
 from .judgements import MOST_SIGNS, Evidence, Sign, Trouble
 
-MOST = 1_000             # bytes of a message
+MOST = 1_000  # bytes of a message
 U32, U16, FAILURES = (1 << 32) - 1, (1 << 16) - 1, (1 << 5) - 1
 
 _ASK, _ANSWER, _COUNTS, _BELIEFS, _CHANGES = 1, 2, 7, 5, 6
@@ -60,12 +60,27 @@
     else:
         pressure = 255 if message.pressure is None else round(254 * min(1.0, max(0.0, message.pressure)))
         halls = message.halls[:MOST_HALLS]
-        head = _BELIEFS_HEAD.pack(_BELIEFS if message.whole else _CHANGES, message.number, pressure,
-                                  min(message.weight, U16), min(message.answering, U16),
-                                  min(message.failing, U16), message.hall, len(halls))
+        head = _BELIEFS_HEAD.pack(
+            _BELIEFS if message.whole else _CHANGES,
+            message.number,
+            pressure,
+            min(message.weight, U16),
+            min(message.answering, U16),
+            min(message.failing, U16),
+            message.hall,
+            len(halls),
+        )
         parts = [_HALL.pack(h.hall, h.weight, _ms(h.since_us, U32), _ms(h.heard_us, U32)) for h in halls]
-        parts += [_BELIEFS_ITEM.pack(s.server, s.trouble << 5 | min(s.failures, FAILURES), _ms(s.bad_us),
-                                    _ms(s.before_us), _ms(s.good_us)) for s in message.signs[:MOST_SIGNS]]
+        parts += [
+            _BELIEFS_ITEM.pack(
+                s.server,
+                s.trouble << 5 | min(s.failures, FAILURES),
+                _ms(s.bad_us),
+                _ms(s.before_us),
+                _ms(s.good_us),
+            )
+            for s in message.signs[:MOST_SIGNS]
+        ]
     return head + b"".join(parts)
 
 
@@ -92,22 +107,40 @@
             return Answer(life, number, tuple(_items(data, _ANSWER_HEAD.size, _ANSWER_ITEM, MOST_ITEMS)))
         if kind == _COUNTS:
             _, number, *rest = _COUNTS_HEAD.unpack_from(data)
-            return Counted(tuple((Sort(sort), key, n) for sort, key, n in _items(
-                data, _COUNTS_HEAD.size, _COUNTS_ITEM, MOST_COUNTS)), (rest[0], rest[1], rest[2]), number)
+            return Counted(
+                tuple(
+                    (Sort(sort), key, n)
+                    for sort, key, n in _items(data, _COUNTS_HEAD.size, _COUNTS_ITEM, MOST_COUNTS)
+                ),
+                (rest[0], rest[1], rest[2]),
+                number,
+            )
         if kind in (_BELIEFS, _CHANGES):
             _, number, pressure, weight, answering, failing, hall, count = _BELIEFS_HEAD.unpack_from(data)
             end = _BELIEFS_HEAD.size + count * _HALL.size
             if count > MOST_HALLS or len(data) < end:
                 raise Fault(f"{count} halls")
-            halls = tuple(HallSign(key, min(weight, 2), _us(since, U32), _us(heard, U32))
-                          for key, weight, since, heard in _HALL.iter_unpack(data[_BELIEFS_HEAD.size:end]))
+            halls = tuple(
+                HallSign(key, min(weight, 2), _us(since, U32), _us(heard, U32))
+                for key, weight, since, heard in _HALL.iter_unpack(data[_BELIEFS_HEAD.size : end])
+            )
             if any(h.weight and h.since_us < 0 for h in halls):
                 raise Fault("a hall accused since never")
-            signs = tuple(Sign(key, Trouble(how >> 5), how & FAILURES, _us(bad), _us(before), _us(good))
-                          for key, how, bad, before, good in _items(
-                              data, end, _BELIEFS_ITEM, MOST_SIGNS))
-            return Evidence(None if pressure == 255 else pressure / 254, weight, answering, failing, hall,
-                            signs, number, kind == _BELIEFS, halls)
+            signs = tuple(
+                Sign(key, Trouble(how >> 5), how & FAILURES, _us(bad), _us(before), _us(good))
+                for key, how, bad, before, good in _items(data, end, _BELIEFS_ITEM, MOST_SIGNS)
+            )
+            return Evidence(
+                None if pressure == 255 else pressure / 254,
+                weight,
+                answering,
+                failing,
+                hall,
+                signs,
+                number,
+                kind == _BELIEFS,
+                halls,
+            )
     except (struct.error, ValueError) as e:
         raise Fault(str(e)) from None
     raise Fault(f"kind {kind}")
--- a/roadlb/sites/events.py
+++ b/roadlb/sites/events.py
@@ -12,10 +12,10 @@
     """How a site stands with this balancer; `life.STEPS` has how it gets from one to another."""
 
     WHOLE = "whole"
-    DOUBTFUL = "doubtful"        # some of its servers are silent, and none has answered since
-    LOST = "lost"                # nothing is sent there but a trial now and then
-    RETURNING = "returning"      # it answers again, and takes load in steps
-    OUT = "out"                  # an operator has taken it out of service
+    DOUBTFUL = "doubtful"  # some of its servers are silent, and none has answered since
+    LOST = "lost"  # nothing is sent there but a trial now and then
+    RETURNING = "returning"  # it answers again, and takes load in steps
+    OUT = "out"  # an operator has taken it out of service
 
 
 @dataclass(slots=True, frozen=True)
@@ -136,8 +136,8 @@
     state: State
     share: float
     servers: int
-    silent: int                  # servers that failed since the last answer from any
-    since_us: int                # clock time of the last change of state
-    relapses: int                # losses during or soon after a return, in a row
-    heard_us: int = -1           # clock time of its last answer; -1: never
-    orders_away: bool = False    # it answers other requests, and orders keep away
+    silent: int  # servers that failed since the last answer from any
+    since_us: int  # clock time of the last change of state
+    relapses: int  # losses during or soon after a return, in a row
+    heard_us: int = -1  # clock time of its last answer; -1: never
+    orders_away: bool = False  # it answers other requests, and orders keep away
--- a/roadlb/sites/forecast.py
+++ b/roadlb/sites/forecast.py
@@ -14,12 +14,12 @@
 from .life import STEP_US, STEPS
 from .refusal import Refusals
 
-USABLE = 0.92            # of a node's capacity carries work in time; beyond it, queues grow
-KNEE = 10                # how sharply service bends at the limit: higher is sharper
-BORNE = 0.99             # of the worth; less than all, as chance refuses a little near the limit
+USABLE = 0.92  # of a node's capacity carries work in time; beyond it, queues grow
+KNEE = 10  # how sharply service bends at the limit: higher is sharper
+BORNE = 0.99  # of the worth; less than all, as chance refuses a little near the limit
 SECOND = 1_000_000
-LONGEST_S = 600.0        # a return that takes longer is told as none
-HOMES = 8.0              # nodes among which requests for one key spread: a balancer looks at its first 8
+LONGEST_S = 600.0  # a return that takes longer is told as none
+HOMES = 8.0  # nodes among which requests for one key spread: a balancer looks at its first 8
 
 
 @dataclass(slots=True, frozen=True)
@@ -54,6 +54,7 @@
     not served for `remember_s`.  After Che, Tung and Wang (2002): a key stays for one time, the same for all
     keys, in which the caches fill; each key is asked for at `HOMES` nodes alike.
     """
+
     def held(stay_s: float) -> float:
         return HOMES * sum(1 - exp(-per_s * part / HOMES * stay_s) for part in parts)
 
@@ -146,6 +147,7 @@
             if worth_share(keep(capacity + returned(gone, at, told_s), demands)) >= share * usual:
                 return at
         return None
+
     return Loss(tuple(lost), load, kept, worth_share(kept), back(0.95), back(0.98))
 
 
@@ -172,13 +174,16 @@
     return [loss(sites, demands, lost, told_s) for lost in picks]
 
 
-def curve(sites: Sequence[SiteSize], demands: Sequence[Demand], lost: Sequence[str], times: Sequence[float]
-          ) -> list[float]:
+def curve(
+    sites: Sequence[SiteSize], demands: Sequence[Demand], lost: Sequence[str], times: Sequence[float]
+) -> list[float]:
     """Worth served a second when so many times the demand is asked."""
     capacity = sum(site.capacity for site in sites if site.name not in lost)
     found = []
     for factor in times:
-        more = [Demand(d.name, d.customer, d.over_share, d.per_s * factor, d.work_s, d.worth, d.rank)
-                for d in demands]
+        more = [
+            Demand(d.name, d.customer, d.over_share, d.per_s * factor, d.work_s, d.worth, d.rank)
+            for d in demands
+        ]
         found.append(sum(d.per_s * d.worth * share for d, share in keep(capacity, more).items()))
     return found
