--- a/roadlb/sites/life.py
+++ b/roadlb/sites/life.py
@@ -64,50 +64,90 @@
 from collections.abc import Iterable, Mapping
 
 from .events import (
-    Action, Answered, Changed, Declined, Doubted, Event, Listed, Missed, OrdersKept, PutIn, Sent, SiteView,
-    State, TakeOut)
-
-DOUBT, LOSS = 2, 3           # servers of a site that have failed, with no answer from any of it meanwhile
-DOUBT_US = 1_500_000         # so long it may be in doubt: then one more failure is enough
-TRIAL_US = 1_000_000         # between two requests that try a lost or doubtful site
-TRIAL_PART = 20              # and between two trials at least so many requests of this balancer
-TRIAL_MOST_US = 8_000_000    # the same for one that relapses again and again
-QUIET_US, KEEP_US = 1_000_000, 250_000    # unheard for so long; between attempts that then run to their end
-QUIET_TIMES, QUIET_MOST_US = 4, 3_000_000    # or for so often its slowest answer, and at the most
-SLOW_US = 5_000_000          # a slowest answer is of late for so long
-SHORT_US = 1_000_000         # lost for less than this, it is whole with its first answer: nothing is cold
-STEP_US = 500_000            # a step of the return takes at least this long ...
-STEP_ANSWERS = 2             # ... and so many answers
-STEPS = (0.25, 0.5)          # shares of its usual load, on the way back
-STEADY_US = 10_000_000       # whole for this long: earlier losses and relapses are forgotten
-MOST_SITES = 256             # beyond them, a site is always whole
+    Action,
+    Answered,
+    Changed,
+    Declined,
+    Doubted,
+    Event,
+    Listed,
+    Missed,
+    OrdersKept,
+    PutIn,
+    Sent,
+    SiteView,
+    State,
+    TakeOut,
+)
+
+DOUBT, LOSS = 2, 3  # servers of a site that have failed, with no answer from any of it meanwhile
+DOUBT_US = 1_500_000  # so long it may be in doubt: then one more failure is enough
+TRIAL_US = 1_000_000  # between two requests that try a lost or doubtful site
+TRIAL_PART = 20  # and between two trials at least so many requests of this balancer
+TRIAL_MOST_US = 8_000_000  # the same for one that relapses again and again
+QUIET_US, KEEP_US = 1_000_000, 250_000  # unheard for so long; between attempts that then run to their end
+QUIET_TIMES, QUIET_MOST_US = 4, 3_000_000  # or for so often its slowest answer, and at the most
+SLOW_US = 5_000_000  # a slowest answer is of late for so long
+SHORT_US = 1_000_000  # lost for less than this, it is whole with its first answer: nothing is cold
+STEP_US = 500_000  # a step of the return takes at least this long ...
+STEP_ANSWERS = 2  # ... and so many answers
+STEPS = (0.25, 0.5)  # shares of its usual load, on the way back
+STEADY_US = 10_000_000  # whole for this long: earlier losses and relapses are forgotten
+MOST_SITES = 256  # beyond them, a site is always whole
 
 
 class Site:
     """One site as this balancer sees it."""
 
-    __slots__ = ("answers", "back", "born", "heard", "hearsay", "keep_at", "number", "order_at",
-                 "order_heard", "order_trial", "orders_away", "orders_failed", "orders_since", "overtaken",
-                 "relapses", "room", "room_at", "servers", "silent", "silent_since", "since", "slow",
-                 "slow_at", "state", "step", "step_at", "trial_at", "trials_failed", "usual")
+    __slots__ = (
+        "answers",
+        "back",
+        "born",
+        "heard",
+        "hearsay",
+        "keep_at",
+        "number",
+        "order_at",
+        "order_heard",
+        "order_trial",
+        "orders_away",
+        "orders_failed",
+        "orders_since",
+        "overtaken",
+        "relapses",
+        "room",
+        "room_at",
+        "servers",
+        "silent",
+        "silent_since",
+        "since",
+        "slow",
+        "slow_at",
+        "state",
+        "step",
+        "step_at",
+        "trial_at",
+        "trials_failed",
+        "usual",
+    )
 
     def __init__(self, number: int) -> None:
         self.number, self.state, self.since = number, State.WHOLE, 0
-        self.silent: set[bytes] = set()           # failed since the last answer from any; LOSS at the most
+        self.silent: set[bytes] = set()  # failed since the last answer from any; LOSS at the most
         self.servers: Mapping[bytes, int] = {}
-        self.born = 0                             # the newest start among its servers
+        self.born = 0  # the newest start among its servers
         self.trial_at, self.relapses = 0, 0
-        self.back = -STEADY_US                    # whole again after a loss since then
+        self.back = -STEADY_US  # whole again after a loss since then
         self.step, self.step_at, self.answers = 0, 0, 0
-        self.usual = 0.0                          # requests a second that it would get, were it whole
-        self.room, self.room_at = 0.0, 0          # of them, what it may still take on its return
-        self.heard, self.silent_since = -1, 0     # its last answer; the first failure since
-        self.slow, self.slow_at = 0, 0            # its slowest answer of late, us, and when
-        self.overtaken, self.keep_at = 0, 0       # attempts since then whose copies were quicker
-        self.hearsay = 0                          # until then others say that it does not answer
-        self.orders_failed: set[bytes] = set()    # at these, and none answered since; LOSS at the most
-        self.orders_since, self.order_heard = 0, -1       # the first of them; the last answer to an order
-        self.orders_away = False                  # orders keep away, but for a trial in turn ...
+        self.usual = 0.0  # requests a second that it would get, were it whole
+        self.room, self.room_at = 0.0, 0  # of them, what it may still take on its return
+        self.heard, self.silent_since = -1, 0  # its last answer; the first failure since
+        self.slow, self.slow_at = 0, 0  # its slowest answer of late, us, and when
+        self.overtaken, self.keep_at = 0, 0  # attempts since then whose copies were quicker
+        self.hearsay = 0  # until then others say that it does not answer
+        self.orders_failed: set[bytes] = set()  # at these, and none answered since; LOSS at the most
+        self.orders_since, self.order_heard = 0, -1  # the first of them; the last answer to an order
+        self.orders_away = False  # orders keep away, but for a trial in turn ...
         self.order_at, self.order_trial = 0, b""  # ... from then on; the server that one is at
         self.trials_failed = 0
 
@@ -124,8 +164,8 @@
 
     def __init__(self) -> None:
         self.sites: dict[int, Site] = {}
-        self._troubled: dict[int, Site] = {}      # those that are not whole, or have a silent server
-        self._orders_away: dict[int, Site] = {}   # those that orders keep away from
+        self._troubled: dict[int, Site] = {}  # those that are not whole, or have a silent server
+        self._orders_away: dict[int, Site] = {}  # those that orders keep away from
         self.decided: list[Action] = []
         self.trial_us = TRIAL_US
 
@@ -183,12 +223,12 @@
             newest = max(servers.values(), default=0)
             if newest > site.born:
                 if site.state is State.LOST and newest > site.since:
-                    site.trial_at = now           # what failed was another process
+                    site.trial_at = now  # what failed was another process
                 site.born = newest
         for number in [n for n, site in self.sites.items() if n not in event.sites]:
             site = self.sites[number]
             if site.state in (State.OUT, State.LOST, State.RETURNING):
-                site.servers = {}                 # what was said or found out outlives the list
+                site.servers = {}  # what was said or found out outlives the list
             else:
                 del self.sites[number]
                 self._troubled.pop(number, None)
@@ -198,7 +238,8 @@
         """What has failed and is no longer listed, or is another process by now."""
         if site.orders_failed:
             site.orders_failed = {
-                s for s in site.orders_failed if s in servers and servers[s] == site.servers.get(s)}
+                s for s in site.orders_failed if s in servers and servers[s] == site.servers.get(s)
+            }
             if site.orders_away and len(site.orders_failed) < DOUBT:
                 self._orders_go(site, "those that failed orders have left the list")
         if not site.silent or site.state is State.LOST:
@@ -213,8 +254,11 @@
         site = self.sites.get(number)
         if site is None:
             self.decided.append(Declined(number, "no such site in the list"))
-        elif not any(other.state is not State.OUT and other.servers for other in self.sites.values()
-                     if other is not site):
+        elif not any(
+            other.state is not State.OUT and other.servers
+            for other in self.sites.values()
+            if other is not site
+        ):
             self.decided.append(Declined(number, "it is the last one in service"))
         elif site.state is not State.OUT:
             self._become(now, site, State.OUT, "an operator's word")
@@ -230,14 +274,19 @@
 
     def _doubted(self, now: int, event: Doubted) -> None:
         site = self.sites.get(event.site)
-        if site is None or now >= event.until_us or event.since_us <= site.heard or (
-                len(site.servers) < LOSS or site.state not in (State.WHOLE, State.DOUBTFUL)):
+        if (
+            site is None
+            or now >= event.until_us
+            or event.since_us <= site.heard
+            or (len(site.servers) < LOSS or site.state not in (State.WHOLE, State.DOUBTFUL))
+        ):
             return
-        if not any(other.state is State.WHOLE and other.servers for other in self.sites.values()
-                   if other is not site):
-            return                                # somebody must be there to take what it would
+        if not any(
+            other.state is State.WHOLE and other.servers for other in self.sites.values() if other is not site
+        ):
+            return  # somebody must be there to take what it would
         if now >= site.hearsay:
-            site.trial_at = now                   # if they are wrong, this ends it
+            site.trial_at = now  # if they are wrong, this ends it
         site.hearsay = event.until_us
         if site.state is State.WHOLE:
             self._become(now, site, State.DOUBTFUL, "it does not answer others")
@@ -292,8 +341,12 @@
     def missed(self, now: int, number: int, server: bytes, order: bool = False) -> bool:
         """An attempt there failed with no answer.  Is the site lost by this one?"""
         site = self.sites.get(number)
-        if site is None or site.state is State.OUT or site.state is State.LOST or (
-                len(site.servers) < LOSS or server not in site.servers):
+        if (
+            site is None
+            or site.state is State.OUT
+            or site.state is State.LOST
+            or (len(site.servers) < LOSS or server not in site.servers)
+        ):
             return False
         if order:
             self._order_missed(now, site, server)
@@ -326,14 +379,24 @@
                 site.order_trial, site.trials_failed = b"", site.trials_failed + 1
                 site.order_at = now + min(TRIAL_MOST_US, self.trial_us << min(site.trials_failed, 3))
             return
-        if len(site.orders_failed) >= LOSS and site.heard >= site.orders_since and (
-                now - site.order_heard >= QUIET_US) and any(
-                other.order_heard >= site.orders_since for other in self.sites.values() if other is not site):
+        if (
+            len(site.orders_failed) >= LOSS
+            and site.heard >= site.orders_since
+            and (now - site.order_heard >= QUIET_US)
+            and any(
+                other.order_heard >= site.orders_since for other in self.sites.values() if other is not site
+            )
+        ):
             site.orders_away, site.order_trial, site.trials_failed = True, b"", 0
             site.order_at = now + self.trial_us
             self._orders_away[site.number] = site
-            self.decided.append(OrdersKept(
-                site.number, True, f"{len(site.orders_failed)} servers fail them and answer other requests"))
+            self.decided.append(
+                OrdersKept(
+                    site.number,
+                    True,
+                    f"{len(site.orders_failed)} servers fail them and answer other requests",
+                )
+            )
 
     def _orders_go(self, site: Site, cause: str) -> None:
         """Nothing that orders have met there counts any more."""
@@ -382,7 +445,7 @@
         """A request goes there: a trial, if the site is lost, and the next one waits for its turn."""
         if order and number in self._orders_away:
             away = self._orders_away[number]
-            away.order_trial, away.order_at = server, now + TRIAL_MOST_US     # if it is never heard of
+            away.order_trial, away.order_at = server, now + TRIAL_MOST_US  # if it is never heard of
         site = self._troubled.get(number)
         if site is None:
             return
@@ -408,8 +471,11 @@
             return now < site.trial_at or not repeatable
         if state is State.DOUBTFUL and now < site.hearsay:
             return now < site.trial_at or not repeatable
-        return state is State.DOUBTFUL and not repeatable or (
-            state is State.RETURNING and not spare and self._room(now, site) < 1.0)
+        return (
+            state is State.DOUBTFUL
+            and not repeatable
+            or (state is State.RETURNING and not spare and self._room(now, site) < 1.0)
+        )
 
     def _room(self, now: int, site: Site) -> float:
         """Requests that a returning site may take now, saved for a quarter of a second at the most."""
@@ -419,8 +485,9 @@
     def away(self, number: int) -> bool:
         """Is it lost, on its way back, or tried on others' word?"""
         site = self._troubled.get(number)
-        return site is not None and (site.state is State.LOST or site.state is State.RETURNING
-                                     or site.hearsay > 0)
+        return site is not None and (
+            site.state is State.LOST or site.state is State.RETURNING or site.hearsay > 0
+        )
 
     def due(self, now: int) -> int:
         """A lost or doubtful site that a repeatable request should try now; -1: there is none."""
@@ -464,7 +531,17 @@
     def view(self) -> list[SiteView]:
         """What is believed of all sites, in their order."""
         shares = {State.WHOLE: 1.0, State.DOUBTFUL: 1.0, State.LOST: 0.0, State.OUT: 0.0}
-        return [SiteView(
-            n, site.state, shares.get(site.state, STEPS[min(site.step, len(STEPS) - 1)]),
-            len(site.servers), len(site.silent), site.since, site.relapses, site.heard, site.orders_away)
-            for n, site in sorted(self.sites.items())]
+        return [
+            SiteView(
+                n,
+                site.state,
+                shares.get(site.state, STEPS[min(site.step, len(STEPS) - 1)]),
+                len(site.servers),
+                len(site.silent),
+                site.since,
+                site.relapses,
+                site.heard,
+                site.orders_away,
+            )
+            for n, site in sorted(self.sites.items())
+        ]
--- a/roadlb/sites/refusal.py
+++ b/roadlb/sites/refusal.py
@@ -13,9 +13,9 @@
 from dataclasses import dataclass
 from math import log2
 
-RANKS = 64               # a plan has fewer lines than this
-REPEAT = 0.8             # of a first try's worth ranks a repeat: what has timed out is likelier to be long
-FADE = 0.8               # of what was asked in each rank counts a second later
+RANKS = 64  # a plan has fewer lines than this
+REPEAT = 0.8  # of a first try's worth ranks a repeat: what has timed out is likelier to be long
+FADE = 0.8  # of what was asked in each rank counts a second later
 
 
 @dataclass(slots=True, frozen=True)
@@ -24,14 +24,18 @@
 
     class_index: int | None = None
     tenant: int | None = None
-    over_share: bool | None = None       # of a customer beyond its share, or one within
-    repeat: bool | None = None           # marked as asked before, or not
-    warm_key: bool | None = None         # with a key served lately, which is likely to be cached; or not
+    over_share: bool | None = None  # of a customer beyond its share, or one within
+    repeat: bool | None = None  # marked as asked before, or not
+    warm_key: bool | None = None  # with a key served lately, which is likely to be cached; or not
 
     def fits(self, class_index: int, tenant: int, over_share: bool, repeat: bool, warm_key: bool) -> bool:
-        return (self.class_index in (None, class_index) and self.tenant in (None, tenant)
-                and self.over_share in (None, over_share) and self.repeat in (None, repeat)
-                and self.warm_key in (None, warm_key))
+        return (
+            self.class_index in (None, class_index)
+            and self.tenant in (None, tenant)
+            and self.over_share in (None, over_share)
+            and self.repeat in (None, repeat)
+            and self.warm_key in (None, warm_key)
+        )
 
 
 class Refusals:
@@ -53,8 +57,9 @@
         self.plan = tuple(plan)
         self.asked, self.total = [0.0] * RANKS, 0.0
 
-    def rank(self, worth: float, class_index: int, tenant: int, over_share: bool, repeat: bool,
-             warm_key: bool) -> int:
+    def rank(
+        self, worth: float, class_index: int, tenant: int, over_share: bool, repeat: bool, warm_key: bool
+    ) -> int:
         """0..RANKS-1; the lowest goes first.  `worth` decides where there is no plan."""
         if not self.plan:
             return min(RANKS - 1, max(0, int(32 + 4 * log2(worth * (REPEAT if repeat else 1) + 1e-6))))
@@ -103,6 +108,7 @@
 
     def fade(self) -> None:
         """Once a second."""
-        self._rates = [rate * FADE + count * (1 - FADE)
-                       for rate, count in zip(self._rates, self.counts, strict=True)]
+        self._rates = [
+            rate * FADE + count * (1 - FADE) for rate, count in zip(self._rates, self.counts, strict=True)
+        ]
         self.counts = [0] * len(self.counts)
--- a/roadlb/sites/warmth.py
+++ b/roadlb/sites/warmth.py
@@ -17,7 +17,7 @@
 
 from .events import Action, Changed, State
 
-LISTED_US = 4_000_000        # a started server is listed for every balancer by then (the lab: 3.4 s at most)
+LISTED_US = 4_000_000  # a started server is listed for every balancer by then (the lab: 3.4 s at most)
 
 
 class Warmth:
@@ -27,8 +27,8 @@
 
     def __init__(self, cold_from: float, cold_us: int) -> None:
         self.grow(cold_from, cold_us)
-        self._lost: dict[int, int] = {}       # by site: since when it was lost, the last time
-        self._back: dict[int, int] = {}       # and when it answered again
+        self._lost: dict[int, int] = {}  # by site: since when it was lost, the last time
+        self._back: dict[int, int] = {}  # and when it answered again
 
     def grow(self, cold_from: float, cold_us: int) -> None:
         """Of its capacity a server has `cold_from` when it starts, and all after `cold_us`; 0: at once."""
@@ -43,8 +43,9 @@
             if change.after is State.LOST:
                 self._lost[change.site] = now
             elif change.after is State.RETURNING and (
-                    self._back.get(change.site, -1) < self._lost.get(change.site, -1)):
-                self._back[change.site], colder = now, True     # the first time since it was lost
+                self._back.get(change.site, -1) < self._lost.get(change.site, -1)
+            ):
+                self._back[change.site], colder = now, True  # the first time since it was lost
         return colder
 
     def part(self, now: int, site: int, born: int) -> float:
--- a/roadlb/sites/work_in_hand.py
+++ b/roadlb/sites/work_in_hand.py
@@ -20,22 +20,22 @@
 
 from math import exp
 
-BEGIN, FULL = 0.18, 0.46     # of the way from the usual wait to the aim: where shedding begins, and where ...
-MOST = 0.95                  # ... all but this would be shed
-DEEP_FROM, DEEP_FULL = 0.8, 0.92       # of the demand goes, in the mean: there the mean begins to decide
+BEGIN, FULL = 0.18, 0.46  # of the way from the usual wait to the aim: where shedding begins, and where ...
+MOST = 0.95  # ... all but this would be shed
+DEEP_FROM, DEEP_FULL = 0.8, 0.92  # of the demand goes, in the mean: there the mean begins to decide
 DEEP_MOST, WAY_MOST = 0.99, 1.5
-BEND, TAIL = 0.9, 0.1        # the curve: beyond 0.9 of the way what is kept falls by e for each 0.1
-QUICK = 0.15                 # of what the wait departs from its mean counts at once
-STEADY_US, PROVEN_US = 1_500_000, 2_000_000      # the mean is over this time, and proves itself in that
-EACH_US = 200_000            # one look is evidence for no longer: a balancer asked seldom needs more of them
-SURE_US, UNSURE_US = 100_000, 200_000    # answers so far apart make the mean sure, and worth nothing
-HAND_US, HAND_GAPS = 50_000, 8     # the mean of what is in hand: over this time, or that of so many answers
-PACE_US, PACE_GAPS = 1_000_000, 24     # answers a second: the same
-KNOWN = 0.25                 # of that time must have been spent with work in hand, or nothing is known yet
+BEND, TAIL = 0.9, 0.1  # the curve: beyond 0.9 of the way what is kept falls by e for each 0.1
+QUICK = 0.15  # of what the wait departs from its mean counts at once
+STEADY_US, PROVEN_US = 1_500_000, 2_000_000  # the mean is over this time, and proves itself in that
+EACH_US = 200_000  # one look is evidence for no longer: a balancer asked seldom needs more of them
+SURE_US, UNSURE_US = 100_000, 200_000  # answers so far apart make the mean sure, and worth nothing
+HAND_US, HAND_GAPS = 50_000, 8  # the mean of what is in hand: over this time, or that of so many answers
+PACE_US, PACE_GAPS = 1_000_000, 24  # answers a second: the same
+KNOWN = 0.25  # of that time must have been spent with work in hand, or nothing is known yet
 GAP_MOST_US = 500_000
-USUAL_MOST, FIRST_MOST = 0.6, 0.4      # of the aim, and no more, is taken for usual; in the first ...
-FIRST_US = 3_000_000                   # ... so long, in which all that is known is what is seen
-RISE_US, RISE_SHED_US = 5_000_000, 30_000_000    # the usual follows a longer wait so slowly; while shedding
+USUAL_MOST, FIRST_MOST = 0.6, 0.4  # of the aim, and no more, is taken for usual; in the first ...
+FIRST_US = 3_000_000  # ... so long, in which all that is known is what is seen
+RISE_US, RISE_SHED_US = 5_000_000, 30_000_000  # the usual follows a longer wait so slowly; while shedding
 # Servers that have become slower for good show a long wait with little to shed, whatever is shed; where much
 # is shed the wait is a queue's, and to take that for usual would let the queue grow (to 0.6 of the aim).
 DEEP, RISE_DEEP_US = 0.3, 300_000_000
@@ -47,7 +47,7 @@
     __slots__ = ("_proven", "_share", "_way")
 
     def __init__(self) -> None:
-        self._way, self._share, self._proven = 0.0, 0.0, 0.0       # means of late; the last one's own mean
+        self._way, self._share, self._proven = 0.0, 0.0, 0.0  # means of late; the last one's own mean
 
     def clear(self) -> None:
         """There was nothing in hand."""
@@ -76,16 +76,28 @@
 class WorkInHand:
     """One balancer's requests at servers, and the answers to them."""
 
-    __slots__ = ("_answers", "_at", "_busy", "_first_at", "_gap", "_heard_at", "_mean", "_steady",
-                 "_usual", "_usual_at", "_weight", "out")
+    __slots__ = (
+        "_answers",
+        "_at",
+        "_busy",
+        "_first_at",
+        "_gap",
+        "_heard_at",
+        "_mean",
+        "_steady",
+        "_usual",
+        "_usual_at",
+        "_weight",
+        "out",
+    )
 
     def __init__(self) -> None:
-        self.out, self._weight = 0, 0.0         # in hand: how many, and the sum of 1 / aim
-        self._at, self._mean = 0, 0.0           # when it was brought up to date; the mean of that sum of late
+        self.out, self._weight = 0, 0.0  # in hand: how many, and the sum of 1 / aim
+        self._at, self._mean = 0, 0.0  # when it was brought up to date; the mean of that sum of late
         # Answers, and microseconds with something in hand, of late: idle times say nothing of the pace.
         self._answers, self._busy = 0.0, 0.0
         self._heard_at, self._gap = 0, 20_000.0
-        self._usual, self._usual_at, self._first_at = 0.2, 0, 0    # the wait with room to spare
+        self._usual, self._usual_at, self._first_at = 0.2, 0, 0  # the wait with room to spare
         self._steady = Steady()
 
     def began(self, now: int, aim_us: int) -> None:
@@ -117,8 +129,7 @@
         if passed <= 0:
             return
         self._at = now
-        self._mean += (self._weight - self._mean) * (
-            1 - exp(-passed / max(HAND_US, HAND_GAPS * self._gap)))
+        self._mean += (self._weight - self._mean) * (1 - exp(-passed / max(HAND_US, HAND_GAPS * self._gap)))
         if self.out:
             kept = exp(-passed / self._span)
             self._answers *= kept
--- a/roadlb/store/disk.py
+++ b/roadlb/store/disk.py
@@ -73,7 +73,7 @@
         try:
             left = memoryview(data)
             while left:
-                left = left[os.write(file, left):]
+                left = left[os.write(file, left) :]
         finally:
             os.close(file)
 
--- a/roadlb/store/forms.py
+++ b/roadlb/store/forms.py
@@ -14,8 +14,13 @@
     """A snapshot: the whole state, with `head` beside it."""
     version = state.version
     said: dict[str, object] = {
-        **head, "kind": "state", "saved": state.saved_ms, "epoch": state.epoch,
-        "refused": [_refusal(r) for r in state.refused], "drains": _drains(state.drains)}
+        **head,
+        "kind": "state",
+        "saved": state.saved_ms,
+        "epoch": state.epoch,
+        "refused": [_refusal(r) for r in state.refused],
+        "drains": _drains(state.drains),
+    }
     if version is not None:
         said["version"] = [version.id, version.epoch, version.number, list(version.resources)]
     return pack(said, tuple(version.resources.values()) if version is not None else ())
@@ -28,8 +33,13 @@
     if "version" in said:
         id, epoch, number, names = said["version"]
         version = Version(id, epoch, number, MappingProxyType(dict(zip(names, record.blobs, strict=True))))
-    return State(version, said["saved"], tuple(_read_refusal(r) for r in said["refused"]),
-                 MappingProxyType(_read_drains(said["drains"])), said["epoch"])
+    return State(
+        version,
+        said["saved"],
+        tuple(_read_refusal(r) for r in said["refused"]),
+        MappingProxyType(_read_drains(said["drains"])),
+        said["epoch"],
+    )
 
 
 def write_change(change: Change, held: Version | None) -> bytes:
@@ -64,14 +74,23 @@
         fits = said["base"] == (held.id if held is not None else "")
         if fits:
             gone = frozenset(said["gone"])
-            resources = {name: body for name, body in held.resources.items()
-                         if name not in gone} if held is not None else {}
+            resources = (
+                {name: body for name, body in held.resources.items() if name not in gone}
+                if held is not None
+                else {}
+            )
             resources |= zip(names, record.blobs, strict=True)
             version = Version(id, epoch, number, MappingProxyType(resources))
     refusal = _read_refusal(said["refusal"]) if "refusal" in said else None
     epoch = max(said.get("epoch", 0), said["version"][1] if "version" in said else 0)
-    change = Change(said["at"], version, refusal, _read_drains(said.get("drains", {})),
-                    tuple(said.get("lifted", ())), epoch)
+    change = Change(
+        said["at"],
+        version,
+        refusal,
+        _read_drains(said.get("drains", {})),
+        tuple(said.get("lifted", ())),
+        epoch,
+    )
     return after(state, change), fits
 
 
--- a/roadlb/store/records.py
+++ b/roadlb/store/records.py
@@ -17,7 +17,7 @@
 MAGIC = b"\xa7RLs"
 DIGEST = 8
 HEAD = len(MAGIC) + 4 + DIGEST
-RECORD_MOST = 64 << 20       # bytes; a version with 10,000 nodes has 1.3 MB
+RECORD_MOST = 64 << 20  # bytes; a version with 10,000 nodes has 1.3 MB
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,7 +58,7 @@
         if bad:
             yield Spoilt(bad)
             bad = 0
-        at += HEAD + int.from_bytes(data[at + 4:at + 8], "big")
+        at += HEAD + int.from_bytes(data[at + 4 : at + 8], "big")
         yield record
     if bad:
         yield Spoilt(bad)
@@ -70,17 +70,20 @@
 
 def _record(data: bytes, at: int) -> Record | None:
     """The record that begins here, if it is whole."""
-    if data[at:at + 4] != MAGIC or len(data) < at + HEAD:
+    if data[at : at + 4] != MAGIC or len(data) < at + HEAD:
         return None
-    length = int.from_bytes(data[at + 4:at + 8], "big")
-    rest = data[at + HEAD:at + HEAD + length]
-    if not 4 <= length <= RECORD_MOST or len(rest) != length or (
-            _digest(data[at + 4:at + 8] + rest) != data[at + 8:at + HEAD]):
+    length = int.from_bytes(data[at + 4 : at + 8], "big")
+    rest = data[at + HEAD : at + HEAD + length]
+    if (
+        not 4 <= length <= RECORD_MOST
+        or len(rest) != length
+        or (_digest(data[at + 4 : at + 8] + rest) != data[at + 8 : at + HEAD])
+    ):
         return None
     said_most = 4 + int.from_bytes(rest[:4], "big")
     said = json.loads(rest[4:said_most])
     blobs = []
     for size in said.pop("sizes"):
-        blobs.append(rest[said_most:said_most + size])
+        blobs.append(rest[said_most : said_most + size])
         said_most += size
     return Record(said, tuple(blobs))
--- a/roadlb/store/state.py
+++ b/roadlb/store/state.py
@@ -10,9 +10,9 @@
 from dataclasses import dataclass, field, replace
 from types import MappingProxyType
 
-REFUSED_MOST = 64            # refusals kept, the newest
-DRAINS_MOST = 20_000         # twice the largest fleet; beyond it the drain told first is forgotten
-TEXT_MOST = 1_000            # characters of a refusal's reason
+REFUSED_MOST = 64  # refusals kept, the newest
+DRAINS_MOST = 20_000  # twice the largest fleet; beyond it the drain told first is forgotten
+TEXT_MOST = 1_000  # characters of a refusal's reason
 
 
 @dataclass(frozen=True, slots=True)
--- a/roadlb/store/store.py
+++ b/roadlb/store/store.py
@@ -27,15 +27,15 @@
 logger = logging.getLogger(__name__)
 
 SCHEMA = 1
-LOG_LEAST = 256 << 10        # bytes: below it a log is never folded into a snapshot
-LOG_PER_SNAPSHOT = 2         # a log so many times as large is
+LOG_LEAST = 256 << 10  # bytes: below it a log is never folded into a snapshot
+LOG_PER_SNAPSHOT = 2  # a log so many times as large is
 ASIDE = "aside."
 NEW = "new"
 
 
 @dataclass(frozen=True, slots=True)
 class _File:
-    kind: str                # snap or log
+    kind: str  # snap or log
     generation: int
     items: tuple[Record | Spoilt, ...]
 
@@ -52,8 +52,8 @@
     def __init__(self, disk: Disk, name: str, counters: Counters) -> None:
         self._disk, self._name, self._counters = disk, name, counters
         self.state = State()
-        self._generation = 0                 # the newest of which there may be files
-        self._sound = False                  # its log may be appended to
+        self._generation = 0  # the newest of which there may be files
+        self._sound = False  # its log may be appended to
         self._log_size = self._log_most = 0
 
     def open(self, write: bool = True) -> State:
@@ -106,7 +106,7 @@
     # Writing
 
     def _append(self, data: bytes) -> None:
-        name, self._sound = f"log.{self._generation}", False      # until it is synced
+        name, self._sound = f"log.{self._generation}", False  # until it is synced
         self._disk.append(name, data)
         self._disk.sync(name)
         self._sound = True
@@ -127,7 +127,7 @@
         self._sound, self._log_size = True, 0
         self._log_most = max(LOG_LEAST, LOG_PER_SNAPSHOT * len(snapshot))
         self._counters.add("store.snapshot")
-        with suppress(OSError):              # files too many do no harm
+        with suppress(OSError):  # files too many do no harm
             for name, _, generation in self._own_names():
                 if generation < number - 1:
                     self._disk.remove(name)
@@ -164,7 +164,7 @@
         """Keep what is there for a person, and begin with nothing, as at a first start."""
         for name in self._disk.names():
             if name.startswith(ASIDE):
-                self._disk.remove(name)      # one that was put aside is enough: the disk is bounded
+                self._disk.remove(name)  # one that was put aside is enough: the disk is bounded
         for name, _, _ in self._own_names():
             self._disk.rename(name, ASIDE + name)
         self._disk.sync_names()
@@ -199,7 +199,7 @@
         """What stands for itself counts whatever is spoilt; a version only on the one that it builds on."""
         for i, item in enumerate(file.items):
             if isinstance(item, Spoilt) and file.generation == self._generation and i + 1 == len(file.items):
-                self._counters.add("store.torn")     # what a crash leaves; what it cut off was never kept
+                self._counters.add("store.torn")  # what a crash leaves; what it cut off was never kept
                 logger.warning("store torn", extra=fields(bytes=item.size))
             elif isinstance(item, Spoilt):
                 self._spoilt("log", file)
--- a/roadlb/wheel.py
+++ b/roadlb/wheel.py
@@ -52,9 +52,9 @@
         self._clock = clock
         self._loop = asyncio.get_running_loop()
         self._slots: dict[int, _Slot] = {}
-        self._order: list[int] = []           # a heap of the slots
+        self._order: list[int] = []  # a heap of the slots
         self._next: asyncio.TimerHandle | None = None
-        self._next_slot = 0                   # the one that `_next` is for
+        self._next_slot = 0  # the one that `_next` is for
 
     def at(self, when_us: int, call: Callable[[Any], None], arg: Any) -> Timer:
         """Call `call(arg)` once the clock has reached `when_us`."""
@@ -90,7 +90,7 @@
                 call, arg, timer.call, timer.arg = timer.call, timer.arg, None, None
                 try:
                     call(arg)
-                except Exception:      # one deadline's fault must not cost the others theirs
+                except Exception:  # one deadline's fault must not cost the others theirs
                     logger.exception("timer failed")
         self._arm()
 
--- a/roadlb/xds/client/connection.py
+++ b/roadlb/xds/client/connection.py
@@ -21,7 +21,7 @@
 
 logger = logging.getLogger(__name__)
 
-UNSENT_MOST = 1_000              # requests; a stream that takes none is given up
+UNSENT_MOST = 1_000  # requests; a stream that takes none is given up
 
 
 class StreamEnded(Exception):
@@ -48,9 +48,18 @@
     up: each `Ask` has an answer, so silence is a fault.
     """
 
-    def __init__(self, name: str, services: tuple[str, ...], dial: Dial, seed: int, silence_us: int,
-                 clock: Clock, counters: Counters, hears: Callable[[FromIssuer], None],
-                 linked: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        name: str,
+        services: tuple[str, ...],
+        dial: Dial,
+        seed: int,
+        silence_us: int,
+        clock: Clock,
+        counters: Counters,
+        hears: Callable[[FromIssuer], None],
+        linked: Callable[[], None],
+    ) -> None:
         self._link, self._choice = Link(name), Choice(len(services), seed)
         self._services, self._dial, self._silence_us = services, dial, silence_us
         self._clock, self._counters, self._hears, self._linked = clock, counters, hears, linked
@@ -58,7 +67,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._ending: asyncio.Future[None] | None = None
         self._heard_us = 0
-        self.service = ""                    # whom we are connected to; empty: to nobody
+        self.service = ""  # whom we are connected to; empty: to nobody
         self.bytes_in = self.bytes_out = 0
 
     def say(self, message: FromFollower) -> None:
@@ -77,7 +86,7 @@
                 await self._serve(at)
             except StreamEnded as e:
                 error = str(e)
-            except Exception as e:           # whatever one stream did, the next must be opened
+            except Exception as e:  # whatever one stream did, the next must be opened
                 logger.exception("stream failed")
                 self._counters.add("follow.fault")
                 error = f"fault: {type(e).__name__}: {e}"
@@ -93,8 +102,11 @@
         self._out, self._heard_us = asyncio.Queue(), self._clock()
         ending = self._ending = asyncio.get_running_loop().create_future()
         stream = await self._dial(at)
-        tasks = [asyncio.ensure_future(self._write(stream)), asyncio.ensure_future(self._read(stream, at)),
-                 asyncio.ensure_future(self._listen())]
+        tasks = [
+            asyncio.ensure_future(self._write(stream)),
+            asyncio.ensure_future(self._read(stream, at)),
+            asyncio.ensure_future(self._listen()),
+        ]
         try:
             self._handle(Opened())
             self._linked()
@@ -104,7 +116,7 @@
         finally:
             self._ending = None
             if not ending.cancel():
-                ending.exception()           # looked at, as another task may have ended first
+                ending.exception()  # looked at, as another task may have ended first
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
--- a/roadlb/xds/client/link.py
+++ b/roadlb/xds/client/link.py
@@ -40,9 +40,9 @@
 from .events import Accept, Came, End, Expired, Lost, Opened, Refuse, Send, Tick, Told, Want
 from .subscriber import Subscriber
 
-WHOLE_US = 500_000               # within which the parts of a version come after its `prepared`
-REFUSED_MOST = 4                 # bodies of settings kept of responses that were refused
-VERDICT_US = 10_000_000          # within which the follower answers; a disk that takes longer is a fault
+WHOLE_US = 500_000  # within which the parts of a version come after its `prepared`
+REFUSED_MOST = 4  # bodies of settings kept of responses that were refused
+VERDICT_US = 10_000_000  # within which the follower answers; a disk that takes longer is a fault
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,7 +83,7 @@
 
     prepared: Prepared
     since: int
-    told: bool = False               # to the follower
+    told: bool = False  # to the follower
 
 
 class Link:
@@ -91,12 +91,12 @@
 
     def __init__(self, name: str) -> None:
         self._subscriber = Subscriber(Node(name, user_agent_name="roadlb", client_features=(FEATURE,)))
-        self._parts: dict[Key, bytes] = {}           # but for the settings
-        self._brought: dict[int, bytes] = {}         # settings, by token of the response that waits
+        self._parts: dict[Key, bytes] = {}  # but for the settings
+        self._brought: dict[int, bytes] = {}  # settings, by token of the response that waits
         self._refused: list[bytes] = []
         self._accepted: tuple[int, bytes] | None = None
         self._reader = PartsReader()
-        self._pending: dict[int, _Pending] = {}      # by token
+        self._pending: dict[int, _Pending] = {}  # by token
         self._asked = ""
         self._open = False
         for type_url, names in ((STRUCT, (SETTINGS, PREPARED, FORCE, WITHDRAWN)), (PARTS, (WILDCARD,))):
@@ -137,8 +137,9 @@
         self._complete(now, actions)
         return actions
 
-    def _pass(self, now: int, event: Opened | Came | Lost | Tick | Want | Accept | Refuse,
-              actions: list[Action]) -> None:
+    def _pass(
+        self, now: int, event: Opened | Came | Lost | Tick | Want | Accept | Refuse, actions: list[Action]
+    ) -> None:
         """Through the subscriber; what it tells is read at once."""
         if isinstance(event, Accept | Refuse) and (body := self._brought.pop(event.token, None)) is not None:
             if isinstance(event, Refuse):
@@ -150,7 +151,7 @@
                 case Told():
                     self._told(now, action, actions)
                 case Expired():
-                    pass                             # a lease, whose end the follower knows itself
+                    pass  # a lease, whose end the follower knows itself
                 case Send() | End():
                     actions.append(action)
 
@@ -259,8 +260,9 @@
 
     def _of(self, id: VersionId) -> list[int]:
         """The tokens of this version's `prepared`; they no longer wait."""
-        found = [token for token, pending in self._pending.items()
-                 if pending.told and pending.prepared.id == id]
+        found = [
+            token for token, pending in self._pending.items() if pending.told and pending.prepared.id == id
+        ]
         for token in found:
             del self._pending[token]
         return found
--- a/roadlb/xds/client/subscriber.py
+++ b/roadlb/xds/client/subscriber.py
@@ -31,9 +31,9 @@
 from ..resources import Resource, digest_of
 from .events import Accept, Action, Came, End, Event, Expired, Lost, Opened, Refuse, Send, Tick, Told, Want
 
-OWED_MOST = 64               # responses of a type that wait for our answer
-HELD_MOST = 20_000           # resources of a type; 10,000 nodes stand in 513
-BYTES_MOST = 64 << 20        # and the bodies of all
+OWED_MOST = 64  # responses of a type that wait for our answer
+HELD_MOST = 20_000  # resources of a type; 10,000 nodes stand in 513
+BYTES_MOST = 64 << 20  # and the bodies of all
 
 
 class State(Enum):
@@ -48,15 +48,15 @@
 class _Held:
     version: str
     size: int
-    until: int | None                # when its TTL runs out
+    until: int | None  # when its TTL runs out
 
 
 @dataclass(slots=True)
 class _Type:
     names: dict[str, None] = field(default_factory=dict)
     held: dict[str, _Held] = field(default_factory=dict)
-    owed: dict[int, DeltaResponse] = field(default_factory=dict)       # by token
-    newest: dict[str, int] = field(default_factory=dict)       # by name, which of those owed told it last
+    owed: dict[int, DeltaResponse] = field(default_factory=dict)  # by token
+    newest: dict[str, int] = field(default_factory=dict)  # by name, which of those owed told it last
 
     def wants(self, name: str) -> bool:
         return name in self.names or WILDCARD in self.names
@@ -109,8 +109,9 @@
         self._expire(now, actions)
         return actions
 
-    def _want(self, type_url: str, names: Iterable[str], no_more: Iterable[str],
-              actions: list[Action]) -> None:
+    def _want(
+        self, type_url: str, names: Iterable[str], no_more: Iterable[str], actions: list[Action]
+    ) -> None:
         one = self._types.setdefault(type_url, _Type())
         new = [name for name in names if name not in one.names]
         left = [name for name in no_more if name in one.names]
@@ -122,16 +123,22 @@
         if self._open and (new or left):
             actions.append(self._ask(type_url, new, left))
 
-    def _ask(self, type_url: str, names: Iterable[str], left: Iterable[str],
-             versions: dict[str, str] | None = None) -> Send:
-        return Send(self._request(type_url, resource_names_subscribe=tuple(names),
-                                  resource_names_unsubscribe=tuple(left),
-                                  initial_resource_versions=versions or {}))
+    def _ask(
+        self, type_url: str, names: Iterable[str], left: Iterable[str], versions: dict[str, str] | None = None
+    ) -> Send:
+        return Send(
+            self._request(
+                type_url,
+                resource_names_subscribe=tuple(names),
+                resource_names_unsubscribe=tuple(left),
+                initial_resource_versions=versions or {},
+            )
+        )
 
     def _request(self, type_url: str, **fields: object) -> DeltaRequest:
         """The first request of a stream says who asks."""
         node, self._introduced = None if self._introduced else self._node, True
-        return DeltaRequest(type_url, node=node, **fields)      # type: ignore[arg-type]
+        return DeltaRequest(type_url, node=node, **fields)  # type: ignore[arg-type]
 
     # Responses
 
@@ -163,15 +170,16 @@
     def _answer(self, now: int, token: int, answer: Accept | Refuse, actions: list[Action]) -> None:
         type_url = next((url for url, one in self._types.items() if token in one.owed), None)
         if type_url is None:
-            return                           # of a stream that is gone
+            return  # of a stream that is gone
         one = self._types[type_url]
         response = one.owed.pop(token)
         newest = one.newest if one.owed else {**one.newest}
         if not one.owed:
             one.newest.clear()
         if isinstance(answer, Refuse):
-            actions.append(Send(self._request(type_url, response_nonce=response.nonce,
-                                              error_detail=answer.detail)))
+            actions.append(
+                Send(self._request(type_url, response_nonce=response.nonce, error_detail=answer.detail))
+            )
             return
         for resource in response.resources:
             if resource.body and one.wants(resource.name) and newest[resource.name] == token:
@@ -180,8 +188,12 @@
             if newest[name] == token:
                 self._drop(one, name)
         if len(one.held) > HELD_MOST or self._bytes > BYTES_MOST:
-            actions.append(End(f"{len(one.held)} resources of {type_url}, {self._bytes} bytes in all: more "
-                               f"than {HELD_MOST} or {BYTES_MOST} are not kept"))
+            actions.append(
+                End(
+                    f"{len(one.held)} resources of {type_url}, {self._bytes} bytes in all: more "
+                    f"than {HELD_MOST} or {BYTES_MOST} are not kept"
+                )
+            )
             return
         actions.append(Send(self._request(type_url, response_nonce=response.nonce)))
 
--- a/roadlb/xds/codec/assignment.py
+++ b/roadlb/xds/codec/assignment.py
@@ -36,12 +36,12 @@
 )
 
 # Tags of fields that hold messages: the field's number times 8, plus 2.
-ENDPOINTS = bytes([2 << 3 | 2])                     # ClusterLoadAssignment.endpoints
-LB_ENDPOINTS = bytes([2 << 3 | 2])                  # LocalityLbEndpoints.lb_endpoints
-LISTED = bytes([7 << 3 | 2])                        # LocalityLbEndpoints.load_balancer_endpoints
-LISTED_ENDPOINTS = bytes([1 << 3 | 2])              # LocalityLbEndpoints.LbEndpointList.lb_endpoints
+ENDPOINTS = bytes([2 << 3 | 2])  # ClusterLoadAssignment.endpoints
+LB_ENDPOINTS = bytes([2 << 3 | 2])  # LocalityLbEndpoints.lb_endpoints
+LISTED = bytes([7 << 3 | 2])  # LocalityLbEndpoints.load_balancer_endpoints
+LISTED_ENDPOINTS = bytes([1 << 3 | 2])  # LocalityLbEndpoints.LbEndpointList.lb_endpoints
 SCALE = "weight_scale"
-MILLIONTHS = {0: 10_000, 1: 100, 2: 1}              # of a `FractionalPercent`, by its denominator
+MILLIONTHS = {0: 10_000, 1: 100, 2: 1}  # of a `FractionalPercent`, by its denominator
 
 
 def read_assignment(data: bytes) -> Cluster:
@@ -115,15 +115,19 @@
 
 
 def read_drops(message: Wire) -> tuple[Drop, ...]:
-    return tuple(Drop(drop.category, drop.drop_percentage.numerator
-                      * MILLIONTHS.get(drop.drop_percentage.denominator, 1))
-                 for drop in message.policy.drop_overloads)
+    return tuple(
+        Drop(
+            drop.category,
+            drop.drop_percentage.numerator * MILLIONTHS.get(drop.drop_percentage.denominator, 1),
+        )
+        for drop in message.policy.drop_overloads
+    )
 
 
 def usual_scale(endpoints: Iterable[Endpoint]) -> float:
     found = [endpoint.weight for endpoint in endpoints if endpoint.weight > 0]
     if max(found, default=0.0) > weights.WEIGHT_MOST:
-        found = [min(weight, weights.WEIGHT_MOST) for weight in found]       # not written, but read
+        found = [min(weight, weights.WEIGHT_MOST) for weight in found]  # not written, but read
     return weights.usual_scale(found)
 
 
@@ -141,14 +145,15 @@
             wire = drops[i] if i < len(drops) else drops.add()
             if i >= len(was) or was[i] != drop:
                 _write_drop(wire, drop)
-        del drops[len(cluster.drops):]
+        del drops[len(cluster.drops) :]
     return held(message)
 
 
 def _write_drop(wire: Wire, drop: Drop) -> None:
     if not drop.category or not 0 <= drop.millionths <= 1_000_000:
-        raise CodecError(f"drops {drop.millionths} millionths for {drop.category!r}: "
-                         "give a category and 0 to 1000000")
+        raise CodecError(
+            f"drops {drop.millionths} millionths for {drop.category!r}: give a category and 0 to 1000000"
+        )
     wire.category = drop.category
     wire.drop_percentage.numerator, wire.drop_percentage.denominator = drop.millionths, 2
 
@@ -237,8 +242,11 @@
         heads = {key: listed.get(key) or LocalityGroup(*key) for key in members}
         messages = {key: parsed(LocalityLbEndpoints, group.origin) for key, group in heads.items()}
         came_with = {key: read_scale(message) for key, message in messages.items()}
-        scales = (choose_scales(members, heads, came_with, named) if scale is None
-                  else dict.fromkeys(members, scale))
+        scales = (
+            choose_scales(members, heads, came_with, named)
+            if scale is None
+            else dict.fromkeys(members, scale)
+        )
         before, self._groups = self._groups, {}
         out = [head]
         for key, endpoints in members.items():
@@ -257,8 +265,12 @@
         return b"".join(out)
 
 
-def choose_scales(members: Mapping[GroupKey, list[Endpoint]], groups: Mapping[GroupKey, LocalityGroup],
-                  held_scales: Mapping[GroupKey, float], named: Mapping[str, Wire]) -> dict[GroupKey, float]:
+def choose_scales(
+    members: Mapping[GroupKey, list[Endpoint]],
+    groups: Mapping[GroupKey, LocalityGroup],
+    held_scales: Mapping[GroupKey, float],
+    named: Mapping[str, Wire],
+) -> dict[GroupKey, float]:
     """The scale of each group: the one that it came with if that still says all weights, else the usual one.
 
     Weights of all groups of a cluster are held against each other, so one that changes changes all.
@@ -268,8 +280,10 @@
     if len(common) == 1:
         came = dict.fromkeys(groups, common.pop())
     if all(key in came for key in groups) and all(
-            _said(endpoint, Surroundings(*key, came[key], named))
-            for key, endpoints in members.items() for endpoint in endpoints):
+        _said(endpoint, Surroundings(*key, came[key], named))
+        for key, endpoints in members.items()
+        for endpoint in endpoints
+    ):
         return came
     return dict.fromkeys(groups, usual_scale(e for endpoints in members.values() for e in endpoints))
 
@@ -278,8 +292,10 @@
     """Whether this scale says the weight: exactly, or as it came."""
     if endpoint.weight == 0 or weights.exact(endpoint.weight, around.scale):
         return True
-    return (endpoint.origin is not None
-            and view(parsed(LbEndpoint, endpoint.origin), around).weight == endpoint.weight)
+    return (
+        endpoint.origin is not None
+        and view(parsed(LbEndpoint, endpoint.origin), around).weight == endpoint.weight
+    )
 
 
 def write_assignment(cluster: Cluster, scale: float | None = None) -> bytes:
--- a/roadlb/xds/codec/cluster.py
+++ b/roadlb/xds/codec/cluster.py
@@ -8,9 +8,13 @@
 from .protos import ClusterLoadAssignment, CodecError, Wire, WireCluster
 from .shape import Setter, Shape, microseconds, put_microseconds, put_plain, put_whole, whole
 
-V3 = 2                              # envoy.config.core.v3.ApiVersion
-LIMITS = {"connections": "max_connections", "pending": "max_pending_requests", "requests": "max_requests",
-          "retries": "max_retries"}
+V3 = 2  # envoy.config.core.v3.ApiVersion
+LIMITS = {
+    "connections": "max_connections",
+    "pending": "max_pending_requests",
+    "requests": "max_requests",
+    "retries": "max_retries",
+}
 
 
 def view(message: Wire) -> ClusterSettings:
@@ -24,11 +28,13 @@
         policy=_word(WireCluster.LbPolicy, message.lb_policy),
         connect_timeout_us=microseconds(message, "connect_timeout"),
         limits=tuple(_view_limits(wire) for wire in message.circuit_breakers.thresholds),
-        panic_percent=(common.healthy_panic_threshold.value if common.HasField("healthy_panic_threshold")
-                       else None),
+        panic_percent=(
+            common.healthy_panic_threshold.value if common.HasField("healthy_panic_threshold") else None
+        ),
         locality_weights=common.WhichOneof("locality_config_specifier") == "locality_weighted_lb_config",
         reports=message.lrs_server.WhichOneof("config_source_specifier") == "self",
-        endpoints=_view_endpoints(message))
+        endpoints=_view_endpoints(message),
+    )
 
 
 def _word(enum: Wire, number: int) -> str:
@@ -41,6 +47,7 @@
         if now not in enum.keys():
             raise CodecError(f"{now!r} must be one of {', '.join(enum.keys())}")
         setattr(message, field, enum.Value(now))
+
     return put
 
 
@@ -96,8 +103,9 @@
 def _view_limits(wire: Wire) -> Limits:
     budget = wire.retry_budget
     percent = budget.budget_percent.value if budget.HasField("budget_percent") else None
-    return Limits(wire.priority, retry_percent=percent, **{
-        ours: whole(wire, theirs) for ours, theirs in LIMITS.items()})
+    return Limits(
+        wire.priority, retry_percent=percent, **{ours: whole(wire, theirs) for ours, theirs in LIMITS.items()}
+    )
 
 
 def _put_limits(message: Wire, now: tuple[Limits, ...], was: tuple[Limits, ...]) -> None:
@@ -115,23 +123,30 @@
                 wire.retry_budget.ClearField("budget_percent")
             else:
                 wire.retry_budget.budget_percent.value = limits.retry_percent
-    del entries[len(now):]
-
-
-CLUSTER: Shape[ClusterSettings] = Shape(WireCluster, view, {
-    "name": put_plain("name"),
-    "discovery": _put_word(WireCluster.DiscoveryType, "type"),
-    "source": _put_source,
-    "assignment": _put_assignment,
-    "policy": _put_word(WireCluster.LbPolicy, "lb_policy"),
-    "connect_timeout_us": put_microseconds("connect_timeout"),
-    "limits": _put_limits,
-    "panic_percent": _put_panic,
-    "locality_weights": _put_locality_weights,
-    "reports": _put_reports,
-    "endpoints": _put_endpoints,
-}, {"a name": lambda settings: bool(settings.name),
-    "a connect time-out above 0": lambda settings: settings.connect_timeout_us != 0})
+    del entries[len(now) :]
+
+
+CLUSTER: Shape[ClusterSettings] = Shape(
+    WireCluster,
+    view,
+    {
+        "name": put_plain("name"),
+        "discovery": _put_word(WireCluster.DiscoveryType, "type"),
+        "source": _put_source,
+        "assignment": _put_assignment,
+        "policy": _put_word(WireCluster.LbPolicy, "lb_policy"),
+        "connect_timeout_us": put_microseconds("connect_timeout"),
+        "limits": _put_limits,
+        "panic_percent": _put_panic,
+        "locality_weights": _put_locality_weights,
+        "reports": _put_reports,
+        "endpoints": _put_endpoints,
+    },
+    {
+        "a name": lambda settings: bool(settings.name),
+        "a connect time-out above 0": lambda settings: settings.connect_timeout_us != 0,
+    },
+)
 
 
 def read_cluster(data: bytes) -> ClusterSettings:
--- a/roadlb/xds/codec/discovery.py
+++ b/roadlb/xds/codec/discovery.py
@@ -35,11 +35,15 @@
 from .shape import microseconds, put_microseconds
 
 WRAPPER = "type.googleapis.com/envoy.service.discovery.v3.Resource"
-NAMES = {CLUSTER: (WireCluster, "name"), ENDPOINTS: (ClusterLoadAssignment, "cluster_name"),
-         LISTENER: (WireListener, "name"), ROUTE: (RouteConfiguration, "name")}
-TYPE_URL, VALUE = bytes([1 << 3 | 2]), bytes([2 << 3 | 2])      # tags of `google.protobuf.Any`
-RESOURCES = bytes([2 << 3 | 2])                                 # tag in both kinds of response
-RESOURCE = bytes([2 << 3 | 2])                                  # tag of `Resource.resource`
+NAMES = {
+    CLUSTER: (WireCluster, "name"),
+    ENDPOINTS: (ClusterLoadAssignment, "cluster_name"),
+    LISTENER: (WireListener, "name"),
+    ROUTE: (RouteConfiguration, "name"),
+}
+TYPE_URL, VALUE = bytes([1 << 3 | 2]), bytes([2 << 3 | 2])  # tags of `google.protobuf.Any`
+RESOURCES = bytes([2 << 3 | 2])  # tag in both kinds of response
+RESOURCE = bytes([2 << 3 | 2])  # tag of `Resource.resource`
 
 
 # ---- requests
@@ -48,29 +52,48 @@
 def read_request(data: bytes) -> DiscoveryRequest:
     """State of the world; CodecError for bytes that are no such message."""
     wire = parsed(WireRequest, data)
-    return DiscoveryRequest(wire.type_url, tuple(wire.resource_names), wire.version_info, wire.response_nonce,
-                            _read_error(wire), _read_node(wire))
+    return DiscoveryRequest(
+        wire.type_url,
+        tuple(wire.resource_names),
+        wire.version_info,
+        wire.response_nonce,
+        _read_error(wire),
+        _read_node(wire),
+    )
 
 
 def write_request(request: DiscoveryRequest) -> bytes:
-    wire = WireRequest(type_url=request.type_url, resource_names=request.resource_names,
-                       version_info=request.version_info, response_nonce=request.response_nonce)
+    wire = WireRequest(
+        type_url=request.type_url,
+        resource_names=request.resource_names,
+        version_info=request.version_info,
+        response_nonce=request.response_nonce,
+    )
     return _written(wire, request)
 
 
 def read_delta_request(data: bytes) -> DeltaRequest:
     """Incremental; CodecError for bytes that are no such message."""
     wire = parsed(DeltaDiscoveryRequest, data)
-    return DeltaRequest(wire.type_url, tuple(wire.resource_names_subscribe),
-                        tuple(wire.resource_names_unsubscribe), dict(wire.initial_resource_versions),
-                        wire.response_nonce, _read_error(wire), _read_node(wire))
+    return DeltaRequest(
+        wire.type_url,
+        tuple(wire.resource_names_subscribe),
+        tuple(wire.resource_names_unsubscribe),
+        dict(wire.initial_resource_versions),
+        wire.response_nonce,
+        _read_error(wire),
+        _read_node(wire),
+    )
 
 
 def write_delta_request(request: DeltaRequest) -> bytes:
     wire = DeltaDiscoveryRequest(
-        type_url=request.type_url, resource_names_subscribe=request.resource_names_subscribe,
+        type_url=request.type_url,
+        resource_names_subscribe=request.resource_names_subscribe,
         resource_names_unsubscribe=request.resource_names_unsubscribe,
-        initial_resource_versions=request.initial_resource_versions, response_nonce=request.response_nonce)
+        initial_resource_versions=request.initial_resource_versions,
+        response_nonce=request.response_nonce,
+    )
     return _written(wire, request)
 
 
@@ -97,8 +120,15 @@
     if node.WhichOneof("user_agent_version_type") == "user_agent_build_version":
         number = node.user_agent_build_version.version
         version = f"{number.major_number}.{number.minor_number}.{number.patch}"
-    return Node(node.id, node.cluster, plain.read_struct(node.metadata), read_locality(node.locality),
-                node.user_agent_name, version, tuple(node.client_features))
+    return Node(
+        node.id,
+        node.cluster,
+        plain.read_struct(node.metadata),
+        read_locality(node.locality),
+        node.user_agent_name,
+        version,
+        tuple(node.client_features),
+    )
 
 
 def _write_node(wire: Wire, node: Node) -> None:
@@ -120,18 +150,26 @@
 
 def write_response(response: DiscoveryResponse) -> bytes:
     """State of the world: resources bare, those with a TTL in their wrapper."""
-    head = held(WireResponse(
-        version_info=response.version_info, type_url=response.type_url, nonce=response.nonce))
-    packed = (_any(one.type_url, one.body) if one.ttl_us is None else _any(WRAPPER, _wrapped(one))
-              for one in response.resources)
+    head = held(
+        WireResponse(version_info=response.version_info, type_url=response.type_url, nonce=response.nonce)
+    )
+    packed = (
+        _any(one.type_url, one.body) if one.ttl_us is None else _any(WRAPPER, _wrapped(one))
+        for one in response.resources
+    )
     return head + b"".join(field_of(RESOURCES, one) for one in packed)
 
 
 def write_delta_response(response: DeltaResponse) -> bytes:
     """Incremental: each resource with its name and version."""
-    head = held(DeltaDiscoveryResponse(
-        system_version_info=response.system_version_info, type_url=response.type_url, nonce=response.nonce,
-        removed_resources=response.removed_resources))
+    head = held(
+        DeltaDiscoveryResponse(
+            system_version_info=response.system_version_info,
+            type_url=response.type_url,
+            nonce=response.nonce,
+            removed_resources=response.removed_resources,
+        )
+    )
     return head + b"".join(field_of(RESOURCES, _wrapped(one)) for one in response.resources)
 
 
@@ -156,23 +194,35 @@
         if packed.type_url == WRAPPER:
             found.append(_unwrapped(parsed(WireResource, packed.value), wire.type_url))
         else:
-            found.append(Resource(packed.type_url, name_of(packed.type_url, packed.value), wire.version_info,
-                                  packed.value))
+            found.append(
+                Resource(
+                    packed.type_url, name_of(packed.type_url, packed.value), wire.version_info, packed.value
+                )
+            )
     return DiscoveryResponse(wire.type_url, wire.version_info, wire.nonce, tuple(found))
 
 
 def read_delta_response(data: bytes) -> DeltaResponse:
     """Incremental; CodecError for bytes that are no such message."""
     wire = parsed(DeltaDiscoveryResponse, data)
-    return DeltaResponse(wire.type_url, wire.system_version_info, wire.nonce,
-                         tuple(_unwrapped(one, wire.type_url) for one in wire.resources),
-                         tuple(wire.removed_resources))
+    return DeltaResponse(
+        wire.type_url,
+        wire.system_version_info,
+        wire.nonce,
+        tuple(_unwrapped(one, wire.type_url) for one in wire.resources),
+        tuple(wire.removed_resources),
+    )
 
 
 def _unwrapped(wire: Wire, type_url: str) -> Resource:
     packed = wire.resource
-    return Resource(packed.type_url or type_url, wire.name or name_of(packed.type_url, packed.value),
-                    wire.version, packed.value, microseconds(wire, "ttl"))
+    return Resource(
+        packed.type_url or type_url,
+        wire.name or name_of(packed.type_url, packed.value),
+        wire.version,
+        packed.value,
+        microseconds(wire, "ttl"),
+    )
 
 
 def name_of(type_url: str, body: bytes) -> str:
--- a/roadlb/xds/codec/endpoint.py
+++ b/roadlb/xds/codec/endpoint.py
@@ -99,20 +99,31 @@
     sent = message.load_balancing_weight.value if message.HasField("load_balancing_weight") else 1
     weight, told = sent / around.scale, own.get("weight")
     if isinstance(told, float) and 0 <= told <= weights.WEIGHT_MOST:
-        if weights.on_the_wire(told, around.scale) == sent:      # or somebody changed the wire's since
+        if weights.on_the_wire(told, around.scale) == sent:  # or somebody changed the wire's since
             weight = told
     health = HEALTH.get(message.health_status, Health.UNKNOWN)
     meant = HEALTH_BY_NAME.get(str(own.get("health")), health)
     if wire_health(lifecycle, meant, weight) is health:
         health = meant
     return Endpoint(
-        NodeId(name if isinstance(name, str) and name else usual_name(message, place),
-               plain.whole(own.get("started_ms"))),
-        place.host, place.port, around.locality, lifecycle, health, weight, around.priority,
-        machine=text(own.get("machine")), cell=plain.whole(own.get("cell")), hostname=at.hostname,
+        NodeId(
+            name if isinstance(name, str) and name else usual_name(message, place),
+            plain.whole(own.get("started_ms")),
+        ),
+        place.host,
+        place.port,
+        around.locality,
+        lifecycle,
+        health,
+        weight,
+        around.priority,
+        machine=text(own.get("machine")),
+        cell=plain.whole(own.get("cell")),
+        hostname=at.hostname,
         additional=tuple(read_place(more.address) for more in at.additional_addresses),
         metadata=plain.read_metadata(message.metadata) if message.HasField("metadata") else NO_METADATA,
-        part=around.part)
+        part=around.part,
+    )
 
 
 def text(value: Plain) -> str:
@@ -184,8 +195,11 @@
         sent = weights.on_the_wire(endpoint.weight, scale)
         if sent != 1 or message.HasField("load_balancing_weight"):
             message.load_balancing_weight.value = sent
-    if ((endpoint.lifecycle, endpoint.health, endpoint.weight == 0)
-            != (was.lifecycle, was.health, was.weight == 0)):
+    if (endpoint.lifecycle, endpoint.health, endpoint.weight == 0) != (
+        was.lifecycle,
+        was.health,
+        was.weight == 0,
+    ):
         plain.write_own(message, "health", None)
         message.health_status = wire_health(endpoint.lifecycle, endpoint.health, endpoint.weight).value
     if endpoint.metadata != was.metadata:
@@ -198,17 +212,24 @@
 
 
 READ: Mapping[str, Callable[[Endpoint], object]] = {
-    "node": lambda e: e.node.name, "started_ms": lambda e: e.node.started_ms,
-    "lifecycle": lambda e: e.lifecycle, "machine": lambda e: e.machine, "cell": lambda e: e.cell,
-    "weight": lambda e: e.weight, "health": lambda e: e.health,
+    "node": lambda e: e.node.name,
+    "started_ms": lambda e: e.node.started_ms,
+    "lifecycle": lambda e: e.lifecycle,
+    "machine": lambda e: e.machine,
+    "cell": lambda e: e.cell,
+    "weight": lambda e: e.weight,
+    "health": lambda e: e.health,
 }
 
 
 def _change_target(message: Wire, was: Endpoint, endpoint: Endpoint, named: Mapping[str, Wire]) -> None:
     """Address, hostname and further addresses; a reference by name gives way to a copy with the change."""
     place = Place(endpoint.host, endpoint.port)
-    if ((place, endpoint.hostname, endpoint.additional)
-            == (Place(was.host, was.port), was.hostname, was.additional)):
+    if (place, endpoint.hostname, endpoint.additional) == (
+        Place(was.host, was.port),
+        was.hostname,
+        was.additional,
+    ):
         return
     if message.WhichOneof("host_identifier") == "endpoint_name":
         message.endpoint.CopyFrom(target(message, named))
@@ -221,4 +242,4 @@
             at.additional_addresses.add()
         if read_place(at.additional_addresses[i].address) != more:
             write_place(at.additional_addresses[i].address, more)
-    del at.additional_addresses[len(endpoint.additional):]
+    del at.additional_addresses[len(endpoint.additional) :]
--- a/roadlb/xds/codec/plain.py
+++ b/roadlb/xds/codec/plain.py
@@ -67,8 +67,9 @@
     return MappingProxyType(found) if found else NO_METADATA
 
 
-def write_metadata(message: Wire, was: Mapping[str, Mapping[str, Plain]],
-                   now: Mapping[str, Mapping[str, Plain]]) -> None:
+def write_metadata(
+    message: Wire, was: Mapping[str, Mapping[str, Plain]], now: Mapping[str, Mapping[str, Plain]]
+) -> None:
     """Bring the namespaces of `message.metadata` from `was` to `now`; those alike are not touched."""
     if OWN in now:
         raise CodecError(f"metadata: the namespace {OWN!r} is the codec's own: use another")
--- a/roadlb/xds/codec/protos.py
+++ b/roadlb/xds/codec/protos.py
@@ -17,9 +17,19 @@
 from google.protobuf.message import DecodeError
 
 __all__ = [
-    "ClusterLoadAssignment", "CodecError", "DecodeError", "LbEndpoint", "LocalityLbEndpoints",
-    "RouteConfiguration", "Wire",
-    "WireCluster", "WireEndpoint", "WireListener", "held", "parsed", "says",
+    "ClusterLoadAssignment",
+    "CodecError",
+    "DecodeError",
+    "LbEndpoint",
+    "LocalityLbEndpoints",
+    "RouteConfiguration",
+    "Wire",
+    "WireCluster",
+    "WireEndpoint",
+    "WireListener",
+    "held",
+    "parsed",
+    "says",
 ]
 
 Wire: TypeAlias = Any
--- a/roadlb/xds/codec/routes.py
+++ b/roadlb/xds/codec/routes.py
@@ -16,7 +16,7 @@
 from .protos import CodecError, DecodeError, RouteConfiguration, Wire, WireListener, held
 from .shape import Shape, microseconds, put_microseconds, put_plain, put_whole, whole
 
-V3 = 2                              # envoy.config.core.v3.ApiVersion
+V3 = 2  # envoy.config.core.v3.ApiVersion
 URL = "type.googleapis.com/"
 METHOD = ":method"
 ELSEWHERE = "envoy.retry_host_predicates.previous_hosts"
@@ -33,17 +33,24 @@
     kind, action = message.match.WhichOneof("path_specifier"), message.route
     retry = view_retry(action.retry_policy) if action.HasField("retry_policy") else None
     return Route(
-        message.name, message.match.prefix if kind == "prefix" else None,
+        message.name,
+        message.match.prefix if kind == "prefix" else None,
         message.match.path if kind == "path" else None,
         next((header.string_match.exact for header in message.match.headers if _on_method(header)), ""),
-        _view_clusters(action), microseconds(action, "timeout"), retry,
-        action.hedge_policy.hedge_on_per_try_timeout)
+        _view_clusters(action),
+        microseconds(action, "timeout"),
+        retry,
+        action.hedge_policy.hedge_on_per_try_timeout,
+    )
 
 
 def _on_method(header: Wire) -> bool:
-    return (header.name == METHOD and not header.invert_match
-            and header.WhichOneof("header_match_specifier") == "string_match"
-            and header.string_match.WhichOneof("match_pattern") == "exact")
+    return (
+        header.name == METHOD
+        and not header.invert_match
+        and header.WhichOneof("header_match_specifier") == "string_match"
+        and header.string_match.WhichOneof("match_pattern") == "exact"
+    )
 
 
 def _view_clusters(action: Wire) -> tuple[tuple[str, int], ...]:
@@ -106,10 +113,13 @@
 def view_retry(wire: Wire) -> Retry:
     back_off = wire.retry_back_off
     return Retry(
-        tuple(word.strip() for word in wire.retry_on.split(",") if word.strip()), whole(wire, "num_retries"),
-        microseconds(wire, "per_try_timeout"), microseconds(back_off, "base_interval"),
+        tuple(word.strip() for word in wire.retry_on.split(",") if word.strip()),
+        whole(wire, "num_retries"),
+        microseconds(wire, "per_try_timeout"),
+        microseconds(back_off, "base_interval"),
         tuple((header.name, header.string_match.exact) for header in wire.retriable_headers),
-        any(predicate.name == ELSEWHERE for predicate in wire.retry_host_predicate))
+        any(predicate.name == ELSEWHERE for predicate in wire.retry_host_predicate),
+    )
 
 
 def _put_retry(message: Wire, now: Retry | None, was: Retry | None) -> None:
@@ -157,11 +167,24 @@
     message.route.hedge_policy.hedge_on_per_try_timeout = now
 
 
-ROUTE: Shape[Route] = Shape(WireRoute, view_route, {
-    "name": put_plain("name"), "prefix": _put_prefix, "path": _put_path, "method": _put_method,
-    "clusters": _put_clusters, "timeout_us": _put_timeout, "retry": _put_retry, "hedge": _put_hedge,
-}, {"a prefix or path": lambda route: route.prefix is not None or route.path is not None,
-    "clusters": lambda route: bool(route.clusters and all(name for name, _ in route.clusters))})
+ROUTE: Shape[Route] = Shape(
+    WireRoute,
+    view_route,
+    {
+        "name": put_plain("name"),
+        "prefix": _put_prefix,
+        "path": _put_path,
+        "method": _put_method,
+        "clusters": _put_clusters,
+        "timeout_us": _put_timeout,
+        "retry": _put_retry,
+        "hedge": _put_hedge,
+    },
+    {
+        "a prefix or path": lambda route: route.prefix is not None or route.path is not None,
+        "clusters": lambda route: bool(route.clusters and all(name for name, _ in route.clusters)),
+    },
+)
 
 
 # ---- hosts and tables
@@ -176,9 +199,11 @@
 
 
 HOST: Shape[VirtualHost] = Shape(
-    WireHost, lambda m: VirtualHost(m.name, tuple(m.domains), ROUTE.of_all(m.routes)),
+    WireHost,
+    lambda m: VirtualHost(m.name, tuple(m.domains), ROUTE.of_all(m.routes)),
     {"name": put_plain("name"), "domains": _put_domains, "routes": _put_routes},
-    {"a name": lambda host: bool(host.name), "domains": lambda host: bool(host.domains)})
+    {"a name": lambda host: bool(host.name), "domains": lambda host: bool(host.domains)},
+)
 
 
 def _put_hosts(message: Wire, now: tuple[VirtualHost, ...], _: object) -> None:
@@ -186,8 +211,11 @@
 
 
 TABLE: Shape[RouteTable] = Shape(
-    RouteConfiguration, lambda m: RouteTable(m.name, HOST.of_all(m.virtual_hosts)),
-    {"name": put_plain("name"), "hosts": _put_hosts}, {"a name": lambda table: bool(table.name)})
+    RouteConfiguration,
+    lambda m: RouteTable(m.name, HOST.of_all(m.virtual_hosts)),
+    {"name": put_plain("name"), "hosts": _put_hosts},
+    {"a name": lambda table: bool(table.name)},
+)
 
 
 # ---- listeners
@@ -210,7 +238,7 @@
     try:
         return manager if packed is not None and packed.Unpack(manager) else None
     except DecodeError:
-        return None                                  # what cannot be read passes through as it is
+        return None  # what cannot be read passes through as it is
 
 
 def view_listener(message: Wire) -> Listener:
@@ -218,9 +246,11 @@
     named = manager is not None and manager.WhichOneof("route_specifier") == "rds"
     inline = manager is not None and manager.WhichOneof("route_specifier") == "route_config"
     return Listener(
-        message.name, read_place(message.address) if message.HasField("address") else None,
+        message.name,
+        read_place(message.address) if message.HasField("address") else None,
         manager.rds.route_config_name if named and manager is not None else "",
-        TABLE.of(manager.route_config) if inline and manager is not None else None)
+        TABLE.of(manager.route_config) if inline and manager is not None else None,
+    )
 
 
 def _put_listening(message: Wire, now: Place | None, _: object) -> None:
@@ -271,10 +301,20 @@
     packed.type_url, packed.value = URL + HttpConnectionManager.DESCRIPTOR.full_name, held(manager)
 
 
-LISTENER: Shape[Listener] = Shape(WireListener, view_listener, {
-    "name": put_plain("name"), "place": _put_listening, "table": _put_table, "routes": _put_routes_name,
-}, {"a name": lambda listener: bool(listener.name),
-    "routes or a table": lambda listener: bool(listener.routes) != (listener.table is not None)})
+LISTENER: Shape[Listener] = Shape(
+    WireListener,
+    view_listener,
+    {
+        "name": put_plain("name"),
+        "place": _put_listening,
+        "table": _put_table,
+        "routes": _put_routes_name,
+    },
+    {
+        "a name": lambda listener: bool(listener.name),
+        "routes or a table": lambda listener: bool(listener.routes) != (listener.table is not None),
+    },
+)
 
 
 def read_routes(data: bytes) -> RouteTable:
--- a/roadlb/xds/codec/shape.py
+++ b/roadlb/xds/codec/shape.py
@@ -77,6 +77,7 @@
             message.ClearField(field)
         else:
             getattr(message, field).value = now
+
     return put
 
 
@@ -97,11 +98,14 @@
             raise CodecError(f"{now} us: must not be negative")
         found = getattr(message, field)
         found.seconds, found.nanos = now // 1_000_000, now % 1_000_000 * 1000
+
     return put
 
 
 def put_plain(field: str) -> Setter:
     """A field that holds the value itself."""
+
     def put(message: Wire, now: Any, _: object) -> None:
         setattr(message, field, now)
+
     return put
--- a/roadlb/xds/codec/versions.py
+++ b/roadlb/xds/codec/versions.py
@@ -59,15 +59,15 @@
 PARTS: Final = ENDPOINTS
 SETTINGS, PREPARED, FORCE, WITHDRAWN, FRAME = "settings", "prepared", "force", "withdrawn", "frame"
 
-REFUSED, FENCED, NOT_WHOLE = 3, 10, 14     # of a NACK; google.rpc: INVALID_ARGUMENT, ABORTED, UNAVAILABLE
-FEATURE = "roadlb.agreement.v1"      # a client feature: tells a follower from a proxy
+REFUSED, FENCED, NOT_WHOLE = 3, 10, 14  # of a NACK; google.rpc: INVALID_ARGUMENT, ABORTED, UNAVAILABLE
+FEATURE = "roadlb.agreement.v1"  # a client feature: tells a follower from a proxy
 SCHEMA = 1
-BUCKET_MOST = 64                     # endpoints
-BUCKET_MEAN = 32                     # for which the number of buckets is chosen: then none of 512 overflows
-KEEP_MEAN = (8, 48)                  # as long as the mean lies between, the number stays as it was
+BUCKET_MOST = 64  # endpoints
+BUCKET_MEAN = 32  # for which the number of buckets is chosen: then none of 512 overflows
+KEEP_MEAN = (8, 48)  # as long as the mean lies between, the number stays as it was
 BUCKETS_MOST = 1 << 12
 
-Key: TypeAlias = tuple[str, str]     # type URL, name
+Key: TypeAlias = tuple[str, str]  # type URL, name
 Parts: TypeAlias = Mapping[Key, bytes]
 
 
@@ -83,11 +83,12 @@
 
 def digest(parts: Parts) -> str:
     """What tells a version's parts from any others, in whatever order they came."""
-    return f"{sum(_digest(*key, body) for key, body in parts.items()) % 2 ** 64:016x}"
+    return f"{sum(_digest(*key, body) for key, body in parts.items()) % 2**64:016x}"
 
 
 # ---- writing
 
+
 @dataclass(slots=True)
 class _Bucket:
     writer: AssignmentWriter
@@ -170,8 +171,10 @@
             return [tuple(bucket) for bucket in buckets]
         count *= 2
         if count > BUCKETS_MOST:
-            raise CodecError(f"{len(told)} endpoints: more than {BUCKET_MOST} share a bucket; "
-                             "a name is told too often, or there are too many")
+            raise CodecError(
+                f"{len(told)} endpoints: more than {BUCKET_MOST} share a bucket; "
+                "a name is told too often, or there are too many"
+            )
 
 
 def write_settings(settings: Mapping[str, str]) -> bytes:
@@ -180,8 +183,15 @@
 
 def write_prepared(prepare: Prepare, parts: Parts) -> bytes:
     """The resource `prepared` of a version with these parts."""
-    return _struct({"schema": float(SCHEMA), "leader": plain.of_whole(prepare.epoch),
-                    **_id(prepare.version.id), "meant": prepare.version.meant, "digest": digest(parts)})
+    return _struct(
+        {
+            "schema": float(SCHEMA),
+            "leader": plain.of_whole(prepare.epoch),
+            **_id(prepare.version.id),
+            "meant": prepare.version.meant,
+            "digest": digest(parts),
+        }
+    )
 
 
 def write_force(message: InForce) -> bytes:
@@ -195,16 +205,24 @@
 def write_lease(message: Lease) -> bytes:
     """The body of the resource that `ask_name` names; its `ttl_us` is to be `lease_us` too."""
     value = WireValue()
-    plain.write_value(value, {
-        "leader": plain.of_whole(message.epoch), **_id(message.id), "life": plain.of_whole(message.life),
-        "ask": plain.of_whole(message.number), "lease_us": plain.of_whole(message.lease_us)})
+    plain.write_value(
+        value,
+        {
+            "leader": plain.of_whole(message.epoch),
+            **_id(message.id),
+            "life": plain.of_whole(message.life),
+            "ask": plain.of_whole(message.number),
+            "lease_us": plain.of_whole(message.lease_us),
+        },
+    )
     return held(value)
 
 
 def ask_name(ask: Ask) -> str:
     """The name that asks."""
-    return "lease?" + urlencode({
-        "life": ask.life, "ask": ask.number, "epoch": ask.epoch, "force": ask.force, "told": ask.told})
+    return "lease?" + urlencode(
+        {"life": ask.life, "ask": ask.number, "epoch": ask.epoch, "force": ask.force, "told": ask.told}
+    )
 
 
 def read_ask(name: str) -> Ask:
@@ -254,6 +272,7 @@
 
 # ---- reading
 
+
 @dataclass(frozen=True, slots=True)
 class Prepared:
     """`prepared` as read: the version but for its contents, which are whole when the digest fits."""
@@ -283,8 +302,13 @@
     said = plain.read_value(parsed(WireValue, body))
     if not isinstance(said, Mapping):
         raise CodecError("lease: the value must be a struct")
-    return Lease(_whole(said, "leader"), _read_id(said), _whole(said, "life"), _whole(said, "ask"),
-                 _whole(said, "lease_us"))
+    return Lease(
+        _whole(said, "leader"),
+        _read_id(said),
+        _whole(said, "life"),
+        _whole(said, "ask"),
+        _whole(said, "lease_us"),
+    )
 
 
 def read_settings(body: bytes) -> Mapping[str, str]:
@@ -319,8 +343,9 @@
             if (PARTS, f"{cluster}/{FRAME}") not in self._read:
                 raise CodecError(f"{cluster}/{FRAME}: the resource is missing")
         self._whole = {name: self._cluster(name, found) for name, found in clusters.items()}
-        return Contents(self._settings[1],
-                        MappingProxyType({name: whole for name, (_, whole) in self._whole.items()}))
+        return Contents(
+            self._settings[1], MappingProxyType({name: whole for name, (_, whole) in self._whole.items()})
+        )
 
     def _part(self, key: Key, body: bytes) -> tuple[bytes, Cluster]:
         seen = self._read.get(key)
--- a/roadlb/xds/conversation.py
+++ b/roadlb/xds/conversation.py
@@ -16,32 +16,32 @@
 class Phase(Enum):
     """Of one type on one stream."""
 
-    NEW = auto()            # never asked for on this stream
-    SILENT = auto()         # asked for, nothing sent yet
-    WAITING = auto()        # a response is in flight
-    ANSWERED = auto()       # the last response was accepted or refused
+    NEW = auto()  # never asked for on this stream
+    SILENT = auto()  # asked for, nothing sent yet
+    WAITING = auto()  # a response is in flight
+    ANSWERED = auto()  # the last response was accepted or refused
 
 
 class Said(Enum):
     """What a request says of responses."""
 
-    NOTHING = auto()        # no nonce
-    ACK = auto()            # of the response in flight
-    NACK = auto()           # of the response in flight
-    REPEAT = auto()         # the nonce of the last response, which is answered already
-    STALE = auto()          # any other nonce: an earlier response's, or one never sent
-    REFUSES_NOTHING = auto()    # an error without a nonce
+    NOTHING = auto()  # no nonce
+    ACK = auto()  # of the response in flight
+    NACK = auto()  # of the response in flight
+    REPEAT = auto()  # the nonce of the last response, which is answered already
+    STALE = auto()  # any other nonce: an earlier response's, or one never sent
+    REFUSES_NOTHING = auto()  # an error without a nonce
 
 
 class Step(Enum):
     """What is done about it, in the order of the table's entry."""
 
-    ACCEPT = auto()         # the response in flight is accepted
-    REFUSE = auto()         # the response in flight is refused
-    SUBSCRIBE = auto()      # what the request wants counts
-    SHOW = auto()           # what it shows of earlier streams counts
-    DOUBT = auto()          # what it lacks may have been dropped meanwhile: to be told again
-    END = auto()            # the request cannot be one of this stream
+    ACCEPT = auto()  # the response in flight is accepted
+    REFUSE = auto()  # the response in flight is refused
+    SUBSCRIBE = auto()  # what the request wants counts
+    SHOW = auto()  # what it shows of earlier streams counts
+    DOUBT = auto()  # what it lacks may have been dropped meanwhile: to be told again
+    END = auto()  # the request cannot be one of this stream
 
 
 Table: TypeAlias = Mapping[tuple[Phase, Said], tuple[Step, ...]]
--- a/roadlb/xds/delta.py
+++ b/roadlb/xds/delta.py
@@ -27,23 +27,20 @@
 from .subscription import Subscription
 
 LEGACY_WILDCARD = frozenset({CLUSTER, LISTENER})
-RESPONSE_BYTES_MOST = 1 << 20        # of bodies; a gRPC client takes 4 MiB at the most.  The rest goes next
+RESPONSE_BYTES_MOST = 1 << 20  # of bodies; a gRPC client takes 4 MiB at the most.  The rest goes next
 
 TABLE = {
     (Phase.NEW, Said.NOTHING): (Step.SUBSCRIBE, Step.SHOW),
     (Phase.NEW, Said.STALE): (Step.END,),
     (Phase.NEW, Said.REFUSES_NOTHING): (Step.END,),
-
     (Phase.SILENT, Said.NOTHING): (Step.SUBSCRIBE,),
     (Phase.SILENT, Said.STALE): (Step.SUBSCRIBE,),
     (Phase.SILENT, Said.REFUSES_NOTHING): (Step.SUBSCRIBE,),
-
     (Phase.WAITING, Said.NOTHING): (Step.SUBSCRIBE,),
     (Phase.WAITING, Said.ACK): (Step.ACCEPT, Step.SUBSCRIBE),
     (Phase.WAITING, Said.NACK): (Step.REFUSE, Step.SUBSCRIBE),
     (Phase.WAITING, Said.STALE): (Step.SUBSCRIBE,),
     (Phase.WAITING, Said.REFUSES_NOTHING): (Step.SUBSCRIBE,),
-
     (Phase.ANSWERED, Said.NOTHING): (Step.SUBSCRIBE,),
     (Phase.ANSWERED, Said.REPEAT): (Step.SUBSCRIBE,),
     (Phase.ANSWERED, Said.STALE): (Step.SUBSCRIBE,),
@@ -117,9 +114,12 @@
     def beat(self, subscription: Subscription, nonce: str) -> Response | None:
         """Without bodies: the version that the subscriber has already is enough."""
         resources = tuple(
-            resource.heartbeat() for resource in subscription.newest.resources
-            if resource.ttl_us is not None and subscription.wants(resource.name)
-            and resource.name not in subscription.differs)
+            resource.heartbeat()
+            for resource in subscription.newest.resources
+            if resource.ttl_us is not None
+            and subscription.wants(resource.name)
+            and resource.name not in subscription.differs
+        )
         if not resources:
             return None
         return DeltaResponse(subscription.type_url, subscription.newest.version, nonce, resources)
--- a/roadlb/xds/framing.py
+++ b/roadlb/xds/framing.py
@@ -14,8 +14,12 @@
 from .messages import DeltaRequest, DeltaResponse, DiscoveryRequest, DiscoveryResponse, Request, Response
 
 KINDS: dict[int, type[Request] | type[Response]] = {
-    1: DiscoveryRequest, 2: DiscoveryResponse, 3: DeltaRequest, 4: DeltaResponse}
-FRAME_MOST = 64 << 20        # bytes; a whole state of 10,000 clusters of 5 KB has 50 MB
+    1: DiscoveryRequest,
+    2: DiscoveryResponse,
+    3: DeltaRequest,
+    4: DeltaResponse,
+}
+FRAME_MOST = 64 << 20  # bytes; a whole state of 10,000 clusters of 5 KB has 50 MB
 
 _NUMBERS = {kind: number for number, kind in KINDS.items()}
 _DECODERS = {number: msgspec.msgpack.Decoder(kind) for number, kind in KINDS.items()}
@@ -51,8 +55,8 @@
                 raise FramingError(f"frame of {length} bytes: it must have 1 to {FRAME_MOST}")
             if len(self._data) < _LENGTH + length:
                 return
-            content = bytes(self._data[_LENGTH:_LENGTH + length])
-            del self._data[:_LENGTH + length]
+            content = bytes(self._data[_LENGTH : _LENGTH + length])
+            del self._data[: _LENGTH + length]
             yield _message(content)
 
 
--- a/roadlb/xds/grpc/dial.py
+++ b/roadlb/xds/grpc/dial.py
@@ -14,8 +14,9 @@
 METHOD = f"/{ADS}/DeltaAggregatedResources"
 # A channel for each call: none of gRPC's own back-off, as who is called when is `client.choice`'s matter.
 OPTIONS = (
-    ("grpc.use_local_subchannel_pool", 1), ("grpc.enable_retries", 0),
-    ("grpc.max_receive_message_length", 8 << 20),     # a server keeps a response below 1 MiB, or one resource
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.enable_retries", 0),
+    ("grpc.max_receive_message_length", 8 << 20),  # a server keeps a response below 1 MiB, or one resource
 )
 # What gRPC raises on a stream that is over; the last, undocumented, is `write` on one that ended meanwhile.
 ENDS = (grpc.RpcError, grpc.aio.UsageError, asyncio.InvalidStateError)
--- a/roadlb/xds/grpc/encoding.py
+++ b/roadlb/xds/grpc/encoding.py
@@ -11,8 +11,8 @@
 from ..resources import Resource
 from ..stream import version_of
 
-NONCE = bytes([5 << 3 | 2])          # tag in both kinds of response: all that differs from stream to stream
-KEPT_BYTES = 16 << 20                # of responses; those of all types and forms of one step are some 2 MB
+NONCE = bytes([5 << 3 | 2])  # tag in both kinds of response: all that differs from stream to stream
+KEPT_BYTES = 16 << 20  # of responses; those of all types and forms of one step are some 2 MB
 
 
 class Encoder:
@@ -25,7 +25,7 @@
     def __init__(self, most: int = KEPT_BYTES) -> None:
         self._most, self._size = most, 0
         self._kept: OrderedDict[tuple[object, ...], tuple[tuple[Resource, ...], bytes]] = OrderedDict()
-        self.encoded = self.shared = 0               # responses made, and those taken from the cache
+        self.encoded = self.shared = 0  # responses made, and those taken from the cache
 
     def encode(self, response: Response) -> bytes:
         removed = response.removed_resources if isinstance(response, DeltaResponse) else None
--- a/roadlb/xds/grpc/health.py
+++ b/roadlb/xds/grpc/health.py
@@ -5,8 +5,8 @@
 
 from __future__ import annotations
 
-SERVING, WAITING = 1, 2                      # of the enum: SERVING, NOT_SERVING
-STATUS = bytes([1 << 3])                     # tag of the answer's field
+SERVING, WAITING = 1, 2  # of the enum: SERVING, NOT_SERVING
+STATUS = bytes([1 << 3])  # tag of the answer's field
 
 
 def health(status: int) -> bytes:
--- a/roadlb/xds/grpc/loads.py
+++ b/roadlb/xds/grpc/loads.py
@@ -13,7 +13,7 @@
 from ..codec.protos import Wire, held, parsed
 
 ALL = "envoy.lrs.supports_send_all_clusters"
-PREFIX = "named_metrics."            # some clients tell the kind of a metric in front of its name
+PREFIX = "named_metrics."  # some clients tell the kind of a metric in front of its name
 
 
 def ask(clusters: Iterable[str], interval_us: int, features: Iterable[str] = ()) -> bytes:
@@ -32,8 +32,12 @@
     return parsed(LoadStatsRequest, data)
 
 
-def reports(subscriber: str, wire: Wire, node_at: Callable[[str, int], NodeId | None],
-            fleet_name: Callable[[str], str]) -> Iterator[LoadReport | None]:
+def reports(
+    subscriber: str,
+    wire: Wire,
+    node_at: Callable[[str, int], NodeId | None],
+    fleet_name: Callable[[str], str],
+) -> Iterator[LoadReport | None]:
     """A report for each node that the message tells of; None for figures that belong to no node we know.
 
     Endpoints' own figures go before their locality's, which then says the same once more.
@@ -42,8 +46,11 @@
         interval_us = stats.load_report_interval.ToMicroseconds()
         cluster = fleet_name(stats.cluster_name)
         for group in stats.upstream_locality_stats:
-            told = [(node_at(where.address, where.port_value), one) for one in group.upstream_endpoint_stats
-                    if (where := one.address.socket_address).address]
+            told = [
+                (node_at(where.address, where.port_value), one)
+                for one in group.upstream_endpoint_stats
+                if (where := one.address.socket_address).address
+            ]
             if not told:
                 told = [(node_of(group.locality.sub_zone), group)]
             for node, figures in told:
@@ -52,9 +59,15 @@
                     continue
                 done = figures.total_successful_requests + figures.total_error_requests
                 yield LoadReport(
-                    subscriber, cluster, node, max(figures.total_issued_requests, done),
-                    figures.total_error_requests, interval_us,
-                    _mean(figures.load_metric_stats, "eps"), _mean(figures.load_metric_stats, "queue"))
+                    subscriber,
+                    cluster,
+                    node,
+                    max(figures.total_issued_requests, done),
+                    figures.total_error_requests,
+                    interval_us,
+                    _mean(figures.load_metric_stats, "eps"),
+                    _mean(figures.load_metric_stats, "queue"),
+                )
 
 
 def _mean(stats: Iterable[Wire], name: str) -> float:
--- a/roadlb/xds/grpc/session.py
+++ b/roadlb/xds/grpc/session.py
@@ -40,7 +40,7 @@
 
 logger = logging.getLogger(__name__)
 
-REASON_CHARS = 1_000                     # of a refusal that are kept
+REASON_CHARS = 1_000  # of a refusal that are kept
 
 
 class Desk(Protocol):
@@ -64,15 +64,22 @@
 class Session:
     """One stream.  `name` is the desk's: whom it takes the subscriber for."""
 
-    def __init__(self, number: int, machine: SotwStream | DeltaStream, desk: Desk, encoder: Encoder,
-                 clock: Clock, peer: str = "") -> None:
+    def __init__(
+        self,
+        number: int,
+        machine: SotwStream | DeltaStream,
+        desk: Desk,
+        encoder: Encoder,
+        clock: Clock,
+        peer: str = "",
+    ) -> None:
         self.number, self.machine, self.peer, self.name = number, machine, peer, ""
         self.floor = 0
         self.bytes_sent = self.responses = 0
-        self.versions: dict[str, tuple[str, str, str]] = {}      # type: sent, accepted, why refused
-        self.holding: dict[str, str] = {}                        # type ("": all): why nothing is sent
+        self.versions: dict[str, tuple[str, str, str]] = {}  # type: sent, accepted, why refused
+        self.holding: dict[str, str] = {}  # type ("": all): why nothing is sent
         self._desk, self._encoder, self._clock = desk, encoder, clock
-        self._numbers: dict[str, int] = {}                       # type: of the response in flight
+        self._numbers: dict[str, int] = {}  # type: of the response in flight
         self._count, self._known = 0, False
         self._out: Response | None = None
         self._wake = asyncio.Event()
@@ -106,7 +113,7 @@
         """This is the newest."""
         if snapshot is not self.machine.snapshot:
             self._handle(Published(snapshot))
-            if self.machine.quiet:               # nothing in it is new to this subscriber
+            if self.machine.quiet:  # nothing in it is new to this subscriber
                 self._count += 1
                 for type_url in self.versions:
                     self._desk.sent(self, type_url, self._count, snapshot.generation)
@@ -173,8 +180,9 @@
             if self._known:
                 self._desk.left(self)
         if self._ending:
-            logger.warning("stream ended", extra=fields(
-                subscriber=self.name, peer=self.peer, reason=self._ending))
+            logger.warning(
+                "stream ended", extra=fields(subscriber=self.name, peer=self.peer, reason=self._ending)
+            )
             await refuse(context, self._ending)
 
     async def _write(self, context: Context) -> None:
@@ -189,4 +197,3 @@
             self.responses += 1
             self.bytes_sent += len(data)
             self._handle(Ready())
-
--- a/roadlb/xds/grpc/transport.py
+++ b/roadlb/xds/grpc/transport.py
@@ -14,7 +14,7 @@
 from ...fleet.platform import write_host_port
 from ..codec.protos import CodecError
 
-Context: TypeAlias = Any                 # grpc.aio.ServicerContext, which comes without types
+Context: TypeAlias = Any  # grpc.aio.ServicerContext, which comes without types
 
 ADS = "envoy.service.discovery.v3.AggregatedDiscoveryService"
 LRS = "envoy.service.load_stats.v3.LoadReportingService"
@@ -23,13 +23,15 @@
 
 # A proxy that is gone without a word is noticed after 15 s, in which it may be taken for one that lags.
 OPTIONS = (
-    ("grpc.keepalive_time_ms", 10_000), ("grpc.keepalive_timeout_ms", 5_000),
-    ("grpc.http2.min_ping_interval_without_data_ms", 5_000), ("grpc.keepalive_permit_without_calls", 1),
-    ("grpc.max_concurrent_streams", 100),            # of one connection: a proxy needs two
-    ("grpc.max_receive_message_length", 4 << 20),    # a request with 10,000 names of 400 characters
-    ("grpc.so_reuseport", 0),                        # two services on one port would share the proxies
+    ("grpc.keepalive_time_ms", 10_000),
+    ("grpc.keepalive_timeout_ms", 5_000),
+    ("grpc.http2.min_ping_interval_without_data_ms", 5_000),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.max_concurrent_streams", 100),  # of one connection: a proxy needs two
+    ("grpc.max_receive_message_length", 4 << 20),  # a request with 10,000 names of 400 characters
+    ("grpc.so_reuseport", 0),  # two services on one port would share the proxies
 )
-REASON_CHARS = 1_000                     # of an ending's text: it travels in a header
+REASON_CHARS = 1_000  # of an ending's text: it travels in a header
 Handler: TypeAlias = Callable[[Context], Awaitable[None]]
 
 
@@ -53,8 +55,9 @@
         raise OSError(f"listen: {where} cannot be had, choose another one or end who has it: {e}") from None
 
 
-def server(streams: dict[tuple[str, str], Handler],
-           calls: dict[tuple[str, str], Callable[[bytes], bytes]]) -> Any:
+def server(
+    streams: dict[tuple[str, str], Handler], calls: dict[tuple[str, str], Callable[[bytes], bytes]]
+) -> Any:
     """A server of these methods, by service and method name, that is not started yet."""
     services: dict[str, dict[str, Any]] = {}
     for (service, method), handler in streams.items():
@@ -62,8 +65,9 @@
     for (service, method), call in calls.items():
         services.setdefault(service, {})[method] = grpc.unary_unary_rpc_method_handler(_call(call))
     made = grpc.aio.server(options=OPTIONS)
-    made.add_generic_rpc_handlers(tuple(
-        grpc.method_handlers_generic_handler(service, methods) for service, methods in services.items()))
+    made.add_generic_rpc_handlers(
+        tuple(grpc.method_handlers_generic_handler(service, methods) for service, methods in services.items())
+    )
     return made
 
 
@@ -73,10 +77,12 @@
             await handler(context)
         except CodecError as e:
             await refuse(context, str(e))
+
     return serve
 
 
 def _call(call: Callable[[bytes], bytes]) -> Callable[[bytes, Context], Awaitable[bytes]]:
     async def serve(request: bytes, _: Context) -> bytes:
         return call(request)
+
     return serve
--- a/roadlb/xds/messages.py
+++ b/roadlb/xds/messages.py
@@ -43,7 +43,7 @@
 
     type_url: str
     resource_names: tuple[str, ...] = ()
-    version_info: str = ""                 # the last version accepted, also of an earlier stream
+    version_info: str = ""  # the last version accepted, also of an earlier stream
     response_nonce: str = ""
     error_detail: ErrorDetail | None = None
     node: Node | None = None
@@ -131,12 +131,12 @@
 class Why(StrEnum):
     """Why a stream is silent though its subscriber may wait for something."""
 
-    NO_SNAPSHOT = "no snapshot"        # nothing was published yet
-    BEHIND = "behind"                  # the subscriber has seen a newer generation than ours
-    OLDER = "older"                    # a snapshot older than the one before was not taken
-    UNKNOWN_TYPE = "unknown type"      # the type is not published here
-    ORDER = "order"                    # something else must arrive first
-    PACED = "paced"                    # the subscriber asks for the same things too fast
+    NO_SNAPSHOT = "no snapshot"  # nothing was published yet
+    BEHIND = "behind"  # the subscriber has seen a newer generation than ours
+    OLDER = "older"  # a snapshot older than the one before was not taken
+    UNKNOWN_TYPE = "unknown type"  # the type is not published here
+    ORDER = "order"  # something else must arrive first
+    PACED = "paced"  # the subscriber asks for the same things too fast
 
 
 @dataclass(frozen=True, slots=True)
@@ -172,7 +172,7 @@
     """Nothing is sent for this reason.  Told when it begins, not again as long as it lasts."""
 
     why: Why
-    type_url: str = ""                 # empty: the whole stream
+    type_url: str = ""  # empty: the whole stream
 
 
 @dataclass(frozen=True, slots=True)
--- a/roadlb/xds/ordering.py
+++ b/roadlb/xds/ordering.py
@@ -30,12 +30,16 @@
 MAKES = (CLUSTER, ENDPOINTS, LISTENER, ROUTE)
 BREAKS = (LISTENER, ROUTE, CLUSTER, ENDPOINTS)
 MAKE_AFTER = {CLUSTER: (), ENDPOINTS: (), LISTENER: (CLUSTER, ENDPOINTS), ROUTE: (CLUSTER, ENDPOINTS)}
-BREAK_AFTER = {LISTENER: (), ROUTE: (LISTENER,), CLUSTER: (LISTENER, ROUTE),
-               ENDPOINTS: (CLUSTER, LISTENER, ROUTE)}
+BREAK_AFTER = {
+    LISTENER: (),
+    ROUTE: (LISTENER,),
+    CLUSTER: (LISTENER, ROUTE),
+    ENDPOINTS: (CLUSTER, LISTENER, ROUTE),
+}
 
-MAKE_WAIT_US = 1_000_000     # ten round trips on a slow link; who asks for no endpoints waits so long
-BREAK_WAIT_US = 5_000_000    # an old cluster does no harm while its endpoints are kept up
-GONE_MOST = 1_000       # names that wait to be broken: a bound for subscribers that never answer
+MAKE_WAIT_US = 1_000_000  # ten round trips on a slow link; who asks for no endpoints waits so long
+BREAK_WAIT_US = 5_000_000  # an old cluster does no harm while its endpoints are kept up
+GONE_MOST = 1_000  # names that wait to be broken: a bound for subscribers that never answer
 
 
 class Order:
@@ -46,8 +50,8 @@
     def __init__(self, subscriptions: Mapping[str, Subscription]) -> None:
         self._subscriptions = subscriptions
         self._began: int | None = None
-        self._awaited: set[str] = set()                  # clusters sent since routes were: to be asked for
-        self._since: dict[tuple[str, bool], int] = {}    # since when a type's make (True) or break waits
+        self._awaited: set[str] = set()  # clusters sent since routes were: to be asked for
+        self._since: dict[tuple[str, bool], int] = {}  # since when a type's make (True) or break waits
 
     def begin(self, now: int) -> None:
         """A request came: the first one begins the stream."""
@@ -58,7 +62,7 @@
         """A response goes out that makes these names, some of them new to the subscriber."""
         self._since.pop((type_url, True), None)
         if MAKE_AFTER[type_url] and made:
-            self._awaited.clear()                        # they came, or were waited for long enough
+            self._awaited.clear()  # they came, or were waited for long enough
         elif type_url == CLUSTER:
             endpoints = self._subscriptions.get(ENDPOINTS)
             if endpoints is not None:
@@ -98,7 +102,9 @@
             return True
         return any(
             earlier.flight is not None or bool(earlier.owed().make)
-            for other in MAKE_AFTER[type_url] if (earlier := self._subscriptions.get(other)) is not None)
+            for other in MAKE_AFTER[type_url]
+            if (earlier := self._subscriptions.get(other)) is not None
+        )
 
     def _blocks_break(self, type_url: str, now: int) -> bool:
         young = self._began is not None and now < self._began + BREAK_WAIT_US
@@ -117,6 +123,10 @@
         Only once the response with them is answered: before, an old subscription may be on its way out.
         """
         endpoints, clusters = self._subscriptions.get(ENDPOINTS), self._subscriptions[CLUSTER]
-        self._awaited = {name for name in self._awaited
-                         if clusters.wants(name) and name in clusters.newest.by_name
-                         and not (endpoints is not None and endpoints.wants(name))}
+        self._awaited = {
+            name
+            for name in self._awaited
+            if clusters.wants(name)
+            and name in clusters.newest.by_name
+            and not (endpoints is not None and endpoints.wants(name))
+        }
--- a/roadlb/xds/pace.py
+++ b/roadlb/xds/pace.py
@@ -7,8 +7,8 @@
 
 from __future__ import annotations
 
-BURST = 200       # a client that finds names one by one asks for each: 50 clusters, four types
-PER_S = 10        # 10 x 100 subscribers x 1 ms to build a response is a core
+BURST = 200  # a client that finds names one by one asks for each: 50 clusters, four types
+PER_S = 10  # 10 x 100 subscribers x 1 ms to build a response is a core
 
 
 class Pace:
--- a/roadlb/xds/publisher.py
+++ b/roadlb/xds/publisher.py
@@ -17,8 +17,8 @@
 from .codec.routes import write_listener, write_routes
 from .resources import CLUSTER, ENDPOINTS, LISTENER, ROUTE, Resource, Snapshot
 
-WHOLE = 1.0                  # scale: the plan's weights are whole numbers already
-METRICS = ("named_metrics.eps", "named_metrics.queue")      # what nodes tell and load reports shall have
+WHOLE = 1.0  # scale: the plan's weights are whole numbers already
+METRICS = ("named_metrics.eps", "named_metrics.queue")  # what nodes tell and load reports shall have
 
 
 @dataclass(slots=True)
@@ -44,8 +44,11 @@
         """The next snapshot: shares what did not change with the one before; is that one if nothing did."""
         found = list(self._resources(express(self.form, decisions), decisions))
         before, new = self.snapshot, Snapshot.of(decisions.generation, found, self.snapshot)
-        if before is None or new.generation > before.generation or any(
-                new.collections[type_url] is not held for type_url, held in before.collections.items()):
+        if (
+            before is None
+            or new.generation > before.generation
+            or any(new.collections[type_url] is not held for type_url, held in before.collections.items())
+        ):
             self.snapshot = new
         assert self.snapshot is not None
         return self.snapshot
@@ -65,20 +68,30 @@
                 yield Resource.make(ROUTE, table.name, write_routes(table), generation)
                 place = address(listener.address) if listener.address else None
                 if self.form is Form.ENVOY and place is None:
-                    continue                 # it has its own listeners, and asks for routes alone
+                    continue  # it has its own listeners, and asks for routes alone
                 at = place if self.form is not Form.GRPC else None
                 body = write_listener(Listener(listener.name, at, routes=table.name))
                 yield Resource.make(LISTENER, listener.name, body, generation)
 
     def _cluster(self, said: Assignment, weight: float) -> ClusterSettings:
         bounds = limits({said.cluster: weight or 1.0}, 1.0)
-        most = 1 << (bounds.max_requests - 1).bit_length()       # so that a deploy seldom changes it
+        most = 1 << (bounds.max_requests - 1).bit_length()  # so that a deploy seldom changes it
         return ClusterSettings(
-            said.cluster, connect_timeout_us=round(self._settings.connect_timeout_s * 1e6),
-            limits=(Limits(requests=most, pending=most, retries=max(bounds.max_retries, most // 5),
-                           retry_percent=bounds.retry_percent),),
-            panic_percent=bounds.panic_percent, locality_weights=said.localities, reports=True,
-            origin=WireCluster(lrs_report_endpoint_metrics=METRICS).SerializeToString())
+            said.cluster,
+            connect_timeout_us=round(self._settings.connect_timeout_s * 1e6),
+            limits=(
+                Limits(
+                    requests=most,
+                    pending=most,
+                    retries=max(bounds.max_retries, most // 5),
+                    retry_percent=bounds.retry_percent,
+                ),
+            ),
+            panic_percent=bounds.panic_percent,
+            locality_weights=said.localities,
+            reports=True,
+            origin=WireCluster(lrs_report_endpoint_metrics=METRICS).SerializeToString(),
+        )
 
     def _endpoints(self, said: Assignment, generation: int) -> Resource:
         written = self._written.setdefault(said.cluster, _Written(AssignmentWriter(), {}))
@@ -92,9 +105,19 @@
                 key = placed.node, place.locality, place.priority
                 held = before.get(key)
                 if held is None or held[0] != placed:
-                    held = placed, Endpoint(
-                        placed.node, placed.host, placed.port, place.locality, Lifecycle.UP, placed.health,
-                        float(placed.weight), place.priority)
+                    held = (
+                        placed,
+                        Endpoint(
+                            placed.node,
+                            placed.host,
+                            placed.port,
+                            place.locality,
+                            Lifecycle.UP,
+                            placed.health,
+                            float(placed.weight),
+                            place.priority,
+                        ),
+                    )
                 written.endpoints[key] = held
         endpoints = tuple(endpoint for _, endpoint in written.endpoints.values())
         body = written.writer.write(Cluster(said.cluster, endpoints, tuple(groups)), WHOLE)
@@ -102,8 +125,9 @@
         return written.resource
 
     def _table(self, name: str, parts: tuple[tuple[str, int], ...]) -> RouteTable:
-        routes = tuple(route(c, rule, parts)
-                       for c, rule in zip(self._settings.classes, self._rules, strict=True))
+        routes = tuple(
+            route(c, rule, parts) for c, rule in zip(self._settings.classes, self._rules, strict=True)
+        )
         return RouteTable(name, (VirtualHost(name, ("*",), routes),))
 
 
@@ -111,11 +135,23 @@
     """One class's route; a class with one attempt has no retries at all, as clients refuse a count of 0."""
     retry = None
     if rule.retry.tries:
-        retry = Retry(rule.retry.retry_on + rule.retry.grpc_codes, rule.retry.tries,
-                      rule.retry.try_timeout_us or None, rule.retry.back_off_us, (rule.retry.header,),
-                      rule.retry.elsewhere)
-    return Route(rule.name, prefix=matches.prefix, method=matches.method, clusters=parts,
-                 timeout_us=rule.timeout_us, retry=retry, hedge=rule.hedge)
+        retry = Retry(
+            rule.retry.retry_on + rule.retry.grpc_codes,
+            rule.retry.tries,
+            rule.retry.try_timeout_us or None,
+            rule.retry.back_off_us,
+            (rule.retry.header,),
+            rule.retry.elsewhere,
+        )
+    return Route(
+        rule.name,
+        prefix=matches.prefix,
+        method=matches.method,
+        clusters=parts,
+        timeout_us=rule.timeout_us,
+        retry=retry,
+        hedge=rule.hedge,
+    )
 
 
 class Publisher:
--- a/roadlb/xds/resources.py
+++ b/roadlb/xds/resources.py
@@ -24,18 +24,18 @@
 ROUTE: Final = "type.googleapis.com/envoy.config.route.v3.RouteConfiguration"
 TYPES: Final = (CLUSTER, ENDPOINTS, LISTENER, ROUTE)
 
-GENERATION_DIGITS = 20       # holds any 64-bit generation
-DIGEST_DIGITS = 16           # 64 bits: among a million bodies two agree with a chance of 3e-8
-STEPS_KEPT = 64              # at ten changes a second: a stream 6 s behind still pays for changes only
-FORMER_KEPT = 64             # collections, shared by all streams: 3 MB with 1,000 resources in each
-TOUCHED_MOST = 10_000        # names in one step; a larger step is cheaper to compare as a whole
+GENERATION_DIGITS = 20  # holds any 64-bit generation
+DIGEST_DIGITS = 16  # 64 bits: among a million bodies two agree with a chance of 3e-8
+STEPS_KEPT = 64  # at ten changes a second: a stream 6 s behind still pays for changes only
+FORMER_KEPT = 64  # collections, shared by all streams: 3 MB with 1,000 resources in each
+TOUCHED_MOST = 10_000  # names in one step; a larger step is cheaper to compare as a whole
 
 _VERSION = re.compile(rf"([0-9]{{{GENERATION_DIGITS}}})\.([0-9a-f]{{{DIGEST_DIGITS}}})")
 
 
 def stamp(generation: int, digest: str) -> str:
     """The version of a generation and a digest."""
-    if not 0 <= generation < 10 ** GENERATION_DIGITS:
+    if not 0 <= generation < 10**GENERATION_DIGITS:
         raise ValueError(f"generation: {generation!r} must be a number of at most {GENERATION_DIGITS} digits")
     return f"{generation:0{GENERATION_DIGITS}d}.{digest}"
 
@@ -67,8 +67,9 @@
     ttl_us: int | None = None
 
     @classmethod
-    def make(cls, type_url: str, name: str, body: bytes, generation: int,
-             ttl_us: int | None = None) -> Resource:
+    def make(
+        cls, type_url: str, name: str, body: bytes, generation: int, ttl_us: int | None = None
+    ) -> Resource:
         """The resource with the version that its body and its generation give it."""
         if not name or name == "*":
             raise ValueError(f"name: {name!r} of a {type_url} must be neither empty nor the wildcard")
@@ -81,8 +82,11 @@
 
     def same(self, other: Resource | None) -> bool:
         """Whether a subscriber that has the other has nothing to learn from this one."""
-        return self is other or (other is not None and digest_of(self.version) == digest_of(other.version)
-                                 and self.ttl_us == other.ttl_us)
+        return self is other or (
+            other is not None
+            and digest_of(self.version) == digest_of(other.version)
+            and self.ttl_us == other.ttl_us
+        )
 
     def heartbeat(self) -> Resource:
         """The resource without its body."""
@@ -98,7 +102,7 @@
 def digest_with(collection: Collection, others: Iterable[Resource]) -> str:
     """The digest of a collection together with resources that are not in it."""
     total = collection.total + sum(_part(resource) for resource in others)
-    return f"{total % 2 ** 64:0{DIGEST_DIGITS}x}"
+    return f"{total % 2**64:0{DIGEST_DIGITS}x}"
 
 
 class _Line:
@@ -118,10 +122,10 @@
     type_url: str
     version: str = ""
     by_name: Mapping[str, Resource] = field(default_factory=lambda: MappingProxyType({}))
-    total: int = 0                                 # sum of the parts, modulo 2**64: updated by what changes
+    total: int = 0  # sum of the parts, modulo 2**64: updated by what changes
     shortest_ttl_us: int | None = None
     resources: tuple[Resource, ...] = ()
-    steps: tuple[frozenset[str], ...] = ()         # names touched by the last steps, the newest last
+    steps: tuple[frozenset[str], ...] = ()  # names touched by the last steps, the newest last
     serial: int = 0
     line: _Line = field(default_factory=_Line)
 
@@ -131,9 +135,12 @@
             return frozenset()
         behind = self.serial - old.serial
         if old.line is self.line and 0 <= behind <= len(self.steps):
-            return frozenset().union(*self.steps[len(self.steps) - behind:])
-        return {name for name in self.by_name.keys() | old.by_name.keys()
-                if self.by_name.get(name) is not old.by_name.get(name)}
+            return frozenset().union(*self.steps[len(self.steps) - behind :])
+        return {
+            name
+            for name in self.by_name.keys() | old.by_name.keys()
+            if self.by_name.get(name) is not old.by_name.get(name)
+        }
 
     def step(self, generation: int, changes: Mapping[str, Resource | None]) -> Collection:
         """The next collection: resources by name, None for those that are gone; itself if nothing changes."""
@@ -150,11 +157,16 @@
         known = len(real) <= TOUCHED_MOST
         steps = (*self.steps, frozenset(real))[-STEPS_KEPT:] if known else ()
         return Collection(
-            self.type_url, stamp(generation, f"{total % 2 ** 64:0{DIGEST_DIGITS}x}"),
-            MappingProxyType(by_name), total % 2 ** 64,
+            self.type_url,
+            stamp(generation, f"{total % 2**64:0{DIGEST_DIGITS}x}"),
+            MappingProxyType(by_name),
+            total % 2**64,
             min((r.ttl_us for r in by_name.values() if r.ttl_us is not None), default=None),
-            tuple(by_name[name] for name in sorted(by_name)), steps, self.serial + 1,
-            self.line if known else _Line())
+            tuple(by_name[name] for name in sorted(by_name)),
+            steps,
+            self.serial + 1,
+            self.line if known else _Line(),
+        )
 
 
 def _unchanged(old: Resource | None, new: Resource | None) -> bool:
@@ -184,8 +196,12 @@
     @classmethod
     def empty(cls, generation: int = 0) -> Snapshot:
         """Nothing of any type."""
-        return cls(generation, MappingProxyType({
-            type_url: Collection(type_url, stamp(generation, "0" * DIGEST_DIGITS)) for type_url in TYPES}))
+        return cls(
+            generation,
+            MappingProxyType(
+                {type_url: Collection(type_url, stamp(generation, "0" * DIGEST_DIGITS)) for type_url in TYPES}
+            ),
+        )
 
     @classmethod
     def of(cls, generation: int, resources: Iterable[Resource], before: Snapshot | None = None) -> Snapshot:
@@ -195,12 +211,17 @@
         for resource in resources:
             if told[_known(resource.type_url)].setdefault(resource.name, resource) is not resource:
                 raise ValueError(f"resources: {resource.name!r} is told twice as a {resource.type_url}")
-        gone = [(type_url, name) for type_url in TYPES
-                for name in before.collections[type_url].by_name if name not in told[type_url]]
+        gone = [
+            (type_url, name)
+            for type_url in TYPES
+            for name in before.collections[type_url].by_name
+            if name not in told[type_url]
+        ]
         return before.next(generation, (r for group in told.values() for r in group.values()), gone)
 
-    def next(self, generation: int, changed: Iterable[Resource] = (),
-             removed: Iterable[tuple[str, str]] = ()) -> Snapshot:
+    def next(
+        self, generation: int, changed: Iterable[Resource] = (), removed: Iterable[tuple[str, str]] = ()
+    ) -> Snapshot:
         """This snapshot with some resources new or changed, and some (type URL, name) removed."""
         if generation < self.generation:
             raise ValueError(f"generation: {generation} is older than {self.generation}; go on from it")
@@ -209,16 +230,24 @@
             steps.setdefault(_known(type_url), {})[name] = None
         for resource in changed:
             steps.setdefault(_known(resource.type_url), {})[resource.name] = resource
-        collections = {type_url: collection.step(generation, steps.get(type_url, {}))
-                       for type_url, collection in self.collections.items()}
+        collections = {
+            type_url: collection.step(generation, steps.get(type_url, {}))
+            for type_url, collection in self.collections.items()
+        }
         left = [old for type_url, old in self.collections.items() if collections[type_url] is not old]
         return Snapshot(generation, MappingProxyType(collections), (*self.former, *left)[-FORMER_KEPT:])
 
     def find(self, type_url: str, version: str) -> Collection | None:
         """The collection whose version has this one's digest, whoever stamped it; None if it is not known."""
         digest = digest_of(version)
-        return next((collection for collection in (self.collections[type_url], *reversed(self.former))
-                     if collection.type_url == type_url and digest_of(collection.version) == digest), None)
+        return next(
+            (
+                collection
+                for collection in (self.collections[type_url], *reversed(self.former))
+                if collection.type_url == type_url and digest_of(collection.version) == digest
+            ),
+            None,
+        )
 
     def __iter__(self) -> Iterator[Resource]:
         """Every resource, type by type."""
@@ -229,12 +258,16 @@
         found = {}
         for type_url, now in self.collections.items():
             before = old.collections[type_url]
-            names = [name for name in sorted(now.touched_since(before))
-                     if not _unchanged(before.by_name.get(name), now.by_name.get(name))]
+            names = [
+                name
+                for name in sorted(now.touched_since(before))
+                if not _unchanged(before.by_name.get(name), now.by_name.get(name))
+            ]
             if names:
                 found[type_url] = Difference(
                     tuple(now.by_name[name] for name in names if name in now.by_name),
-                    tuple(name for name in names if name not in now.by_name))
+                    tuple(name for name in names if name not in now.by_name),
+                )
         return found
 
 
--- a/roadlb/xds/sotw.py
+++ b/roadlb/xds/sotw.py
@@ -27,24 +27,21 @@
 from .stream import Stream, part, too_much
 from .subscription import Subscription
 
-WHOLE = frozenset({CLUSTER, LISTENER})       # types of which a response has all there are
-PART_BYTES_MOST = 1 << 20                    # of bodies in a response of the other types; the rest goes next
+WHOLE = frozenset({CLUSTER, LISTENER})  # types of which a response has all there are
+PART_BYTES_MOST = 1 << 20  # of bodies in a response of the other types; the rest goes next
 
 TABLE = {
     (Phase.NEW, Said.NOTHING): (Step.SUBSCRIBE, Step.SHOW),
     (Phase.NEW, Said.STALE): (Step.END,),
     (Phase.NEW, Said.REFUSES_NOTHING): (Step.END,),
-
     (Phase.SILENT, Said.NOTHING): (Step.SUBSCRIBE,),
     (Phase.SILENT, Said.STALE): (),
     (Phase.SILENT, Said.REFUSES_NOTHING): (Step.SUBSCRIBE,),
-
     (Phase.WAITING, Said.ACK): (Step.ACCEPT, Step.SUBSCRIBE),
     (Phase.WAITING, Said.NACK): (Step.REFUSE, Step.SUBSCRIBE),
     (Phase.WAITING, Said.STALE): (Step.DOUBT,),
     (Phase.WAITING, Said.NOTHING): (Step.DOUBT,),
     (Phase.WAITING, Said.REFUSES_NOTHING): (),
-
     (Phase.ANSWERED, Said.REPEAT): (Step.SUBSCRIBE,),
     (Phase.ANSWERED, Said.STALE): (Step.DOUBT,),
     (Phase.ANSWERED, Said.NOTHING): (Step.DOUBT,),
@@ -83,7 +80,7 @@
         names.discard(WILDCARD)
         entered = wildcard and not subscription.wildcard
         if subscription.wildcard and not wildcard:
-            subscription.add(names)              # first, so that what was sent of them stays known
+            subscription.add(names)  # first, so that what was sent of them stays known
             subscription.leave_wildcard()
         subscription.drop(subscription.names - names)
         if entered:
@@ -118,8 +115,9 @@
             resources = tuple(newest.by_name[name] for name in told)
             return self._response(subscription, newest.version, nonce, resources), told
         kept = () if breaks else self._kept(subscription, owed.gone)
-        told = sorted((subscription.differs.keys() | subscription.again)
-                      .difference(() if breaks else owed.gone))
+        told = sorted(
+            (subscription.differs.keys() | subscription.again).difference(() if breaks else owed.gone)
+        )
         version = newest.version
         if kept:
             version = stamp(generation_of(version), digest_with(newest, kept))
@@ -135,14 +133,18 @@
                 return None
             resources = self._whole(subscription)
         else:
-            resources = tuple(resource for resource in self._whole(subscription)
-                              if resource.ttl_us is not None and resource.name not in subscription.differs)
+            resources = tuple(
+                resource
+                for resource in self._whole(subscription)
+                if resource.ttl_us is not None and resource.name not in subscription.differs
+            )
         if not resources:
             return None
         return self._response(subscription, subscription.newest.version, nonce, resources)
 
-    def _response(self, subscription: Subscription, version: str, nonce: str,
-                  resources: tuple[Resource, ...]) -> DiscoveryResponse:
+    def _response(
+        self, subscription: Subscription, version: str, nonce: str, resources: tuple[Resource, ...]
+    ) -> DiscoveryResponse:
         return DiscoveryResponse(subscription.type_url, version, nonce, self.with_ttl(resources))
 
     @staticmethod
--- a/roadlb/xds/stream.py
+++ b/roadlb/xds/stream.py
@@ -52,7 +52,7 @@
 NAMES_MOST = 10_000
 NAME_CHARS_MOST = 512
 TTL_FEATURES = frozenset({"xds.config.supports-resource-ttl", "xds.config.supports-resource-in-sotw"})
-BEATS_PER_TTL = 3            # two may be late by a whole interval before anything expires
+BEATS_PER_TTL = 3  # two may be late by a whole interval before anything expires
 
 
 class Stream(ABC):
@@ -66,7 +66,7 @@
         self.node: Node | None = None
         self.ended = False
         self.wake_at: int | None = None
-        self.floor = 0                       # the newest generation that the subscriber has shown
+        self.floor = 0  # the newest generation that the subscriber has shown
         self.snapshot, self._writable, self._nonces = snapshot, True, 0
         self._subscriptions: dict[str, Subscription] = {}
         self._order, self._pace = Order(self._subscriptions), Pace()
@@ -81,17 +81,27 @@
     @property
     def quiet(self) -> bool:
         """Whether all that was published is told and answered, nothing of it refused."""
-        return self.snapshot is not None and self.floor <= self.generation and not any(
-            s.flight is not None or s.differs or s.again or s.greet for s in self._subscriptions.values())
+        return (
+            self.snapshot is not None
+            and self.floor <= self.generation
+            and not any(
+                s.flight is not None or s.differs or s.again or s.greet for s in self._subscriptions.values()
+            )
+        )
 
     @property
     def kept(self) -> int:
         """How many names are kept, over all types: for each type at most five times those there, NAMES_MOST
         that are asked for, and GONE_MOST each that are gone and must stay or whose removal was refused.
         """
-        return sum(len(s.names) + len(s.differs) + len(s.again) + len(s.refused)
-                   + (len(s.flight.names) if s.flight is not None else 0)
-                   for s in self._subscriptions.values())
+        return sum(
+            len(s.names)
+            + len(s.differs)
+            + len(s.again)
+            + len(s.refused)
+            + (len(s.flight.names) if s.flight is not None else 0)
+            for s in self._subscriptions.values()
+        )
 
     def handle(self, now: int, event: Event) -> list[Action]:
         """One event at `now`, in microseconds of a monotonic clock.  After the end, nothing."""
@@ -150,8 +160,11 @@
         subscription = self._subscriptions.get(type_url)
         steps = self.table[phase_of(subscription), said(request, subscription)]
         if Step.END in steps:
-            self._end(f"the first request of {type_url} answers nonce {request.response_nonce!r}, which this "
-                      "stream never sent: start with an empty response_nonce and no error_detail", actions)
+            self._end(
+                f"the first request of {type_url} answers nonce {request.response_nonce!r}, which this "
+                "stream never sent: start with an empty response_nonce and no error_detail",
+                actions,
+            )
             return
         if subscription is None:
             subscription = self._subscriptions[type_url] = Subscription(type_url, self.tells_gone(type_url))
@@ -180,8 +193,15 @@
         flight = subscription.flight
         assert flight is not None and request.error_detail is not None
         subscription.refuse()
-        actions.append(Nacked(subscription.type_url, flight.nonce, flight.version, subscription.accepted,
-                              request.error_detail))
+        actions.append(
+            Nacked(
+                subscription.type_url,
+                flight.nonce,
+                flight.version,
+                subscription.accepted,
+                request.error_detail,
+            )
+        )
 
     def _end(self, reason: str, actions: list[Action]) -> None:
         self.ended, self.wake_at = True, None
@@ -250,8 +270,9 @@
                 wakes.append(at)
         self.wake_at = min(wakes, default=None)
 
-    def _may_go(self, subscription: Subscription, waits: int | None, now: int, held: set[Hold],
-                wakes: list[int]) -> bool:
+    def _may_go(
+        self, subscription: Subscription, waits: int | None, now: int, held: set[Hold], wakes: list[int]
+    ) -> bool:
         """Whether what is owed of a type may go by its order and by its pace; if not, until when it waits."""
         asked = subscription.asked and not subscription.owed().change
         paced = self._pace.free_at() if asked else now
--- a/roadlb/xds/subscription.py
+++ b/roadlb/xds/subscription.py
@@ -44,26 +44,43 @@
 class Subscription:
     """One type on one stream.  `tells_gone`: whether the variant has a way to say that a name is gone."""
 
-    __slots__ = ("type_url", "tells_gone", "wildcard", "names", "newest", "differs", "again", "refused",
-                 "retry", "greet", "asked", "named", "shown", "flight", "nonce", "accepted", "beat_at",
-                 "_owed")
+    __slots__ = (
+        "type_url",
+        "tells_gone",
+        "wildcard",
+        "names",
+        "newest",
+        "differs",
+        "again",
+        "refused",
+        "retry",
+        "greet",
+        "asked",
+        "named",
+        "shown",
+        "flight",
+        "nonce",
+        "accepted",
+        "beat_at",
+        "_owed",
+    )
 
     def __init__(self, type_url: str, tells_gone: bool) -> None:
         self.type_url, self.tells_gone = type_url, tells_gone
         self.wildcard = False
-        self.names: set[str] = set()                     # asked for by name
+        self.names: set[str] = set()  # asked for by name
         self.newest = Collection(type_url)
         self.differs: dict[str, Resource | None] = {}
-        self.again: set[str] = set()                     # to be told whatever was sent
-        self.refused: dict[str, str | None] = {}         # the version refused, None: that it is gone
-        self.retry = False                               # one of those refused is something else since
-        self.greet = False                               # a response is due even if there is nothing to tell
-        self.asked = False                               # what is owed was asked for, by a request
-        self.named = False                               # a request of this stream had names
-        self.shown = ""                                  # version shown at first, until something is sent
+        self.again: set[str] = set()  # to be told whatever was sent
+        self.refused: dict[str, str | None] = {}  # the version refused, None: that it is gone
+        self.retry = False  # one of those refused is something else since
+        self.greet = False  # a response is due even if there is nothing to tell
+        self.asked = False  # what is owed was asked for, by a request
+        self.named = False  # a request of this stream had names
+        self.shown = ""  # version shown at first, until something is sent
         self.flight: Flight | None = None
-        self.nonce = self.accepted = ""                  # of the last response; last version accepted
-        self.beat_at: int | None = None                  # when TTLs have to be prolonged
+        self.nonce = self.accepted = ""  # of the last response; last version accepted
+        self.beat_at: int | None = None  # when TTLs have to be prolonged
         self._owed: Owed | None = None
 
     def wants(self, name: str) -> bool:
@@ -84,7 +101,7 @@
                 added.append(name)
                 self._owe(name, None)
             known = self.newest.by_name.get(name)
-            self.names.add(known.name if known is not None else name)       # one string for all streams
+            self.names.add(known.name if known is not None else name)  # one string for all streams
         self._owed = None
         return added
 
@@ -189,7 +206,7 @@
             self.again.discard(name)
             if name in self.refused:
                 self.retry = self.refused.pop(name) != names[name] or self.retry
-        self.differs, self.again = self.differs or {}, self.again or set()     # emptied ones keep their size
+        self.differs, self.again = self.differs or {}, self.again or set()  # emptied ones keep their size
         self.retry = self.retry and bool(self.refused)
         self.greet, self.asked, self.shown, self._owed = False, False, "", None
         self.prolonged(nonce, version, generation, names)
@@ -220,6 +237,6 @@
     def _forget(self, name: str) -> None:
         self.differs.pop(name, None)
         self.again.discard(name)
-        if name in self.refused:                         # it may have been the one at fault
+        if name in self.refused:  # it may have been the one at fault
             del self.refused[name]
             self.retry = bool(self.refused)
--- a/setup.py
+++ b/setup.py
@@ -8,12 +8,36 @@
 
 from setuptools import setup
 
-HOT = ("clock", "wheel", "flow", "exchange", "engine", "routing/cold", "routing/key_order",
-       "routing/key_sets", "routing/shares", "routing/standing", "sites/events", "sites/life",
-       "sites/refusal", "sites/warmth", "sites/work_in_hand", "policy/interface", "policy/state",
-       "policy/change", "policy/logic", "net/headers", "net/http",
-       "net/client_connection", "net/service_client", "net/instance_connection", "net/pool",
-       "net/instances", "overload/pulse", "own_load")
+HOT = (
+    "clock",
+    "wheel",
+    "flow",
+    "exchange",
+    "engine",
+    "routing/cold",
+    "routing/key_order",
+    "routing/key_sets",
+    "routing/shares",
+    "routing/standing",
+    "sites/events",
+    "sites/life",
+    "sites/refusal",
+    "sites/warmth",
+    "sites/work_in_hand",
+    "policy/interface",
+    "policy/state",
+    "policy/change",
+    "policy/logic",
+    "net/headers",
+    "net/http",
+    "net/client_connection",
+    "net/service_client",
+    "net/instance_connection",
+    "net/pool",
+    "net/instances",
+    "overload/pulse",
+    "own_load",
+)
 
 
 def compiled() -> list:
@@ -22,8 +46,11 @@
     from mypyc.build import mypycify
 
     # Level 1: level 3 takes half as long again to compile, and gains nothing that can be told.
-    return mypycify([f"roadlb/{module}.py" for module in HOT], opt_level="1",
-                    target_dir=os.environ.get("ROADLB_TEMP", "build"))
+    return mypycify(
+        [f"roadlb/{module}.py" for module in HOT],
+        opt_level="1",
+        target_dir=os.environ.get("ROADLB_TEMP", "build"),
+    )
 
 
 setup(ext_modules=compiled())
--- a/tests/admin/test_door.py
+++ b/tests/admin/test_door.py
@@ -24,8 +24,10 @@
     def fault() -> tuple[int, str]:
         raise RuntimeError
 
-    one = Door({("GET", "/ready"): lambda: (200, "yes"), ("PUT", "/change"): change,
-                ("GET", "/fault"): fault}, Counters())
+    one = Door(
+        {("GET", "/ready"): lambda: (200, "yes"), ("PUT", "/change"): change, ("GET", "/fault"): fault},
+        Counters(),
+    )
     await one.listen(Address("127.0.0.1", 0))
     return one, done
 
@@ -40,25 +42,29 @@
     return answer
 
 
-@pytest.mark.parametrize("ask, said", [
-    (b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n", b"HTTP/1.1 200 "),
-    (b"GET /ready?verbose=1 HTTP/1.0\r\n\r\n", b"HTTP/1.1 200 "),
-    (b"PUT /change HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}", b"HTTP/1.1 200 "),
-    (b"GET /change HTTP/1.1\r\nHost: x\r\n\r\n", b"HTTP/1.1 405 Method Not Allowed\r\n"),
-    (b"GET /other HTTP/1.1\r\nHost: x\r\n\r\n", b"HTTP/1.1 404 "),
-    (b"GET /fault HTTP/1.1\r\nHost: x\r\n\r\n", b"HTTP/1.1 500 "),
-    (b"noise\r\n\r\n", b"HTTP/1.1 400 "),
-    (b"GET /ready HTTP/1.1\r\nX: " + b"x" * HEAD_MOST, b"HTTP/1.1 400 "),
-])
+@pytest.mark.parametrize(
+    "ask, said",
+    [
+        (b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n", b"HTTP/1.1 200 "),
+        (b"GET /ready?verbose=1 HTTP/1.0\r\n\r\n", b"HTTP/1.1 200 "),
+        (b"PUT /change HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}", b"HTTP/1.1 200 "),
+        (b"GET /change HTTP/1.1\r\nHost: x\r\n\r\n", b"HTTP/1.1 405 Method Not Allowed\r\n"),
+        (b"GET /other HTTP/1.1\r\nHost: x\r\n\r\n", b"HTTP/1.1 404 "),
+        (b"GET /fault HTTP/1.1\r\nHost: x\r\n\r\n", b"HTTP/1.1 500 "),
+        (b"noise\r\n\r\n", b"HTTP/1.1 400 "),
+        (b"GET /ready HTTP/1.1\r\nX: " + b"x" * HEAD_MOST, b"HTTP/1.1 400 "),
+    ],
+)
 def test_one_call_one_answer_and_the_connection_ends(ask: bytes, said: bytes) -> None:
     async def main() -> None:
         one, _ = await opened()
-        cut = len(ask) if b" 400 " not in said else 0      # what cannot be read is answered before its end
-        for pieces in ((ask,), (*(ask[i:i + 1] for i in range(cut)), ask[cut:])):
+        cut = len(ask) if b" 400 " not in said else 0  # what cannot be read is answered before its end
+        for pieces in ((ask,), (*(ask[i : i + 1] for i in range(cut)), ask[cut:])):
             answer = await call(one, *pieces)
             assert answer.startswith(said) and answer.count(b"HTTP/1.1 ") == 1
             assert b"Connection: close" in answer and (b" 405 " not in answer or b"Allow: PUT\r\n" in answer)
         await one.close()
+
     run(main())
 
 
@@ -75,6 +81,7 @@
         assert await asyncio.wait_for(reader.read(), LIMIT_S) == b""
         await one.close()
         assert not one.open
+
     run(main())
 
 
@@ -83,4 +90,5 @@
     assert text == (
         "edge_proxy.answered.read:3|c\nedge_proxy.deferred.read:0|c\nedge_proxy.errored.read:0|c\n"
         "edge_proxy.answered.order:0|c\nedge_proxy.deferred.order:0|c\nedge_proxy.errored.order:0|c\n"
-        "edge_proxy.sends:4|c\nedge_proxy.current:1|g\n")
+        "edge_proxy.sends:4|c\nedge_proxy.current:1|g\n"
+    )
--- a/tests/agreement/test_deciders.py
+++ b/tests/agreement/test_deciders.py
@@ -5,9 +5,43 @@
 from dataclasses import replace
 
 from roadlb.agreement.events import (
-    NOTHING, Ack, Apply, Ask, Book, Contents, Deposed, Exclude, Fenced, From, Heard, InForce, Keep, KeepRoll,
-    Kept, Leading, Lease, Memory, Nack, Offered, Prepare, Propose, Pulse, Remember, Remembered, Reported,
-    Restarted, RollKept, Standing, Tell, To, Unkept, Version, VersionId, Withdrawn, Word)
+    NOTHING,
+    Ack,
+    Apply,
+    Ask,
+    Book,
+    Contents,
+    Deposed,
+    Exclude,
+    Fenced,
+    From,
+    Heard,
+    InForce,
+    Keep,
+    KeepRoll,
+    Kept,
+    Leading,
+    Lease,
+    Memory,
+    Nack,
+    Offered,
+    Prepare,
+    Propose,
+    Pulse,
+    Remember,
+    Remembered,
+    Reported,
+    Restarted,
+    RollKept,
+    Standing,
+    Tell,
+    To,
+    Unkept,
+    Version,
+    VersionId,
+    Withdrawn,
+    Word,
+)
 from roadlb.agreement.follower import Follower
 from roadlb.agreement.issuer import FORGET_US, MOST_FOLLOWERS, Issuer, State
 from roadlb.agreement.lease import Timing
@@ -22,7 +56,7 @@
 
 
 def version(number: int, epoch: int = 1, **told: object) -> Version:
-    return Version(VersionId(epoch, number), contents(**told))     # type: ignore[arg-type]
+    return Version(VersionId(epoch, number), contents(**told))  # type: ignore[arg-type]
 
 
 def follower(memory: Memory | None = None, now: int = 0) -> Follower:
@@ -75,7 +109,7 @@
     lease(one, 2 * S, VersionId(1, 1))
     one.handle(2 * S, Offered(Prepare(1, version(2, attempts=1))))
     assert one.allowed(2 * S, "limits.max_attempts") == "1"
-    take(one, 3 * S, version(3))                                   # back to the first
+    take(one, 3 * S, version(3))  # back to the first
     assert one.allowed(3 * S, "limits.max_attempts") == "1"
     assert one.standing(3 * S) is Standing.NARROWED
     lease(one, 4 * S, VersionId(1, 3))
@@ -86,9 +120,11 @@
     one = follower()
     take(one, S, version(1))
     one.handle(2 * S, Pulse())
-    for answer in (Lease(1, VersionId(1, 1), 6, one.number, TIMING.lease_us),
-                   Lease(1, VersionId(1, 1), 7, one.number + 9, TIMING.lease_us),
-                   Lease(1, VersionId(1, 2), 7, one.number, TIMING.lease_us)):
+    for answer in (
+        Lease(1, VersionId(1, 1), 6, one.number, TIMING.lease_us),
+        Lease(1, VersionId(1, 1), 7, one.number + 9, TIMING.lease_us),
+        Lease(1, VersionId(1, 2), 7, one.number, TIMING.lease_us),
+    ):
         assert one.handle(2 * S, Heard(answer)) == [] and not one.granted(2 * S)
 
 
@@ -107,7 +143,7 @@
     assert one.handle(2 * S, Offered(Prepare(1, version(4)))) == []
     assert sent(one.handle(2 * S, Offered(Prepare(1, version(5)))), Ack) == [Ack(VersionId(1, 5))]
     [nack] = sent(one.handle(2 * S, Offered(Prepare(1, version(5, attempts=9)))), Nack)
-    assert "raise the epoch" in nack.reason                        # type: ignore[attr-defined]
+    assert "raise the epoch" in nack.reason  # type: ignore[attr-defined]
 
 
 def test_a_refused_version_changes_nothing_and_names_why() -> None:
@@ -118,7 +154,7 @@
     assert sent(done, Nack) == [Nack(VersionId(1, 2), "hall_emptied: hall a")] and one.bound is before
     odd = Version(VersionId(1, 3), Contents({"limits.max_attemps": "3"}))
     [nack] = sent(one.handle(2 * S, Offered(Prepare(1, odd))), Nack)
-    assert "limits.max_attemps" in nack.reason                     # type: ignore[attr-defined]
+    assert "limits.max_attemps" in nack.reason  # type: ignore[attr-defined]
 
 
 def leader(now: int = 0, book: Book | None = None, epoch: int = 1) -> Issuer:
@@ -141,8 +177,9 @@
 def ask(one: Issuer, now: int, name: str, told: int, force: int, number: int) -> list[object]:
     if one.sure_until > now and len(one.peers) < MOST_FOLLOWERS:
         enrol(one, now, name)
-    return list(one.handle(now, From(name, Ask(1, number, one.epoch, VersionId(1, force),
-                                               VersionId(1, told)))))
+    return list(
+        one.handle(now, From(name, Ask(1, number, one.epoch, VersionId(1, force), VersionId(1, told))))
+    )
 
 
 def test_a_grant_waits_for_each_holder_or_for_its_lease_to_be_surely_gone() -> None:
@@ -155,24 +192,25 @@
     gone = S + TIMING.gone_us
     assert not [a for a in one.handle(gone - 1, Pulse()) if isinstance(a, Keep)]
     assert [a for a in one.handle(gone, Pulse()) if isinstance(a, Keep)] == [
-        Keep(1, Book(one.prepared, None))]
+        Keep(1, Book(one.prepared, None))
+    ]
     assert not sent(ask(one, gone, "a", 2, 1, 3), InForce)
     done = one.handle(gone, Kept(VersionId(1, 2)))
     assert {a.follower for a in done if isinstance(a, To)} == {"a", "b"}
     [granted] = sent(ask(one, gone, "a", 2, 1, 4), Lease)
-    assert granted.id == VersionId(1, 2)                           # type: ignore[attr-defined]
+    assert granted.id == VersionId(1, 2)  # type: ignore[attr-defined]
 
 
 def test_a_new_leader_has_its_own_version_prepared_renews_and_waits_before_it_grants() -> None:
     one = Issuer(TIMING)
     one.handle(0, Leading(5, LONG, Book(version(1), version(2, attempts=1))))
     [told] = sent(ask(one, 1, "a", 1, 1, 1), Prepare)
-    assert told.version == Version(VersionId(5, 3), contents(attempts=1))     # type: ignore[attr-defined]
+    assert told.version == Version(VersionId(5, 3), contents(attempts=1))  # type: ignore[attr-defined]
     done = one.handle(3, From("a", Ack(VersionId(5, 3))))
     assert one.state is State.PREPARING and not [a for a in done if isinstance(a, Keep)]
     keeps = Ask(1, 2, 5, VersionId(1, 1), VersionId(5, 3))
     [lease] = sent(one.handle(4, From("a", keeps)), Lease)
-    assert lease.id == VersionId(1, 1)                             # type: ignore[attr-defined]
+    assert lease.id == VersionId(1, 1)  # type: ignore[attr-defined]
     assert [a for a in one.handle(TIMING.gone_us, Pulse()) if isinstance(a, Keep)]
 
 
@@ -206,7 +244,7 @@
     assert one.handle(2 * S, Propose(contents(attempts=9, pool="q"))) == []
     assert one.pending is not None
     done = one.handle(2 * S, Propose(contents(attempts=1, pool="q")))
-    assert [m.version.id.number for m in sent(done, Prepare)] == [3]     # type: ignore[attr-defined]
+    assert [m.version.id.number for m in sent(done, Prepare)] == [3]  # type: ignore[attr-defined]
 
 
 def test_without_the_store_nothing_is_granted_and_what_narrows_goes_out() -> None:
@@ -230,7 +268,7 @@
     assert one.state is State.KEEPING
     assert [a for a in one.handle(4 * S, Pulse()) if isinstance(a, Keep)]
     narrow = one.handle(4 * S, Propose(contents(attempts=1, pool="q")))
-    assert [a.book.force.id.number for a in narrow if isinstance(a, Keep)] == [2]    # type: ignore[union-attr]
+    assert [a.book.force.id.number for a in narrow if isinstance(a, Keep)] == [2]  # type: ignore[union-attr]
     assert not sent(ask(one, 4 * S, "a", 3, 1, 2), Lease), "which one is in force is not known"
 
 
@@ -238,10 +276,12 @@
     one = leader()
     one.sure_until = S
     assert one.handle(S, From("a", Fenced(2)))[0] == Reported(
-        Word.DEPOSED, VersionId(1, 1), text="a has heard epoch 2, this one is 1")
+        Word.DEPOSED, VersionId(1, 1), text="a has heard epoch 2, this one is 1"
+    )
     assert one.state is State.IDLE and one.handle(S, Deposed()) == []
     assert [a.word for a in one.handle(S, Leading(1, LONG, Book())) if isinstance(a, Reported)] == [
-        Word.DECLINED]
+        Word.DECLINED
+    ]
 
 
 def test_a_follower_with_the_memory_of_another_fleet_deposes_nobody() -> None:
@@ -257,7 +297,7 @@
     one = leader(book=Book(version(3)))
     one.handle(S, Propose(contents(pool="q")))
     told = sent(ask(one, S, "a", 1, 1, 1), Prepare)
-    assert [m.version.id.number for m in told] == [3, 4]           # type: ignore[attr-defined]
+    assert [m.version.id.number for m in told] == [3, 4]  # type: ignore[attr-defined]
     assert not sent(one.handle(S, From("a", Ack(VersionId(1, 3)))), Prepare), "on its way"
 
 
@@ -288,7 +328,7 @@
     assert [a.word for a in done if isinstance(a, Reported)] == [Word.UNKNOWN]
     done = one.handle(S, Propose(replace(contents())))
     [told] = sent(done, Prepare)
-    assert told.version.id > VersionId(1, 4)                       # type: ignore[attr-defined]
+    assert told.version.id > VersionId(1, 4)  # type: ignore[attr-defined]
 
 
 def rolls(actions: list[object]) -> list[KeepRoll]:
@@ -301,12 +341,13 @@
     assert rolls(done) == [KeepRoll(1, 1, frozenset("a"))] and not sent(done, Lease)
     assert not rolls(one.handle(S, From("b", replace(told)))), "one write at a time"
     assert not rolls(one.handle(S + TIMING.renew_us - 1, Pulse()))
-    [again] = rolls(one.handle(S + TIMING.renew_us, Pulse()))        # no answer: asked anew, with b as well
+    [again] = rolls(one.handle(S + TIMING.renew_us, Pulse()))  # no answer: asked anew, with b as well
     assert again == KeepRoll(1, 2, frozenset("ab"))
     assert not one.handle(S + TIMING.renew_us, RollKept(1)), "an answer to what was asked before"
     done = one.handle(2 * S, RollKept(2))
     assert [(a.follower, a.message) for a in done if isinstance(a, To)] == [
-        (name, InForce(1, VersionId(1, 1))) for name in "ab"], "they are to ask again"
+        (name, InForce(1, VersionId(1, 1))) for name in "ab"
+    ], "they are to ask again"
     for number in range(2, 6):
         done = one.handle(3 * S + number, From("a", replace(told, number=number)))
         assert sent(done, Lease) and not rolls(done)
--- a/tests/agreement/test_hard_cases.py
+++ b/tests/agreement/test_hard_cases.py
@@ -20,7 +20,7 @@
             self.refused += 1
             self.tell_follower(f, self.lives[f], Offered(message, "hall_emptied: hall b is gone"))
         else:
-            super()._heard(f, message)      # type: ignore[arg-type]
+            super()._heard(f, message)  # type: ignore[arg-type]
 
 
 class OneIsSilent(Fleet):
--- a/tests/agreement/test_model.py
+++ b/tests/agreement/test_model.py
@@ -21,14 +21,23 @@
     assert found.wrong and found.way, f"{found.states} states"
 
 
-@pytest.mark.parametrize("shape", [
-    Shape(issuers=1, rates=RATES, ticks=3, on_the_way=1),
-    Shape(issuers=1, rates=(5, 3, 4), ticks=2, nacks=1, on_the_way=1),
-    Shape(followers=1, rates=(4, 4, 5), ticks=2, seats=1, on_the_way=1),
-    Shape(ticks=3, seats=1, renews=1, proposals=(), on_the_way=1),
-    replace(STREAMS, issuer=Stubborn),
-], ids=["two followers", "a refusal", "two issuers", "a new leader that has not heard of all",
-        "streams, and a leader that goes on"])
+@pytest.mark.parametrize(
+    "shape",
+    [
+        Shape(issuers=1, rates=RATES, ticks=3, on_the_way=1),
+        Shape(issuers=1, rates=(5, 3, 4), ticks=2, nacks=1, on_the_way=1),
+        Shape(followers=1, rates=(4, 4, 5), ticks=2, seats=1, on_the_way=1),
+        Shape(ticks=3, seats=1, renews=1, proposals=(), on_the_way=1),
+        replace(STREAMS, issuer=Stubborn),
+    ],
+    ids=[
+        "two followers",
+        "a refusal",
+        "two issuers",
+        "a new leader that has not heard of all",
+        "streams, and a leader that goes on",
+    ],
+)
 def test_every_state_of_a_small_world_holds(shape: Shape) -> None:
     found = explore(shape, 50_000, recover_each=200)
     assert found.whole and not found.wrong, "\n".join((found.wrong, *found.way))
@@ -43,9 +52,19 @@
 @settings(max_examples=30, deadline=None, suppress_health_check=[HealthCheck.too_slow])
 @given(st.lists(st.integers(0, 10**6), min_size=20, max_size=70))
 def test_any_schedule_of_a_larger_world_holds(choices: list[int]) -> None:
-    world = steady(Shape(
-        followers=3, issuers=2, rates=(4, 3, 5, 4, 5), ticks=30, crashes=2, doubles=3, nacks=1, seats=3,
-        proposals=(SECOND, FIRST, THIRD, SECOND)))
+    world = steady(
+        Shape(
+            followers=3,
+            issuers=2,
+            rates=(4, 3, 5, 4, 5),
+            ticks=30,
+            crashes=2,
+            doubles=3,
+            nacks=1,
+            seats=3,
+            proposals=(SECOND, FIRST, THIRD, SECOND),
+        )
+    )
     way = []
     for choice in choices:
         steps = list(world.steps())
--- a/tests/agreement/test_rules.py
+++ b/tests/agreement/test_rules.py
@@ -22,7 +22,7 @@
 @pytest.mark.parametrize("kind", [Settings, RequestClass, Tenant, Endpoint, Cluster, LocalityGroup, Drop])
 def test_each_field_has_a_line_and_each_line_a_field(kind: type) -> None:
     fields = {f"{kind.__name__}.{field.name}" for field in dataclasses.fields(kind)}
-    inner = {"Settings.classes", "Settings.tenants"}       # by their fields, and counted in a path each
+    inner = {"Settings.classes", "Settings.tenants"}  # by their fields, and counted in a path each
     lines = {line.of for line in table.TABLE.values() if line.of.startswith(f"{kind.__name__}.")}
     assert fields - inner == lines - inner
 
@@ -33,7 +33,7 @@
             super().__init__(values)
             self.asked: set[str] = set()
 
-        def get(self, key: str, default: object = None) -> object:      # type: ignore[override]
+        def get(self, key: str, default: object = None) -> object:  # type: ignore[override]
             self.asked.add(key)
             return super().get(key, default)
 
@@ -55,30 +55,65 @@
         assert line.free or line.floor != table.KEEP or rules.keeps(line.key)
 
 
-def settings_of(effect: str = "idempotent", attempts: str = "3", quota: str = "50", pool: str = "",
-                copies: str = "true", name: str = "read", instances: str = "12") -> dict[str, str]:
-    return {"classes.count": "1", "classes.0.name": name, "classes.0.effect": effect, "tenants.count": "1",
-            "tenants.0.name": "t", "tenants.0.quota_per_s": quota, "limits.max_attempts": attempts,
-            "limits.second_copies": copies, f"routes.{name}": pool, "instances": instances}
+def settings_of(
+    effect: str = "idempotent",
+    attempts: str = "3",
+    quota: str = "50",
+    pool: str = "",
+    copies: str = "true",
+    name: str = "read",
+    instances: str = "12",
+) -> dict[str, str]:
+    return {
+        "classes.count": "1",
+        "classes.0.name": name,
+        "classes.0.effect": effect,
+        "tenants.count": "1",
+        "tenants.0.name": "t",
+        "tenants.0.quota_per_s": quota,
+        "limits.max_attempts": attempts,
+        "limits.second_copies": copies,
+        f"routes.{name}": pool,
+        "instances": instances,
+    }
 
 
 def cluster_of(*nodes: tuple[str, int, Lifecycle, Health, float], drop: int = 0) -> Cluster:
-    endpoints = tuple(Endpoint(NodeId(name, start), "127.0.0.1", 80, lifecycle=life, health=health,
-                               weight=weight) for name, start, life, health, weight in nodes)
+    endpoints = tuple(
+        Endpoint(NodeId(name, start), "127.0.0.1", 80, lifecycle=life, health=health, weight=weight)
+        for name, start, life, health, weight in nodes
+    )
     return Cluster("c", endpoints, drops=(Drop("d", drop),) if drop else ())
 
 
-NODES = st.tuples(st.sampled_from("abc"), st.integers(0, 2), st.sampled_from(Lifecycle),
-                  st.sampled_from(Health), st.sampled_from([0.0, 1.0, 2.0]))
+NODES = st.tuples(
+    st.sampled_from("abc"),
+    st.integers(0, 2),
+    st.sampled_from(Lifecycle),
+    st.sampled_from(Health),
+    st.sampled_from([0.0, 1.0, 2.0]),
+)
 CONTENTS = st.builds(
     lambda settings, clusters: Contents(settings, clusters),
-    st.builds(settings_of, st.sampled_from(["idempotent", "deduplicated", "at_most_once"]),
-              st.sampled_from("123"), st.sampled_from(["0", "20", "50"]), st.sampled_from(["", "p", "q"]),
-              st.sampled_from(["true", "false"]), st.sampled_from(["read", "write"]),
-              st.sampled_from(["11", "12"])),
-    st.dictionaries(st.sampled_from(["c"]), st.builds(
-        lambda nodes, drop: cluster_of(*nodes, drop=drop),
-        st.lists(NODES, max_size=3, unique_by=lambda node: node[0]), st.sampled_from([0, 10, 20]))))
+    st.builds(
+        settings_of,
+        st.sampled_from(["idempotent", "deduplicated", "at_most_once"]),
+        st.sampled_from("123"),
+        st.sampled_from(["0", "20", "50"]),
+        st.sampled_from(["", "p", "q"]),
+        st.sampled_from(["true", "false"]),
+        st.sampled_from(["read", "write"]),
+        st.sampled_from(["11", "12"]),
+    ),
+    st.dictionaries(
+        st.sampled_from(["c"]),
+        st.builds(
+            lambda nodes, drop: cluster_of(*nodes, drop=drop),
+            st.lists(NODES, max_size=3, unique_by=lambda node: node[0]),
+            st.sampled_from([0, 10, 20]),
+        ),
+    ),
+)
 
 
 @given(CONTENTS, CONTENTS)
@@ -90,7 +125,8 @@
 
 @given(CONTENTS, CONTENTS)
 def test_at_its_floor_a_rule_exceeds_another_in_keys_that_keep_their_value_only(
-        a: Contents, b: Contents) -> None:
+    a: Contents, b: Contents
+) -> None:
     lapsed = rules.InUse(VersionId(1, 1), a, rules.floor(a), lapsed=True)
     for used in (b, rules.floor(b), rules.meet(b, a)):
         assert rules.contradict(lapsed, rules.InUse(VersionId(1, 2), b, used, lapsed=False)) == []
@@ -105,10 +141,20 @@
 
 
 def test_classes_are_compared_by_name_not_by_place() -> None:
-    before = {"classes.count": "2", "classes.0.name": "read", "classes.0.effect": "idempotent",
-              "classes.1.name": "order", "classes.1.effect": "at_most_once"}
-    swapped = {"classes.count": "2", "classes.1.name": "read", "classes.1.effect": "idempotent",
-               "classes.0.name": "order", "classes.0.effect": "at_most_once"}
+    before = {
+        "classes.count": "2",
+        "classes.0.name": "read",
+        "classes.0.effect": "idempotent",
+        "classes.1.name": "order",
+        "classes.1.effect": "at_most_once",
+    }
+    swapped = {
+        "classes.count": "2",
+        "classes.1.name": "read",
+        "classes.1.effect": "idempotent",
+        "classes.0.name": "order",
+        "classes.0.effect": "at_most_once",
+    }
     assert rules.exceeds(Contents(swapped), Contents(before)) == []
     gone = {"classes.count": "1", "classes.0.name": "order", "classes.0.effect": "at_most_once"}
     met = rules.meet(Contents(before), Contents(gone))
--- a/tests/agreement_processes/test_agreement_judge.py
+++ b/tests/agreement_processes/test_agreement_judge.py
@@ -13,8 +13,9 @@
 
 def test_the_last_request_of_what_was_taken_away_is_what_counts() -> None:
     turns = [Turn(100, 110, gives=B, takes=A), Turn(500, 510, gives=A, takes=B)]
-    found = judge(turns, sent((90, "x", A), (105, "x", A), (190, "y", A), (300, "x", B), (505, "x", B),
-                              (700, "y", A)))
+    found = judge(
+        turns, sent((90, "x", A), (105, "x", A), (190, "y", A), (300, "x", B), (505, "x", B), (700, "y", A))
+    )
     assert [(one.lasted_us, one.by, one.after_us) for one in found] == [(90, "y", -110), (5, "x", -195)]
     assert all(one.granted for one in found)
 
--- a/tests/agreement_processes/test_directed.py
+++ b/tests/agreement_processes/test_directed.py
@@ -13,7 +13,7 @@
 from roadlb.lab.agreement.ends import DidNotCome
 from roadlb.lab.agreement.judge import Sent, Turn
 
-BOUND_S, MARGIN_S, SEAT_S = 4.0, 1.0, 3      # a margin that a busy machine does not use up
+BOUND_S, MARGIN_S, SEAT_S = 4.0, 1.0, 3  # a margin that a busy machine does not use up
 
 
 def played(name: str, whom: tuple[str, ...], **defects: str) -> Outcome:
@@ -45,8 +45,7 @@
 
 
 def test_each_balancer_is_judged_by_itself_from_the_answer_on() -> None:
-    turn, sent = Turn(100, 150, "g", "t"), [
-        Sent(200, "x", "t"), Sent(400, "z", "g"), Sent(420, "y", "t")]
+    turn, sent = Turn(100, 150, "g", "t"), [Sent(200, "x", "t"), Sent(400, "z", "g"), Sent(420, "y", "t")]
     x, y = turned(turn, sent, ("x", "y"), 250)
     assert (x.lasted_us, x.after_us, x.sound) == (50, -200, True)
     assert (y.lasted_us, y.after_us, y.sound) == (270, 20, False)
@@ -59,6 +58,7 @@
         if reasons:
             raise reasons.pop()
         return "judged"
+
     with pytest.raises(DidNotCome, match="2.2 is in force"):
         uvloop.run(undisturbed(once))
     reasons[:] = [Disturbed("2.2 is in force")] * (ATTEMPTS - 1)
--- a/tests/agreement_processes/test_faults.py
+++ b/tests/agreement_processes/test_faults.py
@@ -19,7 +19,8 @@
             if words != "fault none":
                 under_way.set()
                 await goes_on.wait()
-        faults = Faults(SimpleNamespace(order_store=order_store), 1, (0.0, 0.0))     # type: ignore[arg-type]
+
+        faults = Faults(SimpleNamespace(order_store=order_store), 1, (0.0, 0.0))  # type: ignore[arg-type]
         monkeypatch.setattr(faults, "_one", faults._store)
         monkeypatch.setattr(faults, "_spared", lambda: False)
         running = asyncio.create_task(faults.run())
--- a/tests/agreement_processes/test_new_leader.py
+++ b/tests/agreement_processes/test_new_leader.py
@@ -24,9 +24,15 @@
     """The version in force, once it has the drain."""
     while True:
         seen = await small.seen()
-        if seen is not None and seen.force is not None and any(
+        if (
+            seen is not None
+            and seen.force is not None
+            and any(
                 one.node.name == DRAINED and one.lifecycle is Lifecycle.DRAINING
-                for cluster in seen.force.contents.clusters.values() for one in cluster.endpoints):
+                for cluster in seen.force.contents.clusters.values()
+                for one in cluster.endpoints
+            )
+        ):
             return str(seen.force.id)
         await asyncio.sleep(0.05)
 
@@ -48,11 +54,13 @@
 
         def said() -> list[str]:
             return [text for id, text, _ in IN_FORCE.findall(small.children[second].said()) if id == version]
+
         await small.until("its leader says so", lambda: said() != [])
         return said()[0]
 
 
 def test_a_new_leader_names_the_balancer_that_was_stopped_when_the_former_one_was_killed(
-        tmp_path: Path) -> None:
+    tmp_path: Path,
+) -> None:
     said = uvloop.run(line(tmp_path))
     assert said == f"acknowledged by 1 of 2; its drains do not reach {SILENT}"
--- a/tests/agreement_processes/test_whole_balancer.py
+++ b/tests/agreement_processes/test_whole_balancer.py
@@ -24,23 +24,40 @@
         file = folder / "control.toml"
         file.write_text(
             f'discovery = "{HOST}:{told.port}"\nlisten = "{HOST}:0"\nstatus = ""\n[agreement]\n'
-            f'store = ["{store.address}"]\ncontradiction_s = 3.0\nmargin_s = 0.5\nseat_s = 3\n')
+            f'store = ["{store.address}"]\ncontradiction_s = 3.0\nmargin_s = 0.5\nseat_s = 3\n'
+        )
         service = Service(read(str(file)))
         await service.start()
         config = json.loads((ROOT / "examples" / "config.json").read_text())
-        config |= {"listen": f"{HOST}:0", "discovery": f"{HOST}:{told.port}", "agreement": {
-            "control": [f"{HOST}:{service.port}"], "contradiction_s": 3.0, "margin_s": 0.5,
-            "store": str(folder / "store")}}
+        config |= {
+            "listen": f"{HOST}:0",
+            "discovery": f"{HOST}:{told.port}",
+            "agreement": {
+                "control": [f"{HOST}:{service.port}"],
+                "contradiction_s": 3.0,
+                "margin_s": 0.5,
+                "store": str(folder / "store"),
+            },
+        }
         del config["admin_addr"]
         (folder / "config.json").write_text(json.dumps(config))
         with (folder / "log").open("wb") as log:
             balancer = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "roadlb", stdout=log, stderr=log,
-                env={**os.environ, "PROXY_CONFIG": str(folder / "config.json")})
+                sys.executable,
+                "-m",
+                "roadlb",
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "PROXY_CONFIG": str(folder / "config.json")},
+            )
         try:
+
             def peers() -> list[tuple[str, bool]]:
-                return [(p.follower, p.left_us > 0 and p.force == p.acknowledged)
-                        for p in service.office.issuer.view(service._clock()).peers]
+                return [
+                    (p.follower, p.left_us > 0 and p.force == p.acknowledged)
+                    for p in service.office.issuer.view(service._clock()).peers
+                ]
+
             await until(lambda: peers() == [("n1", True)], "it has a lease for the version in force")
             first = service.office.issuer.force
             told.tell(n2={"lifecycle": "draining"})
--- a/tests/agreement_processes/test_whole_judge.py
+++ b/tests/agreement_processes/test_whole_judge.py
@@ -6,8 +6,9 @@
 from roadlb.lab.agreement.whole import RETURN_US, Drain, hurts, judge
 
 DRAIN = Drain("n", 1_000, told=100, until=10_000)
-SENT = [Sent(*one) for one in ((50, "x", "n"), (120, "x", "n"), (300, "y", "n"), (400, "y", "m"),
-                               (900, "y", "n"))]
+SENT = [
+    Sent(*one) for one in ((50, "x", "n"), (120, "x", "n"), (300, "y", "n"), (400, "y", "m"), (900, "y", "n"))
+]
 
 
 def found(notes: list[tuple[int, str]], named: set[str]) -> dict[str, tuple[int, int, bool]]:
@@ -17,7 +18,7 @@
 
 def test_the_last_request_counts_from_the_telling_and_from_when_it_was_in_force() -> None:
     assert found([], set()) == {"x": (20, -80, False), "y": (800, 700, False)}
-    assert found([], {"y"})["y"] == (800, -1, False)             # the leader said that it is not reached
+    assert found([], {"y"})["y"] == (800, -1, False)  # the leader said that it is not reached
 
 
 def test_a_fault_that_keeps_the_news_from_a_balancer_excuses_it_alone_and_the_stores_excuses_nobody() -> None:
@@ -33,4 +34,4 @@
 
 def test_the_request_in_hand_when_a_balancer_was_stopped_is_held_against_nobody() -> None:
     notes = [(350, "y: SIGSTOP"), (890, "y: SIGCONT")]
-    assert found(notes, set())["y"][:2] == (200, 100)            # that at 900 came with its waking
+    assert found(notes, set())["y"][:2] == (200, 100)  # that at 900 came with its waking
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -49,8 +49,11 @@
 
 
 def test_help_names_every_command() -> None:
-    for arguments, commands in (((), "lab config"), (("lab",), "run check show load grid"),
-                                (("config",), "check")):
+    for arguments, commands in (
+        ((), "lab config"),
+        (("lab",), "run check show load grid"),
+        (("config",), "check"),
+    ):
         result = call(*arguments, "-h")
         assert result.exit_code == 0 and all(f"\n  {word}  " in result.output for word in commands.split())
 
@@ -64,7 +67,8 @@
     assert result.stderr.splitlines() == [
         f"{bad}:2: nodes: is no key here; {result.stderr.splitlines()[0].partition('; ')[2]}",
         f"{bad}:4: step[1].do: 'deplyo' is no kind of step; did you mean 'deploy'?",
-        f"{tmp_path / 'none.toml'}:1: cannot be read: No such file or directory"]
+        f"{tmp_path / 'none.toml'}:1: cannot be read: No such file or directory",
+    ]
 
 
 def test_show_explains_an_incident_and_fails_on_a_faulty_one(tmp_path: Path) -> None:
@@ -76,11 +80,13 @@
 
 
 def test_run_reports_and_its_exit_code_tells_whether_rules_were_kept(
-        monkeypatch: pytest.MonkeyPatch, tmp_path: Path) -> None:
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
     give(monkeypatch, "roadlb.lab.run", rehearse=rehearse)
     page, machine, pictures = tmp_path / "r.html", tmp_path / "r.json", tmp_path / "png"
-    result = call("lab", "run", CALM, "--seed", "2", "--html", str(page), "--json", str(machine), "--png",
-                  str(pictures))
+    result = call(
+        "lab", "run", CALM, "--seed", "2", "--html", str(page), "--json", str(machine), "--png", str(pictures)
+    )
     assert result.exit_code == 0 and "all rules kept" in result.stdout
     assert json.loads(machine.read_text())["seed"] == 2 and "seed 2" in page.read_text()
     assert len(list(pictures.iterdir())) == 4
@@ -109,8 +115,9 @@
 def test_load_makes_stairs_of_rates(monkeypatch: pytest.MonkeyPatch) -> None:
     asked: list[Any] = []
 
-    async def load(url: str, traffic: Any, seconds: float, progress: Any, *, edges: Any, connections: int,
-                   seed: int) -> Any:
+    async def load(
+        url: str, traffic: Any, seconds: float, progress: Any, *, edges: Any, connections: int, seed: int
+    ) -> Any:
         asked.append((url, [traffic.rate_at(s) for s in (0, 4.9, 5, 9.9)], seconds, edges, connections, seed))
         raise Ended("enough")
 
@@ -138,9 +145,21 @@
 
     give(monkeypatch, "roadlb.lab.grid", grid=grid, NotReady=NotReady, line=str, tables=str)
     assert call("lab", "grid").stdout == "grid 1 0 False None None\npicture\n"
-    result = call("lab", "grid", CALM, "--seed", "5", "--balancers", "2", "--traffic", "--config", "x.json",
-                  "--seconds", "3")
-    assert (result.stdout, result.exit_code) == ("calm 5 2 True x.json 3.0\npicture\n", 1)    # one crashed
+    result = call(
+        "lab",
+        "grid",
+        CALM,
+        "--seed",
+        "5",
+        "--balancers",
+        "2",
+        "--traffic",
+        "--config",
+        "x.json",
+        "--seconds",
+        "3",
+    )
+    assert (result.stdout, result.exit_code) == ("calm 5 2 True x.json 3.0\npicture\n", 1)  # one crashed
     result = call("lab", "grid", "--balancers", "3")
     assert (result.stderr, result.exit_code) == ("Error: balancer-1 does not serve\n", 1)
 
@@ -154,8 +173,10 @@
         main.main()
 
 
-@pytest.mark.parametrize(("text", "says"), [
-    ('{"name": "n", "settings": {}}', "listen: is missing"), ("{", "is not JSON"), (None, "cannot be read")])
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [('{"name": "n", "settings": {}}', "listen: is missing"), ("{", "is not JSON"), (None, "cannot be read")],
+)
 def test_config_check_names_the_problem(text: str | None, says: str, tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     if text is not None:
@@ -171,9 +192,11 @@
 
 
 def test_the_platforms_program_loads_nothing_of_the_lab() -> None:
-    code = ("import sys, roadlb.app, roadlb.config, roadlb.log\n"
-            "loaded = {name.partition('.')[0] for name in sys.modules}\n"
-            "own = {name for name in sys.modules if name.startswith(('roadlb.lab', 'roadlb.cli'))}\n"
-            "print(sorted(own | loaded & {'click', 'msgspec', 'rich', 'matplotlib', 'hdrh', 'numpy'}))")
+    code = (
+        "import sys, roadlb.app, roadlb.config, roadlb.log\n"
+        "loaded = {name.partition('.')[0] for name in sys.modules}\n"
+        "own = {name for name in sys.modules if name.startswith(('roadlb.lab', 'roadlb.cli'))}\n"
+        "print(sorted(own | loaded & {'click', 'msgspec', 'rich', 'matplotlib', 'hdrh', 'numpy'}))"
+    )
     told = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert told.stdout == "[]\n"
--- a/tests/config/test_config.py
+++ b/tests/config/test_config.py
@@ -49,17 +49,26 @@
     assert str(config.listen) == "[::1]:81"
 
 
-@pytest.mark.parametrize(("path", "value", "message"), [
-    ("name", None, "name: is missing"), ("listen", "nowhere", "listen: 'nowhere' is not host:port"),
-    ("discovery", "h:99999", "discovery: "), ("seed", "xyz", "seed: "), ("seed", None, "seed: "),
-    ("limits", [], "limits: "), ("limits", {"sockets": "many"}, "limits.sockets: "), ("known", 7, "known: "),
-    ("settings", None, "settings: "), ("settings.classes", [], "settings: classes"),
-    ("settings.me", "x", "settings: me: cannot read 'x'"),
-    ("settings.limits.max_attempts", None, "settings: limits.max_attempts is missing"),
-    ("settings.limits.dial_timeout_us", 0, "settings: limits.dial_timeout_us"),
-    ("settings.invariants.cold_from", 7, "settings: cold_from"),
-    ("settings.invariants.cold_us", "1e999", "settings: invariants.cold_us: cannot read"),
-])
+@pytest.mark.parametrize(
+    ("path", "value", "message"),
+    [
+        ("name", None, "name: is missing"),
+        ("listen", "nowhere", "listen: 'nowhere' is not host:port"),
+        ("discovery", "h:99999", "discovery: "),
+        ("seed", "xyz", "seed: "),
+        ("seed", None, "seed: "),
+        ("limits", [], "limits: "),
+        ("limits", {"sockets": "many"}, "limits.sockets: "),
+        ("known", 7, "known: "),
+        ("settings", None, "settings: "),
+        ("settings.classes", [], "settings: classes"),
+        ("settings.me", "x", "settings: me: cannot read 'x'"),
+        ("settings.limits.max_attempts", None, "settings: limits.max_attempts is missing"),
+        ("settings.limits.dial_timeout_us", 0, "settings: limits.dial_timeout_us"),
+        ("settings.invariants.cold_from", 7, "settings: cold_from"),
+        ("settings.invariants.cold_us", "1e999", "settings: invariants.cold_us: cannot read"),
+    ],
+)
 def test_a_message_names_the_key(path: str, value: object, message: str) -> None:
     raw = copy.deepcopy(RAW)
     *above, last = path.split(".")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,7 +14,7 @@
 HERE = Path(__file__).parent
 sys.path += sorted(str(folder) for folder in {HERE, *(path.parent for path in HERE.rglob("*.py"))})
 
-FLEETS = {          # where tests start many processes: the group in which they follow each other
+FLEETS = {  # where tests start many processes: the group in which they follow each other
     "sites/test_processes": "rigs of halls",
     "lab/run/test_run": "rigs of halls",
     "together/": "rigs of halls",
@@ -33,6 +33,6 @@
     if not config.pluginmanager.hasplugin("xdist"):
         return
     files = {item: item.path.relative_to(HERE).as_posix() for item in items}
-    items.sort(key=lambda item: fleet(files[item]) is None)          # stable: the order is as collected
+    items.sort(key=lambda item: fleet(files[item]) is None)  # stable: the order is as collected
     for item, file in files.items():
         item.add_marker(pytest.mark.xdist_group(fleet(file) or file))
--- a/tests/control/control_proxies.py
+++ b/tests/control/control_proxies.py
@@ -18,8 +18,9 @@
     `stale_us`: with no word from its service for so long it takes its endpoints for gone; 0: never (gRPC).
     """
 
-    def __init__(self, name: str, form: Form, share: float, rng: Random, panic: float = 0.0,
-                 stale_us: int = 0) -> None:
+    def __init__(
+        self, name: str, form: Form, share: float, rng: Random, panic: float = 0.0, stale_us: int = 0
+    ) -> None:
         self.name, self.form, self.share, self.rng = name, form, share, rng
         self.panic, self.stale_us = panic, stale_us
         self.view: Expression | None = None
@@ -59,13 +60,14 @@
             chosen: list[tuple[Placed, float]] = []
             known = 0
             for place in (p for p in a.places if p.priority == priority):
-                usable = [e for e in place.endpoints
-                          if e.health in OPEN and (e.host, e.port) not in self.ejected]
+                usable = [
+                    e for e in place.endpoints if e.health in OPEN and (e.host, e.port) not in self.ejected
+                ]
                 known += len(place.endpoints)
                 for e in usable:
-                    if self.form is Form.GRPC:        # round robin in a locality, whatever the weights there
+                    if self.form is Form.GRPC:  # round robin in a locality, whatever the weights there
                         chosen.append((e, place.weight / len(usable)))
-                    else:                             # one of no known kind heeds no weights at all
+                    else:  # one of no known kind heeds no weights at all
                         chosen.append((e, 1 if self.form is Form.GENERIC else e.weight))
             if len(chosen) * 100 < self.panic * known:
                 chosen = [(e, e.weight) for p in a.places for e in p.endpoints]
--- a/tests/control/control_shares.py
+++ b/tests/control/control_shares.py
@@ -11,7 +11,7 @@
 from roadlb.fleet.model import Cluster, Endpoint, Lifecycle, NodeId, Picture
 
 SECOND = 1_000_000
-EACH_S = 2_500               # requests a second
+EACH_S = 2_500  # requests a second
 
 
 def planned(decisions: Decisions) -> dict[NodeId, float]:
@@ -24,12 +24,16 @@
 def planned_and_counted(form: Form) -> tuple[dict[NodeId, float], Counter[NodeId]]:
     """Over 40 s in which 3 of 9 nodes become warm, one drains and another changes its weight."""
     plan, rng, now = Plan(), Random(5), 0
-    nodes = [Endpoint(NodeId(f"n{i}", 1_000_000_000 if i < 3 else 0), "h", i, weight=1 + i / 10)
-             for i in range(9)]
+    nodes = [
+        Endpoint(NodeId(f"n{i}", 1_000_000_000 if i < 3 else 0), "h", i, weight=1 + i / 10) for i in range(9)
+    ]
     proxies = [Proxy(f"p{i}", form, share, Random(i)) for i, share in enumerate((0.8, 0.15, 0.05))]
     expected, counted = Counter(), Counter()
-    fleet = {0: nodes, 15: [*nodes[:7], Endpoint(NodeId("n7"), "h", 7, weight=3.0), nodes[8]],
-             30: [*nodes[:8], Endpoint(NodeId("n8"), "h", 8, lifecycle=Lifecycle.DRAINING)]}
+    fleet = {
+        0: nodes,
+        15: [*nodes[:7], Endpoint(NodeId("n7"), "h", 7, weight=3.0), nodes[8]],
+        30: [*nodes[:8], Endpoint(NodeId("n8"), "h", 8, lifecycle=Lifecycle.DRAINING)],
+    }
     for second in range(40):
         now = second * SECOND
         actions = []
--- a/tests/control/control_world.py
+++ b/tests/control/control_world.py
@@ -22,8 +22,10 @@
 SECOND, MS = 1_000_000, 1_000
 UNIX_MS = 1_800_000_000_000
 EDS = "eds"
-CLASSES = (ClassSpec("grid-read", 0.7, 15 * MS, "lognormal", 2.0),
-           ClassSpec("order", 0.3, 95 * MS, "pareto", 2.0))
+CLASSES = (
+    ClassSpec("grid-read", 0.7, 15 * MS, "lognormal", 2.0),
+    ClassSpec("order", 0.3, 95 * MS, "pareto", 2.0),
+)
 MEAN_US = sum(c.share * c.work_us for c in CLASSES)
 
 
@@ -34,8 +36,8 @@
     id: NodeId
     model: NodeModel
     where: Where
-    drained_in: set[str] = field(default_factory=set)              # instances that have been told
-    drained_told: dict[str, int] = field(default_factory=dict)     # proxies, since one of theirs knows
+    drained_in: set[str] = field(default_factory=set)  # instances that have been told
+    drained_told: dict[str, int] = field(default_factory=dict)  # proxies, since one of theirs knows
     fell: bool = False
     connections: int = 0
     senders: dict[int, tuple[Proxy, int]] = field(default_factory=dict)
@@ -81,8 +83,12 @@
     def do_plan(self, actions: list) -> None:
         for a in actions:
             late = self.world.plan_late() if not a.decisions.urgent else 0
-            self.world.at(self.world.now + late, lambda a=a: self.up and self.do_order(
-                self.order.handle(self.world.now, order.Proposed(a.decisions))))
+            self.world.at(
+                self.world.now + late,
+                lambda a=a: (
+                    self.up and self.do_order(self.order.handle(self.world.now, order.Proposed(a.decisions)))
+                ),
+            )
 
     def do_order(self, actions: list) -> None:
         now = self.world.now
@@ -120,8 +126,9 @@
             self.expressions[form] = express(form, out)
         self.numbers[name] += 1
         number = self.numbers[name]
-        self.do_subscribers(self.subscribers.handle(
-            self.world.now, subscribers.Sent(name, EDS, number, out.generation)))
+        self.do_subscribers(
+            self.subscribers.handle(self.world.now, subscribers.Sent(name, EDS, number, out.generation))
+        )
         link.down(out.generation, self.expressions[form], number)
 
     def opened(self, link: "Link", acknowledged: int | None) -> None:
@@ -134,8 +141,7 @@
             if self.name in machine.drained_in:
                 machine.drained_told.setdefault(name, now)
         self.do_order(self.order.handle(now, order.Connected(name, link.number, acknowledged)))
-        self.do_subscribers(self.subscribers.handle(
-            now, subscribers.Came(name, link.number, acknowledged)))
+        self.do_subscribers(self.subscribers.handle(now, subscribers.Came(name, link.number, acknowledged)))
         self.do_subscribers(self.subscribers.handle(now, subscribers.Tick()))
 
     def closed(self, link: "Link") -> None:
@@ -174,6 +180,7 @@
             if not self.cut:
                 self.proxy.told(self.world.now, generation, view)
                 self.up(lambda: self.service.up and self.service.acked(self.proxy.name, number, generation))
+
         self.world.at(self.free_down, arrive)
 
     def end(self) -> None:
@@ -185,11 +192,21 @@
 class World:
     """10 machines, half of them slow, and three proxies that carry 80, 15 and 5% of the traffic."""
 
-    def __init__(self, seed: int, forms: tuple[Form, ...] = (Form.ENVOY, Form.GRPC, Form.ENVOY),
-                 limits: RampLimits | None = None, load: float = 0.6, nodes: int = 10,
-                 lags: tuple[tuple[float, float], ...] = ((0.05, 0.2),), delay_ms: tuple[int, int] = (5, 200),
-                 stale_us: int = 0, panic: float = 0.0, cache: float = 0.5,
-                 guard: type[Order] = Order, fetch_s: tuple[float, float] = (0.02, 0.2)) -> None:
+    def __init__(
+        self,
+        seed: int,
+        forms: tuple[Form, ...] = (Form.ENVOY, Form.GRPC, Form.ENVOY),
+        limits: RampLimits | None = None,
+        load: float = 0.6,
+        nodes: int = 10,
+        lags: tuple[tuple[float, float], ...] = ((0.05, 0.2),),
+        delay_ms: tuple[int, int] = (5, 200),
+        stale_us: int = 0,
+        panic: float = 0.0,
+        cache: float = 0.5,
+        guard: type[Order] = Order,
+        fetch_s: tuple[float, float] = (0.02, 0.2),
+    ) -> None:
         self.guard, self.fetch_s = guard, fetch_s
         self.rng, self.now, self.delay_ms, self.stale_us = Random(seed), 0, delay_ms, stale_us
         self._heap: list = []
@@ -200,7 +217,7 @@
         self.late, self.refused, self.requests, self.cache = [], 0, 0, cache
         self.got: Counter[NodeId] = Counter()
         self.fallen: list[str] = []
-        self.down: set[str] = set()                  # proxies that are dead: their clients go to the others
+        self.down: set[str] = set()  # proxies that are dead: their clients go to the others
         self.limits = limits or RampLimits()
         self.sizes = [2 * (1.0 if i % 2 else 0.6) * self.rng.uniform(0.85, 1.1) for i in range(nodes)]
         self.rate = load * sum(self.sizes) / MEAN_US * 1e6
@@ -210,8 +227,10 @@
         self.services = [Service(self, f"s{i}", lag, self.limits) for i, lag in enumerate(lags)]
         for s in self.services:
             s.told(self.picture)
-        self.proxies = [Proxy(f"p{i}", form, share, Random(seed * 10 + i), panic, stale_us)
-                        for i, (form, share) in enumerate(zip(forms, (0.80, 0.15, 0.05), strict=True))]
+        self.proxies = [
+            Proxy(f"p{i}", form, share, Random(seed * 10 + i), panic, stale_us)
+            for i, (form, share) in enumerate(zip(forms, (0.80, 0.15, 0.05), strict=True))
+        ]
         self.links = {p.name: Link(self, p, self.services[0]) for p in self.proxies}
         self.at(SECOND, self.report)
         self.at(SECOND, self.arrive)
@@ -247,16 +266,25 @@
     def start(self, name: str, where: Where, size: int, warm: bool = False) -> Machine:
         """A process starts; discovery is not told yet."""
         capacity = self.sizes[size]
-        spec = NodeSpec(cores=2, speed=capacity / 2, slots=2, room=40,
-                        cold_share=self.rng.uniform(0.12, 0.3),
-                        warm_us=int(self.rng.uniform(13, 23) * SECOND),
-                        cache_keys=400, cache_us=8 * SECOND, cache_gain=self.cache,
-                        fall_each_us=200 * MS, fall_slack_us=50 * MS)
+        spec = NodeSpec(
+            cores=2,
+            speed=capacity / 2,
+            slots=2,
+            room=40,
+            cold_share=self.rng.uniform(0.12, 0.3),
+            warm_us=int(self.rng.uniform(13, 23) * SECOND),
+            cache_keys=400,
+            cache_us=8 * SECOND,
+            cache_gain=self.cache,
+            fall_each_us=200 * MS,
+            fall_slack_us=50 * MS,
+        )
         id = NodeId(name, 0 if warm else UNIX_MS + self.now // MS)
         machine = Machine(id, NodeModel(spec, Random(self.rng.random()), self.now, warm), where)
         self.addresses[where] = self.by_id[id] = machine
-        self.endpoints[id] = Endpoint(id, *where, weight=capacity * self.rng.uniform(0.9, 1.1),
-                                      lifecycle=Lifecycle.UP)
+        self.endpoints[id] = Endpoint(
+            id, *where, weight=capacity * self.rng.uniform(0.9, 1.1), lifecycle=Lifecycle.UP
+        )
         return machine
 
     def _picture(self) -> Picture:
@@ -288,6 +316,7 @@
         def successor() -> None:
             self.start(f"new-{i}", where, i)
             self.after(add_s, self.tell)
+
         self.after(gap_s, lambda: self.stop(old))
         self.after(gap_s + 0.1 if same_address else 0.2, successor)
 
@@ -295,8 +324,10 @@
         """Replace this part of the machines, evenly over the time, two at a time."""
         which = self.rng.sample(range(len(self.sizes)), round(part * len(self.sizes)))
         for n, i in enumerate(which):
-            self.at(int((from_s + length_s * (n // 2 * 2) / len(which)) * SECOND),
-                    lambda i=i: self.replace(i, same_address))
+            self.at(
+                int((from_s + length_s * (n // 2 * 2) / len(which)) * SECOND),
+                lambda i=i: self.replace(i, same_address),
+            )
 
     # Proxies
 
@@ -335,7 +366,7 @@
         proxy = rng.choices(up, [p.share for p in up])[0]
         work, key = spec.draw_work_us(rng), str(int(rng.paretovariate(0.5)) % 1000)
         self.requests += 1
-        for _ in range(2):                            # the second: a retry, after an end that proves no run
+        for _ in range(2):  # the second: a retry, after an end that proves no run
             if self.try_once(proxy, work, key):
                 return
         self.refused += 1
@@ -354,7 +385,7 @@
         machine = self.addresses.get(where)
         proxy.sent[placed.node] += 1
         told = self.by_id[placed.node].drained_told.get(proxy.name)
-        if told is not None and self.now - told > SECOND:         # whoever stands there now
+        if told is not None and self.now - told > SECOND:  # whoever stands there now
             self.late.append((proxy.name, placed.node.name, (self.now - told) / SECOND))
         if machine is None or not machine.model.alive:
             proxy.failed[placed.node] += 1
--- a/tests/control/test_order.py
+++ b/tests/control/test_order.py
@@ -7,8 +7,19 @@
 
 from roadlb.control.events import Decision, Decisions
 from roadlb.control.order import (
-    ASK_US, CatchUp, Connected, Disconnected, Listed, Order, Pictured, Proposed, Release, Silence, Speak,
-    Tick, Withheld,
+    ASK_US,
+    CatchUp,
+    Connected,
+    Disconnected,
+    Listed,
+    Order,
+    Pictured,
+    Proposed,
+    Release,
+    Silence,
+    Speak,
+    Tick,
+    Withheld,
 )
 from roadlb.fleet.model import Endpoint, Health, NodeId
 
@@ -16,9 +27,18 @@
 
 
 def decisions(generation: int, serial: int, up: frozenset[NodeId]) -> Decisions:
-    return Decisions(generation, serial, {"grid": tuple(
-        Decision(Endpoint(n, "h", i), Health.HEALTHY if n in up else Health.DRAINING, n in up, "", 0, "")
-        for i, n in enumerate(NODES))})
+    return Decisions(
+        generation,
+        serial,
+        {
+            "grid": tuple(
+                Decision(
+                    Endpoint(n, "h", i), Health.HEALTHY if n in up else Health.DRAINING, n in up, "", 0, ""
+                )
+                for i, n in enumerate(NODES)
+            )
+        },
+    )
 
 
 def is_open(d: Decisions) -> set[NodeId]:
@@ -26,14 +46,21 @@
 
 
 ups = st.frozensets(st.sampled_from(NODES))
-steps = st.lists(st.tuples(st.sampled_from(["picture", "propose", "move", "listed", "tick"]),
-                           st.integers(0, 1), st.integers(0, 9)), max_size=60)
+steps = st.lists(
+    st.tuples(
+        st.sampled_from(["picture", "propose", "move", "listed", "tick"]),
+        st.integers(0, 1),
+        st.integers(0, 9),
+    ),
+    max_size=60,
+)
 
 
 @settings(max_examples=150, deadline=None, derandomize=True)
 @given(st.lists(ups, min_size=10, max_size=10), steps)
 def test_no_view_that_a_proxy_gets_has_open_what_a_picture_up_to_its_generation_closed_last(
-        history: list[frozenset[NodeId]], steps: list[tuple[str, int, int]]) -> None:
+    history: list[frozenset[NodeId]], steps: list[tuple[str, int, int]]
+) -> None:
     """Two instances, pictures and decisions late and out of order, one proxy that moves between them."""
     guards, serials = [Order(), Order()], [0, 0]
     at, stream, seen, out = 0, 0, -1, [(-1, -1), (-1, -1)]
@@ -98,7 +125,7 @@
     guard.handle(0, Proposed(decisions(5, 1, frozenset(NODES))))
     silence, ask = guard.handle(0, Connected("p", 1, acknowledged=7))
     assert silence == Silence("p", 7) and isinstance(ask, CatchUp) and not guard.may_tell("p")
-    assert guard.handle(1, Connected("q", 2, acknowledged=5)) == [Speak("q")]       # a call is out
+    assert guard.handle(1, Connected("q", 2, acknowledged=5)) == [Speak("q")]  # a call is out
     assert guard.handle(2, Listed(5)) == []
     (again,) = guard.handle(ASK_US, Tick())
     assert isinstance(again, CatchUp)
--- a/tests/control/test_plan.py
+++ b/tests/control/test_plan.py
@@ -3,7 +3,16 @@
 from dataclasses import replace
 
 from roadlb.control.events import (
-    Belief, Carrier, Carriers, Decision, Decisions, Fleet, LoadReport, Publish, Tick, View,
+    Belief,
+    Carrier,
+    Carriers,
+    Decision,
+    Decisions,
+    Fleet,
+    LoadReport,
+    Publish,
+    Tick,
+    View,
 )
 from roadlb.control.forms import parts_of
 from roadlb.control.plan import EJECT_SHARE, HANDOVER_US, POOLS, STEP, VIEW_US, Plan
@@ -18,14 +27,14 @@
     """A plan with its clock and its last word."""
 
     def __init__(self, *nodes: Endpoint, **limits: object) -> None:
-        self.plan, self.now, self.generation = Plan(RampLimits(**limits)), 0, 0      # type: ignore[arg-type]
+        self.plan, self.now, self.generation = Plan(RampLimits(**limits)), 0, 0  # type: ignore[arg-type]
         self.last: Decisions | None = None
         self.published: list[int] = []
         self.fleet(*nodes)
 
     def do(self, event: object) -> bool:
         """Has it published?"""
-        actions = self.plan.handle(self.now, event)                                  # type: ignore[arg-type]
+        actions = self.plan.handle(self.now, event)  # type: ignore[arg-type]
         for a in actions:
             assert isinstance(a, Publish)
             self.last = a.decisions
@@ -50,7 +59,7 @@
 
 def node(i: int, started_s: float | None = None, **kw: object) -> Endpoint:
     started = 0 if started_s is None else UNIX_MS + int(started_s * 1000)
-    return replace(Endpoint(NodeId(f"n{i}", started), "h", i), **kw)                 # type: ignore[arg-type]
+    return replace(Endpoint(NodeId(f"n{i}", started), "h", i), **kw)  # type: ignore[arg-type]
 
 
 OLD = [node(i) for i in range(6)]
@@ -153,7 +162,7 @@
     case.do(View("grid", (Belief(OLD[0].node, suspect=True),)))
     case.wait(2)
     assert [d.weight for d in case.last.clusters["grid"]] == [500] + [1000] * 5
-    case.wait(VIEW_US / SECOND + 1)           # the module is silent
+    case.wait(VIEW_US / SECOND + 1)  # the module is silent
     assert [d.weight for d in case.last.clusters["grid"]] == [1000] * 6
 
 
--- a/tests/control/test_subscribers.py
+++ b/tests/control/test_subscribers.py
@@ -6,8 +6,25 @@
 from hypothesis import strategies as st
 
 from roadlb.control.subscribers import (
-    ADMIT_PER_S, BURST, KEPT, LAG_US, Acked, Admit, Came, CaughtUp, Forgot, Hurry, Lags, Left, Nacked,
-    Refuses, Sent, State, Subscribers, Tick, TurnAway,
+    ADMIT_PER_S,
+    BURST,
+    KEPT,
+    LAG_US,
+    Acked,
+    Admit,
+    Came,
+    CaughtUp,
+    Forgot,
+    Hurry,
+    Lags,
+    Left,
+    Nacked,
+    Refuses,
+    Sent,
+    State,
+    Subscribers,
+    Tick,
+    TurnAway,
 )
 
 SECOND = 1_000_000
@@ -15,12 +32,20 @@
 events = st.one_of(
     st.builds(Came, st.sampled_from(NAMES), st.integers(1, 4), st.none() | st.integers(0, 9)),
     st.builds(Left, st.sampled_from(NAMES), st.integers(1, 4)),
-    st.builds(Sent, st.sampled_from(NAMES), st.sampled_from(["eds", "cds"]), st.integers(1, 12),
-              st.integers(0, 9)),
+    st.builds(
+        Sent, st.sampled_from(NAMES), st.sampled_from(["eds", "cds"]), st.integers(1, 12), st.integers(0, 9)
+    ),
     st.builds(Acked, st.sampled_from(NAMES), st.sampled_from(["eds", "cds"]), st.integers(0, 14)),
-    st.builds(Nacked, st.sampled_from(NAMES), st.sampled_from(["eds", "cds"]), st.integers(0, 14),
-              st.text(max_size=300)),
-    st.just(Hurry()), st.just(Tick()))
+    st.builds(
+        Nacked,
+        st.sampled_from(NAMES),
+        st.sampled_from(["eds", "cds"]),
+        st.integers(0, 14),
+        st.text(max_size=300),
+    ),
+    st.just(Hurry()),
+    st.just(Tick()),
+)
 
 
 @settings(max_examples=150, deadline=None, derandomize=True)
@@ -30,7 +55,7 @@
     for wait, event in steps:
         now += wait
         told_eds = {n: x.generation for n, x in s.known.items()}
-        for a in s.handle(now, event):                   # type: ignore[arg-type]
+        for a in s.handle(now, event):  # type: ignore[arg-type]
             if isinstance(a, Lags):
                 assert (a.subscriber, a.type_url) not in lagging and a.versions > 0
                 lagging.add((a.subscriber, a.type_url))
@@ -40,8 +65,11 @@
                 assert a.subscriber not in s.known
             elif isinstance(a, Admit):
                 assert s.known[a.subscriber].state is State.CONNECTED
-        lagging = {(n, t) for n, t in lagging if n in s.known and t in s.known[n].types
-                   and s.known[n].types[t].lagging}
+        lagging = {
+            (n, t)
+            for n, t in lagging
+            if n in s.known and t in s.known[n].types and s.known[n].types[t].lagging
+        }
         assert len(s.known) <= 2
         for name, x in s.known.items():
             if not isinstance(event, Came) and name in told_eds:
@@ -85,7 +113,7 @@
     s.handle(0, Came("p", 1))
     s.handle(0, Tick())
     s.handle(0, Sent("p", "eds", 1, 5))
-    assert s.carriers().carriers[0].generation == 5      # what it may have: this, or nothing yet
+    assert s.carriers().carriers[0].generation == 5  # what it may have: this, or nothing yet
     assert s.handle(LAG_US, Tick()) == [Lags("p", "eds", 1, LAG_US)]
     assert s.handle(LAG_US + 1, Tick()) == []
     refused, caught_up = s.handle(LAG_US + 2, Nacked("p", "eds", 1, "weight: too much"))
--- a/tests/control_service/grid_parties.py
+++ b/tests/control_service/grid_parties.py
@@ -19,7 +19,7 @@
 
 HOST = "127.0.0.1"
 LOAD = OrcaLoadReport(named_metrics={"eps": 12.0, "queue": 3.0}).SerializeToString()
-PATIENCE_S = 120.0           # generous: only a defect takes so long
+PATIENCE_S = 120.0  # generous: only a defect takes so long
 
 
 async def until(what: Callable[[], bool], label: str) -> None:
@@ -104,8 +104,13 @@
 
     async def start(self) -> None:
         self.server = grpc.aio.server()
-        self.server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler(
-            "grid.Node", {"Read": grpc.unary_unary_rpc_method_handler(self._read)}),))
+        self.server.add_generic_rpc_handlers(
+            (
+                grpc.method_handlers_generic_handler(
+                    "grid.Node", {"Read": grpc.unary_unary_rpc_method_handler(self._read)}
+                ),
+            )
+        )
         self.port = self.server.add_insecure_port(f"{HOST}:0")
         await self.server.start()
 
@@ -143,17 +148,27 @@
 @asynccontextmanager
 async def grpc_client(port: int, name: str = "grpc-1") -> AsyncIterator[list[str]]:
     """gRPC's own xDS client, calling all the time; yields what it has said of failures so far."""
-    bootstrap = {"xds_servers": [{"server_uri": f"{HOST}:{port}", "channel_creds": [{"type": "insecure"}],
-                                  "server_features": ["xds_v3"]}], "node": {"id": name}}
+    bootstrap = {
+        "xds_servers": [
+            {
+                "server_uri": f"{HOST}:{port}",
+                "channel_creds": [{"type": "insecure"}],
+                "server_features": ["xds_v3"],
+            }
+        ],
+        "node": {"id": name},
+    }
     env = {**os.environ, "GRPC_XDS_BOOTSTRAP_CONFIG": json.dumps(bootstrap), "NO_PROXY": "*"}
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-c", GRPC_CLIENT, name, env=env, stdout=asyncio.subprocess.PIPE)
+        sys.executable, "-c", GRPC_CLIENT, name, env=env, stdout=asyncio.subprocess.PIPE
+    )
     said: list[str] = []
 
     async def listen() -> None:
         assert process.stdout
         while line := await process.stdout.readline():
             said.append(line.decode().strip())
+
     listener = asyncio.create_task(listen())
     try:
         await until(lambda: "ready" in said, "gRPC's client has an answer")
@@ -179,8 +194,10 @@
 @asynccontextmanager
 async def platform(**entries: dict[str, object]) -> AsyncIterator[Platform]:
     made = Platform()
-    made.entries = {name: {"instanceId": name, "lifecycle": "up", "weight": 1.0, **values}
-                    for name, values in entries.items()}
+    made.entries = {
+        name: {"instanceId": name, "lifecycle": "up", "weight": 1.0, **values}
+        for name, values in entries.items()
+    }
     await made.start()
     try:
         yield made
@@ -191,11 +208,19 @@
 @asynccontextmanager
 async def service(discovery: Platform, **values: object) -> AsyncIterator[Service]:
     """A service on ports of the kernel's choice."""
-    made = Service(Settings(**{"discovery": f"{HOST}:{discovery.port}", "listen": f"{HOST}:0",
-                               "status": f"{HOST}:0", "plan_gap_s": 0.1, **values}))
+    made = Service(
+        Settings(
+            **{
+                "discovery": f"{HOST}:{discovery.port}",
+                "listen": f"{HOST}:0",
+                "status": f"{HOST}:0",
+                "plan_gap_s": 0.1,
+                **values,
+            }
+        )
+    )
     await made.start()
     try:
         yield made
     finally:
         await made.stop()
-
--- a/tests/control_service/standin_proxies.py
+++ b/tests/control_service/standin_proxies.py
@@ -28,7 +28,8 @@
 METHOD = "/envoy.service.discovery.v3.AggregatedDiscoveryService/"
 VARIANTS = {
     "sotw": (SotwSubscriber, "StreamAggregatedResources", read_response, write_request),
-    "delta": (DeltaSubscriber, "DeltaAggregatedResources", read_delta_response, write_delta_request)}
+    "delta": (DeltaSubscriber, "DeltaAggregatedResources", read_delta_response, write_delta_request),
+}
 
 
 class StandIn:
