--- a/tests/control_service/test_command.py
+++ b/tests/control_service/test_command.py
@@ -32,22 +32,28 @@
 
 def test_each_problem_is_named_with_its_line_and_key(tmp_path: Path) -> None:
     bad = tmp_path / "bad.toml"
-    bad.write_text('discovery = "here"\nlisen = "127.0.0.1:1"\nadmit_per_s = 0\n[[class]]\nname = "a"\n'
-                   'prefix = "/p"\neffect = "sometimes"\n')
+    bad.write_text(
+        'discovery = "here"\nlisen = "127.0.0.1:1"\nadmit_per_s = 0\n[[class]]\nname = "a"\n'
+        'prefix = "/p"\neffect = "sometimes"\n'
+    )
     result = CliRunner().invoke(roadlb, ["control", str(bad)])
     assert result.exit_code == 1 and result.stderr.splitlines() == [
         f"{bad}:2: lisen: is no key here; did you mean 'listen'?",
         f"{bad}:3: admit_per_s: is 0, and must be a number >= 1.0",
-        f"{bad}:7: class[1].effect: is 'sometimes'; it must be one of at_most_once, deduplicated, idempotent"]
-    bad.write_text('discovery = "here"\nstatus = ""\n[[class]]\nname = "a"\nprefix = "/p"\n'
-                   '[[class]]\nname = "a"\naim_ms = 500\n[[listener]]\nname = "x"\naddress = "y"\n')
+        f"{bad}:7: class[1].effect: is 'sometimes'; it must be one of at_most_once, deduplicated, idempotent",
+    ]
+    bad.write_text(
+        'discovery = "here"\nstatus = ""\n[[class]]\nname = "a"\nprefix = "/p"\n'
+        '[[class]]\nname = "a"\naim_ms = 500\n[[listener]]\nname = "x"\naddress = "y"\n'
+    )
     result = CliRunner().invoke(roadlb, ["control", "check", str(bad), str(EXAMPLE)])
     assert result.exit_code == 1 and result.stdout.startswith(str(EXAMPLE))
     assert [line.removeprefix(f"{bad}:") for line in result.stderr.splitlines()] == [
         "1: discovery: 'here' must be host:port",
         "7: class[2].name: 'a' is there twice: give each its own name",
         "8: class[2].aim_ms: is 500, and must be at most deadline_ms, which is 400",
-        "11: listener[1].address: 'y' must be host:port"]
+        "11: listener[1].address: 'y' must be host:port",
+    ]
 
 
 def get(port: int, path: str) -> tuple[int, str]:
@@ -63,11 +69,16 @@
         file = tmp_path / "control.toml"
         file.write_text(f'discovery = "{HOST}:{told.port}"\nlisten = "{HOST}:0"\nstatus = "{HOST}:0"\n')
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "roadlb.cli.main", "control", str(file), stderr=asyncio.subprocess.PIPE)
+            sys.executable, "-m", "roadlb.cli.main", "control", str(file), stderr=asyncio.subprocess.PIPE
+        )
         try:
             assert process.stderr
-            while not (ready := re.search(r"event=ready listen=\S+:(\d+) status=(\d+)", line := (
-                    await process.stderr.readline()).decode())):
+            while not (
+                ready := re.search(
+                    r"event=ready listen=\S+:(\d+) status=(\d+)",
+                    line := (await process.stderr.readline()).decode(),
+                )
+            ):
                 assert line, "ended before it was ready"
             port, proxy = int(ready[2]), StandIn("proxy", "sotw")
             async with connected(proxy, int(ready[1])):
@@ -81,7 +92,9 @@
             (endpoint,) = page["endpoints"]
             assert (endpoint["node"], endpoint["health"], endpoint["weight"]) == ("n1", "unknown", 1000)
             assert await asyncio.to_thread(get, port, "/other") == (
-                404, "there is nothing here but /status, /healthz\n")
+                404,
+                "there is nothing here but /status, /healthz\n",
+            )
             process.send_signal(signal.SIGTERM)
             rest = (await process.stderr.read()).decode()
             assert await process.wait() == 0 and "level=error" not in rest, rest
--- a/tests/control_service/test_grpc_client.py
+++ b/tests/control_service/test_grpc_client.py
@@ -18,7 +18,7 @@
 from roadlb.control.service import Service
 
 RULE_S = 1.0
-DEVIATIONS = 5               # of a share by chance: one run in 2 million goes beyond
+DEVIATIONS = 5  # of a share by chance: one run in 2 million goes beyond
 
 
 class Stall:
@@ -61,14 +61,18 @@
 
 
 async def alone() -> None:
-    async with (nodes(3) as (a, b, c), platform(**{n.name: n.entry() for n in (a, b, c)}) as told,
-                service(told) as control, grpc_client(control.port) as said):
+    async with (
+        nodes(3) as (a, b, c),
+        platform(**{n.name: n.entry() for n in (a, b, c)}) as told,
+        service(told) as control,
+        grpc_client(control.port) as said,
+    ):
         reports = heard(control)
         await until(lambda: all(n.calls for n in (a, b, c)), "calls at all nodes")
         at, stall = await drain(told, control, a, "grpc-1"), Stall()
         told.tell(**{b.name: {"weight": 9.0}})
         await until(lambda: acknowledged(control, told.generation, "grpc-1"), "weights 9 and 1")
-        await asyncio.sleep(RULE_S)          # for calls that were picked before, and those that are late
+        await asyncio.sleep(RULE_S)  # for calls that were picked before, and those that are late
         found = await share(b, [c], 400)
         assert near(found, 0.9, 400), f"{found:.3f} of the calls to the node of weight 9 of 10"
         assert not [t - at for t in a.calls if t > at + RULE_S + stall.longest]
@@ -88,6 +92,7 @@
 
     def part() -> float:
         return sum(d.part_ppm for d in control.order.out.clusters["grid"]) / MILLION
+
     await until(lambda: part() > 0, "the plan gives it a part")
     seen = len(successor.calls)
     await until(lambda: len(successor.calls) > seen, "it is called")
@@ -104,6 +109,7 @@
         if isinstance(event, LoadReport):
             found.append(event)
         return handle(now, event)
+
     control.plan.handle = listen
     return found
 
@@ -117,16 +123,21 @@
     rng, late = Random(1), []
     sotw, delta = StandIn("sotw", "sotw"), StandIn("delta", "delta")
     names = ("sotw", "delta", "grpc-1")
-    async with (nodes(6) as all_nodes, platform(**{n.name: n.entry() for n in all_nodes}) as told,
-                service(told) as control, grpc_client(control.port) as said,
-                connected(sotw, control.port, True), connected(delta, control.port, True)):
+    async with (
+        nodes(6) as all_nodes,
+        platform(**{n.name: n.entry() for n in all_nodes}) as told,
+        service(told) as control,
+        grpc_client(control.port) as said,
+        connected(sotw, control.port, True),
+        connected(delta, control.port, True),
+    ):
         await until(lambda: acknowledged(control, 1, *names), "all three have the list")
         await until(lambda: min(len(n.calls) for n in all_nodes) > 50, "calls at all nodes")
         stall, drains = Stall(), []
         for node in rng.sample(all_nodes, 5):
             drains.append((node, await drain(told, control, node, *names)))
             if rng.random() < 0.5:
-                told.cut()                                   # discovery's watch breaks meanwhile
+                told.cut()  # discovery's watch breaks meanwhile
             await asyncio.sleep(rng.uniform(0.0, 0.1))
         served = sum(len(n.calls) for n in all_nodes), sotw.calls, delta.calls
         await asyncio.sleep(RULE_S + 0.3)
@@ -146,16 +157,22 @@
     """All nodes of the cluster are replaced at once while each proxy has a call open at one of them."""
     sotw, delta = StandIn("sotw", "sotw"), StandIn("delta", "delta")
     names = ("sotw", "delta", "grpc-1")
-    async with (nodes(4) as (a, b, c, d), platform(**{n.name: n.entry() for n in (a, b)}) as told,
-                service(told) as control, grpc_client(control.port) as said,
-                connected(sotw, control.port, True), connected(delta, control.port, True)):
+    async with (
+        nodes(4) as (a, b, c, d),
+        platform(**{n.name: n.entry() for n in (a, b)}) as told,
+        service(told) as control,
+        grpc_client(control.port) as said,
+        connected(sotw, control.port, True),
+        connected(delta, control.port, True),
+    ):
         await until(lambda: all({*names} <= {*n.callers} for n in (a, b)), "calls of all at both")
         a.answers.clear()
         b.answers.clear()
         before = len(a.callers), len(b.callers)
 
         def held() -> list[str]:
-            return a.callers[before[0]:] + b.callers[before[1]:]
+            return a.callers[before[0] :] + b.callers[before[1] :]
+
         await until(lambda: {*names} <= {*held()}, "a call of each is held")
         told.tell(**{n.name: {"lifecycle": "removed"} for n in (a, b)}, **{n.name: n.entry() for n in (c, d)})
         await until(lambda: acknowledged(control, told.generation, *names), "all know of the new nodes")
--- a/tests/control_service/test_streams_over_grpc.py
+++ b/tests/control_service/test_streams_over_grpc.py
@@ -44,8 +44,12 @@
 async def refusing(variant: str, late: bool) -> None:
     bad, good = StandIn("bad", variant), StandIn("good", variant)
     bad.refuses, bad.mute = True, late
-    async with platform(**ENTRIES) as told, service(told) as control, \
-            connected(bad, control.port), connected(good, control.port):
+    async with (
+        platform(**ENTRIES) as told,
+        service(told) as control,
+        connected(bad, control.port),
+        connected(good, control.port),
+    ):
         await until(lambda: len(good.endpoints()) == 3, "good has endpoints")
         # A proxy that has not asked for endpoints before the drain is told one version, the newest.
         if not late:
@@ -65,15 +69,20 @@
 
 @BOTH
 @pytest.mark.parametrize("late", [False, True])
-def test_who_refuses_is_told_each_new_version_once_and_spoils_nothing_for_others(variant: str, late: bool
-                                                                                 ) -> None:
+def test_who_refuses_is_told_each_new_version_once_and_spoils_nothing_for_others(
+    variant: str, late: bool
+) -> None:
     asyncio.run(refusing(variant, late))
 
 
 async def mute(variant: str) -> None:
     slow, good = StandIn("slow", variant), StandIn("good", variant)
-    async with platform(**ENTRIES) as told, service(told, plan_gap_s=0.0) as control, \
-            connected(slow, control.port), connected(good, control.port):
+    async with (
+        platform(**ENTRIES) as told,
+        service(told, plan_gap_s=0.0) as control,
+        connected(slow, control.port),
+        connected(good, control.port),
+    ):
         await until(lambda: acknowledged(control, "slow") == 1 == acknowledged(control, "good"), "both told")
         slow.mute, before = True, len(slow.got)
         for i in range(20):
@@ -110,8 +119,11 @@
                 stale.tell(n0={"lifecycle": "draining"})
                 stale.tell(n1={"lifecycle": "draining"})
                 await until(lambda: health(proxy, "n1") is Health.DRAINING, "once caught up, it is told")
-                assert all(generation_of(r.version) >= 2 for r in proxy.subscriber.view[ENDPOINTS].values()
-                           if r.name == "grid")
+                assert all(
+                    generation_of(r.version) >= 2
+                    for r in proxy.subscriber.view[ENDPOINTS].values()
+                    if r.name == "grid"
+                )
 
 
 @BOTH
@@ -120,8 +132,11 @@
 
 
 async def garbled() -> None:
-    async with platform(**ENTRIES) as told, service(told) as control, \
-            grpc.aio.insecure_channel(f"{HOST}:{control.port}") as channel:
+    async with (
+        platform(**ENTRIES) as told,
+        service(told) as control,
+        grpc.aio.insecure_channel(f"{HOST}:{control.port}") as channel,
+    ):
         for data, text in ((b"\xff\xff\xff", "no such message"), (b"", "type_url is empty")):
             call = channel.stream_stream(METHOD + "StreamAggregatedResources")()
             await call.write(data)
@@ -175,7 +190,8 @@
 
 
 def test_the_watch_is_opened_again_and_a_malformed_line_keeps_the_list(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     asyncio.run(discovery_troubles(monkeypatch))
 
 
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -24,8 +24,25 @@
 from roadlb.net.name_table import MalformedList, NameTable, server_id
 from roadlb.net.service_client import key_number
 from roadlb.policy.interface import (
-    NEVER_RAN, Action, Arrival, Cancel, ClientGone, Event, Fail, ListKind, ListUpdate, Member, Outcome, Probe,
-    Probed, Refuse, Send, ServerState, SetTimer, Status, TimerFired,
+    NEVER_RAN,
+    Action,
+    Arrival,
+    Cancel,
+    ClientGone,
+    Event,
+    Fail,
+    ListKind,
+    ListUpdate,
+    Member,
+    Outcome,
+    Probe,
+    Probed,
+    Refuse,
+    Send,
+    ServerState,
+    SetTimer,
+    Status,
+    TimerFired,
 )
 from roadlb.policy.logic import Balancer
 from roadlb.wheel import Wheel
@@ -65,7 +82,7 @@
 
 
 def engine(decider: object) -> tuple[Engine, Recorder]:
-    made = Engine(decider, Counters(), monotonic_us, Wheel(monotonic_us))   # type: ignore[arg-type]
+    made = Engine(decider, Counters(), monotonic_us, Wheel(monotonic_us))  # type: ignore[arg-type]
     recorder = Recorder()
     made.executor = recorder
     return made, recorder
@@ -74,8 +91,16 @@
 def exchange(left_us: int = 1_000_000) -> Exchange:
     """One that notes its answers in `ANSWERS`."""
     ANSWERS.clear()
-    return Exchange(Message(b"GET", b"/grid-read/k"), 0, 0, 1, left_us, 0, False,
-                    lambda x, answer: ANSWERS.append((x.id, answer)))
+    return Exchange(
+        Message(b"GET", b"/grid-read/k"),
+        0,
+        0,
+        1,
+        left_us,
+        0,
+        False,
+        lambda x, answer: ANSWERS.append((x.id, answer)),
+    )
 
 
 def run(main: Callable[[], Coroutine[None, None, None]]) -> None:
@@ -84,8 +109,14 @@
 
 def test_only_what_is_proved_never_to_have_run_says_so() -> None:
     never = {e for e in Ending if e.status in NEVER_RAN}
-    assert never == {Ending.TURNED_AWAY, Ending.DIAL_FAILED, Ending.DIAL_TIMED_OUT, Ending.BROKE_UNSENT,
-                     Ending.NO_SOCKET, Ending.NEVER_STARTED}
+    assert never == {
+        Ending.TURNED_AWAY,
+        Ending.DIAL_FAILED,
+        Ending.DIAL_TIMED_OUT,
+        Ending.BROKE_UNSENT,
+        Ending.NO_SOCKET,
+        Ending.NEVER_STARTED,
+    }
     assert [e for e in Ending if e.status is Status.OK] == [Ending.SERVED]
 
 
@@ -99,6 +130,7 @@
         assert execution.server == NODE and execution.until_us <= x.until_us
         made.execution_ended(execution, Result(Ending.SERVED, (), Served(b"body")))
         assert x.answer == Served(b"body") and not made._open
+
     run(main)
 
 
@@ -113,6 +145,7 @@
         assert isinstance(broken.answer, Nack) and not sound.closed
         made.execution_ended(recorder.started[0], Result(Ending.SERVED, (), Served(b"")))
         assert sound.answer == Served(b"")
+
     run(main)
 
 
@@ -129,6 +162,7 @@
         made.execution_ended(recorder.started[0], Result(Ending.RESET))
         assert x.answer == Failed("test") and not made._open
         assert made._counters["fault.engine"] == 2
+
     run(main)
 
 
@@ -145,6 +179,7 @@
             made.client_gone(x)
         assert answered.answer == Nack(5) and made._counters["client_gone"] == 1
         assert decider.events[-1] == ClientGone(gone.id)
+
     run(main)
 
 
@@ -156,8 +191,9 @@
         x.on_answer = lambda x, answer: answered.set()
         made.open(x)
         await asyncio.wait_for(answered.wait(), 10)
-        assert isinstance(x.answer, Nack)          # nothing of it ran
+        assert isinstance(x.answer, Nack)  # nothing of it ran
         assert decider.events[-1] == ClientGone(x.id) and not made._open
+
     run(main)
 
 
@@ -166,7 +202,13 @@
         decider = Decider()
         made, recorder = engine(decider)
         decider.replies[Arrival] = lambda e: [
-            Send(1, NODE, 0), Refuse(1, 5), Fail(1), Send(1, NODE, 0), Cancel(1, 0), Cancel(1, 1)]
+            Send(1, NODE, 0),
+            Refuse(1, 5),
+            Fail(1),
+            Send(1, NODE, 0),
+            Cancel(1, 0),
+            Cancel(1, 1),
+        ]
         x = exchange()
         made.open(x)
         assert x.answer == Nack(5)
@@ -174,6 +216,7 @@
         assert decider.events[-1] == Outcome(1, 1, NODE, Status.MOOT, decider.events[-1].latency_us, True)  # type: ignore[union-attr]
         made.execution_ended(x.executions[0], Result(Ending.CANCELLED))
         assert not made._open
+
     run(main)
 
 
@@ -190,6 +233,7 @@
         assert len(decider.events) == 1
         made.finish()
         assert isinstance(one.answer, Nack)
+
     run(main)
 
 
@@ -204,6 +248,7 @@
         made.probe_ended(NODE, 9, Result(Ending.SERVED, (1.0,)))
         assert recorder.probed == [NODE]
         assert decider.events[1:] == [TimerFired(77), Probed(NODE, Status.OK, 9, (1.0,))]
+
     run(main)
 
 
@@ -211,16 +256,25 @@
     # Without it each full collection stalled all requests for 13 to 15 ms (overload-5 on the bench).
     frozen: list[int] = []
     full = gc.get_stats()[2]["collections"]
-    monkeypatch.setattr(gc, "set_threshold", lambda *n: None)      # it would hold for the other tests too
+    monkeypatch.setattr(gc, "set_threshold", lambda *n: None)  # it would hold for the other tests too
 
     def freeze() -> None:
         frozen.append(gc.get_count()[2])
         os.kill(os.getpid(), signal.SIGTERM)
 
     monkeypatch.setattr(gc, "freeze", freeze)
-    asyncio.run(asyncio.wait_for(run_program(read_config(
-        {"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS}, {})), 20))
-    assert frozen == [0]      # once, and just after a full collection
+    asyncio.run(
+        asyncio.wait_for(
+            run_program(
+                read_config(
+                    {"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS},
+                    {},
+                )
+            ),
+            20,
+        )
+    )
+    assert frozen == [0]  # once, and just after a full collection
     # Against the number that lived before, the next full one waited for some MB of garbage in cycles.
     assert gc.get_stats()[2]["collections"] >= full + 2
 
@@ -230,8 +284,17 @@
         loop, logged = asyncio.get_running_loop(), asyncio.Event()
         old = await loop.create_server(asyncio.Protocol, "127.0.0.1", 0)
         port = old.sockets[0].getsockname()[1]
-        made = App(read_config({"name": "n", "listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:1",
-                                "settings": SETTINGS}, {}))
+        made = App(
+            read_config(
+                {
+                    "name": "n",
+                    "listen": f"127.0.0.1:{port}",
+                    "discovery": "127.0.0.1:1",
+                    "settings": SETTINGS,
+                },
+                {},
+            )
+        )
         handler = logging.Handler()
         handler.emit = lambda record: logged.set() if "in use" in record.msg else None  # type: ignore[method-assign]
         logging.getLogger("roadlb.net.sockets").addHandler(handler)
@@ -242,23 +305,43 @@
         assert made.port == port
         await made.stop(linger_s=0)
         logging.getLogger("roadlb.net.sockets").removeHandler(handler)
+
     run(main)
 
 
 def table() -> NameTable:
-    return NameTable(None, ("a", "b"), ("m1", "m2"), None, None, Counters(),     # type: ignore[arg-type]
-                     monotonic_us, unix_us)
-
-
-ENTRY = {"instanceId": "s-1", "hostPort": "10.1.0.18:8080", "zone": "b", "machineType": "m2", "cell": 3,
-         "lifecycle": "up", "weight": 1.5, "startedAtMs": 0}
+    return NameTable(
+        None,
+        ("a", "b"),
+        ("m1", "m2"),
+        None,
+        None,
+        Counters(),  # type: ignore[arg-type]
+        monotonic_us,
+        unix_us,
+    )
+
+
+ENTRY = {
+    "instanceId": "s-1",
+    "hostPort": "10.1.0.18:8080",
+    "zone": "b",
+    "machineType": "m2",
+    "cell": 3,
+    "lifecycle": "up",
+    "weight": 1.5,
+    "startedAtMs": 0,
+}
 
 
 def test_a_list_line_is_read() -> None:
-    line = table().parse({"generation": 4, "reset": False, "instances": [
-        ENTRY, {"instanceId": "s-2", "lifecycle": "removed"}]})
-    assert line.members == [Member(NODE, ServerState.READY, 3, 1, 1, 1.5, 0),
-                            Member(server_id("s-2"), ServerState.GONE)]
+    line = table().parse(
+        {"generation": 4, "reset": False, "instances": [ENTRY, {"instanceId": "s-2", "lifecycle": "removed"}]}
+    )
+    assert line.members == [
+        Member(NODE, ServerState.READY, 3, 1, 1, 1.5, 0),
+        Member(server_id("s-2"), ServerState.GONE),
+    ]
     assert (line.generation, line.kind) == (4, ListKind.DELTA)
 
 
@@ -271,27 +354,51 @@
 
 
 def test_ids_come_from_the_name_whatever_the_address() -> None:
-    raw = [{"generation": 1, "reset": True, "instances": [{**ENTRY, "hostPort": at}]}
-           for at in ("10.1.0.18:8080", "127.0.0.9:1")]
+    raw = [
+        {"generation": 1, "reset": True, "instances": [{**ENTRY, "hostPort": at}]}
+        for at in ("10.1.0.18:8080", "127.0.0.9:1")
+    ]
     assert table().parse(raw[0]).members == table().parse(raw[1]).members
     # Known values: another process, or another version, must come to the same.
     assert (server_id("s-1").hex(), key_number(b"k"), key_number(b"")) == (
-        "03231059c9d4de0d", 7193521810918036140, 0)
-
-
-@pytest.mark.parametrize("change", [
-    {"instanceId": 7}, {"instanceId": ""}, {"lifecycle": "sideways"}, {"hostPort": "nowhere"},
-    {"weight": "x"}, {"weight": float("nan")}, {"startedAtMs": "x"}, {"startedAtMs": float("inf")},
-    {"cell": "x"}, {"zone": []},
-])
+        "03231059c9d4de0d",
+        7193521810918036140,
+        0,
+    )
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"instanceId": 7},
+        {"instanceId": ""},
+        {"lifecycle": "sideways"},
+        {"hostPort": "nowhere"},
+        {"weight": "x"},
+        {"weight": float("nan")},
+        {"startedAtMs": "x"},
+        {"startedAtMs": float("inf")},
+        {"cell": "x"},
+        {"zone": []},
+    ],
+)
 def test_a_malformed_entry_spoils_its_line(change: dict[str, object]) -> None:
     with pytest.raises(MalformedList):
         table().parse({"generation": 1, "reset": True, "instances": [{**ENTRY, **change}]})
 
 
-@pytest.mark.parametrize("raw", [b"{", b"\xff", b"[]", b"7", b'{"generation":1}',
-                                 {"reset": True, "instances": []},
-                                 {"generation": 1, "reset": 1, "instances": []}])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"{",
+        b"\xff",
+        b"[]",
+        b"7",
+        b'{"generation":1}',
+        {"reset": True, "instances": []},
+        {"generation": 1, "reset": 1, "instances": []},
+    ],
+)
 def test_a_malformed_line(raw: object) -> None:
     with pytest.raises(MalformedList):
         table().parse(raw)
@@ -301,13 +408,33 @@
     reports = LoadReports(("eps", "queue"))
     assert reports.read(b"queue=2,eps=0.5,util=1") == (0.5, 2.0)
     assert reports.read(b"q=2,fail_rate=0.5") == (0.5, 2.0)
-    assert [reports.read(t) for t in (b"queue=2", b"queue=x,eps=1", b"", None, b"queue=nan,eps=0",
-                                      b"queue=inf,eps=0", b"queue=-1,eps=0", b"\xff=\xfe")] == [()] * 8
+    assert [
+        reports.read(t)
+        for t in (
+            b"queue=2",
+            b"queue=x,eps=1",
+            b"",
+            None,
+            b"queue=nan,eps=0",
+            b"queue=inf,eps=0",
+            b"queue=-1,eps=0",
+            b"\xff=\xfe",
+        )
+    ] == [()] * 8
 
 
 def test_headers_of_one_connection_stay_on_it() -> None:
-    headers = Headers([(b"X-Hop", b"1"), (b"Connection", b"close, X-Hop"), (b"TE", b"x"), (b"Accept", b"a"),
-                        (b"x-hop", b"2"), (b"X-Hopper", b"stays"), (b"X-Time-Left", b"1")])
+    headers = Headers(
+        [
+            (b"X-Hop", b"1"),
+            (b"Connection", b"close, X-Hop"),
+            (b"TE", b"x"),
+            (b"Accept", b"a"),
+            (b"x-hop", b"2"),
+            (b"X-Hopper", b"stays"),
+            (b"X-Time-Left", b"1"),
+        ]
+    )
     assert headers.passed_on() == b"Accept: a\r\nX-Hopper: stays\r\n"
 
 
@@ -335,15 +462,23 @@
         assert [at for at, _ in called] == [0, 10_000, 20_000, 30_001]
         assert all(0 <= then - at for at, then in called)
         wheel.close()
+
     run(main)
 
 
 def test_a_record_is_one_line_of_key_value_pairs() -> None:
-    record = logging.makeLogRecord({"msg": "it ended", "name": "n", "levelname": "INFO", **fields(
-        ending="reset", error='a "b"\nc', empty="", share=0.25)})
+    record = logging.makeLogRecord(
+        {
+            "msg": "it ended",
+            "name": "n",
+            "levelname": "INFO",
+            **fields(ending="reset", error='a "b"\nc', empty="", share=0.25),
+        }
+    )
     text = KeyValueFormatter().format(record).split(" ", 1)[1]
-    assert text == ('level=info logger=n event="it ended" ending=reset error="a \\"b\\"\\nc" '
-                    'empty="" share=0.25')
+    assert text == (
+        'level=info logger=n event="it ended" ending=reset error="a \\"b\\"\\nc" empty="" share=0.25'
+    )
 
 
 def test_counters_are_printed_in_one_line(caplog: pytest.LogCaptureFixture) -> None:
--- a/tests/engine/test_own_load.py
+++ b/tests/engine/test_own_load.py
@@ -67,22 +67,27 @@
         return bytes(length - 4) + struct.pack("=I", self.ago_ms)
 
 
-@pytest.mark.parametrize(("late_us", "ago_ms", "came_before_us"), [
-    (LATE_ENOUGH_US // 4, 300, 0),         # so little is not worth asking
-    (300_000, 120, 121_000),               # the kernel tells when they came
-    (300_000, 900, 310_000),               # and cannot be before the last beat
-    (300_000, None, 310_000),              # where it does not, they came at the beginning of the pause
-])
+@pytest.mark.parametrize(
+    ("late_us", "ago_ms", "came_before_us"),
+    [
+        (LATE_ENOUGH_US // 4, 300, 0),  # so little is not worth asking
+        (300_000, 120, 121_000),  # the kernel tells when they came
+        (300_000, 900, 310_000),  # and cannot be before the last beat
+        (300_000, None, 310_000),  # where it does not, they came at the beginning of the pause
+    ],
+)
 def test_what_is_read_after_a_pause_has_used_up_its_time(
-        late_us: int, ago_ms: int | None, came_before_us: int) -> None:
+    late_us: int, ago_ms: int | None, came_before_us: int
+) -> None:
     async def main() -> None:
         now = 1_000_000_000
         heard = Heard()
         engine = Engine(heard, Counters(), lambda: now, Wheel(lambda: now))
         load = OwnLoad(lambda: now, engine, Limits(1.0), 500_000, lambda: 1, lambda on: None, lambda: 0)
-        now += 10_000 + late_us            # the beat is due after 10 ms
-        assert now - load.came_us(Transport(ago_ms)) == came_before_us      # type: ignore[arg-type]
+        now += 10_000 + late_us  # the beat is due after 10 ms
+        assert now - load.came_us(Transport(ago_ms)) == came_before_us  # type: ignore[arg-type]
         load.stop()
+
     asyncio.run(main())
 
 
@@ -91,9 +96,10 @@
         now, cpu = 1_000_000_000, 0
         heard, tight = Heard(), list[bool]()
         engine = Engine(heard, Counters(), lambda: now, Wheel(lambda: now))
-        load = OwnLoad(lambda: now, engine, Limits(0.5, sockets=100), 80_000, lambda: 90, tight.append,
-                       lambda: cpu)
-        for late in (0, 0, *[60_000] * 30, *[0] * 300):      # a beat every 10 ms, thirty of them late
+        load = OwnLoad(
+            lambda: now, engine, Limits(0.5, sockets=100), 80_000, lambda: 90, tight.append, lambda: cpu
+        )
+        for late in (0, 0, *[60_000] * 30, *[0] * 300):  # a beat every 10 ms, thirty of them late
             now += BEAT_US + late
             cpu += 1_000
             load._beat()
@@ -101,6 +107,7 @@
         assert shares[0] == 0.0 and max(shares) > 0.2 and shares[-1] == 0.0
         assert tight == [True] and load.figures()["overload.descriptor_share"] == 0.9
         load.stop()
+
     asyncio.run(main())
 
 
@@ -111,13 +118,25 @@
         settings = Settings(classes=[RequestClass("grid-read", 500_000, 2_500_000)])
         engine = Engine(Balancer(settings, 1), Counters(), lambda: now, Wheel(lambda: now))
         engine.executor = executor = Executor()
-        engine.shortage(0.0)               # the first reading is always told
+        engine.shortage(0.0)  # the first reading is always told
         engine.list_update(ListKind.FULL, [Member(NODE)])
         answers: list[Answer] = []
 
         def ask(came_us: int) -> None:
-            engine.open(Exchange(Message(b"GET", b"/grid-read/k"), 0, 0, 1, 400_000, 0, False,
-                                 lambda x, answer: answers.append(answer), came_us))
+            engine.open(
+                Exchange(
+                    Message(b"GET", b"/grid-read/k"),
+                    0,
+                    0,
+                    1,
+                    400_000,
+                    0,
+                    False,
+                    lambda x, answer: answers.append(answer),
+                    came_us,
+                )
+            )
+
         for _ in range(3):
             ask(now)
             now += 50_000
@@ -126,4 +145,5 @@
         assert isinstance(answers[-1], Nack) and len(executor.started) == 3
         ask(now - 200_000)
         assert len(executor.started) == 4
+
     asyncio.run(main())
--- a/tests/etcd/standin.py
+++ b/tests/etcd/standin.py
@@ -42,8 +42,11 @@
 
     def heard(self, by: int) -> list[tuple[bytes, bytes | None, int]]:
         """(key, value or None for a deletion, revision) of each change, as told."""
-        return [(change.pair.key, None if change.deleted else change.pair.value, change.pair.modified)
-                for change in self.news[by] if isinstance(change, Change)]
+        return [
+            (change.pair.key, None if change.deleted else change.pair.value, change.pair.modified)
+            for change in self.news[by]
+            if isinstance(change, Change)
+        ]
 
 
 NUMBERS = [Field.VERSION, Field.CREATED, Field.MODIFIED, Field.LEASE]
--- a/tests/etcd/test_client.py
+++ b/tests/etcd/test_client.py
@@ -13,7 +13,7 @@
 from roadlb.etcd.model import Compare, Delete, Field, Get, Got, Put, Relation, StoreError, Trouble
 from roadlb.lab.standin_etcd.server import Fault, StandIn
 
-PATIENCE_S = 30.0            # generous: only a defect takes so long
+PATIENCE_S = 30.0  # generous: only a defect takes so long
 
 
 async def trouble(call: Awaitable[object]) -> Trouble:
@@ -29,15 +29,20 @@
         assert (await client.keep_alive(lease)).ttl_s == 60
         assert (await client.put(b"k", b"v", lease)).revision == 2
         done = await client.txn(
-            [Compare(b"k", Field.CREATED, Relation.EQUAL, 2),
-             Compare(b"k", Field.VALUE, Relation.EQUAL, b"v"),
-             Compare(b"k", Field.LEASE, Relation.EQUAL, lease),
-             Compare(b"x", Field.VERSION, Relation.LESS, 1)],
-            [Put(b"l", b"w"), Delete(b"nothing"), Get(b"k", b"z")], [Get(b"k")])
+            [
+                Compare(b"k", Field.CREATED, Relation.EQUAL, 2),
+                Compare(b"k", Field.VALUE, Relation.EQUAL, b"v"),
+                Compare(b"k", Field.LEASE, Relation.EQUAL, lease),
+                Compare(b"x", Field.VERSION, Relation.LESS, 1),
+            ],
+            [Put(b"l", b"w"), Delete(b"nothing"), Get(b"k", b"z")],
+            [Get(b"k")],
+        )
         assert done.held and done.revision == 3 and isinstance(done.answers[2], Got)
         assert [(p.key, p.lease) for p in done.answers[2].pairs] == [(b"k", lease), (b"l", 0)]
-        refused = await client.txn([Compare(b"k", Field.CREATED, Relation.EQUAL, 0)], [Put(b"k", b"")],
-                                   [Get(b"k")])
+        refused = await client.txn(
+            [Compare(b"k", Field.CREATED, Relation.EQUAL, 0)], [Put(b"k", b"")], [Get(b"k")]
+        )
         assert not refused.held and refused.answers[0] == await client.get(b"k")
         watch = client.watch(b"k", b"z", start=2)
         assert (await anext(watch)).changes == ()
@@ -70,10 +75,10 @@
             assert await trouble(client.put(b"k", b"")) is Trouble.UNREACHABLE
             assert store.store.revision == 1 + carried_out, fault
             store.fault = Fault.NONE
-            async with asyncio.timeout(PATIENCE_S):          # the same endpoint, once it is well
+            async with asyncio.timeout(PATIENCE_S):  # the same endpoint, once it is well
                 while True:
                     try:
-                        assert (await client.get(b"k")).count >= carried_out     # a deaf one may hear it now
+                        assert (await client.get(b"k")).count >= carried_out  # a deaf one may hear it now
                         break
                     except StoreError as e:
                         assert e.trouble is Trouble.UNREACHABLE
@@ -81,7 +86,7 @@
     async with StandIn() as store, StandIn() as other:
         both = Etcd([store.address, other.address], call_s=0.3)
         store.fault = Fault.DEAF
-        assert (await both.get(b"k")).count == 0             # a read goes on to the next endpoint by itself
+        assert (await both.get(b"k")).count == 0  # a read goes on to the next endpoint by itself
         assert both.endpoint == other.address
         await both.put(b"k", b"")
         assert other.store.revision == 2
@@ -95,7 +100,7 @@
         await anext(watch)
         store.fault = Fault.DEAF
         waits = asyncio.create_task(trouble(anext(watch)))
-        assert await trouble(client.put(b"k", b"")) is Trouble.UNREACHABLE       # its channel is left
+        assert await trouble(client.put(b"k", b"")) is Trouble.UNREACHABLE  # its channel is left
         assert await waits is Trouble.UNREACHABLE
         store.fault = Fault.NONE
         again = client.watch(b"k")
@@ -103,7 +108,7 @@
         waiting = asyncio.ensure_future(anext(again))
         await asyncio.sleep(0)
         waiting.cancel()
-        with pytest.raises(asyncio.CancelledError):          # who is cancelled himself is told that
+        with pytest.raises(asyncio.CancelledError):  # who is cancelled himself is told that
             await waiting
         await client.close()
 
@@ -131,7 +136,7 @@
         store.restore(backup)
         assert await trouble(anext(watch)) is Trouble.UNREACHABLE
         again = client.watch(b"k")
-        assert (await anext(again)).revision == 1            # who watches sees that it went back
+        assert (await anext(again)).revision == 1  # who watches sees that it went back
         await client.close()
 
 
@@ -140,8 +145,12 @@
 
 
 def test_as_a_process_it_obeys_and_ends_with_its_input() -> None:
-    with subprocess.Popen([sys.executable, "-m", "roadlb.lab.standin_etcd"], text=True, stdin=subprocess.PIPE,
-                          stdout=subprocess.PIPE) as process:
+    with subprocess.Popen(
+        [sys.executable, "-m", "roadlb.lab.standin_etcd"],
+        text=True,
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    ) as process:
         assert process.stdin and process.stdout
         word, address = process.stdout.readline().split()
         assert word == "at" and address.startswith("127.0.0.1:")
@@ -151,6 +160,7 @@
             process.stdin.write(line + "\n")
             process.stdin.flush()
             return process.stdout.readline().strip()
+
         assert order("backup a") == "done backup a" and order("restore a") == "done restore a"
         assert order("restore b").startswith("error") and order("fault odd").startswith("error")
         assert order("fault away") == "done fault away"
--- a/tests/etcd/test_store_semantics.py
+++ b/tests/etcd/test_store_semantics.py
@@ -40,14 +40,14 @@
 
 def test_a_key_knows_its_creation_its_last_change_and_its_version() -> None:
     told = Told()
-    assert told.do(Put(b"a", b"1")) == Written(2)            # an empty store is at revision 1
+    assert told.do(Put(b"a", b"1")) == Written(2)  # an empty store is at revision 1
     told.do(Put(b"b", b"1"))
     told.do(Put(b"a", b"2"))
     assert pairs(told.do(Get(b"a"))) == [(b"a", b"2", 2, 4, 2)]
     assert told.do(Delete(b"a")) == Written(5, 1)
-    assert told.do(Delete(b"a")) == Written(5, 0)            # nothing changes, nothing is raised
+    assert told.do(Delete(b"a")) == Written(5, 0)  # nothing changes, nothing is raised
     told.do(Put(b"a", b"3"))
-    assert pairs(told.do(Get(b"a"))) == [(b"a", b"3", 6, 6, 1)]     # created anew: it begins again
+    assert pairs(told.do(Get(b"a"))) == [(b"a", b"3", 6, 6, 1)]  # created anew: it begins again
 
 
 def test_a_range_ends_before_its_end_and_is_in_the_order_of_keys() -> None:
@@ -68,7 +68,7 @@
     first = Txn((absent,), (Put(b"leader", b"x"), Put(b"n", b"1"), Get(b"n")), (Get(b"leader"),))
     done = told.do(first)
     assert isinstance(done, Decided) and done.held and done.revision == 2
-    assert pairs(done.answers[2]) == [(b"n", b"1", 2, 2, 1)]         # it reads what it wrote
+    assert pairs(done.answers[2]) == [(b"n", b"1", 2, 2, 1)]  # it reads what it wrote
     again = told.do(first)
     assert isinstance(again, Decided) and not again.held and again.revision == 2
     assert pairs(again.answers[0]) == [(b"leader", b"x", 2, 2, 1)]
@@ -87,6 +87,7 @@
         done = told.do(Txn(compares, ()))
         assert isinstance(done, Decided)
         return done.held
+
     assert held(Compare(b"k", field, Relation.EQUAL, 0), Compare(b"k", field, Relation.LESS, 1))
     assert not held(Compare(b"k", field, Relation.GREATER, 0))
     assert not held(Compare(b"k", Field.VALUE, Relation.EQUAL, b""))
@@ -94,7 +95,7 @@
     told.do(Put(b"k", b"v", lease(told, 9)))
     assert held(Compare(b"k", field, Relation.GREATER, 0), Compare(b"k", field, Relation.NOT_EQUAL, 0))
     assert held(Compare(b"k", Field.VALUE, Relation.EQUAL, b"v"))
-    assert not held(Compare(b"a", field, Relation.LESS, 1, end=b"z"))        # it must hold for each key
+    assert not held(Compare(b"a", field, Relation.LESS, 1, end=b"z"))  # it must hold for each key
 
 
 def test_a_lease_that_ends_takes_its_keys_in_one_revision_and_wakes_watches() -> None:
@@ -174,4 +175,4 @@
     assert pairs(told.do(Get(b"k"))) != []
     told.wait(0.2)
     assert pairs(told.do(Get(b"k"))) == [] and told.store.revision == 3
-    assert told.do(Put(b"again", b"")) == Written(4)         # a revision that once meant something else
+    assert told.do(Put(b"again", b"")) == Written(4)  # a revision that once meant something else
--- a/tests/fleet/fleets.py
+++ b/tests/fleet/fleets.py
@@ -25,7 +25,7 @@
 # The same examples every time; 40 of two pictures take 1 s.
 SAME = settings(derandomize=True, deadline=None, max_examples=40, suppress_health_check=list(HealthCheck))
 # A few characters that matter: hypothesis' whole Unicode costs 2 s to set up.
-LETTERS = st.sampled_from("az09-/: \"\\\né中😀")
+LETTERS = st.sampled_from('az09-/: "\\\né中😀')
 TEXTS = st.text(LETTERS, max_size=4)
 NAMES = st.text(LETTERS, min_size=1, max_size=4)
 HOSTS = st.sampled_from(("10.0.0.1", "10.0.0.2", "10.1.0.18", "::1", "grid-7.internal"))
@@ -35,18 +35,37 @@
     st.one_of(st.none(), st.booleans(), st.floats(allow_nan=False), TEXTS),
     lambda inner: st.one_of(
         st.lists(inner, max_size=2).map(tuple),
-        st.dictionaries(TEXTS, inner, max_size=2).map(MappingProxyType)),
-    max_leaves=4)
+        st.dictionaries(TEXTS, inner, max_size=2).map(MappingProxyType),
+    ),
+    max_leaves=4,
+)
 SPACES = st.dictionaries(TEXTS, PLAIN, max_size=2).map(MappingProxyType)
-METADATA = st.dictionaries(
-    st.sampled_from(("envoy.lb", "roadlb.platform", "x")), SPACES, max_size=2).map(MappingProxyType)
-ZONES = st.builds(Locality, st.sampled_from(("", "zilina")), st.sampled_from(("", "a", "b")),
-                  st.sampled_from(("", "rack 1")))
+METADATA = st.dictionaries(st.sampled_from(("envoy.lb", "roadlb.platform", "x")), SPACES, max_size=2).map(
+    MappingProxyType
+)
+ZONES = st.builds(
+    Locality,
+    st.sampled_from(("", "zilina")),
+    st.sampled_from(("", "a", "b")),
+    st.sampled_from(("", "rack 1")),
+)
 NODES = st.builds(NodeId, NAMES, st.sampled_from((0, 1, 1_790_000_000_000, 2**60)))
 ENDPOINTS = st.builds(
-    Endpoint, NODES, HOSTS, PORTS, ZONES, st.sampled_from(Lifecycle), st.sampled_from(Health), WEIGHTS,
-    st.integers(0, 2), st.sampled_from(("", "m1", "m2")), st.integers(0, 2**60), st.sampled_from(("", "h")),
-    st.lists(st.builds(Place, HOSTS, PORTS), max_size=2).map(tuple), METADATA)
+    Endpoint,
+    NODES,
+    HOSTS,
+    PORTS,
+    ZONES,
+    st.sampled_from(Lifecycle),
+    st.sampled_from(Health),
+    WEIGHTS,
+    st.integers(0, 2),
+    st.sampled_from(("", "m1", "m2")),
+    st.integers(0, 2**60),
+    st.sampled_from(("", "h")),
+    st.lists(st.builds(Place, HOSTS, PORTS), max_size=2).map(tuple),
+    METADATA,
+)
 DROPS = st.builds(Drop, NAMES, st.integers(0, 1_000_000))
 
 
@@ -77,7 +96,7 @@
 def node(name: str, start: int = 0, **fields: object) -> Endpoint:
     """An endpoint with an address made from its name."""
     at: dict[str, object] = {"host": f"10.0.0.{sum(name.encode()) % 250}", "port": 80}
-    return Endpoint(NodeId(name, start), **(at | fields))     # type: ignore[arg-type]
+    return Endpoint(NodeId(name, start), **(at | fields))  # type: ignore[arg-type]
 
 
 def picture(generation: int, *endpoints: Endpoint, name: str = "grid") -> Picture:
--- a/tests/fleet/test_checks.py
+++ b/tests/fleet/test_checks.py
@@ -32,8 +32,10 @@
     Check.TWO_STARTS: (grid(node("n", 4), node("n", 5), node("o")), {"n"}),
     Check.ADDRESS_SHARED: (grid(node("n", host="h"), node("m", host="h"), node("o")), {"n", "m"}),
     Check.ADDRESS_BAD: (grid(node("n", port=0), node("m", host=""), node("o")), {"n", "m"}),
-    Check.WEIGHT_BAD: (grid(node("n", weight=math.nan), node("m", weight=-1.0),
-                            node("i", weight=math.inf), node("o")), {"n", "m", "i"}),
+    Check.WEIGHT_BAD: (
+        grid(node("n", weight=math.nan), node("m", weight=-1.0), node("i", weight=math.inf), node("o")),
+        {"n", "m", "i"},
+    ),
     Check.PRIORITY_BAD: (grid(node("n", priority=-1), node("o")), {"n"}),
     Check.PRIORITY_GAP: (grid(node("n"), node("o", priority=2)), set()),
     Check.NAME_EMPTY: (grid(node(""), node("o")), {""}),
@@ -80,9 +82,11 @@
     "a fleet": lambda: check_picture(grid(*OLD, node("p", priority=1))),
     "one more": lambda: check_step(grid(*OLD), picture(2, *OLD, node("p"))),
     "a restart": lambda: check_step(
-        grid(node("n", 5, lifecycle=DRAINING), OLD[1]), picture(2, node("n", 6), OLD[1])),
+        grid(node("n", 5, lifecycle=DRAINING), OLD[1]), picture(2, node("n", 6), OLD[1])
+    ),
     "health comes and goes": lambda: check_step(
-        grid(*OLD), picture(2, node("n", 5, locality=A, machine="m1", health=Health.UNHEALTHY), OLD[1])),
+        grid(*OLD), picture(2, node("n", 5, locality=A, machine="m1", health=Health.UNHEALTHY), OLD[1])
+    ),
     "the same again": lambda: check_step(grid(*OLD), grid(*OLD)),
 }
 
@@ -99,15 +103,18 @@
 
 def test_one_successor_does_not_stand_for_two() -> None:
     old = picture(1, node("n", 5), node("n", 5), node("o"), node("p"))
-    gone, = (f for f in check_step(old, picture(2, node("n", 6), node("o"), node("p")))
-             if f.check is Check.CAPACITY_GONE)
+    (gone,) = (
+        f
+        for f in check_step(old, picture(2, node("n", 6), node("o"), node("p")))
+        if f.check is Check.CAPACITY_GONE
+    )
     assert gone.figure == 0.25
 
 
 def test_the_share_gone_is_a_figure_a_threshold_can_be_held_against() -> None:
     old = picture(1, *(node(f"n{i}") for i in range(10)))
     new = picture(2, *(node(f"n{i}") for i in range(7)), node("new", weight=9.0))
-    gone, = (f for f in check_step(old, new) if f.check is Check.CAPACITY_GONE)
+    (gone,) = (f for f in check_step(old, new) if f.check is Check.CAPACITY_GONE)
     assert gone.figure == pytest.approx(0.3) and gone.severity is Severity.WARNING and len(gone.nodes) == 3
 
 
--- a/tests/fleet/test_diff_and_merge.py
+++ b/tests/fleet/test_diff_and_merge.py
@@ -46,7 +46,7 @@
 
 def test_shared_clusters_are_not_looked_into() -> None:
     class Untouched(tuple[Endpoint, ...]):
-        def __iter__(self) -> object:                                   # type: ignore[override]
+        def __iter__(self) -> object:  # type: ignore[override]
             raise AssertionError("a shared cluster was walked")
 
     big = Cluster("big", Untouched([node("a")]))
@@ -56,12 +56,12 @@
 
 
 def test_a_restart_is_no_change_of_the_same_node() -> None:
-    change, = changes(picture(1, node("a", 5)), picture(2, node("a", 6))).changed
+    (change,) = changes(picture(1, node("a", 5)), picture(2, node("a", 6))).changed
     assert not change.changed and change.restarted() == ((node("a", 5), node("a", 6)),)
 
 
 def test_order_alone_is_told_as_the_clusters_frame() -> None:
-    change, = changes(picture(1, node("a"), node("b")), picture(2, node("b"), node("a"))).changed
+    (change,) = changes(picture(1, node("a"), node("b")), picture(2, node("b"), node("a"))).changed
     assert (change.added, change.removed, change.changed, change.frame) == ((), (), (), True)
 
 
@@ -71,10 +71,16 @@
     merged = merge([Source("x", first), Source("y", second)], 11)
     assert merged.picture.generation == 11
     assert merged.picture.clusters["grid"].endpoints == (
-        node("a", 6, weight=9.0), node("b", 5, weight=2.0, lifecycle=Lifecycle.DRAINING), node("c", 5),
-        node("d"))
+        node("a", 6, weight=9.0),
+        node("b", 5, weight=2.0, lifecycle=Lifecycle.DRAINING),
+        node("c", 5),
+        node("d"),
+    )
     assert {(c.node, c.about, c.chosen) for c in merged.conflicts} == {
-        ("a", "started_ms", "y"), ("b", "lifecycle", "y"), ("b", "weight", "x")}
+        ("a", "started_ms", "y"),
+        ("b", "lifecycle", "y"),
+        ("b", "weight", "x"),
+    }
 
 
 def test_a_node_told_twice_by_the_source_that_counts_stays_told_twice() -> None:
@@ -89,8 +95,9 @@
     merged = merge([Source("a", a), Source("b", b)], 1).picture
     for name in {*a.clusters, *b.clusters}:
         told = [p.clusters[name] for p in (a, b) if name in p.clusters]
-        assert ({e.node.name for e in merged.clusters[name].endpoints}
-                == {e.node.name for cluster in told for e in cluster.endpoints})
+        assert {e.node.name for e in merged.clusters[name].endpoints} == {
+            e.node.name for cluster in told for e in cluster.endpoints
+        }
         if len(told) == 1:
             assert merged.clusters[name] is told[0]
     again = merge([Source("a", a), Source("b", b)], 2, merged).picture
--- a/tests/fleet/test_guard.py
+++ b/tests/fleet/test_guard.py
@@ -16,26 +16,33 @@
 
 def hall(name: str, count: int, start: int = 1_000, **fields: object) -> list[Endpoint]:
     at = Locality(zone=name)
-    return [node(f"{name}-{i}", start, host=f"10.{ord(name[0])}.0.{i}", locality=at, **fields)
-            for i in range(count)]
-
-
-def guard(*endpoints: Endpoint, fresh: bool = True, drains: dict[str, int] = DRAINS,
-          thresholds: Thresholds | None = None) -> Guard:
+    return [
+        node(f"{name}-{i}", start, host=f"10.{ord(name[0])}.0.{i}", locality=at, **fields)
+        for i in range(count)
+    ]
+
+
+def guard(
+    *endpoints: Endpoint,
+    fresh: bool = True,
+    drains: dict[str, int] = DRAINS,
+    thresholds: Thresholds | None = None,
+) -> Guard:
     made = Guard(thresholds or Thresholds(), lambda name, start: start <= drains.get(name, -1))
     if endpoints:
         made.handle(0, Took(picture(1, *endpoints), fresh))
     return made
 
 
-def judge(by: Guard, *endpoints: Endpoint, now: int = 1, id: str = "1.2", meant: bool = False,
-          generation: int = 2) -> Pass | Refuse:
+def judge(
+    by: Guard, *endpoints: Endpoint, now: int = 1, id: str = "1.2", meant: bool = False, generation: int = 2
+) -> Pass | Refuse:
     [action] = by.handle(now, Offer(id, picture(generation, *endpoints), meant=meant))
     return action
 
 
 def refused(by: Guard, *endpoints: Endpoint, **told: object) -> tuple[str, ...]:
-    action = judge(by, *endpoints, **told)      # type: ignore[arg-type]
+    action = judge(by, *endpoints, **told)  # type: ignore[arg-type]
     return action.checks if isinstance(action, Refuse) else ()
 
 
@@ -43,28 +50,34 @@
 DRAINED = replace(A[0], lifecycle=Lifecycle.DRAINING)
 
 
-@pytest.mark.parametrize("new, check", [
-    (A, "hall_emptied"),
-    ([*A, *(replace(e, lifecycle=Lifecycle.DRAINING) for e in B)], "hall_emptied"),
-    ([A[0], *B[:4]], "capacity_gone"),
-    ([], "cluster_emptied"),
-    ([node("a-0", 999, host="10.97.0.0", locality=Locality(zone="a")), *A[1:], *B], "start_back"),
-    ([replace(A[0], weight=float("nan")), *A[1:], *B], "weight_bad"),
-    ([A[0], replace(A[0], node=replace(A[0].node, started_ms=2_000)), *A[1:], *B], "two_starts"),
-])
+@pytest.mark.parametrize(
+    "new, check",
+    [
+        (A, "hall_emptied"),
+        ([*A, *(replace(e, lifecycle=Lifecycle.DRAINING) for e in B)], "hall_emptied"),
+        ([A[0], *B[:4]], "capacity_gone"),
+        ([], "cluster_emptied"),
+        ([node("a-0", 999, host="10.97.0.0", locality=Locality(zone="a")), *A[1:], *B], "start_back"),
+        ([replace(A[0], weight=float("nan")), *A[1:], *B], "weight_bad"),
+        ([A[0], replace(A[0], node=replace(A[0].node, started_ms=2_000)), *A[1:], *B], "two_starts"),
+    ],
+)
 def test_a_version_that_would_do_harm_is_refused_by_name(new: list[Endpoint], check: str) -> None:
     action = judge(guard(*A, *B), *new)
     assert isinstance(action, Refuse) and check in action.checks
     assert f"{check}: " in action.text and "accept this version as meant" in action.text
 
 
-@pytest.mark.parametrize("new", [
-    [DRAINED, *A[1:], *B],                                           # a drain
-    [*A[2:], *B[1:]],                                                # a quarter goes
-    [*hall("a", 6, start=2_000), *B],                                # a hall restarted
-    [*A, *B, *hall("c", 3)],                                         # a hall more
-    [replace(A[0], weight=0.5), *A[1:], *B],
-])
+@pytest.mark.parametrize(
+    "new",
+    [
+        [DRAINED, *A[1:], *B],  # a drain
+        [*A[2:], *B[1:]],  # a quarter goes
+        [*hall("a", 6, start=2_000), *B],  # a hall restarted
+        [*A, *B, *hall("c", 3)],  # a hall more
+        [replace(A[0], weight=0.5), *A[1:], *B],
+    ],
+)
 def test_what_happens_every_day_passes(new: list[Endpoint]) -> None:
     assert isinstance(judge(guard(*A, *B), *new), Pass)
 
@@ -96,11 +109,12 @@
         nodes = [*hall("a", 12), *hall("b", 12)]
         by, now = guard(*nodes), 0
         while len(nodes) > 2:
-            now, nodes = now + step_us, nodes[1:-1]                  # both halls lose one
+            now, nodes = now + step_us, nodes[1:-1]  # both halls lose one
             if checks := refused(by, *nodes, now=now, generation=now):
                 return checks
             by.handle(now, Took(picture(now, *nodes)))
         return ()
+
     assert shrink(MINUTE // 2) == ("capacity_drained",)
     assert "capacity_drained" not in shrink(11 * MINUTE)
 
@@ -109,10 +123,12 @@
     nodes = [*A, *B]
     by, now = guard(*nodes), 0
     for i in range(len(nodes)):
-        for after in (replace(nodes[i], lifecycle=Lifecycle.DRAINING),
-                      replace(nodes[i], node=replace(nodes[i].node, started_ms=9_000 + i))):
+        for after in (
+            replace(nodes[i], lifecycle=Lifecycle.DRAINING),
+            replace(nodes[i], node=replace(nodes[i].node, started_ms=9_000 + i)),
+        ):
             now += MINUTE // 4
-            nodes = [*nodes[:i], after, *nodes[i + 1:]]
+            nodes = [*nodes[:i], after, *nodes[i + 1 :]]
             assert isinstance(judge(by, *nodes, now=now, generation=now), Pass)
             by.handle(now, Took(picture(now, *nodes)))
 
@@ -134,8 +150,9 @@
 
 
 def test_no_word_makes_a_version_good_that_cannot_be_followed() -> None:
-    by = Guard(Thresholds(), lambda *_: False, lambda s: "max_attempts: 0 makes no sense" if s else "",
-               lambda s: "")
+    by = Guard(
+        Thresholds(), lambda *_: False, lambda s: "max_attempts: 0 makes no sense" if s else "", lambda s: ""
+    )
     [bad] = by.handle(0, Offer("1.1", Picture(1), {"limits.max_attempts": "0"}, meant=True))
     assert isinstance(bad, Refuse) and bad.checks == ("settings_bad",) and "max_attempts" in bad.text
     by = Guard(Thresholds(), lambda *_: False, settings_fixed=lambda s: "classes.0.name: restart for it")
--- a/tests/fleet/test_platform.py
+++ b/tests/fleet/test_platform.py
@@ -22,8 +22,16 @@
     write_whole,
 )
 
-ENTRY = {"instanceId": "s-1", "hostPort": "10.1.0.18:8080", "zone": "a", "machineType": "m2", "cell": 3,
-         "lifecycle": "up", "weight": 1.0, "startedAtMs": 7}
+ENTRY = {
+    "instanceId": "s-1",
+    "hostPort": "10.1.0.18:8080",
+    "zone": "a",
+    "machineType": "m2",
+    "cell": 3,
+    "lifecycle": "up",
+    "weight": 1.0,
+    "startedAtMs": 7,
+}
 
 
 def line(*entries: object, reset: bool = True) -> dict[str, object]:
@@ -32,17 +40,26 @@
 
 def told_by_the_platform(cluster: Cluster) -> Cluster:
     """What of this cluster the platform's form can say: each node once, and no removed ones."""
-    once = {e.node.name: replace(
-        e, health=Health.UNKNOWN, priority=0, hostname="", additional=(),
-        locality=Locality(zone=e.locality.zone),
-        metadata={EXTRA: e.metadata[EXTRA]} if e.metadata.get(EXTRA) else NO_METADATA)
-        for e in cluster.endpoints if e.lifecycle is not Lifecycle.REMOVED}
+    once = {
+        e.node.name: replace(
+            e,
+            health=Health.UNKNOWN,
+            priority=0,
+            hostname="",
+            additional=(),
+            locality=Locality(zone=e.locality.zone),
+            metadata={EXTRA: e.metadata[EXTRA]} if e.metadata.get(EXTRA) else NO_METADATA,
+        )
+        for e in cluster.endpoints
+        if e.lifecycle is not Lifecycle.REMOVED
+    }
     return Cluster(cluster.name, tuple(once.values()))
 
 
 def test_an_entry_is_read_as_the_protocol_says() -> None:
-    assert read_line(line(ENTRY)).endpoints == (Endpoint(
-        NodeId("s-1", 7), "10.1.0.18", 8080, Locality(zone="a"), machine="m2", cell=3),)
+    assert read_line(line(ENTRY)).endpoints == (
+        Endpoint(NodeId("s-1", 7), "10.1.0.18", 8080, Locality(zone="a"), machine="m2", cell=3),
+    )
     assert write_whole(Cluster("grid", read_line(line(ENTRY)).endpoints), 41) == line(ENTRY)
 
 
@@ -80,15 +97,25 @@
     assert after.generation == 41 and after.clusters["maps"] is before.clusters["maps"]
 
 
-@pytest.mark.parametrize("raw, named", [
-    ([], "object"), (line() | {"generation": "41"}, "generation"), (line() | {"reset": 1}, "reset"),
-    ({"generation": 1, "reset": True}, "instances"), (line(7), "instances[0]"),
-    (line(ENTRY, ENTRY | {"instanceId": ""}), "instances[1].instanceId"),
-    (line(ENTRY | {"lifecycle": "asleep"}), "lifecycle: 'asleep'"), (line(ENTRY | {"weight": "1"}), "weight"),
-    (line(ENTRY | {"weight": float("inf")}), "weight"), (line(ENTRY | {"hostPort": "10.0.0.1"}), "hostPort"),
-    (line(ENTRY | {"startedAtMs": "x"}), "startedAtMs"), (line(ENTRY | {"zone": 4}), "zone"),
-    (line(ENTRY | {"cell": float("nan")}), "cell"), (line(ENTRY | {"lifecycle": ["up"]}), "lifecycle"),
-])
+@pytest.mark.parametrize(
+    "raw, named",
+    [
+        ([], "object"),
+        (line() | {"generation": "41"}, "generation"),
+        (line() | {"reset": 1}, "reset"),
+        ({"generation": 1, "reset": True}, "instances"),
+        (line(7), "instances[0]"),
+        (line(ENTRY, ENTRY | {"instanceId": ""}), "instances[1].instanceId"),
+        (line(ENTRY | {"lifecycle": "asleep"}), "lifecycle: 'asleep'"),
+        (line(ENTRY | {"weight": "1"}), "weight"),
+        (line(ENTRY | {"weight": float("inf")}), "weight"),
+        (line(ENTRY | {"hostPort": "10.0.0.1"}), "hostPort"),
+        (line(ENTRY | {"startedAtMs": "x"}), "startedAtMs"),
+        (line(ENTRY | {"zone": 4}), "zone"),
+        (line(ENTRY | {"cell": float("nan")}), "cell"),
+        (line(ENTRY | {"lifecycle": ["up"]}), "lifecycle"),
+    ],
+)
 def test_a_malformed_list_is_refused_with_the_keys_name(raw: object, named: str) -> None:
     with pytest.raises(MalformedList, match=named.replace("[", r"\[")):
         read_line(raw)
--- a/tests/following/standin_control.py
+++ b/tests/following/standin_control.py
@@ -61,7 +61,7 @@
         self.has: dict[tuple[str, str], str] = {}
         self.nonces = 0
         self.flights: dict[str, VersionId] = {}
-        self.queue: asyncio.Queue[bytes] = asyncio.Queue()       # gRPC takes one write at a time
+        self.queue: asyncio.Queue[bytes] = asyncio.Queue()  # gRPC takes one write at a time
 
     def send(self, type_url: str, resources: list[Resource], removed: tuple[str, ...] = ()) -> str:
         self.nonces += 1
@@ -79,12 +79,19 @@
         parts = self.control.writer.write(message.version.contents)
         generation = message.version.id.number
         for type_url in (PARTS, STRUCT):
-            made = [Resource.make(*key, body, generation)
-                    for key, body in parts.items() if key[0] == type_url]
-            new = [one for one in made
-                   if digest_of(self.has.get((type_url, one.name), "")) != digest_of(one.version)]
-            gone = () if type_url == STRUCT else tuple(
-                name for url, name in self.has if url == PARTS and (url, name) not in parts)
+            made = [
+                Resource.make(*key, body, generation) for key, body in parts.items() if key[0] == type_url
+            ]
+            new = [
+                one
+                for one in made
+                if digest_of(self.has.get((type_url, one.name), "")) != digest_of(one.version)
+            ]
+            gone = (
+                ()
+                if type_url == STRUCT
+                else tuple(name for url, name in self.has if url == PARTS and (url, name) not in parts)
+            )
             for one in new:
                 self.has[type_url, one.name] = one.version
             for name in gone:
@@ -104,8 +111,9 @@
         if request.error_detail is not None:
             self.control.nacks.append((self.name, request.error_detail.message))
         if flight is not None:
-            answer = (read_answer(flight, request.error_detail) if request.error_detail is not None
-                      else Ack(flight))
+            answer = (
+                read_answer(flight, request.error_detail) if request.error_detail is not None else Ack(flight)
+            )
             if answer is not None:
                 self.control.do(self.control.issuer.handle(monotonic_us(), From(self.name, answer)))
         for name in request.resource_names_subscribe if request.type_url == LEASES else ():
@@ -122,7 +130,7 @@
         self.sessions: dict[str, Session] = {}
         self.nacks: list[tuple[str, str]] = []
         self.asks: list[tuple[str, Ask]] = []
-        self.mute = self.closed = False      # says nothing; ends each stream at once
+        self.mute = self.closed = False  # says nothing; ends each stream at once
         self.port = 0
         self._server: Any = None
 
@@ -140,7 +148,7 @@
 
     def lead(self, epoch: int, book: Book | None = None) -> None:
         self.do(self.issuer.handle(monotonic_us(), Leading(epoch, 1 << 60, book or Book())))
-        self.issuer.ready_at = 0             # nobody led before: there are no leases to wait for
+        self.issuer.ready_at = 0  # nobody led before: there are no leases to wait for
 
     def propose(self, contents: Contents, meant: str = "") -> None:
         self.do(self.issuer.handle(monotonic_us(), Propose(contents, meant)))
@@ -185,8 +193,9 @@
                     session.send(STRUCT, [told])
                 case Lease() if ask is not None:
                     answered = True
-                    lease = Resource.make(LEASES, ask_name(ask), write_lease(message), message.id.number,
-                                          message.lease_us)
+                    lease = Resource.make(
+                        LEASES, ask_name(ask), write_lease(message), message.id.number, message.lease_us
+                    )
                     session.send(LEASES, [lease])
         if ask is not None and not answered:
             session = next(s for s in self.sessions.values() if self.asks[-1][0] == s.name)
--- a/tests/following/test_balancer.py
+++ b/tests/following/test_balancer.py
@@ -45,20 +45,53 @@
 
 
 def contents(nodes: list[Node], drained: tuple[str, ...] = (), **settings: str) -> Contents:
-    return Contents(SHARED | settings, {"grid": Cluster("grid", tuple(
-        Endpoint(NodeId(node.name, 1_000), "127.0.0.1", node.port, Locality(zone=node.name[0]),
-                 Lifecycle.DRAINING if node.name in drained else Lifecycle.UP) for node in nodes))})
+    return Contents(
+        SHARED | settings,
+        {
+            "grid": Cluster(
+                "grid",
+                tuple(
+                    Endpoint(
+                        NodeId(node.name, 1_000),
+                        "127.0.0.1",
+                        node.port,
+                        Locality(zone=node.name[0]),
+                        Lifecycle.DRAINING if node.name in drained else Lifecycle.UP,
+                    )
+                    for node in nodes
+                ),
+            )
+        },
+    )
 
 
 @asynccontextmanager
 async def balancer(services: list[str], nodes: list[Node], store: Path) -> AsyncIterator[App]:
-    known = {"generation": 1, "reset": True, "instances": [
-        {"instanceId": n.name, "hostPort": f"127.0.0.1:{n.port}", "zone": "hall-a", "lifecycle": "up",
-         "weight": 1.0, "startedAtMs": 1_000} for n in nodes]}
+    known = {
+        "generation": 1,
+        "reset": True,
+        "instances": [
+            {
+                "instanceId": n.name,
+                "hostPort": f"127.0.0.1:{n.port}",
+                "zone": "hall-a",
+                "lifecycle": "up",
+                "weight": 1.0,
+                "startedAtMs": 1_000,
+            }
+            for n in nodes
+        ],
+    }
     raw: dict[str, Any] = {
-        "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "5", "known": known,
-        "settings": SETTINGS, "limits": {"cores": 64},       # it is not short of CPU on a busy machine
-        "agreement": {"control": services, "contradiction_s": 3, "store": str(store)}}
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "seed": "5",
+        "known": known,
+        "settings": SETTINGS,
+        "limits": {"cores": 64},  # it is not short of CPU on a busy machine
+        "agreement": {"control": services, "contradiction_s": 3, "store": str(store)},
+    }
     app = App(read_config(json.loads(json.dumps(raw)), {}))
     await app.start()
     try:
@@ -80,11 +113,19 @@
         while True:
             number += 1
             await asyncio.sleep(0.001)
-            writer.write(f"GET /grid-read/{number} HTTP/1.1\r\nHost: b\r\nX-Correlation-Id: {number:016x}\r\n"
-                         "X-Account: acme\r\nX-Time-Left: 100\r\n\r\n".encode())
+            writer.write(
+                f"GET /grid-read/{number} HTTP/1.1\r\nHost: b\r\nX-Correlation-Id: {number:016x}\r\n"
+                "X-Account: acme\r\nX-Time-Left: 100\r\n\r\n".encode()
+            )
             head = await reader.readuntil(b"\r\n\r\n")
-            length = next((int(line.split(b":")[1]) for line in head.split(b"\r\n")
-                           if line.lower().startswith(b"content-length")), 0)
+            length = next(
+                (
+                    int(line.split(b":")[1])
+                    for line in head.split(b"\r\n")
+                    if line.lower().startswith(b"content-length")
+                ),
+                0,
+            )
             await reader.readexactly(length)
             self.statuses[head.split(b" ")[1].decode()] += 1
 
@@ -119,8 +160,10 @@
     await until(lambda: bool(ctl.sessions), "a stream")
     before = following.view().told
     ctl.propose(told)
-    await until(lambda: following.view().told > before
-                and following.view().standing is Standing.GRANTED, "the version in force")
+    await until(
+        lambda: following.view().told > before and following.view().standing is Standing.GRANTED,
+        "the version in force",
+    )
 
 
 def test_no_request_fails_by_a_refused_version_and_the_next_good_one_needs_no_restart(tmp_path: Path) -> None:
@@ -130,11 +173,14 @@
             await granted(app, ctl, contents(nodes[:4]))
             load = Load(app.port)
             await load.more(200)
-            for wrong in (contents(nodes[:2]), contents(nodes[:4], **{"weight_source": "live"}),
-                          contents(nodes[:4], ("a1", "a2", "b1"))):
+            for wrong in (
+                contents(nodes[:2]),
+                contents(nodes[:4], **{"weight_source": "live"}),
+                contents(nodes[:4], ("a1", "a2", "b1")),
+            ):
                 refusals = len(ctl.nacks)
                 ctl.propose(wrong)
-                await until(lambda: len(ctl.nacks) > refusals, "the refusal")      # noqa: B023
+                await until(lambda: len(ctl.nacks) > refusals, "the refusal")  # noqa: B023
                 await load.more(200)
             await granted(app, ctl, contents(nodes))
             await until(lambda: nodes[4].taken > 0 and nodes[5].taken > 0, "the new nodes get work")
@@ -143,14 +189,18 @@
             assert set(load.statuses) == {"200"}, load.statuses
             said = [text.partition(":")[0] for _, text in ctl.nacks]
             assert said == ["hall_emptied", "settings_fixed", "hall_emptied"]
+
     played(test)
 
 
 def test_a_control_service_that_vanishes_under_load_costs_no_request(tmp_path: Path) -> None:
     async def test() -> None:
         nodes = await grid("a1", "a2", "b1", "b2")
-        async with (control() as ctl, control(epoch=2) as again,
-                    balancer([ctl.at, again.at], nodes, tmp_path) as app):
+        async with (
+            control() as ctl,
+            control(epoch=2) as again,
+            balancer([ctl.at, again.at], nodes, tmp_path) as app,
+        ):
             again.closed = True
             await granted(app, ctl, contents(nodes))
             following = app.following
@@ -167,19 +217,21 @@
             await load.stop()
             assert nodes[0].taken <= taken + 4, "the drained node got more than was on its way"
             assert load.statuses["200"] == load.statuses.total(), load.statuses
+
     played(test)
 
 
 @pytest.mark.parametrize("spoil", [False, True], ids=["whole", "version spoilt"])
 def test_a_restart_in_a_shrink_with_control_down_sends_nothing_to_a_drained_node(
-        tmp_path: Path, spoil: bool) -> None:
+    tmp_path: Path, spoil: bool
+) -> None:
     async def test() -> None:
         nodes = await grid("a1", "a2", "a3", "b1", "b2", "b3")
         async with control() as ctl, balancer([ctl.at], nodes, tmp_path) as app:
             await granted(app, ctl, contents(nodes))
             await granted(app, ctl, contents(nodes, ("a1", "b1")))
             await until(lambda: app.following is not None and app.following.drained("b1", 1_000), "drained")
-        if spoil:                                          # drains stand in records of their own
+        if spoil:  # drains stand in records of their own
             for log in tmp_path.glob("log.*"):
                 data = bytearray(log.read_bytes())
                 at = data.find(b'"version"')
@@ -187,11 +239,18 @@
                     data[at] ^= 1
                 log.write_bytes(bytes(data))
         before = [node.taken for node in nodes]
-        async with balancer(["127.0.0.1:1"], nodes, tmp_path) as app:      # its file lists all as up
+        async with balancer(["127.0.0.1:1"], nodes, tmp_path) as app:  # its file lists all as up
             load = Load(app.port)
             await load.more(400)
             await load.stop()
             assert set(load.statuses) == {"200"}, load.statuses
         assert [node.taken - was > 0 for node, was in zip(nodes, before, strict=True)] == [
-            False, True, True, False, True, True]
+            False,
+            True,
+            True,
+            False,
+            True,
+            True,
+        ]
+
     played(test)
--- a/tests/following/test_changes.py
+++ b/tests/following/test_changes.py
@@ -43,7 +43,8 @@
     "invariants.cold_from": ("invariants.cold_from", "0.4", lambda s: s.cold_from, 0.4),
     "invariants.cold_us": ("invariants.cold_us", "7000000", lambda s: s.cold_us, 7_000_000),
     "invariants.fall_multiple": ("invariants.fall_multiple", "2", lambda s: s.fall_multiple, 2.0),
-    "invariants.fall_us": ("invariants.fall_us", "3000000", lambda s: s.fall_us, 3_000_000)}
+    "invariants.fall_us": ("invariants.fall_us", "3000000", lambda s: s.fall_us, 3_000_000),
+}
 
 
 @pytest.fixture(autouse=True)
@@ -76,12 +77,26 @@
     assert (said == "") if followed else said.startswith(f"{path}: '77'")
 
 
-@pytest.mark.parametrize("path, text", [
-    *((CHANGES[key][0], text) for key, bounds in FOLLOWED.items() if bounds
-      for text in ("-1", "nan", "inf", "1e300", "x")),
-    ("classes.0.effect", "twice"), ("classes.0.group", "town"), ("counted_by", "luck"),
-    ("limits.max_attempts", "0"), ("limits.second_copies", "perhaps"), ("classes.0.deadline_us", "10000"),
-    ("refusal.plan.0.customer", "nobody"), ("refusal.plan.0.colour", "red"), ("invariants.cold_from", "0")])
+@pytest.mark.parametrize(
+    "path, text",
+    [
+        *(
+            (CHANGES[key][0], text)
+            for key, bounds in FOLLOWED.items()
+            if bounds
+            for text in ("-1", "nan", "inf", "1e300", "x")
+        ),
+        ("classes.0.effect", "twice"),
+        ("classes.0.group", "town"),
+        ("counted_by", "luck"),
+        ("limits.max_attempts", "0"),
+        ("limits.second_copies", "perhaps"),
+        ("classes.0.deadline_us", "10000"),
+        ("refusal.plan.0.customer", "nobody"),
+        ("refusal.plan.0.colour", "red"),
+        ("invariants.cold_from", "0"),
+    ],
+)
 def test_a_value_out_of_range_is_refused_by_its_key(path: str, text: str) -> None:
     running = Running(FILE)
     running.rules(told("classes.0.value", "3"))
@@ -107,10 +122,17 @@
     assert running.fixed(worthless) == "", "what is free may differ"
 
 
-@pytest.mark.parametrize("floors, said", [
-    ({"limits.max_attempts": "0"}, "agreement.floors: limits.max_attempts: '0' must be"),
-    ({"classes.grid-read.effect": "sometimes"}, "agreement.floors: classes.*.effect: 'sometimes' is none of"),
-    ({"invariants.cold_from": "-1"}, "agreement.floors: invariants.cold_from: '-1'")])
+@pytest.mark.parametrize(
+    "floors, said",
+    [
+        ({"limits.max_attempts": "0"}, "agreement.floors: limits.max_attempts: '0' must be"),
+        (
+            {"classes.grid-read.effect": "sometimes"},
+            "agreement.floors: classes.*.effect: 'sometimes' is none of",
+        ),
+        ({"invariants.cold_from": "-1"}, "agreement.floors: invariants.cold_from: '-1'"),
+    ],
+)
 def test_a_floor_that_cannot_hold_is_refused_at_the_start(floors: dict[str, str], said: str) -> None:
     with pytest.raises(ConfigError) as caught:
         Balancer(["127.0.0.1:1"], floors=floors)
@@ -138,14 +160,20 @@
             await until(lambda: len(it.rules) > seen, "what narrows")
             assert rule(it.rules[-1]) == (Effect.UNSAFE, 5, False) and it.standing is not Standing.GRANTED
             assert it.rules[-1].classes[0].worth == 2.0, "what is free waits for the version"
+
     played(test)
 
 
-@pytest.mark.parametrize("floors, left", [
-    ({}, (Effect.UNSAFE, 1, False)),
-    ({"classes.grid-read.effect": "idempotent", "limits.max_attempts": "3"}, (Effect.SAFE, 3, False))])
+@pytest.mark.parametrize(
+    "floors, left",
+    [
+        ({}, (Effect.UNSAFE, 1, False)),
+        ({"classes.grid-read.effect": "idempotent", "limits.max_attempts": "3"}, (Effect.SAFE, 3, False)),
+    ],
+)
 def test_when_the_lease_lapses_what_was_granted_falls_to_its_floor(
-        floors: dict[str, str], left: tuple[Effect, int, bool]) -> None:
+    floors: dict[str, str], left: tuple[Effect, int, bool]
+) -> None:
     async def test() -> None:
         async with control() as ctl, running(Balancer([ctl.at], floors=floors)) as it:
             await until(lambda: bool(ctl.sessions), "a stream")
@@ -156,6 +184,7 @@
             assert it.standing is Standing.LAPSED and it.rules[-1].classes[0].worth == 40.0
             ctl.mute = False
             await until(lambda: rule(it.rules[-1]) == (Effect.SAFE, 5, True), "a lease again")
+
     played(test)
 
 
@@ -172,6 +201,7 @@
             assert it.rules == seen
             ctl.propose(contents(*GOOD, **WIDE | {"classes.0.value": "3"}))
             await until(lambda: it.rules[-1].classes[0].worth == 3.0, "the next good one")
+
     played(test)
 
 
@@ -189,6 +219,7 @@
             assert settings.classes[0].worth == 40.0 and rule(settings) == (Effect.UNSAFE, 1, False)
         finally:
             await again.following.stop()
+
     played(test)
 
 
@@ -210,8 +241,10 @@
 async def ask(port: int, number: int) -> str:
     """The status of one request."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    writer.write(f"GET /grid-read/{number} HTTP/1.1\r\nHost: b\r\nX-Correlation-Id: id-{number}\r\n"
-                 "X-Account: acme\r\n\r\n".encode())
+    writer.write(
+        f"GET /grid-read/{number} HTTP/1.1\r\nHost: b\r\nX-Correlation-Id: id-{number}\r\n"
+        "X-Account: acme\r\n\r\n".encode()
+    )
     head = await reader.readuntil(b"\r\n\r\n")
     writer.close()
     return head.split(b" ")[1].decode()
@@ -233,4 +266,5 @@
             assert await ask(app.port, 2) in ("502", "504") and not longer.done()
             Silent.said.set()
             assert await longer == "200"
+
     played(test)
--- a/tests/following/test_following.py
+++ b/tests/following/test_following.py
@@ -29,12 +29,24 @@
 from roadlb.xds.grpc.dial import dial
 
 FILE = {
-    "me": "0", "instances": "2", "classes.count": "1", "classes.0.name": "grid-read",
-    "classes.0.promise_us": "500000", "classes.0.deadline_us": "2500000", "classes.0.value": "2",
-    "classes.0.effect": "idempotent", "tenants.count": "1", "tenants.0.name": "acme",
-    "tenants.0.quota_per_s": "100", "discovery": "pushed", "limits.max_attempts": "2",
-    "invariants.cold_from": "0.2", "invariants.cold_us": "1000000", "invariants.fall_multiple": "3",
-    "invariants.fall_us": "1000000"}
+    "me": "0",
+    "instances": "2",
+    "classes.count": "1",
+    "classes.0.name": "grid-read",
+    "classes.0.promise_us": "500000",
+    "classes.0.deadline_us": "2500000",
+    "classes.0.value": "2",
+    "classes.0.effect": "idempotent",
+    "tenants.count": "1",
+    "tenants.0.name": "acme",
+    "tenants.0.quota_per_s": "100",
+    "discovery": "pushed",
+    "limits.max_attempts": "2",
+    "invariants.cold_from": "0.2",
+    "invariants.cold_us": "1000000",
+    "invariants.fall_multiple": "3",
+    "invariants.fall_us": "1000000",
+}
 SHARED = {path: text for path, text in FILE.items() if path not in ("me", "discovery")}
 BOUND_S = 3.0
 TIMING = timing_for(BOUND_S)
@@ -42,8 +54,16 @@
 
 def fleet(*names: str, drained: tuple[str, ...] = (), **fields: object) -> list[Endpoint]:
     """Nodes `a1`, `b2` ...: the first letter is the hall."""
-    return [node(name, 1_000, locality=Locality(zone=name[0]), **fields,
-                 lifecycle=Lifecycle.DRAINING if name in drained else Lifecycle.UP) for name in names]
+    return [
+        node(
+            name,
+            1_000,
+            locality=Locality(zone=name[0]),
+            **fields,
+            lifecycle=Lifecycle.DRAINING if name in drained else Lifecycle.UP,
+        )
+        for name in names
+    ]
 
 
 def contents(*endpoints: Endpoint, **settings: str) -> Contents:
@@ -56,8 +76,9 @@
 class Balancer:
     """What a follower applies, in place of engine and name table."""
 
-    def __init__(self, services: list[str], store: Path | None = None, name: str = "n1",
-                 **told: object) -> None:
+    def __init__(
+        self, services: list[str], store: Path | None = None, name: str = "n1", **told: object
+    ) -> None:
         raw = {"control": services, "contradiction_s": BOUND_S, **told}
         agreement: Agreement = read_agreement(raw, FILE)
         disk = Directory(store) if store is not None else None
@@ -68,8 +89,20 @@
         self.lapse_us, self.wall_jump_us = 0, 0
         self.counters = Counters()
         self.following = Following(
-            agreement, name, 7, monotonic_us, lambda: unix_us() + self.wall_jump_us, self.counters,
-            self.lead, self.heard.append, self.lapse, dial, disk, disk, self.rules.append)
+            agreement,
+            name,
+            7,
+            monotonic_us,
+            lambda: unix_us() + self.wall_jump_us,
+            self.counters,
+            self.lead,
+            self.heard.append,
+            self.lapse,
+            dial,
+            disk,
+            disk,
+            self.rules.append,
+        )
 
     def lead(self, raw: Mapping[str, Any], old: bool) -> None:
         if raw["reset"]:
@@ -119,6 +152,7 @@
         while True:
             await asyncio.sleep(0.05)
             made.pulse()
+
     task = asyncio.create_task(pulses())
     try:
         yield made
@@ -131,6 +165,7 @@
     async def limited() -> None:
         async with asyncio.timeout(240):
             await test()
+
     asyncio.run(limited())
 
 
@@ -151,6 +186,7 @@
             await until(lambda: it.open == {"a2", "b1", "b2"}, "the drain")
             await until(lambda: it.following.drained("a1", 1_000), "the drain is remembered")
             assert not ctl.nacks
+
     played(test)
 
 
@@ -169,15 +205,22 @@
             await until(lambda: "c1" in it.open, "the next good one")
             ctl.propose(contents(*fleet("a1", "a2", "c1")), meant="hall b is moved")
             await until(lambda: it.open == {"a1", "a2", "c1"}, "the same, meant")
+
     played(test)
 
 
-@pytest.mark.parametrize("wrong, said", [
-    ({"weight_source": "live"}, "settings_fixed: weight_source: 'live'"),
-    ({"tenants.0.quota_per_s": "-1"}, "settings"),
-    ({"limits.max_attempts": "0"}, "settings_bad: limits.max_attempts: '0' must be a number from 1 to 100"),
-    ({"limits.no_such": "1"}, "limits.no_such"),
-])
+@pytest.mark.parametrize(
+    "wrong, said",
+    [
+        ({"weight_source": "live"}, "settings_fixed: weight_source: 'live'"),
+        ({"tenants.0.quota_per_s": "-1"}, "settings"),
+        (
+            {"limits.max_attempts": "0"},
+            "settings_bad: limits.max_attempts: '0' must be a number from 1 to 100",
+        ),
+        ({"limits.no_such": "1"}, "limits.no_such"),
+    ],
+)
 def test_settings_that_cannot_be_followed_are_refused_by_their_key(wrong: dict[str, str], said: str) -> None:
     async def test() -> None:
         async with control() as ctl, running(Balancer([ctl.at])) as it:
@@ -187,6 +230,7 @@
             ctl.tell("n1", Version(VersionId(1, 2), contents(*GOOD, **wrong), "meant"), 1)
             await until(lambda: bool(ctl.nacks), "the refusal")
             assert said in ctl.nacks[0][1]
+
     played(test)
 
 
@@ -205,22 +249,25 @@
                 await until(lambda: it.counters["follow.silent"] > 0, "a silent stream opened again")
                 ctl.mute = False
                 await until(lambda: it.heard[-1].wholes == {0: 0.5}, "a lease again")
+
     played(test)
 
 
 def test_a_stopped_process_looks_at_the_clock_before_it_acts() -> None:
     """The engine asks at its next event, before any timer has run."""
+
     async def test() -> None:
         async with control() as ctl, running(Balancer([ctl.at])) as it:
             await until(lambda: bool(ctl.sessions), "a stream")
             ctl.propose(contents(*GOOD, **{"tenants.0.quota_per_s": "50"}))
             await until(lambda: it.standing is Standing.GRANTED, "a lease")
             follower, real = it.following.follower, it.following._clock
-            it.following._clock = lambda: real() + 10 * TIMING.lease_us      # as after SIGSTOP
+            it.following._clock = lambda: real() + 10 * TIMING.lease_us  # as after SIGSTOP
             assert follower.until == it.lapse_us
             it.following.lapsed()
             assert it.heard[-1].wholes == {0: 0.0} and it.lapse_us > 1 << 60
             it.following._clock = real
+
     played(test)
 
 
@@ -242,6 +289,7 @@
         async def up() -> None:
             while data := await client.read(65_536):
                 writer.write(data)
+
         task = asyncio.create_task(up())
         try:
             while left > 0 and (data := await reader.read(min(left, 65_536))):
@@ -268,6 +316,7 @@
 
 def test_half_a_stream_lost_at_any_byte_is_half_a_version_nowhere() -> None:
     """Cut after ever more bytes, while versions go on: no more is open than one of those told allows."""
+
     async def test() -> None:
         logging.disable(logging.WARNING)
         async with control() as ctl:
@@ -281,9 +330,14 @@
                 while relay.cuts:
                     drained = wide[serial % 40].node.name
                     serial += 1
-                    now = [replace(e, node=NodeId(e.node.name, 1_000 + serial),
-                                   lifecycle=Lifecycle.DRAINING if e.node.name == drained else Lifecycle.UP)
-                           for e in wide]
+                    now = [
+                        replace(
+                            e,
+                            node=NodeId(e.node.name, 1_000 + serial),
+                            lifecycle=Lifecycle.DRAINING if e.node.name == drained else Lifecycle.UP,
+                        )
+                        for e in wide
+                    ]
                     told.append({e.node.name for e in now if e.lifecycle is Lifecycle.UP})
                     ctl.propose(contents(*now))
                     await relay.another()
@@ -296,6 +350,7 @@
             for state in it.states:
                 assert any({n for n, s in state.items() if s == "up"} <= told_one for told_one in told)
                 assert len(state) == 40
+
     try:
         played(test)
     finally:
@@ -325,6 +380,7 @@
             old.tell("n1", Version(VersionId(4, 9), contents(*GOOD)), 4)
             await until(lambda: bool(old.nacks), "fenced")
             assert old.nacks[0][1] == "fenced by epoch 5" and it.open == {"a2", "b1", "b2"}
+
     played(test)
 
 
@@ -336,16 +392,18 @@
             await until(lambda: it.standing is Standing.GRANTED, "a lease")
             for jump_us in (365 * 86_400_000_000, -365 * 86_400_000_000):
                 it.wall_jump_us, asked = jump_us, len(ctl.asks)
-                await until(lambda: len(ctl.asks) > asked + 5, "renewals")      # noqa: B023
+                await until(lambda: len(ctl.asks) > asked + 5, "renewals")  # noqa: B023
             assert it.counters["follow.lapsed"] == 0 and it.standing is Standing.GRANTED
             ctl.mute = True
             await until(lambda: it.standing is Standing.LAPSED, "the lease's end, by the other clock")
+
     played(test)
 
 
 @pytest.mark.parametrize("days", [0, 7, -7], ids=["fresh", "old", "of the future"])
 def test_a_store_of_last_week_serves_and_is_no_measure_of_capacity(tmp_path: Path, days: int) -> None:
     """Its drains count, its grants do not; how much has gone since says nothing of one step."""
+
     async def test() -> None:
         async with control() as ctl:
             async with running(Balancer([ctl.at], tmp_path)) as it:
@@ -359,7 +417,7 @@
             try:
                 assert again.open == {"a1", "a2", "b1", "b2"} and again.standing is Standing.LAPSED
                 assert again.following.drained("b3", 1_000)
-                ctl.propose(contents(*fleet("a1", "a2")))            # hall b has gone meanwhile
+                ctl.propose(contents(*fleet("a1", "a2")))  # hall b has gone meanwhile
                 if days == 0:
                     await until(lambda: bool(ctl.nacks), "the refusal")
                     assert ctl.nacks[0][1].startswith("hall_emptied: ")
@@ -368,6 +426,7 @@
                     assert not ctl.nacks
             finally:
                 await again.following.stop()
+
     played(test)
 
 
@@ -385,6 +444,7 @@
                 assert puts == 0, "two processes wrote to one store"
                 await first.following.stop()
                 await until(lambda: second.counters["store.put"] > 0, "the store taken over")
+
     played(test)
 
 
@@ -395,11 +455,13 @@
             ctl.propose(contents(*GOOD))
             await until(lambda: it.standing is Standing.GRANTED, "a lease")
             assert it.following.control == ctl.at
+
     played(test)
 
 
 def test_numbers_that_begin_anew_under_a_later_leader_are_no_step_back() -> None:
     """Its store was lost: the order of versions is the epoch's first."""
+
     async def test() -> None:
         async with control() as ctl, running(Balancer([ctl.at])) as it:
             await until(lambda: bool(ctl.sessions), "a stream")
@@ -411,6 +473,7 @@
             ctl.tell("n1", Version(VersionId(2, 1), anew), 2)
             await until(lambda: it.open == {"a2", "b2"}, "the later leader's first version")
             assert not ctl.nacks
+
     played(test)
 
 
@@ -427,6 +490,7 @@
 
 def test_what_was_granted_ends_before_the_first_event_after_a_stop() -> None:
     """A stopped process wakes with events in hand; its timers run after them."""
+
     async def test() -> None:
         now, record = [1_000], Record()
         engine = Engine(record, Counters(), lambda: now[0], Wheel(lambda: now[0]))
@@ -436,5 +500,10 @@
         engine.shortage(0.5)
         engine.shortage(0.0)
         assert [type(event).__name__ for event in record.events] == [
-            "Shortage", "Heard", "Shortage", "Shortage"]
+            "Shortage",
+            "Heard",
+            "Shortage",
+            "Shortage",
+        ]
+
     played(test)
--- a/tests/following/test_keys.py
+++ b/tests/following/test_keys.py
@@ -21,26 +21,30 @@
 SOUND = {"control": ["127.0.0.1:18000", "[::1]:18000"], "contradiction_s": 5}
 
 
-@pytest.mark.parametrize("change, said", [
-    ({"control": []}, "agreement.control: must be a list"),
-    ({"control": ["nowhere"]}, "agreement.control.0: 'nowhere' is not host:port"),
-    ({"contradiction_s": None}, "agreement.contradiction_s"),
-    ({"contradiction_s": True}, "agreement.contradiction_s: True must lie"),
-    ({"contradictions_s": 5}, "agreement.contradictions_s: is not known"),
-    ({"lease_s": 5}, "agreement.contradiction_s: 5.0 cannot be kept by a lease of 5 s"),
-    ({"renew_s": 3}, "agreement.renew_s: 3 is more than a third"),
-    ({"store": 1}, "agreement.store: 1 must be the path"),
-    ({"cluster": ""}, "agreement.cluster: '' must be a name"),
-    ({"guard": {"hall_most": 1}}, "agreement.guard.hall_most: is not known"),
-    ({"guard": {"capacity_at_once": 0}}, "agreement.guard.capacity_at_once: 0.0 must be at least 0.01"),
-    ({"guard": {"hall_least": "x"}}, "agreement.guard.hall_least: 'x' must be a number"),
-    ({"floors": []}, None),
-    ({"floors": [1]}, "agreement.floors: must be an object"),
-])
+@pytest.mark.parametrize(
+    "change, said",
+    [
+        ({"control": []}, "agreement.control: must be a list"),
+        ({"control": ["nowhere"]}, "agreement.control.0: 'nowhere' is not host:port"),
+        ({"contradiction_s": None}, "agreement.contradiction_s"),
+        ({"contradiction_s": True}, "agreement.contradiction_s: True must lie"),
+        ({"contradictions_s": 5}, "agreement.contradictions_s: is not known"),
+        ({"lease_s": 5}, "agreement.contradiction_s: 5.0 cannot be kept by a lease of 5 s"),
+        ({"renew_s": 3}, "agreement.renew_s: 3 is more than a third"),
+        ({"store": 1}, "agreement.store: 1 must be the path"),
+        ({"cluster": ""}, "agreement.cluster: '' must be a name"),
+        ({"guard": {"hall_most": 1}}, "agreement.guard.hall_most: is not known"),
+        ({"guard": {"capacity_at_once": 0}}, "agreement.guard.capacity_at_once: 0.0 must be at least 0.01"),
+        ({"guard": {"hall_least": "x"}}, "agreement.guard.hall_least: 'x' must be a number"),
+        ({"floors": []}, None),
+        ({"floors": [1]}, "agreement.floors: must be an object"),
+    ],
+)
 def test_what_is_wrong_is_said_by_its_key(change: dict[str, object], said: str | None) -> None:
     def read() -> None:
         told = read_agreement(SOUND | change, {})
         timing_of(told), thresholds_of(told)
+
     if said is None:
         read()
         return
@@ -59,10 +63,19 @@
 
 
 def test_without_the_key_nothing_of_it_is_loaded() -> None:
-    code = ("import sys, roadlb.app; print([n for n in sys.modules if n.startswith(("
-            "'roadlb.following', 'roadlb.store', 'roadlb.agreement', 'roadlb.xds', 'grpc', 'google'))])")
-    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, env={"PYTHONPATH": str(ROOT)}, check=True,
-                          capture_output=True, text=True, timeout=60)
+    code = (
+        "import sys, roadlb.app; print([n for n in sys.modules if n.startswith(("
+        "'roadlb.following', 'roadlb.store', 'roadlb.agreement', 'roadlb.xds', 'grpc', 'google'))])"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code],
+        cwd=ROOT,
+        env={"PYTHONPATH": str(ROOT)},
+        check=True,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     assert done.stdout.strip() == "[]"
 
 
--- a/tests/following/test_memory.py
+++ b/tests/following/test_memory.py
@@ -18,23 +18,45 @@
 
 FLEET = [node(f"n{i}", 1_000) for i in range(400)]
 FORCE = Version(VersionId(2, 7), contents(*FLEET))
-NEXT = Version(VersionId(2, 8), contents(
-    *(replace(e, weight=2.0) for e in FLEET[:2]), replace(FLEET[2], lifecycle=Lifecycle.DRAINING), *FLEET[3:],
-    **{"tenants.0.quota_per_s": "120"}), "meant so")
+NEXT = Version(
+    VersionId(2, 8),
+    contents(
+        *(replace(e, weight=2.0) for e in FLEET[:2]),
+        replace(FLEET[2], lifecycle=Lifecycle.DRAINING),
+        *FLEET[3:],
+        **{"tenants.0.quota_per_s": "120"},
+    ),
+    "meant so",
+)
 MEMORIES = [
-    Memory(4), Memory(2, FORCE.id, FORCE, FORCE.contents),
-    Memory(3, FORCE.id, NEXT, meet(FORCE.contents, NEXT.contents), (NEXT.id,))]
+    Memory(4),
+    Memory(2, FORCE.id, FORCE, FORCE.contents),
+    Memory(3, FORCE.id, NEXT, meet(FORCE.contents, NEXT.contents), (NEXT.id,)),
+]
 
 
 def same(a: Memory, b: Memory) -> bool:
     def bare(memory: Memory) -> object:
         def list_of(told: Contents | None) -> object:
-            return None if told is None else (
-                sorted(told.settings.items()),
-                {n: sorted(map(repr, c.endpoints)) for n, c in told.clusters.items()})
+            return (
+                None
+                if told is None
+                else (
+                    sorted(told.settings.items()),
+                    {n: sorted(map(repr, c.endpoints)) for n, c in told.clusters.items()},
+                )
+            )
+
         told = memory.told
-        return (memory.epoch, memory.force, memory.passed, told and (told.id, told.meant),
-                list_of(told and told.contents), list_of(memory.bound))
+        return (
+            memory.epoch,
+            memory.force,
+            memory.passed,
+            told and (told.id, told.meant),
+            list_of(told and told.contents),
+            list_of(memory.bound),
+        )
+
     return repr(bare(a)) == repr(bare(b))
 
 
--- a/tests/following/test_outage.py
+++ b/tests/following/test_outage.py
@@ -7,7 +7,8 @@
 from roadlb.lab.followers.restarts import restarts
 from roadlb.lab.incident.load import read
 
-NIGHT = read("""
+NIGHT = read(
+    """
 title = "A customer's flood while control is away"
 duration_s = 15
 [fleet]
@@ -21,7 +22,9 @@
 for_s = 4
 times = 6
 tenant = "cesty-vychod"
-""", "night")
+""",
+    "night",
+)
 
 
 def test_without_control_grants_are_at_their_floors_and_worth_is_within_a_point() -> None:
--- a/tests/following/test_restart.py
+++ b/tests/following/test_restart.py
@@ -34,8 +34,19 @@
         self.open: dict[str, int] = {}
         self.counters = Counters()
         agreement = read_agreement({"control": ["127.0.0.1:1"], "contradiction_s": 3}, FILE)
-        self.following = Following(agreement, "n1", 7, monotonic_us, unix_us, self.counters, self.lead,
-                                   lambda heard: None, lambda at_us: None, nobody, disk)
+        self.following = Following(
+            agreement,
+            "n1",
+            7,
+            monotonic_us,
+            unix_us,
+            self.counters,
+            self.lead,
+            lambda heard: None,
+            lambda at_us: None,
+            nobody,
+            disk,
+        )
         self.following.load()
         self.following.start()
 
@@ -47,7 +58,8 @@
             self.open.pop(entry["instanceId"], None)
             # As the name table does with what is remembered.
             if entry["lifecycle"] == "up" and not self.following.drained(
-                    entry["instanceId"], entry["startedAtMs"]):
+                entry["instanceId"], entry["startedAtMs"]
+            ):
                 self.open[entry["instanceId"]] = entry["startedAtMs"]
 
     async def take(self, version: Version, in_force: bool) -> bool:
@@ -107,6 +119,7 @@
     async def all_of_them() -> None:
         drained = [await one(seed) for seed in range(block * 25, block * 25 + 25)]
         assert sum(map(bool, drained)) > 15, "most crashes come after a drain"
+
     logging.disable(logging.CRITICAL)
     try:
         asyncio.run(all_of_them())
--- a/tests/following/test_with_issuers.py
+++ b/tests/following/test_with_issuers.py
@@ -25,8 +25,10 @@
             await until(lambda: a.leads, "one leads")
             b = await Control(store, "b").start()
             services = [f"127.0.0.1:{b.port}", f"127.0.0.1:{a.port}"]
-            one, two = (Balancer(services, tmp_path / name, name=name, contradiction_s=2.0, margin_s=0.3)
-                        for name in ("n1", "n2"))
+            one, two = (
+                Balancer(services, tmp_path / name, name=name, contradiction_s=2.0, margin_s=0.3)
+                for name in ("n1", "n2")
+            )
             async with running(one), running(two):
                 for control in (a, b):
                     control.office.pictured(picture(1))
@@ -36,12 +38,16 @@
                 epoch = one.following.view().epoch
                 await a.stop()
                 await until(lambda: b.leads, "the other leads")
-                await until(lambda: one.standing is two.standing is Standing.GRANTED
-                            and one.following.view().epoch > epoch, "leases of the new leader")
+                await until(
+                    lambda: (
+                        one.standing is two.standing is Standing.GRANTED
+                        and one.following.view().epoch > epoch
+                    ),
+                    "leases of the new leader",
+                )
                 b.office.pictured(picture(5, 0, 1))
                 await until(lambda: "n1" not in one.open | two.open, "a drain by the new leader")
                 assert not one.counters["follow.fault"] + two.counters["follow.fault"]
             await b.stop()
-    played(test)
-
 
+    played(test)
--- a/tests/house/test_commands.py
+++ b/tests/house/test_commands.py
@@ -25,8 +25,10 @@
 PROJECT = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
 STATIC = ["ruff check .", "mypy", "lint-imports --no-logo"]
 BUILD = "python setup.py -q build --build-lib .venv-dev/compiled --build-temp .venv-dev/temp"
-TESTS = ["python -P -m pytest -q -m not interpreted tests/net tests/engine tests/policy",
-         "pytest -q -n 4 --dist loadgroup --no-loadscope-reorder"]
+TESTS = [
+    "python -P -m pytest -q -m not interpreted tests/net tests/engine tests/policy",
+    "pytest -q -n 4 --dist loadgroup --no-loadscope-reorder",
+]
 FIRST, LATER = [*STATIC, BUILD, *TESTS], [*STATIC, *TESTS]
 STUB = """#!/bin/sh
 # Stands in for Python and for the tools: notes what it was asked for, fails where a file FAIL-name is.
@@ -73,8 +75,15 @@
     def call(self, *arguments: str) -> tuple[int, list[str]]:
         (self.at / "notes").write_text("")
         path = f"{self.at / 'bin'}:{os.environ['PATH']}"
-        done = subprocess.run(["./dev", *arguments], cwd=self.at, timeout=60, check=False,
-                              env={"PATH": path}, capture_output=True, text=True)
+        done = subprocess.run(
+            ["./dev", *arguments],
+            cwd=self.at,
+            timeout=60,
+            check=False,
+            env={"PATH": path},
+            capture_output=True,
+            text=True,
+        )
         self.said = done.stdout + done.stderr
         return done.returncode, [line.strip() for line in (self.at / "notes").read_text().splitlines()]
 
@@ -82,15 +91,15 @@
 def test_the_set_up_is_done_once_and_again_when_its_ground_has_changed(tmp_path: Path) -> None:
     here = Checkout(tmp_path / "here")
     (here.at / "FAIL-python").touch()
-    assert here.check() == (1, MADE)                             # the installation fails: half made
+    assert here.check() == (1, MADE)  # the installation fails: half made
     (here.at / "FAIL-python").unlink()
-    assert here.check() == (0, MADE + FIRST)                     # made anew
+    assert here.check() == (0, MADE + FIRST)  # made anew
     assert here.check("-k", "net") == (0, [*LATER[:-1], LATER[-1] + " -k net"])
-    (here.at / "roadlb" / "more.py").write_text("a = 1\n")       # what is compiled has changed
+    (here.at / "roadlb" / "more.py").write_text("a = 1\n")  # what is compiled has changed
     assert here.check() == (0, FIRST)
     (here.at / "pyproject.toml").write_text("[project]\nname = 'other'\n")
     assert here.check() == (0, MADE + FIRST)
-    here.at = here.at.rename(tmp_path / "there")                 # environments hold absolute paths
+    here.at = here.at.rename(tmp_path / "there")  # environments hold absolute paths
     assert here.check() == (0, MADE + FIRST)
 
 
@@ -117,7 +126,8 @@
             continue
         if (name := canonicalize_name(requirement.name)) == PROJECT["name"]:
             needs = PROJECT["dependencies"] + [
-                need for extra in requirement.extras for need in PROJECT["optional-dependencies"][extra]]
+                need for extra in requirement.extras for need in PROJECT["optional-dependencies"][extra]
+            ]
         else:
             needs = [] if name in found else metadata.requires(name) or []
             found.add(name)
@@ -140,14 +150,20 @@
 
 def test_the_set_up_installs_all_that_the_checks_run_and_import() -> None:
     pinned, homes = installed(), metadata.packages_distributions()
-    scripts = {script.name: script.dist.name for script in metadata.entry_points(group="console_scripts")
-               if script.dist}
+    scripts = {
+        script.name: script.dist.name
+        for script in metadata.entry_points(group="console_scripts")
+        if script.dist
+    }
     for tool in (line.split()[0] for line in [*STATIC, TESTS[-1]]):
         assert scripts.get(tool, tool) in pinned, tool
     folders = (ROOT / folder for folder in ("roadlb", "tests", "examples"))
     packages = imported(path for folder in folders for path in folder.rglob("*.py"))
-    assert not {package for package in packages
-                if not any(canonicalize_name(home) in pinned for home in homes.get(package, ()))}
+    assert not {
+        package
+        for package in packages
+        if not any(canonicalize_name(home) in pinned for home in homes.get(package, ()))
+    }
 
 
 def test_run_starts_the_grid_with_balancers_and_traffic_and_finds_an_incident_by_name(tmp_path: Path) -> None:
@@ -179,15 +195,18 @@
 def test_two_grids_at_once_serve_and_end_with_ctrl_c_and_with_sigterm() -> None:
     """As `./dev run` starts them, on a pipe; the printed curl line is asked as a shell reads it."""
     command = [sys.executable, "-m", "roadlb.cli.main", "lab", "grid", "--balancers", "2", "--traffic"]
-    grids = [subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
-             for _ in range(2)]
+    grids = [
+        subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+        for _ in range(2)
+    ]
     for grid in grids:
         assert grid.stdout
         while not (line := grid.stdout.readline()).startswith("ask it"):
             assert line or grid.poll() is None, "ended before it served"
         shell = f"printf '%s\\n' {line.removeprefix('ask it').strip()}"
-        words = subprocess.run(["sh", "-c", shell], check=True, capture_output=True,
-                               text=True).stdout.splitlines()
+        words = subprocess.run(
+            ["sh", "-c", shell], check=True, capture_output=True, text=True
+        ).stdout.splitlines()
         assert words[0] == "curl"
         headers = dict(words[i + 1].split(": ") for i, word in enumerate(words) if word == "-H")
         id = ask(words[-1], headers)
--- a/tests/house/test_deploy.py
+++ b/tests/house/test_deploy.py
@@ -26,9 +26,9 @@
 def test_the_base_dependencies_are_pinned_alike() -> None:
     project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
     pins = [line for line in (ROOT / "requirements.txt").read_text().splitlines() if not line.startswith("#")]
-    compilers = pins[len(project["dependencies"]):]
+    compilers = pins[len(project["dependencies"]) :]
     assert project["dependencies"] + compilers == pins and all("==" in pin for pin in pins)
-    assert set(compilers) <= set(project["optional-dependencies"]["dev"])      # what the checks compile with
+    assert set(compilers) <= set(project["optional-dependencies"]["dev"])  # what the checks compile with
 
 
 STUB = """#!/bin/sh
@@ -46,10 +46,15 @@
     def __init__(self, root: Path) -> None:
         self.root = root
         stub = root / "bin" / "python3"
-        for path, text in ((stub, STUB), (root / "requirements.txt", "a==1\n"), (root / "README.md", ""),
-                           (root / "pyproject.toml", ""), (root / "setup.py", ""),
-                           (root / "roadlb" / "app.py", "one"),
-                           (root / "deploy" / "build.sh", (ROOT / "deploy" / "build.sh").read_text())):
+        for path, text in (
+            (stub, STUB),
+            (root / "requirements.txt", "a==1\n"),
+            (root / "README.md", ""),
+            (root / "pyproject.toml", ""),
+            (root / "setup.py", ""),
+            (root / "roadlb" / "app.py", "one"),
+            (root / "deploy" / "build.sh", (ROOT / "deploy" / "build.sh").read_text()),
+        ):
             path.parent.mkdir(exist_ok=True)
             path.write_text(text)
         stub.chmod(0o755)
@@ -58,19 +63,22 @@
     def run(self) -> tuple[int, list[str]]:
         """How many environments have been made by then, and how roadlb was installed this time."""
         (self.root / "ran.txt").unlink(missing_ok=True)
-        subprocess.run(["/bin/sh", "-c", DEPLOY["build"]], cwd=self.root, env=self.env, check=False,
-                       timeout=60)
+        subprocess.run(
+            ["/bin/sh", "-c", DEPLOY["build"]], cwd=self.root, env=self.env, check=False, timeout=60
+        )
         ran = (self.root / "ran.txt").read_text() if (self.root / "ran.txt").exists() else ""
-        return (len((self.root / "made.txt").read_text().splitlines()),
-                [line.split()[0] for line in ran.splitlines() if "--no-deps" in line])
+        return (
+            len((self.root / "made.txt").read_text().splitlines()),
+            [line.split()[0] for line in ran.splitlines() if "--no-deps" in line],
+        )
 
 
 def test_the_build_notices_changed_requirements_and_a_half_made_environment(tmp_path: Path) -> None:
     build = Build(tmp_path)
     (tmp_path / "broken").touch()
-    assert build.run()[0] == 1                            # the installation fails: half made
+    assert build.run()[0] == 1  # the installation fails: half made
     (tmp_path / "broken").unlink()
-    assert [build.run()[0], build.run()[0]] == [2, 2]     # made anew, then left alone
+    assert [build.run()[0], build.run()[0]] == [2, 2]  # made anew, then left alone
     (tmp_path / "requirements.txt").write_text("a==2\n")
     assert [build.run()[0], build.run()[0]] == [3, 3]
 
@@ -90,12 +98,18 @@
 
 def start(tmp_path: Path, settings: object, **env: str) -> subprocess.Popen[str]:
     config = tmp_path / "config.json"
-    config.write_text(json.dumps({**RAW, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
-                                  "settings": settings}))
+    config.write_text(
+        json.dumps({**RAW, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": settings})
+    )
     # As the platform starts it, but for the interpreter: a signal must reach the program, not a shell.
     command = DEPLOY["run"].replace(".venv/bin/python", sys.executable)
-    return subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, stderr=subprocess.PIPE, text=True,
-                            env={**os.environ, "PYTHONPATH": str(ROOT), "PROXY_CONFIG": str(config), **env})
+    return subprocess.Popen(
+        ["/bin/sh", "-c", command],
+        cwd=ROOT,
+        stderr=subprocess.PIPE,
+        text=True,
+        env={**os.environ, "PYTHONPATH": str(ROOT), "PROXY_CONFIG": str(config), **env},
+    )
 
 
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
@@ -142,7 +156,7 @@
         for text in ("{", json.dumps({**RAW, "discovery": f"127.0.0.1:{place.getsockname()[1]}"})):
             (tmp_path / "config.json").write_text(text)
             process.send_signal(signal.SIGHUP)
-            while "event=\"configuration " not in (line := process.stderr.readline()):
+            while 'event="configuration ' not in (line := process.stderr.readline()):
                 assert line, "ended on SIGHUP"
             assert ("kept" in line) == (text == "{")
         place.accept()[0].close()
--- a/tests/house/test_examples.py
+++ b/tests/house/test_examples.py
@@ -29,11 +29,13 @@
 
 
 async def ask(url: str, method: str, target: str, id: str = "") -> Message:
-    headers = [("Host", "backend.local")] + ([
-        ("X-Correlation-Id", id), ("X-Account", "energia-sever"), ("X-Time-Left", "10")] if id else [])
+    headers = [("Host", "backend.local")] + (
+        [("X-Correlation-Id", id), ("X-Account", "energia-sever"), ("X-Time-Left", "10")] if id else []
+    )
     host, port = url.removeprefix("http://").split(":")
     transport, asked = await asyncio.get_running_loop().create_connection(
-        lambda: Ask(write_request(method, target, headers)), host, int(port))
+        lambda: Ask(write_request(method, target, headers)), host, int(port)
+    )
     try:
         return await asked.answer
     finally:
@@ -42,14 +44,14 @@
 
 async def serve() -> None:
     async with asyncio.timeout(30), balancer(json.loads(EXAMPLE.read_text())) as here:
-        while (await ask(here.url, "GET", "/healthz")).status != 200:    # until discovery has told its list
+        while (await ask(here.url, "GET", "/healthz")).status != 200:  # until discovery has told its list
             await asyncio.sleep(0.01)
         read = await ask(here.url, "GET", READ, "9b1f03aa5c7e2d41")
         assert read.status == 200 and read.body.startswith(b"9b1f03aa5c7e2d41 ")
         order = await ask(here.url, "POST", "/order/tatry?w=1000", "9b1f03aa5c7e2d42")
         assert order.status == 200 and b" g1 " in order.body
         here.registry.drain("g1")
-        number = 0x9b1f03aa5c7e2d43
+        number = 0x9B1F03AA5C7E2D43
         while (await ask(here.url, "GET", READ, f"{number:016x}")).status != 503:
             number += 1
             await asyncio.sleep(0.01)
--- a/tests/house/test_footprint.py
+++ b/tests/house/test_footprint.py
@@ -15,7 +15,7 @@
 
 # The top-level packages of others that the program may load: its base dependencies and what these import.
 ALLOWED = {"httptools", "uvloop"}
-MODULES_MOST = 230      # 204 on Python 3.11, the standard library's included
+MODULES_MOST = 230  # 204 on Python 3.11, the standard library's included
 
 # Without `site`, as what it loads depends on how the environment was made.  The name is not __main__, so that
 # the program's imports are carried out and nothing more.
@@ -30,8 +30,14 @@
 
 def loaded() -> list[str]:
     paths = [str(ROOT), *{sysconfig.get_path("purelib"), sysconfig.get_path("platlib")}]
-    done = subprocess.run([sys.executable, "-I", "-S", "-c", LOAD, *paths], cwd=ROOT, timeout=60, check=True,
-                          capture_output=True, text=True)
+    done = subprocess.run(
+        [sys.executable, "-I", "-S", "-c", LOAD, *paths],
+        cwd=ROOT,
+        timeout=60,
+        check=True,
+        capture_output=True,
+        text=True,
+    )
     names: list[str] = json.loads(done.stdout)
     return names
 
--- a/tests/house/test_public_interfaces.py
+++ b/tests/house/test_public_interfaces.py
@@ -39,8 +39,12 @@
             names.add(node.name)
         elif isinstance(node, ast.Name) and isinstance(node.ctx, ast.Store):
             names.add(node.id)
-        elif (isinstance(node, ast.Attribute) and isinstance(node.ctx, ast.Store)
-                and isinstance(node.value, ast.Name) and node.value.id in ("self", "cls")):
+        elif (
+            isinstance(node, ast.Attribute)
+            and isinstance(node.ctx, ast.Store)
+            and isinstance(node.value, ast.Name)
+            and node.value.id in ("self", "cls")
+        ):
             names.add(node.attr)
     return names
 
@@ -51,9 +55,14 @@
     for node in ast.walk(tree):
         if isinstance(node, ast.Attribute) and private(node.attr) and node.attr not in own:
             yield node.lineno, node.attr
-        elif (isinstance(node, ast.Call) and isinstance(node.func, ast.Name) and len(node.args) > 1
-                and node.func.id in ("getattr", "setattr", "hasattr", "delattr")
-                and isinstance(name := node.args[1], ast.Constant) and private(str(name.value))):
+        elif (
+            isinstance(node, ast.Call)
+            and isinstance(node.func, ast.Name)
+            and len(node.args) > 1
+            and node.func.id in ("getattr", "setattr", "hasattr", "delattr")
+            and isinstance(name := node.args[1], ast.Constant)
+            and private(str(name.value))
+        ):
             yield node.lineno, str(name.value)
         elif isinstance(node, ast.Import | ast.ImportFrom):
             names = [alias.name for alias in node.names]
@@ -62,8 +71,11 @@
                 public = PUBLIC_MODULES.get(module.partition(".")[0])
                 if public is not None and module not in public:
                     yield node.lineno, module
-            yield from ((node.lineno, name) for name in {*names, *modules}
-                        if any(private(part) for part in name.split(".")))
+            yield from (
+                (node.lineno, name)
+                for name in {*names, *modules}
+                if any(private(part) for part in name.split("."))
+            )
 
 
 def names_used(base: type) -> set[str]:
@@ -77,8 +89,11 @@
     for node in ast.walk(tree):
         found = getattr(module, node.name, None) if isinstance(node, ast.ClassDef) else None
         if isinstance(found, type):
-            bases = [base for base in found.__mro__[1:]
-                     if base.__module__.partition(".")[0] not in sys.stdlib_module_names | {"roadlb"}]
+            bases = [
+                base
+                for base in found.__mro__[1:]
+                if base.__module__.partition(".")[0] not in sys.stdlib_module_names | {"roadlb"}
+            ]
             used = {name for base in bases for name in names_used(base)}
             yield from (f"{found.__name__}.{name}" for name in own_names(node) & used if private(name))
 
@@ -105,20 +120,23 @@
         assert not within & defined, f"{package}: rename one of {sorted(within & defined)}"
 
 
-@pytest.mark.parametrize("line, caught", [
-    ("connector._conns.clear()", ["_conns"]),
-    ("self.transport._sock", ["_sock"]),
-    ("self._resume()", ["_resume"]),
-    ("getattr(loop, '_selector')", ["_selector"]),
-    ("from uvloop import _noop", ["_noop"]),
-    ("import aiohttp._http_parser", ["aiohttp._http_parser", "aiohttp._http_parser"]),
-    ("from aiohttp.client_proto import ResponseHandler", ["aiohttp.client_proto"]),
-    ("from . import _own", ["_own"]),
-    ("def _own(): ...\nx._own()", []),
-    ("class A:\n    _b = 1\n    def c(self, other): self._d = other._b\ndef e(a): return a._d", []),
-    ("import uvloop\nuvloop.__version__, _ = 1, 2", []),
-    ("from __future__ import annotations", []),
-])
+@pytest.mark.parametrize(
+    "line, caught",
+    [
+        ("connector._conns.clear()", ["_conns"]),
+        ("self.transport._sock", ["_sock"]),
+        ("self._resume()", ["_resume"]),
+        ("getattr(loop, '_selector')", ["_selector"]),
+        ("from uvloop import _noop", ["_noop"]),
+        ("import aiohttp._http_parser", ["aiohttp._http_parser", "aiohttp._http_parser"]),
+        ("from aiohttp.client_proto import ResponseHandler", ["aiohttp.client_proto"]),
+        ("from . import _own", ["_own"]),
+        ("def _own(): ...\nx._own()", []),
+        ("class A:\n    _b = 1\n    def c(self, other): self._d = other._b\ndef e(a): return a._d", []),
+        ("import uvloop\nuvloop.__version__, _ = 1, 2", []),
+        ("from __future__ import annotations", []),
+    ],
+)
 def test_the_walk_finds_private_names(line: str, caught: list[str]) -> None:
     assert [name for _, name in touched(ast.parse(line))] == caught
 
--- a/tests/issuing/issuing_parties.py
+++ b/tests/issuing/issuing_parties.py
@@ -39,7 +39,7 @@
 from roadlb.xds.codec.discovery import read_delta_request, read_delta_response, write_delta_request
 from roadlb.xds.grpc.transport import ADS, Context, listen, next_message, server
 
-PATIENCE_S = 60.0            # generous: only a defect takes so long
+PATIENCE_S = 60.0  # generous: only a defect takes so long
 HOST = "127.0.0.1"
 
 
@@ -53,9 +53,16 @@
 def picture(generation: int, *drained: int, nodes: int = 6, gone: tuple[int, ...] = ()) -> Picture:
     """So many nodes in two halls."""
     endpoints = tuple(
-        Endpoint(NodeId(f"n{i}", 1_000), HOST, 9_000 + i, Locality(zone=f"hall-{'ab'[i % 2]}"),
-                 Lifecycle.DRAINING if i in drained else Lifecycle.UP)
-        for i in range(nodes) if i not in gone)
+        Endpoint(
+            NodeId(f"n{i}", 1_000),
+            HOST,
+            9_000 + i,
+            Locality(zone=f"hall-{'ab'[i % 2]}"),
+            Lifecycle.DRAINING if i in drained else Lifecycle.UP,
+        )
+        for i in range(nodes)
+        if i not in gone
+    )
     return Picture(generation, {"grid": Cluster("grid", endpoints)})
 
 
@@ -63,8 +70,16 @@
     """One control service's office behind a gRPC server."""
 
     def __init__(self, store: StandIn, name: str, **settings: Any) -> None:
-        told = AgreementSettings(store=(store.address,), prefix="/t", name=name, contradiction_s=2.0,
-                                 margin_s=0.3, seat_s=3, store_call_s=0.3, **settings)
+        told = AgreementSettings(
+            store=(store.address,),
+            prefix="/t",
+            name=name,
+            contradiction_s=2.0,
+            margin_s=0.3,
+            seat_s=3,
+            store_call_s=0.3,
+            **settings,
+        )
         self.office, self.port = Office(told, monotonic_us, unix_us), 0
 
     async def start(self) -> Control:
@@ -72,6 +87,7 @@
             first = await next_message(context)
             assert first is not None and self.office.serves(read_delta_request(first))
             await self.office.serve(context, first)
+
         self._server = server({(ADS, "DeltaAggregatedResources"): ads}, {})
         self.port = listen(self._server, HOST, self.port)
         await self._server.start()
@@ -96,7 +112,7 @@
         self.applied: list[Apply] = []
         self._out: asyncio.Queue[bytes] = asyncio.Queue()
         self._open = False
-        self._tell(Restarted(monotonic_us() & 0xffff_ffff, Memory()))
+        self._tell(Restarted(monotonic_us() & 0xFFFF_FFFF, Memory()))
         self.tasks = [asyncio.create_task(self._run()), asyncio.create_task(self._pulses())]
 
     @property
--- a/tests/issuing/test_agreement_commands.py
+++ b/tests/issuing/test_agreement_commands.py
@@ -31,7 +31,8 @@
     file.write_text(
         f'discovery = "{HOST}:{discovery}"\nlisten = "{HOST}:0"\nstatus = "{HOST}:0"\n[agreement]\n'
         f'store = ["{store}"]\nname = "one"\ncontradiction_s = 2.0\nmargin_s = 0.3\nseat_s = 3\n'
-        f'settings = "{EXAMPLE}"\n')
+        f'settings = "{EXAMPLE}"\n'
+    )
     config = json.loads(EXAMPLE.read_text())
     config["settings"]["tenants"][1]["quota_per_s"] = 60
     (folder / "next.json").write_text(json.dumps(config))
@@ -45,7 +46,8 @@
         nobody = await asyncio.to_thread(call, "agreement", "status", file)
         assert nobody.exit_code == 1 and "nobody leads" in nobody.stderr
         late = await asyncio.to_thread(
-            call, "versions", "propose", file, config, "--why", "x", "--wait", "0.2")
+            call, "versions", "propose", file, config, "--why", "x", "--wait", "0.2"
+        )
         assert late.exit_code == 1 and "no leader has carried it out" in late.stderr
         service = Service(read(file))
         await service.start()
@@ -63,6 +65,7 @@
 async def commands(file: str, config: str, told, ones: list[Balancer]) -> None:  # type: ignore[no-untyped-def]
     async def run(*words: str) -> Result:
         return await asyncio.to_thread(call, *words)
+
     status = await run("agreement", "status", file)
     assert status.exit_code == 0 and "one leads in epoch" in status.stdout, status.output
     assert status.stdout.count(" granted ") == 2 and "in force" in status.stdout
@@ -72,7 +75,11 @@
 
     shown = json.loads((await run("versions", "show", file, "--json")).stdout)
     assert shown["version"] == page["force"] and [n["node"] for n in shown["clusters"]["grid"]] == [
-        "n0", "n1", "n2", "n3"]
+        "n0",
+        "n1",
+        "n2",
+        "n3",
+    ]
     assert "tenants.1.quota_per_s" in (await run("versions", "show", file)).stdout
 
     done = await run("versions", "propose", file, config, "--why", "less for cesty-vychod")
@@ -92,12 +99,23 @@
     while not lines or lines[-1]["word"] != "declined":
         lines = json.loads((await run("versions", "history", file, "--json")).stdout)
     assert [line["word"] for line in lines if line["word"] != "leading"] == [
-        "prepared", "in force", "prepared", "in force", "declined"]
+        "prepared",
+        "in force",
+        "prepared",
+        "in force",
+        "declined",
+    ]
     assert "capacity_gone" in str(lines[-1]["text"]) and lines[-1]["kept"]
     number = str(lines[-1]["line"])
     assert f"#{number}*" in (await run("versions", "history", file)).stdout
-    assert len(json.loads((await run("versions", "show", file, f"#{number}", "--json")).stdout)[
-        "clusters"]["grid"]) == 1
+    assert (
+        len(
+            json.loads((await run("versions", "show", file, f"#{number}", "--json")).stdout)["clusters"][
+                "grid"
+            ]
+        )
+        == 1
+    )
     done = await run("versions", "accept", file, number, "--why", "the hall is mended")
     assert done.exit_code == 0 and f"line {number}" in done.stdout, done.output
     await until(lambda: all(len(one.lifecycles()) == 1 for one in ones), "the accepted list is followed")
@@ -136,7 +154,7 @@
     async with StandIn() as store, platform(**nodes) as told:
         file, _ = files(folder, told.port, store.address)
         client = Etcd((store.address,), 1.0)
-        await client.put(b"/roadlb/roll", write_roll(("b0", "silent")))      # a leader was there before
+        await client.put(b"/roadlb/roll", write_roll(("b0", "silent")))  # a leader was there before
         service = Service(read(file))
         await service.start()
         one = Balancer("b0", service.office.timing, service.port)
--- a/tests/issuing/test_leading.py
+++ b/tests/issuing/test_leading.py
@@ -60,7 +60,7 @@
 def test_it_renews_in_good_time_and_counts_from_before_it_asked() -> None:
     one = leading()
     assert one.handle(1 * S - 1, Tick()) == [] and one.handle(1 * S, Tick()) == [Renew(7)]
-    assert one.handle(2 * S, Tick()) == []               # it is asked once
+    assert one.handle(2 * S, Tick()) == []  # it is asked once
     (extend,) = one.handle(2 * S, Renewed(1 * S, 7, 4))
     assert isinstance(extend, Extend) and 4.4 * S < extend.until_us < 4.5 * S
     assert one.handle(2 * S, Tick()) == [Renew(7)]
@@ -73,12 +73,15 @@
     one = leading()
     assert one.leads(3 * S) == 9 and one.leads(4 * S) is None
     assert one.handle(60 * S, Renewed(1 * S, 7, 4)) == [
-        Revoke(7), StepDown(9, "the lease was not renewed in time", known=False)]
+        Revoke(7),
+        StepDown(9, "the lease was not renewed in time", known=False),
+    ]
     assert one.state is State.AWAY and one.handle(60 * S, Tick()) == [AskLease(4)]
 
 
-@pytest.mark.parametrize("event, state", [
-    (Renewed(1, 7, 0), State.AWAY), (Fenced(9), State.WAITING), (Retire(), State.RETIRED)])
+@pytest.mark.parametrize(
+    "event, state", [(Renewed(1, 7, 0), State.AWAY), (Fenced(9), State.WAITING), (Retire(), State.RETIRED)]
+)
 def test_it_steps_down_when_it_is_told_that_the_seat_is_gone(event: Event, state: State) -> None:
     one = leading()
     told = one.handle(2 * S, event)
@@ -99,7 +102,7 @@
     assert (one.state, one.holder) == (State.WAITING, epoch_of(1, 5))
     assert one.handle(2 * S - 1, Tick()) == [] and one.handle(2 * S, Tick()) == [Look()]
     assert one.handle(2 * S, Taken()) == [] and one.handle(3 * S, Tick()) == []
-    assert one.handle(4 * S, Tick()) == [Look()]         # whatever became of the one before
+    assert one.handle(4 * S, Tick()) == [Look()]  # whatever became of the one before
     assert one.handle(5 * S, Vacant()) == [AskLease(4)]
     one.handle(5 * S, Failed("away"))
     assert one.handle(5 * S, Tick()) == [] and one.handle(6 * S, Tick()) == [AskLease(4)]
@@ -108,10 +111,10 @@
 def test_a_seat_that_ended_after_the_store_answered_and_was_told_before_is_run_for_again() -> None:
     one = Leading(ttl_s=4)
     one.handle(0, Tick())
-    assert one.handle(0, Granted(0, 7, 4)) == [Run(7)]   # carried out while another has the seat
+    assert one.handle(0, Granted(0, 7, 4)) == [Run(7)]  # carried out while another has the seat
     assert one.handle(10, Vacant()) == []
     assert one.handle(20, Ran(0, created=5, lease=6, era=0)) == [Run(7)]
-    assert one.handle(30, Ran(20, created=8, lease=9, era=0)) == [Revoke(7)]     # once for each such word
+    assert one.handle(30, Ran(20, created=8, lease=9, era=0)) == [Revoke(7)]  # once for each such word
     assert one.state is State.WAITING
 
 
@@ -127,14 +130,16 @@
     one.handle(1 * S, Failed("silent"))
     assert one.handle(2 * S, Tick()) == [Run(7)]
     (lead,) = one.handle(2 * S, Ran(2 * S, created=9, lease=7, era=0))
-    assert isinstance(lead, Lead) and lead.until_us < 4 * S          # by the lease, not by the last try
+    assert isinstance(lead, Lead) and lead.until_us < 4 * S  # by the lease, not by the last try
 
 
 def test_a_store_back_from_a_backup_costs_one_era_and_no_epoch_is_used_twice() -> None:
     one = leading()
     assert one.handle(1, Overtaken(8)) == []
     assert one.handle(1, Overtaken(9)) == [
-        StepDown(9, "epoch 9 is known: the store went back"), RaiseEra(9, 1)]
+        StepDown(9, "epoch 9 is known: the store went back"),
+        RaiseEra(9, 1),
+    ]
     assert one.leads(1) is None
     (lead,) = one.handle(2, Raised(1))
     assert isinstance(lead, Lead) and lead.epoch == epoch_of(1, 9) and one.leads(2) == lead.epoch
@@ -166,17 +171,17 @@
         self.random, self.true, self.store, self.order = Random(seed), 0, Store(), count()
         self.heap: list[tuple[int, int, Callable[[], None]]] = []
         self.rates = [1 + self.random.uniform(-200e-6, 200e-6) for _ in range(services)]
-        self.starts = [self.random.randrange(10 ** 12) for _ in range(services)]
+        self.starts = [self.random.randrange(10**12) for _ in range(services)]
         self.ones = [Leading(ttl_s=4) for _ in range(services)]
-        self.stopped = [0] * services                            # until then, by true time
-        self.led: list[tuple[int, int]] = []                     # (epoch, by whom), as it began
-        self.written: list[int] = []                             # guarded writes carried out: the seat's
+        self.stopped = [0] * services  # until then, by true time
+        self.led: list[tuple[int, int]] = []  # (epoch, by whom), as it began
+        self.written: list[int] = []  # guarded writes carried out: the seat's
         self.mending = self.away = self.went_back = False
-        self.dead: set[int] = set()                              # whose channel is, until a call has failed
-        self.taken = False                                       # the seat, as watches were told last
+        self.dead: set[int] = set()  # whose channel is, until a call has failed
+        self.taken = False  # the seat, as watches were told last
         self.store_rate = 1 + self.random.uniform(-200e-6, 200e-6)
         for i in range(services):
-            self.at(self.random.randrange(S), lambda i=i: self.tick(i))      # type: ignore[misc]
+            self.at(self.random.randrange(S), lambda i=i: self.tick(i))  # type: ignore[misc]
 
     def clock(self, i: int) -> int:
         return self.starts[i] + int(self.true * self.rates[i])
@@ -200,7 +205,7 @@
         self.at(50_000, lambda: self.tick(i))
 
     def tell(self, i: int, event: Event) -> None:
-        if self.stopped[i] > self.true:                          # it hears it when it goes on
+        if self.stopped[i] > self.true:  # it hears it when it goes on
             self.at(self.stopped[i] - self.true, lambda: self.tell(i, event))
             return
         one = self.ones[i]
@@ -211,8 +216,9 @@
         if sure == [i] and self.random.random() < 0.5:
             epoch = one.leads(self.clock(i))
             assert epoch is not None
-            self.ask(i, guarded(KEYS, epoch, Put(KEYS["force"], b"")),
-                     lambda done, _: self.wrote(i, epoch, done))
+            self.ask(
+                i, guarded(KEYS, epoch, Put(KEYS["force"], b"")), lambda done, _: self.wrote(i, epoch, done)
+            )
 
     def wrote(self, i: int, epoch: int, done: object) -> None:
         assert isinstance(done, Decided)
@@ -226,8 +232,11 @@
                 self.led.append((epoch, i))
             case AskLease() | Run() | Renew() | RaiseEra() | Look() | Revoke():
                 epoch = self.ones[i].holder
-                self.ask(i, question(action, KEYS, str(i)),
-                         lambda reply, asked_at: self.tell(i, answer(action, asked_at, reply, epoch)))
+                self.ask(
+                    i,
+                    question(action, KEYS, str(i)),
+                    lambda reply, asked_at: self.tell(i, answer(action, asked_at, reply, epoch)),
+                )
 
     def ask(self, i: int, request: object, then: Callable[[object, int], None]) -> None:
         asked_at, bad = self.clock(i), 0.0 if self.mending else 0.1
@@ -236,7 +245,7 @@
             store, at = self.store, int(self.true * self.store_rate)
             store.handle(at, StoreTick())
             seat = store._pair(KEYS["seat"], store.revision)
-            (told,) = store.handle(at, Asked(0, request))        # type: ignore[arg-type]
+            (told,) = store.handle(at, Asked(0, request))  # type: ignore[arg-type]
             if isinstance(request, type(guarded(KEYS, 1))) and isinstance(told, Answer) and request.then:
                 self.carried(request, told, seat.created if seat else 0)
             self.watched()
@@ -247,21 +256,22 @@
 
         def delay() -> int:
             return self.random.randrange(1, 2 * S if self.random.random() < bad else 20_000)
+
         if self.random.random() < bad or self.away or i in self.dead:
             self.at(S, lambda: self.failed(i, request, "lost"))
         else:
             self.at(delay(), arrive)
 
     def failed(self, i: int, request: object, why: str) -> None:
-        self.dead.discard(i)                                     # its channel is left
-        if not isinstance(request, Get):                         # a look at the seat
+        self.dead.discard(i)  # its channel is left
+        if not isinstance(request, Get):  # a look at the seat
             self.tell(i, Failed(why))
 
     def carried(self, request: object, told: Answer, created: int) -> None:
         """A write of version state was carried out under the seat as it then was."""
-        then = request.then                                      # type: ignore[attr-defined]
-        if told.reply.held and then[0].key == KEYS["force"]:     # type: ignore[union-attr]
-            (compare,) = request.compares                        # type: ignore[attr-defined]
+        then = request.then  # type: ignore[attr-defined]
+        if told.reply.held and then[0].key == KEYS["force"]:  # type: ignore[union-attr]
+            (compare,) = request.compares  # type: ignore[attr-defined]
             assert compare.than == created != 0
             self.written.append(created)
 
@@ -279,7 +289,7 @@
 def test_no_two_are_sure_at_once_and_one_leads_when_faults_end(seed: int) -> None:
     world = World(seed, 3)
     world.run(60 * S)
-    assert world.written == sorted(world.written)                # no write of an old leader after a new one's
+    assert world.written == sorted(world.written)  # no write of an old leader after a new one's
     world.run(90 * S, faults=False)
     sure = [one for i, one in enumerate(world.ones) if one.leads(world.clock(i))]
     assert len(sure) == 1 and len(world.led) >= 1
@@ -293,7 +303,7 @@
     world.run((20 + seed % 7) * S, faults=False)
     (leader,) = (i for i, one in enumerate(world.ones) if one.leads(world.clock(i)))
     world.stopped[leader] = 1 << 60
-    if dead:                                 # and in the same moment the other's channel, without a word
+    if dead:  # and in the same moment the other's channel, without a word
         world.dead.add(1 - leader)
     died, led = world.true, len(world.led)
     while len(world.led) == led:
@@ -314,14 +324,15 @@
     world.away, world.went_back = False, True
     world.store = backup.restored(int(world.true * world.store_rate))
     for one in world.ones:
-        one._known = 0                       # as after a restart of all services: only followers remember
+        one._known = 0  # as after a restart of all services: only followers remember
 
-    def word() -> None:                      # followers tell each leader what they know
+    def word() -> None:  # followers tell each leader what they know
         for i, one in enumerate(world.ones):
             epoch = one.leads(world.clock(i))
             if epoch is not None and epoch <= seen:
                 world.tell(i, Overtaken(seen))
         world.at(100_000, word)
+
     word()
     world.run(80 * S, faults=False)
     sure = [epoch for i, one in enumerate(world.ones) if (epoch := one.leads(world.clock(i))) is not None]
--- a/tests/issuing/test_line.py
+++ b/tests/issuing/test_line.py
@@ -26,7 +26,7 @@
 def version(number: int, random: Random) -> Version:
     """One of a few contents, so that what was held before comes again."""
     settings = {"tenants.0.quota_per_s": str(random.randrange(3))}
-    nodes = NODES[:random.choice((20, 21, 150, 200))]
+    nodes = NODES[: random.choice((20, 21, 150, 200))]
     return Version(VersionId(1, number), Contents(settings, {"grid": Cluster("grid", nodes)}))
 
 
@@ -88,7 +88,7 @@
         for _ in range(random.randrange(12)):
             stream.step()
     assert last is not None
-    for _ in range(12):                      # as the issuer does: again and again, until it is acknowledged
+    for _ in range(12):  # as the issuer does: again and again, until it is acknowledged
         stream.do(stream.line.handle(Tell(stream.books.offer(Prepare(1, last)))))
         while stream.there or stream.back:
             if stream.there:
@@ -102,24 +102,34 @@
     told = next(told for told in stream.heard if told.version.id == last.id)
     assert told.version.contents.settings == last.contents.settings
     assert sorted(e.node.name for e in told.version.contents.clusters["grid"].endpoints) == sorted(
-        e.node.name for e in last.contents.clusters["grid"].endpoints)
+        e.node.name for e in last.contents.clusters["grid"].endpoints
+    )
 
 
 def test_an_ask_is_answered_by_its_name_and_only_on_its_stream() -> None:
     line = Line()
     ask = Ask(7, 3, 1, VersionId(), VersionId(1, 2))
     link = Link("b")
-    sent = [action.request for event in (client.Opened(), Say(ask)) for action in link.handle(0, event)
-            if isinstance(action, client.Send)]
-    assert [action.message for request in sent for action in line.handle(Asked(request))
-            if isinstance(action, Said)] == [ask]
+    sent = [
+        action.request
+        for event in (client.Opened(), Say(ask))
+        for action in link.handle(0, event)
+        if isinstance(action, client.Send)
+    ]
+    assert [
+        action.message
+        for request in sent
+        for action in line.handle(Asked(request))
+        if isinstance(action, Said)
+    ] == [ask]
     lease = Lease(1, VersionId(1, 2), 7, 3, 4_000_000)
     (answer,) = line.handle(Tell(lease))
     assert isinstance(answer, Send) and answer.response.resources[0].ttl_us == 4_000_000
-    assert line.handle(Tell(lease)) == []                    # once
-    assert Line().handle(Tell(lease)) == []                  # nobody asked here
-    (heard,) = [action for action in link.handle(1, client.Came(answer.response))
-                if isinstance(action, Hears)]
+    assert line.handle(Tell(lease)) == []  # once
+    assert Line().handle(Tell(lease)) == []  # nobody asked here
+    (heard,) = [
+        action for action in link.handle(1, client.Came(answer.response)) if isinstance(action, Hears)
+    ]
     assert heard.message == lease
 
 
@@ -130,8 +140,7 @@
     line.handle(Asked(DeltaRequest("x", node=Node("b"))))
     (end,) = line.handle(Asked(DeltaRequest("type.googleapis.com/google.protobuf.Value", ("lease?no=1",))))
     assert isinstance(end, End) and "lease?no=1" in end.reason
-    told = [action for number in range(300)
-            for action in line.handle(Tell(InForce(1, VersionId(1, number))))]
+    told = [action for number in range(300) for action in line.handle(Tell(InForce(1, VersionId(1, number))))]
     assert any(isinstance(action, End) and "without an answer" in action.reason for action in told)
 
 
@@ -139,6 +148,10 @@
     """An issuer answers on the stream on which it heard last: so it hears of a later epoch first."""
     stream = Stream(Random(1))
     stream.tell_link(Say(Ask(1, 1, 7, VersionId(7, 3), VersionId(7, 4))))
-    said = [action.message for data in stream.there for action in stream.line.handle(
-        Asked(read_delta_request(data))) if isinstance(action, Said)]
+    said = [
+        action.message
+        for data in stream.there
+        for action in stream.line.handle(Asked(read_delta_request(data)))
+        if isinstance(action, Said)
+    ]
     assert said == [Ask(1, 1, 7, VersionId(7, 3), VersionId(7, 4))] and len(stream.there) > 1
--- a/tests/issuing/test_office.py
+++ b/tests/issuing/test_office.py
@@ -36,9 +36,11 @@
 
 
 def words(control: Control) -> list[tuple[str, str]]:
-    return [(line.word, line.version.rpartition(".")[2])
-            for _, line in sorted(control.office.ledger.lines.items())
-            if line.word not in ("leading", "deposed")]
+    return [
+        (line.word, line.version.rpartition(".")[2])
+        for _, line in sorted(control.office.ledger.lines.items())
+        if line.word not in ("leading", "deposed")
+    ]
 
 
 async def order(store: StandIn, control: Control, order: Order) -> str:
@@ -54,6 +56,7 @@
             found = await client.get(keys["answers/" + name])
             answers.extend(pair.value.decode() for pair in found.pairs)
             await asyncio.sleep(0.02)
+
     await asyncio.wait_for(answered(), PATIENCE_S)
     return answers[0]
 
@@ -66,8 +69,10 @@
         force = a.office.issuer.force
         assert force is not None
         await until(lambda: all(one.decider.force == force.id for one in ones), "for both")
-        await until(lambda: words(b) == [("prepared", "1"), ("in force", "1"), ("prepared", "2"),
-                                         ("in force", "2")], "the other service sees the same history")
+        await until(
+            lambda: words(b) == [("prepared", "1"), ("in force", "1"), ("prepared", "2"), ("in force", "2")],
+            "the other service sees the same history",
+        )
         assert b.office.ledger.book.force == force
 
 
@@ -80,19 +85,21 @@
         ones[1].refuses = lambda prepare: "reopened: n3" if prepare.version.id.number == 2 else ""
         a.office.pictured(picture(2, nodes=7))
         await until(lambda: any(word == "refused" for word, _ in words(a)), "one refuses, and it is written")
-        await until(lambda: all(len(one.lifecycles()) == 6 and one.standing is Standing.GRANTED
-                                for one in ones), "what was in force holds again")
+        await until(
+            lambda: all(len(one.lifecycles()) == 6 and one.standing is Standing.GRANTED for one in ones),
+            "what was in force holds again",
+        )
         a.office.pictured(picture(3, nodes=8))
         await until(lambda: all(len(one.lifecycles()) == 8 for one in ones), "the next one is taken by both")
-        a.office.pictured(picture(4, gone=(1, 3, 5, 7)))             # a hall is emptied: the guard
+        a.office.pictured(picture(4, gone=(1, 3, 5, 7)))  # a hall is emptied: the guard
         await until(lambda: words(a)[-1] == ("declined", ""), "it is declined before anybody is told")
         (line,) = [line for line in a.office.ledger.lines.values() if line.word == "declined"]
         assert "hall_emptied" in line.text and all(len(one.lifecycles()) == 8 for one in ones)
-        a.office.pictured(picture(5, gone=(1, 3, 5, 7)))             # told again: one line is enough
+        a.office.pictured(picture(5, gone=(1, 3, 5, 7)))  # told again: one line is enough
         assert "no version" in await order(store, a, Order("accept", line=1_000))
         assert await order(store, a, Order("accept", "hall b is gone", line=line.number)) == ""
         await until(lambda: all(len(one.lifecycles()) == 3 for one in ones), "accepted, it is taken by both")
-        assert a.office.issuer.force.meant or a.office.issuer.prepared.meant     # type: ignore[union-attr]
+        assert a.office.issuer.force.meant or a.office.issuer.prepared.meant  # type: ignore[union-attr]
         assert len([line for line in a.office.ledger.lines.values() if line.word == "declined"]) == 1
 
 
@@ -111,7 +118,7 @@
         await until(lambda: all(one.lifecycles()["n4"] is DRAINING for one in ones), "its drain is kept to")
         await until(lambda: all(one.standing is Standing.GRANTED for one in ones), "with leases of its own")
         # The versions' numbers go on, and nothing that the former one had in force is lost on the way.
-        assert b.office.issuer.force.id.number > before.id.number    # type: ignore[union-attr]
+        assert b.office.issuer.force.id.number > before.id.number  # type: ignore[union-attr]
         assert all(one.decider.epoch == b.office.issuer.epoch for one in ones)
         assert await order(store, b, Order("propose", "later", {"nonsense": "1"})) != ""
         assert await order(store, b, Order("exclude", "it is being mended", follower="balancer-1")) == ""
@@ -146,7 +153,7 @@
 async def stray() -> None:
     async with hall() as (store, a, b, ones):
         store.fault = Fault.DEAF
-        a.office.pictured(picture(2, nodes=7))           # told by one that will lead no more, and never kept
+        a.office.pictured(picture(2, nodes=7))  # told by one that will lead no more, and never kept
         await until(lambda: all(str(one.decider.told.id).endswith(".2") for one in ones), "told")  # type: ignore
         await a.stop()
         store.fault = Fault.NONE
@@ -168,17 +175,25 @@
         kept = store.store.backup()
         for i in range(2, 5):
             a.office.pictured(picture(i, nodes=6 + i))
-            await until(lambda: a.office.issuer.prepared is None and all(
-                len(one.lifecycles()) == 6 + i for one in ones), "in force")  # noqa: B023
+            await until(
+                lambda: (
+                    a.office.issuer.prepared is None and all(len(one.lifecycles()) == 6 + i for one in ones)  # noqa: B023
+                ),
+                "in force",
+            )
         newest = a.office.issuer.force
         assert newest is not None
         store.restore(kept)
-        await until(lambda: any(c.leads and c.office.issuer.epoch > newest.id.epoch for c in (a, b)),
-                    "one leads in an epoch that nobody has seen")
+        await until(
+            lambda: any(c.leads and c.office.issuer.epoch > newest.id.epoch for c in (a, b)),
+            "one leads in an epoch that nobody has seen",
+        )
         await until(lambda: all(one.standing is Standing.GRANTED for one in ones), "all have a lease again")
         assert all(len(one.lifecycles()) == 10 for one in ones)
-        await until(lambda: any((force := c.office.ledger.book.force) and force.id >= newest.id
-                                for c in (a, b)), "the store has again what was in force")
+        await until(
+            lambda: any((force := c.office.ledger.book.force) and force.id >= newest.id for c in (a, b)),
+            "the store has again what was in force",
+        )
 
 
 def test_a_store_back_from_a_backup_takes_no_version_back() -> None:
--- a/tests/issuing/test_roll.py
+++ b/tests/issuing/test_roll.py
@@ -15,7 +15,7 @@
 from roadlb.lab.standin_etcd.server import StandIn
 from roadlb.xds.codec.protos import CodecError
 
-JOIN = 3                     # balancers, one after the other: a write of the roll for each
+JOIN = 3  # balancers, one after the other: a write of the roll for each
 
 
 class Crash:
@@ -24,7 +24,7 @@
     def __init__(self, control: Control, at: int, taken: bool) -> None:
         self.left, self.taken, self.here = at, taken, asyncio.Event()
         self._write, self._key = control.office.seat.write, control.office.keys[ROLL]
-        control.office.seat.write = self.write                # type: ignore[method-assign]
+        control.office.seat.write = self.write  # type: ignore[method-assign]
 
     async def write(self, epoch: int, *then: Any) -> Any:
         self.left -= any(isinstance(one, Put) and one.key == self._key for one in then)
@@ -47,7 +47,7 @@
             ones.append(Balancer(f"balancer-{len(ones)}", a.office.timing, a.port))
             ends.push_async_callback(ones[-1].end)
             await until(lambda: crash.here.is_set() or ones[-1].standing is Standing.GRANTED, "a lease")
-        await asyncio.gather(*(one.end() for one in ones))       # nobody is heard of again
+        await asyncio.gather(*(one.end() for one in ones))  # nobody is heard of again
         had = {one.name for one in ones if any(a.standing is Standing.GRANTED for a in one.applied)}
         assert had == {one.name for one in ones[:-1]}, "no lease before the store holds the name"
         await a.stop()
@@ -59,15 +59,20 @@
         epoch = f"{b.office.issuer.epoch}."
 
         def said() -> list[str]:
-            return [line.text for line in b.office.ledger.lines.values()
-                    if line.word == "in force" and line.version.startswith(epoch)]
+            return [
+                line.text
+                for line in b.office.ledger.lines.values()
+                if line.word == "in force" and line.version.startswith(epoch)
+            ]
+
         await until(lambda: said() != [], "its first version is in force")
         assert all(name in text for name in had for text in said()), (said(), had)
 
 
 @pytest.mark.parametrize(("at", "taken"), [(1, True), (2, False), (2, True), (JOIN, False)])
 def test_whoever_had_a_lease_is_named_by_the_next_leader_wherever_the_first_one_ends(
-        at: int, taken: bool) -> None:
+    at: int, taken: bool
+) -> None:
     asyncio.run(asyncio.wait_for(crash(at, taken), 4 * PATIENCE_S))
 
 
@@ -84,7 +89,8 @@
                 failed[0] += 1
                 raise StoreError(Trouble.UNREACHABLE, "no answer")
             return await write(epoch, *then)
-        a.office.seat.write = fails                           # type: ignore[method-assign]
+
+        a.office.seat.write = fails  # type: ignore[method-assign]
         one = Balancer("balancer-0", a.office.timing, a.port)
         ends.push_async_callback(one.end)
         await until(lambda: one.standing is Standing.GRANTED, "it is asked again until the store has it")
--- a/tests/issuing/test_seat.py
+++ b/tests/issuing/test_seat.py
@@ -16,7 +16,7 @@
 from roadlb.lab.standin_etcd import events
 from roadlb.lab.standin_etcd.server import Fault, StandIn
 
-PATIENCE_S = 60.0            # generous: only a defect takes so long
+PATIENCE_S = 60.0  # generous: only a defect takes so long
 KEYS = Keys("/t")
 
 
@@ -75,7 +75,7 @@
         assert epoch and b.seat.decider.holder == epoch
         await a.seat.write(epoch, Put(KEYS["force"], b"1"))
         await until(lambda: "force" in b.keys and b.keys["force"].value == b"1", "the other sees it")
-        await a.end()                                    # it retires: nobody waits for its lease
+        await a.end()  # it retires: nobody waits for its lease
         assert isinstance(a.told[-1], StepDown)
         await until(lambda: b.seat.leads() is not None, "the other leads")
         assert b.epochs[0] > epoch and b.keys["seat"].value == b"b"
@@ -107,11 +107,11 @@
         try:
             await until(lambda: b.seat.decider.state is State.WAITING and "seat" in b.keys, "it waits")
             fallen, runs = link.when(b"/t/era", lambda: link.silent("back")), store.runs
-            b.seat.tell(Vacant())                        # an old word: it runs for a seat that another has
+            b.seat.tell(Vacant())  # an old word: it runs for a seat that another has
             await fallen
             await until(lambda: store.runs > runs, "the store has answered")
             await a.revoke(lease)
-            link.heal()                                  # the answer and the watch's news, at once
+            link.heal()  # the answer and the watch's news, at once
             await until(lambda: b.seat.leads() is not None, "it leads")
         finally:
             await asyncio.gather(b.end(), a.close())
@@ -138,7 +138,7 @@
 
 async def told_and_ended() -> None:
     async with two() as (_, a, _):
-        a.seat.tell(Tick())                              # it wakes, and is ended, in one turn of the loop
+        a.seat.tell(Tick())  # it wakes, and is ended, in one turn of the loop
         a.task.cancel()
         done, _ = await asyncio.wait({a.task}, timeout=10)
         assert done, "a cancellation beside a wake-up is swallowed"
--- a/tests/lab/bound/test_bound.py
+++ b/tests/lab/bound/test_bound.py
@@ -16,7 +16,7 @@
 
 SECOND = 1_000_000
 COLD = NodeSpec(kind="k", cores=2, speed=1.0, cold_share=0.25, warm_us=20 * SECOND)
-NOISE = 1.02        # what chance in the work of a run's requests may add to the strict bound
+NOISE = 1.02  # what chance in the work of a run's requests may add to the strict bound
 LOST = """title = "Lost"
 duration_s = 6
 [balancers]
@@ -35,8 +35,9 @@
 
 
 def started(name: str, at_s: float, capacity: float = 2.0, cold: bool = False) -> NodeStarted:
-    return NodeStarted(round(at_s * SECOND), name, round(at_s * 1000), "k", "hall-a", capacity,
-                       0.25 if cold else 1.0)
+    return NodeStarted(
+        round(at_s * SECOND), name, round(at_s * 1000), "k", "hall-a", capacity, 0.25 if cold else 1.0
+    )
 
 
 def state(name: str, at_s: float, what: str, start_s: float = 0) -> NodeState:
--- a/tests/lab/grid/test_grid_live.py
+++ b/tests/lab/grid/test_grid_live.py
@@ -69,6 +69,7 @@
         async with asyncio.timeout(60):
             await play(screen)
         return screen
+
     return uvloop.run(whole())
 
 
@@ -76,15 +77,27 @@
     config = tmp_path / "balancer.json"
 
     async def play(screen: Screen) -> None:
-        playing = asyncio.create_task(grid(read(FEW, "few.toml"), 1, screen.said.append, traffic=True,
-                                           config=config, show=screen.shown.put_nowait))
+        playing = asyncio.create_task(
+            grid(
+                read(FEW, "few.toml"),
+                1,
+                screen.said.append,
+                traffic=True,
+                config=config,
+                show=screen.shown.put_nowait,
+            )
+        )
         while not config.exists() or not screen.said:
             await asyncio.sleep(0.01)
         app = App(read_config(json.loads(config.read_text()), {}))
         await app.start()
-        told = await screen.until(lambda picture: bool(
-            picture.balancers[0].served and any(row.sent_per_s for row in picture.nodes) and any(
-                row.slowed == 2 for row in picture.nodes)))
+        told = await screen.until(
+            lambda picture: bool(
+                picture.balancers[0].served
+                and any(row.sent_per_s for row in picture.nodes)
+                and any(row.slowed == 2 for row in picture.nodes)
+            )
+        )
         up = [row for row in told.nodes if row.state == "up"]
         assert len(up) == 3 and up[-1].name == "node-04" and [row.slowed for row in up] == [2.0] * 3
         assert told.service is not None and told.balancers[0].state == "up"
@@ -106,6 +119,7 @@
     async def play(screen: Screen) -> None:
         faulty = Incident(name="t", title="T", balancers=Balancers(dial_timeout_ms=0))
         await grid(faulty, 1, screen.said.append, balancers=1)
+
     with pytest.raises(NotReady, match=r"balancer-1 does not serve(?s:.*)limits.dial_timeout_us: must be"):
         played(play)
 
@@ -127,7 +141,10 @@
     said: list[str] = []
     told = fitted(read(text, "t.toml"), 4, False, said.append)
     assert [step.do for step in told.steps] == ["cut_hall", "shrink"] and told.balancers.in_hall == {
-        "hall-a": 2, "hall-b": 1, "hall-c": 1}
+        "hall-a": 2,
+        "hall-b": 1,
+        "hall-c": 1,
+    }
     assert said == ["left out, as there is no traffic: flood at 2 s"]
     told = fitted(read(text, "t.toml"), 4, True, said.append)
     assert [step.do for step in told.steps] == ["cut_hall", "flood", "shrink"] and len(said) == 1
@@ -141,16 +158,22 @@
     mine.kill()
     mine.start({"known": 2})
     assert json.loads((tmp_path / "c.json").read_text()) == {"known": 2}
-    assert said == ["balancer-1: send it SIGHUP now", "balancer-1: send it SIGKILL now",
-                    f"balancer-1: start it again now, with the new {tmp_path / 'c.json'}"]
+    assert said == [
+        "balancer-1: send it SIGHUP now",
+        "balancer-1: send it SIGKILL now",
+        f"balancer-1: start it again now, with the new {tmp_path / 'c.json'}",
+    ]
 
 
 @pytest.mark.skipif(not hasattr(resource, "prlimit"), reason="the system cannot limit other processes")
 def test_a_started_balancer_has_the_limits_of_its_machine() -> None:
-    code = ("import sys, resource as r; sys.stdin.read()\n"
-            "print(r.getrlimit(r.RLIMIT_NOFILE), r.getrlimit(r.RLIMIT_DATA))")
-    child = subprocess.Popen([sys.executable, "-c", code], stdin=subprocess.PIPE, stdout=subprocess.PIPE,
-                             text=True)
+    code = (
+        "import sys, resource as r; sys.stdin.read()\n"
+        "print(r.getrlimit(r.RLIMIT_NOFILE), r.getrlimit(r.RLIMIT_DATA))"
+    )
+    child = subprocess.Popen(
+        [sys.executable, "-c", code], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+    )
     limit(child.pid, {"sockets": 99, "memory_mb": 192})
     assert child.communicate(timeout=30)[0].strip() == f"(99, 99) ({192 << 20}, {192 << 20})"
-    limit(child.pid, {"sockets": 99, "memory_mb": 192})              # it has ended: nothing to be done
+    limit(child.pid, {"sockets": 99, "memory_mb": 192})  # it has ended: nothing to be done
--- a/tests/lab/incident/test_reference.py
+++ b/tests/lab/incident/test_reference.py
@@ -14,14 +14,25 @@
 
 PAGE = (Path(__file__).parents[3] / "docs" / "operating" / "lab.md").read_text()
 SECTIONS = {title: text for title, text in re.findall(r"^###+ (.+)\n((?:(?!###).*\n)*)", PAGE, re.MULTILINE)}
-TABLES = {"The file": schema.Incident, "`[fleet]`": schema.Fleet, "`[[fleet.machine]]`": schema.Machine,
-          "`[[fleet.group]]`": schema.Group, "`[fleet.cache]`": schema.Cache,
-          "`[balancers]`": schema.Balancers, "`[traffic]`": schema.Traffic,
-          "`[[traffic.class]]`": schema.RequestClass, "`[[traffic.tenant]]`": schema.Tenant,
-          "`[traffic.clients]`": schema.Clients,
-          "`[network]`": schema.Network, "`[[network.link]]`": schema.Link, "`[discovery]`": schema.Discovery,
-          "`[front]`": schema.Front, "`[rules]`": schema.Rules, "`[prices]`": schema.Prices,
-          **{f"`{do}`": kind for do, kind in STEPS.items()}}
+TABLES = {
+    "The file": schema.Incident,
+    "`[fleet]`": schema.Fleet,
+    "`[[fleet.machine]]`": schema.Machine,
+    "`[[fleet.group]]`": schema.Group,
+    "`[fleet.cache]`": schema.Cache,
+    "`[balancers]`": schema.Balancers,
+    "`[traffic]`": schema.Traffic,
+    "`[[traffic.class]]`": schema.RequestClass,
+    "`[[traffic.tenant]]`": schema.Tenant,
+    "`[traffic.clients]`": schema.Clients,
+    "`[network]`": schema.Network,
+    "`[[network.link]]`": schema.Link,
+    "`[discovery]`": schema.Discovery,
+    "`[front]`": schema.Front,
+    "`[rules]`": schema.Rules,
+    "`[prices]`": schema.Prices,
+    **{f"`{do}`": kind for do, kind in STEPS.items()},
+}
 
 
 def rows(title: str) -> dict[str, str]:
@@ -48,7 +59,8 @@
     for key in msgspec.structs.fields(TABLES[title]):
         value = key.default_factory() if key.default_factory is not msgspec.NODEFAULT else key.default
         nested = isinstance(value, msgspec.Struct) or (
-            isinstance(value, tuple) and (not value or isinstance(value[0], msgspec.Struct)))
+            isinstance(value, tuple) and (not value or isinstance(value[0], msgspec.Struct))
+        )
         if key.encode_name in told:
             must = "the file's" if key.name == "name" and title == "The file" else "must be given"
             assert told[key.encode_name] == (must if key.required else shown(value))
--- a/tests/lab/judge/test_judge_lawful.py
+++ b/tests/lab/judge/test_judge_lawful.py
@@ -34,8 +34,15 @@
     return story
 
 
-def one_request(story: Story, rng: Random, name: str, begin: int, balancer: str,
-                drained: dict[tuple[str, str], int], killed: int) -> None:
+def one_request(
+    story: Story,
+    rng: Random,
+    name: str,
+    begin: int,
+    balancer: str,
+    drained: dict[tuple[str, str], int],
+    killed: int,
+) -> None:
     """Attempts as its class allows, then an answer; or the balancer dies first."""
     story.class_name, story.balancer = rng.choice(["order", "grid-read"]), balancer
     order, at, before, out = story.class_name == "order", begin + 1, len(story.events), False
@@ -58,9 +65,12 @@
             story.lost(at, "timed_out", name)
         else:
             story.got(at, name, 502 if order and out else int(how))
-    if begin < killed < at:       # what was not there yet when the balancer died never came about
-        story.events[before:] = [event for event in story.events[before:]
-                                 if event.at <= us(killed) or not isinstance(event, NodeGot | ClientGot)]
+    if begin < killed < at:  # what was not there yet when the balancer died never came about
+        story.events[before:] = [
+            event
+            for event in story.events[before:]
+            if event.at <= us(killed) or not isinstance(event, NodeGot | ClientGot)
+        ]
         story.lost(killed + 1, "reset", name)
 
 
@@ -77,8 +87,9 @@
 @given(st.integers(0, 1 << 32), st.integers(5, 30), st.sampled_from(["lose", "double", "alter"]))
 def test_one_defect_in_a_lawful_stream_is_found(seed: int, count: int, defect: str) -> None:
     story = lawful(Random(seed), count)
-    answers = [i for i, event in enumerate(story.events)
-               if isinstance(event, ClientGot) and event.status == 200]
+    answers = [
+        i for i, event in enumerate(story.events) if isinstance(event, ClientGot) and event.status == 200
+    ]
     assume(answers)
     i = answers[seed % len(answers)]
     answer = story.events[i]
@@ -116,14 +127,14 @@
     """Two tenants, both classes, and every way in which a wish can end."""
     s = Story(**rules)
     s.class_name = "grid-read"
-    s.sent(0, "a0", wish=1, tenant="acme").attempt(1, "a0").got(500, "a0")              # in time: 2 of 2
-    s.sent(0, "a1", wish=2, tenant="bolt").attempt(1, "a1", took=20).got(501, "a1")     # late: 1 of 2
+    s.sent(0, "a0", wish=1, tenant="acme").attempt(1, "a0").got(500, "a0")  # in time: 2 of 2
+    s.sent(0, "a1", wish=2, tenant="bolt").attempt(1, "a1", took=20).got(501, "a1")  # late: 1 of 2
     s.class_name = "order"
-    s.sent(20_000, "o0", wish=3, tenant="acme").got(20_100, "o0", 503)                  # refused
-    s.sent(20_200, "o1", wish=3, attempt=1, tenant="acme", due=20_000)                          # and in time:
-    s.attempt(20_201, "o1", node="n2").got(20_600, "o1")                                # 10 of 10
+    s.sent(20_000, "o0", wish=3, tenant="acme").got(20_100, "o0", 503)  # refused
+    s.sent(20_200, "o1", wish=3, attempt=1, tenant="acme", due=20_000)  # and in time:
+    s.attempt(20_201, "o1", node="n2").got(20_600, "o1")  # 10 of 10
     s.sent(20_000, "o2", wish=4, tenant="bolt").attempt(20_002, "o2", kind="error").got(20_060, "o2", 502)
-    s.wished(20_900, 5, tenant="acme")                                                  # never got through
+    s.wished(20_900, 5, tenant="acme")  # never got through
     return s.verdict()
 
 
@@ -136,7 +147,8 @@
     prices = 0.04 * 10 / 40 + 0.03 * 10 / 34
     assert sum(worth.prices.values()) == pytest.approx(prices)
     assert worth.service == pytest.approx(
-        0.4 * 13 / 34 + 0.15 * 10 / 30 + 0.2 * 10 / 30 + 0.25 * 1 / 12 - prices)
+        0.4 * 13 / 34 + 0.15 * 10 / 30 + 0.2 * 10 / 30 + 0.25 * 1 / 12 - prices
+    )
     assert (figures.wishes, figures.tries) == (5, 5)
     assert (figures.in_time, figures.late, figures.unanswered) == (2, 1, 2)
     assert (figures.served, figures.refused, figures.failed, figures.attempts) == (3, 1, 1, 4)
@@ -145,7 +157,7 @@
 
 def test_a_tenant_beyond_its_share_is_worth_less_and_not_counted_for_it() -> None:
     story = Story()
-    for i in range(4):          # bolt may ask twice a second; its third and fourth are beyond
+    for i in range(4):  # bolt may ask twice a second; its third and fourth are beyond
         story.sent(i, f"r{i}", tenant="bolt").attempt(i + 1, f"r{i}")
         story.got(60 + i, f"r{i}", 200 if i < 2 else 502)
     worth = story.verdict().worth
@@ -156,9 +168,10 @@
     story = Story(halls={"b1": "hall-b"}).started(0)
     story.class_name = "grid-read"
     story.whole(10, "r1", fresh=True).came(100, "", target="/healthz")
-    story.sent(200, "r2").got(701, "r2", 503)       # after more than half of its time
-    story.sent(200, "r3").got(700, "r3", 503)       # and just not
+    story.sent(200, "r2").got(701, "r2", 503)  # after more than half of its time
+    story.sent(200, "r3").got(700, "r3", 503)  # and just not
     worth = story.verdict().worth
-    assert {name: price * 100 for name, price in worth.prices.items()} == pytest.approx({
-        "handshake": 8 / 3, "waste": 0, "late_fail": 1, "cross_hall": 2 / 3, "probe": 1 / 3})
+    assert {name: price * 100 for name, price in worth.prices.items()} == pytest.approx(
+        {"handshake": 8 / 3, "waste": 0, "late_fail": 1, "cross_hall": 2 / 3, "probe": 1 / 3}
+    )
     assert worth.served == pytest.approx(2 - 0.3 * 2)
--- a/tests/lab/judge/test_judge_order.py
+++ b/tests/lab/judge/test_judge_order.py
@@ -11,8 +11,13 @@
 READS_FIRST = [PlanLine(class_index=0)]
 
 
-def counted(story: Story, plan: list[PlanLine] = READS_FIRST, over: bool | None = None,
-            window: float = 500, since: float = 0) -> Kept:
+def counted(
+    story: Story,
+    plan: list[PlanLine] = READS_FIRST,
+    over: bool | None = None,
+    window: float = 500,
+    since: float = 0,
+) -> Kept:
     ranks = ranks_by(plan, WORTHS, ["acme", "bolt"], 0.2, over=over)
     events = sorted(story.events, key=lambda event: event.at)
     return order_of_refusals(events, ranks, us(window), us(since))
@@ -53,5 +58,9 @@
     repeats_first = [PlanLine(repeat=True)]
     story = Story().sent(0, "a").got(1, "a", 429).sent(5, "b", attempt=1).came(6, "b")
     assert counted(story, repeats_first).pairs == {("order", "order"): 1}
-    assert counted(Story().sent(0, "a", attempt=1).got(1, "a", 429).sent(5, "b").came(6, "b"),
-                   repeats_first).share == 1.0
+    assert (
+        counted(
+            Story().sent(0, "a", attempt=1).got(1, "a", 429).sent(5, "b").came(6, "b"), repeats_first
+        ).share
+        == 1.0
+    )
--- a/tests/lab/judge/test_judge_rules.py
+++ b/tests/lab/judge/test_judge_rules.py
@@ -16,9 +16,11 @@
 
 def breaks(rule: Rule) -> Callable[[Tell], Tell]:
     """The story breaks this rule if it is told with True, and none if it is told with False."""
+
     def keep(tell: Tell) -> Tell:
         CASES.append((rule, tell))
         return tell
+
     return keep
 
 
@@ -335,10 +337,17 @@
     an_order_is_sent_twice(story, True)
     violation = only(story)
     assert violation.subject == "r1" and violation.at == 20_000
-    assert violation.text == ("order r1 of c1, taken by b1, was sent to n2 although it had begun "
-                              "at n1, where it had come 0.019 s before")
+    assert violation.text == (
+        "order r1 of c1, taken by b1, was sent to n2 although it had begun "
+        "at n1, where it had come 0.019 s before"
+    )
     assert [type(event).__name__ for event in violation.events] == [
-        "ClientSent", "NodeGot", "NodeRan", "NodeGave", "NodeGot"]
+        "ClientSent",
+        "NodeGot",
+        "NodeRan",
+        "NodeGave",
+        "NodeGot",
+    ]
     story = Story()
     a_stale_list_reopens_a_node(story, True)
     assert "1.501 s after it was told" in only(story).text and "generation 6" in only(story).text
@@ -348,8 +357,11 @@
 
 
 def test_silence_is_a_failure_and_no_loss_where_the_rules_say_so() -> None:
-    for tell in (an_answer_never_comes, a_client_waits_in_vain_for_its_time_and_the_slack,
-                 a_close_that_crosses_a_request_which_is_then_sent_once_more):
+    for tell in (
+        an_answer_never_comes,
+        a_client_waits_in_vain_for_its_time_and_the_slack,
+        a_close_that_crosses_a_request_which_is_then_sent_once_more,
+    ):
         story = Story(silence_is_loss=False)
         tell(story, True)
         assert story.verdict().kept
--- a/tests/lab/model/node_play.py
+++ b/tests/lab/model/node_play.py
@@ -43,8 +43,9 @@
         self.again(at, self.connections, work_us, key, left_us)
         return self.connections
 
-    def again(self, at: int, connection: int, work_us: int = 10 * MS, key: str = "",
-              left_us: int = 10_000 * MS) -> None:
+    def again(
+        self, at: int, connection: int, work_us: int = 10 * MS, key: str = "", left_us: int = 10_000 * MS
+    ) -> None:
         self.at(at, Request(connection, f"r{connection}", work_us, key, left_us))
 
     def answers(self) -> list[tuple[int, int, int]]:
--- a/tests/lab/model/test_model_traffic.py
+++ b/tests/lab/model/test_model_traffic.py
@@ -86,7 +86,7 @@
     counts = Counter(keys.draw(rng) for _ in range(50_000))
     for rank in (0, 1, 9, 99):
         assert near(counts[keys.names[rank]], 50_000 * keys.part(rank))
-    assert keys.part(0) / keys.part(9) == pytest.approx(10 ** 0.9)
+    assert keys.part(0) / keys.part(9) == pytest.approx(10**0.9)
     fresh = Keys(10, 1.0, Random(1), fresh=1.0)
     assert len({fresh.draw(rng) for _ in range(1_000)}) == 1_000
 
@@ -100,8 +100,10 @@
         return
     mean = sum(drawn) / len(drawn)
     assert mean == pytest.approx(spec.work_us, rel=0.05)
-    median = {"lognormal": 1 / math.sqrt(1 + spec.work_cv ** 2),
-              "pareto": (a := 1 + math.sqrt(1 + 1 / spec.work_cv ** 2)) and (a - 1) / a * 2 ** (1 / a)}
+    median = {
+        "lognormal": 1 / math.sqrt(1 + spec.work_cv**2),
+        "pareto": (a := 1 + math.sqrt(1 + 1 / spec.work_cv**2)) and (a - 1) / a * 2 ** (1 / a),
+    }
     assert drawn[50_000] == pytest.approx(spec.work_us * median[spec.distribution], rel=0.03)
 
 
@@ -112,10 +114,20 @@
     assert time_left(3 * S, 0, READ, habits) < 0
 
 
-@pytest.mark.parametrize("spec, end, again", [
-    (READ, TryEnd.FAILED, True), (READ, TryEnd.BROKEN, True), (READ, TryEnd.GIVEN_UP, True),
-    (READ, TryEnd.SERVED, False), (ORDER, TryEnd.REFUSED, True), (ORDER, TryEnd.UNREACHED, True),
-    (ORDER, TryEnd.FAILED, False), (ORDER, TryEnd.BROKEN, False), (ORDER, TryEnd.GIVEN_UP, False)])
+@pytest.mark.parametrize(
+    "spec, end, again",
+    [
+        (READ, TryEnd.FAILED, True),
+        (READ, TryEnd.BROKEN, True),
+        (READ, TryEnd.GIVEN_UP, True),
+        (READ, TryEnd.SERVED, False),
+        (ORDER, TryEnd.REFUSED, True),
+        (ORDER, TryEnd.UNREACHED, True),
+        (ORDER, TryEnd.FAILED, False),
+        (ORDER, TryEnd.BROKEN, False),
+        (ORDER, TryEnd.GIVEN_UP, False),
+    ],
+)
 def test_orders_are_tried_again_only_where_nothing_can_have_run(spec, end, again):
     assert next_try(S, 0, spec, Habits(wait_us=100), False, 0, end) == (S + 100 if again else None)
 
@@ -149,6 +161,14 @@
     import node_play
 
     here = [os.path.dirname(node_play.__file__), os.getcwd()]
-    runs = [subprocess.run([sys.executable, "-c", SCRIPT, *here], capture_output=True, text=True, check=True,
-                           env={**os.environ, "PYTHONHASHSEED": seed}) for seed in ("1", "2")]
+    runs = [
+        subprocess.run(
+            [sys.executable, "-c", SCRIPT, *here],
+            capture_output=True,
+            text=True,
+            check=True,
+            env={**os.environ, "PYTHONHASHSEED": seed},
+        )
+        for seed in ("1", "2")
+    ]
     assert runs[0].stdout == runs[1].stdout and len(runs[0].stdout) == 65
--- a/tests/lab/model/test_node_machine.py
+++ b/tests/lab/model/test_node_machine.py
@@ -31,8 +31,11 @@
 
 
 @settings(max_examples=100, deadline=None)
-@given(st.lists(st.tuples(st.integers(0, 50_000), st.integers(1, 40_000)), min_size=1, max_size=12),
-       st.integers(1, 4), st.sampled_from([250_000, 850_000, 1_000_000]))
+@given(
+    st.lists(st.tuples(st.integers(0, 50_000), st.integers(1, 40_000)), min_size=1, max_size=12),
+    st.integers(1, 4),
+    st.sampled_from([250_000, 850_000, 1_000_000]),
+)
 def test_ends_are_those_of_a_fluid_model_to_a_microsecond_for_each_change(jobs, cores, core_rate):
     machine, ends = Machine(cores, 0), [0] * len(jobs)
     machine.set_rate(core_rate)
--- a/tests/lab/model/test_node_model.py
+++ b/tests/lab/model/test_node_model.py
@@ -79,9 +79,9 @@
 
 def test_warms_by_work_sooner_than_by_time():
     p = Play(warm=False, cores=1, cold_share=0.5, warm_us=100_000 * MS, warm_work_us=100 * MS, falls=False)
-    p.ask(0, 50 * MS)                          # takes 100 ms at about 0.5
+    p.ask(0, 50 * MS)  # takes 100 ms at about 0.5
     p.until(FOR_EVER)
-    assert p.node.capacity(101 * MS) == 0.75   # half the work that warms it is done
+    assert p.node.capacity(101 * MS) == 0.75  # half the work that warms it is done
 
 
 def test_known_key_takes_less_work_until_it_is_too_old_or_pushed_out():
@@ -103,9 +103,9 @@
 
 def test_new_connection_costs_work_and_time_and_a_full_table_takes_capacity():
     p = Play(cores=1, connections=2, connection_work_us=2 * MS, connection_wait_us=3 * MS, table_tax=0.2)
-    first = p.ask(0, 9 * MS)                   # one of two open: 0.9 of its speed
+    first = p.ask(0, 9 * MS)  # one of two open: 0.9 of its speed
     p.until(FOR_EVER)
-    shaken = 2_223                             # 2 ms at 0.9
+    shaken = 2_223  # 2 ms at 0.9
     assert p.began() == [(shaken + 3 * MS, first)]
     assert p.answers() == [(shaken + 3 * MS + 10 * MS, first, 200)]
     p.ask(FOR_EVER)
@@ -113,7 +113,7 @@
     assert p.log[-1] == (FOR_EVER, Answer(over, f"r{over}", 503, "unprocessed", Load(0.0, 0.0), closes=True))
     p.at(FOR_EVER, Disconnected(first))
     p.ask(FOR_EVER)
-    assert len(p.answers()) == 2               # there is room for it now
+    assert len(p.answers()) == 2  # there is room for it now
 
 
 def test_overdue_and_cancelled_work_that_waits_is_dropped_unrun():
@@ -162,7 +162,7 @@
     p = Play(cores=1, slots=1, probe_work_us=1 * MS, probe_deep=deep)
     p.ask(0, 10 * MS)
     p.at(1 * MS, Connected(99))
-    p.at(1 * MS, Probe(99))                    # a shallow one shares the core
+    p.at(1 * MS, Probe(99))  # a shallow one shares the core
     p.until(FOR_EVER)
     assert [at for at, a in p.log if isinstance(a, ProbeAnswer)] == [answered]
 
@@ -181,7 +181,7 @@
     cold = {"warm": False, "cores": 2, "speed": 0.25, "cold_share": 0.2, "warm_us": 10**15, "room": 0}
     p = Play(**cold)
     for _ in range(30):
-        p.ask(0, 10 * MS)                      # all but two are turned away, and count all the same
+        p.ask(0, 10 * MS)  # all but two are turned away, and count all the same
     assert p.node.alive
     p.ask(999_999, 1)
     assert p.log[-1] == (999_999, Fell(300_001, 100 * MS))
@@ -189,18 +189,19 @@
     p = Play(**cold)
     for _ in range(30):
         p.ask(0, 10 * MS)
-    p.ask(1_000 * MS, 300 * MS)                # the first 300 ms have just left the window
+    p.ask(1_000 * MS, 300 * MS)  # the first 300 ms have just left the window
     assert p.node.alive
     p.ask(1_500 * MS, 1)
     assert not p.node.alive
 
 
 def test_one_request_counts_for_no_more_than_the_spec_says():
-    p = Play(warm=False, cores=1, cold_share=0.2, warm_us=10**15, fall_each_us=300 * MS,
-             fall_slack_us=10 * MS)
+    p = Play(
+        warm=False, cores=1, cold_share=0.2, warm_us=10**15, fall_each_us=300 * MS, fall_slack_us=10 * MS
+    )
     p.ask(0, 9_000 * MS)
     p.ask(0, 310 * MS)
-    assert p.node.alive                        # 300 + 300 ms, of 600 + 10
+    assert p.node.alive  # 300 + 300 ms, of 600 + 10
     p.ask(0, 10 * MS)
     p.ask(0, 1)
     assert p.log[-1][1] == Fell(610_001, 200 * MS)
@@ -234,7 +235,12 @@
     p.until(FOR_EVER)
     assert [c for _, c in p.began()] == [running, patient, unread]
     assert {(c, s) for _, c, s in p.answers()} == {
-        (running, 200), (waiting, 504), (patient, 200), (unread, 200), (late, 504)}
+        (running, 200),
+        (waiting, 504),
+        (patient, 200),
+        (unread, 200),
+        (late, 504),
+    }
 
 
 def test_after_a_pause_requests_are_read_before_their_callers_farewells():
@@ -289,7 +295,7 @@
     a = p.ask(0, 10 * MS)
     p.at(5 * MS, Slow(0.1))
     p.until(30 * MS)
-    p.at(30 * MS, Slow(1.0))                   # 5 + 2.5 of 10 ms are done
+    p.at(30 * MS, Slow(1.0))  # 5 + 2.5 of 10 ms are done
     p.until(FOR_EVER)
     assert p.answers() == [(32_500, a, 200)]
     p.ask(FOR_EVER)
@@ -304,7 +310,7 @@
         for _ in range(3):
             p.ask(0, 10 * MS)
     exact.until(FOR_EVER)
-    late.wake = None                           # no tick comes at all until the last end
+    late.wake = None  # no tick comes at all until the last end
     late.at(30 * MS, Slow(1.0))
     assert [c for _, c, _ in late.answers()] == [c for _, c, _ in exact.answers()] == [1, 2, 3]
     assert exact.answers()[-1][0] == 30 * MS
--- a/tests/lab/one_node.py
+++ b/tests/lab/one_node.py
@@ -32,8 +32,9 @@
 async def balancer(raw: Mapping[str, Any]) -> AsyncIterator[OneNode]:
     """`raw`: the configuration, but for `listen` and `discovery`."""
     log = WireLog()
-    node = GridNode("g1", NodeSpec(cores=32, slots=32), Random(1), log, monotonic_us,
-                    lambda: unix_us() // 1000, warm=True)
+    node = GridNode(
+        "g1", NodeSpec(cores=32, slots=32), Random(1), log, monotonic_us, lambda: unix_us() // 1000, warm=True
+    )
     registry, agent = Registry(AT_ONCE, Random(2)), Agent("n1", AT_ONCE, log, monotonic_us)
     await node.start({"n1": HERE})
     await agent.start(HERE)
--- a/tests/lab/parties/hosts.py
+++ b/tests/lab/parties/hosts.py
@@ -31,13 +31,17 @@
 
 def virtual(test: Callable[..., object]) -> Callable[..., None]:
     """Has pytest run `async def test(hosts, ...)` to its end in no time."""
+
     def run(**parameters: object) -> None:
         loop = SimLoop(1)
         with asyncio.Runner(loop_factory=lambda: loop) as runner:
+
             async def main() -> None:
                 hosts = Hosts(loop)
                 await hosts.hosts[HERE].run(test(hosts, **parameters))
+
             runner.run(main())
+
     of_test = inspect.signature(test)
     run.__signature__ = of_test.replace(parameters=list(of_test.parameters.values())[1:])
     return run
--- a/tests/lab/parties/test_grid_node.py
+++ b/tests/lab/parties/test_grid_node.py
@@ -43,14 +43,23 @@
     def ask(self, id="00000000000000aa", work_us=10_000, path="/order/f01", method="POST", left=2.0):
         headers = [("Host", "backend.local"), ("X-Time-Left", f"{left}"), ("X-Correlation-Id", id)]
         target = f"{path}?w={work_us}" if work_us is not None else path
-        self.transport.write(write_request(method, target, headers if id else headers[:2],
-                                           b"b" if method == "POST" else b""))
+        self.transport.write(
+            write_request(method, target, headers if id else headers[:2], b"b" if method == "POST" else b"")
+        )
 
 
 async def start(loop, log=None, warm=True, **spec):
     spec = {"cores": 1, "slots": 1, "falls": False, **spec}
-    node = GridNode("g1", NodeSpec(**spec), Random(1), WireLog() if log is None else log, loop.clock,
-                    lambda: 1_700_000_000_000 + loop.clock() // 1000, "hall-a", warm=warm)
+    node = GridNode(
+        "g1",
+        NodeSpec(**spec),
+        Random(1),
+        WireLog() if log is None else log,
+        loop.clock,
+        lambda: 1_700_000_000_000 + loop.clock() // 1000,
+        "hall-a",
+        warm=warm,
+    )
     await node.start({"n0": AT})
     return node
 
@@ -79,15 +88,22 @@
     began, got, ran, gave = list(log)[:4]
     at = round(3 * DELAY_S * 1e6)
     assert began == NodeStarted(0, "g1", 0, "new-2c", "hall-a", 1.0, 1.0)
-    assert got == NodeGot(at, at, "g1", 0, "n0", "00000000000000aa", "POST", "/order/f01?w=10000",
-                          10_000, fresh=True)
+    assert got == NodeGot(
+        at, at, "g1", 0, "n0", "00000000000000aa", "POST", "/order/f01?w=10000", 10_000, fresh=True
+    )
     assert ran == NodeRan(at, "g1", 0, "00000000000000aa", hit=False)
     assert gave == NodeGave(at + 10_000, "g1", 0, "00000000000000aa", 200, "ok", digest(first.body))
 
 
-@pytest.mark.parametrize("id, work, path, status", [
-    ("not hex", 1, "/order/f01", 400), ("00000000000000aa", None, "/order/f01", 400),
-    ("", 1, "/order/f01", 404), ("", None, "/no/such", 404)])
+@pytest.mark.parametrize(
+    "id, work, path, status",
+    [
+        ("not hex", 1, "/order/f01", 400),
+        ("00000000000000aa", None, "/order/f01", 400),
+        ("", 1, "/order/f01", 404),
+        ("", None, "/no/such", 404),
+    ],
+)
 @virtual
 async def test_a_malformed_id_gets_400_and_none_404_and_neither_runs(loop, id, work, path, status):
     log = WireLog()
@@ -125,7 +141,7 @@
         caller.ask(f"{n:016x}")
     await asyncio.sleep(2 * MS)
     callers[0].transport.close()
-    callers[1].transport.write_eof()       # half closed counts as given up too
+    callers[1].transport.write_eof()  # half closed counts as given up too
     await asyncio.sleep(100 * MS)
     assert [e.request[-1] for e in log if isinstance(e, NodeRan)] == ["0", "2"]
     assert [e.request[-1] for e in log if isinstance(e, NodeGave)] == ["2"]
@@ -142,7 +158,7 @@
     node.pause()
     callers[1].ask("1" * 16, left=0.5)
     callers[2].ask("", None, "/load", method="GET")
-    new = await call(loop)                 # its kernel accepts
+    new = await call(loop)  # its kernel accepts
     new.ask("no id")
     leaving = await call(loop)
     leaving.transport.write_eof()
--- a/tests/lab/parties/test_parties_clients.py
+++ b/tests/lab/parties/test_parties_clients.py
@@ -70,7 +70,7 @@
                 self.transport.close()
             case ["close"]:
                 self.transport.close()
-            case ["leave"]:                    # served, and the connection ends a little later
+            case ["leave"]:  # served, and the connection ends a little later
                 self.transport.write(good)
                 asyncio.get_running_loop().call_later(0.049, self.transport.close)
             case ["drop", delay]:
@@ -89,8 +89,10 @@
     def __init__(self, spec, *dues, **more):
         keys, tenant = Keys(1, 1.0, Random(1)), TenantSpec("acme", 1.0)
         super().__init__(Steady(0), [spec], [tenant], keys, HABITS, Random(1))
-        self.list = [Wish(n, due, 0, "acme", "f01", 10_000, **{
-            "honours": True, "once": False, "holds": False, **more}) for n, due in enumerate(dues)]
+        self.list = [
+            Wish(n, due, 0, "acme", "f01", 10_000, **{"honours": True, "once": False, "holds": False, **more})
+            for n, due in enumerate(dues)
+        ]
 
     def next(self, until):
         return self.list.pop(0) if self.list and self.list[0].due < until else None
@@ -114,12 +116,22 @@
     return [e.status if isinstance(e, ClientGot) else e.how for e in ended]
 
 
-@pytest.mark.parametrize("spec, script, ended, tries", [
-    (READ, ["502", "reset", "served"], [502, "reset", 200], 3), (READ, ["close"], ["closed"] * 3, 3),
-    (READ, ["503", "cut", "served"], [503, "cut", 200], 3), (READ, ["noise", "served"], ["garbled", 200], 2),
-    (READ, ["late 5"], ["timed_out"] * 3, 3), (READ, ["wrong", "served"], [200, 200], 2),
-    (ORDER, ["429", "served"], [429, 200], 2), (ORDER, ["502"], [502], 1), (ORDER, ["reset"], ["reset"], 1),
-    (ORDER, ["late 5"], ["timed_out"], 1), (ORDER, ["extra"], [200, "extra"], 1)])
+@pytest.mark.parametrize(
+    "spec, script, ended, tries",
+    [
+        (READ, ["502", "reset", "served"], [502, "reset", 200], 3),
+        (READ, ["close"], ["closed"] * 3, 3),
+        (READ, ["503", "cut", "served"], [503, "cut", 200], 3),
+        (READ, ["noise", "served"], ["garbled", 200], 2),
+        (READ, ["late 5"], ["timed_out"] * 3, 3),
+        (READ, ["wrong", "served"], [200, 200], 2),
+        (ORDER, ["429", "served"], [429, 200], 2),
+        (ORDER, ["502"], [502], 1),
+        (ORDER, ["reset"], ["reset"], 1),
+        (ORDER, ["late 5"], ["timed_out"], 1),
+        (ORDER, ["extra"], [200, "extra"], 1),
+    ],
+)
 @virtual
 async def test_tries_are_repeated_as_the_class_allows_and_written_down(loop, spec, script, ended, tries):
     clients, _, log = await stage(loop, script, Wishes(spec, S))
@@ -129,8 +141,10 @@
     assert [e.attempt for e in sent] == list(range(tries))
     assert len({e.request for e in sent}) == tries and {e.wish for e in sent} == {0}
     assert [m.headers.get("x-repeat") for m in Balancer.requests] == [None, "1", "1"][:tries]
-    assert all(m.headers["x-time-left"] == f"{e.left_us / 1e6:.6f}"
-               for m, e in zip(Balancer.requests, sent, strict=True))
+    assert all(
+        m.headers["x-time-left"] == f"{e.left_us / 1e6:.6f}"
+        for m, e in zip(Balancer.requests, sent, strict=True)
+    )
 
 
 @virtual
@@ -138,19 +152,23 @@
     _, _, log = await stage(loop, ["late 9"], Wishes(READ, S))
     await asyncio.sleep(9)
     assert [(e.at, e.left_us) for e in log if isinstance(e, ClientSent)] == [
-        (S + 2_000, S - 2_000), (2 * S + 52_000, S - 2_000), (3 * S + 102_000, 398_000)]
+        (S + 2_000, S - 2_000),
+        (2 * S + 52_000, S - 2_000),
+        (3 * S + 102_000, 398_000),
+    ]
     assert [e.at for e in log if isinstance(e, ClientLost)] == [2 * S, 3 * S + 50_000, 3 * S + 500_000]
 
 
-@pytest.mark.parametrize("delay, ended, again_us", [
-    ("1.03", [200, 200], 50_000), ("1.1", [200, "timed_out"], 52_000)])
+@pytest.mark.parametrize(
+    "delay, ended, again_us", [("1.03", [200, 200], 50_000), ("1.1", [200, "timed_out"], 52_000)]
+)
 @virtual
 async def test_a_client_may_listen_on_after_it_has_given_a_try_up(loop, delay, ended, again_us):
     clients, _, log = await stage(loop, [f"late {delay}", "served"], Wishes(READ, S), hears_us=58_000)
     await asyncio.sleep(9)
     assert ends(log) == ended and clients.tallies["given_up"] == 1 and clients.open_wishes == 0
     second = [e for e in log if isinstance(e, ClientSent)][1]
-    assert second.at == 2 * S + again_us       # not held up by the listening, on a connection that is free
+    assert second.at == 2 * S + again_us  # not held up by the listening, on a connection that is free
 
 
 @pytest.mark.parametrize("honours, second_at", [(True, 0.7), (False, 0.05)])
@@ -194,8 +212,9 @@
     assert len(once.links) == 2 and once.tallies["wish served"] == 2
 
 
-@pytest.mark.parametrize("due_us, crossed", [
-    (50_500, False), (51_500, True), (52_500, True), (53_500, False)])
+@pytest.mark.parametrize(
+    "due_us, crossed", [(50_500, False), (51_500, True), (52_500, True), (53_500, False)]
+)
 @virtual
 async def test_a_request_that_crosses_an_orderly_close_is_sent_once_more_under_its_id(loop, due_us, crossed):
     # the close leaves the balancer at 52 ms
@@ -249,7 +268,7 @@
     await loop.create_server(Balancer, "10.0.0.4", 80)
     await asyncio.sleep(0.2)
     assert front.pick("hall-a")[0] == "n0" and len(log) == 3
-    front.failed("n0")                     # a fault that has passed by the time it is noticed
+    front.failed("n0")  # a fault that has passed by the time it is noticed
     await asyncio.sleep(5)
     assert front.pick("hall-a")[0] == "n0" and len(log) == 3
 
@@ -266,7 +285,7 @@
     await rude.visit(name)
     kind = KINDS[name]
     assert sum(rude.tallies[name].values()) == kind.connections
-    how, = rude.tallies[name]
+    (how,) = rude.tallies[name]
     # The scripted balancer never closes on those who say nothing.
     assert how == ("late" if "silent" in name else "closed" if kind.closes else "error")
     assert rude.unpaid() == ({name: kind.connections} if "silent" in name else {})
@@ -312,4 +331,5 @@
         clients.close()
         node.stop()
         front.stop()
+
     runner(asyncio.wait_for(scenario(), 30))
--- a/tests/lab/parties/test_parties_discovery.py
+++ b/tests/lab/parties/test_parties_discovery.py
@@ -10,8 +10,9 @@
 from roadlb.lab.parties.discovery import Agent, DiscoveryFigures, Entry, Registry
 from roadlb.lab.wire import Told, WireLog
 
-FIGURES = DiscoveryFigures((1_000_000, 1_000_000), (8_000_000, 8_000_000), (2_000_000, 2_000_000), 500_000,
-                           (100_000, 100_000))
+FIGURES = DiscoveryFigures(
+    (1_000_000, 1_000_000), (8_000_000, 8_000_000), (2_000_000, 2_000_000), 500_000, (100_000, 100_000)
+)
 AT = (HERE, 8500)
 
 
@@ -41,7 +42,7 @@
             size, _, rest = self.rest.partition(b"\r\n")
             if len(rest) < int(size, 16) + 2:
                 return
-            line, self.rest = rest[:int(size, 16)], rest[int(size, 16) + 2:]
+            line, self.rest = rest[: int(size, 16)], rest[int(size, 16) + 2 :]
             assert line.endswith(b"\n")
             told = json.loads(line) if line.strip() else None
             if told:
@@ -75,25 +76,32 @@
     registry, _ = await start(loop, log)
     link = await watch(loop)
     assert [line for _, line in link.lines] == [(1, True, {"a": "up", "b": "up"})]
-    registry.drain("a")                    # noticed 1 s later, published on the beat, sent 0.1 s after it
+    registry.drain("a")  # noticed 1 s later, published on the beat, sent 0.1 s after it
     registry.up(entry("c", started_ms=5))  # 2 s
     await asyncio.sleep(2)
     registry.remove("a")
     await asyncio.sleep(4)
     told = [(at, line) for at, line in link.lines if line]
-    assert told[1:] == [(1.601, (2, False, {"a": "draining"})), (2.601, (3, False, {"c": "up"})),
-                        (3.601, (4, False, {"a": "removed"}))]
+    assert told[1:] == [
+        (1.601, (2, False, {"a": "draining"})),
+        (2.601, (3, False, {"c": "up"})),
+        (3.601, (4, False, {"a": "removed"})),
+    ]
     assert [at for at, line in link.lines if line is None] == [5.601]
     assert [(e.at, e.node, e.lifecycle, e.generation) for e in log if isinstance(e, Told)] == [
-        (3_000, "a", "up", 1), (3_000, "b", "up", 1), (1_600_000, "a", "draining", 2),
-        (2_600_000, "c", "up", 3), (3_600_000, "a", "removed", 4)]
+        (3_000, "a", "up", 1),
+        (3_000, "b", "up", 1),
+        (1_600_000, "a", "draining", 2),
+        (2_600_000, "c", "up", 3),
+        (3_600_000, "a", "removed", 4),
+    ]
 
 
 @virtual
 async def test_a_silent_end_is_noticed_late_and_nothing_overtakes(loop):
     registry, _ = await start(loop)
     link = await watch(loop)
-    registry.remove("a", silent=True)      # 8 s
+    registry.remove("a", silent=True)  # 8 s
     registry.up(entry("a", started_ms=7))  # would be known in 2 s, but comes behind
     await asyncio.sleep(7)
     assert len([line for _, line in link.lines if line]) == 1
@@ -101,10 +109,15 @@
     assert [line for _, line in link.lines if line][1:] == [(2, False, {"a": "up"})]
 
 
-@pytest.mark.parametrize("after, first", [
-    (2, (3, False, {"c": "up"})), (3, (3, False, {})),
-    (0, (3, True, {"a": "draining", "b": "up", "c": "up"})),
-    (9, (3, True, {"a": "draining", "b": "up", "c": "up"}))])
+@pytest.mark.parametrize(
+    "after, first",
+    [
+        (2, (3, False, {"c": "up"})),
+        (3, (3, False, {})),
+        (0, (3, True, {"a": "draining", "b": "up", "c": "up"})),
+        (9, (3, True, {"a": "draining", "b": "up", "c": "up"})),
+    ],
+)
 @virtual
 async def test_a_watch_begins_with_the_changes_after_a_version_or_with_all(loop, after, first):
     registry, _ = await start(loop)
@@ -119,8 +132,15 @@
     listed = json.loads(whole.rest)
     assert (listed["generation"], listed["reset"], len(listed["instances"])) == (3, True, 3)
     assert listed["instances"][0] == {
-        "instanceId": "a", "hostPort": "10.1.0.1:80", "zone": "hall-a", "machineType": "new-2c",
-        "cell": 0, "lifecycle": "draining", "weight": 1.0, "startedAtMs": 0}
+        "instanceId": "a",
+        "hostPort": "10.1.0.1:80",
+        "zone": "hall-a",
+        "machineType": "new-2c",
+        "cell": 0,
+        "lifecycle": "draining",
+        "weight": 1.0,
+        "startedAtMs": 0,
+    }
 
 
 @virtual
@@ -129,12 +149,12 @@
     registry, agent = await start(loop, log)
     agent.preload()
     assert agent.known()["generation"] == 1
-    registry.drain("a")                    # sent at 1.6 s, and nobody watches
+    registry.drain("a")  # sent at 1.6 s, and nobody watches
     await asyncio.sleep(7.5)
     assert len(log) == 2
     await asyncio.sleep(0.2)
     assert [(e.at, e.lifecycle) for e in list(log)[2:]] == [(7_600_000, "draining")]
-    assert agent.known()["instances"][0]["lifecycle"] == "up"      # what it really has
+    assert agent.known()["instances"][0]["lifecycle"] == "up"  # what it really has
     agent.absent = True
     registry.remove("a")
     await asyncio.sleep(20)
--- a/tests/lab/report/test_report.py
+++ b/tests/lab/report/test_report.py
@@ -58,7 +58,7 @@
     looks = {look for _, look in read.seen}
     assert {"capacity", "sent", "open", "cold", "draining", "paused", "stopped", "fell", "step"} <= looks
     charts = sum(one == ("svg", "chart") for one in read.seen)
-    assert charts == 2 + 4                  # worth, outcomes, and four nodes
+    assert charts == 2 + 4  # worth, outcomes, and four nodes
     assert sum(one == ("line", "step") for one in read.seen) == charts
     assert sum(one == ("path", "fell") for one in read.seen) == 1
 
@@ -76,24 +76,45 @@
     figures = NIGHT.verdict.figures
     assert sum(map(sum, series.sent.values())) == figures.tries == 14 * 60
     assert {name: sum(counts) for name, counts in series.ended.items()} == {
-        "served": figures.served, "refused": figures.refused, "failed": 0, "broken": figures.gone}
+        "served": figures.served,
+        "refused": figures.refused,
+        "failed": 0,
+        "broken": figures.gone,
+    }
     fallen = series.nodes["node-04"]
     assert fallen.fell_s == [11.0] and fallen.starts == [(8.0, 1.2, 0.2)]
     assert [(span.state, span.since_s, span.until_s) for span in series.nodes["node-02"].spans] == [
-        ("paused", 6.0, 7.0)]
+        ("paused", 6.0, 7.0)
+    ]
     assert 0 < max(series.nodes["node-02"].open) < 30
 
 
 def test_the_document_is_plain_json_with_a_stable_schema() -> None:
     text = machine.text(NIGHT)
     told = json.loads(text)
-    assert text == machine.text(subject())              # a second play of the same night
+    assert text == machine.text(subject())  # a second play of the same night
     assert set(told) == {
-        "schema", "incident", "title", "seed", "world", "seconds", "events", "digest", "kept", "broken",
-        "violations", "fallen", "worth", "figures", "steps", "run"}
+        "schema",
+        "incident",
+        "title",
+        "seed",
+        "world",
+        "seconds",
+        "events",
+        "digest",
+        "kept",
+        "broken",
+        "violations",
+        "fallen",
+        "worth",
+        "figures",
+        "steps",
+        "run",
+    }
     assert told["schema"] == "roadlb.lab.report/1" and told["digest"] == NIGHT.log.digest()
     assert told["fallen"] == [
-        {"node": "node-04", "started_ms": 99, "at_s": 11.0, "sent_s": 1.9, "room_s": 0.4}]
+        {"node": "node-04", "started_ms": 99, "at_s": 11.0, "sent_s": 1.9, "room_s": 0.4}
+    ]
     assert told["steps"] == [{"at_s": 4.0, "text": "deploy <of> node-01 & others"}]
     assert told["broken"]["drain"] == sum(one["rule"] == "drain" for one in told["violations"]) > 0
     assert {event["event"] for event in told["violations"][0]["events"]} >= {"Told", "NodeGot"}
@@ -118,8 +139,15 @@
 def test_the_tables_tell_what_matters_and_no_escapes_where_there_is_no_terminal() -> None:
     text = shown(NIGHT)
     assert "\x1b" not in text
-    for wanted in (r"A made-up <night> \(night, seed 7", r"service +-?\d+\.\d+%", r"tries +840\b",
-                   r"class order +\d", r"order +\d+\.\d +\d", r"node-04 +11\.000", r"^drain, \d+ times"):
+    for wanted in (
+        r"A made-up <night> \(night, seed 7",
+        r"service +-?\d+\.\d+%",
+        r"tries +840\b",
+        r"class order +\d",
+        r"order +\d+\.\d +\d",
+        r"node-04 +11\.000",
+        r"^drain, \d+ times",
+    ):
         assert re.search(wanted, text, re.MULTILINE), wanted
 
 
--- a/tests/lab/run/faulty_balancers.py
+++ b/tests/lab/run/faulty_balancers.py
@@ -13,9 +13,9 @@
 from roadlb.lifecycle.lifecycle import Event
 from roadlb.policy.interface import ListKind, Member, ServerState
 
-EVERY = 10          # one in so many requests is treated wrongly
-ORDER = 1           # the number of its class
-EXTRA = 99          # of executions that a defect has added
+EVERY = 10  # one in so many requests is treated wrongly
+ORDER = 1  # the number of its class
+EXTRA = 99  # of executions that a defect has added
 
 
 class Answers(App):
@@ -30,7 +30,8 @@
             give = exchange.on_answer
             exchange.on_answer = lambda exchange, answer: self.given(exchange, answer, give)
             open_exchange(exchange)
-        self.engine.open = opened           # type: ignore[method-assign]
+
+        self.engine.open = opened  # type: ignore[method-assign]
 
     def given(self, exchange: Exchange, answer: Answer, give: Callable[[Exchange, Answer], None]) -> None:
         self.count += 1
@@ -49,7 +50,7 @@
 
 class Doubles(Answers):
     def given(self, exchange: Exchange, answer: Answer, give: Callable[[Exchange, Answer], None]) -> None:
-        transport = give.__self__.transport         # type: ignore[attr-defined]
+        transport = give.__self__.transport  # type: ignore[attr-defined]
         super().given(exchange, answer, give)
         if self.count % EVERY == 0:
             transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc")
@@ -83,8 +84,9 @@
     async def start(self) -> None:
         await super().start()
         ended = self.engine.execution_ended
-        self.engine.execution_ended = lambda execution, result: ended(      # type: ignore[method-assign]
-            execution, Result(Ending.DIAL_FAILED) if result.ending is Ending.RESET else result)
+        self.engine.execution_ended = lambda execution, result: ended(  # type: ignore[method-assign]
+            execution, Result(Ending.DIAL_FAILED) if result.ending is Ending.RESET else result
+        )
 
 
 class Lingers(App):
@@ -98,8 +100,11 @@
 
         def again(execution: Execution) -> None:
             now = self.clock()
-            self.instances.start(Execution(execution.request, self.message_of(execution), EXTRA,
-                                           execution.server, now, now + 900_000))
+            self.instances.start(
+                Execution(
+                    execution.request, self.message_of(execution), EXTRA, execution.server, now, now + 900_000
+                )
+            )
 
         def watched(execution: Execution, result: Result) -> None:
             if execution.number == EXTRA:
@@ -107,7 +112,8 @@
             ended(execution, result)
             if result.ending is Ending.SERVED and execution.request % EVERY == 0:
                 loop.call_later(self.later_s, again, execution)
-        self.engine.execution_ended = watched           # type: ignore[method-assign]
+
+        self.engine.execution_ended = watched  # type: ignore[method-assign]
 
     def message_of(self, execution: Execution) -> Message:
         return execution.message
@@ -120,8 +126,12 @@
 
     def message_of(self, execution: Execution) -> Message:
         head, _, id_on = execution.message.head.partition(b"X-Correlation-Id: ")
-        return Message(execution.message.method, execution.message.target,
-                       head + b"X-Correlation-Id: feed" + id_on[4:], execution.message.body)
+        return Message(
+            execution.message.method,
+            execution.message.target,
+            head + b"X-Correlation-Id: feed" + id_on[4:],
+            execution.message.body,
+        )
 
 
 class Lists(App):
@@ -130,7 +140,7 @@
     async def start(self) -> None:
         await super().start()
         self.told = self.engine.list_update
-        self.engine.list_update = self.heard            # type: ignore[method-assign]
+        self.engine.list_update = self.heard  # type: ignore[method-assign]
 
     def heard(self, kind: ListKind, members: list[Member]) -> None:
         self.told(kind, members)
@@ -155,8 +165,11 @@
 
     def heard(self, kind: ListKind, members: list[Member]) -> None:
         self.told(kind, members)
-        reopened = [replace(member, state=ServerState.READY) for member in members
-                    if member.state is ServerState.DRAINING]
+        reopened = [
+            replace(member, state=ServerState.READY)
+            for member in members
+            if member.state is ServerState.DRAINING
+        ]
         if reopened:
             asyncio.get_running_loop().call_later(1.5, self.told, ListKind.DELTA, reopened)
 
@@ -180,10 +193,17 @@
 
 
 FAULTS: dict[str, tuple[type[App], str]] = {
-    "lost": (Loses, ""), "doubled": (Doubles, ""), "misdelivered": (Swaps, ""), "altered": (Alters, ""),
-    "refused-after-run": (Refuses, "errors"), "repeated": (Repeats, "resets"),
-    "sent-after-end": (Lingers, ""), "smuggled": (Invents, ""), "drain": (HearsLate, "deploy"),
-    "drain, reopened": (Forgets, "deploy"), "pushed-over": (NeverCold, "cold"), "crash": (Ends, ""),
-    "held": (Keeps, "drain")}
-
-
+    "lost": (Loses, ""),
+    "doubled": (Doubles, ""),
+    "misdelivered": (Swaps, ""),
+    "altered": (Alters, ""),
+    "refused-after-run": (Refuses, "errors"),
+    "repeated": (Repeats, "resets"),
+    "sent-after-end": (Lingers, ""),
+    "smuggled": (Invents, ""),
+    "drain": (HearsLate, "deploy"),
+    "drain, reopened": (Forgets, "deploy"),
+    "pushed-over": (NeverCold, "cold"),
+    "crash": (Ends, ""),
+    "held": (Keeps, "drain"),
+}
