--- a/tests/lab/run/short_stage.py
+++ b/tests/lab/run/short_stage.py
@@ -34,6 +34,7 @@
 
     Nodes warm up in a part of their time too, or else a deploy would leave nothing but cold ones.
     """
+
     def shorter(step: Step) -> Step:
         told: dict[str, Any] = {"at_s": step.at_s * times}
         for key in ("over_s", "for_s", "every_s", "list_age_s", "drain_s"):
@@ -42,17 +43,24 @@
         return msgspec.structs.replace(step, **told)
 
     traffic, cold_s = incident.traffic, incident.rules.cold_s * times
-    machines = tuple(msgspec.structs.replace(
-        kind, cold_s=Range(kind.cold_s.low * times, kind.cold_s.high * times))
-        for kind in incident.fleet.machines)
+    machines = tuple(
+        msgspec.structs.replace(kind, cold_s=Range(kind.cold_s.low * times, kind.cold_s.high * times))
+        for kind in incident.fleet.machines
+    )
     return msgspec.structs.replace(
-        incident, duration_s=incident.duration_s * times, steps=tuple(map(shorter, incident.steps)),
+        incident,
+        duration_s=incident.duration_s * times,
+        steps=tuple(map(shorter, incident.steps)),
         fleet=msgspec.structs.replace(
-            incident.fleet, nodes=max(4, round(incident.fleet.nodes * part)), machines=machines),
+            incident.fleet, nodes=max(4, round(incident.fleet.nodes * part)), machines=machines
+        ),
         rules=msgspec.structs.replace(incident.rules, cold_s=cold_s),
         traffic=msgspec.structs.replace(
-            traffic, rate=traffic.rate * part,
-            rates=tuple(Point(point.at_s * times, point.per_s * part) for point in traffic.rates)))
+            traffic,
+            rate=traffic.rate * part,
+            rates=tuple(Point(point.at_s * times, point.per_s * part) for point in traffic.rates),
+        ),
+    )
 
 
 def broken(rehearsal: Rehearsal) -> dict[str, int]:
--- a/tests/lab/run/test_links.py
+++ b/tests/lab/run/test_links.py
@@ -20,7 +20,7 @@
 from roadlb.lab.run.link import Link
 from roadlb.lab.run.rig import Rig
 
-QUIET_S = 0.2            # for what must not come
+QUIET_S = 0.2  # for what must not come
 
 
 class Echo(asyncio.Protocol):
@@ -53,6 +53,7 @@
     def note(text: str) -> int:
         notes.append(text)
         return len(notes)
+
     server = await asyncio.get_running_loop().create_server(Echo, "127.0.0.1", 0)
     link = Link("a to b", "127.0.0.1", server.sockets[0].getsockname(), note)
     yield link, notes
@@ -83,6 +84,7 @@
             assert await nothing(other)
             link.heal()
             assert await comes(reader, 3) == b"two"
+
     run(test)
 
 
@@ -94,7 +96,7 @@
             link.slow(100)
             began = loop.time()
             writer.write(b"one")
-            assert await comes(reader, 3) == b"one" and loop.time() - began >= 0.199     # its clock has ms
+            assert await comes(reader, 3) == b"one" and loop.time() - began >= 0.199  # its clock has ms
             link.reset()
             with pytest.raises(ConnectionResetError):
                 await reader.read(1)
@@ -106,6 +108,7 @@
             writer.write(b"two")
             assert await comes(reader, 3) == b"two"
             assert notes == ["a to b: 100 ms", "a to b: reset", "a to b: refuses", "a to b: healed"]
+
     run(test)
 
 
@@ -124,6 +127,7 @@
                 assert Echo.got == b"an order: ", cut
                 link.heal()
                 assert await comes(reader, len(whole)) == whole
+
     run(test)
 
 
@@ -140,8 +144,9 @@
             if self.answers:
                 self.transport.sendto(data, sender)
 
-    async def sent(seed: int, tell: Callable[[Datagrams], Any]
-                   ) -> tuple[list[int], list[int], dict[str, int]]:
+    async def sent(
+        seed: int, tell: Callable[[Datagrams], Any]
+    ) -> tuple[list[int], list[int], dict[str, int]]:
         loop = asyncio.get_running_loop()
         b, target = await loop.create_datagram_endpoint(lambda: Party(True), local_addr=("127.0.0.1", 0))
         link = Datagrams("a to b", b.get_extra_info("sockname"), Random(seed), lambda text: 0)
@@ -152,7 +157,7 @@
             a.sendto(b"%d" % number)
             await asyncio.sleep(0)
         counts, quiet = dict(link.counts), 0
-        while quiet < 5:                     # until nothing more comes
+        while quiet < 5:  # until nothing more comes
             await asyncio.sleep(0.1)
             quiet = quiet + 1 if counts == link.counts else 0
             counts = dict(link.counts)
@@ -171,9 +176,11 @@
         assert counts["came"] == counts["lost"] + counts["went"] - counts["doubled"]
         heard, answers, _ = await sent(1, lambda link: link.drop("back"))
         assert heard == list(range(200)) and not answers
-        heard, _, _ = await sent(1, lambda link: link.when(lambda data: data == b"7",
-                                                           lambda: link.drop("there")))
+        heard, _, _ = await sent(
+            1, lambda link: link.when(lambda data: data == b"7", lambda: link.drop("there"))
+        )
         assert heard == list(range(7)), "the one that it waited for is cut off as well"
+
     run(test)
 
 
@@ -220,12 +227,17 @@
                 child.stop()
                 pids.append(child.pid)
                 texts = [note.text for note in rig.notes() if "SIG" in note.text or "ended" in note.text]
-                assert texts[:4] == ["party: SIGSTOP", "party: SIGCONT", "party: SIGKILL",
-                                      f"party: ended with {-signal.SIGKILL}"]
+                assert texts[:4] == [
+                    "party: SIGSTOP",
+                    "party: SIGCONT",
+                    "party: SIGKILL",
+                    f"party: ended with {-signal.SIGKILL}",
+                ]
                 with pytest.raises(ValueError, match="there is one already"):
                     await rig.spawn("party", ["true"])
                 raise KeyError
         for pid in pids:
             with pytest.raises(ProcessLookupError):
                 os.kill(pid, 0)
+
     run(test)
--- a/tests/lab/run/test_run_defects.py
+++ b/tests/lab/run/test_run_defects.py
@@ -12,7 +12,9 @@
 from roadlb.lab.run import rehearse
 
 QUICK = "[discovery]\nnotice_s = [0.1, 0.2]\nadd_s = [0.1, 0.2]\nperiod_ms = 100\nspread_ms = 0\n"
-COLD = QUICK + """
+COLD = (
+    QUICK
+    + """
 [[fleet.machine]]
 name = "m"
 share = 1
@@ -21,15 +23,25 @@
 cold_share = 0.12
 cold_s = 20
 """
+)
 STAGES: dict[str, Incident] = {
     "": small(seconds=3, rate=50),
     "errors": small('do = "errors"; at_s = 0.5; answers = 0.3', seconds=3, rate=50),
     "resets": small("\n".join(f'do = "reset"; at_s = {at / 10}' for at in range(10, 30, 3)), rate=90),
-    "deploy": small('do = "deploy"; at_s = 0.5; share = 0.5; batch = 1.0; over_s = 4; drain_s = 3.9',
-                    seconds=4.6, more=QUICK),
+    "deploy": small(
+        'do = "deploy"; at_s = 0.5; share = 0.5; batch = 1.0; over_s = 4; drain_s = 3.9',
+        seconds=4.6,
+        more=QUICK,
+    ),
     "drain": small('do = "balancer_drain"; at_s = 0.5; share = 0.5; for_s = 6', seconds=6, rate=50),
-    "cold": small('do = "deploy"; at_s = 0.1; share = 0.5; batch = 1.0; over_s = 0.5; drain_s = 0.3',
-                  seconds=4, rate=120, nodes=4, more=COLD + "[rules]\nfall_multiple = 1.5\n")}
+    "cold": small(
+        'do = "deploy"; at_s = 0.1; share = 0.5; batch = 1.0; over_s = 0.5; drain_s = 0.3',
+        seconds=4,
+        rate=120,
+        nodes=4,
+        more=COLD + "[rules]\nfall_multiple = 1.5\n",
+    ),
+}
 
 
 @cache
--- a/tests/lab/run/test_run_determinism.py
+++ b/tests/lab/run/test_run_determinism.py
@@ -14,7 +14,9 @@
 
 ROOT = Path(__file__).parents[3]
 # A node that starts again at once at its address is not known to be cold, and is pushed over.
-FALLS = SMALL.format(seconds=4, rate=150, nodes=5) + """
+FALLS = (
+    SMALL.format(seconds=4, rate=150, nodes=5)
+    + """
 [rules]
 fall_multiple = 1.1
 [[step]]
@@ -46,6 +48,7 @@
 at_s = 1
 every_s = 0.3
 """
+)
 
 
 def test_three_hash_seeds_give_one_digest_and_one_order_of_falls(tmp_path: Path) -> None:
@@ -55,8 +58,11 @@
     for hash_seed in ("0", "1", "31337"):
         done = subprocess.run(
             [sys.executable, "-m", "roadlb.cli.main", "lab", "run", str(file), "--seed", "7", "--json", "-"],
-            env={**os.environ, "PYTHONHASHSEED": hash_seed, "PYTHONPATH": str(ROOT)}, capture_output=True,
-            text=True, check=False)
+            env={**os.environ, "PYTHONHASHSEED": hash_seed, "PYTHONPATH": str(ROOT)},
+            capture_output=True,
+            text=True,
+            check=False,
+        )
         reports.append(json.loads(done.stdout))
     first, *others = reports
     assert len(first["fallen"]) >= 2, "a run in which nothing falls shows no order"
--- a/tests/lab/run/test_run_incidents.py
+++ b/tests/lab/run/test_run_incidents.py
@@ -16,11 +16,18 @@
 FILES = sorted((Path(__file__).parents[3] / "examples" / "incidents").glob("*.toml"))
 # What must be on the wire, or else the step was not played.
 MARKS = {
-    "deploy": {"draining", "stopped"}, "shrink": {"draining", "stopped"}, "balancer_crash": {"killed"},
-    "balancer_restart": {"terminated", "ended"}, "balancer_drain": {"out of service", "in service"},
-     "pause": {"paused", "resumed"}, "slow": {"slowed"},
-    "cut_hall": {"cut", "healed"}, "discovery_move": {"reloaded"}, "kill_node": {"stopped"},
-    "lose_hall": {"stopped", "killed"}}
+    "deploy": {"draining", "stopped"},
+    "shrink": {"draining", "stopped"},
+    "balancer_crash": {"killed"},
+    "balancer_restart": {"terminated", "ended"},
+    "balancer_drain": {"out of service", "in service"},
+    "pause": {"paused", "resumed"},
+    "slow": {"slowed"},
+    "cut_hall": {"cut", "healed"},
+    "discovery_move": {"reloaded"},
+    "kill_node": {"stopped"},
+    "lose_hall": {"stopped", "killed"},
+}
 
 
 @pytest.mark.parametrize("file", FILES, ids=lambda file: file.stem)
--- a/tests/lab/sim/busy.py
+++ b/tests/lab/sim/busy.py
@@ -47,6 +47,7 @@
             finally:
                 if transport is not None:
                     transport.close()
+
     # A set of tasks: the order in which it is walked, and they are cancelled, must be the same.
     tasks = {asyncio.create_task(talk(other)) for other in others for _ in range(3)}
     await asyncio.sleep(SECONDS * 0.9)
@@ -83,6 +84,6 @@
 
 
 if __name__ == "__main__":
-    ballast = [bytearray(number * 7 % 600) for number in range(int(sys.argv[2]))]     # moves every address
+    ballast = [bytearray(number * 7 % 600) for number in range(int(sys.argv[2]))]  # moves every address
     with asyncio.Runner(loop_factory=lambda: SimLoop(int(sys.argv[1]))) as runner:
         print(runner.run(main()))
--- a/tests/lab/sim/sim_worlds.py
+++ b/tests/lab/sim/sim_worlds.py
@@ -18,8 +18,9 @@
 class Recorder(asyncio.Protocol):
     """Writes down each callback; `on` names what to do besides, as `on={"data": lambda me: ...}`."""
 
-    def __init__(self, log: list[Any] | None = None, keep_open: bool = False,
-                 **on: Callable[[Recorder], object]) -> None:
+    def __init__(
+        self, log: list[Any] | None = None, keep_open: bool = False, **on: Callable[[Recorder], object]
+    ) -> None:
         self.log: list[Any] = [] if log is None else log
         self.keep_open, self.on = keep_open, on
         self.data = b""
@@ -35,7 +36,7 @@
     def data_received(self, data: bytes) -> None:
         self.data += data
         if self.log[-1:] == ["data"]:
-            self.log.pop()             # in how many parts bytes come is nobody's promise
+            self.log.pop()  # in how many parts bytes come is nobody's promise
         self.told("data", "data")
 
     def eof_received(self) -> bool:
@@ -75,6 +76,7 @@
         def factory() -> Recorder:
             served.append(Recorder())
             return served[-1]
+
         await self.listen(factory)
         _, client = await self.connect(Recorder)
         await asyncio.sleep(0.001)
@@ -90,12 +92,15 @@
 
 def simulated(**options: Any) -> Callable[[Callable[..., Coroutine[Any, Any, None]]], Callable[..., None]]:
     """Make `async def test(pair, ...)` a test that runs on a new loop, with a network of these options."""
+
     def decorate(test: Callable[..., Coroutine[Any, Any, None]]) -> Callable[..., None]:
         def run(**arguments: Any) -> None:
             simulate(functools.partial(test, **arguments), **options)
+
         run.__name__, run.__doc__ = test.__name__, test.__doc__
         asked = list(inspect.signature(test).parameters.values())[1:]
         run.__signature__ = inspect.Signature(asked)  # type: ignore[attr-defined]
-        run.__dict__.update(test.__dict__)             # marks
+        run.__dict__.update(test.__dict__)  # marks
         return run
+
     return decorate
--- a/tests/lab/sim/test_sim_datagrams.py
+++ b/tests/lab/sim/test_sim_datagrams.py
@@ -35,7 +35,8 @@
     """Two datagrams there and back, a wrong address, and one to where nobody listens any more."""
     logs: list[list[Any]] = [[], []]
     server, _ = await run_server(
-        loop.create_datagram_endpoint(lambda: Datagrams(logs[0], echo=True), (ip, 0)))
+        loop.create_datagram_endpoint(lambda: Datagrams(logs[0], echo=True), (ip, 0))
+    )
     at = server.get_extra_info("sockname")
     client, _ = await run_client(loop.create_datagram_endpoint(lambda: Datagrams(logs[1]), remote_addr=at))
     assert client.get_extra_info("peername") == at
@@ -44,6 +45,7 @@
         async with asyncio.timeout(10):
             while len(logs[1]) < count:
                 await asyncio.sleep(0.001)
+
     for number, word in enumerate((b"one", b"two")):
         client.sendto(word)
         await until(2 + number)
@@ -68,6 +70,7 @@
 
     async def simulated(pair: Pair) -> list[list[Any]]:
         return await talk(pair.loop, pair.server.run, pair.client.run, pair.server.ip)
+
     assert simulate(simulated) == asyncio.run(real())
 
 
@@ -75,18 +78,21 @@
     async def main(pair: Pair) -> list[int]:
         log: list[Any] = []
         await pair.server.run(
-            pair.loop.create_datagram_endpoint(lambda: Datagrams(log), (pair.server.ip, PORT)))
+            pair.loop.create_datagram_endpoint(lambda: Datagrams(log), (pair.server.ip, PORT))
+        )
         client, _ = await pair.client.run(
-            pair.loop.create_datagram_endpoint(lambda: Datagrams([]), remote_addr=("server", PORT)))
+            pair.loop.create_datagram_endpoint(lambda: Datagrams([]), remote_addr=("server", PORT))
+        )
         for number in range(1_000):
             client.sendto(b"%04d" % number)
         await asyncio.sleep(1)
         whole = [int(data) for data in log[1:] if len(data) == 4]
-        assert 50 < len(log) - 1 - len(whole) < 150                   # cut short
-        assert 50 < 1_000 - len(set(whole)) < 300                     # lost, or cut short
-        assert 50 < len(whole) - len(set(whole)) < 150                # repeated
+        assert 50 < len(log) - 1 - len(whole) < 150  # cut short
+        assert 50 < 1_000 - len(set(whole)) < 300  # lost, or cut short
+        assert 50 < len(whole) - len(set(whole)) < 150  # repeated
         assert whole != sorted(whole)
         return whole
+
     link = Link(jitter_us=1_000, lose=0.1, repeat=0.1, cut_short=0.1)
     assert simulate(main, link=link) == simulate(main, link=link)
 
@@ -95,9 +101,11 @@
 async def test_a_stopped_host_drops_the_datagrams_that_its_buffer_does_not_hold(pair: Pair) -> None:
     log: list[Any] = []
     transport, _ = await pair.server.run(
-        pair.loop.create_datagram_endpoint(lambda: Datagrams(log), (pair.server.ip, PORT)))
+        pair.loop.create_datagram_endpoint(lambda: Datagrams(log), (pair.server.ip, PORT))
+    )
     client, _ = await pair.client.run(
-        pair.loop.create_datagram_endpoint(lambda: Datagrams([]), local_addr=("0.0.0.0", 0)))
+        pair.loop.create_datagram_endpoint(lambda: Datagrams([]), local_addr=("0.0.0.0", 0))
+    )
     transport.max_size = 60
     pair.server.stall(1_000_000)
     for _ in range(10):
--- a/tests/lab/sim/test_sim_determinism.py
+++ b/tests/lab/sim/test_sim_determinism.py
@@ -21,6 +21,7 @@
         client.transport.write(data)
         await asyncio.sleep(1)
         return pair.network.digest()
+
     days = [(b"a", 0.1), (b"a", 0.1), (b"b", 0.1), (b"a", 0.100001)]
     digests = [simulate(partial(day, data=data, wait=wait)) for data, wait in days]
     assert digests[0] == digests[1] and len(set(digests)) == 3
@@ -28,8 +29,11 @@
 
 def start(seed: int, hash_seed: str) -> subprocess.Popen[str]:
     return subprocess.Popen(
-        [sys.executable, str(HERE / "busy.py"), str(seed), hash_seed], text=True, stdout=subprocess.PIPE,
-        env={**os.environ, "PYTHONHASHSEED": hash_seed, "PYTHONPATH": str(HERE.parents[2])})
+        [sys.executable, str(HERE / "busy.py"), str(seed), hash_seed],
+        text=True,
+        stdout=subprocess.PIPE,
+        env={**os.environ, "PYTHONHASHSEED": hash_seed, "PYTHONPATH": str(HERE.parents[2])},
+    )
 
 
 def test_the_same_seed_gives_the_same_bytes_in_every_process() -> None:
--- a/tests/lab/sim/test_sim_faults.py
+++ b/tests/lab/sim/test_sim_faults.py
@@ -33,12 +33,14 @@
 @pytest.mark.parametrize(("timer_first", "order"), [(True, ["timer", "data"]), (False, ["data", "timer"])])
 @simulated()
 async def test_a_timer_and_a_delivery_of_one_instant_run_in_the_order_they_were_set(
-        pair: Pair, timer_first: bool, order: list[str]) -> None:
+    pair: Pair, timer_first: bool, order: list[str]
+) -> None:
     server, client = await pair.open()
     server.log.clear()
     steps: list[Callable[[], Any]] = [
         lambda: pair.server.call(pair.loop.call_later, 0.0001, server.log.append, "timer"),
-        lambda: client.transport.write(b"x")]
+        lambda: client.transport.write(b"x"),
+    ]
     for step in steps if timer_first else reversed(steps):
         step()
     await asyncio.sleep(0.0002)
@@ -49,7 +51,7 @@
 async def test_pausing_keeps_back_what_the_poll_has_found(pair: Pair) -> None:
     server, client = await pair.open()
     pair.server.call(pair.loop.call_later, 0.0001, server.transport.pause_reading)
-    client.transport.write(b"x")                                 # arrives with the timer, and behind it
+    client.transport.write(b"x")  # arrives with the timer, and behind it
     await asyncio.sleep(1)
     assert server.log == ["made"]
     server.transport.resume_reading()
@@ -63,7 +65,7 @@
     log: list[Any] = []
     await pair.listen(lambda: Recorder(log))
     pair.server.pause()
-    _, client = await pair.connect(Recorder)         # the kernel accepts
+    _, client = await pair.connect(Recorder)  # the kernel accepts
     reset(client)
     await asyncio.sleep(1)
     assert log == []
@@ -101,6 +103,7 @@
                 ran.append("task")
         finally:
             ran.append("finally")
+
     _, client = await pair.open()
     pair.server.run(program())
     pair.server.call(pair.loop.call_later, 0.35, ran.append, "timer")
@@ -119,7 +122,8 @@
 @pytest.mark.parametrize(("unread", "end"), [(False, ["made", "eof", CLOSED]), (True, ["made", RESET])])
 @simulated()
 async def test_a_killed_process_may_end_its_connections_as_the_kernel_does(
-        pair: Pair, unread: bool, end: list[Any]) -> None:
+    pair: Pair, unread: bool, end: list[Any]
+) -> None:
     server, client = await pair.open()
     if unread:
         server.transport.pause_reading()
@@ -170,13 +174,14 @@
 
     def note(what: str) -> None:
         ran.append((what, pair.loop.clock_us() - start))
+
     start = pair.loop.clock_us()
     server.on["data"] = lambda me: note("data")
-    for delay in (0.2, 0.1):                                     # deadlines within the stop
+    for delay in (0.2, 0.1):  # deadlines within the stop
         pair.server.call(pair.loop.call_later, delay, note, f"due at {delay}")
     pair.client.call(pair.loop.call_later, 0.05, client.transport.write, b"x")
     pair.server.stall(300_000)
-    await pair.connect(asyncio.Protocol)                         # the kernel answers dials meanwhile
+    await pair.connect(asyncio.Protocol)  # the kernel answers dials meanwhile
     await asyncio.sleep(1)
     assert ran == [("data", 300_000), ("due at 0.1", 300_000), ("due at 0.2", 300_000)]
 
@@ -190,7 +195,7 @@
         client.transport.write(word)
         await asyncio.sleep(1.2)
     pair.network.heal("b", "a")
-    await asyncio.sleep(2.5)                                     # TCP tries after 0.2, 0.6, 1.4, 3, 6.2 s
+    await asyncio.sleep(2.5)  # TCP tries after 0.2, 0.6, 1.4, 3, 6.2 s
     assert server.data == b""
     await asyncio.sleep(0.2)
     assert server.data == b"under way, written while cut"
@@ -215,10 +220,10 @@
     since = pair.loop.clock_us()
     dials = [asyncio.create_task(pair.connect(asyncio.Protocol)) for _ in range(5)]
     await asyncio.sleep(0.5)
-    assert [dial.done() for dial in dials] == [True] * 3 + [False] * 2      # one more than the backlog
+    assert [dial.done() for dial in dials] == [True] * 3 + [False] * 2  # one more than the backlog
     pair.server.resume()
     await asyncio.gather(*dials)
-    assert 1_000_000 < pair.loop.clock_us() - since < 1_001_000             # with the second SYN
+    assert 1_000_000 < pair.loop.clock_us() - since < 1_001_000  # with the second SYN
     pair.server.listeners[pair.server.ip, PORT].when_full = "refuse"
     pair.server.pause()
     for _ in range(3):
@@ -245,7 +250,9 @@
         sock.bind((pair.server.ip, PORT))
         sock.listen(10)
         await pair.loop.create_server(
-            lambda: Recorder(made=lambda me: made.append(pair.loop.clock_us() - start)), sock=sock, backlog=2)
+            lambda: Recorder(made=lambda me: made.append(pair.loop.clock_us() - start)), sock=sock, backlog=2
+        )
+
     await pair.server.run(listen())
     pair.server.pause()
     for _ in range(4):
@@ -264,14 +271,14 @@
     handled: list[Any] = []
     pair.loop.set_exception_handler(lambda loop, context: handled.append(context["exception"].errno))
     await pair.listen(lambda: Recorder(log))
-    pair.server.descriptors, pair.client.descriptors = 2, 3      # the listener holds one
+    pair.server.descriptors, pair.client.descriptors = 2, 3  # the listener holds one
     clients = [(await pair.connect(Recorder))[1] for _ in range(3)]
     assert (await dial_error(pair))[0] == errno.EMFILE
     await asyncio.sleep(0.5)
     assert log == ["made"] and handled == [errno.EMFILE]
     clients[0].transport.close()
     await asyncio.sleep(0.7)
-    assert log.count("made") == 2                                # asyncio looks again after 1 s
+    assert log.count("made") == 2  # asyncio looks again after 1 s
     await pair.connect(asyncio.Protocol)
 
 
@@ -292,7 +299,7 @@
     log: list[Any] = []
     await pair.listen(lambda: Recorder(log))
     dial = asyncio.create_task(pair.connect(asyncio.Protocol))
-    pair.loop.call_later(0.00015, dial.cancel)                   # the answer is on its way
+    pair.loop.call_later(0.00015, dial.cancel)  # the answer is on its way
     await asyncio.sleep(1)
     assert dial.cancelled() and log == ["made", RESET]
     assert pair.client.descriptors_open == 0 and pair.network.connections() == []
@@ -335,6 +342,7 @@
         class Parts(asyncio.Protocol):
             def data_received(self, data: bytes) -> None:
                 parts.append(len(data))
+
         parts: list[int] = []
         await pair.listen(Parts)
         transport, _ = await pair.connect(asyncio.Protocol)
@@ -346,6 +354,7 @@
             assert sum(parts) == 8
             firsts.add(parts[0])
         return firsts
+
     assert simulate(main, link=Link(split=0.8)) == set(range(1, 9))
 
 
@@ -367,4 +376,5 @@
         client.transport.close()
         await asyncio.sleep(0.001)
         assert os.read(sock.fileno(), 1) == b""
+
     simulate(main)
--- a/tests/lab/sim/test_sim_pace.py
+++ b/tests/lab/sim/test_sim_pace.py
@@ -18,9 +18,9 @@
     server, client = await pair.open()
     start = pair.loop.clock_us()
     pair.network.link("a", "b", bytes_per_s=1_000_000, delay_us=50_000)
-    client.transport.write(b"a" * 100_000)                       # 100 ms for the bytes, 50 for the way
+    client.transport.write(b"a" * 100_000)  # 100 ms for the bytes, 50 for the way
     pair.network.link("a", "b", bytes_per_s=0, delay_us=10)
-    client.transport.write(b"b")                                 # does not overtake
+    client.transport.write(b"b")  # does not overtake
     await asyncio.sleep(0.149)
     assert server.data == b""
     await asyncio.sleep(0.002)
@@ -64,12 +64,12 @@
 async def test_a_host_whose_callbacks_take_time_falls_behind(pair: Pair) -> None:
     ran: list[int] = []
     pair.server.cpu(cost=2_000)
-    for number in range(10):                                     # one each millisecond
+    for number in range(10):  # one each millisecond
         pair.server.call(pair.loop.call_later, number / 1_000, lambda: ran.append(pair.loop.clock_us()))
     await asyncio.sleep(1)
     assert ran == [2_000 * (number + 1) for number in range(10)]
     ran.clear()
-    pair.server.cpu(cost=lambda rng: 10_000, cores=0.2)          # 20 ms of each 100
+    pair.server.cpu(cost=lambda rng: 10_000, cores=0.2)  # 20 ms of each 100
     for _ in range(5):
         pair.server.call(pair.loop.call_soon, lambda: ran.append(pair.loop.clock_us() - 1_000_000))
     await asyncio.sleep(1)
@@ -78,7 +78,7 @@
 
 
 def test_a_quota_is_drawn_from_the_period_in_which_the_work_is_done() -> None:
-    cpu = Cpu(10_000, 0.2, 100_000, Random(1))                     # 20 ms of each 100
+    cpu = Cpu(10_000, 0.2, 100_000, Random(1))  # 20 ms of each 100
     ends = [now := 95_000]
     for _ in range(3):
         ends.append(now := cpu.end(now))
@@ -93,15 +93,21 @@
             ran.append((what, pair.loop.clock_us()))
             if what == "first":
                 pair.loop.call_soon(note, "queued by first")
+
         pair.server.cpu(cost=1_000)
         for what in ("first", "second"):
             pair.server.call(pair.loop.call_soon, note, what)
         pair.server.call(pair.loop.call_later, 0.0005, note, "timer, due while first runs")
-        pair.loop.call_later(0.0015, pair.server.stall, 10_000)      # in the middle of the second
+        pair.loop.call_later(0.0015, pair.server.stall, 10_000)  # in the middle of the second
         await asyncio.sleep(1)
         return ran
-    assert simulate(main) == [("first", 1_000), ("second", 11_500), ("queued by first", 12_500),
-                              ("timer, due while first runs", 13_500)]
+
+    assert simulate(main) == [
+        ("first", 1_000),
+        ("second", 11_500),
+        ("queued by first", 12_500),
+        ("timer, due while first runs", 13_500),
+    ]
 
 
 @pytest.mark.parametrize(("deferred", "segments"), [(False, [b"he", b"llo"]), (True, [b"hello"])])
@@ -116,6 +122,7 @@
             held.append(client.transport.get_write_buffer_size())
             client.transport.write(b"llo")
             client.transport.close()
+
         held: list[int] = []
         pair.client.call(pair.loop.call_soon, write)
         await asyncio.sleep(1)
@@ -123,6 +130,7 @@
         assert held == [2 if deferred else 0]
         assert [event.kind for event in seen][-2:] == ["fin", "fin"]
         assert pair.network.connections() == []
+
     simulate(main, deferred_writes=deferred)
 
 
--- a/tests/lab/sim/test_sim_programs.py
+++ b/tests/lab/sim/test_sim_programs.py
@@ -34,6 +34,7 @@
         writer.write_eof()
         await writer.drain()
         return await reader.read(-1)
+
     await pair.server.run(asyncio.start_server(serve, "0.0.0.0", PORT, limit=2**20))
     assert await pair.client.run(ask()) == b"ONE\nTWO\n" + b"X" * 300_000 + b"\n"
 
@@ -47,7 +48,7 @@
             self.parser.feed_data(data)
 
         def on_url(self, url: bytes) -> None:
-            self.url += url                                           # it, too, comes in parts
+            self.url += url  # it, too, comes in parts
 
         def on_message_complete(self) -> None:
             head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(self.url)
@@ -75,6 +76,7 @@
             done = pair.loop.create_future()
             await pair.connect(lambda done=done: Client(done))
             assert await done == b"/grid-read/k17"
+
     simulate(main, link=ROUGH)
 
 
@@ -91,22 +93,31 @@
                 async with session.post(f"http://server:{PORT}/order", data=b"x" * 50_000) as response:
                     answers.append(await response.text())
             return answers
+
     await pair.listen(pair.server.call(web.Server, handler))
     opened: list[Seen] = []
     pair.network.tap(lambda event: opened.append(event) if event.kind == "open" else None)
     assert await pair.client.run(ask()) == ["POST /order 50000"] * 3
-    assert len(opened) == 1                                       # kept alive
+    assert len(opened) == 1  # kept alive
 
 
-STEPS = st.lists(st.tuples(
-    st.sampled_from(("write", "write", "write", "pause", "resume", "eof", "wait", "stall", "cut", "faster")),
-    st.booleans(), st.integers(1, 5_000)), max_size=40)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ("write", "write", "write", "pause", "resume", "eof", "wait", "stall", "cut", "faster")
+        ),
+        st.booleans(),
+        st.integers(1, 5_000),
+    ),
+    max_size=40,
+)
 
 
 @settings(max_examples=60, deadline=None, derandomize=True)
 @given(STEPS, st.integers(0, 2**16), st.sampled_from((0.0, 0.7)), st.booleans(), st.sampled_from((0.0, 0.2)))
 def test_a_stream_arrives_whole_and_in_order_whatever_happens_to_it(
-        steps: list[tuple[str, bool, int]], seed: int, split: float, deferred: bool, lose: float) -> None:
+    steps: list[tuple[str, bool, int]], seed: int, split: float, deferred: bool, lose: float
+) -> None:
     async def main(pair: Pair) -> None:
         ends = await pair.open()
         for end in ends:
@@ -146,8 +157,15 @@
         await asyncio.sleep(1)
         assert [end.log[-1] for end in ends] == [("lost", "NoneType")] * 2
         assert pair.network.connections() == []
-    simulate(main, seed=seed, link=Link(delay_us=100, jitter_us=300, split=split, lose=lose),
-             send_buffer=2_000, receive_buffer=3_000, deferred_writes=deferred)
+
+    simulate(
+        main,
+        seed=seed,
+        link=Link(delay_us=100, jitter_us=300, split=split, lose=lose),
+        send_buffer=2_000,
+        receive_buffer=3_000,
+        deferred_writes=deferred,
+    )
 
 
 @simulated()
--- a/tests/lifecycle/test_lifecycle.py
+++ b/tests/lifecycle/test_lifecycle.py
@@ -9,8 +9,18 @@
 from hypothesis import strategies as st
 
 from roadlb.lifecycle.lifecycle import (
-    DRAINED_US, RECENT_US, CloseIdle, CloseUnfinished, Ending, Event, GiveUp, Leave, Lifecycle, State,
-    StopListening, Wake,
+    DRAINED_US,
+    RECENT_US,
+    CloseIdle,
+    CloseUnfinished,
+    Ending,
+    Event,
+    GiveUp,
+    Leave,
+    Lifecycle,
+    State,
+    StopListening,
+    Wake,
 )
 
 TABLE = {
@@ -20,8 +30,12 @@
     State.LEAVING: (State.LEAVING,) * 4,
 }
 EVENTS = (Event.STARTED, Event.OUT_OF_SERVICE, Event.IN_SERVICE, Event.LEAVE)
-TO = {State.STARTING: [], State.SERVING: [Event.STARTED], State.DRAINING: [Event.OUT_OF_SERVICE],
-      State.LEAVING: [Event.LEAVE]}
+TO = {
+    State.STARTING: [],
+    State.SERVING: [Event.STARTED],
+    State.DRAINING: [Event.OUT_OF_SERVICE],
+    State.LEAVING: [Event.LEAVE],
+}
 
 
 @pytest.mark.parametrize("state, at", list(itertools.product(State, range(4))))
@@ -57,11 +71,11 @@
     assert not life.healthy and life.takes_clients
     assert seen[0] == (began, Ending(True))
     idle = [(at - began, a.part) for at, a in seen if isinstance(a, CloseIdle)]
-    assert idle[0][0] >= 300_000 and idle[0][1] < 0.2            # not at once, not in one instant
+    assert idle[0][0] >= 300_000 and idle[0][1] < 0.2  # not at once, not in one instant
     assert any(part == 1.0 for at, part in idle if at < DRAINED_US - RECENT_US)
     assert idle[-1][1] == 1.0 and idle[-1][0] > DRAINED_US - 200_000
     assert [at < began + DRAINED_US for at, a in seen if isinstance(a, CloseUnfinished)] == [True]
-    (gives_up_at, gives_up), = [(at, a) for at, a in seen if isinstance(a, GiveUp)]
+    ((gives_up_at, gives_up),) = [(at, a) for at, a in seen if isinstance(a, GiveUp)]
     assert gives_up_at < began + DRAINED_US - 300_000
     assert gives_up.came_after_us < began + DRAINED_US - 2_000_000
 
@@ -72,12 +86,12 @@
     life = Lifecycle(longest, shared)
     life.handle(0, Event.STARTED)
     actions = life.handle(0, Event.LEAVE)
-    assert (StopListening() in actions) == shared        # what waits at a shared socket is the successor's
+    assert (StopListening() in actions) == shared  # what waits at a shared socket is the successor's
     seen = played(life, 0, actions, 10_000_000)
     stops = [at for at, a in seen if isinstance(a, StopListening)]
     assert len(stops) == 1 and not life.takes_clients
     # A request of 0.7 s after the signal has its time; the rest gets its answer before the process is killed.
-    (done, _), = [(at, a) for at, a in seen if a == GiveUp(0)]
+    ((done, _),) = [(at, a) for at, a in seen if a == GiveUp(0)]
     assert longest + 300_000 <= done <= longest + 600_000
     assert max(a.by_us for _, a in seen if isinstance(a, Leave)) < longest + 700_000
     last_idle = max(at for at, a in seen if a == CloseIdle(1.0))
@@ -86,7 +100,8 @@
 
 @given(st.lists(st.tuples(st.sampled_from(EVENTS), st.integers(0, 2_000_000)), max_size=12))
 def test_whatever_comes_in_whatever_order_there_is_one_state_and_no_way_back(
-        events: list[tuple[Event, int]]) -> None:
+    events: list[tuple[Event, int]],
+) -> None:
     life, now, left, listening = Lifecycle(1_000_000), 0, False, True
     wakes: list[int] = []
     for event, pause in [*events, (Event.LEAVE, 5_000_000)]:
--- a/tests/lifecycle/test_upgrade.py
+++ b/tests/lifecycle/test_upgrade.py
@@ -35,13 +35,27 @@
         self.servers: list[asyncio.Server] = []
 
     async def listen(self) -> None:
-        node, discovery = [await asyncio.start_server(serve, "127.0.0.1", 0)
-                           for serve in (self.node, self.discovery)]
+        node, discovery = [
+            await asyncio.start_server(serve, "127.0.0.1", 0) for serve in (self.node, self.discovery)
+        ]
         self.servers = [node, discovery]
         at, self.agent = [f"127.0.0.1:{s.sockets[0].getsockname()[1]}" for s in self.servers]
-        self.list = {"generation": 7, "reset": True, "instances": [
-            {"instanceId": "s1", "hostPort": at, "zone": "hall-a", "machineType": "new-2c", "cell": 0,
-             "lifecycle": "up", "weight": 1.0, "startedAtMs": 0}]}
+        self.list = {
+            "generation": 7,
+            "reset": True,
+            "instances": [
+                {
+                    "instanceId": "s1",
+                    "hostPort": at,
+                    "zone": "hall-a",
+                    "machineType": "new-2c",
+                    "cell": 0,
+                    "lifecycle": "up",
+                    "weight": 1.0,
+                    "startedAtMs": 0,
+                }
+            ],
+        }
 
     async def node(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
@@ -83,8 +97,10 @@
             number += 1
             new = link is None
             reader, writer = link = link or await asyncio.open_connection("127.0.0.1", port)
-            writer.write(b"POST /order/k HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %d-%d\r\n"
-                         b"X-Account: acme\r\nContent-Length: 2\r\n\r\nok" % (name, number))
+            writer.write(
+                b"POST /order/k HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %d-%d\r\n"
+                b"X-Account: acme\r\nContent-Length: 2\r\n\r\nok" % (name, number)
+            )
             try:
                 head = await reader.readuntil(b"\r\n\r\n")
                 await reader.readexactly(2)
@@ -108,12 +124,23 @@
                 held.append(reserved())
                 admin, config = held[-1].getsockname()[1], tmp_path / "config.json"
                 config.write_text(json.dumps({**RAW, "discovery": party.agent}))
-                env = {**os.environ, "PYTHONPATH": str(ROOT), "PROXY_CONFIG": str(config),
-                       "PROXY_SOCKET_FD": str(listener.fileno()), "TMPDIR": str(tmp_path),
-                       "PROXY_ADMIN_ADDR": f"127.0.0.1:{admin}"}
+                env = {
+                    **os.environ,
+                    "PYTHONPATH": str(ROOT),
+                    "PROXY_CONFIG": str(config),
+                    "PROXY_SOCKET_FD": str(listener.fileno()),
+                    "TMPDIR": str(tmp_path),
+                    "PROXY_ADMIN_ADDR": f"127.0.0.1:{admin}",
+                }
                 process = await asyncio.create_subprocess_exec(
-                    sys.executable, "-m", "roadlb", env=env, pass_fds=[listener.fileno()], cwd=ROOT,
-                    stderr=(tmp_path / f"{len(started)}.log").open("wb"))
+                    sys.executable,
+                    "-m",
+                    "roadlb",
+                    env=env,
+                    pass_fds=[listener.fileno()],
+                    cwd=ROOT,
+                    stderr=(tmp_path / f"{len(started)}.log").open("wb"),
+                )
                 started.append(process)
                 while b" 200 " not in await door(admin, "GET /control/ready"):
                     await asyncio.sleep(0.02)
@@ -147,49 +174,62 @@
 
 
 def succession(directory: Path, counters: Counts) -> Succession:
-    return Succession(directory, counters, lambda: Held(1, 2, 3), lambda: Handover("d:1", KNOWN, False),
-                      lambda others: None)
+    return Succession(
+        directory, counters, lambda: Held(1, 2, 3), lambda: Handover("d:1", KNOWN, False), lambda others: None
+    )
 
 
 def test_a_successor_takes_a_newer_list_of_the_same_discovery_and_no_other(tmp_path: Path) -> None:
     counters = Counts()
     one = succession(tmp_path, counters)
-    assert one.inherited("d:1", OLDER) == (OLDER, False)            # none is there
+    assert one.inherited("d:1", OLDER) == (OLDER, False)  # none is there
     handover.write(tmp_path, Handover("d:1", KNOWN, True))
-    assert one.inherited("d:1", OLDER) == (KNOWN, False)            # whoever drained has died
+    assert one.inherited("d:1", OLDER) == (KNOWN, False)  # whoever drained has died
     assert one.inherited("d:2", OLDER) == (OLDER, False)
     assert one.inherited("d:1", {**KNOWN, "generation": 5})[0]["generation"] == 5
     assert one.inherited("d:1", {}) == (KNOWN, False)
     assert (counters["handover.taken"], counters["handover.old"]) == (2, 2)
 
 
-@pytest.mark.parametrize("spoil", [
-    lambda b: b"", lambda b: b[:-1], lambda b: b"\0" * 4_000,
-    lambda b: b.replace(b"handover 1", b"handover 2"),
-    lambda b: b.replace(b"s1", b"s2"), lambda b: b[:40], lambda b: b.replace(b"roadlb", b"other")])
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda b: b"",
+        lambda b: b[:-1],
+        lambda b: b"\0" * 4_000,
+        lambda b: b.replace(b"handover 1", b"handover 2"),
+        lambda b: b.replace(b"s1", b"s2"),
+        lambda b: b[:40],
+        lambda b: b.replace(b"roadlb", b"other"),
+    ],
+)
 def test_a_spoilt_or_foreign_handover_is_as_good_as_none(tmp_path: Path, spoil: object) -> None:
     handover.write(tmp_path, Handover("d:1", KNOWN, True))
     file, counters = tmp_path / handover.FILE, Counts()
-    file.write_bytes(spoil(file.read_bytes()))   # type: ignore[operator]
+    file.write_bytes(spoil(file.read_bytes()))  # type: ignore[operator]
     assert succession(tmp_path, counters).inherited("d:1", OLDER) == (OLDER, False)
     assert counters["handover.ignored"] == 1
 
 
 def test_neighbours_are_those_whose_lock_is_held(tmp_path: Path) -> None:
     mine = Neighbours(tmp_path)
-    (tmp_path / "roadlb.1.lock").write_bytes(b"")                   # of one that died
+    (tmp_path / "roadlb.1.lock").write_bytes(b"")  # of one that died
     assert mine.others() == [] and not (tmp_path / "roadlb.1.lock").exists()
-    child = ("import sys, time; from pathlib import Path; from roadlb.lifecycle.handover import *\n"
-             "n = Neighbours(Path(sys.argv[1])); n.tell(Held(3, 4, 5)); print(flush=True); sys.stdin.read()")
+    child = (
+        "import sys, time; from pathlib import Path; from roadlb.lifecycle.handover import *\n"
+        "n = Neighbours(Path(sys.argv[1])); n.tell(Held(3, 4, 5)); print(flush=True); sys.stdin.read()"
+    )
 
     async def main() -> None:
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-c", child, str(tmp_path), cwd=ROOT, stdin=-1, stdout=-1)
+            sys.executable, "-c", child, str(tmp_path), cwd=ROOT, stdin=-1, stdout=-1
+        )
         assert process.stdout and await process.stdout.readline()
         assert mine.others() == [Held(3, 4, 5)]
         process.kill()
         await process.wait()
         assert mine.others() == []
+
     run(main())
     mine.leave()
 
--- a/tests/membership/real_peers.py
+++ b/tests/membership/real_peers.py
@@ -22,7 +22,7 @@
 from roadlb.lab.run.real_world import environment
 from roadlb.lab.sharing.relays import Relays
 
-GENEROUS_S = 240.0      # starved, one who is deaf doubts itself first, and accuses later
+GENEROUS_S = 240.0  # starved, one who is deaf doubts itself first, and accuses later
 LOOK_S = 0.15
 
 
@@ -46,11 +46,11 @@
     def __init__(self, size: int, seed: int, folder: Path, halls: int = 3) -> None:
         self.seed, self.folder, self.halls = seed, folder, halls
         self.all = {f"lb-{i}": OnePeer(f"lb-{i}") for i in range(size)}
-        self.told: dict[str, dict[str, Any]] = {}       # what each said at the last look
-        self.late_s = 0.0       # the longest for which this loop, and with it all relays, stood still
+        self.told: dict[str, dict[str, Any]] = {}  # what each said at the last look
+        self.late_s = 0.0  # the longest for which this loop, and with it all relays, stood still
         self.blocked: Callable[[str, str], bool] = lambda sender, to: False
         self._relays = Relays(lambda sender, to: not self.blocked(sender, to))
-        self.change: Callable[[str, dict[str, Any]], None] = lambda name, raw: None     # a configuration
+        self.change: Callable[[str, dict[str, Any]], None] = lambda name, raw: None  # a configuration
 
     async def __aenter__(self) -> RealPeers:
         try:
@@ -77,16 +77,26 @@
         one = self.all[name]
         raw = deepcopy(RAW)
         raw["settings"]["az"] = int(name[3:]) % self.halls
-        raw |= {"name": name, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9",
-                "admin_addr": f"127.0.0.1:{one.door}",
-                "peers": self._relays.peers(name, "rig", 4)}
+        raw |= {
+            "name": name,
+            "listen": "127.0.0.1:0",
+            "discovery": "127.0.0.1:9",
+            "admin_addr": f"127.0.0.1:{one.door}",
+            "peers": self._relays.peers(name, "rig", 4),
+        }
         self.change(name, raw)
         config = self.folder / f"{name}.json"
         config.write_text(json.dumps(raw))
         with (self.folder / f"{name}.log").open("ab") as log:
             one.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "roadlb", stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
-                env=environment(config))
+                sys.executable,
+                "-m",
+                "roadlb",
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=environment(config),
+            )
         one.stopped = False
 
     # Faults
@@ -148,8 +158,9 @@
         return self.late_s < 1 and not any(self.count(name, "doubted") for name in self.told)
 
     def there(self, at: str) -> set[str]:
-        return {member["name"] for member in self.told[at]["members"]
-                if member["state"] in ("alive", "suspect")}
+        return {
+            member["name"] for member in self.told[at]["members"] if member["state"] in ("alive", "suspect")
+        }
 
     def member(self, at: str, name: str) -> dict[str, Any]:
         return next((member for member in self.told[at]["members"] if member["name"] == name), {})
--- a/tests/membership/test_datagram.py
+++ b/tests/membership/test_datagram.py
@@ -22,11 +22,16 @@
 
 @settings(deadline=None)
 @given(st.text(min_size=1, max_size=16), st.integers(0, 2**64 - 1), st.integers(0, 2**64 - 1), ITEMS)
-def test_what_is_written_is_read(name: str, incarnation: int, number: int,
-                                 items: list[tuple[int, bytes]]) -> None:
+def test_what_is_written_is_read(
+    name: str, incarnation: int, number: int, items: list[tuple[int, bytes]]
+) -> None:
     read = CODEC.read(CODEC.write(name, incarnation, number, items, HERE), HERE)
     assert (read.sender, read.incarnation, read.number, list(read.items)) == (
-        name, incarnation, number, items)
+        name,
+        incarnation,
+        number,
+        items,
+    )
 
 
 @settings(deadline=None)
@@ -52,7 +57,7 @@
 @settings(deadline=None)
 @given(st.integers(0, len(WHOLE) - 1), st.integers(1, 255))
 def test_no_byte_can_be_changed_or_cut(at: int, by: int) -> None:
-    cause(WHOLE[:at] + bytes([WHOLE[at] ^ by]) + WHOLE[at + 1:])
+    cause(WHOLE[:at] + bytes([WHOLE[at] ^ by]) + WHOLE[at + 1 :])
     cause(WHOLE[:at])
 
 
@@ -62,7 +67,7 @@
     assert cause(WHOLE[:3] + b"\x02" + WHOLE[4:]) == "version"
     assert cause(b"x" * 100) == "malformed"
     with pytest.raises(Fault, match="not by our key"):
-        CODEC.read(WHOLE, "10.0.0.8:7946")          # sent to another, and played to us
+        CODEC.read(WHOLE, "10.0.0.8:7946")  # sent to another, and played to us
     with pytest.raises(ValueError, match="at least 16"):
         Codec(b"short", "grid")
 
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -29,8 +29,11 @@
 
 
 def told(fleet: Fleet, kind: type, name: str | None = None) -> list[tuple[int, str, Any]]:
-    return [(at, whom, news) for at, whom, news in fleet.news
-            if isinstance(news, kind) and (name is None or news.member.name == name)]
+    return [
+        (at, whom, news)
+        for at, whom, news in fleet.news
+        if isinstance(news, kind) and (name is None or news.member.name == name)
+    ]
 
 
 def settles(fleet: Fleet, what: str, within_s: float = GENEROUS_S) -> None:
@@ -40,7 +43,8 @@
 @pytest.mark.parametrize("seed", range(3))
 @pytest.mark.parametrize("links", [{}, {"loss": 0.3, "double": 0.1, "reorder": 0.05}], ids=["clean", "lossy"])
 def test_a_death_and_a_join_are_known_to_all_and_nobody_else_is_buried(
-        seed: int, links: dict[str, float]) -> None:
+    seed: int, links: dict[str, float]
+) -> None:
     fleet = fleet_of(12, seed, **links)
     fleet.kill("m5")
     settles(fleet, "the death")
@@ -90,8 +94,11 @@
     settles(fleet, "they are back")
     fleet.run(20)
     assert {whom for _, whom, _ in [x for x in fleet.news if isinstance(x[2], Doubted)]} == {"m3", "m9"}
-    accused = [(whom, news.member.name) for at, whom, news in told(fleet, Suspected)
-               if at >= woken and news.by == whom in ("m3", "m9")]
+    accused = [
+        (whom, news.member.name)
+        for at, whom, news in told(fleet, Suspected)
+        if at >= woken and news.by == whom in ("m3", "m9")
+    ]
     assert not [pair for pair in accused if pair[1] not in ("m3", "m9")]
     assert {news.member.name for _, _, news in told(fleet, Left)} <= {"m3", "m9"}
 
@@ -104,8 +111,9 @@
     fleet.blocked = lambda a, b: (a in side) != (b in side)
     assert fleet.run(GENEROUS_S, lambda: fleet.agree(side) and fleet.agree(other)), "each side knows its own"
     fleet.run(view_module.GONE_KEEP_US / 1e6 + 10)
-    assert all(len(process.members.view.entries) <= max(part, 12 - part)
-               for process in fleet.running.values()), "the dead are forgotten"
+    assert all(
+        len(process.members.view.entries) <= max(part, 12 - part) for process in fleet.running.values()
+    ), "the dead are forgotten"
     fleet.blocked = None
     settles(fleet, "one fleet again")
     fleet.news.clear()
@@ -150,7 +158,7 @@
 
 def test_seven_of_ten_killed_at_once_are_known_to_the_three() -> None:
     fleet = fleet_of(10, 4)
-    for i in range(7):                 # the seeds among them
+    for i in range(7):  # the seeds among them
         fleet.kill(f"m{i}")
     settles(fleet, "seven deaths")
     fleet.start("m0")
@@ -188,20 +196,22 @@
     fleet.kill("m6")
     settles(fleet, "two deaths")
     fleet.start("m5")
-    newcomer = fleet.start("m7")       # it has never heard of the old lives
+    newcomer = fleet.start("m7")  # it has never heard of the old lives
     settles(fleet, "m5 is back")
     fleet.news.clear()
     for flight, to in kept:
         fleet.inject(flight, to)
     fleet.run(20)
     assert fleet.agree() and not told(fleet, Joined)
-    assert all(process.members.view.entries["m5"].member.life > old_life
-               for process in fleet.running.values())
+    assert all(
+        process.members.view.entries["m5"].member.life > old_life for process in fleet.running.values()
+    )
     assert newcomer.odd.get("replayed", 0) + newcomer.odd.get("unproved", 0) > 0
 
 
 # Defects, planted: each must be found by what is looked at above
 
+
 def false_burials(seed: int, defect: Callable[[], None] | None) -> int:
     fleet = fleet_of(12, seed)
     if defect:
@@ -217,6 +227,7 @@
     def no_time() -> None:
         monkeypatch.setattr(members_module, "SUSPECT_LEAST", 0.0)
         monkeypatch.setattr(members_module, "SUSPECT_MOST", 0.0)
+
     assert sum(false_burials(seed, no_time) for seed in range(3)) > 0
 
 
@@ -229,6 +240,7 @@
             if member.state <= entry.member.state:
                 return
         learn(self, now, member, by)
+
     monkeypatch.setattr(members_module.Members, "_learn", deaf)
     fleet = fleet_of(12, 1)
     fleet.pause("m3")
@@ -254,6 +266,7 @@
             fleet.inject(flight, to)
         fleet.run(20)
         return bool(told(fleet, Joined, "m5"))
+
     assert not lives_again(None)
     assert lives_again(lambda *told: Verdict.PASS)
 
@@ -269,6 +282,7 @@
             fleet.run(3)
         fleet.run(10)
         return max(len(process.members.view.entries) for process in fleet.running.values())
+
     assert held() <= 4 + 8
     monkeypatch.setattr(View, "forget", lambda self, now: None)
     assert held() > 4 + 8
--- a/tests/membership/test_parts.py
+++ b/tests/membership/test_parts.py
@@ -12,7 +12,17 @@
 from roadlb.membership import messages as say
 from roadlb.membership.admission import ALL_BURST, LATE_US, SENDER_BURST, WINDOW, Admission, Verdict
 from roadlb.membership.events import (
-    Joined, Left, Member, Odd, Received, Start, State, Suspected, Tell, first_incarnation)
+    Joined,
+    Left,
+    Member,
+    Odd,
+    Received,
+    Start,
+    State,
+    Suspected,
+    Tell,
+    first_incarnation,
+)
 from roadlb.membership.members import Members
 from roadlb.membership.rumours import Rumours
 from roadlb.membership.view import GONE_KEEP_US, GONE_MOST, View
@@ -40,7 +50,7 @@
 def test_a_changed_byte_harms_nobody_but_what_it_says(at: int, by: int) -> None:
     members = Members(ME, [], Random(1))
     members.handle(0, Start())
-    changed = WHOLE[:at] + bytes([WHOLE[at] ^ by]) + WHOLE[at + 1:]
+    changed = WHOLE[:at] + bytes([WHOLE[at] ^ by]) + WHOLE[at + 1 :]
     for data in (changed, WHOLE[:at]):
         members.handle(1_000, Received("other", OTHER.incarnation, data, True))
     assert len(members.view) <= 4
@@ -49,8 +59,12 @@
 def test_what_is_written_is_read() -> None:
     said = say.read(WHOLE)
     assert (said.host, said.port, said.hall, said.count, said.digest) == ("10.0.0.2", 7946, "hall-b", 2, 7)
-    assert said.messages == (say.Numbered(say.PING, 1), say.Ask(2, "10.0.0.3", 7946), say.Pull((3,) * 64),
-                             say.Update(THIRD, "me"))
+    assert said.messages == (
+        say.Numbered(say.PING, 1),
+        say.Ask(2, "10.0.0.3", 7946),
+        say.Pull((3,) * 64),
+        say.Update(THIRD, "me"),
+    )
 
 
 def told(members: Members, now: int, *parts: bytes, trusted: bool = True) -> list[Any]:
@@ -147,6 +161,7 @@
 
     def judged(now: int, number: int) -> Verdict:
         return admission.judge(now, NAME, INCARNATION, number)
+
     assert judged(0, 100) is Verdict.PASS
     assert judged(0, 99) is Verdict.REPLAY, "from before it was proved"
     assert judged(0, 200) is Verdict.PASS and judged(0, 150) is Verdict.PASS
--- a/tests/membership/test_peers.py
+++ b/tests/membership/test_peers.py
@@ -26,8 +26,12 @@
 
 
 def peers(name: str, seeds: list[int], **told: Any) -> Peers:
-    config = PeersConfig(Address("127.0.0.1", told.pop("port", 0)), KEY, "test",
-                         tuple(Address("127.0.0.1", port) for port in seeds))
+    config = PeersConfig(
+        Address("127.0.0.1", told.pop("port", 0)),
+        KEY,
+        "test",
+        tuple(Address("127.0.0.1", port) for port in seeds),
+    )
     return Peers(name, "hall-a", config, Counters(), told.pop("clock", monotonic_us), unix_us, 1, **told)
 
 
@@ -57,6 +61,7 @@
         finally:
             for one in made:
                 one.stop()
+
     asyncio.run(main())
 
 
@@ -80,9 +85,15 @@
         assert a.spread(Kind.SHARES, b"to all") == 2
         await until("four arrive", lambda: len(got) == 4)
         life = a.me.life
-        assert sorted(got) == sorted([
-            ("b", "a", life, b"x" * PAYLOAD_MOST), ("b", "a", life, b"second"), ("b", "a", life, b"to all"),
-            ("c", "a", life, b"to all")])
+        assert sorted(got) == sorted(
+            [
+                ("b", "a", life, b"x" * PAYLOAD_MOST),
+                ("b", "a", life, b"second"),
+                ("b", "a", life, b"to all"),
+                ("c", "a", life, b"to all"),
+            ]
+        )
+
     play(test)
 
 
@@ -109,8 +120,10 @@
         def flooded() -> bool:
             throw([forged] * 500, a.port)
             return a.counters["peers.dropped.flooded"] > 0
+
         await until("the flood is felt", flooded)
         assert all(one.live() == 3 for one in made)
+
     play(test)
 
 
@@ -121,6 +134,7 @@
 
         def fail(*told: object) -> None:
             raise RuntimeError("planted")
+
         a.watch(fail)
         a.listen(Kind.SHARES, fail)
         a.listen(Kind.COUNTS, lambda sender, life, payload: got.append(payload))
@@ -129,6 +143,7 @@
         await until("the second part has its payload", lambda: got == [b"2"])
         assert a.counters["fault.peers"] == 1
         a.counters.add("fault.peers", -1)
+
     play(test)
 
 
@@ -139,12 +154,20 @@
         successor = peers("c", [a.port], port=port)
         await successor.start()
         assert successor.me is None and successor.live() == 1
-        await asyncio.sleep(0.01)          # two lives differ by a millisecond at least
+        await asyncio.sleep(0.01)  # two lives differ by a millisecond at least
         c.stop(farewell=False)
         made[2] = successor
-        await until("it is there", lambda: successor.live() == 3 and all(
-            member.life != life for one in (a, b) for member in one.members() if member.name == "c"))
+        await until(
+            "it is there",
+            lambda: (
+                successor.live() == 3
+                and all(
+                    member.life != life for one in (a, b) for member in one.members() if member.name == "c"
+                )
+            ),
+        )
         assert not a.counters["peers.left"]
+
     play(test)
 
 
@@ -156,6 +179,7 @@
         def at(host: Any, name: str, seeds: tuple[Address, ...]) -> Peers:
             config = PeersConfig(Address(host.ip, 7946), KEY, "test", seeds)
             return Peers(name, "h", config, Counters(), clock, lambda: 10**15, 1, own_socket=False)
+
         a = at(pair.server, "a", ())
         b = at(pair.client, "b", (Address(pair.server.ip, 7946),))
         a.watch(news.append)
@@ -180,22 +204,32 @@
         await asyncio.sleep(30)
         assert a.live() == 1
         return [a.counters.all(), [type(one).__name__ for one in news]]
+
     link = Link(delay_us=500, jitter_us=2_000, lose=0.1, repeat=0.1, cut_short=0.1)
     first = simulate(main, link=link)
     assert first == simulate(main, link=link) and Joined.__name__ in first[1]
 
 
-@pytest.mark.parametrize(("told", "message"), [
-    ([], "peers: must be an object"), ({"listen": "127.0.0.1:1", "kez": 1}, "peers.kez: is not known"),
-    ({"key": "k" * 16}, "peers.listen: is missing"), ({"listen": "here:1"}, "peers.listen: 'here' is no num"),
-    ({"listen": "0.0.0.0:1"}, "set peers.advertise"), ({"listen": "127.0.0.1:1"}, "peers.key: give either"),
-    ({"listen": "127.0.0.1:1", "key": "short"}, "peers.key: holds 5 bytes"),
-    ({"listen": "127.0.0.1:1", "key_file": "/nowhere"}, "peers.key_file: cannot read /nowhere"),
-    ({"listen": "127.0.0.1:1", "key": "k" * 16, "seeds": ["a"]}, "peers.seeds.0: 'a' is not host:port"),
-    ({"listen": "127.0.0.1:1", "key": "k" * 16, "share": 1}, "peers.share: 1 is not true or false"),
-    ({"listen": "127.0.0.1:1", "key": "k" * 16, "repeats_per_s": 5}, "repeats_per_s: needs peers.share"),
-    ({"listen": "127.0.0.1:1", "key": "k" * 16, "share": True, "dials_per_s": -1}, "dials_per_s: -1 must be"),
-])
+@pytest.mark.parametrize(
+    ("told", "message"),
+    [
+        ([], "peers: must be an object"),
+        ({"listen": "127.0.0.1:1", "kez": 1}, "peers.kez: is not known"),
+        ({"key": "k" * 16}, "peers.listen: is missing"),
+        ({"listen": "here:1"}, "peers.listen: 'here' is no num"),
+        ({"listen": "0.0.0.0:1"}, "set peers.advertise"),
+        ({"listen": "127.0.0.1:1"}, "peers.key: give either"),
+        ({"listen": "127.0.0.1:1", "key": "short"}, "peers.key: holds 5 bytes"),
+        ({"listen": "127.0.0.1:1", "key_file": "/nowhere"}, "peers.key_file: cannot read /nowhere"),
+        ({"listen": "127.0.0.1:1", "key": "k" * 16, "seeds": ["a"]}, "peers.seeds.0: 'a' is not host:port"),
+        ({"listen": "127.0.0.1:1", "key": "k" * 16, "share": 1}, "peers.share: 1 is not true or false"),
+        ({"listen": "127.0.0.1:1", "key": "k" * 16, "repeats_per_s": 5}, "repeats_per_s: needs peers.share"),
+        (
+            {"listen": "127.0.0.1:1", "key": "k" * 16, "share": True, "dials_per_s": -1},
+            "dials_per_s: -1 must be",
+        ),
+    ],
+)
 def test_errors_of_the_configuration_name_the_key(told: object, message: str) -> None:
     with pytest.raises(ConfigError, match=message):
         read_config({**RAW, "peers": told}, {})
--- a/tests/membership/test_processes.py
+++ b/tests/membership/test_processes.py
@@ -22,9 +22,14 @@
     async def main() -> None:
         async with RealPeers(8, seed, folder) as rig:
             await test(rig)
-            errors = [line for log in folder.glob("*.log") for line in log.read_text().splitlines()
-                      if "level=error" in line or not line.startswith("at=")]
+            errors = [
+                line
+                for log in folder.glob("*.log")
+                for line in log.read_text().splitlines()
+                if "level=error" in line or not line.startswith("at=")
+            ]
             assert not errors, errors[:3]
+
     asyncio.run(main())
 
 
@@ -32,15 +37,18 @@
     async def test(rig: RealPeers) -> None:
         before = {name: rig.member("lb-7", name)["life"] for name in rig.all}
         await rig.kill("lb-0", "lb-1", "lb-2")
-        await rig.start("lb-2")                # within a second of its death
+        await rig.start("lb-2")  # within a second of its death
         await rig.until("six and no more", lambda: rig.agree({f"lb-{i}" for i in range(2, 8)}))
-        await rig.until("lb-2 is another life to all", lambda: all(
-            rig.member(name, "lb-2")["life"] > before["lb-2"] for name in rig.running))
+        await rig.until(
+            "lb-2 is another life to all",
+            lambda: all(rig.member(name, "lb-2")["life"] > before["lb-2"] for name in rig.running),
+        )
         await rig.start("lb-0")
         await rig.start("lb-1")
         await rig.until("all again", lambda: len(rig.running) == 8 and rig.agree())
         halls = {member["name"]: member["hall"] for member in rig.told["lb-5"]["members"]}
         assert len(set(halls.values())) == 3 and set(halls) == set(rig.all)
+
     play(tmp_path, test)
 
 
@@ -59,6 +67,7 @@
         if rig.late_s < 1:
             assert all(rig.count(name, "left") <= asleep for name in rested), "one that ran was buried"
         assert all(rig.count(name, "dropped.replayed") > 0 for name in rested)
+
     play(tmp_path, test)
 
 
@@ -76,6 +85,7 @@
         assert rig.there("lb-6") == set(rig.all), "it buries nobody"
         rig.blocked = lambda sender, to: False
         await rig.until("one again", rig.agree)
+
     play(tmp_path, test)
 
 
@@ -85,6 +95,7 @@
 
         def command(*words: str) -> Any:
             return CliRunner().invoke(roadlb, ["peers", *words])
+
         said = await asyncio.to_thread(command, "--json", *doors)
         told = json.loads(said.output)["balancers"]
         assert said.exit_code == 0 and set(told) == set(doors)
@@ -99,4 +110,5 @@
         assert not rig.at_ease or not any(rig.count(name, "suspected") for name in rig.running)
         faulty = await asyncio.to_thread(command, "--json", doors[7])
         assert faulty.exit_code == 1 and doors[7] in json.loads(faulty.stdout)["faults"]
+
     play(tmp_path, test)
--- a/tests/net/harness.py
+++ b/tests/net/harness.py
@@ -31,34 +31,60 @@
 Pairs = list[tuple[str, str]]
 
 NODE_ID = b"s1"
-READ_MOST = 262_144     # what asyncio reads at once, where a protocol does not ask for less
-QUIET_TURNS = 16        # of the loop with nothing new; a dial is the longest silent chain
+READ_MOST = 262_144  # what asyncio reads at once, where a protocol does not ask for less
+QUIET_TURNS = 16  # of the loop with nothing new; a dial is the longest silent chain
 TURNS_MOST = 100_000
-LINGER_US = 1_000_000   # longer than any connection lingers, shorter than any request may take
+LINGER_US = 1_000_000  # longer than any connection lingers, shorter than any request may take
 PROBE = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
 SECOND_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond"
-CONFIG = read_config({
-    "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "limits": {"sockets": 2_000},
-    "settings": {
-        "me": 0, "instances": 1, "discovery": "pushed",
-        "classes": [
-            {"name": "grid-read", "promise_us": 500_000, "deadline_us": 2_500_000, "value": 2.0,
-             "effect": "idempotent"},
-            {"name": "order", "promise_us": 600_000, "deadline_us": 2_000_000, "value": 10.0,
-             "effect": "at_most_once"}],
-        "tenants": [{"name": "acme", "quota_per_s": 100.0}],
-        "limits": {"max_attempts": 1, "cancelling": True},
-        "report": {"source": "inline", "fields": ["fail_rate", "q"]},
-        "invariants": {"cold_from": 0.12, "cold_us": 23_000_000, "fall_multiple": 3.0, "fall_us": 1_000_000},
-    }}, {})
+CONFIG = read_config(
+    {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "limits": {"sockets": 2_000},
+        "settings": {
+            "me": 0,
+            "instances": 1,
+            "discovery": "pushed",
+            "classes": [
+                {
+                    "name": "grid-read",
+                    "promise_us": 500_000,
+                    "deadline_us": 2_500_000,
+                    "value": 2.0,
+                    "effect": "idempotent",
+                },
+                {
+                    "name": "order",
+                    "promise_us": 600_000,
+                    "deadline_us": 2_000_000,
+                    "value": 10.0,
+                    "effect": "at_most_once",
+                },
+            ],
+            "tenants": [{"name": "acme", "quota_per_s": 100.0}],
+            "limits": {"max_attempts": 1, "cancelling": True},
+            "report": {"source": "inline", "fields": ["fail_rate", "q"]},
+            "invariants": {
+                "cold_from": 0.12,
+                "cold_us": 23_000_000,
+                "fall_multiple": 3.0,
+                "fall_us": 1_000_000,
+            },
+        },
+    },
+    {},
+)
 
 
 # SEAM: the only functions that know the network code's classes (and, of the imports, aiohttp and these)
 
+
 def new_engine(module: Module, counters: Counters) -> Engine:
     clock = _clock()
     names = [c.name for c in CONFIG.settings.classes]
-    return Engine(module, counters, clock, Wheel(clock), class_names=names)     # type: ignore[arg-type]
+    return Engine(module, counters, clock, Wheel(clock), class_names=names)  # type: ignore[arg-type]
 
 
 def new_service_client(engine: Engine, counters: Counters) -> Callable[[], asyncio.Protocol]:
@@ -102,11 +128,12 @@
         self.ended(whole)
 
 
-FLOWS: dict[Exchange, Collector] = {}       # where the answers of exchanges flow to
+FLOWS: dict[Exchange, Collector] = {}  # where the answers of exchanges flow to
 
 
 def new_exchange() -> Exchange:
     """A read, as the clients' side would open it."""
+
     def answered(exchange: Exchange, answer: object) -> None:
         if isinstance(answer, Served) and answer.flow:
             FLOWS[exchange] = Collector(answer)
@@ -129,8 +156,12 @@
 
 def passed_on(message: Message) -> tuple[str, str, Pairs, bytes]:
     """Method, target, headers and body; texts are latin-1."""
-    return (message.method.decode("latin-1"), message.target.decode("latin-1"), _pairs(message.head),
-            message.body)
+    return (
+        message.method.decode("latin-1"),
+        message.target.decode("latin-1"),
+        _pairs(message.head),
+        message.body,
+    )
 
 
 def served_headers(answer: Served) -> Pairs:
@@ -145,6 +176,7 @@
     lines = head.decode("latin-1").split("\r\n")[:-1]
     return [(name, value) for name, _, value in (line.partition(": ") for line in lines)]
 
+
 # End of SEAM
 
 
@@ -154,16 +186,21 @@
     def __init__(self) -> None:
         super().__init__()
         self.now_us = 1_000_000_000
-        self.wires: list[Wire] = []        # every one that was opened, in this order
+        self.wires: list[Wire] = []  # every one that was opened, in this order
         self.faults: list[str] = []
-        self.set_exception_handler(lambda _, context: self.faults.append(
-            f"{context['message']}: {context.get('exception')!r}"))
+        self.set_exception_handler(
+            lambda _, context: self.faults.append(f"{context['message']}: {context.get('exception')!r}")
+        )
 
     def time(self) -> float:
         return self.now_us / 1e6
 
-    async def create_connection(self, factory: Callable[[], asyncio.Protocol], *_: Any,  # type: ignore[override]
-                                **__: Any) -> tuple[Wire, asyncio.Protocol]:
+    async def create_connection(
+        self,
+        factory: Callable[[], asyncio.Protocol],
+        *_: Any,  # type: ignore[override]
+        **__: Any,
+    ) -> tuple[Wire, asyncio.Protocol]:
         wire = Wire(self, factory())
         await asyncio.sleep(0)
         return wire, wire.protocol
@@ -177,7 +214,7 @@
         self.max_size = READ_MOST
         self.loop, self.protocol = loop, protocol
         self.written, self.paused = bytearray(), False
-        self.end = ""          # closed, aborted, or `left` by the test
+        self.end = ""  # closed, aborted, or `left` by the test
         self._inbox: deque[bytes] = deque()
         loop.wires.append(self)
         loop.call_soon(protocol.connection_made, self)
@@ -186,7 +223,7 @@
 
     def feed(self, segment: bytes) -> None:
         """Have a segment wait for `deliver`, cut to what is read at a time."""
-        self._inbox.extend(segment[at:at + self.max_size] for at in range(0, len(segment), self.max_size))
+        self._inbox.extend(segment[at : at + self.max_size] for at in range(0, len(segment), self.max_size))
 
     def deliver(self, most: int = 1) -> bool:
         """Hand the protocol what was fed, if it reads."""
@@ -343,7 +380,7 @@
     loop, counters, log = StubLoop(), Recorded(), ErrorLog()
     logging.getLogger().addHandler(log)
     disabled = logging.root.manager.disable
-    logging.disable(logging.WARNING)       # thousands of rejections would be printed with a test that fails
+    logging.disable(logging.WARNING)  # thousands of rejections would be printed with a test that fails
     try:
         result = loop.run_until_complete(main(loop, counters))
     finally:
@@ -380,6 +417,7 @@
 
 # Clients' side
 
+
 @dataclass
 class Ran:
     """A request as it reached the executor, or a node."""
@@ -388,11 +426,15 @@
     target: str
     headers: Pairs
     body: bytes
-    told: dict[str, Any] = field(default_factory=dict)     # what the engine was told, where it is unusual
+    told: dict[str, Any] = field(default_factory=dict)  # what the engine was told, where it is unusual
 
     def json(self) -> list[object]:
-        return [f"{self.method} {short(self.target)}", unusual(self.headers), digest(self.body),
-                *([self.told] if self.told else [])]
+        return [
+            f"{self.method} {short(self.target)}",
+            unusual(self.headers),
+            digest(self.body),
+            *([self.told] if self.told else []),
+        ]
 
 
 @dataclass
@@ -410,13 +452,18 @@
 
     def json(self) -> dict[str, object]:
         answers = [s if body is not None else f"{s} without a body" for s, _, body in self.answers]
-        told = {"answers": few(answers), "ran": few([ran.json() for ran in self.ran]), "end": self.end,
-                "faults": self.faults}
+        told = {
+            "answers": few(answers),
+            "ran": few([ran.json() for ran in self.ran]),
+            "end": self.end,
+            "faults": self.faults,
+        }
         return {k: v for k, v in told.items() if v}
 
 
 def client(segments: list[bytes], gap: int = 1, turns: int = 1) -> ClientOutcome:
     """Play a client that sends these segments `gap` turns of the loop apart; nodes take `turns` to answer."""
+
     async def main(loop: StubLoop, counters: Recorded) -> ClientOutcome:
         module = Module()
         engine = new_engine(module, counters)
@@ -455,9 +502,14 @@
     method, target, headers, body = passed_on(message)
     last = target.partition("?")[0].split("/")[2:][-1:]
     key = int.from_bytes(hashlib.blake2b(last[0].encode(), digest_size=8).digest(), "little") if last else 0
-    usual = {"class_index": int(method == "POST"), "tenant": 0, "key": key if any(last) else 0, "work_us": 0,
-             "left_us": UPLOAD_US if arrival.coming else 2_000_000 if method == "POST" else 2_500_000,
-             "is_retry": False}
+    usual = {
+        "class_index": int(method == "POST"),
+        "tenant": 0,
+        "key": key if any(last) else 0,
+        "work_us": 0,
+        "left_us": UPLOAD_US if arrival.coming else 2_000_000 if method == "POST" else 2_500_000,
+        "is_retry": False,
+    }
     told = {name: getattr(arrival, name) for name in usual}
     return Ran(method, target, headers, body, {k: v for k, v in told.items() if v != usual[k]})
 
@@ -473,7 +525,7 @@
         pairs = [line.partition(":") for line in lines]
         headers = [(name.lower(), value.strip()) for name, _, value in pairs]
         (length,) = [int(v) for n, v in headers if n == "content-length"] or [0]
-        if length and match[1] != "200" and data[:7] in (b"", b"HTTP/1."):      # an answer to HEAD
+        if length and match[1] != "200" and data[:7] in (b"", b"HTTP/1."):  # an answer to HEAD
             answers.append((int(match[1]), headers, None))
         else:
             assert len(data) >= length, f"cut: {line!r}"
@@ -484,6 +536,7 @@
 
 # Nodes' side
 
+
 @dataclass
 class NodeOutcome:
     """What became of a node's bytes.
@@ -503,9 +556,16 @@
     faults: list[str]
 
     def json(self) -> dict[str, object]:
-        told = {"ending": self.ending, "headers": listed(self.headers),
-                "body": digest(self.body), "report": list(self.report), "next": self.next,
-                "at_eof": self.at_eof, "at_reset": self.at_reset, "faults": self.faults}
+        told = {
+            "ending": self.ending,
+            "headers": listed(self.headers),
+            "body": digest(self.body),
+            "report": list(self.report),
+            "next": self.next,
+            "at_eof": self.at_eof,
+            "at_reset": self.at_reset,
+            "faults": self.faults,
+        }
         return {k: v for k, v in told.items() if v}
 
 
@@ -563,8 +623,10 @@
 
 # Both sides
 
+
 def relay(data: bytes, answer: bytes) -> tuple[list[Ran], ClientOutcome]:
     """Play a client and a node that answers each request alike: what the node saw, and what the client."""
+
     async def main(loop: StubLoop, counters: Recorded) -> tuple[list[Ran], ClientOutcome]:
         module = Module()
         engine = new_engine(module, counters)
@@ -617,13 +679,14 @@
     body = b""
     while True:
         size, _, data = data.partition(b"\r\n")
-        body, data = body + data[:int(size, 16)], data[int(size, 16) + 2:]
+        body, data = body + data[: int(size, 16)], data[int(size, 16) + 2 :]
         if size == b"0":
             return data, body
 
 
 # Small values for the table
 
+
 def digest(body: bytes) -> str:
     """The body itself where it is a word, else the start of its SHA-256 and its length."""
     if re.fullmatch(rb"[ -~]{0,16}", body):
--- a/tests/net/record_behaviour.py
+++ b/tests/net/record_behaviour.py
@@ -14,22 +14,24 @@
 ROOT = Path(__file__).resolve().parents[2]
 sys.path[:0] = [str(ROOT)]
 
-import harness                              # noqa: E402
-from corpus import CLIENT                   # noqa: E402
-from corpus_nodes import NODE               # noqa: E402
+import harness  # noqa: E402
+from corpus import CLIENT  # noqa: E402
+from corpus_nodes import NODE  # noqa: E402
 
 TABLE = Path(__file__).with_name("behaviour.json")
 BYTEWISE_MOST = 3_000
-QUIET = 20      # turns between two segments: what came first has had its effect
+QUIET = 20  # turns between two segments: what came first has had its effect
 SIDES: dict[str, tuple[dict[str, bytes], Callable[..., object]]] = {
-    "client": (CLIENT, harness.client), "node": (NODE, harness.node)}
+    "client": (CLIENT, harness.client),
+    "node": (NODE, harness.node),
+}
 
 
 def cuts(data: bytes) -> Iterator[tuple[list[bytes], int]]:
     """The message whole, and cut up where it matters: segments, and the turns between them."""
     yield [data], 1
     if len(data) <= BYTEWISE_MOST:
-        yield [data[i:i + 1] for i in range(len(data))], 1
+        yield [data[i : i + 1] for i in range(len(data))], 1
     # Before the last byte, behind each head, and between a body's (or chunk's) data and what follows it.
     at, words = 0, [word for word in (b"body", b"one") if word in data]
     places = [len(data) - 1, *(data.find(word) + len(word) for word in words)]
@@ -43,7 +45,7 @@
     """Every outcome that cutting it up brings about, the whole message's first."""
     play, found = SIDES[side][1], []
     for segments, gap in cuts(data):
-        outcome = json.loads(json.dumps(play(segments, gap).json()))    # type: ignore[attr-defined]
+        outcome = json.loads(json.dumps(play(segments, gap).json()))  # type: ignore[attr-defined]
         if outcome not in found:
             found.append(outcome)
     return found
--- a/tests/net/test_back_off.py
+++ b/tests/net/test_back_off.py
@@ -52,8 +52,17 @@
             writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 
         server = await asyncio.start_server(discovery, "127.0.0.1", 0)
-        table = NameTable(Address(*server.sockets[0].getsockname()), (), (), None, None,  # type: ignore[arg-type]
-                          Counters(), lambda: 0, lambda: 0, seed=3)
+        table = NameTable(
+            Address(*server.sockets[0].getsockname()),
+            (),
+            (),
+            None,
+            None,  # type: ignore[arg-type]
+            Counters(),
+            lambda: 0,
+            lambda: 0,
+            seed=3,
+        )
         task = asyncio.ensure_future(table.run())
         with caplog.at_level(logging.WARNING):
             while "watch broken" not in caplog.text:
@@ -64,4 +73,4 @@
 
     assert asyncio.run(main()) == 1
     (record,) = (r for r in caplog.records if r.getMessage() == "watch broken")
-    assert record.fields["again_s"] >= 0.5      # type: ignore[attr-defined]
+    assert record.fields["again_s"] >= 0.5  # type: ignore[attr-defined]
--- a/tests/net/test_behaviour.py
+++ b/tests/net/test_behaviour.py
@@ -26,11 +26,13 @@
 CHANGES: dict[str, dict[str, dict[str, object]]] = json.loads(TABLE.with_name("changes.json").read_text())
 CHANGED = {name: outcome for cases in CHANGES.values() for name, outcome in cases.items()}
 SIDES: dict[str, tuple[dict[str, bytes], Callable[..., ClientOutcome | NodeOutcome]]] = {
-    "client": (CLIENT, harness.client), "node": (NODE, harness.node)}
+    "client": (CLIENT, harness.client),
+    "node": (NODE, harness.node),
+}
 GROUPS = sorted({f"{side}/{name.partition('/')[0]}" for side, (cases, _) in SIDES.items() for name in cases})
 ENDS = {"kept", "closed", "aborted", "lingers", "waiting"}
 STATUSES = {100, 200, 400, 404, 405, 409, 411, 413, 414, 417, 426, 431, 501, 505}
-GAPS = (0, 1, QUIET)    # turns of the loop between segments; uvloop may hand over several in one
+GAPS = (0, 1, QUIET)  # turns of the loop between segments; uvloop may hand over several in one
 SLOW = settings(derandomize=True, deadline=None, max_examples=250)
 
 
@@ -43,8 +45,10 @@
 # The parser does not tell another protocol of the same version.
 # Control bytes and folds in a node's headers are read over: they change no length.
 ANYTHING = rb"[^\r\n\0]*(?:\r\n[ \t][^\r\n\0]*)*"
-ANSWER = re.compile(rb"[\r\n]*(?:HTTP|RTSP)/1\.([01]) ([1-9]\d\d)(?: [^\r\n]*)?\r\n"
-                    rb"((?:" + TOKEN + rb":" + ANYTHING + rb"\r\n)*)\r\n")
+ANSWER = re.compile(
+    rb"[\r\n]*(?:HTTP|RTSP)/1\.([01]) ([1-9]\d\d)(?: [^\r\n]*)?\r\n"
+    rb"((?:" + TOKEN + rb":" + ANYTHING + rb"\r\n)*)\r\n"
+)
 TRAILERS = re.compile(rb"((?:" + TOKEN + rb":" + ANYTHING.replace(rb"\0", b"") + rb"\r\n)*)\r\n")
 CHUNK = re.compile(rb"([0-9A-Fa-f]+)(?:;" + TEXT + rb")?\r\n")
 
@@ -64,7 +68,7 @@
     if lengths:
         if not re.fullmatch(r"[0-9]{1,19}", lengths[0]) or len(data) - at < int(lengths[0]):
             return None
-        return data[at:at + int(lengths[0])], at + int(lengths[0])
+        return data[at : at + int(lengths[0])], at + int(lengths[0])
     if not codings:
         return b"", at
     if codings[0].lower() != b"chunked" or minor == b"0":
@@ -75,9 +79,9 @@
         if size == 0:
             end = TRAILERS.match(data, at)
             return (body, end.end()) if end else None
-        if data[at + size:at + size + 2] != b"\r\n":
+        if data[at + size : at + size + 2] != b"\r\n":
             return None
-        body, at = body + data[at:at + size], at + size + 2
+        body, at = body + data[at : at + size], at + size + 2
     return None
 
 
@@ -85,7 +89,7 @@
     """The requests in front of the first byte that is no part of one; empty lines between them are none."""
     at = 0
     while True:
-        while data[at:at + 1] in (b"\r", b"\n"):
+        while data[at : at + 1] in (b"\r", b"\n"):
             at += 1
         match = REQUEST.match(data, at)
         found = match and body_at(data, match.end(), fields := fields_of(match[4]), match[3][-1:])
@@ -108,9 +112,9 @@
         if status in (204, 304):
             return status, b"", data[at:]
         if not framed and status != 200:
-            return status, b"", b""            # nobody waits for its end
+            return status, b"", b""  # nobody waits for its end
         found = body_at(data, at, fields, match[1]) if framed else None
-        return (status, found[0], data[found[1]:]) if found else None
+        return (status, found[0], data[found[1] :]) if found else None
     return None
 
 
@@ -122,11 +126,14 @@
     strict = requests_in(data)
     for ran in outcome.ran:
         # Those that were rejected are passed over; what is looked for must still come, in this order.
-        headers = {(name.lower(), value) for name, value in ran.headers} - {("host", "n0")}     # added in 1.0
+        headers = {(name.lower(), value) for name, value in ran.headers} - {("host", "n0")}  # added in 1.0
         # A target in absolute form names the same as its path and query do (RFC 9112, 3.2).
-        assert any((method, re.sub(r"^http://[^/?]+(?=/)", "", target, flags=re.I), body)
-                   == (ran.method, ran.target, ran.body) and headers <= set(fields)
-                   for method, target, fields, body in strict), f"{ran} is no request of these bytes"
+        assert any(
+            (method, re.sub(r"^http://[^/?]+(?=/)", "", target, flags=re.I), body)
+            == (ran.method, ran.target, ran.body)
+            and headers <= set(fields)
+            for method, target, fields, body in strict
+        ), f"{ran} is no request of these bytes"
     served = [body for status, _, body in outcome.answers if status == 200 and body != b""]
     assert served == [harness.served_body(number) for number in range(len(outcome.ran))]
 
@@ -148,6 +155,7 @@
 
 # The table
 
+
 def told(outcome: ClientOutcome | NodeOutcome) -> dict[str, object]:
     """An outcome as the table has it."""
     read: dict[str, object] = json.loads(json.dumps(outcome.json()))
@@ -204,6 +212,7 @@
 
 # Cutting up
 
+
 def lasting(outcome: ClientOutcome | NodeOutcome) -> dict[str, object]:
     """An outcome but for the word to go on, which hangs on when the body comes."""
     read = told(outcome)
@@ -217,7 +226,7 @@
     wrong = {}
     for side, name, data in members(group):
         if len(data) <= BYTEWISE_MOST // 10:
-            outcome = lasting(SIDES[side][1]([data[i:i + 1] for i in range(len(data))]))
+            outcome = lasting(SIDES[side][1]([data[i : i + 1] for i in range(len(data))]))
             if outcome != lasting(whole(name)):
                 wrong[name] = (outcome, "but as a whole", lasting(whole(name)))
     assert not wrong
@@ -239,29 +248,58 @@
         name = data.draw(st.sampled_from([name for name, message in SIDES[side][0].items() if message]))
         segments, gap = data.draw(cut_up(SIDES[side][0][name]))
         assert lasting(SIDES[side][1](segments, gap)) == lasting(whole(f"{side}/{name}"))
+
     check()
 
 
 # What chance makes of valid messages
 
 REQUESTS: list[Callable[[int], str]] = [
-    lambda id: get(id=id), lambda id: post("Content-Length: 4", body="body", id=id),
+    lambda id: get(id=id),
+    lambda id: post("Content-Length: 4", body="body", id=id),
     lambda id: chunked(FOUR + LAST, id=id),
     lambda id: chunked("2;a=b\r\nbo\r\n2\r\ndy\r\n0\r\nX-T: 1\r\n\r\n", id=id),
     lambda id: post("Expect: 100-continue", "Content-Length: 4", body="body", id=id),
     lambda id: post(f"Content-Length: {len(HIDDEN)}", body=HIDDEN, id=id),
     lambda id: get("Connection: keep-alive", "X-A: 1", version="HTTP/1.0", id=id),
-    lambda id: post("Connection: X-A", "X-A: 1", CHUNKED, body=FOUR + FOUR + LAST, id=id)]
+    lambda id: post("Connection: X-A", "X-A: 1", CHUNKED, body=FOUR + FOUR + LAST, id=id),
+]
 ANSWERS = [
-    ONE, EARLY + ONE, answer(CHUNKED, body=BODY_3 + LAST, length=False),
+    ONE,
+    EARLY + ONE,
+    answer(CHUNKED, body=BODY_3 + LAST, length=False),
     answer(CHUNKED, body="1;a=b\r\no\r\n2\r\nne\r\n0\r\nX-T: 1\r\n\r\n", length=False),
-    answer("Connection: close", body="one"), answer("X-Unprocessed: 1", status="503 S", body="one"),
-    answer(status="204 S", length=False), answer("X-A: 1", "X-Backend-Load: fail_rate=0,q=1", body=ONE)]
-PIECES = [b"\r\n", b"\n", b"\r", b"\0", b" ", b"\t", b":", b",", b";", b"0", b"\x0b", b"\x7f", b"\xff",
-          b"\r\n ", b"\r\n\r\n", b"0\r\n\r\n", b"Content-Length: 4\r\n", b"Content-Length: 0\r\n",
-          b"Transfer-Encoding: chunked\r\n",
-          b"Transfer-Encoding: x\r\n", b"Connection: close\r\n", b"Upgrade: h2c\r\nConnection: upgrade\r\n",
-          HIDDEN.encode(), ONE.encode()]
+    answer("Connection: close", body="one"),
+    answer("X-Unprocessed: 1", status="503 S", body="one"),
+    answer(status="204 S", length=False),
+    answer("X-A: 1", "X-Backend-Load: fail_rate=0,q=1", body=ONE),
+]
+PIECES = [
+    b"\r\n",
+    b"\n",
+    b"\r",
+    b"\0",
+    b" ",
+    b"\t",
+    b":",
+    b",",
+    b";",
+    b"0",
+    b"\x0b",
+    b"\x7f",
+    b"\xff",
+    b"\r\n ",
+    b"\r\n\r\n",
+    b"0\r\n\r\n",
+    b"Content-Length: 4\r\n",
+    b"Content-Length: 0\r\n",
+    b"Transfer-Encoding: chunked\r\n",
+    b"Transfer-Encoding: x\r\n",
+    b"Connection: close\r\n",
+    b"Upgrade: h2c\r\nConnection: upgrade\r\n",
+    HIDDEN.encode(),
+    ONE.encode(),
+]
 
 
 @st.composite
@@ -273,7 +311,7 @@
         upto = at + draw(st.integers(1, 24))
         change = draw(st.sampled_from(["flip", "piece", "byte", "delete", "duplicate", "truncate", "swap"]))
         if change == "flip" and at < len(data):
-            data = data[:at] + bytes([data[at] ^ (1 << draw(st.integers(0, 7)))]) + data[at + 1:]
+            data = data[:at] + bytes([data[at] ^ (1 << draw(st.integers(0, 7)))]) + data[at + 1 :]
         elif change == "piece":
             data = data[:at] + draw(st.sampled_from(PIECES)) + data[at:]
         elif change == "byte":
@@ -285,7 +323,7 @@
         elif change == "truncate":
             data = data[:at]
         elif change == "swap":
-            data = data[:at] + data[upto:upto + 8] + data[at:upto] + data[upto + 8:]
+            data = data[:at] + data[upto : upto + 8] + data[at:upto] + data[upto + 8 :]
     return data
 
 
@@ -309,8 +347,9 @@
 
 
 @pytest.mark.parametrize("behind", [b"\r\n", b"\n", b"\r"])
-@pytest.mark.parametrize("whole", [answer(status="204 S", length=False),
-                                   answer(CHUNKED, body=BODY_3 + LAST, length=False)])
+@pytest.mark.parametrize(
+    "whole", [answer(status="204 S", length=False), answer(CHUNKED, body=BODY_3 + LAST, length=False)]
+)
 def test_line_ends_behind_an_answer_are_seen_wherever_it_is_cut(whole: str, behind: bytes) -> None:
     # Only those were seen that came with the answer's own last line ends in one segment.
     data = whole.encode("latin-1") + behind
@@ -320,6 +359,7 @@
 
 # From end to end
 
+
 def id_of(ran: Ran) -> str:
     return dict((name.lower(), value) for name, value in ran.headers).get("x-correlation-id", "")
 
--- a/tests/net/test_flows.py
+++ b/tests/net/test_flows.py
@@ -43,7 +43,7 @@
             sink.protocol.pause_writing()
             begun = bool(sink.written)
             await play(loop, source, [piece], 1)
-            assert source.paused or not begun or number == len(pieces) - 1     # it is not read meanwhile
+            assert source.paused or not begun or number == len(pieces) - 1  # it is not read meanwhile
             sink.protocol.resume_writing()
             await settle(loop)
         else:
@@ -67,7 +67,7 @@
             size, end, rest = rest.partition(b"\r\n")
             if end and int(size, 16) == 0:
                 return body, rest.startswith(b"\r\n")
-            body, rest = body + rest[:int(size, 16)], rest[int(size, 16) + 2:]
+            body, rest = body + rest[: int(size, 16)], rest[int(size, 16) + 2 :]
     return body, False
 
 
@@ -86,15 +86,28 @@
 
 
 @SLOW
-@given(st.sampled_from(FORMS), st.integers(65_537, 260_000), PLACES, PLACES, PAUSES,
-       st.none() | st.integers(0, 10**6), st.booleans())
+@given(
+    st.sampled_from(FORMS),
+    st.integers(65_537, 260_000),
+    PLACES,
+    PLACES,
+    PAUSES,
+    st.none() | st.integers(0, 10**6),
+    st.booleans(),
+)
 def test_an_answer_arrives_as_it_was_sent_or_ends_short_where_anyone_can_see(
-        form: str, size: int, sizes: list[int], places: list[int], pauses: set[int], breaks: int | None,
-        reset: bool) -> None:
+    form: str,
+    size: int,
+    sizes: list[int],
+    places: list[int],
+    pauses: set[int],
+    breaks: int | None,
+    reset: bool,
+) -> None:
     body = BODY[:size]
     framing, sent = written(form, body, sizes)
     whole = b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n" + sent
-    told = whole if breaks is None else whole[:len(whole) - 1 - breaks % len(sent)]
+    told = whole if breaks is None else whole[: len(whole) - 1 - breaks % len(sent)]
 
     async def main(loop: StubLoop, counters: harness.Recorded) -> None:
         party = Party(loop, counters)
@@ -111,7 +124,7 @@
         meant = breaks is None or form == "close" and not reset
         assert complete == meant and (not meant or served)
         if meant:
-            assert arrived == (body if breaks is None else body[:len(told) - len(whole)])
+            assert arrived == (body if breaks is None else body[: len(told) - len(whole)])
         else:
             assert party.client.end or not served
         await party.over()
@@ -123,25 +136,32 @@
 
 
 @SLOW
-@given(st.sampled_from(FORMS[:2]), st.integers(66_000, 260_000), PLACES, PLACES, PAUSES,
-       st.none() | st.integers(0, 10**6), st.sampled_from(["client", "node"]))
+@given(
+    st.sampled_from(FORMS[:2]),
+    st.integers(66_000, 260_000),
+    PLACES,
+    PLACES,
+    PAUSES,
+    st.none() | st.integers(0, 10**6),
+    st.sampled_from(["client", "node"]),
+)
 def test_an_orders_body_reaches_its_node_as_it_was_sent_or_visibly_unfinished(
-        form: str, size: int, sizes: list[int], places: list[int], pauses: set[int], breaks: int | None,
-        who: str) -> None:
+    form: str, size: int, sizes: list[int], places: list[int], pauses: set[int], breaks: int | None, who: str
+) -> None:
     body = BODY[:size]
     framing, sent = written(form, body, sizes)
     head = b"POST /order/k HTTP/1.1\r\nHost: x\r\nX-Account: acme\r\nX-Correlation-Id: 7\r\n%b\r\n" % framing
     # All of the hold is there before anything breaks.
-    told = head + (sent if breaks is None else sent[:len(sent) - 1 - breaks % (len(sent) - 65_540)])
+    told = head + (sent if breaks is None else sent[: len(sent) - 1 - breaks % (len(sent) - 65_540)])
 
     async def main(loop: StubLoop, counters: harness.Recorded) -> None:
         party = Party(loop, counters)
         await settle(loop)
-        await play(loop, party.client, [told[:len(head) + 65_537]], 1)
+        await play(loop, party.client, [told[: len(head) + 65_537]], 1)
         if len(loop.wires) > 1:
-            await feed(loop, party.client, party.node, cut(told[len(head) + 65_537:], places), pauses)
+            await feed(loop, party.client, party.node, cut(told[len(head) + 65_537 :], places), pauses)
         else:
-            await play(loop, party.client, [told[len(head) + 65_537:]], 1)
+            await play(loop, party.client, [told[len(head) + 65_537 :]], 1)
         got = b"".join(bytes(wire.written) for wire in loop.wires[1:])
         if breaks is not None and got:
             (party.client if who == "client" else party.node).leave(True)
@@ -153,7 +173,7 @@
             await play(loop, party.node, [b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"], 1)
             assert bytes(party.client.written).endswith(b"done") and not party.client.end
         elif got and who == "client":
-            assert party.node.end                      # the node must not wait for the rest
+            assert party.node.end  # the node must not wait for the rest
         elif got:
             assert bytes(party.client.written).startswith((b"HTTP/1.1 503", b"HTTP/1.1 502"))
             assert b"Connection: close" in party.client.written
--- a/tests/net/test_memory.py
+++ b/tests/net/test_memory.py
@@ -14,8 +14,8 @@
 from scenario import run
 
 ROOT = Path(__file__).parents[2]
-SIZE, EACH = 32 << 20, 8          # bytes of a body, and so many of them each way at once: 512 MB
-MOST_MB = 12                      # over what the process held before; 4.8 measured
+SIZE, EACH = 32 << 20, 8  # bytes of a body, and so many of them each way at once: 512 MB
+MOST_MB = 12  # over what the process held before; 4.8 measured
 
 
 async def node(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -27,7 +27,7 @@
                 left = int(re.findall(rb"Content-Length: (\d+)", head)[0])
                 while left:
                     left -= len(await reader.readexactly(min(left, 1 << 16)))
-                    await asyncio.sleep(0.0005)        # slower than its client writes
+                    await asyncio.sleep(0.0005)  # slower than its client writes
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
                 continue
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % SIZE)
@@ -41,9 +41,11 @@
 async def client(port: int, id: int) -> None:
     reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1 << 16)
     order = id % 2 == 1
-    writer.write(b"%b HTTP/1.1\r\nHost: x\r\nX-Account: acme\r\nX-Correlation-Id: %d\r\n"
-                 b"Content-Length: %d\r\n\r\n" % (
-                     b"POST /order/k" if order else b"GET /grid-read/k", id, SIZE if order else 0))
+    writer.write(
+        b"%b HTTP/1.1\r\nHost: x\r\nX-Account: acme\r\nX-Correlation-Id: %d\r\n"
+        b"Content-Length: %d\r\n\r\n"
+        % (b"POST /order/k" if order else b"GET /grid-read/k", id, SIZE if order else 0)
+    )
     if order:
         for _ in range(SIZE >> 18):
             writer.write(bytes(1 << 18))
@@ -53,7 +55,7 @@
     left = 2 if order else SIZE
     while left:
         left -= len(await reader.readexactly(min(left, 1 << 16)))
-        await asyncio.sleep(0.0005)                    # slower than its node writes
+        await asyncio.sleep(0.0005)  # slower than its node writes
     writer.close()
 
 
@@ -65,17 +67,37 @@
 def test_512_mb_both_ways_cost_some_mb(tmp_path: Path) -> None:
     async def main() -> None:
         server = await asyncio.start_server(node, "127.0.0.1", 0)
-        listed = {"instanceId": "s1", "hostPort": f"127.0.0.1:{server.sockets[0].getsockname()[1]}",
-                  "zone": "hall-a", "machineType": "new-2c", "cell": 0, "lifecycle": "up", "weight": 1.0,
-                  "startedAtMs": 0}
+        listed = {
+            "instanceId": "s1",
+            "hostPort": f"127.0.0.1:{server.sockets[0].getsockname()[1]}",
+            "zone": "hall-a",
+            "machineType": "new-2c",
+            "cell": 0,
+            "lifecycle": "up",
+            "weight": 1.0,
+            "startedAtMs": 0,
+        }
         with socket.create_server(("127.0.0.1", 0)) as free:
             port = int(free.getsockname()[1])
         config = tmp_path / "config.json"
-        config.write_text(json.dumps({**RAW, "listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:1",
-                                      "known": {"generation": 1, "reset": True, "instances": [listed]}}))
+        config.write_text(
+            json.dumps(
+                {
+                    **RAW,
+                    "listen": f"127.0.0.1:{port}",
+                    "discovery": "127.0.0.1:1",
+                    "known": {"generation": 1, "reset": True, "instances": [listed]},
+                }
+            )
+        )
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "roadlb", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-            env={**os.environ, "PYTHONPATH": str(ROOT), "PROXY_CONFIG": str(config)})
+            sys.executable,
+            "-m",
+            "roadlb",
+            cwd=ROOT,
+            stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "PYTHONPATH": str(ROOT), "PROXY_CONFIG": str(config)},
+        )
         assert process.stderr
         while b"event=listening" not in await process.stderr.readline():
             pass
--- a/tests/net/test_net.py
+++ b/tests/net/test_net.py
@@ -428,11 +428,18 @@
     "half a head": "HTTP/1.1 200 O",
 }
 REJECTED = [
-    ("GET /grid-read/k X-Account:nobody", 400), ("GET /grid-read/k X-Account:", 400),
-    ("GET /grid-read/k X-Correlation-Id:", 400), ("GET /grid-read/k X-Time-Left:soon", 400),
-    ("GET /grid-read/k X-Time-Left:nan", 400), ("GET /grid-read/k X-Time-Left:-1", 400),
-    ("GET /grid-read/k body=3", 400), ("POST /grid-read/k", 405), ("GET /order/k", 405),
-    ("DELETE /order/k", 405), ("GET /", 404), ("GET /other/k", 404),
+    ("GET /grid-read/k X-Account:nobody", 400),
+    ("GET /grid-read/k X-Account:", 400),
+    ("GET /grid-read/k X-Correlation-Id:", 400),
+    ("GET /grid-read/k X-Time-Left:soon", 400),
+    ("GET /grid-read/k X-Time-Left:nan", 400),
+    ("GET /grid-read/k X-Time-Left:-1", 400),
+    ("GET /grid-read/k body=3", 400),
+    ("POST /grid-read/k", 405),
+    ("GET /order/k", 405),
+    ("DELETE /order/k", 405),
+    ("GET /", 404),
+    ("GET /other/k", 404),
     ("POST /order/k Content-Length:33554433", 413),
 ]
 
@@ -450,11 +457,19 @@
         assert (b"GET %b HTTP/1.1" % target).decode("ascii").split() == ["GET", target.decode(), "HTTP/1.1"]
 
 
-@pytest.mark.parametrize("start", ["", "GET /grid-read/k HTTP", "POST /order/k HTTP/1.1\\r\\nHost: x\\r\\n", (
-    "POST /order/k HTTP/1.1\\r\\nHost: x\\r\\nContent-Length: 9\\r\\n\\r\\nhalf")])
+@pytest.mark.parametrize(
+    "start",
+    [
+        "",
+        "GET /grid-read/k HTTP",
+        "POST /order/k HTTP/1.1\\r\\nHost: x\\r\\n",
+        ("POST /order/k HTTP/1.1\\r\\nHost: x\\r\\nContent-Length: 9\\r\\n\\r\\nhalf"),
+    ],
+)
 @pytest.mark.parametrize("before", ["", "a send GET /healthz\na expect 200"])
 def test_a_silent_or_half_sent_request_is_ended(
-        monkeypatch: pytest.MonkeyPatch, before: str, start: str) -> None:
+    monkeypatch: pytest.MonkeyPatch, before: str, start: str
+) -> None:
     # Such a connection lasted 75 s, and a few hundred of them took all descriptors.
     monkeypatch.setattr(service_client, "REQUEST_S", 0.2)
     monkeypatch.setattr(service_client, "IDLE_S", 0.2)
@@ -465,7 +480,8 @@
 def test_the_longest_idle_connection_makes_room_for_a_new_one(monkeypatch: pytest.MonkeyPatch) -> None:
     # Clients that connect anew for each request and stay: new ones were closed instead, with their requests.
     monkeypatch.setattr(service_client, "FEW", 2)
-    run(play("""
+    run(
+        play("""
         grid 1 client_sockets=2
         a send GET /healthz
         a expect 200
@@ -475,29 +491,34 @@
         c expect 200
         a expect closed
         b send GET /healthz
-        b expect 200"""))
+        b expect 200""")
+    )
 
 
 def test_idle_connections_are_not_kept_where_they_are_not_plentiful(monkeypatch: pytest.MonkeyPatch) -> None:
     # Clients that asked once held their connections for good, and others had none left (churn on the bench).
     monkeypatch.setattr(service_client, "SPARE_IDLE_S", 0.05)
-    run(play("""
+    run(
+        play("""
         grid 1 client_sockets=5
         a send GET /healthz
         a expect 200
         b send GET /healthz
         b expect 200
         a expect closed
-        b expect closed"""))
+        b expect closed""")
+    )
 
 
 def test_a_deadline_is_no_longer_than_the_class_allows() -> None:
     # With X-Time-Left of an hour, one silent instance held its request for the hour.
-    stage = run(play("""
+    stage = run(
+        play("""
         a send GET /grid-read/k X-Time-Left:3000
         i1 expect GET !"X-Time-Left: 2999"
         i1 send 200
-        a expect 200"""))
+        a expect 200""")
+    )
     assert stage.app.counters["taken"] == 1
 
 
@@ -522,7 +543,8 @@
 @pytest.mark.parametrize("steps", MORE.values(), ids=MORE)
 def test_what_comes_besides_a_good_answer_is_never_the_next_one(steps: str) -> None:
     # aiohttp loses an answer with noise in its segment, and gives a copy to the connection's next request.
-    run(play(f"""
+    run(
+        play(f"""
         a send POST /order/k
         i1 expect POST
         {steps}
@@ -530,13 +552,15 @@
         a send POST /order/k
         i2 expect POST
         i2 send 200 two
-        a expect 200 two"""))
+        a expect 200 two""")
+    )
 
 
 @pytest.mark.parametrize("more", [ONE, "noise", "HTTP/1.1 200 OK\\r\\n"])
 def test_what_comes_once_the_connection_is_idle_ends_it(more: str) -> None:
     # The pool only asks whether a connection is still up: the copy was the next request's answer.
-    stage = run(play(f"""
+    stage = run(
+        play(f"""
         a send GET /grid-read/k
         i1 expect GET
         i1 send 200 one
@@ -545,24 +569,28 @@
         a send GET /grid-read/k
         i2 expect GET
         i2 send 200 two
-        a expect 200 two"""))
+        a expect 200 two""")
+    )
     assert stage.connections == 2
 
 
 @pytest.mark.parametrize("answer", SPOILT.values(), ids=SPOILT)
 def test_a_spoilt_answer_fails_at_once_and_closes_its_connection(answer: str) -> None:
-    stage = run(play(f"""
+    stage = run(
+        play(f"""
         a send POST /order/k
         i1 expect POST
         i1 send raw {answer}
         a expect 502 !body
-        i1 expect closed"""))
+        i1 expect closed""")
+    )
     assert stage.app.counters["execution.garbled"] == 1
 
 
 def test_an_idle_connection_makes_room_for_one_that_is_needed_and_with_none_nothing_is_dialled() -> None:
     # Past the limit every dial would fail, and count against an instance that is sound.
-    stage = run(play("""
+    stage = run(
+        play("""
         grid 2 sockets=64 instance_sockets=1
         a send POST /order/a
         i1 expect POST
@@ -580,7 +608,8 @@
         a send POST /order/c
         i3 expect POST
         i3 send 200
-        a expect 200"""))
+        a expect 200""")
+    )
     assert stage.app.counters["execution.no_socket"] > 0 and stage.app.counters["execution.dial_failed"] == 0
 
 
@@ -590,8 +619,9 @@
     assert stage.app.counters[f"rejected.{status}"] == 1 and stage.app.counters["taken"] == 0
 
 
-@pytest.mark.parametrize(("grid", "ending"), [
-    ("grid 1 1", "dial_failed"), ("grid 1 0 1 dial_timeout_us=20000", "dial_timed_out")])
+@pytest.mark.parametrize(
+    ("grid", "ending"), [("grid 1 1", "dial_failed"), ("grid 1 0 1 dial_timeout_us=20000", "dial_timed_out")]
+)
 def test_an_order_that_could_not_connect_is_sent_elsewhere(grid: str, ending: str) -> None:
     steps = [f"a send POST /order/{key}\ni1 expect POST\ni1 send 200\na expect 200" for key in "abcdefgh"]
     stage = run(play("\n".join([grid, *steps])))
@@ -606,13 +636,15 @@
 def test_a_silent_watch_is_opened_again(monkeypatch: pytest.MonkeyPatch) -> None:
     # A cut connection to discovery says nothing: without this the balancer would never hear of a drain.
     monkeypatch.setattr(watch, "SILENCE_S", 0.05)
-    stage = run(play("""
+    stage = run(
+        play("""
         d expect after=0
         d2 expect after=0
         a send GET /grid-read/k
         i1 expect GET
         i1 send 200
-        a expect 200"""))
+        a expect 200""")
+    )
     assert stage.app.counters["list.broken"] >= 1
 
 
@@ -628,22 +660,26 @@
         sound(engine, exchange)
 
     monkeypatch.setattr(Engine, "open", open_but_the_first)
-    stage = run(play("""
+    stage = run(
+        play("""
         a send GET /grid-read/k
         a expect 500
         b send GET /grid-read/k
         i1 expect GET
         i1 send 200
-        b expect 200"""))
+        b expect 200""")
+    )
     assert stage.app.counters["fault.client"] == 1
 
 
 def test_a_body_of_the_largest_size_is_passed_on() -> None:
-    run(play("""
+    run(
+        play("""
         a send POST /order/k body=65536
         i1 expect POST "Content-Length: 65536"
         i1 send 200
-        a expect 200"""))
+        a expect 200""")
+    )
 
 
 def test_connections_are_reused_before_new_ones_are_dialled() -> None:
--- a/tests/net/test_pool.py
+++ b/tests/net/test_pool.py
@@ -7,7 +7,16 @@
 
 import pytest
 from harness import (
-    NODE_ID, Module, Recorded, StubLoop, Wire, new_engine, new_exchange, new_instances, run, settle,
+    NODE_ID,
+    Module,
+    Recorded,
+    StubLoop,
+    Wire,
+    new_engine,
+    new_exchange,
+    new_instances,
+    run,
+    settle,
 )
 
 from roadlb.exchange import Ending, Execution
@@ -24,12 +33,13 @@
 
 
 def test_a_dial_that_is_called_off_as_it_succeeds_ends_its_call_and_leaves_no_connection(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     # uvloop closes the handle then, says that it is not closing, and never calls connection_lost: the call
     # waited for its deadline, and the place in the pool was lost for good.
     async def called_off(self: StubLoop, factory: Any, *_: Any, **__: Any) -> Any:
         wire = Wire(self, factory())
-        wire.abort = lambda: None      # type: ignore[method-assign]
+        wire.abort = lambda: None  # type: ignore[method-assign]
         await asyncio.sleep(0)
         raise TimeoutError
 
@@ -62,7 +72,7 @@
             execution, _ = await send_one(loop, counters)
             wire = loop.wires[-1]
             if waits:
-                wire.protocol.pause_writing()      # as with write buffer limits of 0
+                wire.protocol.pause_writing()  # as with write buffer limits of 0
             wire.leave()
             await settle(loop)
             assert execution.ending is (Ending.BROKE_UNSENT if waits else Ending.RESET)
@@ -91,7 +101,8 @@
 
 
 def test_what_is_called_off_unsent_is_what_is_dialled_and_no_request_that_is_out(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     # A class that may run once by now: its repeat is called off unless a node may have it already.
     made = StubLoop.create_connection
 
--- a/tests/net/test_slow.py
+++ b/tests/net/test_slow.py
@@ -55,7 +55,7 @@
 def test_what_is_sent_behind_an_open_request_is_kept_within_a_bound() -> None:
     async def main(loop: StubLoop, counters: Recorded) -> None:
         engine = new_engine(Module(), counters)
-        engine.executor = answerer = Answerer(engine, 10_000)      # never in this test
+        engine.executor = answerer = Answerer(engine, 10_000)  # never in this test
         wire = Wire(loop, new_service_client(engine, counters)())
         await settle(loop)
         wire.feed(get(id=1).encode())
--- a/tests/overload/test_claims.py
+++ b/tests/overload/test_claims.py
@@ -19,13 +19,19 @@
 from roadlb.lab.model.shedding import ORDER, READ, SECOND, Costs, Sim, Site
 
 AIM_US = 500_000
-CHEAP = 40 / 230        # what a refusal costs of a served request, with the costs of `Costs`
+CHEAP = 40 / 230  # what a refusal costs of a served request, with the costs of `Costs`
 # As benchmarks/data_path.py measures the compiled program: a refusal costs half of a served request.
 DEAR = Costs(read=14, refuse=28, take=32, answer=38, accept=60, gone=20, timer=2)
 AT_ONCE = Site(manners=(1.0, 0.0, 0.0))
-HURRIED = Site(costs=Costs().times(2), connections=170, work_us=(4_000, 25_000), classes=(
-    RequestClass("grid-read", 125_000, 625_000, 2.0, 0.5),
-    RequestClass("order", 150_000, 500_000, 10.0, 0.5, Effect.UNSAFE)))
+HURRIED = Site(
+    costs=Costs().times(2),
+    connections=170,
+    work_us=(4_000, 25_000),
+    classes=(
+        RequestClass("grid-read", 125_000, 625_000, 2.0, 0.5),
+        RequestClass("order", 150_000, 500_000, 10.0, 0.5, Effect.UNSAFE),
+    ),
+)
 BLIPS = ((2_300_000, 8_000, False), (2_600_000, 6_000, True), (3_000_000, 20_000, True))
 
 
@@ -40,8 +46,14 @@
     site = Site()
     rates = burst(0.5 * site.capacity, 8)
     orders = 0.3 * 0.5 * site.capacity
-    return Sim(site, rates, controller(controlled), seed=3, own_work=own_work,
-               order_share=lambda t: orders / rates(t)).play(7 * SECOND)
+    return Sim(
+        site,
+        rates,
+        controller(controlled),
+        seed=3,
+        own_work=own_work,
+        order_share=lambda t: orders / rates(t),
+    ).play(7 * SECOND)
 
 
 def controller(controlled: bool, aim_us: int = AIM_US) -> Controller | None:
@@ -66,8 +78,11 @@
 
 def reached(s: Sim, cls: int, start: int, end: int) -> float:
     """Of what reached the balancer at all, the share that was served."""
-    seen = {id(t.request): t.request for t in s.open.values() if t.request.cls == cls
-            and start <= t.request.asked < end}
+    seen = {
+        id(t.request): t.request
+        for t in s.open.values()
+        if t.request.cls == cls and start <= t.request.asked < end
+    }
     return fmean(r.answered > 0 for r in seen.values())
 
 
@@ -101,6 +116,7 @@
 def test_refusing_clients_that_ask_again_at_once_does_not_feed_itself() -> None:
     def rate(t: int) -> float:
         return AT_ONCE.capacity * (2 if SECOND <= t < 3 * SECOND else 0.7)
+
     s, bare = (Sim(AT_ONCE, rate, controller(on)).play(6 * SECOND) for on in (True, False))
     each_is_answered_once_and_in_time(s)
     assert s.read_tries <= 4 * len(s.requests) and s.tries <= 4 * len(s.requests)
@@ -113,8 +129,13 @@
 def test_after_a_stop_by_the_host_live_requests_go_before_those_that_are_over() -> None:
     sims = {}
     for name, on, ages in (("whole", True, "told"), ("bare", False, "none")):
-        sims[name] = Sim(HURRIED, lambda t: 0.6 * HURRIED.capacity, controller(on, 125_000),
-                         stops=[(2 * SECOND, 300_000)], ages=ages).play(5 * SECOND)
+        sims[name] = Sim(
+            HURRIED,
+            lambda t: 0.6 * HURRIED.capacity,
+            controller(on, 125_000),
+            stops=[(2 * SECOND, 300_000)],
+            ages=ages,
+        ).play(5 * SECOND)
     s, bare = sims["whole"], sims["bare"]
     each_is_answered_once_and_in_time(s)
     assert bare.late_answers > 0
@@ -128,8 +149,13 @@
 
 
 def test_a_blip_or_a_stop_at_a_sound_load_sheds_nothing() -> None:
-    s = Sim(Site(), lambda t: 0.6 * Site().capacity, controller(True), own_work=BLIPS,
-            stops=[(4 * SECOND, 300_000)]).play(6 * SECOND)
+    s = Sim(
+        Site(),
+        lambda t: 0.6 * Site().capacity,
+        controller(True),
+        own_work=BLIPS,
+        stops=[(4 * SECOND, 300_000)],
+    ).play(6 * SECOND)
     assert all(x.share == 0 for x in s.samples)
 
 
@@ -156,6 +182,7 @@
     class Uncounted(Controller):
         def handle(self, now: int, event: Reading) -> list[Action]:
             return super().handle(now, replace(event, asked=-1))
+
     counted, uncounted = Controller(AIM_US, CHEAP), Uncounted(AIM_US, CHEAP)
     for decider, least, most in ((counted, 0.99, 1.0), (uncounted, 0.0, 0.3)):
         s = Sim(Site(), lambda t: 0.6 * Site().capacity, decider, rude=5).play(4 * SECOND)
@@ -164,7 +191,7 @@
 
 
 def test_a_limit_that_is_not_known_is_met_by_lateness() -> None:
-    site = Site(told_cores=1.0)       # the process believes in a whole core and gets 0.7
+    site = Site(told_cores=1.0)  # the process believes in a whole core and gets 0.7
     s = Sim(site, lambda t: 4 * site.capacity, controller(True)).play(3_500_000)
     assert max(x.reading.cpu_share for x in s.samples) < 0.9
     assert s.worth(1_500_000, 2_800_000) > 0.9 * steady(4, False).worth(1_500_000, 2_800_000)
@@ -182,8 +209,13 @@
 
     def reads_after(refusal: float) -> float:
         rates = burst(0.7 * site.capacity, 8)
-        s = Sim(site, rates, Controller(AIM_US, refusal), seed=1,
-                order_share=lambda t: 0.21 * site.capacity / rates(t)).play(7 * SECOND)
+        s = Sim(
+            site,
+            rates,
+            Controller(AIM_US, refusal),
+            seed=1,
+            order_share=lambda t: 0.21 * site.capacity / rates(t),
+        ).play(7 * SECOND)
         return s.share_served(READ, 5 * SECOND, 6 * SECOND)
 
     for load in (1.05, 1.25):
--- a/tests/overload/test_parts.py
+++ b/tests/overload/test_parts.py
@@ -40,7 +40,7 @@
 
 def test_delays_are_kept_per_interval_and_one_that_lasts_is_not_counted_twice() -> None:
     pulse = Pulse(T)
-    first = pulse.take(T + BEAT_US + 40_000)                 # late by 40 ms, and going on
+    first = pulse.take(T + BEAT_US + 40_000)  # late by 40 ms, and going on
     assert (first.largest_us, first.mean_us) == (40_000, pytest.approx(40_000**2 / 2 / 50_000))
     pulse.beat(T + BEAT_US + 100_000)
     second = pulse.take(T + BEAT_US + 100_000)
@@ -51,11 +51,22 @@
 
 def test_a_reading_holds_shares_of_the_limits_since_the_last_one() -> None:
     used, counts = iter([5_000, 40_000, 40_000]), iter([(10, 1), (110, 41), (110, 41)])
-    meter = Meter(T, Pulse(T), Limits(0.7, 64, 1_000), lambda: next(used), lambda: 16 << 20, lambda: 250,
-                  lambda: next(counts))
+    meter = Meter(
+        T,
+        Pulse(T),
+        Limits(0.7, 64, 1_000),
+        lambda: next(used),
+        lambda: 16 << 20,
+        lambda: 250,
+        lambda: next(counts),
+    )
     r = meter.read(T + 100_000)
     assert (r.interval_us, r.cpu_share, r.memory_share, r.descriptor_share) == (
-        100_000, pytest.approx(0.5), 0.25, 0.25)
+        100_000,
+        pytest.approx(0.5),
+        0.25,
+        0.25,
+    )
     assert (r.asked, r.refused, r.late_max_us) == (100, 40, 90_000)
     assert meter.read(T + 100_000).cpu_share == 0
 
@@ -63,6 +74,7 @@
 def test_no_limit_has_no_share_and_a_negative_one_is_named() -> None:
     def meter(limits: Limits) -> Meter:
         return Meter(T, Pulse(T), limits, lambda: 1, lambda: 1, lambda: 1, lambda: (0, 0))
+
     r = meter(Limits(0.0)).read(T + 1)
     assert (r.cpu_share, r.memory_share, r.descriptor_share) == (0, 0, 0)
     with pytest.raises(ValueError, match="sockets"):
@@ -81,6 +93,7 @@
 def test_memory_is_told_without_proc_too(monkeypatch: pytest.MonkeyPatch) -> None:
     def no_proc(*_: object) -> None:
         raise OSError
+
     monkeypatch.setattr("builtins.open", no_proc)
     assert readings.memory_bytes() > 4 << 20
 
--- a/tests/overload/test_policy_events.py
+++ b/tests/overload/test_policy_events.py
@@ -8,15 +8,31 @@
 
 from roadlb import Balancer
 from roadlb.policy.interface import (
-    Action, Arrival, Effect, ListKind, ListUpdate, Member, Offer, Outcome, Refuse, RequestClass, Send,
-    SetTimer, Settings, Shortage, Status, Tenant, TimerFired,
+    Action,
+    Arrival,
+    Effect,
+    ListKind,
+    ListUpdate,
+    Member,
+    Offer,
+    Outcome,
+    Refuse,
+    RequestClass,
+    Send,
+    SetTimer,
+    Settings,
+    Shortage,
+    Status,
+    Tenant,
+    TimerFired,
 )
 
 SECOND = 1_000_000
 READ, ORDER = 0, 1
 CLASSES = [
     RequestClass("grid-read", 500_000, 2_500_000, 2.0),
-    RequestClass("order", 600_000, 2_000_000, 10.0, effect=Effect.UNSAFE)]
+    RequestClass("order", 600_000, 2_000_000, 10.0, effect=Effect.UNSAFE),
+]
 TENANTS = [Tenant("within", 10_000.0), Tenant("beyond", 1.0)]
 
 
@@ -36,8 +52,14 @@
         self.trace += actions
         return [a for a in actions if not isinstance(a, SetTimer)]
 
-    def ask(self, cls: int, key: int = 0, left_us: int = 2 * SECOND, tenant: int = 0,
-            takes_us: int | None = 20_000) -> bool:
+    def ask(
+        self,
+        cls: int,
+        key: int = 0,
+        left_us: int = 2 * SECOND,
+        tenant: int = 0,
+        takes_us: int | None = 20_000,
+    ) -> bool:
         """One request; was it sent on?  Its answer is there at once, unless it `takes_us` None."""
         self.next += 1
         (action,) = self.do(Arrival(self.next, cls, tenant, key, left_us, 0))
@@ -71,8 +93,10 @@
     return sum(sent) / len(sent)
 
 
-@pytest.mark.parametrize(("told", "reads", "orders"), [
-    (0.0, 1.0, 1.0), (0.35, 0.5, 1.0), (0.7, 0.0, 1.0), (0.85, 0.0, 0.5), (2.0, 0.0, 1 / 6)])
+@pytest.mark.parametrize(
+    ("told", "reads", "orders"),
+    [(0.0, 1.0, 1.0), (0.35, 0.5, 1.0), (0.7, 0.0, 1.0), (0.85, 0.0, 0.5), (2.0, 0.0, 1 / 6)],
+)
 def test_a_shortage_refuses_its_share_reads_first(told: float, reads: float, orders: float) -> None:
     node = Node()
     node.mixed(1_000)
@@ -175,8 +199,9 @@
     for took in (90_000, 30_000, 120_000, 60_000):
         node.ask(ORDER, takes_us=took)
     for left, sent in ((1, False), (14_000, False), (16_000, True), (50_000, True)):
-        assert sent == (node.ask(ORDER, left_us=left) if effect == "arrival"
-                        else not node.offer(ORDER, left_us=left))
+        assert sent == (
+            node.ask(ORDER, left_us=left) if effect == "arrival" else not node.offer(ORDER, left_us=left)
+        )
     assert node.ask(READ, left_us=14_000), "of reads no answer is known yet"
 
 
--- a/tests/policy/test_changed.py
+++ b/tests/policy/test_changed.py
@@ -11,14 +11,29 @@
 from test_heard import Fed
 
 from roadlb.policy.interface import (
-    Action, Arrival, Cancel, Changed, Effect, Fail, Group, ListKind, ListUpdate, Member, Refuse, RequestClass,
-    Send, Shortage, Status, Tenant,
+    Action,
+    Arrival,
+    Cancel,
+    Changed,
+    Effect,
+    Fail,
+    Group,
+    ListKind,
+    ListUpdate,
+    Member,
+    Refuse,
+    RequestClass,
+    Send,
+    Shortage,
+    Status,
+    Tenant,
 )
 from roadlb.sites.refusal import PlanLine
 
 ORDER = one(Effect.UNSAFE)[0]
 CHOICES: tuple[tuple[Effect, Group, int], ...] = tuple(
-    (effect, group, window) for effect in Effect for group in Group for window in (0, SECOND))
+    (effect, group, window) for effect in Effect for group in Group for window in (0, SECOND)
+)
 
 
 def change(node: Node, **settings: object) -> list[Action]:
@@ -56,7 +71,8 @@
 @pytest.mark.parametrize("to, repeats", [(nothing, True), (narrowed, False), (one_attempt, False)])
 @pytest.mark.parametrize("status", [Status.ERROR, Status.RESET, Status.TIMEOUT])
 def test_a_request_that_is_out_is_repeated_only_as_its_class_may_be_by_now(
-        to: Callable[[Node], None], repeats: bool, status: Status) -> None:
+    to: Callable[[Node], None], repeats: bool, status: Status
+) -> None:
     node = Node(classes=one(Effect.SAFE), second_copies=False)
     server = node.sent(7)
     to(node)
@@ -72,10 +88,12 @@
     assert node.end(again.server, Status.RESET, attempt=1) == [Fail(node.next)]
 
 
-@pytest.mark.parametrize("to, copied", [
-    (nothing, True), (narrowed, False), (one_attempt, False), (without_copies, False)])
+@pytest.mark.parametrize(
+    "to, copied", [(nothing, True), (narrowed, False), (one_attempt, False), (without_copies, False)]
+)
 def test_a_copy_whose_moment_was_noted_before_asks_again_at_that_moment(
-        to: Callable[[Node], None], copied: bool) -> None:
+    to: Callable[[Node], None], copied: bool
+) -> None:
     node = warm()
     node.sent(7)
     to(node)
@@ -133,11 +151,14 @@
     """Rules at random: it is never repeated where any of them forbids it."""
     random = Random(seed)
     for _ in range(20):
-        rules = [replace(ORDER, effect=effect, group=group, window_us=window)
-                 for effect, group, window in random.choices(CHOICES, k=random.randint(2, 5))]
+        rules = [
+            replace(ORDER, effect=effect, group=group, window_us=window)
+            for effect, group, window in random.choices(CHOICES, k=random.randint(2, 5))
+        ]
         node = Node(servers=12, seed=seed, classes=[rules[0]], second_copies=False)
-        node.do(ListUpdate(ListKind.FULL, [Member(s, cell=i // 2, zone=i // 4)
-                                           for i, s in enumerate(node.ids)]))
+        node.do(
+            ListUpdate(ListKind.FULL, [Member(s, cell=i // 2, zone=i // 4) for i, s in enumerate(node.ids)])
+        )
         cell, zone = ({s: i // size for i, s in enumerate(node.ids)} for size in (2, 4))
         server = node.sent(7)
         for rule in rules[1:]:
@@ -163,7 +184,8 @@
     (copy,) = copies(node.wait(80_000))
     assert isinstance(copy, Send)
     assert change(node, classes=[replace(node.b.s.classes[0], effect=Effect.UNSAFE)]) == [
-        Cancel(node.next, 1, unsent=True)]
+        Cancel(node.next, 1, unsent=True)
+    ]
     assert node.end(copy.server, Status.MOOT, attempt=1) == []
     assert change(node, max_attempts=9) == []
 
@@ -195,10 +217,14 @@
     return refused
 
 
-@pytest.mark.parametrize("then", [
-    {"refusals": (PlanLine(class_index=1),)},
-    {"classes": [replace(CLASSES[0], worth=8.0), replace(CLASSES[1], worth=1.0)]},
-    {"tenants": [Tenant("a", 9e9), Tenant("b", 0.0)], "over_share_worth": 0.001}])
+@pytest.mark.parametrize(
+    "then",
+    [
+        {"refusals": (PlanLine(class_index=1),)},
+        {"classes": [replace(CLASSES[0], worth=8.0), replace(CLASSES[1], worth=1.0)]},
+        {"tenants": [Tenant("a", 9e9), Tenant("b", 0.0)], "over_share_worth": 0.001},
+    ],
+)
 def test_in_mid_overload_another_order_goes_by_what_is_asked_from_now_on(then: dict[str, object]) -> None:
     """What was counted under the former one would let the class that is to go first pass for seconds, as its
     new rank is empty, or refuse all of it, as that rank was full."""
@@ -260,8 +286,10 @@
 
 @pytest.mark.parametrize("status", [Status.ERROR, Status.FULL, Status.RESET])
 def test_the_same_settings_told_again_change_no_decision(status: Status) -> None:
-    alone, told = (Fed(tenants=[Tenant("a", 5)], cold_us=500 * SECOND, cold_from=0.2, cross_zone_cost=0.5)
-                   for _ in range(2))
+    alone, told = (
+        Fed(tenants=[Tenant("a", 5)], cold_us=500 * SECOND, cold_from=0.2, cross_zone_cost=0.5)
+        for _ in range(2)
+    )
     for n in range(300):
         if n % 10 == 0:
             assert told.do(Changed(replace(told.b.s, classes=[replace(c) for c in told.b.s.classes]))) == []
--- a/tests/policy/test_decisions.py
+++ b/tests/policy/test_decisions.py
@@ -7,9 +7,33 @@
 from roadlb import Balancer
 from roadlb.exchange import Ending
 from roadlb.policy.interface import (
-    Action, Arrival, Cancel, Effect, Fail, Group, Heard, ListKind, ListUpdate, Log, Member, Outcome, Refuse,
-    Report, RequestClass, Send, ServerState, SetTimer, Settings, Shortage, SiteWord, Status, StreamStarted,
-    Subscribe, Tenant, TimerFired, View,
+    Action,
+    Arrival,
+    Cancel,
+    Effect,
+    Fail,
+    Group,
+    Heard,
+    ListKind,
+    ListUpdate,
+    Log,
+    Member,
+    Outcome,
+    Refuse,
+    Report,
+    RequestClass,
+    Send,
+    ServerState,
+    SetTimer,
+    Settings,
+    Shortage,
+    SiteWord,
+    Status,
+    StreamStarted,
+    Subscribe,
+    Tenant,
+    TimerFired,
+    View,
 )
 from roadlb.routing.key_sets import MAX_SETS
 
@@ -19,14 +43,22 @@
 class Node:
     """A balancer with a clock and the timers it asked for."""
 
-    def __init__(self, servers: int = 6, seed: int = 1, born: int = 0, weight: float = 1.0,
-                 **settings: object) -> None:
+    def __init__(
+        self, servers: int = 6, seed: int = 1, born: int = 0, weight: float = 1.0, **settings: object
+    ) -> None:
         self.now, self.next = 10 * SECOND, 0
         self.ids = [bytes([10, 0, 0, i, 0, 80]) for i in range(servers)]
         self.timers: list[tuple[int, int]] = []
         self.b = Balancer(Settings(**settings), seed)  # type: ignore[arg-type]
-        self.do(ListUpdate(ListKind.CACHED, [Member(s, cell=i // 2, zone=i % 2, born_us=born, weight=weight)
-                                             for i, s in enumerate(self.ids)]))
+        self.do(
+            ListUpdate(
+                ListKind.CACHED,
+                [
+                    Member(s, cell=i // 2, zone=i % 2, born_us=born, weight=weight)
+                    for i, s in enumerate(self.ids)
+                ],
+            )
+        )
 
     def do(self, event: object) -> list[Action]:
         actions = self.b.handle(self.now, event)  # type: ignore[arg-type]
@@ -42,8 +74,14 @@
         assert isinstance(send, Send)
         return send.server
 
-    def end(self, server: bytes, status: Status = Status.OK, request: int = 0, attempt: int = 0,
-            took: int = 20_000) -> list[Action]:
+    def end(
+        self,
+        server: bytes,
+        status: Status = Status.OK,
+        request: int = 0,
+        attempt: int = 0,
+        took: int = 20_000,
+    ) -> list[Action]:
         return self.do(Outcome(request or self.next, attempt, server, status, took, status is Status.OK))
 
     def serve(self, key: int = 0) -> bytes:
@@ -177,7 +215,7 @@
             node.end(send.server)
         else:
             (answer,) = node.end(send.server, Ending.GARBLED.status)
-            assert isinstance(answer, Fail)        # it may have run
+            assert isinstance(answer, Fail)  # it may have run
         node.now += 10_000
     assert not any(s.eject_until for s in node.b.ready)
 
@@ -278,16 +316,26 @@
 
 def test_a_fleet_that_is_cold_all_over_is_tried_with_a_little() -> None:
     # With nothing carried that could tell what a node can do, nobody got anything until all were warm.
-    balancers = [Node(servers=1, seed=seed, born=10 * SECOND, cold_us=23 * SECOND, fall_us=SECOND,
-                      cold_from=0.12, instances=3) for seed in range(3)]
+    balancers = [
+        Node(
+            servers=1,
+            seed=seed,
+            born=10 * SECOND,
+            cold_us=23 * SECOND,
+            fall_us=SECOND,
+            cold_from=0.12,
+            instances=3,
+        )
+        for seed in range(3)
+    ]
     sent: list[int] = []
     for now in range(10 * SECOND, 16 * SECOND, SECOND // 20):
         for n in balancers:
             n.wait(now - n.now)
             if any(isinstance(a, Send) for a in n.ask(key=now)):
-                sent.append(now)                  # and nothing is ever answered, so that nothing is proved
+                sent.append(now)  # and nothing is ever answered, so that nothing is proved
     assert len(sent) >= 5
-    assert all(sum(at <= t < at + SECOND for t in sent) <= 4 for at in sent)      # three first ones by chance
+    assert all(sum(at <= t < at + SECOND for t in sent) <= 4 for at in sent)  # three first ones by chance
 
 
 def test_cold_server_gets_its_part_of_the_budget() -> None:
@@ -337,15 +385,20 @@
     went = pressed(node, 500)
     others = len(went) - went.count(server)
     assert went.count(server) > (10 if poor == "cold" else 2)
-    assert others < 40                           # 0.05 of 500, and what chance adds
+    assert others < 40  # 0.05 of 500, and what chance adds
 
 
 def test_a_cold_server_may_get_more_of_what_is_light() -> None:
     # Counted by heads, a cold hall got as many reads a second as the others got orders, six times as heavy.
     took = []
     for light, heavy in ((0, 1), (1, 0)):
-        node = Node(servers=6, cold_us=20 * SECOND, cold_from=0.2, instances=4, classes=[
-            RequestClass("a", 400_000, SECOND), RequestClass("b", 400_000, SECOND)])
+        node = Node(
+            servers=6,
+            cold_us=20 * SECOND,
+            cold_from=0.2,
+            instances=4,
+            classes=[RequestClass("a", 400_000, SECOND), RequestClass("b", 400_000, SECOND)],
+        )
         for step in range(3_000):
             node.next += 1
             kind = light if step % 2 else heavy
@@ -355,7 +408,7 @@
             node.wait(4_000)
         cold = bytes([10, 9, 9, 9, 0, 80])
         node.do(ListUpdate(ListKind.DELTA, [Member(cold, born_us=node.now)]))
-        took.append(pressed(node, 250).count(cold))      # of class a
+        took.append(pressed(node, 250).count(cold))  # of class a
     assert took[0] > 1.5 * took[1]
 
 
@@ -385,10 +438,17 @@
     assert len(set(starts)) > 10
 
 
-@pytest.mark.parametrize(("name", "value"), [
-    ("instances", 0), ("cold_from", 0.0), ("fall_multiple", 0.0), ("max_attempts", 0), ("classes", []),
-    ("weight_source", "guess"),
-])
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("instances", 0),
+        ("cold_from", 0.0),
+        ("fall_multiple", 0.0),
+        ("max_attempts", 0),
+        ("classes", []),
+        ("weight_source", "guess"),
+    ],
+)
 def test_settings_that_make_no_sense(name: str, value: object) -> None:
     with pytest.raises(ValueError, match=name):
         Balancer(Settings(**{name: value}), 1)  # type: ignore[arg-type]
@@ -408,8 +468,9 @@
 
 def test_sets_grow_by_what_servers_report_where_own_requests_tell_nothing() -> None:
     # Of 200 balancers each has a tenth of a request where twenty wait; hot keys pushed their few nodes over.
-    node = Node(servers=40, instances=200, report_source="inline", report_fields=("queue",),
-                classes=one(Effect.SAFE))
+    node = Node(
+        servers=40, instances=200, report_source="inline", report_fields=("queue",), classes=one(Effect.SAFE)
+    )
     crowded = set[bytes]()
 
     def serve(key: int) -> bytes:
@@ -418,6 +479,7 @@
         node.do(Outcome(node.next, 0, server, Status.OK, 20_000, True, (waits,)))
         node.wait(20_000)
         return server
+
     for key in range(100, 600):
         serve(key)
     crowded |= {serve(7)}
@@ -430,8 +492,9 @@
 
 
 def test_sets_do_not_grow_where_all_servers_report_as_much() -> None:
-    node = Node(servers=40, instances=200, report_source="inline", report_fields=("queue",),
-                classes=one(Effect.SAFE))
+    node = Node(
+        servers=40, instances=200, report_source="inline", report_fields=("queue",), classes=one(Effect.SAFE)
+    )
     for n in range(1_000):
         server = node.sent(n % 50 + 1)
         node.do(Outcome(node.next, 0, server, Status.OK, 20_000, True, (20.0 + n % 7,)))
@@ -486,7 +549,7 @@
     bad = node.sent()
     node.end(bad, Status.RESET)
     assert all(node.serve() != bad for _ in range(10))
-    node.b.servers[bad].failing *= 0.8 ** 4          # as four good answers to reads leave it
+    node.b.servers[bad].failing *= 0.8**4  # as four good answers to reads leave it
     assert node.b.servers[bad].suspect_until > node.now
     assert any(node.serve() == bad for _ in range(10))
 
--- a/tests/policy/test_heard.py
+++ b/tests/policy/test_heard.py
@@ -4,8 +4,24 @@
 
 from roadlb import Balancer
 from roadlb.policy.interface import (
-    Action, Arrival, Event, Heard, ListKind, ListUpdate, Member, Outcome, Refuse, Report, RequestClass, Send,
-    SetTimer, Settings, Status, Tenant, TimerFired, View,
+    Action,
+    Arrival,
+    Event,
+    Heard,
+    ListKind,
+    ListUpdate,
+    Member,
+    Outcome,
+    Refuse,
+    Report,
+    RequestClass,
+    Send,
+    SetTimer,
+    Settings,
+    Status,
+    Tenant,
+    TimerFired,
+    View,
 )
 from roadlb.routing.shares import Shares
 from roadlb.routing.standing import EJECT_SHARE, Standing, Standings
@@ -37,8 +53,9 @@
         for a in list(actions):
             if isinstance(a, Send):
                 self.now += SECOND // 20
-                actions += self.do(Outcome(self.request, 0, a.server, status, SECOND // 20,
-                                           status is Status.OK))
+                actions += self.do(
+                    Outcome(self.request, 0, a.server, status, SECOND // 20, status is Status.OK)
+                )
         return actions
 
     def went(self, count: int) -> list[bytes]:
@@ -91,7 +108,7 @@
     assert (shares.parts, shares.alike) == (5, 5)
     assert shares.of_cold(0, b"a") == 2 and shares.of_cold(0, b"b") > 1e6 and shares.of_cold(0, b"c") == 5
     assert round(shares.of_quota(0, 1)) == 10 and shares.of_quota(0, 0) == 5
-    shares.twins(0, 3)                        # what all may do is divided among processes, as they were told
+    shares.twins(0, 3)  # what all may do is divided among processes, as they were told
     assert shares.parts == 5
     shares.told(0, 0, {}, {}, None, 0, 1.0, {})
     assert (shares.parts, shares.alike) == (24, 8)
@@ -105,6 +122,7 @@
         if share is not None:
             fed.do(Heard(cold={b"cold": share}))
         return fed.went(190).count(b"cold")
+
     assert sent(0.0) == 0 < sent(0.25) == sent(None) < sent(1.0)
 
 
@@ -118,6 +136,7 @@
             fed.ask(tenant=n % 2)
         # Ten a second of each: a quarter of b's quota is as much.
         return [any(isinstance(a, Refuse) for a in fed.ask(tenant=n % 2)) for n in range(200)]
+
     within, over = refused({1: 1.0}), refused({1: 0.01})
     assert 15 < sum(within[::2]) < 50 and 15 < sum(within[1::2]) < 50
     assert sum(over[::2]) < 10 and 50 < sum(over[1::2])
--- a/tests/policy/test_many_instances.py
+++ b/tests/policy/test_many_instances.py
@@ -11,14 +11,26 @@
 
 from roadlb import Balancer
 from roadlb.policy.interface import (
-    Arrival, Effect, Heard, ListKind, ListUpdate, Member, Outcome, RequestClass, Send, ServerState, SetTimer,
-    Settings, Status, TimerFired,
+    Arrival,
+    Effect,
+    Heard,
+    ListKind,
+    ListUpdate,
+    Member,
+    Outcome,
+    RequestClass,
+    Send,
+    ServerState,
+    SetTimer,
+    Settings,
+    Status,
+    TimerFired,
 )
 
 SECOND = 1_000_000
 COLD_FROM, COLD_US, MULTIPLE = 0.2, 20 * SECOND, 3.0
 KEEP = 7 * SECOND
-EACH = 16                # requests a second that a warm server carries
+EACH = 16  # requests a second that a warm server carries
 
 
 class Together:
@@ -32,14 +44,25 @@
     def __init__(self, instances: int, warm: int, seed: int, **settings: Any) -> None:
         self.dials, self.idle = 0, [dict[bytes, list[int]]() for _ in range(instances)]
         self.now, self.random, self.number, self.requests = 60 * SECOND, random.Random(seed), 0, 0
-        self.queue: list[tuple[int, int, int, object]] = []       # time, number, balancer, event
-        self.sent: dict[bytes, list[int]] = {}                     # by server, when
+        self.queue: list[tuple[int, int, int, object]] = []  # time, number, balancer, event
+        self.sent: dict[bytes, list[int]] = {}  # by server, when
         self.balancers = [
-            Balancer(Settings(**{"classes": [RequestClass("a", 400_000, SECOND)]} | settings,
-                              instances=instances, instance=i, cold_from=COLD_FROM, cold_us=COLD_US,
-                              fall_multiple=MULTIPLE, fall_us=SECOND, warm_keys=True,
-                              second_copies=False), seed * 100 + i)
-            for i in range(instances)]
+            Balancer(
+                Settings(
+                    **{"classes": [RequestClass("a", 400_000, SECOND)]} | settings,
+                    instances=instances,
+                    instance=i,
+                    cold_from=COLD_FROM,
+                    cold_us=COLD_US,
+                    fall_multiple=MULTIPLE,
+                    fall_us=SECOND,
+                    warm_keys=True,
+                    second_copies=False,
+                ),
+                seed * 100 + i,
+            )
+            for i in range(instances)
+        ]
         self.tell(ListUpdate(ListKind.CACHED, [Member(b"warm%d" % i) for i in range(warm)]))
 
     def tell(self, update: ListUpdate) -> None:
@@ -53,7 +76,7 @@
             elif isinstance(a, Send):
                 self.sent.setdefault(a.server, []).append(self.now)
                 idle = self.idle[i].setdefault(a.server, [])
-                free = bisect_right(idle, self.now)         # the others still carry a request
+                free = bisect_right(idle, self.now)  # the others still carry a request
                 if not free or idle.pop(free - 1) < self.now - KEEP:
                     self.dials += 1
                 insort(idle, self.now + 50_000)
@@ -69,8 +92,11 @@
         for _ in range(int(seconds * rate)):
             self.requests += 1
             key = 1 + int(1000 * self.random.random() ** 3)
-            self.put(self.now + int(self.random.random() * seconds * SECOND),
-                     self.random.randrange(len(self.balancers)), Arrival(self.requests, 0, 0, key, SECOND, 0))
+            self.put(
+                self.now + int(self.random.random() * seconds * SECOND),
+                self.random.randrange(len(self.balancers)),
+                Arrival(self.requests, 0, 0, key, SECOND, 0),
+            )
         while self.queue and self.queue[0][0] < end:
             self.now, _, i, event = heapq.heappop(self.queue)
             self.do(i, event)
@@ -101,17 +127,23 @@
     """Two classes, seven reads of 15 ms of work to three orders of 95; a server does one after the other."""
 
     TAKES = (15_000, 95_000)
-    CAN = EACH * (0.7 * TAKES[0] + 0.3 * TAKES[1]) / SECOND           # of a warm one
+    CAN = EACH * (0.7 * TAKES[0] + 0.3 * TAKES[1]) / SECOND  # of a warm one
 
     def __init__(self, instances: int, warm: int, seed: int) -> None:
-        super().__init__(instances, warm, seed, classes=[
-            RequestClass("read", 500_000, 2 * SECOND, 2.0),
-            RequestClass("order", 600_000, 2 * SECOND, 10.0, effect=Effect.UNSAFE)])
+        super().__init__(
+            instances,
+            warm,
+            seed,
+            classes=[
+                RequestClass("read", 500_000, 2 * SECOND, 2.0),
+                RequestClass("order", 600_000, 2 * SECOND, 10.0, effect=Effect.UNSAFE),
+            ],
+        )
         self.kinds: dict[int, int] = {}
         self.work: dict[bytes, list[tuple[int, int]]] = {}
         self.born, self.busy = 0, dict[bytes, int]()
-        self.slow: dict[bytes, float] = {}                         # those that can do only this part
-        self.dark: frozenset[bytes] = frozenset()                  # no dial comes up there
+        self.slow: dict[bytes, float] = {}  # those that can do only this part
+        self.dark: frozenset[bytes] = frozenset()  # no dial comes up there
         self.tries: dict[int, int] = {}
 
     def share(self, server: bytes, at: int) -> float:
@@ -129,13 +161,17 @@
             elif isinstance(a, Send):
                 attempt = self.tries[a.request] = self.tries.get(a.request, -1) + 1
                 if a.server in self.dark:
-                    self.put(self.now + 250_000, i, Outcome(
-                        a.request, attempt, a.server, Status.CONNECT_FAILED, 250_000, False))
+                    self.put(
+                        self.now + 250_000,
+                        i,
+                        Outcome(a.request, attempt, a.server, Status.CONNECT_FAILED, 250_000, False),
+                    )
                     continue
                 took = self.TAKES[self.kinds[a.request]]
                 self.work.setdefault(a.server, []).append((self.now, took))
                 done = max(self.now, self.busy.get(a.server, 0)) + int(
-                    took / self.CAN / self.share(a.server, self.now))
+                    took / self.CAN / self.share(a.server, self.now)
+                )
                 self.busy[a.server] = done
                 self.put(done, i, Outcome(a.request, attempt, a.server, Status.OK, done - self.now, True))
 
@@ -146,7 +182,7 @@
     # 1.1 times what it can bear while cold.
     fleet = Pressed(instances, warm=8, seed=instances)
     hall = [b"cold%d" % i for i in range(4)]
-    fleet.born = fleet.now - COLD_US                           # warm by now
+    fleet.born = fleet.now - COLD_US  # warm by now
     fleet.tell(ListUpdate(ListKind.DELTA, [Member(s, zone=1) for s in hall]))
     fleet.play(6, rate=11 * EACH)
     fleet.dark = frozenset(hall)
@@ -210,7 +246,7 @@
         for n, (t, _) in enumerate(at):
             sent = sum(took for later, took in at[n:] if later < t + SECOND)
             most = MULTIPLE * fleet.share(server, t) * fleet.CAN * SECOND
-            if slow:      # of a size that nobody is told: with what the fall's rule leaves to chance
+            if slow:  # of a size that nobody is told: with what the fall's rule leaves to chance
                 most += 3 * mean * (1 + (most / mean) ** 0.5)
             assert sent <= most, (server, (t - fleet.born) / SECOND)
     could = sum(fleet.share(s, fleet.now) for s in cold) * fleet.CAN * 3 * SECOND
@@ -220,22 +256,26 @@
 def test_a_key_goes_to_a_server_of_the_own_hall_mostly_and_moves_with_as_few_others() -> None:
     # Crossing costs, and a connection to each of sixty servers costs forty balancers 2,400 handshakes.
     halls = {bytes([i]): i % 3 for i in range(60)}
-    balancers = [Balancer(Settings(instances=40, zone=zone, cross_zone_cost=cost, second_copies=False), 1)
-                 for zone, cost in ((0, 0.02), (0, 0.02), (1, 0.02), (1, 0.0))]
+    balancers = [
+        Balancer(Settings(instances=40, zone=zone, cross_zone_cost=cost, second_copies=False), 1)
+        for zone, cost in ((0, 0.02), (0, 0.02), (1, 0.02), (1, 0.0))
+    ]
     members = [Member(s, zone=hall) for s, hall in halls.items()]
     went: list[list[bytes]] = []
     for b in balancers:
         b.handle(0, ListUpdate(ListKind.CACHED, members))
         went.append([])
         for key in range(1, 601):
-            (send,) = (a for a in b.handle(key * SECOND, Arrival(key, 0, 0, key, SECOND, 0))
-                       if isinstance(a, Send))
+            (send,) = (
+                a for a in b.handle(key * SECOND, Arrival(key, 0, 0, key, SECOND, 0)) if isinstance(a, Send)
+            )
             went[-1].append(send.server)
             b.handle(key * SECOND + 1000, Outcome(key, 0, send.server, Status.OK, 1000, True))
-    own = [sum(halls[s] == b.s.zone for s in servers) / 600
-           for b, servers in zip(balancers, went, strict=True)]
+    own = [
+        sum(halls[s] == b.s.zone for s in servers) / 600 for b, servers in zip(balancers, went, strict=True)
+    ]
     assert all(0.6 < part < 0.75 for part in own[:3]) and own[3] < 0.45
-    assert went[0] == went[1]                               # balancers of a hall agree
+    assert went[0] == went[1]  # balancers of a hall agree
     b = balancers[0]
     b.handle(700 * SECOND, ListUpdate(ListKind.DELTA, [Member(bytes([0]), ServerState.GONE)]))
     for key, before in enumerate(went[0], 1):
--- a/tests/policy/test_rules.py
+++ b/tests/policy/test_rules.py
@@ -10,8 +10,28 @@
 
 from roadlb import Balancer
 from roadlb.policy.interface import (
-    NEVER_RAN, Action, Arrival, Cancel, ClientGone, Effect, Event, Fail, Group, ListKind, ListUpdate, Log,
-    Member, Outcome, Refuse, RequestClass, Send, ServerState, SetTimer, Settings, Status, Subscribe,
+    NEVER_RAN,
+    Action,
+    Arrival,
+    Cancel,
+    ClientGone,
+    Effect,
+    Event,
+    Fail,
+    Group,
+    ListKind,
+    ListUpdate,
+    Log,
+    Member,
+    Outcome,
+    Refuse,
+    RequestClass,
+    Send,
+    ServerState,
+    SetTimer,
+    Settings,
+    Status,
+    Subscribe,
     TimerFired,
 )
 
@@ -42,8 +62,10 @@
     def __init__(self, cfg: Settings, seed: int, rough: float) -> None:
         self.cfg, self.seed, self.rng, self.rough = cfg, seed, random.Random(seed), rough
         self.b, self.now = Balancer(cfg, seed), 1_000_000
-        self.ever = {id: Member(id, cell=id[3] // 3, zone=id[3] % 2) for id in (
-            bytes([1, 2, 3, i, 0, 80]) for i in range(9))}
+        self.ever = {
+            id: Member(id, cell=id[3] // 3, zone=id[3] % 2)
+            for id in (bytes([1, 2, 3, i, 0, 80]) for i in range(9))
+        }
         self.members = dict(self.ever)
         self.requests: dict[int, Open] = {}
         self.timers: list[tuple[int, int]] = []
@@ -66,8 +88,11 @@
         elif isinstance(action, Refuse):
             r = self.requests[action.request]
             ran = [s for s in r.sent if s.ran]
-            assert not ran or r.spec.effect is Effect.SAFE or (
-                r.spec.effect is Effect.KEYED and r.spec.group is Group.ALL), "refused what may have run"
+            assert (
+                not ran
+                or r.spec.effect is Effect.SAFE
+                or (r.spec.effect is Effect.KEYED and r.spec.group is Group.ALL)
+            ), "refused what may have run"
             assert 0 <= action.retry_after_us <= self.cfg.max_retry_after_us
             self.answer(r)
         elif isinstance(action, Fail):
@@ -116,8 +141,12 @@
     def step(self, dt: int) -> None:
         end = self.now + dt
         while True:
-            due = [(s.ends, 0, rid, n) for rid, r in self.requests.items()
-                   for n, s in enumerate(r.sent) if not s.done]
+            due = [
+                (s.ends, 0, rid, n)
+                for rid, r in self.requests.items()
+                for n, s in enumerate(r.sent)
+                if not s.done
+            ]
             due += [(at, 1, token, 0) for at, token in self.timers]
             if not due or min(due)[0] > end:
                 break
@@ -162,17 +191,29 @@
 
 
 def a_settings(draw: st.DrawFn) -> Settings:
-    classes = [RequestClass(
-        aim_us=draw(st.sampled_from([50_000, 200_000])),
-        deadline_us=draw(st.sampled_from([200_000, 900_000])),
-        worth=draw(st.sampled_from([1.0, 5.0])), late_worth=draw(st.sampled_from([0.0, 0.5])),
-        effect=draw(st.sampled_from(list(Effect))), group=draw(st.sampled_from(list(Group))),
-        window_us=draw(st.sampled_from([50_000, 400_000]))) for _ in range(3)]
+    classes = [
+        RequestClass(
+            aim_us=draw(st.sampled_from([50_000, 200_000])),
+            deadline_us=draw(st.sampled_from([200_000, 900_000])),
+            worth=draw(st.sampled_from([1.0, 5.0])),
+            late_worth=draw(st.sampled_from([0.0, 0.5])),
+            effect=draw(st.sampled_from(list(Effect))),
+            group=draw(st.sampled_from(list(Group))),
+            window_us=draw(st.sampled_from([50_000, 400_000])),
+        )
+        for _ in range(3)
+    ]
     return Settings(
-        classes=classes, instances=draw(st.sampled_from([1, 3, 40])), cancelling=draw(st.booleans()),
-        second_copies=draw(st.booleans()), max_attempts=draw(st.integers(1, 6)), cold_from=0.2,
-        cold_us=draw(st.sampled_from([0, 5_000_000])), discovery_on_request=draw(st.booleans()),
-        weight_source=draw(st.sampled_from(["off", "nominal", "rough", "live"])))
+        classes=classes,
+        instances=draw(st.sampled_from([1, 3, 40])),
+        cancelling=draw(st.booleans()),
+        second_copies=draw(st.booleans()),
+        max_attempts=draw(st.integers(1, 6)),
+        cold_from=0.2,
+        cold_us=draw(st.sampled_from([0, 5_000_000])),
+        discovery_on_request=draw(st.booleans()),
+        weight_source=draw(st.sampled_from(["off", "nominal", "rough", "live"])),
+    )
 
 
 @st.composite
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -6,8 +6,13 @@
 
 from scenario import SETTINGS
 
-RAW: dict[str, Any] = {"name": "n1", "listen": "127.0.0.1:8080", "discovery": "127.0.0.1:8500",
-                       "seed": "8c1f30d27a5be964", "settings": SETTINGS}
+RAW: dict[str, Any] = {
+    "name": "n1",
+    "listen": "127.0.0.1:8080",
+    "discovery": "127.0.0.1:8500",
+    "seed": "8c1f30d27a5be964",
+    "settings": SETTINGS,
+}
 
 SETUP = """az=1
 classes.count=2
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -47,16 +47,32 @@
 T = TypeVar("T")
 LIMITS = {"max_attempts": 5, "cancelling": True, "max_retry_after_us": 1_200_000}
 SETTINGS: dict[str, object] = {
-    "me": 0, "instances": 1, "discovery": "pushed", "dcs": ["hall-a"], "machine_types": ["new-2c"],
+    "me": 0,
+    "instances": 1,
+    "discovery": "pushed",
+    "dcs": ["hall-a"],
+    "machine_types": ["new-2c"],
     "classes": [
-        {"name": "grid-read", "promise_us": 500_000, "deadline_us": 2_500_000, "value": 2.0,
-         "effect": "idempotent"},
-        {"name": "order", "promise_us": 600_000, "deadline_us": 2_000_000, "value": 10.0,
-         "effect": "at_most_once"}],
+        {
+            "name": "grid-read",
+            "promise_us": 500_000,
+            "deadline_us": 2_500_000,
+            "value": 2.0,
+            "effect": "idempotent",
+        },
+        {
+            "name": "order",
+            "promise_us": 600_000,
+            "deadline_us": 2_000_000,
+            "value": 10.0,
+            "effect": "at_most_once",
+        },
+    ],
     "tenants": [{"name": "acme", "quota_per_s": 100.0}],
     "limits": LIMITS,
     "report": {"source": "inline", "fields": ["fail_rate", "q"]},
-    "invariants": {"cold_from": 0.12, "cold_us": 23_000_000, "fall_multiple": 3.0, "fall_us": 1_000_000}}
+    "invariants": {"cold_from": 0.12, "cold_us": 23_000_000, "fall_multiple": 3.0, "fall_us": 1_000_000},
+}
 
 
 def bodies(text: str) -> str:
@@ -75,8 +91,11 @@
     async def message(self, body: int = -1) -> str:
         """`body`: so much of it, whatever the head says."""
         head = await self.reader.readuntil(b"\r\n\r\n")
-        lengths = [int(v) for k, _, v in (line.partition(b":") for line in head.split(b"\r\n"))
-                   if k.lower() == b"content-length"]
+        lengths = [
+            int(v)
+            for k, _, v in (line.partition(b":") for line in head.split(b"\r\n"))
+            if k.lower() == b"content-length"
+        ]
         if body < 0:
             body = lengths[0] if lengths and lengths[0] <= 65_536 and b"chunked" not in head else 0
         read = await self.reader.readexactly(body)
@@ -113,6 +132,7 @@
                     await self.waiting[kind].put(link)
                     await link.answered.wait()
             link.closed.set()
+
         return accepted
 
     async def listen(self, kind: str) -> str:
@@ -121,10 +141,25 @@
         return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
     def list(self, states: list[str]) -> str:
-        return json.dumps({"generation": self.generation, "reset": True, "instances": [
-            {"instanceId": f"s{i}", "hostPort": at, "zone": "hall-a", "machineType": "new-2c", "cell": 0,
-             "lifecycle": state, "weight": 1.0, "startedAtMs": 0}
-            for i, (at, state) in enumerate(zip(self.names, states, strict=True))]})
+        return json.dumps(
+            {
+                "generation": self.generation,
+                "reset": True,
+                "instances": [
+                    {
+                        "instanceId": f"s{i}",
+                        "hostPort": at,
+                        "zone": "hall-a",
+                        "machineType": "new-2c",
+                        "cell": 0,
+                        "lifecycle": state,
+                        "weight": 1.0,
+                        "startedAtMs": 0,
+                    }
+                    for i, (at, state) in enumerate(zip(self.names, states, strict=True))
+                ],
+            }
+        )
 
     def mute(self) -> str:
         """An address whose queue of connections is full, so that the kernel ignores further ones."""
@@ -141,16 +176,20 @@
         limits = [n for n in more if "=" in n]
         dead, mute = [*(n for n in more if "=" not in n), "0", "0"][:2]
         self.names = [await self.listen("i") for _ in range(int(up) + int(dead))]
-        for server in self.servers[int(up):]:
+        for server in self.servers[int(up) :]:
             server.close()
         self.names += [self.mute() for _ in range(int(mute))]
         # A machine that is held up for a while must not fail a dial that only waits for it.
         told = {k: int(v) for k, _, v in (pair.partition("=") for pair in limits)}
         changed = {**LIMITS, "dial_timeout_us": int(LIMIT_S * 1e6), **told}
         self.config = {
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": await self.listen("d"), "seed": "5",
+            "name": "n0",
+            "listen": "127.0.0.1:0",
+            "discovery": await self.listen("d"),
+            "seed": "5",
             "known": json.loads(self.list(["up"] * len(self.names))),
-            "settings": {**SETTINGS, "limits": changed}}
+            "settings": {**SETTINGS, "limits": changed},
+        }
         config = read_config(self.config, {})
         self.app = App(replace(config, **{k: v for k, v in changed.items() if hasattr(config, k)}))
         await self.app.start()
@@ -164,7 +203,7 @@
         if who[0] not in "ide" and who not in self.links:
             self.links[who] = Link(*await asyncio.open_connection("127.0.0.1", self.app.port))
         link = self.links[who]
-        if who[0] in "de":     # done once the balancer has read it
+        if who[0] in "de":  # done once the balancer has read it
             self.generation, seen = self.generation + 1, self.lists_seen()
             link.write((what[1] if what[0] == "raw" else self.list(what)) + "\n")
             while self.lists_seen() == seen:
@@ -181,8 +220,13 @@
             self.requests += 1
             body = "x" * sum(int(w[5:]) for w in what if w.startswith("body="))
             start = f"{what[0]} {what[1]} HTTP/1.1"
-            headers = {"Host": "backend.local", "X-Correlation-Id": f"{self.requests:016x}",
-                       "X-Account": "acme", "X-Time-Left": "100", **headers}
+            headers = {
+                "Host": "backend.local",
+                "X-Correlation-Id": f"{self.requests:016x}",
+                "X-Account": "acme",
+                "X-Time-Left": "100",
+                **headers,
+            }
         headers.setdefault("Content-Length", str(len(body)))
         link.write("\r\n".join([start, *(f"{k}: {v}" for k, v in headers.items() if v), "", body]))
         if who[0] == "i":
@@ -190,7 +234,7 @@
 
     async def expect(self, who: str, what: list[str]) -> None:
         if what == ["closed"]:
-            if self.links[who].answered.is_set():      # then it is read for the next execution
+            if self.links[who].answered.is_set():  # then it is read for the next execution
                 await self.links[who].closed.wait()
                 return
             with suppress(ConnectionError):
@@ -198,7 +242,7 @@
         elif who[0] in self.waiting:
             link = self.links[who] = await self.waiting[who[0]].get()
             while who[0] == "e" and f"127.0.0.1:{link.port}" != self.config["discovery"]:
-                link = self.links[who] = await self.waiting["e"].get()     # asked before a later reload
+                link = self.links[who] = await self.waiting["e"].get()  # asked before a later reload
             assert all((w.lstrip("!") in link.last) != w.startswith("!") for w in what), (what, link.last)
         else:
             sizes = [int(w[5:]) for w in what if w.startswith("BODY=")]
@@ -235,8 +279,9 @@
         elif rest[0] == "reset":
             link = self.links[who]
             link.writer.get_extra_info("socket").setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            await asyncio.sleep(0.05)          # what was sent before has been read
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            await asyncio.sleep(0.05)  # what was sent before has been read
             link.writer.transport.abort()
         elif rest[0] == "close":
             link = self.links.pop(who)
--- a/tests/shared_state/test_bounds.py
+++ b/tests/shared_state/test_bounds.py
@@ -38,8 +38,12 @@
                 self.away.append(self.now)
             if hall in self.dead:
                 self.classes[a.request] = cls, attempt + 1
-                self._put(ERROR_US, self._outcome, i, Outcome(
-                    a.request, attempt, a.server, Status.CONNECT_FAILED, ERROR_US, False))
+                self._put(
+                    ERROR_US,
+                    self._outcome,
+                    i,
+                    Outcome(a.request, attempt, a.server, Status.CONNECT_FAILED, ERROR_US, False),
+                )
                 return
         super()._carry_out(i, a)
 
@@ -47,8 +51,14 @@
 def above(times: list[int], rate: float) -> float:
     """By how many, at the most, the count of any time exceeds what is said of it."""
     said = rate * SAVED_S + MEMBERS
-    return max((n + 1 - k - rate * (times[n] - times[k]) / SECOND - said
-                for k in range(len(times)) for n in range(k, len(times))), default=0.0)
+    return max(
+        (
+            n + 1 - k - rate * (times[n] - times[k]) / SECOND - said
+            for k in range(len(times))
+            for n in range(k, len(times))
+        ),
+        default=0.0,
+    )
 
 
 def failing(bounds: Bounds, air: Air | None = None) -> Fleet:
@@ -72,8 +82,14 @@
 
 
 def test_a_hall_that_returns_is_asked_by_all_together_within_the_bound() -> None:
-    fleets = [Fleet(bounds, air) for bounds, air in (
-        (Bounds(), None), (Bounds(dials_per_s=RATE), None), (Bounds(dials_per_s=RATE), Air(loss=1.0)))]
+    fleets = [
+        Fleet(bounds, air)
+        for bounds, air in (
+            (Bounds(), None),
+            (Bounds(dials_per_s=RATE), None),
+            (Bounds(dials_per_s=RATE), Air(loss=1.0)),
+        )
+    ]
     for fleet in fleets:
         fleet.play(3, 400)
         fleet.dead = {1}
@@ -97,7 +113,7 @@
     shares = Shares(4)
     shares.told(0, 0, {}, {}, None, SECOND, 0.125, {})
     shares.bound(0, 1.0, 8.0, 0.5, 0.0, {})
-    for _ in range(2):                     # a second of four, then two of one each; saved for one at most
+    for _ in range(2):  # a second of four, then two of one each; saved for one at most
         assert shares.may_repeat(3 * SECOND)
         shares.sent(3 * SECOND, 0, False, again=True)
         if not shares.may_repeat(3 * SECOND):
--- a/tests/shared_state/test_budgets.py
+++ b/tests/shared_state/test_budgets.py
@@ -34,8 +34,8 @@
 def test_a_gift_is_deducted_before_it_leaves_and_comes_back_when_its_time_is_over() -> None:
     b = budgets()
     assert asked(b, START, 1, 0, PART) == PART - KEPT
-    assert b.usable(START, R) == KEPT                          # no answer to the answer is waited for
-    assert b.usable(START + TERMS.lease_us, R) == KEPT         # by the slowest clock it may still be used
+    assert b.usable(START, R) == KEPT  # no answer to the answer is waited for
+    assert b.usable(START + TERMS.lease_us, R) == KEPT  # by the slowest clock it may still be used
     assert b.usable(START + TERMS.gift_us, R) == PART
 
 
@@ -43,7 +43,7 @@
     b = budgets()
     asked(b, START, 1, 0, PART)
     assert asked(b, START, 1, 0, PART, "c") == 0
-    assert asked(b, START + 1, 2, 0, 0) == 0                   # returned
+    assert asked(b, START + 1, 2, 0, 0) == 0  # returned
     assert b.usable(START + 1, R) == PART and asked(b, START + 2, 2, 0, PART, "c") == PART - KEPT
 
 
@@ -51,8 +51,8 @@
     b = budgets()
     asked(b, START, 1, 0, 0)
     asked(b, START + 1, 3, 0, PART)
-    asked(b, START + 2, 2, 0, 0)                               # overtaken
-    asked(b, START + 2, 3, 0, 0)                               # doubled
+    asked(b, START + 2, 2, 0, 0)  # overtaken
+    asked(b, START + 2, 3, 0, 0)  # doubled
     assert b.usable(START + 2, R) == KEPT
     # A new life knows nothing of what the last one, which may still run, holds.
     asked(b, START + 3, 1, 0, 0, life=2)
@@ -67,7 +67,7 @@
     late = START + TERMS.lease_us - 1
     b.handle(late, Came(ask.to, 1, answer))
     assert b.usable(late, R) == PART + KEPT and b.usable(late + 1, R) == PART
-    b.handle(late + 1, Came(ask.to, 1, answer))                # again, by a process that had been stopped
+    b.handle(late + 1, Came(ask.to, 1, answer))  # again, by a process that had been stopped
     assert b.usable(late + 1, R) == PART
 
 
@@ -105,8 +105,8 @@
     asked(b, START, 1, 0, PART)
     b.handle(START, Needs({R: PART}))
     assert asked(b, START + SECOND, 2, KEPT, KEPT) == 0
-    assert b.usable(START + SECOND, R) == KEPT                 # the old lease runs on ...
-    asked(b, START + 2 * SECOND, 3, 0, 0)                      # ... until it is said to be over
+    assert b.usable(START + SECOND, R) == KEPT  # the old lease runs on ...
+    asked(b, START + 2 * SECOND, 3, 0, 0)  # ... until it is said to be over
     assert b.usable(START + 2 * SECOND, R) == PART
 
 
@@ -123,6 +123,7 @@
 
     def needs(i: int, _: object) -> dict[bytes, int]:
         return {b"thing000": fleet_terms.part * busy.get(f"lb-{i}", 0)}
+
     fleet_terms = Terms(instances=20)
     fleet = ShareFleet(20, fleet_terms, 1, CALM, needs=needs, resources=1, settled=True)
     fleet.play(8)
@@ -138,14 +139,16 @@
 def test_when_nothing_is_heard_each_has_what_it_has_alone() -> None:
     fleet = ShareFleet(10, Terms(instances=10), 1, Weather(loss=1.0, restart=0, pause=0))
     fleet.play(20)
-    assert all(share == Terms(instances=10).part
-               for p in fleet.processes.values() for share in p.shares.values())
+    assert all(
+        share == Terms(instances=10).part for p in fleet.processes.values() for share in p.shares.values()
+    )
 
 
 def test_of_ten_three_survive_and_use_what_is_theirs() -> None:
     # What the dead owned lies idle: they may be alive beyond a split.
-    fleet = ShareFleet(10, Terms(instances=10), 2, CALM, needs=lambda i, _: {b"thing000": 1_000_000},
-                       resources=1)
+    fleet = ShareFleet(
+        10, Terms(instances=10), 2, CALM, needs=lambda i, _: {b"thing000": 1_000_000}, resources=1
+    )
     fleet.play(10)
     fleet.kill(fleet.names[:7])
     fleet.play(10)
@@ -171,13 +174,22 @@
 
 
 @settings(max_examples=40, deadline=None)
-@given(seed=st.integers(0, 2**32), members=st.integers(2, 9), loss=st.floats(0, 0.7),
-       double=st.floats(0, 0.9), late=st.floats(0, 0.9), restart=st.floats(0, 0.3), pause=st.floats(0, 0.3),
-       drift=st.integers(0, 50_000))
-def test_the_sum_holds_whatever_happens(seed: int, members: int, loss: float, double: float, late: float,
-                                        restart: float, pause: float, drift: int) -> None:
+@given(
+    seed=st.integers(0, 2**32),
+    members=st.integers(2, 9),
+    loss=st.floats(0, 0.7),
+    double=st.floats(0, 0.9),
+    late=st.floats(0, 0.9),
+    restart=st.floats(0, 0.3),
+    pause=st.floats(0, 0.3),
+    drift=st.integers(0, 50_000),
+)
+def test_the_sum_holds_whatever_happens(
+    seed: int, members: int, loss: float, double: float, late: float, restart: float, pause: float, drift: int
+) -> None:
     weather = Weather(loss=loss, double=double, late=late, restart=restart, pause=pause, drift_ppm=drift)
-    fleet = ShareFleet(members, Terms(instances=members, drift_ppm=drift, margin_us=0), seed, weather,
-                       settled=True)
+    fleet = ShareFleet(
+        members, Terms(instances=members, drift_ppm=drift, margin_us=0), seed, weather, settled=True
+    )
     fleet.play(20)
     assert fleet.most <= 1
--- a/tests/shared_state/test_counts.py
+++ b/tests/shared_state/test_counts.py
@@ -54,10 +54,13 @@
     assert counts.tell(0, 1).rest[0] == MOST_KEYS + 50 - MOST_COUNTS
 
 
-@given(st.lists(st.tuples(st.integers(0, 3), st.integers(1, 3), st.integers(0, 5), st.integers(0, 9))),
-       st.randoms(use_true_random=False))
-def test_the_order_of_reports_does_not_matter(reports: list[tuple[int, int, int, int]],
-                                              chance: object) -> None:
+@given(
+    st.lists(st.tuples(st.integers(0, 3), st.integers(1, 3), st.integers(0, 5), st.integers(0, 9))),
+    st.randoms(use_true_random=False),
+)
+def test_the_order_of_reports_does_not_matter(
+    reports: list[tuple[int, int, int, int]], chance: object
+) -> None:
     # Of one sender, life and number there is one report.
     said = {(sender, life, number): count for sender, life, number, count in reports}
     sums = []
--- a/tests/shared_state/test_halls.py
+++ b/tests/shared_state/test_halls.py
@@ -14,14 +14,15 @@
 NOW = 100 * SECOND
 NAMES = {n: short(b"hall-%d" % n) for n in range(3)}
 WHOLE, LOST, RETURNING = State.WHOLE, State.LOST, State.RETURNING
-Seen = Mapping[int, tuple[State, int]]               # of each hall the state, and when it last answered
+Seen = Mapping[int, tuple[State, int]]  # of each hall the state, and when it last answered
 
 
 def sees(seen: Seen, now: int = NOW, since: int = NOW, into: Halls | None = None) -> Halls:
     """One that believes this of the halls."""
     halls = into or Halls()
-    halls.saw(now, [SiteView(n, state, 1.0, 4, 0, since, 0, heard) for n, (state, heard) in seen.items()],
-              NAMES)
+    halls.saw(
+        now, [SiteView(n, state, 1.0, 4, 0, since, 0, heard) for n, (state, heard) in seen.items()], NAMES
+    )
     return halls
 
 
@@ -144,7 +145,7 @@
     return {i % 3 for i, p in enumerate(f.parties) if any(h.silent for h in p.heard)}
 
 
-BUSY = [20.0, 0.1, 0.1] * 4                          # the others seldom hear of it themselves
+BUSY = [20.0, 0.1, 0.1] * 4  # the others seldom hear of it themselves
 
 
 def test_a_hall_s_own_cut_takes_nothing_from_the_others() -> None:
@@ -156,6 +157,7 @@
 
 # Planted defects
 
+
 class OneHallIsEnough(Halls):
     def silent(self, now: int) -> dict[int, Silent]:
         for n, w in enumerate(self.witnesses.values()):
@@ -164,8 +166,9 @@
 
 
 class NoneCountsAgainst(Halls):
-    def came(self, now: int, sender: str, life: int, number: int, hall: Key, signs: Iterable[HallSign]
-             ) -> None:
+    def came(
+        self, now: int, sender: str, life: int, number: int, hall: Key, signs: Iterable[HallSign]
+    ) -> None:
         super().came(now, sender, life, number, hall, [s for s in signs if s.weight])
 
 
@@ -181,15 +184,22 @@
         return super().silent(now)
 
 
-@pytest.mark.parametrize(("defect", "found_by"), [
-    (OneHallIsEnough, test_two_of_two_halls_are_believed_and_one_hall_is_not),
-    (OneHallIsEnough, test_two_halls_that_accuse_each_other_take_nothing_from_a_third_nor_from_each_other),
-    (NoneCountsAgainst, test_those_whom_it_answers_count_against),
-    (TheCutOffAccuse, test_one_that_is_cut_off_accuses_nobody),
-    (NeverOld, test_it_ends_with_its_age_and_with_another_word),
-])
-def test_each_planted_defect_is_found(monkeypatch: pytest.MonkeyPatch, defect: type[Halls],
-                                      found_by: Callable[[], None]) -> None:
+@pytest.mark.parametrize(
+    ("defect", "found_by"),
+    [
+        (OneHallIsEnough, test_two_of_two_halls_are_believed_and_one_hall_is_not),
+        (
+            OneHallIsEnough,
+            test_two_halls_that_accuse_each_other_take_nothing_from_a_third_nor_from_each_other,
+        ),
+        (NoneCountsAgainst, test_those_whom_it_answers_count_against),
+        (TheCutOffAccuse, test_one_that_is_cut_off_accuses_nobody),
+        (NeverOld, test_it_ends_with_its_age_and_with_another_word),
+    ],
+)
+def test_each_planted_defect_is_found(
+    monkeypatch: pytest.MonkeyPatch, defect: type[Halls], found_by: Callable[[], None]
+) -> None:
     monkeypatch.setitem(globals(), "Halls", defect)
     with pytest.raises(AssertionError):
         found_by()
--- a/tests/shared_state/test_hard_cases.py
+++ b/tests/shared_state/test_hard_cases.py
@@ -15,8 +15,15 @@
 def fleet(members: int, busy: int, weather: Weather = CALM, seed: int = 1) -> ShareFleet:
     """The first few have all the demand, and all have been there for long."""
     terms = Terms(instances=members)
-    return ShareFleet(members, terms, seed, weather, resources=1, settled=True,
-                      needs=lambda i, _: {R: 40 * terms.part if i < busy else 0})
+    return ShareFleet(
+        members,
+        terms,
+        seed,
+        weather,
+        resources=1,
+        settled=True,
+        needs=lambda i, _: {R: 40 * terms.part if i < busy else 0},
+    )
 
 
 def parts(f: ShareFleet, name: str) -> float:
@@ -88,5 +95,9 @@
                 avoided.add(n)
                 last = now
     assert len(avoided) >= 3 and last < COUNT_US + 4 * SECOND
-    assert not any(sign.failures for one in all_of_them for sign in one.tell(60 * SECOND, 1 << 40).signs
-                   if sign.server == short(b"s1") and sign.bad_us < HOLD_US)
+    assert not any(
+        sign.failures
+        for one in all_of_them
+        for sign in one.tell(60 * SECOND, 1 << 40).signs
+        if sign.server == short(b"s1") and sign.bad_us < HOLD_US
+    )
--- a/tests/shared_state/test_judged.py
+++ b/tests/shared_state/test_judged.py
@@ -42,9 +42,9 @@
 
 
 def test_one_balancer_whose_own_way_is_broken_takes_a_server_from_nobody() -> None:
-    f = ToldFleet(12, 20, 1, True, orders=0.3, halls=12)     # each a hall of its own
+    f = ToldFleet(12, 20, 1, True, orders=0.3, halls=12)  # each a hall of its own
     f.play(2, 300)
     f.bad[NODE] = f.now, 5
-    f.erring[NODE] = 0.05                                    # and a chance failure of others now and then
+    f.erring[NODE] = 0.05  # and a chance failure of others now and then
     f.play(6, 300)
     assert NODE not in f.avoided_us and any(s.balancer == 5 and not s.good for s in f.sent)
--- a/tests/shared_state/test_judgements.py
+++ b/tests/shared_state/test_judgements.py
@@ -6,8 +6,19 @@
 
 from roadlb.shared_state.events import short
 from roadlb.shared_state.judgements import (
-    AVOID_SHARE, COUNT_US, HOLD_MOST_US, HOLD_US, MOST_SIGNS, NEED, OF_ONE, PRESSURE_LEAST, Evidence,
-    Judgements, Trouble, lasts)
+    AVOID_SHARE,
+    COUNT_US,
+    HOLD_MOST_US,
+    HOLD_US,
+    MOST_SIGNS,
+    NEED,
+    OF_ONE,
+    PRESSURE_LEAST,
+    Evidence,
+    Judgements,
+    Trouble,
+    lasts,
+)
 
 SECOND = 1_000_000
 SERVERS = {b"s%d" % n: 0 for n in range(12)}
@@ -15,8 +26,9 @@
 BAD, GOOD = Trouble.ERRORS, Trouble.NONE
 
 
-def witness(hall: str, *bad: bytes, good: tuple[bytes, ...] = (b"s8", b"s9", b"s10"), at: int = NOW,
-            name: str = "") -> Judgements:
+def witness(
+    hall: str, *bad: bytes, good: tuple[bytes, ...] = (b"s8", b"s9", b"s10"), at: int = NOW, name: str = ""
+) -> Judgements:
     """One that has just had good answers, then as many failures as count of one."""
     w = Judgements(hall)
     w.listed(SERVERS)
@@ -98,7 +110,7 @@
     here, one, two, three = witness("c"), witness("a", b"s1"), witness("b", b"s1"), witness("c")
     three.saw(NOW + 1, b"s1", GOOD)
     assert not three.urgent
-    tells(three, one, two, now=NOW + 2)                # others may avoid it now: what it knows, all should
+    tells(three, one, two, now=NOW + 2)  # others may avoid it now: what it knows, all should
     assert three.urgent
     tells(here, one, two, three, now=NOW + 2)
     assert here.avoid(NOW + 2) == {}
@@ -113,7 +125,7 @@
     assert [s.server for s in changed.signs] == [short(b"s1")] and not two.urgent
     two.saw(NOW + 2, b"s1", GOOD)
     assert not two.urgent
-    one.saw(NOW + 3, b"s1", BAD)                       # it begins anew
+    one.saw(NOW + 3, b"s1", BAD)  # it begins anew
     tells(two, one, now=NOW + 3, number=2)
     two.saw(NOW + 4, b"s1", GOOD)
     assert two.urgent
@@ -126,7 +138,7 @@
         two.saw(NOW, server, BAD if server == b"s1" else GOOD)
     assert NEED == 2 * OF_ONE
     tells(here, one, two)
-    assert here.avoid(NOW) == {}                       # nine in a row of one and a chance one of another
+    assert here.avoid(NOW) == {}  # nine in a row of one and a chance one of another
     two.saw(NOW + 1, b"s1", BAD)
     tells(here, one, two, now=NOW + 1, number=2)
     assert set(here.avoid(NOW + 1)) == {b"s1"}
@@ -140,7 +152,7 @@
     one.saw(NOW + 1, b"s1", GOOD)
     here.came(NOW + 1, "w0", 1, one.tell(NOW + 1, 3, whole=False))
     assert set(here.avoid(NOW + 1)) == {b"s2"}
-    here.came(NOW + 1, "w0", 2, one.tell(NOW + 1, 1, whole=False))     # another life has another past
+    here.came(NOW + 1, "w0", 2, one.tell(NOW + 1, 1, whole=False))  # another life has another past
     assert here.avoid(NOW + 1) == {}
 
 
@@ -201,7 +213,7 @@
     tells(here, one, two)
     here.listed({**SERVERS, b"s1": NOW + SECOND})
     assert here.avoid(NOW + SECOND) == {}
-    tells(here, one, two, now=NOW + SECOND, number=2)         # they have not heard of the start yet
+    tells(here, one, two, now=NOW + SECOND, number=2)  # they have not heard of the start yet
     assert here.avoid(NOW + SECOND) == {}
     assert not [s for s in here.tell(NOW + SECOND, 1).signs if s.failures]
 
@@ -245,13 +257,16 @@
     assert len(signs) == MOST_SIGNS and signs[0].server == short(b"m199")
 
 
-@pytest.mark.parametrize(("reports", "together"), [
-    ([], None),
-    ([(0.9, 10)] * (PRESSURE_LEAST - 2), None),
-    ([(0.5, 10)] * 9, 0.45),                                     # the own is 0, and a tenth of the weight
-    ([(0.0, 10)] * 8 + [(1.0, 10)], 0.0),                        # one that is alone with its trouble
-    ([(0.2, 10)] * 9 + [(1.0, 60_000)], 0.2),                    # however much it claims to serve
-])
+@pytest.mark.parametrize(
+    ("reports", "together"),
+    [
+        ([], None),
+        ([(0.9, 10)] * (PRESSURE_LEAST - 2), None),
+        ([(0.5, 10)] * 9, 0.45),  # the own is 0, and a tenth of the weight
+        ([(0.0, 10)] * 8 + [(1.0, 10)], 0.0),  # one that is alone with its trouble
+        ([(0.2, 10)] * 9 + [(1.0, 60_000)], 0.2),  # however much it claims to serve
+    ],
+)
 def test_pressure_is_what_most_see(reports: list[tuple[float, int]], together: float | None) -> None:
     here = Judgements("a")
     here.pressure, here.weight = 0.0, 10
--- a/tests/shared_state/test_memory.py
+++ b/tests/shared_state/test_memory.py
@@ -51,7 +51,7 @@
     for whole in (True, False):
         for n in range(judgements.MOST_WITNESSES + 100):
             for number in (1, 2):
-                signs = tuple(Sign(k, Trouble.ERRORS, 1, 0, -1, -1) for k in KEYS[number * 40:][:50])
+                signs = tuple(Sign(k, Trouble.ERRORS, 1, 0, -1, -1) for k in KEYS[number * 40 :][:50])
                 here.came(NOW, f"w{n}", 1, Evidence(0.0, 1, 1, 1, KEYS[0], signs, number, whole))
     assert len(here.witnesses) == judgements.MOST_WITNESSES
     assert max(len(w.claims) for w in here.witnesses.values()) <= judgements.MOST_SIGNS
@@ -64,7 +64,7 @@
     here = Budgets(NOW - terms.gift_us, "me", 1, terms)
     for n in range(MOST_TAKERS + 50):
         for number in (1, 2):
-            items = tuple((k, 0, 1) for k in KEYS[number * 100:][:MOST_ITEMS])
+            items = tuple((k, 0, 1) for k in KEYS[number * 100 :][:MOST_ITEMS])
             here.handle(NOW, Came(f"t{n}", 1, Ask(number, 4, items)))
     assert len(here.takers) == MOST_TAKERS
     assert max(len(t.gifts) for t in here.takers.values()) <= MOST_ITEMS
@@ -73,8 +73,10 @@
     for step in range(30):
         for ask in here.handle(NOW + step * SECOND // 4, BudgetsPulse()):
             assert isinstance(ask.message, Ask)
-            here.handle(NOW + step * SECOND // 4, Came(ask.to, 1, Answer(1, ask.message.number, tuple(
-                (k, 1) for k in KEYS))))
+            here.handle(
+                NOW + step * SECOND // 4,
+                Came(ask.to, 1, Answer(1, ask.message.number, tuple((k, 1) for k in KEYS))),
+            )
         assert len(here.partners) <= MOST_PARTNERS and len(here.skip) <= 500
         assert all(len(p.held) <= MOST_ITEMS for p in here.partners.values())
 
@@ -127,4 +129,5 @@
         assert sum(map(len, peers._waiting.values())) == WAITING_MOST
         assert peers.counters["peers.out_dropped"] == 1_000
         assert len([name for name in peers.counters.all() if "bytes" in name]) == 1, "none for each kind"
+
     asyncio.run(main())
--- a/tests/shared_state/test_merged.py
+++ b/tests/shared_state/test_merged.py
@@ -16,8 +16,22 @@
 
 N = 4
 HALVED, FLOOR = FromVersions(Heard(N, wholes={0: 0.5})), FromVersions(Heard(N, wholes={0: 0.2}))
-LENT = FromShares(N, Heard(0, {b"s": 0.4}, {0: 0.4}, {b"bad": 9}, None, 1_000, 0.125,
-                            repeats_per_s=9.0, repeats=0.4, dials_per_s=9.0, dials={1: 0.4}))
+LENT = FromShares(
+    N,
+    Heard(
+        0,
+        {b"s": 0.4},
+        {0: 0.4},
+        {b"bad": 9},
+        None,
+        1_000,
+        0.125,
+        repeats_per_s=9.0,
+        repeats=0.4,
+        dials_per_s=9.0,
+        dials={1: 0.4},
+    ),
+)
 ALONE = FromShares(N, Heard(0, {}, {}, {}, None, 0, 0.125))
 
 
@@ -45,8 +59,8 @@
     merged.handle(0, HALVED)
     (heard,) = merged.handle(0, LENT)
     assert isinstance(heard, Heard)
-    assert quota(heard, 999) == approx(0.2) and quota(heard, 1_000) == approx(0.0625)   # the shares
-    (heard,) = [a for a in merged.handle(999, FLOOR) if isinstance(a, Heard)]   # the versions
+    assert quota(heard, 999) == approx(0.2) and quota(heard, 1_000) == approx(0.0625)  # the shares
+    (heard,) = [a for a in merged.handle(999, FLOOR) if isinstance(a, Heard)]  # the versions
     assert quota(heard, 999) == approx(0.08) and quota(heard, 1_000) == approx(0.025)
 
 
@@ -60,7 +74,7 @@
     assert heard.repeats == even and heard.dials == {1: even}
     (heard,) = merged.handle(0, FromShares(2 * N, LENT.heard))
     assert isinstance(heard, Heard) and heard.quotas == {0: 0.4}
-    merged.handle(0, Beside(2))                       # a twin changes the parts, and not the number
+    merged.handle(0, Beside(2))  # a twin changes the parts, and not the number
     assert len(merged.handle(0, FromVersions(Heard(4 * N)))) == 1
 
 
@@ -76,7 +90,7 @@
             self.do(i, told.handle(self.now, There(tuple(f"lb-{i}" for i in range(N)))))
 
     def do(self, i: int, actions: object) -> None:
-        for action in actions:                                                  # type: ignore[attr-defined]
+        for action in actions:  # type: ignore[attr-defined]
             if isinstance(action, Hear):
                 self.tell(i, FromShares(self.told[i].terms.instances, action.event))
             elif isinstance(action, Post) and self.random.random() < 0.8:
--- a/tests/shared_state/test_share_processes.py
+++ b/tests/shared_state/test_share_processes.py
@@ -20,8 +20,9 @@
 PART = 1 / 8
 
 
-def play(folder: Path, test: Callable[[RealPeers, list[int]], Coroutine[Any, Any, None]], share: bool = True
-         ) -> None:
+def play(
+    folder: Path, test: Callable[[RealPeers, list[int]], Coroutine[Any, Any, None]], share: bool = True
+) -> None:
     held = [reserved() for _ in range(8)]
     ports: list[int] = [one.getsockname()[1] for one in held]
 
@@ -35,9 +36,14 @@
         rig.change = change
         async with rig:
             await test(rig, ports)
-            errors = [line for log in folder.glob("*.log") for line in log.read_text().splitlines()
-                      if "level=error" in line or not line.startswith("at=")]
+            errors = [
+                line
+                for log in folder.glob("*.log")
+                for line in log.read_text().splitlines()
+                if "level=error" in line or not line.startswith("at=")
+            ]
             assert not errors, errors[:3]
+
     try:
         asyncio.run(main())
     finally:
@@ -53,16 +59,20 @@
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             for _ in range(10):
                 number += 1
-                writer.write(b"GET /grid-read/k%d HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %d-%d\r\n"
-                             b"X-Account: acme\r\n\r\n" % (number, port, number))
+                writer.write(
+                    b"GET /grid-read/k%d HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %d-%d\r\n"
+                    b"X-Account: acme\r\n\r\n" % (number, port, number)
+                )
             await asyncio.sleep(0.16)
             writer.close()
 
 
 def shares(rig: RealPeers) -> dict[str, float]:
     """What each may use of the customer's quota."""
-    return {name: next((s["share"] for s in told["shared"]["shares"] if s["budget"] == "acme"), PART)
-            for name, told in rig.told.items()}
+    return {
+        name: next((s["share"] for s in told["shared"]["shares"] if s["budget"] == "acme"), PART)
+        for name, told in rig.told.items()
+    }
 
 
 def whole(rig: RealPeers) -> bool:
@@ -91,10 +101,12 @@
         early = rig.told.get("lb-1")
         assert early is None or early["shared"]["lends"] or shares(rig)["lb-1"] < PART
         await rig.until("its first life's gifts are over", lambda: rig.told["lb-1"]["shared"]["lends"])
+
     play(tmp_path, test)
 
 
 def test_with_sharing_off_nothing_of_it_is_there(tmp_path: Path) -> None:
     async def test(rig: RealPeers, ports: list[int]) -> None:
         assert all("shared" not in told for told in rig.told.values())
+
     play(tmp_path, test, share=False)
--- a/tests/shared_state/test_share_proofs.py
+++ b/tests/shared_state/test_share_proofs.py
@@ -13,12 +13,22 @@
 
 from roadlb.lab.sharing.faults import HOLDS, LEAST
 from roadlb.lab.sharing.judge import (
-    ALLOWED, NOTICED_US, SETTLED_US, Cold, Life, Told, largest_sum, most_of_a_fall, most_of_a_quota,
-    most_of_a_rate, settled)
+    ALLOWED,
+    NOTICED_US,
+    SETTLED_US,
+    Cold,
+    Life,
+    Told,
+    largest_sum,
+    most_of_a_fall,
+    most_of_a_quota,
+    most_of_a_rate,
+    settled,
+)
 from roadlb.lab.sharing.play import NOTHING, PLANTED, Outcome, play
 from roadlb.lab.sharing.rates import Rates, play_rates
 
-SECONDS = 15.0               # of turns, and all of the last one
+SECONDS = 15.0  # of turns, and all of the last one
 
 
 def played(seed: int, seconds: float, defect: str = "", turn: str = "") -> Outcome:
@@ -76,10 +86,12 @@
     cold = Cold(0, 1.0, 0.5, 10_000_000)
     come = [(n * 100_000, 100_000) for n in range(20)]
     assert most_of_a_fall(cold, come, 2.0, 1_000_000, 200_000) == pytest.approx(
-        1.0 / (2 * cold.can(900_000)), rel=1e-3)
+        1.0 / (2 * cold.can(900_000)), rel=1e-3
+    )
     at_once = [(500_000, 100_000)] * 20
     assert most_of_a_fall(cold, at_once, 2.0, 1_000_000, 200_000) == pytest.approx(
-        2 * most_of_a_fall(cold, at_once, 2.0, 1_000_000, 200_000, [(-500_000, 500_000)]))
+        2 * most_of_a_fall(cold, at_once, 2.0, 1_000_000, 200_000, [(-500_000, 500_000)])
+    )
     served = [(n * 10_000, "a" if n % 2 else "b") for n in range(2_000)]
     spans = {"a": [(0, 20_000_000)], "b": [(15_000_000, 20_000_000)]}
     assert most_of_a_quota(served, spans, 50) == pytest.approx(1.5, rel=0.01)
@@ -107,5 +119,7 @@
     states = [(0, "a", "started"), (0, "b", "started"), (0, "c", "started"), (20 * second, "b", "killed")]
     found = settled(states, {"a": "x", "b": "x", "c": "y"}, far)
     assert [span for span in found["a"] if span[1] > span[0]] == [
-        (SETTLED_US, 20 * second), (20 * second + SETTLED_US + NOTICED_US, far)]
+        (SETTLED_US, 20 * second),
+        (20 * second + SETTLED_US + NOTICED_US, far),
+    ]
     assert found["c"] == [(SETTLED_US, far)] and found["b"][-1][1] == 20 * second
--- a/tests/shared_state/test_told.py
+++ b/tests/shared_state/test_told.py
@@ -39,8 +39,9 @@
 def test_who_hears_nobody_decides_as_with_the_part_off() -> None:
     off, deaf = played(False), played(True, Air(loss=1.0))
     assert off.sent == deaf.sent and off.refused == deaf.refused
-    assert all(p.heard[0].pressure is None and not p.heard[0].cold and not p.heard[0].quotas
-               for p in deaf.parties)
+    assert all(
+        p.heard[0].pressure is None and not p.heard[0].cold and not p.heard[0].quotas for p in deaf.parties
+    )
 
 
 def test_few_lose_orders_at_a_server_that_all_will_avoid() -> None:
@@ -82,8 +83,9 @@
     for ask in asks:
         message = read(ask.payload)
         assert isinstance(message, Ask)
-        t.handle(START, Message(ask.to, 1, write(Answer(1, message.number, (
-            (t._quotas[0][0], TERMS.most),)))))
+        t.handle(
+            START, Message(ask.to, 1, write(Answer(1, message.number, ((t._quotas[0][0], TERMS.most),))))
+        )
     (hear, *_) = pulse(t, START + 1, 90.0)
     assert isinstance(hear, Hear) and len(asks) == 3
     heard = hear.event
@@ -102,12 +104,13 @@
         (answer,) = (read(a.payload) for a in pulse(t, now + 1, 0.0) if isinstance(a, Post) and a.to == "b")
         assert isinstance(answer, Answer)
         return answer
+
     assert ask(1, START).items == ((k, 0),)
     cold = ServerView(b"new", True, 0.2, False, 1.0, 1, 0)
     pulse(t, START + 2, 0.0, cold)
     ((_, given),) = ask(2, START + 3).items
     assert given > 0
-    for cold_yet in ((cold,), ()):           # gone from the list, it may come back while the gift is used
+    for cold_yet in ((cold,), ()):  # gone from the list, it may come back while the gift is used
         (hear, *_) = pulse(t, START + 5, 0.0, *cold_yet)
         assert isinstance(hear, Hear) and hear.event.cold == {b"new": (TERMS.part - given) / TERMS.whole}
     early = Told(0, "a", 2, "hall", TERMS).handle(1, Beside(1))[0]
--- a/tests/shared_state/test_wire.py
+++ b/tests/shared_state/test_wire.py
@@ -20,8 +20,17 @@
     Ask(2**64 - 1, 200, ((K, 1, 2**32 - 1),) * MOST_ITEMS),
     Answer(2**48 - 1, 7, ((K, 5),) * MOST_ITEMS),
     Counted(((Sort.SERVED, K[:SHORT], 9),) * MOST_COUNTS, (1, 2, 3), 4),
-    Evidence(1.0, 65_535, 3, 4, K, (Sign(K, Trouble.SILENT, 3, 5_000, 60_000_000, -1),) * MOST_SIGNS, 9,
-             True, (HallSign(K, 2, 7_000, 4_000_000_000_000),) * MOST_HALLS),
+    Evidence(
+        1.0,
+        65_535,
+        3,
+        4,
+        K,
+        (Sign(K, Trouble.SILENT, 3, 5_000, 60_000_000, -1),) * MOST_SIGNS,
+        9,
+        True,
+        (HallSign(K, 2, 7_000, 4_000_000_000_000),) * MOST_HALLS,
+    ),
     Evidence(None, 0, 0, 0, K, whole=False),
 ]
 
@@ -41,12 +50,21 @@
     assert told.signs[0].bad_us == -1, "longer ago than is told"
 
 
-@given(st.one_of(
-    st.binary(max_size=1_200),
-    st.builds(lambda kind, rest: bytes([kind]) + rest, st.integers(0, 6), st.binary(max_size=1_100)),
-    st.builds(lambda n, at, bit, cut: bytes(
-        b ^ (1 << bit if i == at % len(write(FULL[n])) else 0) for i, b in enumerate(write(FULL[n])))[:cut],
-        st.integers(0, len(FULL) - 1), st.integers(0), st.integers(0, 7), st.integers(0, 1_100))))
+@given(
+    st.one_of(
+        st.binary(max_size=1_200),
+        st.builds(lambda kind, rest: bytes([kind]) + rest, st.integers(0, 6), st.binary(max_size=1_100)),
+        st.builds(
+            lambda n, at, bit, cut: bytes(
+                b ^ (1 << bit if i == at % len(write(FULL[n])) else 0) for i, b in enumerate(write(FULL[n]))
+            )[:cut],
+            st.integers(0, len(FULL) - 1),
+            st.integers(0),
+            st.integers(0, 7),
+            st.integers(0, 1_100),
+        ),
+    )
+)
 def test_whatever_comes_its_own_error_or_a_message_within_bounds(data: bytes) -> None:
     with suppress(Fault):
         message = read(data)
--- a/tests/sites/six.py
+++ b/tests/sites/six.py
@@ -39,17 +39,23 @@
 over_s = 5
 drain_s = 1
 """
-UNEVEN = DEPLOYMENT.replace("nodes = 12", "".join(f"""
+UNEVEN = DEPLOYMENT.replace(
+    "nodes = 12",
+    "".join(
+        f"""
 [[fleet.group]]
 hall = "{hall}"
 machine = "new-2c"
 count = {count}
-""" for hall, count in zip(HALLS, (6, 3, 1), strict=True)))
+"""
+        for hall, count in zip(HALLS, (6, 3, 1), strict=True)
+    ),
+)
 UNEVEN += """
 [[refusal]]
 class = "grid-read"
 """
-TOLD_US = 1_000_000          # nothing new is sent later than this after a word is answered
+TOLD_US = 1_000_000  # nothing new is sent later than this after a word is answered
 Scenario = Callable[[Rig], Coroutine[Any, Any, None]]
 
 
@@ -77,8 +83,13 @@
 
     Not counted where the rig itself, with all nodes, stood still for a tenth of the 2 s before: sites that
     are silent then are as good as lost."""
-    return [change for change in rig.changes(since) if change.after == "lost" and change.site in sites
-            and rig.held_up_us(change.at - 2_000_000, change.at) < 200_000]
+    return [
+        change
+        for change in rig.changes(since)
+        if change.after == "lost"
+        and change.site in sites
+        and rig.held_up_us(change.at - 2_000_000, change.at) < 200_000
+    ]
 
 
 class Six:
@@ -87,8 +98,9 @@
     A site that is lost within 10 s of its return has relapsed, and is asked only after 2 s, then 4, then 8:
     so scenarios that follow each other lose different halls."""
 
-    def __init__(self, deployment: str = DEPLOYMENT, seed: int = 1,
-                 variables: Mapping[str, str] | None = None) -> None:
+    def __init__(
+        self, deployment: str = DEPLOYMENT, seed: int = 1, variables: Mapping[str, str] | None = None
+    ) -> None:
         self._incident, self._seed, self._variables = read(deployment, "rig.toml"), seed, variables
         self._runner: asyncio.Runner | None = None
         self._rig: Rig
@@ -107,9 +119,13 @@
     async def _play(self, scenario: Scenario) -> None:
         rig, since = self._rig, self._rig.now
         await rig.dealt()
-        await rig.until("all whole, with load", lambda: (
-            len(rig.sites) == len(rig.stage.balancers.all)
-            and all(rig.all_say(hall, "whole") and len(rig.got(since, hall)) > 5 for hall in HALLS)))
+        await rig.until(
+            "all whole, with load",
+            lambda: (
+                len(rig.sites) == len(rig.stage.balancers.all)
+                and all(rig.all_say(hall, "whole") and len(rig.got(since, hall)) > 5 for hall in HALLS)
+            ),
+        )
         await scenario(rig)
         assert not rig.repeated_orders(since)
         assert not rig.world.faults
--- a/tests/sites/test_life.py
+++ b/tests/sites/test_life.py
@@ -7,10 +7,37 @@
 import pytest
 
 from roadlb.sites.events import (
-    Answered, Changed, Declined, Doubted, Listed, Missed, Pulse, PutIn, Sent, State, TakeOut)
+    Answered,
+    Changed,
+    Declined,
+    Doubted,
+    Listed,
+    Missed,
+    Pulse,
+    PutIn,
+    Sent,
+    State,
+    TakeOut,
+)
 from roadlb.sites.life import (
-    DOUBT, DOUBT_US, KEEP_US, LOSS, MOST_SITES, QUIET_MOST_US, QUIET_TIMES, QUIET_US, SHORT_US, SLOW_US,
-    STEADY_US, STEP_ANSWERS, STEP_US, STEPS, TRIAL_MOST_US, TRIAL_US, Sites)
+    DOUBT,
+    DOUBT_US,
+    KEEP_US,
+    LOSS,
+    MOST_SITES,
+    QUIET_MOST_US,
+    QUIET_TIMES,
+    QUIET_US,
+    SHORT_US,
+    SLOW_US,
+    STEADY_US,
+    STEP_ANSWERS,
+    STEP_US,
+    STEPS,
+    TRIAL_MOST_US,
+    TRIAL_US,
+    Sites,
+)
 
 SECOND = 1_000_000
 HERE, THERE, FAR = 0, 1, 2
@@ -83,7 +110,8 @@
     world.fail(THERE, 1)
     assert world.state(THERE) is State.LOST and world.state(FAR) is State.DOUBTFUL
     assert [a for a in world.said if isinstance(a, Changed) and a.after is State.LOST] == [
-        Changed(THERE, State.DOUBTFUL, State.LOST, "3 servers fail, none answers")]
+        Changed(THERE, State.DOUBTFUL, State.LOST, "3 servers fail, none answers")
+    ]
 
 
 def test_doubt_is_ended_by_a_trial_one_way_or_the_other() -> None:
@@ -138,7 +166,7 @@
         world.now += 5_000
         world.tell(Missed(THERE, world.server(THERE, i % 20)))
         if i % 2:
-            world.answer(THERE)          # late as it is
+            world.answer(THERE)  # late as it is
         world.answer(HERE)
     assert not any(isinstance(a, Changed) and a.after is State.LOST for a in world.said)
 
@@ -169,6 +197,7 @@
             world.answer(HERE)
             world.fail(THERE, LOSS)
         return world.now - heard
+
     usual = silence(20_000)
     assert QUIET_US <= usual < QUIET_US + 200_000
     assert QUIET_TIMES * 500_000 <= silence(500_000) < QUIET_TIMES * 500_000 + 200_000
@@ -334,7 +363,7 @@
         old = world.server(THERE, i)
         world.tell(Missed(THERE, old))
         if i % 2:
-            there[old] = world.now          # starts anew, under its name
+            there[old] = world.now  # starts anew, under its name
         else:
             del there[old]
             there[bytes([THERE, 9, i])] = world.now
@@ -357,7 +386,7 @@
     world.fail(FAR, LOSS)
     assert world.state(THERE) is world.state(FAR) is State.LOST and world.state(HERE) is State.WHOLE
     world.now += 2 * SHORT_US
-    world.answer(THERE)                   # one is lost while another returns
+    world.answer(THERE)  # one is lost while another returns
     world.fail(HERE, LOSS)
     assert world.state(HERE) is State.DOUBTFUL, "nobody else has answered since"
     assert world.state(THERE) is State.RETURNING
@@ -407,7 +436,7 @@
     world.tell(Listed(others))
     assert world.sites.spare(world.now) == -1, "nobody is there"
     for _ in range(3):
-        world.step(THERE)                                 # what was still under way
+        world.step(THERE)  # what was still under way
     world.tell(Listed({**others, THERE: {world.server(THERE, i): world.now for i in range(4)}}))
     assert world.state(THERE) is State.RETURNING and world.share(THERE) == STEPS[0]
     world.tell(Sent(THERE))
@@ -435,7 +464,7 @@
     assert not shut(w) and shut(w, repeatable=False) and w.sites.due(w.now) == THERE
     w.tell(Sent(THERE))
     assert shut(w) and not w.sites.shut(w.now, THERE, True, bold=True) and w.sites.due(w.now) == -1
-    for _ in range(20):                               # however often they say it
+    for _ in range(20):  # however often they say it
         w.now += SECOND // 4
         doubted(w)
         w.tell(Pulse())
@@ -457,7 +486,7 @@
     assert w.state(THERE) is State.WHOLE
     doubted(w)
     w.now += SHORT_US
-    w.answer(THERE)                                   # others have had its load for long
+    w.answer(THERE)  # others have had its load for long
     assert w.state(THERE) is State.RETURNING
 
 
@@ -467,7 +496,7 @@
     w.now += SECOND
     w.tell(Pulse())
     assert w.state(THERE) is State.WHOLE and not shut(w, repeatable=False)
-    w.fail(THERE, DOUBT)                              # ... but not what was met here
+    w.fail(THERE, DOUBT)  # ... but not what was met here
     doubted(w, for_us=SECOND)
     w.now += SECOND
     w.tell(Pulse())
