--- a/tests/sites/test_lost_site.py
+++ b/tests/sites/test_lost_site.py
@@ -8,42 +8,71 @@
 
 from roadlb import Balancer
 from roadlb.policy.interface import (
-    Arrival, Cancel, Effect, Heard, ListKind, ListUpdate, Member, Outcome, Refuse, RequestClass, Send,
-    Settings, SetTimer, Status, TimerFired,
+    Arrival,
+    Cancel,
+    Effect,
+    Heard,
+    ListKind,
+    ListUpdate,
+    Member,
+    Outcome,
+    Refuse,
+    RequestClass,
+    Send,
+    Settings,
+    SetTimer,
+    Status,
+    TimerFired,
 )
 from roadlb.sites.events import State
 from roadlb.sites.life import LOSS
 
 SECOND = 1_000_000
-EACH = 40                # servers in each of three halls
+EACH = 40  # servers in each of three halls
 READ, ORDER = 0, 1
 
 
 class World:
     """One balancer of hall 0 at ten requests a second, a quarter of them orders; some halls never answer."""
 
-    def __init__(self, status: Status = Status.CONNECT_FAILED, took: int = 250_000,
-                 copies: bool = False, servers: Sequence[int] = (EACH, EACH, EACH),
-                 cold: bool = False) -> None:
-        self.how = status, took                            # an attempt at a dark hall ends
-        classes = [RequestClass("read", 500_000, 2_500_000, 2.0, 0.5),
-                   RequestClass("order", 500_000, 2_500_000, 10.0, 0.5, effect=Effect.UNSAFE)]
-        self.balancer = Balancer(Settings(classes=classes, instances=200, cross_zone_cost=0.02,
-                                          second_copies=copies, cold_from=0.1 if cold else 1.0,
-                                          cold_us=30 * SECOND if cold else 0), 3)
+    def __init__(
+        self,
+        status: Status = Status.CONNECT_FAILED,
+        took: int = 250_000,
+        copies: bool = False,
+        servers: Sequence[int] = (EACH, EACH, EACH),
+        cold: bool = False,
+    ) -> None:
+        self.how = status, took  # an attempt at a dark hall ends
+        classes = [
+            RequestClass("read", 500_000, 2_500_000, 2.0, 0.5),
+            RequestClass("order", 500_000, 2_500_000, 10.0, 0.5, effect=Effect.UNSAFE),
+        ]
+        self.balancer = Balancer(
+            Settings(
+                classes=classes,
+                instances=200,
+                cross_zone_cost=0.02,
+                second_copies=copies,
+                cold_from=0.1 if cold else 1.0,
+                cold_us=30 * SECOND if cold else 0,
+            ),
+            3,
+        )
         self.halls = {bytes([65 + hall, n]): hall for hall in range(3) for n in range(servers[hall])}
         self.now, self.number, self.dark = SECOND, 0, set[int]()
-        self.hang = set[int]()                             # halls where orders alone are never answered
+        self.hang = set[int]()  # halls where orders alone are never answered
         self.due: list[tuple[int, int, object]] = []
         self.attempts: dict[int, int] = {}
-        self.sends: list[tuple[int, int, int]] = []        # when, which class, to which hall
+        self.sends: list[tuple[int, int, int]] = []  # when, which class, to which hall
         self.refused, self.held_back = 0, 0
         self.do(ListUpdate(ListKind.CACHED, [Member(s, zone=hall) for s, hall in self.halls.items()]))
 
     def do(self, event: object) -> None:
         actions = self.balancer.handle(self.now, event)  # type: ignore[arg-type]
         self.held_back += isinstance(event, Arrival) and not any(
-            isinstance(a, Send | Refuse) for a in actions)
+            isinstance(a, Send | Refuse) for a in actions
+        )
         for a in actions:
             if isinstance(a, SetTimer):
                 self.put(a.at_us, TimerFired(a.token))
@@ -57,14 +86,19 @@
                 status, took = self.how if dark else (Status.OK, 50_000)
                 self.put(self.now + took, Outcome(a.request, attempt, a.server, status, took, not dark))
             elif isinstance(a, Cancel):
-                pending = next(d for d in self.due if isinstance(d[2], Outcome) and (
-                    d[2].request, d[2].attempt) == (a.request, a.attempt))
+                pending = next(
+                    d
+                    for d in self.due
+                    if isinstance(d[2], Outcome) and (d[2].request, d[2].attempt) == (a.request, a.attempt)
+                )
                 self.due.remove(pending)
                 outcome = pending[2]
                 assert isinstance(outcome, Outcome)
                 sent = pending[0] - outcome.latency_us
-                self.put(self.now, Outcome(a.request, a.attempt, outcome.server, Status.CANCELLED,
-                                           self.now - sent, True))
+                self.put(
+                    self.now,
+                    Outcome(a.request, a.attempt, outcome.server, Status.CANCELLED, self.now - sent, True),
+                )
 
     def put(self, at: int, event: object) -> None:
         self.number += 1
@@ -76,8 +110,10 @@
         for n in range(10 * seconds):
             request = 1000 * (self.now // SECOND) + first + n
             request = 4 * request + reads_only if orders_only or reads_only else request
-            self.put(self.now + n * SECOND // 10,
-                     Arrival(request, ORDER if request % 4 == 0 else READ, 0, request * 7919, 2_500_000, 0))
+            self.put(
+                self.now + n * SECOND // 10,
+                Arrival(request, ORDER if request % 4 == 0 else READ, 0, request * 7919, 2_500_000, 0),
+            )
         while self.due and min(self.due)[0] < end:
             self.due.sort()
             at, _, event = self.due.pop(0)
@@ -89,10 +125,12 @@
         return [s for s in self.sends if s[0] >= at and (s[2] in self.dark) is dark]
 
 
-@pytest.mark.parametrize(("status", "took", "more"), [
-    (Status.CONNECT_FAILED, 250_000, 12), (Status.TIMEOUT, 1_000_000, 24)])
+@pytest.mark.parametrize(
+    ("status", "took", "more"), [(Status.CONNECT_FAILED, 250_000, 12), (Status.TIMEOUT, 1_000_000, 24)]
+)
 def test_two_halls_out_of_reach_cost_a_few_requests_and_no_shedding(
-        status: Status, took: int, more: int) -> None:
+    status: Status, took: int, more: int
+) -> None:
     # Cut off, a balancer took the lateness of what it sent to the other halls for too much work: it shed up
     # to 0.95 of what its own hall had room for, and heard nothing more that would have told it better.
     world = World(status, took)
@@ -101,7 +139,7 @@
     world.dark = {1, 2}
     began = world.now
     world.play(4)
-    so_far = world.refused                                 # what waited there too long
+    so_far = world.refused  # what waited there too long
     world.play(6)
     assert 2 * LOSS <= len(world.sent_since(began)) <= 2 * (LOSS + more)
     assert world.refused - so_far <= 3
@@ -122,7 +160,7 @@
     world.play(5)
     began = world.now
     world.play(10)
-    assert sum(hall != 0 for at, _, hall in world.sends if at >= began) > 20     # a third to a half again
+    assert sum(hall != 0 for at, _, hall in world.sends if at >= began) > 20  # a third to a half again
 
 
 def test_where_all_halls_are_shut_orders_alone_find_them_again() -> None:
@@ -153,11 +191,16 @@
     assert {s[2] for s in back} == {1, 2} and sum(not order for _, order, _ in back) >= 8
 
 
-@pytest.mark.parametrize(("status", "took", "stands"), [
-    (Status.TIMEOUT, 2_500_000, {State.WHOLE, State.DOUBTFUL, State.LOST}),
-    (Status.OK, 2_000_000, {State.WHOLE})])
+@pytest.mark.parametrize(
+    ("status", "took", "stands"),
+    [
+        (Status.TIMEOUT, 2_500_000, {State.WHOLE, State.DOUBTFUL, State.LOST}),
+        (Status.OK, 2_000_000, {State.WHOLE}),
+    ],
+)
 def test_a_hall_whose_reads_are_all_rescued_by_copies_is_found_lost_and_a_slow_one_is_not(
-        status: Status, took: int, stands: set[State]) -> None:
+    status: Status, took: int, stands: set[State]
+) -> None:
     # Called off as soon as its copy is answered, no attempt there ever failed; and where that alone counted
     # as a failure, a slow hall would be shut.
     world = World(status, took, copies=True, servers=(EACH, 12, EACH))
@@ -191,8 +234,12 @@
     assert [view.state for view in world.balancer.sites.view()] == [State.WHOLE, State.LOST, State.LOST]
     own = {bytes([90, n]): 0 for n in range(4)}
     world.halls = {s: hall for s, hall in world.halls.items() if hall} | own
-    world.do(ListUpdate(ListKind.CACHED, [
-        Member(s, zone=hall, born_us=0 if hall else world.now) for s, hall in world.halls.items()]))
+    world.do(
+        ListUpdate(
+            ListKind.CACHED,
+            [Member(s, zone=hall, born_us=0 if hall else world.now) for s, hall in world.halls.items()],
+        )
+    )
     began, refused = world.now, world.refused
     world.play(10, orders_only=True)
     assert not any(order for _, order, _ in world.sent_since(began))
--- a/tests/sites/test_orders_away.py
+++ b/tests/sites/test_orders_away.py
@@ -14,8 +14,9 @@
 class Hanging(World):
     """Orders at `THERE` fail; all else is answered."""
 
-    def __init__(self, *counts: int, orders_elsewhere: bool = True, reads: bool = True,
-                 servers: int = LOSS) -> None:
+    def __init__(
+        self, *counts: int, orders_elsewhere: bool = True, reads: bool = True, servers: int = LOSS
+    ) -> None:
         super().__init__(*counts)
         self.now += QUIET_US
         self.fail(THERE, 1, order=True)
@@ -38,7 +39,7 @@
         self.tell(Sent(THERE, self.server(THERE, 0), True))
         assert self.kept(), "one at a time"
         waited, self.now = self.now - began, self.now + 2 * SECOND
-        self.tell(Missed(THERE, self.server(THERE, 1), True))     # sent before: no trial
+        self.tell(Missed(THERE, self.server(THERE, 1), True))  # sent before: no trial
         self.answer(THERE)
         self.fail(THERE, 1, order=True)
         return waited
@@ -53,12 +54,13 @@
     world.answer(THERE, order=True)
     assert not world.kept()
     said = [str(one) for one in world.said if isinstance(one, OrdersKept)]
-    assert said == ["site 1: orders keep away: 3 servers fail them and answer other requests",
-                    "site 1: orders go there: an order is answered"]
+    assert said == [
+        "site 1: orders keep away: 3 servers fail them and answer other requests",
+        "site 1: orders go there: an order is answered",
+    ]
 
 
-@pytest.mark.parametrize("case", [
-    {"servers": DOUBT}, {"orders_elsewhere": False}, {"reads": False}])
+@pytest.mark.parametrize("case", [{"servers": DOUBT}, {"orders_elsewhere": False}, {"reads": False}])
 def test_too_little_or_what_holds_for_all_keeps_no_orders_away(case: dict[str, Any]) -> None:
     world = Hanging(**case)
     assert not any(isinstance(one, OrdersKept) for one in world.said)
--- a/tests/sites/test_plan.py
+++ b/tests/sites/test_plan.py
@@ -19,8 +19,8 @@
 
 LOST = Path(__file__).parents[2] / "examples" / "incidents" / "hall-lost.toml"
 SITES = [SiteSize(name, 4, 10.0, 0.25, 20.0) for name in "abc"]
-READS = Demand("read", "one", False, 1_000, 0.01, 2.0, 0)       # 10 cores of work
-ORDERS = Demand("order", "one", False, 100, 0.1, 10.0, 1)       # and 10
+READS = Demand("read", "one", False, 1_000, 0.01, 2.0, 0)  # 10 cores of work
+ORDERS = Demand("order", "one", False, 100, 0.1, 10.0, 1)  # and 10
 
 
 def plan(*lines: dict[str, Any], **more: Any) -> tuple[PlanLine, ...]:
@@ -30,16 +30,22 @@
 
 def test_a_plan_is_read_line_by_line() -> None:
     assert plan() == ()
-    assert plan({"share": "over", "customer": "cesty"}, {"class": "grid-read", "try": "repeat"},
-                {"class": "order", "key": "cold"}) == (
-        PlanLine(tenant=1, over_share=True), PlanLine(0, repeat=True), PlanLine(1, warm_key=False))
-
-
-@pytest.mark.parametrize(("line", "text"), [
-    ({"class": "orders"}, r"refusal\.plan\.0\.class: there is no 'orders'; there are grid-read, order"),
-    ({"customer": "x"}, r"refusal\.plan\.0\.customer: there is no 'x'; there are energia, cesty"),
-    ({"try": "second"}, r"refusal\.plan\.0\.try: 'second' is not repeat or first"),
-    ({"worth": 3}, r"refusal\.plan\.0\.worth: is not known; there are class, customer, share, try, key")])
+    assert plan(
+        {"share": "over", "customer": "cesty"},
+        {"class": "grid-read", "try": "repeat"},
+        {"class": "order", "key": "cold"},
+    ) == (PlanLine(tenant=1, over_share=True), PlanLine(0, repeat=True), PlanLine(1, warm_key=False))
+
+
+@pytest.mark.parametrize(
+    ("line", "text"),
+    [
+        ({"class": "orders"}, r"refusal\.plan\.0\.class: there is no 'orders'; there are grid-read, order"),
+        ({"customer": "x"}, r"refusal\.plan\.0\.customer: there is no 'x'; there are energia, cesty"),
+        ({"try": "second"}, r"refusal\.plan\.0\.try: 'second' is not repeat or first"),
+        ({"worth": 3}, r"refusal\.plan\.0\.worth: is not known; there are class, customer, share, try, key"),
+    ],
+)
 def test_a_fault_in_a_plan_names_its_key_and_the_remedy(line: dict[str, Any], text: str) -> None:
     with pytest.raises(ConfigError, match=text):
         plan(line)
@@ -88,7 +94,9 @@
 def test_what_is_refused_is_summed_up_in_worth() -> None:
     one = loss(SITES, [READS, ORDERS], ["a"], told_s=2.0)
     assert one.refused_worth(lambda demand: demand.name) == {
-        "order": (1_000.0, 0.0), "read": (2_000.0, pytest.approx(450.0, abs=1))}
+        "order": (1_000.0, 0.0),
+        "read": (2_000.0, pytest.approx(450.0, abs=1)),
+    }
     assert one.refused_worth(lambda demand: demand.customer)["one"][1] == pytest.approx(450.0, abs=1)
 
 
@@ -119,9 +127,21 @@
         def do_PUT(self) -> None:
             asked.append(self.path)
             last = "hall-a" in self.path
-            body = b"hall-a: is the last site in service, and stays" if last else json.dumps(
-                {"site": "hall b", "state": "out", "share": 0.0, "servers": 4, "silent": 0, "relapses": 0,
-                 "for_s": 0.0}).encode()
+            body = (
+                b"hall-a: is the last site in service, and stays"
+                if last
+                else json.dumps(
+                    {
+                        "site": "hall b",
+                        "state": "out",
+                        "share": 0.0,
+                        "servers": 4,
+                        "silent": 0,
+                        "relapses": 0,
+                        "for_s": 0.0,
+                    }
+                ).encode()
+            )
             self.send_response(409 if last else 200)
             self.end_headers()
             self.wfile.write(body)
--- a/tests/sites/test_processes.py
+++ b/tests/sites/test_processes.py
@@ -18,8 +18,8 @@
 from roadlb.lab.wire import ClientGot, ClientSent
 from roadlb.sites.life import STEADY_US, TRIAL_US
 
-ON_THE_WAY_US = 100_000      # what had left the cut's other side before it fell
-UNDER_WAY_US = 500_000       # what was sent before a fault ended has ended as well
+ON_THE_WAY_US = 100_000  # what had left the cut's other side before it fell
+UNDER_WAY_US = 500_000  # what was sent before a fault ended has ended as well
 
 
 def test_a_hall_slow_by_overload_is_not_lost(six: Six) -> None:
@@ -34,6 +34,7 @@
             end()
         assert not lost(rig, began, *HALLS)
         assert rig.got(began + TOLD_US, "hall-c"), "it has load all the while"
+
     six.play(test)
 
 
@@ -48,20 +49,32 @@
             """Lost again soon after it was taken back, in the midst of a fault; and taken back again."""
             found = []
             for name in names:
-                told = [change for change in rig.changes(began) if change.balancer == name
-                        and change.site == "hall-c" and "lost" in (change.before, change.after)]
-                found += [(gone, again) for back, gone, again in zip(told, told[1:], told[2:], strict=False)
-                          if back.before == "lost" and gone.at - back.at < STEADY_US
-                          and any(since < gone.at < end - UNDER_WAY_US for since, end in shut)]
+                told = [
+                    change
+                    for change in rig.changes(began)
+                    if change.balancer == name
+                    and change.site == "hall-c"
+                    and "lost" in (change.before, change.after)
+                ]
+                found += [
+                    (gone, again)
+                    for back, gone, again in zip(told, told[1:], told[2:], strict=False)
+                    if back.before == "lost"
+                    and gone.at - back.at < STEADY_US
+                    and any(since < gone.at < end - UNDER_WAY_US for since, end in shut)
+                ]
             return found
+
         def taken_back(whose: list[str]) -> bool:
             return all(rig.say(name, "hall-c", "returning", "whole") for name in whose)
+
         async with asyncio.timeout(GENEROUS_S):
             while not relapses():
                 since, reopen = rig.now, rig.shut("hall-c")
                 await asyncio.sleep(2)
-                await rig.until("hall-c lost to some",
-                                lambda: any(rig.say(name, "hall-c", "lost") for name in names))
+                await rig.until(
+                    "hall-c lost to some", lambda: any(rig.say(name, "hall-c", "lost") for name in names)
+                )
                 reopen()
                 shut.append((since, rig.now))
                 # Who relapses asks late: shut before that, it would hear nothing for yet another turn.
@@ -70,6 +83,7 @@
         for gone, again in relapses():
             assert again.at - gone.at >= 2 * TRIAL_US, "a trial at the usual time after a relapse"
         await rig.until("taken back when it holds", lambda: rig.all_say("hall-c", "whole"))
+
     six.play(test)
 
 
@@ -82,22 +96,27 @@
         await give_back()
         await rig.dealt()
         back = rig.now
-        await rig.until("hall-b is whole again, to its own balancers too",
-                        lambda: len(rig.stage.balancers.running) == 6 and rig.all_say("hall-b", "whole"))
+        await rig.until(
+            "hall-b is whole again, to its own balancers too",
+            lambda: len(rig.stage.balancers.running) == 6 and rig.all_say("hall-b", "whole"),
+        )
         await rig.until("it has load", lambda: len(rig.got(back, "hall-b")) > 20)
         assert not without_steps(rig.changes(known))
+
     six.play(test)
 
 
 @pytest.mark.parametrize("fault, hall", [("mute", "hall-a"), ("pause_nodes", "hall-c")])
 def test_a_site_that_hears_and_does_not_answer_gets_trials_alone_and_no_order(
-        six: Six, fault: str, hall: str) -> None:
+    six: Six, fault: str, hall: str
+) -> None:
     # Orders there have run, as far as anybody knows: they fail, and are not repeated.
     async def test(rig: Rig) -> None:
         heal = getattr(rig, fault)(hall)
 
         def who_know() -> set[str]:
             return {name for name in foreign(rig, hall) if rig.say(name, hall, "lost")}
+
         # One whose reads are all rescued by second copies, or that sends no order there, need not know.
         await rig.until(f"{hall} lost to most", lambda: len(who_know()) >= 3)
         known, know = rig.now, who_know()
@@ -109,6 +128,7 @@
         assert len(came) <= len(know) * (elapsed_s + 1), "more than trials"
         heal()
         await rig.until(f"{hall} whole", lambda: rig.all_say(hall, "whole"))
+
     six.play(test)
 
 
@@ -118,14 +138,21 @@
         inside = [one.name for one in rig.stage.balancers.all if one.hall == "hall-b"]
         outside = [one.name for one in rig.stage.balancers.all if one.hall != "hall-b"]
         # One that sends it nothing need not know.
-        await rig.until("outside, hall-b is lost; inside, the others are", lambda: (
-            sum(rig.say(name, "hall-b", "lost") for name in outside) >= 2
-            and all(rig.say(name, hall, "lost") for name in inside for hall in ("hall-a", "hall-c"))))
+        await rig.until(
+            "outside, hall-b is lost; inside, the others are",
+            lambda: (
+                sum(rig.say(name, "hall-b", "lost") for name in outside) >= 2
+                and all(rig.say(name, hall, "lost") for name in inside for hall in ("hall-a", "hall-c"))
+            ),
+        )
         cut = rig.now
-        await rig.until("its own nodes serve its own clients",
-                        lambda: any(event.balancer in inside for event in rig.got(cut, "hall-b")))
+        await rig.until(
+            "its own nodes serve its own clients",
+            lambda: any(event.balancer in inside for event in rig.got(cut, "hall-b")),
+        )
         heal()
         await rig.until("whole, all of it", lambda: all(rig.all_say(hall, "whole") for hall in HALLS))
+
     six.play(test)
 
 
@@ -137,15 +164,16 @@
         one = next(one for one in rig.stage.balancers.all if one.name == "balancer-4")
         rig.stage.balancers.kill(one)
         awake.remove("balancer-4")
-        await rig.until("those awake know",
-                        lambda: all(rig.say(name, "hall-a", "lost", "absent") for name in awake))
+        await rig.until(
+            "those awake know", lambda: all(rig.say(name, "hall-a", "lost", "absent") for name in awake)
+        )
         wake()
         rig.stage.balancers.start_again(one)
-        await rig.until("all know", lambda: (
-            len(rig.sites) == 4 and rig.all_say("hall-a", "lost", "absent")))
+        await rig.until("all know", lambda: len(rig.sites) == 4 and rig.all_say("hall-a", "lost", "absent"))
         await give_back()
         await rig.dealt()
         await rig.until("whole", lambda: len(rig.sites) == 6 and rig.all_say("hall-a", "whole"))
+
     six.play(test)
 
 
@@ -155,12 +183,17 @@
         await rig.until("hall-c lost", lambda: rig.all_say("hall-c", "lost", "absent"))
         returns.append(rig.lose("hall-b"))
         await returns[0]()
-        await rig.until("hall-b lost, hall-c back", lambda: (
-            rig.all_say("hall-b", "lost", "absent") and rig.all_say("hall-c", "whole")))
+        await rig.until(
+            "hall-b lost, hall-c back",
+            lambda: rig.all_say("hall-b", "lost", "absent") and rig.all_say("hall-c", "whole"),
+        )
         await returns[1]()
         await rig.dealt()
-        await rig.until("whole, all of it", lambda: (
-            len(rig.sites) == 6 and all(rig.all_say(hall, "whole") for hall in HALLS)))
+        await rig.until(
+            "whole, all of it",
+            lambda: len(rig.sites) == 6 and all(rig.all_say(hall, "whole") for hall in HALLS),
+        )
+
     six.play(test)
 
 
@@ -172,10 +205,15 @@
             rig.stage.balancers.kill(one)
 
         def served(since: int) -> int:
-            mine = {event.request for event in rig.events(ClientSent, killed)
-                    if event.client == "clients of hall-c"}
-            return sum(event.request in mine and event.status == 200
-                       for event in rig.events(ClientGot, since))
+            mine = {
+                event.request
+                for event in rig.events(ClientSent, killed)
+                if event.client == "clients of hall-c"
+            }
+            return sum(
+                event.request in mine and event.status == 200 for event in rig.events(ClientGot, since)
+            )
+
         killed = rig.now
         await rig.until("other halls serve them", lambda: served(killed) > 20)
         heal = rig.cut("hall-c")
@@ -187,6 +225,7 @@
         await rig.until("they are served again", lambda: served(healed) > 20)
         for one in down:
             rig.stage.balancers.start_again(one)
+
     six.play(test)
 
 
@@ -208,4 +247,5 @@
             answers = await word(hall, "in")
             assert {json.loads(text)["state"] for _, text in answers} == {"returning"}
         await rig.until("whole", lambda: all(rig.all_say(hall, "whole") for hall in HALLS))
+
     six.play(test)
--- a/tests/sites/test_processes_hard.py
+++ b/tests/sites/test_processes_hard.py
@@ -17,12 +17,13 @@
 from roadlb.lab.wire import ClientGot, ClientLost, NodeFell, NodeGave, NodeGot, NodeStarted
 from roadlb.sites.life import TRIAL_US
 
-ON_THE_WAY_US = 100_000      # what had left before a word was heard
+ON_THE_WAY_US = 100_000  # what had left before a word was heard
+
 
 @pytest.fixture(scope="module")
 def uneven(six: Six) -> Iterator[Six]:
     """Sixty, thirty and ten percent of the capacity; the last site is one node."""
-    six.end()                        # one at a time on the machine
+    six.end()  # one at a time on the machine
     all_of_them = Six(UNEVEN)
     yield all_of_them
     all_of_them.end()
@@ -31,8 +32,12 @@
 def ranks(incident: Incident) -> Ranks:
     """Of requests by the plan, as far as the wire tells."""
     traffic = incident.traffic
-    return ranks_by(plan_of(incident), {row.name: row.worth for row in traffic.classes},
-                    [row.name for row in traffic.tenants], traffic.over_share_worth)
+    return ranks_by(
+        plan_of(incident),
+        {row.name: row.worth for row in traffic.classes},
+        [row.name for row in traffic.tenants],
+        traffic.over_share_worth,
+    )
 
 
 async def passes(rig: Rig, requests: int = 300, hall: str = "hall-a") -> None:
@@ -49,22 +54,29 @@
             orders = [event for event in rig.got(since, method="POST") if event.balancer in names]
             halls = {event.request for event in rig.got(since, "hall-a")}
             return sum(event.request in halls for event in orders) / max(1, len(orders))
+
         began = rig.now
         await passes(rig, 200, "hall-b")
         usual = share(began)
         heal = rig.no_answers("hall-a", b"POST ")
         # Few go there from the first second on, as those that fail make nodes suspect; a balancer judges
         # the hall by three of its own.
-        known = await rig.until("orders keep away from it", lambda: all(
-            rig.sites.get(name, {}).get("hall-a", {}).get("orders_away") for name in names))
+        known = await rig.until(
+            "orders keep away from it",
+            lambda: all(rig.sites.get(name, {}).get("hall-a", {}).get("orders_away") for name in names),
+        )
         await passes(rig, 800, "hall-b")
         reads = [event for event in rig.got(known, "hall-a", "GET") if event.balancer in names]
         assert share(known) < usual / 3 and reads
         for name in names:
-            came = [event.at for event in rig.got(known + ON_THE_WAY_US, "hall-a", "POST")
-                    if event.balancer == name]
+            came = [
+                event.at
+                for event in rig.got(known + ON_THE_WAY_US, "hall-a", "POST")
+                if event.balancer == name
+            ]
             assert all(b - a > TRIAL_US - ON_THE_WAY_US for a, b in pairwise(came)), "one at a time, in turn"
         heal()
+
     six.play(test)
 
 
@@ -75,21 +87,29 @@
         nodes = [one for one in fleet.there.values() if one.hall == "hall-b"]
         for node in nodes:
             fleet.stop(node, silent=True)
-        known = await rig.until("its own balancers know", lambda: all(
-            rig.say(name, "hall-b", "lost", "absent") for name in inside))
+        known = await rig.until(
+            "its own balancers know",
+            lambda: all(rig.say(name, "hall-b", "lost", "absent") for name in inside),
+        )
 
         def served() -> set[str]:
             """Balancers of it whose clients, orders among what they asked, are answered from other halls."""
             orders = {event.request for event in rig.got(known, method="POST")}
-            return {event.balancer for event in rig.events(ClientGot, known)
-                    if event.request in orders and event.status == 200}
+            return {
+                event.balancer
+                for event in rig.events(ClientGot, known)
+                if event.request in orders and event.status == 200
+            }
+
         await rig.until("they serve orders", lambda: set(inside) <= served())
         assert not lost(rig, began, "hall-a", "hall-c")
         for node in nodes:
             await fleet.back(node)
         back = rig.now
-        await rig.until("whole, with load", lambda: (
-            rig.all_say("hall-b", "whole") and len(rig.got(back, "hall-b")) > 20))
+        await rig.until(
+            "whole, with load", lambda: rig.all_say("hall-b", "whole") and len(rig.got(back, "hall-b")) > 20
+        )
+
     six.play(test)
 
 
@@ -100,14 +120,18 @@
 
         def failed() -> int:
             return len(rig.events(ClientLost, began)) + sum(
-                event.status != 200 for event in rig.events(ClientGot, began))
+                event.status != 200 for event in rig.events(ClientGot, began)
+            )
+
         await rig.until("hundreds have failed", lambda: failed() > 400)
         assert not lost(rig, began, *HALLS)
         for end in ends:
             end()
         back = rig.now
-        await rig.until("all of them serve again", lambda: all(
-            len(rig.got(back, hall, "POST")) > 5 for hall in HALLS))
+        await rig.until(
+            "all of them serve again", lambda: all(len(rig.got(back, hall, "POST")) > 5 for hall in HALLS)
+        )
+
     six.play(test)
 
 
@@ -123,11 +147,15 @@
         for change in rig.changes(told[names[0]]):
             if change.after == "lost" and change.site == "hall-c":
                 assert change.at >= told[change.balancer], change
-        before_last = [event for event in rig.got(told[names[0]], "hall-c")
-                       if event.balancer == names[-1] and event.at < told[names[-1]]]
+        before_last = [
+            event
+            for event in rig.got(told[names[0]], "hall-c")
+            if event.balancer == names[-1] and event.at < told[names[-1]]
+        ]
         assert before_last, "who has not lost it goes on"
         for reopen in opens:
             reopen()
+
     six.play(test)
 
 
@@ -138,10 +166,11 @@
             kinds: list[type[NodeGave | ClientGot | ClientLost]] = [NodeGave, ClientGot, ClientLost]
             over = {event.request for kind in kinds for event in rig.events(kind, recent)}
             return {event.request for event in rig.got(recent, "hall-a", "POST")} - over
+
         fleet = rig.stage.fleet
         for one in fleet.there.values():
             if one.hall == "hall-a":
-                fleet.slow(one, 20.0)        # so that they are many, however quick the machine is
+                fleet.slow(one, 20.0)  # so that they are many, however quick the machine is
         async with asyncio.timeout(GENEROUS_S):
             while len(orders := under_way()) < 3:
                 await asyncio.sleep(0.005)
@@ -150,13 +179,18 @@
 
         def ends() -> dict[str, object]:
             found = [*rig.events(ClientGot, lost_at), *rig.events(ClientLost, lost_at)]
-            return {event.request: getattr(event, "status", "no answer") for event in found
-                    if event.request in orders}
+            return {
+                event.request: getattr(event, "status", "no answer")
+                for event in found
+                if event.request in orders
+            }
+
         await rig.until("their clients know how it ended", lambda: len(ends()) == len(orders))
         assert orders and 200 not in ends().values()
         came = [event.request for event in rig.got(lost_at - 10_000_000) if event.request in orders]
         assert sorted(came) == sorted(orders), "each came to one node, once"
         await give_back()
+
     six.play(test)
 
 
@@ -164,8 +198,7 @@
     async def test(rig: Rig) -> None:
         began = rig.now
         deploy = asyncio.create_task(rig.stage.step(0))
-        await rig.until("the deploy has begun",
-                        lambda: bool(rig.events(NodeStarted, began)))
+        await rig.until("the deploy has begun", lambda: bool(rig.events(NodeStarted, began)))
         give_back = rig.lose("hall-b")
         await rig.until("hall-b lost to all", lambda: rig.all_say("hall-b", "lost", "absent"))
         await deploy
@@ -173,6 +206,7 @@
         await rig.until("whole", lambda: len(rig.sites) == 6 and rig.all_say("hall-b", "whole"))
         assert not lost(rig, began, "hall-a", "hall-c"), "to drain is not to be lost"
         assert not rig.events(NodeFell, began)
+
     six.play(test)
 
 
@@ -185,13 +219,15 @@
         await passes(rig, 60, "hall-c")
         assert not lost(rig, began, "hall-b", "hall-c"), "what is overloaded is not lost"
         # Reads that ask whether a lost site is back would else be refused, and are no breach.
-        here = [event for event in rig.log
-                if not (isinstance(event, NodeGot) and rig.hall_of(event) == "hall-a")]
+        here = [
+            event for event in rig.log if not (isinstance(event, NodeGot) and rig.hall_of(event) == "hall-a")
+        ]
         kept = order_of_refusals(here, ranks(rig.incident), since=known + TOLD_US)
         assert kept.refusals and kept.share > 0.8, "orders go last, whatever the moment"
         await give_back()
         await rig.until("whole", lambda: len(rig.sites) == 6 and rig.all_say("hall-a", "whole"))
         assert not rig.events(NodeFell, began)
+
     uneven.play(test)
 
 
@@ -204,6 +240,7 @@
         await give_back()
         back = rig.now
         await rig.until("it has load", lambda: len(rig.got(back, "hall-c")) > 5)
+
     uneven.play(test)
 
 
@@ -216,7 +253,8 @@
         await asyncio.sleep(2)
         reopen()
         await rig.until("it is whole without a step", lambda: bool(without_steps(rig.changes(since))))
-    uneven.end()                     # one at a time on the machine
+
+    uneven.end()  # one at a time on the machine
     planted = Six(variables=mutants.variables("return at once"))
     try:
         planted.play(test)
--- a/tests/sites/test_processes_planted.py
+++ b/tests/sites/test_processes_planted.py
@@ -20,13 +20,24 @@
 """
 
 
-@pytest.mark.parametrize("name, seen", [
-    ("", "3 1000000 sound True False"), ("no hysteresis", "1 1000000 sound True False"),
-    ("return at once", f"3 {1 << 62} sound True False"), ("blind spill", "3 1000000 0.0 True False"),
-    ("reversed plan", "3 1000000 sound False True")])
+@pytest.mark.parametrize(
+    "name, seen",
+    [
+        ("", "3 1000000 sound True False"),
+        ("no hysteresis", "1 1000000 sound True False"),
+        ("return at once", f"3 {1 << 62} sound True False"),
+        ("blind spill", "3 1000000 0.0 True False"),
+        ("reversed plan", "3 1000000 sound False True"),
+    ],
+)
 def test_each_defect_is_there_from_the_childs_first_line(name: str, seen: str) -> None:
-    done = subprocess.run([sys.executable, "-c", SEEN], env={**os.environ, **mutants.variables(name)},
-                          capture_output=True, text=True, check=True)
+    done = subprocess.run(
+        [sys.executable, "-c", SEEN],
+        env={**os.environ, **mutants.variables(name)},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
     found = done.stdout.split()
     assert (found[2] == "0.0") is (name == "blind spill")
     assert found[:2] + found[3:] == [word for word in seen.split() if word not in ("sound", "0.0")]
--- a/tests/sites/test_refusal.py
+++ b/tests/sites/test_refusal.py
@@ -10,10 +10,19 @@
 from roadlb.sites.work_in_hand import DEEP_MOST, MOST, Steady, WorkInHand
 
 READ, ORDER = 0, 1
-PLAN = (PlanLine(over_share=True), PlanLine(READ, repeat=True), PlanLine(READ, warm_key=False),
-        PlanLine(READ))
-KINDS = [(READ, True, False, False), (READ, False, True, False), (READ, False, False, False),
-         (READ, False, False, True), (ORDER, False, False, False)]     # class, over share, repeat, warm key
+PLAN = (
+    PlanLine(over_share=True),
+    PlanLine(READ, repeat=True),
+    PlanLine(READ, warm_key=False),
+    PlanLine(READ),
+)
+KINDS = [
+    (READ, True, False, False),
+    (READ, False, True, False),
+    (READ, False, False, False),
+    (READ, False, False, True),
+    (ORDER, False, False, False),
+]  # class, over share, repeat, warm key
 
 
 @pytest.mark.parametrize("share", [0.1, 0.3, 0.5, 0.7, 0.9])
@@ -46,7 +55,7 @@
     for _ in range(20):
         for _ in range(100):
             quotas.ask(0)
-            quotas.ask(7)                # a customer that nobody knows
+            quotas.ask(7)  # a customer that nobody knows
         quotas.fade()
     over = sum(quotas.over(0, 2, luck.random()) for _ in range(2_000)) / 2_000
     assert over == pytest.approx(0.5, abs=0.05) and not quotas.over(1, 2, 1.0) and not quotas.over(7, 2, 1.0)
--- a/tests/sites/test_warmth.py
+++ b/tests/sites/test_warmth.py
@@ -19,11 +19,11 @@
 
 def test_a_server_of_a_site_that_is_back_counts_as_just_started_until_the_list_could_have_said() -> None:
     warmth = back_at(50 * SECOND, 60 * SECOND)
-    for born in (0, 10 * SECOND):                  # long ago, and 50 s before
+    for born in (0, 10 * SECOND):  # long ago, and 50 s before
         assert warmth.part(60 * SECOND, 1, born) == 0.2
         assert warmth.part(62 * SECOND, 1, born) == pytest.approx(0.28)
         assert warmth.part(60 * SECOND + LISTED_US, 1, born) == 1.0
-        assert warmth.part(60 * SECOND, 2, born) == 1.0          # of another site
+        assert warmth.part(60 * SECOND, 2, born) == 1.0  # of another site
 
 
 def test_a_start_that_the_list_tells_goes_before_the_guess() -> None:
--- a/tests/store/crashing_disk.py
+++ b/tests/store/crashing_disk.py
@@ -87,5 +87,7 @@
                 self._apply(names, op)
             cuts = [range(len(f.safe), len(f.data) + 1) for f in names.values()]
             for lengths in product(*cuts):
-                yield {name: file.data[:length]
-                       for (name, file), length in zip(names.items(), lengths, strict=True)}
+                yield {
+                    name: file.data[:length]
+                    for (name, file), length in zip(names.items(), lengths, strict=True)
+                }
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -21,8 +21,12 @@
     Change(2, drains={"node-1": Drain(1_000, 2)}),
     Change(3, Version("2.b", 1, 2, {"settings": b"S", "nodes/0": b"N0 changed"}), epoch=2),
     Change(4, refusal=Refusal("3.c", ("hall_emptied",), "hall 'a' had 3 nodes", 4)),
-    Change(5, Version("1.a", 2, 3, {"settings": b"S", "nodes/0": b"N0", "nodes/1": b"N1"}),
-           drains={"node-2": Drain(0, 5)}, lifted=("node-1",)),
+    Change(
+        5,
+        Version("1.a", 2, 3, {"settings": b"S", "nodes/0": b"N0", "nodes/1": b"N1"}),
+        drains={"node-2": Drain(0, 5)},
+        lifted=("node-1",),
+    ),
 )
 
 
@@ -74,7 +78,7 @@
             kept += 1
         for content in disk.after_crash():
             again, counters = opened(CrashingDisk(content))
-            assert again.state in expected[kept:kept + 2], (steps, kept)
+            assert again.state in expected[kept : kept + 2], (steps, kept)
             assert not counters["store.spoilt"], "a crash was taken for a spoilt disk"
             seen += 1
     assert seen > 500
@@ -86,7 +90,7 @@
     store, _ = opened(disk)
     for change in CHANGES[:-1]:
         store.put(change)
-    disk.left = 1                                      # the last change: written, not synced
+    disk.left = 1  # the last change: written, not synced
     with pytest.raises(Crashed):
         store.put(CHANGES[-1])
     for content in list(disk.after_crash())[::17]:
@@ -108,7 +112,7 @@
     versions = {state.version.id if state.version else "" for state in states()}
     for name, data in content.items():
         for at in range(len(data)):
-            spoilt = {**content, name: data[:at] + bytes([data[at] ^ 0x40]) + data[at + 1:]}
+            spoilt = {**content, name: data[:at] + bytes([data[at] ^ 0x40]) + data[at + 1 :]}
             found, counters = opened(CrashingDisk(spoilt))
             if found.state != last:
                 assert counters["store.spoilt"] + counters["store.torn"], (name, at)
@@ -118,7 +122,7 @@
                 assert found.state == last, "the snapshot before and its log make a spoilt one good"
             if at < data.rfind(b"\xa7RLs"):
                 assert "node-2" in found.state.drains, "the last record is whole"
-            found.put(Change(9, drains={"node-9": Drain(0, 9)}))       # and it goes on
+            found.put(Change(9, drains={"node-9": Drain(0, 9)}))  # and it goes on
 
 
 def test_a_store_of_another_balancer_is_put_aside() -> None:
@@ -146,7 +150,7 @@
     with pytest.raises(OSError):
         store.put(CHANGES[0])
     assert counters["store.failed"] == 2 and store.state == State()
-    disk.left = 1 << 30                                # there is room again
+    disk.left = 1 << 30  # there is room again
     store.put(CHANGES[1])
     assert opened(disk)[0].state == after(State(), CHANGES[1])
 
@@ -155,11 +159,11 @@
     disk = CrashingDisk()
     store, _ = opened(disk)
     store.put(CHANGES[0])
-    disk.left = 1                                      # appended, not synced: perhaps there, perhaps not
+    disk.left = 1  # appended, not synced: perhaps there, perhaps not
     with pytest.raises(OSError):
         store.put(CHANGES[2])
     disk.left = 1 << 30
-    store.put(CHANGES[4])                              # built on what was held before the failure
+    store.put(CHANGES[4])  # built on what was held before the failure
     again, counters = opened(disk)
     assert again.state == after(after(State(), CHANGES[0]), CHANGES[4]) and not counters["store.spoilt"]
 
--- a/tests/together/test_house.py
+++ b/tests/together/test_house.py
@@ -27,10 +27,12 @@
     sound = Outcome(1, 9, 3, (), Sum(1.0), {}, 5, 6, 0, 1, 1, (), {}, ())
     assert sound.sound
     for claim, broken in {
-            "once": replace(sound, twice=("balancer-0.customer-0.0x4",)),
-            "shares": replace(sound, shares=Sum(1.001)),
-            "answered": replace(sound, spared={"balancer-0": {"TimeoutError": 1}}),
-            "drained": replace(sound, late_us=300_000), "said": replace(sound, said=("error",))}.items():
+        "once": replace(sound, twice=("balancer-0.customer-0.0x4",)),
+        "shares": replace(sound, shares=Sum(1.001)),
+        "answered": replace(sound, spared={"balancer-0": {"TimeoutError": 1}}),
+        "drained": replace(sound, late_us=300_000),
+        "said": replace(sound, said=("error",)),
+    }.items():
         assert broken.broken == (claim,) and not broken.sound
 
 
@@ -44,7 +46,7 @@
         assert (first.ended, again.ended) == (30, 100)
         assert [one.shares for one in first.told] == [{"customer 0": (0.5, 0.1)}]
         assert len(again.told) == lines and records.newest("balancer-1") == (2, again.told)
-        (tmp_path / "balancer-1.40.shares").write_text(f"{line}\n" * 2)      # one more, and none twice
+        (tmp_path / "balancer-1.40.shares").write_text(f"{line}\n" * 2)  # one more, and none twice
 
 
 def test_a_hall_takes_along_what_stands_in_it() -> None:
--- a/tests/wire/test_wire.py
+++ b/tests/wire/test_wire.py
@@ -14,26 +14,49 @@
 from roadlb import benchlink
 from roadlb.config import read_settings
 from roadlb.policy.interface import (
-    Arrival, Cancel, ClientGone, Effect, Event, Fail, Group, ListKind, ListUpdate, Log, Member, Outcome,
-    PeerMessage, Probe, Probed, Refuse, Send, ServerState, SetTimer, Status, StreamStarted, Subscribe,
+    Arrival,
+    Cancel,
+    ClientGone,
+    Effect,
+    Event,
+    Fail,
+    Group,
+    ListKind,
+    ListUpdate,
+    Log,
+    Member,
+    Outcome,
+    PeerMessage,
+    Probe,
+    Probed,
+    Refuse,
+    Send,
+    ServerState,
+    SetTimer,
+    Status,
+    StreamStarted,
+    Subscribe,
     TimerFired,
 )
 
 A, B = bytes.fromhex("0a124a07431f"), bytes.fromhex("0a9011f26c1f")
 GOLDEN_EVENTS: list[tuple[str, Event]] = [
-    ("000300c4913a5ddc54060000 0000 640ad2557c3bf091 80a90300 e02e0000 0100",
-     Arrival(0x000654DC5D3A91C4, 0, 0, 0x91F03B7C55D20A64, 240000, 12000)),
+    (
+        "000300c4913a5ddc54060000 0000 640ad2557c3bf091 80a90300 e02e0000 0100",
+        Arrival(0x000654DC5D3A91C4, 0, 0, 0x91F03B7C55D20A64, 240000, 12000),
+    ),
     ("0103004d00000000000000", TimerFired(77)),
     ("090500192b6f0e3b990900", ClientGone(0x0009993B0E6F2B19)),
-    ("0803 00c4913a5ddc540600 0000 0a124a07431f 0100 44480000 01 00",
-     Outcome(0x000654DC5D3A91C4, 0, A, Status.OK, 18500, True)),
-    ("0803 00c4913a5ddc540600 0100 0a124a07431f 0300 44480000 00 02 00004040 0000003f",
-     Outcome(0x000654DC5D3A91C4, 1, A, Status.FULL, 18500, False, (3.0, 0.5))),
-    ("04 0300 0a124a07431f 0100 64000000 01 0000803f",
-     Probed(A, Status.OK, 100, (1.0,))),
-    ("05 0300 4d00000000000000 0100 0a124a07431f 64000000",
-     StreamStarted(77, 1, A, 100)),
-
+    (
+        "0803 00c4913a5ddc540600 0000 0a124a07431f 0100 44480000 01 00",
+        Outcome(0x000654DC5D3A91C4, 0, A, Status.OK, 18500, True),
+    ),
+    (
+        "0803 00c4913a5ddc540600 0100 0a124a07431f 0300 44480000 00 02 00004040 0000003f",
+        Outcome(0x000654DC5D3A91C4, 1, A, Status.FULL, 18500, False, (3.0, 0.5)),
+    ),
+    ("04 0300 0a124a07431f 0100 64000000 01 0000803f", Probed(A, Status.OK, 100, (1.0,))),
+    ("05 0300 4d00000000000000 0100 0a124a07431f 64000000", StreamStarted(77, 1, A, 100)),
 ]
 GOLDEN_ACTIONS = [
     (Send(0x000654DC5D3A91C4, A, 80000), "0b0300c4913a5ddc5406000a124a07431f80380100000000"),
@@ -57,10 +80,12 @@
 def test_golden_list() -> None:
     entry = struct.Struct("<HHBB6sfQ").pack
     entries = entry(4, 1, 2, 1, A, 1.5, 0) + entry(0, 0, 0, 2, B, 1.0, 99)
-    raw = bytes.fromhex("020300032900000000000000" "0000000002000000").ljust(48, b"\0")
+    raw = bytes.fromhex("0203000329000000000000000000000002000000").ljust(48, b"\0")
     _, got = benchlink.Host().event(2, memoryview(raw), 1, memoryview(entries))
-    assert got == ListUpdate(ListKind.DELTA, [
-        Member(A, ServerState.READY, 4, 1, 2, 1.5, 0), Member(B, ServerState.DRAINING, 0, 0, 0, 1.0, 99)])
+    assert got == ListUpdate(
+        ListKind.DELTA,
+        [Member(A, ServerState.READY, 4, 1, 2, 1.5, 0), Member(B, ServerState.DRAINING, 0, 0, 0, 1.0, 99)],
+    )
 
 
 @pytest.mark.parametrize(("action", "record"), GOLDEN_ACTIONS)
@@ -92,12 +117,18 @@
 
 
 def run(data: bytes, seed: str = "0") -> subprocess.CompletedProcess[bytes]:
-    return subprocess.run([sys.executable, "-m", "roadlb.benchlink"], input=data, capture_output=True,
-                          env={**os.environ, "PYTHONHASHSEED": seed}, timeout=60, check=False)
+    return subprocess.run(
+        [sys.executable, "-m", "roadlb.benchlink"],
+        input=data,
+        capture_output=True,
+        env={**os.environ, "PYTHONHASHSEED": seed},
+        timeout=60,
+        check=False,
+    )
 
 
 def test_empty_batch_and_end_of_input() -> None:
-    done = run(bytes.fromhex("10000000" "5a5c800000000000" "00000000"))
+    done = run(bytes.fromhex("100000005a5c80000000000000000000"))
     assert (done.returncode, done.stdout.hex(), done.stderr) == (0, "0000000008000000", b"")
 
 
@@ -118,21 +149,34 @@
     assert one.returncode == 0 and len(one.stdout) > 60 * 24 and one.stdout == two.stdout
 
 
-@pytest.mark.parametrize(("data", "message"), [
-    (b"\x10\0", b"ends within a frame's header"),
-    (struct.pack("<IQI", 9, 0, 0), b"shorter than its header"),
-    (struct.pack("<IQI", 64, 0, 1) + b"\0" * 7, b"ends within a frame"),
-    (struct.pack("<IQI", 20, 0, 1) + b"\0" * 4, b"longer than its frame"),
-    (frame(0, [b"\x63"]), b"unknown event code 99"),
-    (frame(0, [struct.pack("<BHQ", 1, 9, 7)]), b"unknown instance 9"),
-    (frame(0, [attach()[0]], b"az=1"), b"past the end"),
-    (frame(0, [attach(SETUP.replace("me=2\n", ""))[0]], SETUP.replace("me=2\n", "").encode()),
-     b"me is missing"),
-    (frame(0, [attach(SETUP.replace("me=2", "me=x"))[0]], SETUP.replace("me=2", "me=x").encode()),
-     b"cannot read 'x'"),
-    (frame(0, [attach(SETUP.replace("cold_from=0.12", "cold_from=7.00"))[0]],
-           SETUP.replace("cold_from=0.12", "cold_from=7.00").encode()), b"cold_from"),
-])
+@pytest.mark.parametrize(
+    ("data", "message"),
+    [
+        (b"\x10\0", b"ends within a frame's header"),
+        (struct.pack("<IQI", 9, 0, 0), b"shorter than its header"),
+        (struct.pack("<IQI", 64, 0, 1) + b"\0" * 7, b"ends within a frame"),
+        (struct.pack("<IQI", 20, 0, 1) + b"\0" * 4, b"longer than its frame"),
+        (frame(0, [b"\x63"]), b"unknown event code 99"),
+        (frame(0, [struct.pack("<BHQ", 1, 9, 7)]), b"unknown instance 9"),
+        (frame(0, [attach()[0]], b"az=1"), b"past the end"),
+        (
+            frame(0, [attach(SETUP.replace("me=2\n", ""))[0]], SETUP.replace("me=2\n", "").encode()),
+            b"me is missing",
+        ),
+        (
+            frame(0, [attach(SETUP.replace("me=2", "me=x"))[0]], SETUP.replace("me=2", "me=x").encode()),
+            b"cannot read 'x'",
+        ),
+        (
+            frame(
+                0,
+                [attach(SETUP.replace("cold_from=0.12", "cold_from=7.00"))[0]],
+                SETUP.replace("cold_from=0.12", "cold_from=7.00").encode(),
+            ),
+            b"cold_from",
+        ),
+    ],
+)
 def test_malformed_input_ends_with_one_plain_message(data: bytes, message: bytes) -> None:
     done = run(data)
     assert done.returncode != 0 and message in done.stderr
--- a/tests/xds/client/test_link.py
+++ b/tests/xds/client/test_link.py
@@ -56,9 +56,13 @@
         parts = self.writer.write(told)
         made = {key: Resource.make(*key, body, id.number) for key, body in parts.items()}
         prepared = write_prepared(Prepare(epoch, Version(id, told)), parts)
-        return ([self.response(PARTS, *(one for key, one in made.items() if key[0] == PARTS)),
-                 self.response(STRUCT, *(one for key, one in made.items() if key[0] == STRUCT))],
-                self.response(STRUCT, Resource.make(STRUCT, PREPARED, prepared, id.number)))
+        return (
+            [
+                self.response(PARTS, *(one for key, one in made.items() if key[0] == PARTS)),
+                self.response(STRUCT, *(one for key, one in made.items() if key[0] == STRUCT)),
+            ],
+            self.response(STRUCT, Resource.make(STRUCT, PREPARED, prepared, id.number)),
+        )
 
 
 def sent(actions: list[Action]) -> list[DeltaRequest]:
@@ -92,8 +96,10 @@
 def test_a_refusal_names_the_check_and_a_fenced_leader_the_epoch() -> None:
     link, server = opened()
     first, second = VersionId(3, 1), VersionId(3, 2)
-    for version, answer, said in ((first, Nack(first, "hall_emptied: no"), "hall_emptied: no"),
-                                  (second, Fenced(9), "fenced by epoch 9")):
+    for version, answer, said in (
+        (first, Nack(first, "hall_emptied: no"), "hall_emptied: no"),
+        (second, Fenced(9), "fenced by epoch 9"),
+    ):
         parts, prepared = server.version(version)
         for response in (*parts, prepared):
             link.handle(1, response)
@@ -160,8 +166,9 @@
         link.handle(1, response)
     link.handle(2, Lost())
     assert sent(link.handle(2, Say(Ack(ID)))) == [], "an answer to a stream that is gone"
-    shown = {request.type_url: request.initial_resource_versions
-             for request in sent(link.handle(3, Opened()))}
+    shown = {
+        request.type_url: request.initial_resource_versions for request in sent(link.handle(3, Opened()))
+    }
     assert shown[PARTS].keys() == {"grid/frame", "grid/0-of-1"} and shown[STRUCT].keys() == {"settings"}
     assert [type(m) for m in heard(link.handle(4, prepared))] == [Prepare], "its parts were held"
 
--- a/tests/xds/client/test_subscriber.py
+++ b/tests/xds/client/test_subscriber.py
@@ -58,8 +58,9 @@
     return found
 
 
-def came(by: Subscriber, nonce: str, *resources: Resource, removed: tuple[str, ...] = (),
-         now: int = 0) -> Told:
+def came(
+    by: Subscriber, nonce: str, *resources: Resource, removed: tuple[str, ...] = (), now: int = 0
+) -> Told:
     return told(by.handle(now, Came(DeltaResponse(CLUSTER, "v", nonce, resources, removed))))
 
 
@@ -97,8 +98,11 @@
                 self.owed.append(action)
 
     def serve(self, actions: list[object]) -> None:
-        self.down += [action.response for action in actions
-                      if isinstance(action, Respond) and isinstance(action.response, DeltaResponse)]
+        self.down += [
+            action.response
+            for action in actions
+            if isinstance(action, Respond) and isinstance(action.response, DeltaResponse)
+        ]
 
     def publish(self) -> None:
         self.generation += 1
@@ -109,7 +113,8 @@
         else:
             body = str(self.generation).encode()
             self.snapshot = self.snapshot.next(
-                self.generation, [Resource.make(kind, name, body, self.generation)])
+                self.generation, [Resource.make(kind, name, body, self.generation)]
+            )
         self.serve(list(self.server.handle(self.now, Published(self.snapshot))))
 
     def answer(self, refuse: bool) -> None:
@@ -154,12 +159,15 @@
     pair = Pair(seed)
     for _ in range(150):
         pair.step(rough=True)
-    pair.lose()                                # what was refused counts again on a new stream
+    pair.lose()  # what was refused counts again on a new stream
     quiet = 0
     while quiet < 30:
         quiet = 0 if pair.step(rough=False) else quiet + 1
-    want = {(one.type_url, one.name): one.body for one in pair.snapshot
-            if one.type_url == CLUSTER or one.name in ("e0", "e1")}
+    want = {
+        (one.type_url, one.name): one.body
+        for one in pair.snapshot
+        if one.type_url == CLUSTER or one.name in ("e0", "e1")
+    }
     assert pair.view == want
     for kind in (CLUSTER, ENDPOINTS):
         assert pair.subscriber.versions(kind).keys() == {name for url, name in want if url == kind}
--- a/tests/xds/codec/codec_messages.py
+++ b/tests/xds/codec/codec_messages.py
@@ -28,10 +28,14 @@
 MESSAGES = Path(__file__).parent / "messages"
 # Of each kind: its class, its reader, its writer.
 KINDS: dict[str, tuple[Any, Callable[[bytes], Any], Callable[[Any], bytes]]] = {
-    kind.DESCRIPTOR.full_name: (kind, read, write) for kind, read, write in (
+    kind.DESCRIPTOR.full_name: (kind, read, write)
+    for kind, read, write in (
         (ClusterLoadAssignment, read_assignment, write_assignment),
         (WireCluster, read_cluster, write_cluster),
-        (RouteConfiguration, read_routes, write_routes), (WireListener, read_listener, write_listener))}
+        (RouteConfiguration, read_routes, write_routes),
+        (WireListener, read_listener, write_listener),
+    )
+}
 
 
 def recorded(path: Path) -> tuple[str, bytes]:
@@ -57,7 +61,7 @@
 
     def __init__(self, seed: int) -> None:
         self.random = random.Random(seed)
-        self.left = 80                     # messages that may still be filled
+        self.left = 80  # messages that may still be filled
 
     def message(self, kind: Any, depth: int = 9) -> Any:
         made = kind()
--- a/tests/xds/codec/test_changes.py
+++ b/tests/xds/codec/test_changes.py
@@ -36,12 +36,21 @@
 MESSAGES = {name: recorded(path) for name, path in zip(NAMES, RECORDED, strict=True)}
 ASSIGNMENTS = [name for name, (kind, _) in MESSAGES.items() if kind.endswith("Assignment")]
 CHANGES: list[dict[str, Any]] = [
-    {"weight": 7.0}, {"weight": 0.0}, {"weight": 0.3333}, {"health": Health.UNHEALTHY},
-    {"lifecycle": Lifecycle.DRAINING}, {"lifecycle": Lifecycle.DRAINING, "health": Health.HEALTHY},
+    {"weight": 7.0},
+    {"weight": 0.0},
+    {"weight": 0.3333},
+    {"health": Health.UNHEALTHY},
+    {"lifecycle": Lifecycle.DRAINING},
+    {"lifecycle": Lifecycle.DRAINING, "health": Health.HEALTHY},
     {"lifecycle": Lifecycle.UP, "health": Health.HEALTHY, "weight": 3.0},
-    {"node": NodeId("another", 2**60)}, {"host": "10.9.9.9", "port": 99}, {"hostname": "other"},
-    {"additional": (Place("10.9.9.8", 98),)}, {"machine": "m9", "cell": 9}, {"machine": "", "cell": 0},
-    {"metadata": {"x": {"k": "w"}}}, {"metadata": {}},
+    {"node": NodeId("another", 2**60)},
+    {"host": "10.9.9.9", "port": 99},
+    {"hostname": "other"},
+    {"additional": (Place("10.9.9.8", 98),)},
+    {"machine": "m9", "cell": 9},
+    {"machine": "", "cell": 0},
+    {"metadata": {"x": {"k": "w"}}},
+    {"metadata": {}},
 ]
 
 
@@ -50,17 +59,26 @@
     if isinstance(item, tuple):
         return tuple(bare(inner) for inner in item)
     if hasattr(item, "origin"):
-        nested = {f.name: bare(getattr(item, f.name)) for f in fields(item)
-                  if isinstance(getattr(item, f.name), tuple)}
+        nested = {
+            f.name: bare(getattr(item, f.name))
+            for f in fields(item)
+            if isinstance(getattr(item, f.name), tuple)
+        }
         return replace(item, origin=None, **nested)
     return item
 
 
 def lines(data: bytes) -> list[bytes]:
     message = parsed(ClusterLoadAssignment, data)
-    return [held(line) for group in message.endpoints for line in (
-        group.load_balancer_endpoints.lb_endpoints if group.HasField("load_balancer_endpoints")
-        else group.lb_endpoints)]
+    return [
+        held(line)
+        for group in message.endpoints
+        for line in (
+            group.load_balancer_endpoints.lb_endpoints
+            if group.HasField("load_balancer_endpoints")
+            else group.lb_endpoints
+        )
+    ]
 
 
 @pytest.mark.parametrize("change", CHANGES, ids=str)
@@ -70,16 +88,18 @@
     held_cluster = read_assignment(data)
     for i, endpoint in enumerate(held_cluster.endpoints):
         if not endpoint.node.name:
-            continue                                 # it is known by its address alone, which changes
+            continue  # it is known by its address alone, which changes
         changed = replace(endpoint, **change)
-        cluster = replace(held_cluster, endpoints=(
-            *held_cluster.endpoints[:i], changed, *held_cluster.endpoints[i + 1:]))
+        cluster = replace(
+            held_cluster, endpoints=(*held_cluster.endpoints[:i], changed, *held_cluster.endpoints[i + 1 :])
+        )
         written = write_assignment(cluster)
         assert settled(bare(read_assignment(written))) == settled(bare(cluster))
         rescaled = change.get("weight") == 0.3333 and changed.weight != endpoint.weight
         if not rescaled:
             assert [a for j, a in enumerate(lines(written)) if j != i] == [
-                a for j, a in enumerate(lines(data)) if j != i]
+                a for j, a in enumerate(lines(data)) if j != i
+            ]
 
 
 @pytest.mark.parametrize("name", ASSIGNMENTS)
@@ -96,8 +116,11 @@
     cluster = read_assignment(MESSAGES["cla-unknown-everywhere"][1])
     first = cluster.endpoints[0]
     place = Locality("r", "a", "n1")
-    moved = replace(cluster, endpoints=(replace(first, locality=place), *cluster.endpoints[1:]),
-                    groups=(*cluster.groups, LocalityGroup(place, weight=5)))
+    moved = replace(
+        cluster,
+        endpoints=(replace(first, locality=place), *cluster.endpoints[1:]),
+        groups=(*cluster.groups, LocalityGroup(place, weight=5)),
+    )
     got = read_assignment(write_assignment(moved))
     assert got.endpoints[-1].locality == place and got.endpoints[-1].weight == first.weight
     assert b"later" in (got.endpoints[-1].origin or b"")
@@ -106,8 +129,9 @@
 def test_a_named_endpoint_that_moves_keeps_its_probe() -> None:
     cluster = read_assignment(MESSAGES["cla-named-endpoints"][1])
     first = replace(cluster.endpoints[0], host="10.9.9.9")
-    message = parsed(ClusterLoadAssignment, write_assignment(
-        replace(cluster, endpoints=(first, *cluster.endpoints[1:]))))
+    message = parsed(
+        ClusterLoadAssignment, write_assignment(replace(cluster, endpoints=(first, *cluster.endpoints[1:])))
+    )
     line, other = message.endpoints[0].lb_endpoints[:2]
     assert line.endpoint.health_check_config.port_value == 8081 and line.endpoint.hostname == "n1.grid"
     assert other.endpoint_name == "n1"
@@ -135,10 +159,20 @@
 def test_a_writer_forgets_what_was_written_in_other_surroundings(name: str) -> None:
     cluster, writer = read_assignment(MESSAGES[name][1]), AssignmentWriter()
     cluster = replace(cluster, endpoints=tuple(e for e in cluster.endpoints if e.host))
-    plain = replace(cluster, origin=None, drops=(), groups=tuple(
-        replace(group, origin=None, weight=None) for group in cluster.groups))
-    for state, scale in ((cluster, None), (cluster, 10.0), (cluster, 1000.0), (plain, 1000.0), (plain, None),
-                         (replace(plain, name="other"), None)):
+    plain = replace(
+        cluster,
+        origin=None,
+        drops=(),
+        groups=tuple(replace(group, origin=None, weight=None) for group in cluster.groups),
+    )
+    for state, scale in (
+        (cluster, None),
+        (cluster, 10.0),
+        (cluster, 1000.0),
+        (plain, 1000.0),
+        (plain, None),
+        (replace(plain, name="other"), None),
+    ):
         if state.name and (state is cluster or all(e.port for e in state.endpoints)):
             assert writer.write(state, scale) == write_assignment(state, scale)
 
@@ -156,9 +190,17 @@
 
 def test_settings_change_within_what_was_held() -> None:
     cluster = read_cluster(MESSAGES["cds-everything"][1])
-    changed = replace(cluster, locality_weights=False, panic_percent=50.0, policy="ROUND_ROBIN",
-                      limits=(cluster.limits[0], replace(cluster.limits[1], requests=77, retry_percent=None),
-                              Limits(1, retries=5)))
+    changed = replace(
+        cluster,
+        locality_weights=False,
+        panic_percent=50.0,
+        policy="ROUND_ROBIN",
+        limits=(
+            cluster.limits[0],
+            replace(cluster.limits[1], requests=77, retry_percent=None),
+            Limits(1, retries=5),
+        ),
+    )
     data = write_cluster(changed)
     assert bare(read_cluster(data)) == bare(changed)
     message = parsed(KINDS["envoy.config.cluster.v3.Cluster"][0], data)
@@ -174,8 +216,12 @@
     host = table.hosts[0]
     first, second = host.routes
     first = replace(first, clusters=(("grid~cold-2", 1), ("grid", 99)), method="PUT", timeout_us=5)
-    second = replace(second, retry=replace(second.retry or Retry(), elsewhere=False, back_off_us=50_000_000),
-                     path=None, prefix="/")
+    second = replace(
+        second,
+        retry=replace(second.retry or Retry(), elsewhere=False, back_off_us=50_000_000),
+        path=None,
+        prefix="/",
+    )
     return replace(table, hosts=(replace(host, routes=(second, first)), VirtualHost("new")))
 
 
@@ -199,7 +245,9 @@
     listener = replace(read_listener(MESSAGES["lds-envoy"][1]), routes="others")
     data = write_listener(listener)
     assert bare(read_listener(data)) == bare(listener)
-    manager, packed = HttpConnectionManager(), find_manager(
-        parsed(KINDS["envoy.config.listener.v3.Listener"][0], data))
+    manager, packed = (
+        HttpConnectionManager(),
+        find_manager(parsed(KINDS["envoy.config.listener.v3.Listener"][0], data)),
+    )
     assert packed is not None and packed.Unpack(manager)
     assert manager.stream_idle_timeout.seconds == 3 and manager.stat_prefix == "front"
--- a/tests/xds/codec/test_discovery.py
+++ b/tests/xds/codec/test_discovery.py
@@ -25,19 +25,28 @@
 BODY = write_assignment(Cluster("grid", (node("a"),)))
 RESOURCE = Resource.make(ENDPOINTS, "grid", BODY, 7)
 LASTING = Resource.make(ENDPOINTS, "grid", BODY, 7, ttl_us=1_500_000)
-WHO = Node("proxy-1", "edge", {"roadlb.form": "grpc", "n": 1.0}, Locality("r", "a"), "gRPC C++", "1.85",
-           ("envoy.lb.does_not_support_overprovisioning",))
+WHO = Node(
+    "proxy-1",
+    "edge",
+    {"roadlb.form": "grpc", "n": 1.0},
+    Locality("r", "a"),
+    "gRPC C++",
+    "1.85",
+    ("envoy.lb.does_not_support_overprovisioning",),
+)
 SAID: dict[str, Any] = {
     "request": DiscoveryRequest(ENDPOINTS, ("grid", "maps"), "v1", "n1", ErrorDetail(3, "no"), WHO),
     "request_empty": DiscoveryRequest(""),
     "request_ack": DiscoveryRequest(CLUSTER, (), "v1", "n1", None, Node("")),
     "delta_request": DeltaRequest(
-        ENDPOINTS, ("*", "x"), ("y",), {"x": "v", "z": ""}, "n", ErrorDetail(0, ""), WHO),
+        ENDPOINTS, ("*", "x"), ("y",), {"x": "v", "z": ""}, "n", ErrorDetail(0, ""), WHO
+    ),
     "response": DiscoveryResponse(ENDPOINTS, RESOURCE.version, "n", (RESOURCE,)),
     "response_ttl": DiscoveryResponse(ENDPOINTS, "v", "n", (LASTING, LASTING.heartbeat())),
     "response_none": DiscoveryResponse(ENDPOINTS, "v", "n"),
     "delta_response": DeltaResponse(
-        ENDPOINTS, "v", "n", (RESOURCE, LASTING, LASTING.heartbeat()), ("x", "y")),
+        ENDPOINTS, "v", "n", (RESOURCE, LASTING, LASTING.heartbeat()), ("x", "y")
+    ),
 }
 PAIRS: dict[type, tuple[Any, Any]] = {
     DiscoveryRequest: (discovery.write_request, discovery.read_request),
@@ -54,8 +63,9 @@
 
 
 def test_a_response_put_together_from_bytes_is_the_published_message() -> None:
-    data = discovery.write_response(DiscoveryResponse(
-        ENDPOINTS, "v", "n", (RESOURCE, LASTING, LASTING.heartbeat())))
+    data = discovery.write_response(
+        DiscoveryResponse(ENDPOINTS, "v", "n", (RESOURCE, LASTING, LASTING.heartbeat()))
+    )
     message = published.DiscoveryResponse.FromString(data)
     assert (message.version_info, message.nonce, message.type_url) == ("v", "n", ENDPOINTS)
     bare, wrapped, heartbeat = message.resources
--- a/tests/xds/codec/test_identity.py
+++ b/tests/xds/codec/test_identity.py
@@ -48,25 +48,55 @@
 TIMES = st.one_of(st.none(), st.integers(1, 10**9))
 LIMITS = st.builds(Limits, st.integers(0, 1), WHOLE, WHOLE, WHOLE, WHOLE, PERCENT)
 SETTINGS = st.builds(
-    ClusterSettings, WORDS, st.sampled_from(("EDS", "STATIC")), st.sampled_from(("ads", "self", "")),
-    st.sampled_from(("", "other")), st.sampled_from(("ROUND_ROBIN", "RING_HASH", "LEAST_REQUEST")), TIMES,
-    st.lists(LIMITS, max_size=2).map(tuple), PERCENT, st.booleans(), st.booleans(),
-    st.one_of(st.none(), clusters(most=2).map(settled)))
-PARTS = st.one_of(WORDS.map(lambda name: ((name, 1),)), st.lists(
-    st.tuples(WORDS, st.integers(1, 10**6)), min_size=2, max_size=3,
-    unique_by=lambda part: part[0]).map(tuple))
+    ClusterSettings,
+    WORDS,
+    st.sampled_from(("EDS", "STATIC")),
+    st.sampled_from(("ads", "self", "")),
+    st.sampled_from(("", "other")),
+    st.sampled_from(("ROUND_ROBIN", "RING_HASH", "LEAST_REQUEST")),
+    TIMES,
+    st.lists(LIMITS, max_size=2).map(tuple),
+    PERCENT,
+    st.booleans(),
+    st.booleans(),
+    st.one_of(st.none(), clusters(most=2).map(settled)),
+)
+PARTS = st.one_of(
+    WORDS.map(lambda name: ((name, 1),)),
+    st.lists(
+        st.tuples(WORDS, st.integers(1, 10**6)), min_size=2, max_size=3, unique_by=lambda part: part[0]
+    ).map(tuple),
+)
 RETRIES = st.builds(
-    Retry, st.sampled_from(((), ("reset",), ("connect-failure", "retriable-headers"))), WHOLE, TIMES, TIMES,
-    st.sampled_from(((), (("x-unprocessed", "1"),))), st.booleans())
+    Retry,
+    st.sampled_from(((), ("reset",), ("connect-failure", "retriable-headers"))),
+    WHOLE,
+    TIMES,
+    TIMES,
+    st.sampled_from(((), (("x-unprocessed", "1"),))),
+    st.booleans(),
+)
 ROUTES = st.builds(
     lambda route, prefix: replace(route, prefix="", path=None) if prefix else route,
-    st.builds(Route, WORDS, st.none(), st.just("/a"), st.sampled_from(("", "GET")), PARTS, TIMES,
-              st.one_of(st.none(), RETRIES), st.booleans()), st.booleans())
+    st.builds(
+        Route,
+        WORDS,
+        st.none(),
+        st.just("/a"),
+        st.sampled_from(("", "GET")),
+        PARTS,
+        TIMES,
+        st.one_of(st.none(), RETRIES),
+        st.booleans(),
+    ),
+    st.booleans(),
+)
 HOSTED = st.builds(VirtualHost, WORDS, st.just(("*",)), st.lists(ROUTES, max_size=2).map(tuple))
 TABLES = st.builds(RouteTable, WORDS, st.lists(HOSTED, max_size=2).map(tuple))
 PLACES = st.one_of(st.none(), st.builds(Place, HOSTS, PORTS), st.just(Place("unix:/run/a", 0)))
 LISTENERS = st.one_of(
-    st.builds(Listener, WORDS, PLACES, WORDS), st.builds(Listener, WORDS, PLACES, table=TABLES))
+    st.builds(Listener, WORDS, PLACES, WORDS), st.builds(Listener, WORDS, PLACES, table=TABLES)
+)
 
 
 @SAME
@@ -126,10 +156,16 @@
 @SAME
 @given(st.lists(clusters(), min_size=2, max_size=4), st.sampled_from((None, 1.0, 1000.0)))
 def test_a_writer_that_remembers_writes_what_a_new_one_writes(
-        states: list[Cluster], scale: float | None) -> None:
+    states: list[Cluster], scale: float | None
+) -> None:
     writer = AssignmentWriter()
-    for state in (*states, *(replace(a, endpoints=a.endpoints[:1] + b.endpoints)
-                             for a, b in zip(states, states[1:], strict=False))):
+    for state in (
+        *states,
+        *(
+            replace(a, endpoints=a.endpoints[:1] + b.endpoints)
+            for a, b in zip(states, states[1:], strict=False)
+        ),
+    ):
         assert writer.write(state, scale) == write_assignment(state, scale)
 
 
@@ -137,11 +173,19 @@
 @given(clusters())
 def test_one_list_feeds_our_own_balancer_and_envoy(cluster: Cluster) -> None:
     """From the platform to the fleet, to Envoy's form, back, and to the platform."""
-    once = {e.node.name: replace(
-        e, health=Health.UNKNOWN, priority=0, hostname="", additional=(),
-        locality=Locality(zone=e.locality.zone),
-        metadata={EXTRA: e.metadata[EXTRA]} if e.metadata.get(EXTRA) else NO_METADATA)
-        for e in cluster.endpoints if e.lifecycle is not Lifecycle.REMOVED}
+    once = {
+        e.node.name: replace(
+            e,
+            health=Health.UNKNOWN,
+            priority=0,
+            hostname="",
+            additional=(),
+            locality=Locality(zone=e.locality.zone),
+            metadata={EXTRA: e.metadata[EXTRA]} if e.metadata.get(EXTRA) else NO_METADATA,
+        )
+        for e in cluster.endpoints
+        if e.lifecycle is not Lifecycle.REMOVED
+    }
     sent = json.loads(json.dumps(write_whole(settled(Cluster("grid", tuple(once.values()))), 41)))
     fleet = take(Cluster("grid"), read_line(sent))
     assert write_whole(read_assignment(write_assignment(fleet)), 41) == sent
@@ -176,11 +220,19 @@
     assert read_assignment(data) == cluster
 
 
-@pytest.mark.parametrize("fault, said", [
-    ({"weight": -1.0}, "weight -1.0"), ({"weight": float("nan")}, "weight nan"), ({"port": 0}, "port 0"),
-    ({"host": ""}, "address ''"), ({"priority": 129}, "priority 129"), ({"priority": -1}, "priority -1"),
-    ({"metadata": {"roadlb": {}}}, "namespace 'roadlb'"), ({"weight": 1e13}, "weight 1000"),
-])
+@pytest.mark.parametrize(
+    "fault, said",
+    [
+        ({"weight": -1.0}, "weight -1.0"),
+        ({"weight": float("nan")}, "weight nan"),
+        ({"port": 0}, "port 0"),
+        ({"host": ""}, "address ''"),
+        ({"priority": 129}, "priority 129"),
+        ({"priority": -1}, "priority -1"),
+        ({"metadata": {"roadlb": {}}}, "namespace 'roadlb'"),
+        ({"weight": 1e13}, "weight 1000"),
+    ],
+)
 def test_what_envoy_would_refuse_is_not_written(fault: dict[str, Any], said: str) -> None:
     faulty: Endpoint = replace(node("n1"), **fault)
     with pytest.raises(CodecError, match=f"cluster 'grid'.*{said}"):
@@ -192,10 +244,14 @@
         return write_routes, RouteTable("t", (host,))
 
     cases: list[tuple[Any, Any]] = [
-        (write_cluster, ClusterSettings("")), (write_cluster, ClusterSettings("c", connect_timeout_us=0)),
-        (write_routes, RouteTable("")), (write_listener, Listener("l")), routed(VirtualHost("v", ())),
+        (write_cluster, ClusterSettings("")),
+        (write_cluster, ClusterSettings("c", connect_timeout_us=0)),
+        (write_routes, RouteTable("")),
+        (write_listener, Listener("l")),
+        routed(VirtualHost("v", ())),
         routed(VirtualHost("v", routes=(Route(prefix="/"),))),
-        routed(VirtualHost("v", routes=(Route(clusters=(("c", 1),)),)))]
+        routed(VirtualHost("v", routes=(Route(clusters=(("c", 1),)),))),
+    ]
     for write, told in cases:
         with pytest.raises(CodecError):
             write(told)
--- a/tests/xds/codec/test_versions.py
+++ b/tests/xds/codec/test_versions.py
@@ -62,8 +62,9 @@
 
 def bare(cluster: Cluster) -> tuple[object, ...]:
     """What must come through: `origin` is the codec's own, the order across groups is not kept."""
-    lines = Counter(repr((replace(e, origin=None, metadata={}), sorted_out(e.metadata)))
-                    for e in cluster.endpoints)
+    lines = Counter(
+        repr((replace(e, origin=None, metadata={}), sorted_out(e.metadata))) for e in cluster.endpoints
+    )
     return lines, [replace(g, origin=None) for g in cluster.groups if g.weight], cluster.drops
 
 
@@ -76,7 +77,7 @@
         try:
             parts = writer.write(told)
         except CodecError:
-            continue                                   # what the codec for endpoints cannot say either
+            continue  # what the codec for endpoints cannot say either
         prepare = Prepare(ID.epoch, Version(ID, told, "meant so"))
         found = read_version(read_prepared(write_prepared(prepare, parts)), parts, reader)
         assert found is not None and found.epoch == ID.epoch and found.version.id == ID
@@ -91,8 +92,9 @@
     assert {e.part for e in PartsReader().contents(parts).clusters["grid"].endpoints} == {1}
 
 
-@pytest.mark.parametrize("message", [
-    Ask(12, 34, ID.epoch, ID, VersionId()), Ask(0, 0, 0, VersionId(), VersionId(1, 2))])
+@pytest.mark.parametrize(
+    "message", [Ask(12, 34, ID.epoch, ID, VersionId()), Ask(0, 0, 0, VersionId(), VersionId(1, 2))]
+)
 def test_an_ask_comes_back_from_its_name(message: Ask) -> None:
     assert read_ask(ask_name(message)) == message
 
@@ -105,9 +107,16 @@
     assert read_withdrawn(write_withdrawn(withdrawn)) == withdrawn
 
 
-@pytest.mark.parametrize("name", [
-    "lease", "lease?life=1", ask_name(Ask(1, 1, 1, ID, ID)).replace("life=1", "life=-1"),
-    ask_name(Ask(1, 1, 1, ID, ID)).replace("lease?", "grid?"), "lease?" + "a=1&" * 20])
+@pytest.mark.parametrize(
+    "name",
+    [
+        "lease",
+        "lease?life=1",
+        ask_name(Ask(1, 1, 1, ID, ID)).replace("life=1", "life=-1"),
+        ask_name(Ask(1, 1, 1, ID, ID)).replace("lease?", "grid?"),
+        "lease?" + "a=1&" * 20,
+    ],
+)
 def test_a_name_that_asks_nothing_is_refused(name: str) -> None:
     with pytest.raises(CodecError):
         read_ask(name)
@@ -140,8 +149,9 @@
     reader, writer = PartsReader(), VersionWriter()
     maps = Cluster("maps", tuple(fleet(3)))
     first = reader.contents(writer.write(Contents(SETTINGS_SAID, {"grid": Cluster("grid"), "maps": maps})))
-    second = reader.contents(writer.write(Contents(
-        SETTINGS_SAID, {"grid": Cluster("grid", tuple(fleet(2))), "maps": maps})))
+    second = reader.contents(
+        writer.write(Contents(SETTINGS_SAID, {"grid": Cluster("grid", tuple(fleet(2))), "maps": maps}))
+    )
     assert second.clusters["maps"] is first.clusters["maps"] and second.settings is first.settings
     assert len(second.clusters["grid"].endpoints) == 2
 
--- a/tests/xds/grpc/test_dial.py
+++ b/tests/xds/grpc/test_dial.py
@@ -20,6 +20,7 @@
         async def serve(requests: object, context: grpc.aio.ServicerContext) -> None:
             await context.read()
             await context.abort(grpc.StatusCode.UNAVAILABLE, "killed")
+
         return grpc.stream_stream_rpc_method_handler(serve) if details.method == METHOD else None
 
 
@@ -39,4 +40,5 @@
         finally:
             await call.close()
             await server.stop(None)
+
     asyncio.run(asyncio.wait_for(main(), PATIENCE_S))
--- a/tests/xds/grpc/test_session.py
+++ b/tests/xds/grpc/test_session.py
@@ -44,8 +44,11 @@
 
 
 def snapshot(generation: int, before: Snapshot | None = None) -> Snapshot:
-    return Snapshot.of(generation, [Resource.make(
-        ENDPOINTS, "grid", b"\x0a\x04grid\x22\x00" * generation, generation)], before)
+    return Snapshot.of(
+        generation,
+        [Resource.make(ENDPOINTS, "grid", b"\x0a\x04grid\x22\x00" * generation, generation)],
+        before,
+    )
 
 
 def first(error: ErrorDetail | None = None, nonce: str = "") -> bytes:
@@ -101,8 +104,10 @@
 
 
 def test_a_response_is_encoded_once_and_what_is_kept_is_bounded() -> None:
-    encoder, resources = Encoder(most=10_000), [
-        Resource.make(ENDPOINTS, f"c{i}", b"x" * 3_000, 1) for i in range(8)]
+    encoder, resources = (
+        Encoder(most=10_000),
+        [Resource.make(ENDPOINTS, f"c{i}", b"x" * 3_000, 1) for i in range(8)],
+    )
     for i, resource in enumerate(resources):
         for nonce in "12":
             response = DiscoveryResponse(ENDPOINTS, f"v{i}", nonce, (resource,))
@@ -121,12 +126,15 @@
     cluster = wire.cluster_stats.add(cluster_name="grid~n@1@5")
     cluster.load_report_interval.FromSeconds(2)
     group = cluster.upstream_locality_stats.add(
-        total_successful_requests=30, total_error_requests=10, total_issued_requests=44)
+        total_successful_requests=30, total_error_requests=10, total_issued_requests=44
+    )
     group.locality.sub_zone = "n@1@5"
-    group.load_metric_stats.add(metric_name="named_metrics.eps", num_requests_finished_with_metric=4,
-                                total_metric_value=10.0)
-    group.load_metric_stats.add(metric_name="queue", num_requests_finished_with_metric=2,
-                                total_metric_value=3)
+    group.load_metric_stats.add(
+        metric_name="named_metrics.eps", num_requests_finished_with_metric=4, total_metric_value=10.0
+    )
+    group.load_metric_stats.add(
+        metric_name="queue", num_requests_finished_with_metric=2, total_metric_value=3
+    )
     if endpoint:
         one = group.upstream_endpoint_stats.add(total_successful_requests=7, total_issued_requests=7)
         one.address.socket_address.address = endpoint["host"]
@@ -134,16 +142,28 @@
     return wire.SerializeToString()
 
 
-@pytest.mark.parametrize("data, found", [
-    (stats(), [LoadReport("p", "grid", NODE, 44, 10, 2_000_000, 2.5, 1.5)]),
-    (stats(host="10.0.0.1"), [LoadReport("p", "grid", NODE, 7, 0, 2_000_000)]),
-    (stats(host="10.0.0.2"), [None]),
-    (b"", []),
-])
+@pytest.mark.parametrize(
+    "data, found",
+    [
+        (stats(), [LoadReport("p", "grid", NODE, 44, 10, 2_000_000, 2.5, 1.5)]),
+        (stats(host="10.0.0.1"), [LoadReport("p", "grid", NODE, 7, 0, 2_000_000)]),
+        (stats(host="10.0.0.2"), [None]),
+        (b"", []),
+    ],
+)
 def test_load_reports_are_by_endpoint_or_else_by_the_nodes_own_locality(data: bytes, found: list) -> None:
     nodes = {("10.0.0.1", 80): NODE}
-    assert list(reports("p", read_stats(data), lambda host, port: nodes.get((host, port)),
-                        lambda name: name.partition("~")[0])) == found
+    assert (
+        list(
+            reports(
+                "p",
+                read_stats(data),
+                lambda host, port: nodes.get((host, port)),
+                lambda name: name.partition("~")[0],
+            )
+        )
+        == found
+    )
 
 
 def test_reports_are_asked_for_in_the_words_that_a_client_knows() -> None:
--- a/tests/xds/streams/test_any_order.py
+++ b/tests/xds/streams/test_any_order.py
@@ -22,7 +22,7 @@
 from roadlb.xds.sotw import SotwStream
 from roadlb.xds.stream import Stream
 
-STEP_US = 1_000          # so short that nothing waits for ever within a run
+STEP_US = 1_000  # so short that nothing waits for ever within a run
 CLUSTERS = [f"c{n}" for n in range(4)]
 
 
@@ -32,20 +32,20 @@
     subscriber_class: type[Subscriber]
     stream_class: type[Stream]
     explicit = False
-    rough = True                 # streams are lost, resources refused, and the subscriber forgets
+    rough = True  # streams are lost, resources refused, and the subscriber forgets
 
     def __init__(self) -> None:
         super().__init__()
         self.now, self.generation, self.salt = 0, 0, count()
-        self.fleet = {"c0": 0}                       # clusters, and the generation of their endpoints
-        self.target, self.poison = {"c0"}, set()     # clusters that the route leads to; names refused
+        self.fleet = {"c0": 0}  # clusters, and the generation of their endpoints
+        self.target, self.poison = {"c0"}, set()  # clusters that the route leads to; names refused
         self.bodies: dict[str, str] = {}
         self.published: list[list[Resource]] = []
         self.instances = [Snapshot.empty(), Snapshot.empty()]
-        self.known = [0, 0]                          # how many of the published each instance knows
+        self.known = [0, 0]  # how many of the published each instance knows
         self.client = self.subscriber_class(self.explicit)
         self.seen: dict[str, int] = {}
-        self.calm = True                             # the subscriber's view has been whole on this stream
+        self.calm = True  # the subscriber's view has been whole on this stream
         self.at = 0
         self.publish()
         self.connect(0)
@@ -57,8 +57,10 @@
         """A new picture, known to the first instance at once."""
         self.generation += 1
         clusters = ",".join(sorted(self.target))
-        resources = [Resource.make(ROUTE, "r", f"to={clusters}".encode(), self.generation),
-                     Resource.make(LISTENER, "l", b"route=r", self.generation)]
+        resources = [
+            Resource.make(ROUTE, "r", f"to={clusters}".encode(), self.generation),
+            Resource.make(LISTENER, "l", b"route=r", self.generation),
+        ]
         for name, since in self.fleet.items():
             body = f"{name};poison" if name in self.poison else f"{name};{self.bodies.get(name, '')}"
             resources.append(Resource.make(CLUSTER, name, body.encode(), self.generation))
@@ -70,8 +72,9 @@
         """An instance hears of the next picture."""
         self.known[instance] += 1
         generation = self.known[instance]
-        self.instances[instance] = Snapshot.of(generation, self.published[generation - 1],
-                                               self.instances[instance])
+        self.instances[instance] = Snapshot.of(
+            generation, self.published[generation - 1], self.instances[instance]
+        )
         if instance == self.at and hasattr(self, "stream"):
             self.tell(Published(self.instances[instance]))
 
@@ -223,16 +226,23 @@
         assert {digest_of(r.version) for view in self.client.view.values() for r in view.values()} == versions
 
 
-BOUNDED = settings(max_examples=25, stateful_step_count=50, derandomize=True, deadline=None,
-                   suppress_health_check=list(HealthCheck))
+BOUNDED = settings(
+    max_examples=25,
+    stateful_step_count=50,
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
 
 
 @pytest.mark.parametrize("rough", [False, True], ids=["smooth", "rough"])
 @pytest.mark.parametrize("subscriber, stream", [(SotwSubscriber, SotwStream), (DeltaSubscriber, DeltaStream)])
 def test_any_order_of_events_ends_in_the_published_view(
-        subscriber: type[Subscriber], stream: type[Stream], rough: bool) -> None:
-    kind = type("Kind", (World,), {"subscriber_class": subscriber, "stream_class": stream, "rough": rough,
-                                   "explicit": rough})
+    subscriber: type[Subscriber], stream: type[Stream], rough: bool
+) -> None:
+    kind = type(
+        "Kind",
+        (World,),
+        {"subscriber_class": subscriber, "stream_class": stream, "rough": rough, "explicit": rough},
+    )
     run(kind, settings=BOUNDED)
-
-
--- a/tests/xds/streams/test_cases.py
+++ b/tests/xds/streams/test_cases.py
@@ -44,13 +44,19 @@
 TTL_US = 9_000_000
 
 
-def snapshot(generation: int, text: str, before: Snapshot | None = None,
-             ttl_us: int | None = None) -> Snapshot:
+def snapshot(
+    generation: int, text: str, before: Snapshot | None = None, ttl_us: int | None = None
+) -> Snapshot:
     """`Cc0=x Ec0` is a cluster c0 with the body x and endpoints of it with the body c0."""
     parts = [(word[0], *word[1:].partition("=")[::2]) for word in text.split()]
-    return Snapshot.of(generation, [
-        Resource.make(SHORT[kind], name, (body or name).encode(), generation, ttl_us)
-        for kind, name, body in parts], before)
+    return Snapshot.of(
+        generation,
+        [
+            Resource.make(SHORT[kind], name, (body or name).encode(), generation, ttl_us)
+            for kind, name, body in parts
+        ],
+        before,
+    )
 
 
 def short(action: Action) -> str:
@@ -90,12 +96,22 @@
         more.setdefault("node", NODE if self.stream.node is None else None)
         error = NACK if nack else None
         if isinstance(self.stream, SotwStream):
-            return self.tell(Asked(DiscoveryRequest(SHORT.get(kind, kind), names, response_nonce=nonce,
-                                                    error_detail=error, **more)))
+            return self.tell(
+                Asked(
+                    DiscoveryRequest(
+                        SHORT.get(kind, kind), names, response_nonce=nonce, error_detail=error, **more
+                    )
+                )
+            )
         more_names = tuple(name for name in names if name[0] != "-")
         gone = tuple(name[1:] for name in names if name[0] == "-")
-        return self.tell(Asked(DeltaRequest(SHORT.get(kind, kind), more_names, gone, response_nonce=nonce,
-                                            error_detail=error, **more)))
+        return self.tell(
+            Asked(
+                DeltaRequest(
+                    SHORT.get(kind, kind), more_names, gone, response_nonce=nonce, error_detail=error, **more
+                )
+            )
+        )
 
     def publish(self, generation: int, text: str, **more: int) -> list[str]:
         return self.tell(Published(snapshot(generation, text, self.stream.snapshot, **more)))
@@ -122,30 +138,44 @@
 @BOTH
 @pytest.mark.parametrize("table, phases", [(sotw.TABLE, 4), (delta.TABLE, 4)])
 def test_the_table_has_each_pair_that_can_come(kind: type[Stream], table: dict, phases: int) -> None:
-    possible = {(phase, said) for phase in Phase for said in Said
-                if not (said in (Said.ACK, Said.NACK) and phase is not Phase.WAITING)
-                and not (said is Said.REPEAT and phase is not Phase.ANSWERED)}
+    possible = {
+        (phase, said)
+        for phase in Phase
+        for said in Said
+        if not (said in (Said.ACK, Said.NACK) and phase is not Phase.WAITING)
+        and not (said is Said.REPEAT and phase is not Phase.ANSWERED)
+    }
     assert set(table) == possible and len({phase for phase, _ in table}) == phases
 
 
 @BOTH
-@pytest.mark.parametrize("request_of", [
-    lambda t: t.ask("C", node=None),                            # nobody asks
-    lambda t: t.ask("C", node=Node("")),
-    lambda t: t.ask("", node=NODE),                             # for nothing
-    lambda t: t.ask("C", nonce="7"),                            # answers another stream's response
-    lambda t: t.ask("C", nack=True),
-    lambda t: t.ask("C") and t.ask("E", node=Node("other")),
-    lambda t: t.ask("E", *map(str, range(NAMES_MOST + 1))),
-    lambda t: t.ask("E", "x" * 1000),
-    lambda t: t.tell(Asked(DeltaRequest(CLUSTER, node=NODE) if isinstance(t.stream, SotwStream)
-                           else DiscoveryRequest(CLUSTER, node=NODE))),
-], ids="no_node no_id no_type foreign_nonce refuses_nothing other_node many_names long_name variant".split())
+@pytest.mark.parametrize(
+    "request_of",
+    [
+        lambda t: t.ask("C", node=None),  # nobody asks
+        lambda t: t.ask("C", node=Node("")),
+        lambda t: t.ask("", node=NODE),  # for nothing
+        lambda t: t.ask("C", nonce="7"),  # answers another stream's response
+        lambda t: t.ask("C", nack=True),
+        lambda t: t.ask("C") and t.ask("E", node=Node("other")),
+        lambda t: t.ask("E", *map(str, range(NAMES_MOST + 1))),
+        lambda t: t.ask("E", "x" * 1000),
+        lambda t: t.tell(
+            Asked(
+                DeltaRequest(CLUSTER, node=NODE)
+                if isinstance(t.stream, SotwStream)
+                else DiscoveryRequest(CLUSTER, node=NODE)
+            )
+        ),
+    ],
+    ids="no_node no_id no_type foreign_nonce refuses_nothing other_node many_names long_name variant".split(),
+)
 def test_ends_with_a_reason_what_cannot_be_a_stream(
-        kind: type[Stream], request_of: Callable[[Talk], list]) -> None:
+    kind: type[Stream], request_of: Callable[[Talk], list]
+) -> None:
     t = talk(kind, "Cc0")
     assert request_of(t) == ["end"]
-    assert t.ask("C") == [] and t.publish(2, "Cc1") == []       # and nothing after it
+    assert t.ask("C") == [] and t.publish(2, "Cc1") == []  # and nothing after it
 
 
 @BOTH
@@ -208,7 +238,7 @@
     t, seen = talk(kind, "Ca", 5), Resource.make(CLUSTER, "a", b"newer", 9).version
     shown = {"version_info": seen} if kind is SotwStream else {"initial_resource_versions": {"a": seen}}
     assert t.ask("C", **shown) == ["hold behind"]
-    assert t.publish(8, "Ca=8") == []                            # still behind, told once
+    assert t.publish(8, "Ca=8") == []  # still behind, told once
     assert t.publish(9, "Ca=9") == ["C1 a"]
 
 
@@ -268,7 +298,7 @@
         answers += sum(word.startswith("E") for word in t.ask("E", *names, nonce=nonce))
     assert answers < 201
     t.ask("E", "a", nonce=str(answers + 1))
-    assert t.publish(2, "Ea=new Eb=new") + t.wait(100_000) != []     # paced, but soon
+    assert t.publish(2, "Ea=new Eb=new") + t.wait(100_000) != []  # paced, but soon
 
 
 @BOTH
@@ -278,7 +308,7 @@
     t.ask("E", "a", node=TTL_NODE), t.ask("E", *"a" * (kind is SotwStream), nonce="1")
     whole = "a" if kind is SotwStream else "a~"
     assert t.wait(TTL_US // 3 + 1) == [f"E2 {whole}"]
-    assert t.wait(TTL_US) == []                                  # not answered: what it has may run out
+    assert t.wait(TTL_US) == []  # not answered: what it has may run out
     assert t.ask("E", *"a" * (kind is SotwStream), nonce="2") == ["ack E", f"E3 {whole}"]
     plain = talk(kind, None)
     plain.publish(1, "Ea", ttl_us=TTL_US)
@@ -330,9 +360,13 @@
 }
 
 
-@pytest.mark.parametrize("kind, name, case", [
-    *((SotwStream, name, case) for name, case in SOTW.items()),
-    *((DeltaStream, name, case) for name, case in DELTA.items())])
+@pytest.mark.parametrize(
+    "kind, name, case",
+    [
+        *((SotwStream, name, case) for name, case in SOTW.items()),
+        *((DeltaStream, name, case) for name, case in DELTA.items()),
+    ],
+)
 def test_case(kind: type[Stream], name: str, case: list[tuple[str, str]]) -> None:
     t = talk(kind, "Ca Cb Ea Eb")
     for request, expected in case:
@@ -357,7 +391,7 @@
     version = t.stream.snapshot.collections[CLUSTER].version
     assert t.ask("C", version_info=version) == []
     assert t.publish(2, "Ca Cb") == ["C1 a b"]
-    assert talk(SotwStream, "Ca").ask("C", "a", version_info=version) == ["C1 a"]       # by name: it does
+    assert talk(SotwStream, "Ca").ask("C", "a", version_info=version) == ["C1 a"]  # by name: it does
 
 
 def test_delta_reconnect_sends_only_what_differs_and_tells_what_is_gone() -> None:
@@ -366,7 +400,7 @@
     shown = {name: resource.version for name, resource in old.items()}
     assert t.ask("E", "a", "b", "c", "x", initial_resource_versions=shown) == ["E1 b c"]
     assert t.ask("E", nonce="1") == ["ack E", "hold order"]
-    assert t.wait(5_000_000) == ["E2 -x"]            # in order: who refers to it might not have asked yet
+    assert t.wait(5_000_000) == ["E2 -x"]  # in order: who refers to it might not have asked yet
 
 
 def test_delta_what_was_refused_together_follows_when_one_of_them_is_another() -> None:
@@ -374,7 +408,7 @@
     t.ask("E", "a", "b", "c"), t.ask("E", nonce="1")
     assert t.publish(2, "Ea=2 Eb=bad Ec") == ["E2 a b"]
     assert t.ask("E", nonce="2", nack=True) == ["nack E"]
-    assert t.publish(3, "Ea=2 Eb=bad Ec=3") == ["E3 c"]          # a drain is not held up by a refusal
+    assert t.publish(3, "Ea=2 Eb=bad Ec=3") == ["E3 c"]  # a drain is not held up by a refusal
     assert t.ask("E", nonce="3") == ["ack E"]
     assert t.publish(4, "Ea=2 Eb=good Ec=3") == ["E4 b"]
     assert t.ask("E", nonce="4") == ["ack E", "E5 a"]
@@ -400,13 +434,14 @@
 @BOTH
 @pytest.mark.parametrize("answers", ["nothing", "refuses", "forgets"])
 def test_whatever_a_subscriber_does_what_is_kept_of_it_is_bounded(
-        kind: type[Stream], answers: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    kind: type[Stream], answers: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     for module, name in ("ordering", "GONE_MOST"), ("stream", "GONE_MOST"), ("stream", "NAMES_MOST"):
         monkeypatch.setattr(f"roadlb.xds.{module}.{name}", 25)
     t, most = talk(kind, None), 0
     t.ask("C"), t.ask("E", "c0")
     for turn in range(1_000):
-        names = [f"c{turn + n}" for n in range(20)]             # one new and one gone each time
+        names = [f"c{turn + n}" for n in range(20)]  # one new and one gone each time
         t.publish(turn + 1, " ".join(f"C{name}={turn} E{name}={turn}" for name in names))
         for kind_, nonce in ("C", turn * 2), ("E", turn * 2 + 1), ("C", turn), ("E", turn):
             if answers == "refuses":
--- a/tests/xds/streams/test_framing.py
+++ b/tests/xds/streams/test_framing.py
@@ -19,7 +19,8 @@
 NODE = Node("n", "c", {"deep": {"list": [1, None]}}, Locality("r", "z"), "envoy", "1.37", ("f",))
 RESOURCE = Resource.make(CLUSTER, "a", b"\x00\xff", 7, ttl_us=5)
 MESSAGES = [
-    DiscoveryRequest(CLUSTER, ("a",), "v", "1", ErrorDetail(3, "no"), NODE), DiscoveryRequest(CLUSTER),
+    DiscoveryRequest(CLUSTER, ("a",), "v", "1", ErrorDetail(3, "no"), NODE),
+    DiscoveryRequest(CLUSTER),
     DiscoveryResponse(CLUSTER, "v", "1", (RESOURCE, RESOURCE.heartbeat())),
     DeltaRequest(CLUSTER, ("a",), ("b",), {"c": "v"}, "1", ErrorDetail(3, "no"), NODE),
     DeltaResponse(CLUSTER, "v", "1", (RESOURCE,), ("b",)),
@@ -30,13 +31,21 @@
 def test_messages_come_back_however_they_are_cut(size: int) -> None:
     data, frames, got = b"".join(map(frame, MESSAGES)), Frames(), []
     for start in range(0, len(data), size):
-        got += frames.feed(data[start:start + size])
+        got += frames.feed(data[start : start + size])
     assert got == MESSAGES
 
 
-@pytest.mark.parametrize("data", [
-    bytes(4), (FRAME_MOST + 1).to_bytes(4, "big"), b"\0\0\0\1\x09", b"\0\0\0\2\x01\xc1", b"\0\0\0\2\x01\x80",
-], ids=["empty", "too_long", "unknown_kind", "no_messagepack", "no_type_url"])
+@pytest.mark.parametrize(
+    "data",
+    [
+        bytes(4),
+        (FRAME_MOST + 1).to_bytes(4, "big"),
+        b"\0\0\0\1\x09",
+        b"\0\0\0\2\x01\xc1",
+        b"\0\0\0\2\x01\x80",
+    ],
+    ids=["empty", "too_long", "unknown_kind", "no_messagepack", "no_type_url"],
+)
 def test_rubbish_is_an_error_after_the_good_frames(data: bytes) -> None:
     frames, got = Frames(), []
     with pytest.raises(FramingError):
--- a/tests/xds/streams/xds_subscriber.py
+++ b/tests/xds/streams/xds_subscriber.py
@@ -31,7 +31,7 @@
     """Wants all clusters and listeners, the endpoints of its clusters and the routes of its listeners."""
 
     def __init__(self, explicit: bool) -> None:
-        self.explicit = explicit                     # subscribes to `*`, not to nothing
+        self.explicit = explicit  # subscribes to `*`, not to nothing
         self.view: dict[str, dict[str, Resource]] = {type_url: {} for type_url in TYPES}
         self.wanted: dict[str, set[str]] = {type_url: set() for type_url in TYPES}
         self.nonces: dict[str, str] = {}
@@ -82,8 +82,9 @@
     def request(self, type_url: str, error: ErrorDetail | None = None) -> DiscoveryRequest:
         whole = type_url in (CLUSTER, LISTENER)
         names = (("*",) if self.explicit else ()) if whole else tuple(sorted(self.wanted[type_url]))
-        return DiscoveryRequest(type_url, names, self.versions[type_url],
-                                self.nonces.get(type_url, ""), error)
+        return DiscoveryRequest(
+            type_url, names, self.versions[type_url], self.nonces.get(type_url, ""), error
+        )
 
     def with_node(self, request: Request) -> Request:
         return DiscoveryRequest(request.type_url, request.resource_names, request.version_info, node=NODE)
@@ -108,8 +109,12 @@
     """Incremental."""
 
     def with_node(self, request: Request) -> Request:
-        return DeltaRequest(request.type_url, request.resource_names_subscribe,
-                            initial_resource_versions=request.initial_resource_versions, node=NODE)
+        return DeltaRequest(
+            request.type_url,
+            request.resource_names_subscribe,
+            initial_resource_versions=request.initial_resource_versions,
+            node=NODE,
+        )
 
     def opening(self) -> None:
         for type_url in TYPES:
@@ -128,5 +133,8 @@
             self.view[response.type_url].pop(name, None)
 
     def answer(self, response: DeltaResponse, refused: bool) -> None:
-        self.out.append(DeltaRequest(response.type_url, response_nonce=response.nonce,
-                                     error_detail=REFUSED if refused else None))
+        self.out.append(
+            DeltaRequest(
+                response.type_url, response_nonce=response.nonce, error_detail=REFUSED if refused else None
+            )
+        )
