A refusal names no time to come back where the settings allow none

Seen in reading: limits.retry_after was not read at all, and a bound of 0 went out as Retry-After: 0.000, which sends a client straight back (net/http.py, answered; config.py, read_settings).

Change: with limits.retry_after false the longest advice is 0, and a refusal with no advice has no such line.

--- a/roadlb/config.py
+++ b/roadlb/config.py
@@ -174,6 +174,7 @@
         Tenant(p.word(f"tenants.{i}.name", ""), p.number(f"tenants.{i}.quota_per_s"))
         for i in range(p.integer("tenants.count", "0"))
     ]
+    retry_after = p.flag("limits.retry_after", "true")
     settings = Settings(
         classes=classes,
         tenants=tenants,
@@ -192,7 +193,8 @@
         cancelling=p.flag("limits.cancelling", "false"),
         second_copies=p.flag("limits.second_copies", "false"),
         max_attempts=p.integer("limits.max_attempts"),
-        max_retry_after_us=p.integer("limits.max_retry_after_us", "0"),
+        # Clients that are not to be told when to come back are told nothing, rather than to come at once.
+        max_retry_after_us=p.integer("limits.max_retry_after_us", "0") if retry_after else 0,
         probes=p.flag("limits.probes", "false"),
         peers=p.flag("limits.peers", "false"),
         ask_within_us=p.integer("invariants.ask_within_us", "10000000"),
--- a/roadlb/net/http.py
+++ b/roadlb/net/http.py
@@ -31,7 +31,8 @@
             answer.body,
         )
     if isinstance(answer, Nack):
-        return b"%bRetry-After: %.3f\r\n%b\r\n" % (_EMPTY[503], answer.retry_after_us / 1e6, close)
+        advice = b"Retry-After: %.3f\r\n" % (answer.retry_after_us / 1e6) if answer.retry_after_us > 0 else b""
+        return b"%b%b%b\r\n" % (_EMPTY[503], advice, close)
     return plain(502, answer.reason, last)
 
 
--- a/tests/config/test_config.py
+++ b/tests/config/test_config.py
@@ -96,3 +96,12 @@
     path = tmp_path / "config.json"
     path.write_text(json.dumps(RAW))
     assert load({"PROXY_CONFIG": str(path)}).name == "n1"
+
+
+def test_no_time_to_come_back_where_the_settings_allow_none() -> None:
+    settings = copy.deepcopy(SETTINGS)
+    limits: dict[str, object] = {"max_attempts": 5, "max_retry_after_us": 1_200_000}
+    for retry_after, most in ((None, 1_200_000), (True, 1_200_000), (False, 0)):
+        told = limits if retry_after is None else {**limits, "retry_after": retry_after}
+        read = read_settings(Pairs.from_json({**settings, "limits": told}))
+        assert read.max_retry_after_us == most
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,6 +1,6 @@
 """Tests that may fail for a known fault: KNOWN-RED.txt in the root, which the checks pass over and print.
 
-Each line names a test, three at most: its name as pytest prints it, the cause, and the issue, parted by ` | `.
+Each line names a test, three at most: its name as pytest prints it, cause and issue, parted by ` | `.
 The tests are run like all others; a line that names no test, or cannot be read, ends the run.
 """
 
--- a/tests/net/test_net.py
+++ b/tests/net/test_net.py
@@ -108,6 +108,10 @@
         i2 expect GET
         i2 close
         a expect 503 Retry-After""",
+    "where clients are not told when to come back, a refusal names no time": """
+        grid 0 1 max_retry_after_us=0
+        a send GET /grid-read/k
+        a expect 503 !Retry-After""",
     "an order whose connection broke after its last byte may have run": """
         grid 2
         a send POST /order/k body=9
