The server list, slow start's accounts and timer notes are modules; logic.py is formatted

Change: three concerns have moved out of it with their state, none of which chooses a server, a retry or a refusal: `policy/server_list.py` (servers, those ready, groups, key order, capacity; an update applied and the look-ups rebuilt), `policy/slow_start.py` (work carried, work of a request in the mean, pace of cold servers, what is left of a cold server's budget), `policy/notes.py` (the timer wheel of notes). Tests and the lab's record name the moved attributes at their new place; no check has changed.

--- a/roadlb/lab/sharing/record.py
+++ b/roadlb/lab/sharing/record.py
@@ -36,7 +36,7 @@
 
     for number in range(len(module.s.tenants)):
         found[f"customer {number}"] = 1 / held.of_quota(now, number), 1 / held.of_quota(FAR, number)
-    for server in module.servers.values():
+    for server in module.list.servers.values():
         if server.part(module.warmth, now) < 1:
             found[f"{server.id.hex()} {server.born}"] = (
                 1 / held.of_cold(now, server.id),
--- a/roadlb/policy/logic.py
+++ b/roadlb/policy/logic.py
@@ -13,8 +13,7 @@
 import random
 from collections.abc import Callable, Iterable
 
-from ..routing.cold import ColdBudget, Pace
-from ..routing.key_order import HASH, KeyOrder, mix
+from ..routing.key_order import HASH, mix
 from ..routing.key_sets import RECENT_US, KeySet, KeySets
 from ..routing.shares import Shares
 from ..routing.standing import Standings
@@ -25,20 +24,48 @@
 from ..sites.work_in_hand import WorkInHand
 from .change import apply
 from .interface import (
-    NEVER_RAN, Action, Arrival, BodyWhole, Cancel, Changed, ClientGone, Effect, Event, Fail, Group, Heard,
-    ListKind, ListUpdate, Log, Offer, Outcome, Refuse, Report, Send, ServerId, ServerState, SetTimer,
-    Settings, Shortage, SiteWord, Status, StreamStarted, Subscribe, TimerFired, Twins, View,
+    NEVER_RAN,
+    Action,
+    Arrival,
+    BodyWhole,
+    Cancel,
+    Changed,
+    ClientGone,
+    Effect,
+    Event,
+    Fail,
+    Group,
+    Heard,
+    ListKind,
+    ListUpdate,
+    Log,
+    Offer,
+    Outcome,
+    Refuse,
+    Report,
+    Send,
+    Settings,
+    Shortage,
+    SiteWord,
+    Status,
+    StreamStarted,
+    Subscribe,
+    TimerFired,
+    Twins,
+    View,
 )
+from .notes import Notes
+from .server_list import ServerList
+from .slow_start import SlowStart
 from .state import Attempt, ClassState, Request, Server
 
-FAR = 4.0                     # a server in another hall comes after so many as good ones in our own
-SAMPLE = 4                    # servers looked at for the least loaded
-OWN_MOST = 0.95               # of the demand is refused for want of this node's own means
-HOPELESS = 0.5                # less than this part of its class's quickest answer ever: none can be in time
+SAMPLE = 4  # servers looked at for the least loaded
+OWN_MOST = 0.95  # of the demand is refused for want of this node's own means
+HOPELESS = 0.5  # less than this part of its class's quickest answer ever: none can be in time
 RETRY_SHARE, HEDGE_SHARE = 0.2, 0.15
 FAILED = (Status.ERROR, Status.RESET, Status.CONNECT_FAILED, Status.TIMEOUT, Status.SPOILT)
-WHEEL_US, TICK_US = 5_000, 1_000_000
-TICK, ASK = -1, -2            # entries of the timer wheel that are not requests
+TICK_US = 1_000_000
+TICK, ASK = -1, -2  # notes that are not requests
 
 
 class Balancer:
@@ -48,41 +75,47 @@
         settings.check()
         self.s, self.random = settings, random.Random(seed)
         self.classes = [ClassState(c, c.aim_us / 4, c.aim_us / 2) for c in settings.classes]
-        self.servers: dict[ServerId, Server] = {}
-        self.ready: list[Server] = []
-        self.groups: dict[tuple[int, int], list[Server]] = {}
-        self.keys, self.version, self.weight, self.dialling = KeyOrder(), 0, 1.0, settings.dialling
+        self.dialling = settings.dialling
         self.standings = Standings(self.random.random)
         self.warmth = Warmth(settings.cold_from, settings.cold_us)
-        self.sets: KeySets[Server] = KeySets(self.order)
+        self.list = ServerList(self.standings, self.warmth)
+        self.sets: KeySets[Server] = KeySets(self.list.order)
         self.requests: dict[int, Request] = {}
-        self.fleet, self.sites = Server(b""), Sites()          # the former stands for all of them
-        self.carried, self.work_sent, self.work_mean = 0.0, 0.0, 0.0
-        self.pace, self.cold_part = Pace(), 0.0     # of cold servers; their part of all capacity
-        self.shares = Shares(settings.instances)    # of what all together may do
+        self.fleet, self.sites = self.list.fleet, Sites()
+        self.slow_start = SlowStart()
+        self.shares = Shares(settings.instances)  # of what all together may do
         self.pressure, self.alone, self.refusals = 0.0, 0.0, Refusals(settings.refusals)
         self.hand, self.quotas = WorkInHand(), Quotas([t.quota_per_s for t in settings.tenants])
-        self.own, self.watched = 0.0, False      # this process's own shortage; has one been told at all?
+        self.own, self.watched = 0.0, False  # this process's own shortage; has one been told at all?
         self.aim, self.queue_field = min(c.aim_us for c in settings.classes), settings.queue_field
-        self.wheel: dict[int, list[int]] = {}
+        self.notes = Notes()
         self.now, self.started, self.asks, self.retries, self.hedges = 0, False, 0, 10.0, 10.0
         self.actions: list[Action] = []
         self.handlers: dict[type, Callable[..., None]] = {
-            Arrival: self.arrival, Outcome: self.outcome, TimerFired: self.timer,
-            ClientGone: self.client_gone, ListUpdate: self.list_update, StreamStarted: self.stream_started,
-            Offer: self.offer, Shortage: self.shortage, Heard: self.heard, BodyWhole: self.body_whole,
-            Changed: self.changed, Twins: lambda e: self.shares.twins(self.now, e.count),
-            SiteWord: lambda e: self.sites.tell(self.now, (TakeOut if e.out else PutIn)(e.site))}
+            Arrival: self.arrival,
+            Outcome: self.outcome,
+            TimerFired: self.timer,
+            ClientGone: self.client_gone,
+            ListUpdate: self.list_update,
+            StreamStarted: self.stream_started,
+            Offer: self.offer,
+            Shortage: self.shortage,
+            Heard: self.heard,
+            BodyWhole: self.body_whole,
+            Changed: self.changed,
+            Twins: lambda e: self.shares.twins(self.now, e.count),
+            SiteWord: lambda e: self.sites.tell(self.now, (TakeOut if e.out else PutIn)(e.site)),
+        }
 
     def handle(self, now: int, event: Event) -> list[Action]:
         """Take one event at clock time `now` and return the actions to carry out, in order."""
         self.now, self.actions = now, []
-        if type(event) is Report:      # reads only: it starts nothing, draws no number, moves no mean
+        if type(event) is Report:  # reads only: it starts nothing, draws no number, moves no mean
             return [self.view(now)]
         if not self.started:
             self.started, self.fleet.at = True, now
             self.alarm(now + TICK_US, TICK)
-            if self.s.discovery_on_request:      # nodes that start together must not ask together
+            if self.s.discovery_on_request:  # nodes that start together must not ask together
                 self.alarm(now + int(self.random.random() * min(2_000_000, self.s.ask_within_us // 4)), ASK)
         if handler := self.handlers.get(type(event)):
             handler(event)
@@ -93,15 +126,11 @@
         return self.actions
 
     def alarm(self, at: int, what: int) -> None:
-        """Put a note on the timer wheel; a slot costs one timer, whatever it holds."""
-        slot = at // WHEEL_US + 1
-        notes = self.wheel.setdefault(slot, [])
-        if not notes:
-            self.actions.append(SetTimer(slot * WHEEL_US, slot))
-        notes.append(what)
+        if timer := self.notes.put(at, what):
+            self.actions.append(timer)
 
     def timer(self, e: TimerFired) -> None:
-        for what in self.wheel.pop(e.token, ()):
+        for what in self.notes.take(e.token):
             if what >= 0:
                 self.look_at(what)
             elif what == TICK:
@@ -112,15 +141,14 @@
     def tick(self) -> None:
         """Once a second: what need not be done for each request."""
         self.alarm(self.now + TICK_US, TICK)
-        if any(s.share < 1 for s in self.ready):
+        if any(s.share < 1 for s in self.list.ready):
             self.rebuild()
         self.refusals.fade()
         self.quotas.fade()
-        self.pace.fade()
-        self.sets.told([s.told * s.inverse for s in self.ready if self.now - s.queue_at < RECENT_US])
-        self.carried, self.work_sent = self.carried + (self.work_sent - self.carried) * 0.25, 0.0
-        each = self.carried / (self.work_mean or 1.0) / self.weight
-        self.sites.usual([(s.zone, each * s.weight * s.share) for s in self.ready])
+        self.slow_start.tick()
+        self.sets.told([s.told * s.inverse for s in self.list.ready if self.now - s.queue_at < RECENT_US])
+        each = self.slow_start.carried / (self.slow_start.mean or 1.0) / self.list.weight
+        self.sites.usual([(s.zone, each * s.weight * s.share) for s in self.list.ready])
         self.sites.tell(self.now, Pulse())
 
     # The server list
@@ -132,77 +160,47 @@
             self.alarm(self.now + int((0.5 + self.random.random()) * (1_000_000 << self.asks)), ASK)
             return
         self.asks = 0
-        present = [m for m in e.members if m.state is not ServerState.GONE]
-        listed = {m.server for m in present}
-        gone = (m.server for m in e.members) if e.kind is ListKind.DELTA else self.servers
-        for server in [self.servers[i] for i in gone if i in self.servers and i not in listed]:
-            server.up = False
-            self.standings.gone(server)
-            del self.servers[server.id]
-        for m in present:
-            s = self.servers.get(m.server)
-            if s is None:
-                s = self.servers[m.server] = Server(m.server, born=m.born_us, zone=m.zone, at=self.now)
-                # Not heard from: at half the others' mean, for what it can do by now.
-                s.mean = self.fleet.load(self.now, self.aim) * m.weight * s.part(self.warmth, self.now) / 2
-            elif m.born_us != s.born:
-                # A fresh process under an old name: nothing said of the old one counts.
-                self.standings.fresh(s)
-                s.born, s.rested = m.born_us, []
-            s.up, s.cell, s.zone = m.state is ServerState.READY, m.cell, m.zone
-            if m.weight > 0 and self.s.weight_source != "off":
-                # A live weight falls and rises with load; the most it has been comes nearest to a size.
-                s.weight = max(m.weight, s.weight) if self.s.weight_source == "live" else m.weight
-        self.rebuild()
-        there: dict[int, dict[bytes, int]] = {}
-        for s in self.ready:
-            there.setdefault(s.zone, {})[s.id] = s.born
-        self.sites.tell(self.now, Listed(there))
+        self.list.apply(self.now, e, self.s, self.aim)
+        self.sites.tell(self.now, Listed(self.list.starts()))
 
     def changed(self, e: Changed) -> None:
         old, self.s, self.dialling = self.s, (new := e.settings), e.settings.dialling
         self.actions += apply(old, new, self.classes, self.requests, self.refusals, self.warmth, self.rebuild)
 
     def rebuild(self) -> None:
-        """Set up what is looked up for each request: who is ready, at what capacity, in which group."""
-        self.version += 1
-        self.ready = sorted((s for s in self.servers.values() if s.up), key=lambda s: s.id)
-        self.groups = {}
-        for s in self.ready:
-            if (part := s.part(self.warmth, self.now)) < s.share:
-                s.cold = ColdBudget()      # a fresh process, or it may be
-            s.share = part
-            s.inverse = 1 / (s.weight * s.share)
-            self.groups.setdefault((Group.CELL, s.cell), []).append(s)
-            self.groups.setdefault((Group.ZONE, s.zone), []).append(s)
-        self.weight = sum(s.weight * s.share for s in self.ready) or 1.0
-        self.cold_part = sum(s.weight * s.share for s in self.ready if s.share < 1) / self.weight
-        self.fleet.inverse = 1 / self.weight
-        far = FAR if self.s.cross_zone_cost > 0 else 1.0
-        self.keys = KeyOrder(
-            (s.hash, s.inverse * (1.0 if s.zone == self.s.zone else far)) for s in self.ready)
+        """The settings, or the time, have changed what servers can do."""
+        self.list.rebuild(self.now, self.s)
 
     # Load and health
 
-    def count(self, s: Server, change: int) -> None:
-        for x in (s, self.fleet):
-            x.load(self.now, self.aim)
-            x.out += change
-
     def usable(self, s: Server, r: Request) -> bool:
         """May this request go to this server now?"""
         safe = r.cls.spec.effect is Effect.SAFE
-        if not s.up or self.sites.shut(self.now, s.zone, safe, r.bold, r.spare) or s.barred(
-                self.now, s.out, self.aim, safe, r.cls.spec.effect is Effect.UNSAFE, r.bold):
+        if (
+            not s.up
+            or self.sites.shut(self.now, s.zone, safe, r.bold, r.spare)
+            or s.barred(self.now, s.out, self.aim, safe, r.cls.spec.effect is Effect.UNSAFE, r.bold)
+        ):
             return False
         return (s.share >= 1 or self.cold_room(s, r) > 0) and not (
-            self.shares.bounded and self.sites.away(s.zone) and not self.shares.may_dial(self.now, s.zone))
+            self.shares.bounded and self.sites.away(s.zone) and not self.shares.may_dial(self.now, s.zone)
+        )
+
+    def cold_room(self, s: Server, r: Request) -> float:
+        """What is left of this node's part of a cold server's budget, in work."""
+        work = r.work or r.cls.least
+        return self.slow_start.room(self.now, s, work, self.list, self.shares, self.s, self.random.random)
 
     def view(self, now: int) -> View:
         """What is believed of each server, and of each site, at clock time `now`."""
-        servers = sorted(self.servers.values(), key=lambda s: s.id)
-        return View([s.view(now, s.part(self.warmth, now), self.aim) for s in servers], self.sites.view(),
-                    self.alone, self.quotas.rates, self.shares.repeats_held, dict(self.shares.dials_held))
+        return View(
+            self.list.views(now, self.aim),
+            self.sites.view(),
+            self.alone,
+            self.quotas.rates,
+            self.shares.repeats_held,
+            dict(self.shares.dials_held),
+        )
 
     def judge(self, s: Server, r: Request, status: Status, latency: int, unheard: bool) -> None:
         """Learn from an outcome: what answers take, how the server stands, how its site does."""
@@ -212,31 +210,26 @@
             if s.share < 1:
                 s.cold.did(now, r.work or cls.least, self.s.fall_us)
             if s.share >= 1 or self.pressure <= 0:
-                cls.took(latency)     # while it sheds, one that is spared tells nothing of what the rest wait
+                cls.took(latency)  # while it sheds, one that is spared tells nothing of what the rest wait
             self.standings.good(s)
             return
         if status is Status.CANCELLED and unheard:
             if latency > r.cls.spec.aim_us:
-                status = Status.TIMEOUT       # called off, but it never came
+                status = Status.TIMEOUT  # called off, but it never came
             self.sites.overtaken(now, s.zone, s.id)
         if status in (Status.FULL, Status.CONNECT_FAILED):
             self.standings.turned(now, s, cls.latency)
         if status in FAILED:
-            self.standings.failed(now, s, status is Status.SPOILT, len(self.ready))
+            self.standings.failed(now, s, status is Status.SPOILT, len(self.list.ready))
             # One that had less than the usual time left says nothing of the site: it may have been under way.
             short = status is Status.TIMEOUT and latency < cls.tail
-            if status is not Status.SPOILT and not short and self.sites.missed(
-                    now, s.zone, s.id, r.order):
-                for other in self.requests.values():     # what is held up there is no sign of work
+            if status is not Status.SPOILT and not short and self.sites.missed(now, s.zone, s.id, r.order):
+                for other in self.requests.values():  # what is held up there is no sign of work
                     if other.attempts and other.attempts[-1].server.zone == s.zone:
                         self.let_go(other)
 
     # Sets and pick
 
-    def order(self, key: int, count: int) -> list[Server]:
-        """The first few servers of a key's weighted rendezvous order."""
-        return [self.ready[i] for i in self.keys.first(key, count)]
-
     def least(self, servers: Iterable[Server], r: Request, skip: list[Server], most: int) -> Server | None:
         """The least loaded of the first `most` usable servers."""
         best, least = None, 0.0
@@ -252,14 +245,14 @@
 
     def anywhere(self, r: Request, tried: list[Server]) -> Server | None:
         """No key, or nobody in the key's order will do: the least loaded of a random sample."""
-        sample = [self.random.choice(self.ready) for _ in range(2 * SAMPLE)] if self.ready else []
-        return self.least(sample, r, tried, SAMPLE) or self.least(self.ready, r, tried, SAMPLE)
+        sample = [self.random.choice(self.list.ready) for _ in range(2 * SAMPLE)] if self.list.ready else []
+        return self.least(sample, r, tried, SAMPLE) or self.least(self.list.ready, r, tried, SAMPLE)
 
     def idle(self, r: Request, part: float) -> Server | None:
         """A cold or suspect one, which gets less than it could: its load is under this part of the usual."""
-        count, mean = len(self.ready), part * self.fleet.load(self.now, self.aim)
+        count, mean = len(self.list.ready), part * self.fleet.load(self.now, self.aim)
         for n in range(r.key, r.key + min(count, 2 * SAMPLE)):
-            s = self.ready[n % count]
+            s = self.list.ready[n % count]
             gets_less = s.share < 1 or s.suspect(self.now)
             if gets_less and s.load(self.now, self.aim) <= self.sets.low(s, mean) and self.usable(s, r):
                 return s
@@ -271,16 +264,20 @@
         if first and spec.effect is Effect.KEYED and spec.group is not Group.ALL:
             # Only the group of the attempt that may have run discards a repeat; others would run it again.
             number = first.server.cell if spec.group is Group.CELL else first.server.zone
-            return self.least(self.groups.get((spec.group, number), ()), r, tried, SAMPLE)
+            return self.least(self.list.groups.get((spec.group, number), ()), r, tried, SAMPLE)
         if r.spare:
             return None if tried else self.idle(r, 0.5)
         if not tried and r.site >= 0:
-            return self.least(self.groups.get((Group.ZONE, r.site), ()), r, tried, SAMPLE)
-        if not tried and spec.effect is Effect.SAFE and (site := self.sites.due(self.now)) >= 0 and (
-                s := self.least(self.groups.get((Group.ZONE, site), ()), r, tried, SAMPLE)):
-            return s               # a lost site is asked whether it is back, as nobody would choose it
+            return self.least(self.list.groups.get((Group.ZONE, r.site), ()), r, tried, SAMPLE)
+        if (
+            not tried
+            and spec.effect is Effect.SAFE
+            and (site := self.sites.due(self.now)) >= 0
+            and (s := self.least(self.list.groups.get((Group.ZONE, site), ()), r, tried, SAMPLE))
+        ):
+            return s  # a lost site is asked whether it is back, as nobody would choose it
         if not tried and spec.effect is Effect.SAFE and self.pressure > 0 and (s := self.idle(r, 1.0)):
-            return s               # what is warm is left to what only it can do in time
+            return s  # what is warm is left to what only it can do in time
         if not r.key:
             return self.anywhere(r, tried)
         s, ks = self.member(r, tried)
@@ -295,7 +292,7 @@
     def member(self, r: Request, tried: list[Server]) -> tuple[Server | None, KeySet[Server]]:
         """The server of the key's set for the next attempt, which may have to join it first; and the set."""
         now, aim, sets = self.now, self.aim, self.sets
-        ks = sets.use(r.key, self.version)
+        ks = sets.use(r.key, self.list.version)
         best = self.least(ks.members, r, tried, len(ks.members))
         mean = self.fleet.load(now, aim)
         if best is None:
@@ -320,14 +317,10 @@
         if s is None:
             if r.site >= 0 or r.spare:
                 return False
-            r.bold = True          # better one that has failed lately than none
+            r.bold = True  # better one that has failed lately than none
             if (s := self.pick(r)) is None:
                 return False
-        work = r.work or r.cls.least
-        self.work_sent += work
-        self.work_mean += (work - self.work_mean) * (0.02 if self.work_mean else 1.0)
-        if s.share < 1:
-            s.cold.spend(work)
+        self.slow_start.sent(s, r.work or r.cls.least)
         del s.rested[-1:]
         if self.shares.bounded:
             self.shares.sent(now, s.zone, self.sites.away(s.zone), bool(r.attempts))
@@ -348,19 +341,19 @@
         s = a.server
         if not s.out:
             s.since = self.now
-        if s.share < 1:
-            a.held = s.weight * s.share
-            self.pace.hold(self.now, a.held)
-        self.count(s, 1)
+        self.slow_start.began(self.now, a)
+        self.list.count(self.now, self.aim, s, 1)
 
     def may_resend(self, r: Request) -> bool:
         """Do the class, the number of attempts and the time left allow another attempt?"""
         spec, first = r.cls.spec, r.first()
         if len(r.attempts) >= self.s.max_attempts or self.now + r.cls.latency / 2 > r.until:
             return False
-        return (first is None or spec.effect is Effect.SAFE or (
-            spec.effect is Effect.KEYED and self.now - first.sent < spec.window_us)
-                ) and self.shares.may_repeat(self.now)
+        return (
+            first is None
+            or spec.effect is Effect.SAFE
+            or (spec.effect is Effect.KEYED and self.now - first.sent < spec.window_us)
+        ) and self.shares.may_repeat(self.now)
 
     def look_at(self, request: int) -> None:
         """An answer is overdue: note a missed aim, or send a second copy where allowed and of use."""
@@ -370,8 +363,13 @@
         if self.now >= r.due and not r.late:
             r.late = True
             self.let_go(r)
-        if self.s.second_copies and r.open == 1 and self.hedges >= 1 and (
-                self.now + r.cls.latency < r.due) and self.may_resend(r):
+        if (
+            self.s.second_copies
+            and r.open == 1
+            and self.hedges >= 1
+            and (self.now + r.cls.latency < r.due)
+            and self.may_resend(r)
+        ):
             self.hedges -= self.send(r)
 
     def outcome(self, e: Outcome) -> None:
@@ -382,11 +380,9 @@
         a.open, a.ran, s = False, e.status not in NEVER_RAN, a.server
         r.open -= 1
         if not r.coming:
-            self.count(s, -1)
+            self.list.count(self.now, self.aim, s, -1)
         if a.held:
-            self.pace.hold(self.now, -a.held)
-            if e.status is Status.OK:
-                self.pace.did(r.work or r.cls.least)
+            self.slow_start.ended(self.now, a, r.work or r.cls.least, e.status is Status.OK)
         if len(e.report) > self.queue_field >= 0:
             s.told, s.queue_at = e.report[self.queue_field], self.now
             s.queue = s.told / self.shares.alike
@@ -443,8 +439,11 @@
     def call_off(self, r: Request, but: int = -1) -> None:
         if self.s.cancelling and r.open and not r.streaming:
             safe = r.cls.spec.effect is Effect.SAFE
-            self.actions += [Cancel(r.id, n) for n, a in enumerate(r.attempts) if a.open and n != but
-                             and not (safe and self.sites.keeps(self.now, a.server.zone))]
+            self.actions += [
+                Cancel(r.id, n)
+                for n, a in enumerate(r.attempts)
+                if a.open and n != but and not (safe and self.sites.keeps(self.now, a.server.zone))
+            ]
 
     def client_gone(self, e: ClientGone) -> None:
         if r := self.requests.get(e.request):
@@ -460,14 +459,15 @@
 
     def arrival(self, e: Arrival) -> None:
         cls = self.classes[e.class_index]
-        r = self.requests[e.request] = Request(e.request, cls, e.key, e.work_us, self.now + e.left_us,
-                                               self.now + cls.spec.aim_us, e.coming)
+        r = self.requests[e.request] = Request(
+            e.request, cls, e.key, e.work_us, self.now + e.left_us, self.now + cls.spec.aim_us, e.coming
+        )
         self.retries, self.hedges = min(20, self.retries + RETRY_SHARE), min(20, self.hedges + HEDGE_SHARE)
         shed = self.shed(e, cls)
         if shed and cls.spec.effect is Effect.SAFE:
             # A balancer that refuses all but orders would never ask whether a lost site is back.
             r.site = self.sites.spare(self.now)
-            r.spare = r.site < 0 and bool(self.ready)
+            r.spare = r.site < 0 and bool(self.list.ready)
         if shed and r.site < 0 and not r.spare or self.hopeless(e, cls) or not self.send(r):
             self.give_up(r)
         elif not r.coming:
@@ -495,12 +495,13 @@
         self.own, self.watched = min(OWN_MOST, max(0.0, e.share)), True
 
     def heard(self, e: Heard) -> None:
-        self.shares.told(self.now, e.parts, e.cold, e.quotas, e.pressure, e.until, e.floor, e.wholes, e.lean,
-                         e.stale)
+        self.shares.told(
+            self.now, e.parts, e.cold, e.quotas, e.pressure, e.until, e.floor, e.wholes, e.lean, e.stale
+        )
         self.shares.bound(self.now, e.rest, e.repeats_per_s, e.repeats, e.dials_per_s, e.dials)
         for server, until in e.avoid.items():
-            if s := self.servers.get(server):
-                self.standings.avoid(s, until, len(self.ready))
+            if s := self.list.servers.get(server):
+                self.standings.avoid(s, until, len(self.list.ready))
         for site, (since, until) in e.silent.items():
             self.sites.tell(self.now, Doubted(site, since, until))
 
@@ -521,12 +522,13 @@
         worth, tenants = cls.spec.worth, self.s.tenants
         if not coming:
             self.quotas.ask(e.tenant)
-        if over := self.quotas.over(e.tenant, self.shares.of_quota(self.now, e.tenant),
-                                    self.random.random() if tenants else 1.0):
+        if over := self.quotas.over(
+            e.tenant, self.shares.of_quota(self.now, e.tenant), self.random.random() if tenants else 1.0
+        ):
             worth *= self.s.over_share_worth
         if not self.s.worth_by_work and e.work_us:
             worth *= cls.spec.aim_us / e.work_us
-        warm = e.key in self.sets      # likely to be cached: less work for the same worth
+        warm = e.key in self.sets  # likely to be cached: less work for the same worth
         if self.s.warm_keys and warm:
             worth *= 2
         rank = self.refusals.rank(worth, e.class_index, e.tenant, over, e.is_retry, warm)
@@ -543,11 +545,3 @@
             self.refusals.ask(rank)
             self.quotas.ask(e.tenant)
         return refused
-
-    def cold_room(self, s: Server, r: Request) -> float:
-        """What is left of this node's part of a cold server's budget, in work."""
-        work = r.work or r.cls.least
-        carries = s.share * s.weight * max(self.carried / self.weight * self.shares.alike,
-                                           self.cold_part * self.pace.least(self.now))
-        return s.cold.room(self.now, carries, self.shares.of_cold(self.now, s.id), self.work_mean or work,
-                           self.s.fall_multiple, self.s.fall_us, work, self.random.random)
--- a/tests/policy/test_changed.py
+++ b/tests/policy/test_changed.py
@@ -196,7 +196,7 @@
     narrowed(node)
     for request, server in enumerate(servers, 1):
         node.end(server, request=request)
-    assert node.b.hand.out == 0 and not node.b.requests and all(s.out == 0 for s in node.b.ready)
+    assert node.b.hand.out == 0 and not node.b.requests and all(s.out == 0 for s in node.b.list.ready)
 
 
 CLASSES = [RequestClass("read", worth=1.0), RequestClass("map", worth=8.0)]
@@ -275,13 +275,13 @@
     node = Node(servers=2, born=10 * SECOND, cold_us=20 * SECOND, cold_from=0.5)
     while not isinstance(sent := node.ask(7)[0], Send):
         node.now += 1_000
-    before = [s.share for s in node.b.ready]
+    before = [s.share for s in node.b.list.ready]
     change(node, cold_from=0.1, cold_us=40 * SECOND)
-    assert all(s.share < share for s, share in zip(node.b.ready, before, strict=True))
+    assert all(s.share < share for s, share in zip(node.b.list.ready, before, strict=True))
     node.end(sent.server)
-    assert node.b.pace._held == 0
+    assert node.b.slow_start.pace._held == 0
     change(node, cold_us=0)
-    assert [s.share for s in node.b.ready] == [1.0, 1.0]
+    assert [s.share for s in node.b.list.ready] == [1.0, 1.0]
 
 
 @pytest.mark.parametrize("status", [Status.ERROR, Status.FULL, Status.RESET])
--- a/tests/policy/test_decisions.py
+++ b/tests/policy/test_decisions.py
@@ -202,7 +202,7 @@
             if isinstance(action, Send):
                 node.end(action.server, Status.ERROR)
         node.now += 1_000
-    assert 0 < sum(s.eject_until > 0 for s in node.b.ready) <= 3
+    assert 0 < sum(s.eject_until > 0 for s in node.b.list.ready) <= 3
 
 
 def test_spoilt_answers_at_all_servers_alike_leave_orders_their_servers() -> None:
@@ -217,7 +217,7 @@
             (answer,) = node.end(send.server, Ending.GARBLED.status)
             assert isinstance(answer, Fail)  # it may have run
         node.now += 10_000
-    assert not any(s.eject_until for s in node.b.ready)
+    assert not any(s.eject_until for s in node.b.list.ready)
 
 
 def test_a_server_that_spoils_every_answer_is_left_out() -> None:
@@ -457,8 +457,8 @@
 def test_set_grows_before_its_server_carries_twice_the_mean() -> None:
     # Busy servers drowned at under twice the mean while the rest idled, and the node shed (incident i0633d8).
     node = Node(servers=4)
-    home = node.b.servers[node.serve(7)]
-    for s in node.b.ready:
+    home = node.b.list.servers[node.serve(7)]
+    for s in node.b.list.ready:
         s.out, s.mean, s.at = (20, 20.0, node.now) if s is home else (10, 10.0, node.now)
         s.since = node.now
     node.b.fleet.out, node.b.fleet.mean, node.b.fleet.at = 50, 50.0, node.now
@@ -507,11 +507,11 @@
     node = Node(servers=2, report_source="inline", report_fields=("queue",))
     server = node.sent()
     node.do(Outcome(node.next, 0, server, Status.OK, 20_000, True, (30.0,)))
-    loads = [node.b.servers[server].load(node.b.now, node.b.aim)]
+    loads = [node.b.list.servers[server].load(node.b.now, node.b.aim)]
     for _ in range(2):
         node.wait(300_000)
         node.b.now = node.now
-        loads.append(node.b.servers[server].load(node.b.now, node.b.aim))
+        loads.append(node.b.list.servers[server].load(node.b.now, node.b.aim))
     assert loads[0] >= 30 and loads[2] < loads[0] / 10
 
 
@@ -539,7 +539,7 @@
 def test_an_order_goes_to_a_suspect_server_where_there_is_no_other() -> None:
     node = Node(servers=1, classes=one(Effect.UNSAFE))
     node.end(node.sent(), Status.ERROR)
-    assert node.b.servers[node.ids[0]].suspect_until > node.now
+    assert node.b.list.servers[node.ids[0]].suspect_until > node.now
     assert node.sent() == node.ids[0]
 
 
@@ -549,8 +549,8 @@
     bad = node.sent()
     node.end(bad, Status.RESET)
     assert all(node.serve() != bad for _ in range(10))
-    node.b.servers[bad].failing *= 0.8**4  # as four good answers to reads leave it
-    assert node.b.servers[bad].suspect_until > node.now
+    node.b.list.servers[bad].failing *= 0.8**4  # as four good answers to reads leave it
+    assert node.b.list.servers[bad].suspect_until > node.now
     assert any(node.serve() == bad for _ in range(10))
 
 
@@ -602,4 +602,4 @@
     assert ejected
     assert all(s.load >= 0 for s in view.servers) and len(view.servers) == 6
     assert asked.b.random.getstate() == quiet.b.random.getstate()
-    assert [s.mean for s in asked.b.ready] == [s.mean for s in quiet.b.ready]
+    assert [s.mean for s in asked.b.list.ready] == [s.mean for s in quiet.b.list.ready]
