X-Time-Left is told as of the write; what is late then is not written

Cause: Instances.start rendered the request when the attempt was decided. A dial (up to dial_timeout_us), or a late turn of the loop, passed before it was written, so that the server was told of time that the client no longer had; %.3f also rounded up. A dial that came up after the deadline, or after the window in which a repeat is discarded, was written all the same.

Change: Call.render makes the bytes when InstanceConnection.send writes them, with Execution.left_at(now), rounded down to milliseconds. With less than one left, or past Execution.begin_by_us, nothing is written and the attempt ends as never started. Send.begin_within_us (0: no bound) lets the decisions bound the begin by the window of a deduplicated class; they do not set it yet.

--- a/roadlb/engine.py
+++ b/roadlb/engine.py
@@ -173,7 +173,8 @@
         exchange.came_us, exchange.until_us = now, now + exchange.left_us
         for execution in exchange.executions:
             if execution.ending is None:
-                execution.started_us, execution.until_us = now, exchange.until_us
+                execution.started_us, execution.until_us, execution.left_us = now, exchange.until_us, 0
+                execution.begin_by_us = exchange.until_us
                 assert self.executor
                 self.executor.extend(execution)
         self._feed(BodyWhole(exchange.id, max(1, exchange.left_us)), now)
@@ -362,6 +363,7 @@
             now,
             until,
             exchange.left_us if exchange.coming else 0,
+            now + action.begin_within_us if action.begin_within_us else 0,
         )
         exchange.executions.append(execution)
         self._counters.add("execution")
--- a/roadlb/exchange.py
+++ b/roadlb/exchange.py
@@ -116,9 +116,22 @@
 
     It knows its exchange by `request`, the id, alone: with a reference each way, each request left a cycle
     for the garbage collector, which then took 8% of an overloaded balancer's CPU.
+
+    `left_us`: while the request's body still comes, how long its answer will be waited for from the last
+    byte on; 0 once that has come.  `begin_by_us`: it may not be written later.
     """
 
-    __slots__ = ("ending", "left_us", "message", "number", "request", "server", "started_us", "until_us")
+    __slots__ = (
+        "begin_by_us",
+        "ending",
+        "left_us",
+        "message",
+        "number",
+        "request",
+        "server",
+        "started_us",
+        "until_us",
+    )
 
     def __init__(
         self,
@@ -129,13 +142,21 @@
         started_us: int,
         until_us: int,
         left_us: int = 0,
+        begin_by_us: int = 0,
     ) -> None:
-        """`left_us`: how long its answer will be waited for, from the request's last byte on."""
-        self.left_us = left_us or until_us - started_us
+        """`begin_by_us` 0: until its time is up."""
+        self.left_us = left_us
+        self.begin_by_us = begin_by_us or until_us
         self.request, self.message, self.number, self.server = request, message, number, server
         self.started_us, self.until_us = started_us, until_us
         self.ending: Ending | None = None
 
+    def left_at(self, now_us: int) -> int:
+        """How long its answer will be waited for if it is written now; 0: it may not be written any more."""
+        if self.left_us:
+            return self.left_us
+        return self.until_us - now_us if now_us <= self.begin_by_us else 0
+
 
 class Exchange:
     """A client's request and its one final answer; the only thing that both sides know.
--- a/roadlb/net/instance_connection.py
+++ b/roadlb/net/instance_connection.py
@@ -23,12 +23,13 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from ..config import Address
-from ..exchange import Ending, Result, Served
+from ..exchange import Ending, Execution, Result, Served
 from ..flow import Flow
 from ..policy.interface import ServerId
 from ..wheel import Timer
 from .headers import LOAD, UNPROCESSED, Faulty, Headers
 from .http import BODY_MOST, HEAD_MOST, HOLD, INTERIM_MOST, LAST_CHUNK, chunk
+from .server_request import request_bytes
 from .sockets import bound
 
 if TYPE_CHECKING:
@@ -38,40 +39,51 @@
 # would wait for it till its time is up.  Once it flows, only the client waits, who has part of it.
 PAUSE_S, FLOW_PAUSE_S = 0.5, 10.0
 HOLD_S = 0.05  # an answer of unknown length, which may be long, is held for so long
+PROBE = b"GET /healthz HTTP/1.1\r\nHost: instance\r\n\r\n"
 
 
 @dataclass(slots=True, eq=False, init=False)
 class Call:
-    """One request to one instance: `data` goes out as it is, `ended` hears once what came of it, `written`
-    that its last byte has gone out.
+    """One request to one instance: `ended` hears once what came of it, `written` that its last byte has gone
+    out.  Without an `attempt` it is a probe.
 
     `until_us` is a time of the program's clock.
     """
 
     server: ServerId
-    data: bytes
     until_us: int
     ended: Callable[[Result, str], None]
+    attempt: Execution | None
     connection: InstanceConnection | None
     dialling: asyncio.Task[None] | None
     timer: Timer | None
     written: Callable[[], None] | None
-    flow: Flow | None  # what follows `data`
+    flow: Flow | None  # what follows of the body
 
     def __init__(
         self,
         server: ServerId,
-        data: bytes,
         until_us: int,
         ended: Callable[[Result, str], None],
+        attempt: Execution | None = None,
         written: Callable[[], None] | None = None,
         flow: Flow | None = None,
     ) -> None:
         self.flow = flow
-        self.server, self.data, self.until_us, self.ended = server, data, until_us, ended
-        self.written = written
+        self.server, self.until_us, self.ended = server, until_us, ended
+        self.attempt, self.written = attempt, written
         self.connection, self.dialling, self.timer = None, None, None
 
+    def render(self, now_us: int) -> bytes:
+        """The bytes to write now; b"" if it may not begin any more.
+
+        Made only when they are written: what was decided before a dial or a late turn of the loop would tell
+        the server of time that the client no longer has.
+        """
+        if self.attempt is None:
+            return PROBE
+        return request_bytes(self.attempt.message, self.attempt.left_at(now_us))
+
 
 class InstanceConnection:
     """An asyncio.Protocol by its methods, told what to send by the pool, to which it comes back to rest."""
@@ -158,7 +170,8 @@
     def send(self, call: Call) -> None:
         """Write the call's request; the connection must be usable."""
         assert self.transport and self._call is None
-        if call.flow is not None and not call.flow.free:
+        data = call.render(self._pool.clock())
+        if not data or call.flow is not None and not call.flow.free:
             self._pool.rest(self)
             call.ended(Result(Ending.NEVER_STARTED), "")
             return
@@ -166,7 +179,7 @@
         self._await(0)
         self._first_us = 0
         try:
-            self.transport.write(call.data)
+            self.transport.write(data)
         except RuntimeError as e:  # uvloop, where it has closed it and not said so yet
             self._end(Result(Ending.BROKE_UNSENT), str(e), keep=False)
         else:
--- a/roadlb/net/instances.py
+++ b/roadlb/net/instances.py
@@ -14,7 +14,6 @@
 from ..policy.interface import ServerId
 from ..wheel import Wheel
 from .headers import LoadReports
-from .http import chunk
 from .instance_connection import Call
 from .pool import Pool
 
@@ -61,25 +60,10 @@
     # The engine's executor
 
     def start(self, execution: Execution) -> None:
-        message, left_us = execution.message, execution.until_us - execution.started_us
-        flow = message.flow
-        if left_us <= 0 or flow is not None and not flow.free:
+        flow = execution.message.flow
+        if execution.until_us <= execution.started_us or flow is not None and not flow.free:
             self._engine.execution_ended(execution, Result(Ending.NEVER_STARTED))
             return
-        length = b""
-        if message.method != b"GET":  # which has no body here; of any other an empty one is told
-            length = b"Content-Length: %d\r\n" % (flow.size if flow else len(message.body))
-        body = message.body
-        if flow is not None and flow.size < 0:
-            length, body = b"Transfer-Encoding: chunked\r\n", chunk(body)
-        data = b"%b %b HTTP/1.1\r\n%bX-Time-Left: %.3f\r\n%b\r\n%b" % (
-            message.method,
-            message.target,
-            message.head,
-            execution.left_us / 1e6,
-            length,
-            body,
-        )
 
         def ended(result: Result, error: str) -> None:
             del self._calls[execution]
@@ -87,7 +71,7 @@
             self._engine.execution_ended(execution, result)
 
         call = self._calls[execution] = Call(
-            execution.server, data, execution.until_us, ended, self._written, flow
+            execution.server, execution.until_us, ended, execution, self._written, flow
         )
         self._go(call)
 
@@ -119,7 +103,7 @@
             self._over(call, result, error)
             self._engine.probe_ended(server, self._clock() - began_us, result)
 
-        call = Call(server, b"GET /healthz HTTP/1.1\r\nHost: instance\r\n\r\n", began_us + PROBE_US, ended)
+        call = Call(server, began_us + PROBE_US, ended)
         self._probes[call] = None
         self._go(call)
 
--- a/roadlb/policy/interface.py
+++ b/roadlb/policy/interface.py
@@ -437,9 +437,11 @@
     request: int
     server: ServerId
     timeout_us: int  # 0: until the client gives up
+    begin_within_us: int = 0  # it may not be written later, as its connection comes up late; 0: no such bound
 
-    def __init__(self, request: int, server: ServerId, timeout_us: int) -> None:
+    def __init__(self, request: int, server: ServerId, timeout_us: int, begin_within_us: int = 0) -> None:
         self.request, self.server, self.timeout_us = request, server, timeout_us
+        self.begin_within_us = begin_within_us
 
 
 @dataclass(slots=True, init=False)
--- a/setup.py
+++ b/setup.py
@@ -30,6 +30,7 @@
     "policy/logic",
     "net/headers",
     "net/http",
+    "net/server_request",
     "net/client_connection",
     "net/service_client",
     "net/instance_connection",
