An order is not called never run while its last bytes may still go out

Cause, each seen on loopback sockets: - uvloop's abort closes a turn later. When the loop reads a server's end (half-close) and finds room to write in one event, InstanceConnection.eof_received called the request BROKE_UNSENT and had it sent on, and libuv then wrote its last bytes: the first server had the order whole as well, a double run. - For the same turn an attempt that timed out, broke or was garbled was still open while the next one was written, a second copy where none may be sent. - Pool._take looked only at what the loop had read: an order went out on a connection whose end or reset lay unread in the kernel (RESET, so it was lost), and a second answer that lay there was taken for the next request's. - A write that failed at once was counted as sent, and ended as RESET. Looked at and ruled out: that the kernel has the last byte while `_unwritten` still holds. uvloop writes at once, resumes the protocol in the callback of the write, and a later reset is read after it.

Change: an attempt that ends otherwise than by a whole answer, or is given up, shuts its sending down at once (sockets.end_sending), before anyone hears that it ended. A failed write ends as BROKE_UNSENT.

--- a/roadlb/net/instance_connection.py
+++ b/roadlb/net/instance_connection.py
@@ -16,6 +16,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, cast
@@ -30,7 +31,7 @@
 from .headers import LOAD, UNPROCESSED, Faulty, Headers
 from .http import BODY_MOST, HEAD_MOST, HOLD, INTERIM_MOST, LAST_CHUNK, chunk
 from .server_request import request_bytes
-from .sockets import bound
+from .sockets import bound, end_sending, news
 
 if TYPE_CHECKING:
     from .pool import Pool
@@ -38,6 +39,7 @@
 # Between two pieces of an answer.  One that pauses for longer claims more than it has to give; its request
 # would wait for it till its time is up.  Once it flows, only the client waits, who has part of it.
 PAUSE_S, FLOW_PAUSE_S = 0.5, 10.0
+ANSWERED = frozenset({Ending.SERVED, Ending.TURNED_AWAY, Ending.INSTANCE_ERROR})  # by a whole answer
 HOLD_S = 0.05  # an answer of unknown length, which may be long, is held for so long
 PROBE = b"GET /healthz HTTP/1.1\r\nHost: instance\r\n\r\n"
 
@@ -104,6 +106,7 @@
         "_keep",
         "_last",
         "_length",
+        "_news",
         "_pairs",
         "_parser",
         "_paused",
@@ -136,6 +139,7 @@
         self._paused = False  # nothing is read, as the flow's sink is full
         self._heard_us = self._first_us = 0  # when something last came, and first came of this answer
         self.transport: asyncio.Transport | None = None
+        self._news: select.poll | None = None
         self.rested_us = 0  # since when it carries no call
         self._await(0)
 
@@ -167,6 +171,17 @@
             and self._flow is None
         )
 
+    @property
+    def quiet(self) -> bool:
+        """Has nothing come from the server that the loop has not read yet?  One system call.
+
+        What is written to a connection that has ended may have run, for all that is known then; bytes that
+        came before the request would be taken for its answer.
+        """
+        if self._news is None and self.transport:
+            self._news = news(self.transport)
+        return self._news is None or not self._news.poll(0)
+
     def send(self, call: Call) -> None:
         """Write the call's request; the connection must be usable."""
         assert self.transport and self._call is None
@@ -183,7 +198,9 @@
         except RuntimeError as e:  # uvloop, where it has closed it and not said so yet
             self._end(Result(Ending.BROKE_UNSENT), str(e), keep=False)
         else:
-            if call.flow is not None:
+            if self.transport.is_closing():  # the write itself failed: the kernel has taken no byte
+                self._end(Result(Ending.BROKE_UNSENT), "closed by the instance", keep=False)
+            elif call.flow is not None:
                 self._upload = call.flow
                 bound(self.transport)
                 call.flow.attach(self)
@@ -232,10 +249,18 @@
         self.close()
 
     def give_up(self) -> None:
-        """End the connection, and with it the call it carries, of which nothing more is heard."""
+        """End the connection, and with it the call it carries, of which nothing more is heard.
+
+        Its server is told before any other one can be written to: this is no longer an open attempt.
+        """
         self._call = None
+        self._stop_sending()
         self.close()
 
+    def _stop_sending(self) -> None:
+        if self.transport and not self.transport.is_closing():
+            end_sending(self.transport)
+
     def close(self) -> None:
         """End it at once; what is not written is not sent."""
         self._quiet()
@@ -466,6 +491,10 @@
                 self.transport.resume_reading()
             self._pool.rest(self)
         elif self.transport:
+            if result.ending not in ANSWERED:
+                # What waits could still be written in this turn, and make a request that is about to be
+                # called never run whole to a server that has only ended its own sending.
+                self._stop_sending()
             self.transport.abort()
         if upload is not None:
             upload.detach()
--- a/roadlb/net/pool.py
+++ b/roadlb/net/pool.py
@@ -151,8 +151,9 @@
         while idle:
             connection, _ = idle.popitem()
             self._all_idle.pop(connection, None)
-            if connection.usable:
+            if connection.usable and connection.quiet:
                 return connection
+            connection.close()
         return None
 
     def _forget(self, connection: InstanceConnection) -> None:
--- a/roadlb/net/sockets.py
+++ b/roadlb/net/sockets.py
@@ -6,6 +6,7 @@
 import errno
 import fcntl
 import logging
+import select
 import socket
 import struct
 import termios
@@ -85,6 +86,32 @@
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER)
 
 
+def end_sending(transport: asyncio.BaseTransport) -> None:
+    """Tell the peer at once, and for certain, that nothing more comes, whatever still waits to be written.
+
+    `abort` closes a turn later: until then uvloop may write what waits, and another connection be written to
+    first.  Without a socket, as in the lab's simulated network, nothing is done.
+    """
+    connection = transport.get_extra_info("socket")
+    with suppress(AttributeError, OSError, RuntimeError, TypeError, ValueError):
+        same = socket.socket(connection.family, connection.type, 0, connection.fileno())
+        try:
+            same.shutdown(socket.SHUT_WR)
+        finally:
+            same.detach()  # the descriptor stays the transport's
+
+
+def news(transport: asyncio.BaseTransport) -> select.poll | None:
+    """Its `poll(0)` tells of bytes, an end or a reset in the kernel; None where there is no socket."""
+    connection = transport.get_extra_info("socket")
+    try:
+        made = select.poll()
+        made.register(connection, select.POLLIN | select.POLLRDHUP)
+    except (AttributeError, OSError, RuntimeError, TypeError, ValueError):
+        return None
+    return made
+
+
 def unread(transport: asyncio.BaseTransport) -> bool:
     """Have bytes come in that the program has not read?  To close on them would reset the connection.
 
--- a/tests/net/attempt_rig.py
+++ b/tests/net/attempt_rig.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 import struct
 from collections.abc import Callable, Coroutine
@@ -25,6 +26,7 @@
 from roadlb.wheel import Wheel
 
 LIMIT_S = 10.0  # a step that has not happened by then never will
+HELD_UP_MS = 1_000
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close is a reset
 ORDER = b"POST"
 
@@ -38,7 +40,7 @@
         self.repeats = False
         self.sent: dict[int, int] = {}
         self.outcomes: list[Outcome] = []
-        self.begin_within_us = 0
+        self.timeout_us = self.begin_within_us = 0
         self.scripted: dict[type, Callable[[Any], list[Action]]] = {}
 
     def handle(self, now: int, event: Event) -> list[Action]:
@@ -60,7 +62,7 @@
         if number == len(self.servers):
             return [Fail(request)]
         self.sent[request] = number + 1
-        return [Send(request, self.servers[number], 0, self.begin_within_us)]
+        return [Send(request, self.servers[number], self.timeout_us, self.begin_within_us)]
 
 
 class Dials:
@@ -116,6 +118,12 @@
     def answer(self, body: bytes = b"done") -> None:
         self.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
 
+    def ends(self) -> bool:
+        """Has the program closed it, or does so within a while in which its event loop makes no turn?"""
+        poll = select.poll()
+        poll.register(self.socket, select.POLLRDHUP)
+        return bool(poll.poll(HELD_UP_MS))
+
     def reset(self) -> None:
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         self.socket.close()
@@ -226,3 +234,9 @@
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(limited())
+
+
+async def turns(count: int) -> None:
+    """Let the event loop read and write what there is."""
+    for _ in range(count):
+        await asyncio.sleep(0)
--- a/tests/net/test_attempt_crossings.py
+++ b/tests/net/test_attempt_crossings.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import socket
+
+import pytest
 from attempt_rig import ORDER, Rig, play, time_left_us
 
 from roadlb.exchange import Ending, Served
+from roadlb.policy.interface import Action, Outcome
 
 LEFT_US = 2_000_000
 LATE_US = 300_400
@@ -60,3 +64,36 @@
         assert await (await rig.servers[0].accept()).rest() == b""
 
     play(main)
+
+
+@pytest.mark.parametrize("ending", [Ending.TIMED_OUT, Ending.GARBLED, Ending.RESET])
+def test_an_attempt_is_no_longer_open_when_the_next_one_is_decided(ending: Ending) -> None:
+    # Where no second copies may be sent, the next one must not be out beside it for the turn of the event
+    # loop that `abort` takes to close a connection.
+    async def main() -> None:
+        rig = Rig(2)
+        rig.decider.timeout_us = 50_000 if ending is Ending.TIMED_OUT else 0
+        exchange = rig.open()
+        link = await rig.servers[0].accept()
+        await link.request()
+        ended: list[bool] = []
+
+        def outcome(event: Outcome) -> list[Action]:
+            if event.attempt == 0:
+                ended.append(link.ends())
+                rig.decider.timeout_us = 0
+                return rig.decider.next(event.request)
+            return []
+
+        rig.decider.scripted[Outcome] = outcome
+        if ending is Ending.GARBLED:
+            link.send(b"no HTTP\r\n\r\n")
+        elif ending is Ending.RESET:  # its server has ended its own sending, and still reads
+            link.socket.shutdown(socket.SHUT_WR)
+        other = await rig.servers[1].accept()
+        await other.request()
+        assert ended == [True] and exchange.executions[0].ending is ending
+        other.answer()
+        await rig.answered.wait()
+
+    play(main)
--- /dev/null
+++ b/tests/net/test_broken_writes.py
@@ -0,0 +1,194 @@
+"""Connections that break before, at and after a request's last byte: never run is what is proved."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+from attempt_rig import ORDER, Link, Rig, play, turns
+
+from roadlb.exchange import Ending, Exchange, Failed, Served
+from roadlb.net.instance_connection import InstanceConnection
+
+RECEIVE_BYTES = 8_192  # of the server's kernel, and
+SEND_BYTES = 16_384  # of the program's: little of a long request goes out at once
+BODY_BYTES = 120_000
+REST_BYTES = 6_000  # goes out at once when the server has read what was there
+
+
+def out(rig: Rig) -> asyncio.Transport:
+    """The transport of the one connection to a server."""
+    (connection,) = rig.instances.pool.open
+    assert connection.transport
+    return connection.transport
+
+
+async def nearly_written(rig: Rig, link: Link) -> tuple[Exchange, bytes]:
+    """An order of which the last few bytes wait for the kernel, and what the server has read of it."""
+    sock = out(rig).get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BYTES)
+    order = rig.open(ORDER, b"x" * BODY_BYTES)
+    read = b""
+    waiting = out(rig).get_write_buffer_size()
+    assert waiting > REST_BYTES
+    while waiting > REST_BYTES:
+        try:
+            read += link.socket.recv(1_024)
+        except BlockingIOError:
+            await asyncio.sleep(0.001)  # the kernel has news of the window for itself
+        await turns(2)
+        waiting = out(rig).get_write_buffer_size()
+    assert waiting
+    return order, read
+
+
+def drain(link: Link) -> bytes:
+    """All that is there now, with no turn of the program's loop between."""
+    read = b""
+    try:
+        while piece := link.socket.recv(65_536):
+            read += piece
+    except BlockingIOError:
+        pass
+    return read
+
+
+def test_an_order_whose_last_bytes_go_out_as_its_server_ends_is_not_sent_again() -> None:
+    # In one turn the loop reads the end and writes what waited: the server, which reads on, has it whole.
+    async def main() -> None:
+        rig = Rig(2, RECEIVE_BYTES)
+        link = await rig.reused()
+        order, read = await nearly_written(rig, link)
+        link.socket.shutdown(socket.SHUT_WR)
+        read += drain(link)
+        ending = await rig.ended(order, 0)
+        read += await link.rest()
+        # Called never run, it is sent on to the next server: then the first must not have it whole.
+        assert ending is Ending.BROKE_UNSENT and len(order.executions) == 2
+        assert not read.endswith(b"x" * BODY_BYTES)
+
+    play(main)
+
+
+def test_an_order_reset_before_its_last_byte_never_ran() -> None:
+    async def main() -> None:
+        rig = Rig(2, RECEIVE_BYTES)
+        link = await rig.reused()
+        order, _ = await nearly_written(rig, link)
+        link.reset()
+        assert await rig.ended(order, 0) is Ending.BROKE_UNSENT
+        other = await rig.servers[1].accept()
+        assert (await other.request()).endswith(b"x" * BODY_BYTES)
+        other.answer()
+        await rig.answered.wait()
+        assert isinstance(rig.answers[0], Served)
+
+    play(main)
+
+
+def test_an_order_reset_right_after_its_last_byte_is_sent_once() -> None:
+    async def main() -> None:
+        rig = Rig(2)
+        order = rig.open(ORDER, b"x" * 9)
+        link = await rig.servers[0].accept()
+        await link.request()
+        link.reset()
+        assert await rig.ended(order, 0) is Ending.RESET
+        await rig.answered.wait()
+        assert isinstance(rig.answers[0], Failed) and len(order.executions) == 1
+
+    play(main)
+
+
+def test_an_order_read_whole_and_reset_in_the_turn_that_wrote_its_last_bytes_is_sent_once() -> None:
+    # The kernel took them while the loop still held the order for unwritten: what the loop reads first is
+    # the reset, and the last bytes' being written must count before it.
+    async def main() -> None:
+        rig = Rig(2, RECEIVE_BYTES)
+        link = await rig.reused()
+        order, read = await nearly_written(rig, link)
+        while out(rig).get_write_buffer_size():
+            read += drain(link)
+            await asyncio.sleep(0)
+        assert order.executions[0].ending is None
+        read += drain(link)
+        assert read.endswith(b"x" * BODY_BYTES)
+        link.reset()
+        assert await rig.ended(order, 0) is Ending.RESET
+        await rig.answered.wait()
+        assert isinstance(rig.answers[0], Failed) and len(order.executions) == 1
+
+    play(main)
+
+
+def test_an_order_is_not_written_to_a_connection_that_has_ended_unread() -> None:
+    # It would end as a reset, after which an order may have run and is lost.
+    async def main(reset: bool) -> None:
+        rig = Rig(1)
+        link = await rig.reused()
+        link.reset() if reset else link.socket.close()  # which the loop has not read yet
+        order = rig.open(ORDER, b"x" * 9)
+        other = await rig.servers[0].accept()
+        assert (await other.request()).endswith(b"x" * 9)
+        other.answer()
+        await rig.answered.wait()
+        assert isinstance(rig.answers[0], Served) and len(order.executions) == 1
+
+    play(lambda: main(True))
+    play(lambda: main(False))
+
+
+def test_an_order_whose_write_fails_never_ran(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Reset between the look at the connection and the write: the kernel takes no byte.
+    monkeypatch.setattr(InstanceConnection, "quiet", True)
+
+    async def main() -> None:
+        rig = Rig(2)
+        link = await rig.reused()
+        link.reset()
+        order = rig.open(ORDER, b"x" * 9)
+        assert order.executions[0].ending is Ending.BROKE_UNSENT
+        other = await rig.servers[1].accept()
+        assert (await other.request()).endswith(b"x" * 9)
+        other.answer()
+        await rig.answered.wait()
+        assert isinstance(rig.answers[0], Served)
+
+    play(main)
+
+
+def test_a_second_answer_that_the_loop_has_not_read_answers_no_other_request() -> None:
+    async def main() -> None:
+        rig = Rig(1)
+        link = await rig.reused()
+        link.answer(b"second")
+        rig.open()
+        other = await rig.servers[0].accept()
+        await other.request()
+        other.answer(b"other")
+        await rig.answered.wait()
+        (answer,) = rig.answers
+        assert isinstance(answer, Served) and answer.body == b"other"
+        assert await link.rest() == b""
+
+    play(main)
+
+
+def test_an_order_whose_new_connection_is_reset_as_it_is_written_never_ran() -> None:
+    async def main() -> None:
+        rig = Rig(2)
+        dials = rig.hold_dials()
+        order = rig.open(ORDER, b"x" * 9)
+        link = await rig.servers[0].accept()
+        await dials.made.wait()
+        dials.up.set()
+        link.reset()
+        other = await rig.servers[1].accept()
+        assert (await other.request()).endswith(b"x" * 9)
+        assert order.executions[0].ending in (Ending.BROKE_UNSENT, Ending.DIAL_FAILED)
+        other.answer()
+        await rig.answered.wait()
+        assert isinstance(rig.answers[0], Served)
+
+    play(main)
