--- a/roadlb/net/instance_connection.py
+++ b/roadlb/net/instance_connection.py
@@ -16,6 +16,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, cast
@@ -23,13 +24,14 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from ..config import Address
-from ..exchange import Ending, Result, Served
+from ..exchange import Ending, Execution, Result, Served
 from ..flow import Flow
 from ..policy.interface import ServerId
 from ..wheel import Timer
 from .headers import LOAD, UNPROCESSED, Faulty, Headers
 from .http import BODY_MOST, HEAD_MOST, HOLD, INTERIM_MOST, LAST_CHUNK, chunk
-from .sockets import bound
+from .server_request import request_bytes
+from .sockets import bound, end_sending, news
 
 if TYPE_CHECKING:
     from .pool import Pool
@@ -37,41 +39,53 @@
 # Between two pieces of an answer.  One that pauses for longer claims more than it has to give; its request
 # would wait for it till its time is up.  Once it flows, only the client waits, who has part of it.
 PAUSE_S, FLOW_PAUSE_S = 0.5, 10.0
+ANSWERED = frozenset({Ending.SERVED, Ending.TURNED_AWAY, Ending.INSTANCE_ERROR})  # by a whole answer
 HOLD_S = 0.05  # an answer of unknown length, which may be long, is held for so long
+PROBE = b"GET /healthz HTTP/1.1\r\nHost: instance\r\n\r\n"
 
 
 @dataclass(slots=True, eq=False, init=False)
 class Call:
-    """One request to one instance: `data` goes out as it is, `ended` hears once what came of it, `written`
-    that its last byte has gone out.
+    """One request to one instance: `ended` hears once what came of it, `written` that its last byte has gone
+    out.  Without an `attempt` it is a probe.
 
     `until_us` is a time of the program's clock.
     """
 
     server: ServerId
-    data: bytes
     until_us: int
     ended: Callable[[Result, str], None]
+    attempt: Execution | None
     connection: InstanceConnection | None
     dialling: asyncio.Task[None] | None
     timer: Timer | None
     written: Callable[[], None] | None
-    flow: Flow | None  # what follows `data`
+    flow: Flow | None  # what follows of the body
 
     def __init__(
         self,
         server: ServerId,
-        data: bytes,
         until_us: int,
         ended: Callable[[Result, str], None],
+        attempt: Execution | None = None,
         written: Callable[[], None] | None = None,
         flow: Flow | None = None,
     ) -> None:
         self.flow = flow
-        self.server, self.data, self.until_us, self.ended = server, data, until_us, ended
-        self.written = written
+        self.server, self.until_us, self.ended = server, until_us, ended
+        self.attempt, self.written = attempt, written
         self.connection, self.dialling, self.timer = None, None, None
 
+    def render(self, now_us: int) -> bytes:
+        """The bytes to write now; b"" if it may not begin any more.
+
+        Made only when they are written: what was decided before a dial or a late turn of the loop would tell
+        the server of time that the client no longer has.
+        """
+        if self.attempt is None:
+            return PROBE
+        return request_bytes(self.attempt.message, self.attempt.left_at(now_us))
+
 
 class InstanceConnection:
     """An asyncio.Protocol by its methods, told what to send by the pool, to which it comes back to rest."""
@@ -92,6 +106,7 @@
         "_keep",
         "_last",
         "_length",
+        "_news",
         "_pairs",
         "_parser",
         "_paused",
@@ -124,6 +139,7 @@
         self._paused = False  # nothing is read, as the flow's sink is full
         self._heard_us = self._first_us = 0  # when something last came, and first came of this answer
         self.transport: asyncio.Transport | None = None
+        self._news: select.poll | None = None
         self.rested_us = 0  # since when it carries no call
         self._await(0)
 
@@ -155,10 +171,22 @@
             and self._flow is None
         )
 
+    @property
+    def quiet(self) -> bool:
+        """Has nothing come from the server that the loop has not read yet?  One system call.
+
+        What is written to a connection that has ended may have run, for all that is known then; bytes that
+        came before the request would be taken for its answer.
+        """
+        if self._news is None and self.transport:
+            self._news = news(self.transport)
+        return self._news is None or not self._news.poll(0)
+
     def send(self, call: Call) -> None:
         """Write the call's request; the connection must be usable."""
         assert self.transport and self._call is None
-        if call.flow is not None and not call.flow.free:
+        data = call.render(self._pool.clock())
+        if not data or call.flow is not None and not call.flow.free:
             self._pool.rest(self)
             call.ended(Result(Ending.NEVER_STARTED), "")
             return
@@ -166,11 +194,13 @@
         self._await(0)
         self._first_us = 0
         try:
-            self.transport.write(call.data)
+            self.transport.write(data)
         except RuntimeError as e:  # uvloop, where it has closed it and not said so yet
             self._end(Result(Ending.BROKE_UNSENT), str(e), keep=False)
         else:
-            if call.flow is not None:
+            if self.transport.is_closing():  # the write itself failed: the kernel has taken no byte
+                self._end(Result(Ending.BROKE_UNSENT), "closed by the instance", keep=False)
+            elif call.flow is not None:
                 self._upload = call.flow
                 bound(self.transport)
                 call.flow.attach(self)
@@ -219,10 +249,18 @@
         self.close()
 
     def give_up(self) -> None:
-        """End the connection, and with it the call it carries, of which nothing more is heard."""
+        """End the connection, and with it the call it carries, of which nothing more is heard.
+
+        Its server is told before any other one can be written to: this is no longer an open attempt.
+        """
         self._call = None
+        self._stop_sending()
         self.close()
 
+    def _stop_sending(self) -> None:
+        if self.transport and not self.transport.is_closing():
+            end_sending(self.transport)
+
     def close(self) -> None:
         """End it at once; what is not written is not sent."""
         self._quiet()
@@ -453,6 +491,10 @@
                 self.transport.resume_reading()
             self._pool.rest(self)
         elif self.transport:
+            if result.ending not in ANSWERED:
+                # What waits could still be written in this turn, and make a request that is about to be
+                # called never run whole to a server that has only ended its own sending.
+                self._stop_sending()
             self.transport.abort()
         if upload is not None:
             upload.detach()
