--- a/roadlb/net/http.py
+++ b/roadlb/net/http.py
@@ -31,7 +31,9 @@
             answer.body,
         )
     if isinstance(answer, Nack):
-        advice = b"Retry-After: %.3f\r\n" % (answer.retry_after_us / 1e6) if answer.retry_after_us > 0 else b""
+        advice = b""
+        if answer.retry_after_us > 0:
+            advice = b"Retry-After: %.3f\r\n" % (answer.retry_after_us / 1e6)
         return b"%b%b%b\r\n" % (_EMPTY[503], advice, close)
     return plain(502, answer.reason, last)
 
