Nothing of a request begins once it is answered, its client left or its server drains

Cause: an attempt that was being dialled was called off only where the decisions cancel (limits.cancelling, and not for safe requests whose site is asked whether it is back). Otherwise the dial went on, up to dial_timeout_us, and the attempt was written after the client had left or another copy had answered: Engine.client_gone and execution_ended did nothing themselves. A list that told a drain, a removal or another address left dials to that server as they were; Instances knew no states, so they were written however late they came up.

Change: Engine._withdraw ends every attempt that has not been written as never started, in the turn in which the request is closed, after the decisions have heard of it. NameTable tells Instances who drains, and calls Instances.withdraw once the decisions know the list: dials to where nothing may begin end as never started, which counts against no server, and the next attempt goes elsewhere. An attempt that has been written is not touched.

No assertion has changed.

--- a/roadlb/engine.py
+++ b/roadlb/engine.py
@@ -185,6 +185,7 @@
             exchange.gone = True
             self._counters.add("client_gone")
             self._feed(ClientGone(exchange.id))
+            self._withdraw(exchange)
             self._forget(exchange)
 
     def finish(self, came_after_us: int = 0) -> None:
@@ -293,6 +294,7 @@
         )
         if self.on_outcome:
             self.on_outcome(execution.server, result.ending.status)
+        self._withdraw(exchange)
         self._forget(exchange)
 
     def probe_ended(self, server: ServerId, latency_us: int, result: Result) -> None:
@@ -343,6 +345,7 @@
         """Answer without the module, and let it know that the request is over."""
         self._answer(exchange.id, Failed(reason) if exchange.executions else Nack(FULL_RETRY_US))
         self._feed(ClientGone(exchange.id))
+        self._withdraw(exchange)
 
     # Actions out
 
@@ -377,9 +380,14 @@
         if exchange and not exchange.executions and not exchange.closed:
             self._count_shed(exchange.class_index)
         self._answer(action.request, Nack(action.retry_after_us))
+        if exchange:
+            self._withdraw(exchange)
 
     def _fail(self, action: Fail) -> None:
+        exchange = self._open.get(action.request)
         self._answer(action.request, Failed("given up"))
+        if exchange:
+            self._withdraw(exchange)
 
     def _cancel(self, action: Cancel) -> None:
         exchange = self._open.get(action.request)
@@ -423,6 +431,18 @@
         else:
             self._count_answer(Served if whole else Failed, class_index)
 
+    def _withdraw(self, exchange: Exchange) -> None:
+        """Nothing of a request begins once it is answered or its client has gone, whatever the module says.
+
+        The module hears of the end first: what it cancels itself ends as cancelled.
+        """
+        if not exchange.closed:
+            return
+        for execution in exchange.executions:
+            if execution.ending is None:
+                assert self.executor
+                self.executor.cancel(execution, unsent=True)
+
     def _forget(self, exchange: Exchange) -> None:
         if exchange.closed:
             if exchange.guard:
--- a/roadlb/net/instance_connection.py
+++ b/roadlb/net/instance_connection.py
@@ -57,6 +57,7 @@
     ended: Callable[[Result, str], None]
     attempt: Execution | None
     connection: InstanceConnection | None
+    address: Address | None  # to which it is dialled
     dialling: asyncio.Task[None] | None
     timer: Timer | None
     written: Callable[[], None] | None
@@ -74,7 +75,7 @@
         self.flow = flow
         self.server, self.until_us, self.ended = server, until_us, ended
         self.attempt, self.written = attempt, written
-        self.connection, self.dialling, self.timer = None, None, None
+        self.connection, self.address, self.dialling, self.timer = None, None, None, None
 
     def render(self, now_us: int) -> bytes:
         """The bytes to write now; b"" if it may not begin any more.
--- a/roadlb/net/instances.py
+++ b/roadlb/net/instances.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from ..clock import Clock
 from ..config import IDLE_PART, Address, Config
@@ -35,6 +35,7 @@
     ) -> None:
         self._engine, self._counters, self._clock, self._wheel = engine, counters, clock, wheel
         self._listed: dict[ServerId, tuple[str, Address]] = {}
+        self._draining: set[ServerId] = set()  # of those listed
         self._calls: dict[Execution, Call] = {}
         self._probes: dict[Call, None] = {}
         self._logged = Limit(clock, ENDINGS_LOGGED)
@@ -48,15 +49,38 @@
         )
 
     def list_update(
-        self, listed: Mapping[ServerId, tuple[str, Address]], gone: list[ServerId], whole: bool
+        self,
+        listed: Mapping[ServerId, tuple[str, Address]],
+        gone: list[ServerId],
+        whole: bool,
+        draining: Collection[ServerId] = (),
     ) -> None:
+        """Where the instances listen; `draining`: those of `listed` that take nothing new.
+
+        Once the decisions know of it as well, `withdraw` is to be called.
+        """
         if whole:
             self._listed.clear()
+            self._draining.clear()
         self._listed.update(listed)
+        self._draining.difference_update(listed)
+        self._draining.update(draining)
         for server in gone:
             self._listed.pop(server, None)
+            self._draining.discard(server)
         self.pool.follow({server: address for server, (_, address) in self._listed.items()})
 
+    def withdraw(self) -> None:
+        """End what is still dialled to where nothing may begin any more: an instance that drains, is gone, or
+        listens elsewhere.  None of it has been written."""
+        for call in self.pool.dialled():
+            if call.server in self._draining or self._address(call.server) != call.address:
+                self._cut_off(call, Ending.NEVER_STARTED)
+
+    def _address(self, server: ServerId) -> Address | None:
+        listed = self._listed.get(server)
+        return listed[1] if listed else None
+
     # The engine's executor
 
     def start(self, execution: Execution) -> None:
--- a/roadlb/net/name_table.py
+++ b/roadlb/net/name_table.py
@@ -156,8 +156,11 @@
                 self._entries.pop(name, None)
             else:
                 self._entries[name] = entry
-        self._instances.list_update(line.names, gone, whole=line.kind is not ListKind.DELTA)
+        draining = [m.server for m in line.members if m.state is ServerState.DRAINING]
+        whole = line.kind is not ListKind.DELTA
+        self._instances.list_update(line.names, gone, whole, draining)
         self._engine.list_update(line.kind, line.members)
+        self._instances.withdraw()  # now that what is sent instead goes elsewhere
         self.filled = self.filled or bool(line.names)
         self._counters.add("list.taken")
         logger.info(
--- a/roadlb/net/pool.py
+++ b/roadlb/net/pool.py
@@ -63,8 +63,13 @@
             call.ended(Result(Ending.NO_SOCKET), "")
         else:
             self._dialling[call] = None
+            call.address = address
             call.dialling = self._loop.create_task(self._dial(call, address))
 
+    def dialled(self) -> list[Call]:
+        """The calls whose connections have not come up yet."""
+        return list(self._dialling)
+
     def give_up(self, call: Call) -> None:
         """Of this call nothing more is heard; its connection is closed, which tells the instance."""
         self._dialling.pop(call, None)
--- a/tests/net/harness.py
+++ b/tests/net/harness.py
@@ -340,6 +340,8 @@
             self._engine.execution_ended(execution, Result(Ending.SERVED, (), new_served(body)))
 
     def cancel(self, execution: Execution, unsent: bool = False) -> None:
+        if unsent:
+            return  # it has been written
         self._engine.execution_ended(execution, Result(Ending.CANCELLED))
 
     def probe(self, server: bytes) -> None:
