A client's close is noticed while it is not read or takes no answer

Seen by loopback tests: a client that closed behind more than 64 KiB of pipelined bytes, behind input that is no HTTP, with half a long body while a server was dialled, or without taking its answer, kept its request open; attempts went on, and the next request in line could begin. Ruled out: the engine, which calls off all that is open once it is told.

Now `eof_received` calls everything off itself, idempotently. Input behind a fault, and input of a client that takes no answer, is read on within a bound (thrown away up to 1 MiB, kept up to 64 KiB). Where the bound or a long body's server stops reading, the connection is asked by poll(POLLRDHUP) every 20 ms and before its next request is served. A look at the next byte would not show a FIN behind unread bytes.

--- a/roadlb/net/client_connection.py
+++ b/roadlb/net/client_connection.py
@@ -23,14 +23,15 @@
 from ..flow import Flow
 from .headers import EXPECT, HOST, Faulty, Headers
 from .http import BODY_MOST, CONTINUE, HEAD_MOST, LAST_CHUNK, answered, began, chunk
-from .sockets import bound
+from .sockets import bound, far_end_left
 
 if TYPE_CHECKING:
     from .service_client import ServiceClient
 
 SLICE = 16_384  # bytes parsed before what is whole among them is served
 BYTE_US = 60  # a body's byte may take so long: 16 kB a second, where clients send 64 kB at the least
-HELD_MOST = 65_536  # bytes read while an earlier request is open; then reading stops
+HELD_MOST = 65_536  # bytes kept that cannot be served yet; then reading stops
+DISCARDED_MOST = 1_048_576  # bytes thrown away once nothing more is read as a request; then reading stops
 
 
 NO_HEADERS = Headers()
@@ -106,6 +107,7 @@
         "_came_us",
         "_chunked",
         "_client",
+        "_discarded",
         "_flow",
         "_flow_ended",
         "_held",
@@ -139,6 +141,7 @@
         self._waiting: deque[Request] = deque()  # whole, or faulty, behind the open one
         self._held, self._held_us = b"", 0  # not parsed yet, and when the first of it came
         self._came_us = 0
+        self._discarded = 0  # bytes that came once it was deaf
         self._last = False  # the open request's answer ends the connection
         self._pumping, self._reading_on = False, True
         self._upload: Flow | None = None  # the open request's body, while it comes
@@ -164,8 +167,22 @@
         self._client.connected(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.deaf, self.transport = True, None
+        self.transport = None
         self._client.disconnected(self)
+        self._client_left()
+
+    def eof_received(self) -> None:
+        """The client has closed: what it asked for is called off now, and the transport closes as well.
+
+        `connection_lost` may come much later: only when all that was written is out, which a client that
+        has gone never takes.
+        """
+        self._client_left()
+
+    def _client_left(self) -> None:
+        """Nobody waits for an answer any more: nothing further begins, and what is open is called off."""
+        self._ignore_rest()
+        self._client.abandon(self)
         upload, self._upload = self._upload, None
         flow, self._flow = self._flow, None
         if upload is not None:
@@ -173,11 +190,24 @@
         if flow is not None:
             flow.drop()
 
-    def eof_received(self) -> None:
-        """The client has closed; the transport closes as well, and what it asked for is called off."""
+    def check_left(self) -> bool:
+        """Has the client closed behind bytes that are not read?  Then it is treated as any that leaves.
+
+        Only while reading is paused: otherwise the transport tells.
+        """
+        if self._reading_on or self.transport is None or not far_end_left(self.transport):
+            return False
+        self._client_left()
+        self.transport.close()
+        return True
 
     def data_received(self, data: bytes) -> None:
-        if self.deaf or not self.transport:
+        if not self.transport:
+            return
+        if self.deaf:
+            self._discarded += len(data)
+            if self._discarded > DISCARDED_MOST:
+                self._read_on(False)
             return
         came = self._client.came_us(self.transport)
         if self._upload is not None:
@@ -201,15 +231,16 @@
         self._pump()
 
     def pause_writing(self) -> None:
-        """The client does not take its answer: it gets no further one before it has, and is read no more."""
+        """The client does not take its answer: it gets no further one before it has.
+
+        Reading goes on, within its bound: else the client's close would not be noticed.
+        """
         self.stuck_us = self._client.clock()
-        self._read_on(False)
         if self._flow is not None:
             self._flow.want(False)
 
     def resume_writing(self) -> None:
         self.stuck_us = 0
-        self._read_on(True)
         if self._flow_ended:
             self._flow_over()
         elif self._flow is not None:
@@ -219,7 +250,16 @@
     def _read_on(self, on: bool) -> None:
         if self.transport and on is not self._reading_on and not self.transport.is_closing():
             self._reading_on = on
-            (self.transport.resume_reading if on else self.transport.pause_reading)()
+            if on:
+                self.transport.resume_reading()
+            else:
+                self.transport.pause_reading()
+                self._client.watch_paused(self)
+
+    @property
+    def reading_paused(self) -> bool:
+        """Is it open, and does the transport tell nothing of a close?"""
+        return not self._reading_on and self.transport is not None and not self.transport.is_closing()
 
     # The parser's side
 
@@ -303,7 +343,6 @@
         request = self._reading or Request(self._came_us)
         self._reading = None
         self.deaf, self._held = True, b""
-        self._read_on(False)
         if self._upload is not None:
             upload, self._upload = self._upload, None
             self._client.abandon(self)
@@ -321,6 +360,8 @@
         self._pumping = True
         try:
             while self.transport:
+                if not self._reading_on and self.check_left():
+                    break
                 if self._upload is not None:
                     if not self._wanted:
                         break
@@ -348,7 +389,6 @@
         if not self.deaf:
             if (
                 not self._reading_on
-                and not self.stuck_us
                 and len(self._held) <= HELD_MOST // 2
                 and (self._upload is None or self._wanted)
             ):
@@ -549,10 +589,14 @@
         else:
             self.close()
 
+    def _ignore_rest(self) -> None:
+        """Nothing more that has come or comes is a request."""
+        self.deaf, self._held, self._reading, self.started_us = True, b"", None, 0
+        self._waiting.clear()
+
     def close(self) -> None:
         """End it once what was written is out."""
-        self.deaf, self._held = True, b""
-        self._waiting.clear()
+        self._ignore_rest()
         if self.transport:
             self.transport.close()
 
--- a/roadlb/net/service_client.py
+++ b/roadlb/net/service_client.py
@@ -38,6 +38,7 @@
 PLENTY, FEW = 1 / 3, 3 / 4  # of the connections that there may be: up to here, and from here on
 SILENT_S = 0.5  # a client that means to ask has asked by then
 SWEEP_S = 0.25
+PAUSED_LOOK_US = 20_000  # how often the clients that are not read are asked whether they have left
 LINGER_S = 0.3  # open, but not read, after an answer to a body cut off, so that the client reads why
 TIME_LEFT_MOST_S = 3_600.0
 RECENT_US = 5_000_000  # an id is not taken again for so long after its answer ...
@@ -102,6 +103,7 @@
         self._answered: deque[tuple[int, bytes]] = deque()  # the latter, until which time they count
         self._rejects = Limit(clock, REJECTS_LOGGED)
         self.connections: dict[ClientConnection, None] = {}  # in the order in which they came
+        self._paused: dict[ClientConnection, None] = {}  # those that are not read for now
         self._all_ended: asyncio.Future[None] | None = None
         self.draining = False  # each answer ends its connection
         self.tight = False  # memory or descriptors are short: idle connections go sooner
@@ -166,6 +168,18 @@
     def linger(self, connection: ClientConnection) -> None:
         self._wheel.at(self.clock() + int(LINGER_S * 1e6), ClientConnection.close, connection)
 
+    def watch_paused(self, connection: ClientConnection) -> None:
+        """Its transport does not read, and so does not tell that its client leaves: look after it."""
+        if not self._paused:
+            self._wheel.at(self.clock() + PAUSED_LOOK_US, ServiceClient._look_at_paused, self)
+        self._paused[connection] = None
+
+    def _look_at_paused(self) -> None:
+        paused, self._paused = self._paused, {}
+        for connection in paused:
+            if connection.reading_paused and not connection.check_left():
+                self.watch_paused(connection)
+
     async def sweep_for_ever(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_S)
--- a/roadlb/net/sockets.py
+++ b/roadlb/net/sockets.py
@@ -6,6 +6,7 @@
 import errno
 import fcntl
 import logging
+import select
 import socket
 import struct
 import termios
@@ -96,3 +97,19 @@
     except (AttributeError, OSError, ValueError, TypeError):
         return False
     return bool(_INT.unpack(waiting)[0])
+
+
+def far_end_left(transport: asyncio.BaseTransport) -> bool:
+    """Has the far end closed or reset the connection, be it behind bytes that are not read?
+
+    `poll` tells so whatever is in the buffer; a read, or a look at the next byte, only once that is empty.
+    One system call; False where the transport has no socket.
+    """
+    connection = transport.get_extra_info("socket")
+    poll = select.poll()
+    try:
+        poll.register(connection.fileno(), select.POLLRDHUP)
+        told = poll.poll(0)
+    except (AttributeError, OSError, ValueError, TypeError):
+        return False
+    return any(events & (select.POLLRDHUP | select.POLLHUP | select.POLLERR) for _, events in told)
