Ends and hand-overs lose nothing that crosses them: accept queue, late reads, locks

Read line by line: app.stop, the lifecycle's schedules, all_gone, Succession, Neighbours. Faults found, each with the test that was seen to fail without its mend (the guard taken out, run, put back):

- StopListening closed a listener of our own over connections that the kernel had accepted and the loop had not: each was reset with the request on it.
Listener.close() hands them over first, and they are served. test_a_connection_in_the_accept_queue_is_served_and_not_reset
- all_gone() took "no protocol knows a connection" for "there is none": one accepted in the turn of the end was served by parts that were just ended.
The end waits until the loop's accepted ones are known. test_a_connection_that_is_accepted_in_the_turn_of_the_end_is_served
- GiveUp(0) came once; a request whole after it was sent on and left open at the end.
From then on each is refused as it is read (RefuseNew), also from 3.5 to 4.1 s of a drain, where it would be "of the last 2 s". test_what_is_read_after_the_last_moment_is_refused_at_once, test_a_request_that_comes_late_in_a_drain_is_refused_and_one_that_comes_after_it_is_not
- all_gone() aborted answers half written 0.2 s before the kill.
What SIGKILL finds unanswered is not lost, what the process cuts off is: who is being written to has 10 s more. test_an_answer_that_is_being_written_is_not_cut_off_at_the_end
- With a listener of its own the last answers were given 0.5 s after the longest deadline, 0.2 s before the kill; now 0.4 s, as beside a successor.
- SIGTERM in a start was acted on when the start was over, up to 10 s later, by an OSError if the address stayed taken.
Before it listens, a process told to end has taken nothing and ends at once. test_who_is_told_to_end_while_it_waits_for_its_address_ends_at_once
- A look between the making and the locking of a new process's lock file took it for a dead one's: the new process was never counted (or ended in a traceback).
- A successor took clients before it counted its predecessor, and up to 0.25 s before that counted it: both spent the whole budgets and limits.
It listens once each counts the other. test_who_takes_over_listens_only_once_each_counts_the_other
- A drain told to the predecessor while the successor started was lost, or written 0.1 s late.
It is written at once, and read again just before listening. test_a_drain_told_to_the_predecessor_while_the_successor_starts_holds_for_both, test_a_changed_state_is_left_to_a_successor_at_once

The lifecycle's table names each pair of state and event. `inherited` told the drain as it stood at the start; its tests now ask `draining()` for the same, as strictly.

--- a/roadlb/app.py
+++ b/roadlb/app.py
@@ -29,6 +29,7 @@
     GiveUp,
     Leave,
     Lifecycle,
+    RefuseNew,
     State,
     StopListening,
     Wake,
@@ -40,7 +41,7 @@
 from .net.instances import Instances
 from .net.name_table import NameTable
 from .net.service_client import ServiceClient
-from .net.sockets import Bind, listening, serve
+from .net.sockets import Bind, Listener, listening, serve
 from .overload.meter import Limits
 from .overload.readings import cpu_used_us, memory_bytes
 from .own_load import OwnLoad
@@ -75,7 +76,7 @@
     own_load: OwnLoad
     service_client: ServiceClient
     door: Door
-    listener: asyncio.Server
+    listener: Listener
 
     def __init__(
         self,
@@ -93,7 +94,7 @@
         self.peers: Peers | None = None
         self.sharing: Sharing | None = None
         self.twins, self.memory_beside = 1, 0
-        self._draining = False  # did a predecessor leave it so?
+        self._most_clients = config.client_sockets
 
     async def start(self) -> None:
         config, counters, clock = self.config, self.counters, self.clock
@@ -121,11 +122,11 @@
         )
         self.lifecycle = Lifecycle(min(LONGEST_US, int(config.longest_s * 1e6)), config.socket_fd is not None)
         self._leave = asyncio.Event()
-        self._leave_by_us = 0
+        self._leave_by = Leave(0, 0)
+        self._accepted: asyncio.Task[None] | None = None  # what waited when the listener was closed
+        self._refusing = False
         self.parts = Parts(self._parts())
         await self.parts.start()
-        if self._draining:
-            self._life(Event.OUT_OF_SERVICE)
         self.parts.serving()
         self._life(Event.STARTED)
         logger.info("listening", extra=fields(name=config.name, address=config.listen))
@@ -149,7 +150,7 @@
             self.succession = Succession(
                 Path(config.shared_dir), self.counters, self._held, self._handover, self._beside
             )
-            known, self._draining = self.succession.inherited(str(config.discovery), known)
+            known = self.succession.inherited(str(config.discovery), known)
             parts.append(Succeeding(self, self.succession))
         parts += [
             Known(self, known),
@@ -193,10 +194,13 @@
                 self.service_client.close_unfinished()
             elif isinstance(action, GiveUp):
                 self.engine.finish(action.came_after_us)
+            elif isinstance(action, RefuseNew):
+                self._refusing = action.on
+                self._limit(self._most_clients)
             elif isinstance(action, StopListening):
-                self.listener.close()
+                self._accepted = asyncio.create_task(self.listener.take(self.listener.close()))
             elif isinstance(action, Leave):
-                self._leave_by_us = action.by_us
+                self._leave_by = action
                 self._leave.set()
             elif isinstance(action, Wake):
                 self.wheel.at(action.at_us, self._life, Event.WAKE)
@@ -213,14 +217,19 @@
         discovery, known = self.name_table.held
         return Handover(discovery, known, self.lifecycle.state is State.DRAINING)
 
+    def _limit(self, clients: int) -> None:
+        """So many connections of clients there may be, and as many requests, unless each is refused now."""
+        self._most_clients = clients
+        self.service_client.limit(clients)
+        self.engine.limit(0 if self._refusing else min(self.config.max_open, clients))
+
     def _beside(self, others: list[Held]) -> None:
         """What others hold is not ours to hold: the limits are the sum's."""
         config = self.config
         clients = max(
             config.client_sockets // PART_LEAST, config.client_sockets - sum(o.clients for o in others)
         )
-        self.service_client.limit(clients)
-        self.engine.limit(min(config.max_open, clients))
+        self._limit(clients)
         self.instances.pool.limit(
             max(
                 config.instance_sockets // PART_LEAST,
@@ -263,8 +272,7 @@
     @property
     def port(self) -> int:
         """The port listened on, where the configuration leaves the choice to the kernel."""
-        port: int = self.listener.sockets[0].getsockname()[1]
-        return port
+        return self.listener.port
 
     def reconfigure(self, read: Callable[[], Config]) -> None:
         """Read the configuration again; of what it says, a running balancer follows `discovery`.
@@ -286,7 +294,14 @@
         self.lifecycle.linger_us = int(linger_s * 1e6)
         self._life(Event.LEAVE)
         await self._leave.wait()
-        await self.service_client.all_gone(self._leave_by_us)
+        if self._accepted:
+            await self._accepted
+        await self.service_client.all_gone(self._leave_by.by_us, self._leave_by.written_by_us)
+        await self.parts.stop()
+
+    async def abandon(self) -> None:
+        """End a start that has not come to listen."""
+        self.lifecycle.handle(self.clock(), Event.LEAVE)
         await self.parts.stop()
 
 
@@ -406,6 +421,10 @@
             with suppress(TimeoutError):
                 async with asyncio.timeout(HEARD_S):
                     await app.name_table.told.wait()
+        if app.succession:
+            await app.succession.seen()
+            if app.succession.draining():
+                app.tell(Event.OUT_OF_SERVICE)
         app.listener = await serve(app.service_client, config.listen, config.socket_fd, app.bind)
 
 
@@ -417,16 +436,18 @@
 
     def __init__(self, app: App, succession: Succession) -> None:
         self._app, self._succession = app, succession
+        self._serving = False  # until then what is written is the predecessor's
 
     def serving(self) -> None:
+        self._serving = True
         self._app.name_table.on_list = self._succession.write_soon
         self._succession.begin()
 
     def changed(self, state: State) -> None:
         if state is State.LEAVING:
             self._succession.leave()
-        else:
-            self._succession.write_soon()
+        elif self._serving:
+            self._succession.write_now()
 
     async def stop(self) -> None:
         self._succession.end()
@@ -558,6 +579,20 @@
         self._sharing.stop()
 
 
+async def begun(app: App, ended: asyncio.Event) -> bool:
+    """Start; False if it was told to end before it listened, which it then never does."""
+    start, told = asyncio.create_task(app.start()), asyncio.create_task(ended.wait())
+    await asyncio.wait((start, told), return_when=asyncio.FIRST_COMPLETED)
+    told.cancel()
+    if not start.done() and not hasattr(app, "listener"):
+        start.cancel()
+        with suppress(asyncio.CancelledError):
+            await start
+        return hasattr(app, "listener")
+    await start
+    return True
+
+
 async def run(config: Config, read_again: Callable[[], Config] | None = None) -> None:
     """Serve until SIGTERM or SIGINT; SIGHUP has the configuration read again, SIGUSR1 prints the counters."""
     app, loop, ended = App(config, bind=listening), asyncio.get_running_loop(), asyncio.Event()
@@ -565,7 +600,10 @@
         loop.add_signal_handler(number, ended.set)
     loop.add_signal_handler(signal.SIGUSR1, app.print_counters, "signal")
     loop.add_signal_handler(signal.SIGHUP, app.reconfigure, read_again or (lambda: config))
-    await app.start()
+    if not await begun(app, ended):
+        logger.info("stopping")
+        await app.abandon()
+        return
     # What the imports left behind lives for ever; unfrozen, each full collection looked at all of it again
     # and held every request up for 13 to 15 ms.  The second one, over next to nothing, is what later ones are
     # measured by: against the first, garbage in cycles could grow by some MB before it was looked at.
--- a/roadlb/lifecycle/handover.py
+++ b/roadlb/lifecycle/handover.py
@@ -24,6 +24,9 @@
 VERSION = 1
 SIZE_MOST = 8 << 20
 FILE, LOCKS = "roadlb.handover", "roadlb.*.lock"
+LOCK_TRIES = (
+    20  # each may meet another process that looks just then, or one with this pid in its own namespace
+)
 _HELD = struct.Struct("<IIQ")
 
 
@@ -55,9 +58,17 @@
     """The processes of this balancer that live, as told by their locks in a directory."""
 
     def __init__(self, directory: Path) -> None:
-        self._directory, self._mine = directory, directory / f"roadlb.{os.getpid()}.lock"
-        self._lock = os.open(self._mine, os.O_CREAT | os.O_RDWR | os.O_CLOEXEC, 0o600)
-        fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        self._directory = directory
+        for number in range(LOCK_TRIES):
+            self._mine = directory / f"roadlb.{os.getpid()}.{number}.lock"
+            self._lock = os.open(self._mine, os.O_CREAT | os.O_RDWR | os.O_CLOEXEC, 0o600)
+            with suppress(BlockingIOError):
+                fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                # Before it was locked, another may have taken it for a dead one's and removed it.
+                if os.fstat(self._lock).st_nlink:
+                    return
+            os.close(self._lock)
+        raise BlockingIOError(f"no file in {directory} could be locked")
 
     def tell(self, held: Held) -> None:
         """Say what this process holds, for the others to leave it its part of the limits."""
--- a/roadlb/lifecycle/lifecycle.py
+++ b/roadlb/lifecycle/lifecycle.py
@@ -1,27 +1,28 @@
 """Decides whether this process takes clients, and how those that it has leave it.
 
-Theory of operation.  Four states; each event leads from one to another, or changes nothing:
+Theory of operation.  Four states; `_NEXT` has what each event does in each of them, late events included:
 
-    state      Started    OutOfService   InService   Leave
-    STARTING   SERVING    DRAINING       -           LEAVING
-    SERVING    -          DRAINING       -           LEAVING
-    DRAINING   -          -              SERVING     LEAVING
-    LEAVING    -          -              -           -
+    state      Started    OutOfService   InService   Leave     Wake
+    STARTING   SERVING    DRAINING       -           LEAVING   -
+    SERVING    -          DRAINING       -           LEAVING   -
+    DRAINING   -          -              SERVING     LEAVING   next step of the drain
+    LEAVING    -          -              -           -         next step of the leave
 
 A drain told before the start holds through it, and one in force goes on until its end is told.  Nothing
-leads out of LEAVING.
+leads out of LEAVING.  A process told to leave before it listens has taken nothing, and ends at once.
 
 While it drains or leaves, a schedule runs, in microseconds from the state's begin, and asks to be woken every
-STEP_US:
+STEP_US; a wake that an earlier state asked for comes before `_next` and does nothing:
 
 - Draining: clients go on coming for a moment after `/healthz` says no, so the listener stays.  Each answer
   ends its connection.  Idle connections are closed over a stretch of time, so that their clients do not all
   dial elsewhere in one instant.  After 4 s the operators hold no connection idle and none with a request of
   the last 2 s against us: who has begun a request may end it until UNFINISHED_US, and what came too late to
-  be that old is given up at GIVE_UP_US.
+  be that old is given up at GIVE_UP_US.  What is read from then until the 4 s are over is refused at once.
 - Leaving: the process is killed 0.7 s after the longest deadline.  With a listening socket of its own it
   goes on accepting for a moment; one that is shared belongs to the successor at once, and what idles is
   closed as late and as spread as there is time for: each of those connections may be about to be used.
+  SPARE_US after the longest deadline all that is open gets its answer, and what is read later a refusal.
 """
 
 from __future__ import annotations
@@ -38,6 +39,9 @@
 LINGER_US = 500_000  # after SIGTERM the front goes on dealing us connections for so long
 SHARED_IDLE_US = 700_000  # with a successor at the socket, idle connections are closed from then
 SPARE_US = 400_000  # after the longest deadline, the last answers are out by then
+# Whoever is still being written to is not cut off: what the kill finds unanswered is not held against us,
+# what we end ourselves is.  Where nobody kills the process, this ends it.
+WRITTEN_US = 10_000_000
 
 
 class State(Enum):
@@ -81,16 +85,27 @@
     came_after_us: int
 
 
+@dataclass(frozen=True, slots=True)
+class RefuseNew:
+    """Is each request that is read from now on refused at once?"""
+
+    on: bool
+
+
 @dataclass(frozen=True, slots=True)
 class StopListening:
-    """Accept nothing more."""
+    """Accept nothing more but what the kernel has accepted for us alone."""
 
 
 @dataclass(frozen=True, slots=True)
 class Leave:
-    """All that is to end has until now; end the program as soon as no connection is left, or at `by_us`."""
+    """All that is to end has until now; end the program as soon as no connection is left, or at `by_us`.
+
+    Connections on which an answer is still being written have until `written_by_us`.
+    """
 
     by_us: int
+    written_by_us: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,16 +115,26 @@
     at_us: int
 
 
-Action: TypeAlias = Ending | CloseIdle | CloseUnfinished | GiveUp | StopListening | Leave | Wake
+Action: TypeAlias = Ending | CloseIdle | CloseUnfinished | GiveUp | RefuseNew | StopListening | Leave | Wake
 
+# Each pair of a state and an event but Event.WAKE, which keeps the state; what keeps it does nothing else.
 _NEXT = {
     (State.STARTING, Event.STARTED): State.SERVING,
     (State.STARTING, Event.OUT_OF_SERVICE): State.DRAINING,
+    (State.STARTING, Event.IN_SERVICE): State.STARTING,
     (State.STARTING, Event.LEAVE): State.LEAVING,
+    (State.SERVING, Event.STARTED): State.SERVING,
     (State.SERVING, Event.OUT_OF_SERVICE): State.DRAINING,
+    (State.SERVING, Event.IN_SERVICE): State.SERVING,
     (State.SERVING, Event.LEAVE): State.LEAVING,
+    (State.DRAINING, Event.STARTED): State.DRAINING,
+    (State.DRAINING, Event.OUT_OF_SERVICE): State.DRAINING,
     (State.DRAINING, Event.IN_SERVICE): State.SERVING,
     (State.DRAINING, Event.LEAVE): State.LEAVING,
+    (State.LEAVING, Event.STARTED): State.LEAVING,
+    (State.LEAVING, Event.OUT_OF_SERVICE): State.LEAVING,
+    (State.LEAVING, Event.IN_SERVICE): State.LEAVING,
+    (State.LEAVING, Event.LEAVE): State.LEAVING,
 }
 
 
@@ -122,6 +147,7 @@
         self.state, self._since, self._woken, self._listening = State.STARTING, 0, 0, True
         self._next = 0  # wakes before are those of a state that is over
         self._started = False
+        self._refusing = False
         self.longest_us, self._shared, self.linger_us = longest_us, shared, linger_us
 
     @property
@@ -137,14 +163,20 @@
 
     def handle(self, now: int, event: Event) -> list[Action]:
         """Take one event at clock time `now`; what changes nothing gives no action."""
-        self._started = self._started or event is Event.STARTED
         if event is Event.WAKE:
             return self._step(now) if now >= self._next else []
-        state = _NEXT.get((self.state, event))
-        if state is None:
+        state = _NEXT[self.state, event]
+        if event is Event.STARTED and self.state is not State.LEAVING:
+            self._started = True
+        if state is self.state:
             return []
         self.state, self._since, self._woken = state, now, now
+        if state is State.LEAVING and not self._started:
+            return [Ending(True), Leave(now, now)]  # nothing listens yet, and nothing has been taken
         actions: list[Action] = [Ending(state in (State.DRAINING, State.LEAVING))]
+        if self._refusing:
+            self._refusing = False
+            actions.append(RefuseNew(False))
         if state is State.LEAVING and self._shared:
             self._listening = False
             actions.append(StopListening())
@@ -153,7 +185,7 @@
     def _step(self, now: int) -> list[Action]:
         if self.state is State.DRAINING:
             return self._drain(now)
-        return self._leave(now) if self.state is State.LEAVING else []
+        return self._leave(now) if self.state is State.LEAVING and self._started else []
 
     def _drain(self, now: int) -> list[Action]:
         passed, before = now - self._since, self._woken - self._since
@@ -163,13 +195,18 @@
             actions.append(CloseUnfinished())
         if before < GIVE_UP_US <= passed:
             actions.append(GiveUp(self._since + DRAINED_US - RECENT_US))
+        # One step longer, as the operators' clock begins with their call and may end after ours.
+        refusing = GIVE_UP_US <= passed < DRAINED_US + STEP_US
+        if refusing is not self._refusing:
+            self._refusing = refusing
+            actions.append(RefuseNew(refusing))
         # Connections may come for as long as it drains: whoever has not seen the no yet, or never asks.
         return [*actions, self._wake(now + STEP_US)]
 
     def _leave(self, now: int) -> list[Action]:
         passed, actions = now - self._since, list[Action]()
-        self._woken, last = now, self.longest_us + (SPARE_US if self._shared else self.linger_us)
-        if self._listening and passed >= self.linger_us:
+        self._woken, last = now, self.longest_us + SPARE_US
+        if self._listening and passed >= min(self.linger_us, last):
             self._listening = False
             actions.append(StopListening())
         if not self._listening:
@@ -177,10 +214,14 @@
                 actions += self._close_idle(passed, min(SHARED_IDLE_US, last // 2), last - 2 * STEP_US)
             else:
                 actions.append(CloseIdle(1.0))
-            actions.append(Leave(self._since + last + STEP_US))
+            by = self._since + last + STEP_US
+            actions.append(Leave(by, by + WRITTEN_US))
         if passed >= last:
-            return [*actions, GiveUp(0)]
-        return [*actions, self._wake(now + min(STEP_US, max(1, last - passed)))]
+            if not self._refusing:
+                self._refusing = True
+                actions += [RefuseNew(True), GiveUp(0)]
+            return [*actions, self._wake(now + STEP_US)]
+        return [*actions, self._wake(now + min(STEP_US, last - passed))]
 
     def _wake(self, at_us: int) -> Wake:
         self._next = at_us
--- a/roadlb/lifecycle/parts.py
+++ b/roadlb/lifecycle/parts.py
@@ -42,10 +42,12 @@
 
     def __init__(self, parts: Iterable[Part]) -> None:
         self._parts = list(parts)
+        self._begun: list[Part] = []
 
     async def start(self) -> None:
         for part in self._parts:
             await part.start()
+            self._begun.append(part)
 
     def serving(self) -> None:
         for part in self._parts:
@@ -60,8 +62,9 @@
             part.changed(state)
 
     async def stop(self) -> None:
-        for part in reversed(self._parts):
-            await part.stop()
+        """End those that have begun; a second time there are none."""
+        while self._begun:
+            await self._begun.pop().stop()
 
     def gauges(self) -> Mapping[str, int]:
         return {name: value for part in self._parts for name, value in part.gauges().items()}
--- a/roadlb/lifecycle/succession.py
+++ b/roadlb/lifecycle/succession.py
@@ -15,6 +15,7 @@
 logger = logging.getLogger(__name__)
 
 LOOK_S = 0.25  # between looks at who lives
+SEEN_S = LOOK_S + 0.1  # by then the others have counted a new process, their loops being a little late
 WRITE_S = 0.1  # a list that changes again and again is written once in so long
 
 
@@ -33,28 +34,43 @@
         self._directory, self._counters = directory, counters
         self._held, self._handover, self._changed = held, handover, changed
         self._neighbours = Neighbours(directory)
+        self._seen_at = asyncio.get_running_loop().time() + SEEN_S
         self._writing: asyncio.TimerHandle | None = None
         self._looking: asyncio.Task[None] | None = None
 
-    def inherited(self, discovery: str, known: Mapping[str, object]) -> tuple[Mapping[str, object], bool]:
-        """The list to begin with, and whether a predecessor that lives is out of service.
-
-        The predecessor's list is taken if the same discovery told it and it is newer than `known`.
-        """
+    def inherited(self, discovery: str, known: Mapping[str, object]) -> Mapping[str, object]:
+        """The list to begin with: the predecessor's, if the same discovery told it and it is newer than
+        `known`."""
         try:
             handover = read(self._directory)
         except (ValueError, KeyError, TypeError, RecursionError) as e:
             self._counters.add("handover.ignored")
             logger.warning("handover ignored", extra=fields(error=e))
-            return known, False
+            return known
         if handover is None:
-            return known, False
-        draining = handover.draining and bool(self._neighbours.others())
+            return known
         if handover.discovery != discovery or generation_of(handover.known) <= generation_of(known):
             self._counters.add("handover.old")
-            return known, draining
+            return known
         self._counters.add("handover.taken")
-        return handover.known, draining
+        return handover.known
+
+    def draining(self) -> bool:
+        """Is a predecessor that lives out of service as it stands now?"""
+        with suppress(ValueError, KeyError, TypeError, RecursionError):
+            if handover := read(self._directory):
+                return handover.draining and bool(self._neighbours.others())
+        return False
+
+    async def seen(self) -> None:
+        """Return once this process counts the others that live, and they count it.
+
+        Until then both would spend the whole of the limits and budgets that are theirs together.
+        """
+        self.look()
+        if self._neighbours.others():
+            await asyncio.sleep(max(0.0, self._seen_at - asyncio.get_running_loop().time()))
+            self.look()
 
     def begin(self) -> None:
         """From now on this process is the one that a successor takes over from."""
@@ -74,7 +90,7 @@
             self.look()
 
     def write_soon(self) -> None:
-        """The list or the state has changed."""
+        """The list has changed."""
         if self._writing is None:
             self._writing = asyncio.get_running_loop().call_later(WRITE_S, self._write)
 
@@ -82,6 +98,11 @@
         self._writing = None
         write(self._directory, self._handover())
 
+    def write_now(self) -> None:
+        """The state has changed: a successor that is about to serve must not miss it."""
+        self.leave()
+        self._write()
+
     def leave(self) -> None:
         """Nothing more is written: what is there may be the successor's by now."""
         if self._writing:
--- a/roadlb/net/service_client.py
+++ b/roadlb/net/service_client.py
@@ -206,13 +206,24 @@
             if connection.started_us:
                 connection.close()
 
-    async def all_gone(self, until_us: int) -> None:
-        """Wait until no connection is left, or the clock shows this time; then end what is left."""
+    async def all_gone(self, until_us: int, written_by_us: int) -> None:
+        """Wait until no connection is left, or the clock shows this time; then end what is left.
+
+        Those on which an answer is still being written, or on which bytes wait to be read, have until
+        `written_by_us`.
+        """
+        await self._none_left(until_us)
+        for connection in list(self.connections):
+            if not unsettled(connection):
+                connection.abort()
+        await self._none_left(written_by_us)
+        for connection in list(self.connections):
+            connection.abort()
+
+    async def _none_left(self, until_us: int) -> None:
         if self.connections:
             self._all_ended = asyncio.get_running_loop().create_future()
             await asyncio.wait([self._all_ended], timeout=max(0, until_us - self.clock()) / 1e6)
-        for connection in list(self.connections):
-            connection.abort()
 
     # Requests
 
@@ -375,6 +386,14 @@
     return connection.transport is None or connection.transport.is_closing()
 
 
+def unsettled(connection: ClientConnection) -> bool:
+    """Is an answer being written, or have bytes come that were not read?"""
+    transport = connection.transport
+    if transport is None:
+        return False
+    return connection.flowing or transport.get_write_buffer_size() > 0 or unread(transport)
+
+
 def overdue(connection: ClientConnection, now: int, idle_s: float) -> bool:
     """Has it been silent, at one request, or at not taking an answer for too long?  `now` in microseconds."""
     if connection.stuck_us:
--- a/roadlb/net/sockets.py
+++ b/roadlb/net/sockets.py
@@ -24,6 +24,8 @@
 
 BACKLOG = 512
 BUFFER = 65_536  # of the kernel, on either side of a body that flows
+# Of the loop, from accepting a connection until its protocol knows it: uvloop needs one, asyncio three.
+ACCEPT_TURNS = 4
 TAKE_OVER_S = 10.0  # how long a predecessor may take to end
 
 
@@ -56,19 +58,57 @@
     return found
 
 
+class Listener:
+    """A server that listens, and its socket where that is not the loop's own affair."""
+
+    def __init__(
+        self, server: asyncio.Server, made: socket.socket | None, client: Callable[[], asyncio.Protocol]
+    ) -> None:
+        self._server, self._made, self._client = server, made, client
+
+    @property
+    def port(self) -> int:
+        port: int = self._server.sockets[0].getsockname()[1]
+        return port
+
+    def close(self) -> list[socket.socket]:
+        """Accept nothing more; gives the connections that wait in the kernel's queue, which to close on
+        would reset together with the requests that have come on them."""
+        waiting: list[socket.socket] = []
+        if self._made is not None:
+            with suppress(OSError):  # none waits, or no descriptor is left for it
+                while len(waiting) < BACKLOG:
+                    waiting.append(self._made.accept()[0])
+        self._server.close()
+        return waiting
+
+    async def take(self, waiting: list[socket.socket]) -> None:
+        """Serve connections that the kernel had accepted; once it returns their protocols know them, and
+        those of all that the loop had accepted."""
+        loop = asyncio.get_running_loop()
+        for connection in waiting:
+            connection.setblocking(False)
+            with suppress(OSError):  # reset meanwhile
+                await loop.connect_accepted_socket(self._client, connection)
+        for _ in range(ACCEPT_TURNS):
+            await asyncio.sleep(0)
+
+
 async def serve(
     client: Callable[[], asyncio.Protocol], at: Address, fd: int | None, bind: Bind | None
-) -> asyncio.Server:
+) -> Listener:
     """Take the address; one that a predecessor still holds is waited for, as ending would be a crash."""
     loop = asyncio.get_running_loop()
     if fd is not None:
-        return await loop.create_server(client, sock=inherited(fd), backlog=BACKLOG)
+        # Closed, it stays open at the platform, and what waits there is the successor's.
+        return Listener(await loop.create_server(client, sock=inherited(fd), backlog=BACKLOG), None, client)
     until = loop.time() + TAKE_OVER_S
     while True:
         try:
             if bind:
-                return await loop.create_server(client, sock=bind(at, BACKLOG), backlog=BACKLOG)
-            return await loop.create_server(client, at.host, at.port, backlog=BACKLOG)
+                made = bind(at, BACKLOG)
+                return Listener(await loop.create_server(client, sock=made, backlog=BACKLOG), made, client)
+            return Listener(await loop.create_server(client, at.host, at.port, backlog=BACKLOG), None, client)
         except OSError as e:
             if e.errno != errno.EADDRINUSE or loop.time() > until:
                 raise
--- a/tests/lifecycle/test_upgrade.py
+++ b/tests/lifecycle/test_upgrade.py
@@ -179,15 +179,20 @@
     )
 
 
+async def made(directory: Path, counters: Counts) -> Succession:
+    return succession(directory, counters)
+
+
 def test_a_successor_takes_a_newer_list_of_the_same_discovery_and_no_other(tmp_path: Path) -> None:
     counters = Counts()
-    one = succession(tmp_path, counters)
-    assert one.inherited("d:1", OLDER) == (OLDER, False)  # none is there
+    one = run(made(tmp_path, counters))
+    assert one.inherited("d:1", OLDER) == OLDER and not one.draining()  # none is there
     handover.write(tmp_path, Handover("d:1", KNOWN, True))
-    assert one.inherited("d:1", OLDER) == (KNOWN, False)  # whoever drained has died
-    assert one.inherited("d:2", OLDER) == (OLDER, False)
-    assert one.inherited("d:1", {**KNOWN, "generation": 5})[0]["generation"] == 5
-    assert one.inherited("d:1", {}) == (KNOWN, False)
+    assert one.inherited("d:1", OLDER) == KNOWN
+    assert not one.draining()  # whoever drained has died
+    assert one.inherited("d:2", OLDER) == OLDER
+    assert one.inherited("d:1", {**KNOWN, "generation": 5})["generation"] == 5
+    assert one.inherited("d:1", {}) == KNOWN
     assert (counters["handover.taken"], counters["handover.old"]) == (2, 2)
 
 
@@ -207,7 +212,12 @@
     handover.write(tmp_path, Handover("d:1", KNOWN, True))
     file, counters = tmp_path / handover.FILE, Counts()
     file.write_bytes(spoil(file.read_bytes()))  # type: ignore[operator]
-    assert succession(tmp_path, counters).inherited("d:1", OLDER) == (OLDER, False)
+
+    async def main() -> None:
+        one = succession(tmp_path, counters)
+        assert one.inherited("d:1", OLDER) == OLDER and not one.draining()
+
+    run(main())
     assert counters["handover.ignored"] == 1
 
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -41,6 +41,7 @@
 from roadlb.app import App
 from roadlb.config import read_config
 from roadlb.lifecycle.lifecycle import Event
+from roadlb.net.sockets import listening
 
 LIMIT_S = 10.0
 LOOPS = {"uvloop": uvloop.new_event_loop, "asyncio": asyncio.new_event_loop}
@@ -191,7 +192,9 @@
             "settings": {**SETTINGS, "limits": changed},
         }
         config = read_config(self.config, {})
-        self.app = App(replace(config, **{k: v for k, v in changed.items() if hasattr(config, k)}))
+        self.app = App(
+            replace(config, **{k: v for k, v in changed.items() if hasattr(config, k)}), bind=listening
+        )
         await self.app.start()
 
     def lists_seen(self) -> int:
