A cold server's budget follows from what warm ones carry, not from demand per capacity

Seen: 30 balancers, six servers that carry 16 requests a second each, load 0.8; all six are replaced by cold ones at one blow (`cold_from` 0.12).

Cause: `Balancer.cold_room` divided what the balancer had carried of late by the capacity that is there now. When warm servers go, the former stays for seconds and the latter falls to an eighth, so each cold server was taken to do what a warm one had done. What cold ones were sent then counted as carried, and held the figure up.

--- a/roadlb/policy/logic.py
+++ b/roadlb/policy/logic.py
@@ -120,6 +120,7 @@
         if handler := self.handlers.get(type(event)):
             handler(event)
         if self.sites.decided:
+            self.slow_start.has(now, self.list.warm(self.sites))
             self.actions += map(Log, map(str, decided := self.sites.take()))
             if self.warmth.hear(now, decided):
                 self.rebuild()
@@ -145,7 +146,7 @@
             self.rebuild()
         self.refusals.fade()
         self.quotas.fade()
-        self.slow_start.tick()
+        self.slow_start.tick(self.now, self.list.warm(self.sites), self.list.weight)
         self.sets.told([s.told * s.inverse for s in self.list.ready if self.now - s.queue_at < RECENT_US])
         each = self.slow_start.carried / (self.slow_start.mean or 1.0) / self.list.weight
         self.sites.usual([(s.zone, each * s.weight * s.share) for s in self.list.ready])
@@ -161,6 +162,7 @@
             return
         self.asks = 0
         self.list.apply(self.now, e, self.s, self.aim)
+        self.rebuild()
         self.sites.tell(self.now, Listed(self.list.starts()))
 
     def changed(self, e: Changed) -> None:
@@ -170,6 +172,7 @@
     def rebuild(self) -> None:
         """The settings, or the time, have changed what servers can do."""
         self.list.rebuild(self.now, self.s)
+        self.slow_start.has(self.now, self.list.warm(self.sites))
 
     # Load and health
 
@@ -381,8 +384,7 @@
         r.open -= 1
         if not r.coming:
             self.list.count(self.now, self.aim, s, -1)
-        if a.held:
-            self.slow_start.ended(self.now, a, r.work or r.cls.least, e.status is Status.OK)
+        self.slow_start.ended(self.now, a, r.work or r.cls.least, e.status is Status.OK)
         if len(e.report) > self.queue_field >= 0:
             s.told, s.queue_at = e.report[self.queue_field], self.now
             s.queue = s.told / self.shares.alike
--- a/roadlb/policy/server_list.py
+++ b/roadlb/policy/server_list.py
@@ -10,6 +10,7 @@
 from ..routing.cold import ColdBudget
 from ..routing.key_order import KeyOrder
 from ..routing.standing import Standings
+from ..sites.life import Sites
 from ..sites.warmth import Warmth
 from .interface import Group, ListKind, ListUpdate, Member, ServerId, ServerState, ServerView, Settings
 from .state import Server
@@ -46,7 +47,10 @@
         self.cold_part = 0.0  # of it, the share of those that are cold
 
     def apply(self, now: int, update: ListUpdate, settings: Settings, aim_us: int) -> None:
-        """Take over a whole list, or the changes to one; what a whole list does not name is gone."""
+        """Take over a whole list, or the changes to one; what a whole list does not name is gone.
+
+        `rebuild` has to follow.
+        """
         present = [m for m in update.members if m.state is not ServerState.GONE]
         listed = {m.server for m in present}
         gone = (m.server for m in update.members) if update.kind is ListKind.DELTA else self.servers
@@ -56,7 +60,6 @@
             del self.servers[server.id]
         for m in present:
             self._put(now, m, settings, aim_us)
-        self.rebuild(now, settings)
 
     def _put(self, now: int, m: Member, settings: Settings, aim_us: int) -> None:
         """One server, as it is listed."""
@@ -95,6 +98,12 @@
             (s.hash, s.inverse * (1.0 if s.zone == settings.zone else far)) for s in self.ready
         )
 
+    def warm(self, sites: Sites) -> float:
+        """The capacity of warm servers that take requests: neither ejected nor in a zone that is away."""
+        return sum(
+            s.weight for s in self.ready if s.share >= 1 and not s.eject_until and not sites.away(s.zone)
+        )
+
     def order(self, key: int, count: int) -> list[Server]:
         """The first few servers of a key's weighted rendezvous order."""
         return [self.ready[i] for i in self.keys.first(key, count)]
