--- a/tests/net/test_attempt_crossings.py
+++ b/tests/net/test_attempt_crossings.py
@@ -246,6 +246,7 @@
         await stage.step("a send POST /order/k")
         await dials.made.wait()
         await stage.step("d send draining")
+        assert not stage.app.instances.pool.dialled()  # not only when its time is up
         await stage.step("a expect 503")  # refused: never sent, and there is no other server
         dials.up.set()
         await turns(20)
