An attempt decided as its client is found gone ends for the module as well

Cause: where carrying out one action has another request's client found gone, Engine._forget dropped that request at once, and a Send of the same turn found no exchange: it was passed over with no outcome, so that the module would count an attempt as open at its server, and keep the request, for good. No path in the program was found that leads there today other than a fault; it holds by the order of calls alone.

Change: a request that is closed within a turn leaves the table when the turn ends; a Send until then ends as never started, with its outcome.

--- a/roadlb/engine.py
+++ b/roadlb/engine.py
@@ -98,6 +98,7 @@
         self._busy, self._now = False, 0  # carrying out an event, and when it began
         self._next_id = 1
         self._open: dict[int, Exchange] = {}  # with an answer owed, or an execution still out
+        self._leaving: list[Exchange] = []  # closed in this turn, whose actions may still concern them
         self._short = False  # of this program's own means, as the module was told
         self._flowing = 0  # answers that are on their way to clients
         self._asked = self._refused = 0  # requests that came, and those refused before any execution
@@ -329,6 +330,10 @@
                 event = self._events.popleft()
         finally:
             self._busy = False
+            if self._leaving:
+                leaving, self._leaving = self._leaving, []
+                for exchange in leaving:
+                    self._forget(exchange)
 
     def _fault(self, what: Event | Action) -> None:
         """One request's exception must neither end the process nor cost another its answer."""
@@ -451,6 +456,9 @@
             for execution in exchange.executions:
                 if execution.ending is None:
                     return
+            if self._busy:
+                self._leaving.append(exchange)
+                return
             self._open.pop(exchange.id, None)
 
 
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -221,6 +221,27 @@
     run(main)
 
 
+def test_a_send_that_crosses_its_client_leaving_is_not_started_and_ends_for_the_module() -> None:
+    # Carrying out an earlier action of the same turn has the client found gone; the module, which counts the
+    # attempt as open at its server, hears of that only later, and must hear how the attempt ended too.
+    async def main() -> None:
+        decider = Decider()
+        made, recorder = engine(decider)
+        first, second = exchange(), exchange()
+        first.on_answer = lambda x, answer: made.client_gone(second)
+        made.open(first)
+        made.open(second)
+        decider.replies[ListUpdate] = lambda e: [Refuse(first.id, 5), Send(second.id, NODE, 0)]
+        made.list_update(ListKind.FULL, [])
+        assert recorder.started == [] and second.answer is None
+        assert [e.ending for e in second.executions] == [Ending.NEVER_STARTED]
+        (ended,) = [e for e in decider.events if isinstance(e, Outcome)]
+        assert (ended.request, ended.attempt, ended.closed) == (second.id, 0, True)
+        assert made.current == 0 and not made._open
+
+    run(main)
+
+
 def test_over_the_most_open_a_request_is_nacked_before_the_module() -> None:
     # With no descriptor left every dial and every accept would fail.
     async def main() -> None:
