An order that is answered before it is whole does not become whole at that server

Cause: InstanceConnection._end stopped the sending at once only after an attempt with no whole answer. A server that turned an order away (503, X-Unprocessed) before its last byte was written still got the rest in the same turn of the loop, while the order was sent on to the next one: it had two whole copies out.

Change: whatever the answer, what is not written by then is not sent.

--- a/roadlb/net/instance_connection.py
+++ b/roadlb/net/instance_connection.py
@@ -492,7 +492,7 @@
                 self.transport.resume_reading()
             self._pool.rest(self)
         elif self.transport:
-            if result.ending not in ANSWERED:
+            if self._unwritten or result.ending not in ANSWERED:
                 # What waits could still be written in this turn, and make a request that is about to be
                 # called never run whole to a server that has only ended its own sending.
                 self._stop_sending()
--- a/tests/net/test_broken_writes.py
+++ b/tests/net/test_broken_writes.py
@@ -144,6 +144,22 @@
     play(lambda: main(False))
 
 
+def test_an_order_turned_away_before_it_is_whole_never_becomes_whole_there() -> None:
+    async def main() -> None:
+        rig = Rig(2, RECEIVE_BYTES)
+        link = await rig.reused()
+        order, read = await nearly_written(rig, link)
+        link.send(b"HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")
+        read += drain(link)
+        assert await rig.ended(order, 0) is Ending.TURNED_AWAY
+        read += await link.rest()
+        assert len(order.executions) == 2 and not read.endswith(b"x" * BODY_BYTES)
+        assert (await (await rig.servers[1].accept()).request()).endswith(b"x" * BODY_BYTES)
+
+    play(main)
+
+
+@pytest.mark.interpreted
 def test_an_order_whose_write_fails_never_ran(monkeypatch: pytest.MonkeyPatch) -> None:
     # Reset between the look at the connection and the write: the kernel takes no byte.
     monkeypatch.setattr(InstanceConnection, "quiet", True)
