--- a/tests/net/test_broken_writes.py
+++ b/tests/net/test_broken_writes.py
@@ -4,16 +4,21 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 from attempt_rig import ORDER, Link, Rig, play, turns
+from harness import CONFIG
 
+from roadlb.config import IDLE_PART
 from roadlb.exchange import Ending, Exchange, Failed, Served
 from roadlb.net.instance_connection import InstanceConnection
+from roadlb.policy.interface import Outcome
 
 RECEIVE_BYTES = 8_192  # of the server's kernel, and
 SEND_BYTES = 16_384  # of the program's: little of a long request goes out at once
 BODY_BYTES = 120_000
+LEFT_US = 100_000
 REST_BYTES = 6_000  # goes out at once when the server has read what was there
 
 
@@ -139,6 +144,22 @@
     play(lambda: main(False))
 
 
+def test_an_order_turned_away_before_it_is_whole_never_becomes_whole_there() -> None:
+    async def main() -> None:
+        rig = Rig(2, RECEIVE_BYTES)
+        link = await rig.reused()
+        order, read = await nearly_written(rig, link)
+        link.send(b"HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")
+        read += drain(link)
+        assert await rig.ended(order, 0) is Ending.TURNED_AWAY
+        read += await link.rest()
+        assert len(order.executions) == 2 and not read.endswith(b"x" * BODY_BYTES)
+        assert (await (await rig.servers[1].accept()).request()).endswith(b"x" * BODY_BYTES)
+
+    play(main)
+
+
+@pytest.mark.interpreted
 def test_an_order_whose_write_fails_never_ran(monkeypatch: pytest.MonkeyPatch) -> None:
     # Reset between the look at the connection and the write: the kernel takes no byte.
     monkeypatch.setattr(InstanceConnection, "quiet", True)
@@ -192,3 +213,40 @@
         assert isinstance(rig.answers[0], Served)
 
     play(main)
+
+
+def test_a_connection_that_its_server_may_close_by_now_is_not_written_to() -> None:
+    # The sweep that closes idle ones comes late, where the loop was held up or the time is short.
+    async def main() -> None:
+        rig = Rig(1)
+        link = await rig.reused()
+        rig.moved_us = int(CONFIG.conn_idle_us * IDLE_PART) + 1
+        order = rig.open(ORDER)
+        other = await rig.servers[0].accept()
+        await other.request()
+        other.answer()
+        await rig.answered.wait()
+        assert len(order.executions) == 1 and await link.rest() == b""
+
+    play(main)
+
+
+@pytest.mark.parametrize("late_us", [-20_000, 20_000])
+def test_an_answer_that_lies_unread_as_its_time_ends_makes_one_final_answer(late_us: int) -> None:
+    async def main() -> None:
+        rig = Rig(1)
+        order = rig.open(ORDER, left_us=LEFT_US)
+        link = await rig.servers[0].accept()
+        await link.request()
+        link.answer()
+        time.sleep((LEFT_US + late_us) / 1e6)  # the event loop makes no turn
+        await rig.answered.wait()
+        assert order.executions[0].ending is not None
+        assert [type(e) for e in rig.decider.outcomes] == [Outcome]
+        before = len(rig.counters.faults)
+        rig.engine.client_gone(order)
+        await turns(20)
+        assert len(rig.answers) == 1 and len(rig.decider.outcomes) == 1
+        assert len(rig.counters.faults) == before == 0
+
+    play(main)
