Requests without a key share one server set, their balancer's own

Cause: Balancer.pick sent each request without a key to the least loaded of a random sample of all servers, so that with few requests a balancer it dialled for nearly every one, and servers paid for it.

Change: such requests have the balancer's own number as their key, hashed: its server set seeds, grows and shrinks as any other, and other balancers' sets lie elsewhere.

--- a/roadlb/policy/logic.py
+++ b/roadlb/policy/logic.py
@@ -81,6 +81,8 @@
         self.list = ServerList(self.standings, self.warmth)
         self.sets: KeySets[Server] = KeySets(self.list.order)
         self.requests: dict[int, Request] = {}
+        # Requests without a key share one server set, this balancer's own, and so the connections to it.
+        self.own_key = mix(settings.instance + 1) or 1
         self.fleet, self.sites = self.list.fleet, Sites()
         self.slow_start = SlowStart()
         self.shares = Shares(settings.instances)  # of what all together may do
@@ -247,7 +249,7 @@
         return best
 
     def anywhere(self, r: Request, tried: list[Server]) -> Server | None:
-        """No key, or nobody in the key's order will do: the least loaded of a random sample."""
+        """Nobody in the key's order will do: the least loaded of a random sample."""
         sample = [self.random.choice(self.list.ready) for _ in range(2 * SAMPLE)] if self.list.ready else []
         return self.least(sample, r, tried, SAMPLE) or self.least(self.list.ready, r, tried, SAMPLE)
 
@@ -281,8 +283,6 @@
             return s  # a lost site is asked whether it is back, as nobody would choose it
         if not tried and spec.effect is Effect.SAFE and self.pressure > 0 and (s := self.idle(r, 1.0)):
             return s  # what is warm is left to what only it can do in time
-        if not r.key:
-            return self.anywhere(r, tried)
         s, ks = self.member(r, tried)
         if s and self.dialling and not s.connected(self.now, self.s.keep_us):
             # Each server that one node uses seldom costs it a dial for nearly every request.
@@ -461,8 +461,9 @@
 
     def arrival(self, e: Arrival) -> None:
         cls = self.classes[e.class_index]
+        key = e.key or self.own_key
         r = self.requests[e.request] = Request(
-            e.request, cls, e.key, e.work_us, self.now + e.left_us, self.now + cls.spec.aim_us, e.coming
+            e.request, cls, key, e.work_us, self.now + e.left_us, self.now + cls.spec.aim_us, e.coming
         )
         self.retries, self.hedges = min(20, self.retries + RETRY_SHARE), min(20, self.hedges + HEDGE_SHARE)
         shed = self.shed(e, cls)
