A server's new start ends the idle connections to its former process

Cause: Pool.follow dropped idle connections where a server's address changed, and not where it was started again at the same one. A machine that vanished says nothing; what is written to its connections once it is back is reset, and an order that may have run for all that is known is lost.

Change: NameTable tells Instances the starts; one that differs from that known drops the server's idle connections (Pool.drop_idle).

Result: test_an_order_is_not_written_to_a_connection_from_before_its_server_was_started, seen to fail without the drop; 10 of 10 runs of both files pass.

--- a/roadlb/net/instances.py
+++ b/roadlb/net/instances.py
@@ -20,6 +20,7 @@
 logger = logging.getLogger(__name__)
 
 PROBE_US = 300_000
+NO_STARTS: Mapping[ServerId, int] = {}
 ENDINGS_LOGGED = 50  # a second; the others are only counted
 
 
@@ -36,6 +37,7 @@
         self._engine, self._counters, self._clock, self._wheel = engine, counters, clock, wheel
         self._listed: dict[ServerId, tuple[str, Address]] = {}
         self._draining: set[ServerId] = set()  # of those listed
+        self._born_us: dict[ServerId, int] = {}  # when each was started
         self._calls: dict[Execution, Call] = {}
         self._probes: dict[Call, None] = {}
         self._logged = Limit(clock, ENDINGS_LOGGED)
@@ -54,20 +56,28 @@
         gone: list[ServerId],
         whole: bool,
         draining: Collection[ServerId] = (),
+        born_us: Mapping[ServerId, int] = NO_STARTS,
     ) -> None:
-        """Where the instances listen; `draining`: those of `listed` that take nothing new.
+        """Where the instances listen; `draining`: those of `listed` that take nothing new; `born_us`: clock
+        times of their last starts.
 
         Once the decisions know of it as well, `withdraw` is to be called.
         """
         if whole:
             self._listed.clear()
             self._draining.clear()
+        for server, started_us in born_us.items():
+            if self._born_us.get(server, started_us) != started_us:
+                # Its idle connections were the former process's, whose end may never have been told.
+                self.pool.drop_idle(server)
+            self._born_us[server] = started_us
         self._listed.update(listed)
         self._draining.difference_update(listed)
         self._draining.update(draining)
         for server in gone:
             self._listed.pop(server, None)
             self._draining.discard(server)
+        self._born_us = {server: at for server, at in self._born_us.items() if server in self._listed}
         self.pool.follow({server: address for server, (_, address) in self._listed.items()})
 
     def withdraw(self) -> None:
--- a/roadlb/net/name_table.py
+++ b/roadlb/net/name_table.py
@@ -158,7 +158,8 @@
                 self._entries[name] = entry
         draining = [m.server for m in line.members if m.state is ServerState.DRAINING]
         whole = line.kind is not ListKind.DELTA
-        self._instances.list_update(line.names, gone, whole, draining)
+        born_us = {m.server: m.born_us for m in line.members if m.state is not ServerState.GONE}
+        self._instances.list_update(line.names, gone, whole, draining, born_us)
         self._engine.list_update(line.kind, line.members)
         self._instances.withdraw()  # now that what is sent instead goes elsewhere
         self.filled = self.filled or bool(line.names)
--- a/roadlb/net/pool.py
+++ b/roadlb/net/pool.py
@@ -120,6 +120,11 @@
             if addresses.get(connection.server) != connection.address:
                 self._drop(connection)
 
+    def drop_idle(self, server: ServerId) -> None:
+        """No call goes out any more on a connection that waits for one now."""
+        for connection in list(self._idle.get(server, ())):
+            self._drop(connection)
+
     def opened(self, connection: InstanceConnection) -> None:
         self.open[connection] = None
 
--- a/tests/net/attempt_rig.py
+++ b/tests/net/attempt_rig.py
@@ -181,11 +181,13 @@
     def clock(self) -> int:
         return monotonic_us() + self.moved_us
 
-    def list(self, up: list[ServerId], draining: tuple[ServerId, ...] = ()) -> None:
-        """A whole list of these, as discovery's watch takes one."""
+    def list(self, up: list[ServerId], draining: tuple[ServerId, ...] = (), born_us: int = 0) -> None:
+        """A whole list of these, all started at one time, as discovery's watch takes one."""
         named = zip(self.ids, self.servers, strict=True)
         listed = {id: (id.decode(), server.address) for id, server in named if id in (*up, *draining)}
-        self.instances.list_update(listed, [], whole=True, draining=draining)
+        self.instances.list_update(
+            listed, [], whole=True, draining=draining, born_us=dict.fromkeys(listed, born_us)
+        )
         self.instances.withdraw()
 
     def hold_dials(self) -> Dials:
--- a/tests/net/test_broken_writes.py
+++ b/tests/net/test_broken_writes.py
@@ -231,6 +231,25 @@
     play(main)
 
 
+def test_an_order_is_not_written_to_a_connection_from_before_its_server_was_started() -> None:
+    # A machine that vanished says nothing; its connections are reset by what is written once it is back.
+    async def main() -> None:
+        rig = Rig(1)
+        rig.list(rig.ids, born_us=1)
+        link = await rig.reused()
+        rig.list(rig.ids, born_us=1)
+        assert rig.instances.pool._all_idle
+        rig.list(rig.ids, born_us=2)
+        order = rig.open(ORDER, b"x")
+        other = await rig.servers[0].accept()
+        await other.request()
+        other.answer()
+        await rig.answered.wait()
+        assert len(order.executions) == 1 and await link.rest() == b""
+
+    play(main)
+
+
 @pytest.mark.parametrize("late_us", [-20_000, 20_000])
 def test_an_answer_that_lies_unread_as_its_time_ends_makes_one_final_answer(late_us: int) -> None:
     async def main() -> None:
