Tests of the watch's crossings over loopback sockets, and of its JSON framing

Hangs at each stage, ends in a loop, whole lists and changes after a break, generations that go back, bad entries, moves by SIGHUP in mid-line, in the socket, in back-off and while dialling. The order is forced by the peer.

--- a/roadlb/net/name_table.py
+++ b/roadlb/net/name_table.py
@@ -17,7 +17,7 @@
 from ..log import fields
 from ..policy.interface import ListKind, Member, ServerId, ServerState
 from .instances import Instances
-from .watch import DiscoveryWatch, WatchBroken
+from .watch import DiscoveryWatch, WatchBroken, WatchState
 
 logger = logging.getLogger(__name__)
 
@@ -199,6 +199,10 @@
             logger.info("watch moved", extra=fields(discovery=discovery))
             self._watch.move()
 
+    @property
+    def watch_state(self) -> WatchState:
+        return self._watch.state
+
     async def run(self) -> None:
         """Watch until the list is led; whatever goes wrong, the list held stays valid."""
         await self._watch.run()
--- a/tests/net/watching.py
+++ b/tests/net/watching.py
@@ -67,6 +67,7 @@
     def __init__(self) -> None:
         self.calls: asyncio.Queue[Call] = asyncio.Queue()
         self.writers: list[asyncio.StreamWriter] = []
+        self.answer: list[bytes] = []  # each call's, at once; without one the test answers
 
     async def start(self, port: int = 0) -> None:
         self.server = await asyncio.start_server(self._called, "127.0.0.1", port)
@@ -76,7 +77,8 @@
         self.writers.append(writer)
         with suppress(asyncio.IncompleteReadError, ConnectionError):
             head = await reader.readuntil(b"\r\n\r\n")
-            self.calls.put_nowait(Call(head.split()[1].decode(), reader, writer))
+            call = Call(head.split()[1].decode(), reader, writer).send(*self.answer)
+            self.calls.put_nowait(call)
 
     async def call(self) -> Call:
         async with asyncio.timeout(ENOUGH_S):
