--- a/tests/net/test_watch_crossings.py
+++ b/tests/net/test_watch_crossings.py
@@ -283,7 +283,7 @@
     async def scenario(w: Watched) -> None:
         (await w.discovery.call()).send(HEAD, line(LIST), line(DRAIN))
         await until(lambda: w.counters["list.taken"] == 3, "both are taken")
-        assert w.told.order == ["servers", "engine"] * 3
+        assert w.told.order == ["servers", "engine", "withdraw"] * 3
 
     play(scenario)
 
--- a/tests/net/watching.py
+++ b/tests/net/watching.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Callable, Collection
+from collections.abc import AsyncIterator, Callable, Collection, Mapping
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 from typing import Any
@@ -123,6 +123,7 @@
         gone: list[ServerId],
         whole: bool,
         draining: Collection[ServerId],
+        started: Mapping[ServerId, int],
     ) -> None:
         self.order.append("servers")
         if whole:
