The order of an attempt's end and the next one is forced on a connection that is up

Cause: test_an_attempt_is_no_longer_open_when_the_next_one_is_decided gave its first attempt 50 ms with the dial in them; on a machine that is held up for so long it would have ended before it was written, and the test would have failed for that.

Change: the attempt goes out on a resting connection, at once.

--- a/tests/net/test_attempt_crossings.py
+++ b/tests/net/test_attempt_crossings.py
@@ -9,6 +9,8 @@
 import pytest
 from attempt_rig import ORDER, Dials, Rig, Server, play, time_left_us, turns
 from scenario import LIMITS, Stage
+from scenario import play as scenario_play
+from scenario import run as run_scenario
 
 from roadlb.exchange import Ending, Served
 from roadlb.policy.interface import Action, Arrival, Outcome, Send
@@ -75,10 +77,8 @@
     # loop that `abort` takes to close a connection.
     async def main() -> None:
         rig = Rig(2)
+        link = await rig.reused()
         rig.decider.timeout_us = 50_000 if ending is Ending.TIMED_OUT else 0
-        exchange = rig.open()
-        link = await rig.servers[0].accept()
-        await link.request()
         ended: list[bool] = []
 
         def outcome(event: Outcome) -> list[Action]:
@@ -89,6 +89,8 @@
             return []
 
         rig.decider.scripted[Outcome] = outcome
+        exchange = rig.open()
+        await link.request()
         if ending is Ending.GARBLED:
             link.send(b"no HTTP\r\n\r\n")
         elif ending is Ending.RESET:  # its server has ended its own sending, and still reads
@@ -256,3 +258,35 @@
             server.close()
 
     play(main)
+
+
+def test_where_one_attempt_is_allowed_a_read_that_broke_is_not_sent_again() -> None:
+    run_scenario(
+        scenario_play("""
+        grid 2 max_attempts=1
+        a send GET /grid-read/k
+        i1 expect GET
+        i1 close
+        a expect 503""")
+    )
+
+
+def test_where_nothing_may_be_called_off_what_is_written_goes_on_without_its_client(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setitem(LIMITS, "cancelling", False)
+    stage = run_scenario(
+        scenario_play("""
+        grid 1
+        a send POST /order/k
+        i1 expect POST
+        a close
+        b send GET /healthz
+        b expect 200
+        i1 send 200 done
+        b send GET /grid-read/k
+        i2 expect GET
+        i2 send 200 two
+        b expect 200 two""")
+    )
+    assert stage.app.counters["client_gone"] == 1 and stage.app.counters["execution.cancelled"] == 0
