A client that leaves its body unfinished is not held against the server

Cause: InstanceConnection.flow_end ended such an attempt as BROKE_UNSENT, which is Status.CONNECT_FAILED: the decisions took it for a failure of the server and of its site. Where the settings allow a cancel it ended as CANCELLED, which past the class's aim counts as a time-out, though no server begins before the last byte.

Change: Ending.UNFINISHED, Status.MOOT, for both: it never ran, and says nothing of the server. A new counter, execution.unfinished.

test_only_what_is_proved_never_to_have_run_says_so names the new ending beside the others: a request whose last byte was not written never ran.

--- a/roadlb/exchange.py
+++ b/roadlb/exchange.py
@@ -23,6 +23,7 @@
     DIAL_FAILED = "dial_failed"  # refused or unreachable
     DIAL_TIMED_OUT = "dial_timed_out"
     BROKE_UNSENT = "broke_unsent"  # before the request's last byte was written
+    UNFINISHED = "unfinished"  # its client left the body unfinished, which says nothing of the server
     RESET = "reset"  # after it, with no answer begun
     CUT_SHORT = "cut_short"  # within an answer
     GARBLED = "garbled"  # an answer came that cannot be used
@@ -45,6 +46,7 @@
     Ending.DIAL_FAILED: Status.CONNECT_FAILED,
     Ending.DIAL_TIMED_OUT: Status.CONNECT_FAILED,
     Ending.BROKE_UNSENT: Status.CONNECT_FAILED,
+    Ending.UNFINISHED: Status.MOOT,
     Ending.RESET: Status.RESET,
     Ending.CUT_SHORT: Status.RESET,
     Ending.GARBLED: Status.SPOILT,
--- a/roadlb/net/instance_connection.py
+++ b/roadlb/net/instance_connection.py
@@ -224,7 +224,7 @@
     def flow_end(self, whole: bool) -> None:
         upload, self._upload = self._upload, None
         if not whole:
-            self._end(Result(Ending.BROKE_UNSENT), "the client left it unfinished", keep=False)
+            self._end(Result(Ending.UNFINISHED), "the client left it unfinished", keep=False)
         elif upload is not None:
             if upload.size < 0:
                 self._put(LAST_CHUNK)
--- a/roadlb/net/instances.py
+++ b/roadlb/net/instances.py
@@ -119,7 +119,8 @@
         if call and unsent and not call.connection:
             self._cut_off(call, Ending.NEVER_STARTED)
         elif call and not unsent:
-            self._cut_off(call, Ending.CANCELLED)
+            # While the body comes no server can have begun with it, nor be late.
+            self._cut_off(call, Ending.UNFINISHED if execution.left_us else Ending.CANCELLED)
 
     def extend(self, execution: Execution) -> None:
         """The last byte of its body has come: from now on its answer is waited for."""
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -115,6 +115,7 @@
         Ending.DIAL_FAILED,
         Ending.DIAL_TIMED_OUT,
         Ending.BROKE_UNSENT,
+        Ending.UNFINISHED,
         Ending.NO_SOCKET,
         Ending.NEVER_STARTED,
     }
--- a/tests/net/test_attempt_crossings.py
+++ b/tests/net/test_attempt_crossings.py
@@ -290,3 +290,23 @@
         b expect 200 two""")
     )
     assert stage.app.counters["client_gone"] == 1 and stage.app.counters["execution.cancelled"] == 0
+
+
+@pytest.mark.parametrize("cancelling", [True, False])
+def test_a_server_is_not_blamed_for_a_body_that_its_client_left_unfinished(
+    cancelling: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # It counted as a connection that could not be made, or after the class's aim as a time-out.
+    monkeypatch.setitem(LIMITS, "cancelling", cancelling)
+    stage = run_scenario(
+        scenario_play("""
+        grid 1
+        a send POST /order/k Content-Length:200000
+        a send raw BODY=100000
+        i1 expect POST "Content-Length: 200000"
+        i1 rest 100000
+        a close
+        i1 expect closed""")
+    )
+    endings = {n: c for n, c in stage.app.counters.all().items() if n.startswith("execution.")}
+    assert endings == {"execution.unfinished": 1}
