An attempt that is not written makes its connection no younger

Cause: InstanceConnection.send gives a connection back to the pool where the call may not be written any more, and Pool.rest notes that as the moment since which it idles. To the server a reused one has idled all along, and closes it sooner than the pool thinks.

Change: it keeps the moment since which it has idled.

--- a/roadlb/net/instance_connection.py
+++ b/roadlb/net/instance_connection.py
@@ -188,7 +188,9 @@
         assert self.transport and self._call is None
         data = call.render(self._pool.clock())
         if not data or call.flow is not None and not call.flow.free:
+            idle_since_us = self.rested_us  # of a reused one; to the server it idles on
             self._pool.rest(self)
+            self.rested_us = idle_since_us or self.rested_us
             call.ended(Result(Ending.NEVER_STARTED), "")
             return
         self._call, call.connection = call, self
--- a/tests/net/test_broken_writes.py
+++ b/tests/net/test_broken_writes.py
@@ -231,6 +231,26 @@
     play(main)
 
 
+def test_an_attempt_that_is_not_written_makes_its_connection_no_younger() -> None:
+    async def main() -> None:
+        rig = Rig(1)
+        link = await rig.reused()
+        keep_us = int(CONFIG.conn_idle_us * IDLE_PART)
+        rig.moved_us = keep_us - 1_000_000
+        late = rig.open(left_us=500)  # less than can be told
+        assert late.executions[0].ending is Ending.NEVER_STARTED
+        while not rig.instances.pool._all_idle:
+            await asyncio.sleep(0)
+        rig.moved_us = keep_us + 1_000_000
+        rig.open(ORDER)
+        other = await rig.servers[0].accept()
+        await other.request()
+        assert await link.rest() == b""
+        other.answer()
+
+    play(main)
+
+
 def test_an_order_is_not_written_to_a_connection_from_before_its_server_was_started() -> None:
     # A machine that vanished says nothing; its connections are reset by what is written once it is back.
     async def main() -> None:
