Watch: a line in the socket of a program that was held up is heard; guards seen

A test on both loops: stopped for longer than a silence, the program finds its deadline and the bytes in one turn, and reads first. No fault found.

--- a/tests/net/test_watch_crossings.py
+++ b/tests/net/test_watch_crossings.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import socket
+import time
 from collections.abc import Awaitable, Callable, Iterator
 
 import pytest
@@ -94,6 +95,31 @@
     play(scenario, known=LIST)
 
 
+@pytest.mark.parametrize("loop", ["uvloop", "asyncio"])
+def test_what_lay_in_the_socket_while_the_program_was_held_up_is_read_before_a_call_is_given_up(
+    loop: str, soon: None
+) -> None:
+    # Stopped for longer than a silence, it finds its deadline and the bytes in one turn.
+    async def scenario(w: Watched) -> None:
+        here = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            listener.setblocking(False)
+            w.table.move(Address(*listener.getsockname()))
+            peer, _ = await here.sock_accept(listener)
+            with peer:
+                await here.sock_recv(peer, 1000)
+                await here.sock_sendall(peer, HEAD + line(update(5)))
+                await until(lambda: w.counters["list.taken"] == 2, "the first line is taken")
+                # No turn of the loop passes in here.
+                time.sleep(1.2 * watch_timing.SILENCE_S)
+                peer.setblocking(True)
+                peer.sendall(line(DRAIN))
+                await until(lambda: w.told.lifecycles == {"s": DRAINING, "t": UP}, "the drain is taken")
+                assert w.counters["list.broken"] == 0
+
+    play(scenario, known=LIST, loop=loop)
+
+
 @pytest.mark.parametrize("loop", ["uvloop", "asyncio"])
 def test_dials_that_hang_are_given_up_and_leave_no_descriptor(loop: str, soon: None) -> None:
     # A listener whose queue is full says nothing to who dials it.
