--- a/tests/net/test_watch_budget.py
+++ b/tests/net/test_watch_budget.py
@@ -276,3 +276,26 @@
     world.watch.start(world.loop, world.dial)
     world.loop.pass_to(60)
     assert world.watch.state is WatchState.CLOSED and world.calls == 1
+
+
+@pytest.mark.parametrize("drip", ["keep-alives in a cut line", "bytes of a line", "chunk headers", "blanks"])
+def test_a_sound_stream_that_goes_on_in_drips_is_given_up_in_time(drip: str) -> None:
+    # Something comes all the time, and never a whole line: bytes alone are no sign of life.
+    for seed in range(20):
+        world = World(["sound"], seed)
+        world.watch.start(world.loop, world.dial)
+        world.loop.pass_to(0.01)
+        world.sound_for(20)
+        call, began, world.fact = world.open, world.loop.now, True
+        assert call
+        if drip == "keep-alives in a cut line":
+            call.data_received(chunk(b'{"change": \n'))
+            world._drip(call, itertools.repeat(None))
+        elif drip == "bytes of a line":
+            world._drip(call, itertools.chain(*(chunk(bytes([b])) for b in b'{"change": "' + b"x" * 1000)))
+        elif drip == "chunk headers":
+            world._drip(call, itertools.repeat(ord("0")))
+        else:
+            world._drip(call, itertools.chain(*(chunk(b" ") for _ in range(1000))))
+        world.loop.pass_to(began + 60)
+        assert world.learned_at is not None and world.learned_at - began <= WITHIN_S, seed
