Nothing begins for a client that left, at a server that drains, or past a window

Read line by line: each event of `policy/logic.py` in each state of a request, late ones included.

- `close` leaves an attempt alone where servers are not to be cancelled, or a site keeps one to its end.
If it was still dialled, it was written whenever the dial came up, for a client that had left (`call_off` had no line for what is unsent).
`ClientGone` now withdraws it: `Cancel(unsent=True)`.
Now what still waits for its dial 0.5 s after its server left the ready ones is withdrawn (`change.withdraw`) and goes elsewhere, as it never ran.
At once would cost those without another attempt an answer that the server still gives.
- `may_resend` asks for the window at the decision; the write may come a dial later.
`Send.write_by_us` says until when it may be written; 0 where nothing ran.
The engine has to heed it: it does not yet.
- `BodyWhole` after `ClientGone` put a request that was over among the work in hand, for ever: each one raised the shortage by which requests are refused.
The engine holds such events back today; the module now ignores them.
- `call_off` could ask twice for one attempt's end; an attempt now knows that it is called off.

--- a/roadlb/benchlink.py
+++ b/roadlb/benchlink.py
@@ -172,7 +172,9 @@
                 raise WireError(f"event {code} for unknown instance {node}")
             try:
                 for action in balancer.handle(now, event):
-                    records.append(encode(node, action, text_record))
+                    # On the link an attempt has begun with its record: nothing is left to withdraw.
+                    if not (isinstance(action, Cancel) and action.unsent):
+                        records.append(encode(node, action, text_record))
             except Exception as e:  # whatever goes wrong in the module is reported as its fault
                 place = e.__traceback__
                 while place and place.tb_next:
--- a/roadlb/lab/model/shedding.py
+++ b/roadlb/lab/model/shedding.py
@@ -323,7 +323,7 @@
                 self.refused += 1
                 if not t.done:
                     self.finish(t, False, action.retry_after_us if isinstance(action, Refuse) else 0)
-            elif isinstance(action, Cancel):
+            elif isinstance(action, Cancel) and not action.unsent:  # here an attempt begins at once
                 self.ended(action.request, action.attempt, Status.CANCELLED)
 
     def finish(self, t: Try, served: bool, retry_after_us: int = 0) -> None:
--- a/roadlb/policy/change.py
+++ b/roadlb/policy/change.py
@@ -13,7 +13,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import replace
 
 from ..sites.refusal import Refusals
@@ -92,6 +92,11 @@
     )
 
 
+def withdraw(requests: Iterable[Request]) -> list[Action]:
+    """Attempts that still wait for their dial to a server that is no longer ready would reach it too late."""
+    return [Cancel(r.id, n, unsent=True) for r in requests for n, a in r.out() if not a.server.up]
+
+
 def _ranks(settings: Settings) -> object:
     """What the ranks of refusals follow from."""
     return (
--- a/roadlb/policy/interface.py
+++ b/roadlb/policy/interface.py
@@ -437,9 +437,11 @@
     request: int
     server: ServerId
     timeout_us: int  # 0: until the client gives up
+    write_by_us: int = 0  # clock time from which on nothing of it may be written; 0: no such time
 
-    def __init__(self, request: int, server: ServerId, timeout_us: int) -> None:
+    def __init__(self, request: int, server: ServerId, timeout_us: int, write_by_us: int = 0) -> None:
         self.request, self.server, self.timeout_us = request, server, timeout_us
+        self.write_by_us = write_by_us
 
 
 @dataclass(slots=True, init=False)
--- a/roadlb/policy/logic.py
+++ b/roadlb/policy/logic.py
@@ -22,7 +22,7 @@
 from ..sites.refusal import Quotas, Refusals
 from ..sites.warmth import Warmth
 from ..sites.work_in_hand import WorkInHand
-from .change import apply
+from .change import apply, withdraw
 from .interface import (
     NEVER_RAN,
     Action,
@@ -65,7 +65,8 @@
 RETRY_SHARE, HEDGE_SHARE = 0.2, 0.15
 FAILED = (Status.ERROR, Status.RESET, Status.CONNECT_FAILED, Status.TIMEOUT, Status.SPOILT)
 TICK_US = 1_000_000
-TICK, ASK = -1, -2  # notes that are not requests
+LEAVE_US = 500_000  # a server that drains may be sent what waits for its dial for so long; 1 s is allowed
+TICK, ASK, LEAVE = -1, -2, -3  # notes that are not requests
 
 
 class Balancer:
@@ -136,6 +137,8 @@
                 self.look_at(what)
             elif what == TICK:
                 self.tick()
+            elif what == LEAVE:
+                self.actions += withdraw(self.requests.values())
             else:
                 self.actions.append(Subscribe())
 
@@ -161,7 +164,8 @@
             self.alarm(self.now + int((0.5 + self.random.random()) * (1_000_000 << self.asks)), ASK)
             return
         self.asks = 0
-        self.list.apply(self.now, e, self.s, self.aim)
+        if self.list.apply(self.now, e, self.s, self.aim):
+            self.alarm(self.now + LEAVE_US, LEAVE)
         self.rebuild()
         self.sites.tell(self.now, Listed(self.list.starts()))
 
@@ -229,7 +233,7 @@
             if status is not Status.SPOILT and not short and self.sites.missed(now, s.zone, s.id, r.order):
                 for other in self.requests.values():  # what is held up there is no sign of work
                     if other.attempts and other.attempts[-1].server.zone == s.zone:
-                        self.let_go(other)
+                        other.let_go(now, self.hand)
 
     # Sets and pick
 
@@ -329,11 +333,12 @@
             self.shares.sent(now, s.zone, self.sites.away(s.zone), bool(r.attempts))
         if not r.spare:
             self.sites.sent(now, s.zone, s.id, r.order)
+        write_by_us = r.write_by_us()
         r.attempts.append(a := Attempt(s, now))
         r.open += 1
         if not r.coming:
             self.begin(a)
-        self.actions.append(Send(r.id, s.id, max(1, r.until - now)))
+        self.actions.append(Send(r.id, s.id, max(1, r.until - now), write_by_us))
         at = now + int(r.cls.tail)
         copies = self.s.second_copies and not r.coming and r.cls.spec.effect is not Effect.UNSAFE
         if copies and at + r.cls.latency < r.due:
@@ -365,7 +370,7 @@
             return
         if self.now >= r.due and not r.late:
             r.late = True
-            self.let_go(r)
+            r.let_go(self.now, self.hand)
         if (
             self.s.second_copies
             and r.open == 1
@@ -423,39 +428,30 @@
         """Answered: call off what is still out."""
         if not r.closed:
             r.closed = True
-            self.let_go(r)
+            r.let_go(self.now, self.hand)
             self.call_off(r)
         if not r.open:
             self.requests.pop(r.id, None)
 
-    def hold(self, r: Request) -> None:
-        """It is in work now, till it is let go: answered, given up, or late."""
-        r.held = True
-        self.hand.began(self.now, r.cls.spec.aim_us)
-
-    def let_go(self, r: Request) -> None:
-        if r.held:
-            r.held = False
-            self.hand.ended(self.now, r.cls.spec.aim_us)
-
     def call_off(self, r: Request, but: int = -1) -> None:
         if self.s.cancelling and r.open and not r.streaming:
             safe = r.cls.spec.effect is Effect.SAFE
-            self.actions += [
-                Cancel(r.id, n)
-                for n, a in enumerate(r.attempts)
-                if a.open and n != but and not (safe and self.sites.keeps(self.now, a.server.zone))
-            ]
+            for n, a in r.out(but):
+                if not (safe and self.sites.keeps(self.now, a.server.zone)):
+                    a.called_off = True
+                    self.actions.append(Cancel(r.id, n))
 
     def client_gone(self, e: ClientGone) -> None:
         if r := self.requests.get(e.request):
             self.close(r)
+            # What may run to its end must not begin any more.
+            self.actions += [Cancel(r.id, n, unsent=True) for n, _ in r.out()]
 
     def stream_started(self, e: StreamStarted) -> None:
         if r := self.requests.get(e.request):
             self.call_off(r, but=e.attempt)
             r.streaming = True
-            self.let_go(r)
+            r.let_go(self.now, self.hand)
 
     # Admission
 
@@ -474,18 +470,18 @@
             self.give_up(r)
         elif not r.coming:
             self.alarm(r.due, r.id)
-            self.hold(r)
+            r.hold(self.now, self.hand)
 
     def body_whole(self, e: BodyWhole) -> None:
         """Only now can a server begin with it: till then it was neither load nor late."""
-        if (r := self.requests.get(e.request)) and r.coming:
+        if (r := self.requests.get(e.request)) and r.coming and not r.closed:
             r.coming, r.until, r.due = False, self.now + e.left_us, self.now + r.cls.spec.aim_us
             for a in r.attempts:
                 if a.open:
                     a.sent = self.now
                     self.begin(a)
             self.alarm(r.due, r.id)
-            self.hold(r)
+            r.hold(self.now, self.hand)
 
     def offer(self, e: Offer) -> None:
         cls = self.classes[e.class_index]
--- a/roadlb/policy/server_list.py
+++ b/roadlb/policy/server_list.py
@@ -46,23 +46,26 @@
         self.weight = 1.0  # what those that are ready can do by now, at the least
         self.cold_part = 0.0  # of it, the share of those that are cold
 
-    def apply(self, now: int, update: ListUpdate, settings: Settings, aim_us: int) -> None:
+    def apply(self, now: int, update: ListUpdate, settings: Settings, aim_us: int) -> bool:
         """Take over a whole list, or the changes to one; what a whole list does not name is gone.
 
-        `rebuild` has to follow.
+        Has any that was ready left, or does it drain?  `rebuild` has to follow.
         """
+        left = False
         present = [m for m in update.members if m.state is not ServerState.GONE]
         listed = {m.server for m in present}
         gone = (m.server for m in update.members) if update.kind is ListKind.DELTA else self.servers
         for server in [self.servers[i] for i in gone if i in self.servers and i not in listed]:
+            left |= server.up
             server.up = False
             self.standings.gone(server)
             del self.servers[server.id]
         for m in present:
-            self._put(now, m, settings, aim_us)
+            left |= self._put(now, m, settings, aim_us)
+        return left
 
-    def _put(self, now: int, m: Member, settings: Settings, aim_us: int) -> None:
-        """One server, as it is listed."""
+    def _put(self, now: int, m: Member, settings: Settings, aim_us: int) -> bool:
+        """One server, as it is listed.  Was it ready, and is so no more?"""
         s = self.servers.get(m.server)
         if s is None:
             s = self.servers[m.server] = Server(m.server, born=m.born_us, zone=m.zone, at=now)
@@ -72,10 +75,12 @@
             # A fresh process under an old name: nothing said of the old one counts.
             self.standings.fresh(s)
             s.born, s.rested = m.born_us, []
+        was_up = s.up
         s.up, s.cell, s.zone = m.state is ServerState.READY, m.cell, m.zone
         if m.weight > 0 and settings.weight_source != "off":
             # A live weight falls and rises with load; the most it has been comes nearest to a size.
             s.weight = max(m.weight, s.weight) if settings.weight_source == "live" else m.weight
+        return was_up and not s.up
 
     def rebuild(self, now: int, settings: Settings) -> None:
         """Set up what is looked up for each request: who is ready, at what capacity, in which group."""
--- a/roadlb/policy/state.py
+++ b/roadlb/policy/state.py
@@ -8,6 +8,7 @@
 from ..routing.key_order import HASH, mix
 from ..routing.standing import Standing
 from ..sites.warmth import Warmth
+from ..sites.work_in_hand import WorkInHand
 from .interface import Effect, RequestClass, ServerId, ServerView
 
 TAU_US = 2_000_000  # memory of a server's mean load
@@ -109,11 +110,12 @@
 class Attempt:
     """One send of a request to a server, at clock time `sent`."""
 
-    __slots__ = ("held", "open", "ran", "sent", "server")
+    __slots__ = ("called_off", "held", "open", "ran", "sent", "server")
 
     def __init__(self, server: Server, sent: int) -> None:
         self.server, self.sent = server, sent
         self.open = True
+        self.called_off = False
         self.held = 0.0  # of the capacity of cold servers
         self.ran = True  # it may have; taken back by an outcome that proves that it did not
 
@@ -158,6 +160,25 @@
         self.held = False  # counts as work in hand
         self.bold = False  # may go to a suspect server, as there is no other
 
+    def out(self, but: int = -1) -> list[tuple[int, Attempt]]:
+        """The attempts in flight that are not called off, by number, except one."""
+        return [(n, a) for n, a in enumerate(self.attempts) if a.open and not a.called_off and n != but]
+
+    def hold(self, now: int, hand: WorkInHand) -> None:
+        """It is in work now, till it is let go: answered, given up, or late."""
+        self.held = True
+        hand.began(now, self.cls.spec.aim_us)
+
+    def let_go(self, now: int, hand: WorkInHand) -> None:
+        if self.held:
+            self.held = False
+            hand.ended(now, self.cls.spec.aim_us)
+
+    def write_by_us(self) -> int:
+        """A repeat has to reach its server while what may have run is remembered; 0: at any time."""
+        first = self.first() if self.attempts and self.cls.spec.effect is Effect.KEYED else None
+        return first.sent + self.cls.spec.window_us if first else 0
+
     def first(self) -> Attempt | None:
         """The earliest attempt that may have run, or may be running."""
         for a in self.attempts:
--- a/tests/policy/test_rules.py
+++ b/tests/policy/test_rules.py
@@ -97,6 +97,8 @@
             self.answer(r)
         elif isinstance(action, Fail):
             self.answer(self.requests[action.request])
+        elif isinstance(action, Cancel) and action.unsent:
+            pass  # here an attempt begins at once
         elif isinstance(action, Cancel):
             assert self.cfg.cancelling
             s = self.requests[action.request].sent[action.attempt]
