The policy makes no further attempt for an answer that has begun

The engine closes a request with the head of a streamed answer, so it was not seen on the wire; the decider relied on it.

Change: what streams gets no further attempt.

--- a/roadlb/policy/logic.py
+++ b/roadlb/policy/logic.py
@@ -406,7 +406,7 @@
             self.close(r)
         elif r.open:
             return
-        elif self.retries >= 1 and self.may_resend(r) and self.send(r):
+        elif self.retries >= 1 and not r.streaming and self.may_resend(r) and self.send(r):
             self.retries -= 1
         else:
             self.give_up(r)
--- a/tests/policy/test_crossings.py
+++ b/tests/policy/test_crossings.py
@@ -12,10 +12,12 @@
     Cancel,
     ClientGone,
     Effect,
+    Fail,
     ListKind,
     ListUpdate,
     Member,
     Outcome,
+    Refuse,
     Send,
     ServerState,
     Status,
@@ -81,6 +83,17 @@
     assert not node.b.requests and node.b.hand.out == 0 and node.b.fleet.out == 0
 
 
+@pytest.mark.parametrize("effect", list(Effect))
+def test_an_answer_that_has_begun_is_not_begun_again_elsewhere(effect: Effect) -> None:
+    # Its client has the head of it, and a second one would be taken for the rest.
+    node = Node(classes=one(effect), second_copies=False)
+    server = node.sent(7)
+    node.do(StreamStarted(node.next, 0, server, 1000))
+    (answer,) = node.end(server, Status.RESET)
+    assert isinstance(answer, Fail if effect is Effect.UNSAFE else Refuse)
+    assert not [a for a in node.wait(5 * SECOND) if isinstance(a, Send)]
+
+
 @pytest.mark.parametrize("state", [ServerState.DRAINING, ServerState.GONE])
 @pytest.mark.parametrize("effect", list(Effect))
 def test_an_attempt_that_is_still_dialled_leaves_a_server_that_drains(
