--- a/roadlb/policy/logic.py
+++ b/roadlb/policy/logic.py
@@ -54,10 +54,9 @@
     Twins,
     View,
 )
-from .notes import Notes
 from .server_list import ServerList
 from .slow_start import SlowStart
-from .state import Attempt, ClassState, Request, Server
+from .state import Attempt, ClassState, Notes, Request, Server
 
 SAMPLE = 4  # servers looked at for the least loaded
 OWN_MOST = 0.95  # of the demand is refused for want of this node's own means
--- a/roadlb/policy/state.py
+++ b/roadlb/policy/state.py
@@ -1,7 +1,8 @@
-"""The records that `roadlb.policy.logic` keeps of servers, keys and requests.  Nothing is decided here."""
+"""The records that `roadlb.policy.logic` keeps: servers, requests, notes for later.  It decides nothing."""
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from ..routing.cold import ColdBudget
@@ -9,9 +10,10 @@
 from ..routing.standing import Standing
 from ..sites.warmth import Warmth
 from ..sites.work_in_hand import WorkInHand
-from .interface import Effect, RequestClass, ServerId, ServerView
+from .interface import Effect, RequestClass, ServerId, ServerView, SetTimer
 
 TAU_US = 2_000_000  # memory of a server's mean load
+SLOT_US = 5_000  # a note is read so much late at the most
 
 
 @dataclass(slots=True, eq=False)
@@ -185,3 +187,26 @@
             if a.ran:
                 return a
         return None
+
+
+class Notes:
+    """A timer wheel; a slot costs one timer, whatever it holds."""
+
+    __slots__ = ("_slots",)
+
+    def __init__(self) -> None:
+        self._slots: dict[int, list[int]] = {}
+
+    def put(self, at: int, note: int) -> SetTimer | None:
+        """Keep a note until clock time `at`; the timer to set for it, if none is set for its slot yet."""
+        slot = at // SLOT_US + 1
+        notes = self._slots.get(slot)
+        if notes is not None:
+            notes.append(note)
+            return None
+        self._slots[slot] = [note]
+        return SetTimer(slot * SLOT_US, slot)
+
+    def take(self, token: int) -> Sequence[int]:
+        """The notes of the timer with this token, which has fired, in their order."""
+        return self._slots.pop(token, ())
--- a/setup.py
+++ b/setup.py
@@ -26,7 +26,6 @@
     "sites/work_in_hand",
     "policy/interface",
     "policy/state",
-    "policy/notes",
     "policy/server_list",
     "policy/slow_start",
     "policy/change",
