--- a/tests/net/test_attempt_crossings.py
+++ b/tests/net/test_attempt_crossings.py
@@ -56,12 +56,12 @@
 def test_a_repeat_whose_window_closes_while_it_is_dialled_is_not_written() -> None:
     async def main() -> None:
         rig = Rig(2)
-        rig.decider.begin_within_us = 100_000
+        rig.decider.write_within_us = 100_000
         dials = rig.hold_dials()
         exchange = rig.open(ORDER)
-        rig.decider.begin_within_us = 0  # the next attempt's dial may take its time
+        rig.decider.write_within_us = 0  # the next attempt's dial may take its time
         await dials.made.wait()
-        rig.moved_us = 100_001
+        rig.moved_us = 100_000
         dials.up.set()
         assert await rig.ended(exchange, 0) is Ending.NEVER_STARTED
         await (await rig.servers[1].accept()).request()
