Faulty settings are named at the start, whatever they are; any class name is reached

Seen before: tracebacks for limits.sockets and seed of NaN or infinity, a name or class name that is half of a surrogate pair, a file nested too deep, an address that cannot be listened on (listen, admin_addr); messages that named no key (me, promise_us, deadline_us, value); and taken without a word: values, quotas and costs of NaN, infinity or below 0, times beyond what arithmetic holds apart, two classes of one name, tenants or costs that are no list or object. SIGHUP took the same path: there the traceback went to the log and no counter moved.

Now each gives a ConfigError with its key. Unknown keys are ignored as before. An admin address that a predecessor still holds is waited for as the clients' is; a TMPDIR that cannot be used no longer ends the start: the process serves without a hand-over, says so and counts it. A class whose name no path can hold as it is (blanks, letters beyond ASCII) was answered 404 for every request: its percent-encoded form leads to it.

--- a/roadlb/admin/door.py
+++ b/roadlb/admin/door.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import logging
-from typing import Any, cast
+from typing import cast
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
@@ -17,7 +17,7 @@
 from ..counters import Counters
 from ..lifecycle.parts import Calls
 from ..net.http import plain
-from ..net.sockets import Bind
+from ..net.sockets import Bind, Listener, listen
 
 logger = logging.getLogger(__name__)
 
@@ -39,20 +39,18 @@
         for method, path in calls:
             self._paths.setdefault(path, []).append(method)
         self.open: dict[Caller, None] = {}  # in the order in which they came
-        self._server: asyncio.Server | None = None
+        self._listener: Listener | None = None
 
     async def listen(self, at: Address, bind: Bind | None = None) -> None:
         """`bind` makes the socket; None: the running loop does."""
-        where: dict[str, Any] = {"sock": bind(at, BACKLOG)} if bind else {"host": at.host, "port": at.port}
-        self._server = await asyncio.get_running_loop().create_server(
-            lambda: cast(asyncio.Protocol, Caller(self)), **where, backlog=BACKLOG
+        self._listener = await listen(
+            "admin_addr", lambda: cast(asyncio.Protocol, Caller(self)), at, BACKLOG, bind
         )
 
     @property
     def port(self) -> int:
-        assert self._server
-        port: int = self._server.sockets[0].getsockname()[1]
-        return port
+        assert self._listener
+        return self._listener.port
 
     def came(self, caller: Caller) -> None:
         self.open[caller] = None
@@ -84,8 +82,9 @@
         return plain(400, "this is no call", True)
 
     async def close(self) -> None:
-        if self._server:
-            self._server.close()
+        if self._listener:
+            for waiting in self._listener.close():
+                waiting.close()
         for caller in list(self.open):
             caller.end()
 
--- a/roadlb/app.py
+++ b/roadlb/app.py
@@ -146,12 +146,10 @@
             else []
         )
         known = config.known
-        if config.shared_dir:
-            self.succession = Succession(
-                Path(config.shared_dir), self.counters, self._held, self._handover, self._beside
-            )
-            known = self.succession.inherited(str(config.discovery), known)
-            parts.append(Succeeding(self, self.succession))
+        if config.shared_dir and (succession := self._succession(config.shared_dir)):
+            self.succession = succession
+            known = succession.inherited(str(config.discovery), known)
+            parts.append(Succeeding(self, succession))
         parts += [
             Known(self, known),
             *followed,
@@ -166,6 +164,15 @@
                 parts.append(Shared(self, merging))
         return parts
 
+    def _succession(self, directory: str) -> Succession | None:
+        """None where the directory cannot be used: to serve uncounted is better than not to."""
+        try:
+            return Succession(Path(directory), self.counters, self._held, self._handover, self._beside)
+        except OSError as e:
+            self.counters.add("handover.impossible")
+            logger.error("no hand-over", extra=fields(key="TMPDIR", directory=directory, error=e))
+            return None
+
     def changed(self, settings: Settings) -> None:
         """These hold from now on; requests that are open keep their deadlines."""
         self.settings = settings
--- a/roadlb/config.py
+++ b/roadlb/config.py
@@ -23,6 +23,7 @@
 # of the pool more: a request that crosses the closing is a reset, and an order among those is lost.
 IDLE_PART = 0.7
 SPARE_SOCKETS = 40  # for the log, the listener, the event loop, discovery, and what is just being closed
+GROUPED = "costs", "domain", "invariants", "limits", "report"  # keys of the settings that hold objects
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
 FIELDS = {
     "rif": "inflight",
@@ -34,10 +35,19 @@
 }
 
 
+NUMBER_MOST = 1 << 53  # above, not each integer has a number of its own
+
+
 class ConfigError(Exception):
     """Configuration that cannot be used; the text names the key and is for a person."""
 
 
+def encodable(text: str) -> str:
+    """The text, or ValueError if it has no bytes: half of a surrogate pair."""
+    text.encode()
+    return text
+
+
 class Pairs:
     """A table of path=value; a path asked for and absent gives its default, or an error."""
 
@@ -77,6 +87,9 @@
 
         if not isinstance(settings, dict):
             raise ConfigError("settings: must be an object")
+        for key in GROUPED:
+            if settings.get(key) is not None and not isinstance(settings[key], dict):
+                raise ConfigError(f"settings: {key}: must be an object")
         flatten("", settings)
         return cls(values, "settings")
 
@@ -89,17 +102,39 @@
         except (ValueError, KeyError, OverflowError):
             raise ConfigError(f"{self.source}: {path}: cannot read {value!r}") from None
 
-    def integer(self, path: str, default: str | None = None) -> int:
-        return self.read(path, lambda v: int(float(v)), default)
+    def integer(self, path: str, default: str | None = None, least: int | None = None) -> int:
+        return int(self.number(path, default, least))
 
-    def number(self, path: str, default: str | None = None) -> float:
-        return self.read(path, float, default)
+    def number(self, path: str, default: str | None = None, least: float | None = None) -> float:
+        """A number in JSON's sense, of at least `least`, which arithmetic keeps apart from its neighbours."""
+        value = self.read(path, float, default)
+        if not abs(value) <= NUMBER_MOST:
+            raise ConfigError(f"{self.source}: {path}: cannot read {self.values.get(path, default)!r}")
+        if least is not None and value < least:
+            raise ConfigError(f"{self.source}: {path}: {value:g} must be at least {least:g}")
+        return value
 
     def flag(self, path: str, default: str | None = None) -> bool:
         return self.read(path, {"true": True, "false": False}.__getitem__, default)
 
     def word(self, path: str, default: str | None = None) -> str:
-        return self.read(path, str, default)
+        return self.read(path, encodable, default)
+
+    def count(self, name: str, default: str | None = None) -> int:
+        """How many objects the list of this name has; what is no list of objects is an error."""
+        if default is not None and (
+            self.values.get(name)
+            or f"{name}.count" not in self.values
+            and any(path.startswith(f"{name}.") for path in self.values)
+        ):
+            raise ConfigError(f"{self.source}: {name}: must be a list of objects")
+        return self.integer(f"{name}.count", default, least=0)
+
+    def distinct(self, name: str, names: Sequence[str]) -> None:
+        """Of two objects with one name the first would never be asked for."""
+        for i, told in enumerate(names):
+            if told and told in names[:i]:
+                raise ConfigError(f"{self.source}: {name}.{i}.name: {told!r} is there twice")
 
     def words(self, path: str) -> tuple[str, ...]:
         return tuple(w for w in self.word(path, "").split(",") if w)
@@ -155,14 +190,14 @@
     """The decision module's settings; what is not known here is skipped."""
     p = source if isinstance(source, Pairs) else Pairs.from_text(source)
     classes = []
-    for i in range(p.integer("classes.count")):
+    for i in range(p.count("classes")):
         at = f"classes.{i}."
         classes.append(
             RequestClass(
                 name=p.word(at + "name", ""),
-                aim_us=p.integer(at + "promise_us"),
-                deadline_us=p.integer(at + "deadline_us"),
-                worth=p.number(at + "value"),
+                aim_us=p.integer(at + "promise_us", least=1),
+                deadline_us=p.integer(at + "deadline_us", least=1),
+                worth=p.number(at + "value", least=0),
                 late_worth=p.number(at + "late_worth", "0"),
                 effect=p.read(at + "effect", EFFECTS.__getitem__),
                 group=p.read(at + "group", GROUPS.__getitem__, "all"),
@@ -171,13 +206,15 @@
             )
         )
     tenants = [
-        Tenant(p.word(f"tenants.{i}.name", ""), p.number(f"tenants.{i}.quota_per_s"))
-        for i in range(p.integer("tenants.count", "0"))
+        Tenant(p.word(f"tenants.{i}.name", ""), p.number(f"tenants.{i}.quota_per_s", least=0))
+        for i in range(p.count("tenants", "0"))
     ]
+    p.distinct("classes", [c.name for c in classes])
+    p.distinct("tenants", [t.name for t in tenants])
     settings = Settings(
         classes=classes,
         tenants=tenants,
-        instance=p.integer("me"),
+        instance=p.integer("me", least=0),
         instances=p.integer("instances"),
         zone=p.integer("az", "0"),
         over_share_worth=p.number("over_share_worth", "1"),
@@ -187,8 +224,8 @@
         weight_source=p.word("weight_source", "off"),
         report_source=p.word("report.source", "off"),
         report_fields=tuple(FIELDS.get(f, f) for f in p.words("report.fields")),
-        cross_zone_cost=p.number("costs.cross_zone", "0"),
-        probe_cost=p.number("costs.probe", "0"),
+        cross_zone_cost=p.number("costs.cross_zone", "0", least=0),
+        probe_cost=p.number("costs.probe", "0", least=0),
         cancelling=p.flag("limits.cancelling", "false"),
         second_copies=p.flag("limits.second_copies", "false"),
         max_attempts=p.integer("limits.max_attempts"),
@@ -200,7 +237,7 @@
         cold_us=p.integer("invariants.cold_us"),
         fall_multiple=p.number("invariants.fall_multiple"),
         fall_us=p.integer("invariants.fall_us"),
-        handshake_cost=p.number("costs.handshake", "0"),
+        handshake_cost=p.number("costs.handshake", "0", least=0),
         refusals=read_plan(p, [c.name for c in classes], [t.name for t in tenants]),
         keep_us=int(p.integer("limits.conn_idle_us", "0") * IDLE_PART),
     )
@@ -457,23 +494,26 @@
     if not isinstance(raw, dict):
         raise ConfigError("configuration: must be an object")
 
-    def told(key: str) -> object:
+    def told(key: str) -> str:
         told_by = [env.get("PROXY_" + key.upper()), raw.get(key)]
         value = told_by[1] or told_by[0] if again and key == "discovery" else told_by[0] or told_by[1]
         if not value:
             raise ConfigError(f"{key}: is missing, and PROXY_{key.upper()} is not set")
-        return value
+        try:
+            return encodable(str(value))
+        except ValueError:
+            raise ConfigError(f"{key}: cannot read {value!r}") from None
 
     seed, limits, known = raw.get("seed", "0"), raw.get("limits", {}), raw.get("known", {})
     try:
         seed = int(seed, 16) if isinstance(seed, str) else int(seed)
-    except (TypeError, ValueError):
+    except (TypeError, ValueError, OverflowError):
         raise ConfigError(f"seed: {seed!r} is not a hexadecimal number") from None
     for key, value in (("limits", limits), ("known", known)):
         if not isinstance(value, dict):
             raise ConfigError(f"{key}: must be an object")
     sockets = limits.get("sockets", 1024)
-    if isinstance(sockets, bool) or not isinstance(sockets, int | float) or sockets < 64:
+    if isinstance(sockets, bool) or not isinstance(sockets, int | float) or not 64 <= sockets < 1e9:
         raise ConfigError(f"limits.sockets: {sockets!r} must be a number of at least 64")
     amounts = {}
     for key, most in (("cores", 1.0), ("memory_mb", 0.0)):  # without a word, the one core it can use
@@ -498,19 +538,23 @@
     # request open, or never send one, hold connections as well.
     client_sockets = (int(sockets) - SPARE_SOCKETS) // 2
     limits_of["max_open"] = min(limits_of["max_open"], client_sockets)
+    settings = read_settings(pairs)
+    for i, c in enumerate(settings.classes):
+        if not c.name:
+            raise ConfigError(f"settings: classes.{i}.name is missing; no path would lead to this class")
     admin = env.get("PROXY_ADMIN_ADDR") or raw.get("admin_addr")
     fd = env.get("PROXY_SOCKET_FD")
     if fd and not (fd.isascii() and fd.isdigit()):
         raise ConfigError(f"PROXY_SOCKET_FD: {fd!r} is not the number of a descriptor")
     return Config(
-        name=str(told("name")),
+        name=told("name"),
         listen=read_address("listen", told("listen")),
         **amounts,
         discovery=read_address("discovery", told("discovery")),
         seed=seed,
         sockets=int(sockets),
         known=known,
-        settings=read_settings(pairs),
+        settings=settings,
         zones=pairs.words("dcs"),
         kinds=pairs.words("machine_types"),
         admin=read_address("admin_addr", admin) if admin else None,
@@ -530,9 +574,9 @@
     if not path:
         raise ConfigError("PROXY_CONFIG: is not set; it names the configuration file")
     try:
-        raw = json.loads(Path(path).read_text())
+        raw = json.loads(Path(path).read_bytes())
     except OSError as e:
         raise ConfigError(f"PROXY_CONFIG: cannot read {path}: {e.strerror}") from None
-    except ValueError as e:
+    except (ValueError, RecursionError) as e:
         raise ConfigError(f"PROXY_CONFIG: {path} is not JSON: {e}") from None
     return read_config(raw, env, again)
--- a/roadlb/net/service_client.py
+++ b/roadlb/net/service_client.py
@@ -11,6 +11,7 @@
 from hashlib import blake2b
 from math import ceil
 from typing import cast
+from urllib.parse import quote
 
 from ..clock import Clock
 from ..config import Config
@@ -93,7 +94,9 @@
         self.came_us = came_us or (lambda transport: clock())
         self._engine, self._ready, self._wheel = engine, ready, wheel
         classes = config.settings.classes
-        self._classes = {c.name.encode(): i for i, c in enumerate(classes)}
+        # A name that no path can hold as it is comes in its percent-encoded form.
+        self._classes = {quote(c.name, safe="").encode(): i for i, c in enumerate(classes)}
+        self._classes.update({c.name.encode(): i for i, c in enumerate(classes)})
         self._methods = [b"GET" if c.effect is Effect.SAFE else b"POST" for c in classes]
         self._deadlines_us = [c.deadline_us for c in classes]
         self._tenants = {t.name.encode(): i for i, t in enumerate(config.settings.tenants)}
--- a/roadlb/net/sockets.py
+++ b/roadlb/net/sockets.py
@@ -94,28 +94,40 @@
             await asyncio.sleep(0)
 
 
-async def serve(
-    client: Callable[[], asyncio.Protocol], at: Address, fd: int | None, bind: Bind | None
+async def listen(
+    key: str, client: Callable[[], asyncio.Protocol], at: Address, backlog: int, bind: Bind | None
 ) -> Listener:
-    """Take the address; one that a predecessor still holds is waited for, as ending would be a crash."""
+    """Listen at the address that the setting `key` gives; raises ConfigError, which names it.
+
+    An address that a predecessor still holds is waited for, as ending would be a crash.
+    """
     loop = asyncio.get_running_loop()
-    if fd is not None:
-        # Closed, it stays open at the platform, and what waits there is the successor's.
-        return Listener(await loop.create_server(client, sock=inherited(fd), backlog=BACKLOG), None, client)
     until = loop.time() + TAKE_OVER_S
     while True:
         try:
-            if bind:
-                made = bind(at, BACKLOG)
-                return Listener(await loop.create_server(client, sock=made, backlog=BACKLOG), made, client)
-            return Listener(await loop.create_server(client, at.host, at.port, backlog=BACKLOG), None, client)
-        except OSError as e:
-            if e.errno != errno.EADDRINUSE or loop.time() > until:
-                raise
+            if bind is None:
+                server = await loop.create_server(client, at.host, at.port, backlog=backlog)
+                return Listener(server, None, client)
+            made = bind(at, backlog)
+            return Listener(await loop.create_server(client, sock=made, backlog=backlog), made, client)
+        except (OSError, UnicodeError) as e:
+            if not isinstance(e, OSError) or e.errno != errno.EADDRINUSE or loop.time() > until:
+                raise ConfigError(f"{key}: cannot listen on {at}: {e}") from None
             logger.warning("address in use", extra=fields(address=at))
             await asyncio.sleep(0.1)
 
 
+async def serve(
+    client: Callable[[], asyncio.Protocol], at: Address, fd: int | None, bind: Bind | None
+) -> Listener:
+    """Listen for clients, on the socket that is inherited where there is one."""
+    if fd is None:
+        return await listen("listen", client, at, BACKLOG, bind)
+    # Closed, it stays open at the platform, and what waits there is the successor's.
+    server = await asyncio.get_running_loop().create_server(client, sock=inherited(fd), backlog=BACKLOG)
+    return Listener(server, None, client)
+
+
 def bound(transport: asyncio.BaseTransport | None) -> None:
     """Have the kernel hold little of what flows, so that a slow reader is felt and memory stays bounded."""
     connection = transport.get_extra_info("socket") if transport else None
--- a/tests/admin/test_door.py
+++ b/tests/admin/test_door.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 from scenario import LIMIT_S, run
@@ -12,6 +13,7 @@
 from roadlb.admin.report import report
 from roadlb.config import Address
 from roadlb.counters import Counters
+from roadlb.net import sockets
 
 
 async def opened() -> tuple[Door, list[str]]:
@@ -92,3 +94,19 @@
         "edge_proxy.answered.order:0|c\nedge_proxy.deferred.order:0|c\nedge_proxy.errored.order:0|c\n"
         "edge_proxy.sends:4|c\nedge_proxy.current:1|g\n"
     )
+
+
+def test_an_address_that_a_predecessor_still_holds_is_waited_for() -> None:
+    async def main() -> None:
+        held = socket.create_server(("127.0.0.1", 0))
+        port, door, said = held.getsockname()[1], Door({}, Counters()), asyncio.Event()
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(sockets.logger, "warning", lambda *told, **more: said.set())
+            listening = asyncio.create_task(door.listen(Address("127.0.0.1", port), sockets.listening))
+            await said.wait()
+            held.close()
+            await listening
+        assert door.port == port
+        await door.close()
+
+    run(asyncio.wait_for(main(), 60))
--- a/tests/lifecycle/test_leaving.py
+++ b/tests/lifecycle/test_leaving.py
@@ -11,10 +11,12 @@
 from collections.abc import Callable, Coroutine
 
 import pytest
-from scenario import LIMIT_S, Stage, play, run
+from scenario import Stage, play, run
 
 from roadlb.lifecycle.lifecycle import Event
+from roadlb.net import service_client
 
+END_S = 60.0  # generous: nothing here waits for it
 LOOPS = ["uvloop", "asyncio"]
 
 
@@ -31,7 +33,7 @@
     async def main() -> None:
         stage = Stage()
         await stage.grid(*grid)
-        await asyncio.wait_for(what(stage), LIMIT_S)
+        await asyncio.wait_for(what(stage), END_S)
         for server in stage.servers:
             server.close()
 
@@ -104,7 +106,9 @@
     on_stage(what)
 
 
-def test_what_is_read_after_the_last_moment_is_refused_at_once() -> None:
+def test_what_is_read_after_the_last_moment_is_refused_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(service_client, "REQUEST_S", 3_600.0)  # it is held back for as long as it takes
+
     async def what(stage: Stage) -> None:
         app = stage.app
         client = called(stage)
--- a/tests/lifecycle/test_taking_over.py
+++ b/tests/lifecycle/test_taking_over.py
@@ -160,6 +160,17 @@
     assert counted == [0, 1, 0]
 
 
+def test_a_directory_that_cannot_be_used_is_said_and_does_not_end_the_start(tmp_path: Path) -> None:
+    async def main() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            app = successor(tmp_path / "none", listener)
+            await app.start()
+            assert app.lifecycle.takes_clients and app.counters["handover.impossible"] == 1
+            await app.stop()
+
+    run(asyncio.wait_for(main(), LIMIT_S))
+
+
 # Real processes
 
 
