The program keeps descriptors enough for itself beside full client and server tables

Counted in a running process (/proc/PID/fd, inherited socket, TMPDIR, 24 callers at the admin listener): 37, of the 40 that were kept. Two watches while one takes the other's place, a caller too many, a look at a neighbour's lock, the hand-over's file and the datagrams make 43, so with both tables full discovery could not be dialled. 48 are kept now. What the process reports as held counted 10 of its own where 20 are open without callers; it counts 20 and the callers.

tests/lifecycle/test_taking_over.py::test_a_process_itself_holds_fewer_descriptors_than_are_kept_for_it fails with 40 kept. Of a batch that uvloop accepts in one turn each takes its descriptor before any protocol can make room: up to the backlog of 512 at once; that is not mended here.

--- a/roadlb/app.py
+++ b/roadlb/app.py
@@ -60,7 +60,7 @@
 GC_THRESHOLD = 5_000, 10, 10
 HEARD_S = 1.5  # for discovery's first word, before the known list alone is served from
 PART_LEAST = 4  # beside another process, at least this part of each limit
-OWN_SOCKETS = 10  # log, listeners, loop and its wake-ups, discovery
+OWN_SOCKETS = 20  # log, listeners, loop and its wake-ups, discovery: counted in a running process
 LONGEST_US = 3_000_000  # of deadlines, as far as the platform waits for them after SIGTERM
 
 
@@ -265,8 +265,9 @@
         return report(self.counters.all(), [c.name for c in self.config.settings.classes], self.gauges())
 
     def descriptors(self) -> int:
-        """Sockets held: connections of clients and to instances, and the few of the program itself."""
-        return len(self.service_client.connections) + len(self.instances.pool.open) + OWN_SOCKETS
+        """Sockets held: connections of clients and to instances, operators' calls, and the program's own."""
+        connections = len(self.service_client.connections) + len(self.instances.pool.open)
+        return connections + len(self.door.open) + OWN_SOCKETS
 
     def tighten(self, on: bool) -> None:
         self.service_client.tight = on
--- a/roadlb/config.py
+++ b/roadlb/config.py
@@ -22,7 +22,10 @@
 # Of the time after which an instance drops an idle connection, we keep one for this part, and for one sweep
 # of the pool more: a request that crosses the closing is a reset, and an order among those is lost.
 IDLE_PART = 0.7
-SPARE_SOCKETS = 40  # for the log, the listener, the event loop, discovery, and what is just being closed
+# 37 were counted in a process with a full admin listener and no watch.  A watch and the one that takes its
+# place, a caller too many, a look at a lock, the hand-over's file, the datagrams and some just being closed
+# come to it.
+SPARE_SOCKETS = 48
 GROUPED = "costs", "domain", "invariants", "limits", "report"  # keys of the settings that hold objects
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
 FIELDS = {
--- a/tests/lifecycle/test_taking_over.py
+++ b/tests/lifecycle/test_taking_over.py
@@ -10,6 +10,7 @@
 import socket
 import sys
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import replace
 from pathlib import Path
 
@@ -18,8 +19,9 @@
 from scenario import LIMIT_S, run
 
 from roadlb import app as app_module
+from roadlb.admin.door import OPEN_MOST
 from roadlb.app import App
-from roadlb.config import read_config
+from roadlb.config import SPARE_SOCKETS, read_config
 from roadlb.counters import Counters
 from roadlb.lifecycle import handover
 from roadlb.lifecycle.handover import Handover, Held, Neighbours
@@ -234,3 +236,44 @@
         assert process.returncode == 0 and b"Traceback" not in log, log
 
     run(asyncio.wait_for(main(), LIMIT_S * 2))
+
+
+def test_a_process_itself_holds_fewer_descriptors_than_are_kept_for_it(tmp_path: Path) -> None:
+    async def main() -> None:
+        with (
+            socket.create_server(("127.0.0.1", 0)) as listener,
+            socket.create_server(("127.0.0.1", 0)) as free,
+        ):
+            admin = free.getsockname()[1]
+            free.close()
+            config = tmp_path / "config.json"
+            config.write_text(json.dumps({**RAW, "discovery": DISCOVERY}))
+            process = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "roadlb"),
+                env={
+                    **os.environ,
+                    "PYTHONPATH": str(ROOT),
+                    "PROXY_CONFIG": str(config),
+                    "PROXY_SOCKET_FD": str(listener.fileno()),
+                    "PROXY_ADMIN_ADDR": f"127.0.0.1:{admin}",
+                    "TMPDIR": str(tmp_path),
+                },
+                pass_fds=[listener.fileno()],
+                cwd=ROOT,
+                stderr=asyncio.subprocess.PIPE,
+            )
+            await logged(process, b"listening")
+            callers = [await asyncio.open_connection("127.0.0.1", admin) for _ in range(OPEN_MOST + 8)]
+            for reader, _ in callers[:8]:
+                with suppress(ConnectionError):
+                    assert await reader.read() == b""  # made room for the last ones
+            held = len(os.listdir(f"/proc/{process.pid}/fd"))
+            # To come: two watches, a caller too many, a look at a lock, the hand-over's file, datagrams, and
+            # some that are just being closed.
+            assert OPEN_MOST < held <= SPARE_SOCKETS - 10, held
+            for _, writer in callers:
+                writer.close()
+            process.send_signal(signal.SIGTERM)
+            await process.communicate()
+
+    run(asyncio.wait_for(main(), LIMIT_S * 2))
