--- a/tests/lifecycle/test_leaving.py
+++ b/tests/lifecycle/test_leaving.py
@@ -180,6 +180,15 @@
         a expect closed
         stop
         stopped""",
+    "of two requests in a row the first is answered as the last, and the second is not begun": """
+        a send POST /order/k
+        i1 expect POST
+        a send POST /order/k
+        stop
+        i1 send 200 done
+        a expect 200 done "Connection: close"
+        a expect closed
+        stopped""",
     "a retry that waits when told to end is made": """
         grid 2
         a send GET /grid-read/k
