A SIGTERM that the loop sees late leaves as much time before the kill as one seen at once

The platform counts from the signal, the lifecycle counted from the turn that saw it: on a loop held up for 0.3 s the last answers went out at the kill. The beat of the loop tells the earliest moment at which the signal may have come; up to 0.3 s of that comes off the time of the last answers.

--- a/roadlb/app.py
+++ b/roadlb/app.py
@@ -189,10 +189,10 @@
         self._life(event)
         return 200, self.lifecycle.state.value
 
-    def _life(self, event: Event) -> None:
+    def _life(self, event: Event, late_us: int = 0) -> None:
         """Carry out what the lifecycle makes of an event."""
         before = self.lifecycle.state
-        for action in self.lifecycle.handle(self.clock(), event):
+        for action in self.lifecycle.handle(self.clock(), event, late_us):
             if isinstance(action, Ending):
                 self.service_client.draining = action.on
             elif isinstance(action, CloseIdle):
@@ -300,7 +300,7 @@
     async def stop(self, linger_s: float = LINGER_US / 1e6) -> None:
         """Leave as the lifecycle has it, after accepting for a while if the listener is our own; then end."""
         self.lifecycle.linger_us = int(linger_s * 1e6)
-        self._life(Event.LEAVE)
+        self._life(Event.LEAVE, self.own_load.late_us())
         await self._leave.wait()
         if self._accepted:
             await self._accepted
--- a/roadlb/lifecycle/lifecycle.py
+++ b/roadlb/lifecycle/lifecycle.py
@@ -39,6 +39,7 @@
 LINGER_US = 500_000  # after SIGTERM the front goes on dealing us connections for so long
 SHARED_IDLE_US = 700_000  # with a successor at the socket, idle connections are closed from then
 SPARE_US = 400_000  # after the longest deadline, the last answers are out by then
+LATE_MOST_US = 300_000  # of SPARE_US, so much may go to a signal that was seen late
 # Whoever is still being written to is not cut off: what the kill finds unanswered is not held against us,
 # what we end ourselves is.  Where nobody kills the process, this ends it.
 WRITTEN_US = 10_000_000
@@ -148,6 +149,7 @@
         self._next = 0  # wakes before are those of a state that is over
         self._started = False
         self._refusing = False
+        self._late_us = 0
         self.longest_us, self._shared, self.linger_us = longest_us, shared, linger_us
 
     @property
@@ -161,8 +163,9 @@
         successor may be there already, and answers at the same address."""
         return self.state is not State.DRAINING
 
-    def handle(self, now: int, event: Event) -> list[Action]:
-        """Take one event at clock time `now`; what changes nothing gives no action."""
+    def handle(self, now: int, event: Event, late_us: int = 0) -> list[Action]:
+        """Take one event at clock time `now`, so long after it may have come; what changes nothing gives no
+        action."""
         if event is Event.WAKE:
             return self._step(now) if now >= self._next else []
         state = _NEXT[self.state, event]
@@ -171,6 +174,7 @@
         if state is self.state:
             return []
         self.state, self._since, self._woken = state, now, now
+        self._late_us = min(late_us, LATE_MOST_US)
         if state is State.LEAVING and not self._started:
             return [Ending(True), Leave(now, now)]  # nothing listens yet, and nothing has been taken
         actions: list[Action] = [Ending(state in (State.DRAINING, State.LEAVING))]
@@ -205,7 +209,8 @@
 
     def _leave(self, now: int) -> list[Action]:
         passed, actions = now - self._since, list[Action]()
-        self._woken, last = now, self.longest_us + SPARE_US
+        # Who kills the process counts from the signal; for how long it came late, nobody can tell us.
+        self._woken, last = now, self.longest_us + SPARE_US - self._late_us
         if self._listening and passed >= min(self.linger_us, last):
             self._listening = False
             actions.append(StopListening())
--- a/roadlb/own_load.py
+++ b/roadlb/own_load.py
@@ -58,6 +58,11 @@
             return max(came, now - waited)
         return came
 
+    def late_us(self) -> int:
+        """How long ago what is handled now may have come: 0 on a sound loop."""
+        now = self._clock()
+        return now - self._pulse.came_us(now)
+
     def _beat(self) -> None:
         now = self._clock()
         due = self._pulse.beat(now)
--- a/tests/lifecycle/test_leaving.py
+++ b/tests/lifecycle/test_leaving.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Callable, Coroutine
 
 import pytest
@@ -168,6 +169,15 @@
     on_stage(what)
 
 
+def test_a_loop_that_is_held_up_when_told_to_end_counts_from_before() -> None:
+    async def what(stage: Stage) -> None:
+        time.sleep(0.2)  # what the loop sees next may have come at its begin
+        await stage.app.stop(linger_s=0)
+        assert 150_000 <= stage.app.lifecycle._late_us
+
+    on_stage(what)
+
+
 SCENARIOS = {
     "a request half read when told to end is served": """
         a send raw POST /order/k HTTP/1.1\\r\\nHost: x\\r\\nX-Correlation-Id: 1\\r\\nX-Account: acme\\r\\n
--- a/tests/lifecycle/test_lifecycle.py
+++ b/tests/lifecycle/test_lifecycle.py
@@ -148,6 +148,17 @@
     assert last_idle >= stops[0]
 
 
+@pytest.mark.parametrize("late, spare", [(0, 400_000), (250_000, 150_000), (9_000_000, 100_000)])
+@pytest.mark.parametrize("shared", [False, True])
+def test_a_signal_that_is_seen_late_leaves_the_kill_no_sooner(shared: bool, late: int, spare: int) -> None:
+    life = Lifecycle(2_500_000, shared)
+    life.handle(0, Event.STARTED)
+    seen = played(life, 0, life.handle(0, Event.LEAVE, late), 10_000_000)
+    assert [at for at, a in seen if a == GiveUp(0)] == [2_500_000 + spare]
+    if not shared:  # clients go on coming for a while, whenever the signal came
+        assert [at for at, a in seen if isinstance(a, StopListening)] == [500_000]
+
+
 @given(st.lists(st.tuples(st.sampled_from(EVENTS), st.integers(0, 2_000_000)), max_size=12))
 def test_whatever_comes_in_whatever_order_there_is_one_state_and_no_way_back(
     events: list[tuple[Event, int]],
