Tests: a successor that is killed or told to end half-way leaves the predecessor alone

Two real processes on one inherited socket: the second ends once the first has counted it, while it waits for discovery's word; the first counts one again, answers, and leaves no lock behind.

--- a/tests/lifecycle/test_taking_over.py
+++ b/tests/lifecycle/test_taking_over.py
@@ -176,7 +176,9 @@
 # Real processes
 
 
-async def begin(tmp_path: Path, listen: str, **more: str) -> asyncio.subprocess.Process:
+async def begin(tmp_path: Path, listen: str, fd: int | None = None) -> asyncio.subprocess.Process:
+    """`fd`: the listening socket that it inherits, with a directory that it shares."""
+    more = {} if fd is None else {"PROXY_SOCKET_FD": str(fd), "TMPDIR": str(tmp_path)}
     config = tmp_path / "config.json"
     config.write_text(json.dumps({**RAW, "listen": listen, "discovery": DISCOVERY}))
     return await asyncio.create_subprocess_exec(
@@ -184,6 +186,7 @@
         "-m",
         "roadlb",
         env={**os.environ, "PYTHONPATH": str(ROOT), "PROXY_CONFIG": str(config), **more},
+        pass_fds=[] if fd is None else [fd],
         cwd=ROOT,
         stderr=asyncio.subprocess.PIPE,
     )
@@ -200,6 +203,31 @@
     return got
 
 
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGTERM])
+def test_a_successor_that_ends_half_way_leaves_the_predecessor_serving_alone(
+    tmp_path: Path, number: signal.Signals
+) -> None:
+    async def main() -> None:
+        with socket.create_server(("127.0.0.1", 0), backlog=64) as listener:
+            port = listener.getsockname()[1]
+            old = await begin(tmp_path, f"127.0.0.1:{port}", listener.fileno())
+            await logged(old, b"event=listening")
+            new = await begin(tmp_path, f"127.0.0.1:{port}", listener.fileno())
+            await logged(old, b"count=2")  # it has its lock, and waits for discovery's word
+            new.send_signal(number)
+            await new.communicate()
+            await logged(old, b"count=1")
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert (await reader.readuntil(b"\r\n")).startswith(b"HTTP/1.1 ")
+            writer.close()
+            old.send_signal(signal.SIGTERM)
+            await old.communicate()
+            assert old.returncode == 0 and not list(tmp_path.glob("*.lock"))
+
+    run(asyncio.wait_for(main(), LIMIT_S * 2))
+
+
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
 def test_who_is_told_to_end_while_it_waits_for_its_address_ends_at_once(
     tmp_path: Path, number: signal.Signals
