Client connection: states, late events and crossings; its tests cannot wait for ever

Seen with a guard taken out: tests/net/test_client_closing.py waited without end, as the lines of the scenario language were played with no bound; each is now bounded by LIMIT_S. Two cases passed without their guard: the choice of a connection that makes room was never reached (limit 1 with one open), and a closing one went by its own time before the check. Both now force their crossing.

--- a/tests/net/test_client_closing.py
+++ b/tests/net/test_client_closing.py
@@ -11,7 +11,7 @@
 
 import pytest
 from scenario import LIMIT_S, LOOPS, Stage, run
-from test_client_leaves import begun, only, order, over, until
+from test_client_leaves import begun, only, order, over, step, until
 
 from roadlb.lifecycle.lifecycle import Event
 from roadlb.net import client_connection, service_client
@@ -65,9 +65,9 @@
 def test_no_reset_destroys_a_last_answer_though_its_client_goes_on_sending(loop: str) -> None:
     async def main(stage: Stage, plain: Plain) -> None:
         plain.send(order(1))
-        await stage.step("i1 expect POST")
+        await step(stage, "i1 expect POST")
         stage.app.tell(Event.OUT_OF_SERVICE)
-        await stage.step("i1 send 200 done")
+        await step(stage, "i1 send 200 done")
         connection = only(stage)
         await until(lambda: connection.closing_us)
         plain.send(order(2) + order(3))
@@ -130,11 +130,11 @@
 def test_each_request_in_line_is_answered_and_only_the_last_answer_says_so(loop: str) -> None:
     async def main(stage: Stage, plain: Plain) -> None:
         plain.send(order(1) + order(2))
-        await stage.step("i1 expect POST")
+        await step(stage, "i1 expect POST")
         stage.app.tell(Event.OUT_OF_SERVICE)
-        await stage.step("i1 send 200 one")
-        await stage.step("i2 expect POST")
-        await stage.step("i2 send 200 two")
+        await step(stage, "i1 send 200 one")
+        await step(stage, "i2 expect POST")
+        await step(stage, "i2 send 200 two")
         first, second = (await plain.rest()).split("HTTP/1.1 200")[1:]
         assert CLOSE not in first and first.endswith("one") and CLOSE in second and second.endswith("two")
 
@@ -145,14 +145,14 @@
 def test_a_request_that_has_come_and_is_not_read_yet_is_answered(loop: str) -> None:
     async def main(stage: Stage, plain: Plain) -> None:
         plain.send(order(1))
-        await stage.step("i1 expect POST")
+        await step(stage, "i1 expect POST")
         stage.app.tell(Event.OUT_OF_SERVICE)
         exchange = only(stage).exchange
         assert exchange is not None
         plain.send(order(2))
         stage.app.engine._give_up(exchange, "for the test")  # in this turn, as any answer may come
-        await stage.step("i2 expect POST")
-        await stage.step("i2 send 200 two")
+        await step(stage, "i2 expect POST")
+        await step(stage, "i2 send 200 two")
         first, second = (await plain.rest()).split("HTTP/1.1 ")[1:]
         assert CLOSE not in first and CLOSE in second and second.endswith("two")
 
@@ -169,7 +169,7 @@
 
 def crowds(stage: Stage) -> None:
     client = stage.app.service_client
-    client.limit(1)
+    client.limit(0)
     client.connected(client_connection.ClientConnection(client))
 
 
@@ -186,8 +186,8 @@
         plain.send(order(1))
         closes(stage)
         monkeypatch.undo()
-        await stage.step("i1 expect POST")
-        await stage.step("i1 send 200 done")
+        await step(stage, "i1 expect POST")
+        await step(stage, "i1 send 200 done")
         await until(lambda: not only_open(stage).exchange)
         plain._socket.shutdown(socket.SHUT_WR)
         assert (await plain.rest()).endswith("done")
@@ -211,8 +211,8 @@
         await until(lambda: only(stage).started_us)
         plain.send(text[-2:])
         stage.app.service_client.close_unfinished()
-        await stage.step("i1 expect POST")
-        await stage.step("i1 send 200 done")
+        await step(stage, "i1 expect POST")
+        await step(stage, "i1 send 200 done")
         await until(lambda: not only(stage).exchange)
         plain._socket.shutdown(socket.SHUT_WR)
         assert (await plain.rest()).endswith("done")
@@ -235,7 +235,11 @@
 
 
 @pytest.mark.parametrize("loop", LOOPS)
-def test_connections_that_wait_for_their_clients_end_make_room_first(loop: str) -> None:
+def test_connections_that_wait_for_their_clients_end_make_room_first(
+    monkeypatch: pytest.MonkeyPatch, loop: str
+) -> None:
+    monkeypatch.setattr(service_client, "LINGER_S", 100.0)
+
     async def main(stage: Stage, plain: Plain) -> None:
         connection = only(stage)
         plain.send("nonsense\r\n\r\n")
@@ -253,12 +257,12 @@
 def test_small_writes_are_not_held_back(loop: str) -> None:
     async def main(stage: Stage, plain: Plain) -> None:
         plain.send(order(1))
-        await stage.step("i1 expect POST")
+        await step(stage, "i1 expect POST")
         (to_server,) = stage.app.instances.pool.open
         for transport in (only(stage).transport, to_server.transport):
             assert transport is not None
             connection = transport.get_extra_info("socket")
             assert connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
-        await stage.step("i1 send 200 done")
+        await step(stage, "i1 send 200 done")
 
     play(loop, "1", main)
--- a/tests/net/test_client_leaves.py
+++ b/tests/net/test_client_leaves.py
@@ -39,6 +39,11 @@
             await asyncio.sleep(0.002)
 
 
+async def step(stage: Stage, line: str) -> None:
+    """Play a line of the scenario language, which must come to its end."""
+    await asyncio.wait_for(stage.step(line), LIMIT_S)
+
+
 async def client(stage: Stage, name: str, text: str) -> Link:
     link = stage.links[name] = Link(*await asyncio.open_connection("127.0.0.1", stage.app.port))
     link.write(text)
@@ -58,7 +63,7 @@
 
 async def begun(grid: str) -> Stage:
     stage = Stage()
-    await stage.step(f"grid {grid}")
+    await step(stage, f"grid {grid}")
     return stage
 
 
@@ -78,11 +83,11 @@
     async def main() -> None:
         stage = await begun("1")
         link = await client(stage, "a", order(1))
-        await stage.step("i1 expect POST")
+        await step(stage, "i1 expect POST")
         link.write("x" * MUCH)
         await until(lambda: only(stage).reading_paused)
         leave(link, how)
-        await stage.step("i1 expect closed")
+        await step(stage, "i1 expect closed")
         assert stage.app.counters["client_gone"] == 1 and stage.app.counters["errored.order"] == 0
         await over(stage)
 
@@ -95,11 +100,11 @@
     async def main() -> None:
         stage = await begun("1")
         link = await client(stage, "a", order(1) + order(2) + order(3))
-        await stage.step("i1 expect POST")
+        await step(stage, "i1 expect POST")
         link.write(order(4) + "x" * MUCH)
         await until(lambda: only(stage).reading_paused)
         leave(link, how)
-        await stage.step("i1 expect closed")
+        await step(stage, "i1 expect closed")
         await until(lambda: not stage.app.service_client.connections)
         assert stage.app.counters["taken"] == 1
         await over(stage)
@@ -114,7 +119,7 @@
         stage = await begun("1")
         plain = socket.create_connection(("127.0.0.1", stage.app.port))  # whose close takes effect at once
         plain.sendall((order(1) + order(2)).encode())
-        await stage.step("i1 expect POST")
+        await step(stage, "i1 expect POST")
         plain.sendall(b"x" * MUCH)
         await until(lambda: only(stage).reading_paused)
         exchange = only(stage).exchange
@@ -122,7 +127,7 @@
         plain.close()
         stage.app.engine._give_up(exchange, "for the test")  # in this turn, as any answer may come
         assert stage.app.counters["taken"] == 1
-        await stage.step("i1 expect closed")
+        await step(stage, "i1 expect closed")
         await over(stage)
 
     run(main(), loop)
@@ -134,10 +139,10 @@
     async def main() -> None:
         stage = await begun("1")
         link = await client(stage, "a", order(1) + "nonsense\r\n\r\n")
-        await stage.step("i1 expect POST")
+        await step(stage, "i1 expect POST")
         assert only(stage).deaf
         leave(link, how)
-        await stage.step("i1 expect closed")
+        await step(stage, "i1 expect closed")
         assert stage.app.counters["client_gone"] == 1 and stage.app.counters["errored.order"] == 0
         await over(stage)
 
@@ -187,13 +192,13 @@
         stage = await begun("1")
         link = await client(stage, "a", order(1) + order(2))
         link.reader._transport.pause_reading()  # type: ignore[attr-defined]
-        await stage.step("i1 expect POST")
+        await step(stage, "i1 expect POST")
         stage.links["i1"].write(f"HTTP/1.1 200 OK\r\nContent-Length: {1 << 25}\r\n\r\n" + "x" * (1 << 24))
         await until(lambda: only(stage).stuck_us)
         leave(link, how)
         await until(lambda: stage.app.counters["client_gone"])
         assert stage.app.counters["taken"] == 1
-        await stage.step("i1 close")
+        await step(stage, "i1 close")
         await until(lambda: not stage.app.engine.current)
         await over(stage)
 
@@ -207,11 +212,11 @@
         stage, count = await begun("1"), 8
         links = [await client(stage, f"a{i}", order(10 * i) + order(10 * i + 1)) for i in range(count)]
         for i in range(count):
-            await stage.step(f"i{i} expect POST")
+            await step(stage, f"i{i} expect POST")
         for link in links:
             leave(link, how)
         for i in range(count):
-            await stage.step(f"i{i} expect closed")
+            await step(stage, f"i{i} expect closed")
         await until(lambda: not stage.app.service_client.connections)
         assert stage.app.counters["client_gone"] == stage.app.counters["taken"] == count
         await over(stage)
