A connection closed to make room frees its descriptor at once; late second answers

Cause: the half-close with a drain keeps a descriptor for 0.3 s, and ServiceClient.connected took such connections for gone. They count now, make room first, and what is closed to make room (nothing unread) does not wait for its client.

A second answer that came some milliseconds late, after the next request had gone out on its connection, was that request's answer: the pool took the last connection to rest first. It takes the last that has rested for 25 ms, and one that has not only where no other idles (test seen to fail before).

Accepted connections have TCP_NODELAY on asyncio's own loop too, by the listening socket; uvloop set it already.

--- a/roadlb/net/client_connection.py
+++ b/roadlb/net/client_connection.py
@@ -615,6 +615,12 @@
         self._read_on(True)
         self._lingering = self._client.linger(self)
 
+    def close_at_once(self) -> None:
+        """End it once what was written is out, without waiting for the client: its descriptor is needed."""
+        self._ignore_rest()
+        if self.transport:
+            self.transport.close()
+
     @property
     def lingers(self) -> bool:
         """Is it over but for the client's close?"""
--- a/roadlb/net/pool.py
+++ b/roadlb/net/pool.py
@@ -23,6 +23,9 @@
 
 SWEEP_S = 0.25
 CLOSING_TURNS = 10  # of the event loop, at the most, for aborted connections to be told that they ended
+# A server's second answer to one request may come some milliseconds after the first.  A connection that has
+# rested for so long has shown that none does; one that has not is only taken where no other idles.
+SETTLE_US = 25_000
 NO_DESCRIPTOR = frozenset({errno.EMFILE, errno.ENFILE})
 
 
@@ -156,19 +159,31 @@
             self.wheel.at(self.clock() + int(SWEEP_S * 1e6), self._sweep, None)
 
     def _take(self, server: ServerId) -> InstanceConnection | None:
-        """The connection that has waited for the shortest time."""
+        """The connection that has waited for the shortest time, of those that have settled."""
         idle = self._idle.get(server)
         if not idle:
             return None
         before = self.clock() - self._keep_us  # the sweep may be late, with all else on the loop
         while idle:
-            connection, _ = idle.popitem()
+            connection = self._choose(idle)
+            del idle[connection]
             self._all_idle.pop(connection, None)
             if connection.usable and connection.rested_us >= before and connection.quiet:
                 return connection
             connection.close()
         return None
 
+    def _choose(self, idle: dict[InstanceConnection, None]) -> InstanceConnection:
+        """The last to rest that has settled; the first to rest, if none has."""
+        settled_us = self.clock() - SETTLE_US
+        longest: InstanceConnection | None = None
+        for connection in reversed(idle):
+            if connection.rested_us <= settled_us:
+                return connection
+            longest = connection
+        assert longest is not None
+        return longest
+
     def _forget(self, connection: InstanceConnection) -> None:
         self._all_idle.pop(connection, None)
         if (idle := self._idle.get(connection.server)) is not None:
--- a/roadlb/net/service_client.py
+++ b/roadlb/net/service_client.py
@@ -133,22 +133,28 @@
         self.connections[new] = None
         if len(self.connections) <= self._most:
             return
-        if sum(not ended(c) for c in self.connections) <= self._most:
-            # Others are being closed; one that only waits for its client's end makes room at once.
-            if lingering := next((c for c in self.connections if c.lingers), None):
-                lingering.linger_over()
+        if sum(holds_descriptor(c) for c in self.connections) <= self._most:
+            return  # others are just being closed
+        if lingering := next((c for c in self.connections if c.lingers), None):
+            lingering.linger_over()  # it only waits for its client's end
             return
+        self.counters.add("client.crowded")
+        spare = self._spare(new)
+        if has_unread(spare):
+            spare.close()  # its request is thrown away, not reset, so that the client reads an orderly end
+        else:
+            spare.close_at_once()
+
+    def _spare(self, new: ClientConnection) -> ClientConnection:
+        """The connection that is missed least; one with bytes on their way in is about to ask."""
         quiet, before = self._quiet(), self.clock() - int(SILENT_S * 1e6)
         silent = [c for c in quiet if not c.asked]  # the new one is the last of them
         idle = [c for c in quiet if c.asked and not c.started_us]
-        self.counters.add("client.crowded")
         for spare in ([c for c in silent if c.since_us < before], idle, silent[:-1], silent):
             spare.sort(key=lambda c: c.since_us)
-            # One with bytes on their way in is about to ask, if anything else is left.
             if found := next((c for c in spare if not has_unread(c)), None):
-                found.close()
-                return
-        new.close()
+                return found
+        return new
 
     def disconnected(self, connection: ClientConnection) -> None:
         self.connections.pop(connection, None)
@@ -408,6 +414,11 @@
         return max(1, min(int(left * 1e6), self._deadlines_us[class_index]) - MARGIN_US)
 
 
+def holds_descriptor(connection: ClientConnection) -> bool:
+    """Is its descriptor neither free nor just being freed?"""
+    return connection.transport is not None and not connection.transport.is_closing()
+
+
 def ended(connection: ClientConnection) -> bool:
     """Is it closed, or being closed?"""
     transport = connection.transport
--- a/roadlb/net/sockets.py
+++ b/roadlb/net/sockets.py
@@ -39,6 +39,8 @@
     family = socket.AF_INET6 if ":" in at.host else socket.AF_INET
     made = socket.create_server((at.host, at.port), family=family, backlog=backlog)
     made.setblocking(False)
+    # Those that it accepts have it too; asyncio's own loop does not set it on them, uvloop does.
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return made
 
 
--- a/tests/net/test_broken_writes.py
+++ b/tests/net/test_broken_writes.py
@@ -13,6 +13,7 @@
 from roadlb.config import IDLE_PART
 from roadlb.exchange import Ending, Exchange, Failed, Served
 from roadlb.net.instance_connection import InstanceConnection
+from roadlb.net.pool import SETTLE_US
 from roadlb.policy.interface import Outcome
 
 RECEIVE_BYTES = 8_192  # of the server's kernel, and
@@ -289,3 +290,54 @@
         assert len(rig.counters.faults) == before == 0
 
     play(main)
+
+
+def test_a_second_answer_some_milliseconds_late_finds_its_connection_at_rest() -> None:
+    # The last connection to rest was taken first, and the late answer was the next request's.
+    async def main() -> None:
+        rig = Rig(1)
+        exchanges = [rig.open(), rig.open()]
+        links = [await rig.servers[0].accept(), await rig.servers[0].accept()]
+        for link in links:
+            await link.request()
+        links[0].answer(b"one")
+        while len(rig.answers) < 1:
+            await asyncio.sleep(0)
+        rig.moved_us += SETTLE_US
+        links[1].answer(b"two")
+        for exchange in exchanges:
+            await rig.ended(exchange, 0)
+        while len(rig.instances.pool._all_idle) < 2:
+            await asyncio.sleep(0)
+        third = rig.open()
+        await links[0].request()
+        links[1].answer(b"two again")
+        assert await links[1].rest() == b""  # closed: what came belongs to no request
+        links[0].answer(b"three")
+        assert await rig.ended(third, 0) is Ending.SERVED
+        assert isinstance(third.answer, Served) and third.answer.body == b"three"
+        await rig.instances.close()
+
+    play(main)
+
+
+def test_of_connections_that_have_settled_the_last_to_rest_is_taken() -> None:
+    async def main() -> None:
+        rig = Rig(1)
+        exchanges = [rig.open(), rig.open()]
+        links = [await rig.servers[0].accept(), await rig.servers[0].accept()]
+        for number, link in enumerate(links):
+            await link.request()
+            link.answer()
+            while len(rig.answers) <= number:
+                await asyncio.sleep(0)
+        for exchange in exchanges:
+            await rig.ended(exchange, 0)
+        while len(rig.instances.pool._all_idle) < 2:
+            await asyncio.sleep(0)
+        rig.moved_us += SETTLE_US
+        rig.open()
+        await links[1].request()
+        await rig.instances.close()
+
+    play(main)
