--- a/benchmarks/profile_path.py
+++ b/benchmarks/profile_path.py
@@ -56,7 +56,7 @@
             r"ClientResponse\.(start|read) ",
         ),
         "instance side: the rest": (r"roadlb/net/(instance|connections|pool)", r"aiohttp/(client|connector)"),
-        "discovery": (r"roadlb/net/name_table",),
+        "discovery": (r"roadlb/net/discovery",),
         "tasks, futures, timers": (
             r"roadlb/wheel",
             r"asyncio/(tasks|futures|base_futures|timeouts|locks)\.py",
--- a/roadlb/app.py
+++ b/roadlb/app.py
@@ -39,7 +39,7 @@
 from .log import fields
 from .net.http import HOLD, HOLD_TIGHT
 from .net.instances import Instances
-from .net.name_table import NameTable
+from .net.discovery import ServerDiscovery
 from .net.service_client import ServiceClient
 from .net.sockets import Bind, Listener, listening, serve
 from .overload.meter import Limits
@@ -109,7 +109,7 @@
         )
         self.instances = Instances(config, self.engine, counters, clock, self.wheel)
         self.engine.executor = self.instances
-        self.name_table = NameTable(
+        self.discovery = ServerDiscovery(
             config.discovery,
             config.zones,
             config.kinds,
@@ -153,7 +153,7 @@
         parts += [
             Known(self, known),
             *followed,
-            Running(self.name_table.run),
+            Running(self.discovery.run),
             Clients(self),
             Operators(self),
             Listening(self),
@@ -221,7 +221,7 @@
         return Held(len(self.service_client.connections), len(self.instances.pool.open), memory_bytes())
 
     def _handover(self) -> Handover:
-        discovery, known = self.name_table.held
+        discovery, known = self.discovery.held
         return Handover(discovery, known, self.lifecycle.state is State.DRAINING)
 
     def _limit(self, clients: int) -> None:
@@ -295,7 +295,7 @@
             return
         self.counters.add("config.read")
         logger.info("configuration read", extra=fields(discovery=config.discovery))
-        self.name_table.move(config.discovery)
+        self.discovery.move(config.discovery)
 
     async def stop(self, linger_s: float = LINGER_US / 1e6) -> None:
         """Leave as the lifecycle has it, after accepting for a while if the listener is our own; then end."""
@@ -334,7 +334,7 @@
         self._app, self._known = app, known
 
     async def start(self) -> None:
-        self._app.name_table.start_from(self._known)
+        self._app.discovery.start_from(self._known)
 
 
 class Running(Part):
@@ -375,7 +375,7 @@
             config,
             app.engine,
             app.counters,
-            lambda: app.name_table.filled and app.lifecycle.healthy,
+            lambda: app.discovery.filled and app.lifecycle.healthy,
             app.clock,
             app.wheel,
             app.own_load.came_us,
@@ -428,7 +428,7 @@
             # The predecessor serves till we can: with the list as it is now, not as it was.
             with suppress(TimeoutError):
                 async with asyncio.timeout(HEARD_S):
-                    await app.name_table.told.wait()
+                    await app.discovery.told.wait()
         if app.succession:
             await app.succession.seen()
             if app.succession.draining():
@@ -448,7 +448,7 @@
 
     def serving(self) -> None:
         self._serving = True
-        self._app.name_table.on_list = self._succession.write_soon
+        self._app.discovery.on_list = self._succession.write_soon
         self._succession.begin()
 
     def changed(self, state: State) -> None:
@@ -498,7 +498,7 @@
             app.clock,
             app.wall,
             app.counters,
-            app.name_table.lead,
+            app.discovery.lead,
             hear,
             lapse_at,
             dial,
@@ -507,7 +507,7 @@
             app.changed,
         )
         self._following.load()
-        engine.lapsed, app.name_table.drained = self._following.lapsed, self._following.drained
+        engine.lapsed, app.discovery.drained = self._following.lapsed, self._following.drained
 
     async def start(self) -> None:
         self._following.start()
@@ -568,7 +568,7 @@
             app.counters,
             app.clock,
             merging.shares if merging else lambda instances, heard: app.engine.heard(heard),
-            app.name_table.names,
+            app.discovery.names,
         )
         if merging:
             merging.agree = self._sharing.agreed
--- a/roadlb/fleet/platform.py
+++ b/roadlb/fleet/platform.py
@@ -1,6 +1,6 @@
 """The platform's discovery lists to and from clusters: whole lists and deltas, as JSON already read.
 
-The form is the one that `net/name_table` takes: `{"generation", "reset", "instances": [...]}`.  A key of an
+The form is the one that `net/discovery` takes: `{"generation", "reset", "instances": [...]}`.  A key of an
 instance that nobody here knows is kept as metadata under `EXTRA` and told again.
 """
 
--- a/roadlb/following/lists.py
+++ b/roadlb/following/lists.py
@@ -1,4 +1,4 @@
-"""The list of a version in discovery's form: what `NameTable` takes, as differences where that is less."""
+"""The list of a version in discovery's form, as differences where that is less: for `ServerDiscovery`."""
 
 from __future__ import annotations
 
--- a/roadlb/net/name_table.py
+++ b/roadlb/net/discovery.py
@@ -38,7 +38,7 @@
 
 
 @dataclass(slots=True)
-class Line:
+class ServerListUpdate:
     """One list message: the members, and where the ones that are not gone listen."""
 
     generation: int
@@ -48,7 +48,7 @@
     entries: dict[str, object]  # as they came, by instanceId; None: removed
 
 
-class NameTable:
+class ServerDiscovery:
     """Discovery's list of instances, told to the engine and to the side that dials them."""
 
     def __init__(
@@ -83,14 +83,14 @@
         self.led = False  # the list is another's to tell: what discovery says is passed over
         self.drained: Callable[[str, int], bool] = lambda name, started_ms: False  # told once so
 
-    def parse(self, raw: object) -> Line:
+    def parse(self, raw: object) -> ServerListUpdate:
         """Check a whole line, as text or as JSON read already, before any of it is believed."""
         try:
             return self._parse(json.loads(raw) if isinstance(raw, bytes) else raw)
         except (KeyError, TypeError, ValueError, AttributeError, OverflowError, ConfigError) as e:
             raise MalformedList(f"{type(e).__name__}: {e}") from None
 
-    def _parse(self, raw: object) -> Line:
+    def _parse(self, raw: object) -> ServerListUpdate:
         if not isinstance(raw, dict) or not isinstance(raw["instances"], list):
             raise ValueError("not an object with a list of instances")
         if not isinstance(raw["reset"], bool):
@@ -123,17 +123,17 @@
                 )
             )
             names[id] = name, read_address("hostPort", entry["hostPort"])
-        return Line(
+        return ServerListUpdate(
             int(raw["generation"]), ListKind.FULL if raw["reset"] else ListKind.DELTA, members, names, entries
         )
 
     def start_from(self, known: Mapping[str, object]) -> None:
         """Begin with the list as it was last held, which may be old."""
         try:
-            line = self.parse(known) if known else Line(0, ListKind.FULL, [], {}, {})
+            line = self.parse(known) if known else ServerListUpdate(0, ListKind.FULL, [], {}, {})
         except MalformedList as e:
             logger.error("known list malformed", extra=fields(key="known", error=e))
-            line = Line(0, ListKind.FULL, [], {}, {})
+            line = ServerListUpdate(0, ListKind.FULL, [], {}, {})
         line.kind = ListKind.CACHED
         self._take(line)
 
@@ -153,7 +153,7 @@
         self.told.set()
         self.on_list()
 
-    def _take(self, line: Line) -> None:
+    def _take(self, line: ServerListUpdate) -> None:
         self._generation = line.generation
         gone = [m.server for m in line.members if m.state is ServerState.GONE]
         if line.kind is not ListKind.DELTA:
--- a/roadlb/net/instances.py
+++ b/roadlb/net/instances.py
@@ -29,7 +29,7 @@
 
 
 class Instances:
-    """The engine's executor over HTTP/1.1; told by the name table where instances listen."""
+    """The engine's executor over HTTP/1.1; told by discovery where instances listen."""
 
     def __init__(
         self, config: Config, engine: Engine, counters: Counters, clock: Clock, wheel: Wheel
--- a/tests/config/test_faulty.py
+++ b/tests/config/test_faulty.py
@@ -166,11 +166,11 @@
     async def main() -> None:
         stage = Stage()
         await stage.grid("1")
-        held = stage.app.name_table.held
+        held = stage.app.discovery.held
         stage.config["discovery"] = discovery
         stage.app.reconfigure(lambda: read_config(stage.config, {}, again=True))
         assert stage.app.counters["config.faulty"] == 1
-        assert stage.app.name_table.held == held
+        assert stage.app.discovery.held == held
         await stage.app.stop(linger_s=0)
         for server in stage.servers:
             server.close()
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -21,7 +21,7 @@
 from roadlb.exchange import Answer, Ending, Exchange, Execution, Failed, Message, Nack, Result, Served
 from roadlb.log import KeyValueFormatter, fields
 from roadlb.net.headers import Faulty, Headers, LoadReports
-from roadlb.net.name_table import MalformedList, NameTable, server_id
+from roadlb.net.discovery import MalformedList, ServerDiscovery, server_id
 from roadlb.net.service_client import key_number
 from roadlb.policy.interface import (
     NEVER_RAN,
@@ -332,8 +332,8 @@
     run(main)
 
 
-def table() -> NameTable:
-    return NameTable(
+def table() -> ServerDiscovery:
+    return ServerDiscovery(
         None,
         ("a", "b"),
         ("m1", "m2"),
--- a/tests/net/test_back_off.py
+++ b/tests/net/test_back_off.py
@@ -9,7 +9,7 @@
 
 from roadlb.config import Address
 from roadlb.counters import Counters
-from roadlb.net.name_table import NameTable
+from roadlb.net.discovery import ServerDiscovery
 from roadlb.net.watch_timing import PAUSE_MOST_S, REFUSED_MOST_S, BackOff
 
 
@@ -60,7 +60,7 @@
             writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 
         server = await asyncio.start_server(discovery, "127.0.0.1", 0)
-        table = NameTable(
+        table = ServerDiscovery(
             Address(*server.sockets[0].getsockname()),
             (),
             (),
--- a/tests/net/test_watch_balancer.py
+++ b/tests/net/test_watch_balancer.py
@@ -36,7 +36,7 @@
             "i1 send 200 one",
             "a expect 200 one",
         )
-        assert not stage.app.name_table.told.is_set()
+        assert not stage.app.discovery.told.is_set()
         await end(stage)
 
     run(main())
--- a/tests/net/watching.py
+++ b/tests/net/watching.py
@@ -11,7 +11,7 @@
 
 from roadlb.config import Address
 from roadlb.counters import Counters
-from roadlb.net.name_table import NameTable
+from roadlb.net.discovery import ServerDiscovery
 from roadlb.policy.interface import ListKind, Member, ServerId, ServerState
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -141,13 +141,13 @@
 @dataclass
 class Watched:
     discovery: Discovery
-    table: NameTable
+    table: ServerDiscovery
     told: Told
     counters: Counters
 
 
-def server_list(address: Address, told: Any, counters: Counters) -> NameTable:
-    return NameTable(address, ("a",), (), told, told, counters, lambda: 0, lambda: 0, seed=3)
+def server_list(address: Address, told: Any, counters: Counters) -> ServerDiscovery:
+    return ServerDiscovery(address, ("a",), (), told, told, counters, lambda: 0, lambda: 0, seed=3)
 
 
 @asynccontextmanager
