ServiceClient is Frontend; Instances and InstanceConnection are of servers

Need: the field's terms. net/service_client.py is net/frontend.py, net/instances.py net/server_connections.py, net/instance_connection.py net/server_connection.py; classes Frontend, ServerConnections, ServerConnection. Loggers are named after their modules, so roadlb.net.instances is roadlb.net.server_connections now.

--- a/benchmarks/probes/variant.py
+++ b/benchmarks/probes/variant.py
@@ -58,7 +58,7 @@
     sys.argv = ["roadlb"]
     sys.path.insert(0, os.getcwd())
     if name == "uvloop":
-        for module in ("connections", "service_client"):  # sets what only asyncio's transports have
+        for module in ("connections", "frontend"):  # sets what only asyncio's transports have
             part = importlib.import_module(f"roadlb.net.{module}")
             if hasattr(part, "read_little"):
                 setattr(part, "read_little", lambda transport: None)  # noqa: B010
--- a/benchmarks/profile_path.py
+++ b/benchmarks/profile_path.py
@@ -48,14 +48,14 @@
             r"HttpRequestParser",
             r"ClientConnection\.(data_received|on_\w+|_pump) ",
         ),
-        "client side: the rest": (r"roadlb/net/(service_client|client_connection)", r"aiohttp/web_"),
+        "client side: the rest": (r"roadlb/net/(frontend|client_connection)", r"aiohttp/web_"),
         "instance side: reading the answer": (
-            r"(ResponseHandler|InstanceConnection)\.(data_received|feed_data|on_\w+) ",
+            r"(ResponseHandler|ServerConnection)\.(data_received|feed_data|on_\w+) ",
             r"HttpResponseParser",
-            r"InstanceConnection\.(_head\w*|_end\w*|_over|_judge) ",
+            r"ServerConnection\.(_head\w*|_end\w*|_over|_judge) ",
             r"ClientResponse\.(start|read) ",
         ),
-        "instance side: the rest": (r"roadlb/net/(instance|connections|pool)", r"aiohttp/(client|connector)"),
+        "instance side: the rest": (r"roadlb/net/(server_connection|server_request|pool)", r"aiohttp/(client|connector)"),
         "discovery": (r"roadlb/net/discovery",),
         "tasks, futures, timers": (
             r"roadlb/wheel",
--- a/roadlb/app.py
+++ b/roadlb/app.py
@@ -38,9 +38,9 @@
 from .lifecycle.succession import Succession
 from .log import fields
 from .net.http import HOLD, HOLD_TIGHT
-from .net.instances import Instances
+from .net.server_connections import ServerConnections
 from .net.discovery import ServerDiscovery
-from .net.service_client import ServiceClient
+from .net.frontend import Frontend
 from .net.sockets import Bind, Listener, listening, serve
 from .overload.meter import Limits
 from .overload.readings import cpu_used_us, memory_bytes
@@ -74,7 +74,7 @@
 
     # Made as their parts start.
     own_load: OwnLoad
-    service_client: ServiceClient
+    frontend: Frontend
     door: Door
     listener: Listener
 
@@ -107,14 +107,14 @@
             config.max_open,
             [c.name for c in config.settings.classes],
         )
-        self.instances = Instances(config, self.engine, counters, clock, self.wheel)
-        self.engine.executor = self.instances
+        self.server_connections = ServerConnections(config, self.engine, counters, clock, self.wheel)
+        self.engine.executor = self.server_connections
         self.discovery = ServerDiscovery(
             config.discovery,
             config.zones,
             config.kinds,
             self.engine,
-            self.instances,
+            self.server_connections,
             counters,
             clock,
             self.wall,
@@ -179,8 +179,8 @@
         self.engine.changed(settings)
         longest = max(c.deadline_us for c in settings.classes)
         self.lifecycle.longest_us = max(self.lifecycle.longest_us, min(LONGEST_US, longest))
-        if hasattr(self, "service_client"):
-            self.service_client.deadlines(settings)
+        if hasattr(self, "frontend"):
+            self.frontend.deadlines(settings)
 
     # The lifecycle
 
@@ -194,11 +194,11 @@
         before = self.lifecycle.state
         for action in self.lifecycle.handle(self.clock(), event, late_us):
             if isinstance(action, Ending):
-                self.service_client.draining = action.on
+                self.frontend.draining = action.on
             elif isinstance(action, CloseIdle):
-                self.service_client.close_idle(action.part)
+                self.frontend.close_idle(action.part)
             elif isinstance(action, CloseUnfinished):
-                self.service_client.close_unfinished()
+                self.frontend.close_unfinished()
             elif isinstance(action, GiveUp):
                 self.engine.finish(action.came_after_us)
             elif isinstance(action, RefuseNew):
@@ -218,7 +218,7 @@
     # Beside another process of this balancer
 
     def _held(self) -> Held:
-        return Held(len(self.service_client.connections), len(self.instances.pool.open), memory_bytes())
+        return Held(len(self.frontend.connections), len(self.server_connections.pool.open), memory_bytes())
 
     def _handover(self) -> Handover:
         discovery, known = self.discovery.held
@@ -227,7 +227,7 @@
     def _limit(self, clients: int) -> None:
         """So many connections of clients there may be, and as many requests, unless each is refused now."""
         self._most_clients = clients
-        self.service_client.limit(clients)
+        self.frontend.limit(clients)
         self.engine.limit(0 if self._refusing else min(self.config.max_open, clients))
 
     def _beside(self, others: list[Held]) -> None:
@@ -237,7 +237,7 @@
             config.client_sockets // PART_LEAST, config.client_sockets - sum(o.clients for o in others)
         )
         self._limit(clients)
-        self.instances.pool.limit(
+        self.server_connections.pool.limit(
             max(
                 config.instance_sockets // PART_LEAST,
                 config.instance_sockets - sum(o.instances for o in others),
@@ -266,12 +266,12 @@
 
     def descriptors(self) -> int:
         """Sockets held: connections of clients and to instances, operators' calls, and the program's own."""
-        connections = len(self.service_client.connections) + len(self.instances.pool.open)
+        connections = len(self.frontend.connections) + len(self.server_connections.pool.open)
         return connections + len(self.door.open) + OWN_SOCKETS
 
     def tighten(self, on: bool) -> None:
-        self.service_client.tight = on
-        self.instances.pool.hold = HOLD_TIGHT if on else HOLD
+        self.frontend.tight = on
+        self.server_connections.pool.hold = HOLD_TIGHT if on else HOLD
 
     def print_counters(self, reason: str) -> None:
         """One log line with all counts and the last reading of the program's own load."""
@@ -304,7 +304,7 @@
         await self._leave.wait()
         if self._accepted:
             await self._accepted
-        await self.service_client.all_gone(self._leave_by.by_us, self._leave_by.written_by_us)
+        await self.frontend.all_gone(self._leave_by.by_us, self._leave_by.written_by_us)
         await self.parts.stop()
 
     async def abandon(self) -> None:
@@ -323,7 +323,7 @@
         self._app = app
 
     async def stop(self) -> None:
-        await self._app.instances.close()
+        await self._app.server_connections.close()
         self._app.wheel.close()
 
 
@@ -356,7 +356,7 @@
     """The clients' side, and what tells it how much this program can take."""
 
     def __init__(self, app: App) -> None:
-        super().__init__(lambda: app.service_client.sweep_for_ever())
+        super().__init__(lambda: app.frontend.sweep_for_ever())
         self._app = app
 
     async def start(self) -> None:
@@ -371,7 +371,7 @@
             app.cpu_us,
             lambda: memory_bytes() + app.memory_beside,
         )
-        app.service_client = ServiceClient(
+        app.frontend = Frontend(
             config,
             app.engine,
             app.counters,
@@ -380,7 +380,7 @@
             app.wheel,
             app.own_load.came_us,
         )
-        app.service_client.deadlines(app.settings)  # a store's version holds by now
+        app.frontend.deadlines(app.settings)  # a store's version holds by now
         await super().start()
 
     async def stop(self) -> None:
@@ -433,7 +433,7 @@
             await app.succession.seen()
             if app.succession.draining():
                 app.tell(Event.OUT_OF_SERVICE)
-        app.listener = await serve(app.service_client, config.listen, config.socket_fd, app.bind)
+        app.listener = await serve(app.frontend, config.listen, config.socket_fd, app.bind)
 
 
 # The parts that are configured
--- a/roadlb/lab/model/shedding.py
+++ b/roadlb/lab/model/shedding.py
@@ -45,7 +45,7 @@
 
 SECOND = 1_000_000
 PERIOD_US = 100_000  # of the quota
-MARGIN_US = 10_000  # what the way here and back takes off a client's time, as in net/service_client.py
+MARGIN_US = 10_000  # what the way here and back takes off a client's time, as in net/frontend.py
 WAY_US = 1_000  # to the balancer and back
 READ, ORDER = 0, 1
 
--- a/roadlb/net/client_connection.py
+++ b/roadlb/net/client_connection.py
@@ -1,6 +1,6 @@
 """One client's connection: bytes in, whole requests in turn, one answer out for each.
 
-What a request means is `service_client`'s matter.  Here is what HTTP/1.1 makes of the bytes, on httptools'
+What a request means is `frontend`'s matter.  Here is what HTTP/1.1 makes of the bytes, on httptools'
 parser, and when the connection reads, waits, and ends.
 
     head ──> body ──> waiting in line ──> open (at the engine) ──> answered ──> head ...
@@ -27,7 +27,7 @@
 
 if TYPE_CHECKING:
     from ..wheel import Timer
-    from .service_client import ServiceClient
+    from .frontend import Frontend
 
 SLICE = 16_384  # bytes parsed before what is whole among them is served
 BYTE_US = 60  # a body's byte may take so long: 16 kB a second, where clients send 64 kB at the least
@@ -133,7 +133,7 @@
         "unwanted_us",
     )
 
-    def __init__(self, client: ServiceClient) -> None:
+    def __init__(self, client: Frontend) -> None:
         self._client = client
         self._parser = HttpRequestParser(self)
         self._reading: Request | None = None  # not whole yet
--- a/roadlb/net/discovery.py
+++ b/roadlb/net/discovery.py
@@ -16,7 +16,7 @@
 from ..engine import Engine
 from ..log import fields
 from ..policy.interface import ListKind, Member, ServerId, ServerState
-from .instances import Instances
+from .server_connections import ServerConnections
 from .watch import DiscoveryWatch, WatchBroken, WatchState
 
 logger = logging.getLogger(__name__)
@@ -57,7 +57,7 @@
         zones: tuple[str, ...],
         kinds: tuple[str, ...],
         engine: Engine,
-        instances: Instances,
+        instances: ServerConnections,
         counters: Counters,
         clock: Clock,
         wall: Clock,
--- a/roadlb/net/service_client.py
+++ b/roadlb/net/frontend.py
@@ -77,7 +77,7 @@
 read_again = lru_cache(TARGETS_KEPT)(read_target)
 
 
-class ServiceClient:
+class Frontend:
     """Accepts clients' connections; `loop.create_server` takes it as the protocol factory."""
 
     def __init__(
@@ -187,7 +187,7 @@
     def watch_paused(self, connection: ClientConnection) -> None:
         """Its transport does not read, and so does not tell that its client leaves: look after it."""
         if not self._paused:
-            self._wheel.at(self.clock() + PAUSED_LOOK_US, ServiceClient._look_at_paused, self)
+            self._wheel.at(self.clock() + PAUSED_LOOK_US, Frontend._look_at_paused, self)
         self._paused[connection] = None
 
     def _look_at_paused(self) -> None:
--- a/roadlb/net/pool.py
+++ b/roadlb/net/pool.py
@@ -19,7 +19,7 @@
 from ..wheel import Wheel
 from .headers import LoadReports
 from .http import HOLD
-from .instance_connection import Call, InstanceConnection
+from .server_connection import Call, ServerConnection
 
 SWEEP_S = 0.25
 CLOSING_TURNS = 10  # of the event loop, at the most, for aborted connections to be told that they ended
@@ -39,12 +39,12 @@
         self._most, self._keep_us, self._dial_us = most, keep_us, dial_us
         self._loop = asyncio.get_running_loop()
         self._addresses: Mapping[ServerId, Address] = {}
-        self.open: dict[InstanceConnection, None] = {}
+        self.open: dict[ServerConnection, None] = {}
         self._dialling: dict[Call, None] = {}
         # Those that wait for a call: of each instance, and of all in the order in which they began to.
-        self._idle: dict[ServerId, dict[InstanceConnection, None]] = {}
-        self._all_idle: dict[InstanceConnection, None] = {}
-        self._resting: list[InstanceConnection] = []
+        self._idle: dict[ServerId, dict[ServerConnection, None]] = {}
+        self._all_idle: dict[ServerConnection, None] = {}
+        self._resting: list[ServerConnection] = []
         self._sweeping = False
         self.hold = HOLD  # bytes of an answer before it flows
 
@@ -82,7 +82,7 @@
             call.connection.give_up()
 
     async def _dial(self, call: Call, address: Address) -> None:
-        connection = InstanceConnection(self, call.server, address)
+        connection = ServerConnection(self, call.server, address)
         protocol = cast(asyncio.Protocol, connection)
         ending, error = None, ""
         try:
@@ -108,7 +108,7 @@
             self._unmade(connection)
             call.ended(Result(ending or Ending.DIAL_FAILED), error)
 
-    def _unmade(self, connection: InstanceConnection) -> None:
+    def _unmade(self, connection: ServerConnection) -> None:
         """A dial that was called off as it succeeded: uvloop then closes the handle, says that it is not
         closing, and never calls connection_lost."""
         connection.close()
@@ -128,14 +128,14 @@
         for connection in list(self._idle.get(server, ())):
             self._drop(connection)
 
-    def opened(self, connection: InstanceConnection) -> None:
+    def opened(self, connection: ServerConnection) -> None:
         self.open[connection] = None
 
-    def closed(self, connection: InstanceConnection) -> None:
+    def closed(self, connection: ServerConnection) -> None:
         self.open.pop(connection, None)
         self._forget(connection)
 
-    def rest(self, connection: InstanceConnection) -> None:
+    def rest(self, connection: ServerConnection) -> None:
         """It has carried its answer; from the turn after next on, when what was there has been read, it may
         carry another request."""
         connection.rested_us = self.clock()
@@ -158,7 +158,7 @@
             self._sweeping = True
             self.wheel.at(self.clock() + int(SWEEP_S * 1e6), self._sweep, None)
 
-    def _take(self, server: ServerId) -> InstanceConnection | None:
+    def _take(self, server: ServerId) -> ServerConnection | None:
         """The connection that has waited for the shortest time, of those that have settled."""
         idle = self._idle.get(server)
         if not idle:
@@ -173,10 +173,10 @@
             connection.close()
         return None
 
-    def _choose(self, idle: dict[InstanceConnection, None]) -> InstanceConnection:
+    def _choose(self, idle: dict[ServerConnection, None]) -> ServerConnection:
         """The last to rest that has settled; the first to rest, if none has."""
         settled_us = self.clock() - SETTLE_US
-        longest: InstanceConnection | None = None
+        longest: ServerConnection | None = None
         for connection in reversed(idle):
             if connection.rested_us <= settled_us:
                 return connection
@@ -184,14 +184,14 @@
         assert longest is not None
         return longest
 
-    def _forget(self, connection: InstanceConnection) -> None:
+    def _forget(self, connection: ServerConnection) -> None:
         self._all_idle.pop(connection, None)
         if (idle := self._idle.get(connection.server)) is not None:
             idle.pop(connection, None)
             if not idle:
                 del self._idle[connection.server]
 
-    def _drop(self, connection: InstanceConnection) -> None:
+    def _drop(self, connection: ServerConnection) -> None:
         self._forget(connection)
         connection.close()
 
--- a/roadlb/net/instance_connection.py
+++ b/roadlb/net/server_connection.py
@@ -56,7 +56,7 @@
     until_us: int
     ended: Callable[[Result, str], None]
     attempt: Execution | None
-    connection: InstanceConnection | None
+    connection: ServerConnection | None
     address: Address | None  # to which it is dialled
     dialling: asyncio.Task[None] | None
     timer: Timer | None
@@ -88,7 +88,7 @@
         return request_bytes(self.attempt.message, self.attempt.left_at(now_us))
 
 
-class InstanceConnection:
+class ServerConnection:
     """An asyncio.Protocol by its methods, told what to send by the pool, to which it comes back to rest."""
 
     __slots__ = (
@@ -367,7 +367,7 @@
                 self._begin_flow(self._call)
             if not self._stall and (self._call is not None or self._flow is not None):
                 self._stall = self._pool.wheel.at(
-                    self._heard_us + int(PAUSE_S * 1e6), InstanceConnection._stalled, self
+                    self._heard_us + int(PAUSE_S * 1e6), ServerConnection._stalled, self
                 )
 
     def _begin_flow(self, call: Call) -> None:
@@ -531,7 +531,7 @@
         until = self._heard_us + int((PAUSE_S if self._flow is None else FLOW_PAUSE_S) * 1e6)
         if self._paused or until > now:
             self._stall = self._pool.wheel.at(
-                max(until, now + int(PAUSE_S * 1e6)), InstanceConnection._stalled, self
+                max(until, now + int(PAUSE_S * 1e6)), ServerConnection._stalled, self
             )
         else:
             self._end(Result(Ending.GARBLED), "never whole", keep=False)
--- a/roadlb/net/instances.py
+++ b/roadlb/net/server_connections.py
@@ -14,7 +14,7 @@
 from ..policy.interface import ServerId
 from ..wheel import Wheel
 from .headers import LoadReports
-from .instance_connection import Call
+from .server_connection import Call
 from .pool import Pool
 
 logger = logging.getLogger(__name__)
@@ -28,7 +28,7 @@
     """In place of what has been told already."""
 
 
-class Instances:
+class ServerConnections:
     """The engine's executor over HTTP/1.1; told by discovery where instances listen."""
 
     def __init__(
--- a/setup.py
+++ b/setup.py
@@ -34,10 +34,10 @@
     "net/http",
     "net/server_request",
     "net/client_connection",
-    "net/service_client",
-    "net/instance_connection",
+    "net/frontend",
+    "net/server_connection",
     "net/pool",
-    "net/instances",
+    "net/server_connections",
     "overload/pulse",
     "own_load",
 )
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -22,7 +22,7 @@
 from roadlb.log import KeyValueFormatter, fields
 from roadlb.net.headers import Faulty, Headers, LoadReports
 from roadlb.net.discovery import MalformedList, ServerDiscovery, server_id
-from roadlb.net.service_client import key_number
+from roadlb.net.frontend import key_number
 from roadlb.policy.interface import (
     NEVER_RAN,
     Action,
--- a/tests/lab/run/faulty_balancers.py
+++ b/tests/lab/run/faulty_balancers.py
@@ -189,7 +189,7 @@
     def _life(self, event: Event) -> None:
         if event is not Event.WAKE:
             super()._life(event)
-        self.service_client.draining = False
+        self.frontend.draining = False
 
 
 FAULTS: dict[str, tuple[type[App], str]] = {
--- a/tests/lab/run/test_run_hard_cases.py
+++ b/tests/lab/run/test_run_hard_cases.py
@@ -80,7 +80,7 @@
         await asyncio.sleep(2)
         assert doomed[0] > 0 and all(client.got.count(b"HTTP/1.1 ") == 1 for client in clients)
         assert sum(client.got.startswith(b"HTTP/1.1 200") for client in clients) >= 20
-        assert len(stage.app.service_client.connections) == 40
+        assert len(stage.app.frontend.connections) == 40
         return ran
 
     assert max(play(scene).values()) == 1
@@ -162,8 +162,8 @@
         await asyncio.sleep(3)
         assert sum(client.got.startswith(b"HTTP/1.1 200") for client in sound) > 50
         assert all(client.got.count(b"HTTP/1.1 ") == 1 for client in sound)
-        assert all(connection not in stage.app.service_client.connections for connection in deaf)
-        assert len(stage.app.service_client.connections) == len(sound), "those that take nothing are ended"
+        assert all(connection not in stage.app.frontend.connections for connection in deaf)
+        assert len(stage.app.frontend.connections) == len(sound), "those that take nothing are ended"
 
     play(scene)
 
--- a/tests/net/attempt_rig.py
+++ b/tests/net/attempt_rig.py
@@ -21,7 +21,7 @@
 from roadlb.config import Address
 from roadlb.engine import Engine
 from roadlb.exchange import Answer, Ending, Exchange, Message
-from roadlb.net.instances import Instances
+from roadlb.net.server_connections import ServerConnections
 from roadlb.policy.interface import NEVER_RAN, Action, Arrival, Event, Fail, Outcome, Send, ServerId
 from roadlb.wheel import Wheel
 
@@ -174,7 +174,7 @@
         wheel = Wheel(self.clock)
         self.engine = Engine(self.decider, self.counters, self.clock, wheel)
         config = replace(CONFIG, dial_timeout_us=int(LIMIT_S * 1e6))
-        self.instances = Instances(config, self.engine, self.counters, self.clock, wheel)
+        self.instances = ServerConnections(config, self.engine, self.counters, self.clock, wheel)
         self.engine.executor = self.instances
         self.answers: list[Answer] = []
         self.answered = asyncio.Event()
--- a/tests/net/harness.py
+++ b/tests/net/harness.py
@@ -22,8 +22,8 @@
 from roadlb.counters import Counters
 from roadlb.engine import UPLOAD_US, Engine
 from roadlb.exchange import Ending, Exchange, Execution, Message, Result, Served
-from roadlb.net.instances import Instances
-from roadlb.net.service_client import ServiceClient
+from roadlb.net.server_connections import ServerConnections
+from roadlb.net.frontend import Frontend
 from roadlb.policy.interface import Action, Arrival, Event, Fail, Outcome, Send
 from roadlb.wheel import Wheel
 
@@ -90,12 +90,12 @@
 def new_service_client(engine: Engine, counters: Counters) -> Callable[[], asyncio.Protocol]:
     """A factory of clients' connections."""
     clock = _clock()
-    return ServiceClient(CONFIG, engine, counters, lambda: True, clock, Wheel(clock))
+    return Frontend(CONFIG, engine, counters, lambda: True, clock, Wheel(clock))
 
 
-def new_instances(engine: Engine, counters: Counters) -> Instances:
+def new_instances(engine: Engine, counters: Counters) -> ServerConnections:
     clock = _clock()
-    instances = Instances(CONFIG, engine, counters, clock, Wheel(clock))
+    instances = ServerConnections(CONFIG, engine, counters, clock, Wheel(clock))
     instances.list_update({NODE_ID: ("s1", Address("127.0.0.1", 9))}, [], whole=True)
     return instances
 
@@ -106,7 +106,7 @@
     return lambda: loop.now_us
 
 
-async def closed(instances: Instances) -> None:
+async def closed(instances: ServerConnections) -> None:
     await instances.close()
 
 
--- a/tests/net/test_attempt_crossings.py
+++ b/tests/net/test_attempt_crossings.py
@@ -221,13 +221,13 @@
         stage = Stage()
         await stage.grid("1")
         dials = Dials()
-        stage.app.instances.pool._loop = dials  # type: ignore[assignment]
+        stage.app.server_connections.pool._loop = dials  # type: ignore[assignment]
         await stage.step("a send GET /grid-read/k")
         await dials.made.wait()
         await stage.step("a close" if end == "FIN" else "a reset")
         while not stage.app.counters["client_gone"]:
             await asyncio.sleep(0)
-        assert not stage.app.instances.pool.dialled()
+        assert not stage.app.server_connections.pool.dialled()
         dials.up.set()
         await turns(20)
         assert stage.app.counters["sends"] == 0 and stage.waiting["i"].empty()
@@ -244,11 +244,11 @@
         await stage.grid("1")
         await stage.step("d expect GET")
         dials = Dials()
-        stage.app.instances.pool._loop = dials  # type: ignore[assignment]
+        stage.app.server_connections.pool._loop = dials  # type: ignore[assignment]
         await stage.step("a send POST /order/k")
         await dials.made.wait()
         await stage.step("d send draining")
-        assert not stage.app.instances.pool.dialled()  # not only when its time is up
+        assert not stage.app.server_connections.pool.dialled()  # not only when its time is up
         await stage.step("a expect 503")  # refused: never sent, and there is no other server
         dials.up.set()
         await turns(20)
--- a/tests/net/test_broken_writes.py
+++ b/tests/net/test_broken_writes.py
@@ -12,7 +12,7 @@
 
 from roadlb.config import IDLE_PART
 from roadlb.exchange import Ending, Exchange, Failed, Served
-from roadlb.net.instance_connection import InstanceConnection
+from roadlb.net.server_connection import ServerConnection
 from roadlb.net.pool import SETTLE_US
 from roadlb.policy.interface import Outcome
 
@@ -163,7 +163,7 @@
 @pytest.mark.interpreted
 def test_an_order_whose_write_fails_never_ran(monkeypatch: pytest.MonkeyPatch) -> None:
     # Reset between the look at the connection and the write: the kernel takes no byte.
-    monkeypatch.setattr(InstanceConnection, "quiet", True)
+    monkeypatch.setattr(ServerConnection, "quiet", True)
 
     async def main() -> None:
         rig = Rig(2)
--- a/tests/net/test_client_closing.py
+++ b/tests/net/test_client_closing.py
@@ -14,7 +14,7 @@
 from test_client_leaves import begun, only, order, over, step, until
 
 from roadlb.lifecycle.lifecycle import Event
-from roadlb.net import client_connection, service_client
+from roadlb.net import client_connection, frontend
 
 ASKED = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
 CLOSE = "Connection: close"
@@ -47,7 +47,7 @@
     async def whole() -> None:
         stage = await begun(grid)
         plain = Plain(stage)
-        await until(lambda: stage.app.service_client.connections)
+        await until(lambda: stage.app.frontend.connections)
         await main(stage, plain)
         plain.close()
         await over(stage)
@@ -74,7 +74,7 @@
         await until(lambda: connection._discarded)
         got = await plain.rest()
         assert got.count("HTTP/1.1") == 1 and CLOSE in got and got.endswith("done")
-        await until(lambda: not stage.app.service_client.connections)
+        await until(lambda: not stage.app.frontend.connections)
         assert stage.app.counters["taken"] == 1
 
     play(loop, "1", main)
@@ -118,7 +118,7 @@
                 except ConnectionError:
                     break
                 await asyncio.sleep(0)
-        await until(lambda: not stage.app.service_client.connections)
+        await until(lambda: not stage.app.frontend.connections)
         assert connection._discarded <= client_connection.DISCARDED_MOST + (
             1 << 19
         )  # and two reads of the loop
@@ -160,15 +160,15 @@
 
 
 def idles(stage: Stage) -> None:
-    stage.app.service_client.sweep()
+    stage.app.frontend.sweep()
 
 
 def drains(stage: Stage) -> None:
-    stage.app.service_client.close_idle(1.0)
+    stage.app.frontend.close_idle(1.0)
 
 
 def crowds(stage: Stage) -> None:
-    client = stage.app.service_client
+    client = stage.app.frontend
     client.limit(0)
     client.connected(client_connection.ClientConnection(client))
 
@@ -180,9 +180,9 @@
 ) -> None:
     async def main(stage: Stage, plain: Plain) -> None:
         await asked(stage, plain)
-        monkeypatch.setattr(service_client, "IDLE_S", -1.0)
-        monkeypatch.setattr(service_client, "SPARE_IDLE_S", -1.0)
-        monkeypatch.setattr(service_client, "FEW", 2)
+        monkeypatch.setattr(frontend, "IDLE_S", -1.0)
+        monkeypatch.setattr(frontend, "SPARE_IDLE_S", -1.0)
+        monkeypatch.setattr(frontend, "FEW", 2)
         plain.send(order(1))
         closes(stage)
         monkeypatch.undo()
@@ -197,7 +197,7 @@
 
 def only_open(stage: Stage) -> client_connection.ClientConnection:
     """The one that has a transport: a test may have announced another, which has none."""
-    connections = stage.app.service_client.connections
+    connections = stage.app.frontend.connections
     for connection in [c for c in connections if c.transport is None]:
         del connections[connection]
     return only(stage)
@@ -210,7 +210,7 @@
         plain.send(text[:-2])
         await until(lambda: only(stage).started_us)
         plain.send(text[-2:])
-        stage.app.service_client.close_unfinished()
+        stage.app.frontend.close_unfinished()
         await step(stage, "i1 expect POST")
         await step(stage, "i1 send 200 done")
         await until(lambda: not only(stage).exchange)
@@ -225,7 +225,7 @@
     async def main(stage: Stage, plain: Plain) -> None:
         await asked(stage, plain)
         connection = only(stage)
-        stage.app.service_client.close_idle(1.0)
+        stage.app.frontend.close_idle(1.0)
         plain.send(order(1))
         assert (await plain.rest()).count("HTTP/1.1") == 1  # it ends in good order, and can be sent once more
         await until(lambda: connection.transport is None)
@@ -238,15 +238,15 @@
 def test_connections_that_wait_for_their_clients_end_make_room_first(
     monkeypatch: pytest.MonkeyPatch, loop: str
 ) -> None:
-    monkeypatch.setattr(service_client, "LINGER_S", 100.0)
+    monkeypatch.setattr(frontend, "LINGER_S", 100.0)
 
     async def main(stage: Stage, plain: Plain) -> None:
         connection = only(stage)
         plain.send("nonsense\r\n\r\n")
         await until(lambda: connection.lingers)
-        stage.app.service_client.limit(1)
+        stage.app.frontend.limit(1)
         other = Plain(stage)
-        await until(lambda: connection not in stage.app.service_client.connections)
+        await until(lambda: connection not in stage.app.frontend.connections)
         assert stage.app.counters["client.crowded"] == 0
         other.close()
 
@@ -258,7 +258,7 @@
     async def main(stage: Stage, plain: Plain) -> None:
         plain.send(order(1))
         await step(stage, "i1 expect POST")
-        (to_server,) = stage.app.instances.pool.open
+        (to_server,) = stage.app.server_connections.pool.open
         for transport in (only(stage).transport, to_server.transport):
             assert transport is not None
             connection = transport.get_extra_info("socket")
--- a/tests/net/test_client_leaves.py
+++ b/tests/net/test_client_leaves.py
@@ -28,7 +28,7 @@
 
 
 def only(stage: Stage) -> ClientConnection:
-    (connection,) = stage.app.service_client.connections
+    (connection,) = stage.app.frontend.connections
     return connection
 
 
@@ -105,7 +105,7 @@
         await until(lambda: only(stage).reading_paused)
         leave(link, how)
         await step(stage, "i1 expect closed")
-        await until(lambda: not stage.app.service_client.connections)
+        await until(lambda: not stage.app.frontend.connections)
         assert stage.app.counters["taken"] == 1
         await over(stage)
 
@@ -217,7 +217,7 @@
             leave(link, how)
         for i in range(count):
             await step(stage, f"i{i} expect closed")
-        await until(lambda: not stage.app.service_client.connections)
+        await until(lambda: not stage.app.frontend.connections)
         assert stage.app.counters["client_gone"] == stage.app.counters["taken"] == count
         await over(stage)
 
--- a/tests/net/test_slow.py
+++ b/tests/net/test_slow.py
@@ -7,7 +7,7 @@
 from corpus import get
 from harness import Answerer, Module, Recorded, StubLoop, Wire, new_engine, new_service_client, run, settle
 
-from roadlb.net import client_connection, service_client
+from roadlb.net import client_connection, frontend
 
 
 async def connected(loop: StubLoop, counters: Recorded) -> tuple[Wire, Answerer, Any]:
@@ -47,7 +47,7 @@
         wire.feed(get(id=1).encode())
         await settle(loop)
         wire.protocol.pause_writing()
-        for seconds, end in ((service_client.REQUEST_S, ""), (0.1, "aborted")):
+        for seconds, end in ((frontend.REQUEST_S, ""), (0.1, "aborted")):
             loop.now_us += int(seconds * 1e6)
             client.sweep()
             assert wire.end == end
--- a/tests/net/test_watch_balancer.py
+++ b/tests/net/test_watch_balancer.py
@@ -59,7 +59,7 @@
         left["instances"].pop(0)  # the one that is connected
         text = json.dumps(left).replace(" ", "")
         await steps(stage, f"d send raw {text}")
-        (listed,) = stage.app.instances.pool._addresses.values()
+        (listed,) = stage.app.server_connections.pool._addresses.values()
         assert str(listed) == stage.names[1] and stage.app.gauges()["cluster_size"] == 1
         open_before = stage.connections
         await steps(stage, "a send POST /order/x", "i9 expect POST", "i9 send 200", "a expect 200")
