--- a/benchmarks/profile_path.py
+++ b/benchmarks/profile_path.py
@@ -55,7 +55,10 @@
             r"ServerConnection\.(_head\w*|_end\w*|_over|_judge) ",
             r"ClientResponse\.(start|read) ",
         ),
-        "instance side: the rest": (r"roadlb/net/(server_connection|server_request|pool)", r"aiohttp/(client|connector)"),
+        "instance side: the rest": (
+            r"roadlb/net/(server_connection|server_request|pool)",
+            r"aiohttp/(client|connector)",
+        ),
         "discovery": (r"roadlb/net/discovery",),
         "tasks, futures, timers": (
             r"roadlb/wheel",
--- a/roadlb/engine.py
+++ b/roadlb/engine.py
@@ -14,7 +14,7 @@
 
 from .clock import Clock
 from .counters import Counters
-from .exchange import Answer, Ending, Exchange, Execution, Failed, Nack, Result, Served
+from .exchange import Answer, AttemptOutcome, Exchange, Attempt, Failed, Refusal, Result, Served
 from .log import fields
 from .policy.interface import (
     Action,
@@ -68,12 +68,12 @@
 class Executor(Protocol):
     """The side that reaches the instances."""
 
-    def start(self, execution: Execution) -> None: ...
+    def start(self, attempt: Attempt) -> None: ...
 
-    def cancel(self, execution: Execution, unsent: bool = False) -> None:
-        """`unsent`: only if nothing of it can have been sent, which its ending then tells."""
+    def cancel(self, attempt: Attempt, unsent: bool = False) -> None:
+        """`unsent`: only if nothing of it can have been sent, which its outcome then tells."""
 
-    def extend(self, execution: Execution) -> None:
+    def extend(self, attempt: Attempt) -> None:
         """Its `until_us` has changed."""
 
     def probe(self, server: ServerId) -> None: ...
@@ -97,11 +97,11 @@
         self._events: deque[Event] = deque()
         self._busy, self._now = False, 0  # carrying out an event, and when it began
         self._next_id = 1
-        self._open: dict[int, Exchange] = {}  # with an answer owed, or an execution still out
+        self._open: dict[int, Exchange] = {}  # with an answer owed, or an attempt still out
         self._leaving: list[Exchange] = []  # closed in this turn, whose actions may still concern them
         self._short = False  # of this program's own means, as the module was told
         self._flowing = 0  # answers that are on their way to clients
-        self._asked = self._refused = 0  # requests that came, and those refused before any execution
+        self._asked = self._refused = 0  # requests that came, and those refused before any attempt
         self._answers = {
             (kind, i): f"{_ANSWER[kind]}.{name}" for kind in _ANSWER for i, name in enumerate(class_names)
         }
@@ -111,7 +111,7 @@
             for short in (False, True)
         }
         self.executor: Executor | None = None
-        self.on_outcome: Callable[[ServerId, Status], None] | None = None  # told of each execution's end
+        self.on_outcome: Callable[[ServerId, Status], None] | None = None  # told of each attempt's end
         self.lapse_us = NEVER  # what was granted for a time ends then: `lapsed` is called
         self.lapsed: Callable[[], None] = lambda: None
         self._carry_out: dict[type, Callable[[Any], None]] = {
@@ -132,8 +132,8 @@
         if len(self._open) >= self._max_open:
             # Out of sockets every request would fail; nothing of this one has run, so it may come again.
             self._counters.add("full")
-            exchange.answer = Nack(FULL_RETRY_US)
-            self._count_answer(Nack, exchange.class_index)
+            exchange.answer = Refusal(FULL_RETRY_US)
+            self._count_answer(Refusal, exchange.class_index)
             exchange.on_answer(exchange, exchange.answer)
             return
         exchange.id, self._next_id = self._next_id, self._next_id + 1
@@ -172,12 +172,12 @@
             return
         exchange.coming, now = False, self._clock()
         exchange.came_us, exchange.until_us = now, now + exchange.left_us
-        for execution in exchange.executions:
-            if execution.ending is None:
-                execution.started_us, execution.until_us, execution.left_us = now, exchange.until_us, 0
-                execution.write_by_us = exchange.until_us
+        for attempt in exchange.attempts:
+            if attempt.outcome is None:
+                attempt.started_us, attempt.until_us, attempt.left_us = now, exchange.until_us, 0
+                attempt.write_by_us = exchange.until_us
                 assert self.executor
-                self.executor.extend(execution)
+                self.executor.extend(attempt)
         self._feed(BodyWhole(exchange.id, max(1, exchange.left_us)), now)
         self._watch_over(exchange)
 
@@ -214,7 +214,7 @@
         """Is part of the demand to be refused for want of the program's own means?"""
         return self._short
 
-    def offer(self, class_index: int, tenant: int, key: int, left_us: int, work_us: int) -> Nack | None:
+    def offer(self, class_index: int, tenant: int, key: int, left_us: int, work_us: int) -> Refusal | None:
         """Would the module refuse this request, whose body has not come?  Then it need not be opened."""
         try:
             actions = self._balancer.handle(self._clock(), Offer(class_index, tenant, key, left_us, work_us))
@@ -226,9 +226,9 @@
             if isinstance(action, Refuse):
                 self._asked += 1
                 self._counters.add("offer.nack")
-                self._count_answer(Nack, class_index)
+                self._count_answer(Refusal, class_index)
                 self._count_shed(class_index)
-                return Nack(action.retry_after_us)
+                return Refusal(action.retry_after_us)
         return None
 
     def shortage(self, share: float) -> None:
@@ -274,33 +274,33 @@
     def list_update(self, kind: ListKind, members: list[Member]) -> None:
         self._feed(ListUpdate(kind, members))
 
-    def execution_ended(self, execution: Execution, result: Result) -> None:
-        """The executor reports each execution's end exactly once."""
-        exchange, execution.ending = self._open[execution.request], result.ending
-        self._counters.add(_EXECUTION[result.ending])
+    def attempt_ended(self, attempt: Attempt, result: Result) -> None:
+        """The executor reports each attempt's end exactly once."""
+        exchange, attempt.outcome = self._open[attempt.request], result.outcome
+        self._counters.add(_ATTEMPT_COUNTERS[result.outcome])
         if result.answer is not None:
             self._answer(exchange.id, result.answer)
         now = self._clock()
         self._feed(
             Outcome(
                 exchange.id,
-                execution.number,
-                execution.server,
-                result.ending.status,
-                now - execution.started_us,
+                attempt.number,
+                attempt.server,
+                result.outcome.status,
+                now - attempt.started_us,
                 exchange.closed,
                 result.report,
             ),
             now,
         )
         if self.on_outcome:
-            self.on_outcome(execution.server, result.ending.status)
+            self.on_outcome(attempt.server, result.outcome.status)
         self._withdraw(exchange)
         self._forget(exchange)
 
     def probe_ended(self, server: ServerId, latency_us: int, result: Result) -> None:
-        self._counters.add(f"probe.{result.ending.value}")
-        self._feed(Probed(server, result.ending.status, latency_us, result.report))
+        self._counters.add(f"probe.{result.outcome.value}")
+        self._feed(Probed(server, result.outcome.status, latency_us, result.report))
 
     def _feed(self, event: Event, now: int | None = None) -> None:
         """Play an event, and those that carrying out its actions brings at once, strictly in turn."""
@@ -348,7 +348,7 @@
 
     def _give_up(self, exchange: Exchange, reason: str) -> None:
         """Answer without the module, and let it know that the request is over."""
-        self._answer(exchange.id, Failed(reason) if exchange.executions else Nack(FULL_RETRY_US))
+        self._answer(exchange.id, Failed(reason) if exchange.attempts else Refusal(FULL_RETRY_US))
         self._feed(ClientGone(exchange.id))
         self._withdraw(exchange)
 
@@ -363,28 +363,28 @@
         if exchange is None:
             return  # answered without the module, which hears of it in its next event
         until = min(exchange.until_us, now + action.timeout_us) if action.timeout_us else exchange.until_us
-        execution = Execution(
+        attempt = Attempt(
             exchange.id,
             exchange.message,
-            len(exchange.executions),
+            len(exchange.attempts),
             action.server,
             now,
             until,
             exchange.left_us if exchange.coming else 0,
             action.write_by_us,
         )
-        exchange.executions.append(execution)
+        exchange.attempts.append(attempt)
         self._counters.add("execution")
         if exchange.closed:
-            self.execution_ended(execution, Result(Ending.NEVER_STARTED))
+            self.attempt_ended(attempt, Result(AttemptOutcome.NEVER_STARTED))
         else:
-            self.executor.start(execution)
+            self.executor.start(attempt)
 
     def _refuse(self, action: Refuse) -> None:
         exchange = self._open.get(action.request)
-        if exchange and not exchange.executions and not exchange.closed:
+        if exchange and not exchange.attempts and not exchange.closed:
             self._count_shed(exchange.class_index)
-        self._answer(action.request, Nack(action.retry_after_us))
+        self._answer(action.request, Refusal(action.retry_after_us))
         if exchange:
             self._withdraw(exchange)
 
@@ -396,9 +396,9 @@
 
     def _cancel(self, action: Cancel) -> None:
         exchange = self._open.get(action.request)
-        if exchange and exchange.executions[action.attempt].ending is None:
+        if exchange and exchange.attempts[action.attempt].outcome is None:
             assert self.executor
-            self.executor.cancel(exchange.executions[action.attempt], action.unsent)
+            self.executor.cancel(exchange.attempts[action.attempt], action.unsent)
 
     def _probe(self, action: Probe) -> None:
         assert self.executor
@@ -443,18 +443,18 @@
         """
         if not exchange.closed:
             return
-        for execution in exchange.executions:
-            if execution.ending is None:
+        for attempt in exchange.attempts:
+            if attempt.outcome is None:
                 assert self.executor
-                self.executor.cancel(execution, unsent=True)
+                self.executor.cancel(attempt, unsent=True)
 
     def _forget(self, exchange: Exchange) -> None:
         if exchange.closed:
             if exchange.guard:
                 exchange.guard.cancel()
                 exchange.guard = None
-            for execution in exchange.executions:
-                if execution.ending is None:
+            for attempt in exchange.attempts:
+                if attempt.outcome is None:
                     return
             if self._busy:
                 self._leaving.append(exchange)
@@ -462,5 +462,5 @@
             self._open.pop(exchange.id, None)
 
 
-_EXECUTION = {ending: f"execution.{ending.value}" for ending in Ending}
-_ANSWER: dict[type, str] = {Served: "answered", Nack: "deferred", Failed: "errored"}
+_ATTEMPT_COUNTERS = {outcome: f"execution.{outcome.value}" for outcome in AttemptOutcome}
+_ANSWER: dict[type, str] = {Served: "answered", Refusal: "deferred", Failed: "errored"}
--- a/roadlb/exchange.py
+++ b/roadlb/exchange.py
@@ -1,4 +1,4 @@
-"""Where client side and instance side meet: an exchange, its executions, and how each of those ended."""
+"""Where the client side and the server side meet: an exchange, its attempts, and how each of those ended."""
 
 from __future__ import annotations
 
@@ -14,8 +14,8 @@
     from .wheel import Timer
 
 
-class Ending(Enum):
-    """Every way in which an execution's connection can end."""
+class AttemptOutcome(Enum):
+    """Every way in which an attempt's connection can end."""
 
     SERVED = "served"  # a whole 200
     INSTANCE_ERROR = "instance_error"  # any other whole answer that does not prove that nothing ran
@@ -38,23 +38,23 @@
         return _STATUS[self]
 
 
-# The one place where an ending becomes the decision module's outcome.
+# The one place where an outcome becomes the status that the decision module hears.
 _STATUS = {
-    Ending.SERVED: Status.OK,
-    Ending.INSTANCE_ERROR: Status.ERROR,
-    Ending.TURNED_AWAY: Status.FULL,
-    Ending.DIAL_FAILED: Status.CONNECT_FAILED,
-    Ending.DIAL_TIMED_OUT: Status.CONNECT_FAILED,
-    Ending.BROKE_UNSENT: Status.CONNECT_FAILED,
-    Ending.UNFINISHED: Status.MOOT,
-    Ending.RESET: Status.RESET,
-    Ending.CUT_SHORT: Status.RESET,
-    Ending.GARBLED: Status.SPOILT,
-    Ending.TIMED_OUT: Status.TIMEOUT,
-    Ending.CANCELLED: Status.CANCELLED,
-    Ending.NO_SOCKET: Status.MOOT,
-    Ending.NEVER_STARTED: Status.MOOT,
-    Ending.FAULT: Status.RESET,
+    AttemptOutcome.SERVED: Status.OK,
+    AttemptOutcome.INSTANCE_ERROR: Status.ERROR,
+    AttemptOutcome.TURNED_AWAY: Status.FULL,
+    AttemptOutcome.DIAL_FAILED: Status.CONNECT_FAILED,
+    AttemptOutcome.DIAL_TIMED_OUT: Status.CONNECT_FAILED,
+    AttemptOutcome.BROKE_UNSENT: Status.CONNECT_FAILED,
+    AttemptOutcome.UNFINISHED: Status.MOOT,
+    AttemptOutcome.RESET: Status.RESET,
+    AttemptOutcome.CUT_SHORT: Status.RESET,
+    AttemptOutcome.GARBLED: Status.SPOILT,
+    AttemptOutcome.TIMED_OUT: Status.TIMEOUT,
+    AttemptOutcome.CANCELLED: Status.CANCELLED,
+    AttemptOutcome.NO_SOCKET: Status.MOOT,
+    AttemptOutcome.NEVER_STARTED: Status.MOOT,
+    AttemptOutcome.FAULT: Status.RESET,
 }
 
 
@@ -74,7 +74,7 @@
 
 
 @dataclass(slots=True, init=False)
-class Nack:
+class Refusal:
     """A refusal: nothing was done, or a repeat does no harm."""
 
     retry_after_us: int
@@ -90,7 +90,7 @@
     reason: str
 
 
-Answer: TypeAlias = Served | Nack | Failed
+Answer: TypeAlias = Served | Refusal | Failed
 
 
 @dataclass(slots=True, init=False)
@@ -113,7 +113,7 @@
         self.method, self.target, self.head, self.body, self.flow = method, target, head, body, flow
 
 
-class Execution:
+class Attempt:
     """One attempt at an exchange on one instance; times in microseconds of the engine's clock.
 
     It knows its exchange by `request`, the id, alone: with a reference each way, each request left a cycle
@@ -125,7 +125,7 @@
 
     __slots__ = (
         "write_by_us",
-        "ending",
+        "outcome",
         "left_us",
         "message",
         "number",
@@ -151,7 +151,7 @@
         self.write_by_us = write_by_us or until_us
         self.request, self.message, self.number, self.server = request, message, number, server
         self.started_us, self.until_us = started_us, until_us
-        self.ending: Ending | None = None
+        self.outcome: AttemptOutcome | None = None
 
     def left_at(self, now_us: int) -> int:
         """How long its answer will be waited for if it is written now; 0: it may not be written any more."""
@@ -173,7 +173,7 @@
         "came_us",
         "class_index",
         "coming",
-        "executions",
+        "attempts",
         "gone",
         "guard",
         "id",
@@ -204,7 +204,7 @@
         self.on_answer, self.came_us = on_answer, came_us
         self.id = self.until_us = 0
         self.coming = message.flow is not None
-        self.executions: list[Execution] = []
+        self.attempts: list[Attempt] = []
         self.guard: Timer | None = None
         self.answer: Answer | None = None
         self.gone = False  # the client, before it had an answer
@@ -217,11 +217,13 @@
 
 @dataclass(slots=True, init=False)
 class Result:
-    """What came of an execution or a probe."""
+    """What came of an attempt or a probe."""
 
-    ending: Ending
+    outcome: AttemptOutcome
     report: tuple[float, ...] = ()
     answer: Served | None = None
 
-    def __init__(self, ending: Ending, report: tuple[float, ...] = (), answer: Served | None = None) -> None:
-        self.ending, self.report, self.answer = ending, report, answer
+    def __init__(
+        self, outcome: AttemptOutcome, report: tuple[float, ...] = (), answer: Served | None = None
+    ) -> None:
+        self.outcome, self.report, self.answer = outcome, report, answer
--- a/roadlb/net/client_connection.py
+++ b/roadlb/net/client_connection.py
@@ -430,10 +430,10 @@
     def _offer(self, request: Request) -> None:
         """Its head is whole and its body is not: it is refused now if it would be then, else read on."""
         request.offered = True
-        if nack := self._client.offer(request):
+        if refusal := self._client.offer(request):
             request.given_up = True
             request.body.clear()
-            self._write(answered(nack, last=False))
+            self._write(answered(refusal, last=False))
         elif request.headers.fields.get(EXPECT, b"").lower() == b"100-continue" and not request.size:
             self._write(CONTINUE)
 
--- a/roadlb/net/frontend.py
+++ b/roadlb/net/frontend.py
@@ -17,7 +17,7 @@
 from ..config import Config
 from ..counters import Counters
 from ..engine import Engine
-from ..exchange import Exchange, Message, Nack
+from ..exchange import Exchange, Message, Refusal
 from ..log import Limit, fields
 from ..policy.interface import Effect, Settings
 from ..wheel import Timer, Wheel
@@ -29,7 +29,7 @@
 logger = logging.getLogger(__name__)
 
 # What the way here and back takes off a client's time.  The bench measured at the 99th percentile, from a
-# client's send to the first execution and from an instance's answer to the client, 2.9 and 2.0 ms on a calm
+# client's send to the first attempt and from an instance's answer to the client, 2.9 and 2.0 ms on a calm
 # day, 8.2 and 5.8 ms on an overloaded one.
 MARGIN_US = 10_000
 REQUEST_S = 2.6  # for a request to come whole, from its first byte, or from connecting for the first
@@ -300,7 +300,7 @@
         connection.since_us = now = self.clock()
         self._answered.append((now + RECENT_US, connection.id))
 
-    def offer(self, request: Request) -> Nack | None:
+    def offer(self, request: Request) -> Refusal | None:
         """Would this request, whose body has not come, be refused now?  Then its body need not be read."""
         try:
             class_index, tenant, key, left_us, work_us = self._understand(request)
@@ -323,8 +323,8 @@
         tenant = self._tenants.get(read[2]) if self._tenants else 0
         if class_index is None or self._methods[class_index] != b"GET" or tenant is None or not fit:
             return b""
-        nack = self._engine.offer(class_index, tenant, key, self._deadlines_us[class_index], 0)
-        return answered(nack, last) if nack else b""
+        refusal = self._engine.offer(class_index, tenant, key, self._deadlines_us[class_index], 0)
+        return answered(refusal, last) if refusal else b""
 
     def _reject(self, connection: ClientConnection, request: Request, e: BadRequest) -> None:
         self.counters.add(f"rejected.{e.status}")
--- a/roadlb/net/http.py
+++ b/roadlb/net/http.py
@@ -4,7 +4,7 @@
 
 from http import HTTPStatus
 
-from ..exchange import Answer, Nack, Served
+from ..exchange import Answer, Refusal, Served
 
 HOLD = 65_536  # of a body, before it flows
 HOLD_TIGHT = 4_096  # and where memory is short
@@ -30,7 +30,7 @@
             len(answer.body),
             answer.body,
         )
-    if isinstance(answer, Nack):
+    if isinstance(answer, Refusal):
         advice = b""
         if answer.retry_after_us > 0:
             advice = b"Retry-After: %.3f\r\n" % (answer.retry_after_us / 1e6)
--- a/roadlb/net/pool.py
+++ b/roadlb/net/pool.py
@@ -14,7 +14,7 @@
 
 from ..clock import Clock
 from ..config import Address
-from ..exchange import Ending, Result
+from ..exchange import AttemptOutcome, Result
 from ..policy.interface import ServerId
 from ..wheel import Wheel
 from .headers import LoadReports
@@ -61,9 +61,9 @@
             return
         address = self._addresses.get(call.server)
         if address is None:
-            call.ended(Result(Ending.NEVER_STARTED), "")
+            call.ended(Result(AttemptOutcome.NEVER_STARTED), "")
         elif len(self.open) + len(self._dialling) >= self._most and not self._drop_longest_idle():
-            call.ended(Result(Ending.NO_SOCKET), "")
+            call.ended(Result(AttemptOutcome.NO_SOCKET), "")
         else:
             self._dialling[call] = None
             call.address = address
@@ -84,7 +84,7 @@
     async def _dial(self, call: Call, address: Address) -> None:
         connection = ServerConnection(self, call.server, address)
         protocol = cast(asyncio.Protocol, connection)
-        ending, error = None, ""
+        outcome, error = None, ""
         try:
             async with asyncio.timeout(self._dial_us / 1e6):
                 await self._loop.create_connection(lambda: protocol, address.host, address.port)
@@ -92,21 +92,24 @@
             self._unmade(connection)
             raise
         except TimeoutError:
-            ending = Ending.DIAL_TIMED_OUT
+            outcome = AttemptOutcome.DIAL_TIMED_OUT
         except OSError as e:
-            ending, error = Ending.NO_SOCKET if e.errno in NO_DESCRIPTOR else Ending.DIAL_FAILED, str(e)
+            outcome, error = (
+                AttemptOutcome.NO_SOCKET if e.errno in NO_DESCRIPTOR else AttemptOutcome.DIAL_FAILED,
+                str(e),
+            )
         except Exception as e:
-            ending, error = Ending.DIAL_FAILED, f"{type(e).__name__}: {e}"
+            outcome, error = AttemptOutcome.DIAL_FAILED, f"{type(e).__name__}: {e}"
         call.dialling = None
         if call not in self._dialling:
             self._unmade(connection)  # given up meanwhile
             return
         del self._dialling[call]
-        if ending is None and connection.usable:
+        if outcome is None and connection.usable:
             connection.send(call)
         else:
             self._unmade(connection)
-            call.ended(Result(ending or Ending.DIAL_FAILED), error)
+            call.ended(Result(outcome or AttemptOutcome.DIAL_FAILED), error)
 
     def _unmade(self, connection: ServerConnection) -> None:
         """A dial that was called off as it succeeded: uvloop then closes the handle, says that it is not
--- a/roadlb/net/server_connection.py
+++ b/roadlb/net/server_connection.py
@@ -24,7 +24,7 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from ..config import Address
-from ..exchange import Ending, Execution, Result, Served
+from ..exchange import AttemptOutcome, Attempt, Result, Served
 from ..flow import Flow
 from ..policy.interface import ServerId
 from ..wheel import Timer
@@ -39,7 +39,9 @@
 # Between two pieces of an answer.  One that pauses for longer claims more than it has to give; its request
 # would wait for it till its time is up.  Once it flows, only the client waits, who has part of it.
 PAUSE_S, FLOW_PAUSE_S = 0.5, 10.0
-ANSWERED = frozenset({Ending.SERVED, Ending.TURNED_AWAY, Ending.INSTANCE_ERROR})  # by a whole answer
+ANSWERED = frozenset(
+    {AttemptOutcome.SERVED, AttemptOutcome.TURNED_AWAY, AttemptOutcome.INSTANCE_ERROR}
+)  # by a whole answer
 HOLD_S = 0.05  # an answer of unknown length, which may be long, is held for so long
 PROBE = b"GET /healthz HTTP/1.1\r\nHost: instance\r\n\r\n"
 
@@ -55,7 +57,7 @@
     server: ServerId
     until_us: int
     ended: Callable[[Result, str], None]
-    attempt: Execution | None
+    attempt: Attempt | None
     connection: ServerConnection | None
     address: Address | None  # to which it is dialled
     dialling: asyncio.Task[None] | None
@@ -68,7 +70,7 @@
         server: ServerId,
         until_us: int,
         ended: Callable[[Result, str], None],
-        attempt: Execution | None = None,
+        attempt: Attempt | None = None,
         written: Callable[[], None] | None = None,
         flow: Flow | None = None,
     ) -> None:
@@ -191,7 +193,7 @@
             idle_since_us = self.rested_us  # of a reused one; to the server it idles on
             self._pool.rest(self)
             self.rested_us = idle_since_us or self.rested_us
-            call.ended(Result(Ending.NEVER_STARTED), "")
+            call.ended(Result(AttemptOutcome.NEVER_STARTED), "")
             return
         self._call, call.connection = call, self
         self._await(0)
@@ -199,10 +201,10 @@
         try:
             self.transport.write(data)
         except RuntimeError as e:  # uvloop, where it has closed it and not said so yet
-            self._end(Result(Ending.BROKE_UNSENT), str(e), keep=False)
+            self._end(Result(AttemptOutcome.BROKE_UNSENT), str(e), keep=False)
         else:
             if self.transport.is_closing():  # the write itself failed: the kernel has taken no byte
-                self._end(Result(Ending.BROKE_UNSENT), "closed by the instance", keep=False)
+                self._end(Result(AttemptOutcome.BROKE_UNSENT), "closed by the instance", keep=False)
             elif call.flow is not None:
                 self._upload = call.flow
                 bound(self.transport)
@@ -226,7 +228,7 @@
     def flow_end(self, whole: bool) -> None:
         upload, self._upload = self._upload, None
         if not whole:
-            self._end(Result(Ending.UNFINISHED), "the client left it unfinished", keep=False)
+            self._end(Result(AttemptOutcome.UNFINISHED), "the client left it unfinished", keep=False)
         elif upload is not None:
             if upload.size < 0:
                 self._put(LAST_CHUNK)
@@ -238,7 +240,7 @@
             if self.transport:
                 self.transport.write(data)
         except RuntimeError as e:  # as in `send`
-            self._end(Result(Ending.BROKE_UNSENT), str(e), keep=False)
+            self._end(Result(AttemptOutcome.BROKE_UNSENT), str(e), keep=False)
 
     # The source of an answer's body
 
@@ -348,7 +350,7 @@
             tail = (self._tail + data[-5:])[-5:]
             self._extra = not data.endswith(body) if body else not tail.strip(b"\r\n")
         if self._spoilt:
-            self._end(Result(Ending.GARBLED), self._spoilt, keep=False)
+            self._end(Result(AttemptOutcome.GARBLED), self._spoilt, keep=False)
         elif self._answer:
             self._ended(keep=self._keep and not self._extra and not self._unwritten)
         else:
@@ -375,17 +377,17 @@
         try:
             head = self._headers.passed_on()
         except Faulty as e:
-            self._end(Result(Ending.GARBLED), str(e), keep=False)
+            self._end(Result(AttemptOutcome.GARBLED), str(e), keep=False)
             return
         if self._upload is not None:
             self.close()  # it answers what it has not read: neither connection is of further use
-            call.ended(Result(Ending.GARBLED), "a long answer to half a request")
+            call.ended(Result(AttemptOutcome.GARBLED), "a long answer to half a request")
             return
         held, self._body, self._call = self._body, [], None
         flow = self._flow = Flow(self._length, self)
         bound(self.transport)
         report = self._pool.reports.read(self._headers.fields.get(LOAD))
-        call.ended(Result(Ending.SERVED, report, Served(b"", head, flow)), "")
+        call.ended(Result(AttemptOutcome.SERVED, report, Served(b"", head, flow)), "")
         if not flow.attached:
             flow.drop()
         for piece in held:
@@ -476,10 +478,12 @@
         fields = self._headers.fields
         report = self._pool.reports.read(fields.get(LOAD))
         if self._status == 200:
-            return Result(Ending.SERVED, report, Served(b"".join(self._body), self._headers.passed_on()))
+            return Result(
+                AttemptOutcome.SERVED, report, Served(b"".join(self._body), self._headers.passed_on())
+            )
         if self._status in (503, 504) and fields.get(UNPROCESSED) == b"1":
-            return Result(Ending.TURNED_AWAY, report)
-        return Result(Ending.INSTANCE_ERROR, report)
+            return Result(AttemptOutcome.TURNED_AWAY, report)
+        return Result(AttemptOutcome.INSTANCE_ERROR, report)
 
     # Ends
 
@@ -494,7 +498,7 @@
                 self.transport.resume_reading()
             self._pool.rest(self)
         elif self.transport:
-            if self._unwritten or result.ending not in ANSWERED:
+            if self._unwritten or result.outcome not in ANSWERED:
                 # What waits could still be written in this turn, and make a request that is about to be
                 # called never run whole to a server that has only ended its own sending.
                 self._stop_sending()
@@ -504,12 +508,12 @@
         if call:
             call.ended(result, error)
         elif flow is not None:
-            flow.end(result.ending is Ending.SERVED)
+            flow.end(result.outcome is AttemptOutcome.SERVED)
 
     def _ended(self, keep: bool) -> None:
         """The answer is whole, or cannot be used."""
         if self._spoilt or self._answer is None:
-            self._end(Result(Ending.GARBLED), self._spoilt, keep=False)
+            self._end(Result(AttemptOutcome.GARBLED), self._spoilt, keep=False)
         else:
             self._end(self._answer, "", keep)
 
@@ -517,11 +521,11 @@
         if self._call is None and self._flow is None:
             return
         if self._call is not None and (self._unwritten or self._upload is not None):
-            ending = Ending.BROKE_UNSENT
+            outcome = AttemptOutcome.BROKE_UNSENT
         else:
             begun = self._head_whole or self._size or self._interim
-            ending = Ending.CUT_SHORT if begun else Ending.RESET
-        self._end(Result(ending), error, keep=False)
+            outcome = AttemptOutcome.CUT_SHORT if begun else AttemptOutcome.RESET
+        self._end(Result(outcome), error, keep=False)
 
     def _stalled(self) -> None:
         self._stall = None
@@ -534,7 +538,7 @@
                 max(until, now + int(PAUSE_S * 1e6)), ServerConnection._stalled, self
             )
         else:
-            self._end(Result(Ending.GARBLED), "never whole", keep=False)
+            self._end(Result(AttemptOutcome.GARBLED), "never whole", keep=False)
 
     def _quiet(self) -> None:
         if self._stall:
--- a/roadlb/net/server_connections.py
+++ b/roadlb/net/server_connections.py
@@ -1,4 +1,4 @@
-"""The grid nodes: executions and probes, each a call on a connection of its own."""
+"""The grid nodes: attempts and probes, each a call on a connection of its own."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from ..config import IDLE_PART, Address, Config
 from ..counters import Counters
 from ..engine import Engine
-from ..exchange import Ending, Execution, Result
+from ..exchange import AttemptOutcome, Attempt, Result
 from ..log import Limit, fields
 from ..policy.interface import ServerId
 from ..wheel import Wheel
@@ -21,7 +21,7 @@
 
 PROBE_US = 300_000
 NO_STARTS: Mapping[ServerId, int] = {}
-ENDINGS_LOGGED = 50  # a second; the others are only counted
+OUTCOMES_LOGGED = 50  # a second; the others are only counted
 
 
 def heard(result: Result, error: str) -> None:
@@ -38,9 +38,9 @@
         self._listed: dict[ServerId, tuple[str, Address]] = {}
         self._draining: set[ServerId] = set()  # of those listed
         self._born_us: dict[ServerId, int] = {}  # when each was started
-        self._calls: dict[Execution, Call] = {}
+        self._calls: dict[Attempt, Call] = {}
         self._probes: dict[Call, None] = {}
-        self._logged = Limit(clock, ENDINGS_LOGGED)
+        self._logged = Limit(clock, OUTCOMES_LOGGED)
         self.pool = Pool(
             config.instance_sockets,
             int(config.conn_idle_us * IDLE_PART),
@@ -85,7 +85,7 @@
         listens elsewhere.  None of it has been written."""
         for call in self.pool.dialled():
             if call.server in self._draining or self._address(call.server) != call.address:
-                self._cut_off(call, Ending.NEVER_STARTED)
+                self._cut_off(call, AttemptOutcome.NEVER_STARTED)
 
     def _address(self, server: ServerId) -> Address | None:
         listed = self._listed.get(server)
@@ -93,39 +93,39 @@
 
     # The engine's executor
 
-    def start(self, execution: Execution) -> None:
-        flow = execution.message.flow
-        if execution.until_us <= execution.started_us or flow is not None and not flow.free:
-            self._engine.execution_ended(execution, Result(Ending.NEVER_STARTED))
+    def start(self, attempt: Attempt) -> None:
+        flow = attempt.message.flow
+        if attempt.until_us <= attempt.started_us or flow is not None and not flow.free:
+            self._engine.attempt_ended(attempt, Result(AttemptOutcome.NEVER_STARTED))
             return
 
         def ended(result: Result, error: str) -> None:
-            del self._calls[execution]
+            del self._calls[attempt]
             self._over(call, result, error)
-            self._engine.execution_ended(execution, result)
+            self._engine.attempt_ended(attempt, result)
 
-        call = self._calls[execution] = Call(
-            execution.server, execution.until_us, ended, execution, self._written, flow
+        call = self._calls[attempt] = Call(
+            attempt.server, attempt.until_us, ended, attempt, self._written, flow
         )
         self._go(call)
 
     def _written(self) -> None:
         self._counters.add("sends")
 
-    def cancel(self, execution: Execution, unsent: bool = False) -> None:
-        """Give an execution up; its connection is closed, which tells the instance.  `unsent`: only while it
+    def cancel(self, attempt: Attempt, unsent: bool = False) -> None:
+        """Give an attempt up; its connection is closed, which tells the instance.  `unsent`: only while it
         is being dialled."""
-        call = self._calls.get(execution)
+        call = self._calls.get(attempt)
         if call and unsent and not call.connection:
-            self._cut_off(call, Ending.NEVER_STARTED)
+            self._cut_off(call, AttemptOutcome.NEVER_STARTED)
         elif call and not unsent:
             # While the body comes no server can have begun with it, nor be late.
-            self._cut_off(call, Ending.UNFINISHED if execution.left_us else Ending.CANCELLED)
+            self._cut_off(call, AttemptOutcome.UNFINISHED if attempt.left_us else AttemptOutcome.CANCELLED)
 
-    def extend(self, execution: Execution) -> None:
+    def extend(self, attempt: Attempt) -> None:
         """The last byte of its body has come: from now on its answer is waited for."""
-        if call := self._calls.get(execution):
-            call.until_us = execution.until_us
+        if call := self._calls.get(attempt):
+            call.until_us = attempt.until_us
             if call.timer:
                 call.timer.cancel()
             call.timer = self._wheel.at(call.until_us, self._timed_out, call)
@@ -151,15 +151,15 @@
         except Exception:
             self._counters.add("fault.instances")
             logger.exception("call not started")
-            self._cut_off(call, Ending.FAULT)
+            self._cut_off(call, AttemptOutcome.FAULT)
 
     def _timed_out(self, call: Call) -> None:
         # While it is being dialled nothing has been written, which proves that it never ran.
-        self._cut_off(call, Ending.TIMED_OUT if call.connection else Ending.DIAL_TIMED_OUT)
+        self._cut_off(call, AttemptOutcome.TIMED_OUT if call.connection else AttemptOutcome.DIAL_TIMED_OUT)
 
-    def _cut_off(self, call: Call, ending: Ending) -> None:
+    def _cut_off(self, call: Call, outcome: AttemptOutcome) -> None:
         self.pool.give_up(call)
-        call.ended(Result(ending), "")
+        call.ended(Result(outcome), "")
 
     def _over(self, call: Call, result: Result, error: str) -> None:
         call.ended = heard  # it refers to the call, which would be a cycle
@@ -168,10 +168,10 @@
         if error and self._logged.allows():
             name, _ = self._listed.get(call.server, (call.server.hex(), None))
             logger.info(
-                "execution ended", extra=fields(instance=name, ending=result.ending.value, error=error)
+                "execution ended", extra=fields(instance=name, ending=result.outcome.value, error=error)
             )
 
     async def close(self) -> None:
         for call in [*self._calls.values(), *self._probes]:
-            self._cut_off(call, Ending.CANCELLED)
+            self._cut_off(call, AttemptOutcome.CANCELLED)
         await self.pool.close()
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -18,7 +18,17 @@
 from roadlb.config import Pairs, read_config, read_settings
 from roadlb.counters import Counters
 from roadlb.engine import Engine
-from roadlb.exchange import Answer, Ending, Exchange, Execution, Failed, Message, Nack, Result, Served
+from roadlb.exchange import (
+    Answer,
+    AttemptOutcome,
+    Exchange,
+    Attempt,
+    Failed,
+    Message,
+    Refusal,
+    Result,
+    Served,
+)
 from roadlb.log import KeyValueFormatter, fields
 from roadlb.net.headers import Faulty, Headers, LoadReports
 from roadlb.net.discovery import MalformedList, ServerDiscovery, server_id
@@ -55,16 +65,16 @@
     """Stands in for the side that reaches the instances."""
 
     def __init__(self) -> None:
-        self.started: list[Execution] = []
-        self.cancelled: list[Execution] = []
-        self.withdrawn: list[Execution] = []  # if nothing of them had been sent, which it has here
+        self.started: list[Attempt] = []
+        self.cancelled: list[Attempt] = []
+        self.withdrawn: list[Attempt] = []  # if nothing of them had been sent, which it has here
         self.probed: list[bytes] = []
 
-    def start(self, execution: Execution) -> None:
-        self.started.append(execution)
+    def start(self, attempt: Attempt) -> None:
+        self.started.append(attempt)
 
-    def cancel(self, execution: Execution, unsent: bool = False) -> None:
-        (self.withdrawn if unsent else self.cancelled).append(execution)
+    def cancel(self, attempt: Attempt, unsent: bool = False) -> None:
+        (self.withdrawn if unsent else self.cancelled).append(attempt)
 
     def probe(self, server: bytes) -> None:
         self.probed.append(server)
@@ -109,17 +119,17 @@
 
 
 def test_only_what_is_proved_never_to_have_run_says_so() -> None:
-    never = {e for e in Ending if e.status in NEVER_RAN}
+    never = {e for e in AttemptOutcome if e.status in NEVER_RAN}
     assert never == {
-        Ending.TURNED_AWAY,
-        Ending.DIAL_FAILED,
-        Ending.DIAL_TIMED_OUT,
-        Ending.BROKE_UNSENT,
-        Ending.UNFINISHED,
-        Ending.NO_SOCKET,
-        Ending.NEVER_STARTED,
+        AttemptOutcome.TURNED_AWAY,
+        AttemptOutcome.DIAL_FAILED,
+        AttemptOutcome.DIAL_TIMED_OUT,
+        AttemptOutcome.BROKE_UNSENT,
+        AttemptOutcome.UNFINISHED,
+        AttemptOutcome.NO_SOCKET,
+        AttemptOutcome.NEVER_STARTED,
     }
-    assert [e for e in Ending if e.status is Status.OK] == [Ending.SERVED]
+    assert [e for e in AttemptOutcome if e.status is Status.OK] == [AttemptOutcome.SERVED]
 
 
 def test_an_exchange_from_arrival_to_answer() -> None:
@@ -128,9 +138,9 @@
         made.list_update(ListKind.CACHED, [Member(NODE)])
         x = exchange()
         made.open(x)
-        (execution,) = recorder.started
-        assert execution.server == NODE and execution.until_us <= x.until_us
-        made.execution_ended(execution, Result(Ending.SERVED, (), Served(b"body")))
+        (attempt,) = recorder.started
+        assert attempt.server == NODE and attempt.until_us <= x.until_us
+        made.attempt_ended(attempt, Result(AttemptOutcome.SERVED, (), Served(b"body")))
         assert x.answer == Served(b"body") and not made._open
 
     run(main)
@@ -144,8 +154,8 @@
         broken, sound = exchange(), exchange()
         made.open(broken)
         made.open(sound)
-        assert isinstance(broken.answer, Nack) and not sound.closed
-        made.execution_ended(recorder.started[0], Result(Ending.SERVED, (), Served(b"")))
+        assert isinstance(broken.answer, Refusal) and not sound.closed
+        made.attempt_ended(recorder.started[0], Result(AttemptOutcome.SERVED, (), Served(b"")))
         assert sound.answer == Served(b"")
 
     run(main)
@@ -161,7 +171,7 @@
         made.open(x)
         decider.replies[Outcome] = decider.replies[ClientGone] = lambda e: [][1]
         made._give_up(x, "test")
-        made.execution_ended(recorder.started[0], Result(Ending.RESET))
+        made.attempt_ended(recorder.started[0], Result(AttemptOutcome.RESET))
         assert x.answer == Failed("test") and not made._open
         assert made._counters["fault.engine"] == 2
 
@@ -176,10 +186,10 @@
         answered, gone = exchange(), exchange()
         made.open(answered)
         made.open(gone)
-        made._answer(1, Nack(5))
+        made._answer(1, Refusal(5))
         for x in (answered, gone):
             made.client_gone(x)
-        assert answered.answer == Nack(5) and made._counters["client_gone"] == 1
+        assert answered.answer == Refusal(5) and made._counters["client_gone"] == 1
         assert decider.events[-1] == ClientGone(gone.id)
 
     run(main)
@@ -193,7 +203,7 @@
         x.on_answer = lambda x, answer: answered.set()
         made.open(x)
         await asyncio.wait_for(answered.wait(), 10)
-        assert isinstance(x.answer, Nack)  # nothing of it ran
+        assert isinstance(x.answer, Refusal)  # nothing of it ran
         assert decider.events[-1] == ClientGone(x.id) and not made._open
 
     run(main)
@@ -213,10 +223,10 @@
         ]
         x = exchange()
         made.open(x)
-        assert x.answer == Nack(5)
+        assert x.answer == Refusal(5)
         assert len(recorder.started) == 1 and recorder.cancelled == recorder.started
         assert decider.events[-1] == Outcome(1, 1, NODE, Status.MOOT, decider.events[-1].latency_us, True)  # type: ignore[union-attr]
-        made.execution_ended(x.executions[0], Result(Ending.CANCELLED))
+        made.attempt_ended(x.attempts[0], Result(AttemptOutcome.CANCELLED))
         assert not made._open
 
     run(main)
@@ -235,7 +245,7 @@
         decider.replies[ListUpdate] = lambda e: [Refuse(first.id, 5), Send(second.id, NODE, 0)]
         made.list_update(ListKind.FULL, [])
         assert recorder.started == [] and second.answer is None
-        assert [e.ending for e in second.executions] == [Ending.NEVER_STARTED]
+        assert [e.outcome for e in second.attempts] == [AttemptOutcome.NEVER_STARTED]
         (ended,) = [e for e in decider.events if isinstance(e, Outcome)]
         assert (ended.request, ended.attempt, ended.closed) == (second.id, 0, True)
         assert made.current == 0 and not made._open
@@ -252,10 +262,10 @@
         one, two = exchange(), exchange()
         made.open(one)
         made.open(two)
-        assert isinstance(two.answer, Nack) and not one.closed
+        assert isinstance(two.answer, Refusal) and not one.closed
         assert len(decider.events) == 1
         made.finish()
-        assert isinstance(one.answer, Nack)
+        assert isinstance(one.answer, Refusal)
 
     run(main)
 
@@ -268,7 +278,7 @@
         decider.replies[TimerFired] = lambda e: fired.set() or []
         made.list_update(ListKind.FULL, [])
         await asyncio.wait_for(fired.wait(), 10)
-        made.probe_ended(NODE, 9, Result(Ending.SERVED, (1.0,)))
+        made.probe_ended(NODE, 9, Result(AttemptOutcome.SERVED, (1.0,)))
         assert recorder.probed == [NODE]
         assert decider.events[1:] == [TimerFired(77), Probed(NODE, Status.OK, 9, (1.0,))]
 
--- a/tests/engine/test_own_load.py
+++ b/tests/engine/test_own_load.py
@@ -12,7 +12,7 @@
 from roadlb.clock import monotonic_us
 from roadlb.counters import Counters
 from roadlb.engine import Engine
-from roadlb.exchange import Answer, Ending, Exchange, Message, Nack, Result, Served
+from roadlb.exchange import Answer, AttemptOutcome, Exchange, Message, Refusal, Result, Served
 from roadlb.overload.meter import Limits
 from roadlb.overload.pulse import BEAT_US
 from roadlb.own_load import LATE_ENOUGH_US, OwnLoad
@@ -35,15 +35,15 @@
 
 
 class Executor:
-    """Answers each execution after `takes_us` of a clock that the test moves."""
+    """Answers each attempt after `takes_us` of a clock that the test moves."""
 
     def __init__(self) -> None:
         self.started: list[Any] = []
 
-    def start(self, execution: Any) -> None:
-        self.started.append(execution)
+    def start(self, attempt: Any) -> None:
+        self.started.append(attempt)
 
-    def cancel(self, execution: Any, unsent: bool = False) -> None:
+    def cancel(self, attempt: Any, unsent: bool = False) -> None:
         raise AssertionError("nothing is called off here")
 
     def probe(self, server: bytes) -> None:
@@ -140,9 +140,9 @@
         for _ in range(3):
             ask(now)
             now += 50_000
-            engine.execution_ended(executor.started[-1], Result(Ending.SERVED, (), Served(b"")))
+            engine.attempt_ended(executor.started[-1], Result(AttemptOutcome.SERVED, (), Served(b"")))
         ask(now - 390_000)
-        assert isinstance(answers[-1], Nack) and len(executor.started) == 3
+        assert isinstance(answers[-1], Refusal) and len(executor.started) == 3
         ask(now - 200_000)
         assert len(executor.started) == 4
 
--- a/tests/lab/run/faulty_balancers.py
+++ b/tests/lab/run/faulty_balancers.py
@@ -8,14 +8,24 @@
 
 
 from roadlb.app import App
-from roadlb.exchange import Answer, Ending, Exchange, Execution, Failed, Message, Nack, Result, Served
+from roadlb.exchange import (
+    Answer,
+    AttemptOutcome,
+    Exchange,
+    Attempt,
+    Failed,
+    Message,
+    Refusal,
+    Result,
+    Served,
+)
 from roadlb.lab.sim import SimLoop
 from roadlb.lifecycle.lifecycle import Event
 from roadlb.policy.interface import ListKind, Member, ServerState
 
 EVERY = 10  # one in so many requests is treated wrongly
 ORDER = 1  # the number of its class
-EXTRA = 99  # of executions that a defect has added
+EXTRA = 99  # of attempts that a defect has added
 
 
 class Answers(App):
@@ -75,7 +85,7 @@
     """What has failed is called a refusal: the client believes that trying again is harmless."""
 
     def given(self, exchange: Exchange, answer: Answer, give: Callable[[Exchange, Answer], None]) -> None:
-        give(exchange, Nack(0) if isinstance(answer, Failed) else answer)
+        give(exchange, Refusal(0) if isinstance(answer, Failed) else answer)
 
 
 class Repeats(App):
@@ -83,9 +93,9 @@
 
     async def start(self) -> None:
         await super().start()
-        ended = self.engine.execution_ended
-        self.engine.execution_ended = lambda execution, result: ended(  # type: ignore[method-assign]
-            execution, Result(Ending.DIAL_FAILED) if result.ending is Ending.RESET else result
+        ended = self.engine.attempt_ended
+        self.engine.attempt_ended = lambda attempt, result: ended(  # type: ignore[method-assign]
+            attempt, Result(AttemptOutcome.DIAL_FAILED) if result.outcome is AttemptOutcome.RESET else result
         )
 
 
@@ -96,27 +106,25 @@
 
     async def start(self) -> None:
         await super().start()
-        ended, loop = self.engine.execution_ended, asyncio.get_running_loop()
+        ended, loop = self.engine.attempt_ended, asyncio.get_running_loop()
 
-        def again(execution: Execution) -> None:
+        def again(attempt: Attempt) -> None:
             now = self.clock()
             self.instances.start(
-                Execution(
-                    execution.request, self.message_of(execution), EXTRA, execution.server, now, now + 900_000
-                )
+                Attempt(attempt.request, self.message_of(attempt), EXTRA, attempt.server, now, now + 900_000)
             )
 
-        def watched(execution: Execution, result: Result) -> None:
-            if execution.number == EXTRA:
+        def watched(attempt: Attempt, result: Result) -> None:
+            if attempt.number == EXTRA:
                 return
-            ended(execution, result)
-            if result.ending is Ending.SERVED and execution.request % EVERY == 0:
-                loop.call_later(self.later_s, again, execution)
+            ended(attempt, result)
+            if result.outcome is AttemptOutcome.SERVED and attempt.request % EVERY == 0:
+                loop.call_later(self.later_s, again, attempt)
 
-        self.engine.execution_ended = watched  # type: ignore[method-assign]
+        self.engine.attempt_ended = watched  # type: ignore[method-assign]
 
-    def message_of(self, execution: Execution) -> Message:
-        return execution.message
+    def message_of(self, attempt: Attempt) -> Message:
+        return attempt.message
 
 
 class Invents(Lingers):
@@ -124,13 +132,13 @@
 
     later_s = 0.0
 
-    def message_of(self, execution: Execution) -> Message:
-        head, _, id_on = execution.message.head.partition(b"X-Correlation-Id: ")
+    def message_of(self, attempt: Attempt) -> Message:
+        head, _, id_on = attempt.message.head.partition(b"X-Correlation-Id: ")
         return Message(
-            execution.message.method,
-            execution.message.target,
+            attempt.message.method,
+            attempt.message.target,
             head + b"X-Correlation-Id: feed" + id_on[4:],
-            execution.message.body,
+            attempt.message.body,
         )
 
 
--- a/tests/net/attempt_rig.py
+++ b/tests/net/attempt_rig.py
@@ -20,7 +20,7 @@
 from roadlb.clock import monotonic_us
 from roadlb.config import Address
 from roadlb.engine import Engine
-from roadlb.exchange import Answer, Ending, Exchange, Message
+from roadlb.exchange import Answer, AttemptOutcome, Exchange, Message
 from roadlb.net.server_connections import ServerConnections
 from roadlb.policy.interface import NEVER_RAN, Action, Arrival, Event, Fail, Outcome, Send, ServerId
 from roadlb.wheel import Wheel
@@ -207,11 +207,11 @@
         self.answers.append(answer)
         self.answered.set()
 
-    async def ended(self, exchange: Exchange, number: int) -> Ending:
+    async def ended(self, exchange: Exchange, number: int) -> AttemptOutcome:
         """How an attempt ended, once it has."""
-        while len(exchange.executions) <= number or exchange.executions[number].ending is None:
+        while len(exchange.attempts) <= number or exchange.attempts[number].outcome is None:
             await asyncio.sleep(0)
-        ending = exchange.executions[number].ending
+        ending = exchange.attempts[number].outcome
         assert ending is not None
         return ending
 
--- a/tests/net/harness.py
+++ b/tests/net/harness.py
@@ -21,7 +21,7 @@
 from roadlb.config import Address, read_config
 from roadlb.counters import Counters
 from roadlb.engine import UPLOAD_US, Engine
-from roadlb.exchange import Ending, Exchange, Execution, Message, Result, Served
+from roadlb.exchange import AttemptOutcome, Exchange, Attempt, Message, Result, Served
 from roadlb.net.server_connections import ServerConnections
 from roadlb.net.frontend import Frontend
 from roadlb.policy.interface import Action, Arrival, Event, Fail, Outcome, Send
@@ -322,35 +322,35 @@
 
 
 class Answerer:
-    """Stands in for the nodes: answers each execution 200 after some turns, with a body that names it."""
+    """Stands in for the nodes: answers each attempt 200 after some turns, with a body that names it."""
 
     def __init__(self, engine: Engine, turns: int) -> None:
         self._engine, self._turns = engine, turns
-        self.started: list[Execution] = []
+        self.started: list[Attempt] = []
 
-    def start(self, execution: Execution) -> None:
-        self.started.append(execution)
+    def start(self, attempt: Attempt) -> None:
+        self.started.append(attempt)
         body = served_body(len(self.started) - 1)
-        if execution.message.flow:
-            Collector(execution.message, lambda whole: whole and self._wait(execution, body, self._turns))
+        if attempt.message.flow:
+            Collector(attempt.message, lambda whole: whole and self._wait(attempt, body, self._turns))
         else:
-            self._wait(execution, body, self._turns)
+            self._wait(attempt, body, self._turns)
 
-    def extend(self, execution: Execution) -> None:
+    def extend(self, attempt: Attempt) -> None:
         """It is answered when its body is whole."""
 
-    def _wait(self, execution: Execution, body: bytes, turns: int) -> None:
-        if execution.ending is not None:
+    def _wait(self, attempt: Attempt, body: bytes, turns: int) -> None:
+        if attempt.outcome is not None:
             return
         if turns:
-            asyncio.get_running_loop().call_soon(self._wait, execution, body, turns - 1)
+            asyncio.get_running_loop().call_soon(self._wait, attempt, body, turns - 1)
         else:
-            self._engine.execution_ended(execution, Result(Ending.SERVED, (), new_served(body)))
+            self._engine.attempt_ended(attempt, Result(AttemptOutcome.SERVED, (), new_served(body)))
 
-    def cancel(self, execution: Execution, unsent: bool = False) -> None:
+    def cancel(self, attempt: Attempt, unsent: bool = False) -> None:
         if unsent:
             return  # it has been written
-        self._engine.execution_ended(execution, Result(Ending.CANCELLED))
+        self._engine.attempt_ended(attempt, Result(AttemptOutcome.CANCELLED))
 
     def probe(self, server: bytes) -> None:
         raise NotImplementedError
@@ -605,12 +605,12 @@
         (wire,) = loop.wires
         await play(loop, wire, segments, gap)
         outcome = NodeOutcome("waiting", [], b"", (), "", "", "", [])
-        if first.executions[0].ending is None:
+        if first.attempts[0].outcome is None:
             wire.leave(reset)
             await settle(loop)
-            outcome.at_eof = str(getattr(first.executions[0].ending, "value", "waiting"))
+            outcome.at_eof = str(getattr(first.attempts[0].outcome, "value", "waiting"))
         else:
-            outcome.ending = flow_of(first) or first.executions[0].ending.value
+            outcome.ending = flow_of(first) or first.attempts[0].outcome.value
             answer = answer_of(first)
             if isinstance(answer, Served):
                 outcome.headers, outcome.body = served_headers(answer), answer.body
@@ -618,7 +618,7 @@
             second = await ask()
             used = loop.wires[-1]
             await play(loop, used, [SECOND_ANSWER], 1)
-            ending, answer = second.executions[0].ending, answer_of(second)
+            ending, answer = second.attempts[0].outcome, answer_of(second)
             good = isinstance(answer, Served) and answer.body == SECOND_ANSWER[-6:]
             outcome.next = "reused" if used is wire else "dials anew" if wire.end else "dials anew beside it"
             outcome.next += "" if good else f", then {ending} {answer}"
--- a/tests/net/test_attempt_crossings.py
+++ b/tests/net/test_attempt_crossings.py
@@ -12,7 +12,7 @@
 from scenario import play as scenario_play
 from scenario import run as run_scenario
 
-from roadlb.exchange import Ending, Served
+from roadlb.exchange import AttemptOutcome, Served
 from roadlb.policy.interface import Action, Arrival, Outcome, Send
 
 LEFT_US = 2_000_000
@@ -45,7 +45,7 @@
         await dials.made.wait()
         rig.moved_us = LEFT_US - 999  # less than the millisecond that can be told
         dials.up.set()
-        assert await rig.ended(exchange, 0) is Ending.NEVER_STARTED
+        assert await rig.ended(exchange, 0) is AttemptOutcome.NEVER_STARTED
         assert len(rig.answers) == 1
         await rig.instances.close()
         assert await (await rig.servers[0].accept()).rest() == b""
@@ -63,7 +63,7 @@
         await dials.made.wait()
         rig.moved_us = 100_000
         dials.up.set()
-        assert await rig.ended(exchange, 0) is Ending.NEVER_STARTED
+        assert await rig.ended(exchange, 0) is AttemptOutcome.NEVER_STARTED
         await (await rig.servers[1].accept()).request()
         await rig.instances.close()
         assert await (await rig.servers[0].accept()).rest() == b""
@@ -71,14 +71,14 @@
     play(main)
 
 
-@pytest.mark.parametrize("ending", [Ending.TIMED_OUT, Ending.GARBLED, Ending.RESET])
-def test_an_attempt_is_no_longer_open_when_the_next_one_is_decided(ending: Ending) -> None:
+@pytest.mark.parametrize("ending", [AttemptOutcome.TIMED_OUT, AttemptOutcome.GARBLED, AttemptOutcome.RESET])
+def test_an_attempt_is_no_longer_open_when_the_next_one_is_decided(ending: AttemptOutcome) -> None:
     # Where no second copies may be sent, the next one must not be out beside it for the turn of the event
     # loop that `abort` takes to close a connection.
     async def main() -> None:
         rig = Rig(2)
         link = await rig.reused()
-        rig.decider.timeout_us = 50_000 if ending is Ending.TIMED_OUT else 0
+        rig.decider.timeout_us = 50_000 if ending is AttemptOutcome.TIMED_OUT else 0
         ended: list[bool] = []
 
         def outcome(event: Outcome) -> list[Action]:
@@ -91,13 +91,13 @@
         rig.decider.scripted[Outcome] = outcome
         exchange = rig.open()
         await link.request()
-        if ending is Ending.GARBLED:
+        if ending is AttemptOutcome.GARBLED:
             link.send(b"no HTTP\r\n\r\n")
-        elif ending is Ending.RESET:  # its server has ended its own sending, and still reads
+        elif ending is AttemptOutcome.RESET:  # its server has ended its own sending, and still reads
             link.socket.shutdown(socket.SHUT_WR)
         other = await rig.servers[1].accept()
         await other.request()
-        assert ended == [True] and exchange.executions[0].ending is ending
+        assert ended == [True] and exchange.attempts[0].outcome is ending
         other.answer()
         await rig.answered.wait()
 
@@ -120,9 +120,9 @@
         exchange = rig.open(method)
         await dials.made.wait()
         rig.engine.client_gone(exchange)
-        assert exchange.executions[0].ending is Ending.NEVER_STARTED
+        assert exchange.attempts[0].outcome is AttemptOutcome.NEVER_STARTED
         await nothing_written(rig, rig.servers[0], dials)
-        assert len(exchange.executions) == 1 and not rig.answers
+        assert len(exchange.attempts) == 1 and not rig.answers
 
     play(main)
 
@@ -136,9 +136,9 @@
         dials = rig.hold_dials()
         first.send(b"HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")
         await dials.made.wait()
-        assert len(exchange.executions) == 2
+        assert len(exchange.attempts) == 2
         rig.engine.client_gone(exchange)
-        assert exchange.executions[1].ending is Ending.NEVER_STARTED
+        assert exchange.attempts[1].outcome is AttemptOutcome.NEVER_STARTED
         await nothing_written(rig, rig.servers[1], dials)
 
     play(main)
@@ -154,8 +154,8 @@
         await dials.made.wait()
         await link.request()
         link.answer()
-        assert await rig.ended(exchange, 0) is Ending.SERVED
-        assert exchange.executions[1].ending is Ending.NEVER_STARTED
+        assert await rig.ended(exchange, 0) is AttemptOutcome.SERVED
+        assert exchange.attempts[1].outcome is AttemptOutcome.NEVER_STARTED
         await nothing_written(rig, rig.servers[1], dials)
         assert len(rig.answers) == 1
 
@@ -184,8 +184,8 @@
         exchange = rig.open(ORDER, b"x")
         await dials.made.wait()
         CHANGES[change](rig)
-        assert exchange.executions[0].ending is Ending.NEVER_STARTED
-        assert exchange.executions[1].server == b"s1"
+        assert exchange.attempts[0].outcome is AttemptOutcome.NEVER_STARTED
+        assert exchange.attempts[1].server == b"s1"
         dials.up.set()
         other = await rig.servers[1].accept()
         await other.request()
--- a/tests/net/test_broken_writes.py
+++ b/tests/net/test_broken_writes.py
@@ -11,7 +11,7 @@
 from harness import CONFIG
 
 from roadlb.config import IDLE_PART
-from roadlb.exchange import Ending, Exchange, Failed, Served
+from roadlb.exchange import AttemptOutcome, Exchange, Failed, Served
 from roadlb.net.server_connection import ServerConnection
 from roadlb.net.pool import SETTLE_US
 from roadlb.policy.interface import Outcome
@@ -71,7 +71,7 @@
         ending = await rig.ended(order, 0)
         read += await link.rest()
         # Called never run, it is sent on to the next server: then the first must not have it whole.
-        assert ending is Ending.BROKE_UNSENT and len(order.executions) == 2
+        assert ending is AttemptOutcome.BROKE_UNSENT and len(order.attempts) == 2
         assert not read.endswith(b"x" * BODY_BYTES)
 
     play(main)
@@ -83,7 +83,7 @@
         link = await rig.reused()
         order, _ = await nearly_written(rig, link)
         link.reset()
-        assert await rig.ended(order, 0) is Ending.BROKE_UNSENT
+        assert await rig.ended(order, 0) is AttemptOutcome.BROKE_UNSENT
         other = await rig.servers[1].accept()
         assert (await other.request()).endswith(b"x" * BODY_BYTES)
         other.answer()
@@ -100,9 +100,9 @@
         link = await rig.servers[0].accept()
         await link.request()
         link.reset()
-        assert await rig.ended(order, 0) is Ending.RESET
+        assert await rig.ended(order, 0) is AttemptOutcome.RESET
         await rig.answered.wait()
-        assert isinstance(rig.answers[0], Failed) and len(order.executions) == 1
+        assert isinstance(rig.answers[0], Failed) and len(order.attempts) == 1
 
     play(main)
 
@@ -117,13 +117,13 @@
         while out(rig).get_write_buffer_size():
             read += drain(link)
             await asyncio.sleep(0)
-        assert order.executions[0].ending is None
+        assert order.attempts[0].outcome is None
         read += drain(link)
         assert read.endswith(b"x" * BODY_BYTES)
         link.reset()
-        assert await rig.ended(order, 0) is Ending.RESET
+        assert await rig.ended(order, 0) is AttemptOutcome.RESET
         await rig.answered.wait()
-        assert isinstance(rig.answers[0], Failed) and len(order.executions) == 1
+        assert isinstance(rig.answers[0], Failed) and len(order.attempts) == 1
 
     play(main)
 
@@ -139,7 +139,7 @@
         assert (await other.request()).endswith(b"x" * 9)
         other.answer()
         await rig.answered.wait()
-        assert isinstance(rig.answers[0], Served) and len(order.executions) == 1
+        assert isinstance(rig.answers[0], Served) and len(order.attempts) == 1
 
     play(lambda: main(True))
     play(lambda: main(False))
@@ -152,9 +152,9 @@
         order, read = await nearly_written(rig, link)
         link.send(b"HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")
         read += drain(link)
-        assert await rig.ended(order, 0) is Ending.TURNED_AWAY
+        assert await rig.ended(order, 0) is AttemptOutcome.TURNED_AWAY
         read += await link.rest()
-        assert len(order.executions) == 2 and not read.endswith(b"x" * BODY_BYTES)
+        assert len(order.attempts) == 2 and not read.endswith(b"x" * BODY_BYTES)
         assert (await (await rig.servers[1].accept()).request()).endswith(b"x" * BODY_BYTES)
 
     play(main)
@@ -170,7 +170,7 @@
         link = await rig.reused()
         link.reset()
         order = rig.open(ORDER, b"x" * 9)
-        assert order.executions[0].ending is Ending.BROKE_UNSENT
+        assert order.attempts[0].outcome is AttemptOutcome.BROKE_UNSENT
         other = await rig.servers[1].accept()
         assert (await other.request()).endswith(b"x" * 9)
         other.answer()
@@ -208,7 +208,7 @@
         link.reset()
         other = await rig.servers[1].accept()
         assert (await other.request()).endswith(b"x" * 9)
-        assert order.executions[0].ending in (Ending.BROKE_UNSENT, Ending.DIAL_FAILED)
+        assert order.attempts[0].outcome in (AttemptOutcome.BROKE_UNSENT, AttemptOutcome.DIAL_FAILED)
         other.answer()
         await rig.answered.wait()
         assert isinstance(rig.answers[0], Served)
@@ -227,7 +227,7 @@
         await other.request()
         other.answer()
         await rig.answered.wait()
-        assert len(order.executions) == 1 and await link.rest() == b""
+        assert len(order.attempts) == 1 and await link.rest() == b""
 
     play(main)
 
@@ -239,7 +239,7 @@
         keep_us = int(CONFIG.conn_idle_us * IDLE_PART)
         rig.moved_us = keep_us - 1_000_000
         late = rig.open(left_us=500)  # less than can be told
-        assert late.executions[0].ending is Ending.NEVER_STARTED
+        assert late.attempts[0].outcome is AttemptOutcome.NEVER_STARTED
         while not rig.instances.pool._all_idle:
             await asyncio.sleep(0)
         rig.moved_us = keep_us + 1_000_000
@@ -266,7 +266,7 @@
         await other.request()
         other.answer()
         await rig.answered.wait()
-        assert len(order.executions) == 1 and await link.rest() == b""
+        assert len(order.attempts) == 1 and await link.rest() == b""
 
     play(main)
 
@@ -281,7 +281,7 @@
         link.answer()
         time.sleep((LEFT_US + late_us) / 1e6)  # the event loop makes no turn
         await rig.answered.wait()
-        assert order.executions[0].ending is not None
+        assert order.attempts[0].outcome is not None
         assert [type(e) for e in rig.decider.outcomes] == [Outcome]
         before = len(rig.counters.faults)
         rig.engine.client_gone(order)
@@ -314,7 +314,7 @@
         links[1].answer(b"two again")
         assert await links[1].rest() == b""  # closed: what came belongs to no request
         links[0].answer(b"three")
-        assert await rig.ended(third, 0) is Ending.SERVED
+        assert await rig.ended(third, 0) is AttemptOutcome.SERVED
         assert isinstance(third.answer, Served) and third.answer.body == b"three"
         await rig.instances.close()
 
--- a/tests/net/test_pool.py
+++ b/tests/net/test_pool.py
@@ -19,17 +19,17 @@
     settle,
 )
 
-from roadlb.exchange import Ending, Execution
+from roadlb.exchange import AttemptOutcome, Attempt
 
 
-async def send_one(loop: StubLoop, counters: Recorded) -> tuple[Execution, Any]:
-    """Open an exchange; its execution, and the instances."""
+async def send_one(loop: StubLoop, counters: Recorded) -> tuple[Attempt, Any]:
+    """Open an exchange; its attempt, and the instances."""
     engine = new_engine(Module(), counters)
     engine.executor = instances = new_instances(engine, counters)
     exchange = new_exchange()
     engine.open(exchange)
     await settle(loop)
-    return exchange.executions[0], instances
+    return exchange.attempts[0], instances
 
 
 def test_a_dial_that_is_called_off_as_it_succeeds_ends_its_call_and_leaves_no_connection(
@@ -46,8 +46,8 @@
     monkeypatch.setattr(StubLoop, "create_connection", called_off)
 
     async def main(loop: StubLoop, counters: Recorded) -> None:
-        execution, instances = await send_one(loop, counters)
-        assert execution.ending is Ending.DIAL_TIMED_OUT
+        attempt, instances = await send_one(loop, counters)
+        assert attempt.outcome is AttemptOutcome.DIAL_TIMED_OUT
         assert not instances.pool.open
 
     assert run(main)[1] == []
@@ -60,8 +60,8 @@
     monkeypatch.setattr(Wire, "write", refuse)
 
     async def main(loop: StubLoop, counters: Recorded) -> None:
-        execution, _ = await send_one(loop, counters)
-        assert execution.ending is Ending.BROKE_UNSENT
+        attempt, _ = await send_one(loop, counters)
+        assert attempt.outcome is AttemptOutcome.BROKE_UNSENT
 
     assert run(main)[1] == []
 
@@ -69,13 +69,13 @@
 def test_a_request_of_which_bytes_wait_for_the_kernel_never_ran_and_another_may_have() -> None:
     async def main(loop: StubLoop, counters: Recorded) -> None:
         for waits in (True, False):
-            execution, _ = await send_one(loop, counters)
+            attempt, _ = await send_one(loop, counters)
             wire = loop.wires[-1]
             if waits:
                 wire.protocol.pause_writing()  # as with write buffer limits of 0
             wire.leave()
             await settle(loop)
-            assert execution.ending is (Ending.BROKE_UNSENT if waits else Ending.RESET)
+            assert attempt.outcome is (AttemptOutcome.BROKE_UNSENT if waits else AttemptOutcome.RESET)
 
     assert run(main)[1] == []
 
@@ -95,7 +95,7 @@
         first.feed(answer)
         await settle(loop)
         assert len(loop.wires) == 2 and first.end and exchanges[1].answer is None
-        assert NODE_ID == exchanges[1].executions[0].server
+        assert NODE_ID == exchanges[1].attempts[0].server
 
     assert run(main)[1] == []
 
@@ -110,17 +110,17 @@
         await asyncio.Event().wait()
 
     async def main(loop: StubLoop, counters: Recorded) -> None:
-        execution, instances = await send_one(loop, counters)
+        attempt, instances = await send_one(loop, counters)
         wire = loop.wires[-1]
-        instances.cancel(execution, unsent=True)
-        assert execution.ending is None and not wire.is_closing()
-        instances.cancel(execution)
-        assert execution.ending is Ending.CANCELLED and wire.is_closing()
+        instances.cancel(attempt, unsent=True)
+        assert attempt.outcome is None and not wire.is_closing()
+        instances.cancel(attempt)
+        assert attempt.outcome is AttemptOutcome.CANCELLED and wire.is_closing()
         monkeypatch.setattr(StubLoop, "create_connection", held)
         dialled, others = await send_one(loop, counters)
-        assert dialled.ending is None
+        assert dialled.outcome is None
         others.cancel(dialled, unsent=True)
-        assert dialled.ending is Ending.NEVER_STARTED
+        assert dialled.outcome is AttemptOutcome.NEVER_STARTED
         await settle(loop)
         assert not others.pool.open and len(loop.wires) == 1
         monkeypatch.setattr(StubLoop, "create_connection", made)
--- a/tests/policy/test_decisions.py
+++ b/tests/policy/test_decisions.py
@@ -5,7 +5,7 @@
 import pytest
 
 from roadlb import Balancer
-from roadlb.exchange import Ending
+from roadlb.exchange import AttemptOutcome
 from roadlb.policy.interface import (
     Action,
     Arrival,
@@ -230,7 +230,7 @@
         if key % 6:
             node.end(send.server)
         else:
-            (answer,) = node.end(send.server, Ending.GARBLED.status)
+            (answer,) = node.end(send.server, AttemptOutcome.GARBLED.status)
             assert isinstance(answer, Fail)  # it may have run
         node.now += 10_000
     assert not any(s.eject_until for s in node.b.list.ready)
@@ -241,7 +241,7 @@
     bad = node.serve(7)
     for _ in range(20):
         if node.sent(7) == bad:
-            node.end(bad, Ending.GARBLED.status)
+            node.end(bad, AttemptOutcome.GARBLED.status)
     assert all(node.serve(key) != bad for key in range(1, 60))
 
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -238,7 +238,7 @@
 
     async def expect(self, who: str, what: list[str]) -> None:
         if what == ["closed"]:
-            if self.links[who].answered.is_set():  # then it is read for the next execution
+            if self.links[who].answered.is_set():  # then it is read for the next attempt
                 await self.links[who].closed.wait()
                 return
             with suppress(ConnectionError):
