No attempt begins for a client whose close has come and is not read yet

Cause: the loop may hand the engine the server's answer, or a timer, before the client's FIN or RST that the kernel holds too; the retry that this decides went out at once on a connection that waited (Engine._send). Seen on loopback by writing the answer and closing the client before the loop looks again: the retry reached the other server in all four cases.

Change: before a further attempt, and before a first one that waited for over 5 ms, the engine has the exchange look (Exchange.check_left, poll of POLLRDHUP on the client's connection); a client that has left is told to the module in that turn, and the attempt ends as never started.

A refusal that the engine makes itself told to come back in 0.2 s whatever the settings allow; it now tells the settings' longest at most, and nothing where that is 0. The lifecycle's action Ending is CloseAfterAnswers.

--- a/roadlb/app.py
+++ b/roadlb/app.py
@@ -18,13 +18,13 @@
 from .clock import Clock, monotonic_us, unix_us
 from .config import Agreement, Config, ConfigError, PeersConfig
 from .counters import Counters
-from .engine import Engine
+from .engine import FULL_RETRY_US, Engine
 from .lifecycle.handover import Handover, Held
 from .lifecycle.lifecycle import (
     LINGER_US,
     CloseIdle,
     CloseUnfinished,
-    Ending,
+    CloseAfterAnswers,
     Event,
     GiveUp,
     Leave,
@@ -106,6 +106,7 @@
             self.wheel,
             config.max_open,
             [c.name for c in config.settings.classes],
+            min(FULL_RETRY_US, config.settings.max_retry_after_us),
         )
         self.server_connections = ServerConnections(config, self.engine, counters, clock, self.wheel)
         self.engine.executor = self.server_connections
@@ -193,7 +194,7 @@
         """Carry out what the lifecycle makes of an event."""
         before = self.lifecycle.state
         for action in self.lifecycle.handle(self.clock(), event, late_us):
-            if isinstance(action, Ending):
+            if isinstance(action, CloseAfterAnswers):
                 self.frontend.draining = action.on
             elif isinstance(action, CloseIdle):
                 self.frontend.close_idle(action.part)
--- a/roadlb/engine.py
+++ b/roadlb/engine.py
@@ -53,9 +53,10 @@
 
 logger = logging.getLogger(__name__)
 
-FULL_RETRY_US = 200_000
+FULL_RETRY_US = 200_000  # when to come back to a program that has no room, where clients may be told
 UPLOAD_US = 600_000_000  # 32 MB at 64 kB a second take 500 s
 NEVER = 1 << 62
+JUST_CAME_US = 5_000  # a request read so lately has a client that waits
 GUARD_US = 10_000  # past its deadline an exchange is answered whatever the module says
 
 
@@ -90,10 +91,13 @@
         wheel: Wheel,
         max_open: int = 20_000,
         class_names: Sequence[str] = (),
+        retry_after_us: int = FULL_RETRY_US,
     ) -> None:
-        """`max_open`: exchanges at once; `class_names`: for the counters of what is refused unsent."""
+        """`max_open`: exchanges at once; `class_names`: for the counters of what is refused unsent;
+        `retry_after_us`: the advice that goes with a refusal which the module did not make; 0: none."""
         self._balancer, self._counters, self._max_open = balancer, counters, max_open
         self._clock, self._wheel = clock, wheel
+        self._retry_after_us = retry_after_us
         self._events: deque[Event] = deque()
         self._busy, self._now = False, 0  # carrying out an event, and when it began
         self._next_id = 1
@@ -132,7 +136,7 @@
         if len(self._open) >= self._max_open:
             # Out of sockets every request would fail; nothing of this one has run, so it may come again.
             self._counters.add("full")
-            exchange.answer = Refusal(FULL_RETRY_US)
+            exchange.answer = Refusal(self._retry_after_us)
             self._count_answer(Refusal, exchange.class_index)
             exchange.on_answer(exchange, exchange.answer)
             return
@@ -348,7 +352,7 @@
 
     def _give_up(self, exchange: Exchange, reason: str) -> None:
         """Answer without the module, and let it know that the request is over."""
-        self._answer(exchange.id, Failed(reason) if exchange.attempts else Refusal(FULL_RETRY_US))
+        self._answer(exchange.id, Failed(reason) if exchange.attempts else Refusal(self._retry_after_us))
         self._feed(ClientGone(exchange.id))
         self._withdraw(exchange)
 
@@ -362,6 +366,9 @@
         exchange, now = self._open.get(action.request), self._now
         if exchange is None:
             return  # answered without the module, which hears of it in its next event
+        if not exchange.closed and (exchange.attempts or now > exchange.came_us + JUST_CAME_US):
+            # What made this attempt due may have been handled before the client's close, which has come too.
+            exchange.check_left()
         until = min(exchange.until_us, now + action.timeout_us) if action.timeout_us else exchange.until_us
         attempt = Attempt(
             exchange.id,
--- a/roadlb/exchange.py
+++ b/roadlb/exchange.py
@@ -160,17 +160,24 @@
         return self.until_us - now_us if now_us < self.write_by_us else 0
 
 
+def client_waits() -> bool:
+    """In place of a look at the client's connection: it has not left."""
+    return False
+
+
 class Exchange:
     """A client's request and its one final answer; the only thing that both sides know.
 
     `left_us` counts from `came_us`, a time of the engine's clock (0: from when it is opened).  While its body
     is `coming`, it counts from the body's end.
     `on_answer` is called once, with the final answer, within the engine's turn; not if the client has gone.
+    `check_left` looks whether the client has closed unheard of; if so, the engine knows when it returns.
     """
 
     __slots__ = (
         "answer",
         "came_us",
+        "check_left",
         "class_index",
         "coming",
         "attempts",
@@ -198,7 +205,9 @@
         is_retry: bool,
         on_answer: Callable[[Exchange, Answer], None],
         came_us: int = 0,
+        check_left: Callable[[], bool] = client_waits,
     ) -> None:
+        self.check_left = check_left
         self.message, self.class_index, self.tenant, self.key = message, class_index, tenant, key
         self.left_us, self.work_us, self.is_retry = left_us, work_us, is_retry
         self.on_answer, self.came_us = on_answer, came_us
--- a/roadlb/lifecycle/lifecycle.py
+++ b/roadlb/lifecycle/lifecycle.py
@@ -61,7 +61,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Ending:
+class CloseAfterAnswers:
     """Does each answer end its connection from now on?"""
 
     on: bool
@@ -116,7 +116,9 @@
     at_us: int
 
 
-Action: TypeAlias = Ending | CloseIdle | CloseUnfinished | GiveUp | RefuseNew | StopListening | Leave | Wake
+Action: TypeAlias = (
+    CloseAfterAnswers | CloseIdle | CloseUnfinished | GiveUp | RefuseNew | StopListening | Leave | Wake
+)
 
 # Each pair of a state and an event but Event.WAKE, which keeps the state; what keeps it does nothing else.
 _NEXT = {
@@ -176,8 +178,11 @@
         self.state, self._since, self._woken = state, now, now
         self._late_us = min(late_us, LATE_MOST_US)
         if state is State.LEAVING and not self._started:
-            return [Ending(True), Leave(now, now)]  # nothing listens yet, and nothing has been taken
-        actions: list[Action] = [Ending(state in (State.DRAINING, State.LEAVING))]
+            return [
+                CloseAfterAnswers(True),
+                Leave(now, now),
+            ]  # nothing listens yet, and nothing has been taken
+        actions: list[Action] = [CloseAfterAnswers(state in (State.DRAINING, State.LEAVING))]
         if self._refusing:
             self._refusing = False
             actions.append(RefuseNew(False))
--- a/roadlb/net/client_connection.py
+++ b/roadlb/net/client_connection.py
@@ -196,11 +196,8 @@
             flow.drop()
 
     def check_left(self) -> bool:
-        """Has the client closed behind bytes that are not read?  Then it is treated as any that leaves.
-
-        Only while reading is paused: otherwise the transport tells.
-        """
-        if self._reading_on or self.transport is None or not far_end_left(self.transport):
+        """Has the client closed, be it behind unread bytes?  Then it is treated as any that leaves."""
+        if self.transport is None or not far_end_left(self.transport):
             return False
         self._client_left()
         self.transport.close()
--- a/roadlb/net/frontend.py
+++ b/roadlb/net/frontend.py
@@ -399,6 +399,7 @@
             connection.on_answer,
             # One that waited, in line behind another or for us to read it, has used that time up.
             request.came_us,
+            connection.check_left,
         )
 
     def _left_us(self, text: bytes | None, class_index: int) -> int:
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -270,6 +270,23 @@
     run(main)
 
 
+def test_without_room_a_refusal_tells_only_what_the_settings_allow() -> None:
+    async def main() -> None:
+        made = Engine(
+            Decider(),  # type: ignore[arg-type]
+            Counters(),
+            monotonic_us,
+            Wheel(monotonic_us),
+            max_open=0,
+            retry_after_us=0,
+        )
+        made.open(exchange())
+        (answer,) = [answer for _, answer in ANSWERS]
+        assert isinstance(answer, Refusal) and answer.retry_after_us == 0
+
+    asyncio.run(main())
+
+
 def test_timers_and_probes() -> None:
     async def main() -> None:
         decider, fired = Decider(), asyncio.Event()
--- a/tests/lifecycle/test_lifecycle.py
+++ b/tests/lifecycle/test_lifecycle.py
@@ -14,7 +14,7 @@
     RECENT_US,
     CloseIdle,
     CloseUnfinished,
-    Ending,
+    CloseAfterAnswers,
     Event,
     GiveUp,
     Leave,
@@ -65,7 +65,7 @@
     life = Lifecycle(2_000_000, shared)
     for event in before:
         life.handle(0, event)
-    assert life.handle(5, Event.LEAVE) == [Ending(True), Leave(5, 5)]
+    assert life.handle(5, Event.LEAVE) == [CloseAfterAnswers(True), Leave(5, 5)]
     for now, event in enumerate([*EVENTS, Event.WAKE] * 2, 1_000_000):
         assert life.handle(now, event) == [] and life.state is State.LEAVING and not life.takes_clients
 
@@ -111,7 +111,7 @@
     assert life.healthy
     seen = played(life, began, life.handle(began, Event.OUT_OF_SERVICE), began + DRAINED_US)
     assert not life.healthy and life.takes_clients
-    assert seen[0] == (began, Ending(True))
+    assert seen[0] == (began, CloseAfterAnswers(True))
     idle = [(at - began, a.part) for at, a in seen if isinstance(a, CloseIdle)]
     assert idle[0][0] >= 300_000 and idle[0][1] < 0.2  # not at once, not in one instant
     assert any(part == 1.0 for at, part in idle if at < DRAINED_US - RECENT_US)
--- a/tests/net/test_client_leaves.py
+++ b/tests/net/test_client_leaves.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 import struct
 from collections.abc import Callable
@@ -222,3 +223,36 @@
         await over(stage)
 
     run(main(), loop)
+
+
+@pytest.mark.parametrize("loop", LOOPS)
+@pytest.mark.parametrize("how", ["end", "reset"])
+def test_no_retry_begins_for_a_client_whose_close_lies_behind_what_allows_it(how: str, loop: str) -> None:
+    # Both are in the kernel when the loop looks again, the server's answer first: it decides the retry, for
+    # which a connection waits.
+    async def main() -> None:
+        stage = await begun("2")
+        pools = stage.app.server_connections.pool
+        ports: set[int] = set()
+        for number in range(20):
+            await client(stage, f"a{number}", order(100 + number).replace("/order/k", f"/order/k{number}"))
+            await step(stage, f"i{number} expect POST")
+            ports.add(stage.links[f"i{number}"].port)
+            await step(stage, f"i{number} send 200 done")
+            await step(stage, f"a{number} expect 200 done")
+            await until(lambda: len(pools._all_idle) == len(ports))
+        assert len(ports) == 2
+        sent = stage.app.counters["sends"]
+        with socket.create_connection(("127.0.0.1", stage.app.port)) as leaver:
+            leaver.sendall(order(1).encode())
+            await step(stage, "i99 expect POST")
+            server = stage.links["i99"].writer.get_extra_info("socket").fileno()
+            answer = b"HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
+            assert os.write(server, answer) == len(answer)
+            if how == "reset":
+                leaver.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        await until(lambda: stage.app.counters["client_gone"])
+        assert stage.app.counters["sends"] == sent + 1
+        await over(stage)
+
+    run(main(), loop)
