--- /dev/null
+++ b/roadlb/lab/capacity/page.py
@@ -0,0 +1,6 @@
+"""The page's tables."""
+
+from pathlib import Path
+
+
+def rewrite(page: Path, data: Path) -> None: ...
