--- a/roadlb/lab/capacity/control_plane.py
+++ b/roadlb/lab/capacity/control_plane.py
@@ -153,10 +153,14 @@
             argv = ["-m", "roadlb.lab.capacity.hollow_followers", json.dumps(told)]
             self.hollow.append(await self._processes.start(f"hollow-{self.followers}", argv))
             self.followers += count
-        await until("all have leases", self.all_granted)
+        await until("all have leases and the list", self._all_have)
 
-    async def all_granted(self) -> bool:
-        return sum(one.granted for one in await self.answers()) == self.followers
+    async def _all_have(self) -> bool:
+        answers, servers = await self.answers(), len(self.discovery.entries)
+        return (
+            sum(one.granted for one in answers) == self.followers
+            and min(one.least_servers for one in answers) == servers
+        )
 
     async def answers(self, dials_since: int = NEVER) -> list[Answer]:
         """Of each process of hollow balancers."""
--- a/roadlb/lab/capacity/hollow_followers.py
+++ b/roadlb/lab/capacity/hollow_followers.py
@@ -37,6 +37,7 @@
     """What one process says; times are of the machine's monotonic clock, in microseconds."""
 
     granted: int  # of them hold a lease
+    least_servers: int  # that one of them knows
     least_epoch: int  # of the leaders that they know
     most_epoch: int
     last: dict[str, int]  # by mark
@@ -66,6 +67,7 @@
             Pairs.from_json(told["settings"]).values,
         )
         self._marks, self._draining, self._retry_us = marks, set[str](), -1
+        self.servers = set[str]()  # by name, of the list that it keeps to
         self.following = Following(
             agreement,
             name,
@@ -97,8 +99,9 @@
     def _lead(self, raw: Mapping[str, Any], old: bool) -> None:
         before = len(self._draining)
         if raw["reset"]:
-            self._draining = set()
+            self._draining, self.servers = set(), set()
         for entry in raw["instances"]:
+            self.servers.add(entry["instanceId"])
             if entry["lifecycle"] == "draining":
                 self._draining.add(entry["instanceId"])
         if len(self._draining) > before:
@@ -124,6 +127,7 @@
         epochs = [balancer.following.view().epoch for balancer in balancers]
         answer = Answer(
             sum(balancer.granted for balancer in balancers),
+            min(len(balancer.servers) for balancer in balancers),
             min(epochs),
             max(epochs),
             marks.last,
