--- a/roadlb/lab/capacity/control_plane.py
+++ b/roadlb/lab/capacity/control_plane.py
@@ -93,7 +93,7 @@
         self.store: Process
         self.control: Process
         self.port = self.store_port = 0
-        self._archive: Archive
+        self._archive: Archive | None = None
         self._drained = self._marks = 0
 
     async def start(self) -> None:
@@ -107,7 +107,7 @@
         await self._start_control()
 
     async def stop(self) -> None:
-        if hasattr(self, "_archive"):
+        if self._archive is not None:
             await self._archive.close()
         self.discovery.stop()
 
@@ -180,6 +180,7 @@
 
     async def change_settings(self) -> int:
         """An operator's order."""
+        assert self._archive is not None
         self._marks += 1
         retry_us = settings.RETRY_US + self._marks
         texts = Pairs.from_json(settings.settings(self.balancers, 0, retry_us)).values
--- a/roadlb/lab/capacity/points.py
+++ b/roadlb/lab/capacity/points.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 FORM = 1  # of the file
+SUSPICIONS = "suspicions/s each"
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,6 +21,11 @@
     servers: int
     figures: Mapping[str, float]
 
+    @property
+    def starved(self) -> bool:
+        """Balancers doubted each other where none had been stopped: the machine had no time for them."""
+        return self.figures.get(SUSPICIONS, 0.0) > 0
+
 
 @dataclass(frozen=True, slots=True)
 class Kept:
@@ -44,13 +50,17 @@
         return (kept for kept in self.points if kept.slope == slope)
 
     def series(self, slope: str, figure: str, by: str = "balancers") -> list[tuple[float, float]]:
-        """(size, figure) of all repeats; `by`: balancers or servers."""
+        """(size, figure) of all repeats but those of a starved fleet; `by`: balancers or servers."""
         return [
             (float(getattr(kept.point, by)), kept.point.figures[figure])
             for kept in self.of(slope)
-            if figure in kept.point.figures
+            if figure in kept.point.figures and not kept.point.starved
         ]
 
+    def starved(self) -> list[Kept]:
+        """Points that are in no line."""
+        return [kept for kept in self.points if kept.point.starved]
+
     def single(self, slope: str, figure: str) -> list[float]:
         """A figure's values over all repeats, whatever the size."""
         return [kept.point.figures[figure] for kept in self.of(slope) if figure in kept.point.figures]
--- a/tests/lab/capacity/test_small_run.py
+++ b/tests/lab/capacity/test_small_run.py
@@ -4,11 +4,15 @@
 
 import asyncio
 import os
+import select
+import subprocess
+import sys
 from collections.abc import AsyncIterator, Iterator
 from pathlib import Path
 
 import pytest
 
+from roadlb.lab.agreement.ends import GENEROUS_S
 from roadlb.lab.capacity import runs
 from roadlb.lab.capacity.control_plane import Plan as ControlPlan
 from roadlb.lab.capacity.control_plane import most_within
@@ -17,6 +21,7 @@
 from roadlb.lab.capacity.processes import Processes
 from roadlb.lab.capacity.runs import FOLLOWERS, PEERS, SERVERS, WATCH, Form, Task
 
+ROOT = Path(__file__).parents[3]
 CHANGE_BYTES, JOIN_BYTES, RENEWAL_BYTES_S = (
     20_000,
     60_000,
@@ -169,3 +174,36 @@
 def test_the_most_within_a_span_is_counted() -> None:
     assert most_within([], 10) == 0
     assert most_within([0, 5, 10, 11, 30], 10) == 3
+
+
+RIG = """
+import asyncio, sys
+from pathlib import Path
+from roadlb.lab.capacity.processes import Processes
+
+async def main():
+    async with Processes(Path(sys.argv[1])) as processes:
+        child = await processes.start("child", ["-c", "import time; time.sleep(600)"], lines=False)
+        print(child.pid, flush=True)
+        await asyncio.sleep(600)
+
+asyncio.run(main())
+"""
+
+
+def test_a_rig_that_is_killed_leaves_nobody(tmp_path: Path) -> None:
+    rig = subprocess.Popen(
+        [sys.executable, "-c", RIG, str(tmp_path)],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    with rig:
+        assert rig.stdout
+        child = int(rig.stdout.readline())
+        seen = os.pidfd_open(child)  # readable once it has ended
+        rig.kill()
+    try:
+        assert select.select([seen], [], [], GENEROUS_S)[0]
+    finally:
+        os.close(seen)
