Capacity: figures taken for alike in every fleet say so, with the slope that says it

A balancer's renewals and changes were marked as measured at 380 and 600 balancers, where they were measured with ten. They are extrapolated now, with their slope by fleet; the store's bytes grow with followers; a value of the store is bounded by all that a change writes; a page that cannot be made is refused with the reason.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -82,7 +82,11 @@
             print(f"refused: {e}", file=sys.stderr)
             return 2
     if asked.what in ("all", "page") and not asked.small:
-        page.rewrite(PAGE, asked.out)
+        try:
+            page.rewrite(PAGE, asked.out)
+        except (page.PageError, FileNotFoundError) as e:
+            print(f"no page: {e}", file=sys.stderr)
+            return 2
     return 0
 
 
--- a/roadlb/lab/capacity/failures.py
+++ b/roadlb/lab/capacity/failures.py
@@ -8,7 +8,7 @@
 from .estimates import Model, number
 from .points import Results
 from .roles import LIST, Roles
-from .runs import FOLLOWERS, WATCH
+from .runs import FOLLOWERS, PEERS, WATCH
 
 BALANCERS = 600
 ZONES, REGIONS = 6, 2
@@ -43,7 +43,7 @@
         Failure(
             f"a rack or a switch: {RACK_SERVERS} servers, {RACK_BALANCERS} balancers (assumed)",
             "the same; the balancers' leases and members",
-            "leases: 4 s; deaths known to all: 10 s",
+            "leases: 4 s; deaths known to all: 9.1 s at 200 members (`benchmarks/membership.py`)",
             f"one line of {number(RACK_SERVERS * entry / 1e3)} kB to each; on return "
             f"{returning.told(RACK_BALANCERS)}",
             returning.over,
@@ -92,9 +92,14 @@
         dials, cpu = self.mean("dials each") * balancers, self.mean("control CPU ms each") * balancers
         return (
             f"{number(dials)} dials, {number(each * balancers / 1e3)} kB and {number(cpu / 1e3)} s of the "
-            "leader's CPU"
+            f"leader's CPU, and {number(self._members_kb)} kB of members for each (extrapolated)"
         )
 
+    @property
+    def _members_kb(self) -> float:
+        """Sent for each that joins, those that are there included; joined in blocks of up to forty."""
+        return Model(self._results).at(PEERS, "join B each", BALANCERS).value / 1e3
+
 
 def _at_list(model: Model, figure: str) -> float:
     return model.at(WATCH, figure, LIST, "servers").value
--- a/roadlb/lab/capacity/roles.py
+++ b/roadlb/lab/capacity/roles.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ...agreement.lease import timing_for
 from .estimates import Basis, Estimate, Model, assumed, over
@@ -67,13 +67,21 @@
 
     # Of one balancer
 
-    def renewals_ms(self, _: float) -> Estimate:
-        found = self.model.at(LISTED, "idle hollow CPU ms/s each", LIST, "servers")
-        return found.times(self.renewal_factor).noted(f"{found.note}, times {self.renewal_factor:.2f}")
+    def renewals_ms(self, balancers: float) -> Estimate:
+        return self._alike("idle hollow CPU ms/s each", balancers, self.renewal_factor)
 
-    def change_ms(self, _: float) -> Estimate:
-        found = self.model.at(LISTED, "settings hollow CPU ms each", LIST, "servers")
-        return found.times(self.change_factor).noted(f"{found.note}, times {self.change_factor:.2f}")
+    def change_ms(self, balancers: float) -> Estimate:
+        return self._alike("settings hollow CPU ms each", balancers, self.change_factor)
+
+    def _alike(self, figure: str, balancers: float, factor: float) -> Estimate:
+        """Of one balancer, with ten and the whole list; taken for alike in every fleet, as the slope says."""
+        found = self.model.at(LISTED, figure, LIST, "servers")
+        note = f"{found.note} servers, times {factor:.2f}"
+        found = found.times(factor).noted(note)
+        if balancers <= SMALL:
+            return found
+        slope = self.model.note(FOLLOWERS, figure, "balancers")
+        return replace(found, basis=Basis.EXTRAPOLATED, note=f"{note}; alike in every fleet: {slope}")
 
     def shared_ms(self, balancers: float) -> Estimate:
         few = self.model.at(PEERS_LISTED, "CPU ms/s each", LIST, "servers")
@@ -266,8 +274,11 @@
         )
 
     def store(self) -> tuple[Row, ...]:
-        def change(_: float) -> Estimate:
-            return self.model.at(LISTED, "settings to store B", LIST, "servers")
+        def change(balancers: float) -> Estimate:
+            few = self.model.at(LISTED, "settings to store B", LIST, "servers")
+            if balancers <= SMALL:
+                return few
+            return few + self.model.more(FOLLOWERS, "settings to store B", SMALL, balancers)
 
         return (
             _row("written for a change", "B", change, "`issuing/ledger.py`: the whole version, each time"),
@@ -278,9 +289,9 @@
                 "`HISTORY_MOST` 64 lines are kept; etcd's own log and compaction come on top",
             ),
             _row(
-                "one value",
+                "one value, at the most all of a change",
                 "B",
-                lambda n: change(n).times(0.5).noted("half of what a change writes, as an upper bound"),
+                change,
                 "`issuing/books.py`: BYTES_MOST, under etcd's 1.5 MiB",
                 1_400_000.0,
             ),
@@ -298,6 +309,11 @@
         def of(figure: str) -> Callable[[float], Estimate]:
             return lambda n: self.model.at(PEERS, figure, max(n, PEERS_SMALL + 2))
 
+        def few(balancers: float) -> Estimate:
+            found = of("CPU ms/s each")(balancers)
+            note = f"{found.note}, times {self.peers_factor:.2f}"
+            return found.times(self.peers_factor).noted(note)
+
         return (
             _row("membership", "B/s out", of("membership B/s each"), "`membership/`: a fan of 3, 3 relays"),
             _row(
@@ -311,7 +327,7 @@
             ),
             _row("datagrams", "a second out", of("out datagrams/s each"), "4,000 a second at the most"),
             _row("all, with IP and UDP", "B/s out", self.shared_bytes, "as much comes in", BYTES_S / 2),
-            _row("processor, 60 servers", "ms of CPU a second", of("CPU ms/s each"), "", CPU_MS_S),
+            _row("processor, 60 servers", "ms of CPU a second", few, "", CPU_MS_S),
             _row(
                 "processor, 2,400 servers",
                 "ms of CPU a second",
@@ -398,8 +414,11 @@
         def listed_bytes(balancers: float) -> Estimate:
             return self.change_bytes(balancers).times(LOADS_S)
 
-        def stored(_: float) -> Estimate:
-            return self.model.at(LISTED, "drain to store B", LIST, "servers").times(LOADS_S * 86_400 / 1e9)
+        def stored(balancers: float) -> Estimate:
+            few = self.model.at(LISTED, "drain to store B", LIST, "servers")
+            if balancers > SMALL:
+                few += self.model.more(FOLLOWERS, "drain to store B", SMALL, balancers)
+            return few.times(LOADS_S * 86_400 / 1e9)
 
         return (
             _row("1,100 loads an hour as changes: a balancer", "ms of CPU a second", listed_ms, "", CPU_MS_S),
--- a/tests/lab/capacity/test_page.py
+++ b/tests/lab/capacity/test_page.py
@@ -98,6 +98,17 @@
     assert (measured - measured.times(0.5)).value == pytest.approx(0.5)
 
 
+def test_a_starved_fleet_is_in_no_line_and_is_told(results: Results) -> None:
+    starved = Kept(
+        "peers", 7, Point(120, 60, {"suspicions/s each": 2.0, "out B/s each": 9e9, "CPU ms/s each": 1.0})
+    )
+    more = Results("long", results.machine, [*results.points, starved], False, "")
+    assert more.series("peers", "out B/s each") == results.series("peers", "out B/s each")
+    before, after = all_tables(results), all_tables(more)
+    assert {name for name in before if before[name] != after[name]} == {"run"}
+    assert "In no line: peers, 120 balancers, repeat 7" in after["run"]
+
+
 def test_a_measured_size_is_told_as_measured_and_others_by_the_line() -> None:
     points = [
         Kept(FOLLOWERS, repeat, Point(size, 24, {"cost": 2.0 * size}))
