--- a/roadlb/lab/capacity/roles.py
+++ b/roadlb/lab/capacity/roles.py
@@ -255,8 +255,14 @@
 
         cut_off = assumed(4_000, "`contradiction_s = 4`; proofs in docs/design/agreement.md")
         return (
-            _row("slowest balancer, all on two cores, 240 servers", "ms", rig, "", IN_FORCE_MS),
-            _row("slowest of ten on two cores, 2,400 servers", "ms", few, "", IN_FORCE_MS),
+            _row(
+                "slowest balancer, all on two cores, 240 servers",
+                "ms",
+                rig,
+                "the rig's two cores",
+                IN_FORCE_MS,
+            ),
+            _row("slowest of ten on two cores, 2,400 servers", "ms", few, "the rig's two cores", IN_FORCE_MS),
             _row(
                 "CPU alone, the leader's and then one balancer's",
                 "ms",
