--- a/roadlb/lab/capacity/decisions.py
+++ b/roadlb/lab/capacity/decisions.py
@@ -22,7 +22,7 @@
 from typing import Any
 
 from ...config import Pairs, read_settings
-from ...net.name_table import server_id
+from ...net.discovery import server_id
 from ...policy.interface import (
     Arrival,
     ListKind,
--- a/roadlb/lab/capacity/hollow_peers.py
+++ b/roadlb/lab/capacity/hollow_peers.py
@@ -20,7 +20,7 @@
 from ...config import Config, read_config
 from ...counters import Counters
 from ...engine import Engine
-from ...net.name_table import server_id
+from ...net.discovery import server_id
 from ...net.peers import Peers
 from ...net.sharing import Sharing
 from ...policy.interface import ListKind, Member, ServerId, Status
--- a/roadlb/lab/capacity/roles.py
+++ b/roadlb/lab/capacity/roles.py
@@ -153,7 +153,7 @@
                 "`xds/codec/versions.py`: the changed bucket of at most 64 servers",
             ),
             _row("all, both ways", "B/s", self.both_bytes, "fans of 3 and 8, not of all", BYTES_S),
-            _row("memory", "MB", self.memory_mb, "`net/name_table.py`: one list; tables capped", MEMORY_MB),
+            _row("memory", "MB", self.memory_mb, "`net/discovery.py`: one list; tables capped", MEMORY_MB),
             _row(
                 "of it for a server that is followed",
                 "B",
