--- a/tests/lab/capacity/test_small_run.py
+++ b/tests/lab/capacity/test_small_run.py
@@ -21,7 +21,6 @@
 from roadlb.lab.capacity.processes import Processes
 from roadlb.lab.capacity.runs import FOLLOWERS, PEERS, SERVERS, WATCH, Form, Task
 
-pytestmark = pytest.mark.xdist_group("capacity")  # one worker makes the run, for all that look at it
 ROOT = Path(__file__).parents[3]
 CHANGE_BYTES, JOIN_BYTES, RENEWAL_BYTES_S = (
     20_000,
