app.py is split by job: App and run stay, the parts it wires move to roadlb/wiring

Change: roadlb/wiring/standard.py has ServerSide (was Outward), KnownServerList (Known), BackgroundTask (Running), ClientSide (Clients), AdminListener (Operators) and ClientListener (Listening); roadlb/wiring/optional.py has ProcessHandover (Succeeding), ProcessCount (Beside), AgreedConfiguration (Followed), PeerMembership (Among) and SharedState (Shared).

--- a/roadlb/app.py
+++ b/roadlb/app.py
@@ -4,19 +4,16 @@
 
 import asyncio
 import gc
-import json
 import logging
 import signal
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from .admin.door import Door
 from .admin.report import report
-from .admin.sites import site_calls
 from .clock import Clock, monotonic_us, unix_us
-from .config import Agreement, Config, ConfigError, PeersConfig
+from .config import Config, ConfigError
 from .counters import Counters
 from .engine import FULL_RETRY_US, Engine
 from .lifecycle.handover import Handover, Held
@@ -34,31 +31,45 @@
     StopListening,
     Wake,
 )
-from .lifecycle.parts import Calls, Part, Parts
+from .lifecycle.parts import Part, Parts
 from .lifecycle.succession import Succession
 from .log import fields
 from .net.http import HOLD, HOLD_TIGHT
 from .net.server_connections import ServerConnections
 from .net.discovery import ServerDiscovery
-from .net.frontend import Frontend
-from .net.sockets import Bind, Listener, listening, serve
-from .overload.meter import Limits
+from .net.sockets import Bind, listening
 from .overload.readings import cpu_used_us, memory_bytes
-from .own_load import OwnLoad
-from .policy.interface import Heard, Settings
+from .policy.interface import Settings
 from .policy.logic import Balancer
 from .wheel import Wheel
+from .wiring.optional import (
+    AgreedConfiguration,
+    PeerMembership,
+    ProcessCount,
+    ProcessHandover,
+    SharedState,
+)
+from .wiring.standard import (
+    AdminListener,
+    BackgroundTask,
+    ClientListener,
+    ClientSide,
+    KnownServerList,
+    ServerSide,
+)
 
 if TYPE_CHECKING:
+    from .admin.door import Door
     from .following.following import Following
-    from .net.merging import Merging
+    from .net.frontend import Frontend
     from .net.peers import Peers
     from .net.sharing import Sharing
+    from .net.sockets import Listener
+    from .own_load import OwnLoad
 
 logger = logging.getLogger(__name__)
 
 GC_THRESHOLD = 5_000, 10, 10
-HEARD_S = 1.5  # for discovery's first word, before the known list alone is served from
 PART_LEAST = 4  # beside another process, at least this part of each limit
 OWN_SOCKETS = 20  # log, listeners, loop and its wake-ups, discovery: counted in a running process
 LONGEST_US = 3_000_000  # of deadlines, as far as the platform waits for them after SIGTERM
@@ -135,14 +146,14 @@
     def _parts(self) -> list[Part]:
         """In the order in which they start; what is not configured is neither in it nor loaded."""
         config, merging = self.config, None
-        parts: list[Part] = [Outward(self)]
+        parts: list[Part] = [ServerSide(self)]
         if config.agreement and config.peers and config.peers.share:
             from .net.merging import Merging
 
             merging = Merging(self.clock, self.engine.heard)
-            parts.append(Beside(merging.beside))
+            parts.append(ProcessCount(merging.beside))
         followed = (
-            [Followed(self, config.agreement, merging.versions if merging else self.engine.heard)]
+            [AgreedConfiguration(self, config.agreement, merging.versions if merging else self.engine.heard)]
             if config.agreement
             else []
         )
@@ -150,19 +161,19 @@
         if config.shared_dir and (succession := self._succession(config.shared_dir)):
             self.succession = succession
             known = succession.inherited(str(config.discovery), known)
-            parts.append(Succeeding(self, succession))
+            parts.append(ProcessHandover(self, succession))
         parts += [
-            Known(self, known),
+            KnownServerList(self, known),
             *followed,
-            Running(self.discovery.run),
-            Clients(self),
-            Operators(self),
-            Listening(self),
+            BackgroundTask(self.discovery.run),
+            ClientSide(self),
+            AdminListener(self),
+            ClientListener(self),
         ]
         if config.peers:
-            parts.append(Among(self, config.peers))
+            parts.append(PeerMembership(self, config.peers))
             if config.peers.share:
-                parts.append(Shared(self, merging))
+                parts.append(SharedState(self, merging))
         return parts
 
     def _succession(self, directory: str) -> Succession | None:
@@ -314,280 +325,6 @@
         await self.parts.stop()
 
 
-# The parts that every balancer has
-
-
-class Outward(Part):
-    """What reaches the instances, and the timers of all."""
-
-    def __init__(self, app: App) -> None:
-        self._app = app
-
-    async def stop(self) -> None:
-        await self._app.server_connections.close()
-        self._app.wheel.close()
-
-
-class Known(Part):
-    """The list of instances to begin with."""
-
-    def __init__(self, app: App, known: Mapping[str, object]) -> None:
-        self._app, self._known = app, known
-
-    async def start(self) -> None:
-        self._app.discovery.start_from(self._known)
-
-
-class Running(Part):
-    """What runs beside all else, until it is told to end."""
-
-    def __init__(self, run: Callable[[], Coroutine[None, None, None]]) -> None:
-        self._run = run
-
-    async def start(self) -> None:
-        self._task = asyncio.create_task(self._run())
-
-    async def stop(self) -> None:
-        self._task.cancel()
-        with suppress(asyncio.CancelledError):
-            await self._task
-
-
-class Clients(Running):
-    """The clients' side, and what tells it how much this program can take."""
-
-    def __init__(self, app: App) -> None:
-        super().__init__(lambda: app.frontend.sweep_for_ever())
-        self._app = app
-
-    async def start(self) -> None:
-        app, config = self._app, self._app.config
-        app.own_load = OwnLoad(
-            app.clock,
-            app.engine,
-            Limits(config.cores, config.memory_mb, config.sockets),
-            min(c.aim_us for c in config.settings.classes),
-            app.descriptors,
-            app.tighten,
-            app.cpu_us,
-            lambda: memory_bytes() + app.memory_beside,
-        )
-        app.frontend = Frontend(
-            config,
-            app.engine,
-            app.counters,
-            lambda: app.discovery.filled and app.lifecycle.healthy,
-            app.clock,
-            app.wheel,
-            app.own_load.came_us,
-        )
-        app.frontend.deadlines(app.settings)  # a store's version holds by now
-        await super().start()
-
-    async def stop(self) -> None:
-        await super().stop()
-        self._app.own_load.stop()
-
-
-class Operators(Part):
-    """The operators' second address."""
-
-    def __init__(self, app: App) -> None:
-        self._app = app
-
-    async def start(self) -> None:
-        app = self._app
-        app.door = Door(
-            {
-                ("GET", "/control/ready"): lambda: (
-                    (200, "yes") if app.lifecycle.takes_clients else (503, "no")
-                ),
-                ("GET", "/control/counters"): lambda: (200, app.report()),
-                ("PUT", "/control/out-of-service"): lambda: app.tell(Event.OUT_OF_SERVICE),
-                ("PUT", "/control/in-service"): lambda: app.tell(Event.IN_SERVICE),
-                **app.parts.calls(),
-                **site_calls(app.engine, app.config.zones, app.clock),
-            },
-            app.counters,
-        )
-        if app.config.admin:
-            await app.door.listen(app.config.admin, app.bind)
-
-    async def stop(self) -> None:
-        await self._app.door.close()
-
-
-class Listening(Part):
-    """The address that clients come to; the lifecycle ends it."""
-
-    def __init__(self, app: App) -> None:
-        self._app = app
-
-    async def start(self) -> None:
-        app, config = self._app, self._app.config
-        if config.socket_fd is not None:
-            # The predecessor serves till we can: with the list as it is now, not as it was.
-            with suppress(TimeoutError):
-                async with asyncio.timeout(HEARD_S):
-                    await app.discovery.told.wait()
-        if app.succession:
-            await app.succession.seen()
-            if app.succession.draining():
-                app.tell(Event.OUT_OF_SERVICE)
-        app.listener = await serve(app.frontend, config.listen, config.socket_fd, app.bind)
-
-
-# The parts that are configured
-
-
-class Succeeding(Part):
-    """What a successor takes over, and what others of this balancer hold."""
-
-    def __init__(self, app: App, succession: Succession) -> None:
-        self._app, self._succession = app, succession
-        self._serving = False  # until then what is written is the predecessor's
-
-    def serving(self) -> None:
-        self._serving = True
-        self._app.discovery.on_list = self._succession.write_soon
-        self._succession.begin()
-
-    def changed(self, state: State) -> None:
-        if state is State.LEAVING:
-            self._succession.leave()
-        elif self._serving:
-            self._succession.write_now()
-
-    async def stop(self) -> None:
-        self._succession.end()
-
-
-class Beside(Part):
-    """One who only hears how many processes are this balancer."""
-
-    def __init__(self, call: Callable[[int], None]) -> None:
-        self._call = call
-
-    def beside(self, count: int) -> None:
-        self._call(count)
-
-
-class Followed(Part):
-    """Versions of agreed settings and lists; what it remembers is read as it is made."""
-
-    def __init__(self, app: App, told: Agreement, hear: Callable[[Heard], None]) -> None:
-        try:
-            from .following.following import Following
-            from .xds.grpc.dial import dial
-        except ImportError as e:
-            raise ConfigError(f"agreement: needs the extra `control`: {e}") from None
-        from .store.disk import Directory
-
-        engine, config = app.engine, app.config
-
-        def lapse_at(us: int) -> None:
-            engine.lapse_us = us
-
-        try:
-            disk = Directory(Path(told.store)) if told.store else None
-        except OSError as e:
-            raise ConfigError(f"agreement.store: {told.store} cannot be had: {e.strerror}") from None
-        self._following = app.following = Following(
-            told,
-            config.name,
-            config.seed,
-            app.clock,
-            app.wall,
-            app.counters,
-            app.discovery.lead,
-            hear,
-            lapse_at,
-            dial,
-            disk,
-            disk,
-            app.changed,
-        )
-        self._following.load()
-        engine.lapsed, app.discovery.drained = self._following.lapsed, self._following.drained
-
-    async def start(self) -> None:
-        self._following.start()
-
-    def beside(self, count: int) -> None:
-        self._following.twins(count)
-
-    def gauges(self) -> Mapping[str, int]:
-        return self._following.gauges()
-
-    async def stop(self) -> None:
-        await self._following.stop()
-
-
-class Among(Part):
-    """The other balancers."""
-
-    def __init__(self, app: App, told: PeersConfig) -> None:
-        from .net.peers import Peers
-
-        self._app, config = app, app.config
-        self._peers = app.peers = Peers(
-            config.name,
-            config.hall,
-            told,
-            app.counters,
-            app.clock,
-            app.wall,
-            config.seed,
-            own_socket=app.bind is not None,
-        )
-
-    async def start(self) -> None:
-        await self._peers.start()
-
-    def changed(self, state: State) -> None:
-        if state is State.LEAVING:
-            self._peers.stop(farewell=self._app.twins == 1)  # a successor takes the name up
-
-    def calls(self) -> Calls:
-        return {("GET", "/control/peers"): lambda: (200, json.dumps(self._peers.report()))}
-
-    async def stop(self) -> None:
-        self._peers.stop()
-
-
-class Shared(Part):
-    """What is decided by the word of the other balancers."""
-
-    def __init__(self, app: App, merging: Merging | None) -> None:
-        from .net.sharing import Sharing
-
-        assert app.peers
-        self._sharing = app.sharing = Sharing(
-            app.config,
-            app.peers,
-            app.engine,
-            app.counters,
-            app.clock,
-            merging.shares if merging else lambda instances, heard: app.engine.heard(heard),
-            app.discovery.names,
-        )
-        if merging:
-            merging.agree = self._sharing.agreed
-
-    async def start(self) -> None:
-        self._sharing.start()
-
-    def beside(self, count: int) -> None:
-        self._sharing.beside(count)
-
-    def changed(self, state: State) -> None:
-        if state is State.LEAVING:
-            self._sharing.stop()
-
-    async def stop(self) -> None:
-        self._sharing.stop()
-
-
 async def begun(app: App, ended: asyncio.Event) -> bool:
     """Start; False if it was told to end before it listened, which it then never does."""
     start, told = asyncio.create_task(app.start()), asyncio.create_task(ended.wait())
--- /dev/null
+++ b/roadlb/wiring/__init__.py
@@ -0,0 +1,1 @@
+"""The parts of one real balancer, as `roadlb.app` wires them."""
--- a/tests/house/test_footprint.py
+++ b/tests/house/test_footprint.py
@@ -29,6 +29,7 @@
     "log",
     "own_load",
     "wheel",
+    "wiring",
 }
 
 # Without `site`, as what it loads depends on how the environment was made.  The name is not __main__, so that
@@ -65,3 +66,21 @@
     assert own <= OWN_PARTS, f"parts that are off: {own - OWN_PARTS}"
     of_others = [name for name in names if name.partition(".")[0] != "roadlb"]
     assert len(of_others) <= OTHERS_MOST, f"{len(of_others)} modules"
+
+
+def test_the_wired_parts_load_no_app() -> None:
+    code = (
+        "import sys, roadlb.wiring.standard, roadlb.wiring.optional; "
+        "print([name for name in sys.modules if name in ('roadlb.app', 'roadlb.net.peers', "
+        "'roadlb.net.sharing', 'roadlb.net.merging', 'roadlb.following')])"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code],
+        cwd=ROOT,
+        env={"PYTHONPATH": str(ROOT)},
+        timeout=60,
+        check=True,
+        capture_output=True,
+        text=True,
+    )
+    assert done.stdout.strip() == "[]", "App is named in types alone, and optional parts load their own"
--- a/tests/lifecycle/test_taking_over.py
+++ b/tests/lifecycle/test_taking_over.py
@@ -18,7 +18,6 @@
 from samples import RAW
 from scenario import LIMIT_S, run
 
-from roadlb import app as app_module
 from roadlb.admin.door import OPEN_MOST
 from roadlb.app import App
 from roadlb.config import SPARE_SOCKETS, read_config
@@ -27,6 +26,7 @@
 from roadlb.lifecycle.handover import Handover, Held, Neighbours
 from roadlb.lifecycle.lifecycle import Event, State
 from roadlb.lifecycle.succession import Succession
+from roadlb.wiring import standard
 
 ROOT = Path(__file__).parents[2]
 DISCOVERY = "127.0.0.1:9"  # where nobody answers
@@ -84,9 +84,9 @@
 def test_who_takes_over_listens_only_once_each_counts_the_other(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(app_module, "HEARD_S", 0.01)
+    monkeypatch.setattr(standard, "HEARD_S", 0.01)
     counted, at_listening = [0], list[tuple[int, int]]()
-    serve = app_module.serve
+    serve = standard.serve
 
     async def main() -> None:
         with socket.create_server(("127.0.0.1", 0)) as listener:
@@ -98,7 +98,7 @@
                 at_listening.append((counted[0], new.twins))
                 return await serve(*given)  # type: ignore[arg-type]
 
-            monkeypatch.setattr(app_module, "serve", serving)
+            monkeypatch.setattr(standard, "serve", serving)
             await new.start()
             await new.stop()
             old.end()
