--- a/tests/lab/run/faulty_balancers.py
+++ b/tests/lab/run/faulty_balancers.py
@@ -110,7 +110,7 @@
 
         def again(attempt: Attempt) -> None:
             now = self.clock()
-            self.instances.start(
+            self.server_connections.start(
                 Attempt(attempt.request, self.message_of(attempt), EXTRA, attempt.server, now, now + 900_000)
             )
 
