Clients that leave a second copy, and a retry whose server is dialled, are tested

A read's second copy is open at another server as its client leaves, by end, reset or half-close: both servers see their connections end, both attempts count as cancelled and no third begins. A retry decided by a 503 that never ran is being dialled to a server that never comes up as its client leaves: the dial ends and nothing further begins.

The scenario language takes true for a flag among the limits.

Seen to fail: the first with only the first open attempt called off, the second with an attempt that is being dialled not cancelled.

--- a/tests/net/test_client_leaves.py
+++ b/tests/net/test_client_leaves.py
@@ -20,6 +20,8 @@
     "POST /order/k HTTP/1.1\r\nHost: x\r\nX-Account: acme\r\nX-Correlation-Id: {id}\r\n"
     "Content-Length: {length}\r\n\r\n"
 )
+READ = "GET /grid-read/k HTTP/1.1\r\nHost: x\r\nX-Account: acme\r\nX-Correlation-Id: 1\r\n\r\n"
+KEYS = 20
 MUCH = HELD_MOST + 1  # bytes behind an open request with which reading stops
 LEAVING = ["end", "reset", "half-close"]
 
@@ -256,3 +258,61 @@
         await over(stage)
 
     run(main(), loop)
+
+
+@pytest.mark.parametrize("loop", LOOPS)
+@pytest.mark.parametrize("how", LEAVING)
+def test_both_attempts_are_cancelled_as_the_client_of_a_second_copy_leaves(how: str, loop: str) -> None:
+    async def main() -> None:
+        stage = await begun("2 second_copies=true")
+        link = await client(stage, "a", READ)
+        await step(stage, "i1 expect GET")
+        await step(stage, "i2 expect GET")  # no answer has come in time
+        assert stage.links["i1"].port != stage.links["i2"].port
+        leave(link, how)
+        await step(stage, "i1 expect closed")
+        await step(stage, "i2 expect closed")
+        counters = stage.app.counters
+        assert counters["client_gone"] == 1 and counters["errored.grid-read"] == 0
+        assert counters["execution"] == counters["execution.cancelled"] == 2
+        await until(lambda: not stage.app.engine.current)
+        await over(stage)
+        assert counters["execution"] == 2
+
+    run(main(), loop)
+
+
+def dialled_ports(stage: Stage) -> set[int]:
+    """Where connections are being dialled to."""
+    return {call.address.port for call in stage.app.server_connections.pool.dialled() if call.address}
+
+
+@pytest.mark.parametrize("loop", LOOPS)
+@pytest.mark.parametrize("how", LEAVING)
+def test_a_close_is_noticed_while_a_retrys_server_is_dialled(how: str, loop: str) -> None:
+    async def main() -> None:
+        stage = await begun("1 0 1")
+        counters, mute = stage.app.counters, stage.mutes[0].getsockname()[1]
+        for number in range(KEYS):  # till one is first sent to the server that listens
+            link = await client(stage, "a", order(number).replace("/order/k", f"/order/k{number}"))
+            await until(lambda: mute in dialled_ports(stage) or not stage.waiting["i"].empty())
+            if not stage.waiting["i"].empty():
+                break
+            gone = counters["client_gone"]
+            leave(link, "end")
+            await until(lambda gone=gone: counters["client_gone"] > gone and not dialled_ports(stage))
+        await step(stage, "i1 expect POST")
+        begun_before, cancelled, gone = (
+            counters[name] for name in ("execution", "execution.cancelled", "client_gone")
+        )
+        await step(stage, "i1 send 503 X-Unprocessed:1")
+        await until(lambda: mute in dialled_ports(stage))
+        assert counters["execution"] == begun_before + 1
+        leave(link, how)
+        await until(lambda: counters["client_gone"] == gone + 1)
+        assert not dialled_ports(stage) and counters["execution.cancelled"] == cancelled + 1
+        await until(lambda: not stage.app.engine.current)
+        await over(stage)
+        assert counters["execution"] == begun_before + 1
+
+    run(main(), loop)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -2,7 +2,7 @@
 
     grid UP [DEAD [MUTE]] [NAME=VALUE ...]         first line: how many instances listen, how many refuse to
                             connect, to how many a dial never comes up; limits among the settings,
-                            and figures that the configuration makes of them
+                            and figures that the configuration makes of them (`true` for a flag)
     a send GET /path [Name:value ...] [body=N]     client `a`; its headers have defaults, N bytes of body
     a send raw TEXT         bytes as they stand, with \\r\\n escapes
     a expect STATUS [TEXT]  the status of the next answer, and a text in its head or body
@@ -182,7 +182,7 @@
             server.close()
         self.names += [self.mute() for _ in range(int(mute))]
         # A machine that is held up for a while must not fail a dial that only waits for it.
-        told = {k: int(v) for k, _, v in (pair.partition("=") for pair in limits)}
+        told = {k: json.loads(v) for k, _, v in (pair.partition("=") for pair in limits)}
         changed = {**LIMITS, "dial_timeout_us": int(LIMIT_S * 1e6), **told}
         self.config = {
             "name": "n0",
