--- a/tests/net/test_client_closing.py
+++ b/tests/net/test_client_closing.py
@@ -26,36 +26,37 @@
     """A client that reads nothing till it is asked to."""
 
     def __init__(self, stage: Stage) -> None:
-        self._socket = socket.create_connection(("127.0.0.1", stage.app.port))
+        self.socket = socket.create_connection(("127.0.0.1", stage.app.port))
 
     def send(self, text: str) -> None:
-        self._socket.sendall(text.encode())
+        self.socket.sendall(text.encode())
 
-    def fill(self, text: str, more: int) -> None:
-        """Send this and up to `more` bytes behind it, as much as the kernel takes in this turn."""
-        self._socket.setblocking(False)
-        left = text.encode() + b"x" * more
+    def fill(self, text: str) -> bytes:
+        """Send as much of it as the kernel takes in this turn; gives the rest."""
+        self.socket.setblocking(False)
+        left = memoryview(text.encode())
         with suppress(BlockingIOError):
             while left:
-                left = left[self._socket.send(left) :]
+                left = left[self.socket.send(left) :]
+        return bytes(left)
 
     async def go_on(self, more: int) -> None:
         """Send so many bytes as they are taken; a reset raises."""
         async with asyncio.timeout(LIMIT_S):
-            await asyncio.get_running_loop().sock_sendall(self._socket, b"x" * more)
+            await asyncio.get_running_loop().sock_sendall(self.socket, b"x" * more)
 
     async def rest(self) -> str:
         """All that comes up to the stream's end; a reset raises."""
-        self._socket.setblocking(False)
+        self.socket.setblocking(False)
         got, loop = b"", asyncio.get_running_loop()
         async with asyncio.timeout(LIMIT_S):
-            while read := await loop.sock_recv(self._socket, 65_536):
+            while read := await loop.sock_recv(self.socket, 65_536):
                 got += read
-        self._socket.close()
+        self.socket.close()
         return got.decode()
 
     def close(self) -> None:
-        self._socket.close()
+        self.socket.close()
 
 
 def play(loop: str, grid: str, main: Callable[[Stage, Plain], Awaitable[None]]) -> None:
@@ -109,7 +110,7 @@
         # More than the loop reads in one piece: some of it is in the socket when the answer is written, and a
         # plain close would be a reset.
         connection = only(stage)
-        plain.fill(sent, BEHIND)
+        plain.fill(sent + "x" * BEHIND)
         await until(lambda: connection.closing_us)
         await plain.go_on(100_000)
         got = await plain.rest()
@@ -125,11 +126,11 @@
         connection = only(stage)
         plain.send("nonsense\r\n\r\n")
         await until(lambda: connection.closing_us)
-        plain._socket.setblocking(False)
+        plain.socket.setblocking(False)
         async with asyncio.timeout(LIMIT_S):
             while connection.transport is not None:
                 try:
-                    plain._socket.send(b"x" * 65_536)
+                    plain.socket.send(b"x" * 65_536)
                 except BlockingIOError:
                     pass
                 except ConnectionError:
@@ -206,7 +207,7 @@
         await step(stage, "i1 expect POST")
         await step(stage, "i1 send 200 done")
         await until(lambda: not only_open(stage).exchange)
-        plain._socket.shutdown(socket.SHUT_WR)
+        plain.socket.shutdown(socket.SHUT_WR)
         assert (await plain.rest()).endswith("done")
 
     play(loop, "1", main)
@@ -231,7 +232,7 @@
         await step(stage, "i1 expect POST")
         await step(stage, "i1 send 200 done")
         await until(lambda: not only(stage).exchange)
-        plain._socket.shutdown(socket.SHUT_WR)
+        plain.socket.shutdown(socket.SHUT_WR)
         assert (await plain.rest()).endswith("done")
 
     play(loop, "1", main)
