The descriptors' tests keep their port, and fail if the process ends early

The likely cause, not caught in the act, is its port: free_port gives one back before the process binds it, and other tests ran beside it.

The port is now bound by the test till the process listens, and the end of the log fails the test. With the port held by a socket that listens it fails after 10.3 s, which is how long the program waits for a predecessor's port.

--- a/tests/net/test_client_descriptors.py
+++ b/tests/net/test_client_descriptors.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 
 from scenario import SETTINGS, Link, run
-from test_watch_descriptors import IDLE, ROOT, SOCKETS, free_port, idle_clients, limited
+from test_watch_descriptors import IDLE, ROOT, SOCKETS, idle_clients, limited
 from watching import ENOUGH_S, HEAD, Discovery, entry, line, until, update
 
 WATCHED_S = 1.0  # over which the process's time on a core is taken
@@ -77,8 +77,13 @@
 @asynccontextmanager
 async def limited_balancer(tmp_path: Path, told: int = SOCKETS) -> AsyncIterator[Process]:
     """`told`: how many descriptors its configuration says that it may hold."""
-    discovery, grid, port = Discovery(), Grid(), free_port()
+    discovery, grid = Discovery(), Grid()
     await discovery.start()
+    # Bound, and never listening, it keeps the port from others' connections till the process listens there.
+    holder = socket.socket()
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    holder.bind(("127.0.0.1", 0))
+    port = int(holder.getsockname()[1])
     server = entry("s", port=await grid.start())
     config = tmp_path / "config.json"
     settings = {**SETTINGS, "limits": {"max_attempts": 1, "sockets": told}}
@@ -107,13 +112,15 @@
     assert process.stderr
     try:
         (await discovery.call()).send(HEAD, line(update(5)))
-        while b"event=listening" not in await process.stderr.readline():
-            pass
+        while b"event=listening" not in (told_line := await process.stderr.readline()):
+            assert told_line, "it ended before it listened"
+        holder.close()
         log = asyncio.ensure_future(process.stderr.read())
         yield Process(process, port, grid)
     finally:
-        process.send_signal(signal.SIGCONT)
-        process.terminate()
+        with suppress(ProcessLookupError):  # it ended by itself, which failed the test
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
         await process.wait()
     await log
     discovery.close()
