--- a/tests/net/test_watch_descriptors.py
+++ b/tests/net/test_watch_descriptors.py
@@ -79,8 +79,8 @@
         assert process.stderr
         try:
             (await discovery.call()).send(HEAD, line(update(5)))
-            while b"event=listening" not in await process.stderr.readline():
-                pass
+            while b"event=listening" not in (logged := await process.stderr.readline()):
+                assert logged, "the process ended before it listened"
             log = asyncio.ensure_future(process.stderr.read())
             # Stopped, it finds all of them in its accept queue in one turn, and its watch reset as well.
             os.kill(process.pid, signal.SIGSTOP)
