--- a/roadlb/net/service_client.py
+++ b/roadlb/net/service_client.py
@@ -38,6 +38,7 @@
 PLENTY, FEW = 1 / 3, 3 / 4  # of the connections that there may be: up to here, and from here on
 SILENT_S = 0.5  # a client that means to ask has asked by then
 SWEEP_S = 0.25
+PAUSED_LOOK_US = 20_000  # how often the clients that are not read are asked whether they have left
 LINGER_S = 0.3  # open, but not read, after an answer to a body cut off, so that the client reads why
 TIME_LEFT_MOST_S = 3_600.0
 RECENT_US = 5_000_000  # an id is not taken again for so long after its answer ...
@@ -102,6 +103,7 @@
         self._answered: deque[tuple[int, bytes]] = deque()  # the latter, until which time they count
         self._rejects = Limit(clock, REJECTS_LOGGED)
         self.connections: dict[ClientConnection, None] = {}  # in the order in which they came
+        self._paused: dict[ClientConnection, None] = {}  # those that are not read for now
         self._all_ended: asyncio.Future[None] | None = None
         self.draining = False  # each answer ends its connection
         self.tight = False  # memory or descriptors are short: idle connections go sooner
@@ -166,6 +168,18 @@
     def linger(self, connection: ClientConnection) -> None:
         self._wheel.at(self.clock() + int(LINGER_S * 1e6), ClientConnection.close, connection)
 
+    def watch_paused(self, connection: ClientConnection) -> None:
+        """Its transport does not read, and so does not tell that its client leaves: look after it."""
+        if not self._paused:
+            self._wheel.at(self.clock() + PAUSED_LOOK_US, ServiceClient._look_at_paused, self)
+        self._paused[connection] = None
+
+    def _look_at_paused(self) -> None:
+        paused, self._paused = self._paused, {}
+        for connection in paused:
+            if connection.reading_paused and not connection.check_left():
+                self.watch_paused(connection)
+
     async def sweep_for_ever(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_S)
@@ -206,13 +220,24 @@
             if connection.started_us:
                 connection.close()
 
-    async def all_gone(self, until_us: int) -> None:
-        """Wait until no connection is left, or the clock shows this time; then end what is left."""
+    async def all_gone(self, until_us: int, written_by_us: int) -> None:
+        """Wait until no connection is left, or the clock shows this time; then end what is left.
+
+        Those on which an answer is still being written, or on which bytes wait to be read, have until
+        `written_by_us`.
+        """
+        await self._none_left(until_us)
+        for connection in list(self.connections):
+            if not unsettled(connection):
+                connection.abort()
+        await self._none_left(written_by_us)
+        for connection in list(self.connections):
+            connection.abort()
+
+    async def _none_left(self, until_us: int) -> None:
         if self.connections:
             self._all_ended = asyncio.get_running_loop().create_future()
             await asyncio.wait([self._all_ended], timeout=max(0, until_us - self.clock()) / 1e6)
-        for connection in list(self.connections):
-            connection.abort()
 
     # Requests
 
@@ -375,6 +400,14 @@
     return connection.transport is None or connection.transport.is_closing()
 
 
+def unsettled(connection: ClientConnection) -> bool:
+    """Is an answer being written, or have bytes come that were not read?"""
+    transport = connection.transport
+    if transport is None:
+        return False
+    return connection.flowing or transport.get_write_buffer_size() > 0 or unread(transport)
+
+
 def overdue(connection: ClientConnection, now: int, idle_s: float) -> bool:
     """Has it been silent, at one request, or at not taking an answer for too long?  `now` in microseconds."""
     if connection.stuck_us:
