--- a/roadlb/net/name_table.py
+++ b/roadlb/net/name_table.py
@@ -17,7 +17,7 @@
 from ..log import fields
 from ..policy.interface import ListKind, Member, ServerId, ServerState
 from .instances import Instances
-from .watch import DiscoveryWatch, WatchBroken
+from .watch import DiscoveryWatch, WatchBroken, WatchState
 
 logger = logging.getLogger(__name__)
 
@@ -163,8 +163,12 @@
                 self._entries.pop(name, None)
             else:
                 self._entries[name] = entry
-        self._instances.list_update(line.names, gone, whole=line.kind is not ListKind.DELTA)
+        draining = [m.server for m in line.members if m.state is ServerState.DRAINING]
+        whole = line.kind is not ListKind.DELTA
+        born_us = {m.server: m.born_us for m in line.members if m.state is not ServerState.GONE}
+        self._instances.list_update(line.names, gone, whole, draining, born_us)
         self._engine.list_update(line.kind, line.members)
+        self._instances.withdraw()  # now that what is sent instead goes elsewhere
         self.filled = self.filled or bool(line.names)
         self._counters.add("list.taken")
         logger.info(
@@ -199,6 +203,10 @@
             logger.info("watch moved", extra=fields(discovery=discovery))
             self._watch.move()
 
+    @property
+    def watch_state(self) -> WatchState:
+        return self._watch.state
+
     async def run(self) -> None:
         """Watch until the list is led; whatever goes wrong, the list held stays valid."""
         await self._watch.run()
--- a/roadlb/net/pool.py
+++ b/roadlb/net/pool.py
@@ -63,8 +63,13 @@
             call.ended(Result(Ending.NO_SOCKET), "")
         else:
             self._dialling[call] = None
+            call.address = address
             call.dialling = self._loop.create_task(self._dial(call, address))
 
+    def dialled(self) -> list[Call]:
+        """The calls whose connections have not come up yet."""
+        return list(self._dialling)
+
     def give_up(self, call: Call) -> None:
         """Of this call nothing more is heard; its connection is closed, which tells the instance."""
         self._dialling.pop(call, None)
@@ -115,6 +120,11 @@
             if addresses.get(connection.server) != connection.address:
                 self._drop(connection)
 
+    def drop_idle(self, server: ServerId) -> None:
+        """No call goes out any more on a connection that waits for one now."""
+        for connection in list(self._idle.get(server, ())):
+            self._drop(connection)
+
     def opened(self, connection: InstanceConnection) -> None:
         self.open[connection] = None
 
@@ -148,10 +158,13 @@
     def _take(self, server: ServerId) -> InstanceConnection | None:
         """The connection that has waited for the shortest time."""
         idle = self._idle.get(server)
+        if not idle:
+            return None
+        before = self.clock() - self._keep_us  # the sweep may be late, with all else on the loop
         while idle:
             connection, _ = idle.popitem()
             self._all_idle.pop(connection, None)
-            if connection.usable and connection.quiet:
+            if connection.usable and connection.rested_us >= before and connection.quiet:
                 return connection
             connection.close()
         return None
--- a/roadlb/policy/logic.py
+++ b/roadlb/policy/logic.py
@@ -81,6 +81,8 @@
         self.list = ServerList(self.standings, self.warmth)
         self.sets: KeySets[Server] = KeySets(self.list.order)
         self.requests: dict[int, Request] = {}
+        # Requests without a key share one server set, this balancer's own, and so the connections to it.
+        self.own_key = mix(settings.instance + 1) or 1
         self.fleet, self.sites = self.list.fleet, Sites()
         self.slow_start = SlowStart()
         self.shares = Shares(settings.instances)  # of what all together may do
@@ -120,6 +122,7 @@
         if handler := self.handlers.get(type(event)):
             handler(event)
         if self.sites.decided:
+            self.slow_start.has(now, self.list.warm(self.sites))
             self.actions += map(Log, map(str, decided := self.sites.take()))
             if self.warmth.hear(now, decided):
                 self.rebuild()
@@ -145,7 +148,7 @@
             self.rebuild()
         self.refusals.fade()
         self.quotas.fade()
-        self.slow_start.tick()
+        self.slow_start.tick(self.now, self.list.warm(self.sites), self.list.weight)
         self.sets.told([s.told * s.inverse for s in self.list.ready if self.now - s.queue_at < RECENT_US])
         each = self.slow_start.carried / (self.slow_start.mean or 1.0) / self.list.weight
         self.sites.usual([(s.zone, each * s.weight * s.share) for s in self.list.ready])
@@ -161,6 +164,7 @@
             return
         self.asks = 0
         self.list.apply(self.now, e, self.s, self.aim)
+        self.rebuild()
         self.sites.tell(self.now, Listed(self.list.starts()))
 
     def changed(self, e: Changed) -> None:
@@ -170,6 +174,7 @@
     def rebuild(self) -> None:
         """The settings, or the time, have changed what servers can do."""
         self.list.rebuild(self.now, self.s)
+        self.slow_start.has(self.now, self.list.warm(self.sites))
 
     # Load and health
 
@@ -244,7 +249,7 @@
         return best
 
     def anywhere(self, r: Request, tried: list[Server]) -> Server | None:
-        """No key, or nobody in the key's order will do: the least loaded of a random sample."""
+        """Nobody in the key's order will do: the least loaded of a random sample."""
         sample = [self.random.choice(self.list.ready) for _ in range(2 * SAMPLE)] if self.list.ready else []
         return self.least(sample, r, tried, SAMPLE) or self.least(self.list.ready, r, tried, SAMPLE)
 
@@ -278,8 +283,6 @@
             return s  # a lost site is asked whether it is back, as nobody would choose it
         if not tried and spec.effect is Effect.SAFE and self.pressure > 0 and (s := self.idle(r, 1.0)):
             return s  # what is warm is left to what only it can do in time
-        if not r.key:
-            return self.anywhere(r, tried)
         s, ks = self.member(r, tried)
         if s and self.dialling and not s.connected(self.now, self.s.keep_us):
             # Each server that one node uses seldom costs it a dial for nearly every request.
@@ -381,8 +384,7 @@
         r.open -= 1
         if not r.coming:
             self.list.count(self.now, self.aim, s, -1)
-        if a.held:
-            self.slow_start.ended(self.now, a, r.work or r.cls.least, e.status is Status.OK)
+        self.slow_start.ended(self.now, a, r.work or r.cls.least, e.status is Status.OK)
         if len(e.report) > self.queue_field >= 0:
             s.told, s.queue_at = e.report[self.queue_field], self.now
             s.queue = s.told / self.shares.alike
@@ -459,8 +461,9 @@
 
     def arrival(self, e: Arrival) -> None:
         cls = self.classes[e.class_index]
+        key = e.key or self.own_key
         r = self.requests[e.request] = Request(
-            e.request, cls, e.key, e.work_us, self.now + e.left_us, self.now + cls.spec.aim_us, e.coming
+            e.request, cls, key, e.work_us, self.now + e.left_us, self.now + cls.spec.aim_us, e.coming
         )
         self.retries, self.hedges = min(20, self.retries + RETRY_SHARE), min(20, self.hedges + HEDGE_SHARE)
         shed = self.shed(e, cls)
--- a/tests/net/watching.py
+++ b/tests/net/watching.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Collection, Mapping
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 from typing import Any
@@ -67,6 +67,7 @@
     def __init__(self) -> None:
         self.calls: asyncio.Queue[Call] = asyncio.Queue()
         self.writers: list[asyncio.StreamWriter] = []
+        self.answer: list[bytes] = []  # each call's, at once; without one the test answers
 
     async def start(self, port: int = 0) -> None:
         self.server = await asyncio.start_server(self._called, "127.0.0.1", port)
@@ -76,7 +77,8 @@
         self.writers.append(writer)
         with suppress(asyncio.IncompleteReadError, ConnectionError):
             head = await reader.readuntil(b"\r\n\r\n")
-            self.calls.put_nowait(Call(head.split()[1].decode(), reader, writer))
+            call = Call(head.split()[1].decode(), reader, writer).send(*self.answer)
+            self.calls.put_nowait(call)
 
     async def call(self) -> Call:
         async with asyncio.timeout(ENOUGH_S):
@@ -97,11 +99,14 @@
         self.addresses: dict[str, Address] = {}
         self._names: dict[ServerId, str] = {}
 
-    def list_update(self, *told: Any, whole: bool = False) -> None:
+    def withdraw(self) -> None:
+        self.order.append("withdraw")
+
+    def list_update(self, *told: Any) -> None:
         if isinstance(told[0], ListKind):
             self._engine(*told)
         else:
-            self._servers(*told, whole=whole)
+            self._servers(*told)
 
     def _engine(self, kind: ListKind, members: list[Member]) -> None:
         self.order.append("engine")
@@ -113,7 +118,12 @@
                 del self.states[member.server]
 
     def _servers(
-        self, listed: dict[ServerId, tuple[str, Address]], gone: list[ServerId], whole: bool
+        self,
+        listed: dict[ServerId, tuple[str, Address]],
+        gone: list[ServerId],
+        whole: bool,
+        draining: Collection[ServerId],
+        started: Mapping[ServerId, int],
     ) -> None:
         self.order.append("servers")
         if whole:
