The tests of few descriptors share one rig of the real program

Change: tests/net/limited_program.py holds the port till the program listens, ends the test where the program ends early, and keeps its log. The assertions are as they were.

--- a/tests/net/test_client_descriptors.py
+++ b/tests/net/test_client_descriptors.py
@@ -6,18 +6,15 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import os
-import signal
 import socket
-import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
-from scenario import SETTINGS, Link, run
-from test_watch_descriptors import IDLE, ROOT, SOCKETS, idle_clients, limited
-from watching import ENOUGH_S, HEAD, Discovery, entry, line, until, update
+from limited_program import GENERATION, IDLE, SOCKETS, Program, idle_clients, limited_program
+from scenario import Link, run
+from watching import ENOUGH_S, Discovery, entry, until, update
 
 WATCHED_S = 1.0  # over which the process's time on a core is taken
 BUSY_MOST_S = 0.5  # a process that spins has all of it
@@ -53,18 +50,13 @@
 class Process:
     """The balancer, which has few descriptors."""
 
-    def __init__(self, process: asyncio.subprocess.Process, port: int, grid: Grid) -> None:
-        self.pid, self.port, self.grid = process.pid, port, grid
+    def __init__(self, program: Program, grid: Grid) -> None:
+        self.pid, self.port, self.grid = program.pid, program.port, grid
+        self.stop, self.go_on = program.stop, program.go_on
 
     async def client(self) -> Link:
         return Link(*await asyncio.open_connection("127.0.0.1", self.port))
 
-    def stop(self) -> None:
-        os.kill(self.pid, signal.SIGSTOP)
-
-    def go_on(self) -> None:
-        os.kill(self.pid, signal.SIGCONT)
-
     def descriptors(self) -> int:
         return len(os.listdir(f"/proc/{self.pid}/fd"))
 
@@ -79,50 +71,9 @@
     """`told`: how many descriptors its configuration says that it may hold."""
     discovery, grid = Discovery(), Grid()
     await discovery.start()
-    # Bound, and never listening, it keeps the port from others' connections till the process listens there.
-    holder = socket.socket()
-    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    holder.bind(("127.0.0.1", 0))
-    port = int(holder.getsockname()[1])
-    server = entry("s", port=await grid.start())
-    config = tmp_path / "config.json"
-    settings = {**SETTINGS, "limits": {"max_attempts": 1, "sockets": told}}
-    config.write_text(
-        json.dumps(
-            {
-                "name": "n0",
-                "listen": f"127.0.0.1:{port}",
-                "discovery": str(discovery.address),
-                "seed": "5",
-                "known": update(5, server, reset=True),
-                "settings": settings,
-                "limits": {"sockets": told},
-            }
-        )
-    )
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "roadlb",
-        cwd=ROOT,
-        stderr=asyncio.subprocess.PIPE,
-        preexec_fn=limited,
-        env={**os.environ, "PYTHONPATH": str(ROOT), "PROXY_CONFIG": str(config)},
-    )
-    assert process.stderr
-    try:
-        (await discovery.call()).send(HEAD, line(update(5)))
-        while b"event=listening" not in (told_line := await process.stderr.readline()):
-            assert told_line, "it ended before it listened"
-        holder.close()
-        log = asyncio.ensure_future(process.stderr.read())
-        yield Process(process, port, grid)
-    finally:
-        with suppress(ProcessLookupError):  # it ended by itself, which failed the test
-            process.send_signal(signal.SIGCONT)
-            process.terminate()
-        await process.wait()
-    await log
+    known = update(GENERATION, entry("s", port=await grid.start()), reset=True)
+    async with limited_program(tmp_path, discovery, known, max_attempts=1, told=told) as program:
+        yield Process(program, grid)
     discovery.close()
     grid.close()
 
