A request that is over forbids what is dialled for it to be written; the dial ends

Cause: Engine._withdraw ended all attempts still dialled as never started once a request was answered or its client had left, also those that the decisions keep on purpose (sites.keeps): whether their connections come up is how a zone that is silent is found lost. Where reads are rescued by second copies no evidence was left.

Change: such an attempt is told never to be written (Attempt.never_write); its dial goes on, and ends as what it tells of the server, or as never started if it comes up. What the decisions call off themselves ends at once, as before.

--- a/roadlb/exchange.py
+++ b/roadlb/exchange.py
@@ -14,6 +14,9 @@
     from .wheel import Timer
 
 
+NEVER_US = -1  # a time that every clock has passed
+
+
 class AttemptOutcome(Enum):
     """Every way in which an attempt's connection can end."""
 
@@ -153,6 +156,10 @@
         self.started_us, self.until_us = started_us, until_us
         self.outcome: AttemptOutcome | None = None
 
+    def never_write(self) -> None:
+        """Its request is over: if nothing of it is written yet, nothing will be."""
+        self.left_us, self.write_by_us = 0, NEVER_US
+
     def left_at(self, now_us: int) -> int:
         """How long its answer will be waited for if it is written now; 0: it may not be written any more."""
         if self.left_us:
