--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -9,12 +9,14 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
 import socket
 import sys
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -179,6 +181,7 @@
         if self.process is not None and self.process.returncode is None:
             self.process.kill()
             await self.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 async def read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]]:
@@ -331,9 +334,9 @@
 
     try:
         held = asyncio.run(limited())
-    except (CannotRun, OSError, TimeoutError) as e:
-        record.say(f"result: could not run: {type(e).__name__}: {e}")
-        print(f"could not run: {type(e).__name__}: {e}", file=sys.stderr)
+    except Exception as e:  # whatever it is: it says nothing of the rule
+        record.say(f"result: could not run: {e!r}")
+        traceback.print_exc()
         sys.exit(2)
     record.say(f"result: the rule {'held' if held else 'was broken'}")
     print(f"the rule {'held' if held else 'was broken'}")
