Review: each run.sh begins its record.txt itself

The record was named and opened in the shared stand-ins only, and a case that could not start left none.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -22,7 +22,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
-BROKEN = 10  # common/case.sh makes 1 of it
+BROKEN = 10  # run.sh makes 1 of it
 LIMIT_S = 110.0  # a case that has not ended by then could not run
 SERVERS: list[asyncio.Server] = []  # held, so that they go on listening
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -33,10 +33,13 @@
 
 
 class Record:
-    """`record.txt`: one line for each thing sent, answered or run, with the seconds since the start."""
+    """A case's `record.txt`, begun by its run.sh.
+
+    One line for each thing sent, answered or run, with the seconds since the start.
+    """
 
     def __init__(self, path: Path) -> None:
-        self._file, self._began = path.open("w"), time.monotonic()
+        self._file, self._began = path.open("a"), time.monotonic()
 
     def say(self, text: str) -> None:
         self._file.write(f"{time.monotonic() - self._began:8.3f} {text}\n")
@@ -324,12 +327,12 @@
             writer.transport.abort()
 
 
-def main(case: Callable[[Record], Awaitable[bool]], folder: Path) -> None:
+def main(case: Callable[[Record], Awaitable[bool]], path: Path) -> None:
     """Run a case and exit: 0 if the rule held, BROKEN if not, 2 if the case could not run.
 
     The interpreter itself exits with 1 where a script cannot be read, hence another number.
     """
-    record = Record(folder / "record.txt")
+    record = Record(path)
     record.say(f"trouble: {'on' if TROUBLE else 'off'}")
 
     async def limited() -> bool:
