A long order whose server takes no more of it is answered in its client's time

Cause: a request's time runs from its last byte, and for a streamed body that was the moment in which the balancer read it. The balancer reads no faster than the server takes, so the last byte lies unread in the kernel while exchange, attempt and policy have the 600 s of an upload.

While bytes wait, time runs from the latest of them; at its end the engine tells the policy (BodyOverdue), the attempt ends as upload_timed_out, a failure of the server that proves that nothing ran, and the policy refuses the request: no attempt could be in time. A body read to its end counts from when its last byte came.

The set of outcomes that prove that nothing ran has the new one: a body whose last byte has not been read has not been written either, and the connection is shut first.

Test: tests/net/test_upload_deadline.py, in both framings.

--- a/roadlb/engine.py
+++ b/roadlb/engine.py
@@ -21,6 +21,7 @@
     AdmissionCheck,
     Arrival,
     BodyComplete,
+    BodyOverdue,
     Cancel,
     ClientGone,
     Event,
@@ -78,6 +79,9 @@
     def extend(self, attempt: Attempt) -> None:
         """Apply the new `deadline_at_us` of an attempt."""
 
+    def time_out(self, attempt: Attempt) -> None:
+        """End an attempt at once, as its time is over."""
+
     def probe(self, server: ServerId) -> None: ...
 
 
@@ -183,19 +187,35 @@
                 exchange.deadline_at_us + DEADLINE_GRACE_US, self._on_overdue, exchange
             )
 
-    def body_complete(self, exchange: Exchange) -> None:
-        """Start the time limit of an exchange whose request body has been received completely."""
+    def body_complete(self, exchange: Exchange, arrived_us: int) -> None:
+        """Apply the time limit of an exchange whose request body has been read completely.
+
+        It counts from `arrived_us`, when the body's last byte came to this machine.
+        """
         if exchange.closed or not exchange.is_uploading:
             return
         exchange.is_uploading, now = False, self._clock()
-        exchange.arrived_us, exchange.deadline_at_us = now, now + exchange.left_us
+        exchange.arrived_us, exchange.deadline_at_us = arrived_us, arrived_us + exchange.left_us
         for attempt in exchange.attempts:
             if attempt.outcome is None:
                 attempt.started_us, attempt.deadline_at_us, attempt.left_us = now, exchange.deadline_at_us, 0
                 attempt.write_by_us = exchange.deadline_at_us
                 assert self.executor
                 self.executor.extend(attempt)
-        self._dispatch(BodyComplete(exchange.id, max(1, exchange.left_us)), now)
+        self._dispatch(BodyComplete(exchange.id, max(1, exchange.deadline_at_us - now)), now)
+        self._arm_deadline_timer(exchange)
+
+    def body_overdue(self, exchange: Exchange) -> None:
+        """End an exchange whose time is over while its body waits for a server to take the rest of it."""
+        if exchange.closed or not exchange.is_uploading:
+            return
+        now = self._clock()
+        exchange.deadline_at_us = now
+        self._dispatch(BodyOverdue(exchange.id), now)
+        for attempt in exchange.attempts:
+            if attempt.outcome is None:
+                assert self.executor
+                self.executor.time_out(attempt)
         self._arm_deadline_timer(exchange)
 
     def client_gone(self, exchange: Exchange) -> None:
--- a/roadlb/exchange.py
+++ b/roadlb/exchange.py
@@ -26,6 +26,7 @@
     DIAL_FAILED = "dial_failed"  # connection refused, or the server unreachable
     DIAL_TIMED_OUT = "dial_timed_out"
     BROKE_UNSENT = "broke_unsent"  # the connection broke before the request's last byte was written
+    UPLOAD_TIMED_OUT = "upload_timed_out"  # the server did not take the rest of the body in the client's time
     UNFINISHED = "unfinished"  # the client did not finish the body, which says nothing about the server
     RESET = "reset"  # the connection broke after that byte, before a response began
     CUT_SHORT = "cut_short"  # the connection broke within a response
@@ -50,6 +51,7 @@
     AttemptOutcome.DIAL_FAILED: Status.CONNECT_FAILED,
     AttemptOutcome.DIAL_TIMED_OUT: Status.CONNECT_FAILED,
     AttemptOutcome.BROKE_UNSENT: Status.CONNECT_FAILED,
+    AttemptOutcome.UPLOAD_TIMED_OUT: Status.CONNECT_FAILED,
     AttemptOutcome.UNFINISHED: Status.MOOT,
     AttemptOutcome.RESET: Status.RESET,
     AttemptOutcome.CUT_SHORT: Status.RESET,
--- a/roadlb/net/client_connection.py
+++ b/roadlb/net/client_connection.py
@@ -21,6 +21,7 @@
 
 from ..exchange import Answer, Exchange, Response
 from ..body_stream import BodyStream
+from .body_arrival import BodyArrival
 from .headers import EXPECT, HOST, HeaderError, Headers
 from .http import (
     CONTINUE,
@@ -31,7 +32,7 @@
     encode_chunk,
     encode_head,
 )
-from .sockets import has_unread_bytes, is_peer_closed, limit_socket_buffers
+from .sockets import has_unread_bytes, is_peer_closed, limit_socket_buffers, unread_bytes
 
 if TYPE_CHECKING:
     from ..wheel import Timer
@@ -113,6 +114,7 @@
 
     __slots__ = (
         "_arrived_us",
+        "_body_arrival",
         "_body_stream",
         "_discarded_bytes",
         "_frontend",
@@ -155,6 +157,7 @@
         self._is_last = False  # the connection ends with the open request's answer
         self._is_processing, self._is_reading = False, True
         self._upload: BodyStream | None = None  # the open request's body, while it is received
+        self._body_arrival = BodyArrival(0)  # of the last streamed body
         self._is_body_wanted = False  # the body stream takes more
         self.body_paused_since_us = 0  # since when it takes no more; 0 if it does
         self._body_stream: BodyStream | None = None  # the answer's body, while it is sent
@@ -224,6 +227,7 @@
             return
         arrived_us = self._frontend.arrived_us(self.transport)
         if self._upload is not None:
+            self._body_arrival.record_read(len(data), arrived_us)
             self._unparsed += data
             self._arrived_us = arrived_us
             self._process_input()
@@ -468,6 +472,7 @@
     def _start_upload(self, request: Request) -> None:
         """The body is too long to buffer: serve the request now and stream the rest of its body."""
         request.body_stream = self._upload = BodyStream(request.content_length, self)
+        self._body_arrival = BodyArrival(self._arrived_us)
         self.set_body_reading(False)
         limit_socket_buffers(self.transport)
         request.arrived_us = self._arrived_us
@@ -487,6 +492,22 @@
     def body_abandoned(self) -> None:
         """Nothing to do: the answer decides what happens to the rest of the body."""
 
+    @property
+    def body_arrived_us(self) -> int:
+        """When the latest byte of the streamed body came, as far as is known."""
+        return self._body_arrival.latest_us
+
+    def unread_since_us(self) -> int:
+        """Return when the latest of the bytes came that the body stream does not take yet; 0: none waits.
+
+        The last byte of the body may be among them.
+        """
+        if self._upload is None or self.transport is None:
+            return 0
+        unread = unread_bytes(self.transport)
+        self._body_arrival.record_unread(unread, self._frontend.clock())
+        return self._body_arrival.latest_us if unread or self._unparsed else 0
+
     # Sink of an answer's body stream
 
     def _start_answer_stream(self, answer: Response, body_stream: BodyStream, is_last: bool) -> None:
--- a/roadlb/net/frontend.py
+++ b/roadlb/net/frontend.py
@@ -194,7 +194,7 @@
         )
 
     def watch_paused(self, connection: ClientConnection) -> None:
-        """Poll for the client's close: a transport whose reading is paused does not report it."""
+        """Poll for what a transport does not report while reading is paused: a close, and new bytes."""
         if not self._paused_connections:
             self._wheel.call_at(self.clock() + PAUSED_CHECK_INTERVAL_US, Frontend._check_paused, self)
         self._paused_connections[connection] = None
@@ -203,8 +203,15 @@
         paused, self._paused_connections = self._paused_connections, {}
         for connection in paused:
             if connection.is_reading_paused and not connection.check_client_gone():
+                self._check_body_overdue(connection)
                 self.watch_paused(connection)
 
+    def _check_body_overdue(self, connection: ClientConnection) -> None:
+        """End the open request if its time is over while bytes of its body wait for a server to take them."""
+        exchange, waiting_since_us = connection.exchange, connection.unread_since_us()
+        if exchange and waiting_since_us and self.clock() >= waiting_since_us + exchange.left_us:
+            self._engine.body_overdue(exchange)
+
     async def run_sweeps(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
@@ -303,7 +310,7 @@
     def on_upload_complete(self, connection: ClientConnection) -> None:
         """Tell the engine that the body of the open request is complete."""
         if connection.exchange is not None:
-            self._engine.body_complete(connection.exchange)
+            self._engine.body_complete(connection.exchange, connection.body_arrived_us)
 
     def abandon_exchange(self, connection: ClientConnection) -> None:
         """Cancel the open request: its client has gone, or its body is in error."""
--- a/roadlb/net/server_connections.py
+++ b/roadlb/net/server_connections.py
@@ -134,6 +134,10 @@
                 call.timer.cancel()
             call.timer = self._wheel.call_at(call.deadline_at_us, self._timed_out, call)
 
+    def time_out(self, attempt: Attempt) -> None:
+        if call := self._calls.get(attempt):
+            self._timed_out(call)
+
     def probe(self, server: ServerId) -> None:
         began_us = self._clock()
 
@@ -158,12 +162,17 @@
             self._cut_off(call, AttemptOutcome.FAULT)
 
     def _timed_out(self, call: Call) -> None:
-        # While it is being dialled nothing has been written, which proves that it never ran.
-        self._cut_off(call, AttemptOutcome.TIMED_OUT if call.connection else AttemptOutcome.DIAL_TIMED_OUT)
-
-    def _cut_off(self, call: Call, outcome: AttemptOutcome) -> None:
+        # Until its last byte has been written it has never run.
+        if call.connection is None:
+            self._cut_off(call, AttemptOutcome.DIAL_TIMED_OUT)
+        elif call.attempt is not None and call.attempt.left_us:
+            self._cut_off(call, AttemptOutcome.UPLOAD_TIMED_OUT, "the rest of the body was not taken")
+        else:
+            self._cut_off(call, AttemptOutcome.TIMED_OUT)
+
+    def _cut_off(self, call: Call, outcome: AttemptOutcome, error: str = "") -> None:
         self.pool.give_up(call)
-        call.ended(Result(outcome), "")
+        call.ended(Result(outcome), error)
 
     def _over(self, call: Call, result: Result, error: str) -> None:
         call.ended = heard  # it refers to the call, which would be a cycle
--- a/roadlb/net/sockets.py
+++ b/roadlb/net/sockets.py
@@ -193,17 +193,22 @@
     return poll
 
 
-def has_unread_bytes(transport: asyncio.BaseTransport) -> bool:
-    """Whether received bytes wait to be read; closing the connection then would reset it.
+def unread_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return how many received bytes wait to be read.
 
-    One system call; False if the transport has no socket, as in the lab's simulated network.
+    One system call; 0 if the transport has no socket, as in the lab's simulated network.
     """
     connection = transport.get_extra_info("socket")
     try:
         waiting = fcntl.ioctl(connection.fileno(), termios.FIONREAD, _INT.pack(0))
     except (AttributeError, OSError, ValueError, TypeError):
-        return False
-    return bool(_INT.unpack(waiting)[0])
+        return 0
+    return int(_INT.unpack(waiting)[0])
+
+
+def has_unread_bytes(transport: asyncio.BaseTransport) -> bool:
+    """Whether received bytes wait to be read; closing the connection then would reset it."""
+    return unread_bytes(transport) > 0
 
 
 def is_peer_closed(transport: asyncio.BaseTransport) -> bool:
--- a/roadlb/policy/interface.py
+++ b/roadlb/policy/interface.py
@@ -243,6 +243,16 @@
     left_us: int
 
 
+@dataclass(slots=True)
+class BodyOverdue:
+    """The time of a request that arrived `coming` is over before any server has taken its whole body.
+
+    The outcomes of its attempts follow; no further attempt can be in time.
+    """
+
+    request: int
+
+
 @dataclass(slots=True)
 class ProcessOverload:
     """This process lacks resources of its own, such as CPU time.
@@ -414,6 +424,7 @@
     ListUpdate
     | Arrival
     | BodyComplete
+    | BodyOverdue
     | AdmissionCheck
     | ProcessOverload
     | ProcessCount
--- a/roadlb/policy/logic.py
+++ b/roadlb/policy/logic.py
@@ -22,10 +22,11 @@
 from ..sites.warm_up import WarmUp
 from ..sites.in_flight_load import InFlightLoad
 from .change import apply, cancel_unsent_to_drained
-from .interface import NEVER_RAN, Action, AdmissionCheck, Arrival, BodyComplete, Cancel, ClientGone
-from .interface import Effect, Event, Fail, Group, ListKind, ListUpdate, Log, Outcome, ProcessCount
-from .interface import ProcessOverload, Refuse, Send, Settings, SettingsChanged, SharedStateUpdate
-from .interface import SiteOverride, Status, StreamStarted, Subscribe, TimerFired, View, ViewQuery
+from .interface import NEVER_RAN, Action, AdmissionCheck, Arrival, BodyComplete, BodyOverdue, Cancel
+from .interface import ClientGone, Effect, Event, Fail, Group, ListKind, ListUpdate, Log, Outcome
+from .interface import ProcessCount, ProcessOverload, Refuse, Send, Settings, SettingsChanged
+from .interface import SharedStateUpdate, SiteOverride, Status, StreamStarted, Subscribe, TimerFired
+from .interface import View, ViewQuery
 from .server_list import ServerList
 from .slow_start import SlowStart
 from .state import Attempt, ClassState, Request, Server, TimerSlots
@@ -76,6 +77,7 @@
             ProcessOverload: self.on_process_overload,
             SharedStateUpdate: self.on_shared_state,
             BodyComplete: self.on_body_complete,
+            BodyOverdue: self.on_body_overdue,
             SettingsChanged: self.on_settings_changed,
             ProcessCount: lambda e: self.shares.set_process_count(self.now, e.count),
             SiteOverride: lambda e: self.sites.process(self.now, (TakeOut if e.out else PutIn)(e.site)),
@@ -467,6 +469,10 @@
             self.schedule(r.due, r.id)
             r.start_progress(self.now, self.fleet_load)
 
+    def on_body_overdue(self, e: BodyOverdue) -> None:
+        if (r := self.requests.get(e.request)) and r.uploading and not r.closed:
+            r.deadline_at_us = self.now
+
     def on_admission_check(self, e: AdmissionCheck) -> None:
         cls = self.classes[e.class_index]
         short = max(self.measure_shortage(), self.overload) > 0
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -127,6 +127,7 @@
         AttemptOutcome.DIAL_FAILED,
         AttemptOutcome.DIAL_TIMED_OUT,
         AttemptOutcome.BROKE_UNSENT,
+        AttemptOutcome.UPLOAD_TIMED_OUT,
         AttemptOutcome.UNFINISHED,
         AttemptOutcome.NO_SOCKET,
         AttemptOutcome.NEVER_STARTED,
--- /dev/null
+++ b/tests/net/test_upload_deadline.py
@@ -0,0 +1,226 @@
+"""A streamed request body that its server takes slowly, or not at all: the client's time runs all the same.
+
+The balancer reads no faster than the server takes, so the body's last byte may lie unread in the kernel while
+its client waits.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import fcntl
+import socket
+import struct
+import termios
+from contextlib import suppress
+from dataclasses import dataclass
+
+import pytest
+from scenario import LIMIT_S, LOOPS, Stage, run
+
+from roadlb.net.body_arrival import BodyArrival
+
+LATE_S = 0.5 + 0.05  # how long after its time an answer may come, and the slack of every time limit
+POLL_S = 0.01
+SERVER_BUFFER_BYTES = 4_096
+SIZES = range(80_000, 640_000, 70_000)
+FRAMINGS = ("length", "chunked")
+
+
+@dataclass(slots=True)
+class UploadResult:
+    """What a client got, and how long after the balancer's machine had its last byte; -1: it never had it."""
+
+    status: int
+    seconds: float
+    head: str
+
+
+class SlowServer:
+    """Accepts connections, and takes so many bytes a second of each, in steps; it never answers."""
+
+    def __init__(self, bytes_per_s: int) -> None:
+        self._bytes_per_s = bytes_per_s
+        self._listener = socket.socket()
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SERVER_BUFFER_BYTES)
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen()
+        self._listener.setblocking(False)
+        self._connections: list[socket.socket] = []
+        self._tasks = [asyncio.create_task(self._accept())]
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self._listener.getsockname()[1]}"
+
+    async def _accept(self) -> None:
+        while True:
+            connection, _ = await asyncio.get_running_loop().sock_accept(self._listener)
+            connection.setblocking(False)
+            self._connections.append(connection)
+            self._tasks.append(asyncio.create_task(self._take(connection)))
+
+    async def _take(self, connection: socket.socket) -> None:
+        while self._bytes_per_s:
+            with suppress(BlockingIOError, ConnectionError):
+                connection.recv(int(self._bytes_per_s * POLL_S))
+            await asyncio.sleep(POLL_S)
+
+    def close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        for closing in [self._listener, *self._connections]:
+            closing.close()
+
+
+class Lateness:
+    """How late this process's event loop, on which the balancer runs as well, was at the most."""
+
+    def __init__(self) -> None:
+        self.most_s = 0.0
+        self._task = asyncio.create_task(self._watch())
+
+    async def _watch(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + POLL_S
+            await asyncio.sleep(POLL_S)
+            self.most_s = max(self.most_s, loop.time() - due)
+
+    def stop(self) -> None:
+        self._task.cancel()
+
+
+def encode_order(number: int, size: int, framing: str, left_s: float) -> bytes:
+    head = (
+        f"POST /order/k{number} HTTP/1.1\r\nHost: x\r\nX-Account: acme\r\nX-Correlation-Id: {number:x}\r\n"
+        f"X-Time-Left: {left_s}\r\n"
+    ).encode()
+    body = b"z" * size
+    if framing == "length":
+        return head + b"Content-Length: %d\r\n\r\n" % size + body
+    return head + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n" % (size, body)
+
+
+def unacknowledged_bytes(connection: socket.socket) -> int:
+    queued: int = struct.unpack("i", fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, b"\0" * 4))[0]
+    return queued
+
+
+async def upload(port: int, request: bytes) -> UploadResult:
+    """Sends a request on a new connection and waits for the head of its answer."""
+    loop = asyncio.get_running_loop()
+    connection = socket.create_connection(("127.0.0.1", port))
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, len(request))
+    connection.setblocking(False)
+    sending = asyncio.create_task(loop.sock_sendall(connection, request))
+    receiving = asyncio.create_task(loop.sock_recv(connection, 65_536))
+    arrived = 0.0
+    while not receiving.done():
+        if not arrived and sending.done() and not unacknowledged_bytes(connection):
+            arrived = loop.time()
+        await asyncio.wait((receiving,), timeout=POLL_S)
+    seconds = loop.time() - arrived if arrived else -1.0
+    sending.cancel()
+    with suppress(asyncio.CancelledError, ConnectionError):
+        await sending
+    connection.close()
+    head = receiving.result().decode("latin-1")
+    return UploadResult(int(head.split()[1]), seconds, head)
+
+
+async def start_stage(server: SlowServer) -> Stage:
+    """Starts a balancer whose only server is this one."""
+    stage = Stage()
+    stage.mute = lambda: server.address  # type: ignore[method-assign]
+    await asyncio.wait_for(stage.step("grid 0 0 1"), LIMIT_S)
+    return stage
+
+
+async def stop_stage(stage: Stage) -> None:
+    await asyncio.wait_for(stage.app.stop(linger_s=0), LIMIT_S)
+    for listener in stage.servers:
+        listener.close()
+
+
+def assert_all_answered_in_time(results: list[UploadResult], left_s: float, lateness: Lateness) -> None:
+    limit_s = left_s + LATE_S + lateness.most_s
+    late = [result for result in results if result.seconds > limit_s]
+    assert not late, f"{len(late)} of {len(results)} later than {limit_s:.2f} s: {late}"
+
+
+@pytest.mark.parametrize("loop", LOOPS)
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_a_long_order_whose_server_hangs_is_answered_in_its_time(framing: str, loop: str) -> None:
+    # Guards against an answer long after the client's time, which then counts from the last byte read.
+    left_s = 1.0
+
+    async def main() -> None:
+        server, lateness = SlowServer(0), Lateness()
+        stage = await start_stage(server)
+        orders = [encode_order(n + 1, size, framing, left_s) for n, size in enumerate(SIZES)]
+        async with asyncio.timeout(LIMIT_S):
+            results = await asyncio.gather(*(upload(stage.app.port, order) for order in orders))
+        lateness.stop()
+        assert_all_answered_in_time(results, left_s, lateness)
+        refused = [result for result in results if result.status == 503]
+        assert refused and all("Connection: close" in result.head for result in refused)
+        assert stage.app.counters["execution.upload_timed_out"] == len(refused)
+        await stop_stage(stage)
+        server.close()
+
+    run(main(), loop)
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_a_long_order_whose_server_takes_it_slowly_is_answered_in_its_time(framing: str) -> None:
+    # Guards against a time that begins anew with each byte that the server takes.
+    left_s = 0.5
+
+    async def main() -> None:
+        server, lateness = SlowServer(120_000), Lateness()
+        stage = await start_stage(server)
+        orders = [encode_order(n + 1, size, framing, left_s) for n, size in enumerate(SIZES)]
+        async with asyncio.timeout(LIMIT_S):
+            results = await asyncio.gather(*(upload(stage.app.port, order) for order in orders))
+        lateness.stop()
+        assert_all_answered_in_time(results, left_s, lateness)
+        assert any(result.seconds >= 0 for result in results)
+        await stop_stage(stage)
+        server.close()
+
+    run(main())
+
+
+def test_the_time_of_a_long_order_does_not_run_while_its_client_is_still_sending() -> None:
+    async def main() -> None:
+        stage = Stage()
+        await asyncio.wait_for(stage.step("grid 1"), LIMIT_S)
+        request = encode_order(1, 100_000, "length", 0.3)
+        reader, writer = await asyncio.open_connection("127.0.0.1", stage.app.port)
+        loop = asyncio.get_running_loop()
+        began, sent_bytes = loop.time(), 70_000
+        writer.write(request[:sent_bytes])
+        await asyncio.wait_for(stage.step("i1 expect POST"), LIMIT_S)
+        while loop.time() < began + 0.9:
+            writer.write(request[sent_bytes : sent_bytes + 1_000])
+            sent_bytes += 1_000
+            await asyncio.sleep(0.05)
+        writer.write(request[sent_bytes:])
+        stage.links["i1"].write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), LIMIT_S)
+        assert head.startswith(b"HTTP/1.1 200")
+        writer.close()
+        await stop_stage(stage)
+
+    run(main())
+
+
+def test_bytes_that_waited_unread_do_not_count_as_new_when_they_are_read() -> None:
+    arrival = BodyArrival(1)
+    arrival.record_unread(500, 2)
+    arrival.record_unread(500, 3)
+    arrival.record_read(400, 4)
+    arrival.record_unread(100, 5)
+    assert arrival.latest_us == 2
+    arrival.record_read(101, 6)
+    assert arrival.latest_us == 6
--- a/tests/policy/test_late_events.py
+++ b/tests/policy/test_late_events.py
@@ -9,6 +9,7 @@
     Action,
     Arrival,
     BodyComplete,
+    BodyOverdue,
     Cancel,
     ClientGone,
     Effect,
@@ -93,6 +94,32 @@
     )
 
 
+@pytest.mark.parametrize("effect", list(Effect))
+def test_a_request_whose_time_is_over_before_its_body_was_taken_is_refused(effect: Effect) -> None:
+    # Guards against another attempt, which could not be in time, and against a failure: nothing has run.
+    harness = BalancerUnderTest(classes=one_class(effect))
+    (send,) = harness.feed(Arrival(1, 0, 0, 7, 600 * SECOND, 0, coming=True))
+    assert isinstance(send, Send)
+    assert harness.feed(BodyOverdue(1)) == []
+    (answer,) = harness.feed(Outcome(1, 0, send.server, Status.CONNECT_FAILED, SECOND, False))
+    assert isinstance(answer, Refuse)
+    assert harness.feed(BodyOverdue(1)) == [] and harness.advance(5 * SECOND) == []
+    assert not harness.balancer.requests and harness.balancer.fleet.in_flight == 0
+
+
+def test_a_late_word_that_the_body_is_overdue_changes_nothing() -> None:
+    # Guards against a request that loses the time it has because an event crossed the end of its body.
+    harness = BalancerUnderTest(classes=one_class(Effect.SAFE), second_copies=False)
+    (send,) = harness.feed(Arrival(1, 0, 0, 7, 600 * SECOND, 0, coming=True))
+    assert isinstance(send, Send)
+    assert harness.feed(BodyComplete(1, SECOND)) == []
+    assert harness.feed(BodyOverdue(1)) == []
+    (again,) = harness.feed(Outcome(1, 0, send.server, Status.RESET, 1000, False))
+    assert isinstance(again, Send) and again.server != send.server
+    harness.feed(ClientGone(1))
+    assert harness.feed(BodyOverdue(1)) == []
+
+
 @pytest.mark.parametrize("effect", list(Effect))
 def test_an_answer_that_has_started_is_not_retried_elsewhere(effect: Effect) -> None:
     # The client already has the head of the first answer and would take a second answer for its body.
