A long order tells its server the time left after its body waited for a dial

What callers saw: nothing directly; a server that got a long order after a dial elsewhere had failed was told the client's whole time, and could begin what comes too late.

Attempt.time_left_us answered with the whole time while the body was not read to its end. It isn't read during a dial, so its last byte may have lain in the kernel for as long as the dials took.

Change: how long bytes have waited unread is taken off when the attempt is written (BodyStream.unread_since_us); what has no time left is not written, as for other requests. What waits when the body begins to stream is counted at once, not 20 ms later.

Test: test_a_long_order_tells_its_server_the_time_that_is_left_after_a_late_dial, two orders behind a dial of 0.4 s. Before: told 1.99 s, at most 1.61 allowed; it failed.

--- a/roadlb/body_stream.py
+++ b/roadlb/body_stream.py
@@ -22,6 +22,9 @@
     def body_abandoned(self) -> None:
         """The rest of the body is not needed."""
 
+    def unread_since_us(self) -> int:
+        """Return when the latest of the bytes came that the stream does not take yet; 0: none waits."""
+
 
 class Sink(Protocol):
     """The connection that writes the body."""
@@ -80,6 +83,10 @@
         if self._source is not None:
             self._source.set_body_reading(on)
 
+    def unread_since_us(self) -> int:
+        """Return when the latest of the bytes came that wait for a sink to take them; 0: none waits."""
+        return self._source.unread_since_us() if self._source is not None else 0
+
     def discard(self) -> None:
         """Remove the sink for good and discard the rest of the body."""
         source, self._source, self._sink = self._source, None, None
--- a/roadlb/exchange.py
+++ b/roadlb/exchange.py
@@ -176,11 +176,17 @@
         self.left_us, self.write_by_us = 0, ALWAYS_PAST_US
 
     def time_left_us(self, now_us: int) -> int:
-        """Return how long to wait for the response if the attempt is written now; 0: it must not be."""
+        """Return how long to wait for the response if it is written now; 0 or less: it must not be."""
         if self.left_us:
-            return self.left_us
+            return self.left_us - self._body_waited_us(now_us)
         return self.deadline_at_us - now_us if now_us < self.write_by_us else 0
 
+    def _body_waited_us(self, now_us: int) -> int:
+        """Return how long the body, which may have come completely, has waited to be read."""
+        body_stream = self.message.body_stream
+        waiting_since_us = body_stream.unread_since_us() if body_stream is not None else 0
+        return now_us - waiting_since_us if waiting_since_us else 0
+
 
 def client_not_gone() -> bool:
     """Default for `Exchange.check_client_gone`: report that the client is still connected."""
--- a/roadlb/net/client_connection.py
+++ b/roadlb/net/client_connection.py
@@ -475,6 +475,7 @@
         self._body_arrival = BodyArrival(self._arrived_us)
         self.set_body_reading(False)
         limit_socket_buffers(self.transport)
+        self.unread_since_us()  # what waits already has come by now
         request.arrived_us = self._arrived_us
         self._serve(request)
         if self.exchange is None and self._upload is not None:  # answered at once: the rest is not read
@@ -500,7 +501,7 @@
     def unread_since_us(self) -> int:
         """Return when the latest of the bytes came that the body stream does not take yet; 0: none waits.
 
-        The last byte of the body may be among them.
+        The last byte of the body may be among them.  One system call.
         """
         if self._upload is None or self.transport is None:
             return 0
--- a/roadlb/net/server_connection.py
+++ b/roadlb/net/server_connection.py
@@ -260,6 +260,10 @@
         self._body_stream = None
         self.close()
 
+    def unread_since_us(self) -> int:
+        """Return 0: a response's body has no time limit that its unread bytes could start."""
+        return 0
+
     def give_up(self) -> None:
         """End the connection, and with it the call it carries, of which nothing more is heard.
 
--- a/tests/net/test_upload_deadline.py
+++ b/tests/net/test_upload_deadline.py
@@ -191,6 +191,35 @@
     run(main())
 
 
+def test_a_long_order_tells_its_server_the_time_that_is_left_after_a_late_dial() -> None:
+    # Guards against the client's whole time in X-Time-Left although it ran while another server was dialled.
+    left_s, dial_timeout_s, orders_most = 2.0, 0.4, 20
+
+    async def main() -> None:
+        stage = Stage()
+        grid = f"grid 1 0 2 dial_timeout_us={int(dial_timeout_s * 1e6)}"
+        await asyncio.wait_for(stage.step(grid), LIMIT_S)
+        loop, late_dials = asyncio.get_running_loop(), 0
+        for number in range(1, orders_most):
+            began = loop.time()
+            reader, writer = await asyncio.open_connection("127.0.0.1", stage.app.port)
+            writer.write(encode_order(number, 100_000, "length", left_s))
+            link = await asyncio.wait_for(stage.waiting["i"].get(), LIMIT_S)
+            waited_s = loop.time() - began
+            told_s = float(link.last.partition("X-Time-Left: ")[2].partition("\r\n")[0])
+            late_dials += waited_s >= dial_timeout_s
+            writer.transport.abort()
+            link.writer.transport.abort()
+            if waited_s >= dial_timeout_s:
+                assert told_s <= left_s - dial_timeout_s + POLL_S
+            if late_dials == 2:
+                break
+        assert late_dials, f"none of {orders_most} orders was sent to a server that cannot be dialled"
+        await stop_stage(stage)
+
+    run(main())
+
+
 def test_the_time_of_a_long_order_does_not_run_while_its_client_is_still_sending() -> None:
     async def main() -> None:
         stage = Stage()
