A store that goes back is counted once, however many questions were open then

Cause: Seat._heard compared each answer with the highest revision known when its question was asked. The watch's reading and a question of the decider can both be open as the store goes back; each answer then was a return of its own, and each told the decider anew that its epoch is known elsewhere. An answer from the old history, read after the return was noticed, raised the revision again and made the next one a return.

Change: what was known at the question (RevisionSeen) has the count of returns as well; an answer to a question from before a return that is noticed by now is not compared. News of a watch that was begun before are treated alike.

Test: test_a_store_that_goes_back_with_questions_open_is_counted_once plays the orders of answers without a clock.

--- a/roadlb/issuing/seat.py
+++ b/roadlb/issuing/seat.py
@@ -6,7 +6,8 @@
 
 Every answer bears the store's revision, which is never less than one that was seen before the question was
 asked, unless the store went back to a backup.  Then the epoch that we lead in may be given out again, and so
-it is taken for one that is known already (`Overtaken`).
+it is taken for one that is known already (`Overtaken`).  Several questions may be open when the store goes
+back: the first answer tells of it; the revisions of the others are of either history and are not compared.
 """
 
 from __future__ import annotations
@@ -14,6 +15,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from typing import Any
 
 from ..clock import Clock, monotonic_us
@@ -28,6 +30,14 @@
 AGAIN_S = 0.5  # between two readings of a store that fails
 
 
+@dataclass(frozen=True, slots=True)
+class RevisionSeen:
+    """What was known of the store at a question: its highest revision, and how often it had gone back."""
+
+    revision: int
+    went_back: int
+
+
 class Seat:
     """`told` gets `Lead`, `Extend` and `StepDown`; `seen` the keys that changed, by their names under the
     prefix, with None for one that is gone; with True, first and after each break, all keys there are."""
@@ -65,9 +75,10 @@
     async def write(self, epoch: int, *then: Operation) -> Decided:
         """A transaction that is carried out only while the seat is that of this epoch; StoreError if it is
         not known whether it was.  If it was not, the decider knows by now."""
-        txn, floor = guarded(self.keys, epoch, *then), self.revision
+        txn = guarded(self.keys, epoch, *then)
+        before = self._revision_seen()
         decided = await self.store.txn(txn.compares, txn.then)
-        self._heard(decided.revision, floor)
+        self._record_revision(decided.revision, before)
         if not decided.held:
             self.tell(leading.Fenced(epoch))
         return decided
@@ -92,7 +103,8 @@
 
     async def _ask(self, asked: Any) -> None:
         """One question of the decider's."""
-        asked_at, epoch, floor = self._clock(), self.decider.holder, self.revision
+        asked_at, epoch = self._clock(), self.decider.holder
+        before = self._revision_seen()
         try:
             reply = await self.store.call(question(asked, self.keys, self._who()))
         except StoreError as e:
@@ -100,7 +112,7 @@
             if not isinstance(asked, leading.Revoke | leading.Look):  # a lease ends by itself
                 self.tell(leading.Failed(str(e)))
             return
-        self._heard(reply.revision, floor)
+        self._record_revision(reply.revision, before)
         if not isinstance(asked, leading.Revoke):
             self.tell(answer(asked, asked_at, reply, epoch))
 
@@ -108,12 +120,13 @@
         prefix = self.keys[""]
         while True:
             try:
-                floor = self.revision
+                before = self._revision_seen()
                 read = await self.store.get(prefix, prefix_end(prefix))
-                self._heard(read.revision, floor)
+                self._record_revision(read.revision, before)
+                watched_from = RevisionSeen(0, self.went_back)
                 self._see({self._name(pair): pair for pair in read.pairs}, whole=True)
                 async for news in self.store.watch(prefix, prefix_end(prefix), read.revision + 1):
-                    self._heard(news.revision, 0)
+                    self._record_revision(news.revision, watched_from)
                     if news.changes:
                         self._see(
                             {
@@ -134,15 +147,21 @@
             self.tell(leading.Vacant())
         self._seen(found, whole)
 
-    def _heard(self, revision: int, floor: int) -> None:
-        """`floor`: the highest revision seen before the question."""
+    def _revision_seen(self) -> RevisionSeen:
+        """What is known of the store now, as a question is asked."""
+        return RevisionSeen(self.revision, self.went_back)
+
+    def _record_revision(self, revision: int, before: RevisionSeen) -> None:
+        """Record the revision of an answer, with what was known when its question was asked."""
         self.error, self.heard_at = "", self._clock()
-        if revision >= floor:
+        if before.went_back != self.went_back:
+            return  # the store has gone back since: this answer may be of either history
+        if revision >= before.revision:
             self.revision = max(self.revision, revision)
             return
         self.went_back += 1
         self.revision = revision
-        logger.error("the store went back", extra=fields(revision=revision, before=floor))
+        logger.error("the store went back", extra=fields(revision=revision, before=before.revision))
         self.tell(leading.Overtaken(self.decider.holder))
 
     def _failed(self, error: StoreError) -> None:
--- a/tests/issuing/test_seat.py
+++ b/tests/issuing/test_seat.py
@@ -7,9 +7,22 @@
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 
-from roadlb.control.leading import Action, Lead, Leading, State, StepDown, Tick, Vacant, era_of
+import pytest
+
+from roadlb.control.leading import (
+    Action,
+    Event,
+    Lead,
+    Leading,
+    Overtaken,
+    State,
+    StepDown,
+    Tick,
+    Vacant,
+    era_of,
+)
 from roadlb.etcd.client import Etcd
-from roadlb.etcd.model import Pair, Put, Txn
+from roadlb.etcd.model import Decided, Pair, Put, Txn
 from roadlb.issuing.keys import Keys
 from roadlb.issuing.seat import Seat
 from roadlb.lab.run.link import Link
@@ -148,6 +161,63 @@
     asyncio.run(asyncio.wait_for(told_and_ended(), 4 * PATIENCE_S))
 
 
+class OpenQuestions:
+    """A store whose answers the test gives, in any order."""
+
+    def __init__(self) -> None:
+        self.open: list[asyncio.Future[Decided]] = []
+
+    async def txn(self, *_: object) -> Decided:
+        self.open.append(asyncio.get_running_loop().create_future())
+        return await self.open[-1]
+
+
+class RecordingDecider(Leading):
+    """Counts how often it hears that another epoch is known."""
+
+    overtaken_count = 0
+
+    def handle(self, now: int, event: Event) -> list[Action]:
+        self.overtaken_count += isinstance(event, Overtaken)
+        return super().handle(now, event)
+
+
+async def back_with_questions_open(late_revisions: list[int]) -> None:
+    """The store goes back from 30 to 5 while further answers to questions from before are on their way."""
+    store, decider = OpenQuestions(), RecordingDecider(3)
+    seat = Seat(
+        store,  # type: ignore[arg-type]
+        KEYS,
+        lambda: "a",
+        decider,
+        lambda action: None,
+        lambda found, whole: None,
+    )
+
+    async def write(*revisions: int) -> None:
+        """Several at once, answered in this order."""
+        writes = [asyncio.create_task(seat.write(1, Put(KEYS["force"], b"1"))) for _ in revisions]
+        await asyncio.sleep(0)
+        for question, revision in zip(store.open, revisions, strict=True):
+            question.set_result(Decided(revision, True))
+            await asyncio.sleep(0)
+        store.open.clear()
+        await asyncio.gather(*writes)
+
+    await write(30)
+    await write(5, *late_revisions)
+    await write(7)
+    assert (seat.went_back, decider.overtaken_count, seat.revision) == (1, 1, 7)
+    await write(6)
+    assert (seat.went_back, decider.overtaken_count, seat.revision) == (2, 2, 6)
+
+
+@pytest.mark.parametrize("late_revisions", [[], [6], [31], [5, 30, 6]], ids=str)
+def test_a_store_that_goes_back_with_questions_open_is_counted_once(late_revisions: list[int]) -> None:
+    # Guards against an epoch that is given up anew for each answer to a question from before.
+    asyncio.run(asyncio.wait_for(back_with_questions_open(late_revisions), PATIENCE_S))
+
+
 async def backup() -> None:
     async with two() as (store, a, _):
         epoch = a.seat.leads()
