Tests with few descriptors: nothing runs between fork and exec of their balancer

Seen: test_client_descriptors.py and test_watch_descriptors.py failed in whole runs, never alone. The child was aborted in create_subprocess_exec, before it became the balancer, and gRPC wrote "skipping fork() handlers" and "epoll_create1 unavailable".

Cause: the rig lowered RLIMIT_NOFILE in a preexec_fn, that is in a child forked from the tests' process, under uvloop with all fork handlers. Where that process has gRPC's library up, gRPC goes on in the child, under the lowered limit.

Change: a shell lowers its own limits and becomes the program; subprocess starts it without a preexec_fn, that is by vfork, which calls no handlers. The limit and the tests are as they were.

--- a/tests/net/limited_program.py
+++ b/tests/net/limited_program.py
@@ -5,14 +5,15 @@
 import asyncio
 import json
 import os
-import resource
 import signal
 import socket
+import subprocess
 import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import IO
 
 from scenario import SETTINGS
 from watching import HEAD, Discovery, line, update
@@ -23,8 +24,31 @@
 INITIAL_GENERATION = 5  # generation of the first server list that discovery sends
 
 
-def limit_descriptors() -> None:
-    resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_DESCRIPTORS, MAX_DESCRIPTORS))
+# The shell lowers its own limits, soft and hard, and becomes the program.
+WITH_FEW_DESCRIPTORS = ("/bin/sh", "-c", f'ulimit -n {MAX_DESCRIPTORS} && exec "$0" "$@"')
+
+
+def start_with_few_descriptors(*command: str, **environment: str) -> subprocess.Popen[bytes]:
+    """Starts a process with at most MAX_DESCRIPTORS descriptors, and a pipe on its standard error.
+
+    Nothing may run between fork and exec, as code of a `preexec_fn` or of libraries' fork handlers would: the
+    tests' process may have gRPC's threads, which begin anew in the child and find no descriptors there.
+    Without a `preexec_fn` `subprocess` uses vfork, which calls no handlers; uvloop forks.
+    """
+    return subprocess.Popen(
+        [*WITH_FEW_DESCRIPTORS, *command],
+        cwd=ROOT,
+        stderr=subprocess.PIPE,
+        env={**os.environ, **environment},
+    )
+
+
+async def read_pipe(pipe: IO[bytes]) -> tuple[asyncio.StreamReader, asyncio.ReadTransport]:
+    """Reads a pipe by the event loop; closing the transport closes the pipe."""
+    loop = asyncio.get_running_loop()
+    reader = asyncio.StreamReader()
+    transport, _ = await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), pipe)
+    return reader, transport
 
 
 @dataclass(slots=True)
@@ -70,30 +94,28 @@
         "limits": {"sockets": configured_descriptors},
     }
     config.write_text(json.dumps(raw))
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "roadlb",
-        cwd=ROOT,
-        stderr=asyncio.subprocess.PIPE,
-        preexec_fn=limit_descriptors,
-        env={**os.environ, "PYTHONPATH": str(ROOT), "PROXY_CONFIG": str(config)},
+    process = start_with_few_descriptors(
+        sys.executable, "-m", "roadlb", PYTHONPATH=str(ROOT), PROXY_CONFIG=str(config)
     )
     assert process.stderr
+    stderr, stderr_transport = await read_pipe(process.stderr)
     program = BalancerProcess(process.pid, port)
     try:
         (await discovery.call()).send(HEAD, line(update(INITIAL_GENERATION)))
-        while b"event=listening" not in (log_line := await process.stderr.readline()):
+        while b"event=listening" not in (log_line := await stderr.readline()):
             assert log_line, "the process ended before it listened"
         port_holder.close()
-        log = asyncio.ensure_future(process.stderr.read())
+        log = asyncio.ensure_future(stderr.read())
         yield program
+        process.send_signal(signal.SIGCONT)
+        process.terminate()
+        program.log = (await log).decode().splitlines()
     finally:
-        with suppress(ProcessLookupError):  # the process has already exited, which has failed the test
-            process.send_signal(signal.SIGCONT)
-            process.terminate()
-        await process.wait()
-    program.log = (await log).decode().splitlines()
+        port_holder.close()
+        process.send_signal(signal.SIGCONT)  # does nothing if it has ended
+        process.terminate()
+        await asyncio.to_thread(process.wait)
+        stderr_transport.close()
 
 
 async def idle_clients(port: int, count: int) -> list[socket.socket]:
