What is written by a request's head alone waits until all earlier answers are written

Cause: _process_input calls _check_admission where no exchange is open. None is while an answer is streamed, and complete requests that still wait were not asked for either.

Change: _is_next_to_answer says whether an exchange is open, a request waits or an answer is streamed; what is written by the head alone asks it. The other writers were read: 4xx, 408, 409, 413 and 431 wait in the queue of complete requests, a refusal without parsing needs a connection with nothing open, a drain leaves busy connections alone.

--- a/roadlb/net/client_connection.py
+++ b/roadlb/net/client_connection.py
@@ -383,6 +383,14 @@
 
     # Requests in order
 
+    @property
+    def _is_next_to_answer(self) -> bool:
+        """Whether the request that is being read is the next to be answered.
+
+        Only then may anything be written for it: all earlier answers have been written completely.
+        """
+        return self.exchange is None and not self._pending and self._body_stream is None
+
     def _process_input(self) -> None:
         """Serve complete requests and parse further input until one is open or no bytes are left."""
         if self._is_processing:
@@ -428,7 +436,7 @@
                 request
                 and request.is_head_complete
                 and not request.is_admission_checked
-                and not self.exchange
+                and self._is_next_to_answer
             ):
                 self._check_admission(request)
 
