A streamed order is opened only once the requests in front of it are answered

While memory or descriptors are short, a client that sends requests and an order of over 4 KiB at once could get the order's answer as that of its first request.

Cause: 16 KiB are parsed at a time and served after that; where bodies are streamed from 4 KiB on, one parse can hold complete requests and enough of a later body. The order was then opened as no exchange was open yet.

Test: test_a_streamed_order_is_not_opened_before_the_requests_in_front_of_it, one to four requests in front. Before: all four failed (the first request reached no server, or after a later one). Now they pass, with all of tests/net.

--- a/roadlb/net/client_connection.py
+++ b/roadlb/net/client_connection.py
@@ -417,7 +417,9 @@
                         request
                         and request.body_size > self._frontend.body_buffer_bytes
                         and not request.is_answered_early
-                        and (self._upload is None and not self.exchange and not self.ignores_input)
+                        and not self.ignores_input
+                        and self._upload is None
+                        and self._is_next_to_answer
                     ):
                         self._start_upload(request)
                 else:
--- a/tests/net/test_answer_order.py
+++ b/tests/net/test_answer_order.py
@@ -92,3 +92,28 @@
         await stop_stage(stage)
 
     run(main())
+
+
+@pytest.mark.parametrize("depth", DEPTHS)
+def test_a_streamed_order_is_not_opened_before_the_requests_in_front_of_it(depth: int) -> None:
+    # Guards against two open requests on one connection while the process is short of memory: it streams
+    # short bodies then, and one read may hold complete requests and enough of a later body.
+    async def main() -> None:
+        stage = await start_stage("1")
+        stage.app.frontend.is_short_of_resources = True
+        body_bytes = stage.app.frontend.body_buffer_bytes + 1_000
+        reads = "".join(read_request(id) for id in range(1, depth + 1))
+        link = await connect_client(
+            stage, "a", reads + order_head("k", "", body_bytes + 1) + "x" * body_bytes
+        )
+        for number in range(1, depth + 1):
+            await step(stage, f"i{number} expect GET /grid-read/k{number}")
+            await step(stage, f"i{number} send 200 answer-{number}")
+            await step(stage, f"a expect 200 answer-{number}")
+        link.write("x")
+        await step(stage, f"i{depth + 1} expect POST")
+        await step(stage, f"i{depth + 1} send 200 ordered")
+        await step(stage, "a expect 200 ordered")
+        await stop_stage(stage)
+
+    run(main())
