A long body that is answered at once ends without a TypeError in the compiled build

What callers saw: behind the answer to a long order that is refused or faulty its connection was reset in place of a graceful close; a reset can destroy an unread answer.

Cause: _start_upload sets _upload, serves the request and reads _upload again. mypy takes the attribute for what was assigned, also across the call that clears it, and mypyc checks that type: "BodyStream object expected; got None" in data_received.

Change: _start_upload does not read it. Searched in all compiled modules by a script over the syntax trees: an attribute that may be None, mentioned, a call, a load in the same function. 27 places were read; Frontend.serve behind a failed Engine.open has the same pattern and asks the connection now (not shown to fail); the other 25 are no such case.

An exception of the program that reaches the loop now fails every test that is run by tests/scenario.py; the loop only logged it.

Test: test_no_reset_destroys_the_answer_to_a_long_body_that_is_answered_at_once.

--- a/roadlb/net/client_connection.py
+++ b/roadlb/net/client_connection.py
@@ -486,7 +486,7 @@
         self.unread_since_us()  # what waits already has come by now
         request.arrived_us = self._arrived_us
         self._serve(request)
-        if self.exchange is None and self._upload is not None:  # answered at once: the rest is not read
+        if self.exchange is None:  # answered at once: the rest is not read
             self._upload = None
 
     def set_body_reading(self, on: bool) -> None:
@@ -625,6 +625,10 @@
         """Whether a request is open or pending, or an answer is being streamed."""
         return self.exchange is not None or bool(self._pending) or self._body_stream is not None
 
+    def is_open(self, exchange: Exchange) -> bool:
+        """Whether this exchange is still the open request's."""
+        return self.exchange is exchange
+
     @property
     def is_uploading(self) -> bool:
         """Whether the open request's body is still being received."""
--- a/roadlb/net/frontend.py
+++ b/roadlb/net/frontend.py
@@ -302,7 +302,7 @@
         except Exception:
             self.counters.add("fault.client")
             logger.exception("request failed")
-            if connection.exchange is exchange:
+            if connection.is_open(exchange):
                 connection.exchange = None
                 self._retain_id(connection)
                 connection.reply_and_close(text_answer(500, "fault", is_last=True))
--- a/tests/net/test_client_closing.py
+++ b/tests/net/test_client_closing.py
@@ -18,6 +18,7 @@
 from roadlb.lifecycle.lifecycle import Event
 from roadlb.net import client_connection, frontend
 
+UPLOAD_BYTES = 200_000  # more than is buffered before a body is streamed
 HEALTH_REQUEST = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
 CLOSE_HEADER = "Connection: close"
 TRAILING_BYTES = (
@@ -99,6 +100,31 @@
     run_with_client(loop, "1", main)
 
 
+@pytest.mark.parametrize("loop", LOOPS)
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (order_request(1, UPLOAD_BYTES).replace("/order/", "/nothing/"), 404),
+        (order_request(1, UPLOAD_BYTES).replace("acme", "nobody"), 400),
+        (order_request(1, UPLOAD_BYTES).replace("POST", "PUT"), 405),
+    ],
+)
+def test_no_reset_destroys_the_answer_to_a_long_body_that_is_answered_at_once(
+    sent: str, status: int, loop: str
+) -> None:
+    # Guards against an exception of the compiled code, which ended the connection behind the answer.
+    async def main(stage: Stage, blocking_client: BlockingClient) -> None:
+        connection = only_connection(stage)
+        blocking_client.send(sent + "x" * (UPLOAD_BYTES - 1))
+        await wait_until(lambda: connection.closing_since_us)
+        assert not connection.is_uploading
+        received = await blocking_client.read_to_end()
+        assert received.startswith(f"HTTP/1.1 {status}") and CLOSE_HEADER in received
+        await wait_until(lambda: not stage.app.frontend.connections)
+
+    run_with_client(loop, "1", main)
+
+
 @pytest.mark.parametrize("loop", LOOPS)
 @pytest.mark.parametrize(
     ("sent", "status"),
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -31,19 +31,23 @@
 import shlex
 import socket
 import struct
+import traceback
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from dataclasses import replace
-from typing import TypeVar
+from pathlib import Path
+from typing import Any, TypeVar
 
 import uvloop
 
+import roadlb
 from roadlb.app import App
 from roadlb.config import read_config
 from roadlb.lifecycle.lifecycle import Event
 from roadlb.net.sockets import listening_socket
 
 LIMIT_S = 10.0
+PACKAGE = Path(roadlb.__file__).parent
 LOOPS = {"uvloop": uvloop.new_event_loop, "asyncio": asyncio.new_event_loop}
 T = TypeVar("T")
 LIMITS = {"max_attempts": 5, "cancelling": True, "max_retry_after_us": 1_200_000}
@@ -294,10 +298,31 @@
             await {"send": self.send, "expect": self.expect}[rest[0]](who, rest[1:])
 
 
+def is_raised_in_program(exception: BaseException) -> bool:
+    """Whether the exception came through code of the program, and not of a test's stand-ins alone."""
+    files = [Path(frame.filename) for frame in traceback.extract_tb(exception.__traceback__)]
+    # Compiled modules name their files relative to the folder in which they were compiled.
+    return any(file.is_relative_to(PACKAGE) or file.parts[:1] == (PACKAGE.name,) for file in files)
+
+
 def run(main: Coroutine[None, None, T], loop: str = "uvloop") -> T:
-    """Run to its end on the loop that the program runs on, or on asyncio's own."""
+    """Run to its end on the loop that the program runs on, or on asyncio's own.
+
+    An exception of the program that reached the loop, which only logs it, fails the test.
+    """
+    unhandled: list[str] = []
+
+    def record(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        loop.default_exception_handler(context)
+        exception = context.get("exception")
+        if exception is not None and is_raised_in_program(exception):
+            unhandled.append(f"{context['message']}: {exception!r}")
+
     with asyncio.Runner(loop_factory=LOOPS[loop]) as runner:
-        return runner.run(main)
+        runner.get_loop().set_exception_handler(record)
+        result = runner.run(main)
+    assert not unhandled, unhandled
+    return result
 
 
 async def play(text: str) -> Stage:
