A balancer that is out of service says no at /healthz also after SIGTERM

Cause: Lifecycle.healthy said no in DRAINING alone, and SIGTERM leads on to LEAVING; the hand-over to a successor forgot the drain with the state as well.

Change: is_out_of_service is a fact of its own, set and taken back by the operators' calls alone, in each state; /healthz and the hand-over ask for it.

--- a/roadlb/app.py
+++ b/roadlb/app.py
@@ -27,7 +27,6 @@
     Leave,
     Lifecycle,
     RefuseNew,
-    State,
     StopListening,
     Wake,
 )
@@ -238,7 +237,7 @@
 
     def _handover(self) -> Handover:
         discovery, known = self.discovery.held
-        return Handover(discovery, known, self.lifecycle.state is State.DRAINING)
+        return Handover(discovery, known, self.lifecycle.is_out_of_service)
 
     def _limit(self, clients: int) -> None:
         """So many connections of clients there may be, and as many requests, unless each is refused now."""
--- a/roadlb/lifecycle/lifecycle.py
+++ b/roadlb/lifecycle/lifecycle.py
@@ -150,6 +150,7 @@
         self.state, self._since, self._woken, self._listening = State.STARTING, 0, 0, True
         self._next = 0  # wakes before are those of a state that is over
         self._started = False
+        self._is_out_of_service = False
         self._refusing = False
         self._late_us = 0
         self.longest_us, self._shared, self.linger_us = longest_us, shared, linger_us
@@ -159,11 +160,18 @@
         """What `/control/ready` tells: started and not leaving.  A drain is the front's matter alone."""
         return self._started and self.state is not State.LEAVING
 
+    @property
+    def is_out_of_service(self) -> bool:
+        """Whether the operators' last call took it out of service; a process that leaves stays so."""
+        return self._is_out_of_service
+
     @property
     def healthy(self) -> bool:
-        """What `/healthz` tells the front, once a node is known.  One that leaves says nothing new: its
-        successor may be there already, and answers at the same address."""
-        return self.state is not State.DRAINING
+        """What `/healthz` tells the front, once a server is known.
+
+        Leaving by itself changes nothing: a successor may be there already, and answers at the same address.
+        """
+        return not self._is_out_of_service
 
     def handle(self, now: int, event: Event, late_us: int = 0) -> list[Action]:
         """Take one event at clock time `now`, so long after it may have come; what changes nothing gives no
@@ -171,6 +179,8 @@
         if event is Event.WAKE:
             return self._step(now) if now >= self._next else []
         state = _NEXT[self.state, event]
+        if event in (Event.OUT_OF_SERVICE, Event.IN_SERVICE):
+            self._is_out_of_service = event is Event.OUT_OF_SERVICE
         if event is Event.STARTED and self.state is not State.LEAVING:
             self._started = True
         if state is self.state:
