Bodies in small chunks cost their bytes, not an object for each chunk

Cause: on_body kept an object for each piece that the parser told, while the bound of 64 KiB counts the body's bytes alone. Answers of servers were held alike.

Change: both are joined into one buffer as they come.

Test: 40 unfinished orders in chunks of 1, 2 and 6 bytes may grow memory by 12 MB, the bound that the file has.

--- a/roadlb/net/client_connection.py
+++ b/roadlb/net/client_connection.py
@@ -95,7 +95,7 @@
         self.is_http_1_1 = True
         self.method = self.target = b""
         self.headers = NO_HEADERS  # until the head is complete
-        self.body: list[bytes] = []
+        self.body = bytearray()  # joined, as a piece may be a single byte
         self.body_size = self.trailer_size = 0  # bytes of the body and of its trailers, so far
         self.head_size = 0  # bytes received up to now, counted in whole segments
         self.error: BadRequest | None = None
@@ -354,7 +354,7 @@
         elif self._upload is not None:
             self._upload.feed_data(body)
         elif not request.is_answered_early:
-            request.body.append(body)
+            request.body += body
 
     def on_message_complete(self) -> None:
         request, self._partial_request, self.request_started_us = self._partial_request, None, 0
--- a/roadlb/net/frontend.py
+++ b/roadlb/net/frontend.py
@@ -421,7 +421,7 @@
         ):  # allowed in HTTP/1.0; servers are sent HTTP/1.1, which requires it
             head = b"Host: %b\r\n%b" % (self._name, head)
         return Exchange(
-            Message(request.method, request.target, head, b"".join(request.body), request.body_stream),
+            Message(request.method, request.target, head, bytes(request.body), request.body_stream),
             class_index,
             tenant,
             key,
--- a/roadlb/net/server_connection.py
+++ b/roadlb/net/server_connection.py
@@ -156,7 +156,7 @@
     def _await(self, interim: int) -> None:
         """Begin an answer's head, behind so many 1xx."""
         self._pairs: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._body = bytearray()  # joined, as a piece may be a single byte
         self._between = False  # a 1xx has ended, and nothing has come behind it
         self._last = b""  # the last piece of the body
         self._length = 0  # of the body; -1: not told
@@ -394,15 +394,17 @@
             self.close()  # it answers what it has not read: neither connection is of further use
             call.ended(Result(AttemptOutcome.GARBLED), "a long answer to half a request")
             return
-        held, self._body, self._call = self._body, [], None
+        held = bytes(self._body)
+        self._body = bytearray()
+        self._call = None
         body_stream = self._body_stream = BodyStream(self._length, self)
         limit_socket_buffers(self.transport)
         report = self._pool.reports.read(self._headers.fields.get(LOAD))
         call.ended(Result(AttemptOutcome.SERVED, report, Response(b"", head, body_stream)), "")
         if not body_stream.is_attached:
             body_stream.discard()
-        for piece in held:
-            body_stream.feed_data(piece)
+        if held:
+            body_stream.feed_data(held)
 
     # The parser's side
 
@@ -461,7 +463,7 @@
             if self._body_stream is not None:
                 self._body_stream.feed_data(body)
         elif self._status == 200:
-            self._body.append(body)
+            self._body += body
 
     def on_message_complete(self) -> None:
         if self._final or self._spoilt:
@@ -490,7 +492,7 @@
         report = self._pool.reports.read(fields.get(LOAD))
         if self._status == 200:
             return Result(
-                AttemptOutcome.SERVED, report, Response(b"".join(self._body), self._headers.forwarded())
+                AttemptOutcome.SERVED, report, Response(bytes(self._body), self._headers.forwarded())
             )
         if self._status in (503, 504) and fields.get(UNPROCESSED) == b"1":
             return Result(AttemptOutcome.TURNED_AWAY, report)
