A short answer of unknown length that stops ends half a second after its client's time

Cause: such an answer is passed on 0.05 s after its first byte, as it may be long, and had the pause of a long one from then on. Of a long answer the first bytes are due in the client's time; one of up to 64 KiB is due as a whole.

Change: while no more than 64 KiB have come or were told, silence ends half a second after the client's time, and not within 0.5 s of the last byte. Long answers keep their 10 s, and what goes on coming is not cut.

Test: test_stopped_answers.py. Before: its four cases of a stop ran into the limit of 10 s, the four that hold that others are not cut passed.

--- a/roadlb/net/server_connection.py
+++ b/roadlb/net/server_connection.py
@@ -46,6 +46,7 @@
 # Between two pieces of an answer.  One that pauses for longer claims more than it has to give; its request
 # would wait for it till its time is up.  Once it flows, only the client waits, who has part of it.
 PAUSE_S, FLOW_PAUSE_S = 0.5, 10.0
+LATE_ANSWER_US = 500_000  # after its client's time an answer is worth nothing; later it counts as lost
 ANSWERED = frozenset(
     {AttemptOutcome.SERVED, AttemptOutcome.TURNED_AWAY, AttemptOutcome.INSTANCE_ERROR}
 )  # by a whole answer
@@ -108,6 +109,7 @@
         "_extra",
         "_final",
         "_first_us",
+        "_flow_deadline_us",
         "_body_stream",
         "_head_whole",
         "_headers",
@@ -146,6 +148,7 @@
         self._unwritten = False  # some of the request has not gone out
         self._upload: BodyStream | None = None  # the rest of the request's body, while it comes
         self._body_stream: BodyStream | None = None  # the answer's body, while it flows
+        self._flow_deadline_us = 0  # of the client whose answer flows
         self._paused = False  # nothing is read, as the flow's sink is full
         self._heard_us = self._first_us = 0  # when something last came, and first came of this answer
         self.transport: asyncio.Transport | None = None
@@ -394,6 +397,7 @@
             self.close()  # it answers what it has not read: neither connection is of further use
             call.ended(Result(AttemptOutcome.GARBLED), "a long answer to half a request")
             return
+        self._flow_deadline_us = call.deadline_at_us
         held = bytes(self._body)
         self._body = bytearray()
         self._call = None
@@ -545,14 +549,26 @@
         if self._call is None and self._body_stream is None:
             return
         now = self._pool.clock()
-        until = self._heard_us + int((PAUSE_S if self._body_stream is None else FLOW_PAUSE_S) * 1e6)
-        if self._paused or until > now:
-            self._stall = self._pool.wheel.call_at(
-                max(until, now + int(PAUSE_S * 1e6)), ServerConnection._stalled, self
-            )
+        until = now + int(PAUSE_S * 1e6) if self._paused else self._silence_limit_us()
+        if until > now:
+            self._stall = self._pool.wheel.call_at(until, ServerConnection._stalled, self)
         else:
             self._end(Result(AttemptOutcome.GARBLED), "never whole", keep=False)
 
+    def _silence_limit_us(self) -> int:
+        """Return the time at which an answer of which nothing more comes is given up.
+
+        Of a long answer only the first bytes are due in the client's time.  A short one is due as a whole,
+        also where it flows as its length is not known.
+        """
+        pause_ends_us = self._heard_us + int(PAUSE_S * 1e6)
+        if self._body_stream is None:
+            return pause_ends_us
+        flow_pause_ends_us = self._heard_us + int(FLOW_PAUSE_S * 1e6)
+        if max(self._length, self._size) > BODY_BUFFER_BYTES:
+            return flow_pause_ends_us
+        return max(pause_ends_us, min(flow_pause_ends_us, self._flow_deadline_us + LATE_ANSWER_US))
+
     def _quiet(self) -> None:
         if self._stall:
             self._stall.cancel()
