--- a/tests/lifecycle/test_lifecycle.py
+++ b/tests/lifecycle/test_lifecycle.py
@@ -70,7 +70,7 @@
             assert life.healthy is expected
 
 
-@pytest.mark.parametrize("orders", itertools.permutations([*EVENTS, Event.LEAVE]))
+@pytest.mark.parametrize("orders", list(itertools.permutations([*EVENTS, Event.LEAVE])))
 def test_health_follows_the_last_call_whatever_else_happens(orders: tuple[Event, ...]) -> None:
     life, expected = Lifecycle(2_000_000), True
     for now, event in enumerate(orders):
