Scenarios: the address of a server that refuses connections stays the test's own

Traced: the rig had the kernel choose a port, listened there and closed it, so that any other process could get it, and beside three other workers' rigs of processes some do. With a silent listener put there the test fails with the same words at the same line, as the dial succeeds; that it was so in that run is likely and not shown.

--- a/tests/net/test_upload_deadline.py
+++ b/tests/net/test_upload_deadline.py
@@ -138,7 +138,7 @@
 
 async def stop_stage(stage: Stage) -> None:
     await asyncio.wait_for(stage.app.stop(linger_s=0), LIMIT_S)
-    for listener in stage.servers:
+    for listener in [*stage.servers, *stage.mutes]:
         listener.close()
 
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -167,6 +167,13 @@
             }
         )
 
+    def dead(self) -> str:
+        """An address that refuses connections and that no other process gets: bound, never listening."""
+        holder = socket.socket()
+        holder.bind(("127.0.0.1", 0))
+        self.mutes.append(holder)
+        return f"127.0.0.1:{holder.getsockname()[1]}"
+
     def mute(self) -> str:
         """An address whose queue of connections is full, so that the kernel ignores further ones."""
         sockets = [socket.socket() for _ in range(4)]
@@ -181,9 +188,8 @@
     async def grid(self, up: str = "1", *more: str) -> None:
         limits = [n for n in more if "=" in n]
         dead, mute = [*(n for n in more if "=" not in n), "0", "0"][:2]
-        self.names = [await self.listen("i") for _ in range(int(up) + int(dead))]
-        for server in self.servers[int(up) :]:
-            server.close()
+        self.names = [await self.listen("i") for _ in range(int(up))]
+        self.names += [self.dead() for _ in range(int(dead))]
         self.names += [self.mute() for _ in range(int(mute))]
         # A machine that is held up for a while must not fail a dial that only waits for it.
         told = {k: json.loads(v) for k, _, v in (pair.partition("=") for pair in limits)}
