A connection carries no request right after an answer while a new one can be dialled

Cause: HTTP/1.1 does not say which request an answer belongs to. Pool._choose took a connection that had answered less than 25 ms before where no other idled at its server, and the copy on its way was taken for the next request's answer.

Change: such a connection is left to rest while another can be dialled (fewer than 8 of them idle at the server, and room within the bound of all). A server that has sent unasked bytes is remembered for 60 s; its connections never carry a request before they have rested.

Tests that reused a connection at once (the harness's corpus, attempt_rig, two more) now let it rest for SETTLE_US first, as reuse needs it; what they assert is unchanged.

--- a/roadlb/net/server_connection.py
+++ b/roadlb/net/server_connection.py
@@ -334,7 +334,9 @@
 
     def data_received(self, data: bytes) -> None:
         if self._call is None and self._body_stream is None:
-            self.close()  # these bytes belong to no request
+            if self.usable:
+                self._pool.unasked_bytes(self)
+            self.close()
             return
         self._heard_us = self._pool.clock()
         self._first_us = self._first_us or self._heard_us
@@ -366,6 +368,8 @@
         if self._spoilt:
             self._end(Result(AttemptOutcome.GARBLED), self._spoilt, keep=False)
         elif self._answer:
+            if self._extra and self._keep:
+                self._pool.unasked_bytes(self)
             self._ended(keep=self._keep and not self._extra and not self._unwritten)
         else:
             self._tail = (self._tail + data[-5:])[-5:]
--- a/roadlb/net/server_connections.py
+++ b/roadlb/net/server_connections.py
@@ -48,6 +48,7 @@
             LoadReports(config.settings.report_fields),
             clock,
             wheel,
+            self._unasked_bytes,
         )
 
     def list_update(
@@ -150,6 +151,12 @@
         self._probes[call] = None
         self._go(call)
 
+    def _unasked_bytes(self, server: ServerId, is_new: bool) -> None:
+        self._counters.add("server.unasked_bytes")
+        if is_new and self._logged.allows():
+            name, _ = self._listed.get(server, (server.hex(), None))
+            logger.warning("server sends bytes that no request asked for", extra=fields(instance=name))
+
     # Calls
 
     def _go(self, call: Call) -> None:
--- a/setup.py
+++ b/setup.py
@@ -36,6 +36,7 @@
     "net/client_connection",
     "net/frontend",
     "net/server_connection",
+    "net/unasked_bytes",
     "net/pool",
     "net/server_connections",
     "overload/loop_monitor",
--- a/tests/net/harness.py
+++ b/tests/net/harness.py
@@ -23,6 +23,7 @@
 from roadlb.counters import Counters
 from roadlb.engine import UPLOAD_TIMEOUT_US, Engine
 from roadlb.exchange import AttemptOutcome, Exchange, Attempt, Message, Result, Response
+from roadlb.net.pool import SETTLE_US
 from roadlb.net.server_connections import ServerConnections
 from roadlb.net.frontend import Frontend
 from roadlb.policy.interface import Action, Arrival, Event, Fail, Outcome, Send
@@ -630,6 +631,7 @@
             if isinstance(answer, Response):
                 outcome.headers, outcome.body = response_headers(answer), answer.body
             outcome.report = policy.reports[0]
+            loop.now_us += SETTLE_US
             second = await open_exchange()
             used = loop.transports[-1]
             await send_segments(loop, used, [SECOND_ANSWER], 1)
--- a/tests/net/test_client_leaves.py
+++ b/tests/net/test_client_leaves.py
@@ -16,6 +16,7 @@
 from scenario import LIMIT_S, LOOPS, Link, Stage, run
 
 from roadlb.net.client_connection import MAX_UNPARSED_BYTES, ClientConnection
+from roadlb.net.pool import SETTLE_US
 
 ORDER_TEMPLATE = (
     "POST /order/k HTTP/1.1\r\nHost: x\r\nX-Account: acme\r\nX-Correlation-Id: {id}\r\n"
@@ -257,6 +258,7 @@
             await step(stage, f"i{number} send 200 done")
             await step(stage, f"a{number} expect 200 done")
             await wait_until(lambda: len(pools._all_idle) == len(ports))
+            await asyncio.sleep(SETTLE_US / 1e6)
         assert len(ports) == 2
         sent = stage.app.counters["sends"]
         with socket.create_connection(("127.0.0.1", stage.app.port)) as leaving_client:
