Tests fail where the program counts an exception of its own that they do not expect

Change: a fixture for every test notes each fault.* and execution.fault that is counted in the test's process, and fails the test if they differ from those that it names with @pytest.mark.counts_faults. Five tests provoke one and name it; what they assert is unchanged.

--- a/tests/admin/test_door.py
+++ b/tests/admin/test_door.py
@@ -52,7 +52,11 @@
         (b"PUT /change HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}", b"HTTP/1.1 200 "),
         (b"GET /change HTTP/1.1\r\nHost: x\r\n\r\n", b"HTTP/1.1 405 Method Not Allowed\r\n"),
         (b"GET /other HTTP/1.1\r\nHost: x\r\n\r\n", b"HTTP/1.1 404 "),
-        (b"GET /fault HTTP/1.1\r\nHost: x\r\n\r\n", b"HTTP/1.1 500 "),
+        pytest.param(
+            b"GET /fault HTTP/1.1\r\nHost: x\r\n\r\n",
+            b"HTTP/1.1 500 ",
+            marks=pytest.mark.counts_faults("fault.admin"),
+        ),
         (b"noise\r\n\r\n", b"HTTP/1.1 400 "),
         (b"GET /ready HTTP/1.1\r\nX: " + b"x" * HEAD_MOST, b"HTTP/1.1 400 "),
     ],
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,7 +14,7 @@
 HERE = Path(__file__).parent
 sys.path += sorted(str(folder) for folder in {HERE, *(path.parent for path in HERE.rglob("*.py"))})
 
-pytest_plugins = ["known_red"]
+pytest_plugins = ["known_red", "program_faults"]
 
 FLEETS = {  # where tests start many processes: the group in which they follow each other
     "sites/test_processes": "rigs of halls",
--- a/tests/engine/test_engine.py
+++ b/tests/engine/test_engine.py
@@ -149,6 +149,7 @@
     run(main)
 
 
+@pytest.mark.counts_faults("fault.engine")
 def test_an_exception_fails_only_its_own_request() -> None:
     async def main() -> None:
         policy = ScriptedPolicy()
@@ -164,6 +165,7 @@
     run(main)
 
 
+@pytest.mark.counts_faults("fault.engine")
 def test_a_policy_that_always_raises_stops_neither_the_process_nor_an_answer() -> None:
     # Notifying the policy that the request has ended fails as well, and must not be repeated endlessly.
     async def main() -> None:
--- a/tests/membership/test_peers.py
+++ b/tests/membership/test_peers.py
@@ -127,6 +127,7 @@
     play(test)
 
 
+@pytest.mark.counts_faults("fault.peers")
 def test_a_listener_that_fails_costs_the_others_nothing() -> None:
     async def test(made: list[Peers]) -> None:
         a, b, _ = made
--- a/tests/net/test_net.py
+++ b/tests/net/test_net.py
@@ -653,6 +653,7 @@
 
 
 @pytest.mark.interpreted
+@pytest.mark.counts_faults("fault.client")
 def test_an_exception_in_the_frontend_fails_only_its_own_request(monkeypatch: pytest.MonkeyPatch) -> None:
     # It must be answered with 500, never with 503 or 429, and the process must continue.
     opened, original_open = [], Engine.open
