A head has at most 640 fields: each costs memory for itself, however short it is

What was seen: 1,000 clients, each with an unfinished head of 2,000 fields of 8 bytes (16 MB in all), took a balancer to 262 MB of its 192; 300 to 99 MB.

Cause: a head was bounded by its bytes alone, and each field is kept as two objects and a pair.

--- a/benchmarks/chunk_memory.py
+++ b/benchmarks/chunk_memory.py
@@ -1,9 +1,11 @@
-"""Peak memory of a balancer while many clients send bodies in small chunks and do not finish them.
+"""Peak memory of a balancer while many clients send requests in small pieces and do not finish them.
 
-    python benchmarks/chunk_memory.py [--clients 300 1000] [--chunk-bytes 1 2 6 64] [--python PATH]
+    python benchmarks/chunk_memory.py [--clients 300 1000] [--chunk-bytes 1 2 6 64]
+        [--head-fields 600 2000] [--python PATH]
 
 The program that PATH has installed runs as a process of its own, with no server listening.  Each client
-sends 60,000 bytes of a chunked body, less than is buffered before a body is streamed.
+sends 60,000 bytes of a chunked body, less than is buffered before a body is streamed; with `--head-fields` it
+sends a head of so many tiny fields instead.
 """
 
 from __future__ import annotations
@@ -59,15 +61,25 @@
                 return
 
 
-async def send_unfinished(port: int, id: int, account: str, chunk_bytes: int) -> asyncio.StreamWriter:
-    _, writer = await asyncio.open_connection("127.0.0.1", port)
+def unfinished_head(fields: int) -> bytes:
+    return b"GET / HTTP/1.1\r\n" + b"".join(b"x%03x:y\r\n" % number for number in range(fields))
+
+
+def unfinished_body(id: int, account: str, chunk_bytes: int) -> bytes:
     chunk = b"%x\r\n%b\r\n" % (chunk_bytes, b"z" * chunk_bytes)
-    writer.write(HEAD.format(id=id, account=account).encode() + chunk * (BODY_BYTES // chunk_bytes))
+    return HEAD.format(id=id, account=account).encode() + chunk * (BODY_BYTES // chunk_bytes)
+
+
+async def send(port: int, request: bytes) -> asyncio.StreamWriter:
+    _, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(request)
     return writer
 
 
-async def measure(python: str, clients: int, chunk_bytes: int) -> tuple[float, float]:
-    """Returns the resident memory before the clients came, and its peak, in MB."""
+async def measure(python: str, clients: int, chunk_bytes: int, head_fields: int = 0) -> tuple[float, float]:
+    """Plays bodies in chunks or, if `head_fields` are given, heads.
+
+    Returns the resident memory before the clients came, and its peak, in MB."""
     with socket.create_server(("127.0.0.1", 0)) as free_port_socket:
         port = int(free_port_socket.getsockname()[1])
     with tempfile.TemporaryDirectory() as folder:
@@ -90,7 +102,10 @@
                     pass
             log = asyncio.ensure_future(process.stderr.read())
             before_mb = memory_mb(process.pid, "VmRSS")
-            writers = [await send_unfinished(port, id, account, chunk_bytes) for id in range(clients)]
+            writers = []
+            for id in range(clients):
+                body = unfinished_body(id, account, chunk_bytes)
+                writers.append(await send(port, unfinished_head(head_fields) if head_fields else body))
             await wait_until_idle(process.pid)
             peak_mb = memory_mb(process.pid, "VmHWM")
         finally:
@@ -106,13 +121,15 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--clients", type=int, nargs="+", default=[300, 1_000])
     parser.add_argument("--chunk-bytes", type=int, nargs="+", default=[1, 2, 6, 64])
+    parser.add_argument("--head-fields", type=int, nargs="+", default=[])
     parser.add_argument("--python", default=sys.executable)
     options = parser.parse_args()
-    print("clients  bytes a chunk  before, MB  peak, MB")
+    plays = [(1, fields) for fields in options.head_fields] or [(size, 0) for size in options.chunk_bytes]
+    print(f"clients  {'fields a head' if options.head_fields else 'bytes a chunk'}  before, MB  peak, MB")
     for clients in options.clients:
-        for chunk_bytes in options.chunk_bytes:
-            before_mb, peak_mb = asyncio.run(measure(options.python, clients, chunk_bytes))
-            print(f"{clients:7}  {chunk_bytes:13}  {before_mb:10.1f}  {peak_mb:8.1f}", flush=True)
+        for chunk_bytes, fields in plays:
+            before_mb, peak_mb = asyncio.run(measure(options.python, clients, chunk_bytes, fields))
+            print(f"{clients:7}  {fields or chunk_bytes:13}  {before_mb:10.1f}  {peak_mb:8.1f}", flush=True)
 
 
 if __name__ == "__main__":
--- a/roadlb/net/client_connection.py
+++ b/roadlb/net/client_connection.py
@@ -28,6 +28,7 @@
     LAST_CHUNK,
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
+    MAX_HEAD_FIELDS,
     encode_answer,
     encode_chunk,
     encode_head,
@@ -297,6 +298,9 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._header_pairs is not None:
             self._header_pairs.append((name, value))
+            if len(self._header_pairs) > MAX_HEAD_FIELDS:
+                self._header_pairs = None
+                self._queue_error(BadRequest(431, "the head has too many fields", closes_connection=True))
         elif request := self._partial_request:  # a trailer field; none is forwarded
             request.trailer_size += len(name) + len(value) + 4
             if request.trailer_size > MAX_HEAD_BYTES:
--- a/roadlb/net/http.py
+++ b/roadlb/net/http.py
@@ -10,6 +10,7 @@
 SMALL_BODY_BUFFER_BYTES = 4_096  # the same while the process is short of memory or descriptors
 MAX_BODY_BYTES = 32 << 20
 MAX_HEAD_BYTES = 16_384
+MAX_HEAD_FIELDS = 640  # a field costs memory for itself, however short it is
 MAX_INTERIM_RESPONSES = 8  # 1xx responses before the final one
 
 LAST_CHUNK = b"0\r\n\r\n"
--- a/roadlb/net/server_connection.py
+++ b/roadlb/net/server_connection.py
@@ -32,6 +32,7 @@
 from .http import (
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
+    MAX_HEAD_FIELDS,
     BODY_BUFFER_BYTES,
     MAX_INTERIM_RESPONSES,
     LAST_CHUNK,
@@ -423,7 +424,10 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self._head_whole:
-            self._pairs.append((name, value))
+            if len(self._pairs) < MAX_HEAD_FIELDS:
+                self._pairs.append((name, value))
+            else:
+                self._spoilt = self._spoilt or "too many fields"
             return
         # A trailer, of which nothing is passed on; it counts as body, for the bound.
         self._size += len(name) + len(value) + 4
@@ -436,6 +440,8 @@
         status = self._parser.get_status_code()
         headers = self._headers = Headers(self._pairs)
         version = self._parser.get_http_version()
+        if self._spoilt:
+            return
         if headers.size > MAX_HEAD_BYTES:
             self._spoilt = "too long"
         elif version != "1.1" and (version != "1.0" or headers.transfer_encodings):
