--- a/roadlb/net/pool.py
+++ b/roadlb/net/pool.py
@@ -2,8 +2,8 @@
 
 A connection that has carried an answer rests for a turn of the event loop before it may carry another
 request: what came right behind the answer has been read by then, and ends the connection instead of being
-taken for the next request's answer.  What comes later than that is kept from it as well as can be: while a
-new connection can be dialled, one that has not rested for SETTLE_US carries no request.
+taken for the next request's answer.  What comes later than that is kept from it as well as can be: a
+connection that has not settled carries no request while a new one can be dialled.
 """
 
 from __future__ import annotations
@@ -26,8 +26,8 @@
 SWEEP_S = 0.25
 CLOSING_TURNS = 10  # of the event loop, at the most, for aborted connections to be told that they ended
 # A server's second answer to one request may come some milliseconds after the first.  A connection that has
-# rested for so long is settled: none has come.
-SETTLE_US = 25_000
+# rested for so long is settled: none has come.  The shorter time holds while no server has sent such bytes.
+SETTLE_US, TRUSTED_SETTLE_US = 25_000, 12_000
 MAX_UNSETTLED_IDLE = 8  # idle connections of one server, none settled, beside which another one is dialled
 NO_DESCRIPTOR = frozenset({errno.EMFILE, errno.ENFILE})
 
@@ -197,7 +197,9 @@
 
     def _last_settled(self, idle: dict[ServerConnection, None]) -> ServerConnection | None:
         """The connection that has waited for the shortest time, of those that have settled."""
-        settled_us = self.clock() - SETTLE_US
+        now_us = self.clock()
+        is_any_known = self._unasked_bytes.sent_by_any(now_us)
+        settled_us = now_us - (SETTLE_US if is_any_known else TRUSTED_SETTLE_US)
         for connection in reversed(idle):
             if connection.rested_us <= settled_us:
                 return connection
