A server that takes nothing of a long order for 15 s ends it while its client trickles

What a caller could see: none harmed; a client that sends a byte now and then to a server that hangs kept its order, its connection and its server's attempt for up to 600 s, the limit of a whole upload.

The client's time counts from the latest byte that came, so each further byte puts it off, and the limit of 2.6 s on clients does not hold while bytes wait.

Change: the order also ends once its server has taken nothing for 15 s while bytes wait (Frontend._check_body_overdue), as refused: it never ran.

--- a/roadlb/net/frontend.py
+++ b/roadlb/net/frontend.py
@@ -34,6 +34,7 @@
 NETWORK_MARGIN_US = 10_000
 REQUEST_TIMEOUT_S = 2.6  # to receive a request, from its first byte or, for the first, from connecting
 WRITE_TIMEOUT_S = 15.0  # for a client to take more of a streamed answer
+SERVER_STALL_US = 15_000_000  # for a server to take more of a streamed body, of which more waits
 IDLE_TIMEOUT_S = 10.0  # of a connection between requests
 SHORT_IDLE_TIMEOUT_S = 2.0  # the same while connections or resources are scarce
 # Of the maximum of connections: up to the first idle ones may stay for IDLE_TIMEOUT_S; past the second each
@@ -207,9 +208,16 @@
                 self.watch_paused(connection)
 
     def _check_body_overdue(self, connection: ClientConnection) -> None:
-        """End the open request if its time is over while bytes of its body wait for a server to take them."""
+        """End the open request if its time is over while bytes of its body wait for a server to take them.
+
+        A client that goes on sending puts its own time off, but not the server's.
+        """
         exchange, waiting_since_us = connection.exchange, connection.unread_since_us()
-        if exchange and waiting_since_us and self.clock() >= waiting_since_us + exchange.left_us:
+        if exchange is None or not waiting_since_us:
+            return
+        server_paused_us = connection.request_started_us
+        overdue_us = min(waiting_since_us + exchange.left_us, server_paused_us + SERVER_STALL_US)
+        if self.clock() >= overdue_us:
             self._engine.body_overdue(exchange)
 
     async def run_sweeps(self) -> None:
--- a/tests/net/test_upload_deadline.py
+++ b/tests/net/test_upload_deadline.py
@@ -17,6 +17,7 @@
 import pytest
 from scenario import LIMIT_S, LOOPS, Stage, run
 
+from roadlb.net import frontend
 from roadlb.net.body_arrival import BodyArrival
 
 LATE_S = 0.5 + 0.05  # how long after its time an answer may come, and the slack of every time limit
@@ -270,6 +271,48 @@
     run(main())
 
 
+@pytest.mark.interpreted
+def test_a_long_order_whose_client_trickles_is_ended_once_its_server_has_taken_nothing_for_the_limit(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a server that hangs being waited for as long as its client goes on sending a little.
+    left_s, server_limit_s, first_bytes, piece_bytes = 1.0, 2.0, 70_000, 2_000
+    monkeypatch.setattr(frontend, "SERVER_STALL_US", int(server_limit_s * 1e6))
+
+    async def main() -> None:
+        server, lateness = SlowServer(0), Lateness()
+        stage = await start_stage(server)
+        loop = asyncio.get_running_loop()
+        order = encode_order(1, 1_000_000, "length", left_s)
+        reader, writer = await asyncio.open_connection("127.0.0.1", stage.app.port)
+        writer.write(order[:first_bytes])
+        sent_bytes = first_bytes
+        while not stage.app.counters["execution"]:
+            await asyncio.sleep(POLL_S)
+        (connection,) = stage.app.frontend.connections
+        await asyncio.sleep(0.1)  # the server is connected, and reading goes on
+        while not connection.is_reading_paused:
+            writer.write(order[sent_bytes : sent_bytes + piece_bytes])
+            sent_bytes += piece_bytes
+            await asyncio.sleep(POLL_S)
+        began = loop.time()
+        answer = asyncio.create_task(reader.readuntil(b"\r\n\r\n"))
+        while not answer.done():
+            assert loop.time() - began <= server_limit_s + LATE_S + lateness.most_s
+            writer.write(order[sent_bytes : sent_bytes + 1])
+            sent_bytes += 1
+            await asyncio.wait((answer,), timeout=left_s / 5)
+        assert loop.time() - began >= server_limit_s - POLL_S
+        assert answer.result().startswith(b"HTTP/1.1 503")
+        assert stage.app.counters["execution.upload_timed_out"] == 1
+        lateness.stop()
+        writer.close()
+        await stop_stage(stage)
+        server.close()
+
+    run(main())
+
+
 def test_bytes_that_waited_unread_do_not_count_as_new_when_they_are_read() -> None:
     arrival = BodyArrival(1)
     arrival.record_unread(500, 2)
