--- a/tests/lifecycle/test_upgrade.py
+++ b/tests/lifecycle/test_upgrade.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 import pytest
-from samples import RAW
+from samples import RAW, server_entry
 from scenario import run
 
 from roadlb.config import ConfigError, read_config
@@ -39,22 +39,11 @@
             await asyncio.start_server(serve, "127.0.0.1", 0) for serve in (self.node, self.discovery)
         ]
         self.servers = [node, discovery]
-        at, self.agent = [f"127.0.0.1:{s.sockets[0].getsockname()[1]}" for s in self.servers]
+        self.agent = f"127.0.0.1:{discovery.sockets[0].getsockname()[1]}"
         self.list = {
             "generation": 7,
             "reset": True,
-            "instances": [
-                {
-                    "instanceId": "s1",
-                    "hostPort": at,
-                    "zone": "hall-a",
-                    "machineType": "new-2c",
-                    "cell": 0,
-                    "lifecycle": "up",
-                    "weight": 1.0,
-                    "startedAtMs": 0,
-                }
-            ],
+            "instances": [server_entry(node.sockets[0].getsockname()[1])],
         }
 
     async def node(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/tests/net/test_memory.py
+++ b/tests/net/test_memory.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 
 import pytest
-from samples import RAW
+from samples import RAW, server_entry
 from scenario import run
 
 ROOT = Path(__file__).parents[2]
@@ -104,19 +104,6 @@
     await log
 
 
-def server_entry(port: int) -> dict[str, object]:
-    return {
-        "instanceId": "s1",
-        "hostPort": f"127.0.0.1:{port}",
-        "zone": "hall-a",
-        "machineType": "new-2c",
-        "cell": 0,
-        "lifecycle": "up",
-        "weight": 1.0,
-        "startedAtMs": 0,
-    }
-
-
 def test_streaming_512_mb_in_both_directions_grows_memory_by_less_than_12_mb(tmp_path: Path) -> None:
     async def main() -> None:
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -1,4 +1,4 @@
-"""Configuration that tests share: a setup text of the wire (SETUP), a balancer's file, parsed (RAW)."""
+"""Configuration that tests share: a setup text of the wire (SETUP), a balancer's file (RAW), a listed server."""
 
 from __future__ import annotations
 
@@ -14,6 +14,21 @@
     "settings": SETTINGS,
 }
 
+
+def server_entry(port: int) -> dict[str, object]:
+    """What discovery tells of a server on this port of the loopback address."""
+    return {
+        "instanceId": "s1",
+        "hostPort": f"127.0.0.1:{port}",
+        "zone": "hall-a",
+        "machineType": "new-2c",
+        "cell": 0,
+        "lifecycle": "up",
+        "weight": 1.0,
+        "startedAtMs": 0,
+    }
+
+
 SETUP = """az=1
 classes.count=2
 classes.0.deadline_us=2500000
