--- a/tests/samples.py
+++ b/tests/samples.py
@@ -1,4 +1,4 @@
-"""Configuration that tests share: a setup text of the wire (SETUP), a balancer's file (RAW), a listed server."""
+"""Configuration that tests share: a setup text (SETUP), a balancer's file, parsed (RAW), a listed server."""
 
 from __future__ import annotations
 
