Review: a script that fails by itself is no broken rule; run.sh begins the record

The stand-ins end with 10 where the rule was broken, and run.sh makes 1 of that: the interpreter's own 1, for a script that it cannot read or that raises, was told as a broken rule before. SIGTERM ends a play with its processes. The stand-in of discovery can be slow.

--- a/review/common2/rig.py
+++ b/review/common2/rig.py
@@ -22,7 +22,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
-HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+HELD, BROKEN, COULD_NOT_RUN = 0, 10, 2  # 1 is the interpreter's own, for a script that fails; see run.sh
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -40,7 +40,7 @@
     """`record.txt`: what was sent, answered and run, with the seconds since the case began."""
 
     def __init__(self, path: Path) -> None:
-        self._file = path.open("w")
+        self._file = path.open("a")  # begun by run.sh
         self._began = time.monotonic()
 
     def now(self) -> float:
@@ -140,6 +140,7 @@
     """Discovery's agent: tells what it has been sent, at once, and each change to the watches that are open.
 
     `refuses` answers every call with 503 while it is set, as a discovery that has no room for another call.
+    `slow_s`: it begins to answer a call so long after that came, as one that has many calls in its queue.
     """
 
     name: str
@@ -148,6 +149,7 @@
     entries: dict[str, dict[str, object]] = field(default_factory=dict)
     port: int = 0
     refuses: bool = False
+    slow_s: float = 0.0
     calls: list[tuple[float, str]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -194,6 +196,10 @@
             target = head.split(" ")[1]
             self.calls.append((self.record.now(), "refused" if self.refuses else "answered"))
             self.record.write(f"agent {self.name}: GET {target}: {self.calls[-1][1]}")
+            if self.slow_s:
+                await asyncio.sleep(self.slow_s)
+                if reader.at_eof():
+                    self.record.write(f"agent {self.name}: the call was given up before it was answered")
             if self.refuses:
                 writer.write(
                     b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -531,14 +537,16 @@
 def play(case: Callable[[Rig], Awaitable[int]], folder: Path, most_s: float = 100.0) -> int:
     """Play a case; its exit code, with the record in `folder`."""
     record = Record(folder / "record.txt")
-    record.write(f"TROUBLE={1 if TROUBLE else 0}")
     if not (ROOT / ".venv" / "bin" / "python").exists():
         record.say("could not run: no build; sh deploy/build.sh makes it")
         return COULD_NOT_RUN
     temporary = Path(tempfile.mkdtemp(prefix="roadlb-review-"))
 
     async def whole() -> int:
-        rig = Rig(temporary, record)
+        rig, task = Rig(temporary, record), asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(most_s):
                 return await case(rig)
@@ -549,7 +557,7 @@
     sys.unraisablehook = lambda _: None
     try:
         code = asyncio.run(whole())
-    except (CouldNotRun, TimeoutError, OSError) as e:
+    except (Exception, asyncio.CancelledError) as e:
         record.say(f"could not run: {type(e).__name__}: {e}")
         code = COULD_NOT_RUN
     finally:
