Review case 10: the order goes over a connection kept to the old process

Before, it was sent as the new process was starting: on a slow machine it could be over by the time of the bad client's request, and the case could not be played. Now it is sent once the new process is ready, on a connection that the old one has accepted.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -7,6 +7,7 @@
 import socket
 import sys
 from contextlib import suppress
+from dataclasses import dataclass
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common2"))
@@ -37,23 +38,34 @@
     return await at_once(node, run, writer)
 
 
-async def ask(rig: Rig, port: int, who: str, method: str, target: str, id: str) -> tuple[int, bytes]:
-    """One request on a connection of its own; status 0: a close with no answer."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    length = "Content-Length: 0\r\n" if method == "POST" else ""
-    rig.record.write(f"{who}: {method} {target} id={id}")
-    writer.write(
-        f"{method} {target} HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: {id}\r\n"
-        f"X-Account: energia-sever\r\nX-Time-Left: 2.000\r\n{length}\r\n".encode()
-    )
-    status, body = 0, b""
-    with suppress(OSError, EOFError, TimeoutError):
-        async with asyncio.timeout(3.0):
-            status, headers = await read_head(reader)
-            body = await reader.readexactly(int(headers.get("content-length", "0")))
-    writer.close()
-    rig.record.write(f"{who}: id={id}: {status or 'closed'} {body[:60]!r}")
-    return status, body
+@dataclass
+class Connection:
+    """A client's connection; it stays with the process that has accepted it."""
+
+    rig: Rig
+    who: str
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    async def ask(self, method: str, target: str, id: str) -> int:
+        """One request; status 0: a close with no answer, or none within 3 s."""
+        length = "Content-Length: 0\r\n" if method == "POST" else ""
+        self.rig.record.write(f"{self.who}: {method} {target} id={id}")
+        status, body = 0, b""
+        with suppress(OSError, EOFError, TimeoutError):
+            self.writer.write(
+                f"{method} {target} HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: {id}\r\n"
+                f"X-Account: energia-sever\r\nX-Time-Left: 2.000\r\n{length}\r\n".encode()
+            )
+            async with asyncio.timeout(3.0):
+                status, headers = await read_head(self.reader)
+                body = await self.reader.readexactly(int(headers.get("content-length", "0")))
+        self.rig.record.write(f"{self.who}: id={id}: {status or 'closed'} {body[:60]!r}")
+        return status
+
+
+async def connect(rig: Rig, port: int, who: str) -> Connection:
+    return Connection(rig, who, *await asyncio.open_connection("127.0.0.1", port))
 
 
 async def case(rig: Rig) -> int:
@@ -74,29 +86,34 @@
     served, opened = 0, 0
     for number in range(ROUNDS):
         id = f"usual-{number}-{old.process.pid}"
+        # The usual client keeps a connection that the process accepted which is about to be the old one.
+        usual = await connect(rig, old.port, "usual client")
+        if await usual.ask("GET", "/grid-read/first", f"first-{id}") != 200:
+            raise CouldNotRun("the usual client's first read was not served")
         new = None
         if TROUBLE:
-            # The usual client's order comes to the old process just before the new one can take clients.
             new = Balancer(rig, "n1", agent.port, agent.whole(), listen=listen, shared=shared)
             await new.start()
-        order = asyncio.create_task(ask(rig, old.port, "usual client", "POST", f"/order/k{number}", id))
-        await asyncio.sleep(0.1)
-        if new is not None:
             await new.ready(within_s=6.0)
-            await asyncio.sleep(FIRST_SENT_S)
-            old.signal(signal.SIGTERM)
+        order = asyncio.create_task(usual.ask("POST", f"/order/k{number}", id))
+        await asyncio.sleep(FIRST_SENT_S)
+        if new is not None:
+            old.signal(signal.SIGTERM)  # from now on only the new one accepts connections
             await asyncio.sleep(0.1)
         if not order.done():
             opened += 1
-            status, _ = await ask(rig, old.port, "bad client", "GET", f"/grid-read/k{number}", id)
-            served += status == 200
-        status, _ = await order
+            bad = await connect(rig, old.port, "bad client")
+            served += await bad.ask("GET", f"/grid-read/k{number}", id) == 200
+            bad.writer.close()
+        await order
+        usual.writer.close()
         if new is not None:
             with suppress(TimeoutError):
                 async with asyncio.timeout(3.7):
                     await old.process.wait()
             if old.process.returncode is None:
                 old.signal(signal.SIGKILL)
+                await old.process.wait()
             old = new
     listen.close()
     if not opened:
