A request's id stays taken to the end of its answer; it was free 5 s after the head

Cause: `ClientConnection._write_answer` gave the id back through `Frontend.on_answered` as the engine had the final answer. Of an answer that is streamed that is its head, so that the 5 s of retention ran out within the answer; reads and orders alike, whatever tells the answer's length.

Change: the connection owns the reserved id (`ReservedId`) until the last byte of the answer is written, the answer breaks off, or the client has gone. Each of these ends it once. The tests of RequestIds are put in terms of the new calls; what they assert is unchanged.

--- a/roadlb/net/client_connection.py
+++ b/roadlb/net/client_connection.py
@@ -35,6 +35,7 @@
     encode_chunk,
     encode_head,
 )
+from .request_ids import ReservedId
 from .sockets import (
     has_unread_bytes,
     is_peer_closed,
@@ -162,12 +163,12 @@
         "exchange",
         "forwarded_bytes",
         "has_sent_request",
-        "id",
         "idle_since_us",
         "ignores_input",
         "is_reserved",
         "read_stalled_since_us",
         "request_started_us",
+        "reserved_id",
         "transport",
         "write_blocked_since_us",
     )
@@ -195,7 +196,7 @@
         self._is_http_1_1 = True  # of the open request
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None  # of the open request
-        self.id = b""  # correlation id of the open request
+        self.reserved_id: ReservedId | None = None  # of the open request, until the end of its answer
         self.forwarded_bytes = 0  # size of what is forwarded of the open request
         self.idle_since_us = frontend.clock()  # since its last answer, or since it was accepted
         self.request_started_us = 0  # of the request being read; moved on as its body arrives; 0: none
@@ -243,6 +244,7 @@
             upload.feed_end(False)
         if body_stream is not None:
             body_stream.discard()
+        self._frontend.end_request(self)
 
     def check_client_gone(self) -> bool:
         """Return whether the client has closed, even behind unread bytes; if so, cancel and close."""
@@ -734,6 +736,7 @@
             return
         self._body_stream = None
         body_stream.report_end(False)
+        self._frontend.end_request(self)
         if body_stream.size >= 0 or self._is_chunked:
             self.close()  # the client sees that content or the last chunk is missing
         else:
@@ -745,6 +748,7 @@
             self.transport.set_write_buffer_limits(high=PARSE_CHUNK_BYTES)
         if body_stream is not None:
             body_stream.report_end(True)
+        self._frontend.end_request(self)
         self.idle_since_us = self._frontend.clock()
         if self._is_last:
             self.close()
@@ -768,6 +772,7 @@
         if isinstance(answer, Response) and answer.body_stream is not None:
             self._start_answer_stream(answer, answer.body_stream, is_last)
             return
+        self._frontend.end_request(self)
         if self._upload is not None:
             self.reply_and_close(encode_answer(answer, is_last))
             return
--- a/roadlb/net/frontend.py
+++ b/roadlb/net/frontend.py
@@ -28,7 +28,7 @@
 from .headers import ACCOUNT, CORRELATION_ID, FACTS, HOST, REPEAT, TIME_LEFT, HeaderError, parse_name_values
 from .http import MAX_HEAD_BYTES, empty_answer, encode_answer, text_answer
 from .read_buffer import ReadBuffer
-from .request_ids import RequestIds
+from .request_ids import RequestIds, ReservedId
 from .sockets import has_unread_bytes
 from .turn_queue import ReadQueue, TurnQueue
 
@@ -443,11 +443,12 @@
             exchange = self._new_exchange(connection, request)
             if connection.defer(request):
                 return
-            id = self._reserve_id(request, exchange)
+            reserved_id = self._reserve_id(request, exchange)
         except BadRequest as e:
             self._answer_error(connection, request, e)
             return
-        connection.exchange, connection.id = exchange, id
+        connection.exchange = exchange
+        connection.reserved_id = reserved_id
         connection.forwarded_bytes = exchange.message.size
         if connection.is_reserved:
             self._serve_if_room(connection)
@@ -465,7 +466,8 @@
             logger.exception("request failed")
             if connection.is_open(exchange):
                 connection.exchange = None
-                self._release_id(connection, exchange)
+                self._note_attempts(connection, exchange)
+                self.end_request(connection)
                 connection.reply_and_close(text_answer(500, "fault", is_last=True))
 
     def _reclaim_memory(self) -> None:
@@ -493,20 +495,23 @@
         if exchange := connection.exchange:
             connection.exchange = None
             self._engine.client_gone(exchange)
-            self._release_id(connection, exchange)
+            self._note_attempts(connection, exchange)
+            self.end_request(connection)
 
     def on_answered(self, connection: ClientConnection, exchange: Exchange) -> None:
-        """Note that the open exchange has its final answer."""
+        """Note that the open exchange has its final answer, of which more may be to come."""
         connection.idle_since_us = self.clock()
-        self._release_id(connection, exchange)
+        self._note_attempts(connection, exchange)
 
-    def _release_id(self, connection: ClientConnection, exchange: Exchange) -> None:
-        """The request has ended: its id is not accepted again for a while, if it may have run."""
-        if exchange.attempts:
-            is_repeatable = self._methods[exchange.class_index] == b"GET"
-            self._request_ids.retain(connection.id, self.clock(), is_repeatable)
-        else:
-            self._request_ids.release(connection.id)
+    def _note_attempts(self, connection: ClientConnection, exchange: Exchange) -> None:
+        if connection.reserved_id is not None:
+            connection.reserved_id.may_have_run = bool(exchange.attempts)
+
+    def end_request(self, connection: ClientConnection) -> None:
+        """The request has ended with its whole answer or without: its id is retained if it may have run."""
+        reserved_id, connection.reserved_id = connection.reserved_id, None
+        if reserved_id is not None:
+            self._request_ids.end(reserved_id, self.clock())
 
     def check_before_body(self, request: Request) -> Refusal | None:
         """Return the refusal if the policy refuses the request by its head, before its body is read."""
@@ -559,15 +564,17 @@
         else:
             connection.reply(answer, is_last)
 
-    def _reserve_id(self, request: Request, exchange: Exchange) -> bytes:
+    def _reserve_id(self, request: Request, exchange: Exchange) -> ReservedId:
         """Reserve the id: two requests with one id must not reach a server, as no order may run twice."""
         id = request.headers.fields[CORRELATION_ID]
-        if not self._request_ids.reserve(id):
+        is_repeatable = self._methods[exchange.class_index] == b"GET"
+        reserved_id = self._request_ids.reserve(id, is_repeatable)
+        if reserved_id is None:
             raise BadRequest(409, "X-Correlation-Id is in use")
-        if self._methods[exchange.class_index] != b"GET" and not self._claim_order(id):
-            self._request_ids.release(id)
+        if not is_repeatable and not self._claim_order(id):
+            self._request_ids.end(reserved_id, self.clock())
             raise BadRequest(409, "X-Correlation-Id is in use")
-        return id
+        return reserved_id
 
     def _classify(self, request: Request) -> tuple[int, int, int, int, int]:
         """Return class, tenant, key, time left on arrival and expected work (both us); raises BadRequest."""
--- a/roadlb/net/request_ids.py
+++ b/roadlb/net/request_ids.py
@@ -1,5 +1,7 @@
 """The correlation ids that no further request may have: of open requests, and of those that may have run.
 
+A request is open until the last byte of its answer has been written, or none of it is to come any more.
+
 Two requests with one id must not reach a server, as no order may run twice.
 """
 
@@ -59,8 +61,18 @@
         return expired
 
 
+class ReservedId:
+    """The id of an open request; whoever reserved it ends it once, with the request."""
+
+    __slots__ = ("is_repeatable", "may_have_run", "stored")
+
+    def __init__(self, stored: bytes, is_repeatable: bool) -> None:
+        self.stored, self.is_repeatable = stored, is_repeatable
+        self.may_have_run = False  # an attempt of the request has begun
+
+
 class RequestIds:
-    """Each id that is reserved is released or retained once; times in microseconds of the program's clock."""
+    """Each id that is reserved is ended once; times in microseconds of the program's clock."""
 
     __slots__ = ("_known", "_memory_budget", "_orders", "_reads")
 
@@ -74,21 +86,20 @@
         """How many ids of requests that have ended are kept."""
         return self._orders.count + self._reads.count
 
-    def reserve(self, id: bytes) -> bool:
-        """Reserve the id of a new request; return whether it was free."""
+    def reserve(self, id: bytes, is_repeatable: bool) -> ReservedId | None:
+        """Reserve the id of a new request; None: it is not free.  `is_repeatable`: its class is safe."""
         stored = _stored(id)
         if stored in self._known:
-            return False
+            return None
         self._known.add(stored)
-        return True
-
-    def release(self, id: bytes) -> None:
-        """Free the id of a request that has not run."""
-        self._known.discard(_stored(id))
-
-    def retain(self, id: bytes, now_us: int, is_repeatable: bool) -> None:
-        """Keep the id of a request that has ended and may have run; `is_repeatable`: its class is safe."""
-        (self._reads if is_repeatable else self._orders).add(_stored(id), now_us)
+        return ReservedId(stored, is_repeatable)
+
+    def end(self, reserved: ReservedId, now_us: int) -> None:
+        """The request has ended, and no more of its answer is to come: keep its id if it may have run."""
+        if not reserved.may_have_run:
+            self._known.discard(reserved.stored)
+            return
+        (self._reads if reserved.is_repeatable else self._orders).add(reserved.stored, now_us)
         self._memory_budget.change(RETAINED_ID_BYTES)
 
     def expire(self, now_us: int) -> None:
--- a/tests/net/test_request_ids.py
+++ b/tests/net/test_request_ids.py
@@ -13,25 +13,41 @@
 from roadlb.overload.memory_budget import MemoryBudget
 
 
+def retain(ids: RequestIds, id: bytes, now_us: int, is_repeatable: bool = False) -> None:
+    """A request with this id has been open, has run and has ended."""
+    reserved_id = ids.reserve(id, is_repeatable)
+    assert reserved_id is not None
+    reserved_id.may_have_run = True
+    ids.end(reserved_id, now_us)
+
+
+def is_free(ids: RequestIds, id: bytes) -> bool:
+    """Whether a new request may have this id; it stays as it is."""
+    reserved_id = ids.reserve(id, False)
+    if reserved_id is not None:
+        ids.end(reserved_id, 0)
+    return reserved_id is not None
+
+
 def test_an_id_is_free_again_after_its_retention_and_not_before() -> None:
     ids = RequestIds(MemoryBudget())
-    assert ids.reserve(b"a") and not ids.reserve(b"a")
-    ids.retain(b"a", 1_000, False)
+    reserved_id = ids.reserve(b"a", False)
+    assert reserved_id is not None and ids.reserve(b"a", False) is None
+    reserved_id.may_have_run = True
+    ids.end(reserved_id, 1_000)
     ids.expire(1_000 + RETENTION_US)
-    assert not ids.reserve(b"a")
+    assert not is_free(ids, b"a")
     ids.expire(1_000 + RETENTION_US + BUCKET_US)
-    assert ids.reserve(b"a")
+    assert is_free(ids, b"a")
 
 
 def test_requests_that_never_ran_push_out_the_id_of_one_that_did() -> None:
     ids = RequestIds(MemoryBudget())
-    ids.reserve(b"order")
-    ids.retain(b"order", 0, False)
+    retain(ids, b"order", 0)
     for number in range(2 * MAX_RETAINED_ORDERS):
-        ids.reserve(b"%d" % number)
-        ids.release(b"%d" % number)
+        assert is_free(ids, b"%d" % number)
     ids.expire(1)
-    assert not ids.reserve(b"order") and ids.retained_count == 1
+    assert not is_free(ids, b"order") and ids.retained_count == 1
 
 
 def test_long_ids_are_kept_as_they_are() -> None:
@@ -39,9 +55,11 @@
     ids = RequestIds(budget)
     for number in range(100):
         id = b"%d" % number + b"x" * 12_000
-        assert ids.reserve(id) and not ids.reserve(id)
-        ids.retain(id, 0, False)
-        assert not ids.reserve(id)
+        reserved_id = ids.reserve(id, False)
+        assert reserved_id is not None and not is_free(ids, id)
+        reserved_id.may_have_run = True
+        ids.end(reserved_id, 0)
+        assert not is_free(ids, id)
     assert max(len(stored) for stored in ids._known) <= 32
     assert budget.held_bytes == 100 * RETAINED_ID_BYTES
 
@@ -50,8 +68,7 @@
     budget = MemoryBudget()
     ids = RequestIds(budget)
     for number in range(MAX_RETAINED_ORDERS + 1_000):
-        ids.reserve(b"%d" % number)
-        ids.retain(b"%d" % number, number * 100, False)
+        retain(ids, b"%d" % number, number * 100)
     ids.expire(0)
     assert ids.retained_count <= MAX_RETAINED_ORDERS
     assert budget.held_bytes == ids.retained_count * RETAINED_ID_BYTES == len(ids._known) * RETAINED_ID_BYTES
@@ -59,10 +76,8 @@
 
 def test_reads_under_new_ids_push_out_the_id_of_an_order() -> None:
     ids = RequestIds(MemoryBudget())
-    ids.reserve(b"order")
-    ids.retain(b"order", 0, False)
+    retain(ids, b"order", 0)
     for number in range(2 * MAX_RETAINED_ORDERS):
-        ids.reserve(b"%d" % number)
-        ids.retain(b"%d" % number, number * 10, True)
+        retain(ids, b"%d" % number, number * 10, is_repeatable=True)
         ids.expire(number * 10)
-    assert not ids.reserve(b"order") and ids.retained_count <= MAX_RETAINED_READS + 1
+    assert not is_free(ids, b"order") and ids.retained_count <= MAX_RETAINED_READS + 1
