A long answer of unknown length is passed on at its first pause; it was cut off with 502

Cause: an answer whose length is not told counted as one that may be long only when a second piece came more than 0.05 s after the first. Until then silence of 0.5 s made it "never whole", the bound of answers that are due as a whole; and at its client's time it was a timeout.

Change: with a whole head, status 200 and no told length, it is passed on as it comes after half a second of silence, or at its client's time. It is held no longer than before, so that a reset in that half second is seen as before.

--- a/roadlb/net/server_connection.py
+++ b/roadlb/net/server_connection.py
@@ -45,8 +45,8 @@
 if TYPE_CHECKING:
     from .pool import Pool
 
-# Between two pieces of an answer.  One that pauses for longer claims more than it has to give; its request
-# would wait for it till its time is up.  Once it flows, only the client waits, who has part of it.
+# Between two pieces of an answer.  One that pauses for longer is passed on if it may be long; else it claims
+# more than it has to give.  Once it flows, only the client waits, who has part of it.
 PAUSE_S, FLOW_PAUSE_S = 0.5, 10.0
 GAP_FACTOR = 2  # a server that pauses for so many times its longest pause before has stopped writing
 LATE_ANSWER_US = 500_000  # after its client's time an answer is worth nothing; later it counts as lost
@@ -434,23 +434,35 @@
             self._ended(keep=self._keep and not self._extra and not self._unwritten)
         else:
             self._tail = (self._tail + data[-5:])[-5:]
-            if (
-                self._head_whole
-                and self._call is not None
-                and self._status == 200
-                and (
-                    max(self._length, self._size) > self._pool.body_buffer_bytes
-                    or self._length < 0
-                    and self._size
-                    and self._heard_us - self._first_us > HOLD_S * 1e6
-                )
-            ):
+            if self._call is not None and self._is_long():
                 self._begin_flow(self._call)
             if not self._stall and (self._call is not None or self._body_stream is not None):
                 self._stall = self._pool.wheel.call_at(
                     self._heard_us + int(PAUSE_S * 1e6), ServerConnection._stalled, self
                 )
 
+    def _is_long(self) -> bool:
+        """Whether the answer is too long to hold until it is whole, or comes too slowly for that."""
+        if not self._head_whole or self._status != 200:
+            return False
+        if max(self._length, self._size) > self._pool.body_buffer_bytes:
+            return True
+        return self._length < 0 and self._size > 0 and self._heard_us - self._first_us > HOLD_S * 1e6
+
+    def _may_be_long(self) -> bool:
+        """Whether an answer has begun whose length is not known, to a request that has gone out whole."""
+        return self._head_whole and self._status == 200 and self._length < 0 and self._upload is None
+
+    def pass_on_begun(self) -> bool:
+        """Pass on what has come of an answer that may be long; return whether that has ended its call.
+
+        Of a long answer only the first bytes are due in the client's time; more of it may still come.
+        """
+        if self._call is None or not self._may_be_long():
+            return False
+        self._begin_flow(self._call)
+        return True
+
     def _begin_flow(self, call: Call) -> None:
         """The answer is too long to hold: its call has ended well, and its body goes on as it comes."""
         try:
@@ -627,10 +639,13 @@
             return
         now = self._pool.clock()
         until = now + int(PAUSE_S * 1e6) if self._paused else self._silence_limit_us()
-        if until > now:
+        if until <= now:
+            if not self.pass_on_begun():
+                self._end(Result(AttemptOutcome.GARBLED), "never whole", keep=False)
+                return
+            until = self._silence_limit_us()
+        if self._call is not None or self._body_stream is not None:
             self._stall = self._pool.wheel.call_at(until, ServerConnection._stalled, self)
-        else:
-            self._end(Result(AttemptOutcome.GARBLED), "never whole", keep=False)
 
     def _silence_limit_us(self) -> int:
         """Return the time at which an answer of which nothing more comes is given up.
--- a/roadlb/net/server_connections.py
+++ b/roadlb/net/server_connections.py
@@ -183,7 +183,7 @@
             self._cut_off(call, AttemptOutcome.DIAL_TIMED_OUT)
         elif call.attempt is not None and call.attempt.left_us:
             self._cut_off(call, AttemptOutcome.UPLOAD_TIMED_OUT, "the rest of the body was not taken")
-        else:
+        elif not call.connection.pass_on_begun():
             self._cut_off(call, AttemptOutcome.TIMED_OUT)
 
     def _cut_off(self, call: Call, outcome: AttemptOutcome, error: str = "") -> None:
