In an upgrade an id in use at one process is refused by the other, of reads as of orders

Cause: the processes' shared table had claims of orders alone, made and looked for by orders alone. And a claim had no end of its own: it stood until four later ones came to its bucket, open or refused or long over. So what a process keeps to itself and what it tells the others were two things.

The new test plays two processes, order and read as first and second request, open at the old and at the new one: on the code before six of eight cases failed (502 or 503 for 409, as both requests reached the server), the two with orders alone passed.

Change: the claim belongs to the reserved id: made with it, marked as retained when the request ends and may have run, removed when the id is free again. In a full bucket a retained id makes room, a read's first; that of an open request never does. `claim_order` gives way to `claims`, which `RequestIds` asks.

Tests: the one that held 1,024 claims without a flood now has floods of 98,304 ids that were refused, or retained as reads or orders, and the claims of open requests stand. A failing test of two processes left them running; it ends them now. Found so: the six that the run on the old code left behind asked a port that another test's server had got (test_no_retry_starts_if_the_client_closed... met `GET /v1/servers`, once).

--- a/roadlb/lifecycle/handover.py
+++ b/roadlb/lifecycle/handover.py
@@ -55,7 +55,7 @@
 
 
 def table_path(lock_path: Path) -> Path:
-    """Where the process with this lock keeps the ids of its orders."""
+    """Where the process with this lock keeps the ids of its requests."""
     return lock_path.with_suffix(".ids")
 
 
@@ -82,7 +82,7 @@
 
     @property
     def table_path(self) -> Path:
-        """Where this process keeps the ids of its orders."""
+        """Where this process keeps the ids of its requests."""
         return table_path(self._mine)
 
     def others(self) -> list[Held]:
--- a/roadlb/lifecycle/id_claims.py
+++ b/roadlb/lifecycle/id_claims.py
@@ -1,8 +1,12 @@
-"""The ids of orders that the processes of one balancer have taken, so that none runs at two of them.
+"""The ids that the processes of one balancer have in use, so that no two requests with one id run.
 
 Each process writes a table of its own, in a file of the directory that they share, and reads those of the
 others.  A process claims an id before it looks: of two that take one id at the same moment at least one finds
-the other's claim.  A table is a fixed number of buckets of digests; the oldest in a bucket is overwritten.
+the other's claim.  A claim lasts as long as the process keeps the id: while its request is open, and for its
+retention from then on.
+
+A table is a fixed number of buckets of slots: a digest and the claim's state.  In a full bucket a retained id
+makes room, one of a read before one of an order; the id of an open request never does.
 """
 
 from __future__ import annotations
@@ -14,12 +18,19 @@
 from hashlib import blake2b
 from pathlib import Path
 
-DIGEST_BYTES, DIGESTS_PER_BUCKET, BUCKETS = 8, 4, 4_096
-BUCKET_BYTES = DIGEST_BYTES * DIGESTS_PER_BUCKET
+DIGEST_BYTES, SLOT_BYTES = 7, 8  # a slot is written at once: others read it meanwhile
+SLOTS_PER_BUCKET, BUCKETS = 8, 4_096
+BUCKET_BYTES = SLOT_BYTES * SLOTS_PER_BUCKET
 TABLE_BYTES = BUCKET_BYTES * BUCKETS
 KEPT_US = 6_000_000  # the table of a process that has ended: longer than an id is retained
 
 
+# The last byte of a slot.
+FREE, OPEN, RETAINED_READ, RETAINED_ORDER = 0, 1, 2, 3
+FREE_SLOT, OPEN_BYTE = bytes(SLOT_BYTES), bytes([OPEN])
+FIRST_TAKEN = (FREE, RETAINED_READ, RETAINED_ORDER)  # by a new claim, of a bucket's slots
+
+
 class _Table:
     """Another process's table."""
 
@@ -49,20 +60,41 @@
             self._own = mmap.mmap(fd, TABLE_BYTES)
         finally:
             os.close(fd)
-        self._next = bytearray(BUCKETS)  # of each bucket, the place of the next digest
         self._others: dict[Path, _Table] = {}
         self._ended: list[_Table] = []  # of processes that have ended
 
     def claim(self, id: bytes) -> bool:
-        """Claim the id of an order; return whether no other process has claimed it."""
-        digest = blake2b(id, digest_size=DIGEST_BYTES).digest()
-        bucket = int.from_bytes(digest[:4], "little") % BUCKETS
-        start = bucket * BUCKET_BYTES
-        place = start + self._next[bucket] * DIGEST_BYTES
-        self._own[place : place + DIGEST_BYTES] = digest
-        self._next[bucket] = (self._next[bucket] + 1) % DIGESTS_PER_BUCKET
+        """Claim the id of a request; return whether it could be, and no other process has claimed it."""
+        digest, start = _place(id)
+        place = self._place_for_claim(start)
+        if place < 0:
+            return False
+        self._own[place : place + SLOT_BYTES] = digest + OPEN_BYTE
         tables = [*self._others.values(), *self._ended]
-        return not any(_holds(table.memory, start, digest) for table in tables)
+        if any(_find(table.memory, start, digest) >= 0 for table in tables):
+            self._own[place : place + SLOT_BYTES] = FREE_SLOT
+            return False
+        return True
+
+    def retain(self, id: bytes, is_repeatable: bool) -> None:
+        """The claimed id's request has ended, and it may have run; `is_repeatable`: its class is safe."""
+        digest, start = _place(id)
+        if (place := _find(self._own, start, digest)) >= 0:
+            self._own[place + DIGEST_BYTES] = RETAINED_READ if is_repeatable else RETAINED_ORDER
+
+    def release(self, id: bytes) -> None:
+        """The id is free again, if it is still claimed."""
+        digest, start = _place(id)
+        if (place := _find(self._own, start, digest)) >= 0:
+            self._own[place : place + SLOT_BYTES] = FREE_SLOT
+
+    def _place_for_claim(self, start: int) -> int:
+        """Return where in this bucket a claim is written; -1: each slot has the id of an open request."""
+        states = self._own[start + DIGEST_BYTES : start + BUCKET_BYTES : SLOT_BYTES]
+        for state in FIRST_TAKEN:
+            if (slot := states.find(state)) >= 0:
+                return start + slot * SLOT_BYTES
+        return -1
 
     def follow(self, paths: Iterable[Path]) -> None:
         """Read the tables of these processes, which live; those of ended ones are kept for a while."""
@@ -95,8 +127,16 @@
         return 0
 
 
-def _holds(memory: mmap.mmap, start: int, digest: bytes) -> bool:
+def _place(id: bytes) -> tuple[bytes, int]:
+    """Return an id's digest, and where in a table its bucket begins."""
+    digest = blake2b(id, digest_size=DIGEST_BYTES).digest()
+    return digest, int.from_bytes(digest[:4], "little") % BUCKETS * BUCKET_BYTES
+
+
+def _find(memory: mmap.mmap, start: int, digest: bytes) -> int:
+    """Return where in this bucket the digest's slot begins; -1: it has none."""
     bucket = memory[start : start + BUCKET_BYTES]
-    return any(
-        bucket[place : place + DIGEST_BYTES] == digest for place in range(0, BUCKET_BYTES, DIGEST_BYTES)
-    )
+    place = bucket.find(digest)
+    while place >= 0 and place % SLOT_BYTES:
+        place = bucket.find(digest, place + 1)
+    return start + place if place >= 0 else -1
--- a/roadlb/lifecycle/succession.py
+++ b/roadlb/lifecycle/succession.py
@@ -48,12 +48,25 @@
             return IdClaims(self._neighbours.table_path, clock)
         except OSError as e:
             self._counters.add("handover.no_claims")
-            logger.error("ids of orders not shared", extra=fields(error=e))
+            logger.error("ids of requests not shared", extra=fields(error=e))
             return None
 
-    def claim_order(self, id: bytes) -> bool:
-        """Claim the id of an order; return whether no other process of this balancer has taken it."""
-        return self._claims is None or self._claims.claim(id)
+    def claim(self, id: bytes) -> bool:
+        """Claim the id of a new request; return whether no other process of this balancer has it in use."""
+        if self._claims is None or self._claims.claim(id):
+            return True
+        self._counters.add("handover.id_in_use")
+        return False
+
+    def retain(self, id: bytes, is_repeatable: bool) -> None:
+        """Keep the claim of a request that has ended and may have run; `is_repeatable`: its class is safe."""
+        if self._claims is not None:
+            self._claims.retain(id, is_repeatable)
+
+    def release(self, id: bytes) -> None:
+        """Give up the claim of an id that any request may have again."""
+        if self._claims is not None:
+            self._claims.release(id)
 
     def inherited(self, discovery: str, known: Mapping[str, object]) -> Mapping[str, object]:
         """The list to begin with: the predecessor's, if the same discovery told it and it is newer than
--- a/roadlb/net/frontend.py
+++ b/roadlb/net/frontend.py
@@ -28,7 +28,7 @@
 from .headers import ACCOUNT, CORRELATION_ID, FACTS, HOST, REPEAT, TIME_LEFT, HeaderError, parse_name_values
 from .http import MAX_HEAD_BYTES, empty_answer, encode_answer, text_answer
 from .read_buffer import ReadBuffer
-from .request_ids import RequestIds, ReservedId
+from .request_ids import RequestIds, ReservedId, SharedClaims
 from .sockets import has_unread_bytes
 from .turn_queue import ReadQueue, TurnQueue
 
@@ -90,11 +90,6 @@
 read_target_cached = lru_cache(MAX_CACHED_TARGETS)(read_target)
 
 
-def is_unclaimed(id: bytes) -> bool:
-    """Default for `claim_order`: there is no other process."""
-    return True
-
-
 class Frontend:
     """The protocol factory of the client listener, and the owner of all client connections."""
 
@@ -108,13 +103,12 @@
         wheel: TimerWheel,
         arrived_us: Callable[[asyncio.Transport], int] | None = None,
         memory_budget: MemoryBudget | None = None,
-        claim_order: Callable[[bytes], bool] = is_unclaimed,
+        claims: SharedClaims | None = None,
     ) -> None:
         """`is_ready`: is a server known?  `arrived_us`: when bytes read now may have come (default: now).
 
-        `memory_budget`: of all connections; default: unlimited.  `claim_order` claims the id of an order and
-        returns whether no other process of this balancer has taken it."""
-        self._claim_order = claim_order
+        `memory_budget`: of all connections; default: unlimited.  `claims`: the ids that this balancer's
+        processes have in use; default: there is no other process."""
         self.counters, self.clock = counters, clock
         self.memory_budget = memory_budget or MemoryBudget()
         self.read_buffer = ReadBuffer(self.memory_budget)
@@ -129,7 +123,7 @@
         self._deadlines_us = [c.deadline_us for c in classes]
         self._tenants = {t.name.encode(): i for i, t in enumerate(config.settings.tenants)}
         self._max_connections, self._name = config.client_sockets, config.name.encode()
-        self._request_ids = RequestIds(self.memory_budget)
+        self._request_ids = RequestIds(self.memory_budget, claims)
         self._reject_log_limit = Limit(clock, MAX_LOGGED_REJECTS_PER_S)
         self.connections: dict[ClientConnection, None] = {}  # in the order of their acceptance
         self._paused_connections: dict[ClientConnection, None] = {}  # reading is paused
@@ -571,9 +565,6 @@
         reserved_id = self._request_ids.reserve(id, is_repeatable)
         if reserved_id is None:
             raise BadRequest(409, "X-Correlation-Id is in use")
-        if not is_repeatable and not self._claim_order(id):
-            self._request_ids.end(reserved_id, self.clock())
-            raise BadRequest(409, "X-Correlation-Id is in use")
         return reserved_id
 
     def _classify(self, request: Request) -> tuple[int, int, int, int, int]:
--- a/roadlb/net/request_ids.py
+++ b/roadlb/net/request_ids.py
@@ -9,6 +9,7 @@
 
 from collections import deque
 from hashlib import blake2b
+from typing import Protocol
 
 from ..overload.memory_budget import MemoryBudget
 
@@ -26,6 +27,32 @@
     return id if len(id) <= MAX_PLAIN_ID_BYTES else blake2b(id, digest_size=DIGEST_BYTES).digest()
 
 
+class SharedClaims(Protocol):
+    """What the other processes of this balancer learn of the ids that are in use here."""
+
+    def claim(self, id: bytes) -> bool:
+        """Claim the id of a new request; return whether no other process has it in use."""
+
+    def retain(self, id: bytes, is_repeatable: bool) -> None:
+        """Keep the claim of a request that has ended and may have run; `is_repeatable`: its class is safe."""
+
+    def release(self, id: bytes) -> None:
+        """Give up the claim of an id that any request may have again."""
+
+
+class NoOtherProcess:
+    """The claims of a balancer that is one process."""
+
+    def claim(self, id: bytes) -> bool:
+        return True
+
+    def retain(self, id: bytes, is_repeatable: bool) -> None:
+        """There is nobody to tell."""
+
+    def release(self, id: bytes) -> None:
+        """There is nobody to tell."""
+
+
 class _Bucket:
     """Ids that are forgotten together."""
 
@@ -74,9 +101,11 @@
 class RequestIds:
     """Each id that is reserved is ended once; times in microseconds of the program's clock."""
 
-    __slots__ = ("_known", "_memory_budget", "_orders", "_reads")
+    __slots__ = ("_claims", "_known", "_memory_budget", "_orders", "_reads")
 
-    def __init__(self, memory_budget: MemoryBudget) -> None:
+    def __init__(self, memory_budget: MemoryBudget, claims: SharedClaims | None = None) -> None:
+        """`claims`: those of the balancer's processes; default: there is no other process."""
+        self._claims = claims or NoOtherProcess()
         self._known: set[bytes] = set()
         self._orders, self._reads = _RetainedIds(MAX_RETAINED_ORDERS), _RetainedIds(MAX_RETAINED_READS)
         self._memory_budget = memory_budget
@@ -89,7 +118,7 @@
     def reserve(self, id: bytes, is_repeatable: bool) -> ReservedId | None:
         """Reserve the id of a new request; None: it is not free.  `is_repeatable`: its class is safe."""
         stored = _stored(id)
-        if stored in self._known:
+        if stored in self._known or not self._claims.claim(stored):
             return None
         self._known.add(stored)
         return ReservedId(stored, is_repeatable)
@@ -98,8 +127,10 @@
         """The request has ended, and no more of its answer is to come: keep its id if it may have run."""
         if not reserved.may_have_run:
             self._known.discard(reserved.stored)
+            self._claims.release(reserved.stored)
             return
         (self._reads if reserved.is_repeatable else self._orders).add(reserved.stored, now_us)
+        self._claims.retain(reserved.stored, reserved.is_repeatable)
         self._memory_budget.change(RETAINED_ID_BYTES)
 
     def expire(self, now_us: int) -> None:
@@ -107,4 +138,6 @@
         for retained in (self._orders, self._reads):
             expired = retained.take_expired(now_us)
             self._known.difference_update(expired)
+            for stored in expired:
+                self._claims.release(stored)
             self._memory_budget.change(-RETAINED_ID_BYTES * len(expired))
--- a/roadlb/wiring/standard.py
+++ b/roadlb/wiring/standard.py
@@ -11,7 +11,7 @@
 from ..admin.sites import site_calls
 from ..lifecycle.lifecycle import Event
 from ..lifecycle.parts import Part
-from ..net.frontend import Frontend, is_unclaimed
+from ..net.frontend import Frontend
 from ..net.sockets import serve
 from ..overload.meter import Limits
 from ..own_load import OwnLoad
@@ -86,7 +86,7 @@
             app.wheel,
             app.own_load.earliest_arrival_us,
             app.memory_budget,
-            app.succession.claim_order if app.succession else is_unclaimed,
+            app.succession,
         )
         app.frontend.set_deadlines(app.settings)  # a store's version holds by now
         await super().start()
--- a/tests/lifecycle/test_id_claims.py
+++ b/tests/lifecycle/test_id_claims.py
@@ -1,4 +1,4 @@
-"""An order's id is taken by one process of a balancer alone, also during an upgrade and just after it."""
+"""An id is taken by one process of a balancer alone, also during an upgrade and just after it."""
 
 from __future__ import annotations
 
@@ -8,6 +8,9 @@
 import signal
 import socket
 import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from pathlib import Path
 
 import pytest
@@ -16,7 +19,7 @@
 from scenario import run
 from test_upgrade import Party
 
-from roadlb.lifecycle.id_claims import BUCKETS, DIGESTS_PER_BUCKET, KEPT_US, IdClaims
+from roadlb.lifecycle.id_claims import BUCKETS, KEPT_US, SLOTS_PER_BUCKET, IdClaims
 
 LIMIT_S = 30.0
 ORDER = (
@@ -57,11 +60,45 @@
     assert not list(tmp_path.glob("a.ids"))
 
 
-def test_a_claim_is_overwritten_by_a_few_later_ones(tmp_path: Path) -> None:
+OPEN_IDS = [b"%d" % number for number in range(BUCKETS // 4)]
+OTHER_IDS = [b"other %d" % number for number in range(3 * BUCKETS * SLOTS_PER_BUCKET)]
+
+
+@pytest.mark.parametrize("end", ["never ran", "read", "order"])
+def test_a_flood_of_other_ids_overwrites_the_claims_of_open_requests(tmp_path: Path, end: str) -> None:
+    two = TwoProcesses(tmp_path)
+    assert all(two.a.claim(id) for id in OPEN_IDS)
+    for id in OTHER_IDS:
+        assert two.a.claim(id)
+        if end == "never ran":
+            two.a.release(id)
+        else:
+            two.a.retain(id, is_repeatable=end == "read")
+    assert not any(two.b.claim(id) for id in OPEN_IDS)
+
+
+def test_a_flood_of_reads_overwrites_the_claims_of_orders_that_have_ended(tmp_path: Path) -> None:
+    two = TwoProcesses(tmp_path)
+    for id in OPEN_IDS:
+        assert two.a.claim(id)
+        two.a.retain(id, is_repeatable=False)
+    for id in OTHER_IDS:
+        assert two.a.claim(id)
+        two.a.retain(id, is_repeatable=True)
+    assert not any(two.b.claim(id) for id in OPEN_IDS)
+
+
+def test_the_id_of_a_request_that_never_ran_is_refused_by_the_other_process(tmp_path: Path) -> None:
+    two = TwoProcesses(tmp_path)
+    assert two.a.claim(b"one") and not two.b.claim(b"one")
+    two.a.release(b"one")
+    assert two.b.claim(b"one") and not two.a.claim(b"one")
+
+
+def test_an_id_is_claimed_though_its_bucket_has_no_place_to_tell_the_others(tmp_path: Path) -> None:
     two = TwoProcesses(tmp_path)
-    claimed = [b"%d" % number for number in range(BUCKETS // DIGESTS_PER_BUCKET)]
-    for id in claimed:
-        two.a.claim(id)
+    claimed = [id for id in OTHER_IDS if two.a.claim(id)]
+    assert len(claimed) < len(OTHER_IDS)
     assert not any(two.b.claim(id) for id in claimed)
 
 
@@ -87,7 +124,22 @@
     assert two.a.claim(b"one")
 
 
-async def start(folder: Path, listener: socket.socket) -> asyncio.subprocess.Process:
+@asynccontextmanager
+async def balancers() -> AsyncIterator[list[asyncio.subprocess.Process]]:
+    """The processes that a test has started; none outlives it."""
+    started: list[asyncio.subprocess.Process] = []
+    try:
+        yield started
+    finally:
+        for process in started:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+
+async def start(
+    folder: Path, listener: socket.socket, started: list[asyncio.subprocess.Process]
+) -> asyncio.subprocess.Process:
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
@@ -103,6 +155,7 @@
         cwd=folder,
         stderr=asyncio.subprocess.PIPE,
     )
+    started.append(process)
     assert process.stderr
     while b"event=listening" not in await process.stderr.readline():
         pass
@@ -129,32 +182,117 @@
         party = Party()
         await party.listen()
         (tmp_path / "config.json").write_text(json.dumps({**RAW, "discovery": party.agent}))
-        with socket.create_server(("127.0.0.1", 0)) as listener:
-            port = listener.getsockname()[1]
-            old = await start(tmp_path, listener)
-            assert await status(await send(port, "before")) == 200
-            first = await send(port, "same")
-            if client_leaves:
-                await asyncio.sleep(0.1)
-                first[1].close()
-            else:
-                assert await status(first) == 200
-            new = await start(tmp_path, listener)
-            old.send_signal(signal.SIGSTOP)  # the new process alone accepts
-            assert [await status(await send(port, id)) for id in ("same", "other", "before")] == [
-                409,
-                200,
-                409,
-            ]
-            old.send_signal(signal.SIGCONT)
-            old.send_signal(signal.SIGTERM)
-            assert await old.wait() == 0
-            assert await status(await send(port, "same")) == 409
-            new.send_signal(signal.SIGTERM)
-            assert await new.wait() == 0
+        async with balancers() as started:
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                port = listener.getsockname()[1]
+                old = await start(tmp_path, listener, started)
+                assert await status(await send(port, "before")) == 200
+                first = await send(port, "same")
+                if client_leaves:
+                    await asyncio.sleep(0.1)
+                    first[1].close()
+                else:
+                    assert await status(first) == 200
+                new = await start(tmp_path, listener, started)
+                old.send_signal(signal.SIGSTOP)  # the new process alone accepts
+                assert [await status(await send(port, id)) for id in ("same", "other", "before")] == [
+                    409,
+                    200,
+                    409,
+                ]
+                old.send_signal(signal.SIGCONT)
+                old.send_signal(signal.SIGTERM)
+                assert await old.wait() == 0
+                assert await status(await send(port, "same")) == 409
+                new.send_signal(signal.SIGTERM)
+                assert await new.wait() == 0
         assert max(party.ran.values()) == 1
         assert not list(tmp_path.glob("*.ids"))
         for server in party.servers:
             server.close()
 
     run(asyncio.wait_for(main(), LIMIT_S))
+
+
+class SlowParty(Party):
+    """Its node answers no request whose id begins with `same` until `may_answer` is set."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.may_answer = asyncio.Event()
+        self.has_request = asyncio.Event()
+
+    async def before_answer(self, head: bytes) -> None:
+        if b"-Id: same" in head:
+            self.has_request.set()
+            await self.may_answer.wait()
+
+
+READ = "GET /grid-read/k HTTP/1.1\r\nHost: x\r\nX-Account: acme\r\nX-Correlation-Id: {id}\r\n\r\n"
+REQUESTS = {"order": ORDER, "read": READ}
+
+
+@dataclass(frozen=True, slots=True)
+class Client:
+    """A connection that its client keeps: all requests on it come to one process."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    def send(self, request: str, id: str) -> None:
+        self.writer.write(request.format(id=id).encode())
+
+    async def status(self) -> int:
+        """The status of the next answer, which is read whole."""
+        head = await self.reader.readuntil(b"\r\n\r\n")
+        lengths = [line for line in head.lower().split(b"\r\n") if line.startswith(b"content-length:")]
+        await self.reader.readexactly(int(lengths[0].partition(b":")[2]))
+        return int(head.split()[1])
+
+    async def ask(self, request: str, id: str) -> int:
+        self.send(request, id)
+        return await self.status()
+
+
+async def keep_connection(port: int, id: str) -> Client:
+    client = Client(*await asyncio.open_connection("127.0.0.1", port))
+    assert await client.ask(READ, id) == 200
+    return client
+
+
+@pytest.mark.parametrize("is_open_at_old", [True, False], ids=["open at the old one", "open at the new one"])
+@pytest.mark.parametrize("second", REQUESTS.values(), ids=[f"second {kind}" for kind in REQUESTS])
+@pytest.mark.parametrize("first", REQUESTS.values(), ids=[f"first {kind}" for kind in REQUESTS])
+def test_a_request_with_the_id_of_one_that_is_open_at_the_other_process_is_served(
+    tmp_path: Path, first: str, second: str, is_open_at_old: bool
+) -> None:
+    # Guards against claims of ids that leave out reads, or end before their requests do.
+    async def main() -> None:
+        party = SlowParty()
+        await party.listen()
+        (tmp_path / "config.json").write_text(json.dumps({**RAW, "discovery": party.agent}))
+        async with balancers() as started:
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                port = listener.getsockname()[1]
+                old = await start(tmp_path, listener, started)
+                at_old = await keep_connection(port, "before")
+                new = await start(tmp_path, listener, started)
+                old.send_signal(signal.SIGSTOP)  # the new process alone accepts
+                at_new = await keep_connection(port, "then")
+                old.send_signal(signal.SIGCONT)
+                usual, bad = (at_old, at_new) if is_open_at_old else (at_new, at_old)
+                usual.send(first, "same")
+                await party.has_request.wait()
+                assert await bad.ask(second, "same") == 409
+                party.may_answer.set()
+                assert await usual.status() == 200
+                assert await bad.ask(second, "same") == 409
+                assert await bad.ask(second, "another") == 200
+                for process in (old, new):
+                    process.send_signal(signal.SIGTERM)
+                assert [await old.wait(), await new.wait()] == [0, 0]
+        assert max(party.ran.values()) == 1
+        for server in party.servers:
+            server.close()
+
+    run(asyncio.wait_for(main(), LIMIT_S))
--- a/tests/lifecycle/test_upgrade.py
+++ b/tests/lifecycle/test_upgrade.py
@@ -51,11 +51,15 @@
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 self.ran[next(line for line in head.split(b"\r\n") if b"-Id:" in line)] += 1
-                await asyncio.sleep(0.01)
+                await self.before_answer(head)
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
 
+    async def before_answer(self, head: bytes) -> None:
+        """Wait for so long before the node answers the request with this head."""
+        await asyncio.sleep(0.01)
+
     async def discovery(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
         writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + json.dumps(self.list).encode() + b"\n")
--- a/tests/net/test_request_ids.py
+++ b/tests/net/test_request_ids.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from roadlb.net.request_ids import (
     BUCKET_US,
     MAX_RETAINED_ORDERS,
@@ -81,3 +83,42 @@
         retain(ids, b"%d" % number, number * 10, is_repeatable=True)
         ids.expire(number * 10)
     assert not is_free(ids, b"order") and ids.retained_count <= MAX_RETAINED_READS + 1
+
+
+class RecordedClaims:
+    """What the balancer's other processes are told; `taken`: the ids that they have in use."""
+
+    def __init__(self, *taken: bytes) -> None:
+        self.taken = taken
+        self.told: list[str] = []
+
+    def claim(self, id: bytes) -> bool:
+        self.told.append("claim")
+        return id not in self.taken
+
+    def retain(self, id: bytes, is_repeatable: bool) -> None:
+        self.told.append("retain a read" if is_repeatable else "retain an order")
+
+    def release(self, id: bytes) -> None:
+        self.told.append("release")
+
+
+@pytest.mark.parametrize("is_repeatable", [False, True])
+def test_other_processes_are_told_that_an_id_is_free_while_it_is_kept(is_repeatable: bool) -> None:
+    claims = RecordedClaims()
+    ids = RequestIds(MemoryBudget(), claims)
+    retain(ids, b"ran", 0, is_repeatable)
+    ids.expire(RETENTION_US)
+    assert claims.told == ["claim", "retain a read" if is_repeatable else "retain an order"]
+    ids.expire(RETENTION_US + BUCKET_US)
+    assert claims.told[2:] == ["release"]
+    reserved_id = ids.reserve(b"never ran", is_repeatable)
+    assert reserved_id is not None
+    ids.end(reserved_id, RETENTION_US)
+    assert claims.told[3:] == ["claim", "release"]
+
+
+def test_an_id_that_another_process_has_in_use_is_kept_here_too() -> None:
+    ids = RequestIds(MemoryBudget(), RecordedClaims(b"theirs"))
+    assert ids.reserve(b"theirs", True) is None and ids.reserve(b"ours", True) is not None
+    assert ids._known == {b"ours"}
