A probe whose answer stops is timed out again; half an answer no longer counts for it

A probe has no client, and its call goes the same way: half an answer to `GET /healthz` ended it as served after 0.3 s, so that a server which hangs within its answers would have been found sound.

Change: what has begun is passed on to requests of clients alone.

--- a/roadlb/net/server_connection.py
+++ b/roadlb/net/server_connection.py
@@ -458,7 +458,7 @@
 
         Of a long answer only the first bytes are due in the client's time; more of it may still come.
         """
-        if self._call is None or not self._may_be_long():
+        if self._call is None or self._call.attempt is None or not self._may_be_long():
             return False
         self._begin_flow(self._call)
         return True
--- a/tests/net/test_stopped_answers.py
+++ b/tests/net/test_stopped_answers.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
+from attempt_rig import Rig, play
 from scenario import LIMIT_S, LOOPS, Link, Stage, run
 from test_client_leaves import start_stage, step, stop_stage
 
@@ -148,3 +149,18 @@
         await stop_stage(stage)
 
     run(main(), loop)
+
+
+def test_a_probe_whose_answer_stops_finds_its_server_sound() -> None:
+    # Guards against probes that take what is passed on of a client's answer for a whole one.
+    async def main() -> None:
+        rig = Rig(1)
+        rig.instances.probe(rig.ids[0])
+        link = await rig.servers[0].accept()
+        await link.request()
+        link.send(CHUNKED.encode() + b"4\r\nhalf\r\n")
+        while not (rig.counters["probe.timed_out"] or rig.counters["probe.served"]):
+            await asyncio.sleep(0.01)
+        assert rig.counters["probe.timed_out"] == 1
+
+    play(main)
