One call of discovery's watch gets a module of its own

net/watch.py held a single call (the HTTP answer and its deadlines) and the succession of calls, 360 lines under one name. `Watch` moves to net/watch_call.py as `WatchCall`; no change of behaviour.

--- a/roadlb/net/discovery.py
+++ b/roadlb/net/discovery.py
@@ -17,7 +17,8 @@
 from ..log import fields
 from ..policy.interface import ListKind, Member, ServerId, ServerState
 from .server_connections import ServerConnections
-from .watch import DiscoveryWatch, WatchBroken, WatchState
+from .watch import DiscoveryWatch, WatchState
+from .watch_call import WatchBroken
 
 logger = logging.getLogger(__name__)
 
--- a/roadlb/net/fleet_watch.py
+++ b/roadlb/net/fleet_watch.py
@@ -11,7 +11,8 @@
 from ..fleet.model import Picture
 from ..fleet.platform import MalformedList, read_line, take_into
 from ..log import fields
-from .watch import DiscoveryWatch, Watch, WatchBroken, described, dial
+from .watch import DiscoveryWatch, described, dial
+from .watch_call import WatchBroken, WatchCall
 
 logger = logging.getLogger(__name__)
 
@@ -67,7 +68,7 @@
             if not first.done():
                 first.set_exception(WatchBroken(described(error)))
 
-        watch = Watch(self.at, self._generation, message, ended, loop.time)
+        watch = WatchCall(self.at, self._generation, message, ended, loop.time)
         cancel_dial = dial(watch, self.at)
         try:
             async with asyncio.timeout(CALL_S):
--- a/tests/net/test_watch_budget.py
+++ b/tests/net/test_watch_budget.py
@@ -17,7 +17,8 @@
 
 from roadlb.config import Address
 from roadlb.net import watch_timing as timing
-from roadlb.net.watch import DiscoveryWatch, Watch, WatchState
+from roadlb.net.watch import DiscoveryWatch, WatchState
+from roadlb.net.watch_call import WatchCall
 from watching import HEAD, chunk
 
 WITHIN_S = timing.TOLD_S - timing.RESERVE_S
@@ -105,7 +106,7 @@
         self.loop, self.plan, self.calls = FakeLoop(), list(plan), 0
         self.learned_at: float | None = None
         self.fact = False  # discovery has the change
-        self.open: Watch | None = None
+        self.open: WatchCall | None = None
         self.watch = DiscoveryWatch(self, seed)
         self.failed_at = 0.0  # when the last trouble ended
 
@@ -129,7 +130,7 @@
 
     # discovery
 
-    def dial(self, call: Watch, address: Address) -> Callable[[], object]:
+    def dial(self, call: WatchCall, address: Address) -> Callable[[], object]:
         self.calls += 1
         trouble = self.plan.pop(0) if self.plan else "sound"
         self.open = call
@@ -142,7 +143,7 @@
     def _soon(self, what: Callable[[], object], after_s: float = 0.001) -> None:
         self.loop.call_at(self.loop.now + after_s, what)
 
-    def _connect(self, call: Watch, trouble: Trouble) -> None:
+    def _connect(self, call: WatchCall, trouble: Trouble) -> None:
         call.connection_made(cast(asyncio.Transport, Transport()))
         cut = json.dumps({"change": True}).encode()[:9]
         if trouble == "sound":
@@ -171,12 +172,12 @@
         elif trouble == "malformed":
             call.data_received(HEAD + chunk(b'{"generation": "x"}\n'))
 
-    def _drip(self, call: Watch, data: Any) -> None:
+    def _drip(self, call: WatchCall, data: Any) -> None:
         byte = next(data, 32)
         call.data_received(chunk(b"\n") if byte is None else bytes([byte]))
         self._soon(lambda: self._drip(call, data), DRIP_S)
 
-    def send(self, call: Watch) -> None:
+    def send(self, call: WatchCall) -> None:
         call.data_received(HEAD + chunk(json.dumps({"change": self.fact}).encode() + b"\n"))
 
     # the play
