A discovery that answers late is heard: an overdue call is kept beside the next one

Cause: one call was open at a time, and one without a whole line was given up after 1.2 and 2.5 s in turn, so that the next one could be answered within 6 s in case it hung. An answer later than that was never read.

Change: a call that is overdue stays open while another is opened beside it, at the moments at which the next one was opened before. The first that tells anything is heard, the others are closed; three at most. What changes may follow is judged by what their own call asked for.

Why this works: nothing tells a call that hangs from one that is late, so both are waited for. On related paths dials and messages whose pieces keep coming are kept as well.

--- a/roadlb/net/discovery.py
+++ b/roadlb/net/discovery.py
@@ -18,7 +18,7 @@
 from ..policy.interface import ListKind, Member, ServerId, ServerState
 from .server_connections import ServerConnections
 from .watch import DiscoveryWatch, WatchState
-from .watch_call import WatchBroken
+from .watch_call import ListPosition, WatchBroken
 
 logger = logging.getLogger(__name__)
 
@@ -74,7 +74,6 @@
         # Read once: the same start must always give the same clock time, or it would look like a restart.
         self._unix_to_clock = clock() - wall()
         self._generation = 0
-        self._asked_after = 0  # by the call that is open
         self._ask_for_all = False  # by the next one
         self._malformed = 0  # messages in a row
         self.filled = False  # an instance has been listed
@@ -214,28 +213,33 @@
 
     def where(self) -> tuple[Address, int]:
         """Whom to ask, and for what came after which generation."""
-        self._asked_after = 0 if self._ask_for_all else self._generation
-        return self._discovery, self._asked_after
+        return self._discovery, 0 if self._ask_for_all else self._generation
 
-    def message(self, value: object) -> bool:
+    def message(self, value: object, position: ListPosition) -> bool:
         """One message of discovery's, None for a blank line; was it news?"""
-        news = value is not None and self._told_by_discovery(value)
+        news = value is not None and self._told_by_discovery(value, position)
         self._counters.add("list.line")
         return news
 
-    def _told_by_discovery(self, value: object) -> bool:
+    def _told_by_discovery(self, value: object, position: ListPosition) -> bool:
         line = self.parse(value)
-        if line.kind is ListKind.DELTA and line.generation < self._asked_after:
-            raise OtherHistory(f"changes up to {line.generation}, after {self._asked_after} was asked for")
+        if line.kind is ListKind.DELTA and line.generation < position.generation:
+            raise OtherHistory(f"changes up to {line.generation}, after {position.generation} was asked for")
         news = line.generation != self._generation or not self.told.is_set()
-        self._asked_after, self._ask_for_all, self._malformed = line.generation, False, 0
+        position.generation = line.generation
+        self._ask_for_all = False
+        self._malformed = 0
         self._take(line)
         self.told.set()
         self.on_list()
         return news
 
+    def overdue(self) -> None:
+        """A call of the watch has no answer yet; another is opened beside it."""
+        self._counters.add("list.overdue")
+
     def broken(self, error: Exception | None) -> None:
-        """A call of the watch has ended; another follows."""
+        """A call of the watch has ended."""
         self._counters.add("list.broken")
         if isinstance(error, OtherHistory):
             self._counters.add("list.stale")
--- a/roadlb/net/fleet_watch.py
+++ b/roadlb/net/fleet_watch.py
@@ -12,7 +12,7 @@
 from ..fleet.platform import MalformedList, read_line, take_into
 from ..log import fields
 from .watch import DiscoveryWatch, described, dial
-from .watch_call import WatchBroken, WatchCall
+from .watch_call import ListPosition, WatchBroken, WatchCall
 
 logger = logging.getLogger(__name__)
 
@@ -38,8 +38,12 @@
         """Whom to ask, and for what came after which generation."""
         return self.at, self._generation
 
+    def overdue(self) -> None:
+        """A call of the watch has no answer yet; another is opened beside it."""
+        self.counts["overdue"] += 1
+
     def broken(self, error: Exception | None) -> None:
-        """A call of the watch has ended; another follows."""
+        """A call of the watch has ended."""
         self.counts["broken"] += 1
         self.error = described(error)
         if isinstance(error, MalformedList | WatchBroken | ValueError):
@@ -60,7 +64,7 @@
         first: asyncio.Future[None] = loop.create_future()
 
         def message(value: object) -> None:
-            self.message(value)
+            self.message(value, watch.position)
             if not first.done():
                 first.set_result(None)
 
@@ -69,7 +73,7 @@
                 first.set_exception(WatchBroken(described(error)))
 
         watch = WatchCall(self.at, self._generation, message, ended, loop.time)
-        cancel_dial = dial(watch, self.at)
+        watch.cancel_dial = dial(watch, self.at)
         try:
             async with asyncio.timeout(CALL_S):
                 await first
@@ -80,10 +84,9 @@
             return None
         finally:
             watch.close()
-            cancel_dial()
         return self.picture.generation if self.picture else None
 
-    def message(self, value: object) -> bool:
+    def message(self, value: object, position: ListPosition) -> bool:
         """One message, None for a blank line; was it news?  MalformedList leaves the list as it is."""
         self.heard_at = asyncio.get_running_loop().time()
         news = value is not None and self._take(value)
--- a/roadlb/net/watch.py
+++ b/roadlb/net/watch.py
@@ -1,4 +1,4 @@
-"""The watch of discovery: long answers over HTTP/1.1, one opened when the last has ended."""
+"""The watch of discovery: one call after another, and beside a call that is overdue another one."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from ..config import Address
 from ..log import fields
 from . import watch_timing as timing
-from .watch_call import CallState, WatchBroken, WatchCall, WatchRefused
+from .watch_call import CallState, ListPosition, WatchBroken, WatchCall, WatchRefused
 from .watch_timing import BackOff
 
 logger = logging.getLogger(__name__)
@@ -19,14 +19,16 @@
 
 class WatchState(Enum):
     RESTING = "not begun"
-    CALLING = "calling"  # in which state, its `CallState` says
-    BACKING_OFF = "backing off"
+    CALLING = "calling"  # in which state, the newest call's `CallState` says
+    BACKING_OFF = "backing off"  # before another call; overdue ones may be open
     CLOSED = "closed"
 
 
 class WatchEvent(Enum):
     START = "start"
-    CALL_ENDED = "call ended"  # by discovery, by an error or at a deadline
+    CALL_ENDED = "call ended"  # the newest one, by discovery, by an error or by silence
+    CALL_OVERDUE = "call overdue"  # the newest one
+    CALL_HEARD = "call heard"  # any of them has told something
     PAUSE_OVER = "pause over"
     MOVED = "moved"
     STOP = "stop"
@@ -37,9 +39,12 @@
     (WatchState.RESTING, WatchEvent.START): WatchState.CALLING,
     (WatchState.RESTING, WatchEvent.STOP): WatchState.CLOSED,
     (WatchState.CALLING, WatchEvent.CALL_ENDED): WatchState.BACKING_OFF,
+    (WatchState.CALLING, WatchEvent.CALL_OVERDUE): WatchState.BACKING_OFF,
+    (WatchState.CALLING, WatchEvent.CALL_HEARD): WatchState.CALLING,
     (WatchState.CALLING, WatchEvent.MOVED): WatchState.CALLING,
     (WatchState.CALLING, WatchEvent.STOP): WatchState.CLOSED,
     (WatchState.BACKING_OFF, WatchEvent.PAUSE_OVER): WatchState.CALLING,
+    (WatchState.BACKING_OFF, WatchEvent.CALL_HEARD): WatchState.CALLING,
     (WatchState.BACKING_OFF, WatchEvent.MOVED): WatchState.CALLING,
     (WatchState.BACKING_OFF, WatchEvent.STOP): WatchState.CLOSED,
 }
@@ -62,27 +67,35 @@
     def where(self) -> tuple[Address, int]:
         """Whom to ask, and for what came after which generation."""
 
-    def message(self, value: object) -> bool:
-        """One JSON value, None for a blank line; was it news?  What it raises ends the call."""
+    def message(self, value: object, position: ListPosition) -> bool:
+        """One JSON value, None for a blank line; was it news?  What it raises ends the call.
+
+        `position` is that of the call that told it, to be moved on with what is taken.
+        """
+
+    def overdue(self) -> None:
+        """A call is overdue; another follows after a pause."""
 
     def broken(self, error: Exception | None) -> None:
-        """A call has ended; another follows after a pause."""
+        """A call has ended."""
 
 
 class DiscoveryWatch:
-    """Keeps one call to discovery open, whatever happens, until it is stopped.
+    """Keeps a call to discovery open, whatever happens, until it is stopped.
 
-    One call at a time; each has its own terminal state, and what an older one still says is never heard.
+    There is one call at a time while calls are answered or fail.  One that is overdue may hang or be late: it
+    is kept, and another opened beside it.  The first one that tells anything is the one that is heard from
+    then on, the others are closed.  So no call is begun earlier than if those overdue were given up, and no
+    answer is lost for being late.
     """
 
     def __init__(self, owner: WatchOwner, seed: int | None = None) -> None:
         self._owner, self._back_off = owner, BackOff(seed)
         self.state = WatchState.RESTING
-        self._call: WatchCall | None = None
-        self._cancel_dial: Callable[[], object] = lambda: None
+        self._calls: list[WatchCall] = []  # open ones, the oldest first; at most `CALLS_MOST`
+        self._newest: WatchCall | None = None  # the one that is not overdue
         self._timer: WatchTimer | None = None
         self._answer_s = timing.ANSWER_SOON_S
-        self._news = False  # has this call told any?
         self._over: asyncio.Future[None] | None = None
 
     async def run(self) -> None:
@@ -123,59 +136,136 @@
         return True
 
     def _release(self) -> None:
-        """Let go of the call and of the timer, if there are any."""
+        """Let go of the timer and of all calls."""
+        self._cancel_timer()
+        self._newest = None
+        while self._calls:
+            self._calls.pop().close()
+
+    def _cancel_timer(self) -> None:
         if self._timer:
             self._timer.cancel()
             self._timer = None
-        if self._call:
-            self._call.close()
-            self._call = None
-            self._cancel_dial()
+
+    # Calls begin
 
     def _open(self) -> None:
+        self._end_what_waits_too_long()
         address, after = self._owner.where()
-        self._news = False
         call = WatchCall(
-            address, after, self._message, lambda error: self._call_ended(call, error), self._loop.time
+            address,
+            after,
+            lambda value: self._told(call, value),
+            lambda error: self._call_ended(call, error),
+            self._loop.time,
         )
-        self._call = call
-        self._cancel_dial = self._dial(call, address)
-        self._look_at(call.deadline_s(self._answer_s))
+        self._calls.append(call)
+        self._newest = call
+        call.cancel_dial = self._dial(call, address)
+        self._look_at(call.overdue_s(self._answer_s))
+
+    def _end_what_waits_too_long(self) -> None:
+        """Make room for one more call.
+
+        The oldest is the one that a discovery of any lateness would answer first, so it is the last to go.
+        """
+        now_s = self._loop.time()
+        for call in self._calls.copy():
+            waits_too_long = now_s >= call.awaited_since_s + timing.PATIENCE_S
+            if waits_too_long or not call.may_be_late(now_s):
+                self._give_up(call)
+        while len(self._calls) >= timing.CALLS_MOST:
+            self._give_up(self._calls[1])
 
-    def _message(self, value: object) -> None:
-        if self._owner.message(value):
-            self._news = True
+    def _give_up(self, call: WatchCall) -> None:
+        call.end(TimeoutError(f"given up while {call.state.value}"))
+
+    # Time passes
 
     def _look_at(self, when_s: float) -> None:
         self._timer = self._loop.call_at(when_s, self._due)
 
     def _due(self) -> None:
-        """The deadline as it stood when the timer was set has come; it may stand later by now."""
+        """The moment as it stood when the timer was set has come; it may stand later by now."""
         self._timer = None
-        call = self._call
+        call = self._newest
         if call is None:
             if self._moves(WatchEvent.PAUSE_OVER):
                 self._open()
             return
-        deadline_s = call.deadline_s(self._answer_s)
-        if deadline_s <= self._loop.time():
-            patient = call.state is CallState.AWAITING
-            self._answer_s = timing.ANSWER_S if patient else timing.ANSWER_SOON_S
-            call.end(TimeoutError(f"given up while {call.state.value}"))
+        now_s, overdue_s = self._loop.time(), call.overdue_s(self._answer_s)
+        if now_s < overdue_s:
+            self._look_at(overdue_s)
+        elif call.may_be_late(now_s):
+            self._call_overdue(call)
         else:
-            self._look_at(deadline_s)
+            self._give_up(call)
+
+    def _call_overdue(self, call: WatchCall) -> None:
+        if not self._moves(WatchEvent.CALL_OVERDUE):
+            return
+        self._newest = None
+        self._credit(call)
+        most_s = timing.PAUSE_MOST_S
+        if call.state is CallState.AWAITING:
+            self._answer_s, most_s = timing.ANSWER_S, timing.PAUSE_OVERDUE_MOST_S
+        pause_s = self._back_off.seconds(refused=False, most_s=most_s)
+        self._owner.overdue()
+        logger.warning(
+            "watch overdue",
+            extra=fields(call=call.state.value, open_calls=len(self._calls), another_s=pause_s),
+        )
+        self._look_at(self._loop.time() + pause_s)
+
+    # Calls tell and end
+
+    def _told(self, call: WatchCall, value: object) -> None:
+        news = self._owner.message(value, call.position)
+        if call.over:
+            return  # moved or stopped by what it told
+        call.brought_news = call.brought_news or news
+        if self._calls != [call] or call is not self._newest:
+            self._hear_only(call)
+        self._answer_s = timing.ANSWER_SOON_S
+
+    def _hear_only(self, call: WatchCall) -> None:
+        """What else is under way is called off."""
+        if not self._moves(WatchEvent.CALL_HEARD):
+            return
+        others = [other for other in self._calls if other is not call]
+        self._calls = [call]
+        for other in others:
+            other.close()
+        late_s = self._loop.time() - call.opened_s
+        logger.info("watch heard beside others", extra=fields(after_s=late_s, closed=len(others)))
+        if call is not self._newest:
+            self._cancel_timer()
+            self._newest = call
+            self._look_at(call.overdue_s(self._answer_s))
 
     def _call_ended(self, call: WatchCall, error: Exception | None) -> None:
-        if call is not self._call or not self._moves(WatchEvent.CALL_ENDED):
+        if call not in self._calls:
             return
-        self._release()
-        if self._news or call.streamed_s >= timing.KEEP_ALIVE_S:
-            self._back_off.heard()
+        self._calls.remove(call)
+        if call is not self._newest:
+            self._owner.broken(error)
+            logger.warning("watch broken", extra=fields(error=described(error), open_calls=len(self._calls)))
+            return
+        if not self._moves(WatchEvent.CALL_ENDED):
+            return
+        self._newest = None
+        self._cancel_timer()
+        self._credit(call)
         self._owner.broken(error)
         pause_s = self._back_off.seconds(isinstance(error, WatchRefused))
         logger.warning("watch broken", extra=fields(error=described(error), again_s=pause_s))
         self._look_at(self._loop.time() + pause_s)
 
+    def _credit(self, call: WatchCall) -> None:
+        """After a call that was of use the pauses begin anew."""
+        if call.brought_news or call.streamed_s >= timing.KEEP_ALIVE_S:
+            self._back_off.heard()
+
 
 class Dial(Protocol):
     def __call__(self, call: WatchCall, address: Address) -> Callable[[], object]:
--- a/roadlb/net/watch_call.py
+++ b/roadlb/net/watch_call.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum
 from typing import cast
 
@@ -24,6 +25,13 @@
     """Discovery answered with another status than 200: it is there, and did not take the watch."""
 
 
+@dataclass(slots=True)
+class ListPosition:
+    """Up to which generation of the list a call has told: at first the one that it was to go on from."""
+
+    generation: int
+
+
 class CallState(Enum):
     """Where one call stands; nothing leaves ENDED."""
 
@@ -38,7 +46,7 @@
 
     `message` gets each JSON value, None for a blank line; what it raises ends the call.  `ended` is told once
     how the call ended (None: by discovery), and never after `close`.  Whatever comes in ENDED does nothing, a
-    connection that comes up then is reset.
+    connection that comes up then is reset.  `cancel_dial` calls the dial off.
     """
 
     def __init__(
@@ -54,28 +62,43 @@
             "Accept: application/json\r\n\r\n"
         ).encode()
         self._message, self._ended, self._now_s = message, ended, now_s
+        self.position = ListPosition(after)
+        self.cancel_dial: Callable[[], object] = lambda: None
         self.state = CallState.DIALLING
-        self.began_s = now_s()  # when the state began
+        self.opened_s = now_s()  # when the call began ...
+        self.began_s = now_s()  # ... and when its state did
         self.heard_s = now_s()  # when a whole line, or a byte of an open message, last came
         self.answered = False  # has a whole line come?
+        self.brought_news = False
         self._message_began_s = 0.0
         self._parser = HttpResponseParser(self)
         self._stream = JsonStream()
         self._interim = False  # a 1xx answer, in front of the one that counts
         self._transport: asyncio.Transport | None = None
 
-    def deadline_s(self, answer_s: float) -> float:
-        """When to give this call up if nothing more comes; its first line may take `answer_s`."""
+    def overdue_s(self, answer_s: float) -> float:
+        """When this call is overdue if nothing more comes; its first line may take `answer_s`."""
         if self.state is CallState.DIALLING:
-            return self.began_s + timing.DIAL_S
+            return self.opened_s + timing.DIAL_S
         silent_s = self.heard_s + timing.SILENCE_S
         trickled_s = self._stream.open_bytes / timing.LEAST_BYTES_PER_S
         if self.state is CallState.AWAITING:
-            return min(silent_s, self.began_s + answer_s + trickled_s)
+            return min(silent_s, self.opened_s + answer_s + trickled_s)
         if self._stream.open:
             return min(silent_s, self._message_began_s + timing.MESSAGE_S + trickled_s)
         return silent_s
 
+    def may_be_late(self, now_s: float) -> bool:
+        """Whether what has not come may still be on its way; a stream that fell silent is broken."""
+        if self.state is CallState.STREAMING:
+            return now_s < self.heard_s + timing.SILENCE_S
+        return not self.over
+
+    @property
+    def awaited_since_s(self) -> float:
+        """Since when its answer has been waited for, or the rest of a message."""
+        return self._message_began_s if self.state is CallState.STREAMING else self.opened_s
+
     @property
     def over(self) -> bool:
         return self.state is CallState.ENDED
@@ -163,5 +186,6 @@
     def close(self) -> None:
         """Over, by the caller's will: nothing more is told."""
         self.state = CallState.ENDED
+        self.cancel_dial()
         if self._transport:
             self._transport.abort()
--- a/roadlb/net/watch_timing.py
+++ b/roadlb/net/watch_timing.py
@@ -1,8 +1,12 @@
 """How long a watch of discovery waits for what, and how that adds up to less than what discovery allows.
 
-Whatever discovery has to tell counts as told `TOLD_S` after it had it and could be reached.  Each of these
-waits is therefore a part of one budget; `tests/net/test_watch_budget.py` adds them up in the worst order and
-plays it.
+Whatever discovery has to tell counts as told `TOLD_S` after it had it and could be reached, and
+`MOVED_TOLD_S` after a new configuration names another discovery.  Each of these waits is a part of that
+budget; `tests/net/test_watch_budget.py` adds them up in the worst order and plays it,
+`tests/net/test_late_discovery.py` plays answers that are late.
+
+A call with no answer yet may hang or be late, and nothing tells which.  So when it is overdue another call is
+opened beside it, and the first of them that is answered counts.
 """
 
 from __future__ import annotations
@@ -10,17 +14,21 @@
 import random
 
 TOLD_S = 6.0  # from a change, or from the moment a watch fell silent, until it counts as told
+MOVED_TOLD_S = 4.0  # from a new configuration, until what the discovery that it names has counts as told
 RESERVE_S = 0.5  # of that for a busy loop, late timers and a slow list
 KEEP_ALIVE_S = 2.0  # discovery says something at least so often
 
 SILENCE_S = 2.5  # without a line: one keep-alive, and 0.5 s for its being late
-DIAL_S = 1.0  # until the connection is up; on the balancer's own machine it comes at once
-# Until the first line of the answer is whole, be it blank.  It comes at once where there is something to
-# tell; a server that has nothing may leave it at its first keep-alive.  A call therefore gives up soon, as
-# discovery may hang, and the one after that waits for as long as a silent stream would.
-ANSWER_SOON_S = 1.2
-ANSWER_S = 2.5
-MESSAGE_S = 3.0  # from a later message's first byte to its last, however the bytes trickle
+DIAL_S = 1.0  # until a dial is overdue; on the balancer's own machine it comes up at once
+# From a call's beginning until its answer is overdue, the answer being its first whole line, be it blank.
+# It comes at once where there is something to tell; a server that has nothing may leave it at its first
+# keep-alive.
+ANSWER_SOON_S = 1.2  # of the first call
+ANSWER_S = 2.1  # of those opened beside one that is overdue
+PAUSE_OVERDUE_MOST_S = 0.4  # before the next of those
+CALLS_MOST = 3  # open at once: one that is not overdue, the oldest, and one between them
+PATIENCE_S = 15.0  # for a call without an answer; it may be held up to one more pause and wait longer
+MESSAGE_S = 3.0  # from a later message's first byte to its last, until it is overdue
 LEAST_BYTES_PER_S = 64 << 10  # a long list has this much longer: 200 servers 0.6 s, if it comes so slowly
 
 # Ceilings before the next call where it broke: doubled up to the highest.  What discovery gets while it is
@@ -49,12 +57,12 @@
         self._pause_s = PAUSE_S
         self._refusals = 0
 
-    def seconds(self, refused: bool) -> float:
-        """The pause after this break: never more than its ceiling."""
+    def seconds(self, refused: bool, most_s: float = PAUSE_MOST_S) -> float:
+        """The pause after this break: never more than its ceiling, or `most_s` where it was no refusal."""
         if refused:
             ceiling_s, spread = REFUSED[min(self._refusals, len(REFUSED) - 1)]
             self._refusals += 1
         else:
-            ceiling_s, spread = self._pause_s, PAUSE_SPREAD
+            ceiling_s, spread = min(self._pause_s, most_s), PAUSE_SPREAD
             self._pause_s = min(PAUSE_MOST_S, ceiling_s * 2)
         return ceiling_s * (1 - spread * self._random.random())
