Refused calls after SIGHUP are made again in time for the 4 s of a new discovery

Cause: the pauses after refusals, up to 4.3 s, are made for the 6 s of any other change; a move began them anew and knew nothing of the 4 s.

Change: within 4 s after a move a call that a refusal would put off beyond 4.4 s is made at a moment between 3.6 and 4.4 s, at the soonest 0.4 s after the refusal. A discovery that goes on refusing is asked at most once or twice more; a test with 40 balancers bounds that.

--- a/roadlb/net/watch.py
+++ b/roadlb/net/watch.py
@@ -118,7 +118,7 @@
         """`where` tells another address from now on: it is dialled at once, and the old one heard no more."""
         if self._moves(WatchEvent.MOVED):
             self._release()
-            self._back_off.heard()
+            self._back_off.moved(self._loop.time())
             self._answer_s = timing.ANSWER_SOON_S
             self._open()
 
@@ -257,9 +257,10 @@
         self._cancel_timer()
         self._credit(call)
         self._owner.broken(error)
-        pause_s = self._back_off.seconds(isinstance(error, WatchRefused))
-        logger.warning("watch broken", extra=fields(error=described(error), again_s=pause_s))
-        self._look_at(self._loop.time() + pause_s)
+        now_s = self._loop.time()
+        call_s = self._back_off.next_call_s(now_s, isinstance(error, WatchRefused))
+        logger.warning("watch broken", extra=fields(error=described(error), again_s=call_s - now_s))
+        self._look_at(call_s)
 
     def _credit(self, call: WatchCall) -> None:
         """After a call that was of use the pauses begin anew."""
--- a/roadlb/net/watch_timing.py
+++ b/roadlb/net/watch_timing.py
@@ -41,6 +41,11 @@
 REFUSED = ((0.8, 0.5), (1.6, 0.5), (REFUSED_MOST_S, 0.9), (REFUSED_MOST_S, 0.05))
 
 
+# A call that would come later than this after a move, because of a refusal, is made at a moment in between.
+MOVED_CALL_S = (MOVED_TOLD_S - 0.4, MOVED_TOLD_S + 0.4)
+MOVED_PAUSE_S = 0.4  # the shortest pause before such a call, where that leaves it within these
+
+
 class BackOff:
     """How long to wait before a watch is opened again: ever longer, and each balancer at its own moment.
 
@@ -50,13 +55,19 @@
 
     def __init__(self, seed: int | None = None) -> None:
         self._random = random.Random(seed)
+        self._moved_s: float | None = None  # when another discovery was named
         self.heard()
 
     def heard(self) -> None:
-        """The last watch was of use, or another discovery is asked from now on."""
+        """The last watch was of use."""
         self._pause_s = PAUSE_S
         self._refusals = 0
 
+    def moved(self, now_s: float) -> None:
+        """Another discovery is asked from now on, whose news counts as told `MOVED_TOLD_S` later."""
+        self.heard()
+        self._moved_s = now_s
+
     def seconds(self, refused: bool, most_s: float = PAUSE_MOST_S) -> float:
         """The pause after this break: never more than its ceiling, or `most_s` where it was no refusal."""
         if refused:
@@ -66,3 +77,14 @@
             ceiling_s, spread = min(self._pause_s, most_s), PAUSE_SPREAD
             self._pause_s = min(PAUSE_MOST_S, ceiling_s * 2)
         return ceiling_s * (1 - spread * self._random.random())
+
+    def next_call_s(self, now_s: float, refused: bool) -> float:
+        """When to call again after a break at `now_s`."""
+        call_s = now_s + self.seconds(refused)
+        if self._moved_s is None:
+            return call_s
+        earliest_s, latest_s = (self._moved_s + s for s in MOVED_CALL_S)
+        if call_s <= latest_s or now_s >= self._moved_s + MOVED_TOLD_S:
+            return call_s
+        earliest_s = min(max(earliest_s, now_s + MOVED_PAUSE_S), latest_s)
+        return earliest_s + (latest_s - earliest_s) * self._random.random()
--- a/tests/net/test_late_discovery.py
+++ b/tests/net/test_late_discovery.py
@@ -22,6 +22,7 @@
 SEEDS = range(20)
 LATE_S = [0.3, 1.1, 1.3, 2.0, 2.4, 2.6, 3.0, 3.7, 4.5, 5.4]
 STEP_S = 0.005
+GRACE_S = 1.0  # a drain is kept that much after it counts as told
 # Where every call hung, 1.2 and 2.5 s in turn and a pause of 0.45 s on the mean lay between two calls.
 CALLS_PER_S = 2 / (1.2 + 2.5 + 2 * 0.45)
 
@@ -170,6 +171,41 @@
         assert 2 in balancer.learned_s, seed
 
 
+@pytest.mark.parametrize("refusing_s", [0.3, 1.0, 2.0, 3.0, 3.5, 3.9])
+def test_refused_after_a_new_configuration_it_is_heard_before_a_drain_has_to_be_kept(
+    refusing_s: float,
+) -> None:
+    # The pauses after refusals go up to 4.3 s, which fits the 6 s of a change and not these 4.
+    most_calls = 0
+    for seed in range(200):
+        loop, discovery, balancer = one(always(late(0.0)), seed)
+        balancer.start()
+        loop.pass_to(20)
+        discovery._lateness = always(late(0.0, Form.REFUSED))
+        calls = len(discovery.calls)
+        balancer.watch.move()
+        discovery.generation = 2
+        loop.pass_to(20 + refusing_s)
+        discovery._lateness = always(late(0.0))
+        loop.pass_to(20 + timing.MOVED_TOLD_S + GRACE_S - timing.RESERVE_S)
+        assert 2 in balancer.learned_s, seed
+        most_calls = max(most_calls, len(discovery.calls) - calls)
+    assert most_calls <= 7
+
+
+def test_a_discovery_that_goes_on_refusing_after_a_new_configuration_is_asked_no_more_than_before() -> None:
+    began: list[float] = []
+    for seed in range(40):
+        loop, discovery, balancer = one(always(late(0.0, Form.REFUSED)), seed)
+        balancer.start()
+        balancer.watch.move()
+        loop.pass_to(60)
+        began += [taken.began_s for taken in discovery.calls[1:]]
+    # One call more than if no other discovery had been named, and from then on one in each highest pause.
+    assert sum(at >= 10 for at in began) <= 40 * (50 / timing.REFUSED_MOST_S) * 1.1
+    assert sum(at < 10 for at in began) <= 40 * 7
+
+
 # No more calls on a crowded discovery
 
 
--- a/tests/net/test_watch_budget.py
+++ b/tests/net/test_watch_budget.py
@@ -44,6 +44,8 @@
     assert min(t.SILENCE_S, t.PATIENCE_S) >= t.KEEP_ALIVE_S + t.RESERVE_S
     # No answer is given up that may come in time.
     assert t.PATIENCE_S >= t.TOLD_S
+    # A refusal right before the news of another discovery counts as told, and a drain is kept 1 s later.
+    assert t.MOVED_CALL_S[1] <= t.MOVED_TOLD_S + 1.0 - t.RESERVE_S
 
 
 # What discovery does with one call; `sound` answers at once with all there is.
