The control service's own call of discovery waits 6 s, as discovery may be late

A call without an answer after 2 s was given up, so that a discovery which takes longer was asked again and again and never heard by it; the proxy was told nothing until the watch brought the list.

Change: the call waits for `TOLD_S`, 6 s; `order` makes another one beside it after 2 s, at the moments at which it was made in its place before.

--- a/roadlb/control/order.py
+++ b/roadlb/control/order.py
@@ -26,7 +26,7 @@
 from .events import Decision, Decisions
 
 ASK_US = 250_000  # between two calls of discovery: a drain must be with the proxies within 1 s
-WAIT_US = 2_000_000  # an answer to a call that has not come by then will not come
+WAIT_US = 2_000_000  # a call that has no answer by then may hang: another is made beside it
 
 
 @dataclass(slots=True, frozen=True)
--- a/roadlb/net/fleet_watch.py
+++ b/roadlb/net/fleet_watch.py
@@ -13,10 +13,11 @@
 from ..log import fields
 from .watch import DiscoveryWatch, described, dial
 from .watch_call import ListPosition, WatchBroken, WatchCall
+from .watch_timing import TOLD_S
 
 logger = logging.getLogger(__name__)
 
-CALL_S = 2.0  # an answer to a call that has not come by then will not come
+CALL_S = TOLD_S  # an answer to a call that takes longer comes too late
 LINGER_S = 0.05  # for the lines behind the first one of a call
 
 
--- a/tests/net/test_fleet_watch.py
+++ b/tests/net/test_fleet_watch.py
@@ -12,6 +12,7 @@
 
 from roadlb.fleet.model import Picture
 from roadlb.net.fleet_watch import FleetWatch
+from roadlb.net.watch_timing import TOLD_S
 
 LIST = update(5, entry("s"), entry("t", port=9002), reset=True)
 
@@ -81,3 +82,17 @@
         assert watch.counts["call failed"] == 2
 
     play(scenario)
+
+
+def test_a_call_beside_the_watch_that_is_answered_late_is_heard() -> None:
+    # Given up after 2 s, calls of a discovery that takes longer failed for ever.
+    async def scenario(discovery: Discovery, watch: FleetWatch, told: list[Picture]) -> None:
+        (await discovery.call()).send(HEAD, line(LIST))
+        await until(lambda: told, "the list is taken")
+        asked = asyncio.ensure_future(watch.call())
+        beside = await discovery.call()
+        await asyncio.sleep(TOLD_S / 2)
+        beside.send(HEAD, line(update(7, entry("s", "draining"))))
+        assert await asked == 7 and watch.counts["call failed"] == 0
+
+    play(scenario)
