--- a/roadlb/net/watch.py
+++ b/roadlb/net/watch.py
@@ -85,8 +85,8 @@
 
     There is one call at a time while calls are answered or fail.  One that is overdue may hang or be late: it
     is kept, and another opened beside it.  The first one that tells anything is the one that is heard from
-    then on, the others are closed.  So no answer is lost for being late, and discovery gets no more calls than
-    if those overdue were given up.
+    then on, the others are closed.  So no answer is lost for being late, and discovery gets no more calls
+    than if those overdue were given up.
     """
 
     def __init__(self, owner: WatchOwner, seed: int | None = None) -> None:
