--- a/tests/net/test_late_discovery.py
+++ b/tests/net/test_late_discovery.py
@@ -31,6 +31,19 @@
     return Lateness(seconds, form)
 
 
+def heard_beside(
+    hangs: int, hanging: Form, late_s: float, seed: int
+) -> tuple[FakeLoop, LateDiscovery, Balancer]:
+    """A balancer whose first calls hang and whose others are late, as it has just learned the list."""
+    plan = itertools.chain([hang(hanging)] * hangs, always(late(late_s)))
+    loop, discovery, balancer = one(plan, seed)
+    balancer.start()
+    while 1 not in balancer.learned_s:
+        loop.pass_to(loop.now + STEP_S)
+        assert loop.now < 200
+    return loop, discovery, balancer
+
+
 @pytest.mark.parametrize("form", ANSWERS)
 @pytest.mark.parametrize("late_s", LATE_S)
 def test_an_answer_that_is_always_late_by_the_same_time_is_heard(late_s: float, form: Form) -> None:
@@ -69,12 +82,7 @@
 ) -> None:
     # Discovery could be reached from the beginning of the last call that hangs on.
     for seed in SEEDS:
-        plan = itertools.chain([hang(hanging)] * hangs, always(late(late_s)))
-        loop, discovery, balancer = one(plan, seed)
-        balancer.start()
-        while 1 not in balancer.learned_s:
-            loop.pass_to(loop.now + STEP_S)
-            assert loop.now < 200
+        loop, discovery, balancer = heard_beside(hangs, hanging, late_s, seed)
         reachable_s = discovery.calls[hangs - 1].began_s
         assert balancer.learned_s[1] - reachable_s <= WITHIN_S + STEP_S, seed
         loop.pass_to(loop.now + 1)
@@ -89,12 +97,7 @@
 ) -> None:
     # Three calls at once were too few: the second one was closed for the fourth, 4.5 s after it began.
     for seed in SEEDS:
-        plan = itertools.chain([hang(hanging)] * hangs, always(late(late_s)))
-        loop, discovery, balancer = one(plan, seed)
-        balancer.start()
-        while 1 not in balancer.learned_s:
-            loop.pass_to(loop.now + STEP_S)
-            assert loop.now < 200
+        _, discovery, balancer = heard_beside(hangs, hanging, late_s, seed)
         assert balancer.learned_s[1] <= discovery.calls[hangs].began_s + late_s + STEP_S, seed
 
 
