A second call of discovery is opened after 2.1 s, not 1.2: it took others' room

Change: an answer is overdue after 2.1 s, the longest time that leaves 3 s for the next call's, and after 1.2 s only where part of the time is spent: after a silence, a message that stopped, or SIGHUP.

--- a/roadlb/net/watch.py
+++ b/roadlb/net/watch.py
@@ -95,7 +95,7 @@
         self._calls: list[WatchCall] = []  # open ones, the oldest first; at most `CALLS_MOST`
         self._newest: WatchCall | None = None  # the one that is not overdue
         self._timer: WatchTimer | None = None
-        self._answer_s = timing.ANSWER_SOON_S
+        self._answer_s = timing.ANSWER_S  # until the answer to the next call is overdue
         self._over: asyncio.Future[None] | None = None
 
     async def run(self) -> None:
@@ -199,6 +199,7 @@
         elif call.may_be_late(now_s):
             self._call_overdue(call)
         else:
+            self._answer_s = timing.ANSWER_SOON_S
             self._give_up(call)
 
     def _call_overdue(self, call: WatchCall) -> None:
@@ -208,7 +209,10 @@
         self._credit(call)
         most_s = timing.PAUSE_MOST_S
         if call.state is CallState.AWAITING:
-            self._answer_s, most_s = timing.ANSWER_S, timing.PAUSE_OVERDUE_MOST_S
+            self._answer_s = timing.ANSWER_S
+            most_s = timing.PAUSE_OVERDUE_MOST_S
+        elif call.state is CallState.STREAMING:
+            self._answer_s = timing.ANSWER_SOON_S
         pause_s = self._back_off.seconds(refused=False, most_s=most_s)
         self._owner.overdue()
         logger.warning(
@@ -226,7 +230,7 @@
         call.brought_news = call.brought_news or news
         if self._calls != [call] or call is not self._newest:
             self._hear_only(call)
-        self._answer_s = timing.ANSWER_SOON_S
+        self._answer_s = timing.ANSWER_S
 
     def _hear_only(self, call: WatchCall) -> None:
         """What else is under way is called off."""
--- a/roadlb/net/watch_timing.py
+++ b/roadlb/net/watch_timing.py
@@ -23,8 +23,8 @@
 # From a call's beginning until its answer is overdue, the answer being its first whole line, be it blank.
 # It comes at once where there is something to tell; a server that has nothing may leave it at its first
 # keep-alive.
-ANSWER_SOON_S = 1.2  # of the first call
-ANSWER_S = 2.1  # of those opened beside one that is overdue
+ANSWER_S = 2.1
+ANSWER_SOON_S = 1.2  # of the first call where a silence, or a new configuration, has left less time
 PAUSE_OVERDUE_MOST_S = 0.4  # before the next of those
 CALLS_MOST = 4  # open at once: one that is not overdue, the oldest, and two between them
 PATIENCE_S = 15.0  # for a call without an answer; it may be held up to one more pause and wait longer
