--- a/roadlb/control/events.py
+++ b/roadlb/control/events.py
@@ -48,7 +48,8 @@
 class LoadReport:
     """What one subscriber sent to one node within `interval_us`; `errors` of `requests` failed.
 
-    `eps` and `queue` are the node's own named metrics, on the mean of the interval.
+    `eps` and `queue` are the node's own named metrics, on the mean of the interval; None if no request that
+    ended within it told them.  `finished`: how many requests ended within it, also of those sent before.
     """
 
     subscriber: str
@@ -57,8 +58,9 @@
     requests: int
     errors: int
     interval_us: int
-    eps: float = 0.0
-    queue: float = 0.0
+    eps: float | None = None
+    queue: float | None = None
+    finished: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/roadlb/xds/grpc/loads.py
+++ b/roadlb/xds/grpc/loads.py
@@ -57,22 +57,23 @@
                 if node is None:
                     yield None
                     continue
-                done = figures.total_successful_requests + figures.total_error_requests
+                finished = figures.total_successful_requests + figures.total_error_requests
                 yield LoadReport(
                     subscriber,
                     cluster,
                     node,
-                    max(figures.total_issued_requests, done),
+                    max(figures.total_issued_requests, finished),
                     figures.total_error_requests,
                     interval_us,
                     _mean(figures.load_metric_stats, "eps"),
                     _mean(figures.load_metric_stats, "queue"),
+                    finished,
                 )
 
 
-def _mean(stats: Iterable[Wire], name: str) -> float:
-    """A named metric's mean over the requests that told it; 0 without any."""
+def _mean(stats: Iterable[Wire], name: str) -> float | None:
+    """A named metric's mean over the requests that told it; None without any."""
     for one in stats:
         if one.metric_name.removeprefix(PREFIX) == name and one.num_requests_finished_with_metric:
             return float(one.total_metric_value / one.num_requests_finished_with_metric)
-    return 0.0
+    return None
