--- a/tests/xds/streams/test_any_order.py
+++ b/tests/xds/streams/test_any_order.py
@@ -23,6 +23,7 @@
 from roadlb.xds.stream import Stream
 
 STEP_US = 1_000  # so short that nothing waits for ever within a run
+SETTLE_MOST = 1_000  # rounds of one request and one response
 CLUSTERS = [f"c{n}" for n in range(4)]
 
 
@@ -163,8 +164,12 @@
     @rule()
     def settle(self) -> None:
         """All arrives that is on its way."""
-        while self.client.out or self.responses or not self.ready:
+        for _ in range(SETTLE_MOST):
+            if not (self.client.out or self.responses or not self.ready):
+                break
             self.some_arrive([0, 1, 2])
+        else:
+            raise AssertionError("requests and responses follow each other without end")
         if self.stream.quiet and not self.poison:
             self.calm = True
 
