A test's flood is sent from a piece of 1 MiB, not from one string of 1 GiB

Cause: the test made `b"x" * (1 << 30)` on the loop that it shares with the balancer, within the 10 s that its sending may take, and two workers did so at once. Trial on a scratch copy: with 10.5 s of sleep in the place of the string both cases fail with the same message and the same two log lines in that order.

Change: send_more sends the same number of bytes piece by piece. The time limit, the length of the flood and each check are as they were.

--- a/tests/net/test_client_closing.py
+++ b/tests/net/test_client_closing.py
@@ -21,6 +21,7 @@
 UPLOAD_BYTES = 200_000  # more than is buffered before a body is streamed
 HEALTH_REQUEST = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
 CLOSE_HEADER = "Connection: close"
+PIECE = b"x" * (1 << 20)  # of a long input
 TRAILING_BYTES = (
     client_connection.MAX_DISCARDED_BYTES // 2
 )  # bytes after the faulty input, all of which are discarded
@@ -46,8 +47,12 @@
 
     async def send_more(self, byte_count: int) -> None:
         """Sends `byte_count` bytes as the balancer reads them; raises ConnectionError on a reset."""
+        loop = asyncio.get_running_loop()
+        whole_pieces, rest = divmod(byte_count, len(PIECE))
         async with asyncio.timeout(LIMIT_S):
-            await asyncio.get_running_loop().sock_sendall(self.socket, b"x" * byte_count)
+            for _ in range(whole_pieces):
+                await loop.sock_sendall(self.socket, PIECE)
+            await loop.sock_sendall(self.socket, PIECE[:rest])
 
     async def read_to_end(self) -> str:
         """Reads to the end of the stream; raises ConnectionError on a reset."""
