--- a/roadlb/xds/subscription.py
+++ b/roadlb/xds/subscription.py
@@ -128,8 +128,10 @@
         self._owed = None
 
     def repeat(self, names: Iterable[str]) -> None:
-        """Owes names whatever was sent of them."""
-        self.again.update(name for name in names if self.wants(name))
+        """Owes names whatever was sent of them; those that are gone only where a response can tell that."""
+        self.again.update(
+            name for name in names if self.wants(name) and (self.tells_gone or name in self.newest.by_name)
+        )
         self._owed = None
 
     def claim(self, name: str, version: str) -> None:
--- a/tests/xds/streams/test_cases.py
+++ b/tests/xds/streams/test_cases.py
@@ -337,6 +337,7 @@
     "stale_nonce_counts_for_nothing": [("E a", "E1 a"), ("E a b @0", ""), ("E a b", ""), ("E a @1", "ack E")],
     "stale_names_bring_nothing": [("C a", "C1 a"), ("C a b @0", ""), ("C a @1", "ack C")],
     "dropped_and_wanted_again_in_between": [("E a", "E1 a"), ("E @0", ""), ("E a @1", "ack E, E2 a")],
+    "one_that_does_not_exist_wanted_again": [("E a x", "E1 a"), ("E a @0", ""), ("E a x @1", "ack E")],
     "an_answer_twice": [("E a", "E1 a"), ("E a @1", "ack E"), ("E a @1", ""), ("E b @1!", "E2 b")],
     "nonces_are_each_type_s_own": [("C", "C1 a b"), ("E a", "E2 a"), ("E a @1", ""), ("E a @2", "ack E")],
 }
@@ -386,6 +387,18 @@
     assert t.publish(3, "Ea") == [] and t.publish(4, "Ea Ex") == ["E3 x"]
 
 
+def test_sotw_endpoints_that_are_gone_and_wanted_again_bring_no_responses_without_end() -> None:
+    # They were owed for ever, as no response can say that they are gone: each ACK brought an empty response.
+    t = talk(SotwStream, "Ea Eb")
+    assert t.ask("E", "a", "b") == ["E1 a b"]
+    assert t.publish(2, "Ea") == []
+    t.ask("E", "a", nonce="0")  # written before E1 was read: b dropped, and wanted again below
+    assert t.ask("E", "a", "b", nonce="1") == ["ack E"]
+    assert t.ask("E", "a", "b", nonce="1") == []
+    assert t.publish(3, "Ea Eb") == ["E2 b"]
+    assert t.ask("E", "a", "b", nonce="2") == ["ack E"]
+
+
 def test_sotw_who_shows_the_present_version_of_everything_needs_no_response() -> None:
     t = talk(SotwStream, "Ca")
     version = t.stream.snapshot.collections[CLUSTER].version
