The control service's status page: endpoints and subscribers have functions of their own

The rows of endpoints and subscribers are in control/status.py, without I/O, as the import contract asks; what needs the watch and the streams stays. The page is the same, field by field.

--- a/roadlb/control/service.py
+++ b/roadlb/control/service.py
@@ -39,6 +39,7 @@
 from .forms import Form, form_of, pool_name
 from .plan import Plan, up_in
 from .settings import Settings, address
+from .status import endpoint_status, subscriber_status
 
 logger = logging.getLogger(__name__)
 
@@ -352,46 +353,39 @@
 
     def status(self) -> dict[str, object]:
         """All that operators look at, as JSON's own types; times in seconds."""
-        now, told, heard = self._clock(), self.publisher.decisions, self.discovery.heard_at
+        now, told = self._clock(), self.publisher.decisions
         return {
             "generation": self.order.generation,
             "serial": told.serial if told else 0,
             "up_s": (now - self.started_us) / 1e6,
-            "discovery": {
-                "at": str(self.discovery.at),
-                "error": self.discovery.error,
-                "generation": self.discovery.picture.generation if self.discovery.picture else -1,
-                "heard_s_ago": asyncio.get_running_loop().time() - heard if heard else None,
-                **self.discovery.counts,
-            },
+            "discovery": self._discovery_status(),
             "counts": {**self.counts, "encoded": self.encoder.encoded, "shared": self.encoder.shared},
             "endpoints": [
-                {
-                    "cluster": name,
-                    "node": d.node.name,
-                    "started_ms": d.node.started_ms,
-                    "address": f"{d.endpoint.host}:{d.endpoint.port}",
-                    "health": d.health.name.lower(),
-                    "weight": d.weight,
-                    "pool": d.pool,
-                    "part": d.part_ppm / events.MILLION,
-                    "reason": d.reason,
-                }
-                for name, all_of_it in (told.clusters if told else {}).items()
-                for d in all_of_it
+                endpoint_status(name, decision)
+                for name, decisions in (told.clusters if told else {}).items()
+                for decision in decisions
+            ],
+            "subscribers": [
+                subscriber_status(now, s, s.name in self.order.silent, self._stream_status(s.name))
+                for s in self.subscribers.known.values()
             ],
-            "subscribers": [self._subscriber(now, s) for s in self.subscribers.known.values()],
         }
 
-    def _subscriber(self, now: int, s: subscribers.Subscriber) -> dict[str, object]:
-        client = self.clients.get(s.name)
+    def _discovery_status(self) -> dict[str, object]:
+        watch = self.discovery
+        now_s = asyncio.get_running_loop().time()
+        return {
+            "at": str(watch.at),
+            "error": watch.error,
+            "generation": watch.picture.generation if watch.picture else -1,
+            "heard_s_ago": now_s - watch.heard_at if watch.heard_at else None,
+            **watch.counts,
+        }
+
+    def _stream_status(self, name: str) -> dict[str, object]:
+        client = self.clients.get(name)
         session = client.session if client else None
         return {
-            "name": s.name,
-            "state": s.state.value,
-            "for_s": (now - s.since) / 1e6,
-            "acknowledged": s.generation,
-            "silent": s.name in self.order.silent,
             "form": client.form.value if client else None,
             "incremental": session.incremental if session else None,
             "peer": session.peer if session else None,
@@ -399,18 +393,6 @@
             "responses": session.responses if session else 0,
             "bytes": session.bytes_sent if session else 0,
             "holds": session.holding if session else {},
-            "types": {
-                type_url.rpartition(".")[2]: {
-                    "sent": p.sent,
-                    "accepted": p.acked,
-                    "behind": p.sent - p.settled,
-                    "refused": p.refused,
-                    "reason": p.reason,
-                    "lags": p.lagging,
-                    "waits_s": (now - p.open[0][2]) / 1e6 if p.open else 0.0,
-                }
-                for type_url, p in s.types.items()
-            },
         }
 
     # Its life
