--- a/roadlb/control/service.py
+++ b/roadlb/control/service.py
@@ -58,7 +58,7 @@
 
 
 class Service:
-    """Wires the deciders; it is the streams' `Desk`."""
+    """Wires the deciders; it is the streams' `SessionOwner`."""
 
     def __init__(
         self,
@@ -221,9 +221,9 @@
                 case subscribers.Forgot(name):
                     logger.info("forgotten", extra=fields(subscriber=name))
 
-    # The streams' desk
+    # The streams' owner
 
-    def came(self, session: Session) -> str:
+    def subscriber_identified(self, session: Session) -> str:
         node = session.machine.node
         assert node is not None
         metadata = {key: value for key, value in node.metadata.items() if isinstance(value, str)}
@@ -252,23 +252,23 @@
         self._again.set()
         return ""
 
-    def saw(self, session: Session) -> None:
+    def newer_generation_seen(self, session: Session) -> None:
         if session.name in self.clients:
             self._do_order(self.order.handle(self._clock(), order.Acknowledged(session.name, session.floor)))
 
-    def sent(self, session: Session, type_url: str, number: int, generation: int) -> None:
+    def response_sent(self, session: Session, type_url: str, number: int, generation: int) -> None:
         self._do_subscribers(
             self.subscribers.handle(
                 self._clock(), subscribers.Sent(session.name, type_url, number, generation)
             )
         )
 
-    def acked(self, session: Session, type_url: str, number: int) -> None:
+    def response_accepted(self, session: Session, type_url: str, number: int) -> None:
         self._do_subscribers(
             self.subscribers.handle(self._clock(), subscribers.Acked(session.name, type_url, number))
         )
 
-    def nacked(self, session: Session, type_url: str, number: int, error: ErrorDetail) -> None:
+    def response_rejected(self, session: Session, type_url: str, number: int, error: ErrorDetail) -> None:
         if session.name in self.clients:
             self.clients[session.name].refusals += 1
         self._do_subscribers(
@@ -277,7 +277,7 @@
             )
         )
 
-    def left(self, session: Session) -> None:
+    def session_closed(self, session: Session) -> None:
         now = self._clock()
         if self.clients.pop(session.name, None) is not None:
             logger.info("subscriber left", extra=fields(name=session.name))
--- a/roadlb/xds/grpc/session.py
+++ b/roadlb/xds/grpc/session.py
@@ -43,32 +43,36 @@
 REASON_CHARS = 1_000  # of a refusal that are kept
 
 
-class Desk(Protocol):
-    """Who keeps the sessions: is told of each, and pushes snapshots into them."""
+class SessionOwner(Protocol):
+    """Keeps the sessions: is told of each, and pushes snapshots into them.
 
-    def came(self, session: Session) -> str:
+    `number` is that of a response, counted on its stream.
+    """
+
+    def subscriber_identified(self, session: Session) -> str:
         """The first request has come; why the stream cannot be served, or an empty string."""
 
-    def saw(self, session: Session) -> None:
+    def newer_generation_seen(self, session: Session) -> None:
         """The subscriber has shown a newer generation than before (`session.floor`)."""
 
-    def sent(self, session: Session, type_url: str, number: int, generation: int) -> None: ...
+    def response_sent(self, session: Session, type_url: str, number: int, generation: int) -> None: ...
 
-    def acked(self, session: Session, type_url: str, number: int) -> None: ...
+    def response_accepted(self, session: Session, type_url: str, number: int) -> None: ...
 
-    def nacked(self, session: Session, type_url: str, number: int, error: ErrorDetail) -> None: ...
+    def response_rejected(self, session: Session, type_url: str, number: int, error: ErrorDetail) -> None: ...
 
-    def left(self, session: Session) -> None: ...
+    def session_closed(self, session: Session) -> None:
+        """The stream of an identified subscriber has ended."""
 
 
 class Session:
-    """One stream.  `name` is the desk's: whom it takes the subscriber for."""
+    """One stream.  `name`: the subscriber's, as its owner has it."""
 
     def __init__(
         self,
         number: int,
         machine: SotwStream | DeltaStream,
-        desk: Desk,
+        owner: SessionOwner,
         encoder: Encoder,
         clock: Clock,
         peer: str = "",
@@ -78,7 +82,7 @@
         self.bytes_sent = self.responses = 0
         self.versions: dict[str, tuple[str, str, str]] = {}  # type: sent, accepted, why refused
         self.holding: dict[str, str] = {}  # type ("": all): why nothing is sent
-        self._desk, self._encoder, self._clock = desk, encoder, clock
+        self._owner, self._encoder, self._clock = owner, encoder, clock
         self._numbers: dict[str, int] = {}  # type: of the response in flight
         self._count, self._known = 0, False
         self._out: Response | None = None
@@ -92,7 +96,7 @@
 
     # Events
 
-    def hear(self, data: bytes) -> None:
+    def receive(self, data: bytes) -> None:
         """A request has come."""
         request: Request
         try:
@@ -103,11 +107,11 @@
         self._handle(Asked(request))
         if self.machine.node is not None and not self._known and not self._ending:
             self._known, self.floor = True, self.machine.floor
-            if reason := self._desk.came(self):
+            if reason := self._owner.subscriber_identified(self):
                 self.end(reason)
         elif self.machine.floor > self.floor:
             self.floor = self.machine.floor
-            self._desk.saw(self)
+            self._owner.newer_generation_seen(self)
 
     def push(self, snapshot: Snapshot) -> None:
         """This is the newest."""
@@ -116,8 +120,8 @@
             if self.machine.quiet:  # nothing in it is new to this subscriber
                 self._count += 1
                 for type_url in self.versions:
-                    self._desk.sent(self, type_url, self._count, snapshot.generation)
-                    self._desk.acked(self, type_url, self._count)
+                    self._owner.response_sent(self, type_url, self._count, snapshot.generation)
+                    self._owner.response_accepted(self, type_url, self._count)
 
     def end(self, reason: str) -> None:
         """Close the stream; the subscriber is told why."""
@@ -141,14 +145,14 @@
                 self._out = response
                 self._wake.set()
                 snapshot = self.machine.snapshot
-                self._desk.sent(self, type_url, self._count, snapshot.generation if snapshot else 0)
+                self._owner.response_sent(self, type_url, self._count, snapshot.generation if snapshot else 0)
             case Acked(type_url, _, version):
                 sent = self.versions.get(type_url, ("", "", ""))[0]
                 self.versions[type_url] = sent, version, ""
-                self._desk.acked(self, type_url, self._numbers[type_url])
+                self._owner.response_accepted(self, type_url, self._numbers[type_url])
             case Nacked(type_url, _, version, accepted, detail):
                 self.versions[type_url] = version, accepted, detail.message[:REASON_CHARS]
-                self._desk.nacked(self, type_url, self._numbers[type_url], detail)
+                self._owner.response_rejected(self, type_url, self._numbers[type_url], detail)
             case Hold(why, type_url):
                 self.holding[type_url] = why
             case End(reason):
@@ -173,12 +177,12 @@
                 data, first = first if first is not None else await next_message(context), None
                 if data is None:
                     break
-                self.hear(data)
+                self.receive(data)
         finally:
             writer.cancel()
             self._handle(Closed())
             if self._known:
-                self._desk.left(self)
+                self._owner.session_closed(self)
         if self._ending:
             logger.warning(
                 "stream ended", extra=fields(subscriber=self.name, peer=self.peer, reason=self._ending)
--- a/tests/xds/grpc/test_session.py
+++ b/tests/xds/grpc/test_session.py
@@ -22,11 +22,11 @@
 
 
 @dataclass
-class Desk:
-    said: list[tuple] = field(default_factory=list)
+class RecordingOwner:
+    calls: list[tuple] = field(default_factory=list)
 
     def __getattr__(self, name: str):
-        return lambda session, *rest: self.said.append((name, *rest)) or ""
+        return lambda session, *rest: self.calls.append((name, *rest)) or ""
 
 
 class Pipe:
@@ -56,11 +56,11 @@
 
 
 async def blocked() -> None:
-    pipe, desk, encoder = Pipe(), Desk(), Encoder()
-    session = Session(1, SotwStream(), desk, encoder, lambda: 0)
+    pipe, owner, encoder = Pipe(), RecordingOwner(), Encoder()
+    session = Session(1, SotwStream(), owner, encoder, lambda: 0)
     life = asyncio.create_task(session.serve(pipe))
     await pipe.asked.put(first())
-    while ("came",) not in desk.said:
+    while ("subscriber_identified",) not in owner.calls:
         await asyncio.sleep(0)
     newest = None
     for generation in range(1, 101):
@@ -76,7 +76,7 @@
     assert int(pipe.sent[1].version_info[:20]) == 100
     life.cancel()
     await asyncio.gather(life, return_exceptions=True)
-    assert desk.said[-1] == ("left",)
+    assert owner.calls[-1] == ("session_closed",)
 
 
 def test_who_does_not_read_costs_one_response_and_then_gets_the_newest() -> None:
@@ -84,14 +84,18 @@
 
 
 async def refused() -> None:
-    desk = Desk()
-    session = Session(1, SotwStream(), desk, Encoder(), lambda: 0)
-    session.hear(first())
+    owner = RecordingOwner()
+    session = Session(1, SotwStream(), owner, Encoder(), lambda: 0)
+    session.receive(first())
     session.push(snapshot(1))
     one = ClientStatusResponse.FromString(client_status(b"", [session])).config[0]
     assert (one.node.id, one.generic_xds_configs[0].client_status) == ("p", 1)
-    session.hear(first(ErrorDetail(3, "no"), "1"))
-    assert desk.said == [("came",), ("sent", ENDPOINTS, 1, 1), ("nacked", ENDPOINTS, 1, ErrorDetail(3, "no"))]
+    session.receive(first(ErrorDetail(3, "no"), "1"))
+    assert owner.calls == [
+        ("subscriber_identified",),
+        ("response_sent", ENDPOINTS, 1, 1),
+        ("response_rejected", ENDPOINTS, 1, ErrorDetail(3, "no")),
+    ]
     told = ClientStatusResponse.FromString(client_status(b"", [session])).config[0].generic_xds_configs[0]
     assert (told.client_status, told.error_state.details) == (4, "no")
     other = ClientStatusRequest()
@@ -99,7 +103,7 @@
     assert not ClientStatusResponse.FromString(client_status(other.SerializeToString(), [session])).config
 
 
-def test_a_refusal_is_told_to_the_desk_and_in_the_client_status() -> None:
+def test_a_refusal_is_told_to_the_owner_and_in_the_client_status() -> None:
     asyncio.run(refused())
 
 
