Followers' streams have names of the field: exchange, request received, deliver (42)

issuing/desk.py is follower_stream.py (`FollowerStream`), issuing/line.py is follower_exchange.py: `Line` is `FollowerExchange`, its events `Asked` and `Tell` are RequestReceived and Deliver, its actions `Send`, `Said`, `Refused` and `End` are SendResponse, FollowerSays, ResponseRefused and EndStream. No behaviour changes; nothing on the wire, in the store or in a command has another name.

--- a/roadlb/issuing/books.py
+++ b/roadlb/issuing/books.py
@@ -13,7 +13,7 @@
 from ..xds.codec.protos import CodecError
 from ..xds.codec.versions import PREPARED, STRUCT, Key, PartsReader, VersionWriter, write_prepared
 from ..xds.resources import Resource
-from .line import Offer
+from .follower_exchange import Offer
 
 KIND = "version"
 SCHEMA = 1
--- a/roadlb/issuing/line.py
+++ b/roadlb/issuing/follower_exchange.py
@@ -56,35 +56,35 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Asked:
+class RequestReceived:
     request: DeltaRequest
 
 
 @dataclass(frozen=True, slots=True)
-class Tell:
+class Deliver:
     message: Offer | InForce | Withdrawn | Lease
 
 
-Event: TypeAlias = Asked | Tell
+Event: TypeAlias = RequestReceived | Deliver
 
 
 # Actions
 
 
 @dataclass(frozen=True, slots=True)
-class Send:
+class SendResponse:
     response: DeltaResponse
 
 
 @dataclass(frozen=True, slots=True)
-class Said:
+class FollowerSays:
     """The follower says this."""
 
     message: FromFollower
 
 
 @dataclass(frozen=True, slots=True)
-class Refused:
+class ResponseRefused:
     """A response was refused, for the log."""
 
     type_url: str
@@ -92,13 +92,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class End:
+class EndStream:
     """Close the stream; the follower is told why."""
 
     reason: str
 
 
-Action: TypeAlias = Send | Said | Refused | End
+Action: TypeAlias = SendResponse | FollowerSays | ResponseRefused | EndStream
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,7 +108,7 @@
     prepared: VersionId | None = None
 
 
-class Line:
+class FollowerExchange:
     """`handle(event) -> actions`: it knows no time.  `name`: the follower's, once it has said it."""
 
     def __init__(self) -> None:
@@ -121,13 +121,13 @@
 
     def handle(self, event: Event) -> list[Action]:
         actions: list[Action] = []
-        if isinstance(event, Asked):
+        if isinstance(event, RequestReceived):
             self._asked(event.request, actions)
         else:
             self._tell(event.message, actions)
         if len(self._flights) > IN_FLIGHT_MOST:
             actions.append(
-                End(
+                EndStream(
                     f"{len(self._flights)} responses without an answer: more than "
                     f"{IN_FLIGHT_MOST} are not kept"
                 )
@@ -140,7 +140,7 @@
         if request.node is not None and not self.name:
             self.name = request.node.id
         if not self.name:
-            actions.append(End("node.id: the first request must say who asks"))
+            actions.append(EndStream("node.id: the first request must say who asks"))
             return
         type_url = request.type_url
         if type_url not in TYPES:
@@ -151,12 +151,12 @@
                 try:
                     ask = read_ask(name)
                 except CodecError as e:
-                    actions.append(End(str(e)))
+                    actions.append(EndStream(str(e)))
                     return
                 self._asks[ask.life, ask.number] = name
                 while len(self._asks) > ASKS_MOST:
                     del self._asks[next(iter(self._asks))]
-                actions.append(Said(ask))
+                actions.append(FollowerSays(ask))
         elif request.resource_names_subscribe and type_url not in self._held:
             self._held[type_url] = dict(request.initial_resource_versions)
             if self._offer is not None and {STRUCT, PARTS} <= self._held.keys():
@@ -169,13 +169,13 @@
         detail = request.error_detail
         if detail is None:
             if flight.prepared is not None:
-                actions.append(Said(Ack(flight.prepared)))
+                actions.append(FollowerSays(Ack(flight.prepared)))
             return
         for name in flight.names:
             self._held.get(flight.type_url, {}).pop(name, None)
-        actions.append(Refused(flight.type_url, detail.message))
+        actions.append(ResponseRefused(flight.type_url, detail.message))
         if flight.prepared is not None and (said := read_answer(flight.prepared, detail)) is not None:
-            actions.append(Said(said))
+            actions.append(FollowerSays(said))
 
     # What it is told
 
@@ -239,7 +239,7 @@
         nonce = str(self._nonces)
         self._flights[nonce] = _Flight(type_url, tuple(r.name for r in resources), prepared)
         version = resources[0].version if resources else ""
-        actions.append(Send(DeltaResponse(type_url, version, nonce, resources, gone)))
+        actions.append(SendResponse(DeltaResponse(type_url, version, nonce, resources, gone)))
 
 
 def _has(held: Mapping[str, str], resource: Resource) -> bool:
--- a/roadlb/issuing/desk.py
+++ b/roadlb/issuing/follower_stream.py
@@ -1,4 +1,4 @@
-"""Followers' streams over gRPC: each a `Line`, a bounded queue of what is to be written, a reader."""
+"""Followers' streams over gRPC: each an exchange, a bounded queue of what is to be written, a reader."""
 
 from __future__ import annotations
 
@@ -13,35 +13,45 @@
 from ..xds.codec.protos import CodecError
 from ..xds.grpc.transport import Context, next_message, refuse
 from ..xds.messages import DeltaRequest, DeltaResponse
-from .line import Action, Asked, End, Line, Offer, Refused, Said, Send, Tell
+from .follower_exchange import (
+    Action,
+    Deliver,
+    EndStream,
+    FollowerExchange,
+    FollowerSays,
+    Offer,
+    RequestReceived,
+    ResponseRefused,
+    SendResponse,
+)
 
 logger = logging.getLogger(__name__)
 
 UNSENT_MOST = 256  # responses; a follower that takes none is let go, and asks again
 
 
-class Stream:
-    """One follower's stream; `said` is told whatever it says."""
+class FollowerStream:
+    """One follower's stream; `received` is called with whatever it says."""
 
-    def __init__(self, peer: str, said: Callable[[Stream, FromFollower], None]) -> None:
+    def __init__(self, peer: str, received: Callable[[FollowerStream, FromFollower], None]) -> None:
         self.peer, self.refusals, self.bytes_sent, self.bytes_read = peer, 0, 0, 0
-        self._line, self._said = Line(), said
+        self._exchange, self._received = FollowerExchange(), received
         self._out: asyncio.Queue[DeltaResponse] = asyncio.Queue()
         self._ended: asyncio.Future[str] = asyncio.get_running_loop().create_future()
 
     @property
     def name(self) -> str:
-        return self._line.name
+        return self._exchange.name
 
-    def tell(self, message: Offer | InForce | Withdrawn | Lease) -> None:
-        self._do(self._line.handle(Tell(message)))
+    def send(self, message: Offer | InForce | Withdrawn | Lease) -> None:
+        self._do(self._exchange.handle(Deliver(message)))
 
     def end(self, reason: str) -> None:
         if not self._ended.done():
             self._ended.set_result(reason)
 
-    def hear(self, request: DeltaRequest) -> None:
-        self._do(self._line.handle(Asked(request)))
+    def receive(self, request: DeltaRequest) -> None:
+        self._do(self._exchange.handle(RequestReceived(request)))
 
     async def serve(self, context: Context, first: bytes) -> None:
         """From its first request on, to the end."""
@@ -65,7 +75,7 @@
             except CodecError as e:
                 self.end(str(e))
                 return
-            self.hear(request)
+            self.receive(request)
             data = await next_message(context)
 
     async def _write(self, context: Context) -> None:
@@ -77,13 +87,13 @@
     def _do(self, actions: list[Action]) -> None:
         for action in actions:
             match action:
-                case Send(response):
+                case SendResponse(response):
                     self._out.put_nowait(response)
                     if self._out.qsize() > UNSENT_MOST:
                         self.end(f"{UNSENT_MOST} responses were not taken")
-                case Said(message):
-                    self._said(self, message)
-                case Refused(type_url, reason):
+                case FollowerSays(message):
+                    self._received(self, message)
+                case ResponseRefused(type_url, reason):
                     self.refusals += 1
                     logger.warning(
                         "follower refuses",
@@ -91,5 +101,5 @@
                             follower=self.name, type=type_url.rpartition(".")[2], reason=reason[:400]
                         ),
                     )
-                case End(reason):
+                case EndStream(reason):
                     self.end(reason)
--- a/roadlb/issuing/office.py
+++ b/roadlb/issuing/office.py
@@ -66,7 +66,7 @@
 from ..xds.grpc.transport import Context
 from ..xds.messages import DeltaRequest
 from .books import Books
-from .desk import Stream
+from .follower_stream import FollowerStream
 from .history import ANSWERS, ORDERS, Order, OrderError, line_key, read_order
 from .keys import Keys, pair_of
 from .ledger import Ledger, newest
@@ -120,7 +120,7 @@
             self.keys, self.books, self.name, clock, wall, self._kept, lambda told: self._tell(told)
         )
         self.holder: dict[str, str] = {}  # who has the seat, as it said of itself
-        self.streams: dict[str, Stream] = {}  # the newest of each follower
+        self.streams: dict[str, FollowerStream] = {}  # the newest of each follower
         self._told_at: dict[str, tuple[VersionId, int]] = {}  # what each has acknowledged, since when
         self._picture: Picture | None = None
         self._texts: Mapping[str, str] | None = None  # the settings to propose with the next picture
@@ -255,7 +255,7 @@
             match action:
                 case To(follower, message):
                     if (stream := self.streams.get(follower)) is not None:
-                        stream.tell(self.books.offer(message) if isinstance(message, Prepare) else message)
+                        stream.send(self.books.offer(message) if isinstance(message, Prepare) else message)
                 case Keep(_, book):
                     if book.prepared is not None:
                         self._made[book.prepared.id] = book.prepared
@@ -433,14 +433,14 @@
 
     async def serve(self, context: Context, first: bytes) -> None:
         """A follower's stream."""
-        stream = Stream(context.peer(), self._said)
+        stream = FollowerStream(context.peer(), self._follower_says)
         try:
             await stream.serve(context, first)
         finally:
             if self.streams.get(stream.name) is stream:
                 del self.streams[stream.name]
 
-    def _said(self, stream: Stream, message: FromFollower) -> None:
+    def _follower_says(self, stream: FollowerStream, message: FromFollower) -> None:
         if len(stream.name.encode(errors="surrogatepass")) > NAME_MOST:
             stream.end(f"node.id has more than {NAME_MOST} bytes, too many for the roll: shorten it")
             return
@@ -462,16 +462,16 @@
         if isinstance(message, Ask) and self.seat.leads() is None:
             asyncio.get_running_loop().call_later(HOLD_S, self._let_go, stream)
 
-    def _stand_by(self, stream: Stream, ask: Ask) -> None:
+    def _stand_by(self, stream: FollowerStream, ask: Ask) -> None:
         """No lease here; what the store holds, and soon the end of the stream."""
         version, epoch = newest(self.ledger.book.prepared, self.ledger.book.force), self.seat.decider.holder
         if version is not None and epoch >= ask.epoch:
             if version.id > ask.told:
-                stream.tell(self.books.offer(Prepare(epoch, version)))
+                stream.send(self.books.offer(Prepare(epoch, version)))
             elif self.ledger.book.force is not None:
-                stream.tell(InForce(epoch, self.ledger.book.force.id))
+                stream.send(InForce(epoch, self.ledger.book.force.id))
 
-    def _let_go(self, stream: Stream) -> None:
+    def _let_go(self, stream: FollowerStream) -> None:
         if self.seat.leads() is None:
             stream.end(f"does not lead: {self.holder.get('name') or 'nobody'} does")
 
--- a/roadlb/lab/followers/control.py
+++ b/roadlb/lab/followers/control.py
@@ -31,7 +31,15 @@
 from ...fleet.model import Cluster
 from ...fleet.platform import read_instance
 from ...issuing.books import Books
-from ...issuing.line import Action, Asked, End, Line, Said, Send, Tell
+from ...issuing.follower_exchange import (
+    Action,
+    Deliver,
+    EndStream,
+    FollowerExchange,
+    FollowerSays,
+    RequestReceived,
+    SendResponse,
+)
 from ...xds.client.connection import StreamEnded
 from ...xds.codec.discovery import read_delta_request, write_delta_response
 from ..parties.discovery import Registry
@@ -45,7 +53,7 @@
     """One follower's call; `xds.client.connection.Stream` to it."""
 
     def __init__(self, control: Control) -> None:
-        self._control, self.line = control, Line()
+        self._control, self.exchange = control, FollowerExchange()
         self._in: asyncio.Queue[bytes | None] = asyncio.Queue()
         self.over = False
 
@@ -119,7 +127,7 @@
 
     def hear(self, stream: Stream, data: bytes) -> None:
         if not stream.over:
-            self._carry(stream, stream.line.handle(Asked(read_delta_request(data))))
+            self._carry(stream, stream.exchange.handle(RequestReceived(read_delta_request(data))))
 
     def _contents(self) -> Contents:
         entries = [entry.listed(next(iter(entry.at))) for entry in self._registry.entries.values()]
@@ -129,12 +137,12 @@
     def _carry(self, stream: Stream, actions: list[Action]) -> None:
         for action in actions:
             match action:
-                case Send(response):
+                case SendResponse(response):
                     self.later(stream.put, write_delta_response(response))
-                case Said(message):
-                    self._streams[stream.line.name] = stream
-                    self._said(stream.line.name, message)
-                case End():
+                case FollowerSays(message):
+                    self._streams[stream.exchange.name] = stream
+                    self._said(stream.exchange.name, message)
+                case EndStream():
                     stream.over = True
                     stream.put(None)
 
@@ -150,4 +158,4 @@
             elif isinstance(action, To) and (stream := self._streams.get(action.follower)) is not None:
                 message = action.message
                 offer = self._books.offer(message) if isinstance(message, Prepare) else message
-                self._carry(stream, stream.line.handle(Tell(offer)))
+                self._carry(stream, stream.exchange.handle(Deliver(offer)))
--- a/tests/issuing/test_line.py
+++ b/tests/issuing/test_follower_exchange.py
@@ -9,7 +9,15 @@
 from roadlb.agreement.events import Ack, Ask, Contents, InForce, Lease, Nack, Prepare, Version, VersionId
 from roadlb.fleet.model import Cluster, Endpoint, NodeId
 from roadlb.issuing.books import Books
-from roadlb.issuing.line import Action, Asked, End, Line, Said, Send, Tell
+from roadlb.issuing.follower_exchange import (
+    Action,
+    Deliver,
+    EndStream,
+    FollowerExchange,
+    FollowerSays,
+    RequestReceived,
+    SendResponse,
+)
 from roadlb.xds.client import events as client
 from roadlb.xds.client.link import Hears, Link, Say
 from roadlb.xds.codec.discovery import (
@@ -31,11 +39,11 @@
 
 
 class Stream:
-    """A follower's link and the issuer's line, with messages as bytes that wait both ways."""
+    """A follower's link and the issuer's exchange, with messages as bytes that wait both ways."""
 
     def __init__(self, random: Random) -> None:
         self.random, self.now, self.books = random, 0, Books()
-        self.link, self.line = Link("b"), Line()
+        self.link, self.exchange = Link("b"), FollowerExchange()
         self.there: list[bytes] = []
         self.back: list[bytes] = []
         self.heard: list[Prepare] = []
@@ -43,7 +51,7 @@
         self.open()
 
     def open(self) -> None:
-        self.line, self.there, self.back = Line(), [], []
+        self.exchange, self.there, self.back = FollowerExchange(), [], []
         self.tell_link(client.Lost())
         self.tell_link(client.Opened())
 
@@ -57,15 +65,15 @@
 
     def do(self, actions: list[Action]) -> None:
         for action in actions:
-            assert not isinstance(action, End), action.reason
-            if isinstance(action, Send):
+            assert not isinstance(action, EndStream), action.reason
+            if isinstance(action, SendResponse):
                 self.back.append(write_delta_response(action.response))
 
     def step(self) -> None:
         """One thing happens: a message arrives, the follower answers, time passes, the stream breaks."""
         draw = self.random.random()
         if draw < 0.4 and self.there:
-            self.do(self.line.handle(Asked(read_delta_request(self.there.pop(0)))))
+            self.do(self.exchange.handle(RequestReceived(read_delta_request(self.there.pop(0)))))
         elif draw < 0.8 and self.back:
             self.tell_link(client.Came(read_delta_response(self.back.pop(0))))
         elif draw < 0.9 and self.unanswered:
@@ -84,15 +92,15 @@
     stream, last = Stream(random), None
     for number in range(1, 25):
         last = version(number, random)
-        stream.do(stream.line.handle(Tell(stream.books.offer(Prepare(1, last)))))
+        stream.do(stream.exchange.handle(Deliver(stream.books.offer(Prepare(1, last)))))
         for _ in range(random.randrange(12)):
             stream.step()
     assert last is not None
     for _ in range(12):  # as the issuer does: again and again, until it is acknowledged
-        stream.do(stream.line.handle(Tell(stream.books.offer(Prepare(1, last)))))
+        stream.do(stream.exchange.handle(Deliver(stream.books.offer(Prepare(1, last)))))
         while stream.there or stream.back:
             if stream.there:
-                stream.do(stream.line.handle(Asked(read_delta_request(stream.there.pop(0)))))
+                stream.do(stream.exchange.handle(RequestReceived(read_delta_request(stream.there.pop(0)))))
             if stream.back:
                 stream.tell_link(client.Came(read_delta_response(stream.back.pop(0))))
         if any(told.version.id == last.id for told in stream.heard):
@@ -107,7 +115,7 @@
 
 
 def test_an_ask_is_answered_by_its_name_and_only_on_its_stream() -> None:
-    line = Line()
+    exchange = FollowerExchange()
     ask = Ask(7, 3, 1, VersionId(), VersionId(1, 2))
     link = Link("b")
     sent = [
@@ -119,14 +127,14 @@
     assert [
         action.message
         for request in sent
-        for action in line.handle(Asked(request))
-        if isinstance(action, Said)
+        for action in exchange.handle(RequestReceived(request))
+        if isinstance(action, FollowerSays)
     ] == [ask]
     lease = Lease(1, VersionId(1, 2), 7, 3, 4_000_000)
-    (answer,) = line.handle(Tell(lease))
-    assert isinstance(answer, Send) and answer.response.resources[0].ttl_us == 4_000_000
-    assert line.handle(Tell(lease)) == []  # once
-    assert Line().handle(Tell(lease)) == []  # nobody asked here
+    (answer,) = exchange.handle(Deliver(lease))
+    assert isinstance(answer, SendResponse) and answer.response.resources[0].ttl_us == 4_000_000
+    assert exchange.handle(Deliver(lease)) == []  # once
+    assert FollowerExchange().handle(Deliver(lease)) == []  # nobody asked here
     (heard,) = [
         action for action in link.handle(1, client.Came(answer.response)) if isinstance(action, Hears)
     ]
@@ -134,14 +142,20 @@
 
 
 def test_a_request_that_is_none_ends_the_stream_with_the_reason() -> None:
-    (end,) = Line().handle(Asked(DeltaRequest("x")))
-    assert isinstance(end, End) and "node.id" in end.reason
-    line = Line()
-    line.handle(Asked(DeltaRequest("x", node=Node("b"))))
-    (end,) = line.handle(Asked(DeltaRequest("type.googleapis.com/google.protobuf.Value", ("lease?no=1",))))
-    assert isinstance(end, End) and "lease?no=1" in end.reason
-    told = [action for number in range(300) for action in line.handle(Tell(InForce(1, VersionId(1, number))))]
-    assert any(isinstance(action, End) and "without an answer" in action.reason for action in told)
+    (end,) = FollowerExchange().handle(RequestReceived(DeltaRequest("x")))
+    assert isinstance(end, EndStream) and "node.id" in end.reason
+    exchange = FollowerExchange()
+    exchange.handle(RequestReceived(DeltaRequest("x", node=Node("b"))))
+    (end,) = exchange.handle(
+        RequestReceived(DeltaRequest("type.googleapis.com/google.protobuf.Value", ("lease?no=1",)))
+    )
+    assert isinstance(end, EndStream) and "lease?no=1" in end.reason
+    told = [
+        action
+        for number in range(300)
+        for action in exchange.handle(Deliver(InForce(1, VersionId(1, number))))
+    ]
+    assert any(isinstance(action, EndStream) and "without an answer" in action.reason for action in told)
 
 
 def test_nothing_is_said_on_a_stream_before_its_first_ask_which_bears_the_epoch() -> None:
@@ -151,7 +165,7 @@
     said = [
         action.message
         for data in stream.there
-        for action in stream.line.handle(Asked(read_delta_request(data)))
-        if isinstance(action, Said)
+        for action in stream.exchange.handle(RequestReceived(read_delta_request(data)))
+        if isinstance(action, FollowerSays)
     ]
     assert said == [Ask(1, 1, 7, VersionId(7, 3), VersionId(7, 4))] and len(stream.there) > 1
