--- a/roadlb/net/client_connection.py
+++ b/roadlb/net/client_connection.py
@@ -585,7 +585,7 @@
         if self.transport is None or self.ignores_input or not (self._unparsed or self._behind_us):
             return False
         now = self._frontend.clock()
-        is_behind = may_hide_close(unread_bytes(self.transport))
+        is_behind = may_hide_close(unread_bytes(self.transport), self._behind_us != 0)
         if is_behind:
             self._behind_us = now
         elif self._behind_us and has_caught_up(now - self._behind_us):
--- a/roadlb/policy/connection_admission.py
+++ b/roadlb/policy/connection_admission.py
@@ -11,19 +11,22 @@
 from __future__ import annotations
 
 HIDDEN_CLOSE_BYTES = 16_384  # unread, beyond which the kernel may have no room for a close
-CAUGHT_UP_US = 20_000  # without more input than that: what waited on the client's machine has come
+CAUGHT_UP_US = 20_000  # with no input: what waited on the client's machine has come
 RESERVED_SHARE = 16  # one in so many connections
 MIN_RESERVED, MIN_SERVED = 4, 8
 MAX_READ_STALL_US = 2_600_000  # as long as a client may take for its request
 
 
-def may_hide_close(unread_bytes: int) -> bool:
-    """Whether the client may have closed behind so much unread input without its close having come."""
-    return unread_bytes >= HIDDEN_CLOSE_BYTES
+def may_hide_close(unread_bytes: int, was_hidden: bool) -> bool:
+    """Whether the client may have closed behind so much unread input without its close having come.
+
+    Once it may (`was_hidden`), any rest counts: the kernel may take no more before it has been read.
+    """
+    return unread_bytes >= HIDDEN_CLOSE_BYTES or was_hidden and unread_bytes > 0
 
 
 def has_caught_up(since_us: int) -> bool:
-    """Whether a close would have come by now, as no more than that has been unread for so long."""
+    """Whether a close would have come by now, as nothing has been unread for so long."""
     return since_us >= CAUGHT_UP_US
 
 
--- a/tests/policy/test_connection_admission.py
+++ b/tests/policy/test_connection_admission.py
@@ -14,7 +14,13 @@
 
 
 def test_a_close_behind_little_unread_input_is_taken_to_be_hidden() -> None:
-    assert not may_hide_close(HIDDEN_CLOSE_BYTES - 1) and may_hide_close(HIDDEN_CLOSE_BYTES)
+    assert not may_hide_close(HIDDEN_CLOSE_BYTES - 1, was_hidden=False)
+    assert may_hide_close(HIDDEN_CLOSE_BYTES, was_hidden=False)
+
+
+def test_a_close_stays_hidden_until_all_input_is_read() -> None:
+    # The kernel counts whole buffers: with 4 kB unread its window was closed, and orders began 0.7 s late.
+    assert may_hide_close(1, was_hidden=True) and not may_hide_close(0, was_hidden=True)
 
 
 def test_a_moment_without_unread_input_is_taken_for_its_end() -> None:
